Set down folders, core types and ports

Schemas with inferred types, the closed list of error kinds with its table from kind to answer, the durable state, and the interfaces to the outside.

--- /dev/null
+++ b/src/domain/command.ts
@@ -0,0 +1,92 @@
+/** Commands of the replicated log: everything that changes the durable state. */
+import * as v from "valibot";
+import { changeSchema } from "./change.ts";
+import { decisionRecordSchema } from "./decision_record.ts";
+
+/** Schema of the command that applies an operator's change. */
+export const changeCommandSchema = v.object({
+  type: v.literal("change"),
+  change: changeSchema,
+  operator: v.string(),
+  atMs: v.number(),
+});
+
+/** Schema of the command that appends to the audit trail. */
+export const recordCommandSchema = v.object({
+  type: v.literal("record"),
+  records: v.array(decisionRecordSchema),
+});
+
+/** Schema of {@link VmAssignment}. */
+export const vmAssignmentSchema = v.object({
+  vm: v.string(),
+  pool: v.string(),
+  phase: v.picklist([
+    "serving",
+    "cordoned",
+    "draining",
+    "rebooting",
+    "joining",
+  ]),
+  targetPool: v.optional(v.string()),
+  actionId: v.string(),
+  operationId: v.string(),
+  startedAtMs: v.number(),
+});
+
+/** The one pool of a VM, and the step of the move or reboot it is in. */
+export type VmAssignment = v.InferOutput<typeof vmAssignmentSchema>;
+
+/** Schema of the command that writes a step of a move before it is taken. */
+export const assignCommandSchema = v.object({
+  type: v.literal("assign"),
+  /** Step that the writer saw; another value refuses the command. */
+  expectedOperationId: v.optional(v.string()),
+  assignment: vmAssignmentSchema,
+  record: v.optional(decisionRecordSchema),
+});
+
+/** Schema of {@link Claim}. */
+export const claimSchema = v.object({
+  claimId: v.string(),
+  contentDigest: v.string(),
+  entryId: v.string(),
+  atMs: v.number(),
+  state: v.picklist(["running", "succeeded", "failed", "notRun", "unknown"]),
+  status: v.optional(v.number()),
+});
+
+/** A durable claim on one idempotency key. */
+export type Claim = v.InferOutput<typeof claimSchema>;
+
+/** Schema of the command that takes or settles claims, in one batch. */
+export const claimCommandSchema = v.object({
+  type: v.literal("claim"),
+  claims: v.array(claimSchema),
+});
+
+/** Schema of the command that a new leader writes to commit its term. */
+export const leaderCommandSchema = v.object({
+  type: v.literal("leader"),
+  leaderId: v.string(),
+});
+
+/** Schema of the command that changes the voters, one at a time. */
+export const membershipCommandSchema = v.object({
+  type: v.literal("membership"),
+  voterIds: v.array(v.string()),
+  learnerIds: v.array(v.string()),
+});
+
+/** Schema of {@link Command}. */
+export const commandSchema = v.variant("type", [
+  changeCommandSchema,
+  recordCommandSchema,
+  assignCommandSchema,
+  claimCommandSchema,
+  leaderCommandSchema,
+  membershipCommandSchema,
+]);
+
+/** A command of the replicated log. */
+export type Command = v.InferOutput<typeof commandSchema>;
--- /dev/null
+++ b/src/domain/errors.ts
@@ -0,0 +1,142 @@
+/**
+ * The closed list of error kinds, and the one table from kind to answer that
+ * every surface (HTTP, peer protocol, command line) reads.
+ */
+import * as v from "valibot";
+
+/** Every kind of failure that the system can report. */
+export const ERROR_KINDS = [
+  "invalidInput",
+  "unknownKind",
+  "notFound",
+  "methodNotAllowed",
+  "bodyTooLarge",
+  "unauthenticated",
+  "forbidden",
+  "conflict",
+  "operationIdReused",
+  "notLeader",
+  "noQuorum",
+  "staleConfiguration",
+  "shuttingDown",
+  "readOnly",
+  "overloaded",
+  "teamLimitReached",
+  "zoneOut",
+  "noBackendServer",
+  "neverRunnable",
+  "expired",
+  "cancelled",
+  "stillRunning",
+  "outcomeUnknown",
+  "answerTruncated",
+  "backendServerFailed",
+  "peerUnreachable",
+  "diskDamaged",
+  "invalidSetting",
+  "internal",
+] as const;
+
+/** Schema of {@link ErrorKind}. */
+export const errorKindSchema: v.PicklistSchema<typeof ERROR_KINDS, undefined> =
+  v.picklist(ERROR_KINDS);
+
+/** One kind of failure. */
+export type ErrorKind = v.InferOutput<typeof errorKindSchema>;
+
+/** How a kind of failure is answered. */
+export interface ErrorAnswer {
+  /** Status of the HTTP answer. */
+  readonly httpStatus: number;
+  /** Exit code of the command line. */
+  readonly exitCode: number;
+  /** Whether the work named by the request certainly did not run. */
+  readonly notRun: boolean;
+  /** Whether the same request may succeed later without a change to it. */
+  readonly retryable: boolean;
+}
+
+/** The answer to every error kind. */
+export const ERROR_TABLE: Readonly<Record<ErrorKind, ErrorAnswer>> = {
+  invalidInput: answer(400, 2, true, false),
+  unknownKind: answer(404, 2, true, false),
+  notFound: answer(404, 4, true, false),
+  methodNotAllowed: answer(405, 2, true, false),
+  bodyTooLarge: answer(413, 2, true, false),
+  unauthenticated: answer(401, 3, true, false),
+  forbidden: answer(403, 3, true, false),
+  conflict: answer(409, 5, true, false),
+  operationIdReused: answer(422, 5, true, false),
+  notLeader: answer(503, 6, true, true),
+  noQuorum: answer(503, 6, false, true),
+  staleConfiguration: answer(503, 6, true, true),
+  shuttingDown: answer(503, 6, true, true),
+  readOnly: answer(507, 6, true, true),
+  overloaded: answer(503, 6, true, true),
+  teamLimitReached: answer(429, 6, true, true),
+  zoneOut: answer(503, 6, true, true),
+  noBackendServer: answer(503, 6, true, true),
+  neverRunnable: answer(422, 2, true, false),
+  expired: answer(504, 6, true, true),
+  cancelled: answer(499, 6, true, true),
+  stillRunning: answer(409, 7, false, true),
+  outcomeUnknown: answer(502, 7, false, false),
+  answerTruncated: answer(502, 7, false, false),
+  backendServerFailed: answer(502, 7, false, false),
+  peerUnreachable: answer(503, 6, true, true),
+  diskDamaged: answer(500, 8, true, false),
+  invalidSetting: answer(400, 2, true, false),
+  internal: answer(500, 1, false, false),
+};
+
+function answer(
+  httpStatus: number,
+  exitCode: number,
+  notRun: boolean,
+  retryable: boolean,
+): ErrorAnswer {
+  return { httpStatus, exitCode, notRun, retryable };
+}
+
+/** Schema of {@link Failure}. */
+export const failureSchema = v.object({
+  kind: errorKindSchema,
+  message: v.string(),
+  path: v.optional(v.string()),
+  remedy: v.optional(v.string()),
+  retryAfterMs: v.optional(v.number()),
+  decisionId: v.optional(v.string()),
+  detail: v.optional(v.unknown()),
+});
+
+/** A failure as it travels between modules and processes. */
+export type Failure = v.InferOutput<typeof failureSchema>;
+
+/** Optional parts of a {@link Failure}. */
+export type FailureOptions = Omit<Failure, "kind" | "message">;
+
+/**
+ * Creates a failure.
+ *
+ * @param kind - One of the closed list.
+ * @param message - What failed, with the setting or resource and its value.
+ * @param options - Path, remedy, time to retry (ms) and the decision behind it.
+ * @returns The failure.
+ */
+export function createFailure(
+  kind: ErrorKind,
+  message: string,
+  options: FailureOptions = {},
+): Failure {
+  return { kind, message, ...options };
+}
+
+/**
+ * Looks up how a failure is answered.
+ *
+ * @param failure - Any failure.
+ * @returns The row of {@link ERROR_TABLE} for its kind.
+ */
+export function findAnswer(failure: Failure): ErrorAnswer {
+  return ERROR_TABLE[failure.kind];
+}
--- /dev/null
+++ b/src/domain/fleet_state.ts
@@ -0,0 +1,374 @@
+/** The durable state that the replicated log builds, the same on every entry. */
+import { Result } from "true-myth";
+import type { AcceptedChange, Change, ResourceRef } from "./change.ts";
+import type { Claim, Command, VmAssignment } from "./command.ts";
+import type { DecisionRecord } from "./decision_record.ts";
+import { createFailure, type Failure } from "./errors.ts";
+import {
+  type Resource,
+  RESOURCE_KINDS,
+  type ResourceKind,
+  type ResourceOf,
+} from "./resources/index.ts";
+
+/** Operations whose first answer is kept for a resend. */
+export const MAX_KEPT_OPERATIONS = 20_000;
+/** Decision records that the audit trail keeps. */
+export const MAX_KEPT_RECORDS = 10_000;
+/** Claims of idempotency keys that are kept. */
+export const MAX_KEPT_CLAIMS = 50_000;
+
+/** A declared resource with the change that set it. */
+export interface StoredResource<R extends Resource = Resource> {
+  readonly resource: R;
+  readonly revision: number;
+  readonly setBy: string;
+  readonly setAtMs: number;
+}
+
+/** The kept answer to an operation. */
+export interface StoredOperation {
+  readonly operationId: string;
+  readonly content: string;
+  readonly accepted: AcceptedChange;
+}
+
+/** The whole state in plain values, for snapshots. */
+export interface FleetSnapshot {
+  readonly revision: number;
+  readonly resources: readonly StoredResource[];
+  readonly operations: readonly StoredOperation[];
+  readonly records: readonly DecisionRecord[];
+  readonly assignments: readonly VmAssignment[];
+  readonly claims: readonly Claim[];
+  readonly voterIds: readonly string[];
+  readonly learnerIds: readonly string[];
+}
+
+/** What applying a command led to; the same on every entry. */
+export type Applied = Result<AppliedValue, Failure>;
+
+/** The value of an applied command. */
+export interface AppliedValue {
+  /** Configuration revision after the command. */
+  readonly revision: number;
+  /** Claims as they stand after a `claim` command, in its order. */
+  readonly claims?: readonly Claim[];
+}
+
+/** The state that all entries agree on. */
+export class FleetState {
+  #revision = 0;
+  #placementVersion = 0;
+  readonly #resources = new Map<ResourceKind, Map<string, StoredResource>>();
+  readonly #operations = new Map<string, StoredOperation>();
+  readonly #records = new Map<string, DecisionRecord>();
+  readonly #assignments = new Map<string, VmAssignment>();
+  readonly #claims = new Map<string, Claim>();
+  #voterIds: readonly string[] = [];
+  #learnerIds: readonly string[] = [];
+
+  constructor() {
+    for (const kind of RESOURCE_KINDS) {
+      this.#resources.set(kind, new Map());
+    }
+  }
+
+  /** Revision of the configuration: the number of accepted changes. */
+  get revision(): number {
+    return this.#revision;
+  }
+
+  /** Counts changes of resources and assignments, so that indexes know when to rebuild. */
+  get placementVersion(): number {
+    return this.#placementVersion;
+  }
+
+  /** Ids of the entries that vote, empty before the first membership command. */
+  get voterIds(): readonly string[] {
+    return this.#voterIds;
+  }
+
+  /** Ids of the entries that follow with a disk but do not vote yet. */
+  get learnerIds(): readonly string[] {
+    return this.#learnerIds;
+  }
+
+  /**
+   * Finds a declared resource.
+   *
+   * @param kind - Kind of the resource.
+   * @param name - Name of the resource.
+   * @returns The resource with the change that set it, or undefined.
+   */
+  find<K extends ResourceKind>(
+    kind: K,
+    name: string,
+  ): StoredResource<ResourceOf<K>> | undefined {
+    return this.#resources.get(kind)?.get(name) as
+      | StoredResource<ResourceOf<K>>
+      | undefined;
+  }
+
+  /**
+   * Lists the declared resources of one kind.
+   *
+   * @param kind - Kind of the resources.
+   * @returns The resources in the order in which they were first declared.
+   */
+  list<K extends ResourceKind>(kind: K): StoredResource<ResourceOf<K>>[] {
+    const byName = this.#resources.get(kind) ??
+      new Map<string, StoredResource>();
+    return [...byName.values()] as StoredResource<ResourceOf<K>>[];
+  }
+
+  /**
+   * Lists the audit trail.
+   *
+   * @returns The kept decision records, oldest first.
+   */
+  listRecords(): DecisionRecord[] {
+    return [...this.#records.values()];
+  }
+
+  /**
+   * Finds the assignment of a VM.
+   *
+   * @param vm - Name of the VM.
+   * @returns Its one pool and the step it is in, or undefined.
+   */
+  findAssignment(vm: string): VmAssignment | undefined {
+    return this.#assignments.get(vm);
+  }
+
+  /**
+   * Lists the assignments of all VMs.
+   *
+   * @returns One assignment for each VM that was ever assigned.
+   */
+  listAssignments(): VmAssignment[] {
+    return [...this.#assignments.values()];
+  }
+
+  /**
+   * Finds a claim on an idempotency key.
+   *
+   * @param claimId - Team, queue and key of the claim.
+   * @returns The claim, or undefined when it is not kept.
+   */
+  findClaim(claimId: string): Claim | undefined {
+    return this.#claims.get(claimId);
+  }
+
+  /**
+   * Applies one command of the log.
+   *
+   * @param command - The committed command.
+   * @returns The value, or the failure that every entry reaches alike
+   * (`conflict`, `operationIdReused`).
+   */
+  apply(command: Command): Applied {
+    switch (command.type) {
+      case "change":
+        return this.#applyChange(
+          command.change,
+          command.operator,
+          command.atMs,
+        );
+      case "record":
+        command.records.forEach((record) => this.#putRecord(record));
+        return this.#done();
+      case "assign":
+        return this.#applyAssignment(command);
+      case "claim":
+        return this.#applyClaims(command.claims);
+      case "membership":
+        this.#voterIds = command.voterIds;
+        this.#learnerIds = command.learnerIds;
+        return this.#done();
+      case "leader":
+        return this.#done();
+    }
+  }
+
+  /**
+   * Copies the whole state for a snapshot.
+   *
+   * @returns Plain values that {@link FleetState.restore} takes back.
+   */
+  toSnapshot(): FleetSnapshot {
+    return {
+      revision: this.#revision,
+      resources: RESOURCE_KINDS.flatMap((kind) => this.list(kind)),
+      operations: [...this.#operations.values()],
+      records: this.listRecords(),
+      assignments: this.listAssignments(),
+      claims: [...this.#claims.values()],
+      voterIds: this.#voterIds,
+      learnerIds: this.#learnerIds,
+    };
+  }
+
+  /**
+   * Builds a state from a snapshot.
+   *
+   * @param snapshot - The copy of a state.
+   * @returns A state equal to the copied one.
+   */
+  static restore(snapshot: FleetSnapshot): FleetState {
+    const state = new FleetState();
+    state.#revision = snapshot.revision;
+    state.#placementVersion = snapshot.revision + snapshot.assignments.length;
+    for (const stored of snapshot.resources) {
+      state.#put(stored);
+    }
+    for (const operation of snapshot.operations) {
+      state.#operations.set(operation.operationId, operation);
+    }
+    for (const record of snapshot.records) {
+      state.#records.set(record.decisionId, record);
+    }
+    for (const assignment of snapshot.assignments) {
+      state.#assignments.set(assignment.vm, assignment);
+    }
+    for (const claim of snapshot.claims) {
+      state.#claims.set(claim.claimId, claim);
+    }
+    state.#voterIds = snapshot.voterIds;
+    state.#learnerIds = snapshot.learnerIds;
+    return state;
+  }
+
+  #applyChange(change: Change, operator: string, atMs: number): Applied {
+    const content = JSON.stringify([change.puts, change.deletes]);
+    const first = this.#operations.get(change.operationId);
+    if (first !== undefined) {
+      return this.#answerResend(first, content);
+    }
+    if (change.expectedRevision !== this.#revision) {
+      return Result.err(this.#createConflict(change));
+    }
+    this.#revision += 1;
+    this.#placementVersion += 1;
+    for (const resource of change.puts) {
+      this.#put({
+        resource,
+        revision: this.#revision,
+        setBy: operator,
+        setAtMs: atMs,
+      });
+    }
+    for (const ref of change.deletes) {
+      this.#resources.get(ref.kind)?.delete(ref.name);
+    }
+    const accepted = {
+      operationId: change.operationId,
+      revision: this.#revision,
+    };
+    this.#operations.set(change.operationId, {
+      operationId: change.operationId,
+      content,
+      accepted,
+    });
+    dropOldest(this.#operations, MAX_KEPT_OPERATIONS);
+    return this.#done();
+  }
+
+  #answerResend(first: StoredOperation, content: string): Applied {
+    if (first.content !== content) {
+      return Result.err(
+        createFailure(
+          "operationIdReused",
+          `operation ${first.operationId} was accepted with other content as revision ${first.accepted.revision}`,
+          { remedy: "send the other content under a new operation id" },
+        ),
+      );
+    }
+    return Result.ok({ revision: first.accepted.revision });
+  }
+
+  #createConflict(change: Change): Failure {
+    const touched: ResourceRef[] = [
+      ...change.puts.map(({ kind, name }) => ({ kind, name })),
+      ...change.deletes,
+    ];
+    const won = touched
+      .map(({ kind, name }) => this.find(kind, name))
+      .filter((stored) => stored !== undefined)
+      .filter((stored) => stored.revision > change.expectedRevision);
+    return createFailure(
+      "conflict",
+      `the change expects revision ${change.expectedRevision}, the configuration is at ${this.#revision}`,
+      {
+        remedy:
+          "read the resources again and resend with the current revision under a new operation id",
+        detail: { currentRevision: this.#revision, won },
+      },
+    );
+  }
+
+  #applyAssignment(command: Extract<Command, { type: "assign" }>): Applied {
+    const { assignment, expectedOperationId, record } = command;
+    const current = this.#assignments.get(assignment.vm);
+    if (current?.operationId === assignment.operationId) {
+      return this.#done();
+    }
+    if (current?.operationId !== expectedOperationId) {
+      return Result.err(
+        createFailure(
+          "conflict",
+          `vm/${assignment.vm} is at step ${
+            current?.operationId ?? "none"
+          }, not ${expectedOperationId ?? "none"}`,
+        ),
+      );
+    }
+    this.#assignments.set(assignment.vm, assignment);
+    this.#placementVersion += 1;
+    if (record !== undefined) {
+      this.#putRecord(record);
+    }
+    return this.#done();
+  }
+
+  #applyClaims(claims: readonly Claim[]): Applied {
+    const standing = claims.map((claim) => {
+      const current = this.#claims.get(claim.claimId);
+      const mayReplace = current === undefined ||
+        (current.entryId === claim.entryId && current.atMs === claim.atMs);
+      if (mayReplace) {
+        this.#claims.set(claim.claimId, claim);
+        return claim;
+      }
+      return current;
+    });
+    dropOldest(this.#claims, MAX_KEPT_CLAIMS);
+    return Result.ok({ revision: this.#revision, claims: standing });
+  }
+
+  #put(stored: StoredResource): void {
+    this.#resources.get(stored.resource.kind)?.set(
+      stored.resource.name,
+      stored,
+    );
+  }
+
+  #putRecord(record: DecisionRecord): void {
+    this.#records.delete(record.decisionId);
+    this.#records.set(record.decisionId, record);
+    dropOldest(this.#records, MAX_KEPT_RECORDS);
+  }
+
+  #done(): Applied {
+    return Result.ok({ revision: this.#revision });
+  }
+}
+
+function dropOldest<K, V>(map: Map<K, V>, maxSize: number): void {
+  for (const key of map.keys()) {
+    if (map.size <= maxSize) {
+      return;
+    }
+    map.delete(key);
+  }
+}
--- /dev/null
+++ b/src/domain/resources/index.ts
@@ -0,0 +1,2 @@
+/** Resources that operators declare. */
+export * from "./resource.ts";
--- /dev/null
+++ b/src/domain/validation.ts
@@ -0,0 +1,44 @@
+/** Turns schema checks into typed failures that name path and remedy. */
+import { Result } from "true-myth";
+import * as v from "valibot";
+import { createFailure, type ErrorKind, type Failure } from "./errors.ts";
+
+/** Options of {@link validateWith}. */
+export interface ValidateOptions {
+  /** Kind of the failure for input that does not fit. */
+  readonly kind?: ErrorKind;
+  /** What is validated, for the message. */
+  readonly subject: string;
+}
+
+/**
+ * Validates unknown input against a schema.
+ *
+ * @param schema - The schema to satisfy.
+ * @param input - Input from a file, a caller or a peer.
+ * @param options - Subject of the message, and the failure's kind.
+ * @returns The typed value, or a failure that names the path, the value and
+ * what is allowed there.
+ */
+export function validateWith<TSchema extends v.GenericSchema>(
+  schema: TSchema,
+  input: unknown,
+  options: ValidateOptions,
+): Result<v.InferOutput<TSchema>, Failure> {
+  const parsed = v.safeParse(schema, input);
+  if (parsed.success) {
+    return Result.ok(parsed.output);
+  }
+  const issue = parsed.issues[0];
+  const path = v.getDotPath(issue) ?? "";
+  const place = path === "" ? options.subject : `${options.subject}: ${path}`;
+  return Result.err(
+    createFailure(
+      options.kind ?? "invalidInput",
+      `${place} is ${issue.received}, expected ${
+        issue.expected ?? "another value"
+      }`,
+      { path, remedy: issue.message },
+    ),
+  );
+}
--- /dev/null
+++ b/src/ports/agreement.ts
@@ -0,0 +1,53 @@
+/** Agreement on the durable state: policies only propose and follow. */
+import type { Result } from "true-myth";
+import type {
+  AppliedValue,
+  Command,
+  Failure,
+  FleetState,
+} from "../domain/index.ts";
+
+/** What an entry knows of the agreement. */
+export interface AgreementStatus {
+  readonly entryId: string;
+  readonly leaderId: string | undefined;
+  readonly term: number;
+  /** Monotonic time at which this entry became leader of the term; undefined on others. */
+  readonly leaderSinceMs: number | undefined;
+  /** Index of the last entry of the log that is applied here. */
+  readonly appliedIndex: number;
+  /** Index up to which the log is committed, as far as is known here. */
+  readonly commitIndex: number;
+  /** Configuration revision in force here. */
+  readonly revision: number;
+  /** Monotonic time until which this entry may vouch for its configuration. */
+  readonly freshUntilMs: number;
+}
+
+/** Replicated agreement on commands. */
+export interface Agreement {
+  /** The state as applied on this entry; never steps back. */
+  readonly state: FleetState;
+  /**
+   * Proposes a command and waits until it is durable on a quorum and applied.
+   *
+   * @param command - The command.
+   * @param signal - Ends the wait; the command may still be accepted then.
+   * @returns What applying it led to, or `noQuorum` when that is in doubt,
+   * `notLeader` or `readOnly` when it certainly was not accepted.
+   */
+  propose(
+    command: Command,
+    signal?: AbortSignal,
+  ): Promise<Result<AppliedValue, Failure>>;
+  /**
+   * Waits until something newer than the given index is applied here.
+   *
+   * @param appliedIndex - The index already seen.
+   * @param signal - Ends the wait.
+   * @returns The status then.
+   */
+  follow(appliedIndex: number, signal: AbortSignal): Promise<AgreementStatus>;
+  /** Tells what this entry knows now. */
+  status(): AgreementStatus;
+}
--- /dev/null
+++ b/src/ports/index.ts
@@ -0,0 +1,12 @@
+/** Interfaces through which the inside of the system reaches the outside. */
+export * from "./agreement.ts";
+export * from "./backend_client.ts";
+export * from "./clock.ts";
+export * from "./file_system.ts";
+export * from "./log_store.ts";
+export * from "./logger.ts";
+export * from "./metrics.ts";
+export * from "./peer_network.ts";
+export * from "./platform.ts";
+export * from "./random.ts";
+export * from "./secrets.ts";
--- /dev/null
+++ b/src/ports/platform.ts
@@ -0,0 +1,52 @@
+/** The platform that runs VMs and tasks, as the controller sees it. */
+import type { Result } from "true-myth";
+import * as v from "valibot";
+import type { Failure } from "../domain/index.ts";
+
+/** Schema of {@link PlatformTask}. */
+export const platformTaskSchema = v.object({
+  taskId: v.string(),
+  vm: v.string(),
+  team: v.string(),
+  queue: v.string(),
+  priority: v.number(),
+  checkpointable: v.boolean(),
+  usedCores: v.number(),
+  usedMemoryMb: v.number(),
+});
+
+/** A task that runs on a VM, with its last reported usage. */
+export type PlatformTask = v.InferOutput<typeof platformTaskSchema>;
+
+/** Schema of {@link PlatformVm}. */
+export const platformVmSchema = v.object({
+  vm: v.string(),
+  zone: v.string(),
+  rack: v.string(),
+  state: v.picklist(["up", "draining", "drained", "rebooting", "down"]),
+  bootCount: v.number(),
+  runningCount: v.number(),
+});
+
+/** A VM as the platform reports it. */
+export type PlatformVm = v.InferOutput<typeof platformVmSchema>;
+
+/** Commands to the platform; a repeated operation id has no second effect. */
+export interface Platform {
+  /** Lists the VMs of the fleet. */
+  listVms(): Promise<Result<readonly PlatformVm[], Failure>>;
+  /** Lists running tasks with their usage, which lags. */
+  listTasks(): Promise<Result<readonly PlatformTask[], Failure>>;
+  /** Asks a VM to take no new work and to finish what runs. */
+  drain(vm: string, operationId: string): Promise<Result<void, Failure>>;
+  /** Reboots a VM that is drained. */
+  reboot(vm: string, operationId: string): Promise<Result<void, Failure>>;
+  /** Lets a VM take work again. */
+  undrain(vm: string, operationId: string): Promise<Result<void, Failure>>;
+  /** Checkpoints a task, slows it down, or stops it. */
+  actOnTask(
+    taskId: string,
+    action: "checkpoint" | "throttle" | "stop",
+    operationId: string,
+  ): Promise<Result<void, Failure>>;
+}
