--- /dev/null
+++ b/src/decisions/admission/index.ts
@@ -0,0 +1,2 @@
+/** Decides who may use a queue. */
+export * from "./admission.ts";
--- /dev/null
+++ b/src/decisions/fleet/fleet_index.ts
@@ -0,0 +1,227 @@
+/** Look-ups over the configuration in force, rebuilt when it changes. */
+import {
+  type Binding,
+  type FleetState,
+  type Key,
+  matchesSelector,
+  type Pool,
+  type Queue,
+  type Resource,
+  type StoredResource,
+  type Team,
+  type Vm,
+  type Zone,
+  ZONE_OUT_VALUE,
+  ZONE_SERVICE_LABEL,
+} from "../../domain/index.ts";
+
+/** A VM with the pool that it serves now, if any. */
+export interface PlacedVm {
+  readonly vm: StoredResource<Vm>;
+  /** The pool, or undefined when no pool or more than one claims the VM. */
+  readonly pool: string | undefined;
+  /** False while a move, a drain or a reboot keeps work away. */
+  readonly serving: boolean;
+}
+
+/** Look-ups over one version of the configuration. */
+export class FleetIndex {
+  readonly #state: FleetState;
+  readonly #keysByDigest = new Map<string, StoredResource<Key>>();
+  readonly #bindingsByPair = new Map<
+    string,
+    StoredResource<Binding> | undefined
+  >();
+  readonly #poolsByQueue = new Map<string, readonly StoredResource<Pool>[]>();
+  readonly #vms = new Map<string, PlacedVm>();
+
+  constructor(state: FleetState) {
+    this.#state = state;
+    for (const key of state.list("key")) {
+      this.#keysByDigest.set(key.resource.digest, key);
+    }
+    const pools = state.list("pool");
+    for (const vm of state.list("vm")) {
+      this.#vms.set(vm.resource.name, placeVm(state, vm, pools));
+    }
+  }
+
+  /** Revision of the configuration that this index was built from. */
+  get revision(): number {
+    return this.#state.revision;
+  }
+
+  /** Finds a key by the digest of its secret. */
+  findKey(digest: string): StoredResource<Key> | undefined {
+    return this.#keysByDigest.get(digest);
+  }
+
+  /** Finds a team by name. */
+  findTeam(name: string): StoredResource<Team> | undefined {
+    return this.#state.find("team", name);
+  }
+
+  /** Finds a queue by name. */
+  findQueue(name: string): StoredResource<Queue> | undefined {
+    return this.#state.find("queue", name);
+  }
+
+  /** Finds a zone by name. */
+  findZone(name: string): StoredResource<Zone> | undefined {
+    return this.#state.find("zone", name);
+  }
+
+  /** Finds a VM with the pool that it serves. */
+  findVm(name: string): PlacedVm | undefined {
+    return this.#vms.get(name);
+  }
+
+  /** Lists all VMs with the pools that they serve. */
+  listVms(): PlacedVm[] {
+    return [...this.#vms.values()];
+  }
+
+  /**
+   * Finds the binding that lets a team use a queue.
+   *
+   * @param team - The team.
+   * @param queue - The queue.
+   * @returns The first binding whose selectors match both, or undefined.
+   */
+  findBinding(team: Team, queue: Queue): StoredResource<Binding> | undefined {
+    const pair = `${team.name} ${queue.name}`;
+    if (!this.#bindingsByPair.has(pair)) {
+      const binding = this.#state.list("binding").find(({ resource }) =>
+        matchesSelector(resource.teamSelector, team.labels) &&
+        matchesSelector(resource.queueSelector, queue.labels)
+      );
+      this.#bindingsByPair.set(pair, binding);
+    }
+    return this.#bindingsByPair.get(pair);
+  }
+
+  /**
+   * Lists the pools that a queue reaches.
+   *
+   * @param queue - The queue.
+   * @returns Pools whose labels match the queue's selector, spare pools last.
+   */
+  listPools(queue: Queue): readonly StoredResource<Pool>[] {
+    const known = this.#poolsByQueue.get(queue.name);
+    if (known !== undefined) {
+      return known;
+    }
+    const pools = this.#state.list("pool")
+      .filter(({ resource }) =>
+        matchesSelector(queue.poolSelector, resource.labels)
+      )
+      .sort((left, right) =>
+        Number(left.resource.spare) - Number(right.resource.spare)
+      );
+    this.#poolsByQueue.set(queue.name, pools);
+    return pools;
+  }
+
+  /**
+   * Tells whether operators have taken a zone out.
+   *
+   * @param name - Name of the zone.
+   * @returns The zone that carries the label, or undefined when it is in service.
+   */
+  findZoneOut(name: string): StoredResource<Zone> | undefined {
+    const zone = this.#state.find("zone", name);
+    return zone?.resource.labels[ZONE_SERVICE_LABEL] === ZONE_OUT_VALUE
+      ? zone
+      : undefined;
+  }
+}
+
+/** Keeps one {@link FleetIndex} for the newest configuration. */
+export class FleetIndexCache {
+  readonly #getState: () => FleetState;
+  #state: FleetState | undefined;
+  #version = -1;
+  #index: FleetIndex | undefined;
+
+  /**
+   * @param getState - Returns the state in force; restoring a snapshot may
+   * replace the object.
+   */
+  constructor(getState: () => FleetState) {
+    this.#getState = getState;
+  }
+
+  /**
+   * Returns the index of the configuration in force.
+   *
+   * @returns The kept index, or a new one when the configuration has changed.
+   */
+  current(): FleetIndex {
+    const state = this.#getState();
+    const isCurrent = state === this.#state &&
+      state.placementVersion === this.#version;
+    if (this.#index === undefined || !isCurrent) {
+      this.#index = new FleetIndex(state);
+      this.#state = state;
+      this.#version = state.placementVersion;
+    }
+    return this.#index;
+  }
+}
+
+/**
+ * Lists the pools whose selectors claim a VM.
+ *
+ * @param vm - The VM.
+ * @param pools - All pools.
+ * @returns The pools that match; more than one is an operator's mistake.
+ */
+export function listClaimingPools(
+  vm: Vm,
+  pools: readonly StoredResource<Pool>[],
+): StoredResource<Pool>[] {
+  return pools.filter(({ resource }) =>
+    matchesSelector(resource.vmSelector, vm.labels)
+  );
+}
+
+function placeVm(
+  state: FleetState,
+  vm: StoredResource<Vm>,
+  pools: readonly StoredResource<Pool>[],
+): PlacedVm {
+  const assignment = state.findAssignment(vm.resource.name);
+  if (assignment !== undefined) {
+    return {
+      vm,
+      pool: assignment.pool,
+      serving: assignment.phase === "serving",
+    };
+  }
+  const claiming = listClaimingPools(vm.resource, pools);
+  const pool = claiming.length === 1 ? claiming[0]?.resource.name : undefined;
+  return { vm, pool, serving: pool !== undefined };
+}
+
+/**
+ * Describes one field of a stored resource as the cause of a decision.
+ *
+ * @param stored - The resource with the change that set it.
+ * @param field - The field that mattered.
+ * @param value - Its value.
+ * @returns The cause, with who set the resource, when, and in which revision.
+ */
+export function createCause(
+  stored: StoredResource<Resource>,
+  field: string,
+  value: string,
+) {
+  return {
+    resource: { kind: stored.resource.kind, name: stored.resource.name },
+    field,
+    value,
+    setBy: stored.setBy,
+    setAtMs: stored.setAtMs,
+    revision: stored.revision,
+  };
+}
--- /dev/null
+++ b/src/decisions/fleet/index.ts
@@ -0,0 +1,2 @@
+/** Look-ups over the configuration in force. */
+export * from "./fleet_index.ts";
--- /dev/null
+++ b/src/decisions/routing/index.ts
@@ -0,0 +1,2 @@
+/** Chooses backend servers. */
+export * from "./backend_picker.ts";
