--- /dev/null
+++ b/src/adapters/backend/index.ts
@@ -0,0 +1,2 @@
+/** Attempts at backend servers. */
+export * from "./undici_backend_client.ts";
--- /dev/null
+++ b/src/adapters/clock/index.ts
@@ -0,0 +1,2 @@
+/** Clocks. */
+export * from "./system_clock.ts";
--- /dev/null
+++ b/src/adapters/disk/index.ts
@@ -0,0 +1,4 @@
+/** Storage in files. */
+export * from "./file_log_store.ts";
+export * from "./node_file_system.ts";
+export * from "./record_codec.ts";
--- /dev/null
+++ b/src/adapters/http/caller_routes.ts
@@ -0,0 +1,161 @@
+/** Routes of callers: `/q/QUEUE/PATH`, with any method. */
+import { once } from "node:events";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { HTTPMethod } from "find-my-way";
+import type { CallerAnswer, CallerRequest } from "../../domain/index.ts";
+import type { Clock, Logger, Random } from "../../ports/index.ts";
+import type { RequestService } from "../../services/index.ts";
+import {
+  DECISION_ID_HEADER,
+  type Exchange,
+  OUTCOME_HEADER,
+  readSecret,
+  REQUEST_ID_HEADER,
+  sendFailure,
+} from "./exchange.ts";
+import type { HttpServer } from "./http_server.ts";
+
+/** Header with the time that the caller waits, in milliseconds. */
+export const DEADLINE_MS_HEADER = "cardamomsill-deadline-ms";
+/** Header by which a caller declares that a second run does no harm. */
+export const IDEMPOTENT_HEADER = "cardamomsill-idempotent";
+/** Header that names a request, so that a resend finds the first one. */
+export const IDEMPOTENCY_KEY_HEADER = "idempotency-key";
+
+const DEFAULT_DEADLINE_MS = 60_000;
+const MAX_DEADLINE_MS = 3_600_000;
+const CALLER_METHODS: readonly HTTPMethod[] = [
+  "GET",
+  "HEAD",
+  "POST",
+  "PUT",
+  "PATCH",
+  "DELETE",
+];
+const NON_IDEMPOTENT_METHODS = new Set(["POST", "PATCH"]);
+// Credentials end here, and lengths are the connection's own business.
+const CONSUMED_HEADERS = new Set([
+  "authorization",
+  "host",
+  "content-length",
+  "expect",
+]);
+
+/** Options of {@link addCallerRoutes}. */
+export interface CallerRoutesOptions {
+  readonly requests: RequestService;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+}
+
+/**
+ * Adds the routes of callers.
+ *
+ * @param server - The entry's HTTP server.
+ * @param options - The request service and what the routes need besides.
+ */
+export function addCallerRoutes(
+  server: HttpServer,
+  options: CallerRoutesOptions,
+): void {
+  const handle = (exchange: Exchange) => serveCaller(exchange, options);
+  server.route(CALLER_METHODS, "/q/:queue", handle);
+  server.route(CALLER_METHODS, "/q/:queue/*", handle);
+}
+
+async function serveCaller(
+  exchange: Exchange,
+  options: CallerRoutesOptions,
+): Promise<void> {
+  const request = readCallerRequest(exchange, options);
+  const ran = await options.requests.run(request);
+  if (ran.isErr) {
+    const { failure, requestId } = ran.error;
+    sendFailure(exchange.response, failure, { [REQUEST_ID_HEADER]: requestId });
+    return;
+  }
+  try {
+    await sendAnswer(exchange.response, ran.value);
+  } catch (error) {
+    options.logger.warn(
+      { requestId: request.requestId, err: error },
+      "an answer was cut short",
+    );
+    // Ends the connection without the final chunk: it must not look complete.
+    exchange.response.destroy();
+  }
+}
+
+function readCallerRequest(
+  exchange: Exchange,
+  options: CallerRoutesOptions,
+): CallerRequest {
+  const { request, params, signal } = exchange;
+  const method = request.method ?? "GET";
+  const isDeclaredIdempotent = request.headers[IDEMPOTENT_HEADER] === "true";
+  const idempotencyKey = request.headers[IDEMPOTENCY_KEY_HEADER];
+  return {
+    requestId: options.random.nextId(),
+    queueName: params["queue"] ?? "",
+    secret: readSecret(request),
+    method,
+    path: readForwardedPath(request),
+    headers: readHeaders(request),
+    body: hasBody(request) ? request as AsyncIterable<Uint8Array> : undefined,
+    deadlineAtMs: options.clock.monotonicMs() + readDeadlineMs(request),
+    idempotencyKey: typeof idempotencyKey === "string"
+      ? idempotencyKey
+      : undefined,
+    idempotent: isDeclaredIdempotent || !NON_IDEMPOTENT_METHODS.has(method),
+    signal,
+  };
+}
+
+// The raw text, since decoding and encoding again could change it.
+function readForwardedPath(request: IncomingMessage): string {
+  const rest = (request.url ?? "").replace(/^\/q\/[^/?]*/, "");
+  return rest.startsWith("/") ? rest : `/${rest}`;
+}
+
+function readHeaders(request: IncomingMessage): Record<string, string> {
+  const headers: Record<string, string> = {};
+  for (const [name, value] of Object.entries(request.headers)) {
+    if (value !== undefined && !CONSUMED_HEADERS.has(name)) {
+      headers[name] = Array.isArray(value) ? value.join(", ") : value;
+    }
+  }
+  return headers;
+}
+
+function readDeadlineMs(request: IncomingMessage): number {
+  const declared = Number(request.headers[DEADLINE_MS_HEADER]);
+  const isUsable = Number.isFinite(declared) && declared > 0;
+  return isUsable ? Math.min(declared, MAX_DEADLINE_MS) : DEFAULT_DEADLINE_MS;
+}
+
+function hasBody(request: IncomingMessage): boolean {
+  const length = Number(request.headers["content-length"] ?? 0);
+  return length > 0 || request.headers["transfer-encoding"] !== undefined;
+}
+
+async function sendAnswer(
+  response: ServerResponse,
+  answer: CallerAnswer,
+): Promise<void> {
+  response.writeHead(answer.status, {
+    ...answer.headers,
+    [REQUEST_ID_HEADER]: answer.requestId,
+    [DECISION_ID_HEADER]: answer.decisionId,
+    [OUTCOME_HEADER]: "ran",
+  });
+  for await (const chunk of answer.body) {
+    if (response.destroyed) {
+      return;
+    }
+    if (!response.write(chunk)) {
+      await Promise.race([once(response, "drain"), once(response, "close")]);
+    }
+  }
+  response.end();
+}
--- /dev/null
+++ b/src/adapters/http/exchange.ts
@@ -0,0 +1,147 @@
+/** One HTTP request and its answer. */
+import { Buffer } from "node:buffer";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { Result } from "true-myth";
+import { createFailure, type Failure, findAnswer } from "../../domain/index.ts";
+
+const MS_PER_SECOND = 1_000;
+/** Header that says how the request ended. */
+export const OUTCOME_HEADER = "cardamomsill-outcome";
+/** Header that carries the id of the decision behind an answer. */
+export const DECISION_ID_HEADER = "cardamomsill-decision-id";
+/** Header that carries the id of a request. */
+export const REQUEST_ID_HEADER = "cardamomsill-request-id";
+
+/** One request with its parameters and the answer to write. */
+export interface Exchange {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  /** Parameters of the matched route. */
+  readonly params: Readonly<Record<string, string | undefined>>;
+  readonly query: URLSearchParams;
+  /** Aborts when the caller has gone away or the server stops. */
+  readonly signal: AbortSignal;
+}
+
+/**
+ * Reads the secret of a request.
+ *
+ * @param request - The request.
+ * @returns The bearer token, or undefined when there is none.
+ */
+export function readSecret(request: IncomingMessage): string | undefined {
+  const header = request.headers.authorization ?? "";
+  const match = /^Bearer +(\S+)$/i.exec(header);
+  return match?.[1];
+}
+
+/**
+ * Reads a JSON body within a limit.
+ *
+ * @param request - The request.
+ * @param maxBytes - Largest body that is taken, in bytes.
+ * @returns The parsed body, `bodyTooLarge`, or `invalidInput`.
+ */
+export async function readJson(
+  request: IncomingMessage,
+  maxBytes: number,
+): Promise<Result<unknown, Failure>> {
+  const chunks: Buffer[] = [];
+  let sizeBytes = 0;
+  for await (const chunk of request as AsyncIterable<Buffer>) {
+    sizeBytes += chunk.length;
+    if (sizeBytes > maxBytes) {
+      return Result.err(
+        createFailure(
+          "bodyTooLarge",
+          `the body is larger than ${maxBytes} bytes`,
+          {
+            remedy: "split the change into smaller ones",
+          },
+        ),
+      );
+    }
+    chunks.push(chunk);
+  }
+  try {
+    return Result.ok(JSON.parse(Buffer.concat(chunks).toString("utf8")));
+  } catch (error) {
+    return Result.err(
+      createFailure("invalidInput", `the body is not JSON: ${String(error)}`),
+    );
+  }
+}
+
+/**
+ * Writes a JSON answer.
+ *
+ * @param response - Where to write.
+ * @param status - HTTP status.
+ * @param value - The body.
+ */
+export function sendJson(
+  response: ServerResponse,
+  status: number,
+  value: unknown,
+): void {
+  const body = `${JSON.stringify(value)}\n`;
+  response.writeHead(status, {
+    "content-type": "application/json",
+    "content-length": Buffer.byteLength(body),
+  });
+  response.end(body);
+}
+
+/**
+ * Writes a failure by the table from kind to answer.
+ *
+ * @param response - Where to write.
+ * @param failure - The failure.
+ * @param headers - Further headers.
+ */
+export function sendFailure(
+  response: ServerResponse,
+  failure: Failure,
+  headers: Readonly<Record<string, string>> = {},
+): void {
+  const answer = findAnswer(failure);
+  if (response.headersSent) {
+    response.destroy();
+    return;
+  }
+  for (const [name, value] of Object.entries(headers)) {
+    response.setHeader(name, value);
+  }
+  response.setHeader(OUTCOME_HEADER, answer.notRun ? "not-run" : "unknown");
+  if (failure.decisionId !== undefined) {
+    response.setHeader(DECISION_ID_HEADER, failure.decisionId);
+  }
+  if (failure.retryAfterMs !== undefined) {
+    response.setHeader(
+      "retry-after",
+      Math.ceil(failure.retryAfterMs / MS_PER_SECOND),
+    );
+  }
+  sendJson(response, answer.httpStatus, {
+    error: { ...failure, notRun: answer.notRun },
+  });
+}
+
+/**
+ * Writes a result: its value as JSON, or its failure.
+ *
+ * @param response - Where to write.
+ * @param result - The result.
+ * @param status - Status of a success.
+ */
+export function sendResult(
+  response: ServerResponse,
+  result: Result<unknown, Failure>,
+  status = 200,
+): void {
+  if (result.isOk) {
+    sendJson(response, status, result.value);
+  } else {
+    sendFailure(response, result.error);
+  }
+}
--- /dev/null
+++ b/src/adapters/http/operator_routes.ts
@@ -0,0 +1,216 @@
+/** Routes of operators: `/v1/...`, with an operator's key. */
+import { Result } from "true-myth";
+import * as v from "valibot";
+import {
+  createFailure,
+  type Failure,
+  nameSchema,
+  RESOURCE_KINDS,
+  type ResourceKind,
+  resourceKindSchema,
+  validateWith,
+} from "../../domain/index.ts";
+import type { Agreement } from "../../ports/index.ts";
+import type {
+  ExplainService,
+  Operator,
+  OperatorService,
+} from "../../services/index.ts";
+import {
+  type Exchange,
+  readJson,
+  readSecret,
+  sendFailure,
+  sendResult,
+} from "./exchange.ts";
+import type { HttpServer } from "./http_server.ts";
+
+const MAX_CHANGE_BYTES = 1_024 * 1_024;
+const WATCH_IDLE_MS = 15_000;
+
+const newKeySchema = v.strictObject({
+  name: nameSchema,
+  role: v.picklist(["team", "operator"]),
+  team: v.optional(nameSchema),
+  operationId: v.pipe(v.string(), v.minLength(8), v.maxLength(80)),
+  expectedRevision: v.pipe(v.number(), v.integer(), v.minValue(0)),
+});
+
+/** Options of {@link addOperatorRoutes}. */
+export interface OperatorRoutesOptions {
+  readonly operators: OperatorService;
+  readonly explain: ExplainService;
+  readonly agreement: Agreement;
+}
+
+type OperatorHandler = (
+  exchange: Exchange,
+  operator: Operator,
+) => Promise<void>;
+
+/**
+ * Adds the routes of operators.
+ *
+ * @param server - The entry's HTTP server.
+ * @param options - The services behind the routes.
+ */
+export function addOperatorRoutes(
+  server: HttpServer,
+  options: OperatorRoutesOptions,
+): void {
+  const guard = (handler: OperatorHandler) => (exchange: Exchange) =>
+    serveOperator(exchange, options, handler);
+  server.route(
+    ["POST"],
+    "/v1/changes",
+    guard((exchange, operator) => applyChange(exchange, options, operator)),
+  );
+  server.route(
+    ["POST"],
+    "/v1/keys",
+    guard((exchange, operator) => createKey(exchange, options, operator)),
+  );
+  server.route(
+    ["GET"],
+    "/v1/status",
+    guard((exchange) => sendStatus(exchange, options)),
+  );
+  server.route(
+    ["GET"],
+    "/v1/watch",
+    guard((exchange) => streamChanges(exchange, options)),
+  );
+  server.route(
+    ["GET"],
+    "/v1/explain/:kind/:name",
+    guard((exchange) => explain(exchange, options)),
+  );
+  server.route(
+    ["GET"],
+    "/v1/resources/:kind",
+    guard((exchange) => list(exchange, options)),
+  );
+  server.route(
+    ["GET"],
+    "/v1/resources/:kind/:name",
+    guard((exchange) => read(exchange, options)),
+  );
+}
+
+async function serveOperator(
+  exchange: Exchange,
+  options: OperatorRoutesOptions,
+  handler: OperatorHandler,
+): Promise<void> {
+  const operator = options.operators.authenticate(readSecret(exchange.request));
+  if (operator.isErr) {
+    sendFailure(exchange.response, operator.error);
+    return;
+  }
+  await handler(exchange, operator.value);
+}
+
+async function applyChange(
+  exchange: Exchange,
+  options: OperatorRoutesOptions,
+  operator: Operator,
+): Promise<void> {
+  const body = await readJson(exchange.request, MAX_CHANGE_BYTES);
+  const accepted = body.isErr
+    ? Result.err<never, Failure>(body.error)
+    : await options.operators.applyChange(operator, body.value);
+  sendResult(exchange.response, accepted);
+}
+
+async function createKey(
+  exchange: Exchange,
+  options: OperatorRoutesOptions,
+  operator: Operator,
+): Promise<void> {
+  const body = await readJson(exchange.request, MAX_CHANGE_BYTES);
+  const newKey = body.andThen((value) =>
+    validateWith(newKeySchema, value, { subject: "key" })
+  );
+  if (newKey.isErr) {
+    sendFailure(exchange.response, newKey.error);
+    return;
+  }
+  const { team, ...rest } = newKey.value;
+  const created = await options.operators.createKey(operator, {
+    ...rest,
+    team,
+  });
+  sendResult(exchange.response, created, 201);
+}
+
+function sendStatus(
+  exchange: Exchange,
+  options: OperatorRoutesOptions,
+): Promise<void> {
+  sendResult(exchange.response, Result.ok(options.agreement.status()));
+  return Promise.resolve();
+}
+
+function explain(
+  exchange: Exchange,
+  options: OperatorRoutesOptions,
+): Promise<void> {
+  const { kind, name } = exchange.params;
+  const sinceMs = Number(exchange.query.get("sinceMs") ?? 0);
+  sendResult(
+    exchange.response,
+    options.explain.explain(`${kind}/${name}`, sinceMs),
+  );
+  return Promise.resolve();
+}
+
+function list(
+  exchange: Exchange,
+  options: OperatorRoutesOptions,
+): Promise<void> {
+  const kind = readKind(exchange);
+  const listed = kind.map((known) => ({
+    revision: options.agreement.state.revision,
+    items: options.operators.list(known),
+  }));
+  sendResult(exchange.response, listed);
+  return Promise.resolve();
+}
+
+function read(
+  exchange: Exchange,
+  options: OperatorRoutesOptions,
+): Promise<void> {
+  const kind = readKind(exchange);
+  const found = kind.andThen((known) =>
+    options.operators.read(known, exchange.params["name"] ?? "")
+  );
+  sendResult(exchange.response, found);
+  return Promise.resolve();
+}
+
+function readKind(exchange: Exchange): Result<ResourceKind, Failure> {
+  const kind = exchange.params["kind"] ?? "";
+  const known = v.safeParse(resourceKindSchema, kind);
+  return known.success ? Result.ok(known.output) : Result.err(
+    createFailure("unknownKind", `there is no kind '${kind}'`, {
+      remedy: `use one of ${RESOURCE_KINDS.join(", ")}`,
+    }),
+  );
+}
+
+async function streamChanges(
+  exchange: Exchange,
+  options: OperatorRoutesOptions,
+): Promise<void> {
+  const { response, signal } = exchange;
+  response.writeHead(200, { "content-type": "application/x-ndjson" });
+  let appliedIndex = -1;
+  while (!signal.aborted) {
+    const idle = AbortSignal.any([signal, AbortSignal.timeout(WATCH_IDLE_MS)]);
+    const status = await options.agreement.follow(appliedIndex, idle);
+    appliedIndex = status.appliedIndex;
+    response.write(`${JSON.stringify(status)}\n`);
+  }
+  response.end();
+}
--- /dev/null
+++ b/src/adapters/logging/index.ts
@@ -0,0 +1,2 @@
+/** Logs. */
+export * from "./bunyan_logger.ts";
--- /dev/null
+++ b/src/adapters/metrics/index.ts
@@ -0,0 +1,2 @@
+/** Metrics. */
+export * from "./prometheus_metrics.ts";
--- /dev/null
+++ b/src/adapters/peer/frame_codec.ts
@@ -0,0 +1,85 @@
+/** Frames between entries: a length, then CBOR. */
+import { Buffer } from "node:buffer";
+import type { Socket } from "node:net";
+import { Encoder } from "cbor-x";
+
+const LENGTH_BYTES = 4;
+
+// No shared structures: a peer must not be able to steer the decoder's state.
+const encoder = new Encoder({ useRecords: false, mapsAsObjects: true });
+
+/**
+ * Encodes a message as a frame.
+ *
+ * @param message - Plain data.
+ * @returns Length and payload.
+ */
+export function encodeFrame(message: unknown): Buffer {
+  const payload = encoder.encode(message);
+  const frame = Buffer.allocUnsafe(LENGTH_BYTES + payload.length);
+  frame.writeUInt32BE(payload.length, 0);
+  payload.copy(frame, LENGTH_BYTES);
+  return frame;
+}
+
+/** Reads frames from a connection, within bounded memory. */
+export class FrameReader {
+  readonly #chunks: AsyncIterator<Buffer>;
+  /** Largest payload that is taken, in bytes; may grow after authentication. */
+  maxFrameBytes: number;
+  #buffered: Buffer = Buffer.alloc(0);
+
+  /**
+   * @param socket - The connection.
+   * @param maxFrameBytes - Largest payload that is taken, in bytes.
+   */
+  constructor(socket: Socket, maxFrameBytes: number) {
+    this.#chunks = socket[Symbol.asyncIterator]() as AsyncIterator<Buffer>;
+    this.maxFrameBytes = maxFrameBytes;
+  }
+
+  /**
+   * Reads the next message.
+   *
+   * @returns The message, or undefined when the connection has ended.
+   * @throws RangeError for an oversize frame; the decoder's error for garbage.
+   */
+  async read(): Promise<unknown> {
+    if (!await this.#fill(LENGTH_BYTES)) {
+      return undefined;
+    }
+    const payloadBytes = this.#buffered.readUInt32BE(0);
+    if (payloadBytes > this.maxFrameBytes) {
+      throw new RangeError(
+        `a frame of ${payloadBytes} bytes, allowed are ${this.maxFrameBytes}`,
+      );
+    }
+    if (!await this.#fill(LENGTH_BYTES + payloadBytes)) {
+      return undefined;
+    }
+    const payload = this.#buffered.subarray(
+      LENGTH_BYTES,
+      LENGTH_BYTES + payloadBytes,
+    );
+    const message = encoder.decode(payload);
+    this.#buffered = this.#buffered.subarray(LENGTH_BYTES + payloadBytes);
+    return message;
+  }
+
+  async #fill(wantedBytes: number): Promise<boolean> {
+    const chunks: Buffer[] = [this.#buffered];
+    let haveBytes = this.#buffered.length;
+    while (haveBytes < wantedBytes) {
+      const next = await this.#chunks.next();
+      if (next.done) {
+        return false;
+      }
+      chunks.push(next.value);
+      haveBytes += next.value.length;
+    }
+    if (chunks.length > 1) {
+      this.#buffered = Buffer.concat(chunks, haveBytes);
+    }
+    return true;
+  }
+}
--- /dev/null
+++ b/src/adapters/peer/messages.ts
@@ -0,0 +1,49 @@
+/** Messages between entries on one connection. */
+import * as v from "valibot";
+import { failureSchema } from "../../domain/index.ts";
+
+const NONCE_LENGTH = 64;
+const nonceSchema = v.pipe(v.string(), v.hexadecimal(), v.length(NONCE_LENGTH));
+const macSchema = v.pipe(v.string(), v.hexadecimal(), v.length(NONCE_LENGTH));
+
+/** Schema of the first message of the side that connects. */
+export const helloSchema = v.strictObject({
+  type: v.literal("hello"),
+  entryId: v.string(),
+  wantedId: v.string(),
+  nonce: nonceSchema,
+});
+
+/** Schema of the first message of the side that was connected to. */
+export const challengeSchema = v.strictObject({
+  type: v.literal("challenge"),
+  nonce: nonceSchema,
+  mac: macSchema,
+});
+
+/** Schema of the second message of the side that connects. */
+export const proofSchema = v.strictObject({
+  type: v.literal("proof"),
+  mac: macSchema,
+});
+
+/** Schema of a call. */
+export const callSchema = v.strictObject({
+  type: v.literal("call"),
+  callId: v.number(),
+  method: v.string(),
+  body: v.unknown(),
+});
+
+/** Schema of the answer to a call. */
+export const answerSchema = v.strictObject({
+  type: v.literal("answer"),
+  callId: v.number(),
+  value: v.optional(v.unknown()),
+  failure: v.optional(failureSchema),
+});
+
+/** A call as it travels. */
+export type CallMessage = v.InferOutput<typeof callSchema>;
+/** An answer as it travels. */
+export type AnswerMessage = v.InferOutput<typeof answerSchema>;
--- /dev/null
+++ b/src/adapters/peer/peer_link.ts
@@ -0,0 +1,198 @@
+/** The outgoing side: one task keeps one connection to one peer. */
+import { connect, type Socket } from "node:net";
+import { Result } from "true-myth";
+import * as v from "valibot";
+import { createFailure, type Failure } from "../../domain/index.ts";
+import type {
+  Clock,
+  Logger,
+  Metrics,
+  PeerCallOptions,
+} from "../../ports/index.ts";
+import { Notifier } from "../../tasks/index.ts";
+import { encodeFrame, FrameReader } from "./frame_codec.ts";
+import { connectHandshake } from "./handshake.ts";
+import { answerSchema } from "./messages.ts";
+import {
+  HANDSHAKE_TIMEOUT_MS,
+  MAX_FRAME_BYTES,
+  MAX_HANDSHAKE_FRAME_BYTES,
+} from "./limits.ts";
+
+const RECONNECT_DELAY_MS = 200;
+
+/** Address of a peer. */
+export interface PeerAddress {
+  readonly entryId: string;
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Options of {@link PeerLink}. */
+export interface PeerLinkOptions {
+  readonly entryId: string;
+  readonly secret: string;
+  readonly peer: PeerAddress;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+}
+
+type Settle = (answer: Result<unknown, Failure>) => void;
+
+/** Calls one peer over one connection that is made again when it breaks. */
+export class PeerLink {
+  readonly #options: PeerLinkOptions;
+  readonly #pending = new Map<number, Settle>();
+  readonly #connected = new Notifier();
+  #socket: Socket | undefined;
+  #nextCallId = 1;
+  #lastReadMs = -Infinity;
+
+  constructor(options: PeerLinkOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Keeps the connection until the signal aborts.
+   *
+   * @param signal - Ends the task.
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock, logger, peer } = this.#options;
+    while (!signal.aborted) {
+      const socket = connect({
+        host: peer.host,
+        port: peer.port,
+        noDelay: true,
+      });
+      socket.on("error", () => undefined);
+      const close = () => socket.destroy();
+      signal.addEventListener("abort", close, { once: true });
+      try {
+        await this.#serve(socket);
+      } catch (error) {
+        logger.debug(
+          { peerId: peer.entryId, err: error },
+          "the connection to a peer ended",
+        );
+      }
+      signal.removeEventListener("abort", close);
+      socket.destroy();
+      this.#failPending();
+      await clock.sleep(RECONNECT_DELAY_MS, signal);
+    }
+  }
+
+  /**
+   * Calls the peer.
+   *
+   * @param method - Name of the message.
+   * @param body - Body of the message.
+   * @param options - Timeout (ms) and signal.
+   * @returns The answer, or `peerUnreachable`.
+   */
+  async call(
+    method: string,
+    body: unknown,
+    options: PeerCallOptions,
+  ): Promise<Result<unknown, Failure>> {
+    const { clock } = this.#options;
+    const stop = new AbortController();
+    const signals = options.signal === undefined
+      ? [stop.signal]
+      : [options.signal, stop.signal];
+    const signal = AbortSignal.any(signals);
+    const startedAtMs = clock.monotonicMs();
+    const timeout = clock.sleep(options.timeoutMs, signal).then(() => {
+      this.#dropSilentSocket(startedAtMs, stop.signal.aborted);
+      return Result.err<unknown, Failure>(
+        this.#createUnreachable(`no answer to ${method} in time`),
+      );
+    });
+    const answer = await Promise.race([
+      this.#send(method, body, signal),
+      timeout,
+    ]);
+    stop.abort();
+    return answer;
+  }
+
+  async #send(
+    method: string,
+    body: unknown,
+    signal: AbortSignal,
+  ): Promise<Result<unknown, Failure>> {
+    while (this.#socket === undefined && !signal.aborted) {
+      await this.#connected.wait(signal);
+    }
+    const socket = this.#socket;
+    if (socket === undefined) {
+      return Result.err(this.#createUnreachable("not connected"));
+    }
+    const callId = this.#nextCallId;
+    this.#nextCallId += 1;
+    const answered = new Promise<Result<unknown, Failure>>((resolve) => {
+      this.#pending.set(callId, resolve);
+      signal.addEventListener("abort", () => this.#pending.delete(callId), {
+        once: true,
+      });
+    });
+    const frame = encodeFrame({ type: "call", callId, method, body });
+    this.#options.metrics.countControlBytes("sent", frame.length);
+    socket.write(frame);
+    return await answered;
+  }
+
+  async #serve(socket: Socket): Promise<void> {
+    const { entryId, secret, peer, clock, metrics } = this.#options;
+    const reader = new FrameReader(socket, MAX_HANDSHAKE_FRAME_BYTES);
+    socket.setTimeout(HANDSHAKE_TIMEOUT_MS, () => socket.destroy());
+    await connectHandshake({ entryId, secret, socket, reader }, peer.entryId);
+    socket.setTimeout(0);
+    reader.maxFrameBytes = MAX_FRAME_BYTES;
+    this.#socket = socket;
+    this.#connected.notify();
+    for (;;) {
+      const readBefore = socket.bytesRead;
+      const message = await reader.read();
+      if (message === undefined) {
+        return;
+      }
+      metrics.countControlBytes("received", socket.bytesRead - readBefore);
+      this.#lastReadMs = clock.monotonicMs();
+      const answer = v.parse(answerSchema, message);
+      const settle = this.#pending.get(answer.callId);
+      this.#pending.delete(answer.callId);
+      settle?.(
+        answer.failure === undefined
+          ? Result.ok(answer.value)
+          : Result.err(answer.failure),
+      );
+    }
+  }
+
+  // A silent partition keeps a connection open for minutes; nothing read
+  // during a whole call means that a new connection is the better bet.
+  #dropSilentSocket(startedAtMs: number, wasAnswered: boolean): void {
+    if (!wasAnswered && this.#lastReadMs < startedAtMs) {
+      this.#socket?.destroy();
+    }
+  }
+
+  #failPending(): void {
+    this.#socket = undefined;
+    const pending = [...this.#pending.values()];
+    this.#pending.clear();
+    for (const settle of pending) {
+      settle(Result.err(this.#createUnreachable("the connection broke")));
+    }
+  }
+
+  #createUnreachable(why: string): Failure {
+    return createFailure(
+      "peerUnreachable",
+      `entry ${this.#options.peer.entryId}: ${why}`,
+    );
+  }
+}
--- /dev/null
+++ b/src/adapters/peer/tcp_peer_network.ts
@@ -0,0 +1,219 @@
+/** Calls between entries over TCP. */
+import { createServer, type Server, type Socket } from "node:net";
+import { Result } from "true-myth";
+import * as v from "valibot";
+import { createFailure, type Failure } from "../../domain/index.ts";
+import type {
+  Clock,
+  Logger,
+  Metrics,
+  PeerCallOptions,
+  PeerHandler,
+  PeerNetwork,
+} from "../../ports/index.ts";
+import type { TaskGroup } from "../../tasks/index.ts";
+import { encodeFrame, FrameReader } from "./frame_codec.ts";
+import { acceptHandshake } from "./handshake.ts";
+import {
+  HANDSHAKE_TIMEOUT_MS,
+  MAX_FRAME_BYTES,
+  MAX_HANDSHAKE_FRAME_BYTES,
+  MAX_UNAUTHENTICATED_CONNECTIONS,
+} from "./limits.ts";
+import { type CallMessage, callSchema } from "./messages.ts";
+import { type PeerAddress, PeerLink } from "./peer_link.ts";
+
+/** Options of {@link TcpPeerNetwork}. */
+export interface TcpPeerNetworkOptions {
+  readonly entryId: string;
+  /** Shared by all entries of the deployment. */
+  readonly secret: string;
+  readonly host: string;
+  readonly port: number;
+  readonly peers: readonly PeerAddress[];
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly tasks: TaskGroup;
+}
+
+/** Authenticated calls over TCP: one task for each connection and each peer. */
+export class TcpPeerNetwork implements PeerNetwork {
+  readonly #options: TcpPeerNetworkOptions;
+  readonly #links = new Map<string, PeerLink>();
+  readonly #handlers = new Map<string, PeerHandler>();
+  readonly #server: Server;
+  #unauthenticatedCount = 0;
+
+  constructor(options: TcpPeerNetworkOptions) {
+    this.#options = options;
+    this.#server = createServer(
+      { noDelay: true },
+      (socket) => this.#startConnection(socket),
+    );
+    for (const peer of options.peers) {
+      this.#links.set(peer.entryId, new PeerLink({ ...options, peer }));
+    }
+  }
+
+  /**
+   * Listens, and starts one task for each peer.
+   *
+   * @returns Resolves when the port is open.
+   */
+  async start(): Promise<void> {
+    const { host, port, tasks } = this.#options;
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(port, host, resolve);
+    });
+    for (const [peerId, link] of this.#links) {
+      tasks.start(`peer ${peerId}`, (signal) => link.run(signal));
+    }
+    tasks.start("peer listener", (signal) => this.#closeOnAbort(signal));
+  }
+
+  async call(
+    peerId: string,
+    method: string,
+    body: unknown,
+    options: PeerCallOptions,
+  ): Promise<Result<unknown, Failure>> {
+    const link = this.#links.get(peerId);
+    if (link === undefined) {
+      return Result.err(
+        createFailure(
+          "peerUnreachable",
+          `entry ${peerId} is not among the peers`,
+          {
+            remedy: "add the entry to the setting 'peers'",
+          },
+        ),
+      );
+    }
+    return await link.call(method, body, options);
+  }
+
+  handle(method: string, handler: PeerHandler): void {
+    this.#handlers.set(method, handler);
+  }
+
+  #startConnection(socket: Socket): void {
+    socket.on("error", () => undefined);
+    if (this.#unauthenticatedCount >= MAX_UNAUTHENTICATED_CONNECTIONS) {
+      socket.destroy();
+      return;
+    }
+    this.#options.tasks.start(
+      "peer connection",
+      (signal) => this.#serveConnection(socket, signal),
+    );
+  }
+
+  async #serveConnection(socket: Socket, signal: AbortSignal): Promise<void> {
+    const close = () => socket.destroy();
+    signal.addEventListener("abort", close, { once: true });
+    try {
+      const reader = new FrameReader(socket, MAX_HANDSHAKE_FRAME_BYTES);
+      const peerId = await this.#authenticate(socket, reader);
+      reader.maxFrameBytes = MAX_FRAME_BYTES;
+      await this.#serveCalls(peerId, socket, reader);
+    } catch (error) {
+      this.#options.logger.warn(
+        { remoteHost: socket.remoteAddress, err: error },
+        "ended a connection of a peer",
+      );
+    } finally {
+      signal.removeEventListener("abort", close);
+      socket.destroy();
+    }
+  }
+
+  async #authenticate(socket: Socket, reader: FrameReader): Promise<string> {
+    const { entryId, secret, clock } = this.#options;
+    const done = new AbortController();
+    this.#unauthenticatedCount += 1;
+    // The whole handshake is bounded, so that a trickle of bytes gains nothing.
+    void clock.sleep(HANDSHAKE_TIMEOUT_MS, done.signal).then(() => {
+      if (!done.signal.aborted) {
+        socket.destroy();
+      }
+    });
+    try {
+      return await acceptHandshake({ entryId, secret, socket, reader });
+    } finally {
+      done.abort();
+      this.#unauthenticatedCount -= 1;
+    }
+  }
+
+  async #serveCalls(
+    peerId: string,
+    socket: Socket,
+    reader: FrameReader,
+  ): Promise<void> {
+    for (;;) {
+      const readBefore = socket.bytesRead;
+      const message = await reader.read();
+      if (message === undefined) {
+        return;
+      }
+      this.#options.metrics.countControlBytes(
+        "received",
+        socket.bytesRead - readBefore,
+      );
+      const call = v.parse(callSchema, message);
+      this.#options.tasks.start(
+        `call ${call.method}`,
+        async () => await this.#answerCall(peerId, socket, call),
+      );
+    }
+  }
+
+  async #answerCall(
+    peerId: string,
+    socket: Socket,
+    call: CallMessage,
+  ): Promise<void> {
+    const answer = await this.#runHandler(peerId, call);
+    const frame = encodeFrame({
+      type: "answer",
+      callId: call.callId,
+      ...(answer.isOk ? { value: answer.value } : { failure: answer.error }),
+    });
+    this.#options.metrics.countControlBytes("sent", frame.length);
+    if (!socket.destroyed) {
+      socket.write(frame);
+    }
+  }
+
+  async #runHandler(
+    peerId: string,
+    call: CallMessage,
+  ): Promise<Result<unknown, Failure>> {
+    const handler = this.#handlers.get(call.method);
+    if (handler === undefined) {
+      return Result.err(
+        createFailure("unknownKind", `no handler for ${call.method}`),
+      );
+    }
+    try {
+      return await handler(peerId, call.body);
+    } catch (error) {
+      this.#options.logger.error(
+        { peerId, method: call.method, err: error },
+        "a handler failed",
+      );
+      return Result.err(
+        createFailure("internal", `handling ${call.method} failed`),
+      );
+    }
+  }
+
+  async #closeOnAbort(signal: AbortSignal): Promise<void> {
+    await new Promise<void>((resolve) => {
+      signal.addEventListener("abort", () => resolve(), { once: true });
+    });
+    await new Promise<void>((resolve) => this.#server.close(() => resolve()));
+  }
+}
--- /dev/null
+++ b/src/adapters/random/index.ts
@@ -0,0 +1,2 @@
+/** Randomness. */
+export * from "./seeded_random.ts";
--- /dev/null
+++ b/src/adapters/secrets/index.ts
@@ -0,0 +1,2 @@
+/** Secrets and digests. */
+export * from "./sha_secrets.ts";
--- /dev/null
+++ b/src/adapters/secrets/sha_secrets.ts
@@ -0,0 +1,25 @@
+/** Digests of keys by SHA-256. */
+import { Buffer } from "node:buffer";
+import { createHash, randomBytes, timingSafeEqual } from "node:crypto";
+import type { Secrets } from "../../ports/index.ts";
+
+// Secrets are random and this long, so a fast digest gives nothing to guess.
+const SECRET_BYTES = 32;
+
+/** Digests with SHA-256 and compares in constant time. */
+export class ShaSecrets implements Secrets {
+  digest(secret: string): string {
+    return createHash("sha256").update(secret).digest("hex");
+  }
+
+  equals(left: string, right: string): boolean {
+    const leftBytes = Buffer.from(left, "hex");
+    const rightBytes = Buffer.from(right, "hex");
+    return leftBytes.length === rightBytes.length &&
+      timingSafeEqual(leftBytes, rightBytes);
+  }
+
+  create(): string {
+    return randomBytes(SECRET_BYTES).toString("base64url");
+  }
+}
