--- /dev/null
+++ b/src/daemon/create_network.ts
@@ -0,0 +1,65 @@
+/** Composes the calls between entries. */
+import { readFile } from "node:fs/promises";
+import { Result } from "true-myth";
+import { TcpPeerNetwork } from "../adapters/peer/index.ts";
+import { createFailure, type Failure } from "../domain/index.ts";
+import type { EntryBase } from "./entry_context.ts";
+import { PEER_SECRET_MIN_LENGTH } from "./settings/index.ts";
+
+/**
+ * Creates the network; it listens only when there are peers.
+ *
+ * @param base - The adapters of the machine.
+ * @returns The network, or `invalidSetting` when the secret cannot be used.
+ */
+export async function createNetwork(
+  base: EntryBase,
+): Promise<Result<TcpPeerNetwork, Failure>> {
+  const secret = await loadPeerSecret(base.settings.peerSecretFile);
+  return secret.map((value) =>
+    new TcpPeerNetwork({
+      ...base,
+      entryId: base.settings.entryId,
+      secret: value,
+      host: base.settings.peer.host,
+      port: base.settings.peer.port,
+      peers: base.settings.peers,
+    })
+  );
+}
+
+async function loadPeerSecret(
+  file: string | null,
+): Promise<Result<string, Failure>> {
+  if (file === null) {
+    return Result.ok("");
+  }
+  try {
+    const secret = (await readFile(file, "utf8")).trim();
+    return secret.length >= PEER_SECRET_MIN_LENGTH
+      ? Result.ok(secret)
+      : Result.err(
+        createFailure(
+          "invalidSetting",
+          `peerSecretFile ${file} holds ${secret.length} characters`,
+          {
+            path: "peerSecretFile",
+            remedy:
+              `write at least ${PEER_SECRET_MIN_LENGTH} random characters, the same everywhere`,
+          },
+        ),
+      );
+  } catch (error) {
+    return Result.err(
+      createFailure(
+        "invalidSetting",
+        `peerSecretFile ${file} cannot be read: ${error}`,
+        {
+          path: "peerSecretFile",
+          remedy:
+            "name a readable file that holds the secret of the deployment",
+        },
+      ),
+    );
+  }
+}
--- /dev/null
+++ b/src/daemon/main.ts
@@ -0,0 +1,80 @@
+#!/usr/bin/env node
+/** The daemon `cardamomsilld`. */
+import process from "node:process";
+import { Builtins, Cli, Command, Option } from "clipanion";
+import { createBunyanLogger } from "../adapters/logging/index.ts";
+import { type Failure, findAnswer } from "../domain/index.ts";
+import { createEntry } from "./create_entry.ts";
+import { loadSettings } from "./settings/index.ts";
+
+const FATAL_EXIT_CODE = 8;
+
+class RunCommand extends Command {
+  static override usage = Command.Usage({
+    description: "Run one entry.",
+    details: `
+      Without a settings file the entry runs alone, with its state in ./data
+      and its HTTP port at 127.0.0.1:7070. See docs/OPERATIONS.md.
+    `,
+    examples: [["Run with settings", "cardamomsilld --settings entry.jsonc"]],
+  });
+
+  settingsFile = Option.String("--settings", {
+    description: "Settings file: JSON with comments",
+  });
+
+  override async execute(): Promise<number> {
+    const settings = await loadSettings(this.settingsFile);
+    if (settings.isErr) {
+      return this.#refuse(settings.error);
+    }
+    const logger = createBunyanLogger({
+      name: "cardamomsilld",
+      level: settings.value.logLevel,
+    })
+      .child({ entryId: settings.value.entryId });
+    const onFatal = (failure: Failure) => {
+      logger.error({ failure }, "the entry ends: its disk cannot be trusted");
+      process.exit(FATAL_EXIT_CODE);
+    };
+    const entry = await createEntry({
+      settings: settings.value,
+      logger,
+      onFatal,
+    });
+    if (entry.isErr) {
+      return this.#refuse(entry.error);
+    }
+    const signalName = await waitForStop();
+    logger.info({ signalName }, "the entry stops");
+    await entry.value.stop();
+    logger.info({}, "the entry has stopped");
+    return 0;
+  }
+
+  #refuse(failure: Failure): number {
+    const remedy = failure.remedy === undefined
+      ? ""
+      : `\nremedy: ${failure.remedy}`;
+    this.context.stderr.write(`cardamomsilld: ${failure.message}${remedy}\n`);
+    return findAnswer(failure).exitCode;
+  }
+}
+
+function waitForStop(): Promise<string> {
+  return new Promise((resolve) => {
+    for (const name of ["SIGTERM", "SIGINT"] as const) {
+      process.once(name, () => resolve(name));
+    }
+  });
+}
+
+const cli = new Cli({
+  binaryLabel: "cardamomsilld",
+  binaryName: "cardamomsilld",
+  binaryVersion: "0.1.0",
+});
+cli.register(RunCommand);
+cli.register(Builtins.HelpCommand);
+cli.register(Builtins.VersionCommand);
+process.exitCode = await cli.run(process.argv.slice(2), Cli.defaultContext);
--- /dev/null
+++ b/src/services/backend_directory.ts
@@ -0,0 +1,95 @@
+/** The backend servers that have announced themselves, as known on this entry. */
+import type { Announcement } from "../domain/index.ts";
+import type { Clock } from "../ports/index.ts";
+import { Notifier } from "../tasks/index.ts";
+
+/** Time after which a backend server that stays silent gets no new work. */
+export const ANNOUNCEMENT_TTL_MS = 3_000;
+
+/** A backend server with the time of its last announcement. */
+export interface KnownBackend {
+  readonly announcement: Announcement;
+  /** Monotonic time at which the announcement was made, as far as known here. */
+  readonly heardAtMs: number;
+}
+
+/** Keeps the newest announcement of each backend server. */
+export class BackendDirectory {
+  readonly #clock: Clock;
+  readonly #backends = new Map<string, KnownBackend>();
+  /** Wakes when an announcement has changed what is known. */
+  readonly changed = new Notifier();
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  /**
+   * Takes in an announcement.
+   *
+   * @param announcement - From the backend server itself or through a peer.
+   * @param ageMs - How long ago it was made, in milliseconds.
+   * @returns False for a late or doubled announcement, which changes nothing.
+   */
+  accept(announcement: Announcement, ageMs = 0): boolean {
+    const known = this.#backends.get(announcement.backendServerId);
+    if (
+      known !== undefined &&
+      known.announcement.sequence >= announcement.sequence
+    ) {
+      return false;
+    }
+    const heardAtMs = this.#clock.monotonicMs() - ageMs;
+    this.#backends.set(announcement.backendServerId, {
+      announcement,
+      heardAtMs,
+    });
+    this.changed.notify();
+    return true;
+  }
+
+  /**
+   * Finds a backend server.
+   *
+   * @param backendServerId - Id of the backend server.
+   * @returns Its newest announcement, however old, or undefined.
+   */
+  find(backendServerId: string): KnownBackend | undefined {
+    return this.#backends.get(backendServerId);
+  }
+
+  /**
+   * Lists the backend servers that may get new work.
+   *
+   * @returns Those heard within {@link ANNOUNCEMENT_TTL_MS} that are not leaving.
+   */
+  listServing(): KnownBackend[] {
+    const oldestMs = this.#clock.monotonicMs() - ANNOUNCEMENT_TTL_MS;
+    return [...this.#backends.values()].filter(({ announcement, heardAtMs }) =>
+      !announcement.leaving && heardAtMs >= oldestMs
+    );
+  }
+
+  /**
+   * Lists all backend servers ever heard and not yet forgotten.
+   *
+   * @returns Every kept announcement.
+   */
+  listAll(): KnownBackend[] {
+    return [...this.#backends.values()];
+  }
+
+  /**
+   * Forgets backend servers that have been silent for long.
+   *
+   * @param silentMs - Silence after which one is forgotten, in milliseconds.
+   */
+  forgetSilent(silentMs: number): void {
+    const oldestMs = this.#clock.monotonicMs() - silentMs;
+    for (const [backendServerId, { heardAtMs }] of this.#backends) {
+      if (heardAtMs < oldestMs) {
+        this.#backends.delete(backendServerId);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/services/decision_recorder.ts
@@ -0,0 +1,152 @@
+/** Writes the audit trail: equal decisions share one record for a while. */
+import type { DecisionCause, DecisionRecord } from "../domain/index.ts";
+import type { Agreement, Clock, Logger } from "../ports/index.ts";
+
+/** Time for which equal decisions are counted on one record. */
+export const RECORD_WINDOW_MS = 10_000;
+const FLUSH_INTERVAL_MS = 1_000;
+const MAX_OPEN_RECORDS = 2_000;
+
+/** A decision to record. */
+export interface NewDecision {
+  readonly action: DecisionRecord["action"];
+  readonly subjects: readonly string[];
+  readonly summary: string;
+  readonly causes: readonly DecisionCause[];
+  readonly figures?: Readonly<Record<string, number>>;
+  readonly rejected?: readonly string[];
+}
+
+/** Options of {@link DecisionRecorder}. */
+export interface DecisionRecorderOptions {
+  readonly entryId: string;
+  /** Distinguishes the runs of one entry, so that no id is used twice. */
+  readonly runId: string;
+  readonly agreement: Agreement;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+interface OpenRecord {
+  record: DecisionRecord;
+  readonly openedAtMs: number;
+  isDirty: boolean;
+}
+
+/** Collects decisions and writes them to the log in batches. */
+export class DecisionRecorder {
+  readonly #options: DecisionRecorderOptions;
+  readonly #open = new Map<string, OpenRecord>();
+  #sequence = 0;
+
+  constructor(options: DecisionRecorderOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Records a decision.
+   *
+   * @param decision - What was decided and why.
+   * @returns The decision id, shared by equal decisions of the same window.
+   */
+  record(decision: NewDecision): string {
+    const { agreement, clock } = this.#options;
+    const revision = agreement.state.revision;
+    const key = JSON.stringify([
+      decision.action,
+      decision.subjects,
+      decision.summary,
+      revision,
+    ]);
+    const nowMs = clock.monotonicMs();
+    const open = this.#open.get(key);
+    if (open !== undefined && nowMs - open.openedAtMs < RECORD_WINDOW_MS) {
+      open.record = { ...open.record, count: open.record.count + 1 };
+      open.isDirty = true;
+      return open.record.decisionId;
+    }
+    this.#sequence += 1;
+    const record: DecisionRecord = {
+      decisionId:
+        `${this.#options.entryId}.${this.#options.runId}.${this.#sequence}`,
+      atMs: clock.nowMs(),
+      action: decision.action,
+      subjects: [...decision.subjects],
+      summary: decision.summary,
+      revision,
+      causes: [...decision.causes],
+      figures: { ...decision.figures },
+      rejected: [...(decision.rejected ?? [])],
+      count: 1,
+    };
+    this.#open.set(key, { record, openedAtMs: nowMs, isDirty: true });
+    return record.decisionId;
+  }
+
+  /**
+   * Finds a record that may not have reached the log yet.
+   *
+   * @param decisionId - Id of the decision.
+   * @returns The record, or undefined when it is not open here.
+   */
+  findOpen(decisionId: string): DecisionRecord | undefined {
+    for (const { record } of this.#open.values()) {
+      if (record.decisionId === decisionId) {
+        return record;
+      }
+    }
+    return undefined;
+  }
+
+  /**
+   * Writes batches until the signal aborts, then writes what is left once.
+   *
+   * @param signal - Ends the task.
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.#options.clock.sleep(FLUSH_INTERVAL_MS, signal);
+      await this.flush();
+    }
+  }
+
+  /** Writes all changed records to the log in one command. */
+  async flush(): Promise<void> {
+    const dirty = [...this.#open.values()].filter(({ isDirty }) => isDirty);
+    if (dirty.length > 0) {
+      await this.#write(dirty);
+    }
+    this.#closeOld();
+  }
+
+  async #write(dirty: readonly OpenRecord[]): Promise<void> {
+    for (const open of dirty) {
+      open.isDirty = false;
+    }
+    const records = dirty.map(({ record }) => record);
+    const proposed = await this.#options.agreement.propose({
+      type: "record",
+      records,
+    });
+    if (proposed.isErr) {
+      for (const open of dirty) {
+        open.isDirty = true;
+      }
+      this.#options.logger.warn(
+        { failure: proposed.error, recordCount: records.length },
+        "decision records are not durable yet; trying again",
+      );
+    }
+  }
+
+  #closeOld(): void {
+    const nowMs = this.#options.clock.monotonicMs();
+    for (const [key, open] of this.#open) {
+      const isOld = nowMs - open.openedAtMs >= RECORD_WINDOW_MS;
+      const isOver = this.#open.size > MAX_OPEN_RECORDS;
+      if ((isOld && !open.isDirty) || isOver) {
+        this.#open.delete(key);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/services/explain_service.ts
@@ -0,0 +1,116 @@
+/** Explains automated actions by the labels, keys and limits behind them. */
+import { Result } from "true-myth";
+import {
+  createFailure,
+  type DecisionRecord,
+  type Failure,
+} from "../domain/index.ts";
+import type { Agreement } from "../ports/index.ts";
+import type { DecisionRecorder } from "./decision_recorder.ts";
+import type { RequestHistory } from "./request_history.ts";
+
+const MAX_EXPLAINED_RECORDS = 50;
+
+/** Options of {@link ExplainService}. */
+export interface ExplainServiceOptions {
+  readonly agreement: Agreement;
+  readonly recorder: DecisionRecorder;
+  readonly history: RequestHistory;
+}
+
+/** Why things were done to a subject, newest first. */
+export interface Explanation {
+  readonly subject: string;
+  /** What became of the request, when the subject is a request. */
+  readonly summary: string | undefined;
+  readonly records: readonly DecisionRecord[];
+}
+
+/** Looks decisions up for operators. */
+export class ExplainService {
+  readonly #options: ExplainServiceOptions;
+
+  constructor(options: ExplainServiceOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Explains a subject.
+   *
+   * @param subject - Such as `vm/NAME`, `request/ID` or `decision/ID`.
+   * @param sinceMs - Wall-clock time before which records are left out.
+   * @returns The chain of decisions, newest first, or `notFound`.
+   */
+  explain(subject: string, sinceMs = 0): Result<Explanation, Failure> {
+    const [kind, name] = splitSubject(subject);
+    switch (kind) {
+      case "request":
+        return this.#explainRequest(subject, name);
+      case "decision":
+        return this.#explainDecision(subject, name);
+      default:
+        return this.#explainResource(subject, sinceMs);
+    }
+  }
+
+  #explainRequest(
+    subject: string,
+    requestId: string,
+  ): Result<Explanation, Failure> {
+    const note = this.#options.history.find(requestId);
+    if (note === undefined) {
+      return Result.err(
+        createFailure(
+          "notFound",
+          `${subject} is not among the latest requests of this entry`,
+          {
+            remedy: "explain the decision id that came with the answer",
+          },
+        ),
+      );
+    }
+    const record = this.#findRecord(note.decisionId);
+    const records = record === undefined ? [] : [record];
+    return Result.ok({ subject, summary: note.summary, records });
+  }
+
+  #explainDecision(
+    subject: string,
+    decisionId: string,
+  ): Result<Explanation, Failure> {
+    const record = this.#findRecord(decisionId);
+    return record === undefined
+      ? Result.err(
+        createFailure("notFound", `${subject} is not in the audit trail`),
+      )
+      : Result.ok({ subject, summary: undefined, records: [record] });
+  }
+
+  #explainResource(
+    subject: string,
+    sinceMs: number,
+  ): Result<Explanation, Failure> {
+    const records = this.#options.agreement.state.listRecords()
+      .filter((record) =>
+        record.subjects.includes(subject) && record.atMs >= sinceMs
+      )
+      .reverse()
+      .slice(0, MAX_EXPLAINED_RECORDS);
+    return Result.ok({ subject, summary: undefined, records });
+  }
+
+  #findRecord(decisionId: string): DecisionRecord | undefined {
+    const open = this.#options.recorder.findOpen(decisionId);
+    return open ??
+      this.#options.agreement.state.listRecords().find((record) =>
+        record.decisionId === decisionId
+      );
+  }
+}
+
+function splitSubject(subject: string): [string, string] {
+  const slash = subject.indexOf("/");
+  return slash < 0
+    ? [subject, ""]
+    : [subject.slice(0, slash), subject.slice(slash + 1)];
+}
