--- /dev/null
+++ b/src/testing/daemon_process.ts
@@ -0,0 +1,147 @@
+/** Starts real daemons and command lines for quickstart, tests and bench. */
+import { type ChildProcess, execFile, spawn } from "node:child_process";
+import { once } from "node:events";
+import { createWriteStream } from "node:fs";
+import { join } from "node:path";
+import process from "node:process";
+import { fileURLToPath } from "node:url";
+import { request } from "undici";
+import { SystemClock } from "../adapters/clock/index.ts";
+
+const DIST_FOLDER = fileURLToPath(new URL("../", import.meta.url));
+const READY_DEADLINE_MS = 20_000;
+const POLL_INTERVAL_MS = 50;
+
+/** Options of {@link startDaemon}. */
+export interface DaemonOptions {
+  /** Working folder; data and log go here. */
+  readonly folder: string;
+  readonly settingsFile: string;
+  readonly url: string;
+}
+
+/** A daemon process that this process started. */
+export interface DaemonProcess {
+  readonly url: string;
+  readonly child: ChildProcess;
+  /** Asks for a planned stop and waits for the exit code. */
+  stop(): Promise<number | null>;
+  /** Ends the process at once. */
+  kill(): Promise<void>;
+}
+
+/** What a finished command line printed. */
+export interface CommandResult {
+  readonly exitCode: number;
+  readonly stdout: string;
+  readonly stderr: string;
+}
+
+/**
+ * Starts a daemon and waits until it is ready.
+ *
+ * @param options - Folder, settings file and address.
+ * @returns The running daemon.
+ * @throws Error when it is not ready in time.
+ */
+export async function startDaemon(
+  options: DaemonOptions,
+): Promise<DaemonProcess> {
+  const daemon = spawnDaemon(options);
+  await waitUntilReady(daemon);
+  return daemon;
+}
+
+/**
+ * Starts a daemon without waiting.
+ *
+ * @param options - Folder, settings file and address.
+ * @returns The started daemon.
+ */
+export function spawnDaemon(options: DaemonOptions): DaemonProcess {
+  const main = join(DIST_FOLDER, "daemon", "main.js");
+  const child = spawn(process.execPath, [
+    main,
+    "--settings",
+    options.settingsFile,
+  ], {
+    cwd: options.folder,
+    stdio: ["ignore", "pipe", "pipe"],
+  });
+  const log = createWriteStream(join(options.folder, "daemon.log"), {
+    flags: "a",
+  });
+  child.stdout?.pipe(log, { end: false });
+  child.stderr?.pipe(log, { end: false });
+  const exited = once(child, "exit").then(([code]) => {
+    log.end();
+    return code as number | null;
+  });
+  return {
+    url: options.url,
+    child,
+    stop: async () => {
+      child.kill("SIGTERM");
+      return await exited;
+    },
+    kill: async () => {
+      child.kill("SIGKILL");
+      await exited;
+    },
+  };
+}
+
+/**
+ * Waits until a daemon is ready.
+ *
+ * @param daemon - The daemon.
+ * @throws Error when it has ended or is not ready in time.
+ */
+export async function waitUntilReady(daemon: DaemonProcess): Promise<void> {
+  const clock = new SystemClock();
+  const deadlineMs = clock.monotonicMs() + READY_DEADLINE_MS;
+  while (clock.monotonicMs() < deadlineMs && daemon.child.exitCode === null) {
+    if (await isReady(daemon.url)) {
+      return;
+    }
+    await clock.sleep(POLL_INTERVAL_MS);
+  }
+  throw new Error(
+    `the daemon at ${daemon.url} is not ready; see its daemon.log`,
+  );
+}
+
+/**
+ * Runs the command line once.
+ *
+ * @param args - Arguments.
+ * @param env - Variables added to the environment.
+ * @returns Exit code and output.
+ */
+export function runCommandLine(
+  args: readonly string[],
+  env: Readonly<Record<string, string>>,
+): Promise<CommandResult> {
+  const main = join(DIST_FOLDER, "cli", "main.js");
+  return new Promise((resolve) => {
+    const options = { env: { ...process.env, ...env } };
+    const child = execFile(
+      process.execPath,
+      [main, ...args],
+      options,
+      (_, stdout, stderr) => {
+        resolve({ exitCode: child.exitCode ?? 1, stdout, stderr });
+      },
+    );
+  });
+}
+
+async function isReady(url: string): Promise<boolean> {
+  try {
+    const answer = await request(`${url}/readyz`);
+    await answer.body.dump();
+    return answer.statusCode === 200;
+  } catch {
+    return false;
+  }
+}
--- /dev/null
+++ b/src/testing/fake_network.ts
@@ -0,0 +1,194 @@
+/** A network between fake entries that delays, loses, doubles and cuts. */
+import { Result } from "true-myth";
+import { createFailure, type Failure } from "../domain/index.ts";
+import type {
+  Clock,
+  PeerCallOptions,
+  PeerHandler,
+  PeerNetwork,
+  Random,
+} from "../ports/index.ts";
+
+const PERCENT = 100;
+
+/** What happens to messages from one entry to another. */
+export interface LinkFaults {
+  readonly cut: boolean;
+  readonly delayMs: number;
+  readonly jitterMs: number;
+  readonly lossPercent: number;
+  readonly duplicatePercent: number;
+}
+
+const NO_FAULTS: LinkFaults = {
+  cut: false,
+  delayMs: 1,
+  jitterMs: 0,
+  lossPercent: 0,
+  duplicatePercent: 0,
+};
+
+/** Joins fake entries; faults are set for each direction. */
+export class FakeNetwork {
+  readonly #clock: Clock;
+  readonly #random: Random;
+  readonly #nodes = new Map<string, FakePeerNetwork>();
+  readonly #faults = new Map<string, LinkFaults>();
+  #defaults = NO_FAULTS;
+
+  constructor(clock: Clock, random: Random) {
+    this.#clock = clock;
+    this.#random = random;
+  }
+
+  /**
+   * Joins an entry; joining again replaces it, as after a restart.
+   *
+   * @param entryId - Id of the entry.
+   * @returns Its side of the network.
+   */
+  join(entryId: string): PeerNetwork {
+    const node = new FakePeerNetwork(entryId, this);
+    this.#nodes.set(entryId, node);
+    return node;
+  }
+
+  /** Takes an entry off the network, as when its process ends. */
+  leave(entryId: string): void {
+    this.#nodes.delete(entryId);
+  }
+
+  /** Sets what happens on links without faults of their own. */
+  setDefaults(faults: Partial<LinkFaults>): void {
+    this.#defaults = { ...NO_FAULTS, ...faults };
+  }
+
+  /** Sets what happens to messages in one direction. */
+  setFaults(from: string, to: string, faults: Partial<LinkFaults>): void {
+    this.#faults.set(`${from} ${to}`, { ...this.#defaults, ...faults });
+  }
+
+  /** Cuts an entry off in both directions, silently. */
+  isolate(entryId: string): void {
+    for (const other of this.#nodes.keys()) {
+      this.setFaults(entryId, other, { cut: true });
+      this.setFaults(other, entryId, { cut: true });
+    }
+  }
+
+  /** Removes all faults of single links. */
+  heal(): void {
+    this.#faults.clear();
+  }
+
+  /** Carries one call; used by the entries' sides. */
+  async carry(
+    from: string,
+    to: string,
+    method: string,
+    body: unknown,
+    options: PeerCallOptions,
+  ): Promise<Result<unknown, Failure>> {
+    const stop = new AbortController();
+    const lost = this.#clock.sleep(options.timeoutMs, stop.signal).then(() =>
+      Result.err<unknown, Failure>(
+        createFailure("peerUnreachable", `no answer from ${to}`),
+      )
+    );
+    const answer = await Promise.race([
+      this.#exchange(from, to, method, body),
+      lost,
+    ]);
+    stop.abort();
+    return answer;
+  }
+
+  async #exchange(
+    from: string,
+    to: string,
+    method: string,
+    body: unknown,
+  ): Promise<Result<unknown, Failure>> {
+    // Copies, as the wire does: no two entries share an object.
+    const sent = structuredClone(body);
+    await this.#travel(from, to);
+    if (this.#draw(this.#find(from, to).duplicatePercent)) {
+      void this.#travel(from, to).then(() =>
+        this.#handle(from, to, method, structuredClone(body))
+      );
+    }
+    const answer = await this.#handle(from, to, method, sent);
+    await this.#travel(to, from);
+    return answer.map((value) => structuredClone(value));
+  }
+
+  async #handle(
+    from: string,
+    to: string,
+    method: string,
+    body: unknown,
+  ): Promise<Result<unknown, Failure>> {
+    const node = this.#nodes.get(to);
+    return node === undefined
+      ? await never()
+      : await node.deliver(from, method, body);
+  }
+
+  async #travel(from: string, to: string): Promise<void> {
+    const faults = this.#find(from, to);
+    const jitterMs = faults.jitterMs === 0
+      ? 0
+      : this.#random.nextInt(faults.jitterMs + 1);
+    await this.#clock.sleep(faults.delayMs + jitterMs);
+    if (this.#find(from, to).cut || this.#draw(faults.lossPercent)) {
+      await never();
+    }
+  }
+
+  #find(from: string, to: string): LinkFaults {
+    return this.#faults.get(`${from} ${to}`) ?? this.#defaults;
+  }
+
+  #draw(percent: number): boolean {
+    return percent > 0 && this.#random.nextInt(PERCENT) < percent;
+  }
+}
+
+class FakePeerNetwork implements PeerNetwork {
+  readonly #entryId: string;
+  readonly #network: FakeNetwork;
+  readonly #handlers = new Map<string, PeerHandler>();
+
+  constructor(entryId: string, network: FakeNetwork) {
+    this.#entryId = entryId;
+    this.#network = network;
+  }
+
+  call(
+    peerId: string,
+    method: string,
+    body: unknown,
+    options: PeerCallOptions,
+  ): Promise<Result<unknown, Failure>> {
+    return this.#network.carry(this.#entryId, peerId, method, body, options);
+  }
+
+  handle(method: string, handler: PeerHandler): void {
+    this.#handlers.set(method, handler);
+  }
+
+  async deliver(
+    from: string,
+    method: string,
+    body: unknown,
+  ): Promise<Result<unknown, Failure>> {
+    const handler = this.#handlers.get(method);
+    return handler === undefined
+      ? Result.err(createFailure("unknownKind", `no handler for ${method}`))
+      : await handler(from, body);
+  }
+}
+
+function never(): Promise<never> {
+  return new Promise(() => undefined);
+}
--- /dev/null
+++ b/src/testing/index.ts
@@ -0,0 +1,9 @@
+/** What tests, quickstart and bench share. */
+export * from "./daemon_process.ts";
+export * from "./describe.ts";
+export * from "./fake_clock.ts";
+export * from "./fake_file_system.ts";
+export * from "./fake_network.ts";
+export * from "./fake_ports.ts";
+export * from "./free_port.ts";
+export * from "./test_runner.ts";
