Let a permit carry the attempt's id and say how the attempt ended

Cause: the backend server announces attempts by id, and a lost entry's permits have to be found in those announcements; health needs evidence from each end. Change: Permit.attemptId and Permit.release({ ended, healthy }).

--- a/src/adapters/disk/node_file_system.ts
+++ b/src/adapters/disk/node_file_system.ts
@@ -18,7 +18,8 @@
 export class NodeFileSystem implements FileSystem {
   readonly #folder: string;
 
-  private constructor(folder: string) {
+  /** @param folder - Path of a data folder that exists. */
+  constructor(folder: string) {
     this.#folder = folder;
   }
 
--- a/src/daemon/create_permits.ts
+++ b/src/daemon/create_permits.ts
@@ -26,7 +26,13 @@
   const { clock, fleet, random, tasks } = context;
   const directory = new BackendDirectory(clock);
   const picker = new TwoChoicesPicker(random);
-  const permits = new LocalPermitSource({ clock, directory, fleet, picker });
+  const permits = new LocalPermitSource({
+    clock,
+    directory,
+    fleet,
+    picker,
+    random,
+  });
   tasks.startForever("directory clean-up", async (signal) => {
     while (!signal.aborted) {
       await clock.sleep(FORGET_INTERVAL_MS, signal);
--- a/src/replication/single_agreement.ts
+++ b/src/replication/single_agreement.ts
@@ -33,7 +33,11 @@
   #appliedIndex: number;
   #tail: Promise<unknown> = Promise.resolve();
 
-  private constructor(options: SingleAgreementOptions, stored: StoredLog) {
+  /**
+   * @param options - Store and clock.
+   * @param stored - What the store holds.
+   */
+  constructor(options: SingleAgreementOptions, stored: StoredLog) {
     this.#options = options;
     this.#loadedAtMs = options.clock.monotonicMs();
     this.state = stored.snapshot === undefined
--- a/src/services/local_permits.ts
+++ b/src/services/local_permits.ts
@@ -6,7 +6,7 @@
   BackendPicker,
   FleetIndexCache,
 } from "../decisions/index.ts";
-import type { Clock } from "../ports/index.ts";
+import type { Clock, Random } from "../ports/index.ts";
 import { Notifier } from "../tasks/index.ts";
 import type { BackendDirectory } from "./backend_directory.ts";
 import type { Permit, PermitRequest, PermitSource } from "./permits.ts";
@@ -17,6 +17,7 @@
   readonly directory: BackendDirectory;
   readonly fleet: FleetIndexCache;
   readonly picker: BackendPicker;
+  readonly random: Random;
 }
 
 /** Counts team places and slots in this process alone. */
@@ -121,17 +122,23 @@
     const leaseMs = admission.queue.maxRunMs;
     addTo(this.#runningByTeam, admission.teamName, 1);
     addTo(this.#usedByBackend, chosen.backendServerId, 1);
+    let isReleased = false;
     const giveBack = () => {
       addTo(this.#runningByTeam, admission.teamName, -1);
       addTo(this.#usedByBackend, chosen.backendServerId, -1);
       this.#released.notify();
     };
     return {
+      attemptId: this.#options.random.nextId(),
       backend,
       pool: chosen.pool,
       zone: chosen.zone,
       leaseMs,
-      release: (ended) => {
+      release: ({ ended }) => {
+        if (isReleased) {
+          return;
+        }
+        isReleased = true;
         if (ended) {
           giveBack();
         } else {
--- a/src/services/permits.ts
+++ b/src/services/permits.ts
@@ -13,20 +13,32 @@
   readonly signal: AbortSignal;
 }
 
+/** How the attempt under a permit ended. */
+export interface PermitEnd {
+  /**
+   * True when the attempt certainly no longer runs; otherwise it counts until
+   * the backend server says that it has ended or its lease has run out.
+   */
+  readonly ended: boolean;
+  /** Evidence on the backend server's health; undefined when there is none. */
+  readonly healthy: boolean | undefined;
+}
+
 /** Leave to run one attempt at one backend server. */
 export interface Permit {
+  /** Id of the attempt, by which the backend server announces it as running. */
+  readonly attemptId: string;
   readonly backend: Announcement;
   readonly pool: string;
   readonly zone: string;
   /** How long the attempt may run, in milliseconds. */
   readonly leaseMs: number;
   /**
-   * Gives the permit back.
+   * Gives the permit back; a second call has no effect.
    *
-   * @param ended - True when the attempt certainly no longer runs; otherwise
-   * it counts until its lease has run out.
+   * @param end - How the attempt ended.
    */
-  release(ended: boolean): void;
+  release(end: PermitEnd): void;
 }
 
 /** Hands out permits so that no limit is exceeded. */
--- a/src/services/request_service.ts
+++ b/src/services/request_service.ts
@@ -23,7 +23,6 @@
   Clock,
   Logger,
   Metrics,
-  Random,
 } from "../ports/index.ts";
 import type { DecisionRecorder } from "./decision_recorder.ts";
 import type { Permit, PermitSource } from "./permits.ts";
@@ -42,7 +41,6 @@
   readonly recorder: DecisionRecorder;
   readonly history: RequestHistory;
   readonly clock: Clock;
-  readonly random: Random;
   readonly metrics: Metrics;
   readonly logger: Logger;
 }
@@ -107,7 +105,7 @@
       if (sent.isOk) {
         return Result.ok(this.#answer(run, permit.value, sent.value));
       }
-      permit.value.release(sent.error.notStarted);
+      permit.value.release({ ended: sent.error.notStarted, healthy: false });
       excludedBackendIds.add(permit.value.backend.backendServerId);
       // A body that was consumed cannot be sent to another backend server.
       const mayRetry = sent.error.notStarted && request.body === undefined &&
@@ -141,7 +139,7 @@
     const { request } = run;
     const leftMs = request.deadlineAtMs - this.#options.clock.monotonicMs();
     return this.#options.client.send({
-      attemptId: this.#options.random.nextId(),
+      attemptId: permit.attemptId,
       host: permit.backend.host,
       port: permit.backend.port,
       method: request.method,
@@ -192,7 +190,11 @@
       yield* answer.body;
       outcome = answer.status < 500 ? "succeeded" : "failed";
     } finally {
-      permit.release(outcome !== "unknown");
+      const ended = outcome !== "unknown";
+      permit.release({
+        ended,
+        healthy: ended ? outcome === "succeeded" : undefined,
+      });
       this.#count(
         run.request,
         run.admission.teamName,
