--- a/src/adapters/disk/file_log_store.ts
+++ b/src/adapters/disk/file_log_store.ts
@@ -1,53 +1,41 @@
 /** The replicated log in files of the data folder. */
 import { Result } from "true-myth";
-import { createFailure, type Failure } from "../../domain/index.ts";
+import type { Failure } from "../../domain/index.ts";
 import type {
-  FileSystem,
   LogEntry,
   Logger,
   LogStore,
   OpenFile,
+  Random,
   StoredLog,
   StoredSnapshot,
   VoteRecord,
 } from "../../ports/index.ts";
 import { encodeRecord, scanRecords } from "./record_codec.ts";
+import {
+  createDamage,
+  createReadOnly,
+  type DiskOptions,
+  loadRecord,
+  replaceFile,
+  syncFile,
+} from "./replaced_file.ts";
 
 const LOG_NAME = "log";
 const VOTE_NAME = "vote";
 const SNAPSHOT_NAME = "snapshot";
-const TEMPORARY_SUFFIX = ".new";
 
 /** Options of {@link FileLogStore}. */
-export interface FileLogStoreOptions {
-  readonly files: FileSystem;
+export interface FileLogStoreOptions extends DiskOptions {
   readonly logger: Logger;
-  /**
-   * Called when a sync has failed. What the disk holds is then unknown, so the
-   * process has to end; a second sync could report success for lost data.
-   */
-  readonly onSyncFailure: (failure: Failure) => void;
-}
-
-interface StoredPosition {
-  readonly entry: LogEntry;
-  /** Where the batch that holds the entry starts, in bytes. */
-  readonly offset: number;
-}
-
-interface LogCut {
-  /** Where the file is cut, in bytes: the start of a batch. */
-  readonly offset: number;
-  /** Entries that stay in front of the cut. */
-  readonly keptCount: number;
-  /** Entries of the cut batch that do not conflict and are written again. */
-  readonly rewritten: readonly LogEntry[];
+  /** Draws the id of a data folder that is used for the first time. */
+  readonly random: Random;
 }
 
 /** Appends entries to one file, and replaces vote and snapshot as a whole. */
 export class FileLogStore implements LogStore {
   readonly #options: FileLogStoreOptions;
-  #positions: StoredPosition[] = [];
+  #entries: LogEntry[] = [];
   #log: OpenFile | undefined;
   #sizeBytes = 0;
 
@@ -56,24 +44,31 @@
   }
 
   async load(): Promise<Result<StoredLog, Failure>> {
-    const vote = await this.#loadWhole<VoteRecord>(VOTE_NAME);
-    const snapshot = await this.#loadWhole<StoredSnapshot>(SNAPSHOT_NAME);
-    const entries = await this.#loadEntries();
+    const { files } = this.#options;
+    const vote = await loadRecord<VoteRecord>(files, VOTE_NAME);
     if (vote.isErr) {
       return Result.err(vote.error);
     }
+    const snapshot = await loadRecord<StoredSnapshot>(files, SNAPSHOT_NAME);
     if (snapshot.isErr) {
       return Result.err(snapshot.error);
     }
-    if (entries.isErr) {
-      return Result.err(entries.error);
+    const loaded = await this.#loadLog(vote.value !== undefined);
+    if (loaded.isErr) {
+      return Result.err(loaded.error);
+    }
+    const kept = await this.#dropSnapshotted(snapshot.value);
+    if (kept.isErr) {
+      return Result.err(kept.error);
     }
-    const firstIndex = (snapshot.value?.index ?? 0) + 1;
-    return Result.ok({
-      vote: vote.value ?? { term: 0, votedFor: undefined },
+    const known = vote.value === undefined
+      ? await this.#createVote()
+      : Result.ok<VoteRecord, Failure>(vote.value);
+    return known.map((record) => ({
+      vote: record,
       snapshot: snapshot.value,
-      entries: entries.value.filter(({ index }) => index >= firstIndex),
-    });
+      entries: [...this.#entries],
+    }));
   }
 
   async append(entries: readonly LogEntry[]): Promise<Result<void, Failure>> {
@@ -81,53 +76,22 @@
     if (first === undefined) {
       return Result.ok(undefined);
     }
-    const log = this.#openLog();
-    const cut = this.#findCut(first.index);
-    const batch = cut === undefined ? entries : [...cut.rewritten, ...entries];
-    const offset = cut?.offset ?? this.#sizeBytes;
-    const record = encodeRecord(batch);
-    try {
-      if (cut !== undefined) {
-        await log.truncate(offset);
-      }
-      await log.write(record, offset);
-    } catch (error) {
-      return await this.#recoverFromFullDisk(log, offset, error);
-    }
-    const synced = await this.#sync(log, LOG_NAME);
-    if (synced.isErr) {
-      return synced;
-    }
-    this.#sizeBytes = offset + record.length;
-    this.#positions.length = cut?.keptCount ?? this.#positions.length;
-    this.#positions.push(...batch.map((entry) => ({ entry, offset })));
-    return Result.ok(undefined);
+    const lastIndex = this.#entries.at(-1)?.index ?? 0;
+    return first.index > lastIndex
+      ? await this.#appendToEnd(entries)
+      : await this.#replaceTail(first.index, entries);
   }
 
   async saveVote(vote: VoteRecord): Promise<Result<void, Failure>> {
-    return await this.#replaceWhole(VOTE_NAME, encodeRecord(vote));
+    return await replaceFile(this.#options, VOTE_NAME, encodeRecord(vote));
   }
 
   async saveSnapshot(snapshot: StoredSnapshot): Promise<Result<void, Failure>> {
-    const saved = await this.#replaceWhole(
-      SNAPSHOT_NAME,
-      encodeRecord(snapshot),
-    );
-    if (saved.isErr) {
-      return saved;
-    }
-    const left = this.#positions.map(({ entry }) => entry)
-      .filter(({ index }) => index > snapshot.index);
-    const record = left.length === 0 ? new Uint8Array() : encodeRecord(left);
-    const cut = await this.#replaceWhole(LOG_NAME, record);
-    if (cut.isErr) {
-      return cut;
-    }
-    await this.#log?.close();
-    this.#log = await this.#options.files.open(LOG_NAME);
-    this.#sizeBytes = record.length;
-    this.#positions = left.map((entry) => ({ entry, offset: 0 }));
-    return Result.ok(undefined);
+    const record = encodeRecord(snapshot);
+    const saved = await replaceFile(this.#options, SNAPSHOT_NAME, record);
+    return saved.isErr
+      ? saved
+      : await this.#rewriteLog(selectAfter(this.#entries, snapshot));
   }
 
   async close(): Promise<void> {
@@ -135,138 +99,126 @@
     this.#log = undefined;
   }
 
-  /** Finds what a conflicting tail leaves, or undefined when nothing conflicts. */
-  #findCut(firstIndex: number): LogCut | undefined {
-    const lastIndex = this.#positions.at(-1)?.entry.index ?? 0;
-    if (firstIndex > lastIndex) {
-      return undefined;
-    }
-    const conflicting = this.#positions.findIndex(({ entry }) =>
-      entry.index >= firstIndex
-    );
-    const offset = this.#positions[conflicting]?.offset ?? 0;
-    const keptCount = this.#positions.findIndex((position) =>
-      position.offset === offset
-    );
-    const rewritten = this.#positions.slice(keptCount, conflicting).map((
-      { entry },
-    ) => entry);
-    return { offset, keptCount, rewritten };
-  }
-
-  async #loadEntries(): Promise<Result<LogEntry[], Failure>> {
-    const bytes = await this.#options.files.read(LOG_NAME) ?? new Uint8Array();
-    const scanned = scanRecords(bytes);
-    if (scanned.damagedOffset !== undefined) {
-      return Result.err(createDamage(LOG_NAME, scanned.damagedOffset));
+  async #appendToEnd(
+    entries: readonly LogEntry[],
+  ): Promise<Result<void, Failure>> {
+    const log = await this.#openLog();
+    const record = encodeRecord(entries);
+    try {
+      await log.write(record, this.#sizeBytes);
+    } catch (error) {
+      // Leaves no half-written record in front of later ones.
+      await log.truncate(this.#sizeBytes);
+      return Result.err(createReadOnly(LOG_NAME, error));
     }
-    this.#log = await this.#options.files.open(LOG_NAME);
-    if (scanned.validBytes < bytes.length) {
-      this.#options.logger.warn(
-        {
-          file: LOG_NAME,
-          offset: scanned.validBytes,
-          cutBytes: bytes.length - scanned.validBytes,
-        },
-        "cut off a torn last record",
-      );
-      await this.#log.truncate(scanned.validBytes);
+    const synced = await syncFile(this.#options, log, LOG_NAME);
+    if (synced.isErr) {
+      return synced;
     }
-    await this.#options.files.syncFolder();
-    this.#sizeBytes = scanned.validBytes;
-    this.#positions = scanned.records.flatMap(({ value, offset }) =>
-      (value as LogEntry[]).map((entry) => ({ entry, offset }))
-    );
-    return Result.ok(this.#positions.map(({ entry }) => entry));
+    this.#sizeBytes += record.length;
+    this.#entries.push(...entries);
+    return Result.ok(undefined);
   }
 
-  async #loadWhole<T>(name: string): Promise<Result<T | undefined, Failure>> {
-    const bytes = await this.#options.files.read(name);
-    if (bytes === undefined) {
-      return Result.ok(undefined);
-    }
-    const record = scanRecords(bytes).records[0];
-    return record === undefined
-      ? Result.err(createDamage(name, 0))
-      : Result.ok(record.value as T);
+  // A conflicting tail is cut off by replacing the file: cutting it in place
+  // could lose synced entries of the same record in a crash.
+  async #replaceTail(
+    firstIndex: number,
+    entries: readonly LogEntry[],
+  ): Promise<Result<void, Failure>> {
+    const kept = this.#entries.filter(({ index }) => index < firstIndex);
+    return await this.#rewriteLog([...kept, ...entries]);
   }
 
-  async #replaceWhole(
-    name: string,
-    bytes: Uint8Array,
+  async #rewriteLog(
+    entries: readonly LogEntry[],
   ): Promise<Result<void, Failure>> {
+    const record = entries.length === 0
+      ? new Uint8Array()
+      : encodeRecord(entries);
+    const replaced = await replaceFile(this.#options, LOG_NAME, record);
+    if (replaced.isErr) {
+      return replaced;
+    }
+    await this.close();
+    this.#sizeBytes = record.length;
+    this.#entries = [...entries];
+    return replaced;
+  }
+
+  async #loadLog(isExpected: boolean): Promise<Result<void, Failure>> {
     const { files } = this.#options;
-    const temporary = `${name}${TEMPORARY_SUFFIX}`;
-    await files.remove(temporary);
-    const file = await files.open(temporary);
-    try {
-      await file.write(bytes, 0);
-    } catch (error) {
-      await file.close();
-      await files.remove(temporary);
-      return Result.err(createReadOnly(name, error));
+    const bytes = await files.read(LOG_NAME);
+    if (bytes === undefined && isExpected) {
+      return Result.err(createDamage(LOG_NAME, 0, "is missing"));
     }
-    const synced = await this.#sync(file, name);
-    await file.close();
-    if (synced.isErr) {
-      return synced;
+    const scanned = scanRecords(bytes ?? new Uint8Array());
+    if (scanned.damagedOffset !== undefined) {
+      const offset = scanned.damagedOffset;
+      return Result.err(createDamage(LOG_NAME, offset, "is damaged"));
+    }
+    const tornBytes = (bytes?.length ?? 0) - scanned.validBytes;
+    if (tornBytes > 0) {
+      await this.#cutTornTail(scanned.validBytes, tornBytes);
     }
-    await files.rename(temporary, name);
+    await this.#openLog();
     await files.syncFolder();
+    this.#sizeBytes = scanned.validBytes;
+    this.#entries = scanned.records.flatMap(({ value }) => value as LogEntry[]);
     return Result.ok(undefined);
   }
 
-  async #recoverFromFullDisk(
-    log: OpenFile,
-    offset: number,
-    error: unknown,
-  ): Promise<Result<void, Failure>> {
-    // Leaves no half-written record in front of later ones.
+  async #cutTornTail(offset: number, cutBytes: number): Promise<void> {
+    const log = await this.#openLog();
+    this.#options.logger.warn(
+      { file: LOG_NAME, offset, cutBytes },
+      "cut off a torn last record",
+    );
     await log.truncate(offset);
-    return Result.err(createReadOnly(LOG_NAME, error));
   }
 
-  async #sync(file: OpenFile, name: string): Promise<Result<void, Failure>> {
-    try {
-      await file.sync();
-      return Result.ok(undefined);
-    } catch (error) {
-      const failure = createFailure(
-        "internal",
-        `syncing ${name} failed: ${String(error)}`,
-        {
-          remedy:
-            "replace the disk, then start this entry with an empty data folder",
-        },
-      );
-      this.#options.onSyncFailure(failure);
-      return Result.err(failure);
-    }
+  // A crash between saving a snapshot and cutting the log leaves entries that
+  // the snapshot covers, or that contradict it.
+  async #dropSnapshotted(
+    snapshot: StoredSnapshot | undefined,
+  ): Promise<Result<void, Failure>> {
+    const expectedIndex = (snapshot?.index ?? 0) + 1;
+    if ((this.#entries[0]?.index ?? expectedIndex) > expectedIndex) {
+      const what = `does not go on from entry ${expectedIndex}`;
+      return Result.err(createDamage(LOG_NAME, 0, what));
+    }
+    const left = selectAfter(this.#entries, snapshot);
+    return left.length === this.#entries.length
+      ? Result.ok(undefined)
+      : await this.#rewriteLog(left);
   }
 
-  #openLog(): OpenFile {
-    if (this.#log === undefined) {
-      throw new Error("the log store is used before it is loaded");
-    }
+  async #createVote(): Promise<Result<VoteRecord, Failure>> {
+    const storeId = this.#options.random.nextId();
+    const vote = { term: 0, votedFor: undefined, storeId };
+    const saved = await this.saveVote(vote);
+    return saved.map(() => vote);
+  }
+
+  async #openLog(): Promise<OpenFile> {
+    this.#log ??= await this.#options.files.open(LOG_NAME);
     return this.#log;
   }
 }
 
-function createDamage(name: string, offset: number): Failure {
-  return createFailure(
-    "diskDamaged",
-    `file ${name} is damaged at offset ${offset}`,
-    {
-      path: name,
-      remedy:
-        "start this entry with an empty data folder; it then rejoins as a learner",
-      detail: { file: name, offset },
-    },
+/** Selects the entries that follow a snapshot and agree with it. */
+function selectAfter(
+  entries: readonly LogEntry[],
+  snapshot: StoredSnapshot | undefined,
+): readonly LogEntry[] {
+  if (snapshot === undefined || entries.length === 0) {
+    return entries;
+  }
+  const follows = entries[0]?.index === snapshot.index + 1;
+  const agrees = entries.some(({ index, term }) =>
+    index === snapshot.index && term === snapshot.term
   );
-}
-
-function createReadOnly(name: string, error: unknown): Failure {
-  return createFailure("readOnly", `writing ${name} failed: ${String(error)}`, {
-    remedy: "free space on the disk of the data folder",
-  });
+  return follows || agrees
+    ? entries.filter(({ index }) => index > snapshot.index)
+    : [];
 }
--- a/src/adapters/disk/index.ts
+++ b/src/adapters/disk/index.ts
@@ -1,4 +1,6 @@
 /** Storage in files. */
 export * from "./file_log_store.ts";
+export * from "./memory_log_store.ts";
 export * from "./node_file_system.ts";
 export * from "./record_codec.ts";
+export * from "./replaced_file.ts";
--- /dev/null
+++ b/src/adapters/disk/memory_log_store.ts
@@ -0,0 +1,39 @@
+/** The log of an entry without a disk. */
+import { Result } from "true-myth";
+import type { Failure } from "../../domain/index.ts";
+import type { LogStore, Random, StoredLog } from "../../ports/index.ts";
+
+/** Stores nothing; such an entry follows but never votes. */
+export class MemoryLogStore implements LogStore {
+  readonly #random: Random;
+
+  /** @param random - Draws the id of this run of the entry. */
+  constructor(random: Random) {
+    this.#random = random;
+  }
+
+  load(): Promise<Result<StoredLog, Failure>> {
+    const storeId = this.#random.nextId();
+    return Promise.resolve(Result.ok({
+      vote: { term: 0, votedFor: undefined, storeId },
+      snapshot: undefined,
+      entries: [],
+    }));
+  }
+
+  append(): Promise<Result<void, Failure>> {
+    return Promise.resolve(Result.ok(undefined));
+  }
+
+  saveVote(): Promise<Result<void, Failure>> {
+    return Promise.resolve(Result.ok(undefined));
+  }
+
+  saveSnapshot(): Promise<Result<void, Failure>> {
+    return Promise.resolve(Result.ok(undefined));
+  }
+
+  close(): Promise<void> {
+    return Promise.resolve();
+  }
+}
--- a/src/adapters/peer/peer_link.ts
+++ b/src/adapters/peer/peer_link.ts
@@ -105,7 +105,10 @@
     const signal = AbortSignal.any(signals);
     const startedAtMs = clock.monotonicMs();
     const timeout = clock.sleep(options.timeoutMs, signal).then(() => {
-      this.#dropSilentSocket(startedAtMs, stop.signal.aborted);
+      const isOver = clock.monotonicMs() - startedAtMs >= options.timeoutMs;
+      if (isOver && !stop.signal.aborted) {
+        this.#dropSilentSocket(startedAtMs);
+      }
       return Result.err<unknown, Failure>(
         this.#createUnreachable(`no answer to ${method} in time`),
       );
@@ -174,8 +177,8 @@
 
   // A silent partition keeps a connection open for minutes; nothing read
   // during a whole call means that a new connection is the better bet.
-  #dropSilentSocket(startedAtMs: number, wasAnswered: boolean): void {
-    if (!wasAnswered && this.#lastReadMs < startedAtMs) {
+  #dropSilentSocket(startedAtMs: number): void {
+    if (this.#lastReadMs < startedAtMs) {
       this.#socket?.destroy();
     }
   }
--- a/src/daemon/create_agreement.ts
+++ b/src/daemon/create_agreement.ts
@@ -1,28 +1,55 @@
 /** Composes the replicated state. */
 import type { Result } from "true-myth";
-import { FileLogStore, NodeFileSystem } from "../adapters/disk/index.ts";
+import {
+  FileLogStore,
+  MemoryLogStore,
+  NodeFileSystem,
+} from "../adapters/disk/index.ts";
 import type { Failure } from "../domain/index.ts";
-import type { Agreement, PeerNetwork } from "../ports/index.ts";
-import { SingleAgreement } from "../replication/index.ts";
+import type { LogStore, PeerNetwork } from "../ports/index.ts";
+import { Replica } from "../replication/index.ts";
 import type { EntryBase } from "./entry_context.ts";
+import type { Settings } from "./settings/index.ts";
 
 /**
- * Creates the agreement from what the data folder holds.
+ * Creates the replica from what the data folder holds, and starts its tasks.
  *
  * @param base - The adapters of the machine.
- * @param _network - Calls between entries.
- * @returns The agreement, or the failure of the disk.
+ * @param network - Calls between entries.
+ * @returns The replica, or the failure of the disk.
  */
 export async function createAgreement(
   base: EntryBase,
-  _network: PeerNetwork,
-): Promise<Result<Agreement, Failure>> {
-  const { settings, logger, onFatal, clock } = base;
-  const files = await NodeFileSystem.load(settings.dataFolder ?? "data");
-  const store = new FileLogStore({ files, logger, onSyncFailure: onFatal });
-  return await SingleAgreement.load({
+  network: PeerNetwork,
+): Promise<Result<Replica, Failure>> {
+  const { settings, tasks } = base;
+  const replica = await Replica.load({
+    ...base,
     entryId: settings.entryId,
-    store,
-    clock,
+    hasDisk: settings.dataFolder !== null,
+    wantsVote: settings.voter,
+    peerIds: settings.peers.map(({ entryId }) => entryId),
+    initialVoterIds: listInitialVoters(settings),
+    store: await createStore(base),
+    network,
   });
+  if (replica.isOk) {
+    replica.value.start(tasks);
+  }
+  return replica;
+}
+
+async function createStore(base: EntryBase): Promise<LogStore> {
+  const { settings, onFatal } = base;
+  if (settings.dataFolder === null) {
+    return new MemoryLogStore(base.random);
+  }
+  const files = await NodeFileSystem.load(settings.dataFolder);
+  return new FileLogStore({ ...base, files, onSyncFailure: onFatal });
+}
+
+function listInitialVoters(settings: Settings): string[] {
+  const others = settings.peers.filter(({ voter }) => voter)
+    .map(({ entryId }) => entryId);
+  return settings.voter ? [settings.entryId, ...others] : others;
 }
--- a/src/domain/command.ts
+++ b/src/domain/command.ts
@@ -2,6 +2,7 @@
 import * as v from "valibot";
 import { changeSchema } from "./change.ts";
 import { decisionRecordSchema } from "./decision_record.ts";
+import { membershipSchema } from "./membership.ts";
 
 /** Schema of the command that applies an operator's change. */
 export const changeCommandSchema = v.object({
@@ -74,8 +75,7 @@
 /** Schema of the command that changes the voters, one at a time. */
 export const membershipCommandSchema = v.object({
   type: v.literal("membership"),
-  voterIds: v.array(v.string()),
-  learnerIds: v.array(v.string()),
+  ...membershipSchema.entries,
 });
 
 /** Schema of {@link Command}. */
--- /dev/null
+++ b/src/domain/fleet_snapshot.ts
@@ -0,0 +1,50 @@
+/** Plain values of the durable state: what snapshots hold and applying returns. */
+import type { Result } from "true-myth";
+import type { AcceptedChange } from "./change.ts";
+import type { Claim, VmAssignment } from "./command.ts";
+import type { DecisionRecord } from "./decision_record.ts";
+import type { Failure } from "./errors.ts";
+import type { Membership } from "./membership.ts";
+import type { Resource } from "./resources/index.ts";
+
+/** Decision records that the audit trail keeps. */
+export const MAX_KEPT_RECORDS = 10_000;
+/** Claims of idempotency keys that are kept. */
+export const MAX_KEPT_CLAIMS = 50_000;
+
+/** A declared resource with the change that set it. */
+export interface StoredResource<R extends Resource = Resource> {
+  readonly resource: R;
+  readonly revision: number;
+  readonly setBy: string;
+  readonly setAtMs: number;
+}
+
+/** The kept answer to an operation. */
+export interface StoredOperation {
+  readonly operationId: string;
+  readonly content: string;
+  readonly accepted: AcceptedChange;
+}
+
+/** The whole state in plain values, for snapshots. */
+export interface FleetSnapshot {
+  readonly revision: number;
+  readonly resources: readonly StoredResource[];
+  readonly operations: readonly StoredOperation[];
+  readonly records: readonly DecisionRecord[];
+  readonly assignments: readonly VmAssignment[];
+  readonly claims: readonly Claim[];
+  readonly membership: Membership;
+}
+
+/** What applying a command led to; the same on every entry. */
+export type Applied = Result<AppliedValue, Failure>;
+
+/** The value of an applied command. */
+export interface AppliedValue {
+  /** Configuration revision after the command. */
+  readonly revision: number;
+  /** Claims as they stand after a `claim` command, in its order. */
+  readonly claims?: readonly Claim[];
+}
--- a/src/domain/fleet_state.ts
+++ b/src/domain/fleet_state.ts
@@ -1,72 +1,35 @@
 /** The durable state that the replicated log builds, the same on every entry. */
 import { Result } from "true-myth";
-import type { AcceptedChange, Change, ResourceRef } from "./change.ts";
+import { dropOldest } from "./bounded_map.ts";
+import type { Change, ResourceRef } from "./change.ts";
 import type { Claim, Command, VmAssignment } from "./command.ts";
 import type { DecisionRecord } from "./decision_record.ts";
 import { createFailure, type Failure } from "./errors.ts";
 import {
-  type Resource,
+  type Applied,
+  type FleetSnapshot,
+  MAX_KEPT_CLAIMS,
+  MAX_KEPT_RECORDS,
+  type StoredResource,
+} from "./fleet_snapshot.ts";
+import { type Membership, NO_MEMBERSHIP } from "./membership.ts";
+import { OperationTable } from "./operation_table.ts";
+import {
   RESOURCE_KINDS,
   type ResourceKind,
   type ResourceOf,
 } from "./resources/index.ts";
 
-/** Operations whose first answer is kept for a resend. */
-export const MAX_KEPT_OPERATIONS = 20_000;
-/** Decision records that the audit trail keeps. */
-export const MAX_KEPT_RECORDS = 10_000;
-/** Claims of idempotency keys that are kept. */
-export const MAX_KEPT_CLAIMS = 50_000;
-
-/** A declared resource with the change that set it. */
-export interface StoredResource<R extends Resource = Resource> {
-  readonly resource: R;
-  readonly revision: number;
-  readonly setBy: string;
-  readonly setAtMs: number;
-}
-
-/** The kept answer to an operation. */
-export interface StoredOperation {
-  readonly operationId: string;
-  readonly content: string;
-  readonly accepted: AcceptedChange;
-}
-
-/** The whole state in plain values, for snapshots. */
-export interface FleetSnapshot {
-  readonly revision: number;
-  readonly resources: readonly StoredResource[];
-  readonly operations: readonly StoredOperation[];
-  readonly records: readonly DecisionRecord[];
-  readonly assignments: readonly VmAssignment[];
-  readonly claims: readonly Claim[];
-  readonly voterIds: readonly string[];
-  readonly learnerIds: readonly string[];
-}
-
-/** What applying a command led to; the same on every entry. */
-export type Applied = Result<AppliedValue, Failure>;
-
-/** The value of an applied command. */
-export interface AppliedValue {
-  /** Configuration revision after the command. */
-  readonly revision: number;
-  /** Claims as they stand after a `claim` command, in its order. */
-  readonly claims?: readonly Claim[];
-}
-
 /** The state that all entries agree on. */
 export class FleetState {
   #revision = 0;
   #placementVersion = 0;
   readonly #resources = new Map<ResourceKind, Map<string, StoredResource>>();
-  readonly #operations = new Map<string, StoredOperation>();
+  readonly #operations = new OperationTable();
   readonly #records = new Map<string, DecisionRecord>();
   readonly #assignments = new Map<string, VmAssignment>();
   readonly #claims = new Map<string, Claim>();
-  #voterIds: readonly string[] = [];
-  #learnerIds: readonly string[] = [];
+  #membership: Membership = NO_MEMBERSHIP;
 
   constructor() {
     for (const kind of RESOURCE_KINDS) {
@@ -84,14 +47,9 @@
     return this.#placementVersion;
   }
 
-  /** Ids of the entries that vote, empty before the first membership command. */
-  get voterIds(): readonly string[] {
-    return this.#voterIds;
-  }
-
-  /** Ids of the entries that follow with a disk but do not vote yet. */
-  get learnerIds(): readonly string[] {
-    return this.#learnerIds;
+  /** Voters and learners, empty before the first membership command. */
+  get membership(): Membership {
+    return this.#membership;
   }
 
   /**
@@ -183,8 +141,10 @@
       case "claim":
         return this.#applyClaims(command.claims);
       case "membership":
-        this.#voterIds = command.voterIds;
-        this.#learnerIds = command.learnerIds;
+        this.#membership = {
+          voters: command.voters,
+          learners: command.learners,
+        };
         return this.#done();
       case "leader":
         return this.#done();
@@ -200,12 +160,11 @@
     return {
       revision: this.#revision,
       resources: RESOURCE_KINDS.flatMap((kind) => this.list(kind)),
-      operations: [...this.#operations.values()],
+      operations: this.#operations.list(),
       records: this.listRecords(),
       assignments: this.listAssignments(),
       claims: [...this.#claims.values()],
-      voterIds: this.#voterIds,
-      learnerIds: this.#learnerIds,
+      membership: this.#membership,
     };
   }
 
@@ -223,7 +182,7 @@
       state.#put(stored);
     }
     for (const operation of snapshot.operations) {
-      state.#operations.set(operation.operationId, operation);
+      state.#operations.put(operation);
     }
     for (const record of snapshot.records) {
       state.#records.set(record.decisionId, record);
@@ -234,16 +193,14 @@
     for (const claim of snapshot.claims) {
       state.#claims.set(claim.claimId, claim);
     }
-    state.#voterIds = snapshot.voterIds;
-    state.#learnerIds = snapshot.learnerIds;
+    state.#membership = snapshot.membership;
     return state;
   }
 
   #applyChange(change: Change, operator: string, atMs: number): Applied {
-    const content = JSON.stringify([change.puts, change.deletes]);
-    const first = this.#operations.get(change.operationId);
-    if (first !== undefined) {
-      return this.#answerResend(first, content);
+    const resent = this.#operations.answerResend(change);
+    if (resent !== undefined) {
+      return resent;
     }
     if (change.expectedRevision !== this.#revision) {
       return Result.err(this.#createConflict(change));
@@ -261,32 +218,10 @@
     for (const ref of change.deletes) {
       this.#resources.get(ref.kind)?.delete(ref.name);
     }
-    const accepted = {
-      operationId: change.operationId,
-      revision: this.#revision,
-    };
-    this.#operations.set(change.operationId, {
-      operationId: change.operationId,
-      content,
-      accepted,
-    });
-    dropOldest(this.#operations, MAX_KEPT_OPERATIONS);
+    this.#operations.record(change, this.#revision);
     return this.#done();
   }
 
-  #answerResend(first: StoredOperation, content: string): Applied {
-    if (first.content !== content) {
-      return Result.err(
-        createFailure(
-          "operationIdReused",
-          `operation ${first.operationId} was accepted with other content as revision ${first.accepted.revision}`,
-          { remedy: "send the other content under a new operation id" },
-        ),
-      );
-    }
-    return Result.ok({ revision: first.accepted.revision });
-  }
-
   #createConflict(change: Change): Failure {
     const touched: ResourceRef[] = [
       ...change.puts.map(({ kind, name }) => ({ kind, name })),
@@ -334,8 +269,11 @@
   #applyClaims(claims: readonly Claim[]): Applied {
     const standing = claims.map((claim) => {
       const current = this.#claims.get(claim.claimId);
-      const mayReplace = current === undefined ||
-        (current.entryId === claim.entryId && current.atMs === claim.atMs);
+      const isSame = current?.entryId === claim.entryId &&
+        current.atMs === claim.atMs;
+      // A late copy of the first command must not reopen a settled claim.
+      const reopens = claim.state === "running" && current?.state !== "running";
+      const mayReplace = current === undefined || (isSame && !reopens);
       if (mayReplace) {
         this.#claims.set(claim.claimId, claim);
         return claim;
@@ -363,12 +301,3 @@
     return Result.ok({ revision: this.#revision });
   }
 }
-
-function dropOldest<K, V>(map: Map<K, V>, maxSize: number): void {
-  for (const key of map.keys()) {
-    if (map.size <= maxSize) {
-      return;
-    }
-    map.delete(key);
-  }
-}
--- a/src/ports/agreement.ts
+++ b/src/ports/agreement.ts
@@ -51,3 +51,30 @@
   /** Tells what this entry knows now. */
   status(): AgreementStatus;
 }
+
+/** What the leader knows of one entry. */
+export interface EntryReport {
+  readonly entryId: string;
+  readonly role: "leader" | "voter" | "learner" | "observer";
+  /** Configuration revision in force there, undefined before its first pull. */
+  readonly revision?: number | undefined;
+  /** Upper bound of what is left of its freshness lease, in milliseconds. */
+  readonly leaseLeftMs: number;
+}
+
+/** What the leader knows of all entries. */
+export interface EntryList {
+  readonly leaderId: string;
+  readonly revision: number;
+  readonly entries: readonly EntryReport[];
+}
+
+/** Lists which revision is in force where. */
+export interface EntryDirectory {
+  /**
+   * Asks the leader for the state of every entry.
+   *
+   * @returns The list, `notLeader` without a leader, or `peerUnreachable`.
+   */
+  listEntries(): Promise<Result<EntryList, Failure>>;
+}
--- a/src/ports/log_store.ts
+++ b/src/ports/log_store.ts
@@ -13,6 +13,8 @@
 export interface VoteRecord {
   readonly term: number;
   readonly votedFor: string | undefined;
+  /** Id of the data folder, drawn when the folder was first used. */
+  readonly storeId: string;
 }
 
 /** A state at an index, with which the log before it may be cut off. */
@@ -37,7 +39,10 @@
   append(entries: readonly LogEntry[]): Promise<Result<void, Failure>>;
   /** Saves term and vote. */
   saveVote(vote: VoteRecord): Promise<Result<void, Failure>>;
-  /** Saves a snapshot, then drops the log up to its index. */
+  /**
+   * Saves a snapshot, then drops the log up to its index; entries after it stay
+   * only if the log agrees with the snapshot at its index.
+   */
   saveSnapshot(snapshot: StoredSnapshot): Promise<Result<void, Failure>>;
   /** Closes the files. */
   close(): Promise<void>;
--- /dev/null
+++ b/src/replication/election_task.ts
@@ -0,0 +1,201 @@
+/** Elections: pre-vote, vote, and the first words of a new leader. */
+import {
+  type Command,
+  computeQuorum,
+  includesMember,
+  type Member,
+  validateWith,
+} from "../domain/index.ts";
+import { Notifier, waitFor } from "../tasks/index.ts";
+import {
+  METHODS,
+  type VoteAnswer,
+  voteAnswerSchema,
+  type VoteRequest,
+} from "./messages.ts";
+import type { ReplicaCore } from "./replica_core.ts";
+import {
+  CALL_TIMEOUT_MS,
+  ELECTION_RETRY_MS,
+  ELECTION_SPREAD_MS,
+  MIN_ELECTION_TIMEOUT_MS,
+  VOTE_TIMEOUT_MS,
+} from "./timing.ts";
+
+/** Stands for election when no leader has been heard for long enough. */
+export class ElectionTask {
+  readonly #core: ReplicaCore;
+
+  constructor(core: ReplicaCore) {
+    this.#core = core;
+  }
+
+  /**
+   * Watches the leader, and stands when it is silent.
+   *
+   * @param signal - Ends the task.
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock, random } = this.#core.options;
+    let timeoutMs = this.#drawTimeout();
+    while (!signal.aborted) {
+      const waitMs = this.#computeWait(timeoutMs);
+      if (waitMs > 0) {
+        await clock.sleep(waitMs, signal);
+        continue;
+      }
+      await this.#stand();
+      timeoutMs = this.#drawTimeout();
+      // Unequal pauses keep candidates from splitting the votes again.
+      await clock.sleep(random.nextInt(ELECTION_RETRY_MS), signal);
+    }
+  }
+
+  #drawTimeout(): number {
+    const { random } = this.#core.options;
+    return MIN_ELECTION_TIMEOUT_MS + random.nextInt(ELECTION_SPREAD_MS);
+  }
+
+  #computeWait(timeoutMs: number): number {
+    const { contactMs, log, options, resignedUntilMs } = this.#core;
+    const nowMs = options.clock.monotonicMs();
+    if (!this.#mayStand()) {
+      return MIN_ELECTION_TIMEOUT_MS;
+    }
+    const isAlone = log.membership.voters.length === 1;
+    const dueMs = isAlone ? nowMs : contactMs + timeoutMs;
+    return Math.max(dueMs, resignedUntilMs) - nowMs;
+  }
+
+  #mayStand(): boolean {
+    const { options, leadership, isVoter } = this.#core;
+    return options.hasDisk && leadership === undefined && isVoter;
+  }
+
+  async #stand(): Promise<void> {
+    const core = this.#core;
+    const preVoters = await this.#gatherVotes(this.#createRequest(true));
+    if (!this.#isMajority(preVoters)) {
+      return;
+    }
+    const request = await this.#beginTerm();
+    if (request === undefined) {
+      return;
+    }
+    const voters = await this.#gatherVotes(request);
+    await core.mutex.run(async () => {
+      const isValid = core.term === request.term &&
+        core.leadership === undefined;
+      if (isValid && this.#isMajority(voters)) {
+        await core.lead([createLeaderCommand(core)]);
+      }
+    });
+    announceLeader(core);
+  }
+
+  async #beginTerm(): Promise<VoteRequest | undefined> {
+    const core = this.#core;
+    return await core.mutex.run(async () => {
+      if (!this.#mayStand() || this.#computeWait(MIN_ELECTION_TIMEOUT_MS) > 0) {
+        return undefined;
+      }
+      core.term += 1;
+      core.votedFor = core.self.entryId;
+      core.setLeader(undefined);
+      const request = this.#createRequest(false);
+      const saved = await core.saveVote();
+      return saved.isOk ? request : undefined;
+    });
+  }
+
+  #createRequest(isPreVote: boolean): VoteRequest {
+    const { term, log } = this.#core;
+    return {
+      term: isPreVote ? term + 1 : term,
+      isPreVote,
+      lastIndex: log.last.index,
+      lastTerm: log.last.term,
+    };
+  }
+
+  async #gatherVotes(request: VoteRequest): Promise<readonly Member[]> {
+    const core = this.#core;
+    const { clock } = core.options;
+    const granted: Member[] = [core.self];
+    const others = core.log.membership.voters.filter((voter) =>
+      voter.entryId !== core.self.entryId
+    );
+    const answered = new Notifier();
+    let openCount = others.length;
+    for (const voter of others) {
+      void this.#askForVote(voter, request).then((isGranted) => {
+        openCount -= 1;
+        if (isGranted) {
+          granted.push(voter);
+        }
+        answered.notify();
+      });
+    }
+    await waitFor({
+      clock,
+      notifier: answered,
+      timeoutMs: VOTE_TIMEOUT_MS,
+      isMet: () => openCount === 0 || this.#isMajority(granted),
+    });
+    return [...granted];
+  }
+
+  async #askForVote(voter: Member, request: VoteRequest): Promise<boolean> {
+    const core = this.#core;
+    const answered = await core.options.network.call(
+      voter.entryId,
+      METHODS.vote,
+      request,
+      { timeoutMs: VOTE_TIMEOUT_MS },
+    );
+    const answer = answered.andThen((body) =>
+      validateWith(voteAnswerSchema, body, { subject: "answer to a vote" })
+    );
+    if (answer.isErr) {
+      return false;
+    }
+    const { term, isGranted, storeId }: VoteAnswer = answer.value;
+    await core.mutex.run(() => core.raiseTerm(term));
+    // A voter whose data folder was emptied has forgotten its earlier votes.
+    return isGranted && storeId === voter.storeId;
+  }
+
+  #isMajority(granted: readonly Member[]): boolean {
+    const { voters } = this.#core.log.membership;
+    const count = voters.filter((voter) => includesMember(granted, voter))
+      .length;
+    return count >= computeQuorum(voters.length);
+  }
+}
+
+/**
+ * Creates the command that a term begins with.
+ *
+ * @param core - The replica that leads.
+ * @returns The command.
+ */
+export function createLeaderCommand(core: ReplicaCore): Command {
+  return { type: "leader", leaderId: core.self.entryId };
+}
+
+/**
+ * Tells all entries who leads, so that they need not search.
+ *
+ * @param core - The replica; nothing is sent unless it leads.
+ */
+export function announceLeader(core: ReplicaCore): void {
+  if (core.leadership === undefined) {
+    return;
+  }
+  const { network, peerIds } = core.options;
+  for (const peerId of peerIds) {
+    void network.call(peerId, METHODS.announce, { term: core.term }, {
+      timeoutMs: CALL_TIMEOUT_MS,
+    });
+  }
+}
--- /dev/null
+++ b/src/replication/entry_lister.ts
@@ -0,0 +1,95 @@
+/** Lists which revision is in force at each entry, as the leader knows it. */
+import { Result } from "true-myth";
+import { type Failure, validateWith } from "../domain/index.ts";
+import type { EntryList, EntryReport } from "../ports/index.ts";
+import type { Leadership } from "./leadership.ts";
+import { entryListSchema, METHODS } from "./messages.ts";
+import type { ReplicaCore } from "./replica_core.ts";
+import { CALL_TIMEOUT_MS, FRESHNESS_LEASE_MS } from "./timing.ts";
+
+/** Creates the list at the leader; other entries ask the leader for it. */
+export class EntryLister {
+  readonly #core: ReplicaCore;
+
+  constructor(core: ReplicaCore) {
+    this.#core = core;
+  }
+
+  /** Lists the entries, by way of the leader. */
+  async list(): Promise<Result<EntryList, Failure>> {
+    const core = this.#core;
+    const { leaderId, leadership } = core;
+    if (leadership !== undefined || leaderId === undefined) {
+      return this.createList();
+    }
+    const answered = await core.options.network.call(
+      leaderId,
+      METHODS.entries,
+      {},
+      { timeoutMs: CALL_TIMEOUT_MS },
+    );
+    return answered.andThen((body) =>
+      validateWith(entryListSchema, body, { subject: "list of entries" })
+    );
+  }
+
+  /**
+   * Creates the list.
+   *
+   * @returns The list, or `notLeader`.
+   */
+  createList(): Result<EntryList, Failure> {
+    const core = this.#core;
+    const { leadership } = core;
+    if (leadership === undefined || !leadership.hasLease) {
+      return Result.err(core.createNotLeader());
+    }
+    const { entryId } = core.self;
+    const { revision } = core.state;
+    const own: EntryReport = {
+      entryId,
+      role: "leader",
+      revision,
+      leaseLeftMs: this.#computeLeft(
+        leadership.confirmedMs + FRESHNESS_LEASE_MS,
+      ),
+    };
+    const others = core.options.peerIds.map((peerId) =>
+      this.#report(leadership, peerId)
+    );
+    return Result.ok({
+      leaderId: entryId,
+      revision,
+      entries: [own, ...others].toSorted((left, right) =>
+        left.entryId < right.entryId ? -1 : 1
+      ),
+    });
+  }
+
+  #report(leadership: Leadership, entryId: string): EntryReport {
+    const known = leadership.followers.filter(({ member }) =>
+      member.entryId === entryId
+    );
+    // An earlier leader may have granted a lease just before this term.
+    const earlierMs = leadership.sinceMs + FRESHNESS_LEASE_MS;
+    const endMs = Math.max(
+      earlierMs,
+      ...known.map(({ leaseEndMs }) => leaseEndMs),
+    );
+    const { voters, learners } = this.#core.log.membership;
+    const isIn = (members: typeof voters) =>
+      members.some((member) => member.entryId === entryId);
+    return {
+      entryId,
+      role: isIn(voters) ? "voter" : isIn(learners) ? "learner" : "observer",
+      // After a restart the newest run of an entry is the one that counts.
+      revision: known.at(-1)?.revision,
+      leaseLeftMs: this.#computeLeft(endMs),
+    };
+  }
+
+  #computeLeft(endMs: number): number {
+    const leftMs = endMs - this.#core.options.clock.monotonicMs();
+    return Math.max(0, Math.ceil(leftMs));
+  }
+}
--- a/src/replication/index.ts
+++ b/src/replication/index.ts
@@ -1,2 +1,4 @@
 /** Replication of the durable state behind the agreement port. */
-export * from "./single_agreement.ts";
+export * from "./replica.ts";
+export type { ReplicaOptions } from "./replica_core.ts";
+export * from "./timing.ts";
--- /dev/null
+++ b/src/replication/leader_task.ts
@@ -0,0 +1,135 @@
+/** The leader's watch over its quorum and its members. */
+import type { Command, Member, Membership } from "../domain/index.ts";
+import type { FollowerProgress } from "./follower_progress.ts";
+import type { Leadership } from "./leadership.ts";
+import type { ProposalQueue } from "./proposal_queue.ts";
+import type { ReplicaCore } from "./replica_core.ts";
+import { CAUGHT_UP_COUNT, LEADER_CHECK_MS } from "./timing.ts";
+
+/** Steps down without a quorum, and repairs the membership step by step. */
+export class LeaderTask {
+  readonly #core: ReplicaCore;
+  readonly #queue: ProposalQueue;
+
+  /**
+   * @param core - The replica.
+   * @param queue - Takes the commands that change the membership.
+   */
+  constructor(core: ReplicaCore, queue: ProposalQueue) {
+    this.#core = core;
+    this.#queue = queue;
+  }
+
+  /**
+   * Watches while this replica leads.
+   *
+   * @param signal - Ends the task.
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    const core = this.#core;
+    while (!signal.aborted) {
+      const { leadership } = core;
+      if (leadership === undefined) {
+        await core.changed.wait(signal);
+        continue;
+      }
+      await core.options.clock.sleep(LEADER_CHECK_MS, signal);
+      await this.#check(leadership);
+    }
+  }
+
+  async #check(leadership: Leadership): Promise<void> {
+    const core = this.#core;
+    if (core.leadership !== leadership) {
+      return;
+    }
+    if (leadership.hasLostQuorum) {
+      await core.mutex.run(() => this.#stepDown("a quorum is silent"));
+      return;
+    }
+    if (!leadership.isEstablished || this.#isMembershipOpen()) {
+      return;
+    }
+    if (!core.isVoter) {
+      await core.mutex.run(() => this.#stepDown("it no longer votes"));
+      return;
+    }
+    const command = this.#planRepair(leadership);
+    if (command !== undefined) {
+      core.options.logger.info({ command }, "changes the membership");
+      await this.#queue.propose(command);
+    }
+  }
+
+  #stepDown(reason: string): Promise<void> {
+    this.#core.stepDown(reason);
+    return Promise.resolve();
+  }
+
+  #isMembershipOpen(): boolean {
+    return this.#core.log.membershipIndex > this.#core.commitIndex;
+  }
+
+  #planRepair(leadership: Leadership): Command | undefined {
+    return this.#planDemotion(leadership) ?? this.#planPromotion(leadership);
+  }
+
+  // A member that runs with another data folder has forgotten votes and log.
+  #planDemotion(leadership: Leadership): Command | undefined {
+    const { membership } = this.#core.log;
+    const { voters, learners } = membership;
+    for (const member of [...voters, ...learners]) {
+      const successor = this.#findSuccessor(leadership, member);
+      if (successor !== undefined) {
+        return createCommand({
+          voters: voters.filter((voter) => voter !== member),
+          learners: [
+            ...learners.filter(({ entryId }) => entryId !== member.entryId),
+            successor,
+          ],
+        });
+      }
+    }
+    return undefined;
+  }
+
+  #findSuccessor(
+    leadership: Leadership,
+    member: Member,
+  ): Member | undefined {
+    const running = this.#listRunning(leadership).filter((follower) =>
+      follower.member.entryId === member.entryId
+    );
+    const isAlive = running.some((follower) =>
+      follower.member.storeId === member.storeId
+    );
+    const successor = running.find((follower) => follower.wantsVote);
+    return isAlive ? undefined : successor?.member;
+  }
+
+  #planPromotion(leadership: Leadership): Command | undefined {
+    const { log, commitIndex } = this.#core;
+    const { voters, learners } = log.membership;
+    const caughtUp = this.#listRunning(leadership).filter((follower) =>
+      follower.wantsVote && follower.matchIndex >= commitIndex - CAUGHT_UP_COUNT
+    );
+    const learner = learners.find(({ storeId }) =>
+      caughtUp.some((follower) => follower.member.storeId === storeId)
+    );
+    return learner === undefined ? undefined : createCommand({
+      voters: [...voters, learner],
+      learners: learners.filter((other) => other !== learner),
+    });
+  }
+
+  #listRunning(leadership: Leadership): FollowerProgress[] {
+    const nowMs = this.#core.options.clock.monotonicMs();
+    return leadership.followers.filter((follower) =>
+      follower.hasDisk && follower.isRunning(nowMs)
+    );
+  }
+}
+
+function createCommand(membership: Membership): Command {
+  return { type: "membership", ...membership };
+}
--- /dev/null
+++ b/src/replication/proposal_queue.ts
@@ -0,0 +1,153 @@
+/** The leader's task: appends what waits, many proposals with one sync. */
+import { Result } from "true-myth";
+import {
+  type AppliedValue,
+  type Command,
+  countVoterChanges,
+  createFailure,
+  type Failure,
+} from "../domain/index.ts";
+import { Notifier, waitFor } from "../tasks/index.ts";
+import type { ReplicaCore } from "./replica_core.ts";
+import { MAX_BATCH_COUNT, PROPOSE_TIMEOUT_MS } from "./timing.ts";
+
+/** What applying a proposal led to, or why it was not applied. */
+export type Proposed = Result<AppliedValue, Failure>;
+
+interface Waiting {
+  readonly command: Command;
+  readonly settle: (proposed: Proposed) => void;
+}
+
+/** Proposals of this entry and of others, in the order of their arrival. */
+export class ProposalQueue {
+  readonly #core: ReplicaCore;
+  readonly #arrived = new Notifier();
+  #waiting: Waiting[] = [];
+
+  constructor(core: ReplicaCore) {
+    this.#core = core;
+  }
+
+  /**
+   * Proposes a command while this replica leads.
+   *
+   * @param command - The command.
+   * @returns What applying it led to; `notLeader` or `readOnly` when it is
+   * certainly not in the log, `noQuorum` when it may be accepted later.
+   */
+  async propose(command: Command): Promise<Proposed> {
+    let settled: Proposed | undefined;
+    const changed = new Notifier();
+    const settle = (proposed: Proposed) => {
+      settled ??= proposed;
+      changed.notify();
+    };
+    this.#waiting.push({ command, settle });
+    this.#arrived.notify();
+    await waitFor({
+      clock: this.#core.options.clock,
+      notifier: changed,
+      timeoutMs: PROPOSE_TIMEOUT_MS,
+      signal: this.#core.stopSignal,
+      isMet: () => settled !== undefined,
+    });
+    return settled ?? Result.err(createNoQuorum());
+  }
+
+  /**
+   * Appends proposals batch by batch; those that arrive during a sync share
+   * the next one.
+   *
+   * @param signal - Ends the task.
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      if (this.#waiting.length === 0) {
+        await this.#arrived.wait(signal);
+      }
+      await this.#core.mutex.run(() => this.#appendBatch());
+    }
+  }
+
+  async #appendBatch(): Promise<void> {
+    const core = this.#core;
+    const batch = this.#waiting.splice(0, MAX_BATCH_COUNT);
+    const { leadership } = core;
+    if (leadership === undefined) {
+      settleAll(batch, core.createNotLeader());
+      return;
+    }
+    const accepted = this.#refuseMemberships(batch);
+    const entries = core.createEntries(accepted.map(({ command }) => command));
+    const appended = await core.log.append(entries);
+    if (appended.isErr) {
+      settleAll(accepted, appended.error);
+      core.resign(appended.error);
+      return;
+    }
+    entries.forEach(({ index }, at) => {
+      const waiting = accepted[at];
+      if (waiting !== undefined) {
+        leadership.await(index, waiting.settle);
+      }
+    });
+    leadership.advanceCommit();
+    core.changed.notify();
+  }
+
+  // Two memberships of one batch would be two changes at a time.
+  #refuseMemberships(batch: readonly Waiting[]): readonly Waiting[] {
+    let hasMembership = false;
+    return batch.filter(({ command, settle }) => {
+      const failure = this.#findMembershipFailure(command, hasMembership);
+      hasMembership ||= command.type === "membership";
+      if (failure !== undefined) {
+        settle(Result.err(failure));
+      }
+      return failure === undefined;
+    });
+  }
+
+  #findMembershipFailure(
+    command: Command,
+    hasMembership: boolean,
+  ): Failure | undefined {
+    if (command.type !== "membership") {
+      return undefined;
+    }
+    const { log, commitIndex, leadership } = this.#core;
+    const isOpen = hasMembership || log.membershipIndex > commitIndex ||
+      leadership?.isEstablished !== true;
+    if (isOpen) {
+      return createMembershipConflict("an earlier change is not committed yet");
+    }
+    if (command.voters.length === 0) {
+      return createMembershipConflict("nobody would vote");
+    }
+    return countVoterChanges(log.membership, command) > 1
+      ? createMembershipConflict("it changes more than one voter")
+      : undefined;
+  }
+}
+
+function settleAll(batch: readonly Waiting[], failure: Failure): void {
+  for (const { settle } of batch) {
+    settle(Result.err(failure));
+  }
+}
+
+function createMembershipConflict(why: string): Failure {
+  return createFailure("conflict", `the membership is not changed: ${why}`, {
+    remedy: "change one voter at a time, each after the one before is in force",
+  });
+}
+
+/** Creates the failure of a proposal that may be accepted later. */
+export function createNoQuorum(): Failure {
+  return createFailure(
+    "noQuorum",
+    "no quorum of voters confirmed the proposal in time",
+    { remedy: "ask again under the same operation id" },
+  );
+}
--- /dev/null
+++ b/src/replication/replica.ts
@@ -0,0 +1,159 @@
+/** One replica of the durable state, behind the agreement port. */
+import type { Result } from "true-myth";
+import type {
+  AppliedValue,
+  Command,
+  Failure,
+  FleetState,
+} from "../domain/index.ts";
+import type {
+  Agreement,
+  AgreementStatus,
+  EntryDirectory,
+  EntryList,
+  StoredLog,
+} from "../ports/index.ts";
+import type { TaskGroup } from "../tasks/index.ts";
+import { startDeployment } from "./bootstrap_task.ts";
+import { ElectionTask } from "./election_task.ts";
+import { EntryLister } from "./entry_lister.ts";
+import { LeaderTask } from "./leader_task.ts";
+import { METHODS } from "./messages.ts";
+import { ProposalQueue } from "./proposal_queue.ts";
+import { Proposer } from "./proposer.ts";
+import { PullHandler } from "./pull_handler.ts";
+import { PullTask } from "./pull_task.ts";
+import { ReplicaCore, type ReplicaOptions } from "./replica_core.ts";
+import { SnapshotTask } from "./snapshot_task.ts";
+import { FRESHNESS_LEASE_MS } from "./timing.ts";
+import { VoteHandler } from "./vote_handler.ts";
+
+/** Voter, learner or observer; the membership in the log says which. */
+export class Replica implements Agreement, EntryDirectory {
+  readonly #core: ReplicaCore;
+  readonly #queue: ProposalQueue;
+  readonly #proposer: Proposer;
+  readonly #lister: EntryLister;
+
+  /**
+   * @param options - The ports and what the settings say.
+   * @param stored - What the store holds.
+   */
+  constructor(options: ReplicaOptions, stored: StoredLog) {
+    this.#core = new ReplicaCore(options, stored);
+    this.#queue = new ProposalQueue(this.#core);
+    this.#proposer = new Proposer(this.#core, this.#queue);
+    this.#lister = new EntryLister(this.#core);
+    this.#addHandlers();
+  }
+
+  /**
+   * Loads the store.
+   *
+   * @param options - The ports and what the settings say.
+   * @returns The replica, which does nothing before it is started.
+   */
+  static async load(
+    options: ReplicaOptions,
+  ): Promise<Result<Replica, Failure>> {
+    const stored = await options.store.load();
+    return stored.map((log) => new Replica(options, log));
+  }
+
+  get state(): FleetState {
+    return this.#core.state;
+  }
+
+  /**
+   * Starts the tasks of the replica.
+   *
+   * @param tasks - The group that ends them.
+   */
+  start(tasks: TaskGroup): void {
+    const core = this.#core;
+    core.stopSignal = tasks.signal;
+    const pulls = new PullTask(core);
+    const elections = new ElectionTask(core);
+    const leader = new LeaderTask(core, this.#queue);
+    const snapshots = new SnapshotTask(core);
+    tasks.start("bootstrap", (signal) => startDeployment(core, signal));
+    tasks.startForever("pull", (signal) => pulls.run(signal));
+    tasks.startForever("election", (signal) => elections.run(signal));
+    tasks.startForever("proposals", (signal) => this.#queue.run(signal));
+    tasks.startForever("leader", (signal) => leader.run(signal));
+    tasks.startForever("snapshots", (signal) => snapshots.run(signal));
+  }
+
+  propose(
+    command: Command,
+    signal?: AbortSignal,
+  ): Promise<Result<AppliedValue, Failure>> {
+    return this.#proposer.propose(command, signal);
+  }
+
+  async follow(
+    appliedIndex: number,
+    signal: AbortSignal,
+  ): Promise<AgreementStatus> {
+    const core = this.#core;
+    while (core.appliedIndex <= appliedIndex && !signal.aborted) {
+      await core.changed.wait(signal);
+    }
+    return this.status();
+  }
+
+  status(): AgreementStatus {
+    const core = this.#core;
+    const { leadership } = core;
+    return {
+      entryId: core.self.entryId,
+      leaderId: core.leaderId,
+      term: core.term,
+      leaderSinceMs: leadership?.hasLease ? leadership.sinceMs : undefined,
+      appliedIndex: core.appliedIndex,
+      commitIndex: core.commitIndex,
+      revision: core.state.revision,
+      freshUntilMs: this.#computeFreshUntil(),
+    };
+  }
+
+  listEntries(): Promise<Result<EntryList, Failure>> {
+    return this.#lister.list();
+  }
+
+  #computeFreshUntil(): number {
+    const { leadership, freshness } = this.#core;
+    return leadership?.isEstablished
+      ? Math.max(
+        freshness.untilMs,
+        leadership.confirmedMs + FRESHNESS_LEASE_MS,
+      )
+      : freshness.untilMs;
+  }
+
+  #addHandlers(): void {
+    const core = this.#core;
+    const { network } = core.options;
+    const pulls = new PullHandler(core);
+    const votes = new VoteHandler(core);
+    network.handle(METHODS.pull, (peer, body) => pulls.pull(peer, body));
+    network.handle(
+      METHODS.snapshotPart,
+      (_peer, body) => Promise.resolve(pulls.createPart(body)),
+    );
+    network.handle(METHODS.vote, (peer, body) => votes.vote(peer, body));
+    network.handle(
+      METHODS.announce,
+      (peer, body) => votes.takeAnnouncement(peer, body),
+    );
+    network.handle(METHODS.probe, () => Promise.resolve(votes.probe()));
+    network.handle(
+      METHODS.propose,
+      (_peer, body) => this.#proposer.takeForwarded(body),
+    );
+    network.handle(
+      METHODS.entries,
+      () => Promise.resolve(this.#lister.createList()),
+    );
+  }
+}
--- /dev/null
+++ b/src/replication/replica_core.ts
@@ -0,0 +1,294 @@
+/** What the tasks of one replica share: term, log, state and leader. */
+import { setMaxListeners } from "node:events";
+import { Result } from "true-myth";
+import {
+  type Command,
+  createFailure,
+  type Failure,
+  FleetState,
+  includesMember,
+  type Member,
+} from "../domain/index.ts";
+import type {
+  Clock,
+  LogEntry,
+  Logger,
+  LogStore,
+  PeerNetwork,
+  Random,
+  StoredLog,
+  StoredSnapshot,
+} from "../ports/index.ts";
+import { Mutex, Notifier } from "../tasks/index.ts";
+import { FreshnessLease } from "./freshness_lease.ts";
+import { Leadership } from "./leadership.ts";
+import { ReplicaLog } from "./replica_log.ts";
+import { RESIGNED_MS } from "./timing.ts";
+
+/** Options of a replica. */
+export interface ReplicaOptions {
+  readonly entryId: string;
+  /** Whether the store is durable; only then can the replica vote. */
+  readonly hasDisk: boolean;
+  /** Whether the entry is set to vote. */
+  readonly wantsVote: boolean;
+  /** Ids of all other entries. */
+  readonly peerIds: readonly string[];
+  /** Ids of the entries that vote when the deployment is new. */
+  readonly initialVoterIds: readonly string[];
+  readonly store: LogStore;
+  readonly network: PeerNetwork;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+}
+
+/** Term, vote, log and applied state; tasks change them under the mutex. */
+export class ReplicaCore {
+  readonly options: ReplicaOptions;
+  readonly log: ReplicaLog;
+  readonly self: Member;
+  /** Held while term, vote or log change. */
+  readonly mutex = new Mutex();
+  /** Notified when anything here has changed. */
+  readonly changed = new Notifier();
+  readonly freshness = new FreshnessLease();
+  /** The applied state; replaced as a whole by a snapshot of the leader. */
+  state: FleetState;
+  term: number;
+  votedFor: string | undefined;
+  leaderId: string | undefined;
+  leadership: Leadership | undefined;
+  /** Monotonic time at which a leader was last heard, in milliseconds. */
+  contactMs: number;
+  /** Monotonic time before which this replica does not stand, in milliseconds. */
+  resignedUntilMs = -Infinity;
+  commitIndex: number;
+  appliedIndex: number;
+  /** Aborts when the entry stops. */
+  stopSignal: AbortSignal | undefined;
+  #leaderChange = createSharedController();
+
+  /**
+   * @param options - The ports and what the settings say.
+   * @param stored - What the store holds.
+   */
+  constructor(options: ReplicaOptions, stored: StoredLog) {
+    const { vote, snapshot } = stored;
+    this.options = options;
+    this.log = new ReplicaLog(options.store, stored);
+    this.self = { entryId: options.entryId, storeId: vote.storeId };
+    this.state = snapshot === undefined
+      ? new FleetState()
+      : FleetState.restore(snapshot.state);
+    this.term = Math.max(vote.term, this.log.last.term);
+    this.votedFor = vote.term === this.term ? vote.votedFor : undefined;
+    // A leader heard before the restart may still count on this vote.
+    this.contactMs = options.clock.monotonicMs();
+    this.commitIndex = snapshot?.index ?? 0;
+    this.appliedIndex = this.commitIndex;
+  }
+
+  /** Aborts when another leader or none is followed. */
+  get leaderSignal(): AbortSignal {
+    return this.#leaderChange.signal;
+  }
+
+  /** Whether the data folder holds neither a vote nor an entry. */
+  get isBlank(): boolean {
+    return this.term === 0 && this.log.last.index === 0;
+  }
+
+  /** Whether this replica votes, by the newest membership of its log. */
+  get isVoter(): boolean {
+    return includesMember(this.log.membership.voters, this.self);
+  }
+
+  /**
+   * Follows a leader whose term is not older than the own one.
+   *
+   * @param term - The leader's term.
+   * @param leaderId - The leader.
+   * @returns False when the term is older.
+   */
+  async follow(term: number, leaderId: string): Promise<boolean> {
+    if (term > this.term) {
+      await this.mutex.run(() => this.raiseTerm(term));
+    }
+    if (term !== this.term || this.leadership !== undefined) {
+      return false;
+    }
+    this.contactMs = this.options.clock.monotonicMs();
+    this.setLeader(leaderId);
+    return true;
+  }
+
+  /**
+   * Raises the term; call it under the mutex.
+   *
+   * @param term - A term; nothing happens unless it is newer.
+   */
+  async raiseTerm(term: number): Promise<void> {
+    if (term <= this.term) {
+      return;
+    }
+    this.term = term;
+    this.votedFor = undefined;
+    this.stepDown(`term ${term} began`);
+    this.setLeader(undefined);
+    // On a full disk the term lives on in memory: only votes must be durable.
+    await this.saveVote();
+  }
+
+  /**
+   * Makes term and vote durable; call it under the mutex.
+   *
+   * @returns Nothing, or the failure of the disk.
+   */
+  async saveVote(): Promise<Result<void, Failure>> {
+    const { term, votedFor } = this;
+    const { storeId } = this.self;
+    const saved = await this.options.store.saveVote({
+      term,
+      votedFor,
+      storeId,
+    });
+    if (saved.isErr) {
+      this.options.logger.warn(
+        { failure: saved.error },
+        "saving a vote failed",
+      );
+    }
+    return saved;
+  }
+
+  /** Sets the leader that is followed, or that there is none. */
+  setLeader(leaderId: string | undefined): void {
+    if (leaderId === this.leaderId) {
+      return;
+    }
+    this.leaderId = leaderId;
+    const ended = this.#leaderChange;
+    this.#leaderChange = createSharedController();
+    ended.abort();
+    this.changed.notify();
+  }
+
+  /**
+   * Begins to lead the current term; call it under the mutex.
+   *
+   * @param commands - Commands that the term begins with.
+   */
+  async lead(commands: readonly Command[]): Promise<void> {
+    const entries = this.createEntries(commands);
+    const appended = await this.log.append(entries);
+    if (appended.isErr) {
+      this.resign(appended.error);
+      return;
+    }
+    this.leadership = new Leadership(this);
+    this.setLeader(this.self.entryId);
+    this.options.logger.info({ term: this.term }, "leads a new term");
+    this.leadership.advanceCommit();
+    this.changed.notify();
+  }
+
+  /**
+   * Creates the entries that follow the log.
+   *
+   * @param commands - Commands in order.
+   * @returns Entries of the current term.
+   */
+  createEntries(commands: readonly Command[]): LogEntry[] {
+    const { term } = this;
+    const firstIndex = this.log.last.index + 1;
+    return commands.map((command, at) => ({
+      index: firstIndex + at,
+      term,
+      command,
+    }));
+  }
+
+  /** Stops leading, if this replica leads. */
+  stepDown(reason: string): void {
+    const { leadership } = this;
+    if (leadership === undefined) {
+      return;
+    }
+    this.leadership = undefined;
+    this.contactMs = this.options.clock.monotonicMs();
+    this.options.logger.warn({ term: leadership.term, reason }, "steps down");
+    this.setLeader(undefined);
+    leadership.end();
+    this.changed.notify();
+  }
+
+  /** Stops leading and does not stand for a while, because the disk refuses. */
+  resign(failure: Failure): void {
+    const { clock, logger } = this.options;
+    logger.error({ failure }, "the disk refuses entries");
+    this.resignedUntilMs = clock.monotonicMs() + RESIGNED_MS;
+    this.stepDown(failure.message);
+  }
+
+  /**
+   * Applies the log up to an index that is known to be committed.
+   *
+   * @param index - Index of the last committed entry.
+   */
+  advanceCommit(index: number): void {
+    this.commitIndex = Math.max(this.commitIndex, index);
+    while (this.appliedIndex < this.commitIndex) {
+      const entry = this.log.find(this.appliedIndex + 1);
+      if (entry === undefined) {
+        break;
+      }
+      const applied = this.state.apply(entry.command);
+      this.appliedIndex = entry.index;
+      this.leadership?.settle(entry.index, applied);
+    }
+    this.freshness.confirm(this.appliedIndex);
+    this.changed.notify();
+  }
+
+  /**
+   * Replaces log and state by a snapshot of the leader; call it under the mutex.
+   *
+   * @param snapshot - The leader's state.
+   * @returns Nothing, or the failure of the disk.
+   */
+  async install(snapshot: StoredSnapshot): Promise<Result<void, Failure>> {
+    if (snapshot.index <= this.appliedIndex) {
+      return Result.ok(undefined);
+    }
+    const installed = await this.log.installSnapshot(snapshot);
+    if (installed.isOk) {
+      this.state = FleetState.restore(snapshot.state);
+      this.appliedIndex = snapshot.index;
+      this.advanceCommit(snapshot.index);
+    }
+    return installed;
+  }
+
+  /** Creates the failure of a message that only the leader can serve. */
+  createNotLeader(): Failure {
+    const { leaderId, term } = this;
+    return createFailure(
+      "notLeader",
+      `entry ${this.self.entryId} does not lead; the leader is ${
+        leaderId ?? "not known"
+      }`,
+      {
+        remedy: "ask the leader, or wait until one is elected",
+        detail: { leaderId, term },
+      },
+    );
+  }
+}
+
+// Every call to the leader listens to the one signal.
+function createSharedController(): AbortController {
+  const controller = new AbortController();
+  setMaxListeners(0, controller.signal);
+  return controller;
+}
--- /dev/null
+++ b/src/replication/replica_log.ts
@@ -0,0 +1,224 @@
+/** The log in memory, kept equal to what the store holds durably. */
+import { Result } from "true-myth";
+import {
+  type Failure,
+  type Membership,
+  NO_MEMBERSHIP,
+} from "../domain/index.ts";
+import type {
+  LogEntry,
+  LogStore,
+  StoredLog,
+  StoredSnapshot,
+} from "../ports/index.ts";
+import { MAX_BATCH_BYTES, MAX_BATCH_COUNT, TRAILING_COUNT } from "./timing.ts";
+
+/** Index and term of an entry. */
+export interface LogPosition {
+  readonly index: number;
+  readonly term: number;
+}
+
+interface FoundMembership {
+  readonly index: number;
+  readonly membership: Membership;
+}
+
+/** Entries behind a base; changed only by the holder of the replica's mutex. */
+export class ReplicaLog {
+  readonly #store: LogStore;
+  #base: LogPosition;
+  #entries: LogEntry[];
+  #snapshot: StoredSnapshot | undefined;
+  #found: FoundMembership | undefined;
+
+  /**
+   * @param store - Where entries are made durable.
+   * @param stored - What the store holds.
+   */
+  constructor(store: LogStore, stored: StoredLog) {
+    this.#store = store;
+    this.#snapshot = stored.snapshot;
+    this.#base = {
+      index: stored.snapshot?.index ?? 0,
+      term: stored.snapshot?.term ?? 0,
+    };
+    this.#entries = [...stored.entries];
+  }
+
+  /** The last entry, or the base when there is none. */
+  get last(): LogPosition {
+    return this.#entries.at(-1) ?? this.#base;
+  }
+
+  /** Index before the first entry in memory. */
+  get baseIndex(): number {
+    return this.#base.index;
+  }
+
+  /** The newest snapshot. */
+  get snapshot(): StoredSnapshot | undefined {
+    return this.#snapshot;
+  }
+
+  /** The newest membership in the log, committed or not. */
+  get membership(): Membership {
+    return this.#findMembership().membership;
+  }
+
+  /** Index of the entry that set the membership; 0 when a snapshot did. */
+  get membershipIndex(): number {
+    return this.#findMembership().index;
+  }
+
+  /**
+   * Finds an entry.
+   *
+   * @param index - Index of the entry.
+   * @returns The entry, or undefined when it is not in memory.
+   */
+  find(index: number): LogEntry | undefined {
+    return this.#entries[index - this.#base.index - 1];
+  }
+
+  /**
+   * Finds the term of an entry.
+   *
+   * @param index - Index of the entry.
+   * @returns Its term, or undefined when it is not known.
+   */
+  findTerm(index: number): number | undefined {
+    return index === this.#base.index
+      ? this.#base.term
+      : this.find(index)?.term;
+  }
+
+  /**
+   * Finds the last entry up to an index whose term is not above a term.
+   *
+   * @param index - Upper bound of the index.
+   * @param term - Upper bound of the term.
+   * @returns The entry's position, or the base.
+   */
+  findLastUpTo(index: number, term: number): LogPosition {
+    for (let at = Math.min(index, this.last.index); at > this.baseIndex; at--) {
+      const known = this.findTerm(at);
+      if (known !== undefined && known <= term) {
+        return { index: at, term: known };
+      }
+    }
+    return this.#base;
+  }
+
+  /**
+   * Selects entries for one answer.
+   *
+   * @param firstIndex - Index of the first entry.
+   * @returns Entries in order, bounded in number and size, at least one if any.
+   */
+  selectBatch(firstIndex: number): LogEntry[] {
+    const start = firstIndex - this.#base.index - 1;
+    const batch: LogEntry[] = [];
+    let sizeBytes = 0;
+    for (const entry of this.#entries.slice(start, start + MAX_BATCH_COUNT)) {
+      if (sizeBytes > MAX_BATCH_BYTES) {
+        break;
+      }
+      sizeBytes += estimateBytes(entry);
+      batch.push(entry);
+    }
+    return batch;
+  }
+
+  /**
+   * Appends entries, of which the first may replace a conflicting tail.
+   *
+   * @param entries - Entries in order.
+   * @returns Nothing once they are durable, or the failure of the disk.
+   */
+  async append(entries: readonly LogEntry[]): Promise<Result<void, Failure>> {
+    const first = entries[0];
+    if (first === undefined) {
+      return Result.ok(undefined);
+    }
+    const appended = await this.#store.append(entries);
+    if (appended.isOk) {
+      this.#entries.length = first.index - this.#base.index - 1;
+      for (const entry of entries) {
+        this.#entries.push(entry);
+      }
+      this.#found = undefined;
+    }
+    return appended;
+  }
+
+  /**
+   * Saves a snapshot of the own state and drops entries far behind it.
+   *
+   * @param snapshot - The state at an applied index.
+   * @returns Nothing, or the failure of the disk.
+   */
+  async saveSnapshot(snapshot: StoredSnapshot): Promise<Result<void, Failure>> {
+    const saved = await this.#store.saveSnapshot(snapshot);
+    if (saved.isOk) {
+      this.#snapshot = snapshot;
+      this.#dropUpTo(snapshot.index - TRAILING_COUNT);
+    }
+    return saved;
+  }
+
+  /**
+   * Replaces the log by a snapshot of the leader.
+   *
+   * @param snapshot - The leader's state.
+   * @returns Nothing, or the failure of the disk.
+   */
+  async installSnapshot(
+    snapshot: StoredSnapshot,
+  ): Promise<Result<void, Failure>> {
+    const saved = await this.#store.saveSnapshot(snapshot);
+    if (saved.isErr) {
+      return saved;
+    }
+    const agrees = this.findTerm(snapshot.index) === snapshot.term;
+    const kept = agrees ? this.#entries : [];
+    this.#entries = kept.filter(({ index }) => index > snapshot.index);
+    this.#base = { index: snapshot.index, term: snapshot.term };
+    this.#snapshot = snapshot;
+    this.#found = undefined;
+    return saved;
+  }
+
+  #dropUpTo(index: number): void {
+    const term = this.findTerm(index);
+    if (index > this.#base.index && term !== undefined) {
+      this.#entries = this.#entries.slice(index - this.#base.index);
+      this.#base = { index, term };
+      this.#found = undefined;
+    }
+  }
+
+  #findMembership(): FoundMembership {
+    this.#found ??= this.#searchMembership();
+    return this.#found;
+  }
+
+  #searchMembership(): FoundMembership {
+    for (const { index, command } of this.#entries.toReversed()) {
+      if (command.type === "membership") {
+        const { voters, learners } = command;
+        return { index, membership: { voters, learners } };
+      }
+    }
+    const membership = this.#snapshot?.state.membership ?? NO_MEMBERSHIP;
+    return { index: 0, membership };
+  }
+}
+
+const sizes = new WeakMap<LogEntry, number>();
+
+function estimateBytes(entry: LogEntry): number {
+  const known = sizes.get(entry) ?? JSON.stringify(entry.command).length;
+  sizes.set(entry, known);
+  return known;
+}
--- /dev/null
+++ b/src/replication/snapshot_task.ts
@@ -0,0 +1,53 @@
+/** Saves a snapshot whenever the log has grown enough. */
+import type { ReplicaCore } from "./replica_core.ts";
+import { READ_ONLY_DELAY_MS, SNAPSHOT_INTERVAL_COUNT } from "./timing.ts";
+
+/** Keeps the log short. */
+export class SnapshotTask {
+  readonly #core: ReplicaCore;
+
+  constructor(core: ReplicaCore) {
+    this.#core = core;
+  }
+
+  /**
+   * Saves snapshots of the applied state.
+   *
+   * @param signal - Ends the task.
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    const core = this.#core;
+    while (!signal.aborted) {
+      if (!this.#isDue()) {
+        await core.changed.wait(signal);
+        continue;
+      }
+      const isSaved = await core.mutex.run(() => this.#save());
+      if (!isSaved) {
+        await core.options.clock.sleep(READ_ONLY_DELAY_MS, signal);
+      }
+    }
+  }
+
+  #isDue(): boolean {
+    const { log, appliedIndex } = this.#core;
+    const savedIndex = log.snapshot?.index ?? 0;
+    return appliedIndex - savedIndex >= SNAPSHOT_INTERVAL_COUNT;
+  }
+
+  async #save(): Promise<boolean> {
+    const { log, appliedIndex, state, options } = this.#core;
+    const term = log.findTerm(appliedIndex);
+    if (term === undefined) {
+      return false;
+    }
+    const snapshot = { index: appliedIndex, term, state: state.toSnapshot() };
+    const saved = await log.saveSnapshot(snapshot);
+    if (saved.isErr) {
+      options.logger.warn({ failure: saved.error }, "saving a snapshot failed");
+      return false;
+    }
+    options.logger.info({ index: appliedIndex }, "saved a snapshot");
+    return true;
+  }
+}
--- /dev/null
+++ b/src/replication/snapshot_transfer.ts
@@ -0,0 +1,134 @@
+/** Snapshots on their way to a follower, in parts that fit into messages. */
+import { Result } from "true-myth";
+import * as v from "valibot";
+import {
+  createFailure,
+  type Failure,
+  type FleetSnapshot,
+  membershipSchema,
+  validateWith,
+} from "../domain/index.ts";
+import type { PeerNetwork, StoredSnapshot } from "../ports/index.ts";
+import { METHODS } from "./messages.ts";
+import { CALL_TIMEOUT_MS, SNAPSHOT_PART_COUNT } from "./timing.ts";
+
+const LIST_NAMES = [
+  "resources",
+  "operations",
+  "records",
+  "assignments",
+  "claims",
+] as const;
+
+const itemSchema = v.object({
+  list: v.picklist(LIST_NAMES),
+  value: v.unknown(),
+});
+
+const partSchema = v.object({
+  index: v.number(),
+  term: v.number(),
+  revision: v.number(),
+  membership: membershipSchema,
+  items: v.array(itemSchema),
+});
+
+/** One part of a snapshot. */
+export type SnapshotPart = v.InferOutput<typeof partSchema>;
+
+/** Names a snapshot of a leader. */
+export interface SnapshotOffer {
+  readonly index: number;
+  readonly partCount: number;
+}
+
+/**
+ * Counts the parts of a snapshot.
+ *
+ * @param snapshot - The snapshot.
+ * @returns At least one.
+ */
+export function countParts(snapshot: StoredSnapshot): number {
+  const itemCount = LIST_NAMES.reduce(
+    (sum, name) => sum + snapshot.state[name].length,
+    0,
+  );
+  return Math.max(1, Math.ceil(itemCount / SNAPSHOT_PART_COUNT));
+}
+
+/**
+ * Creates one part of a snapshot.
+ *
+ * @param snapshot - The snapshot.
+ * @param part - Number of the part, from 0.
+ * @returns The part.
+ */
+export function createPart(
+  snapshot: StoredSnapshot,
+  part: number,
+): SnapshotPart {
+  const { index, term, state } = snapshot;
+  const items = LIST_NAMES.flatMap((list) =>
+    state[list].map((value) => ({ list, value }))
+  );
+  const start = part * SNAPSHOT_PART_COUNT;
+  return {
+    index,
+    term,
+    revision: state.revision,
+    membership: state.membership,
+    items: items.slice(start, start + SNAPSHOT_PART_COUNT),
+  };
+}
+
+/**
+ * Fetches all parts of a snapshot.
+ *
+ * @param network - Calls to the leader.
+ * @param leaderId - The leader.
+ * @param offer - The snapshot that the leader offered.
+ * @returns The snapshot, or the failure of a call; nothing is kept then.
+ */
+export async function fetchSnapshot(
+  network: PeerNetwork,
+  leaderId: string,
+  offer: SnapshotOffer,
+): Promise<Result<StoredSnapshot, Failure>> {
+  const parts: SnapshotPart[] = [];
+  for (let part = 0; part < offer.partCount; part += 1) {
+    const answered = await network.call(
+      leaderId,
+      METHODS.snapshotPart,
+      { index: offer.index, part },
+      { timeoutMs: CALL_TIMEOUT_MS },
+    );
+    const fetched = answered.andThen((body) =>
+      validateWith(partSchema, body, { subject: "part of a snapshot" })
+    );
+    if (fetched.isErr) {
+      return Result.err(fetched.error);
+    }
+    parts.push(fetched.value);
+  }
+  return assembleParts(parts);
+}
+
+function assembleParts(
+  parts: readonly SnapshotPart[],
+): Result<StoredSnapshot, Failure> {
+  const first = parts[0];
+  if (first === undefined) {
+    return Result.err(createFailure("internal", "a snapshot has no part"));
+  }
+  const items = parts.flatMap((part) => part.items);
+  const select = (list: string) =>
+    items.filter((item) => item.list === list).map(({ value }) => value);
+  const state: unknown = {
+    revision: first.revision,
+    membership: first.membership,
+    ...Object.fromEntries(LIST_NAMES.map((list) => [list, select(list)])),
+  };
+  const { index, term } = first;
+  // The leader is authenticated and built the lists from validated commands.
+  return Result.ok({ index, term, state: state as FleetSnapshot });
+}
--- /dev/null
+++ b/src/replication/vote_handler.ts
@@ -0,0 +1,102 @@
+/** The voter's side of an election. */
+import { Result } from "true-myth";
+import { type Failure, validateWith } from "../domain/index.ts";
+import {
+  announcementOfLeaderSchema,
+  type ProbeAnswer,
+  type VoteAnswer,
+  type VoteRequest,
+  voteRequestSchema,
+} from "./messages.ts";
+import type { ReplicaCore } from "./replica_core.ts";
+import { MIN_ELECTION_TIMEOUT_MS, VOTE_GRACE_MS } from "./timing.ts";
+
+/** Grants or refuses votes, at most one in a term. */
+export class VoteHandler {
+  readonly #core: ReplicaCore;
+
+  constructor(core: ReplicaCore) {
+    this.#core = core;
+  }
+
+  /**
+   * Answers a request for a vote; a granted vote is durable before the answer.
+   *
+   * @param peerId - The candidate.
+   * @param body - Its message, not validated yet.
+   * @returns Whether the vote is granted, and for which data folder it counts.
+   */
+  async vote(
+    peerId: string,
+    body: unknown,
+  ): Promise<Result<VoteAnswer, Failure>> {
+    const request = validateWith(voteRequestSchema, body, { subject: "vote" });
+    if (request.isErr) {
+      return Result.err(request.error);
+    }
+    const core = this.#core;
+    const isGranted = await core.mutex.run(() =>
+      this.#decide(peerId, request.value)
+    );
+    const { term, self } = core;
+    return Result.ok({ term, storeId: self.storeId, isGranted });
+  }
+
+  /** Tells whether the data folder is still empty. */
+  probe(): Result<ProbeAnswer, Failure> {
+    const { self, isBlank } = this.#core;
+    return Result.ok({ storeId: self.storeId, isBlank });
+  }
+
+  /**
+   * Takes note of a new leader.
+   *
+   * @param peerId - The leader.
+   * @param body - Its message, not validated yet.
+   * @returns Nothing, or `invalidInput`.
+   */
+  async takeAnnouncement(
+    peerId: string,
+    body: unknown,
+  ): Promise<Result<unknown, Failure>> {
+    const message = validateWith(announcementOfLeaderSchema, body, {
+      subject: "announcement",
+    });
+    if (message.isOk) {
+      await this.#core.follow(message.value.term, peerId);
+    }
+    return message.map(() => ({}));
+  }
+
+  async #decide(peerId: string, request: VoteRequest): Promise<boolean> {
+    const core = this.#core;
+    const { clock, hasDisk } = core.options;
+    // A leader that is still heard must not be disturbed by one who lost touch.
+    const hearsLeader = core.leadership !== undefined ||
+      clock.monotonicMs() - core.contactMs < MIN_ELECTION_TIMEOUT_MS;
+    if (!hasDisk || hearsLeader || !this.#isUpToDate(request)) {
+      return false;
+    }
+    if (request.isPreVote) {
+      return request.term > core.term;
+    }
+    await core.raiseTerm(request.term);
+    const mayVote = request.term === core.term &&
+      (core.votedFor === undefined || core.votedFor === peerId);
+    if (!mayVote) {
+      return false;
+    }
+    core.votedFor = peerId;
+    const saved = await core.saveVote();
+    // Leaves the candidate a moment to make itself known as leader.
+    const graceEndMs = clock.monotonicMs() + VOTE_GRACE_MS;
+    core.contactMs = graceEndMs - MIN_ELECTION_TIMEOUT_MS;
+    return saved.isOk;
+  }
+
+  #isUpToDate({ lastTerm, lastIndex }: VoteRequest): boolean {
+    const { last } = this.#core.log;
+    return lastTerm > last.term ||
+      (lastTerm === last.term && lastIndex >= last.index);
+  }
+}
--- a/src/tasks/index.ts
+++ b/src/tasks/index.ts
@@ -1,3 +1,5 @@
 /** Tasks: groups that end together, and waiting without spinning. */
+export * from "./mutex.ts";
 export * from "./notifier.ts";
 export * from "./task_group.ts";
+export * from "./wait_for.ts";
--- a/src/tasks/task_group.ts
+++ b/src/tasks/task_group.ts
@@ -1,4 +1,5 @@
 /** Groups of tasks that end on one abort signal and are awaited together. */
+import { setMaxListeners } from "node:events";
 import type { Clock, Logger } from "../ports/index.ts";
 
 /** A task, written straight down; it returns soon after the signal aborts. */
@@ -20,6 +21,8 @@
   readonly #logger: Logger;
 
   constructor(options: TaskGroupOptions) {
+    // Every task that waits listens to the one signal of the group.
+    setMaxListeners(0, this.#controller.signal);
     this.#clock = options.clock;
     this.#logger = options.logger;
   }
--- /dev/null
+++ b/src/testing/fake_cluster.ts
@@ -0,0 +1,239 @@
+/** Real replicas over fake clock, network and disks. */
+import { FileLogStore, MemoryLogStore } from "../adapters/disk/index.ts";
+import { SeededRandom } from "../adapters/random/index.ts";
+import type { AppliedValue, Change, Failure } from "../domain/index.ts";
+import { Replica } from "../replication/index.ts";
+import { TaskGroup } from "../tasks/index.ts";
+import type { Result } from "true-myth";
+import { FakeClock } from "./fake_clock.ts";
+import { FakeFileSystem } from "./fake_file_system.ts";
+import { FakeNetwork } from "./fake_network.ts";
+import { FakeLogger } from "./fake_ports.ts";
+
+const LEADER_WAIT_MS = 60_000;
+const STEP_MS = 50;
+
+/** Options of {@link FakeCluster}. */
+export interface FakeClusterOptions {
+  readonly seed: number;
+  /** Entries that vote when the deployment is new. */
+  readonly voterIds: readonly string[];
+  /** Entries without a disk. */
+  readonly observerIds?: readonly string[];
+  /** Entries with a disk that are to vote only once they are added. */
+  readonly spareIds?: readonly string[];
+}
+
+/** One entry of the cluster; its disk outlives its process. */
+export interface FakeEntry {
+  readonly entryId: string;
+  readonly disk: FakeFileSystem;
+  readonly logger: FakeLogger;
+  replica: Replica | undefined;
+  tasks: TaskGroup | undefined;
+}
+
+/** Entries whose processes, disks and links a test ends and restores. */
+export class FakeCluster {
+  readonly clock = new FakeClock();
+  readonly network: FakeNetwork;
+  readonly entries = new Map<string, FakeEntry>();
+  /** Failures that should have ended a process. */
+  readonly fatal: Failure[] = [];
+  readonly #options: FakeClusterOptions;
+  readonly #random: SeededRandom;
+
+  constructor(options: FakeClusterOptions) {
+    this.#options = options;
+    this.#random = new SeededRandom(options.seed);
+    this.network = new FakeNetwork(this.clock, this.#random);
+  }
+
+  /** Ids of all entries. */
+  get entryIds(): readonly string[] {
+    const { voterIds, observerIds = [], spareIds = [] } = this.#options;
+    return [...voterIds, ...spareIds, ...observerIds];
+  }
+
+  /** Starts all entries. */
+  async start(): Promise<void> {
+    for (const entryId of this.entryIds) {
+      await this.startEntry(entryId);
+    }
+  }
+
+  /**
+   * Starts an entry, with what its disk holds.
+   *
+   * @param entryId - The entry.
+   * @returns The failure of its disk, or undefined.
+   */
+  async startEntry(entryId: string): Promise<Failure | undefined> {
+    const entry = this.#findOrCreate(entryId);
+    const { voterIds, observerIds = [] } = this.#options;
+    const { clock } = this;
+    const { logger } = entry;
+    const hasDisk = !observerIds.includes(entryId);
+    const random = new SeededRandom(this.#random.nextInt(1_000_000_000));
+    const store = hasDisk
+      ? new FileLogStore({
+        files: entry.disk.mount(),
+        logger,
+        random,
+        onSyncFailure: (failure) => this.fatal.push(failure),
+      })
+      : new MemoryLogStore(random);
+    const replica = await Replica.load({
+      entryId,
+      hasDisk,
+      wantsVote: hasDisk,
+      peerIds: this.entryIds.filter((other) => other !== entryId),
+      initialVoterIds: voterIds,
+      store,
+      network: this.network.join(entryId),
+      clock,
+      random,
+      logger,
+    });
+    if (replica.isErr) {
+      this.network.leave(entryId);
+      return replica.error;
+    }
+    entry.tasks = new TaskGroup({ clock, logger });
+    entry.replica = replica.value;
+    entry.replica.start(entry.tasks);
+    return undefined;
+  }
+
+  /**
+   * Ends an entry's process at once.
+   *
+   * @param entryId - The entry.
+   * @param keptBytes - Bytes of unsynced appends that reached the disk anyway.
+   */
+  crash(entryId: string, keptBytes = 0): void {
+    const entry = this.find(entryId);
+    this.network.leave(entryId);
+    entry.disk.crash(keptBytes);
+    void entry.tasks?.stop();
+    entry.replica = undefined;
+    entry.tasks = undefined;
+  }
+
+  /** Ends an entry's process and empties its data folder. */
+  wipe(entryId: string): void {
+    this.crash(entryId);
+    this.find(entryId).disk.blank();
+  }
+
+  /** Finds an entry. */
+  find(entryId: string): FakeEntry {
+    const entry = this.entries.get(entryId);
+    if (entry === undefined) {
+      throw new Error(`there is no entry ${entryId}`);
+    }
+    return entry;
+  }
+
+  /** Finds the replica of a running entry. */
+  replica(entryId: string): Replica {
+    const { replica } = this.find(entryId);
+    if (replica === undefined) {
+      throw new Error(`entry ${entryId} does not run`);
+    }
+    return replica;
+  }
+
+  /** Ids of running entries that say they lead. */
+  listLeaders(): string[] {
+    return [...this.entries.values()]
+      .filter(({ replica }) => replica?.status().leaderSinceMs !== undefined)
+      .map(({ entryId }) => entryId);
+  }
+
+  /**
+   * Advances time until one entry leads with a confirmed quorum.
+   *
+   * @returns Id of the leader.
+   */
+  async waitForLeader(): Promise<string> {
+    return await this.waitFor(
+      () => this.listLeaders()[0],
+      "an entry leads",
+    );
+  }
+
+  /**
+   * Advances time until something is found.
+   *
+   * @param find - Returns what is looked for, or undefined.
+   * @param what - What is waited for, for the error.
+   * @returns What was found.
+   */
+  async waitFor<T>(find: () => T | undefined, what: string): Promise<T> {
+    for (let waitedMs = 0; waitedMs < LEADER_WAIT_MS; waitedMs += STEP_MS) {
+      const found = find();
+      if (found !== undefined) {
+        return found;
+      }
+      await this.clock.advance(STEP_MS);
+    }
+    throw new Error(`waited ${LEADER_WAIT_MS} ms in vain until ${what}`);
+  }
+
+  /**
+   * Proposes a change that sets one zone.
+   *
+   * @param entryId - The entry that is asked.
+   * @param change - Parts of the change that matter to the test.
+   * @returns The answer.
+   */
+  async propose(
+    entryId: string,
+    change: Partial<Change> & { readonly name: string },
+  ): Promise<Result<AppliedValue, Failure>> {
+    const replica = this.replica(entryId);
+    return await this.clock.runUntil(
+      replica.propose(createChange(change, replica.state.revision)),
+      LEADER_WAIT_MS,
+    );
+  }
+
+  #findOrCreate(entryId: string): FakeEntry {
+    const known = this.entries.get(entryId) ?? {
+      entryId,
+      disk: new FakeFileSystem(),
+      logger: new FakeLogger(),
+      replica: undefined,
+      tasks: undefined,
+    };
+    this.entries.set(entryId, known);
+    return known;
+  }
+}
+
+/**
+ * Creates a change that sets one zone.
+ *
+ * @param change - Name of the zone, and what differs from the defaults.
+ * @param revision - Revision that the change expects by default.
+ * @returns The command.
+ */
+export function createChange(
+  change: Partial<Change> & { readonly name: string },
+  revision: number,
+): { type: "change"; change: Change; operator: string; atMs: number } {
+  const { name, ...rest } = change;
+  return {
+    type: "change",
+    operator: "tester",
+    atMs: 0,
+    change: {
+      operationId: `operation-${name}`,
+      expectedRevision: revision,
+      puts: [{ kind: "zone", name, labels: {}, region: "region-1" }],
+      deletes: [],
+      ...rest,
+    },
+  };
+}
--- a/src/testing/fake_file_system.ts
+++ b/src/testing/fake_file_system.ts
@@ -18,6 +18,10 @@
   isFull = false;
   /** Syncs so far, to tell what an append costs. */
   syncCount = 0;
+  /** Runs before each sync, to let it take time. */
+  beforeSync: (() => Promise<void>) | undefined;
+  /** Number of crashes; what was opened before the last one does nothing. */
+  crashCount = 0;
 
   read(name: string): Promise<Uint8Array | undefined> {
     const content = this.#files.get(name)?.content;
@@ -58,6 +62,7 @@
    * @param keptBytes - Bytes of unsynced appends that reached the disk anyway.
    */
   crash(keptBytes = 0): void {
+    this.crashCount += 1;
     this.#files = new Map(this.#syncedNames);
     for (const file of this.#files.values()) {
       const torn = file.content.slice(0, file.synced.length + keptBytes);
@@ -67,6 +72,22 @@
     }
   }
 
+  /** Loses all files, as a replaced disk does. */
+  blank(): void {
+    this.crashCount += 1;
+    this.#files = new Map();
+    this.#syncedNames = new Map();
+  }
+
+  /**
+   * Creates the view of one process, which ends with the next crash.
+   *
+   * @returns Files whose operations never end once the process has crashed.
+   */
+  mount(): FileSystem {
+    return new MountedFiles(this);
+  }
+
   /** Overwrites a byte, as a failing disk does. */
   damage(name: string, offset: number): void {
     const file = this.#files.get(name);
@@ -80,13 +101,18 @@
 class FakeOpenFile implements OpenFile {
   readonly #file: FakeFile;
   readonly #disk: FakeFileSystem;
+  readonly #crashCount: number;
 
   constructor(file: FakeFile, disk: FakeFileSystem) {
     this.#file = file;
     this.#disk = disk;
+    this.#crashCount = disk.crashCount;
   }
 
   write(bytes: Uint8Array, position: number): Promise<void> {
+    if (this.#isGone()) {
+      return never();
+    }
     if (this.#disk.isFull) {
       return Promise.reject(new Error("ENOSPC: no space left on device"));
     }
@@ -98,16 +124,22 @@
     return Promise.resolve();
   }
 
-  sync(): Promise<void> {
+  async sync(): Promise<void> {
     this.#disk.syncCount += 1;
+    await this.#disk.beforeSync?.();
+    if (this.#isGone()) {
+      return await never();
+    }
     if (this.#disk.failsSync) {
-      return Promise.reject(new Error("EIO: i/o error"));
+      throw new Error("EIO: i/o error");
     }
     this.#file.synced = this.#file.content.slice();
-    return Promise.resolve();
   }
 
   truncate(sizeBytes: number): Promise<void> {
+    if (this.#isGone()) {
+      return never();
+    }
     this.#file.content = this.#file.content.slice(0, sizeBytes);
     return Promise.resolve();
   }
@@ -115,4 +147,46 @@
   close(): Promise<void> {
     return Promise.resolve();
   }
+
+  #isGone(): boolean {
+    return this.#disk.crashCount !== this.#crashCount;
+  }
+}
+
+class MountedFiles implements FileSystem {
+  readonly #disk: FakeFileSystem;
+  readonly #crashCount: number;
+
+  constructor(disk: FakeFileSystem) {
+    this.#disk = disk;
+    this.#crashCount = disk.crashCount;
+  }
+
+  read(name: string): Promise<Uint8Array | undefined> {
+    return this.#isGone() ? never() : this.#disk.read(name);
+  }
+
+  open(name: string): Promise<OpenFile> {
+    return this.#isGone() ? never() : this.#disk.open(name);
+  }
+
+  rename(from: string, to: string): Promise<void> {
+    return this.#isGone() ? never() : this.#disk.rename(from, to);
+  }
+
+  remove(name: string): Promise<void> {
+    return this.#isGone() ? never() : this.#disk.remove(name);
+  }
+
+  syncFolder(): Promise<void> {
+    return this.#isGone() ? never() : this.#disk.syncFolder();
+  }
+
+  #isGone(): boolean {
+    return this.#disk.crashCount !== this.#crashCount;
+  }
+}
+
+function never(): Promise<never> {
+  return new Promise(() => undefined);
 }
--- a/src/testing/fake_network.ts
+++ b/src/testing/fake_network.ts
@@ -33,6 +33,7 @@
   readonly #clock: Clock;
   readonly #random: Random;
   readonly #nodes = new Map<string, FakePeerNetwork>();
+  readonly #known = new Set<string>();
   readonly #faults = new Map<string, LinkFaults>();
   #defaults = NO_FAULTS;
 
@@ -50,6 +51,7 @@
   join(entryId: string): PeerNetwork {
     const node = new FakePeerNetwork(entryId, this);
     this.#nodes.set(entryId, node);
+    this.#known.add(entryId);
     return node;
   }
 
@@ -70,7 +72,7 @@
 
   /** Cuts an entry off in both directions, silently. */
   isolate(entryId: string): void {
-    for (const other of this.#nodes.keys()) {
+    for (const other of this.#known) {
       this.setFaults(entryId, other, { cut: true });
       this.setFaults(other, entryId, { cut: true });
     }
@@ -83,34 +85,42 @@
 
   /** Carries one call; used by the entries' sides. */
   async carry(
-    from: string,
+    from: FakePeerNetwork,
     to: string,
     method: string,
     body: unknown,
     options: PeerCallOptions,
   ): Promise<Result<unknown, Failure>> {
     const stop = new AbortController();
+    const end = () => stop.abort();
+    options.signal?.addEventListener("abort", end, { once: true });
     const lost = this.#clock.sleep(options.timeoutMs, stop.signal).then(() =>
       Result.err<unknown, Failure>(
         createFailure("peerUnreachable", `no answer from ${to}`),
       )
     );
+    if (options.signal?.aborted) {
+      end();
+    }
     const answer = await Promise.race([
       this.#exchange(from, to, method, body),
       lost,
     ]);
-    stop.abort();
+    options.signal?.removeEventListener("abort", end);
+    end();
     return answer;
   }
 
   async #exchange(
-    from: string,
+    sender: FakePeerNetwork,
     to: string,
     method: string,
     body: unknown,
   ): Promise<Result<unknown, Failure>> {
+    const from = sender.entryId;
     // Copies, as the wire does: no two entries share an object.
     const sent = structuredClone(body);
+    await this.#requireRunning(sender);
     await this.#travel(from, to);
     if (this.#draw(this.#find(from, to).duplicatePercent)) {
       void this.#travel(from, to).then(() =>
@@ -118,8 +128,10 @@
       );
     }
     const answer = await this.#handle(from, to, method, sent);
+    const copy = answer.map((value) => structuredClone(value));
     await this.#travel(to, from);
-    return answer.map((value) => structuredClone(value));
+    await this.#requireRunning(sender);
+    return copy;
   }
 
   async #handle(
@@ -129,9 +141,20 @@
     body: unknown,
   ): Promise<Result<unknown, Failure>> {
     const node = this.#nodes.get(to);
-    return node === undefined
-      ? await never()
-      : await node.deliver(from, method, body);
+    if (node === undefined) {
+      return await never();
+    }
+    const answer = await node.deliver(from, method, body);
+    await this.#requireRunning(node);
+    return answer;
+  }
+
+  // A process that has ended neither sends nor receives, whatever its leftover
+  // tasks still do.
+  async #requireRunning(node: FakePeerNetwork): Promise<void> {
+    if (this.#nodes.get(node.entryId) !== node) {
+      await never();
+    }
   }
 
   async #travel(from: string, to: string): Promise<void> {
@@ -155,12 +178,12 @@
 }
 
 class FakePeerNetwork implements PeerNetwork {
-  readonly #entryId: string;
+  readonly entryId: string;
   readonly #network: FakeNetwork;
   readonly #handlers = new Map<string, PeerHandler>();
 
   constructor(entryId: string, network: FakeNetwork) {
-    this.#entryId = entryId;
+    this.entryId = entryId;
     this.#network = network;
   }
 
@@ -170,7 +193,7 @@
     body: unknown,
     options: PeerCallOptions,
   ): Promise<Result<unknown, Failure>> {
-    return this.#network.carry(this.#entryId, peerId, method, body, options);
+    return this.#network.carry(this, peerId, method, body, options);
   }
 
   handle(method: string, handler: PeerHandler): void {
--- a/src/testing/index.ts
+++ b/src/testing/index.ts
@@ -1,7 +1,9 @@
 /** What tests, quickstart and bench share. */
+export * from "./daemon_cluster.ts";
 export * from "./daemon_process.ts";
 export * from "./describe.ts";
 export * from "./fake_clock.ts";
+export * from "./fake_cluster.ts";
 export * from "./fake_file_system.ts";
 export * from "./fake_network.ts";
 export * from "./fake_ports.ts";
