--- a/src/testing/test_runner.ts
+++ b/src/testing/test_runner.ts
@@ -5,11 +5,16 @@
 const FILE_TIMEOUT_MS = 180_000;
 const MAX_OUTPUT_BYTES = 64 * 1_024 * 1_024;
 
+// How uvu heads the report of a failing case.
+const FAILED_CASE = /^ *FAIL +.*? {2}"(.*)"/gm;
+
 /** What one test file did. */
 export interface FileReport {
   readonly file: string;
   readonly passedCount: number;
   readonly failedCount: number;
+  /** Titles of the failing cases. */
+  readonly failedTitles: readonly string[];
   readonly output: string;
 }
 
@@ -67,6 +72,9 @@
     file,
     passedCount,
     failedCount: needsFailure ? 1 : failedCount,
+    failedTitles: [...output.matchAll(FAILED_CASE)].map(([, title = ""]) =>
+      title
+    ),
     output,
   };
 }
--- a/src/testing/test_runner_test.ts
+++ b/src/testing/test_runner_test.ts
@@ -4,6 +4,7 @@
 import { fileURLToPath } from "node:url";
 import * as assert from "uvu/assert";
 import { afterEach, beforeEach, describe, it } from "./describe.ts";
+import { listKnownTitles, parseKnownRed } from "./known_red.ts";
 import { runTestFile } from "./test_runner.ts";
 
 const DESCRIBE_FILE = fileURLToPath(new URL("./describe.js", import.meta.url));
@@ -71,4 +72,33 @@
       });
     }
   });
+
+  describe("known failures", () => {
+    const text = `# Known failures
+test: a/b_test.ts > outer > no answer is lost
+command: npm test b_test
+seen: one of 400 answers was lost
+issue: 5
+`;
+
+    it("names the failing cases of a file", async () => {
+      const file = join(folder, "sample_test.mjs");
+      const body = `describe("a", () => describe("b", () => {
+        it("y", () => { throw new Error("no"); });
+        it("z", () => {});
+      }));`;
+      await writeFile(file, HEAD + body);
+      const report = await runTestFile(file);
+      assert.equal(report.failedTitles, ["b > y"], report.output);
+    });
+
+    it("passes over a listed case of the listed file only", () => {
+      const known = parseKnownRed(text);
+      const titles = ["outer > no answer is lost", "outer > other"];
+      assert.equal(listKnownTitles("a/b_test.ts", titles, known), [
+        "outer > no answer is lost",
+      ]);
+      assert.equal(listKnownTitles("a/c_test.ts", titles, known), []);
+    });
+  });
 });
