--- /dev/null
+++ b/src/testing/entry_fixture.ts
@@ -0,0 +1,102 @@
+/** One entry inside the test's own process, on a port of its own. */
+import { mkdtemp, readFile, rm } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { request } from "undici";
+import { createEntry, validateSettings } from "../daemon/index.ts";
+import { FakeLogger } from "./fake_ports.ts";
+
+/** A request of a test. */
+export interface TestRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly key?: string | undefined;
+  readonly body?: string | undefined;
+  readonly headers?: Readonly<Record<string, string>>;
+}
+
+/** An answer to a test's request. */
+export interface TestAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, unknown>>;
+  readonly text: string;
+  /** The parsed body, or undefined when it is not JSON. */
+  readonly value: unknown;
+}
+
+/** A running entry and what tests need of it. */
+export interface EntryFixture {
+  readonly url: string;
+  readonly operatorKey: string;
+  readonly logger: FakeLogger;
+  send(request: TestRequest): Promise<TestAnswer>;
+  stop(): Promise<void>;
+}
+
+/**
+ * Starts an entry with an empty data folder.
+ *
+ * @returns The running entry.
+ * @throws Error when it cannot start.
+ */
+export async function startEntryFixture(): Promise<EntryFixture> {
+  const folder = await mkdtemp(join(tmpdir(), "cardamomsill-entry-"));
+  const text = JSON.stringify({
+    dataFolder: folder,
+    http: { port: 0 },
+    peer: { port: 0 },
+  });
+  const settings = validateSettings(text, "fixture").unwrapOrElse((failure) => {
+    throw new Error(failure.message);
+  });
+  const logger = new FakeLogger();
+  const onFatal = (failure: { message: string }) => {
+    throw new Error(failure.message);
+  };
+  const created = await createEntry({ settings, logger, onFatal });
+  const entry = created.unwrapOrElse((failure) => {
+    throw new Error(failure.message);
+  });
+  const url = `http://127.0.0.1:${entry.httpPort}`;
+  const operatorKey = await readFile(join(folder, "operator.key"), "utf8");
+  return {
+    url,
+    operatorKey: operatorKey.trim(),
+    logger,
+    send: (testRequest) => send(url, testRequest),
+    stop: async () => {
+      await entry.stop();
+      await rm(folder, { recursive: true });
+    },
+  };
+}
+
+async function send(
+  url: string,
+  testRequest: TestRequest,
+): Promise<TestAnswer> {
+  const { method, path, key, body, headers } = testRequest;
+  const answer = await request(`${url}${path}`, {
+    method: method as "GET",
+    headers: {
+      ...headers,
+      ...(key === undefined ? {} : { authorization: `Bearer ${key}` }),
+    },
+    body: body ?? null,
+  });
+  const text = await answer.body.text();
+  return {
+    status: answer.statusCode,
+    headers: answer.headers,
+    text,
+    value: parseJson(text),
+  };
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
