--- a/src/cli/commands/key_withdraw.ts
+++ b/src/cli/commands/key_withdraw.ts
@@ -1,13 +1,10 @@
 /** `cardamomsill key withdraw NAME`: makes a key stop working. */
 import { Command, Option } from "clipanion";
 import { Result } from "true-myth";
-import { acceptedChangeSchema, type Failure } from "../../domain/index.ts";
-import {
-  type ApiClient,
-  statusSchema,
-  storedResourceSchema,
-} from "../api/index.ts";
+import type { Failure, Resource } from "../../domain/index.ts";
+import type { ApiClient } from "../api/index.ts";
 import { ApiCommand, type CommandOutput } from "../api_command.ts";
+import { changeResource } from "../change_resource.ts";
 
 /** Withdraws a key. */
 export class KeyWithdrawCommand extends ApiCommand {
@@ -22,22 +19,13 @@
   override async run(
     client: ApiClient,
   ): Promise<Result<CommandOutput, Failure>> {
-    const status = await client.get("/v1/status", statusSchema);
-    const stored = await client.get(
-      `/v1/resources/key/${this.name}`,
-      storedResourceSchema,
-    );
-    if (status.isErr) {
-      return Result.err(status.error);
-    }
-    if (stored.isErr) {
-      return Result.err(stored.error);
-    }
-    const accepted = await client.post("/v1/changes", {
+    const accepted = await changeResource(client, {
+      kind: "key",
+      name: this.name,
       operationId: this.createOperationId(),
-      expectedRevision: status.value.revision,
-      puts: [{ ...stored.value.resource, withdrawn: true }],
-    }, acceptedChangeSchema);
+      edit: (resource) =>
+        Result.ok({ ...resource, withdrawn: true } as Resource),
+    });
     return accepted.map((value) => ({
       value,
       text: `key/${this.name} is withdrawn in revision ${value.revision}\n`,
--- a/src/cli/commands/label.ts
+++ b/src/cli/commands/label.ts
@@ -2,17 +2,13 @@
 import { Command, Option } from "clipanion";
 import { Result } from "true-myth";
 import {
-  acceptedChangeSchema,
   createFailure,
   type Failure,
   type Labels,
 } from "../../domain/index.ts";
-import {
-  type ApiClient,
-  statusSchema,
-  storedResourceSchema,
-} from "../api/index.ts";
+import type { ApiClient } from "../api/index.ts";
 import { ApiCommand, type CommandOutput } from "../api_command.ts";
+import { changeResource } from "../change_resource.ts";
 
 /** Sets labels of a resource, or removes them with `k-`. */
 export class LabelCommand extends ApiCommand {
@@ -32,26 +28,16 @@
   override async run(
     client: ApiClient,
   ): Promise<Result<CommandOutput, Failure>> {
-    const status = await client.get("/v1/status", statusSchema);
-    const stored = await client.get(
-      `/v1/resources/${this.kind}/${this.name}`,
-      storedResourceSchema,
-    );
-    if (status.isErr) {
-      return Result.err(status.error);
-    }
-    if (stored.isErr) {
-      return Result.err(stored.error);
-    }
-    const labels = editLabels(stored.value.resource.labels, this.labels);
-    if (labels.isErr) {
-      return Result.err(labels.error);
-    }
-    const accepted = await client.post("/v1/changes", {
+    const accepted = await changeResource(client, {
+      kind: this.kind,
+      name: this.name,
       operationId: this.createOperationId(),
-      expectedRevision: status.value.revision,
-      puts: [{ ...stored.value.resource, labels: labels.value }],
-    }, acceptedChangeSchema);
+      edit: (resource) =>
+        editLabels(resource.labels, this.labels).map((labels) => ({
+          ...resource,
+          labels,
+        })),
+    });
     return accepted.map((value) => ({
       value,
       text:
