--- /dev/null
+++ b/src/adapters/disk/file_log_store_test.ts
@@ -0,0 +1,264 @@
+import * as assert from "uvu/assert";
+import { SeededRandom } from "../random/index.ts";
+import type { Failure } from "../../domain/index.ts";
+import type { LogEntry, StoredLog, StoredSnapshot } from "../../ports/index.ts";
+import {
+  beforeEach,
+  describe,
+  FakeFileSystem,
+  FakeLogger,
+  it,
+} from "../../testing/index.ts";
+import { FleetState } from "../../domain/index.ts";
+import { FileLogStore } from "./file_log_store.ts";
+import { HEADER_BYTES } from "./record_codec.ts";
+
+function createEntry(index: number, term = 1): LogEntry {
+  const leaderId = `${index}.${term}`;
+  return { index, term, command: { type: "leader", leaderId } };
+}
+
+function createSnapshot(index: number, term = 1): StoredSnapshot {
+  return { index, term, state: new FleetState().toSnapshot() };
+}
+
+function listPositions(log: StoredLog): string[] {
+  return log.entries.map(({ index, term }) => `${index}.${term}`);
+}
+
+describe("file log store", () => {
+  let disk: FakeFileSystem;
+  let logger: FakeLogger;
+  let syncFailures: Failure[];
+
+  beforeEach(() => {
+    disk = new FakeFileSystem();
+    logger = new FakeLogger();
+    syncFailures = [];
+  });
+
+  function createStore(): FileLogStore {
+    return new FileLogStore({
+      files: disk.mount(),
+      logger,
+      random: new SeededRandom(disk.crashCount),
+      onSyncFailure: (failure) => syncFailures.push(failure),
+    });
+  }
+
+  async function open(): Promise<FileLogStore> {
+    const store = createStore();
+    const loaded = await store.load();
+    assert.ok(loaded.isOk, JSON.stringify(loaded));
+    return store;
+  }
+
+  async function reload(): Promise<StoredLog> {
+    const loaded = await createStore().load();
+    if (loaded.isErr) {
+      throw new Error(JSON.stringify(loaded.error));
+    }
+    return loaded.value;
+  }
+
+  async function reloadFailure(): Promise<Failure> {
+    const loaded = await createStore().load();
+    if (loaded.isOk) {
+      throw new Error("the damage was not noticed");
+    }
+    return loaded.error;
+  }
+
+  describe("after a crash", () => {
+    it("has what was answered for", async () => {
+      const store = await open();
+      await store.append([createEntry(1), createEntry(2)]);
+      await store.append([createEntry(3)]);
+      const vote = { term: 4, votedFor: "b", storeId: "store" };
+      await store.saveVote(vote);
+      disk.crash();
+      const log = await reload();
+      assert.equal(listPositions(log), ["1.1", "2.1", "3.1"]);
+      assert.equal(log.vote, vote);
+    });
+
+    it("keeps the id of the data folder, and draws one for an empty folder", async () => {
+      await open();
+      const first = await reload();
+      disk.crash();
+      assert.is((await reload()).vote.storeId, first.vote.storeId);
+      disk.blank();
+      assert.is.not((await reload()).vote.storeId, first.vote.storeId);
+    });
+
+    for (const keptBytes of [1, HEADER_BYTES, HEADER_BYTES + 5]) {
+      it(`cuts off a last record of which ${keptBytes} bytes arrived`, async () => {
+        const store = await open();
+        await store.append([createEntry(1)]);
+        disk.beforeSync = () => new Promise(() => undefined);
+        void store.append([createEntry(2)]);
+        await Promise.resolve();
+        disk.beforeSync = undefined;
+        disk.crash(keptBytes);
+        assert.equal(listPositions(await reload()), ["1.1"]);
+        const line = logger.lines.find(({ level }) => level === "warn");
+        assert.is(line?.message, "cut off a torn last record");
+        assert.is(line?.fields["cutBytes"], keptBytes);
+        const again = await open();
+        await again.append([createEntry(2, 2)]);
+        disk.crash();
+        assert.equal(listPositions(await reload()), ["1.1", "2.2"]);
+      });
+    }
+
+    // Both entries of the first record were synced and answered for, so no
+    // moment of the replacement may lose the one that does not conflict.
+    for (let syncs = 0; syncs <= 2; syncs += 1) {
+      it(`keeps the rest of a record whose tail is replaced, at sync ${syncs}`, async () => {
+        const store = await open();
+        await store.append([createEntry(1), createEntry(2)]);
+        let left = syncs;
+        disk.beforeSync = () =>
+          left-- > 0 ? Promise.resolve() : new Promise(() => undefined);
+        void store.append([createEntry(2, 2)]);
+        for (let turn = 0; turn < 50; turn += 1) {
+          await Promise.resolve();
+        }
+        disk.beforeSync = undefined;
+        disk.crash();
+        assert.is(listPositions(await reload())[0], "1.1");
+      });
+    }
+  });
+
+  describe("a damaged disk", () => {
+    const damages = [
+      { title: "header", offset: 4 },
+      { title: "payload", offset: HEADER_BYTES + 2 },
+    ];
+    for (const { title, offset } of damages) {
+      it(`refuses to start with a damaged ${title} before the end`, async () => {
+        const store = await open();
+        await store.append([createEntry(1)]);
+        await store.append([createEntry(2)]);
+        disk.damage("log", offset);
+        const failure = await reloadFailure();
+        assert.is(failure.kind, "diskDamaged");
+        assert.equal(failure.detail, { file: "log", offset: 0 });
+      });
+    }
+
+    for (const name of ["vote", "snapshot"]) {
+      it(`refuses to start with a damaged ${name}`, async () => {
+        const store = await open();
+        await store.append([createEntry(1)]);
+        await store.saveSnapshot(createSnapshot(1));
+        disk.damage(name, HEADER_BYTES + 1);
+        const failure = await reloadFailure();
+        assert.equal(failure.detail, { file: name, offset: 0 });
+      });
+    }
+
+    for (const name of ["log", "snapshot"]) {
+      it(`refuses to start without its ${name}`, async () => {
+        const store = await open();
+        await store.append([createEntry(1), createEntry(2)]);
+        await store.saveSnapshot(createSnapshot(1));
+        await disk.remove(name);
+        const failure = await reloadFailure();
+        assert.is(failure.kind, "diskDamaged");
+      });
+    }
+  });
+
+  describe("a full disk", () => {
+    const writes = [
+      {
+        title: "an append",
+        write: (store: FileLogStore) => store.append([createEntry(3)]),
+      },
+      {
+        title: "a replaced tail",
+        write: (store: FileLogStore) => store.append([createEntry(2, 2)]),
+      },
+      {
+        title: "a vote",
+        write: (store: FileLogStore) =>
+          store.saveVote({ term: 9, votedFor: "c", storeId: "store" }),
+      },
+      {
+        title: "a snapshot",
+        write: (store: FileLogStore) => store.saveSnapshot(createSnapshot(2)),
+      },
+    ];
+    for (const { title, write } of writes) {
+      it(`refuses ${title}, loses nothing, and goes on once there is space`, async () => {
+        const store = await open();
+        await store.append([createEntry(1), createEntry(2)]);
+        disk.isFull = true;
+        const refused = await write(store);
+        assert.ok(refused.isErr && refused.error.kind === "readOnly");
+        disk.isFull = false;
+        const appended = await store.append([createEntry(3, 3)]);
+        assert.ok(appended.isOk);
+        disk.crash();
+        const log = await reload();
+        assert.equal(listPositions(log), ["1.1", "2.1", "3.3"]);
+        assert.is(log.vote.term, 0);
+        assert.equal(syncFailures, []);
+      });
+    }
+  });
+
+  describe("a failed sync", () => {
+    it("is reported once and not tried again", async () => {
+      const store = await open();
+      disk.failsSync = true;
+      const syncsBefore = disk.syncCount;
+      const refused = await store.append([createEntry(1)]);
+      assert.ok(refused.isErr && refused.error.kind === "internal");
+      assert.is(syncFailures.length, 1);
+      assert.is(disk.syncCount, syncsBefore + 1);
+    });
+  });
+
+  describe("a snapshot", () => {
+    it("drops the entries up to its index", async () => {
+      const store = await open();
+      await store.append([createEntry(1), createEntry(2), createEntry(3)]);
+      await store.saveSnapshot(createSnapshot(2));
+      disk.crash();
+      const log = await reload();
+      assert.is(log.snapshot?.index, 2);
+      assert.equal(listPositions(log), ["3.1"]);
+    });
+
+    // Syncs of a save: the snapshot's content, then the content of the cut log.
+    const cuts = [
+      { syncs: 0, term: 1, snapshotIndex: 1, left: ["2.1", "3.1"] },
+      { syncs: 1, term: 1, snapshotIndex: 2, left: ["3.1"] },
+      { syncs: 2, term: 1, snapshotIndex: 2, left: ["3.1"] },
+      // The snapshot of a leader contradicts the entries of an older term.
+      { syncs: 1, term: 5, snapshotIndex: 2, left: [] },
+    ];
+    for (const { syncs, term, snapshotIndex, left } of cuts) {
+      it(`stays whole when sync ${syncs} of term ${term} is interrupted`, async () => {
+        const store = await open();
+        await store.append([createEntry(1), createEntry(2), createEntry(3)]);
+        await store.saveSnapshot(createSnapshot(1));
+        let leftCount = syncs;
+        disk.beforeSync = () =>
+          leftCount-- > 0 ? Promise.resolve() : new Promise(() => undefined);
+        void store.saveSnapshot(createSnapshot(2, term));
+        for (let turn = 0; turn < 100; turn += 1) {
+          await Promise.resolve();
+        }
+        disk.beforeSync = undefined;
+        disk.crash();
+        const log = await reload();
+        assert.is(log.snapshot?.index, snapshotIndex);
+        assert.equal(listPositions(log), left);
+      });
+    }
+  });
+});
--- a/src/domain/fleet_state.ts
+++ b/src/domain/fleet_state.ts
@@ -2,13 +2,13 @@
 import { Result } from "true-myth";
 import { dropOldest } from "./bounded_map.ts";
 import type { Change, ResourceRef } from "./change.ts";
+import { ClaimTable } from "./claim_table.ts";
 import type { Claim, Command, VmAssignment } from "./command.ts";
 import type { DecisionRecord } from "./decision_record.ts";
 import { createFailure, type Failure } from "./errors.ts";
 import {
   type Applied,
   type FleetSnapshot,
-  MAX_KEPT_CLAIMS,
   MAX_KEPT_RECORDS,
   type StoredResource,
 } from "./fleet_snapshot.ts";
@@ -28,7 +28,7 @@
   readonly #operations = new OperationTable();
   readonly #records = new Map<string, DecisionRecord>();
   readonly #assignments = new Map<string, VmAssignment>();
-  readonly #claims = new Map<string, Claim>();
+  readonly #claims = new ClaimTable();
   #membership: Membership = NO_MEMBERSHIP;
 
   constructor() {
@@ -115,7 +115,7 @@
    * @returns The claim, or undefined when it is not kept.
    */
   findClaim(claimId: string): Claim | undefined {
-    return this.#claims.get(claimId);
+    return this.#claims.find(claimId);
   }
 
   /**
@@ -139,7 +139,10 @@
       case "assign":
         return this.#applyAssignment(command);
       case "claim":
-        return this.#applyClaims(command.claims);
+        return Result.ok({
+          revision: this.#revision,
+          claims: this.#claims.apply(command.claims),
+        });
       case "membership":
         this.#membership = {
           voters: command.voters,
@@ -163,7 +166,7 @@
       operations: this.#operations.list(),
       records: this.listRecords(),
       assignments: this.listAssignments(),
-      claims: [...this.#claims.values()],
+      claims: this.#claims.list(),
       membership: this.#membership,
     };
   }
@@ -191,7 +194,7 @@
       state.#assignments.set(assignment.vm, assignment);
     }
     for (const claim of snapshot.claims) {
-      state.#claims.set(claim.claimId, claim);
+      state.#claims.put(claim);
     }
     state.#membership = snapshot.membership;
     return state;
@@ -266,24 +269,6 @@
     return this.#done();
   }
 
-  #applyClaims(claims: readonly Claim[]): Applied {
-    const standing = claims.map((claim) => {
-      const current = this.#claims.get(claim.claimId);
-      const isSame = current?.entryId === claim.entryId &&
-        current.atMs === claim.atMs;
-      // A late copy of the first command must not reopen a settled claim.
-      const reopens = claim.state === "running" && current?.state !== "running";
-      const mayReplace = current === undefined || (isSame && !reopens);
-      if (mayReplace) {
-        this.#claims.set(claim.claimId, claim);
-        return claim;
-      }
-      return current;
-    });
-    dropOldest(this.#claims, MAX_KEPT_CLAIMS);
-    return Result.ok({ revision: this.#revision, claims: standing });
-  }
-
   #put(stored: StoredResource): void {
     this.#resources.get(stored.resource.kind)?.set(
       stored.resource.name,
--- a/src/testing/fake_cluster.ts
+++ b/src/testing/fake_cluster.ts
@@ -1,10 +1,11 @@
 /** Real replicas over fake clock, network and disks. */
+import type { Result } from "true-myth";
 import { FileLogStore, MemoryLogStore } from "../adapters/disk/index.ts";
 import { SeededRandom } from "../adapters/random/index.ts";
 import type { AppliedValue, Change, Failure } from "../domain/index.ts";
 import { Replica } from "../replication/index.ts";
-import { TaskGroup } from "../tasks/index.ts";
-import type { Result } from "true-myth";
+import type { Clock } from "../ports/index.ts";
+import { Notifier, TaskGroup } from "../tasks/index.ts";
 import { FakeClock } from "./fake_clock.ts";
 import { FakeFileSystem } from "./fake_file_system.ts";
 import { FakeNetwork } from "./fake_network.ts";
@@ -29,10 +30,51 @@
   readonly entryId: string;
   readonly disk: FakeFileSystem;
   readonly logger: FakeLogger;
+  /** Id of the data folder that the entry was last started with. */
+  storeId: string;
+  clock: PausableClock;
   replica: Replica | undefined;
   tasks: TaskGroup | undefined;
 }
 
+/** The clock of one process, whose timers wait while the process is stopped. */
+export class PausableClock implements Clock {
+  readonly #clock: Clock;
+  readonly #resumed = new Notifier();
+  #isPaused = false;
+
+  /** @param clock - The time of all processes. */
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  nowMs(): number {
+    return this.#clock.nowMs();
+  }
+
+  monotonicMs(): number {
+    return this.#clock.monotonicMs();
+  }
+
+  async sleep(delayMs: number, signal?: AbortSignal): Promise<void> {
+    await this.#clock.sleep(delayMs, signal);
+    while (this.#isPaused && !signal?.aborted) {
+      await this.#resumed.wait(signal);
+    }
+  }
+
+  /** Holds back all timers. */
+  pause(): void {
+    this.#isPaused = true;
+  }
+
+  /** Ends all timers that are due. */
+  resume(): void {
+    this.#isPaused = false;
+    this.#resumed.notify();
+  }
+}
+
 /** Entries whose processes, disks and links a test ends and restores. */
 export class FakeCluster {
   readonly clock = new FakeClock();
@@ -71,8 +113,9 @@
   async startEntry(entryId: string): Promise<Failure | undefined> {
     const entry = this.#findOrCreate(entryId);
     const { voterIds, observerIds = [] } = this.#options;
-    const { clock } = this;
     const { logger } = entry;
+    entry.clock = new PausableClock(this.clock);
+    const { clock } = entry;
     const hasDisk = !observerIds.includes(entryId);
     const random = new SeededRandom(this.#random.nextInt(1_000_000_000));
     const store = hasDisk
@@ -83,7 +126,13 @@
         onSyncFailure: (failure) => this.fatal.push(failure),
       })
       : new MemoryLogStore(random);
-    const replica = await Replica.load({
+    const stored = await store.load();
+    if (stored.isErr) {
+      this.network.leave(entryId);
+      return stored.error;
+    }
+    entry.storeId = stored.value.vote.storeId;
+    entry.replica = new Replica({
       entryId,
       hasDisk,
       wantsVote: hasDisk,
@@ -94,13 +143,8 @@
       clock,
       random,
       logger,
-    });
-    if (replica.isErr) {
-      this.network.leave(entryId);
-      return replica.error;
-    }
+    }, stored.value);
     entry.tasks = new TaskGroup({ clock, logger });
-    entry.replica = replica.value;
     entry.replica.start(entry.tasks);
     return undefined;
   }
@@ -113,6 +157,7 @@
    */
   crash(entryId: string, keptBytes = 0): void {
     const entry = this.find(entryId);
+    this.resume(entryId);
     this.network.leave(entryId);
     entry.disk.crash(keptBytes);
     void entry.tasks?.stop();
@@ -120,10 +165,24 @@
     entry.tasks = undefined;
   }
 
+  /** Stops an entry's process for a while, as a stalled VM does. */
+  pause(entryId: string): void {
+    this.network.pause(entryId);
+    this.find(entryId).clock.pause();
+  }
+
+  /** Lets an entry's process go on. */
+  resume(entryId: string): void {
+    this.network.resume(entryId);
+    this.find(entryId).clock.resume();
+  }
+
   /** Ends an entry's process and empties its data folder. */
   wipe(entryId: string): void {
     this.crash(entryId);
-    this.find(entryId).disk.blank();
+    const entry = this.find(entryId);
+    entry.disk.blank();
+    entry.storeId = "";
   }
 
   /** Finds an entry. */
@@ -204,6 +263,8 @@
       entryId,
       disk: new FakeFileSystem(),
       logger: new FakeLogger(),
+      storeId: "",
+      clock: new PausableClock(this.clock),
       replica: undefined,
       tasks: undefined,
     };
--- a/src/testing/fake_network.ts
+++ b/src/testing/fake_network.ts
@@ -8,6 +8,7 @@
   PeerNetwork,
   Random,
 } from "../ports/index.ts";
+import { Notifier } from "../tasks/index.ts";
 
 const PERCENT = 100;
 
@@ -34,6 +35,8 @@
   readonly #random: Random;
   readonly #nodes = new Map<string, FakePeerNetwork>();
   readonly #known = new Set<string>();
+  readonly #paused = new Set<string>();
+  readonly #resumed = new Notifier();
   readonly #faults = new Map<string, LinkFaults>();
   #defaults = NO_FAULTS;
 
@@ -78,6 +81,17 @@
     }
   }
 
+  /** Holds back what an entry would receive, as while its process is stopped. */
+  pause(entryId: string): void {
+    this.#paused.add(entryId);
+  }
+
+  /** Delivers what was held back. */
+  resume(entryId: string): void {
+    this.#paused.delete(entryId);
+    this.#resumed.notify();
+  }
+
   /** Removes all faults of single links. */
   heal(): void {
     this.#faults.clear();
@@ -163,6 +177,9 @@
       ? 0
       : this.#random.nextInt(faults.jitterMs + 1);
     await this.#clock.sleep(faults.delayMs + jitterMs);
+    while (this.#paused.has(to)) {
+      await this.#resumed.wait();
+    }
     if (this.#find(from, to).cut || this.#draw(faults.lossPercent)) {
       await never();
     }
--- a/src/testing/index.ts
+++ b/src/testing/index.ts
@@ -8,4 +8,5 @@
 export * from "./fake_network.ts";
 export * from "./fake_ports.ts";
 export * from "./free_port.ts";
+export * from "./replica_history.ts";
 export * from "./test_runner.ts";
--- /dev/null
+++ b/src/testing/replica_history.ts
@@ -0,0 +1,150 @@
+/** Watches replicas and throws as soon as one breaks a promise. */
+import * as assert from "uvu/assert";
+import type { Change } from "../domain/index.ts";
+import { FRESHNESS_LEASE_MS, type Replica } from "../replication/index.ts";
+import {
+  createChange,
+  type FakeCluster,
+  type FakeEntry,
+} from "./fake_cluster.ts";
+
+interface Accepted {
+  readonly revision: number;
+  readonly atMs: number;
+}
+
+/** What was proposed, accepted and applied in one run. */
+export class ReplicaHistory {
+  readonly #cluster: FakeCluster;
+  readonly #changes: Change[] = [];
+  readonly #accepted = new Map<string, Accepted>();
+  readonly #operationByRevision = new Map<number, string>();
+  readonly #stateByIndex = new Map<number, string>();
+  readonly #leaderByTerm = new Map<number, string>();
+  readonly #revisionOf = new Map<Replica, number>();
+  readonly #readLines = new Map<string, number>();
+
+  constructor(cluster: FakeCluster) {
+    this.#cluster = cluster;
+  }
+
+  /** Number of changes that were accepted. */
+  get acceptedCount(): number {
+    return this.#accepted.size;
+  }
+
+  /** Proposes a new change at a running entry, without waiting for it. */
+  propose(entryId: string): void {
+    const replica = this.#cluster.find(entryId).replica;
+    if (replica === undefined) {
+      return;
+    }
+    const name = `zone-${this.#changes.length + 1}`;
+    const { change } = createChange({ name }, replica.state.revision);
+    this.#changes.push(change);
+    void this.#send(replica, change);
+  }
+
+  /** Sends the newest change again, as an operator without an answer does. */
+  resend(entryId: string): void {
+    const replica = this.#cluster.find(entryId).replica;
+    const change = this.#changes.at(-1);
+    if (replica !== undefined && change !== undefined) {
+      void this.#send(replica, change);
+    }
+  }
+
+  /** Checks what all running entries show now. */
+  check(): void {
+    for (const entry of this.#cluster.entries.values()) {
+      this.#checkLeaders(entry);
+      if (entry.replica !== undefined) {
+        this.#checkReplica(entry, entry.replica);
+      }
+    }
+    assert.equal(this.#cluster.fatal, []);
+  }
+
+  /** Checks that an entry has every accepted change. */
+  checkComplete(entryId: string): void {
+    const { state } = this.#cluster.replica(entryId);
+    const known = new Map(
+      state.toSnapshot().operations.map(({ operationId, accepted }) => [
+        operationId,
+        accepted.revision,
+      ]),
+    );
+    for (const [operationId, { revision }] of this.#accepted) {
+      assert.is(known.get(operationId), revision, `${operationId} is lost`);
+    }
+  }
+
+  async #send(replica: Replica, change: Change): Promise<void> {
+    const proposed = await replica.propose({
+      type: "change",
+      change,
+      operator: "tester",
+      atMs: 0,
+    });
+    if (proposed.isErr) {
+      return;
+    }
+    const { operationId } = change;
+    const { revision } = proposed.value;
+    const first = this.#accepted.get(operationId);
+    assert.is(first?.revision ?? revision, revision, "two answers differ");
+    const atMs = this.#cluster.clock.monotonicMs();
+    this.#accepted.set(operationId, first ?? { revision, atMs });
+  }
+
+  #checkLeaders({ entryId, logger }: FakeEntry): void {
+    const readCount = this.#readLines.get(entryId) ?? 0;
+    for (const { fields, message } of logger.lines.slice(readCount)) {
+      if (message === "leads a new term") {
+        const term = Number(fields["term"]);
+        const known = this.#leaderByTerm.get(term) ?? entryId;
+        assert.is(known, entryId, `term ${term} has two leaders`);
+        this.#leaderByTerm.set(term, entryId);
+      }
+    }
+    this.#readLines.set(entryId, logger.lines.length);
+  }
+
+  #checkReplica({ entryId }: FakeEntry, replica: Replica): void {
+    const { state } = replica;
+    const status = replica.status();
+    const before = this.#revisionOf.get(replica) ?? 0;
+    assert.ok(state.revision >= before, `${entryId} stepped back`);
+    this.#revisionOf.set(replica, state.revision);
+    const { operations, membership } = state.toSnapshot();
+    for (const { operationId, accepted } of operations) {
+      const known = this.#operationByRevision.get(accepted.revision) ??
+        operationId;
+      assert.is(operationId, known, `revision ${accepted.revision} differs`);
+      this.#operationByRevision.set(accepted.revision, operationId);
+    }
+    const ids = operations.map(({ operationId }) => operationId);
+    assert.is(new Set(ids).size, ids.length, "an operation applied twice");
+    assert.is(ids.length, state.revision, "a revision without an operation");
+    const digest = JSON.stringify([ids, membership]);
+    const same = this.#stateByIndex.get(status.appliedIndex) ?? digest;
+    assert.is(digest, same, `states differ at ${status.appliedIndex}`);
+    this.#stateByIndex.set(status.appliedIndex, digest);
+    this.#checkFresh(entryId, replica);
+  }
+
+  #checkFresh(entryId: string, replica: Replica): void {
+    const nowMs = this.#cluster.clock.monotonicMs();
+    const { freshUntilMs, revision } = replica.status();
+    if (freshUntilMs <= nowMs) {
+      return;
+    }
+    for (const accepted of this.#accepted.values()) {
+      const isOld = accepted.atMs + FRESHNESS_LEASE_MS < nowMs;
+      assert.ok(
+        !isOld || accepted.revision <= revision,
+        `${entryId} vouches for ${revision} without ${accepted.revision}`,
+      );
+    }
+  }
+}
