--- a/src/cli/api/schemas.ts
+++ b/src/cli/api/schemas.ts
@@ -39,6 +39,18 @@
   revision: v.number(),
 });
 
+/** Schema of the list of entries. */
+export const entryListSchema = v.object({
+  leaderId: v.string(),
+  revision: v.number(),
+  entries: v.array(v.object({
+    entryId: v.string(),
+    role: v.string(),
+    revision: v.optional(v.number()),
+    leaseLeftMs: v.number(),
+  })),
+});
+
 /** A resource with the change that set it. */
 export type StoredResourceAnswer = v.InferOutput<typeof storedResourceSchema>;
 /** An explanation as the entry gives it. */
--- a/src/cli/commands/apply.ts
+++ b/src/cli/commands/apply.ts
@@ -14,6 +14,7 @@
 } from "../../domain/index.ts";
 import { type ApiClient, statusSchema } from "../api/index.ts";
 import { ApiCommand, type CommandOutput } from "../api_command.ts";
+import { waitForRevision } from "../wait_for_revision.ts";
 
 const fileSchema = v.strictObject({ resources: v.array(resourceSchema) });
 
@@ -22,7 +23,13 @@
   static override paths = [["apply"]];
   static override usage = Command.Usage({
     description: "Declare the resources of a file in one change.",
-    examples: [["Apply a file", "cardamomsill apply -f fleet.jsonc"]],
+    examples: [
+      ["Apply a file", "cardamomsill apply -f fleet.jsonc"],
+      [
+        "Wait until it is in force everywhere",
+        "cardamomsill apply -f fleet.jsonc --wait",
+      ],
+    ],
   });
 
   file = Option.String("-f,--file", {
@@ -36,6 +43,13 @@
   operationId = Option.String("--operation-id", {
     description: "Id of the change; repeat it to ask again after a lost answer",
   });
+  wait = Option.Boolean("--wait", false, {
+    description:
+      "Wait until each entry has the revision in force or starts no work",
+  });
+  waitDeadlineMs = Option.String("--wait-deadline-ms", "14000", {
+    description: "Time after which the wait is given up, in milliseconds",
+  });
 
   override async run(
     client: ApiClient,
@@ -53,10 +67,39 @@
       expectedRevision: expectedRevision.value,
       puts: resources.value,
     }, acceptedChangeSchema);
-    return accepted.map((value) => ({
+    if (accepted.isErr) {
+      return Result.err(accepted.error);
+    }
+    const { revision } = accepted.value;
+    const text =
+      `${resources.value.length} resources are in revision ${revision}\n`;
+    return this.wait
+      ? await this.#waitUntilInForce(client, revision, text)
+      : Result.ok({ value: accepted.value, text });
+  }
+
+  async #waitUntilInForce(
+    client: ApiClient,
+    revision: number,
+    text: string,
+  ): Promise<Result<CommandOutput, Failure>> {
+    const deadlineMs = Number(this.waitDeadlineMs);
+    if (!(deadlineMs >= 0)) {
+      return Result.err(
+        createFailure(
+          "invalidInput",
+          `--wait-deadline-ms is '${this.waitDeadlineMs}'`,
+          { remedy: "give a number of milliseconds" },
+        ),
+      );
+    }
+    const waited = await waitForRevision({ client, revision, deadlineMs });
+    return waited.map((value) => ({
       value,
-      text:
-        `${resources.value.length} resources are in revision ${value.revision}\n`,
+      text: `${text}in force at ${value.inForceAt.join(", ")}\n${
+        value.lapsed.map((id) => `${id} has no lease and starts no work\n`)
+          .join("")
+      }`,
     }));
   }
 
--- a/src/daemon/create_front.ts
+++ b/src/daemon/create_front.ts
@@ -3,6 +3,7 @@
 import {
   addBackendRoutes,
   addCallerRoutes,
+  addEntryRoutes,
   addHealthRoutes,
   addOperatorRoutes,
   HttpServer,
@@ -43,6 +44,7 @@
   addCallerRoutes(server, { ...context, ...requestParts });
   addBackendRoutes(server, permitParts);
   addOperatorRoutes(server, { ...context, operators, explain });
+  addEntryRoutes(server, { operators, entries: context.entries });
   addHealthRoutes(server, { ...context, isStopping });
   return server;
 }
--- a/src/daemon/entry_context.ts
+++ b/src/daemon/entry_context.ts
@@ -8,6 +8,7 @@
 import type {
   Agreement,
   Clock,
+  EntryDirectory,
   Logger,
   PeerNetwork,
   Random,
@@ -37,6 +38,7 @@
 export interface EntryContext extends EntryBase {
   readonly network: PeerNetwork;
   readonly agreement: Agreement;
+  readonly entries: EntryDirectory;
   readonly fleet: FleetIndexCache;
 }
 
@@ -69,12 +71,13 @@
 export function createContext(
   base: EntryBase,
   network: PeerNetwork,
-  agreement: Agreement,
+  agreement: Agreement & EntryDirectory,
 ): EntryContext {
   return {
     ...base,
     network,
     agreement,
+    entries: agreement,
     fleet: new FleetIndexCache(() => agreement.state),
   };
 }
--- a/src/daemon/replicated_entries_test.ts
+++ b/src/daemon/replicated_entries_test.ts
@@ -1,4 +1,4 @@
-import { mkdtemp, rm } from "node:fs/promises";
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import * as assert from "uvu/assert";
@@ -6,13 +6,16 @@
 import {
   afterEach,
   beforeEach,
+  type CommandResult,
   createDaemonCluster,
   type DaemonCluster,
   describe,
   it,
+  runCommandLine,
   startDaemon,
 } from "../testing/index.ts";
 
+const WAIT_DEADLINE_MS = 10_000;
 const FAILOVER_LIMIT_MS = 3_000;
 const RETRY_INTERVAL_MS = 20;
 
@@ -38,6 +41,43 @@
     return String(status.body["leaderId"]);
   }
 
+  describe("apply --wait", () => {
+    async function applyAndWait(deadlineMs: number): Promise<CommandResult> {
+      const file = join(folder, "fleet.jsonc");
+      const resources = [{ kind: "zone", name: "zone-1", region: "region-1" }];
+      await writeFile(file, JSON.stringify({ resources }));
+      const wait = ["--wait", "--wait-deadline-ms", String(deadlineMs)];
+      return await runCommandLine(["apply", "-f", file, ...wait], {
+        CARDAMOMSILL_URL: cluster.entries[3]?.url ?? "",
+        CARDAMOMSILL_KEY_FILE: join(folder, "operator.key"),
+      });
+    }
+
+    it("returns when every entry has the revision in force", async () => {
+      const applied = await applyAndWait(WAIT_DEADLINE_MS);
+      assert.is(applied.exitCode, 0, applied.stderr);
+      assert.match(
+        applied.stdout,
+        "in force at entry-1, entry-2, entry-3, entry-4",
+      );
+    });
+
+    it("names a stalled entry, first as a straggler, then without lease", async () => {
+      const stalled = cluster.entries.find((entry) =>
+        entry.entryId === "entry-2"
+      );
+      assert.ok(stalled?.daemon);
+      stalled.daemon.child.kill("SIGSTOP");
+      const early = await applyAndWait(0);
+      const late = await applyAndWait(WAIT_DEADLINE_MS);
+      stalled.daemon.child.kill("SIGCONT");
+      assert.is(early.exitCode, 7, early.stdout);
+      assert.match(early.stderr, "not in force at");
+      assert.is(late.exitCode, 0, late.stderr);
+      assert.match(late.stdout, "entry-2 has no lease and starts no work");
+    });
+  });
+
   describe("when the leader's process is killed", () => {
     it("accepts the next change soon, and loses none when it returns", async () => {
       const url = cluster.entries[3]?.url ?? "";
