--- a/src/replication/proposer.ts
+++ b/src/replication/proposer.ts
@@ -2,6 +2,7 @@
 import { Result } from "true-myth";
 import * as v from "valibot";
 import {
+  type AppliedValue,
   claimSchema,
   type Command,
   dropOldest,
@@ -17,16 +18,22 @@
 } from "./proposal_queue.ts";
 import type { ReplicaCore } from "./replica_core.ts";
 import {
+  CALL_TIMEOUT_MS,
   MAX_KEPT_PROPOSALS,
   PROPOSE_TIMEOUT_MS,
   RETRY_DELAY_MS,
 } from "./timing.ts";
 
-const appliedValueSchema = v.object({
+const forwardedAnswerSchema = v.object({
   revision: v.number(),
   claims: v.optional(v.array(claimSchema)),
+  /** Index up to which the leader had applied the log. */
+  appliedIndex: v.number(),
 });
 
+/** The leader's answer to a forwarded proposal. */
+type ForwardedAnswer = v.InferOutput<typeof forwardedAnswerSchema>;
+
 /** Proposes at the leader, here or elsewhere. */
 export class Proposer {
   readonly #core: ReplicaCore;
@@ -80,7 +87,9 @@
    * @param body - The message, not validated yet.
    * @returns What applying it led to; the same again for a doubled message.
    */
-  async takeForwarded(body: unknown): Promise<Proposed> {
+  async takeForwarded(
+    body: unknown,
+  ): Promise<Result<AppliedValue & { appliedIndex: number }, Failure>> {
     const proposal = validateWith(proposalSchema, body, {
       subject: "proposal",
     });
@@ -99,7 +108,8 @@
     if (proposed.isErr) {
       this.#answers.delete(proposalId);
     }
-    return proposed;
+    const { appliedIndex } = this.#core;
+    return proposed.map((value) => ({ ...value, appliedIndex }));
   }
 
   async #attempt(
@@ -140,13 +150,33 @@
     if (answered.isErr) {
       return Result.err(toProposalFailure(answered.error));
     }
-    return validateWith(appliedValueSchema, answered.value, {
+    const answer = validateWith(forwardedAnswerSchema, answered.value, {
       subject: "answer to a proposal",
       kind: "noQuorum",
-    }) as Proposed;
+    });
+    if (answer.isOk) {
+      await this.#waitUntilApplied(answer.value.appliedIndex);
+    }
+    return answer.map(toAppliedValue);
+  }
+
+  // Who proposed here must find the outcome here; it is accepted in any case.
+  async #waitUntilApplied(index: number): Promise<void> {
+    const core = this.#core;
+    await waitFor({
+      clock: core.options.clock,
+      notifier: core.changed,
+      timeoutMs: CALL_TIMEOUT_MS,
+      signal: core.stopSignal,
+      isMet: () => core.appliedIndex >= index,
+    });
   }
 }
 
+function toAppliedValue({ revision, claims }: ForwardedAnswer): AppliedValue {
+  return claims === undefined ? { revision } : { revision, claims };
+}
+
 // Without an answer the leader may have accepted the proposal all the same.
 function toProposalFailure(failure: Failure): Failure {
   return failure.kind === "peerUnreachable" || failure.kind === "internal"
--- a/src/replication/replica_test.ts
+++ b/src/replication/replica_test.ts
@@ -1,34 +1,313 @@
 import * as assert from "uvu/assert";
-import { beforeEach, describe, FakeCluster, it } from "../testing/index.ts";
+import {
+  beforeEach,
+  createChange,
+  describe,
+  FakeCluster,
+  it,
+} from "../testing/index.ts";
+import { FRESHNESS_LEASE_MS, SNAPSHOT_INTERVAL_COUNT } from "./timing.ts";
 
 const VOTERS = ["a", "b", "c"];
-const OBSERVERS = ["d", "e"];
+const OBSERVER = "d";
+const SPARE = "e";
+const SETTLE_MS = 4_000;
+const NEXT_CHANGE_LIMIT_MS = 3_000;
 
 describe("replica", () => {
   let cluster: FakeCluster;
+  let leaderId: string;
+  let followers: string[];
 
   beforeEach(async () => {
     cluster = new FakeCluster({
       seed: 1,
       voterIds: VOTERS,
-      observerIds: OBSERVERS,
+      observerIds: [OBSERVER],
+      spareIds: [SPARE],
     });
     await cluster.start();
-    await cluster.waitForLeader();
+    leaderId = await cluster.waitForLeader();
+    followers = VOTERS.filter((entryId) => entryId !== leaderId);
+    await cluster.clock.advance(SETTLE_MS);
   });
 
-  describe("a new deployment", () => {
-    it("accepts a change from any entry", async () => {
-      for (const entryId of [...VOTERS, ...OBSERVERS]) {
+  function follower(at: number): string {
+    return followers[at] ?? "";
+  }
+
+  async function accept(entryId: string, name: string): Promise<number> {
+    const proposed = await cluster.propose(entryId, { name });
+    if (proposed.isErr) {
+      throw new Error(`${name}: ${JSON.stringify(proposed.error)}`);
+    }
+    return proposed.value.revision;
+  }
+
+  async function expectEverywhere(revision: number): Promise<void> {
+    await cluster.clock.advance(SETTLE_MS);
+    for (const { entryId, replica } of cluster.entries.values()) {
+      assert.is(replica?.state.revision, revision, entryId);
+    }
+  }
+
+  function isFresh(entryId: string): boolean {
+    const { freshUntilMs } = cluster.replica(entryId).status();
+    return freshUntilMs > cluster.clock.monotonicMs();
+  }
+
+  function listVoters(entryId: string): string[] {
+    const { voters } = cluster.replica(entryId).state.membership;
+    return voters.map((voter) => voter.entryId).sort();
+  }
+
+  // Enough entries for a snapshot, appended in large batches.
+  async function fillLog(): Promise<void> {
+    const { replica } = cluster.find(leaderId);
+    const record = { type: "record" as const, records: [] };
+    const proposals = Array.from(
+      { length: SNAPSHOT_INTERVAL_COUNT + 10 },
+      () => replica?.propose(record),
+    );
+    await cluster.clock.runUntil(Promise.all(proposals), SETTLE_MS);
+  }
+
+  describe("a deployment without faults", () => {
+    it("accepts a change from any entry and applies it everywhere", async () => {
+      let revision = 0;
+      for (const entryId of cluster.entryIds) {
+        revision = await accept(entryId, `zone-${entryId}`);
+        await cluster.clock.advance(SETTLE_MS);
+      }
+      await expectEverywhere(revision);
+      assert.is(revision, cluster.entryIds.length);
+    });
+
+    it("answers only once a majority has synced", async () => {
+      for (const entryId of followers) {
+        cluster.find(entryId).disk.beforeSync = () => cluster.clock.sleep(300);
+      }
+      const startedMs = cluster.clock.monotonicMs();
+      await accept(leaderId, "zone-slow");
+      assert.ok(cluster.clock.monotonicMs() - startedMs >= 300);
+    });
+
+    it("keeps every entry fresh while nothing changes", async () => {
+      for (let seconds = 0; seconds < 20; seconds += 1) {
         await cluster.clock.advance(1_000);
-        const proposed = await cluster.propose(entryId, { name: entryId });
-        assert.ok(proposed.isOk, JSON.stringify(proposed));
+        cluster.entryIds.forEach((entryId) => assert.ok(isFresh(entryId)));
+      }
+    });
+  });
+
+  describe("operators that race", () => {
+    it("accepts one of two changes under the same number and shows it", async () => {
+      const [left, right] = await cluster.clock.runUntil(
+        Promise.all([follower(0), OBSERVER].map((entryId, at) => {
+          const change = createChange({ name: "zone-x" }, 0);
+          change.change.operationId = `operation-${at}`;
+          return cluster.replica(entryId).propose(change);
+        })),
+        SETTLE_MS,
+      );
+      const lost = [left, right].find((proposed) => proposed?.isErr);
+      assert.ok(lost?.isErr && [left, right].some((one) => one?.isOk));
+      assert.is(lost.error.kind, "conflict");
+      assert.match(JSON.stringify(lost.error.detail), "zone-x");
+    });
+
+    for (const event of ["leader change", "restart", "snapshot"] as const) {
+      it(`gives a resend the first answer after a ${event}`, async () => {
+        const first = await accept(OBSERVER, "zone-1");
+        await accept(OBSERVER, "zone-2");
+        if (event === "snapshot") {
+          await fillLog();
+        }
+        if (event === "leader change") {
+          cluster.crash(leaderId);
+        } else {
+          VOTERS.forEach((entryId) => cluster.crash(entryId));
+          for (const entryId of VOTERS) {
+            await cluster.startEntry(entryId);
+          }
+        }
+        await cluster.clock.advance(SETTLE_MS);
+        const resend = { name: "zone-1", expectedRevision: 0 };
+        const again = await cluster.propose(OBSERVER, resend);
+        assert.ok(again.isOk && again.value.revision === first);
+        const other = { name: "zone-9", operationId: "operation-zone-1" };
+        const reused = await cluster.propose(OBSERVER, other);
+        assert.ok(reused.isErr && reused.error.kind === "operationIdReused");
+      });
+    }
+  });
+
+  describe("a leader that is lost", () => {
+    const losses = ["crash", "isolate", "pause", "mute", "deafen"] as const;
+    for (const loss of losses) {
+      it(`is replaced after ${loss} and undoes nothing on return`, async () => {
+        await accept(OBSERVER, "zone-1");
+        const { network } = cluster;
+        const lose = {
+          crash: () => cluster.crash(leaderId),
+          isolate: () => network.isolate(leaderId),
+          pause: () => cluster.pause(leaderId),
+          mute: () =>
+            cluster.entryIds.forEach((entryId) =>
+              network.setFaults(leaderId, entryId, { cut: true })
+            ),
+          deafen: () =>
+            cluster.entryIds.forEach((entryId) =>
+              network.setFaults(entryId, leaderId, { cut: true })
+            ),
+        };
+        lose[loss]();
+        const startedMs = cluster.clock.monotonicMs();
+        assert.is(await accept(follower(0), "zone-2"), 2);
+        const tookMs = cluster.clock.monotonicMs() - startedMs;
+        assert.ok(tookMs < NEXT_CHANGE_LIMIT_MS, `took ${tookMs} ms`);
+        const deposed = cluster.find(leaderId).replica?.status();
+        assert.is(deposed?.leaderSinceMs, undefined);
+        await cluster.clock.advance(FRESHNESS_LEASE_MS);
+        assert.not(loss !== "crash" && isFresh(leaderId));
+        network.heal();
+        cluster.resume(leaderId);
+        if (loss === "crash") {
+          await cluster.startEntry(leaderId);
+        }
+        await expectEverywhere(2);
+      });
+    }
+  });
+
+  describe("without a quorum", () => {
+    it("accepts nothing, and the leader and all leases lapse", async () => {
+      followers.forEach((entryId) => cluster.crash(entryId));
+      const proposed = await cluster.propose(leaderId, { name: "zone-1" });
+      assert.ok(proposed.isErr && proposed.error.kind === "noQuorum");
+      assert.equal(cluster.listLeaders(), []);
+      assert.not(isFresh(leaderId) || isFresh(OBSERVER));
+    });
+  });
+
+  describe("a follower that was away", () => {
+    it("does not disturb the others when it returns", async () => {
+      const { term } = cluster.replica(leaderId).status();
+      cluster.network.isolate(follower(0));
+      await cluster.clock.advance(60_000);
+      cluster.network.heal();
+      await cluster.clock.advance(SETTLE_MS);
+      assert.equal(cluster.listLeaders(), [leaderId]);
+      assert.is(cluster.replica(follower(0)).status().term, term);
+    });
+
+    it("takes a snapshot when the log no longer reaches back", async () => {
+      cluster.network.isolate(follower(0));
+      await accept(leaderId, "zone-1");
+      await fillLog();
+      cluster.network.heal();
+      await expectEverywhere(1);
+      cluster.crash(follower(0));
+      await cluster.startEntry(follower(0));
+      await expectEverywhere(1);
+    });
+  });
+
+  describe("an emptied data folder", () => {
+    it("neither votes nor counts before the log has its new id", async () => {
+      await accept(leaderId, "zone-1");
+      const [first, second] = followers;
+      cluster.wipe(first ?? "");
+      cluster.crash(leaderId);
+      await cluster.startEntry(first ?? "");
+      await cluster.clock.advance(30_000);
+      assert.equal(cluster.listLeaders(), []);
+      await cluster.startEntry(leaderId);
+      await expectEverywhere(1);
+      assert.ok(second);
+    });
+
+    it("is repaired, and a second one right after it loses nothing", async () => {
+      let revision = 0;
+      for (const entryId of VOTERS) {
+        cluster.wipe(entryId);
+        revision = await accept(OBSERVER, `zone-${entryId}`);
+        await cluster.startEntry(entryId);
+        const { storeId } = cluster.find(entryId);
+        await cluster.waitFor(() => {
+          const { voters } = cluster.replica(OBSERVER).state.membership;
+          return voters.find((voter) => voter.storeId === storeId);
+        }, `${entryId} votes again`);
       }
-      await cluster.clock.advance(1_000);
-      const revisions = cluster.entryIds.map((entryId) =>
-        cluster.replica(entryId).state.revision
+      assert.is(revision, VOTERS.length);
+      await expectEverywhere(revision);
+    });
+  });
+
+  describe("membership", () => {
+    async function setVoters(
+      voters: readonly string[],
+      learners: readonly string[] = [],
+    ): Promise<string> {
+      const toMember = (entryId: string) => {
+        const { storeId } = cluster.find(entryId);
+        return { entryId, storeId };
+      };
+      const proposed = await cluster.clock.runUntil(
+        cluster.replica(leaderId).propose({
+          type: "membership",
+          voters: voters.map(toMember),
+          learners: learners.map(toMember),
+        }),
+        SETTLE_MS,
+      );
+      return proposed.isOk ? "accepted" : proposed.error.kind;
+    }
+
+    it("refuses to change two voters at once", async () => {
+      assert.is(await setVoters([leaderId]), "conflict");
+      assert.is(await setVoters([]), "conflict");
+    });
+
+    it("lets a learner vote once it has caught up", async () => {
+      await accept(leaderId, "zone-1");
+      assert.is(await setVoters(VOTERS, [SPARE]), "accepted");
+      await cluster.clock.advance(SETTLE_MS);
+      assert.equal(listVoters(OBSERVER), [...VOTERS, SPARE]);
+    });
+
+    it("hands over when the leader is removed, which then keeps quiet", async () => {
+      assert.is(await setVoters(followers), "accepted");
+      await cluster.clock.advance(SETTLE_MS);
+      const { term } = cluster.replica(follower(0)).status();
+      await cluster.clock.advance(30_000);
+      assert.is(await accept(follower(0), "zone-1"), 1);
+      assert.is(cluster.replica(follower(0)).status().term, term);
+      await expectEverywhere(1);
+    });
+  });
+
+  describe("a full disk", () => {
+    it("at the leader refuses the change and lets another lead", async () => {
+      await accept(leaderId, "zone-1");
+      cluster.find(leaderId).disk.isFull = true;
+      const refused = await cluster.propose(leaderId, { name: "zone-2" });
+      assert.ok(refused.isErr && refused.error.kind === "readOnly");
+      await cluster.clock.advance(SETTLE_MS);
+      assert.is(await accept(follower(0), "zone-3"), 2);
+      cluster.find(leaderId).disk.isFull = false;
+      await expectEverywhere(2);
+    });
+  });
+
+  describe("a failed sync", () => {
+    it("ends the process", async () => {
+      cluster.find(leaderId).disk.failsSync = true;
+      void cluster.replica(leaderId).propose(
+        createChange({ name: "zone-1" }, 0),
       );
-      assert.equal(revisions, [5, 5, 5, 5, 5]);
+      await cluster.clock.advance(100);
+      assert.is(cluster.fatal.length, 1);
     });
   });
 });
