Wait without building an error when a wait ends early

Cause: the promise timers of node build an AbortError with its stack when a wait is ended early, and nearly every wait here is (a waiting request is woken by a release, a peer call by its answer). A profile of one daemon under 120 waiting requests showed some 14% of its time in building these errors. Change: the clock's sleep uses a plain timer and removes it.

--- a/src/adapters/clock/system_clock.ts
+++ b/src/adapters/clock/system_clock.ts
@@ -1,6 +1,5 @@
 /** The clock of this machine. */
 import { performance } from "node:perf_hooks";
-import { setTimeout as setTimer } from "node:timers/promises";
 import type { Clock } from "../../ports/index.ts";
 
 const MAX_TIMER_MS = 2_147_483_647;
@@ -15,18 +14,21 @@
     return performance.now();
   }
 
-  async sleep(delayMs: number, signal?: AbortSignal): Promise<void> {
-    const boundedMs = Math.min(Math.max(0, delayMs), MAX_TIMER_MS);
-    try {
-      await setTimer(
-        boundedMs,
-        undefined,
-        signal === undefined ? {} : { signal },
-      );
-    } catch (error) {
-      if (!signal?.aborted) {
-        throw error;
-      }
+  // Not the promise timers of node: their wait that ends early builds an
+  // error with a stack, and most waits here end early.
+  sleep(delayMs: number, signal?: AbortSignal): Promise<void> {
+    if (signal?.aborted) {
+      return Promise.resolve();
     }
+    const boundedMs = Math.min(Math.max(0, delayMs), MAX_TIMER_MS);
+    return new Promise((resolve) => {
+      const finish = () => {
+        clearTimeout(timer);
+        signal?.removeEventListener("abort", finish);
+        resolve();
+      };
+      const timer = setTimeout(finish, boundedMs);
+      signal?.addEventListener("abort", finish, { once: true });
+    });
   }
 }
