Add the bench: harness, deployment with cuts, overload, limits, keys, shutdown

Real daemons, relays that delay and cut silently or one way, a balancer that follows /readyz, callers that record how each call looked, and an audit that matches these records with what the stand-in backend servers started. Each run cleans up its processes, also on an interrupt or over time. A target that is missed is printed as missed.

--- /dev/null
+++ b/src/bench/bench_fleet.ts
@@ -0,0 +1,110 @@
+/** The fleet that measurements run on: services, pools, teams, queues. */
+
+const ZONE_COUNT = 3;
+const VMS_PER_RACK = 4;
+const REGION = "region-1";
+const SPARE_SERVICE = "workshop";
+
+/** Options of {@link createFleetResources}. */
+export interface FleetOptions {
+  /** Services besides the spare one, each with a pool and a queue. */
+  readonly serviceCount: number;
+  /** VMs in each pool, the spare pool included. */
+  readonly vmsPerPool: number;
+  readonly teams: readonly FleetTeam[];
+  readonly maxWaitMs?: number;
+  readonly maxRunMs?: number;
+}
+
+/** A team of the fleet. */
+export interface FleetTeam {
+  readonly name: string;
+  readonly share: number;
+  readonly maxRunningCount: number;
+}
+
+/** A VM of the fleet with its zone. */
+export interface FleetVm {
+  readonly name: string;
+  readonly zone: string;
+}
+
+/** Resources with the names that loads need. */
+export interface FleetPlan {
+  readonly resources: readonly unknown[];
+  readonly vms: readonly FleetVm[];
+  /** Queues in the order of their services; the spare pool's queue is last. */
+  readonly queues: readonly string[];
+}
+
+/**
+ * Creates a fleet over three zones.
+ *
+ * @param options - Counts, teams and the queues' times (ms).
+ * @returns The resources to apply.
+ */
+export function createFleetResources(options: FleetOptions): FleetPlan {
+  const services = Array.from(
+    { length: options.serviceCount },
+    (_, at) => `studio-${at + 1}`,
+  );
+  services.push(SPARE_SERVICE);
+  const vms = services.flatMap((service) => createVms(service, options));
+  const resources = [
+    ...createZones(),
+    ...vms.map(({ resource }) => resource),
+    ...services.map((service) => createPool(service)),
+    ...services.map((service) => createQueue(service, options)),
+    ...options.teams.map((team) => ({ kind: "team", ...team })),
+    { kind: "binding", name: "all", teamSelector: {}, queueSelector: {} },
+  ];
+  return {
+    resources,
+    vms: vms.map(({ resource }) => resource),
+    queues: services.map((service) => `${service}-work`),
+  };
+}
+
+function createZones(): unknown[] {
+  return Array.from({ length: ZONE_COUNT }, (_, at) => ({
+    kind: "zone",
+    name: `zone-${at + 1}`,
+    region: REGION,
+  }));
+}
+
+function createVms(service: string, { vmsPerPool }: FleetOptions) {
+  return Array.from({ length: vmsPerPool }, (_, at) => ({
+    resource: {
+      kind: "vm",
+      name: `${service}-vm-${at + 1}`,
+      zone: `zone-${at % ZONE_COUNT + 1}`,
+      rack: `rack-${Math.floor(at / VMS_PER_RACK) + 1}`,
+      labels: { service },
+    },
+  }));
+}
+
+function createPool(service: string): unknown {
+  return {
+    kind: "pool",
+    name: service,
+    labels: { service },
+    vmSelector: { service: [service] },
+    spare: service === SPARE_SERVICE,
+    budgets: [{ domain: "pool", maxUnavailableVmCount: 1 }],
+  };
+}
+
+function createQueue(service: string, options: FleetOptions): unknown {
+  return {
+    kind: "queue",
+    name: `${service}-work`,
+    labels: { service },
+    poolSelector: { service: [service, SPARE_SERVICE] },
+    ...(options.maxWaitMs === undefined
+      ? {}
+      : { maxWaitMs: options.maxWaitMs }),
+    ...(options.maxRunMs === undefined ? {} : { maxRunMs: options.maxRunMs }),
+  };
+}
--- /dev/null
+++ b/src/bench/evidence.ts
@@ -0,0 +1,122 @@
+/** Evidence from the stand-ins: what really ran, matched with what callers saw. */
+import type { CallRecord, StandInBackend } from "../stand_ins/index.ts";
+
+/** One piece of work that a stand-in backend server started. */
+export interface Work {
+  readonly callId: string;
+  readonly team: string;
+  readonly startedAtMs: number;
+  /** Infinity while it runs. */
+  readonly endedAtMs: number;
+  /** Position of the backend server in the list. */
+  readonly backendAt: number;
+}
+
+/** How callers' records and the evidence disagree; each should be 0. */
+export interface Audit {
+  /** Calls that ran more than once. */
+  readonly doubledCount: number;
+  /** Calls answered as a success that never ran, or that got no answer at all. */
+  readonly lostCount: number;
+  /** Answers that looked complete but were not the answer to the call. */
+  readonly truncatedCount: number;
+  /** Calls that were said not to have run, but ran. */
+  readonly falseNotRunCount: number;
+}
+
+/**
+ * Collects all work that was started.
+ *
+ * @param backends - The stand-in backend servers.
+ * @returns The work, in the order of its start.
+ */
+export function collectWork(backends: readonly StandInBackend[]): Work[] {
+  const works = backends.flatMap((backend, backendAt) =>
+    backend.started.map(({ path, startedAtMs, endedAtMs }) => {
+      const [, team = "", callId = ""] = path.split("/");
+      return {
+        callId,
+        team,
+        startedAtMs,
+        endedAtMs: endedAtMs ?? Infinity,
+        backendAt,
+      };
+    })
+  );
+  return works.sort((left, right) => left.startedAtMs - right.startedAtMs);
+}
+
+/**
+ * Matches callers' records with the evidence.
+ *
+ * @param records - Every call.
+ * @param works - All work that was started.
+ * @returns The counts of disagreements.
+ */
+export function auditCalls(
+  records: readonly CallRecord[],
+  works: readonly Work[],
+): Audit {
+  const runsByCall = new Map<string, number>();
+  for (const { callId } of works) {
+    runsByCall.set(callId, (runsByCall.get(callId) ?? 0) + 1);
+  }
+  const countRuns = ({ callId }: CallRecord) => runsByCall.get(callId) ?? 0;
+  const isLost = (record: CallRecord) =>
+    record.outcome === "broken" ||
+    (record.outcome === "succeeded" && countRuns(record) === 0);
+  return {
+    doubledCount: [...runsByCall.values()].filter((runs) => runs > 1).length,
+    lostCount: records.filter(isLost).length,
+    truncatedCount:
+      records.filter(({ outcome }) => outcome === "truncated").length,
+    falseNotRunCount:
+      records.filter((record) =>
+        record.outcome === "notRun" && countRuns(record) > 0
+      ).length,
+  };
+}
+
+/** A stretch of monotonic time, in milliseconds. */
+export interface Span {
+  readonly fromMs: number;
+  readonly untilMs: number;
+}
+
+/**
+ * Works out how much ran on average during a span.
+ *
+ * @param works - The work.
+ * @param span - The span.
+ * @returns Mean number of pieces of work that ran at once.
+ */
+export function averageRunning(works: readonly Work[], span: Span): number {
+  let busyMs = 0;
+  for (const { startedAtMs, endedAtMs } of works) {
+    const fromMs = Math.max(startedAtMs, span.fromMs);
+    const untilMs = Math.min(endedAtMs, span.untilMs);
+    busyMs += Math.max(0, untilMs - fromMs);
+  }
+  return busyMs / (span.untilMs - span.fromMs);
+}
+
+/**
+ * Walks through the starts and tells how much ran at each.
+ *
+ * @param works - The work, in the order of its start.
+ * @param visit - Called at each start with what ran then, itself included.
+ */
+export function walkStarts(
+  works: readonly Work[],
+  visit: (work: Work, runningCount: number) => void,
+): void {
+  const ends = works.map(({ endedAtMs }) => endedAtMs)
+    .sort((left, right) => left - right);
+  let endedCount = 0;
+  works.forEach((work, at) => {
+    while ((ends[endedCount] ?? Infinity) <= work.startedAtMs) {
+      endedCount += 1;
+    }
+    visit(work, at + 1 - endedCount);
+  });
+}
--- /dev/null
+++ b/src/bench/evidence_test.ts
@@ -0,0 +1,94 @@
+import * as assert from "uvu/assert";
+import type { CallOutcome, CallRecord } from "../stand_ins/index.ts";
+import { describe, it } from "../testing/describe.ts";
+import {
+  auditCalls,
+  averageRunning,
+  walkStarts,
+  type Work,
+} from "./evidence.ts";
+
+function createRecord(callId: string, outcome: CallOutcome): CallRecord {
+  return {
+    callId,
+    team: "team-1",
+    queue: "queue-1",
+    entryUrl: "",
+    sentAtMs: 0,
+    endedAtMs: 10,
+    outcome,
+    status: 200,
+    requestId: "",
+    why: "",
+  };
+}
+
+function createWork(
+  callId: string,
+  startedAtMs: number,
+  endedAtMs: number,
+): Work {
+  return { callId, team: "team-1", startedAtMs, endedAtMs, backendAt: 0 };
+}
+
+describe("evidence", () => {
+  describe("auditCalls", () => {
+    const cases: readonly [
+      title: string,
+      outcome: CallOutcome,
+      runCount: number,
+      expected: readonly [
+        doubled: number,
+        lost: number,
+        truncated: number,
+        falseNotRun: number,
+      ],
+    ][] = [
+      ["a success that ran once", "succeeded", 1, [0, 0, 0, 0]],
+      ["a success that ran twice", "succeeded", 2, [1, 0, 0, 0]],
+      ["a success that never ran", "succeeded", 0, [0, 1, 0, 0]],
+      ["a true refusal", "notRun", 0, [0, 0, 0, 0]],
+      ["a refusal of work that ran", "notRun", 1, [0, 0, 0, 1]],
+      ["a broken connection", "broken", 1, [0, 1, 0, 0]],
+      ["an answer cut short", "truncated", 1, [0, 0, 1, 0]],
+      ["an outcome in doubt", "unknown", 1, [0, 0, 0, 0]],
+    ];
+    for (const [title, outcome, runCount, expected] of cases) {
+      it(`judges ${title}`, () => {
+        const works = Array.from(
+          { length: runCount },
+          () => createWork("call-1", 0, 5),
+        );
+        const audit = auditCalls([createRecord("call-1", outcome)], works);
+        assert.equal(
+          [
+            audit.doubledCount,
+            audit.lostCount,
+            audit.truncatedCount,
+            audit.falseNotRunCount,
+          ],
+          expected,
+        );
+      });
+    }
+  });
+
+  describe("overlap", () => {
+    const works = [
+      createWork("a", 0, 10),
+      createWork("b", 5, 15),
+      createWork("c", 10, Infinity),
+    ];
+
+    it("counts what runs at each start, and frees a place that ends then", () => {
+      const counts: number[] = [];
+      walkStarts(works, (_, runningCount) => counts.push(runningCount));
+      assert.equal(counts, [1, 2, 2]);
+    });
+
+    it("averages over a span only", () => {
+      const average = averageRunning(works, { fromMs: 0, untilMs: 20 });
+      assert.is(average, 1.5);
+    });
+  });
+});
--- /dev/null
+++ b/src/bench/load.ts
@@ -0,0 +1,81 @@
+/** Load on a deployment: at a rate of its own, or by callers that wait. */
+import { SystemClock } from "../adapters/clock/index.ts";
+import type { Call, CallRecord, StandInCaller } from "../stand_ins/index.ts";
+
+const TICK_MS = 10;
+const MS_PER_SECOND = 1_000;
+const REFUSED_PAUSE_MS = 50;
+
+/** Options of {@link runOpenLoop}. */
+export interface OpenLoopOptions {
+  readonly caller: StandInCaller;
+  /** Calls a second, whatever becomes of them. */
+  readonly ratePerSecond: number;
+  readonly durationMs: number;
+  /** Chooses the next call. */
+  readonly chooseCall: () => Call;
+}
+
+/**
+ * Sends calls at a fixed rate, however slowly they are answered.
+ *
+ * @param options - Rate, duration and calls.
+ * @returns The records of all calls, once each has ended.
+ */
+export async function runOpenLoop(
+  options: OpenLoopOptions,
+): Promise<CallRecord[]> {
+  const { caller, ratePerSecond, durationMs, chooseCall } = options;
+  const clock = new SystemClock();
+  const startedAtMs = clock.monotonicMs();
+  const pending: Promise<CallRecord>[] = [];
+  for (;;) {
+    const elapsedMs = clock.monotonicMs() - startedAtMs;
+    const boundedMs = Math.min(elapsedMs, durationMs);
+    const dueCount = Math.floor(boundedMs * ratePerSecond / MS_PER_SECOND);
+    while (pending.length < dueCount) {
+      pending.push(caller.send(chooseCall()));
+    }
+    if (elapsedMs >= durationMs) {
+      return await Promise.all(pending);
+    }
+    await clock.sleep(TICK_MS);
+  }
+}
+
+/** Options of {@link runClosedLoop}. */
+export interface ClosedLoopOptions {
+  readonly caller: StandInCaller;
+  /** Callers that each wait for an answer before the next call. */
+  readonly callerCount: number;
+  readonly durationMs: number;
+  /** Chooses the next call of a caller. */
+  readonly chooseCall: (callerAt: number) => Call;
+  /** Ends the load early. */
+  readonly signal?: AbortSignal;
+}
+
+/**
+ * Keeps a fixed number of callers busy.
+ *
+ * @param options - Number of callers, duration and calls.
+ * @returns Resolves when each caller's last call has ended.
+ */
+export async function runClosedLoop(options: ClosedLoopOptions): Promise<void> {
+  const clock = new SystemClock();
+  const untilMs = clock.monotonicMs() + options.durationMs;
+  const isOver = () =>
+    clock.monotonicMs() >= untilMs || options.signal?.aborted === true;
+  const callers = Array.from(
+    { length: options.callerCount },
+    async (_, callerAt) => {
+      while (!isOver()) {
+        const record = await options.caller.send(options.chooseCall(callerAt));
+        if (record.outcome !== "succeeded") {
+          await clock.sleep(REFUSED_PAUSE_MS);
+        }
+      }
+    },
+  );
+  await Promise.all(callers);
+}
--- /dev/null
+++ b/src/bench/registry.ts
@@ -0,0 +1,14 @@
+/** All measurements, in the order of their value. */
+import { KeysMeasurement } from "./keys.ts";
+import { LimitsMeasurement } from "./limits.ts";
+import type { Measurement } from "./measurement.ts";
+import { OverloadMeasurement } from "./overload.ts";
+import { ShutdownMeasurement } from "./shutdown.ts";
+
+/** Every measurement that the bench can run. */
+export const MEASUREMENTS: readonly Measurement[] = [
+  new OverloadMeasurement(),
+  new LimitsMeasurement(),
+  new KeysMeasurement(),
+  new ShutdownMeasurement(),
+];
--- /dev/null
+++ b/src/bench/run_measurement.ts
@@ -0,0 +1,92 @@
+/** Runs one measurement, cleans up whatever happens, and prints its figures. */
+import process from "node:process";
+import { SeededRandom } from "../adapters/random/index.ts";
+import { CleanupStack } from "./cleanup_stack.ts";
+import {
+  type Figures,
+  type Measurement,
+  type MeasurementContext,
+  meetsTarget,
+  type Outcome,
+  type Target,
+} from "./measurement.ts";
+
+const INTERRUPTED_EXIT_CODE = 130;
+const QUICK_LIMIT_MS = 50_000;
+const DECIMALS = 4;
+
+/** Options of {@link runMeasurement}. */
+export interface RunOptions {
+  readonly seed: number;
+  readonly quick: boolean;
+  readonly entryCount: number;
+  readonly voterCount: number;
+}
+
+/**
+ * Runs a measurement; its processes end with it, also on an interrupt.
+ *
+ * @param measurement - The measurement.
+ * @param options - Seed, size and number of entries.
+ * @returns Figures and plots.
+ * @throws Error when the measurement cannot be carried out.
+ */
+export async function runMeasurement(
+  measurement: Measurement,
+  options: RunOptions,
+): Promise<Outcome> {
+  const cleanup = new CleanupStack();
+  const interrupt = () => endEarly(cleanup, "interrupted");
+  process.once("SIGINT", interrupt);
+  process.once("SIGTERM", interrupt);
+  const limit = options.quick
+    ? setTimeout(() => endEarly(cleanup, "over time"), QUICK_LIMIT_MS)
+    : undefined;
+  const context: MeasurementContext = {
+    ...options,
+    cleanup,
+    random: new SeededRandom(options.seed),
+    report: (text) => process.stderr.write(`${measurement.name}: ${text}\n`),
+  };
+  try {
+    const outcome = await measurement.run(context);
+    return { ...outcome, figures: roundFigures(outcome.figures) };
+  } finally {
+    clearTimeout(limit);
+    process.off("SIGINT", interrupt);
+    process.off("SIGTERM", interrupt);
+    const failures = await cleanup.run();
+    failures.forEach((failure) =>
+      process.stderr.write(`clean-up: ${String(failure)}\n`)
+    );
+  }
+}
+
+/**
+ * Describes a target beside its figure.
+ *
+ * @param target - The target.
+ * @param figures - The figures.
+ * @returns One line, which says when the target is missed.
+ */
+export function describeTarget(target: Target, figures: Figures): string {
+  const sign = target.bound === "atMost" ? "<=" : ">=";
+  const verdict = meetsTarget(target, figures) ? "met" : "MISSED";
+  const figure = figures[target.field] ?? "none";
+  return `${target.field} ${figure} (target ${sign} ${target.value}): ${verdict}`;
+}
+
+async function endEarly(cleanup: CleanupStack, why: string): Promise<void> {
+  process.stderr.write(`bench: ${why}; cleaning up\n`);
+  await cleanup.run();
+  process.exit(INTERRUPTED_EXIT_CODE);
+}
+
+function roundFigures(figures: Figures): Figures {
+  const scale = 10 ** DECIMALS;
+  const rounded = Object.entries(figures).map(([field, value]) => [
+    field,
+    typeof value === "number" ? Math.round(value * scale) / scale : value,
+  ]);
+  return Object.fromEntries(rounded);
+}
--- /dev/null
+++ b/src/bench/shutdown.ts
@@ -0,0 +1,98 @@
+/** A planned stop of every entry in turn, under load. */
+import { SystemClock } from "../adapters/clock/index.ts";
+import type { CallRecord } from "../stand_ins/index.ts";
+import { auditCalls, collectWork } from "./evidence.ts";
+import { runClosedLoop } from "./load.ts";
+import type {
+  Measurement,
+  MeasurementContext,
+  Outcome,
+} from "./measurement.ts";
+import { createCall, createWorkbench, type Workbench } from "./workbench.ts";
+
+const TEAM = "team-1";
+const WORK_MS = 300;
+const CALLER_COUNT = 60;
+const LONGEST_MS = 120_000;
+const BETWEEN_MS = 500;
+const SHOWN_COUNT = 3;
+
+/** Requests that a rolling restart cuts. */
+export class ShutdownMeasurement implements Measurement {
+  readonly name = "shutdown";
+  readonly summary = "requests cut by a rolling restart of every entry";
+  readonly targets = [
+    { field: "cutCount", bound: "atMost", value: 0 },
+  ] as const;
+
+  async run(context: MeasurementContext): Promise<Outcome> {
+    const bench = await createWorkbench(context, {
+      fleet: {
+        serviceCount: 2,
+        vmsPerPool: 4,
+        teams: [{ name: TEAM, share: 1, maxRunningCount: 100 }],
+      },
+      workMs: WORK_MS,
+    });
+    const over = new AbortController();
+    const load = runClosedLoop({
+      caller: bench.caller,
+      callerCount: CALLER_COUNT,
+      durationMs: LONGEST_MS,
+      signal: over.signal,
+      chooseCall: () => createCall(bench, TEAM, 0),
+    });
+    const stopMs = await restartAll(context, bench);
+    over.abort();
+    await load;
+    const { records } = bench.caller;
+    const cut = records.filter(isCut);
+    cut.slice(0, SHOWN_COUNT).forEach(({ outcome, why }) =>
+      context.report(`cut: ${outcome}: ${why}`)
+    );
+    return {
+      figures: {
+        requestCount: records.length,
+        cutCount: cut.length,
+        ...auditCalls(records, collectWork(bench.backends)),
+        notRunCount: records.filter(({ outcome }) => outcome === "notRun")
+          .length,
+        longestStopMs: Math.max(...stopMs),
+      },
+      plots: [{
+        title: "Time from the stop signal to the exit of each entry",
+        xLabel: "entry",
+        yLabel: "ms",
+        series: [{
+          label: "planned stop",
+          points: stopMs.map((tookMs, at) => [at + 1, tookMs]),
+        }],
+      }],
+    };
+  }
+}
+
+async function restartAll(
+  context: MeasurementContext,
+  bench: Workbench,
+): Promise<number[]> {
+  const { deployment } = bench;
+  const clock = new SystemClock();
+  const stopMs: number[] = [];
+  for (const entry of deployment.entries) {
+    const startedAtMs = clock.monotonicMs();
+    const exitCode = await entry.daemon.stop();
+    stopMs.push(clock.monotonicMs() - startedAtMs);
+    if (exitCode !== 0) {
+      throw new Error(`${entry.plan.entryId} ended with ${exitCode}`);
+    }
+    await deployment.restart(entry);
+    context.report(`${entry.plan.entryId} is back`);
+    await clock.sleep(BETWEEN_MS);
+  }
+  return stopMs;
+}
+
+function isCut({ outcome }: CallRecord): boolean {
+  return outcome !== "succeeded" && outcome !== "notRun";
+}
--- /dev/null
+++ b/src/stand_ins/deployment.ts
@@ -0,0 +1,184 @@
+/** A test deployment: real daemons, a network that can be cut, a balancer. */
+import { randomBytes } from "node:crypto";
+import { mkdtemp, rm } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import type { Random } from "../ports/index.ts";
+import {
+  type DaemonProcess,
+  spawnDaemon,
+  startDaemon,
+  waitUntilReady,
+} from "../testing/index.ts";
+import { DeploymentBalancer } from "./deployment_balancer.ts";
+import {
+  type EntryPlan,
+  planEntries,
+  writeSettings,
+  writeSharedFiles,
+} from "./deployment_files.ts";
+import { DeploymentNetwork } from "./deployment_network.ts";
+import { DeploymentOperator } from "./deployment_operator.ts";
+
+const DEFAULT_ZONE_COUNT = 3;
+const DEFAULT_DELAY_MS = 1.5;
+const OPERATOR_KEY_BYTES = 24;
+
+/** Options of {@link startDeployment}. */
+export interface DeploymentOptions {
+  readonly entryCount: number;
+  /** Entries with a disk, which vote. */
+  readonly voterCount: number;
+  readonly random: Random;
+  readonly zoneCount?: number;
+  /** One-way delay between entries, in milliseconds. */
+  readonly delayMs?: number;
+  /** Relative weights of the entries at the balancer. */
+  readonly weights?: readonly number[];
+  /** Settings over those that the deployment needs. */
+  readonly extraSettings?: Readonly<Record<string, unknown>>;
+}
+
+/** An entry of the deployment with its running process. */
+export interface DeployedEntry {
+  readonly plan: EntryPlan;
+  daemon: DaemonProcess;
+}
+
+/** The parts that a {@link Deployment} is made of. */
+interface DeploymentParts {
+  readonly folder: string;
+  readonly entries: DeployedEntry[];
+  readonly network: DeploymentNetwork;
+  readonly balancer: DeploymentBalancer;
+  readonly operator: DeploymentOperator;
+}
+
+/** Real daemons with everything around them. */
+export class Deployment {
+  readonly entries: readonly DeployedEntry[];
+  readonly network: DeploymentNetwork;
+  readonly balancer: DeploymentBalancer;
+  readonly operator: DeploymentOperator;
+  readonly #folder: string;
+
+  constructor(parts: DeploymentParts) {
+    this.entries = parts.entries;
+    this.network = parts.network;
+    this.balancer = parts.balancer;
+    this.operator = parts.operator;
+    this.#folder = parts.folder;
+  }
+
+  /**
+   * Finds an entry.
+   *
+   * @param entryId - Id of the entry.
+   * @returns The entry.
+   * @throws Error when there is none.
+   */
+  find(entryId: string): DeployedEntry {
+    const found = this.entries.find(({ plan }) => plan.entryId === entryId);
+    if (found === undefined) {
+      throw new Error(`the deployment has no entry ${entryId}`);
+    }
+    return found;
+  }
+
+  /**
+   * Finds the leader, as the entries see it.
+   *
+   * @returns The leader that most entries name.
+   * @throws Error when no entry names one.
+   */
+  async findLeader(): Promise<DeployedEntry> {
+    const leaderId = await this.operator.findLeaderId();
+    return this.find(leaderId);
+  }
+
+  /**
+   * Starts an entry again after it was stopped or ended.
+   *
+   * @param entry - The entry.
+   */
+  async restart(entry: DeployedEntry): Promise<void> {
+    entry.daemon = await startDaemon(toDaemonOptions(entry.plan));
+  }
+
+  /** Ends every process and removes all files. */
+  async stop(): Promise<void> {
+    await this.balancer.stop();
+    await Promise.all(this.entries.map(({ daemon }) => daemon.kill()));
+    await this.network.stop();
+    await rm(this.#folder, { recursive: true, force: true });
+  }
+}
+
+/**
+ * Starts a deployment and waits until every entry is ready.
+ *
+ * @param options - Counts, delay and weights.
+ * @returns The deployment.
+ * @throws Error when an entry is not ready in time; nothing is left behind.
+ */
+export async function startDeployment(
+  options: DeploymentOptions,
+): Promise<Deployment> {
+  const folder = await mkdtemp(join(tmpdir(), "cardamomsill-bench-"));
+  const plans = await planEntries({
+    folder,
+    entryCount: options.entryCount,
+    voterCount: options.voterCount,
+    zoneCount: options.zoneCount ?? DEFAULT_ZONE_COUNT,
+  });
+  const network = await DeploymentNetwork.start(
+    plans,
+    options.delayMs ?? DEFAULT_DELAY_MS,
+  );
+  const operatorKey = randomBytes(OPERATOR_KEY_BYTES).toString("hex");
+  const shared = await writeSharedFiles(folder, operatorKey);
+  const extraSettings = options.extraSettings ?? {};
+  await writeSettings({ plans, network, shared, extraSettings });
+  const deployment = new Deployment({
+    folder,
+    network,
+    entries: plans.map((plan) => ({
+      plan,
+      daemon: spawnDaemon(toDaemonOptions(plan)),
+    })),
+    balancer: createBalancer(plans, options),
+    operator: new DeploymentOperator({
+      urls: plans.map(({ url }) => url),
+      key: operatorKey,
+    }),
+  });
+  await waitUntilServing(deployment);
+  return deployment;
+}
+
+function createBalancer(
+  plans: readonly EntryPlan[],
+  options: DeploymentOptions,
+): DeploymentBalancer {
+  return new DeploymentBalancer({
+    urls: plans.map(({ url }) => url),
+    random: options.random,
+    ...(options.weights === undefined ? {} : { weights: options.weights }),
+  });
+}
+
+async function waitUntilServing(deployment: Deployment): Promise<void> {
+  try {
+    await Promise.all(
+      deployment.entries.map(({ daemon }) => waitUntilReady(daemon)),
+    );
+    deployment.balancer.start();
+  } catch (error) {
+    await deployment.stop();
+    throw error;
+  }
+}
+
+function toDaemonOptions({ folder, settingsFile, url }: EntryPlan) {
+  return { folder, settingsFile, url };
+}
--- /dev/null
+++ b/src/stand_ins/deployment_files.ts
@@ -0,0 +1,127 @@
+/** Writes the files that the daemons of a test deployment read. */
+import { mkdir, writeFile } from "node:fs/promises";
+import { join } from "node:path";
+import { findFreePorts } from "../testing/free_port.ts";
+import type { DeploymentNetwork } from "./deployment_network.ts";
+
+const PEER_SECRET = "secret-of-the-test-deployment";
+
+/** An entry of a test deployment, before it is started. */
+export interface EntryPlan {
+  readonly entryId: string;
+  readonly zone: string;
+  readonly voter: boolean;
+  readonly httpPort: number;
+  readonly peerPort: number;
+  readonly url: string;
+  /** Working folder of the daemon. */
+  readonly folder: string;
+  readonly settingsFile: string;
+}
+
+/** Options of {@link planEntries}. */
+export interface PlanOptions {
+  readonly folder: string;
+  readonly entryCount: number;
+  readonly voterCount: number;
+  readonly zoneCount: number;
+}
+
+/** Files that all entries share. */
+export interface SharedFiles {
+  readonly operatorKeyFile: string;
+  readonly peerSecretFile: string;
+}
+
+/**
+ * Plans entries over zones, with free ports; voters come first.
+ *
+ * @param options - Folder and counts.
+ * @returns One plan for each entry.
+ */
+export async function planEntries(options: PlanOptions): Promise<EntryPlan[]> {
+  const { folder, entryCount, voterCount, zoneCount } = options;
+  const ports = await findFreePorts(entryCount * 2);
+  return Array.from({ length: entryCount }, (_, at) => {
+    const entryId = `entry-${at + 1}`;
+    const httpPort = ports[at * 2] ?? 0;
+    return {
+      entryId,
+      zone: `zone-${at % zoneCount + 1}`,
+      voter: at < voterCount,
+      httpPort,
+      peerPort: ports[at * 2 + 1] ?? 0,
+      url: `http://127.0.0.1:${httpPort}`,
+      folder: join(folder, entryId),
+      settingsFile: join(folder, entryId, "entry.jsonc"),
+    };
+  });
+}
+
+/**
+ * Writes the operator's key and the secret of the entries.
+ *
+ * @param folder - Folder of the deployment.
+ * @param operatorKey - The key to write.
+ * @returns Paths of the files.
+ */
+export async function writeSharedFiles(
+  folder: string,
+  operatorKey: string,
+): Promise<SharedFiles> {
+  const operatorKeyFile = join(folder, "operator.key");
+  const peerSecretFile = join(folder, "peer.secret");
+  await writeFile(operatorKeyFile, `${operatorKey}\n`);
+  await writeFile(peerSecretFile, `${PEER_SECRET}\n`);
+  return { operatorKeyFile, peerSecretFile };
+}
+
+/** Options of {@link writeSettings}. */
+export interface WriteSettingsOptions {
+  readonly plans: readonly EntryPlan[];
+  readonly network: DeploymentNetwork;
+  readonly shared: SharedFiles;
+  /** Further settings, over those that the deployment needs. */
+  readonly extraSettings: Readonly<Record<string, unknown>>;
+}
+
+/**
+ * Writes the settings file of each entry; peers are reached through relays.
+ *
+ * @param options - Plans, network and shared files.
+ */
+export async function writeSettings(
+  options: WriteSettingsOptions,
+): Promise<void> {
+  for (const plan of options.plans) {
+    await mkdir(plan.folder, { recursive: true });
+    const settings = createSettings(plan, options);
+    await writeFile(plan.settingsFile, JSON.stringify(settings, undefined, 2));
+  }
+}
+
+function createSettings(
+  plan: EntryPlan,
+  { plans, network, shared, extraSettings }: WriteSettingsOptions,
+): unknown {
+  const others = plans.filter(({ entryId }) => entryId !== plan.entryId);
+  return {
+    entryId: plan.entryId,
+    zone: plan.zone,
+    voter: plan.voter,
+    dataFolder: plan.voter ? "data" : null,
+    http: { port: plan.httpPort },
+    peer: { port: plan.peerPort },
+    operatorKeyFile: shared.operatorKeyFile,
+    peerSecretFile: others.length > 0 ? shared.peerSecretFile : null,
+    peers: others.map(({ entryId, zone, voter }) => ({
+      entryId,
+      host: "127.0.0.1",
+      port: network.findPort(plan.entryId, entryId),
+      zone,
+      voter,
+    })),
+    logLevel: "warn",
+    ...extraSettings,
+  };
+}
--- a/src/stand_ins/index.ts
+++ b/src/stand_ins/index.ts
@@ -1,2 +1,9 @@
 /** Small stand-ins for the systems around an entry. */
+export * from "./deployment.ts";
+export * from "./deployment_balancer.ts";
+export * from "./deployment_files.ts";
+export * from "./deployment_network.ts";
+export * from "./deployment_operator.ts";
+export * from "./relay.ts";
 export * from "./stand_in_backend.ts";
+export * from "./stand_in_caller.ts";
