Tell a connection never made from one that broke

Cause: in the overload bench calls that never connected counted as lost. Change: such a call is 'unreached'; it was never sent, and it is counted and printed on its own.

--- a/src/bench/evidence.ts
+++ b/src/bench/evidence.ts
@@ -1,6 +1,9 @@
 /** Evidence from the stand-ins: what really ran, matched with what callers saw. */
 import type { CallRecord, StandInBackend } from "../stand_ins/index.ts";
 
+const REASON_LENGTH = 160;
+const REASON_COUNT = 5;
+
 /** One piece of work that a stand-in backend server started. */
 export interface Work {
   readonly callId: string;
@@ -120,3 +123,23 @@
     visit(work, at + 1 - endedCount);
   });
 }
+
+/**
+ * Summarises why calls ended in other ways than an answer or a refusal.
+ *
+ * @param records - Every call.
+ * @returns One line for each reason, with its count.
+ */
+export function describeBroken(records: readonly CallRecord[]): string[] {
+  const counts = new Map<string, number>();
+  for (const { outcome, why } of records) {
+    if (outcome !== "succeeded" && outcome !== "notRun") {
+      const reason = `${outcome}: ${why.slice(0, REASON_LENGTH)}`;
+      counts.set(reason, (counts.get(reason) ?? 0) + 1);
+    }
+  }
+  return [...counts]
+    .sort((left, right) => right[1] - left[1])
+    .slice(0, REASON_COUNT)
+    .map(([reason, count]) => `${count} calls ${reason}`);
+}
--- a/src/bench/evidence_test.ts
+++ b/src/bench/evidence_test.ts
@@ -50,6 +50,7 @@
       ["a true refusal", "notRun", 0, [0, 0, 0, 0]],
       ["a refusal of work that ran", "notRun", 1, [0, 0, 0, 1]],
       ["a broken connection", "broken", 1, [0, 1, 0, 0]],
+      ["a connection never made", "unreached", 0, [0, 0, 0, 0]],
       ["an answer cut short", "truncated", 1, [0, 0, 1, 0]],
       ["an outcome in doubt", "unknown", 1, [0, 0, 0, 0]],
     ];
--- a/src/bench/overload.ts
+++ b/src/bench/overload.ts
@@ -1,7 +1,12 @@
 /** Five times the capacity for ten seconds: goodput, waits and exact outcomes. */
 import { SystemClock } from "../adapters/clock/index.ts";
 import type { CallRecord } from "../stand_ins/index.ts";
-import { auditCalls, collectWork, type Work } from "./evidence.ts";
+import {
+  auditCalls,
+  collectWork,
+  describeBroken,
+  type Work,
+} from "./evidence.ts";
 import { LatencyHistogram } from "./latency_histogram.ts";
 import { runOpenLoop } from "./load.ts";
 import type {
@@ -60,6 +65,7 @@
     const goodCount = countBetween(records, startedAtMs);
     const goodPerSecond = goodCount / (OVERLOAD_MS / MS_PER_SECOND);
     const waits = measureWaits(overloaded, works);
+    describeBroken(records).forEach((line) => context.report(line));
     return {
       figures: {
         offeredRatio: OFFERED_RATIO,
@@ -72,6 +78,7 @@
         admittedWaitP50Ms: waits.percentileMs(50),
         notRunCount: countOutcome(overloaded, "notRun"),
         unknownCount: countOutcome(overloaded, "unknown"),
+        unreachedCount: countOutcome(overloaded, "unreached"),
       },
       plots: [{
         title: "Answers in each second of the overload",
--- a/src/stand_ins/stand_in_caller.ts
+++ b/src/stand_ins/stand_in_caller.ts
@@ -7,6 +7,8 @@
 const DEFAULT_CALL_TIMEOUT_MS = 30_000;
 const CONNECT_TIMEOUT_MS = 2_000;
 
+const NEVER_SENT_CODES = new Set(["UND_ERR_CONNECT_TIMEOUT", "ECONNREFUSED"]);
+
 const answerSchema = v.object({
   ranOn: v.string(),
   path: v.string(),
@@ -23,6 +25,8 @@
   | "unknown"
   /** The answer ended as if complete, but was not the whole answer to this call. */
   | "truncated"
+  /** No connection was made, so nothing was sent. */
+  | "unreached"
   /** The connection broke, or no answer came. */
   | "broken";
 
@@ -140,11 +144,17 @@
         ? { outcome, status, requestId, why: "" }
         : { outcome: "truncated", status, requestId, why: text.slice(0, 300) };
     } catch (error) {
-      return { outcome: "broken", status, requestId, why: String(error) };
+      const outcome = isNeverSent(error) ? "unreached" : "broken";
+      return { outcome, status, requestId, why: String(error) };
     }
   }
 }
 
+function isNeverSent(error: unknown): boolean {
+  return error instanceof Error && "code" in error &&
+    NEVER_SENT_CODES.has(String(error.code));
+}
+
 function readOutcome(declared: string, status: number): CallOutcome {
   if (declared === "not-run") {
     return "notRun";
