--- a/src/stand_ins/deployment_files.ts
+++ b/src/stand_ins/deployment_files.ts
@@ -1,7 +1,7 @@
 /** Writes the files that the daemons of a test deployment read. */
 import { mkdir, writeFile } from "node:fs/promises";
 import { join } from "node:path";
-import { findFreePorts } from "../testing/free_port.ts";
+import { findFreePort } from "../testing/free_port.ts";
 import type { DeploymentNetwork } from "./deployment_network.ts";
 
 const PEER_SECRET = "secret-of-the-test-deployment";
@@ -125,3 +125,11 @@
     ...extraSettings,
   };
 }
+
+async function findFreePorts(count: number): Promise<number[]> {
+  const ports = new Set<number>();
+  while (ports.size < count) {
+    ports.add(await findFreePort());
+  }
+  return [...ports];
+}
--- a/src/testing/free_port.ts
+++ b/src/testing/free_port.ts
@@ -1,5 +1,13 @@
 /** Ports for daemons that tests start. */
-import { createServer, type Server } from "node:net";
+import { createServer } from "node:net";
+import { SeededRandom } from "../adapters/random/index.ts";
+
+// Below the range from which systems take the ports of outgoing connections:
+// a daemon that connects must not take the port of one that starts later.
+const FIRST_PORT = 15_000;
+const PORT_COUNT = 15_000;
+
+const random = SeededRandom.fromMachine();
 
 /**
  * Finds a free TCP port on loopback.
@@ -7,44 +15,22 @@
  * @returns A port that was free a moment ago.
  */
 export async function findFreePort(): Promise<number> {
-  const [port] = await findFreePorts(1);
-  if (port === undefined) {
-    throw new Error("no port is free");
+  for (;;) {
+    const port = FIRST_PORT + random.nextInt(PORT_COUNT);
+    if (await isFree(port)) {
+      return port;
+    }
   }
-  return port;
 }
 
-/**
- * Finds several free TCP ports on loopback, all different.
- *
- * @param count - How many.
- * @returns Ports that were free a moment ago.
- */
-export async function findFreePorts(count: number): Promise<number[]> {
-  const servers = await Promise.all(
-    Array.from({ length: count }, () => openServer()),
-  );
-  const ports = servers.map(readPort);
-  await Promise.all(servers.map(closeServer));
-  return ports;
-}
-
-function openServer(): Promise<Server> {
+async function isFree(port: number): Promise<boolean> {
   const server = createServer();
-  return new Promise((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(0, "127.0.0.1", () => resolve(server));
+  const isListening = await new Promise<boolean>((resolve) => {
+    server.once("error", () => resolve(false));
+    server.listen(port, "127.0.0.1", () => resolve(true));
   });
-}
-
-function readPort(server: Server): number {
-  const address = server.address();
-  if (typeof address !== "object" || address === null) {
-    throw new Error("a server that listens has no port");
+  if (isListening) {
+    await new Promise<void>((resolve) => server.close(() => resolve()));
   }
-  return address.port;
-}
-
-function closeServer(server: Server): Promise<void> {
-  return new Promise((resolve) => server.close(() => resolve()));
+  return isListening;
 }
