--- a/src/adapters/http/caller_routes.ts
+++ b/src/adapters/http/caller_routes.ts
@@ -2,7 +2,11 @@
 import { once } from "node:events";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { HTTPMethod } from "find-my-way";
-import type { CallerAnswer, CallerRequest } from "../../domain/index.ts";
+import {
+  type CallerAnswer,
+  type CallerRequest,
+  DEADLINE_MS_HEADER,
+} from "../../domain/index.ts";
 import type { Clock, Logger, Random } from "../../ports/index.ts";
 import type { RequestService } from "../../services/index.ts";
 import {
@@ -15,8 +19,6 @@
 } from "./exchange.ts";
 import type { HttpServer } from "./http_server.ts";
 
-/** Header with the time that the caller waits, in milliseconds. */
-export const DEADLINE_MS_HEADER = "cardamomsill-deadline-ms";
 /** Header by which a caller declares that a second run does no harm. */
 export const IDEMPOTENT_HEADER = "cardamomsill-idempotent";
 /** Header that names a request, so that a resend finds the first one. */
@@ -102,7 +104,10 @@
     method,
     path: readForwardedPath(request),
     headers: readHeaders(request),
-    body: hasBody(request) ? request as AsyncIterable<Uint8Array> : undefined,
+    // A body that is not read to its end must not end the caller's connection.
+    body: hasBody(request)
+      ? request.iterator({ destroyOnReturn: false })
+      : undefined,
     deadlineAtMs: options.clock.monotonicMs() + readDeadlineMs(request),
     idempotencyKey: typeof idempotencyKey === "string"
       ? idempotencyKey
--- a/src/adapters/http/exchange.ts
+++ b/src/adapters/http/exchange.ts
@@ -19,8 +19,10 @@
   /** Parameters of the matched route. */
   readonly params: Readonly<Record<string, string | undefined>>;
   readonly query: URLSearchParams;
-  /** Aborts when the caller has gone away or the server stops. */
+  /** Aborts when the caller has gone away, or when a stop has run out of time. */
   readonly signal: AbortSignal;
+  /** Aborts when a planned stop begins; answers without an end heed it. */
+  readonly stopping: AbortSignal;
 }
 
 /**
--- a/src/adapters/http/http_server.ts
+++ b/src/adapters/http/http_server.ts
@@ -7,8 +7,8 @@
 } from "node:http";
 import findMyWay, { type HTTPMethod } from "find-my-way";
 import { createFailure } from "../../domain/index.ts";
-import type { Logger } from "../../ports/index.ts";
-import type { TaskGroup } from "../../tasks/index.ts";
+import type { Clock, Logger } from "../../ports/index.ts";
+import { Notifier, type TaskGroup } from "../../tasks/index.ts";
 import { type Exchange, sendFailure } from "./exchange.ts";
 
 const MAX_HEADER_BYTES = 16 * 1_024;
@@ -22,10 +22,17 @@
 export interface HttpServerOptions {
   readonly host: string;
   readonly port: number;
+  readonly clock: Clock;
   readonly logger: Logger;
   readonly tasks: TaskGroup;
 }
 
+/** One exchange whose handler has not returned. */
+interface RunningExchange {
+  readonly response: ServerResponse;
+  readonly gone: AbortController;
+}
+
 /** Routes requests to handlers. */
 export class HttpServer {
   readonly #options: HttpServerOptions;
@@ -35,6 +42,9 @@
   });
   readonly #methodsByPath = new Map<string, Set<HTTPMethod>>();
   readonly #server: Server;
+  readonly #running = new Set<RunningExchange>();
+  readonly #ended = new Notifier();
+  readonly #stopping = new AbortController();
 
   constructor(options: HttpServerOptions) {
     this.#options = options;
@@ -83,20 +93,65 @@
       : port;
   }
 
+  /** Number of exchanges whose handler has not returned. */
+  get runningCount(): number {
+    return this.#running.size;
+  }
+
+  /**
+   * Announces the stop: each answer from now on closes its connection, and
+   * streams without an end are ended. Requests are still served.
+   */
+  announceStop(): void {
+    this.#stopping.abort();
+    for (const { response } of this.#running) {
+      closeAfterAnswer(response);
+    }
+  }
+
+  /**
+   * Stops accepting connections and waits for running exchanges.
+   *
+   * @param deadlineMs - How long to wait, in milliseconds.
+   * @returns How many exchanges had not ended by then.
+   */
+  async drain(deadlineMs: number): Promise<number> {
+    this.announceStop();
+    this.#server.close();
+    this.#server.closeIdleConnections();
+    const stop = new AbortController();
+    const deadline = this.#options.clock.sleep(deadlineMs, stop.signal)
+      .then(() => stop.abort());
+    while (this.#running.size > 0 && !stop.signal.aborted) {
+      await this.#ended.wait(stop.signal);
+    }
+    stop.abort();
+    await deadline;
+    return this.#running.size;
+  }
+
   #startExchange(request: IncomingMessage, response: ServerResponse): void {
-    this.#options.tasks.start(
-      "http request",
-      (signal) => this.#serve(request, response, signal),
-    );
+    const running = { response, gone: new AbortController() };
+    response.once("close", () => running.gone.abort());
+    if (this.#stopping.signal.aborted) {
+      closeAfterAnswer(response);
+    }
+    this.#running.add(running);
+    this.#options.tasks.start("http request", async () => {
+      try {
+        await this.#serve(request, response, running.gone.signal);
+      } finally {
+        this.#running.delete(running);
+        this.#ended.notify();
+      }
+    });
   }
 
   async #serve(
     request: IncomingMessage,
     response: ServerResponse,
-    stop: AbortSignal,
+    signal: AbortSignal,
   ): Promise<void> {
-    const gone = new AbortController();
-    response.once("close", () => gone.abort());
     const url = new URL(request.url ?? "/", "http://entry");
     const method = (request.method ?? "GET") as HTTPMethod;
     const found = this.#router.find(method, url.pathname);
@@ -105,7 +160,6 @@
       return;
     }
     const handler = found.store as ExchangeHandler;
-    const signal = AbortSignal.any([gone.signal, stop]);
     try {
       await handler({
         request,
@@ -113,6 +167,7 @@
         params: found.params,
         query: url.searchParams,
         signal,
+        stopping: this.#stopping.signal,
       });
     } catch (error) {
       this.#options.logger.error(
@@ -162,6 +217,15 @@
       this.#server.close(() => resolve())
     );
     this.#server.closeIdleConnections();
+    for (const { gone } of this.#running) {
+      gone.abort();
+    }
     await closed;
   }
 }
+
+function closeAfterAnswer(response: ServerResponse): void {
+  if (!response.headersSent) {
+    response.setHeader("connection", "close");
+  }
+}
--- a/src/adapters/http/operator_routes.ts
+++ b/src/adapters/http/operator_routes.ts
@@ -203,7 +203,8 @@
   exchange: Exchange,
   options: OperatorRoutesOptions,
 ): Promise<void> {
-  const { response, signal } = exchange;
+  const { response } = exchange;
+  const signal = AbortSignal.any([exchange.signal, exchange.stopping]);
   response.writeHead(200, { "content-type": "application/x-ndjson" });
   let appliedIndex = -1;
   while (!signal.aborted) {
--- a/src/daemon/create_entry.ts
+++ b/src/daemon/create_entry.ts
@@ -1,11 +1,17 @@
 /** Composes one entry: adapters, services and their tasks. */
 import { Result } from "true-myth";
+import type { HttpServer } from "../adapters/http/index.ts";
 import type { Failure } from "../domain/index.ts";
+import type { DecisionRecorder } from "../services/index.ts";
 import { createAgreement } from "./create_agreement.ts";
 import { createFront } from "./create_front.ts";
 import { createNetwork } from "./create_network.ts";
 import { createPermits } from "./create_permits.ts";
-import { createRecorder, createRequests } from "./create_requests.ts";
+import {
+  createRecorder,
+  createRequests,
+  type RequestParts,
+} from "./create_requests.ts";
 import {
   createBase,
   createContext,
@@ -66,9 +72,33 @@
     httpPort,
     stop: async () => {
       isStopping = true;
-      await recorder.flush();
-      await context.tasks.stop();
-      await requestParts.client.close();
+      await stopEntry({ context, front, recorder, requestParts });
     },
   };
 }
+
+interface StopOptions {
+  readonly context: EntryContext;
+  readonly front: HttpServer;
+  readonly recorder: DecisionRecorder;
+  readonly requestParts: RequestParts;
+}
+
+// Readiness is refused already: the balancer needs a moment to notice it, and
+// requests that still come in that moment are served.
+async function stopEntry(options: StopOptions): Promise<void> {
+  const { context, front, recorder, requestParts } = options;
+  const { settings, clock, logger, tasks } = context;
+  front.announceStop();
+  await clock.sleep(settings.readinessGraceMs);
+  const cutCount = await front.drain(settings.stopDeadlineMs);
+  if (cutCount > 0) {
+    logger.warn(
+      { cutCount, stopDeadlineMs: settings.stopDeadlineMs },
+      "requests still run at the stop deadline and are cut",
+    );
+  }
+  await recorder.flush();
+  await tasks.stop();
+  await requestParts.client.close();
+}
--- a/src/daemon/settings/settings_schema.ts
+++ b/src/daemon/settings/settings_schema.ts
@@ -6,6 +6,7 @@
 const DEFAULT_PEER_PORT = 7_071;
 const MIN_SECRET_LENGTH = 16;
 const DEFAULT_STOP_DEADLINE_MS = 60_000;
+const DEFAULT_READINESS_GRACE_MS = 1_000;
 
 const portSchema = v.pipe(
   v.number(),
@@ -58,6 +59,11 @@
   /** Address of the platform; null when the platform is not driven. */
   platformUrl: v.optional(v.nullable(v.pipe(v.string(), v.url())), null),
   logLevel: v.optional(v.picklist(["debug", "info", "warn", "error"]), "info"),
+  /** How long a planned stop serves on with readiness refused, in milliseconds. */
+  readinessGraceMs: v.optional(
+    v.pipe(v.number(), v.minValue(0)),
+    DEFAULT_READINESS_GRACE_MS,
+  ),
   /** How long a planned stop waits for running requests, in milliseconds. */
   stopDeadlineMs: v.optional(
     v.pipe(v.number(), v.minValue(0)),
--- a/src/domain/backend_server.ts
+++ b/src/domain/backend_server.ts
@@ -9,6 +9,9 @@
 /** Header by which a backend server says that it refused before it started. */
 export const NOT_STARTED_HEADER = "cardamomsill-not-started";
 
+/** Header with the time that the caller still waits, in milliseconds. */
+export const DEADLINE_MS_HEADER = "cardamomsill-deadline-ms";
+
 const MAX_SLOT_COUNT = 1_024;
 
 /** Schema of {@link RunningAttempt}. */
--- a/src/ports/backend_client.ts
+++ b/src/ports/backend_client.ts
@@ -2,6 +2,9 @@
 import type { Result } from "true-myth";
 import type { Failure } from "../domain/index.ts";
 
+/** The body of an attempt: all of it, a stream that can be read once, or none. */
+export type AttemptBody = Uint8Array | AsyncIterable<Uint8Array> | undefined;
+
 /** One attempt to run a request at one backend server. */
 export interface Attempt {
   readonly attemptId: string;
@@ -10,9 +13,11 @@
   readonly method: string;
   readonly path: string;
   readonly headers: Readonly<Record<string, string>>;
-  readonly body: AsyncIterable<Uint8Array> | undefined;
+  readonly body: AttemptBody;
   /** How long the attempt may run at the backend server, in milliseconds. */
   readonly leaseMs: number;
+  /** How long the caller still waits, in milliseconds; it travels along. */
+  readonly deadlineMs: number;
   readonly signal: AbortSignal;
 }
 
--- a/src/services/request_service.ts
+++ b/src/services/request_service.ts
@@ -147,6 +147,7 @@
       headers: request.headers,
       body: request.body,
       leaseMs: Math.min(permit.leaseMs, leftMs),
+      deadlineMs: leftMs,
       signal: request.signal,
     });
   }
