Run requests under claims, retry budget, health and an overload guard

Cause: request_service.ts did everything in 310 lines, retried without a budget, knew no idempotency keys, leaked a permit when an answer was never read, and let equal refusals with figures in their text make a record each. Change: src/services/requests holds the way of a request in small modules; src/services/claims takes durable claims in batches; decisions/retries, health, overload and counting hold the policies with their baselines; claim rules stand in domain/claim_table.ts. Open decision records are found by id, and grouped by kind.

--- a/src/adapters/http/caller_routes.ts
+++ b/src/adapters/http/caller_routes.ts
@@ -1,5 +1,4 @@
 /** Routes of callers: `/q/QUEUE/PATH`, with any method. */
-import { once } from "node:events";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { HTTPMethod } from "find-my-way";
 import {
@@ -108,6 +107,7 @@
     body: hasBody(request)
       ? request.iterator({ destroyOnReturn: false })
       : undefined,
+    bodySizeBytes: readSizeBytes(request),
     deadlineAtMs: options.clock.monotonicMs() + readDeadlineMs(request),
     idempotencyKey: typeof idempotencyKey === "string"
       ? idempotencyKey
@@ -139,6 +139,11 @@
   return isUsable ? Math.min(declared, MAX_DEADLINE_MS) : DEFAULT_DEADLINE_MS;
 }
 
+function readSizeBytes(request: IncomingMessage): number | undefined {
+  const declared = request.headers["content-length"];
+  return declared === undefined ? undefined : Number(declared);
+}
+
 function hasBody(request: IncomingMessage): boolean {
   const length = Number(request.headers["content-length"] ?? 0);
   return length > 0 || request.headers["transfer-encoding"] !== undefined;
@@ -159,8 +164,18 @@
       return;
     }
     if (!response.write(chunk)) {
-      await Promise.race([once(response, "drain"), once(response, "close")]);
+      await waitForDrain(response);
     }
   }
   response.end();
 }
+
+function waitForDrain(response: ServerResponse): Promise<void> {
+  return new Promise((resolve) => {
+    const finish = () => {
+      response.off("drain", finish).off("close", finish);
+      resolve();
+    };
+    response.on("drain", finish).on("close", finish);
+  });
+}
--- a/src/adapters/secrets/sha_secrets.ts
+++ b/src/adapters/secrets/sha_secrets.ts
@@ -12,6 +12,14 @@
     return createHash("sha256").update(secret).digest("hex");
   }
 
+  digestParts(parts: readonly (string | Uint8Array)[]): string {
+    const hash = createHash("sha256");
+    for (const part of parts) {
+      hash.update(`${Buffer.byteLength(part)}:`).update(part);
+    }
+    return hash.digest("hex");
+  }
+
   equals(left: string, right: string): boolean {
     const leftBytes = Buffer.from(left, "hex");
     const rightBytes = Buffer.from(right, "hex");
--- a/src/daemon/create_entry.ts
+++ b/src/daemon/create_entry.ts
@@ -2,7 +2,7 @@
 import { Result } from "true-myth";
 import type { HttpServer } from "../adapters/http/index.ts";
 import type { Failure } from "../domain/index.ts";
-import type { DecisionRecorder } from "../services/index.ts";
+import type { ClaimService, DecisionRecorder } from "../services/index.ts";
 import { createAgreement } from "./create_agreement.ts";
 import { createFront } from "./create_front.ts";
 import { createNetwork } from "./create_network.ts";
@@ -55,7 +55,7 @@
 async function startServices(context: EntryContext): Promise<Entry> {
   const recorder = createRecorder(context);
   const permitParts = createPermits(context);
-  const requestParts = createRequests(context, recorder, permitParts.permits);
+  const requestParts = createRequests(context, recorder, permitParts);
   let isStopping = false;
   const front = await createFront({
     context,
@@ -98,7 +98,16 @@
       "requests still run at the stop deadline and are cut",
     );
   }
+  await flushClaims(requestParts.claims);
   await recorder.flush();
   await tasks.stop();
   await requestParts.client.close();
 }
+
+// A settlement that is lost leaves its claim to run out as unknown.
+async function flushClaims(claims: ClaimService): Promise<void> {
+  let isDurable = true;
+  while (isDurable && claims.openSettlementCount > 0) {
+    isDurable = await claims.flush();
+  }
+}
--- a/src/daemon/create_requests.ts
+++ b/src/daemon/create_requests.ts
@@ -1,16 +1,28 @@
 /** Composes the path of callers' requests. */
 import { UndiciBackendClient } from "../adapters/backend/index.ts";
-import { LabelAdmissionPolicy } from "../decisions/index.ts";
+import {
+  FractionRetryBudget,
+  LabelAdmissionPolicy,
+  OutlierHealthPolicy,
+  WaitTimePolicy,
+} from "../decisions/index.ts";
 import type { BackendClient } from "../ports/index.ts";
 import {
+  AttemptRunner,
+  BackendHealth,
+  BodyLoader,
+  ClaimService,
   DecisionRecorder,
-  type PermitSource,
+  GuardedPermitSource,
+  OutcomeRecorder,
   RequestHistory,
   RequestService,
 } from "../services/index.ts";
+import type { PermitParts } from "./create_permits.ts";
 import type { EntryContext } from "./entry_context.ts";
 
-const CONNECTIONS_PER_BACKEND = 8;
+const CONNECTIONS_PER_BACKEND = 64;
+const MAX_CONNECTIONS_PER_ENTRY = 32;
 const RUN_ID_LENGTH = 8;
 
 /** The parts that serve callers. */
@@ -18,6 +30,7 @@
   readonly recorder: DecisionRecorder;
   readonly history: RequestHistory;
   readonly client: BackendClient;
+  readonly claims: ClaimService;
   readonly requests: RequestService;
 }
 
@@ -46,26 +59,52 @@
  *
  * @param context - The context of the services.
  * @param recorder - The recorder of decisions.
- * @param permits - Hands out permits.
+ * @param permitParts - The directory, and what hands out permits.
  * @returns The service and what it is built from.
  */
 export function createRequests(
   context: EntryContext,
   recorder: DecisionRecorder,
-  permits: PermitSource,
+  permitParts: PermitParts,
 ): RequestParts {
+  const { clock, secrets, settings, tasks } = context;
+  const { directory } = permitParts;
   const history = new RequestHistory();
+  const claims = new ClaimService(context);
+  tasks.startForever("claims", (signal) => claims.run(signal));
   const client = new UndiciBackendClient({
-    connectionCount: CONNECTIONS_PER_BACKEND,
+    connectionCount: countConnections(settings.peers.length + 1),
   });
-  const admission = new LabelAdmissionPolicy(context.secrets);
-  const requests = new RequestService({
+  const outcomes = new OutcomeRecorder({ ...context, recorder, history });
+  const policy = new OutlierHealthPolicy();
+  const attempts = new AttemptRunner({
     ...context,
-    admission,
-    permits,
     client,
-    recorder,
-    history,
+    outcomes,
+    signal: tasks.signal,
+    permits: new GuardedPermitSource({
+      permits: permitParts.permits,
+      policy: new WaitTimePolicy(),
+      clock,
+    }),
+    budget: new FractionRetryBudget(),
+    health: new BackendHealth({ ...context, policy, directory, recorder }),
   });
-  return { recorder, history, client, requests };
+  const requests = new RequestService({
+    ...context,
+    entryId: settings.entryId,
+    admission: new LabelAdmissionPolicy(secrets),
+    bodies: new BodyLoader({ clock }),
+    attempts,
+    claims,
+    outcomes,
+  });
+  return { recorder, history, client, claims, requests };
+}
+
+// All entries together stay within the connections of a backend server, even
+// when each has used all of its slots a moment ago.
+function countConnections(entryCount: number): number {
+  const evenCount = Math.floor(CONNECTIONS_PER_BACKEND / entryCount);
+  return Math.max(1, Math.min(evenCount, MAX_CONNECTIONS_PER_ENTRY));
 }
--- /dev/null
+++ b/src/decisions/counting/index.ts
@@ -0,0 +1,2 @@
+/** Counts of recent events. */
+export * from "./window_counter.ts";
--- /dev/null
+++ b/src/decisions/overload/wait_line.ts
@@ -0,0 +1,84 @@
+/** How fast the requests of one team on one queue leave their line. */
+import { WindowCounter } from "../counting/index.ts";
+
+const RATE_WINDOW_MS = 2_000;
+const MIN_OBSERVED_MS = 100;
+const RUN_TIME_WEIGHT = 0.05;
+
+/** Follows one line: who waits, how many are granted, how long work takes. */
+export class WaitLine {
+  #waitingCount = 0;
+  #backlogSinceMs = 0;
+  #grants = new WindowCounter(RATE_WINDOW_MS);
+  #quickRunMs: number | undefined;
+
+  /** Requests that wait now. */
+  get waitingCount(): number {
+    return this.#waitingCount;
+  }
+
+  /** A low estimate of the run time of recent work, in milliseconds. */
+  get quickRunMs(): number {
+    return this.#quickRunMs ?? 0;
+  }
+
+  /**
+   * Notes that a request begins to wait.
+   *
+   * @param nowMs - Monotonic time.
+   */
+  enter(nowMs: number): void {
+    if (this.#waitingCount === 0) {
+      this.#backlogSinceMs = nowMs;
+      this.#grants = new WindowCounter(RATE_WINDOW_MS);
+    }
+    this.#waitingCount += 1;
+  }
+
+  /**
+   * Notes that a request no longer waits.
+   *
+   * @param nowMs - Monotonic time.
+   * @param isGranted - Whether it got its permit.
+   */
+  leave(nowMs: number, isGranted: boolean): void {
+    this.#waitingCount -= 1;
+    if (isGranted) {
+      this.#grants.add(nowMs);
+    }
+  }
+
+  /**
+   * Notes how long work took.
+   *
+   * @param runMs - Run time, in milliseconds.
+   */
+  recordRun(runMs: number): void {
+    const known = this.#quickRunMs ?? runMs;
+    // Falls at once and rises slowly, so that short work is never given up.
+    this.#quickRunMs = Math.min(
+      runMs,
+      known + (runMs - known) * RUN_TIME_WEIGHT,
+    );
+  }
+
+  /**
+   * Estimates the wait of a request that enters now. The rate of grants says
+   * something only while the line has a backlog.
+   *
+   * @param nowMs - Monotonic time.
+   * @returns Milliseconds, or undefined when the backlog is too young to tell.
+   */
+  estimateWaitMs(nowMs: number): number | undefined {
+    if (this.#waitingCount === 0) {
+      return 0;
+    }
+    const observedMs = Math.min(nowMs - this.#backlogSinceMs, RATE_WINDOW_MS);
+    if (observedMs < MIN_OBSERVED_MS) {
+      return undefined;
+    }
+    // The next grant may be about to come, which matters for slow work.
+    const intervalMs = observedMs / (this.#grants.count(nowMs) + 1);
+    return (this.#waitingCount + 1) * intervalMs;
+  }
+}
--- /dev/null
+++ b/src/decisions/retries/index.ts
@@ -0,0 +1,2 @@
+/** Decides whether an attempt may be repeated. */
+export * from "./retry_budget.ts";
--- a/src/domain/command.ts
+++ b/src/domain/command.ts
@@ -48,11 +48,17 @@
 
 /** Schema of {@link Claim}. */
 export const claimSchema = v.object({
+  /** Team, queue and idempotency key. */
   claimId: v.string(),
   contentDigest: v.string(),
+  /** The request that holds the claim; only it may settle the claim. */
+  requestId: v.string(),
   entryId: v.string(),
   atMs: v.number(),
+  /** Time after which a claim that still runs has an unknown outcome. */
+  leaseMs: v.number(),
   state: v.picklist(["running", "succeeded", "failed", "notRun", "unknown"]),
+  /** Status of the backend server's answer, when there was one. */
   status: v.optional(v.number()),
 });
 
--- a/src/domain/fleet_state.ts
+++ b/src/domain/fleet_state.ts
@@ -1,5 +1,6 @@
 /** The durable state that the replicated log builds, the same on every entry. */
 import { Result } from "true-myth";
+import { ClaimTable } from "./claim_table.ts";
 import type { AcceptedChange, Change, ResourceRef } from "./change.ts";
 import type { Claim, Command, VmAssignment } from "./command.ts";
 import type { DecisionRecord } from "./decision_record.ts";
@@ -15,8 +16,6 @@
 export const MAX_KEPT_OPERATIONS = 20_000;
 /** Decision records that the audit trail keeps. */
 export const MAX_KEPT_RECORDS = 10_000;
-/** Claims of idempotency keys that are kept. */
-export const MAX_KEPT_CLAIMS = 50_000;
 
 /** A declared resource with the change that set it. */
 export interface StoredResource<R extends Resource = Resource> {
@@ -64,7 +63,7 @@
   readonly #operations = new Map<string, StoredOperation>();
   readonly #records = new Map<string, DecisionRecord>();
   readonly #assignments = new Map<string, VmAssignment>();
-  readonly #claims = new Map<string, Claim>();
+  readonly #claims = new ClaimTable();
   #voterIds: readonly string[] = [];
   #learnerIds: readonly string[] = [];
 
@@ -157,7 +156,7 @@
    * @returns The claim, or undefined when it is not kept.
    */
   findClaim(claimId: string): Claim | undefined {
-    return this.#claims.get(claimId);
+    return this.#claims.find(claimId);
   }
 
   /**
@@ -181,7 +180,10 @@
       case "assign":
         return this.#applyAssignment(command);
       case "claim":
-        return this.#applyClaims(command.claims);
+        return Result.ok({
+          revision: this.#revision,
+          claims: this.#claims.apply(command.claims),
+        });
       case "membership":
         this.#voterIds = command.voterIds;
         this.#learnerIds = command.learnerIds;
@@ -203,7 +205,7 @@
       operations: [...this.#operations.values()],
       records: this.listRecords(),
       assignments: this.listAssignments(),
-      claims: [...this.#claims.values()],
+      claims: this.#claims.list(),
       voterIds: this.#voterIds,
       learnerIds: this.#learnerIds,
     };
@@ -231,9 +233,7 @@
     for (const assignment of snapshot.assignments) {
       state.#assignments.set(assignment.vm, assignment);
     }
-    for (const claim of snapshot.claims) {
-      state.#claims.set(claim.claimId, claim);
-    }
+    state.#claims.restore(snapshot.claims);
     state.#voterIds = snapshot.voterIds;
     state.#learnerIds = snapshot.learnerIds;
     return state;
@@ -331,21 +331,6 @@
     return this.#done();
   }
 
-  #applyClaims(claims: readonly Claim[]): Applied {
-    const standing = claims.map((claim) => {
-      const current = this.#claims.get(claim.claimId);
-      const mayReplace = current === undefined ||
-        (current.entryId === claim.entryId && current.atMs === claim.atMs);
-      if (mayReplace) {
-        this.#claims.set(claim.claimId, claim);
-        return claim;
-      }
-      return current;
-    });
-    dropOldest(this.#claims, MAX_KEPT_CLAIMS);
-    return Result.ok({ revision: this.#revision, claims: standing });
-  }
-
   #put(stored: StoredResource): void {
     this.#resources.get(stored.resource.kind)?.set(
       stored.resource.name,
--- a/src/domain/index.ts
+++ b/src/domain/index.ts
@@ -1,6 +1,7 @@
 /** Schemas, the types inferred from them, and the closed list of errors. */
 export * from "./backend_server.ts";
 export * from "./change.ts";
+export * from "./claim_table.ts";
 export * from "./command.ts";
 export * from "./decision_record.ts";
 export * from "./errors.ts";
--- a/src/domain/request.ts
+++ b/src/domain/request.ts
@@ -1,8 +1,16 @@
 /** Requests of callers, their attempts and outcomes. */
 import type { Failure } from "./errors.ts";
 
-/** How a request ended; each request counts once under one of these. */
-export type RequestOutcome = "succeeded" | "failed" | "notRun" | "unknown";
+/**
+ * How a request ended; each request counts once under one of these. A resend
+ * that only learns what became of the first request counts as `replayed`.
+ */
+export type RequestOutcome =
+  | "succeeded"
+  | "failed"
+  | "notRun"
+  | "unknown"
+  | "replayed";
 
 /** A caller's request, free of any wire format. */
 export interface CallerRequest {
@@ -14,6 +22,8 @@
   readonly path: string;
   readonly headers: Readonly<Record<string, string>>;
   readonly body: AsyncIterable<Uint8Array> | undefined;
+  /** Size of the body as the caller declared it; undefined when it did not. */
+  readonly bodySizeBytes: number | undefined;
   /** Time on the monotonic clock after which the caller no longer waits. */
   readonly deadlineAtMs: number;
   readonly idempotencyKey: string | undefined;
--- a/src/ports/secrets.ts
+++ b/src/ports/secrets.ts
@@ -1,6 +1,6 @@
 /** Digests of keys, as the decisions see them. */
 
-/** Digests secrets and compares digests in constant time. */
+/** Digests secrets and content, and compares digests in constant time. */
 export interface Secrets {
   /**
    * Digests a secret.
@@ -9,6 +9,13 @@
    * @returns The digest in hexadecimal.
    */
   digest(secret: string): string;
+  /**
+   * Digests content of several parts; the same bytes split otherwise differ.
+   *
+   * @param parts - Text and bytes.
+   * @returns The digest in hexadecimal.
+   */
+  digestParts(parts: readonly (string | Uint8Array)[]): string;
   /**
    * Compares two digests in constant time.
    *
--- a/src/services/decision_recorder.ts
+++ b/src/services/decision_recorder.ts
@@ -12,6 +12,8 @@
   readonly action: DecisionRecord["action"];
   readonly subjects: readonly string[];
   readonly summary: string;
+  /** Stands for the summary when equal decisions are told apart. */
+  readonly group?: string;
   readonly causes: readonly DecisionCause[];
   readonly figures?: Readonly<Record<string, number>>;
   readonly rejected?: readonly string[];
@@ -28,7 +30,7 @@
 }
 
 interface OpenRecord {
-  record: DecisionRecord;
+  readonly record: DecisionRecord;
   readonly openedAtMs: number;
   isDirty: boolean;
 }
@@ -37,6 +39,7 @@
 export class DecisionRecorder {
   readonly #options: DecisionRecorderOptions;
   readonly #open = new Map<string, OpenRecord>();
+  readonly #openById = new Map<string, OpenRecord>();
   #sequence = 0;
 
   constructor(options: DecisionRecorderOptions) {
@@ -55,13 +58,13 @@
     const key = JSON.stringify([
       decision.action,
       decision.subjects,
-      decision.summary,
+      decision.group ?? decision.summary,
       revision,
     ]);
     const nowMs = clock.monotonicMs();
     const open = this.#open.get(key);
     if (open !== undefined && nowMs - open.openedAtMs < RECORD_WINDOW_MS) {
-      open.record = { ...open.record, count: open.record.count + 1 };
+      open.record.count += 1;
       open.isDirty = true;
       return open.record.decisionId;
     }
@@ -79,7 +82,9 @@
       rejected: [...(decision.rejected ?? [])],
       count: 1,
     };
-    this.#open.set(key, { record, openedAtMs: nowMs, isDirty: true });
+    const opened = { record, openedAtMs: nowMs, isDirty: true };
+    this.#open.set(key, opened);
+    this.#openById.set(record.decisionId, opened);
     return record.decisionId;
   }
 
@@ -90,12 +95,7 @@
    * @returns The record, or undefined when it is not open here.
    */
   findOpen(decisionId: string): DecisionRecord | undefined {
-    for (const { record } of this.#open.values()) {
-      if (record.decisionId === decisionId) {
-        return record;
-      }
-    }
-    return undefined;
+    return this.#openById.get(decisionId)?.record;
   }
 
   /**
@@ -123,7 +123,8 @@
     for (const open of dirty) {
       open.isDirty = false;
     }
-    const records = dirty.map(({ record }) => record);
+    // Copies, since counts go on while the command is on its way.
+    const records = dirty.map(({ record }) => ({ ...record }));
     const proposed = await this.#options.agreement.propose({
       type: "record",
       records,
@@ -141,10 +142,15 @@
 
   #closeOld(): void {
     const nowMs = this.#options.clock.monotonicMs();
-    for (const [key, open] of this.#open) {
+    for (const [decisionId, open] of this.#openById) {
       const isOld = nowMs - open.openedAtMs >= RECORD_WINDOW_MS;
-      const isOver = this.#open.size > MAX_OPEN_RECORDS;
-      if ((isOld && !open.isDirty) || isOver) {
+      const isOver = this.#openById.size > MAX_OPEN_RECORDS;
+      if (!open.isDirty && (isOld || isOver)) {
+        this.#openById.delete(decisionId);
+      }
+    }
+    for (const [key, { record }] of this.#open) {
+      if (!this.#openById.has(record.decisionId)) {
         this.#open.delete(key);
       }
     }
--- a/src/services/explain_service.ts
+++ b/src/services/explain_service.ts
@@ -7,7 +7,7 @@
 } from "../domain/index.ts";
 import type { Agreement } from "../ports/index.ts";
 import type { DecisionRecorder } from "./decision_recorder.ts";
-import type { RequestHistory } from "./request_history.ts";
+import type { RequestHistory } from "./requests/request_history.ts";
 
 const MAX_EXPLAINED_RECORDS = 50;
 
--- a/src/services/index.ts
+++ b/src/services/index.ts
@@ -1,9 +1,9 @@
 /** Services: the tasks that join decisions to the ports. */
 export * from "./backend_directory.ts";
+export * from "./claims/index.ts";
 export * from "./decision_recorder.ts";
 export * from "./explain_service.ts";
 export * from "./local_permits.ts";
 export * from "./operator_service.ts";
 export * from "./permits.ts";
-export * from "./request_history.ts";
-export * from "./request_service.ts";
+export * from "./requests/index.ts";
--- a/src/services/permits.ts
+++ b/src/services/permits.ts
@@ -10,6 +10,8 @@
   readonly excludedBackendIds: ReadonlySet<string>;
   /** Monotonic time after which the permit is no longer wanted. */
   readonly waitUntilMs: number;
+  /** Monotonic time at which the caller stops waiting for the answer. */
+  readonly deadlineAtMs?: number;
   readonly signal: AbortSignal;
 }
 
--- /dev/null
+++ b/src/services/requests/attempt_runner.ts
@@ -0,0 +1,241 @@
+/** Runs the attempts of one request: permit, claim, sending, retries. */
+import { Result } from "true-myth";
+import {
+  type CallerAnswer,
+  createFailure,
+  type Failure,
+  type RequestFailure,
+} from "../../domain/index.ts";
+import type { FleetIndexCache, RetryBudget } from "../../decisions/index.ts";
+import type {
+  AttemptAnswer,
+  AttemptFailure,
+  BackendClient,
+  Clock,
+} from "../../ports/index.ts";
+import type { Permit, PermitSource } from "../permits.ts";
+import { AnswerBody, type BodyEnd } from "./answer_body.ts";
+import type { BackendHealth } from "./backend_health.ts";
+import type { OutcomeRecorder } from "./outcome_recorder.ts";
+import { createRunRefusal } from "./refusals.ts";
+import type { RequestBody } from "./request_body.ts";
+import type { RequestRun } from "./request_run.ts";
+
+const MAX_ATTEMPTS = 3;
+
+/** Options of {@link AttemptRunner}. */
+export interface AttemptRunnerOptions {
+  readonly permits: PermitSource;
+  readonly client: BackendClient;
+  readonly budget: RetryBudget;
+  readonly health: BackendHealth;
+  readonly outcomes: OutcomeRecorder;
+  readonly fleet: FleetIndexCache;
+  readonly clock: Clock;
+  /** Aborts when this entry can no longer wait for any work. */
+  readonly signal: AbortSignal;
+}
+
+/** An attempt that may have run without an answer. */
+interface Doubt {
+  readonly permit: Permit;
+  readonly failure: Failure;
+}
+
+/** Runs attempts until one answers or no further one is allowed. */
+export class AttemptRunner {
+  readonly #options: AttemptRunnerOptions;
+
+  constructor(options: AttemptRunnerOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Runs the attempts of an admitted request.
+   *
+   * @param run - The request.
+   * @param body - Its body.
+   * @returns The answer, or a failure that says whether the work did not run.
+   */
+  async run(
+    run: RequestRun,
+    body: RequestBody,
+  ): Promise<Result<CallerAnswer, RequestFailure>> {
+    const triedIds = new Set<string>();
+    const { outcomes } = this.#options;
+    let doubt: Doubt | undefined;
+    this.#options.budget.recordRequest(run.startedAtMs);
+    for (let attemptCount = 1;; attemptCount += 1) {
+      const permit = await this.#acquire(run, triedIds);
+      if (permit.isErr) {
+        return this.#end(run, doubt, permit.error);
+      }
+      const replay = await run.claim?.take();
+      if (replay !== undefined) {
+        permit.value.release({ ended: true, healthy: undefined });
+        return outcomes.replay(run, replay);
+      }
+      const sent = await this.#send(run, permit.value, body);
+      if (sent.isOk) {
+        return Result.ok(this.#answer(run, permit.value, sent.value));
+      }
+      this.#releaseFailed(run, permit.value, sent.error);
+      triedIds.add(permit.value.backend.backendServerId);
+      const { failure, notStarted } = sent.error;
+      if (!notStarted) {
+        doubt ??= { permit: permit.value, failure };
+      }
+      const mayRetry = attemptCount < MAX_ATTEMPTS &&
+        this.#mayRetry(run, body, sent.error);
+      if (!mayRetry) {
+        return this.#end(run, doubt, failure);
+      }
+    }
+  }
+
+  async #acquire(
+    run: RequestRun,
+    triedIds: ReadonlySet<string>,
+  ): Promise<Result<Permit, Failure>> {
+    const { permits, health, clock } = this.#options;
+    const { request, admission } = run;
+    const waitsSinceMs = triedIds.size === 0
+      ? run.startedAtMs
+      : clock.monotonicMs();
+    const queueEndMs = waitsSinceMs + admission.queue.maxWaitMs;
+    const permit = await permits.acquire({
+      admission,
+      excludedBackendIds: new Set([
+        ...triedIds,
+        ...health.listEjected(admission.poolNames),
+      ]),
+      waitUntilMs: Math.min(queueEndMs, request.deadlineAtMs),
+      deadlineAtMs: request.deadlineAtMs,
+      signal: request.signal,
+    });
+    run.waitMs = clock.monotonicMs() - run.startedAtMs;
+    return permit;
+  }
+
+  async #send(
+    run: RequestRun,
+    permit: Permit,
+    body: RequestBody,
+  ): Promise<Result<AttemptAnswer, AttemptFailure>> {
+    const { client, clock, health } = this.#options;
+    const { request } = run;
+    const leftMs = request.deadlineAtMs - clock.monotonicMs();
+    if (leftMs <= 0 || request.signal.aborted) {
+      return Result.err({ failure: createTooLate(leftMs), notStarted: true });
+    }
+    health.recordStart(permit);
+    return await client.send({
+      attemptId: permit.attemptId,
+      host: permit.backend.host,
+      port: permit.backend.port,
+      method: request.method,
+      path: request.path,
+      headers: request.headers,
+      body: body.take(),
+      leaseMs: Math.min(permit.leaseMs, leftMs),
+      deadlineMs: leftMs,
+      signal: this.#findAttemptSignal(run),
+    });
+  }
+
+  // A resend must find the outcome, so work under a claim is not cut when its
+  // caller goes away; its lease still bounds it.
+  #findAttemptSignal({ claim, request }: RequestRun): AbortSignal {
+    return claim === undefined ? request.signal : this.#options.signal;
+  }
+
+  #releaseFailed(
+    run: RequestRun,
+    permit: Permit,
+    { failure, notStarted }: AttemptFailure,
+  ): void {
+    const isEvidence = failure.kind === "noBackendServer" ||
+      (!notStarted && !this.#findAttemptSignal(run).aborted);
+    const healthy = isEvidence ? false : undefined;
+    permit.release({ ended: notStarted, healthy });
+    this.#options.health.recordResult(permit, run.contentDigest, healthy);
+  }
+
+  #mayRetry(
+    { request, claim }: RequestRun,
+    body: RequestBody,
+    { failure, notStarted }: AttemptFailure,
+  ): boolean {
+    const { budget, clock } = this.#options;
+    const nowMs = clock.monotonicMs();
+    const isHarmless = notStarted ||
+      (request.idempotent && claim === undefined);
+    return isHarmless && failure.kind !== "invalidInput" && body.canSend &&
+      !request.signal.aborted && nowMs < request.deadlineAtMs &&
+      budget.takeRetry(nowMs);
+  }
+
+  #answer(
+    run: RequestRun,
+    permit: Permit,
+    answer: AttemptAnswer,
+  ): CallerAnswer {
+    const decisionId = this.#options.outcomes.recordPlacement(run, permit);
+    const { status, headers } = answer;
+    const body = new AnswerBody({
+      source: answer.body,
+      signal: run.request.signal,
+      readToEnd: run.claim !== undefined,
+      onEnd: (end) => this.#endAnswer(run, permit, { status, end }),
+    });
+    return {
+      status,
+      headers,
+      requestId: run.request.requestId,
+      decisionId,
+      body,
+    };
+  }
+
+  #endAnswer(
+    run: RequestRun,
+    permit: Permit,
+    { status, end }: { readonly status: number; readonly end: BodyEnd },
+  ): void {
+    const isWhole = end === "whole";
+    const isSuccess = status < 500;
+    const isCutByServer = !isWhole && !this.#findAttemptSignal(run).aborted;
+    const healthy = isWhole ? isSuccess : isCutByServer ? false : undefined;
+    permit.release({ ended: isWhole, healthy });
+    this.#options.health.recordResult(permit, run.contentDigest, healthy);
+    const state = isWhole ? isSuccess ? "succeeded" : "failed" : "unknown";
+    run.claim?.settle(isWhole ? { state, status } : { state });
+    this.#options.outcomes.countRun(run, state);
+  }
+
+  #end(
+    run: RequestRun,
+    doubt: Doubt | undefined,
+    failure: Failure,
+  ): Result<CallerAnswer, RequestFailure> {
+    const { outcomes, fleet } = this.#options;
+    if (doubt !== undefined) {
+      run.claim?.settle({ state: "unknown" });
+      return Result.err(outcomes.fail(run, doubt.permit, doubt.failure));
+    }
+    run.claim?.settle({ state: "notRun" });
+    const refusal = createRunRefusal(failure, run.admission, fleet.current());
+    return Result.err(
+      outcomes.refuse(run.request, run.startedAtMs, refusal),
+    );
+  }
+}
+
+function createTooLate(leftMs: number): Failure {
+  return leftMs <= 0
+    ? createFailure("expired", "the deadline passed before the work started")
+    : createFailure(
+      "cancelled",
+      "the caller went away before the work started",
+    );
+}
--- /dev/null
+++ b/src/services/requests/guarded_permits.ts
@@ -0,0 +1,144 @@
+/** Refuses early what would wait too long for a permit. */
+import { Result } from "true-myth";
+import { createFailure, type Failure } from "../../domain/index.ts";
+import {
+  type Admission,
+  type OverloadPolicy,
+  WaitLine,
+  type WaitRefusal,
+} from "../../decisions/index.ts";
+import type { Clock } from "../../ports/index.ts";
+import type { Permit, PermitRequest, PermitSource } from "../permits.ts";
+
+const RETRY_AFTER_WAIT_MS = 1_000;
+
+/** Options of {@link GuardedPermitSource}. */
+export interface GuardedPermitOptions {
+  readonly permits: PermitSource;
+  readonly policy: OverloadPolicy;
+  readonly clock: Clock;
+}
+
+/** Wraps a permit source with a line for each team on each queue. */
+export class GuardedPermitSource implements PermitSource {
+  readonly #options: GuardedPermitOptions;
+  readonly #lines = new Map<string, WaitLine>();
+  #totalWaitingCount = 0;
+
+  constructor(options: GuardedPermitOptions) {
+    this.#options = options;
+  }
+
+  /** Requests that wait on this entry. */
+  get waitingCount(): number {
+    return this.#totalWaitingCount;
+  }
+
+  async acquire(request: PermitRequest): Promise<Result<Permit, Failure>> {
+    const { permits, policy, clock } = this.#options;
+    const nowMs = clock.monotonicMs();
+    const line = this.#findLine(request.admission);
+    const wait = {
+      line,
+      totalWaitingCount: this.#totalWaitingCount,
+      maxWaitMs: request.waitUntilMs - nowMs,
+      deadlineMs: (request.deadlineAtMs ?? request.waitUntilMs) - nowMs,
+      nowMs,
+    };
+    if (request.signal.aborted) {
+      return Result.err(createCancelled());
+    }
+    const refusal = policy.findRefusal(wait);
+    if (refusal !== undefined) {
+      return Result.err(createRefusalFailure(request, refusal));
+    }
+    line.enter(nowMs);
+    this.#totalWaitingCount += 1;
+    const waitUntilMs = nowMs + policy.findWaitMs(wait);
+    const permit = await permits.acquire({ ...request, waitUntilMs });
+    this.#totalWaitingCount -= 1;
+    line.leave(clock.monotonicMs(), permit.isOk);
+    return permit
+      .mapErr(withRetryAfter)
+      .andThen((granted) => this.#passOn(granted, line, request.signal));
+  }
+
+  #passOn(
+    permit: Permit,
+    line: WaitLine,
+    signal: AbortSignal,
+  ): Result<Permit, Failure> {
+    if (signal.aborted) {
+      permit.release({ ended: true, healthy: undefined });
+      return Result.err(createCancelled());
+    }
+    const { clock } = this.#options;
+    const grantedAtMs = clock.monotonicMs();
+    const { attemptId, backend, pool, zone, leaseMs } = permit;
+    return Result.ok({
+      attemptId,
+      backend,
+      pool,
+      zone,
+      leaseMs,
+      release: (end) => {
+        if (end.ended && end.healthy === true) {
+          line.recordRun(clock.monotonicMs() - grantedAtMs);
+        }
+        permit.release(end);
+      },
+    });
+  }
+
+  #findLine({ teamName, queue }: Admission): WaitLine {
+    const key = `${queue.name}/${teamName}`;
+    const known = this.#lines.get(key);
+    if (known !== undefined) {
+      return known;
+    }
+    const line = new WaitLine();
+    this.#lines.set(key, line);
+    return line;
+  }
+}
+
+function createCancelled(): Failure {
+  return createFailure(
+    "cancelled",
+    "the caller went away before the work started",
+  );
+}
+
+function createRefusalFailure(
+  { admission }: PermitRequest,
+  refusal: WaitRefusal,
+): Failure {
+  const { reason, retryAfterMs, waitingCount, estimatedWaitMs } = refusal;
+  const line = `team/${admission.teamName} on queue/${admission.queue.name}`;
+  const detail = estimatedWaitMs === undefined
+    ? { waitingCount }
+    : { waitingCount, estimatedWaitMs };
+  if (reason === "tooLate") {
+    return createFailure(
+      "expired",
+      `the deadline leaves work of ${line} too little time`,
+      { detail, remedy: "send the request with a longer deadline" },
+    );
+  }
+  const what = reason === "tooMany"
+    ? "as many requests wait as may wait"
+    : `a request would wait longer than maxWaitMs or its deadline allows`;
+  return createFailure("overloaded", `${what}: ${line}`, {
+    retryAfterMs,
+    detail,
+    remedy: "try again after the given time",
+  });
+}
+
+function withRetryAfter(failure: Failure): Failure {
+  const isFull = failure.kind === "overloaded" ||
+    failure.kind === "teamLimitReached" || failure.kind === "noBackendServer";
+  return isFull && failure.retryAfterMs === undefined
+    ? { ...failure, retryAfterMs: RETRY_AFTER_WAIT_MS }
+    : failure;
+}
