--- a/src/domain/index.ts
+++ b/src/domain/index.ts
@@ -2,6 +2,7 @@
 export * from "./backend_server.ts";
 export * from "./bounded_map.ts";
 export * from "./change.ts";
+export * from "./claim_table.ts";
 export * from "./command.ts";
 export * from "./decision_record.ts";
 export * from "./errors.ts";
