--- a/src/domain/fleet_state.ts
+++ b/src/domain/fleet_state.ts
@@ -193,9 +193,7 @@
     for (const assignment of snapshot.assignments) {
       state.#assignments.set(assignment.vm, assignment);
     }
-    for (const claim of snapshot.claims) {
-      state.#claims.put(claim);
-    }
+    state.#claims.restore(snapshot.claims);
     state.#membership = snapshot.membership;
     return state;
   }
--- a/src/testing/fake_cluster.ts
+++ b/src/testing/fake_cluster.ts
@@ -26,7 +26,7 @@
 }
 
 /** One entry of the cluster; its disk outlives its process. */
-export interface FakeEntry {
+export interface FakeReplica {
   readonly entryId: string;
   readonly disk: FakeFileSystem;
   readonly logger: FakeLogger;
@@ -79,7 +79,7 @@
 export class FakeCluster {
   readonly clock = new FakeClock();
   readonly network: FakeNetwork;
-  readonly entries = new Map<string, FakeEntry>();
+  readonly entries = new Map<string, FakeReplica>();
   /** Failures that should have ended a process. */
   readonly fatal: Failure[] = [];
   readonly #options: FakeClusterOptions;
@@ -186,7 +186,7 @@
   }
 
   /** Finds an entry. */
-  find(entryId: string): FakeEntry {
+  find(entryId: string): FakeReplica {
     const entry = this.entries.get(entryId);
     if (entry === undefined) {
       throw new Error(`there is no entry ${entryId}`);
@@ -258,7 +258,7 @@
     );
   }
 
-  #findOrCreate(entryId: string): FakeEntry {
+  #findOrCreate(entryId: string): FakeReplica {
     const known = this.entries.get(entryId) ?? {
       entryId,
       disk: new FakeFileSystem(),
--- a/src/testing/replica_history.ts
+++ b/src/testing/replica_history.ts
@@ -5,7 +5,7 @@
 import {
   createChange,
   type FakeCluster,
-  type FakeEntry,
+  type FakeReplica,
 } from "./fake_cluster.ts";
 
 interface Accepted {
@@ -97,7 +97,7 @@
     this.#accepted.set(operationId, first ?? { revision, atMs });
   }
 
-  #checkLeaders({ entryId, logger }: FakeEntry): void {
+  #checkLeaders({ entryId, logger }: FakeReplica): void {
     const readCount = this.#readLines.get(entryId) ?? 0;
     for (const { fields, message } of logger.lines.slice(readCount)) {
       if (message === "leads a new term") {
@@ -110,7 +110,7 @@
     this.#readLines.set(entryId, logger.lines.length);
   }
 
-  #checkReplica({ entryId }: FakeEntry, replica: Replica): void {
+  #checkReplica({ entryId }: FakeReplica, replica: Replica): void {
     const { state } = replica;
     const status = replica.status();
     const before = this.#revisionOf.get(replica) ?? 0;
