--- a/src/domain/fleet_state.ts
+++ b/src/domain/fleet_state.ts
@@ -1,8 +1,8 @@
 /** The durable state that the replicated log builds, the same on every entry. */
 import { Result } from "true-myth";
 import { dropOldest } from "./bounded_map.ts";
-import { ClaimTable } from "./claim_table.ts";
 import type { Change, ResourceRef } from "./change.ts";
+import { ClaimTable } from "./claim_table.ts";
 import type { Claim, Command, VmAssignment } from "./command.ts";
 import type { DecisionRecord } from "./decision_record.ts";
 import { createFailure, type Failure } from "./errors.ts";
