--- a/src/daemon/create_permits.ts
+++ b/src/daemon/create_permits.ts
@@ -1,8 +1,14 @@
-/** Composes what hands out permits: the directory and the permit source. */
-import { TwoChoicesPicker } from "../decisions/index.ts";
+/** Composes what hands out permits: directory, coordinator and source. */
+import {
+  AlwaysHealthy,
+  TwoChoicesPicker,
+  WeightedMaxMinAllocator,
+} from "../decisions/index.ts";
 import {
   BackendDirectory,
-  LocalPermitSource,
+  FleetPermitSource,
+  PermitCoordinator,
+  PermitReporter,
   type PermitSource,
 } from "../services/index.ts";
 import type { EntryContext } from "./entry_context.ts";
@@ -14,30 +20,47 @@
 export interface PermitParts {
   readonly directory: BackendDirectory;
   readonly permits: PermitSource;
+  readonly coordinator: PermitCoordinator;
 }
 
 /**
- * Creates the directory of backend servers and the permit source.
+ * Creates the directory of backend servers, the coordinator and the source.
  *
  * @param context - The context of the services.
- * @returns Both parts, with their tasks started.
+ * @returns The parts, with their tasks started.
  */
 export function createPermits(context: EntryContext): PermitParts {
-  const { clock, fleet, random, tasks } = context;
+  const { clock, random, tasks, settings } = context;
+  const { entryId } = settings;
+  const entryIds = [entryId, ...settings.peers.map((peer) => peer.entryId)];
   const directory = new BackendDirectory(clock);
-  const picker = new TwoChoicesPicker(random);
-  const permits = new LocalPermitSource({
-    clock,
+  const source = new FleetPermitSource(context);
+  const coordinator = new PermitCoordinator({
+    ...context,
+    entryId,
+    entryIds,
+    allocator: new WeightedMaxMinAllocator(),
+    picker: new TwoChoicesPicker(random),
+    health: new AlwaysHealthy(),
+    pushToSelf: (push) => source.takeGrants(push),
+  });
+  const reporter = new PermitReporter({
+    ...context,
+    entryId,
     directory,
-    fleet,
-    picker,
-    random,
+    source,
+    coordinator,
   });
+  tasks.startForever(
+    "permit coordinator",
+    (signal) => coordinator.run(signal),
+  );
+  tasks.startForever("permit reports", (signal) => reporter.run(signal));
   tasks.startForever("directory clean-up", async (signal) => {
     while (!signal.aborted) {
       await clock.sleep(FORGET_INTERVAL_MS, signal);
       directory.forgetSilent(FORGET_BACKEND_MS);
     }
   });
-  return { directory, permits };
+  return { directory, permits: source, coordinator };
 }
--- a/src/decisions/routing/backend_picker.ts
+++ b/src/decisions/routing/backend_picker.ts
@@ -6,11 +6,14 @@
   readonly backendServerId: string;
   readonly pool: string;
   readonly zone: string;
-  /** Slots that this entry may still use there. */
+  /** Slots there that nobody uses. */
   readonly freeSlotCount: number;
   readonly slotCount: number;
 }
 
+/** Candidates by position, so that a choice need not look at all of them. */
+export type CandidateList = Pick<readonly BackendCandidate[], "length" | "at">;
+
 /** A way of choosing among backend servers with a free slot. */
 export interface BackendPicker {
   /**
@@ -19,7 +22,7 @@
    * @param candidates - Backend servers with at least one free slot.
    * @returns One of them, or undefined when there is none.
    */
-  pick(candidates: readonly BackendCandidate[]): BackendCandidate | undefined;
+  pick(candidates: CandidateList): BackendCandidate | undefined;
 }
 
 /** Chooses the backend server with the most free slots of two drawn at random. */
@@ -30,12 +33,12 @@
     this.#random = random;
   }
 
-  pick(candidates: readonly BackendCandidate[]): BackendCandidate | undefined {
+  pick(candidates: CandidateList): BackendCandidate | undefined {
     if (candidates.length === 0) {
       return undefined;
     }
-    const first = candidates[this.#random.nextInt(candidates.length)];
-    const second = candidates[this.#random.nextInt(candidates.length)];
+    const first = candidates.at(this.#random.nextInt(candidates.length));
+    const second = candidates.at(this.#random.nextInt(candidates.length));
     if (first === undefined || second === undefined) {
       return first ?? second;
     }
@@ -51,9 +54,9 @@
     this.#random = random;
   }
 
-  pick(candidates: readonly BackendCandidate[]): BackendCandidate | undefined {
+  pick(candidates: CandidateList): BackendCandidate | undefined {
     return candidates.length === 0
       ? undefined
-      : candidates[this.#random.nextInt(candidates.length)];
+      : candidates.at(this.#random.nextInt(candidates.length));
   }
 }
--- a/src/decisions/routing/index.ts
+++ b/src/decisions/routing/index.ts
@@ -1,2 +1,3 @@
 /** Chooses backend servers. */
+export * from "./backend_health.ts";
 export * from "./backend_picker.ts";
--- a/src/services/backend_directory.ts
+++ b/src/services/backend_directory.ts
@@ -17,6 +17,7 @@
 export class BackendDirectory {
   readonly #clock: Clock;
   readonly #backends = new Map<string, KnownBackend>();
+  readonly #unrelayed = new Set<string>();
   /** Wakes when an announcement has changed what is known. */
   readonly changed = new Notifier();
 
@@ -44,10 +45,45 @@
       announcement,
       heardAtMs,
     });
+    this.#unrelayed.add(announcement.backendServerId);
     this.changed.notify();
     return true;
   }
 
+  /**
+   * Takes the announcements that the coordinator has not been told.
+   *
+   * @returns The newest one of each backend server, with its age (ms).
+   */
+  takeUnrelayed(): { announcement: Announcement; ageMs: number }[] {
+    const nowMs = this.#clock.monotonicMs();
+    const taken = [...this.#unrelayed]
+      .map((backendServerId) => this.#backends.get(backendServerId))
+      .filter((known) => known !== undefined)
+      .map(({ announcement, heardAtMs }) => ({
+        announcement,
+        ageMs: Math.max(0, nowMs - heardAtMs),
+      }));
+    this.#unrelayed.clear();
+    return taken;
+  }
+
+  /**
+   * Marks announcements for another report, as the last one may be lost.
+   *
+   * @param announcements - What the report carried.
+   */
+  relayAgain(announcements: readonly Announcement[]): void {
+    for (const { backendServerId } of announcements) {
+      this.#unrelayed.add(backendServerId);
+    }
+  }
+
+  /** Marks all announcements for a report to a new coordinator. */
+  relayAll(): void {
+    this.relayAgain(this.listAll().map(({ announcement }) => announcement));
+  }
+
   /**
    * Finds a backend server.
    *
@@ -89,6 +125,7 @@
     for (const [backendServerId, { heardAtMs }] of this.#backends) {
       if (heardAtMs < oldestMs) {
         this.#backends.delete(backendServerId);
+        this.#unrelayed.delete(backendServerId);
       }
     }
   }
--- a/src/services/permits.ts
+++ b/src/services/permits.ts
@@ -11,6 +11,13 @@
   /** Monotonic time after which the permit is no longer wanted. */
   readonly waitUntilMs: number;
   readonly signal: AbortSignal;
+  /**
+   * Asked right before the permit is handed over, as the configuration may
+   * have changed during the wait.
+   *
+   * @returns Why the request may no longer run, or undefined when it may.
+   */
+  readonly findRefusal?: (() => Failure | undefined) | undefined;
 }
 
 /** How the attempt under a permit ended. */
@@ -33,6 +40,11 @@
   readonly zone: string;
   /** How long the attempt may run, in milliseconds. */
   readonly leaseMs: number;
+  /**
+   * Idle connections that this entry may keep to the backend server. Beyond
+   * them it has at most one connection there for each permit that it holds.
+   */
+  readonly idleConnectionCount?: number | undefined;
   /**
    * Gives the permit back; a second call has no effect.
    *
@@ -48,7 +60,8 @@
    *
    * @param request - Who wants to run what.
    * @returns The permit, or why none can be had in time: `teamLimitReached`,
-   * `overloaded`, `noBackendServer`, `zoneOut`, `expired` or `cancelled`.
+   * `overloaded`, `noBackendServer`, `zoneOut`, `expired` or `cancelled`, or
+   * what {@link PermitRequest.findRefusal} found.
    */
   acquire(request: PermitRequest): Promise<Result<Permit, Failure>>;
 }
--- /dev/null
+++ b/src/services/permits/coordinator_view.ts
@@ -0,0 +1,100 @@
+/** What this entry knows from the coordinator's last answers. */
+import type { PermitGrant, PermitReply } from "./permit_messages.ts";
+
+/** The session of this entry with the coordinator. */
+export class CoordinatorView {
+  #sessionId: string | undefined;
+  #leaseUntilMs = -Infinity;
+  #seenGrant = 0;
+  #reply: PermitReply | undefined;
+  #repliedAtMs = 0;
+  #isReachable = true;
+
+  /** Session that is open, if any. */
+  get sessionId(): string | undefined {
+    return this.#sessionId;
+  }
+
+  /** Highest number of a grant seen in the session. */
+  get seenGrant(): number {
+    return this.#seenGrant;
+  }
+
+  /** The last answer, if there was one. */
+  get reply(): PermitReply | undefined {
+    return this.#reply;
+  }
+
+  /** Local monotonic time at which the last answer arrived. */
+  get repliedAtMs(): number {
+    return this.#repliedAtMs;
+  }
+
+  /** Monotonic time from which nothing may be started under any permit. */
+  get leaseUntilMs(): number {
+    return this.#leaseUntilMs;
+  }
+
+  /** Whether a permit may be used again for as long as the lease holds. */
+  get keepsPermits(): boolean {
+    return !this.#isReachable || (this.#reply?.takingOver ?? false);
+  }
+
+  /** Forgets the session; grants made in it are refused from now on. */
+  closeSession(): void {
+    this.#sessionId = undefined;
+  }
+
+  /** Notes that a report was not answered. */
+  markUnreachable(): void {
+    this.#isReachable = false;
+  }
+
+  /**
+   * Takes in an answer.
+   *
+   * @param reply - The answer.
+   * @param askedAtMs - Local time at which the report was sent: the lease is
+   * counted from it, as the coordinator counts from a later moment.
+   * @param nowMs - Local monotonic time.
+   */
+  accept(reply: PermitReply, askedAtMs: number, nowMs: number): void {
+    this.#isReachable = true;
+    if (reply.mustReopen) {
+      this.#sessionId = undefined;
+      return;
+    }
+    if (reply.sessionId !== this.#sessionId) {
+      this.#sessionId = reply.sessionId;
+      this.#seenGrant = 0;
+    }
+    this.#reply = reply;
+    this.#repliedAtMs = nowMs;
+    this.#leaseUntilMs = askedAtMs + reply.leaseMs;
+  }
+
+  /**
+   * Tells which grants are new; each is new once. Those after a gap are left
+   * for the next message, which repeats all that were not confirmed.
+   *
+   * @param sessionId - Session in which they were made.
+   * @param grants - Grants, in the order of their numbers.
+   * @returns The new ones; none from another session.
+   */
+  takeNew(
+    sessionId: string,
+    grants: readonly PermitGrant[],
+  ): readonly PermitGrant[] {
+    if (sessionId !== this.#sessionId) {
+      return [];
+    }
+    const fresh: PermitGrant[] = [];
+    for (const grant of grants) {
+      if (grant.grantNumber === this.#seenGrant + 1) {
+        this.#seenGrant += 1;
+        fresh.push(grant);
+      }
+    }
+    return fresh;
+  }
+}
--- /dev/null
+++ b/src/services/permits/demand.ts
@@ -0,0 +1,62 @@
+/** The waiting requests of all entries, by team. */
+import type { EntrySession, EntryWant } from "./entry_session.ts";
+
+/** Collects the wants of all entries. */
+export class Demand {
+  readonly #wantsByTeam = new Map<string, Set<EntryWant>>();
+
+  /** Teams with at least one want. */
+  listTeams(): IterableIterator<string> {
+    return this.#wantsByTeam.keys();
+  }
+
+  /** Lists the wants of a team. */
+  listWants(team: string): Iterable<EntryWant> {
+    return this.#wantsByTeam.get(team) ?? [];
+  }
+
+  /** Adds the wants of an entry. */
+  add(session: EntrySession): void {
+    for (const want of session.wants.filter(({ count }) => count > 0)) {
+      const wants = this.#wantsByTeam.get(want.team) ?? new Set();
+      this.#wantsByTeam.set(want.team, wants.add(want));
+    }
+  }
+
+  /** Removes the wants of an entry. */
+  remove(session: EntrySession): void {
+    session.wants.forEach((want) => this.#removeWant(want));
+  }
+
+  /**
+   * Notes that one request of a want has been granted a permit.
+   *
+   * @param want - The want.
+   * @param nowMs - Monotonic time.
+   */
+  takeOne(want: EntryWant, nowMs: number): void {
+    // Arrivals are taken as even, so that entries share the grants of a team.
+    want.oldestAtMs += (nowMs - want.oldestAtMs) / want.count;
+    want.count -= 1;
+    if (want.count <= 0) {
+      this.#removeWant(want);
+    }
+  }
+
+  /** Finds since when the longest waiting request of a team has waited. */
+  findOldestMs(team: string): number {
+    let oldestMs = Infinity;
+    for (const { oldestAtMs } of this.listWants(team)) {
+      oldestMs = Math.min(oldestMs, oldestAtMs);
+    }
+    return oldestMs;
+  }
+
+  #removeWant(want: EntryWant): void {
+    const wants = this.#wantsByTeam.get(want.team);
+    wants?.delete(want);
+    if (wants?.size === 0) {
+      this.#wantsByTeam.delete(want.team);
+    }
+  }
+}
--- /dev/null
+++ b/src/services/permits/fleet_permit_source.ts
@@ -0,0 +1,274 @@
+/** Permits for this entry's requests, obtained from the coordinator. */
+import { Result } from "true-myth";
+import { createFailure, type Failure } from "../../domain/index.ts";
+import type { FleetIndexCache } from "../../decisions/index.ts";
+import type { Agreement, Clock } from "../../ports/index.ts";
+import { Notifier } from "../../tasks/index.ts";
+import type {
+  Permit,
+  PermitEnd,
+  PermitRequest,
+  PermitSource,
+} from "../permits.ts";
+import { CoordinatorView } from "./coordinator_view.ts";
+import { createAttemptId } from "./permit_id.ts";
+import { type Holding, PermitHoldings } from "./permit_holdings.ts";
+import type {
+  PermitGrant,
+  PermitPush,
+  PermitReply,
+} from "./permit_messages.ts";
+import { IDLE_HOLD_MS, REUSE_WINDOW_MS } from "./permit_times.ts";
+import { createWaitFailure } from "./wait_failure.ts";
+import { WaitingRequests } from "./waiting_requests.ts";
+
+/** Options of {@link FleetPermitSource}. */
+export interface FleetPermitSourceOptions {
+  readonly agreement: Agreement;
+  readonly clock: Clock;
+  readonly fleet: FleetIndexCache;
+}
+
+/** Gives permits of the coordinator to waiting requests. */
+export class FleetPermitSource implements PermitSource {
+  /** Session with the coordinator. */
+  readonly view = new CoordinatorView();
+  /** Permits held here. */
+  readonly holdings = new PermitHoldings();
+  /** Requests that wait here. */
+  readonly waiting = new WaitingRequests();
+  /** Wakes when there is something to report. */
+  readonly news = new Notifier();
+  readonly #options: FleetPermitSourceOptions;
+
+  constructor(options: FleetPermitSourceOptions) {
+    this.#options = options;
+  }
+
+  async acquire(request: PermitRequest): Promise<Result<Permit, Failure>> {
+    const nowMs = this.#options.clock.monotonicMs();
+    if (request.signal.aborted) {
+      return Result.err(createCancelled());
+    }
+    if (request.waitUntilMs <= nowMs) {
+      return Result.err(
+        createFailure("expired", "the deadline passed before the work started"),
+      );
+    }
+    return this.#takeIdle(request) ?? await this.#wait(request, nowMs);
+  }
+
+  /**
+   * Takes in the answer to a report.
+   *
+   * @param reply - The answer.
+   * @param askedAtMs - Local time at which the report was sent.
+   */
+  takeReply(reply: PermitReply, askedAtMs: number): void {
+    const nowMs = this.#options.clock.monotonicMs();
+    this.view.accept(reply, askedAtMs, nowMs);
+    this.holdings.confirmReturns(reply.acknowledgedReturn);
+    this.takeGrants(reply);
+    this.#offerIdle();
+  }
+
+  /**
+   * Takes in grants that the coordinator has sent.
+   *
+   * @param push - The grants and their session.
+   */
+  takeGrants(push: PermitPush): void {
+    const nowMs = this.#options.clock.monotonicMs();
+    const grants = this.view.takeNew(push.sessionId, push.grants);
+    for (const grant of grants) {
+      this.#offer(this.holdings.add(grant, nowMs));
+    }
+    if (grants.length > 0) {
+      this.news.notify();
+    }
+  }
+
+  /** Gives back the permits at hand that must not be used any more. */
+  returnStale(): void {
+    for (const holding of this.holdings.listAllIdle()) {
+      if (!this.#isUsable(holding)) {
+        this.#giveBack(holding, true);
+      }
+    }
+  }
+
+  #takeIdle(request: PermitRequest): Result<Permit, Failure> | undefined {
+    const { admission, excludedBackendIds } = request;
+    const { teamName, queue } = admission;
+    for (const holding of this.holdings.listIdle(teamName, queue.name)) {
+      if (!this.#isUsable(holding)) {
+        this.#giveBack(holding, true);
+      } else if (!excludedBackendIds.has(holding.grant.backendServerId)) {
+        return this.#start(holding, request);
+      }
+    }
+    return undefined;
+  }
+
+  async #wait(
+    request: PermitRequest,
+    sinceMs: number,
+  ): Promise<Result<Permit, Failure>> {
+    const { clock } = this.#options;
+    const timer = new AbortController();
+    const cancel = () => settle(Result.err(createCancelled()));
+    let settle: (result: Result<Permit, Failure>) => void = () => undefined;
+    const settled = new Promise<Result<Permit, Failure>>((resolve) => {
+      settle = resolve;
+    });
+    const waiting = { request, sinceMs, settle };
+    this.waiting.add(waiting);
+    request.signal.addEventListener("abort", cancel, { once: true });
+    void clock.sleep(request.waitUntilMs - sinceMs, timer.signal).then(() =>
+      settle(Result.err(this.#createTimeout(request)))
+    );
+    this.news.notify();
+    const result = await settled;
+    this.waiting.remove(waiting);
+    timer.abort();
+    request.signal.removeEventListener("abort", cancel);
+    return result;
+  }
+
+  // The next waiting request gets the permit; with none it goes back soon.
+  #offer(holding: Holding): void {
+    if (!this.#isUsable(holding)) {
+      this.#giveBack(holding, true);
+    } else if (!this.#serveNext(holding)) {
+      this.#keepForAWhile(holding);
+    }
+  }
+
+  #serveNext(holding: Holding): boolean {
+    const { team, queue, backendServerId } = holding.grant;
+    for (;;) {
+      const next = this.waiting.findFirst(team, queue, backendServerId);
+      if (next === undefined) {
+        return false;
+      }
+      this.waiting.remove(next);
+      const started = this.#start(holding, next.request);
+      next.settle(started);
+      if (started.isOk) {
+        return true;
+      }
+    }
+  }
+
+  #keepForAWhile(holding: Holding): void {
+    if (this.view.reply?.contended ?? false) {
+      this.#giveBack(holding, true);
+      return;
+    }
+    this.holdings.markIdle(holding);
+    void this.#returnUnused(holding, holding.attemptCount);
+  }
+
+  #offerIdle(): void {
+    for (const holding of this.holdings.listAllIdle()) {
+      this.holdings.markBusy(holding);
+      this.#offer(holding);
+    }
+  }
+
+  async #returnUnused(holding: Holding, attemptCount: number): Promise<void> {
+    await this.#options.clock.sleep(IDLE_HOLD_MS);
+    if (holding.isIdle && holding.attemptCount === attemptCount) {
+      this.#giveBack(holding, true);
+    }
+  }
+
+  #start(holding: Holding, request: PermitRequest): Result<Permit, Failure> {
+    const refusal = request.findRefusal?.();
+    if (refusal !== undefined) {
+      return Result.err(refusal);
+    }
+    this.holdings.markBusy(holding);
+    holding.attemptCount += 1;
+    return Result.ok(this.#createPermit(holding));
+  }
+
+  #createPermit(holding: Holding): Permit {
+    const { grant, attemptCount } = holding;
+    let isReleased = false;
+    return {
+      attemptId: createAttemptId(grant.permitId, attemptCount),
+      backend: grant.backend,
+      pool: grant.pool,
+      zone: grant.zone,
+      leaseMs: grant.runLeaseMs,
+      idleConnectionCount: grant.idleConnectionCount,
+      release: (end) => {
+        if (!isReleased) {
+          isReleased = true;
+          this.#release(holding, end);
+        }
+      },
+    };
+  }
+
+  #release(holding: Holding, { ended, healthy }: PermitEnd): void {
+    if (healthy !== undefined) {
+      this.holdings.addEvidence(holding.grant.backendServerId, healthy);
+    }
+    if (ended) {
+      this.#offer(holding);
+    } else {
+      this.#giveBack(holding, false);
+    }
+  }
+
+  #giveBack(holding: Holding, ended: boolean): void {
+    this.holdings.giveBack(holding, ended);
+    this.news.notify();
+  }
+
+  // Whether an attempt may be started under the permit at this moment.
+  #isUsable({ grant, arrivedAtMs }: Holding): boolean {
+    const { clock, agreement } = this.#options;
+    const nowMs = clock.monotonicMs();
+    const isLeased = nowMs < this.view.leaseUntilMs &&
+      nowMs < agreement.status().freshUntilMs;
+    const isInWindow = nowMs < arrivedAtMs + REUSE_WINDOW_MS ||
+      this.view.keepsPermits;
+    return isLeased && isInWindow && this.#isPlaced(grant);
+  }
+
+  #isPlaced({ backend, pool, queue, backendServerId }: PermitGrant): boolean {
+    const index = this.#options.fleet.current();
+    const placed = index.findVm(backend.vm);
+    const allowed = index.findQueue(queue);
+    const isLeaving = this.view.reply?.leavingBackendIds
+      .includes(backendServerId) ?? false;
+    return placed?.pool === pool && placed.serving && !isLeaving &&
+      index.findZoneOut(placed.vm.resource.zone) === undefined &&
+      allowed !== undefined &&
+      index.listPools(allowed.resource).some(({ resource }) =>
+        resource.name === pool
+      );
+  }
+
+  #createTimeout(request: PermitRequest): Failure {
+    const nowMs = this.#options.clock.monotonicMs();
+    const { reply, leaseUntilMs } = this.view;
+    return createWaitFailure(request, {
+      index: this.#options.fleet.current(),
+      isConnected: nowMs < leaseUntilMs,
+      takingOver: reply?.takingOver ?? false,
+      limitedTeams: reply?.limitedTeams ?? [],
+      unservedQueues: reply?.unservedQueues ?? [],
+    });
+  }
+}
+
+function createCancelled(): Failure {
+  return createFailure(
+    "cancelled",
+    "the caller went away before the work started",
+  );
+}
--- /dev/null
+++ b/src/services/permits/index.ts
@@ -0,0 +1,7 @@
+/** Permits of a whole deployment, granted by one coordinator. */
+export * from "./fleet_permit_source.ts";
+export * from "./permit_coordinator.ts";
+export * from "./permit_id.ts";
+export * from "./permit_messages.ts";
+export * from "./permit_reporter.ts";
+export * from "./permit_times.ts";
--- /dev/null
+++ b/src/services/permits/permit_coordinator.ts
@@ -0,0 +1,193 @@
+/** Grants permits to all entries while this entry is the leader. */
+import { Result } from "true-myth";
+import {
+  createFailure,
+  type Failure,
+  validateWith,
+} from "../../domain/index.ts";
+import type {
+  BackendHealth,
+  BackendPicker,
+  FleetIndexCache,
+  ShareAllocator,
+} from "../../decisions/index.ts";
+import type {
+  Agreement,
+  Clock,
+  Logger,
+  PeerNetwork,
+  Random,
+} from "../../ports/index.ts";
+import type { TaskGroup } from "../../tasks/index.ts";
+import type { EntrySession } from "./entry_session.ts";
+import { PermitLedger } from "./permit_ledger.ts";
+import {
+  GRANT_METHOD,
+  type PermitPush,
+  type PermitReply,
+  permitReportSchema,
+  REPORT_METHOD,
+} from "./permit_messages.ts";
+import {
+  REPORT_RETRY_MS,
+  REPORT_TIMEOUT_MS,
+  SWEEP_INTERVAL_MS,
+} from "./permit_times.ts";
+
+const COORDINATOR_ID_LENGTH = 6;
+
+/** Options of {@link PermitCoordinator}. */
+export interface PermitCoordinatorOptions {
+  readonly entryId: string;
+  /** All entries of the deployment, this one included. */
+  readonly entryIds: readonly string[];
+  readonly agreement: Agreement;
+  readonly network: PeerNetwork;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+  readonly tasks: TaskGroup;
+  readonly fleet: FleetIndexCache;
+  readonly allocator: ShareAllocator;
+  readonly picker: BackendPicker;
+  readonly health: BackendHealth;
+  /** Hands grants to this entry itself. */
+  readonly pushToSelf: (push: PermitPush) => void;
+}
+
+interface Term {
+  readonly leaderSinceMs: number;
+  readonly ledger: PermitLedger;
+}
+
+/** Answers reports with a ledger that lives as long as the leadership. */
+export class PermitCoordinator {
+  readonly #options: PermitCoordinatorOptions;
+  #term: Term | undefined;
+
+  constructor(options: PermitCoordinatorOptions) {
+    this.#options = options;
+    options.network.handle(
+      REPORT_METHOD,
+      (peerId, body) => Promise.resolve(this.takeReport(peerId, body)),
+    );
+  }
+
+  /** Counts the permits of a team; undefined on entries that do not lead. */
+  countTeam(team: string): number | undefined {
+    return this.#findLedger()?.countTeam(team);
+  }
+
+  /**
+   * Takes in a report of an entry.
+   *
+   * @param entryId - The entry, as authenticated.
+   * @param body - The report, not validated yet.
+   * @returns The answer, or `notLeader` when this entry must not grant.
+   */
+  takeReport(entryId: string, body: unknown): Result<PermitReply, Failure> {
+    const ledger = this.#findLedger();
+    if (ledger === undefined) {
+      return Result.err(
+        createFailure(
+          "notLeader",
+          `${this.#options.entryId} is not the confirmed leader`,
+        ),
+      );
+    }
+    return validateWith(permitReportSchema, body, { subject: REPORT_METHOD })
+      .map((report) => ledger.takeReport(entryId, report));
+  }
+
+  /**
+   * Watches leases until the signal aborts.
+   *
+   * @param signal - Ends the task.
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.#options.clock.sleep(SWEEP_INTERVAL_MS, signal);
+      this.#findLedger()?.sweep();
+    }
+  }
+
+  // A leader that cannot reach a quorum may have been replaced already.
+  #findLedger(): PermitLedger | undefined {
+    const { agreement, clock } = this.#options;
+    const { leaderSinceMs, freshUntilMs } = agreement.status();
+    if (this.#term?.leaderSinceMs !== leaderSinceMs) {
+      this.#startTerm(leaderSinceMs);
+    }
+    const isConfirmed = freshUntilMs > clock.monotonicMs();
+    return isConfirmed ? this.#term?.ledger : undefined;
+  }
+
+  #startTerm(leaderSinceMs: number | undefined): void {
+    const ended = this.#term;
+    this.#term = leaderSinceMs === undefined
+      ? undefined
+      : { leaderSinceMs, ledger: this.#createLedger(leaderSinceMs) };
+    ended?.ledger.close();
+  }
+
+  #createLedger(leaderSinceMs: number): PermitLedger {
+    const { random, agreement, tasks, logger } = this.#options;
+    const nonce = random.nextId().slice(0, COORDINATOR_ID_LENGTH);
+    const coordinatorId = `${agreement.status().term}.${nonce}`;
+    logger.info({ coordinatorId }, "this entry coordinates the permits");
+    const ledger: PermitLedger = new PermitLedger({
+      ...this.#options,
+      coordinatorId,
+      leaderSinceMs,
+      onSession: (session) =>
+        tasks.start(
+          `grants to ${session.entryId}`,
+          (signal) => this.#handOut(ledger, session, signal),
+        ),
+    });
+    return ledger;
+  }
+
+  // One task for each session: a slow or dead entry delays no other.
+  async #handOut(
+    ledger: PermitLedger,
+    session: EntrySession,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const isCurrent = () =>
+      !signal.aborted && this.#term?.ledger === ledger &&
+      ledger.findSession(session.entryId) === session;
+    while (isCurrent()) {
+      if (!session.hasUndelivered) {
+        await session.granted.wait(signal);
+        continue;
+      }
+      session.markDelivered();
+      const { sessionId, outbox: grants } = session;
+      const isDelivered = await this.#push(
+        session.entryId,
+        { sessionId, grants: [...grants] },
+        signal,
+      );
+      if (!isDelivered) {
+        session.markLost();
+        await this.#options.clock.sleep(REPORT_RETRY_MS, signal);
+      }
+    }
+  }
+
+  async #push(
+    entryId: string,
+    push: PermitPush,
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    const { network, pushToSelf } = this.#options;
+    if (entryId === this.#options.entryId) {
+      pushToSelf(push);
+      return true;
+    }
+    const options = { timeoutMs: REPORT_TIMEOUT_MS, signal };
+    const answer = await network.call(entryId, GRANT_METHOD, push, options);
+    return answer.isOk;
+  }
+}
--- /dev/null
+++ b/src/services/permits/permit_holdings.ts
@@ -0,0 +1,157 @@
+/** The permits that this entry holds, and those that it gives back. */
+import { createKey } from "./waiting_requests.ts";
+import type {
+  BackendEvidence,
+  HeldPermit,
+  PermitGrant,
+  ReturnedPermit,
+} from "./permit_messages.ts";
+
+/** A permit of this entry. */
+export interface Holding {
+  readonly grant: PermitGrant;
+  readonly arrivedAtMs: number;
+  attemptCount: number;
+  isIdle: boolean;
+}
+
+/** Keeps permits until the coordinator has confirmed that they are back. */
+export class PermitHoldings {
+  readonly #holdings = new Map<string, Holding>();
+  readonly #idleByKey = new Map<string, Set<Holding>>();
+  readonly #countByBackend = new Map<string, number>();
+  #returns: ReturnedPermit[] = [];
+  #returnCount = 0;
+  readonly #evidence = new Map<string, BackendEvidence>();
+
+  /** Number of permits held. */
+  get size(): number {
+    return this.#holdings.size;
+  }
+
+  /** Tells whether anything waits to be reported. */
+  get hasNews(): boolean {
+    return this.#returns.length > 0;
+  }
+
+  /** Returns that the coordinator has not confirmed. */
+  get returns(): readonly ReturnedPermit[] {
+    return this.#returns;
+  }
+
+  /** Counts the permits held for a backend server. */
+  countBackend(backendServerId: string): number {
+    return this.#countByBackend.get(backendServerId) ?? 0;
+  }
+
+  /** Adds a permit that has just arrived. */
+  add(grant: PermitGrant, nowMs: number): Holding {
+    const holding = {
+      grant,
+      arrivedAtMs: nowMs,
+      attemptCount: 0,
+      isIdle: false,
+    };
+    this.#holdings.set(grant.permitId, holding);
+    this.#count(grant.backendServerId, 1);
+    return holding;
+  }
+
+  /** Keeps a permit at hand for the next request of its team and queue. */
+  markIdle(holding: Holding): void {
+    const key = createKey(holding.grant.team, holding.grant.queue);
+    const idle = this.#idleByKey.get(key) ?? new Set();
+    this.#idleByKey.set(key, idle.add(holding));
+    holding.isIdle = true;
+  }
+
+  /** Takes a permit out of those at hand. */
+  markBusy(holding: Holding): void {
+    const key = createKey(holding.grant.team, holding.grant.queue);
+    const idle = this.#idleByKey.get(key);
+    idle?.delete(holding);
+    if (idle?.size === 0) {
+      this.#idleByKey.delete(key);
+    }
+    holding.isIdle = false;
+  }
+
+  /** Lists the permits at hand for a team and a queue. */
+  listIdle(team: string, queue: string): Holding[] {
+    return [...this.#idleByKey.get(createKey(team, queue)) ?? []];
+  }
+
+  /** Lists all permits at hand. */
+  listAllIdle(): Holding[] {
+    return [...this.#holdings.values()].filter(({ isIdle }) => isIdle);
+  }
+
+  /**
+   * Gives a permit back with the next report.
+   *
+   * @param holding - The permit.
+   * @param ended - False when its last attempt may still run.
+   */
+  giveBack(holding: Holding, ended: boolean): void {
+    this.markBusy(holding);
+    this.#holdings.delete(holding.grant.permitId);
+    this.#count(holding.grant.backendServerId, -1);
+    this.#returnCount += 1;
+    this.#returns.push({
+      ...describeHeld(holding),
+      returnNumber: this.#returnCount,
+      ended,
+      attemptCount: holding.attemptCount,
+    });
+  }
+
+  /** Drops the returns that the coordinator has confirmed. */
+  confirmReturns(acknowledgedReturn: number): void {
+    this.#returns = this.#returns.filter(({ returnNumber }) =>
+      returnNumber > acknowledgedReturn
+    );
+  }
+
+  /** Lists all permits for a report that opens a session. */
+  listHeld(): HeldPermit[] {
+    return [...this.#holdings.values()].map(describeHeld);
+  }
+
+  /** Notes how an attempt at a backend server ended. */
+  addEvidence(backendServerId: string, healthy: boolean): void {
+    const known = this.#evidence.get(backendServerId) ??
+      { backendServerId, healthyCount: 0, unhealthyCount: 0 };
+    this.#evidence.set(backendServerId, {
+      backendServerId,
+      healthyCount: known.healthyCount + (healthy ? 1 : 0),
+      unhealthyCount: known.unhealthyCount + (healthy ? 0 : 1),
+    });
+  }
+
+  /** Takes the evidence since the last report; a lost report loses it. */
+  takeEvidence(): BackendEvidence[] {
+    const evidence = [...this.#evidence.values()];
+    this.#evidence.clear();
+    return evidence;
+  }
+
+  #count(backendServerId: string, delta: number): void {
+    const count = this.countBackend(backendServerId) + delta;
+    if (count === 0) {
+      this.#countByBackend.delete(backendServerId);
+    } else {
+      this.#countByBackend.set(backendServerId, count);
+    }
+  }
+}
+
+function describeHeld({ grant }: Holding): HeldPermit {
+  return {
+    permitId: grant.permitId,
+    team: grant.team,
+    queue: grant.queue,
+    pool: grant.pool,
+    backendServerId: grant.backendServerId,
+    runLeaseMs: grant.runLeaseMs,
+  };
+}
--- /dev/null
+++ b/src/services/permits/permit_ledger.ts
@@ -0,0 +1,386 @@
+/** Everything that the coordinator of one term keeps and decides. */
+import type { Announcement } from "../../domain/index.ts";
+import type {
+  BackendHealth,
+  BackendPicker,
+  FleetIndex,
+  FleetIndexCache,
+  ShareAllocator,
+} from "../../decisions/index.ts";
+import type { Agreement, Clock } from "../../ports/index.ts";
+import { Demand } from "./demand.ts";
+import { EntrySession, type EntryWant } from "./entry_session.ts";
+import { type FoundSlot, GrantRounds } from "./grant_round.ts";
+import { createPermitId } from "./permit_id.ts";
+import type {
+  BackendEvidence,
+  PermitGrant,
+  PermitReply,
+  PermitReport,
+  RelayedAnnouncement,
+  ReturnedPermit,
+} from "./permit_messages.ts";
+import { PermitTable } from "./permit_table.ts";
+import { PERMIT_LEASE_MS } from "./permit_times.ts";
+import { SlotTable } from "./slot_table.ts";
+import { Takeover } from "./takeover.ts";
+
+const FORGET_BACKEND_MS = 120_000;
+
+/** Options of {@link PermitLedger}. */
+export interface PermitLedgerOptions {
+  readonly coordinatorId: string;
+  readonly leaderSinceMs: number;
+  readonly entryIds: readonly string[];
+  readonly agreement: Agreement;
+  readonly clock: Clock;
+  readonly fleet: FleetIndexCache;
+  readonly allocator: ShareAllocator;
+  readonly picker: BackendPicker;
+  readonly health: BackendHealth;
+  /** Called for each new session, which wants a task that hands out grants. */
+  readonly onSession: (session: EntrySession) => void;
+}
+
+/** Counts permits and grants them while this entry is the coordinator. */
+export class PermitLedger {
+  readonly #options: PermitLedgerOptions;
+  readonly #sessions = new Map<string, EntrySession>();
+  readonly #demand = new Demand();
+  readonly #table: PermitTable;
+  readonly #slots: SlotTable;
+  readonly #takeover: Takeover;
+  readonly #rounds: GrantRounds;
+  #index: FleetIndex;
+  #permitCount = 0;
+  #sessionCount = 0;
+  #unknownCount = 0;
+
+  constructor(options: PermitLedgerOptions) {
+    const { coordinatorId, leaderSinceMs, entryIds, picker, health } = options;
+    this.#options = options;
+    this.#index = options.fleet.current();
+    this.#table = new PermitTable({
+      onSlotsChanged: (id) => this.#slots.updateFree(id),
+    });
+    this.#takeover = new Takeover({
+      coordinatorId,
+      leaderSinceMs,
+      entryIds,
+      table: this.#table,
+    });
+    this.#slots = new SlotTable(this.#index, {
+      picker,
+      countUsed: (id) => this.#table.countBackend(id),
+      isEjected: ({ announcement, pool }) =>
+        pool !== undefined &&
+        health.isEjected(announcement.backendServerId, pool),
+      findVerifiedFromMs: () => this.#takeover.verifiedFromMs,
+    });
+    this.#rounds = new GrantRounds({
+      allocator: options.allocator,
+      demand: this.#demand,
+      table: this.#table,
+      slots: this.#slots,
+      countUnknown: () => this.#unknownCount,
+      grant: (want, found) => this.#grant(want, found),
+    });
+  }
+
+  /** Number of permits that count now. */
+  get permitCount(): number {
+    return this.#table.size;
+  }
+
+  /** Finds the session of an entry. */
+  findSession(entryId: string): EntrySession | undefined {
+    return this.#sessions.get(entryId);
+  }
+
+  /** Counts the permits of a team, over the whole fleet. */
+  countTeam(team: string): number {
+    return this.#table.countTeam(team);
+  }
+
+  /**
+   * Takes in a report and answers it.
+   *
+   * @param entryId - The entry that reports.
+   * @param report - The report; a late or doubled one changes nothing.
+   * @returns Grants, lease and what the entry's refusals should say.
+   */
+  takeReport(entryId: string, report: PermitReport): PermitReply {
+    const nowMs = this.#options.clock.monotonicMs();
+    this.#refreshIndex(nowMs);
+    const session = this.#findOrOpen(entryId, report, nowMs);
+    if (session === undefined) {
+      return this.#createReply(undefined, nowMs);
+    }
+    if (!isLate(session, report)) {
+      this.#apply(session, report, nowMs);
+      this.runRound();
+      session.markDelivered();
+    }
+    return this.#createReply(session, nowMs);
+  }
+
+  /** Wakes the tasks that hand out grants, so that they end. */
+  close(): void {
+    for (const session of this.#sessions.values()) {
+      session.granted.notify();
+    }
+  }
+
+  /** Grants what is free now. */
+  runRound(): void {
+    const nowMs = this.#options.clock.monotonicMs();
+    this.#rounds.run(this.#index, nowMs);
+  }
+
+  /** Looks for leases that have lapsed and for backend servers gone silent. */
+  sweep(): void {
+    const nowMs = this.#options.clock.monotonicMs();
+    for (const session of [...this.#sessions.values()]) {
+      if (session.leaseUntilMs < nowMs) {
+        this.#close(session);
+      }
+    }
+    this.#table.freeExpired(nowMs);
+    this.#forgetSilent(nowMs);
+    this.#index = this.#options.fleet.current();
+    this.#slots.refreshAll(this.#index, nowMs);
+    this.#countUnknown(nowMs);
+    this.runRound();
+  }
+
+  #findOrOpen(
+    entryId: string,
+    report: PermitReport,
+    nowMs: number,
+  ): EntrySession | undefined {
+    const known = this.#sessions.get(entryId);
+    if (known !== undefined && isLate(known, report)) {
+      return known;
+    }
+    if (report.sessionId !== undefined) {
+      return report.sessionId === known?.sessionId ? known : undefined;
+    }
+    return this.#open(entryId, report, nowMs);
+  }
+
+  #open(entryId: string, report: PermitReport, nowMs: number): EntrySession {
+    this.#sessionCount += 1;
+    const session = new EntrySession({
+      entryId,
+      sessionId: `${this.#options.coordinatorId}/${this.#sessionCount}`,
+      runStartedAtMs: report.runStartedAtMs,
+      openedAtMs: nowMs,
+    });
+    const known = this.#sessions.get(entryId);
+    const isSameRun = known?.runStartedAtMs === report.runStartedAtMs;
+    if (known !== undefined && !isSameRun) {
+      this.#close(known);
+    }
+    if (known !== undefined && isSameRun) {
+      this.#freeUnlisted(known, report);
+      this.#demand.remove(known);
+    }
+    for (const permit of report.held) {
+      this.#table.add(permit, entryId);
+    }
+    this.#sessions.set(entryId, session);
+    this.#takeover.addEntry(entryId, nowMs);
+    this.#options.onSession(session);
+    return session;
+  }
+
+  // The entry has never seen these grants, and refuses them from now on.
+  #freeUnlisted(known: EntrySession, report: PermitReport): void {
+    const listed = new Set([
+      ...report.held.map(({ permitId }) => permitId),
+      ...report.returns.map(({ permitId }) => permitId),
+    ]);
+    for (const { permitId } of this.#table.listHeld(known.entryId)) {
+      if (!listed.has(permitId)) {
+        this.#table.free(permitId);
+      }
+    }
+  }
+
+  #apply(session: EntrySession, report: PermitReport, nowMs: number): void {
+    session.lastSequence = report.sequence;
+    session.lastReportAtMs = nowMs;
+    session.confirmGrants(report.acknowledgedGrant);
+    for (const returned of report.returns) {
+      this.#takeReturn(session, returned, nowMs);
+    }
+    for (const relayed of report.announcements) {
+      this.#takeAnnouncement(relayed, report, nowMs);
+    }
+    report.evidence.forEach((evidence) => this.#takeEvidence(evidence));
+    this.#demand.remove(session);
+    session.replaceWants(report, nowMs);
+    this.#demand.add(session);
+    if (report.announcements.length > 0) {
+      this.#countUnknown(nowMs);
+    }
+  }
+
+  #takeReturn(
+    session: EntrySession,
+    returned: ReturnedPermit,
+    nowMs: number,
+  ): void {
+    if (returned.returnNumber <= session.acknowledgedReturn) {
+      return;
+    }
+    session.acknowledgedReturn = returned.returnNumber;
+    this.#takeover.addReturned(returned.permitId);
+    const known = this.#table.find(returned.permitId);
+    if (returned.ended) {
+      this.#table.free(returned.permitId);
+      return;
+    }
+    const record = known ?? this.#table.add(returned, session.entryId);
+    const { attemptCount } = returned;
+    this.#table.orphan(record, { sentUntilMs: nowMs, attemptCount });
+  }
+
+  #takeAnnouncement(
+    { announcement, ageMs }: RelayedAnnouncement,
+    report: PermitReport,
+    nowMs: number,
+  ): void {
+    // Counted from the last answer, as the report may have been on its way
+    // for long: evidence must not look newer than it is.
+    const sentAtMs = Math.min(nowMs, report.repliedAtMs + report.sinceReplyMs);
+    const heardAtMs = sentAtMs - ageMs;
+    const { backendServerId } = announcement;
+    if (this.#slots.accept(announcement, heardAtMs, nowMs)) {
+      const pool = this.#slots.find(backendServerId)?.pool ?? "";
+      this.#table.observe(announcement, heardAtMs);
+      this.#takeover.adopt(announcement, pool, this.#findMaxRunMs(), nowMs);
+    }
+  }
+
+  #takeEvidence(evidence: BackendEvidence): void {
+    const pool = this.#slots.find(evidence.backendServerId)?.pool;
+    if (pool !== undefined) {
+      this.#options.health.record({ ...evidence, pool });
+    }
+  }
+
+  #close(session: EntrySession): void {
+    this.#sessions.delete(session.entryId);
+    this.#demand.remove(session);
+    const sentUntilMs = session.leaseUntilMs;
+    for (const record of this.#table.listHeld(session.entryId)) {
+      this.#table.orphan(record, { sentUntilMs });
+    }
+    session.granted.notify();
+  }
+
+  #grant({ session, team, queue }: EntryWant, found: FoundSlot): void {
+    const { slot, pool, runLeaseMs } = found;
+    const { coordinatorId, entryIds } = this.#options;
+    this.#permitCount += 1;
+    const permitNumber = this.#permitCount;
+    const grant: PermitGrant = {
+      grantNumber: session.nextGrantNumber,
+      permitId: createPermitId({ team, coordinatorId, permitNumber }),
+      team,
+      queue,
+      pool,
+      zone: slot.zone,
+      backendServerId: slot.announcement.backendServerId,
+      backend: { ...slot.announcement, running: [] },
+      runLeaseMs,
+      idleConnectionCount: countIdleConnections(
+        slot.announcement,
+        entryIds.length,
+      ),
+    };
+    this.#table.add(grant, session.entryId);
+    session.addGrant(grant);
+  }
+
+  #createReply(session: EntrySession | undefined, nowMs: number): PermitReply {
+    const teams = new Set(session?.wants.map(({ team }) => team));
+    const queues = new Set(session?.wants.map(({ queue }) => queue));
+    const takingOver = this.#takeover.isRunning(nowMs);
+    return {
+      sessionId: session?.sessionId ?? "",
+      mustReopen: session === undefined,
+      repliedAtMs: nowMs,
+      leaseMs: PERMIT_LEASE_MS,
+      acknowledgedReturn: session?.acknowledgedReturn ?? 0,
+      grants: [...(session?.outbox ?? [])],
+      limitedTeams: [...teams].filter((team) =>
+        this.#rounds.isLimited(this.#index, team)
+      ),
+      unservedQueues: [...queues].filter((queue) => !this.#isServed(queue)),
+      contended: !this.#demand.listTeams().next().done,
+      takingOver,
+      leavingBackendIds: takingOver ? this.#listLeaving() : [],
+    };
+  }
+
+  #isServed(queueName: string): boolean {
+    const queue = this.#index.findQueue(queueName)?.resource;
+    const pools = queue === undefined ? [] : this.#index.listPools(queue);
+    return pools.some(({ resource }) => this.#slots.isServed(resource.name));
+  }
+
+  #listLeaving(): string[] {
+    return this.#slots.listAll()
+      .filter(({ announcement }) => announcement.leaving)
+      .map(({ announcement }) => announcement.backendServerId);
+  }
+
+  #refreshIndex(nowMs: number): void {
+    const index = this.#options.fleet.current();
+    if (index !== this.#index) {
+      this.#index = index;
+      this.#slots.refreshAll(index, nowMs);
+    }
+  }
+
+  #countUnknown(nowMs: number): void {
+    this.#unknownCount = this.#takeover.countUnknown(
+      this.#slots,
+      this.#findMaxRunMs(),
+      nowMs,
+    );
+  }
+
+  #findMaxRunMs(): number {
+    const queues = this.#options.agreement.state.list("queue");
+    return Math.max(0, ...queues.map(({ resource }) => resource.maxRunMs));
+  }
+
+  #forgetSilent(nowMs: number): void {
+    for (const { announcement, heardAtMs } of this.#slots.listAll()) {
+      if (heardAtMs < nowMs - FORGET_BACKEND_MS) {
+        this.#slots.forget(announcement.backendServerId);
+        this.#table.forgetBackend(announcement.backendServerId);
+      }
+    }
+  }
+}
+
+// A report of an earlier run, or an earlier report of this one.
+function isLate(session: EntrySession, report: PermitReport): boolean {
+  return report.runStartedAtMs === session.runStartedAtMs
+    ? report.sequence <= session.lastSequence
+    : report.runStartedAtMs < session.runStartedAtMs;
+}
+
+// With at most one connection for each running attempt besides, the entries
+// together stay within the backend server's number.
+function countIdleConnections(
+  { connectionCount, slotCount }: Announcement,
+  entryCount: number,
+): number {
+  const sparedCount = Math.max(0, connectionCount - slotCount);
+  return Math.floor(sparedCount / entryCount);
+}
--- /dev/null
+++ b/src/services/permits/permit_messages.ts
@@ -0,0 +1,148 @@
+/** Messages between entries and the permit coordinator. */
+import * as v from "valibot";
+import { announcementSchema } from "../../domain/index.ts";
+
+/** Message by which an entry reports to the coordinator. */
+export const REPORT_METHOD = "permits.report";
+/** Message by which the coordinator hands grants to an entry. */
+export const GRANT_METHOD = "permits.grant";
+
+const MAX_LIST_LENGTH = 100_000;
+
+const countSchema = v.pipe(v.number(), v.integer(), v.minValue(0));
+const durationMsSchema = v.pipe(v.number(), v.minValue(0));
+
+/** Schema of {@link HeldPermit}. */
+export const heldPermitSchema = v.object({
+  permitId: v.string(),
+  team: v.string(),
+  queue: v.string(),
+  pool: v.string(),
+  backendServerId: v.string(),
+  runLeaseMs: durationMsSchema,
+});
+
+/** Schema of {@link ReturnedPermit}. */
+export const returnedPermitSchema = v.object({
+  ...heldPermitSchema.entries,
+  /** Counts the returns of one run of an entry. */
+  returnNumber: countSchema,
+  /** False when the last attempt may still run. */
+  ended: v.boolean(),
+  attemptCount: countSchema,
+});
+
+/** Schema of {@link PermitWant}. */
+export const permitWantSchema = v.object({
+  team: v.string(),
+  queue: v.string(),
+  count: countSchema,
+  oldestWaitMs: durationMsSchema,
+  excludedBackendIds: v.array(v.string()),
+});
+
+/** Schema of {@link RelayedAnnouncement}. */
+export const relayedAnnouncementSchema = v.object({
+  announcement: announcementSchema,
+  ageMs: durationMsSchema,
+});
+
+/** Schema of {@link BackendEvidence}. */
+export const backendEvidenceSchema = v.object({
+  backendServerId: v.string(),
+  healthyCount: countSchema,
+  unhealthyCount: countSchema,
+});
+
+/** Schema of {@link PermitReport}. */
+export const permitReportSchema = v.object({
+  /** Wall-clock time at which the entry's process started; names its run. */
+  runStartedAtMs: v.number(),
+  /** Grows with every report of a run. */
+  sequence: countSchema,
+  /** The session that the report continues; none opens a new one. */
+  sessionId: v.optional(v.string()),
+  /** All permits of the entry; only with a report that opens a session. */
+  held: v.optional(
+    v.pipe(v.array(heldPermitSchema), v.maxLength(MAX_LIST_LENGTH)),
+    [],
+  ),
+  /** Highest number of a grant that has arrived in this session. */
+  acknowledgedGrant: countSchema,
+  returns: v.pipe(
+    v.array(returnedPermitSchema),
+    v.maxLength(MAX_LIST_LENGTH),
+  ),
+  wants: v.pipe(v.array(permitWantSchema), v.maxLength(MAX_LIST_LENGTH)),
+  announcements: v.pipe(
+    v.array(relayedAnnouncementSchema),
+    v.maxLength(MAX_LIST_LENGTH),
+  ),
+  evidence: v.pipe(
+    v.array(backendEvidenceSchema),
+    v.maxLength(MAX_LIST_LENGTH),
+  ),
+  /** Time since the last answer arrived, in milliseconds. */
+  sinceReplyMs: durationMsSchema,
+  /** Time of the coordinator in that answer, on its own monotonic clock. */
+  repliedAtMs: v.number(),
+});
+
+/** Schema of {@link PermitGrant}. */
+export const permitGrantSchema = v.object({
+  ...heldPermitSchema.entries,
+  /** Counts the grants of one session. */
+  grantNumber: countSchema,
+  zone: v.string(),
+  backend: announcementSchema,
+  /** Idle connections that the entry may keep to the backend server. */
+  idleConnectionCount: countSchema,
+});
+
+/** Schema of {@link PermitReply}. */
+export const permitReplySchema = v.object({
+  sessionId: v.string(),
+  /** True when the entry must open a new session. */
+  mustReopen: v.boolean(),
+  repliedAtMs: v.number(),
+  leaseMs: durationMsSchema,
+  acknowledgedReturn: countSchema,
+  grants: v.array(permitGrantSchema),
+  /** Teams of the entry's wants that are at their upper limits. */
+  limitedTeams: v.array(v.string()),
+  /** Queues of the entry's wants for which no backend server is open. */
+  unservedQueues: v.array(v.string()),
+  /** True while requests of any entry wait for a permit. */
+  contended: v.boolean(),
+  /** True while a new coordinator grants nothing; entries keep what they have. */
+  takingOver: v.boolean(),
+  /** Leaving backend servers, while {@link takingOver}. */
+  leavingBackendIds: v.array(v.string()),
+});
+
+/** Schema of {@link PermitPush}. */
+export const permitPushSchema = v.object({
+  sessionId: v.string(),
+  grants: v.array(permitGrantSchema),
+});
+
+/** A permit as its entry reports it. */
+export type HeldPermit = v.InferOutput<typeof heldPermitSchema>;
+/** A permit that an entry gives back. */
+export type ReturnedPermit = v.InferOutput<typeof returnedPermitSchema>;
+/** Requests of one team and queue that wait on an entry. */
+export type PermitWant = v.InferOutput<typeof permitWantSchema>;
+/** An announcement as one entry passes it on. */
+export type RelayedAnnouncement = v.InferOutput<
+  typeof relayedAnnouncementSchema
+>;
+/** How attempts at one backend server ended since the last report. */
+export type BackendEvidence = v.InferOutput<typeof backendEvidenceSchema>;
+/** What an entry tells the coordinator. */
+export type PermitReport = v.InferOutput<typeof permitReportSchema>;
+/** A permit as the coordinator grants it. */
+export type PermitGrant = v.InferOutput<typeof permitGrantSchema>;
+/** What the coordinator answers to a report. */
+export type PermitReply = v.InferOutput<typeof permitReplySchema>;
+/** Grants that the coordinator sends between reports. */
+export type PermitPush = v.InferOutput<typeof permitPushSchema>;
--- /dev/null
+++ b/src/services/permits/permit_reporter.ts
@@ -0,0 +1,181 @@
+/** The task that exchanges reports with the permit coordinator. */
+import type { Result } from "true-myth";
+import { type Failure, validateWith } from "../../domain/index.ts";
+import type { Agreement, Clock, PeerNetwork } from "../../ports/index.ts";
+import { Notifier } from "../../tasks/index.ts";
+import type { BackendDirectory } from "../backend_directory.ts";
+import type { FleetPermitSource } from "./fleet_permit_source.ts";
+import type { PermitCoordinator } from "./permit_coordinator.ts";
+import {
+  GRANT_METHOD,
+  permitPushSchema,
+  type PermitReply,
+  permitReplySchema,
+  type PermitReport,
+  REPORT_METHOD,
+} from "./permit_messages.ts";
+import {
+  REPORT_BATCH_MS,
+  REPORT_INTERVAL_MS,
+  REPORT_RETRY_MS,
+  REPORT_TIMEOUT_MS,
+} from "./permit_times.ts";
+
+/** Options of {@link PermitReporter}. */
+export interface PermitReporterOptions {
+  readonly entryId: string;
+  readonly agreement: Agreement;
+  readonly network: PeerNetwork;
+  readonly clock: Clock;
+  readonly directory: BackendDirectory;
+  readonly source: FleetPermitSource;
+  /** The coordinator of this entry, for while it leads itself. */
+  readonly coordinator: PermitCoordinator;
+}
+
+/** Reports wants, returns and announcements, one report at a time. */
+export class PermitReporter {
+  readonly #options: PermitReporterOptions;
+  readonly #runStartedAtMs: number;
+  #sequence = 0;
+  #coordinatorEntryId: string | undefined;
+  #hasNews = true;
+  readonly #wake = new Notifier();
+
+  constructor(options: PermitReporterOptions) {
+    const { network, clock, source } = options;
+    this.#options = options;
+    this.#runStartedAtMs = clock.nowMs();
+    network.handle(GRANT_METHOD, (_peerId, body) => {
+      const push = validateWith(permitPushSchema, body, {
+        subject: GRANT_METHOD,
+      });
+      return Promise.resolve(push.map((value) => source.takeGrants(value)));
+    });
+  }
+
+  /**
+   * Reports until the signal aborts, then gives back what is at hand.
+   *
+   * @param signal - Ends the task.
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    void this.#watch(this.#options.source.news, signal);
+    void this.#watch(this.#options.directory.changed, signal);
+    while (!signal.aborted) {
+      await this.#waitForNews(signal);
+      await this.#options.clock.sleep(REPORT_BATCH_MS, signal);
+      const isDone = await this.#exchange();
+      if (!isDone) {
+        await this.#options.clock.sleep(REPORT_RETRY_MS, signal);
+      }
+    }
+    await this.#exchange();
+  }
+
+  async #watch(notifier: Notifier, signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await notifier.wait(signal);
+      this.#hasNews = true;
+      this.#wake.notify();
+    }
+  }
+
+  async #waitForNews(signal: AbortSignal): Promise<void> {
+    if (this.#hasNews) {
+      return;
+    }
+    const stop = new AbortController();
+    const end = () => stop.abort();
+    signal.addEventListener("abort", end, { once: true });
+    await Promise.race([
+      this.#wake.wait(stop.signal),
+      this.#options.clock.sleep(REPORT_INTERVAL_MS, stop.signal),
+    ]);
+    stop.abort();
+    signal.removeEventListener("abort", end);
+  }
+
+  async #exchange(): Promise<boolean> {
+    const { agreement, clock, source } = this.#options;
+    const { leaderId } = agreement.status();
+    if (leaderId !== this.#coordinatorEntryId) {
+      source.view.closeSession();
+      this.#coordinatorEntryId = leaderId;
+    }
+    if (leaderId === undefined) {
+      source.view.markUnreachable();
+      return false;
+    }
+    source.returnStale();
+    this.#hasNews = false;
+    const askedAtMs = clock.monotonicMs();
+    const report = this.#createReport(askedAtMs);
+    const reply = await this.#send(leaderId, report);
+    if (reply.isErr) {
+      this.#options.directory.relayAgain(
+        report.announcements.map(({ announcement }) => announcement),
+      );
+      source.view.markUnreachable();
+      this.#hasNews = true;
+      return false;
+    }
+    this.#takeReply(report, reply.value, askedAtMs);
+    return true;
+  }
+
+  #takeReply(
+    report: PermitReport,
+    reply: PermitReply,
+    askedAtMs: number,
+  ): void {
+    const { source, directory } = this.#options;
+    source.takeReply(reply, askedAtMs);
+    if (reply.mustReopen) {
+      this.#hasNews = true;
+    } else if (report.sessionId === undefined) {
+      directory.relayAll();
+      this.#hasNews = true;
+    }
+  }
+
+  #createReport(nowMs: number): PermitReport {
+    const { source, directory } = this.#options;
+    const { view, holdings, waiting } = source;
+    const { sessionId } = view;
+    this.#sequence += 1;
+    return {
+      runStartedAtMs: this.#runStartedAtMs,
+      sequence: this.#sequence,
+      ...(sessionId === undefined ? {} : { sessionId }),
+      held: sessionId === undefined ? holdings.listHeld() : [],
+      acknowledgedGrant: sessionId === undefined ? 0 : view.seenGrant,
+      returns: [...holdings.returns],
+      wants: waiting.listWants(nowMs),
+      // Their age can be told only in the time of an open session.
+      announcements: sessionId === undefined ? [] : directory.takeUnrelayed(),
+      evidence: holdings.takeEvidence(),
+      sinceReplyMs: Math.max(0, nowMs - view.repliedAtMs),
+      repliedAtMs: view.reply?.repliedAtMs ?? 0,
+    };
+  }
+
+  async #send(
+    leaderId: string,
+    report: PermitReport,
+  ): Promise<Result<PermitReply, Failure>> {
+    const { entryId, network, coordinator } = this.#options;
+    if (leaderId === entryId) {
+      return coordinator.takeReport(entryId, report);
+    }
+    const answer = await network.call(leaderId, REPORT_METHOD, report, {
+      timeoutMs: REPORT_TIMEOUT_MS,
+    });
+    return answer.andThen((body) =>
+      validateWith(permitReplySchema, body, {
+        subject: `${REPORT_METHOD} of ${leaderId}`,
+        kind: "internal",
+      })
+    );
+  }
+}
--- /dev/null
+++ b/src/services/permits/slot_table.ts
@@ -0,0 +1,259 @@
+/** The coordinator's view of backend servers and of their free slots. */
+import type { Announcement } from "../../domain/index.ts";
+import type {
+  BackendCandidate,
+  BackendPicker,
+  FleetIndex,
+} from "../../decisions/index.ts";
+import { ANNOUNCEMENT_TTL_MS } from "../backend_directory.ts";
+import { FreeList } from "./free_list.ts";
+
+const MAX_PICKS = 4;
+
+/** Why a backend server gets no new work. */
+export type ClosedReason =
+  | "leaving"
+  | "silent"
+  | "notServing"
+  | "zoneOut"
+  | "ejected"
+  | "unverified";
+
+/** A backend server as the coordinator knows it. */
+export interface SlotRecord {
+  announcement: Announcement;
+  heardAtMs: number;
+  pool: string | undefined;
+  zone: string;
+  /** Undefined while it may get new work. */
+  closed: ClosedReason | undefined;
+}
+
+/** Options of {@link SlotTable}. */
+export interface SlotTableOptions {
+  readonly picker: BackendPicker;
+  /** Counts the slots in use at a backend server. */
+  readonly countUsed: (backendServerId: string) => number;
+  /** Tells whether evidence keeps new work away from a backend server. */
+  readonly isEjected: (record: SlotRecord) => boolean;
+  /** Monotonic time from which announcements show all that runs. */
+  readonly findVerifiedFromMs: () => number;
+}
+
+/** Keeps the backend servers with a free slot of each pool at hand. */
+export class SlotTable {
+  readonly #options: SlotTableOptions;
+  readonly #records = new Map<string, SlotRecord>();
+  readonly #freeByPool = new Map<string, FreeList>();
+  readonly #openCountByPool = new Map<string, number>();
+  #index: FleetIndex;
+
+  /**
+   * @param index - The configuration in force.
+   * @param options - The picker, and what closes a backend server.
+   */
+  constructor(index: FleetIndex, options: SlotTableOptions) {
+    this.#index = index;
+    this.#options = options;
+  }
+
+  /**
+   * Takes in an announcement.
+   *
+   * @param announcement - The announcement.
+   * @param heardAtMs - Monotonic time at which it arrived at an entry.
+   * @param nowMs - Monotonic time.
+   * @returns False for a late or doubled announcement, which changes nothing.
+   */
+  accept(
+    announcement: Announcement,
+    heardAtMs: number,
+    nowMs: number,
+  ): boolean {
+    const { backendServerId, sequence } = announcement;
+    const known = this.#records.get(backendServerId);
+    if (known !== undefined && known.announcement.sequence >= sequence) {
+      return false;
+    }
+    this.#close(backendServerId);
+    this.#records.set(backendServerId, {
+      announcement,
+      heardAtMs,
+      pool: undefined,
+      zone: "",
+      closed: "silent",
+    });
+    this.refresh(backendServerId, nowMs);
+    return true;
+  }
+
+  /** Finds a backend server. */
+  find(backendServerId: string): SlotRecord | undefined {
+    return this.#records.get(backendServerId);
+  }
+
+  /** Lists all backend servers that are known. */
+  listAll(): SlotRecord[] {
+    return [...this.#records.values()];
+  }
+
+  /** Tells whether a pool has a backend server that may get new work. */
+  isServed(pool: string): boolean {
+    return (this.#openCountByPool.get(pool) ?? 0) > 0;
+  }
+
+  /** Tells whether a pool has a free slot. */
+  hasFree(pool: string): boolean {
+    return (this.#freeByPool.get(pool)?.length ?? 0) > 0;
+  }
+
+  /**
+   * Chooses a backend server with a free slot.
+   *
+   * @param pool - Name of the pool.
+   * @param excludedBackendIds - Backend servers that were tried before.
+   * @returns The backend server, or undefined when there is none.
+   */
+  pick(
+    pool: string,
+    excludedBackendIds: readonly string[],
+  ): SlotRecord | undefined {
+    const free = this.#freeByPool.get(pool);
+    if (free === undefined || free.length === 0) {
+      return undefined;
+    }
+    const chosen = this.#pickAllowed(free, excludedBackendIds);
+    return chosen && this.#records.get(chosen.backendServerId);
+  }
+
+  /**
+   * Looks again at whether a backend server may get new work.
+   *
+   * @param backendServerId - Id of the backend server.
+   * @param nowMs - Monotonic time.
+   */
+  refresh(backendServerId: string, nowMs: number): void {
+    const record = this.#records.get(backendServerId);
+    if (record === undefined) {
+      return;
+    }
+    this.#close(backendServerId);
+    const placed = this.#index.findVm(record.announcement.vm);
+    record.pool = placed?.pool;
+    record.zone = placed?.vm.resource.zone ?? "";
+    record.closed = this.#findClosedReason(record, nowMs);
+    if (record.closed === undefined && record.pool !== undefined) {
+      this.#changeOpenCount(record.pool, 1);
+      this.updateFree(backendServerId);
+    }
+  }
+
+  /**
+   * Looks again at all backend servers.
+   *
+   * @param index - The configuration in force.
+   * @param nowMs - Monotonic time.
+   */
+  refreshAll(index: FleetIndex, nowMs: number): void {
+    this.#index = index;
+    for (const backendServerId of this.#records.keys()) {
+      this.refresh(backendServerId, nowMs);
+    }
+  }
+
+  /**
+   * Counts the free slots of a backend server again.
+   *
+   * @param backendServerId - Id of the backend server.
+   */
+  updateFree(backendServerId: string): void {
+    const record = this.#records.get(backendServerId);
+    if (record?.pool === undefined || record.closed !== undefined) {
+      return;
+    }
+    const { slotCount } = record.announcement;
+    const usedCount = this.#options.countUsed(backendServerId);
+    const list = this.#findList(record.pool);
+    list.set({
+      backendServerId,
+      pool: record.pool,
+      zone: record.zone,
+      freeSlotCount: slotCount - usedCount,
+      slotCount,
+    });
+  }
+
+  /**
+   * Forgets a backend server.
+   *
+   * @param backendServerId - Id of a backend server that has been silent long.
+   */
+  forget(backendServerId: string): void {
+    this.#close(backendServerId);
+    this.#records.delete(backendServerId);
+  }
+
+  #findClosedReason(
+    record: SlotRecord,
+    nowMs: number,
+  ): ClosedReason | undefined {
+    const placed = this.#index.findVm(record.announcement.vm);
+    if (record.announcement.leaving) {
+      return "leaving";
+    }
+    if (record.heardAtMs < nowMs - ANNOUNCEMENT_TTL_MS) {
+      return "silent";
+    }
+    if (placed?.pool === undefined || !placed.serving) {
+      return "notServing";
+    }
+    if (this.#index.findZoneOut(record.zone) !== undefined) {
+      return "zoneOut";
+    }
+    if (record.heardAtMs < this.#options.findVerifiedFromMs()) {
+      return "unverified";
+    }
+    return this.#options.isEjected(record) ? "ejected" : undefined;
+  }
+
+  // Most picks find an allowed one at once; only a request that was refused by
+  // nearly all backend servers makes the coordinator look at every one.
+  #pickAllowed(
+    free: FreeList,
+    excludedBackendIds: readonly string[],
+  ): BackendCandidate | undefined {
+    for (let pickCount = 0; pickCount < MAX_PICKS; pickCount += 1) {
+      const chosen = this.#options.picker.pick(free);
+      if (
+        chosen !== undefined &&
+        !excludedBackendIds.includes(chosen.backendServerId)
+      ) {
+        return chosen;
+      }
+    }
+    return free.find((candidate) =>
+      !excludedBackendIds.includes(candidate.backendServerId)
+    );
+  }
+
+  #close(backendServerId: string): void {
+    const record = this.#records.get(backendServerId);
+    if (record?.pool === undefined || record.closed !== undefined) {
+      return;
+    }
+    this.#changeOpenCount(record.pool, -1);
+    this.#freeByPool.get(record.pool)?.remove(backendServerId);
+    record.closed = "silent";
+  }
+
+  #changeOpenCount(pool: string, delta: number): void {
+    const openCount = (this.#openCountByPool.get(pool) ?? 0) + delta;
+    this.#openCountByPool.set(pool, openCount);
+  }
+
+  #findList(pool: string): FreeList {
+    const list = this.#freeByPool.get(pool) ?? new FreeList();
+    this.#freeByPool.set(pool, list);
+    return list;
+  }
+}
--- /dev/null
+++ b/src/services/permits/waiting_requests.ts
@@ -0,0 +1,123 @@
+/** Requests of this entry that wait for a permit, in order of arrival. */
+import type { Failure } from "../../domain/index.ts";
+import type { Result } from "true-myth";
+import type { Permit, PermitRequest } from "../permits.ts";
+import type { PermitWant } from "./permit_messages.ts";
+
+/** A request that waits. */
+export interface WaitingRequest {
+  readonly request: PermitRequest;
+  readonly sinceMs: number;
+  readonly settle: (result: Result<Permit, Failure>) => void;
+}
+
+interface Group {
+  readonly team: string;
+  readonly queue: string;
+  readonly excludedBackendIds: readonly string[];
+  readonly waiting: Set<WaitingRequest>;
+}
+
+/** Waiting requests by team, queue and backend servers tried before. */
+export class WaitingRequests {
+  readonly #groups = new Map<string, Map<string, Group>>();
+
+  /** Adds a request at the end of its queue. */
+  add(waiting: WaitingRequest): void {
+    const { admission, excludedBackendIds } = waiting.request;
+    const key = createKey(admission.teamName, admission.queue.name);
+    const groups = this.#groups.get(key) ?? new Map<string, Group>();
+    this.#groups.set(key, groups);
+    const excluded = [...excludedBackendIds].sort();
+    const group = groups.get(excluded.join(" ")) ?? {
+      team: admission.teamName,
+      queue: admission.queue.name,
+      excludedBackendIds: excluded,
+      waiting: new Set(),
+    };
+    groups.set(excluded.join(" "), group);
+    group.waiting.add(waiting);
+  }
+
+  /** Removes a request, in constant time however many wait. */
+  remove(waiting: WaitingRequest): void {
+    const { admission, excludedBackendIds } = waiting.request;
+    const key = createKey(admission.teamName, admission.queue.name);
+    const groups = this.#groups.get(key);
+    const excludedKey = [...excludedBackendIds].sort().join(" ");
+    const group = groups?.get(excludedKey);
+    group?.waiting.delete(waiting);
+    if (group?.waiting.size === 0) {
+      groups?.delete(excludedKey);
+    }
+    if (groups?.size === 0) {
+      this.#groups.delete(key);
+    }
+  }
+
+  /**
+   * Finds the request that has waited longest.
+   *
+   * @param team - Name of the team.
+   * @param queue - Name of the queue.
+   * @param backendServerId - Where it would run.
+   * @returns The request, or undefined when none may run there.
+   */
+  findFirst(
+    team: string,
+    queue: string,
+    backendServerId: string,
+  ): WaitingRequest | undefined {
+    let first: WaitingRequest | undefined;
+    for (const group of this.#listGroups(team, queue)) {
+      const [oldest] = group.waiting;
+      const isAllowed = !group.excludedBackendIds.includes(backendServerId);
+      const isFirst = first === undefined ||
+        (oldest !== undefined && oldest.sinceMs < first.sinceMs);
+      if (isAllowed && isFirst) {
+        first = oldest;
+      }
+    }
+    return first;
+  }
+
+  /**
+   * Counts the waiting requests for a report.
+   *
+   * @param nowMs - Monotonic time.
+   * @returns One want for each group.
+   */
+  listWants(nowMs: number): PermitWant[] {
+    const wants: PermitWant[] = [];
+    for (const groups of this.#groups.values()) {
+      for (
+        const { team, queue, excludedBackendIds, waiting } of groups.values()
+      ) {
+        const [oldest] = waiting;
+        wants.push({
+          team,
+          queue,
+          excludedBackendIds: [...excludedBackendIds],
+          count: waiting.size,
+          oldestWaitMs: nowMs - (oldest?.sinceMs ?? nowMs),
+        });
+      }
+    }
+    return wants;
+  }
+
+  #listGroups(team: string, queue: string): Iterable<Group> {
+    return this.#groups.get(createKey(team, queue))?.values() ?? [];
+  }
+}
+
+/**
+ * Creates the key under which requests and idle permits meet.
+ *
+ * @param team - Name of the team.
+ * @param queue - Name of the queue.
+ * @returns The key; names hold no slash.
+ */
+export function createKey(team: string, queue: string): string {
+  return `${team}/${queue}`;
+}
