Test permits under faults over fake entries and backend servers

Cause: the limit must hold at every moment, also when entries die, the leader changes and messages are lost. Conclusion: evidence is counted at the fake backend servers.

--- a/src/services/permits/coordinator_view.ts
+++ b/src/services/permits/coordinator_view.ts
@@ -1,6 +1,8 @@
 /** What this entry knows from the coordinator's last answers. */
 import type { PermitGrant, PermitReply } from "./permit_messages.ts";
 
+const LATE_REPLY_MS = 50;
+
 /** The session of this entry with the coordinator. */
 export class CoordinatorView {
   #sessionId: string | undefined;
@@ -9,6 +11,7 @@
   #reply: PermitReply | undefined;
   #repliedAtMs = 0;
   #isReachable = true;
+  #askedAtMs: number | undefined;
 
   /** Session that is open, if any. */
   get sessionId(): string | undefined {
@@ -35,9 +38,22 @@
     return this.#leaseUntilMs;
   }
 
-  /** Whether a permit may be used again for as long as the lease holds. */
-  get keepsPermits(): boolean {
-    return !this.#isReachable || (this.#reply?.takingOver ?? false);
+  /**
+   * Tells whether a permit may be used again for as long as the lease holds,
+   * because a permit given back now could be granted to nobody.
+   *
+   * @param nowMs - Local monotonic time.
+   * @returns True while the coordinator is silent or counts what runs.
+   */
+  keepsPermits(nowMs: number): boolean {
+    const askedAtMs = this.#askedAtMs ?? nowMs;
+    return !this.#isReachable || nowMs - askedAtMs > LATE_REPLY_MS ||
+      (this.#reply?.takingOver ?? false);
+  }
+
+  /** Notes that a report is sent. */
+  markAsked(nowMs: number): void {
+    this.#askedAtMs = nowMs;
   }
 
   /** Forgets the session; grants made in it are refused from now on. */
@@ -48,6 +64,7 @@
   /** Notes that a report was not answered. */
   markUnreachable(): void {
     this.#isReachable = false;
+    this.#askedAtMs = undefined;
   }
 
   /**
@@ -60,6 +77,7 @@
    */
   accept(reply: PermitReply, askedAtMs: number, nowMs: number): void {
     this.#isReachable = true;
+    this.#askedAtMs = undefined;
     if (reply.mustReopen) {
       this.#sessionId = undefined;
       return;
--- a/src/services/permits/fleet_permit_source.ts
+++ b/src/services/permits/fleet_permit_source.ts
@@ -161,12 +161,15 @@
   }
 
   #keepForAWhile(holding: Holding): void {
-    if (this.view.reply?.contended ?? false) {
+    const nowMs = this.#options.clock.monotonicMs();
+    if (this.view.keepsPermits(nowMs)) {
+      this.holdings.markIdle(holding);
+    } else if (this.view.reply?.contended ?? false) {
       this.#giveBack(holding, true);
-      return;
+    } else {
+      this.holdings.markIdle(holding);
+      void this.#returnUnused(holding, holding.attemptCount);
     }
-    this.holdings.markIdle(holding);
-    void this.#returnUnused(holding, holding.attemptCount);
   }
 
   #offerIdle(): void {
@@ -229,14 +232,24 @@
   }
 
   // Whether an attempt may be started under the permit at this moment.
-  #isUsable({ grant, arrivedAtMs }: Holding): boolean {
+  #isUsable(holding: Holding): boolean {
+    const { grant, arrivedAtMs } = holding;
     const { clock, agreement } = this.#options;
     const nowMs = clock.monotonicMs();
     const isLeased = nowMs < this.view.leaseUntilMs &&
       nowMs < agreement.status().freshUntilMs;
     const isInWindow = nowMs < arrivedAtMs + REUSE_WINDOW_MS ||
-      this.view.keepsPermits;
-    return isLeased && isInWindow && this.#isPlaced(grant);
+      this.view.keepsPermits(nowMs);
+    return isLeased && isInWindow && this.#isWithinLimit(grant) &&
+      this.#isPlaced(grant);
+  }
+
+  // A limit that was lowered since counts at once, not at the next report.
+  #isWithinLimit({ team, maxRunningCount }: PermitGrant): boolean {
+    const limit = this.#options.fleet.current().findTeam(team)?.resource
+      .maxRunningCount;
+    return maxRunningCount === undefined ||
+      (limit !== undefined && limit >= maxRunningCount);
   }
 
   #isPlaced({ backend, pool, queue, backendServerId }: PermitGrant): boolean {
--- a/src/services/permits/permit_ledger.ts
+++ b/src/services/permits/permit_ledger.ts
@@ -1,5 +1,4 @@
 /** Everything that the coordinator of one term keeps and decides. */
-import type { Announcement } from "../../domain/index.ts";
 import type {
   BackendHealth,
   BackendPicker,
@@ -8,13 +7,12 @@
   ShareAllocator,
 } from "../../decisions/index.ts";
 import type { Agreement, Clock } from "../../ports/index.ts";
+import { createGrant } from "./create_grant.ts";
 import { Demand } from "./demand.ts";
-import { EntrySession, type EntryWant } from "./entry_session.ts";
+import type { EntrySession, EntryWant } from "./entry_session.ts";
 import { type FoundSlot, GrantRounds } from "./grant_round.ts";
-import { createPermitId } from "./permit_id.ts";
 import type {
   BackendEvidence,
-  PermitGrant,
   PermitReply,
   PermitReport,
   RelayedAnnouncement,
@@ -22,6 +20,7 @@
 } from "./permit_messages.ts";
 import { PermitTable } from "./permit_table.ts";
 import { PERMIT_LEASE_MS } from "./permit_times.ts";
+import { isLate, SessionRegistry } from "./session_registry.ts";
 import { SlotTable } from "./slot_table.ts";
 import { Takeover } from "./takeover.ts";
 
@@ -45,7 +44,7 @@
 /** Counts permits and grants them while this entry is the coordinator. */
 export class PermitLedger {
   readonly #options: PermitLedgerOptions;
-  readonly #sessions = new Map<string, EntrySession>();
+  readonly #sessions: SessionRegistry;
   readonly #demand = new Demand();
   readonly #table: PermitTable;
   readonly #slots: SlotTable;
@@ -53,7 +52,6 @@
   readonly #rounds: GrantRounds;
   #index: FleetIndex;
   #permitCount = 0;
-  #sessionCount = 0;
   #unknownCount = 0;
 
   constructor(options: PermitLedgerOptions) {
@@ -69,6 +67,15 @@
       entryIds,
       table: this.#table,
     });
+    this.#sessions = new SessionRegistry({
+      coordinatorId,
+      table: this.#table,
+      onOpen: (session) => {
+        this.#takeover.addEntry(session.entryId, session.openedAtMs);
+        options.onSession(session);
+      },
+      onClose: (session) => this.#demand.remove(session),
+    });
     this.#slots = new SlotTable(this.#index, {
       picker,
       countUsed: (id) => this.#table.countBackend(id),
@@ -94,7 +101,7 @@
 
   /** Finds the session of an entry. */
   findSession(entryId: string): EntrySession | undefined {
-    return this.#sessions.get(entryId);
+    return this.#sessions.find(entryId);
   }
 
   /** Counts the permits of a team, over the whole fleet. */
@@ -112,7 +119,7 @@
   takeReport(entryId: string, report: PermitReport): PermitReply {
     const nowMs = this.#options.clock.monotonicMs();
     this.#refreshIndex(nowMs);
-    const session = this.#findOrOpen(entryId, report, nowMs);
+    const session = this.#sessions.findOrOpen(entryId, report, nowMs);
     if (session === undefined) {
       return this.#createReply(undefined, nowMs);
     }
@@ -126,9 +133,7 @@
 
   /** Wakes the tasks that hand out grants, so that they end. */
   close(): void {
-    for (const session of this.#sessions.values()) {
-      session.granted.notify();
-    }
+    this.#sessions.wakeAll();
   }
 
   /** Grants what is free now. */
@@ -140,11 +145,7 @@
   /** Looks for leases that have lapsed and for backend servers gone silent. */
   sweep(): void {
     const nowMs = this.#options.clock.monotonicMs();
-    for (const session of [...this.#sessions.values()]) {
-      if (session.leaseUntilMs < nowMs) {
-        this.#close(session);
-      }
-    }
+    this.#sessions.closeLapsed(nowMs);
     this.#table.freeExpired(nowMs);
     this.#forgetSilent(nowMs);
     this.#index = this.#options.fleet.current();
@@ -153,60 +154,6 @@
     this.runRound();
   }
 
-  #findOrOpen(
-    entryId: string,
-    report: PermitReport,
-    nowMs: number,
-  ): EntrySession | undefined {
-    const known = this.#sessions.get(entryId);
-    if (known !== undefined && isLate(known, report)) {
-      return known;
-    }
-    if (report.sessionId !== undefined) {
-      return report.sessionId === known?.sessionId ? known : undefined;
-    }
-    return this.#open(entryId, report, nowMs);
-  }
-
-  #open(entryId: string, report: PermitReport, nowMs: number): EntrySession {
-    this.#sessionCount += 1;
-    const session = new EntrySession({
-      entryId,
-      sessionId: `${this.#options.coordinatorId}/${this.#sessionCount}`,
-      runStartedAtMs: report.runStartedAtMs,
-      openedAtMs: nowMs,
-    });
-    const known = this.#sessions.get(entryId);
-    const isSameRun = known?.runStartedAtMs === report.runStartedAtMs;
-    if (known !== undefined && !isSameRun) {
-      this.#close(known);
-    }
-    if (known !== undefined && isSameRun) {
-      this.#freeUnlisted(known, report);
-      this.#demand.remove(known);
-    }
-    for (const permit of report.held) {
-      this.#table.add(permit, entryId);
-    }
-    this.#sessions.set(entryId, session);
-    this.#takeover.addEntry(entryId, nowMs);
-    this.#options.onSession(session);
-    return session;
-  }
-
-  // The entry has never seen these grants, and refuses them from now on.
-  #freeUnlisted(known: EntrySession, report: PermitReport): void {
-    const listed = new Set([
-      ...report.held.map(({ permitId }) => permitId),
-      ...report.returns.map(({ permitId }) => permitId),
-    ]);
-    for (const { permitId } of this.#table.listHeld(known.entryId)) {
-      if (!listed.has(permitId)) {
-        this.#table.free(permitId);
-      }
-    }
-  }
-
   #apply(session: EntrySession, report: PermitReport, nowMs: number): void {
     session.lastSequence = report.sequence;
     session.lastReportAtMs = nowMs;
@@ -270,49 +217,32 @@
     }
   }
 
-  #close(session: EntrySession): void {
-    this.#sessions.delete(session.entryId);
-    this.#demand.remove(session);
-    const sentUntilMs = session.leaseUntilMs;
-    for (const record of this.#table.listHeld(session.entryId)) {
-      this.#table.orphan(record, { sentUntilMs });
-    }
-    session.granted.notify();
-  }
-
-  #grant({ session, team, queue }: EntryWant, found: FoundSlot): void {
-    const { slot, pool, runLeaseMs } = found;
+  #grant(want: EntryWant, found: FoundSlot): void {
     const { coordinatorId, entryIds } = this.#options;
     this.#permitCount += 1;
-    const permitNumber = this.#permitCount;
-    const grant: PermitGrant = {
-      grantNumber: session.nextGrantNumber,
-      permitId: createPermitId({ team, coordinatorId, permitNumber }),
-      team,
-      queue,
-      pool,
-      zone: slot.zone,
-      backendServerId: slot.announcement.backendServerId,
-      backend: { ...slot.announcement, running: [] },
-      runLeaseMs,
-      idleConnectionCount: countIdleConnections(
-        slot.announcement,
-        entryIds.length,
-      ),
-    };
-    this.#table.add(grant, session.entryId);
-    session.addGrant(grant);
+    const grant = createGrant(want, found, {
+      coordinatorId,
+      permitNumber: this.#permitCount,
+      entryCount: entryIds.length,
+      maxRunningCount: this.#index.findTeam(want.team)?.resource
+        .maxRunningCount,
+    });
+    this.#table.add(grant, want.session.entryId);
+    want.session.addGrant(grant);
   }
 
   #createReply(session: EntrySession | undefined, nowMs: number): PermitReply {
     const teams = new Set(session?.wants.map(({ team }) => team));
     const queues = new Set(session?.wants.map(({ queue }) => queue));
     const takingOver = this.#takeover.isRunning(nowMs);
+    const { freshUntilMs } = this.#options.agreement.status();
+    const confirmedMs = freshUntilMs - nowMs;
     return {
       sessionId: session?.sessionId ?? "",
       mustReopen: session === undefined,
       repliedAtMs: nowMs,
-      leaseMs: PERMIT_LEASE_MS,
+      // No lease outlasts the leadership that was confirmed last.
+      leaseMs: Math.max(0, Math.min(PERMIT_LEASE_MS, confirmedMs)),
       acknowledgedReturn: session?.acknowledgedReturn ?? 0,
       grants: [...(session?.outbox ?? [])],
       limitedTeams: [...teams].filter((team) =>
@@ -367,20 +297,3 @@
     }
   }
 }
-
-// A report of an earlier run, or an earlier report of this one.
-function isLate(session: EntrySession, report: PermitReport): boolean {
-  return report.runStartedAtMs === session.runStartedAtMs
-    ? report.sequence <= session.lastSequence
-    : report.runStartedAtMs < session.runStartedAtMs;
-}
-
-// With at most one connection for each running attempt besides, the entries
-// together stay within the backend server's number.
-function countIdleConnections(
-  { connectionCount, slotCount }: Announcement,
-  entryCount: number,
-): number {
-  const sparedCount = Math.max(0, connectionCount - slotCount);
-  return Math.floor(sparedCount / entryCount);
-}
--- a/src/services/permits/permit_messages.ts
+++ b/src/services/permits/permit_messages.ts
@@ -94,6 +94,8 @@
   /** Counts the grants of one session. */
   grantNumber: countSchema,
   zone: v.string(),
+  /** The team's upper limit at the time; undefined without a limit. */
+  maxRunningCount: v.optional(countSchema),
   backend: announcementSchema,
   /** Idle connections that the entry may keep to the backend server. */
   idleConnectionCount: countSchema,
--- a/src/services/permits/permit_reporter.ts
+++ b/src/services/permits/permit_reporter.ts
@@ -111,6 +111,7 @@
     this.#hasNews = false;
     const askedAtMs = clock.monotonicMs();
     const report = this.#createReport(askedAtMs);
+    source.view.markAsked(askedAtMs);
     const reply = await this.#send(leaderId, report);
     if (reply.isErr) {
       this.#options.directory.relayAgain(
--- a/src/services/permits/takeover.ts
+++ b/src/services/permits/takeover.ts
@@ -36,8 +36,9 @@
   constructor(options: TakeoverOptions) {
     this.#options = options;
     this.#missingEntryIds = new Set(options.entryIds);
+    // The former coordinator let no lease outlast its confirmation.
     this.#verifiedFromMs = options.leaderSinceMs + MAX_CONFIRMATION_MS +
-      PERMIT_LEASE_MS + START_GRACE_MS + EVIDENCE_MARGIN_MS;
+      START_GRACE_MS + EVIDENCE_MARGIN_MS;
   }
 
   /**
--- /dev/null
+++ b/src/testing/fake_agreement.ts
@@ -0,0 +1,150 @@
+/** Agreement without a log: one shared state, and a leader that can change. */
+import { Result } from "true-myth";
+import type { AppliedValue, Failure, FleetState } from "../domain/index.ts";
+import type { Agreement, AgreementStatus, Clock } from "../ports/index.ts";
+
+const FRESHNESS_MS = 2_000;
+const ELECTION_MS = 400;
+const TICK_MS = 50;
+
+interface Member {
+  readonly entryId: string;
+  leaderId: string | undefined;
+  leaderSinceMs: number | undefined;
+  term: number;
+  freshUntilMs: number;
+}
+
+/** Options of {@link FakeAgreementCluster}. */
+export interface FakeAgreementOptions {
+  readonly clock: Clock;
+  readonly state: FleetState;
+}
+
+/** Elects the first reachable entry when the leader has been gone for a while. */
+export class FakeAgreementCluster {
+  readonly #options: FakeAgreementOptions;
+  readonly #members = new Map<string, Member>();
+  readonly #isolated = new Set<string>();
+  #leaderId: string | undefined;
+  #term = 0;
+  #leaderSeenAtMs = -Infinity;
+
+  constructor(options: FakeAgreementOptions) {
+    this.#options = options;
+    void this.#tickForever();
+  }
+
+  /** Entry that leads, as far as a quorum knows. */
+  get leaderId(): string | undefined {
+    return this.#leaderId;
+  }
+
+  /** Joins an entry, or joins it again after a restart. */
+  join(entryId: string): Agreement {
+    const member: Member = {
+      entryId,
+      leaderId: undefined,
+      leaderSinceMs: undefined,
+      term: 0,
+      freshUntilMs: -Infinity,
+    };
+    this.#members.set(entryId, member);
+    return new FakeAgreement(member, this.#options.state);
+  }
+
+  /** Takes out an entry that was killed. */
+  leave(entryId: string): void {
+    this.#members.delete(entryId);
+  }
+
+  /** Cuts an entry off from the quorum; it believes what it knew. */
+  isolate(entryId: string): void {
+    this.#isolated.add(entryId);
+  }
+
+  /** Ends all cuts. */
+  heal(): void {
+    this.#isolated.clear();
+  }
+
+  /** Makes another entry the leader, though the old one is well. */
+  changeLeader(): void {
+    const previousId = this.#leaderId;
+    const next = this.#listReachable().find(({ entryId }) =>
+      entryId !== previousId
+    );
+    if (next !== undefined) {
+      this.#elect(next);
+    }
+  }
+
+  async #tickForever(): Promise<void> {
+    const { clock } = this.#options;
+    for (;;) {
+      this.#tick(clock.monotonicMs());
+      await clock.sleep(TICK_MS);
+    }
+  }
+
+  #tick(nowMs: number): void {
+    const reachable = this.#listReachable();
+    if (reachable.some(({ entryId }) => entryId === this.#leaderId)) {
+      this.#leaderSeenAtMs = nowMs;
+    } else if (nowMs - this.#leaderSeenAtMs >= ELECTION_MS && reachable[0]) {
+      this.#elect(reachable[0]);
+    }
+    for (const member of reachable) {
+      member.freshUntilMs = nowMs + FRESHNESS_MS;
+      member.leaderId = this.#leaderId;
+      member.term = this.#term;
+      if (member.entryId !== this.#leaderId) {
+        member.leaderSinceMs = undefined;
+      }
+    }
+  }
+
+  #elect(member: Member): void {
+    const nowMs = this.#options.clock.monotonicMs();
+    this.#term += 1;
+    this.#leaderId = member.entryId;
+    this.#leaderSeenAtMs = nowMs;
+    member.leaderSinceMs = nowMs;
+    member.term = this.#term;
+    member.leaderId = member.entryId;
+  }
+
+  #listReachable(): Member[] {
+    return [...this.#members.values()].filter(({ entryId }) =>
+      !this.#isolated.has(entryId)
+    );
+  }
+}
+
+class FakeAgreement implements Agreement {
+  readonly state: FleetState;
+  readonly #member: Member;
+
+  constructor(member: Member, state: FleetState) {
+    this.#member = member;
+    this.state = state;
+  }
+
+  propose(): Promise<Result<AppliedValue, Failure>> {
+    return Promise.resolve(Result.ok({ revision: this.state.revision }));
+  }
+
+  follow(): Promise<AgreementStatus> {
+    return Promise.resolve(this.status());
+  }
+
+  status(): AgreementStatus {
+    const { revision } = this.state;
+    return {
+      ...this.#member,
+      appliedIndex: revision,
+      commitIndex: revision,
+      revision,
+    };
+  }
+}
--- a/src/testing/fake_network.ts
+++ b/src/testing/fake_network.ts
@@ -81,6 +81,11 @@
     this.#faults.clear();
   }
 
+  /** Tells whether an entry's side belongs to a process that still runs. */
+  isJoined(entryId: string, node: PeerNetwork): boolean {
+    return this.#nodes.get(entryId) === node;
+  }
+
   /** Carries one call; used by the entries' sides. */
   async carry(
     from: string,
@@ -170,7 +175,9 @@
     body: unknown,
     options: PeerCallOptions,
   ): Promise<Result<unknown, Failure>> {
-    return this.#network.carry(this.#entryId, peerId, method, body, options);
+    return this.#network.isJoined(this.#entryId, this)
+      ? this.#network.carry(this.#entryId, peerId, method, body, options)
+      : never();
   }
 
   handle(method: string, handler: PeerHandler): void {
--- /dev/null
+++ b/src/testing/permit_fleet.ts
@@ -0,0 +1,228 @@
+/** A small deployment of real permit classes over fakes, for tests and bench. */
+import {
+  type BackendPicker,
+  FleetIndexCache,
+  type ShareAllocator,
+  TwoChoicesPicker,
+  WeightedMaxMinAllocator,
+} from "../decisions/index.ts";
+import { AlwaysHealthy } from "../decisions/index.ts";
+import { type FleetState, resourceSchema } from "../domain/index.ts";
+import type { Clock, Random } from "../ports/index.ts";
+import {
+  BackendDirectory,
+  FleetPermitSource,
+  PermitCoordinator,
+  PermitReporter,
+} from "../services/index.ts";
+import { TaskGroup } from "../tasks/index.ts";
+import * as v from "valibot";
+import { FakeAgreementCluster } from "./fake_agreement.ts";
+import { FakeBackend } from "./fake_backend.ts";
+import type { FakeNetwork } from "./fake_network.ts";
+import { FakeLogger } from "./fake_ports.ts";
+
+const TRAVEL_MS = 1;
+
+/** One entry of the deployment. */
+export interface FleetEntry {
+  readonly entryId: string;
+  readonly directory: BackendDirectory;
+  readonly source: FleetPermitSource;
+  readonly coordinator: PermitCoordinator;
+  readonly tasks: TaskGroup;
+  isAlive: boolean;
+}
+
+/** How one simulated request went. */
+export type WorkResult = "ran" | "refused" | "cancelled" | "lost";
+
+/** One simulated request. */
+export interface Work {
+  readonly team: string;
+  readonly queue: string;
+  readonly workMs: number;
+  readonly maxWaitMs?: number;
+  /** Time after the start at which the caller goes away. */
+  readonly cancelAfterMs?: number;
+}
+
+/** Options of {@link PermitFleet}. */
+export interface PermitFleetOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly network: FakeNetwork;
+  readonly state: FleetState;
+  readonly entryIds: readonly string[];
+  readonly allocator?: ShareAllocator;
+  readonly picker?: BackendPicker;
+}
+
+/** Entries with coordinators, and backend servers that record what runs. */
+export class PermitFleet {
+  readonly agreement: FakeAgreementCluster;
+  readonly entries = new Map<string, FleetEntry>();
+  readonly backends = new Map<string, FakeBackend>();
+  readonly #options: PermitFleetOptions;
+
+  constructor(options: PermitFleetOptions) {
+    this.#options = options;
+    this.agreement = new FakeAgreementCluster(options);
+    options.entryIds.forEach((entryId) => this.startEntry(entryId));
+  }
+
+  /** Starts an entry, or starts it again after it was killed. */
+  startEntry(entryId: string): FleetEntry {
+    const { clock, random, network, allocator, picker, entryIds } =
+      this.#options;
+    const tasks = new TaskGroup({ clock, logger: new FakeLogger() });
+    const agreement = this.agreement.join(entryId);
+    const fleet = new FleetIndexCache(() => agreement.state);
+    const shared = {
+      entryId,
+      agreement,
+      clock,
+      random,
+      fleet,
+      tasks,
+      logger: new FakeLogger(),
+      network: network.join(entryId),
+      directory: new BackendDirectory(clock),
+    };
+    const source = new FleetPermitSource(shared);
+    const coordinator = new PermitCoordinator({
+      ...shared,
+      entryIds,
+      allocator: allocator ?? new WeightedMaxMinAllocator(),
+      picker: picker ?? new TwoChoicesPicker(random),
+      health: new AlwaysHealthy(),
+      pushToSelf: (push) => source.takeGrants(push),
+    });
+    const reporter = new PermitReporter({ ...shared, source, coordinator });
+    const { directory } = shared;
+    tasks.startForever("sweep", (signal) => coordinator.run(signal));
+    tasks.startForever("reports", (signal) => reporter.run(signal));
+    const entry: FleetEntry = {
+      entryId,
+      directory,
+      source,
+      coordinator,
+      tasks,
+      isAlive: true,
+    };
+    this.entries.set(entryId, entry);
+    return entry;
+  }
+
+  /** Ends an entry at once; what it started runs on. */
+  killEntry(entryId: string): void {
+    const entry = this.entries.get(entryId);
+    if (entry !== undefined) {
+      entry.isAlive = false;
+      this.#options.network.leave(entryId);
+      this.agreement.leave(entryId);
+      void entry.tasks.stop();
+    }
+  }
+
+  /** Adds a backend server that announces itself to entries at random. */
+  addBackend(backend: FakeBackend): void {
+    this.backends.set(backend.announcement.backendServerId, backend);
+    void backend.announceForever((announcement) => {
+      const alive = [...this.entries.values()].filter(({ isAlive }) => isAlive);
+      const at = this.#options.random.nextInt(Math.max(1, alive.length));
+      alive[at]?.directory.accept(announcement);
+    });
+  }
+
+  /** Counts what really runs for a team, at all backend servers. */
+  countRunning(team: string): number {
+    let runningCount = 0;
+    for (const backend of this.backends.values()) {
+      runningCount += backend.countRunning(team);
+    }
+    return runningCount;
+  }
+
+  /**
+   * Runs one request at an entry.
+   *
+   * @param entryId - The entry that receives it.
+   * @param work - Team, queue and run time.
+   * @returns How it went.
+   */
+  async request(entryId: string, work: Work): Promise<WorkResult> {
+    const { clock, state } = this.#options;
+    const entry = this.entries.get(entryId);
+    if (entry === undefined || !entry.isAlive) {
+      return "lost";
+    }
+    const index = new FleetIndexCache(() => state).current();
+    const admission = createTestAdmission(index, work);
+    const permit = await entry.source.acquire({
+      admission,
+      excludedBackendIds: new Set(),
+      waitUntilMs: clock.monotonicMs() + (work.maxWaitMs ?? 2_000),
+      signal: new AbortController().signal,
+    });
+    if (permit.isErr) {
+      return "refused";
+    }
+    const { backend, attemptId, leaseMs } = permit.value;
+    const server = this.backends.get(backend.backendServerId);
+    await clock.sleep(TRAVEL_MS);
+    const { workMs, team } = work;
+    const running = server?.run({ attemptId, team, workMs, leaseMs });
+    const isCancelled = work.cancelAfterMs !== undefined;
+    await (isCancelled ? clock.sleep(work.cancelAfterMs) : running);
+    await clock.sleep(TRAVEL_MS);
+    if (!entry.isAlive) {
+      return "lost";
+    }
+    permit.value.release({ ended: !isCancelled, healthy: undefined });
+    return isCancelled ? "cancelled" : "ran";
+  }
+}
+
+function createTestAdmission(
+  index: ReturnType<FleetIndexCache["current"]>,
+  work: Work,
+) {
+  const queue = index.findQueue(work.queue)?.resource;
+  if (queue === undefined) {
+    throw new Error(`queue/${work.queue} is not configured`);
+  }
+  return {
+    team: index.findTeam(work.team)?.resource,
+    teamName: work.team,
+    queue,
+    poolNames: index.listPools(queue).map(({ resource }) => resource.name),
+    causes: [],
+  };
+}
+
+/**
+ * Applies resources to a state as one change.
+ *
+ * @param state - The state.
+ * @param resources - Resources with their defaults left out.
+ */
+export function putResources(
+  state: FleetState,
+  resources: readonly unknown[],
+): void {
+  const applied = state.apply({
+    type: "change",
+    change: {
+      operationId: `operation-${state.revision}`,
+      expectedRevision: state.revision,
+      puts: resources.map((resource) => v.parse(resourceSchema, resource)),
+      deletes: [],
+    },
+    operator: "test",
+    atMs: 0,
+  });
+  if (applied.isErr) {
+    throw new Error(applied.error.message);
+  }
+}
