--- a/src/testing/permit_fleet.ts
+++ b/src/testing/permit_fleet.ts
@@ -1,22 +1,28 @@
 /** A small deployment of real permit classes over fakes, for tests and bench. */
+import type { Result } from "true-myth";
+import * as v from "valibot";
 import {
+  AlwaysHealthy,
   type BackendPicker,
   FleetIndexCache,
   type ShareAllocator,
   TwoChoicesPicker,
   WeightedMaxMinAllocator,
 } from "../decisions/index.ts";
-import { AlwaysHealthy } from "../decisions/index.ts";
-import { type FleetState, resourceSchema } from "../domain/index.ts";
+import {
+  type Failure,
+  type FleetState,
+  resourceSchema,
+} from "../domain/index.ts";
 import type { Clock, Random } from "../ports/index.ts";
 import {
   BackendDirectory,
   FleetPermitSource,
+  type Permit,
   PermitCoordinator,
   PermitReporter,
 } from "../services/index.ts";
 import { TaskGroup } from "../tasks/index.ts";
-import * as v from "valibot";
 import { FakeAgreementCluster } from "./fake_agreement.ts";
 import { FakeBackend } from "./fake_backend.ts";
 import type { FakeNetwork } from "./fake_network.ts";
@@ -45,6 +51,7 @@
   readonly maxWaitMs?: number;
   /** Time after the start at which the caller goes away. */
   readonly cancelAfterMs?: number;
+  readonly signal?: AbortSignal;
 }
 
 /** Options of {@link PermitFleet}. */
@@ -144,6 +151,31 @@
     return runningCount;
   }
 
+  /**
+   * Asks an entry for a permit.
+   *
+   * @param entryId - The entry, which must be alive.
+   * @param work - Team and queue.
+   * @returns The permit, or why there is none.
+   */
+  async acquire(
+    entryId: string,
+    work: Work,
+  ): Promise<Result<Permit, Failure>> {
+    const { clock, state } = this.#options;
+    const entry = this.entries.get(entryId);
+    if (entry === undefined) {
+      throw new Error(`${entryId} is not part of the deployment`);
+    }
+    const index = new FleetIndexCache(() => state).current();
+    return await entry.source.acquire({
+      admission: createTestAdmission(index, work),
+      excludedBackendIds: new Set(),
+      waitUntilMs: clock.monotonicMs() + (work.maxWaitMs ?? 2_000),
+      signal: work.signal ?? new AbortController().signal,
+    });
+  }
+
   /**
    * Runs one request at an entry.
    *
@@ -152,27 +184,17 @@
    * @returns How it went.
    */
   async request(entryId: string, work: Work): Promise<WorkResult> {
-    const { clock, state } = this.#options;
+    const { clock } = this.#options;
     const entry = this.entries.get(entryId);
-    if (entry === undefined || !entry.isAlive) {
+    if (!entry?.isAlive) {
       return "lost";
     }
-    const index = new FleetIndexCache(() => state).current();
-    const admission = createTestAdmission(index, work);
-    const permit = await entry.source.acquire({
-      admission,
-      excludedBackendIds: new Set(),
-      waitUntilMs: clock.monotonicMs() + (work.maxWaitMs ?? 2_000),
-      signal: new AbortController().signal,
-    });
+    const permit = await this.acquire(entryId, work);
     if (permit.isErr) {
       return "refused";
     }
-    const { backend, attemptId, leaseMs } = permit.value;
-    const server = this.backends.get(backend.backendServerId);
     await clock.sleep(TRAVEL_MS);
-    const { workMs, team } = work;
-    const running = server?.run({ attemptId, team, workMs, leaseMs });
+    const running = this.#run(permit.value, work);
     const isCancelled = work.cancelAfterMs !== undefined;
     await (isCancelled ? clock.sleep(work.cancelAfterMs) : running);
     await clock.sleep(TRAVEL_MS);
@@ -182,6 +204,12 @@
     permit.value.release({ ended: !isCancelled, healthy: undefined });
     return isCancelled ? "cancelled" : "ran";
   }
+
+  async #run(permit: Permit, { team, workMs }: Work): Promise<void> {
+    const { backend, attemptId, leaseMs } = permit;
+    const server = this.backends.get(backend.backendServerId);
+    await server?.run({ attemptId, team, workMs, leaseMs });
+  }
 }
 
 function createTestAdmission(
