--- a/src/adapters/http/caller_routes.ts
+++ b/src/adapters/http/caller_routes.ts
@@ -1,8 +1,11 @@
 /** Routes of callers: `/q/QUEUE/PATH`, with any method. */
-import { once } from "node:events";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { HTTPMethod } from "find-my-way";
-import type { CallerAnswer, CallerRequest } from "../../domain/index.ts";
+import {
+  type CallerAnswer,
+  type CallerRequest,
+  DEADLINE_MS_HEADER,
+} from "../../domain/index.ts";
 import type { Clock, Logger, Random } from "../../ports/index.ts";
 import type { RequestService } from "../../services/index.ts";
 import {
@@ -15,8 +18,6 @@
 } from "./exchange.ts";
 import type { HttpServer } from "./http_server.ts";
 
-/** Header with the time that the caller waits, in milliseconds. */
-export const DEADLINE_MS_HEADER = "cardamomsill-deadline-ms";
 /** Header by which a caller declares that a second run does no harm. */
 export const IDEMPOTENT_HEADER = "cardamomsill-idempotent";
 /** Header that names a request, so that a resend finds the first one. */
@@ -102,7 +103,11 @@
     method,
     path: readForwardedPath(request),
     headers: readHeaders(request),
-    body: hasBody(request) ? request as AsyncIterable<Uint8Array> : undefined,
+    // A body that is not read to its end must not end the caller's connection.
+    body: hasBody(request)
+      ? request.iterator({ destroyOnReturn: false })
+      : undefined,
+    bodySizeBytes: readSizeBytes(request),
     deadlineAtMs: options.clock.monotonicMs() + readDeadlineMs(request),
     idempotencyKey: typeof idempotencyKey === "string"
       ? idempotencyKey
@@ -134,6 +139,11 @@
   return isUsable ? Math.min(declared, MAX_DEADLINE_MS) : DEFAULT_DEADLINE_MS;
 }
 
+function readSizeBytes(request: IncomingMessage): number | undefined {
+  const declared = request.headers["content-length"];
+  return declared === undefined ? undefined : Number(declared);
+}
+
 function hasBody(request: IncomingMessage): boolean {
   const length = Number(request.headers["content-length"] ?? 0);
   return length > 0 || request.headers["transfer-encoding"] !== undefined;
@@ -154,8 +164,18 @@
       return;
     }
     if (!response.write(chunk)) {
-      await Promise.race([once(response, "drain"), once(response, "close")]);
+      await waitForDrain(response);
     }
   }
   response.end();
 }
+
+function waitForDrain(response: ServerResponse): Promise<void> {
+  return new Promise((resolve) => {
+    const finish = () => {
+      response.off("drain", finish).off("close", finish);
+      resolve();
+    };
+    response.on("drain", finish).on("close", finish);
+  });
+}
--- a/src/domain/command.ts
+++ b/src/domain/command.ts
@@ -2,6 +2,7 @@
 import * as v from "valibot";
 import { changeSchema } from "./change.ts";
 import { decisionRecordSchema } from "./decision_record.ts";
+import { membershipSchema } from "./membership.ts";
 
 /** Schema of the command that applies an operator's change. */
 export const changeCommandSchema = v.object({
@@ -48,11 +49,17 @@
 
 /** Schema of {@link Claim}. */
 export const claimSchema = v.object({
+  /** Team, queue and idempotency key. */
   claimId: v.string(),
   contentDigest: v.string(),
+  /** The request that holds the claim; only it may settle the claim. */
+  requestId: v.string(),
   entryId: v.string(),
   atMs: v.number(),
+  /** Time after which a claim that still runs has an unknown outcome. */
+  leaseMs: v.number(),
   state: v.picklist(["running", "succeeded", "failed", "notRun", "unknown"]),
+  /** Status of the backend server's answer, when there was one. */
   status: v.optional(v.number()),
 });
 
@@ -74,8 +81,7 @@
 /** Schema of the command that changes the voters, one at a time. */
 export const membershipCommandSchema = v.object({
   type: v.literal("membership"),
-  voterIds: v.array(v.string()),
-  learnerIds: v.array(v.string()),
+  ...membershipSchema.entries,
 });
 
 /** Schema of {@link Command}. */
--- a/src/services/permits.ts
+++ b/src/services/permits.ts
@@ -10,6 +10,8 @@
   readonly excludedBackendIds: ReadonlySet<string>;
   /** Monotonic time after which the permit is no longer wanted. */
   readonly waitUntilMs: number;
+  /** Monotonic time at which the caller stops waiting for the answer. */
+  readonly deadlineAtMs?: number;
   readonly signal: AbortSignal;
   /**
    * Asked right before the permit is handed over, as the configuration may
@@ -45,6 +47,13 @@
    * them it has at most one connection there for each permit that it holds.
    */
   readonly idleConnectionCount?: number | undefined;
+  /**
+   * Asked right before the attempt is sent, when time has passed since the
+   * permit was handed over.
+   *
+   * @returns False when lease, limit or configuration forbid the start now.
+   */
+  readonly mayStart?: (() => boolean) | undefined;
   /**
    * Gives the permit back; a second call has no effect.
    *
--- a/src/services/permits/fleet_permit_source.ts
+++ b/src/services/permits/fleet_permit_source.ts
@@ -206,6 +206,7 @@
       zone: grant.zone,
       leaseMs: grant.runLeaseMs,
       idleConnectionCount: grant.idleConnectionCount,
+      mayStart: () => !isReleased && this.#mayStart(holding),
       release: (end) => {
         if (!isReleased) {
           isReleased = true;
@@ -231,17 +232,21 @@
     this.news.notify();
   }
 
-  // Whether an attempt may be started under the permit at this moment.
+  // Whether the permit may be given to a further request.
   #isUsable(holding: Holding): boolean {
-    const { grant, arrivedAtMs } = holding;
+    const nowMs = this.#options.clock.monotonicMs();
+    const isInWindow = nowMs < holding.arrivedAtMs + REUSE_WINDOW_MS ||
+      this.view.keepsPermits(nowMs);
+    return isInWindow && this.#mayStart(holding);
+  }
+
+  // Whether an attempt may be started under the permit at this moment.
+  #mayStart({ grant }: Holding): boolean {
     const { clock, agreement } = this.#options;
     const nowMs = clock.monotonicMs();
-    const isLeased = nowMs < this.view.leaseUntilMs &&
-      nowMs < agreement.status().freshUntilMs;
-    const isInWindow = nowMs < arrivedAtMs + REUSE_WINDOW_MS ||
-      this.view.keepsPermits(nowMs);
-    return isLeased && isInWindow && this.#isWithinLimit(grant) &&
-      this.#isPlaced(grant);
+    return nowMs < this.view.leaseUntilMs &&
+      nowMs < agreement.status().freshUntilMs &&
+      this.#isWithinLimit(grant) && this.#isPlaced(grant);
   }
 
   // A limit that was lowered since counts at once, not at the next report.
--- a/src/services/permits/fleet_permits_test.ts
+++ b/src/services/permits/fleet_permits_test.ts
@@ -5,12 +5,12 @@
 import { FleetState } from "../../domain/index.ts";
 import {
   describe,
-  FakeBackend,
   FakeClock,
   FakeNetwork,
   it,
   PermitFleet,
   putResources,
+  RecordingBackend,
 } from "../../testing/index.ts";
 import type { Work } from "../../testing/index.ts";
 
@@ -87,7 +87,10 @@
     state,
     entryIds: ENTRY_IDS,
   });
-  const checkStart = (backend: FakeBackend, { team }: { team: string }) => {
+  const checkStart = (
+    backend: RecordingBackend,
+    { team }: { team: string },
+  ) => {
     const nowMs = clock.monotonicMs();
     const runningCount = fleet.countRunning(team);
     const isSettled =
@@ -102,7 +105,7 @@
   };
   for (let at = 0; at < (options.backendCount ?? 6); at += 1) {
     fleet.addBackend(
-      new FakeBackend({
+      new RecordingBackend({
         backendServerId: `server-${at}`,
         vm: `vm-${at}`,
         clock,
@@ -164,10 +167,10 @@
   );
 }
 
-function findBackend({ fleet }: World, at: number): FakeBackend {
+function findBackend({ fleet }: World, at: number): RecordingBackend {
   const backend = fleet.backends.get(`server-${at}`);
   assert.ok(backend);
-  return backend as FakeBackend;
+  return backend as RecordingBackend;
 }
 
 async function findMeanRunning<T extends string>(
--- a/src/services/permits/permit_coordinator.ts
+++ b/src/services/permits/permit_coordinator.ts
@@ -56,6 +56,7 @@
 }
 
 interface Term {
+  readonly term: number;
   readonly leaderSinceMs: number;
   readonly ledger: PermitLedger;
 }
@@ -111,23 +112,23 @@
     }
   }
 
-  // A leader that cannot reach a quorum may have been replaced already.
+  // A leader without a confirmed lease grants nothing, but keeps its ledger: it
+  // still counts when the same leadership is confirmed again.
   #findLedger(): PermitLedger | undefined {
     const { agreement, clock } = this.#options;
-    const { leaderSinceMs, freshUntilMs } = agreement.status();
-    if (this.#term?.leaderSinceMs !== leaderSinceMs) {
-      this.#startTerm(leaderSinceMs);
+    const { term, leaderSinceMs, freshUntilMs } = agreement.status();
+    if (leaderSinceMs === undefined || freshUntilMs <= clock.monotonicMs()) {
+      return undefined;
     }
-    const isConfirmed = freshUntilMs > clock.monotonicMs();
-    return isConfirmed ? this.#term?.ledger : undefined;
-  }
-
-  #startTerm(leaderSinceMs: number | undefined): void {
-    const ended = this.#term;
-    this.#term = leaderSinceMs === undefined
-      ? undefined
-      : { leaderSinceMs, ledger: this.#createLedger(leaderSinceMs) };
-    ended?.ledger.close();
+    const isSame = this.#term?.term === term &&
+      this.#term.leaderSinceMs === leaderSinceMs;
+    if (!isSame) {
+      const ended = this.#term;
+      const ledger = this.#createLedger(leaderSinceMs);
+      this.#term = { term, leaderSinceMs, ledger };
+      ended?.ledger.close();
+    }
+    return this.#term?.ledger;
   }
 
   #createLedger(leaderSinceMs: number): PermitLedger {
--- a/src/services/permits/permit_times.ts
+++ b/src/services/permits/permit_times.ts
@@ -1,7 +1,7 @@
 /** Times that entries and the permit coordinator must agree on. */
 
 /** Time for which an entry may start attempts after it asked, in milliseconds. */
-export const PERMIT_LEASE_MS = 1_500;
+export const PERMIT_LEASE_MS = 2_000;
 /** Time between reports of an entry that has nothing new to say. */
 export const REPORT_INTERVAL_MS = 400;
 /** Time after which an entry gives up on the answer to a report. */
--- a/src/stand_ins/stand_in_backend.ts
+++ b/src/stand_ins/stand_in_backend.ts
@@ -13,6 +13,7 @@
   LEASE_MS_HEADER,
   NOT_STARTED_HEADER,
 } from "../domain/index.ts";
+import { parseAttemptId } from "../services/index.ts";
 
 const ANNOUNCE_INTERVAL_MS = 500;
 const DEFAULT_SLOT_COUNT = 8;
@@ -99,7 +100,7 @@
       leaving: this.#leaving,
       running: [...this.#running].map(({ attemptId }) => ({
         attemptId,
-        team: "",
+        team: parseAttemptId(attemptId)?.team ?? "",
       })),
     };
     try {
--- a/src/testing/permit_fleet.ts
+++ b/src/testing/permit_fleet.ts
@@ -23,8 +23,8 @@
   PermitReporter,
 } from "../services/index.ts";
 import { TaskGroup } from "../tasks/index.ts";
-import { FakeAgreementCluster } from "./fake_agreement.ts";
-import { FakeBackend } from "./fake_backend.ts";
+import { FakeLeadership } from "./fake_leadership.ts";
+import { RecordingBackend } from "./recording_backend.ts";
 import type { FakeNetwork } from "./fake_network.ts";
 import { FakeLogger } from "./fake_ports.ts";
 
@@ -67,14 +67,14 @@
 
 /** Entries with coordinators, and backend servers that record what runs. */
 export class PermitFleet {
-  readonly agreement: FakeAgreementCluster;
+  readonly agreement: FakeLeadership;
   readonly entries = new Map<string, FleetEntry>();
-  readonly backends = new Map<string, FakeBackend>();
+  readonly backends = new Map<string, RecordingBackend>();
   readonly #options: PermitFleetOptions;
 
   constructor(options: PermitFleetOptions) {
     this.#options = options;
-    this.agreement = new FakeAgreementCluster(options);
+    this.agreement = new FakeLeadership(options);
     options.entryIds.forEach((entryId) => this.startEntry(entryId));
   }
 
@@ -133,7 +133,7 @@
   }
 
   /** Adds a backend server that announces itself to entries at random. */
-  addBackend(backend: FakeBackend): void {
+  addBackend(backend: RecordingBackend): void {
     this.backends.set(backend.announcement.backendServerId, backend);
     void backend.announceForever((announcement) => {
       const alive = [...this.entries.values()].filter(({ isAlive }) => isAlive);
--- a/src/testing/fake_backend.ts
+++ b/src/testing/recording_backend.ts
@@ -13,20 +13,20 @@
   readonly leaseMs: number;
 }
 
-/** Options of {@link FakeBackend}. */
-export interface FakeBackendOptions {
+/** Options of {@link RecordingBackend}. */
+export interface RecordingBackendOptions {
   readonly backendServerId: string;
   readonly vm: string;
   readonly clock: Clock;
   readonly random: Random;
   readonly slotCount?: number;
   /** Called when an attempt has just started. */
-  readonly onStart?: (backend: FakeBackend, attempt: FakeAttempt) => void;
+  readonly onStart?: (backend: RecordingBackend, attempt: FakeAttempt) => void;
 }
 
 /** Runs what it is sent, and announces itself with faults. */
-export class FakeBackend {
-  readonly #options: FakeBackendOptions;
+export class RecordingBackend {
+  readonly #options: RecordingBackendOptions;
   readonly #running = new Map<string, FakeAttempt>();
   readonly #countByTeam = new Map<string, number>();
   #sequence = 0;
@@ -41,7 +41,7 @@
   /** Time that attempts have run so far, in milliseconds. */
   busyMs = 0;
 
-  constructor(options: FakeBackendOptions) {
+  constructor(options: RecordingBackendOptions) {
     this.#options = options;
   }
 
