--- a/src/decisions/index.ts
+++ b/src/decisions/index.ts
@@ -1,6 +1,7 @@
-/** Policies: interfaces with classes, free of codecs and sockets. */
+/** Decisions: policies as interfaces with classes, free of codec and socket. */
 export * from "./admission/index.ts";
 export * from "./counting/index.ts";
+export * from "./fairness/index.ts";
 export * from "./fleet/index.ts";
 export * from "./health/index.ts";
 export * from "./overload/index.ts";
--- a/src/services/index.ts
+++ b/src/services/index.ts
@@ -3,7 +3,7 @@
 export * from "./claims/index.ts";
 export * from "./decision_recorder.ts";
 export * from "./explain_service.ts";
-export * from "./local_permits.ts";
 export * from "./operator_service.ts";
 export * from "./permits.ts";
+export * from "./permits/index.ts";
 export * from "./requests/index.ts";
--- a/src/services/requests/guarded_permits.ts
+++ b/src/services/requests/guarded_permits.ts
@@ -74,13 +74,8 @@
     }
     const { clock } = this.#options;
     const grantedAtMs = clock.monotonicMs();
-    const { attemptId, backend, pool, zone, leaseMs } = permit;
     return Result.ok({
-      attemptId,
-      backend,
-      pool,
-      zone,
-      leaseMs,
+      ...permit,
       release: (end) => {
         if (end.ended && end.healthy === true) {
           line.recordRun(clock.monotonicMs() - grantedAtMs);
--- a/src/services/local_permits.ts
+++ b/src/testing/fake_permits.ts
@@ -1,4 +1,4 @@
-/** Permits of a deployment with one entry, which holds all limits itself. */
+/** Permits of one fake entry, without coordinator or leases. */
 import { Result } from "true-myth";
 import { createFailure, type Failure } from "../domain/index.ts";
 import type {
@@ -8,11 +8,15 @@
 } from "../decisions/index.ts";
 import type { Clock, Random } from "../ports/index.ts";
 import { Notifier } from "../tasks/index.ts";
-import type { BackendDirectory } from "./backend_directory.ts";
-import type { Permit, PermitRequest, PermitSource } from "./permits.ts";
+import type {
+  BackendDirectory,
+  Permit,
+  PermitRequest,
+  PermitSource,
+} from "../services/index.ts";
 
-/** Options of {@link LocalPermitSource}. */
-export interface LocalPermitOptions {
+/** Options of {@link FakePermitSource}. */
+export interface FakePermitOptions {
   readonly clock: Clock;
   readonly directory: BackendDirectory;
   readonly fleet: FleetIndexCache;
@@ -21,13 +25,13 @@
 }
 
 /** Counts team places and slots in this process alone. */
-export class LocalPermitSource implements PermitSource {
-  readonly #options: LocalPermitOptions;
+export class FakePermitSource implements PermitSource {
+  readonly #options: FakePermitOptions;
   readonly #runningByTeam = new Map<string, number>();
   readonly #usedByBackend = new Map<string, number>();
   readonly #released = new Notifier();
 
-  constructor(options: LocalPermitOptions) {
+  constructor(options: FakePermitOptions) {
     this.#options = options;
   }
 
