Take VMs through cordon, drain, reboot and join

Cause: nothing compared declared labels with observed VMs, and a relabelled VM changed its pool under running work. Change: assignments with rules for steps, pool and a guard over the budget's VMs; the controller with label moves, maintenance waves, capacity moves and availability budgets; a platform in memory with lost, late, doubled and wrong answers.

--- /dev/null
+++ b/src/decisions/budgets/domain_budget_policy.ts
@@ -0,0 +1,102 @@
+/** Budgets counted in every declared failure domain. */
+import type { AvailabilityBudget } from "../../domain/index.ts";
+import type { FleetView, VmView } from "../fleet/index.ts";
+import {
+  type BudgetPolicy,
+  type BudgetUse,
+  listBudgets,
+} from "./budget_policy.ts";
+
+/**
+ * Counts unavailable VMs of a pool in the pool, in each zone and in each rack.
+ *
+ * Lost VMs, moves and maintenance spend the same budget. A VM that is down or
+ * in a zone that is out is already counted, but taking it needs room too:
+ * otherwise the end of the outage would leave more VMs out than allowed.
+ */
+export class DomainBudgetPolicy implements BudgetPolicy {
+  findExhausted(view: FleetView, vm: VmView): BudgetUse | undefined {
+    const pool = vm.pool;
+    if (pool === undefined) {
+      return undefined;
+    }
+    const members = view.listPool(pool);
+    return listBudgets(view.findPool(pool)?.resource)
+      .map((budget) => createUse(pool, budget, members, vm))
+      .find((use) => isExhausted(use, vm));
+  }
+
+  listUses(view: FleetView, pool: string): BudgetUse[] {
+    const members = view.listPool(pool);
+    return listBudgets(view.findPool(pool)?.resource).flatMap((budget) => {
+      const uses = new Map<string, BudgetUse>();
+      for (const member of members) {
+        const name = nameDomain(pool, budget, member);
+        if (!uses.has(name)) {
+          uses.set(name, createUse(pool, budget, members, member));
+        }
+      }
+      return [...uses.values()];
+    });
+  }
+}
+
+/** Counts over the whole pool only; the baseline that ignores zones and racks. */
+export class PoolTotalBudgetPolicy implements BudgetPolicy {
+  findExhausted(view: FleetView, vm: VmView): BudgetUse | undefined {
+    const pool = vm.pool ?? "";
+    return this.listUses(view, pool).find((use) => isExhausted(use, vm));
+  }
+
+  listUses(view: FleetView, pool: string): BudgetUse[] {
+    const members = view.listPool(pool);
+    const first = members[0];
+    return first === undefined ? [] : listBudgets(view.findPool(pool)?.resource)
+      .filter(({ domain }) => domain === "pool")
+      .map((budget) => createUse(pool, budget, members, first));
+  }
+}
+
+function createUse(
+  pool: string,
+  budget: AvailabilityBudget,
+  members: readonly VmView[],
+  vm: VmView,
+): BudgetUse {
+  const domainName = nameDomain(pool, budget, vm);
+  const inDomain = members.filter((member) =>
+    nameDomain(pool, budget, member) === domainName
+  );
+  return {
+    pool,
+    budget,
+    domainName,
+    vmCount: inDomain.length,
+    unavailable: inDomain.filter(({ outage }) => outage !== undefined),
+  };
+}
+
+function nameDomain(
+  pool: string,
+  { domain }: AvailabilityBudget,
+  { vm }: VmView,
+): string {
+  switch (domain) {
+    case "pool":
+      return `pool/${pool}`;
+    case "zone":
+      return `zone/${vm.resource.zone}`;
+    case "rack":
+      // Racks of different zones may carry the same name.
+      return `rack/${vm.resource.zone}/${vm.resource.rack}`;
+  }
+}
+
+function isExhausted({ budget, unavailable }: BudgetUse, vm: VmView): boolean {
+  const others = unavailable.filter(({ name }) => name !== vm.name);
+  if (vm.outage === undefined) {
+    return others.length + 1 > budget.maxUnavailableVmCount;
+  }
+  const planned = others.filter(({ outage }) => outage !== "zoneOut");
+  return planned.length + 1 > budget.maxUnavailableVmCount;
+}
--- /dev/null
+++ b/src/decisions/budgets/index.ts
@@ -0,0 +1,3 @@
+/** Availability budgets. */
+export * from "./budget_policy.ts";
+export * from "./domain_budget_policy.ts";
--- a/src/decisions/fleet/fleet_index.ts
+++ b/src/decisions/fleet/fleet_index.ts
@@ -1,6 +1,7 @@
 /** Look-ups over the configuration in force, rebuilt when it changes. */
 import {
   type Binding,
+  type DecisionCause,
   type FleetState,
   type Key,
   matchesSelector,
@@ -11,9 +12,9 @@
   type Team,
   type Vm,
   type Zone,
-  ZONE_OUT_VALUE,
-  ZONE_SERVICE_LABEL,
 } from "../../domain/index.ts";
+import { PoolClaims } from "./pool_claims.ts";
+import { listZonesOut, type ZoneOut } from "./zones_out.ts";
 
 /** A VM with the pool that it serves now, if any. */
 export interface PlacedVm {
@@ -34,15 +35,17 @@
   >();
   readonly #poolsByQueue = new Map<string, readonly StoredResource<Pool>[]>();
   readonly #vms = new Map<string, PlacedVm>();
+  readonly #zonesOut: ReadonlyMap<string, ZoneOut>;
 
   constructor(state: FleetState) {
     this.#state = state;
     for (const key of state.list("key")) {
       this.#keysByDigest.set(key.resource.digest, key);
     }
-    const pools = state.list("pool");
+    this.#zonesOut = listZonesOut(state);
+    const claims = new PoolClaims(state.list("pool"));
     for (const vm of state.list("vm")) {
-      this.#vms.set(vm.resource.name, placeVm(state, vm, pools));
+      this.#vms.set(vm.resource.name, placeVm(state, vm, claims));
     }
   }
 
@@ -123,16 +126,24 @@
   }
 
   /**
-   * Tells whether operators have taken a zone out.
+   * Tells whether operators have taken a zone out, by its label or by a
+   * maintenance action.
    *
    * @param name - Name of the zone.
-   * @returns The zone that carries the label, or undefined when it is in service.
+   * @returns The zone that is out, or undefined when it is in service.
    */
   findZoneOut(name: string): StoredResource<Zone> | undefined {
-    const zone = this.#state.find("zone", name);
-    return zone?.resource.labels[ZONE_SERVICE_LABEL] === ZONE_OUT_VALUE
-      ? zone
-      : undefined;
+    return this.#zonesOut.get(name)?.zone;
+  }
+
+  /**
+   * Finds what took a zone out.
+   *
+   * @param name - Name of the zone.
+   * @returns The zone with the label or maintenance behind it, or undefined.
+   */
+  findZoneOutCause(name: string): ZoneOut | undefined {
+    return this.#zonesOut.get(name);
   }
 }
 
@@ -169,26 +180,10 @@
   }
 }
 
-/**
- * Lists the pools whose selectors claim a VM.
- *
- * @param vm - The VM.
- * @param pools - All pools.
- * @returns The pools that match; more than one is an operator's mistake.
- */
-export function listClaimingPools(
-  vm: Vm,
-  pools: readonly StoredResource<Pool>[],
-): StoredResource<Pool>[] {
-  return pools.filter(({ resource }) =>
-    matchesSelector(resource.vmSelector, vm.labels)
-  );
-}
-
 function placeVm(
   state: FleetState,
   vm: StoredResource<Vm>,
-  pools: readonly StoredResource<Pool>[],
+  claims: PoolClaims,
 ): PlacedVm {
   const assignment = state.findAssignment(vm.resource.name);
   if (assignment !== undefined) {
@@ -198,8 +193,7 @@
       serving: assignment.phase === "serving",
     };
   }
-  const claiming = listClaimingPools(vm.resource, pools);
-  const pool = claiming.length === 1 ? claiming[0]?.resource.name : undefined;
+  const pool = claims.findDesired(vm.resource)?.resource.name;
   return { vm, pool, serving: pool !== undefined };
 }
 
@@ -215,7 +209,7 @@
   stored: StoredResource<Resource>,
   field: string,
   value: string,
-) {
+): DecisionCause {
   return {
     resource: { kind: stored.resource.kind, name: stored.resource.name },
     field,
--- /dev/null
+++ b/src/decisions/fleet/zones_out.ts
@@ -0,0 +1,75 @@
+/** Which availability zones are out of service, by label or by maintenance. */
+import {
+  type FleetState,
+  type Labels,
+  type Maintenance,
+  matchesSelector,
+  type Selector,
+  type StoredResource,
+  type Vm,
+  type Zone,
+  ZONE_OUT_VALUE,
+  ZONE_SERVICE_LABEL,
+} from "../../domain/index.ts";
+
+/** A zone that is out of service, and what took it out. */
+export interface ZoneOut {
+  readonly zone: StoredResource<Zone>;
+  /** The zone itself when its label took it out, else the maintenance. */
+  readonly cause: StoredResource<Zone> | StoredResource<Maintenance>;
+}
+
+/**
+ * Lists the zones that are out of service.
+ *
+ * The answer follows from the declared resources alone, so that early, doubled
+ * and cancelled actions end in the declared state.
+ *
+ * @param state - The state in force.
+ * @returns The zones that are out, by name.
+ */
+export function listZonesOut(state: FleetState): Map<string, ZoneOut> {
+  const takeOuts = state.list("maintenance").filter(({ resource }) =>
+    resource.action === "takeOut" && !resource.cancelled
+  );
+  const zonesOut = new Map<string, ZoneOut>();
+  for (const zone of state.list("zone")) {
+    const isLabelled =
+      zone.resource.labels[ZONE_SERVICE_LABEL] === ZONE_OUT_VALUE;
+    const cause = isLabelled
+      ? zone
+      : takeOuts.find(({ resource }) => selectsZone(resource, zone.resource));
+    if (cause !== undefined) {
+      zonesOut.set(zone.resource.name, { zone, cause });
+    }
+  }
+  return zonesOut;
+}
+
+/**
+ * Tells whether a maintenance action selects a zone.
+ *
+ * @param maintenance - The action; without a zone selector it selects none.
+ * @param zone - The zone; its name and region count as labels too.
+ * @returns True when the zone is selected.
+ */
+export function selectsZone(maintenance: Maintenance, zone: Zone): boolean {
+  const { name, region } = zone;
+  return matches(maintenance.zoneSelector, { name, region, ...zone.labels });
+}
+
+/**
+ * Tells whether a maintenance action selects a VM.
+ *
+ * @param maintenance - The action; without a VM selector it selects none.
+ * @param vm - The VM; its name, zone and rack count as labels too.
+ * @returns True when the VM is selected.
+ */
+export function selectsVm(maintenance: Maintenance, vm: Vm): boolean {
+  const { name, zone, rack } = vm;
+  return matches(maintenance.vmSelector, { name, zone, rack, ...vm.labels });
+}
+
+function matches(selector: Selector | undefined, labels: Labels): boolean {
+  return selector !== undefined && matchesSelector(selector, labels);
+}
--- /dev/null
+++ b/src/decisions/maintenance/index.ts
@@ -0,0 +1,2 @@
+/** Maintenance of VMs and zones. */
+export * from "./wave_policy.ts";
--- /dev/null
+++ b/src/decisions/moves/index.ts
@@ -0,0 +1,6 @@
+/** Moves of VMs between pools. */
+export * from "./hysteresis_move_policy.ts";
+export * from "./label_moves.ts";
+export * from "./move_policy.ts";
+export * from "./wanted_pool.ts";
+export * from "./wish.ts";
--- /dev/null
+++ b/src/decisions/moves/label_moves.ts
@@ -0,0 +1,73 @@
+/** Moves that follow from changed labels and selectors. */
+import type { FleetView, VmView } from "../fleet/index.ts";
+import { findWantedPool, type WantedPool } from "./wanted_pool.ts";
+import type { Wish } from "./wish.ts";
+
+/** A VM that no single selector claims, and that therefore stays. */
+export interface Clash {
+  readonly vm: VmView;
+  readonly wanted: WantedPool;
+}
+
+/** What labels and selectors ask for. */
+export interface LabelMoves {
+  readonly moves: readonly Wish[];
+  readonly clashes: readonly Clash[];
+}
+
+/**
+ * Compares declared labels with the pools that VMs are in.
+ *
+ * @param view - The fleet as it stands.
+ * @returns The moves that are wanted, and the VMs whose selectors clash.
+ */
+export function findLabelMoves(view: FleetView): LabelMoves {
+  const moves: Wish[] = [];
+  const clashes: Clash[] = [];
+  for (const vm of view.list()) {
+    const wanted = findWantedPool(view, vm);
+    if (wanted.claiming.length !== 1) {
+      clashes.push({ vm, wanted });
+    } else if (isMisplaced(vm, wanted)) {
+      moves.push(createMove(vm, wanted));
+    }
+  }
+  return { moves, clashes };
+}
+
+/**
+ * Says why no single pool claims a VM.
+ *
+ * @param clash - The VM and the pools that claim it.
+ * @returns One sentence that names the selectors and what happens instead.
+ */
+export function describeClash({ vm, wanted }: Clash): string {
+  const names = wanted.claiming.map(({ resource }) => `pool/${resource.name}`);
+  const where = vm.pool === undefined
+    ? "it has no pool"
+    : `it stays in pool/${vm.pool}`;
+  const who = names.length === 0
+    ? "no pool's selector claims"
+    : `the selectors of ${names.join(" and ")} all claim`;
+  return `${who} vm/${vm.name}; ${where}`;
+}
+
+function isMisplaced(vm: VmView, wanted: WantedPool): boolean {
+  return vm.assignment?.phase === "serving" && wanted.pool !== vm.pool;
+}
+
+function createMove(vm: VmView, wanted: WantedPool): Wish {
+  const newest = Math.max(...wanted.causes.map(({ revision }) => revision));
+  return {
+    vm,
+    purpose: "move",
+    // One change that moves many VMs is one wave.
+    actionId: `move.r${newest}`,
+    targetPool: wanted.pool,
+    loanedFrom: undefined,
+    summary: `vm/${vm.name} moves from pool/${vm.pool} to pool/${wanted.pool}`,
+    causes: wanted.causes,
+    figures: {},
+    rejected: [],
+  };
+}
--- /dev/null
+++ b/src/decisions/moves/move_policy.ts
@@ -0,0 +1,183 @@
+/** Capacity moves between spare pools and pools whose demand stays high. */
+import type { FleetView, VmView } from "../fleet/index.ts";
+import type { Wish } from "./wish.ts";
+
+/** Time over which the bound on moves counts, in milliseconds. */
+export const MOVE_BOUND_WINDOW_MS = 3_600_000;
+/** Begin of the ids of capacity moves. */
+export const CAPACITY_ACTION_PREFIX = "capacity.";
+
+/** How busy a pool is. */
+export interface PoolDemand {
+  readonly pool: string;
+  readonly busySlotCount: number;
+  readonly slotCount: number;
+}
+
+/** What a move policy looks at. */
+export interface MoveInput {
+  readonly view: FleetView;
+  readonly demand: readonly PoolDemand[];
+  /** Wall-clock time, for the bound that records count against. */
+  readonly nowMs: number;
+  /** Monotonic time, for how long demand has stayed. */
+  readonly monotonicMs: number;
+}
+
+/** Decides which VMs a spare pool lends and which come back. */
+export interface MovePolicy {
+  /**
+   * Decides on capacity moves; budgets are asked afterwards.
+   *
+   * @param input - The fleet and its demand.
+   * @returns The moves that are wanted, the most urgent first.
+   */
+  decide(input: MoveInput): Wish[];
+}
+
+/** Thresholds of the move policies. */
+export interface MoveThresholds {
+  /** Share of busy slots above which a pool borrows. */
+  readonly borrowAboveRatio: number;
+  /** Share of busy slots below which a pool gives back. */
+  readonly returnBelowRatio: number;
+}
+
+/** Thresholds that leave room between borrowing and giving back. */
+export const DEFAULT_THRESHOLDS: MoveThresholds = {
+  borrowAboveRatio: 0.85,
+  returnBelowRatio: 0.5,
+};
+
+/** A pool whose demand asks for a move. */
+export interface MoveNeed {
+  readonly direction: "borrow" | "return";
+  readonly demand: PoolDemand;
+  readonly busyRatio: number;
+}
+
+/**
+ * Finds the pools whose demand is beyond a threshold now.
+ *
+ * @param input - The fleet and its demand.
+ * @param thresholds - When to borrow and when to give back.
+ * @returns The needs, the busiest pool first.
+ */
+export function findNeeds(
+  input: MoveInput,
+  thresholds: MoveThresholds,
+): MoveNeed[] {
+  const needs: MoveNeed[] = [];
+  for (const demand of input.demand) {
+    const pool = input.view.findPool(demand.pool)?.resource;
+    if (pool === undefined || pool.spare || demand.slotCount === 0) {
+      continue;
+    }
+    const busyRatio = demand.busySlotCount / demand.slotCount;
+    if (busyRatio > thresholds.borrowAboveRatio) {
+      needs.push({ direction: "borrow", demand, busyRatio });
+    } else if (
+      busyRatio < thresholds.returnBelowRatio &&
+      findLoanedVm(input.view, demand.pool) !== undefined
+    ) {
+      needs.push({ direction: "return", demand, busyRatio });
+    }
+  }
+  return needs.sort((left, right) => right.busyRatio - left.busyRatio);
+}
+
+/**
+ * Creates the move that a need asks for.
+ *
+ * @param input - The fleet and its demand.
+ * @param need - The pool that borrows or gives back.
+ * @returns The move, or undefined while one is under way or no VM can be had.
+ */
+export function createCapacityMove(
+  input: MoveInput,
+  need: MoveNeed,
+): Wish | undefined {
+  const { view } = input;
+  const { pool } = need.demand;
+  if (isMoveUnderWay(view, pool)) {
+    return undefined;
+  }
+  const isBorrow = need.direction === "borrow";
+  const vm = isBorrow ? findSpareVm(input, pool) : findLoanedVm(view, pool);
+  const home = isBorrow ? vm?.pool : vm?.assignment?.loanedFrom;
+  if (vm === undefined || home === undefined) {
+    return undefined;
+  }
+  const targetPool = isBorrow ? pool : home;
+  return {
+    vm,
+    purpose: "capacity",
+    actionId: `${CAPACITY_ACTION_PREFIX}${pool}`,
+    targetPool,
+    loanedFrom: home,
+    summary: isBorrow
+      ? `vm/${vm.name} is lent from spare pool/${home} to pool/${pool}, whose demand stays high`
+      : `vm/${vm.name} returns from pool/${pool} to spare pool/${home}, because demand has fallen`,
+    causes: [],
+    figures: {
+      busyRatio: need.busyRatio,
+      busySlotCount: need.demand.busySlotCount,
+      slotCount: need.demand.slotCount,
+    },
+    rejected: [],
+  };
+}
+
+/**
+ * Counts the capacity moves that were started lately, by any controller.
+ *
+ * @param input - The fleet with its audit trail.
+ * @returns Moves within {@link MOVE_BOUND_WINDOW_MS}.
+ */
+export function countRecentMoves({ view, nowMs }: MoveInput): number {
+  const oldestMs = nowMs - MOVE_BOUND_WINDOW_MS;
+  return view.state.listRecords().filter((record) =>
+    record.action === "move" && record.atMs > oldestMs &&
+    record.subjects.some((subject) =>
+      subject.startsWith(`action/${CAPACITY_ACTION_PREFIX}`)
+    )
+  ).length;
+}
+
+function isMoveUnderWay(view: FleetView, pool: string): boolean {
+  return view.state.listAssignments().some((assignment) =>
+    assignment.phase !== "serving" && assignment.purpose === "capacity" &&
+    assignment.actionId === `${CAPACITY_ACTION_PREFIX}${pool}`
+  );
+}
+
+// A VM of the zone where the borrower has the fewest VMs spreads it best.
+function findSpareVm(input: MoveInput, borrower: string): VmView | undefined {
+  const { view } = input;
+  const zoneCounts = new Map<string, number>();
+  for (const { vm } of view.listPool(borrower)) {
+    const count = zoneCounts.get(vm.resource.zone) ?? 0;
+    zoneCounts.set(vm.resource.zone, count + 1);
+  }
+  const candidates = view.list().filter((vm) =>
+    vm.outage === undefined && vm.assignment?.phase === "serving" &&
+    view.findPool(vm.pool ?? "")?.resource.spare === true &&
+    isLendable(input, vm.pool ?? "")
+  );
+  const count = ({ vm }: VmView) => zoneCounts.get(vm.resource.zone) ?? 0;
+  return candidates.sort((left, right) => count(left) - count(right))[0];
+}
+
+// A spare pool that is busy itself lends nothing, so that its own work and the
+// overflow of short peaks keep their room.
+function isLendable({ demand }: MoveInput, pool: string): boolean {
+  const own = demand.find((candidate) => candidate.pool === pool);
+  return own === undefined || own.slotCount === 0 ||
+    own.busySlotCount / own.slotCount < DEFAULT_THRESHOLDS.borrowAboveRatio;
+}
+
+function findLoanedVm(view: FleetView, pool: string): VmView | undefined {
+  return view.listPool(pool).find(({ assignment }) =>
+    assignment?.phase === "serving" && assignment.loanedFrom !== undefined
+  );
+}
--- a/src/domain/command.ts
+++ b/src/domain/command.ts
@@ -1,8 +1,11 @@
 /** Commands of the replicated log: everything that changes the durable state. */
 import * as v from "valibot";
+import { assignCommandSchema } from "./assignment.ts";
 import { changeSchema } from "./change.ts";
 import { decisionRecordSchema } from "./decision_record.ts";
 
+export type { VmAssignment } from "./assignment.ts";
+
 /** Schema of the command that applies an operator's change. */
 export const changeCommandSchema = v.object({
   type: v.literal("change"),
@@ -17,35 +20,6 @@
   records: v.array(decisionRecordSchema),
 });
 
-/** Schema of {@link VmAssignment}. */
-export const vmAssignmentSchema = v.object({
-  vm: v.string(),
-  pool: v.string(),
-  phase: v.picklist([
-    "serving",
-    "cordoned",
-    "draining",
-    "rebooting",
-    "joining",
-  ]),
-  targetPool: v.optional(v.string()),
-  actionId: v.string(),
-  operationId: v.string(),
-  startedAtMs: v.number(),
-});
-
-/** The one pool of a VM, and the step of the move or reboot it is in. */
-export type VmAssignment = v.InferOutput<typeof vmAssignmentSchema>;
-
-/** Schema of the command that writes a step of a move before it is taken. */
-export const assignCommandSchema = v.object({
-  type: v.literal("assign"),
-  /** Step that the writer saw; another value refuses the command. */
-  expectedOperationId: v.optional(v.string()),
-  assignment: vmAssignmentSchema,
-  record: v.optional(decisionRecordSchema),
-});
-
 /** Schema of {@link Claim}. */
 export const claimSchema = v.object({
   claimId: v.string(),
--- a/src/domain/decision_record.ts
+++ b/src/domain/decision_record.ts
@@ -25,6 +25,7 @@
     "move",
     "drain",
     "reboot",
+    "join",
     "pause",
     "ejection",
     "hold",
--- a/src/domain/fleet_state.ts
+++ b/src/domain/fleet_state.ts
@@ -1,5 +1,6 @@
 /** The durable state that the replicated log builds, the same on every entry. */
 import { Result } from "true-myth";
+import { findAssignmentConflict } from "./assignment.ts";
 import type { AcceptedChange, Change, ResourceRef } from "./change.ts";
 import type { Claim, Command, VmAssignment } from "./command.ts";
 import type { DecisionRecord } from "./decision_record.ts";
@@ -308,20 +309,21 @@
   }
 
   #applyAssignment(command: Extract<Command, { type: "assign" }>): Applied {
-    const { assignment, expectedOperationId, record } = command;
+    const { assignment, record } = command;
     const current = this.#assignments.get(assignment.vm);
     if (current?.operationId === assignment.operationId) {
       return this.#done();
     }
-    if (current?.operationId !== expectedOperationId) {
-      return Result.err(
-        createFailure(
-          "conflict",
-          `vm/${assignment.vm} is at step ${
-            current?.operationId ?? "none"
-          }, not ${expectedOperationId ?? "none"}`,
+    const conflict = findAssignmentConflict(command, {
+      current,
+      list: () =>
+        this.listAssignments().filter(({ vm }) =>
+          this.find("vm", vm) !== undefined
         ),
-      );
+      revision: this.#revision,
+    });
+    if (conflict !== undefined) {
+      return Result.err(conflict);
     }
     this.#assignments.set(assignment.vm, assignment);
     this.#placementVersion += 1;
--- a/src/domain/index.ts
+++ b/src/domain/index.ts
@@ -1,4 +1,5 @@
 /** Schemas, the types inferred from them, and the closed list of errors. */
+export * from "./assignment.ts";
 export * from "./backend_server.ts";
 export * from "./change.ts";
 export * from "./command.ts";
--- a/src/domain/resources/resource.ts
+++ b/src/domain/resources/resource.ts
@@ -24,6 +24,11 @@
   maxUnavailableVmCount: countSchema,
 });
 
+/** VMs of a failure domain that may be unavailable at once. */
+export type AvailabilityBudget = v.InferOutput<
+  typeof availabilityBudgetSchema
+>;
+
 /** Schema of {@link Pool}. */
 export const poolSchema = v.strictObject({
   kind: v.literal("pool"),
--- a/src/ports/platform.ts
+++ b/src/ports/platform.ts
@@ -13,6 +13,8 @@
   checkpointable: v.boolean(),
   usedCores: v.number(),
   usedMemoryMb: v.number(),
+  /** How long the task has run, in milliseconds. */
+  runMs: v.optional(v.number(), 0),
 });
 
 /** A task that runs on a VM, with its last reported usage. */
@@ -26,11 +28,19 @@
   state: v.picklist(["up", "draining", "drained", "rebooting", "down"]),
   bootCount: v.number(),
   runningCount: v.number(),
+  coreCount: v.optional(v.number()),
+  memoryMb: v.optional(v.number()),
 });
 
 /** A VM as the platform reports it. */
 export type PlatformVm = v.InferOutput<typeof platformVmSchema>;
 
+/** Schema of {@link TaskAction}. */
+export const taskActionSchema = v.picklist(["checkpoint", "throttle", "stop"]);
+
+/** What the platform can do to a task. */
+export type TaskAction = v.InferOutput<typeof taskActionSchema>;
+
 /** Commands to the platform; a repeated operation id has no second effect. */
 export interface Platform {
   /** Lists the VMs of the fleet. */
@@ -39,14 +49,14 @@
   listTasks(): Promise<Result<readonly PlatformTask[], Failure>>;
   /** Asks a VM to take no new work and to finish what runs. */
   drain(vm: string, operationId: string): Promise<Result<void, Failure>>;
-  /** Reboots a VM that is drained. */
+  /** Reboots a VM; refused unless it is drained and nothing runs on it. */
   reboot(vm: string, operationId: string): Promise<Result<void, Failure>>;
   /** Lets a VM take work again. */
   undrain(vm: string, operationId: string): Promise<Result<void, Failure>>;
   /** Checkpoints a task, slows it down, or stops it. */
   actOnTask(
     taskId: string,
-    action: "checkpoint" | "throttle" | "stop",
+    action: TaskAction,
     operationId: string,
   ): Promise<Result<void, Failure>>;
 }
--- /dev/null
+++ b/src/services/controller/action_starter.ts
@@ -0,0 +1,181 @@
+/** Starts the actions that labels, maintenance and demand ask for. */
+import {
+  type BudgetUse,
+  describeClash,
+  describeUse,
+  findLabelMoves,
+  findWaveFailure,
+  type FleetView,
+  type LabelMoves,
+  type VmView,
+  type Wish,
+} from "../../decisions/index.ts";
+import type { ControllerOptions, Observation } from "./controller_options.ts";
+import type { HoldLog } from "./hold_log.ts";
+import type { StepWriter } from "./step_writer.ts";
+
+/** Actions that one round starts at the most. */
+const MAX_STARTS_PER_ROUND = 20;
+
+/** Takes wishes one after the other through budgets to their first step. */
+export class ActionStarter {
+  readonly #options: ControllerOptions;
+  readonly #writer: StepWriter;
+  readonly #holds: HoldLog;
+  readonly #failures = new Map<string, VmView | undefined>();
+
+  constructor(
+    options: ControllerOptions,
+    writer: StepWriter,
+    holds: HoldLog,
+  ) {
+    this.#options = options;
+    this.#writer = writer;
+    this.#holds = holds;
+  }
+
+  /**
+   * Starts what is wanted and allowed; tells what waits, and for what.
+   *
+   * @param observation - What the platform reported.
+   */
+  async start(observation: Observation): Promise<void> {
+    const { clock, moves, waves, listDemand } = this.#options;
+    const { view } = observation;
+    const labels = findLabelMoves(view);
+    this.#tellClashes(labels);
+    const wishes = [
+      ...labels.moves,
+      ...waves.listDue(view, clock.nowMs()),
+      ...moves.decide({
+        view,
+        demand: listDemand(),
+        nowMs: clock.nowMs(),
+        monotonicMs: clock.monotonicMs(),
+      }),
+    ];
+    let startedCount = 0;
+    this.#failures.clear();
+    for (const wish of wishes) {
+      if (startedCount < MAX_STARTS_PER_ROUND) {
+        startedCount += Number(await this.#tryStart(wish, observation));
+      }
+    }
+  }
+
+  async #tryStart(wish: Wish, { view }: Observation): Promise<boolean> {
+    const vm = view.find(wish.vm.name);
+    if (vm?.assignment?.phase !== "serving") {
+      return false;
+    }
+    const failed = this.#findFailure(wish, view);
+    if (failed !== undefined) {
+      this.#tellStopped(wish, failed);
+      return false;
+    }
+    const exhausted = this.#options.budgets.findExhausted(view, vm);
+    if (exhausted !== undefined) {
+      this.#tellWait(wish, exhausted);
+      return false;
+    }
+    const isWritten = await this.#write(wish, vm, view);
+    view.refresh(vm.name);
+    return isWritten;
+  }
+
+  // One look through the fleet for each wave, not for each of its VMs.
+  #findFailure({ actionId }: Wish, view: FleetView): VmView | undefined {
+    if (!this.#failures.has(actionId)) {
+      const nowMs = this.#options.clock.nowMs();
+      this.#failures.set(actionId, findWaveFailure(view, actionId, nowMs));
+    }
+    return this.#failures.get(actionId);
+  }
+
+  async #write(wish: Wish, vm: VmView, view: FleetView): Promise<boolean> {
+    const { assignment } = vm;
+    if (assignment === undefined) {
+      return false;
+    }
+    // From the view that the budget was checked on: another controller may
+    // have written since, and then the log has to refuse this step.
+    const busyVms = view.listPool(assignment.pool)
+      .filter(({ outage }) => outage === "busy")
+      .map(({ name }) => name);
+    const written = await this.#writer.write({
+      vm,
+      next: {
+        ...assignment,
+        phase: "cordoned",
+        purpose: wish.purpose,
+        actionId: wish.actionId,
+        targetPool: wish.targetPool,
+        loanedFrom: wish.loanedFrom ?? assignment.loanedFrom,
+      },
+      guard: { revision: view.revision, busyVms },
+      why: {
+        action: wish.purpose === "maintenance" ? "drain" : "move",
+        summary: wish.summary,
+        causes: wish.causes,
+        figures: wish.figures,
+        rejected: wish.rejected,
+      },
+    });
+    return written !== undefined;
+  }
+
+  #tellClashes({ clashes }: LabelMoves): void {
+    for (const clash of clashes) {
+      const { vm, wanted } = clash;
+      const names = wanted.claiming.map(({ resource }) => resource.name);
+      this.#holds.hold({
+        key: `vm/${vm.name} clash`,
+        reason: names.join(" "),
+        subjects: [
+          `vm/${vm.name}`,
+          ...names.map((name) => `pool/${name}`),
+        ],
+        summary: describeClash(clash),
+        causes: wanted.causes,
+      });
+    }
+  }
+
+  #tellWait(wish: Wish, use: BudgetUse): void {
+    // One record for a whole wave, but one for each move: those differ.
+    const subject = wish.purpose === "maintenance"
+      ? `action/${wish.actionId}`
+      : `vm/${wish.vm.name}`;
+    this.#holds.hold({
+      key: `${subject} ${wish.vm.pool} ${use.budget.domain}`,
+      reason: String(use.budget.maxUnavailableVmCount),
+      subjects: [
+        subject,
+        `pool/${wish.vm.pool}`,
+        ...(subject.startsWith("vm/") ? [`action/${wish.actionId}`] : []),
+      ],
+      summary: `${wish.summary}: waits for the budget of ${describeUse(use)}`,
+      causes: wish.causes,
+      figures: {
+        unavailableVmCount: use.unavailable.length,
+        maxUnavailableVmCount: use.budget.maxUnavailableVmCount,
+        vmCount: use.vmCount,
+      },
+    });
+  }
+
+  #tellStopped(wish: Wish, failed: VmView): void {
+    this.#holds.hold({
+      key: `action/${wish.actionId} failure`,
+      reason: failed.name,
+      subjects: [
+        `action/${wish.actionId}`,
+        `pool/${failed.pool}`,
+        `vm/${failed.name}`,
+      ],
+      summary:
+        `action/${wish.actionId} is stopped: vm/${failed.name} did not come back or failed after it; no further VM is taken`,
+      causes: wish.causes,
+    });
+  }
+}
--- /dev/null
+++ b/src/services/controller/controller_options.ts
@@ -0,0 +1,47 @@
+/** What the controller is built from. */
+import type {
+  BudgetPolicy,
+  FleetView,
+  MovePolicy,
+  PoolDemand,
+  WavePolicy,
+} from "../../decisions/index.ts";
+import type {
+  Agreement,
+  Clock,
+  Logger,
+  Platform,
+  PlatformTask,
+  Random,
+} from "../../ports/index.ts";
+import type { DecisionRecorder } from "../decision_recorder.ts";
+import type { InForceWait } from "./in_force.ts";
+
+/** Options of the controller. */
+export interface ControllerOptions {
+  readonly agreement: Agreement;
+  readonly platform: Platform;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+  readonly recorder: DecisionRecorder;
+  readonly budgets: BudgetPolicy;
+  readonly waves: WavePolicy;
+  readonly moves: MovePolicy;
+  readonly inForce: InForceWait;
+  /**
+   * Counts requests that backend servers of a VM say they are running, so that
+   * a wrong answer of the platform alone never leads to a reboot.
+   */
+  readonly countRunning: (vm: string) => number;
+  /** Lists how busy each pool is. */
+  readonly listDemand: () => readonly PoolDemand[];
+}
+
+/** What the platform reported in one look. */
+export interface Observation {
+  readonly view: FleetView;
+  readonly tasks: readonly PlatformTask[];
+  /** Tasks by the VM that runs them. */
+  readonly tasksByVm: ReadonlyMap<string, readonly PlatformTask[]>;
+}
--- /dev/null
+++ b/src/services/controller/in_force.ts
@@ -0,0 +1,49 @@
+/** Waiting until a written step is in force on every entry. */
+import type { Clock } from "../../ports/index.ts";
+
+/** Time after which an entry that hears nothing stops taking work. */
+export const FRESHNESS_LEASE_MS = 2_000;
+/** Allows for requests that were admitted just before the lease lapsed. */
+export const IN_FORCE_MARGIN_MS = 1_000;
+
+/** Tells when a written step binds every entry. */
+export interface InForceWait {
+  /**
+   * Tells whether a step is in force everywhere.
+   *
+   * @param vm - The VM of the step.
+   * @param operationId - The step, applied on this entry.
+   * @returns True when each entry has it or can no longer take work.
+   */
+  isInForce(vm: string, operationId: string): boolean;
+}
+
+interface SeenStep {
+  readonly operationId: string;
+  readonly seenAtMs: number;
+}
+
+/**
+ * Waits for the freshness lease from when this controller first saw the step.
+ *
+ * Every entry has the step by then or has lapsed. A controller that takes over
+ * waits again, because it cannot know when the step was committed.
+ */
+export class FreshnessLeaseWait implements InForceWait {
+  readonly #clock: Clock;
+  readonly #seen = new Map<string, SeenStep>();
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  isInForce(vm: string, operationId: string): boolean {
+    const nowMs = this.#clock.monotonicMs();
+    const seen = this.#seen.get(vm);
+    if (seen?.operationId !== operationId) {
+      this.#seen.set(vm, { operationId, seenAtMs: nowMs });
+      return false;
+    }
+    return nowMs - seen.seenAtMs >= FRESHNESS_LEASE_MS + IN_FORCE_MARGIN_MS;
+  }
+}
--- /dev/null
+++ b/src/services/controller/vm_stepper.ts
@@ -0,0 +1,267 @@
+/** Takes one VM from step to step: cordon, drain, reboot, join. */
+import {
+  findReboot,
+  findWantedPool,
+  isMaintenanceWanted,
+  isOverdue,
+  type VmView,
+} from "../../decisions/index.ts";
+import type { VmAssignment } from "../../domain/index.ts";
+import { Confirmation } from "./confirmation.ts";
+import type { ControllerOptions, Observation } from "./controller_options.ts";
+import type { HoldLog } from "./hold_log.ts";
+import type { StepReason, StepWriter } from "./step_writer.ts";
+import type { TaskDrainer } from "./task_drainer.ts";
+
+/** Time after which a drain or undrain without effect is sent anew. */
+export const STEP_RETRY_MS = 30_000;
+
+/** Parts that a {@link VmStepper} works with. */
+export interface VmStepperParts {
+  readonly writer: StepWriter;
+  readonly holds: HoldLog;
+  readonly drainer: TaskDrainer;
+}
+
+/** A VM that is in a step other than serving. */
+interface BusyVm {
+  readonly vm: VmView;
+  readonly assignment: VmAssignment;
+  readonly observation: Observation;
+}
+
+/**
+ * Advances VMs by what is written and what is observed, never by what an
+ * answer claims, so that any controller can go on where another one ended.
+ */
+export class VmStepper {
+  readonly #options: ControllerOptions;
+  readonly #parts: VmStepperParts;
+  readonly #confirmation: Confirmation;
+
+  constructor(options: ControllerOptions, parts: VmStepperParts) {
+    this.#options = options;
+    this.#parts = parts;
+    this.#confirmation = new Confirmation(options.clock);
+  }
+
+  /** Forgets what was observed, as when leadership was lost in between. */
+  forget(): void {
+    this.#confirmation.clear();
+  }
+
+  /**
+   * Advances a VM by one step at the most.
+   *
+   * @param vm - The VM.
+   * @param observation - What the platform reported after the last step.
+   */
+  async advance(vm: VmView, observation: Observation): Promise<void> {
+    const { assignment } = vm;
+    if (assignment === undefined) {
+      return;
+    }
+    const busy: BusyVm = { vm, assignment, observation };
+    switch (assignment.phase) {
+      case "serving":
+        return await this.#undrainIfDrained(busy);
+      case "cordoned":
+        return await this.#drain(busy);
+      case "draining":
+        return await this.#reboot(busy);
+      case "rebooting":
+        return await this.#awaitReturn(busy);
+      case "joining":
+        return await this.#join(busy);
+    }
+  }
+
+  // A late or doubled drain of a cancelled action may reach a serving VM. It
+  // keeps its phase: a wrong report must not take a VM out beyond its budget.
+  async #undrainIfDrained(busy: BusyVm): Promise<void> {
+    const { vm, assignment } = busy;
+    const state = vm.platform?.state;
+    const isDrained = state === "draining" || state === "drained";
+    const report = isDrained ? assignment.operationId : undefined;
+    if (this.#confirmation.confirm(`${vm.name} drained`, report)) {
+      await this.#options.platform.undrain(vm.name, assignment.operationId);
+    }
+    await this.#retryIf(busy, isDrained, "serving");
+  }
+
+  async #drain(busy: BusyVm): Promise<void> {
+    const { vm, assignment } = busy;
+    if (this.#isCancelled(busy)) {
+      return await this.#cancel(busy);
+    }
+    const { operationId } = assignment;
+    if (!this.#options.inForce.isInForce(vm.name, operationId)) {
+      return;
+    }
+    await this.#goOn(busy, { phase: "draining" }, {
+      action: "drain",
+      summary: `vm/${vm.name} drains: its cordon is in force on every entry`,
+    });
+  }
+
+  async #reboot(busy: BusyVm): Promise<void> {
+    const { vm, assignment, observation } = busy;
+    if (this.#isCancelled(busy)) {
+      return await this.#cancel(busy);
+    }
+    await this.#options.platform.drain(vm.name, assignment.operationId);
+    const maintenance = findReboot(observation.view, vm);
+    await this.#parts.drainer.empty(vm, assignment, observation, maintenance);
+    if (!this.#isConfirmedIdle(busy)) {
+      await this.#retryIf(busy, vm.platform?.state === "up", "draining");
+      return;
+    }
+    const bootCount = vm.platform?.bootCount ?? 0;
+    await this.#goOn(busy, {
+      phase: "rebooting",
+      bootCount,
+      maintainedRevision: this.#options.agreement.state.revision,
+    }, {
+      action: "reboot",
+      summary: `vm/${vm.name} reboots: it is drained and nothing runs on it`,
+      figures: { bootCount },
+    });
+  }
+
+  async #awaitReturn(busy: BusyVm): Promise<void> {
+    const { vm, assignment, observation } = busy;
+    const bootCount = vm.platform?.bootCount ?? 0;
+    const state = vm.platform?.state;
+    const isBack = bootCount > (assignment.bootCount ?? 0) &&
+      state !== "rebooting" && state !== "down";
+    const report = isBack
+      ? `${assignment.operationId} ${bootCount}`
+      : undefined;
+    if (!this.#confirmation.confirm(`${vm.name} back`, report)) {
+      await this.#options.platform.reboot(vm.name, assignment.operationId);
+      this.#tellIfOverdue(busy);
+      // A late undrain may have reached the VM; the platform refuses then.
+      const isOpen = !isBack && (state === "up" || state === "draining");
+      await this.#retryIf(busy, isOpen, "draining");
+      return;
+    }
+    const wanted = findWantedPool(observation.view, vm);
+    await this.#goOn(busy, {
+      phase: "joining",
+      targetPool: wanted.pool,
+      maintainedAtMs: this.#options.clock.nowMs(),
+    }, {
+      action: "join",
+      summary: `vm/${vm.name} is back and joins pool/${wanted.pool}`,
+      causes: wanted.causes,
+      figures: { bootCount },
+    });
+  }
+
+  async #join(busy: BusyVm): Promise<void> {
+    const { vm, assignment, observation } = busy;
+    const isUp = vm.platform?.state === "up";
+    const report = isUp ? assignment.operationId : undefined;
+    if (!this.#confirmation.confirm(`${vm.name} up`, report)) {
+      await this.#options.platform.undrain(vm.name, assignment.operationId);
+      this.#tellIfOverdue(busy);
+      const state = vm.platform?.state;
+      const isShut = state === "draining" || state === "drained";
+      await this.#retryIf(busy, isShut, "joining");
+      return;
+    }
+    const pool = assignment.targetPool ?? assignment.pool;
+    const home = observation.view.claims.findDesired(vm.vm.resource)?.resource;
+    const isLoan = home?.name === assignment.loanedFrom && home?.name !== pool;
+    await this.#goOn(busy, {
+      phase: "serving",
+      pool,
+      targetPool: undefined,
+      bootCount: undefined,
+      loanedFrom: isLoan ? assignment.loanedFrom : undefined,
+    }, {
+      action: "join",
+      summary: `vm/${vm.name} serves in pool/${pool}`,
+    });
+  }
+
+  // A command that was carried out in vain, because a late one came after it,
+  // has no second effect under its id. Drain and undrain may be given a new
+  // one. A reboot is never repeated under another id: the first may be late.
+  async #retryIf(
+    busy: BusyVm,
+    isInVain: boolean,
+    phase: "serving" | "draining" | "joining",
+  ): Promise<void> {
+    const { vm, assignment } = busy;
+    const report = isInVain ? assignment.operationId : undefined;
+    const subject = `${vm.name} in vain`;
+    if (this.#confirmation.hasStayed(subject, report, STEP_RETRY_MS)) {
+      await this.#parts.writer.write({
+        vm,
+        next: { ...assignment, phase },
+        startedAtMs: assignment.startedAtMs,
+      });
+    }
+  }
+
+  #isCancelled({ vm, assignment, observation }: BusyVm): boolean {
+    if (assignment.purpose === "maintenance") {
+      return !isMaintenanceWanted(observation.view, vm);
+    }
+    const wanted = findWantedPool(observation.view, vm);
+    return wanted.pool === assignment.pool;
+  }
+
+  async #cancel(busy: BusyVm): Promise<void> {
+    const { vm, assignment, observation } = busy;
+    await this.#goOn(busy, { phase: "joining", targetPool: undefined }, {
+      action: "join",
+      summary:
+        `action/${assignment.actionId} is no longer asked for; vm/${vm.name} stays in pool/${assignment.pool}`,
+      causes: findWantedPool(observation.view, vm).causes,
+    });
+  }
+
+  #isConfirmedIdle({ vm, assignment, observation }: BusyVm): boolean {
+    const { platform } = vm;
+    const taskCount = observation.tasksByVm.get(vm.name)?.length ?? 0;
+    const runningCount = this.#options.countRunning(vm.name);
+    const isIdle = platform?.state === "drained" &&
+      platform.runningCount === 0 && taskCount === 0 && runningCount === 0;
+    const report = isIdle
+      ? `${assignment.operationId} ${platform.bootCount}`
+      : undefined;
+    return this.#confirmation.confirm(`${vm.name} idle`, report);
+  }
+
+  #tellIfOverdue({ vm, assignment }: BusyVm): void {
+    if (!isOverdue(vm, this.#options.clock.nowMs())) {
+      return;
+    }
+    this.#parts.holds.hold({
+      key: `vm/${vm.name} return`,
+      reason: assignment.operationId,
+      subjects: [
+        `vm/${vm.name}`,
+        `pool/${assignment.pool}`,
+        `action/${assignment.actionId}`,
+      ],
+      summary:
+        `vm/${vm.name} did not come back after its reboot; it counts as unavailable in pool/${assignment.pool}`,
+      causes: [],
+    });
+  }
+
+  async #goOn(
+    { vm, assignment }: BusyVm,
+    changes: Partial<VmAssignment>,
+    why: StepReason,
+  ): Promise<void> {
+    await this.#parts.writer.write({
+      vm,
+      next: { ...assignment, ...changes },
+      why,
+    });
+  }
+}
--- a/src/services/index.ts
+++ b/src/services/index.ts
@@ -1,5 +1,6 @@
 /** Services: the tasks that join decisions to the ports. */
 export * from "./backend_directory.ts";
+export * from "./controller/index.ts";
 export * from "./decision_recorder.ts";
 export * from "./explain_service.ts";
 export * from "./local_permits.ts";
--- a/src/stand_ins/index.ts
+++ b/src/stand_ins/index.ts
@@ -1,2 +1,3 @@
 /** Small stand-ins for the systems around an entry. */
 export * from "./stand_in_backend.ts";
+export * from "./platform_model.ts";
--- /dev/null
+++ b/src/testing/controller_world.ts
@@ -0,0 +1,194 @@
+/** Controllers over a fake log and a platform in memory, for tests. */
+import { SeededRandom } from "../adapters/random/index.ts";
+import {
+  DomainBudgetPolicy,
+  HysteresisMovePolicy,
+  type MovePolicy,
+  type PoolDemand,
+  ZoneByZoneWavePolicy,
+} from "../decisions/index.ts";
+import type {
+  DecisionRecord,
+  Labels,
+  Resource,
+  VmAssignment,
+} from "../domain/index.ts";
+import type { Platform } from "../ports/index.ts";
+import {
+  Controller,
+  DecisionRecorder,
+  FreshnessLeaseWait,
+} from "../services/index.ts";
+import { PlatformModel } from "../stand_ins/platform_model.ts";
+import { FakeAgreement, FakeLog } from "./fake_agreement.ts";
+import { FakeClock } from "./fake_clock.ts";
+import { FakeLogger } from "./fake_ports.ts";
+
+const ROUND_MS = 1_000;
+const MAX_ROUND_MS = 60_000;
+
+/** A controller that runs rounds until it crashes. */
+export interface RunningController {
+  readonly agreement: FakeAgreement;
+  /** Ends it at the next call of the platform after so many more. */
+  crashAfter(callCount: number): void;
+  /** Runs one round; a crash in it is no error. */
+  runRound(): Promise<void>;
+}
+
+/** A fleet of two zones, two racks each, under controllers. */
+export class ControllerWorld {
+  readonly clock = new FakeClock();
+  readonly random: SeededRandom;
+  readonly log: FakeLog;
+  readonly platform: PlatformModel;
+  demand: readonly PoolDemand[] = [];
+  moves: () => MovePolicy = () => new HysteresisMovePolicy();
+  #startedCount = 0;
+
+  constructor(seed: number) {
+    this.random = new SeededRandom(seed);
+    this.log = new FakeLog(this.clock, this.random);
+    this.platform = new PlatformModel({
+      clock: this.clock,
+      random: this.random,
+    });
+  }
+
+  /** Declares resources and adds the VMs among them to the platform. */
+  declare(resources: readonly Resource[]): void {
+    this.log.declare(resources);
+    for (const resource of resources) {
+      if (resource.kind === "vm") {
+        this.platform.addVm(resource.name, resource.zone, resource.rack);
+      }
+    }
+  }
+
+  /** Changes the labels of a VM as an operator does. */
+  relabel(vm: string, labels: Labels): void {
+    const stored = this.log.state.find("vm", vm);
+    if (stored !== undefined) {
+      this.log.declare([{ ...stored.resource, labels }]);
+    }
+  }
+
+  /** Starts a controller; several may believe that they lead. */
+  startController(): RunningController {
+    this.#startedCount += 1;
+    const entryId = `entry-${this.#startedCount}`;
+    const agreement = new FakeAgreement(this.log, entryId);
+    const logger = new FakeLogger();
+    const guarded = guardPlatform(this.platform);
+    const recorder = new DecisionRecorder({
+      entryId,
+      runId: "run",
+      agreement,
+      clock: this.clock,
+      logger,
+    });
+    const controller = new Controller({
+      agreement,
+      platform: guarded.platform,
+      clock: this.clock,
+      random: this.random,
+      logger,
+      recorder,
+      budgets: new DomainBudgetPolicy(),
+      waves: new ZoneByZoneWavePolicy(),
+      moves: this.moves(),
+      inForce: new FreshnessLeaseWait(this.clock),
+      countRunning: () => 0,
+      listDemand: () => this.demand,
+    });
+    return {
+      agreement,
+      crashAfter: guarded.crashAfter,
+      runRound: async () => {
+        await controller.runRound().catch(() => undefined);
+        await recorder.flush();
+      },
+    };
+  }
+
+  /** Runs rounds of controllers, a second apart, checking after each. */
+  async run(
+    controllers: readonly RunningController[],
+    roundCount: number,
+    check: () => void = () => undefined,
+  ): Promise<void> {
+    for (let round = 0; round < roundCount; round += 1) {
+      const rounds = controllers.map((controller) => controller.runRound());
+      await this.clock.runUntil(Promise.all(rounds), MAX_ROUND_MS);
+      check();
+      await this.clock.advance(ROUND_MS);
+    }
+  }
+
+  /** Finds the assignment of a VM that must have one. */
+  assignment(vm: string): VmAssignment {
+    const assignment = this.log.state.findAssignment(vm);
+    if (assignment === undefined) {
+      throw new Error(`vm/${vm} has no pool`);
+    }
+    return assignment;
+  }
+
+  /** Lists the records about a subject, oldest first. */
+  records(subject: string, action?: DecisionRecord["action"]) {
+    return this.log.state.listRecords().filter((record) =>
+      record.subjects.includes(subject) &&
+      (action === undefined || record.action === action)
+    );
+  }
+}
+
+/** Creates the declaration of a VM. */
+export function declareVm(
+  name: string,
+  zone: string,
+  rack: string,
+  pool: string,
+): Resource {
+  return { kind: "vm", name, zone, rack, labels: { pool } };
+}
+
+/** Creates the declaration of a pool that claims VMs by the label `pool`. */
+export function declarePool(
+  name: string,
+  options: Partial<Extract<Resource, { kind: "pool" }>> = {},
+): Resource {
+  return {
+    kind: "pool",
+    name,
+    labels: {},
+    vmSelector: { pool: [name] },
+    spare: false,
+    budgets: [],
+    ...options,
+  };
+}
+
+function guardPlatform(platform: PlatformModel) {
+  let leftCount = Infinity;
+  const pass = () => {
+    leftCount -= 1;
+    if (leftCount < 0) {
+      throw new Error("the controller has crashed");
+    }
+    return platform;
+  };
+  const guarded: Platform = {
+    listVms: async () => await pass().listVms(),
+    listTasks: async () => await pass().listTasks(),
+    drain: async (vm, id) => await pass().drain(vm, id),
+    reboot: async (vm, id) => await pass().reboot(vm, id),
+    undrain: async (vm, id) => await pass().undrain(vm, id),
+    actOnTask: async (task, action, id) =>
+      await pass().actOnTask(task, action, id),
+  };
+  const crashAfter = (callCount: number) => {
+    leftCount = callCount;
+  };
+  return { platform: guarded, crashAfter };
+}
--- /dev/null
+++ b/src/testing/fake_agreement.ts
@@ -0,0 +1,138 @@
+/** Agreement over one state, with answers that are lost and leaders that change. */
+import { Result } from "true-myth";
+import {
+  type AppliedValue,
+  type Command,
+  createFailure,
+  type Failure,
+  FleetState,
+  type Resource,
+} from "../domain/index.ts";
+import type {
+  Agreement,
+  AgreementStatus,
+  Clock,
+  Random,
+} from "../ports/index.ts";
+import { Notifier } from "../tasks/index.ts";
+
+const PERCENT = 100;
+
+/** What goes wrong with proposals, each with its chance in percent. */
+export interface ProposalFaults {
+  /** The command is not accepted. */
+  readonly refusedPercent: number;
+  /** The command is accepted, but the proposer does not learn it. */
+  readonly lostAnswerPercent: number;
+  /** Longest time until a command is applied, in milliseconds. */
+  readonly maxDelayMs: number;
+}
+
+const NO_FAULTS: ProposalFaults = {
+  refusedPercent: 0,
+  lostAnswerPercent: 0,
+  maxDelayMs: 0,
+};
+
+/** The log that all fake agreements of a test share. */
+export class FakeLog {
+  readonly state = new FleetState();
+  readonly applied = new Notifier();
+  faults = NO_FAULTS;
+  index = 0;
+  readonly #clock: Clock;
+  readonly #random: Random;
+
+  constructor(clock: Clock, random: Random) {
+    this.#clock = clock;
+    this.#random = random;
+  }
+
+  /** Sets what goes wrong from now on. */
+  setFaults(faults: Partial<ProposalFaults>): void {
+    this.faults = { ...NO_FAULTS, ...faults };
+  }
+
+  /** Applies a command, unless the faults say otherwise. */
+  async propose(command: Command): Promise<Result<AppliedValue, Failure>> {
+    const { maxDelayMs } = this.faults;
+    if (maxDelayMs > 0) {
+      await this.#clock.sleep(this.#random.nextInt(maxDelayMs));
+    }
+    if (this.#happens(this.faults.refusedPercent)) {
+      return Result.err(createFailure("notLeader", "another entry leads"));
+    }
+    this.index += 1;
+    const applied = this.state.apply(command);
+    this.applied.notify();
+    return this.#happens(this.faults.lostAnswerPercent)
+      ? Result.err(createFailure("noQuorum", "the answer was lost"))
+      : applied;
+  }
+
+  /** Declares resources as an operator does. */
+  declare(resources: readonly Resource[], operator = "key/alba"): void {
+    const revision = this.state.revision;
+    this.index += 1;
+    this.state.apply({
+      type: "change",
+      operator,
+      atMs: 0,
+      change: {
+        operationId: `change-${revision}`,
+        expectedRevision: revision,
+        puts: [...resources],
+        deletes: [],
+      },
+    });
+    this.applied.notify();
+  }
+
+  #happens(percent: number): boolean {
+    return percent > 0 && this.#random.nextInt(PERCENT) < percent;
+  }
+}
+
+/** One entry's side of a {@link FakeLog}. */
+export class FakeAgreement implements Agreement {
+  readonly #log: FakeLog;
+  readonly #entryId: string;
+  /** Whether this entry believes that it leads; several may. */
+  isLeader = true;
+
+  constructor(log: FakeLog, entryId = "entry-1") {
+    this.#log = log;
+    this.#entryId = entryId;
+  }
+
+  get state(): FleetState {
+    return this.#log.state;
+  }
+
+  propose(command: Command): Promise<Result<AppliedValue, Failure>> {
+    return this.#log.propose(command);
+  }
+
+  async follow(
+    appliedIndex: number,
+    signal: AbortSignal,
+  ): Promise<AgreementStatus> {
+    while (this.#log.index <= appliedIndex && !signal.aborted) {
+      await this.#log.applied.wait(signal);
+    }
+    return this.status();
+  }
+
+  status(): AgreementStatus {
+    return {
+      entryId: this.#entryId,
+      leaderId: this.isLeader ? this.#entryId : undefined,
+      term: 1,
+      leaderSinceMs: this.isLeader ? 0 : undefined,
+      appliedIndex: this.#log.index,
+      commitIndex: this.#log.index,
+      revision: this.#log.state.revision,
+      freshUntilMs: Infinity,
+    };
+  }
+}
--- a/src/testing/index.ts
+++ b/src/testing/index.ts
@@ -1,6 +1,8 @@
 /** What tests, quickstart and bench share. */
+export * from "./controller_world.ts";
 export * from "./daemon_process.ts";
 export * from "./describe.ts";
+export * from "./fake_agreement.ts";
 export * from "./fake_clock.ts";
 export * from "./fake_file_system.ts";
 export * from "./fake_network.ts";
