--- /dev/null
+++ b/src/adapters/platform/http_platform.ts
@@ -0,0 +1,163 @@
+/** The platform over HTTP; a lost or wrong answer is a failure, never a guess. */
+import { Result } from "true-myth";
+import { Agent, request } from "undici";
+import type * as v from "valibot";
+import {
+  createFailure,
+  type Failure,
+  validateWith,
+} from "../../domain/index.ts";
+import type {
+  Platform,
+  PlatformTask,
+  PlatformVm,
+  TaskAction,
+} from "../../ports/index.ts";
+import {
+  commandAnswerSchema,
+  taskListSchema,
+  vmListSchema,
+} from "./messages.ts";
+
+const CALL_TIMEOUT_MS = 2_000;
+const CONNECT_TIMEOUT_MS = 500;
+const MAX_ANSWER_BYTES = 16 * 1_024 * 1_024;
+const CONNECTION_COUNT = 8;
+const FIRST_ERROR_STATUS = 400;
+
+/** Options of {@link HttpPlatform}. */
+export interface HttpPlatformOptions {
+  /** Address of the platform, the setting `platformUrl`. */
+  readonly url: string;
+  /** Time after which an answer counts as lost, in milliseconds. */
+  readonly timeoutMs?: number;
+}
+
+/** Calls the platform. */
+export class HttpPlatform implements Platform {
+  readonly #options: HttpPlatformOptions;
+  readonly #agent = new Agent({
+    connections: CONNECTION_COUNT,
+    pipelining: 1,
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+    maxResponseSize: MAX_ANSWER_BYTES,
+  });
+
+  constructor(options: HttpPlatformOptions) {
+    this.#options = options;
+  }
+
+  async listVms(): Promise<Result<readonly PlatformVm[], Failure>> {
+    const answer = await this.#call("GET", "/v1/vms", undefined, vmListSchema);
+    return answer.andThen(({ vms }) =>
+      refuseDoubled(vms, vms.map(({ vm }) => vm))
+    );
+  }
+
+  async listTasks(): Promise<Result<readonly PlatformTask[], Failure>> {
+    const answer = await this.#call(
+      "GET",
+      "/v1/tasks",
+      undefined,
+      taskListSchema,
+    );
+    return answer.andThen(({ tasks }) =>
+      refuseDoubled(tasks, tasks.map(({ taskId }) => taskId))
+    );
+  }
+
+  drain(vm: string, operationId: string): Promise<Result<void, Failure>> {
+    return this.#command(`vms/${vm}`, "drain", operationId);
+  }
+
+  reboot(vm: string, operationId: string): Promise<Result<void, Failure>> {
+    return this.#command(`vms/${vm}`, "reboot", operationId);
+  }
+
+  undrain(vm: string, operationId: string): Promise<Result<void, Failure>> {
+    return this.#command(`vms/${vm}`, "undrain", operationId);
+  }
+
+  actOnTask(
+    taskId: string,
+    action: TaskAction,
+    operationId: string,
+  ): Promise<Result<void, Failure>> {
+    const subject = `tasks/${encodeURIComponent(taskId)}`;
+    return this.#command(subject, action, operationId);
+  }
+
+  /** Closes all connections. */
+  async close(): Promise<void> {
+    await this.#agent.destroy();
+  }
+
+  async #command(
+    subject: string,
+    action: string,
+    operationId: string,
+  ): Promise<Result<void, Failure>> {
+    const path = `/v1/${subject}/${action}`;
+    const body = { operationId };
+    const answer = await this.#call("POST", path, body, commandAnswerSchema);
+    return answer.andThen((echo) =>
+      echo.operationId === operationId && echo.subject === subject
+        ? Result.ok<void, Failure>(undefined)
+        : Result.err(
+          createFailure(
+            "outcomeUnknown",
+            `the platform answered ${echo.subject} ${echo.operationId} to ${path} ${operationId}`,
+          ),
+        )
+    );
+  }
+
+  async #call<TSchema extends v.GenericSchema>(
+    method: "GET" | "POST",
+    path: string,
+    body: unknown,
+    schema: TSchema,
+  ): Promise<Result<v.InferOutput<TSchema>, Failure>> {
+    try {
+      const answer = await request(`${this.#options.url}${path}`, {
+        dispatcher: this.#agent,
+        method,
+        headers: { "content-type": "application/json" },
+        body: body === undefined ? null : JSON.stringify(body),
+        signal: AbortSignal.timeout(this.#options.timeoutMs ?? CALL_TIMEOUT_MS),
+      });
+      const value: unknown = await answer.body.json();
+      return answer.statusCode >= FIRST_ERROR_STATUS
+        ? Result.err(createRefusal(path, answer.statusCode))
+        : validateWith(schema, value, {
+          subject: `platform ${path}`,
+          kind: "outcomeUnknown",
+        });
+    } catch (error) {
+      return Result.err(
+        createFailure(
+          "peerUnreachable",
+          `platformUrl ${this.#options.url} gave no answer to ${path}: ${error}`,
+          { remedy: "check the setting platformUrl and the platform" },
+        ),
+      );
+    }
+  }
+}
+
+function createRefusal(path: string, status: number): Failure {
+  return createFailure(
+    "conflict",
+    `the platform refused ${path} with status ${status}`,
+  );
+}
+
+// A list that names something twice cannot be trusted in either place.
+function refuseDoubled<T>(
+  items: readonly T[],
+  names: readonly string[],
+): Result<readonly T[], Failure> {
+  return new Set(names).size === names.length ? Result.ok(items) : Result.err(
+    createFailure("outcomeUnknown", "the platform listed an item twice"),
+  );
+}
--- a/src/daemon/create_entry.ts
+++ b/src/daemon/create_entry.ts
@@ -2,6 +2,7 @@
 import { Result } from "true-myth";
 import type { Failure } from "../domain/index.ts";
 import { createAgreement } from "./create_agreement.ts";
+import { createController } from "./create_controller.ts";
 import { createFront } from "./create_front.ts";
 import { createNetwork } from "./create_network.ts";
 import { createPermits } from "./create_permits.ts";
@@ -50,6 +51,7 @@
   const recorder = createRecorder(context);
   const permitParts = createPermits(context);
   const requestParts = createRequests(context, recorder, permitParts.permits);
+  createController({ context, recorder, directory: permitParts.directory });
   let isStopping = false;
   const front = await createFront({
     context,
