--- a/src/domain/assignment.ts
+++ b/src/domain/assignment.ts
@@ -85,14 +85,16 @@
   joining: ["joining", "serving"],
 };
 
-/** What {@link findAssignmentConflict} looks at besides the command. */
+/** The state that {@link findAssignmentConflict} judges against. */
 export interface AssignmentContext {
-  /** The assignment of the command's VM, if it has one. */
-  readonly current: VmAssignment | undefined;
-  /** Lists the assignments of all declared VMs. */
-  readonly list: () => readonly VmAssignment[];
   /** Configuration revision in force. */
   readonly revision: number;
+  /** Finds the assignment of a VM, if it has one. */
+  findAssignment(vm: string): VmAssignment | undefined;
+  /** Lists the assignments of all VMs. */
+  listAssignments(): readonly VmAssignment[];
+  /** Finds the declaration of a VM, if there is one. */
+  find(kind: "vm", name: string): unknown;
 }
 
 /**
@@ -107,7 +109,7 @@
   context: AssignmentContext,
 ): Failure | undefined {
   const { assignment, expectedOperationId } = command;
-  const { current } = context;
+  const current = context.findAssignment(assignment.vm);
   if (current?.operationId !== expectedOperationId) {
     return createFailure(
       "conflict",
@@ -161,9 +163,10 @@
       `the step of vm/${assignment.vm} was decided on revision ${guard.revision}, the configuration is at ${context.revision}`,
     );
   }
-  const busy = context.list()
-    .filter(({ pool, phase }) =>
-      pool === assignment.pool && phase !== "serving"
+  const busy = context.listAssignments()
+    .filter(({ vm, pool, phase }) =>
+      pool === assignment.pool && phase !== "serving" &&
+      context.find("vm", vm) !== undefined
     )
     .map(({ vm }) => vm);
   const known = new Set(guard.busyVms);
--- a/src/domain/assignment_test.ts
+++ b/src/domain/assignment_test.ts
@@ -34,7 +34,12 @@
     createAssignment({ vm: "v2", phase: "draining" }),
     createAssignment({ vm: "v3", pool: "workshop", phase: "draining" }),
   ];
-  const context = { current, list: () => others, revision: 7 };
+  const context = {
+    revision: 7,
+    findAssignment: () => current,
+    listAssignments: () => others,
+    find: (_kind: "vm", name: string) => name,
+  };
   return findAssignmentConflict(command, context)?.kind;
 }
 
--- a/src/domain/command.ts
+++ b/src/domain/command.ts
@@ -3,6 +3,7 @@
 import { assignCommandSchema } from "./assignment.ts";
 import { changeSchema } from "./change.ts";
 import { decisionRecordSchema } from "./decision_record.ts";
+import { membershipSchema } from "./membership.ts";
 
 export type { VmAssignment } from "./assignment.ts";
 
@@ -48,8 +49,7 @@
 /** Schema of the command that changes the voters, one at a time. */
 export const membershipCommandSchema = v.object({
   type: v.literal("membership"),
-  voterIds: v.array(v.string()),
-  learnerIds: v.array(v.string()),
+  ...membershipSchema.entries,
 });
 
 /** Schema of {@link Command}. */
