--- a/src/services/index.ts
+++ b/src/services/index.ts
@@ -1,6 +1,7 @@
 /** Services: the tasks that join decisions to the ports. */
 export * from "./backend_directory.ts";
 export * from "./claims/index.ts";
+export * from "./controller/index.ts";
 export * from "./decision_recorder.ts";
 export * from "./explain_service.ts";
 export * from "./operator_service.ts";
--- a/src/stand_ins/index.ts
+++ b/src/stand_ins/index.ts
@@ -4,6 +4,8 @@
 export * from "./deployment_files.ts";
 export * from "./deployment_network.ts";
 export * from "./deployment_operator.ts";
+export * from "./platform_model.ts";
 export * from "./relay.ts";
 export * from "./stand_in_backend.ts";
 export * from "./stand_in_caller.ts";
+export * from "./stand_in_platform.ts";
