--- a/src/testing/daemon_process.ts
+++ b/src/testing/daemon_process.ts
@@ -2,6 +2,7 @@
 import { type ChildProcess, execFile, spawn } from "node:child_process";
 import { once } from "node:events";
 import { createWriteStream } from "node:fs";
+import { readFile } from "node:fs/promises";
 import { join } from "node:path";
 import process from "node:process";
 import { fileURLToPath } from "node:url";
@@ -11,6 +12,8 @@
 const DIST_FOLDER = fileURLToPath(new URL("../", import.meta.url));
 const READY_DEADLINE_MS = 20_000;
 const POLL_INTERVAL_MS = 50;
+const LOG_NAME = "daemon.log";
+const SHOWN_LOG_LENGTH = 1_500;
 
 /** Options of {@link startDaemon}. */
 export interface DaemonOptions {
@@ -23,6 +26,7 @@
 /** A daemon process that this process started. */
 export interface DaemonProcess {
   readonly url: string;
+  readonly folder: string;
   readonly child: ChildProcess;
   /** Asks for a planned stop and waits for the exit code. */
   stop(): Promise<number | null>;
@@ -68,7 +72,7 @@
     cwd: options.folder,
     stdio: ["ignore", "pipe", "pipe"],
   });
-  const log = createWriteStream(join(options.folder, "daemon.log"), {
+  const log = createWriteStream(join(options.folder, LOG_NAME), {
     flags: "a",
   });
   child.stdout?.pipe(log, { end: false });
@@ -79,6 +83,7 @@
   });
   return {
     url: options.url,
+    folder: options.folder,
     child,
     stop: async () => {
       child.kill("SIGTERM");
@@ -106,11 +111,17 @@
     }
     await clock.sleep(POLL_INTERVAL_MS);
   }
+  const log = await readLogEnd(daemon.folder);
   throw new Error(
-    `the daemon at ${daemon.url} is not ready; see its daemon.log`,
+    `the daemon at ${daemon.url} is not ready; its log ends:\n${log}`,
   );
 }
 
+async function readLogEnd(folder: string): Promise<string> {
+  const text = await readFile(join(folder, LOG_NAME), "utf8");
+  return text.slice(-SHOWN_LOG_LENGTH);
+}
+
 /**
  * Runs the command line once.
  *
