Measure propagation and failover with nine entries

Changes go through entries at random; a watch on every entry tells when each revision is in force there, and the names that changes declare tell on every entry what was lost. Failover kills the leader, cuts it off silently, or cuts only what it sends, in turn, and asks the cut-off leader for a change too.

--- /dev/null
+++ b/src/bench/failover.ts
@@ -0,0 +1,163 @@
+/** The leader ended or cut off: how long until the next change is accepted. */
+import { randomUUID } from "node:crypto";
+import { SystemClock } from "../adapters/clock/index.ts";
+import {
+  type DeployedEntry,
+  type Deployment,
+  startDeployment,
+} from "../stand_ins/index.ts";
+import { ChangeLog } from "./change_log.ts";
+import { LatencyHistogram } from "./latency_histogram.ts";
+import type {
+  Measurement,
+  MeasurementContext,
+  Outcome,
+} from "./measurement.ts";
+
+const QUICK_MS = 32_000;
+const FULL_MS = 120_000;
+const SETTLE_MS = 1_500;
+const BEFORE_COUNT = 3;
+
+/** A way to take the leader away. */
+type Fault = "kill" | "isolate" | "oneWay";
+
+const FAULTS: readonly Fault[] = ["kill", "isolate", "oneWay"];
+
+/** What one round showed. */
+interface Round {
+  readonly fault: Fault;
+  readonly unavailableMs: number;
+  readonly minorityAcceptedCount: number;
+}
+
+/** How long no change is accepted after the leader is lost. */
+export class FailoverMeasurement implements Measurement {
+  readonly name = "failover";
+  readonly summary = "how long no change is accepted after the leader is lost";
+  readonly targets = [
+    { field: "unavailableP99Ms", bound: "atMost", value: 3_000 },
+    { field: "minorityAcceptedCount", bound: "atMost", value: 0 },
+    { field: "lostCount", bound: "atMost", value: 0 },
+  ] as const;
+
+  async run(context: MeasurementContext): Promise<Outcome> {
+    const { cleanup, entryCount, voterCount, random } = context;
+    const options = { entryCount, voterCount, random };
+    context.report(`starting ${entryCount} entries, ${voterCount} voters`);
+    const deployment = await startDeployment(options);
+    cleanup.add(() => deployment.stop());
+    const log = new ChangeLog(deployment);
+    const clock = new SystemClock();
+    const untilMs = clock.monotonicMs() + (context.quick ? QUICK_MS : FULL_MS);
+    const rounds: Round[] = [];
+    while (clock.monotonicMs() < untilMs) {
+      const fault = FAULTS[rounds.length % FAULTS.length] ?? "kill";
+      const round = await runRound(deployment, log, fault);
+      rounds.push(round);
+      context.report(`${fault}: ${Math.round(round.unavailableMs)} ms`);
+    }
+    const unavailable = new LatencyHistogram();
+    rounds.forEach(({ unavailableMs }) => unavailable.record(unavailableMs));
+    const urls = deployment.entries.map(({ plan }) => plan.url);
+    return {
+      figures: {
+        roundCount: rounds.length,
+        unavailableP99Ms: unavailable.percentileMs(99),
+        minorityAcceptedCount: rounds.reduce(
+          (sum, round) => sum + round.minorityAcceptedCount,
+          0,
+        ),
+        lostCount: await log.countLost(urls),
+        unavailableP50Ms: unavailable.percentileMs(50),
+        changeCount: log.accepted.length,
+      },
+      plots: [{
+        title: "Time without an accepted change, by round",
+        xLabel: "round",
+        yLabel: "ms",
+        series: FAULTS.map((fault) => ({
+          label: fault,
+          points: rounds.flatMap((round, at): [number, number][] =>
+            round.fault === fault ? [[at + 1, round.unavailableMs]] : []
+          ),
+        })),
+      }],
+    };
+  }
+}
+
+async function runRound(
+  deployment: Deployment,
+  log: ChangeLog,
+  fault: Fault,
+): Promise<Round> {
+  const clock = new SystemClock();
+  const leader = await deployment.findLeader();
+  const others = deployment.entries
+    .filter((entry) => entry !== leader)
+    .map(({ plan }) => plan.url);
+  for (let made = 0; made < BEFORE_COUNT; made += 1) {
+    await log.makeChange(others);
+  }
+  await injectFault(deployment, leader, fault);
+  const lostAtMs = clock.monotonicMs();
+  const minority = fault === "isolate"
+    ? askMinority(deployment, leader)
+    : Promise.resolve(0);
+  const next = await log.makeChange(others);
+  const minorityAcceptedCount = await minority;
+  await heal(deployment, leader, fault);
+  await clock.sleep(SETTLE_MS);
+  return {
+    fault,
+    unavailableMs: next.acceptedAtMs - lostAtMs,
+    minorityAcceptedCount,
+  };
+}
+
+async function injectFault(
+  deployment: Deployment,
+  leader: DeployedEntry,
+  fault: Fault,
+): Promise<void> {
+  const { network, entries } = deployment;
+  const leaderId = leader.plan.entryId;
+  if (fault === "kill") {
+    await leader.daemon.kill();
+  } else if (fault === "isolate") {
+    network.isolate(leaderId);
+  } else {
+    entries.filter((entry) => entry !== leader).forEach(({ plan }) =>
+      network.cutOneWay(leaderId, plan.entryId)
+    );
+  }
+}
+
+async function heal(
+  deployment: Deployment,
+  leader: DeployedEntry,
+  fault: Fault,
+): Promise<void> {
+  deployment.network.heal();
+  if (fault === "kill") {
+    await deployment.restart(leader);
+  }
+}
+
+// A leader without a quorum must not accept; the name shows it if it does.
+async function askMinority(
+  deployment: Deployment,
+  leader: DeployedEntry,
+): Promise<number> {
+  const { operator } = deployment;
+  const { url } = leader.plan;
+  const status = await operator.readStatus(url);
+  const sent = await operator.tryChange(url, {
+    operationId: randomUUID(),
+    expectedRevision: status.isOk ? status.value.revision : 0,
+    puts: [],
+    deletes: [],
+  });
+  return sent.isOk ? 1 : 0;
+}
--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -7,8 +7,8 @@
 import { describeTarget, runMeasurement } from "./run_measurement.ts";
 
 const DEFAULT_SEED = "1";
-const DEFAULT_ENTRY_COUNT = "1";
-const DEFAULT_VOTER_COUNT = "1";
+const DEFAULT_ENTRY_COUNT = "9";
+const DEFAULT_VOTER_COUNT = "3";
 const UNKNOWN_NAME_EXIT_CODE = 2;
 
 class BenchCommand extends Command {
--- /dev/null
+++ b/src/bench/propagation.ts
@@ -0,0 +1,88 @@
+/** Changes of configuration: accepted how soon, in force everywhere how soon. */
+import { SystemClock } from "../adapters/clock/index.ts";
+import { startDeployment } from "../stand_ins/index.ts";
+import { type AcceptedEntry, ChangeLog } from "./change_log.ts";
+import { LatencyHistogram } from "./latency_histogram.ts";
+import type {
+  Measurement,
+  MeasurementContext,
+  Outcome,
+} from "./measurement.ts";
+import { RevisionWatch } from "./revision_watch.ts";
+
+const QUICK_MS = 10_000;
+const FULL_MS = 60_000;
+const SETTLE_MS = 3_000;
+const MS_PER_SECOND = 1_000;
+
+/** How soon a change is in force on every entry. */
+export class PropagationMeasurement implements Measurement {
+  readonly name = "propagation";
+  readonly summary = "how soon an accepted change is in force on every entry";
+  readonly targets = [
+    { field: "inForceP99Ms", bound: "atMost", value: 3_000 },
+    { field: "lostCount", bound: "atMost", value: 0 },
+    { field: "revertedCount", bound: "atMost", value: 0 },
+  ] as const;
+
+  async run(context: MeasurementContext): Promise<Outcome> {
+    const { cleanup, entryCount, voterCount, random } = context;
+    const options = { entryCount, voterCount, random };
+    context.report(`starting ${entryCount} entries, ${voterCount} voters`);
+    const deployment = await startDeployment(options);
+    cleanup.add(() => deployment.stop());
+    const watch = new RevisionWatch();
+    watch.start(deployment);
+    cleanup.add(() => watch.stop());
+    const log = new ChangeLog(deployment);
+    const urls = deployment.entries.map(({ plan }) => plan.url);
+    const clock = new SystemClock();
+    const startedAtMs = clock.monotonicMs();
+    const durationMs = context.quick ? QUICK_MS : FULL_MS;
+    context.report(`changes through entries at random, ${durationMs} ms`);
+    while (clock.monotonicMs() - startedAtMs < durationMs) {
+      const url = urls[random.nextInt(urls.length)] ?? "";
+      await log.makeChange([url]);
+    }
+    const elapsedMs = clock.monotonicMs() - startedAtMs;
+    await clock.sleep(SETTLE_MS);
+    const { commits, inForce, points } = measure(log.accepted, watch, urls);
+    return {
+      figures: {
+        changeCount: log.accepted.length,
+        commitP50Ms: commits.percentileMs(50),
+        inForceP99Ms: inForce.percentileMs(99),
+        changesPerSecond: log.accepted.length * MS_PER_SECOND / elapsedMs,
+        lostCount: await log.countLost(urls),
+        revertedCount: watch.revertedCount,
+        commitP99Ms: commits.percentileMs(99),
+        inForceP50Ms: inForce.percentileMs(50),
+      },
+      plots: [{
+        title: "From the send until in force on the last entry",
+        xLabel: "change",
+        yLabel: "ms",
+        series: [{ label: "in force", points }],
+      }],
+    };
+  }
+}
+
+function measure(
+  accepted: readonly AcceptedEntry[],
+  watch: RevisionWatch,
+  urls: readonly string[],
+) {
+  const commits = new LatencyHistogram();
+  const inForce = new LatencyHistogram();
+  const points: [number, number][] = [];
+  accepted.forEach(({ revision, sentAtMs, acceptedAtMs }, at) => {
+    commits.record(acceptedAtMs - sentAtMs);
+    const lastMs = Math.max(
+      ...urls.map((url) => watch.findInForceMs(url, revision) ?? Infinity),
+    );
+    inForce.record(lastMs - sentAtMs);
+    points.push([at, lastMs - sentAtMs]);
+  });
+  return { commits, inForce, points };
+}
--- a/src/stand_ins/deployment_operator.ts
+++ b/src/stand_ins/deployment_operator.ts
@@ -125,15 +125,8 @@
     name: string,
     url?: string,
   ): Promise<Resource | undefined> {
-    const items = await this.#retry(url, async (client) => {
-      const listed = await client.get(
-        `/v1/resources/${kind}`,
-        resourceListSchema,
-      );
-      return listed.map((value) => value.items);
-    });
-    return items.map(({ resource }) => resource)
-      .find((resource) => resource.name === name);
+    const resources = await this.#list(kind, url);
+    return resources.find((resource) => resource.name === name);
   }
 
   /**
@@ -146,6 +139,29 @@
     return await this.#createClient(url).get("/v1/status", looseStatusSchema);
   }
 
+  /**
+   * Lists the names of the resources of a kind on an entry.
+   *
+   * @param kind - Kind of the resources.
+   * @param url - The entry.
+   * @returns The names.
+   */
+  async listNames(kind: Resource["kind"], url: string): Promise<Set<string>> {
+    const items = await this.#list(kind, url);
+    return new Set(items.map(({ name }) => name));
+  }
+
+  /**
+   * Streams the status of an entry, line by line.
+   *
+   * @param url - The entry.
+   * @param signal - Ends the stream.
+   * @returns JSON lines.
+   */
+  watch(url: string, signal: AbortSignal): AsyncGenerator<string> {
+    return this.#createClient(url).stream("/v1/watch", signal);
+  }
+
   /**
    * Finds the id of the leader.
    *
@@ -170,6 +186,20 @@
     return most[0];
   }
 
+  async #list(
+    kind: Resource["kind"],
+    url: string | undefined,
+  ): Promise<Resource[]> {
+    const items = await this.#retry(url, async (client) => {
+      const listed = await client.get(
+        `/v1/resources/${kind}`,
+        resourceListSchema,
+      );
+      return listed.map((value) => value.items);
+    });
+    return items.map(({ resource }) => resource);
+  }
+
   async #readRevision(client: ApiClient): Promise<Result<number, Failure>> {
     const listed = await client.get(
       `/v1/resources/${FOUND_KIND}`,
