--- a/src/bench/bench_fleet.ts
+++ b/src/bench/bench_fleet.ts
@@ -12,6 +12,8 @@
   /** VMs in each pool, the spare pool included. */
   readonly vmsPerPool: number;
   readonly teams: readonly FleetTeam[];
+  /** Whether each queue reaches every pool, not just its own and the spare one. */
+  readonly sharedPools?: boolean;
   readonly maxWaitMs?: number;
   readonly maxRunMs?: number;
 }
@@ -101,7 +103,9 @@
     kind: "queue",
     name: `${service}-work`,
     labels: { service },
-    poolSelector: { service: [service, SPARE_SERVICE] },
+    poolSelector: options.sharedPools
+      ? {}
+      : { service: [service, SPARE_SERVICE] },
     ...(options.maxWaitMs === undefined
       ? {}
       : { maxWaitMs: options.maxWaitMs }),
--- /dev/null
+++ b/src/bench/fairness.ts
@@ -0,0 +1,109 @@
+/** Shares of teams when the fleet is full, against what each is entitled to. */
+import { SystemClock } from "../adapters/clock/index.ts";
+import { averageRunning, collectWork, type Span } from "./evidence.ts";
+import { runClosedLoop } from "./load.ts";
+import { computeEntitled } from "./max_min_share.ts";
+import type {
+  Measurement,
+  MeasurementContext,
+  Outcome,
+} from "./measurement.ts";
+import { createCall, createWorkbench, type Workbench } from "./workbench.ts";
+
+const WORK_MS = 400;
+const VMS_PER_POOL = 4;
+const SETTLE_MS = 3_000;
+const QUICK_MS = 10_000;
+const FULL_MS = 40_000;
+const MAX_RUNNING_COUNT = 1_000;
+
+/** Teams with their shares and the callers that each keeps busy. */
+const TEAMS = [
+  { name: "team-1", share: 1, callerCount: 300 },
+  { name: "team-2", share: 2, callerCount: 200 },
+  { name: "team-3", share: 1, callerCount: 80 },
+  { name: "team-4", share: 4, callerCount: 150 },
+  { name: "team-5", share: 1, callerCount: 3 },
+] as const;
+
+/** How near each team comes to its share. */
+export class FairnessMeasurement implements Measurement {
+  readonly name = "fairness";
+  readonly summary = "least served team against its weighted max-min share";
+  readonly targets = [
+    { field: "worstShareRatio", bound: "atLeast", value: 0.95 },
+  ] as const;
+
+  async run(context: MeasurementContext): Promise<Outcome> {
+    const bench = await createWorkbench(context, {
+      fleet: {
+        serviceCount: 4,
+        vmsPerPool: VMS_PER_POOL,
+        sharedPools: true,
+        teams: TEAMS.map(({ name, share }) => ({
+          name,
+          share,
+          maxRunningCount: MAX_RUNNING_COUNT,
+        })),
+      },
+      workMs: WORK_MS,
+    });
+    const span = await this.#fill(context, bench);
+    const works = collectWork(bench.backends);
+    const claimants = TEAMS.map(({ name, share, callerCount }) => ({
+      name,
+      share,
+      wantedCount: callerCount,
+    }));
+    const entitled = computeEntitled(claimants, bench.slotCount);
+    const ratios = TEAMS.map(({ name }) => {
+      const ofTeam = works.filter(({ team }) => team === name);
+      return averageRunning(ofTeam, span) / (entitled.get(name) ?? 1);
+    });
+    const perTeam = TEAMS.map(({ name }, at) => [
+      `${name}ShareRatio`,
+      ratios[at] ?? 0,
+    ]);
+    return {
+      figures: {
+        worstShareRatio: Math.min(...ratios),
+        slotUseRatio: averageRunning(works, span) / bench.slotCount,
+        ...Object.fromEntries(perTeam),
+      },
+      plots: [{
+        title: "Running on average against the entitled slots, by team",
+        xLabel: "team",
+        yLabel: "ratio",
+        series: [{
+          label: "served / entitled",
+          points: ratios.map((ratio, at) => [at + 1, ratio]),
+        }],
+      }],
+    };
+  }
+
+  // All queues reach all pools here, so that one number of slots is shared.
+  async #fill(context: MeasurementContext, bench: Workbench): Promise<Span> {
+    const steadyMs = context.quick ? QUICK_MS : FULL_MS;
+    const durationMs = SETTLE_MS + steadyMs;
+    context.report(`every team busy, for ${durationMs} ms`);
+    const startedAtMs = new SystemClock().monotonicMs();
+    await Promise.all(TEAMS.map(({ name, callerCount }) =>
+      runClosedLoop({
+        caller: bench.caller,
+        callerCount,
+        durationMs,
+        chooseCall: () =>
+          createCall(
+            bench,
+            name,
+            context.random.nextInt(bench.plan.queues.length),
+          ),
+      })
+    ));
+    return {
+      fromMs: startedAtMs + SETTLE_MS,
+      untilMs: startedAtMs + durationMs - WORK_MS,
+    };
+  }
+}
--- /dev/null
+++ b/src/bench/recovery.ts
@@ -0,0 +1,129 @@
+/** Restart after many changes, a disk replaced, and a second VM lost after it. */
+import { rm } from "node:fs/promises";
+import { join } from "node:path";
+import { SystemClock } from "../adapters/clock/index.ts";
+import {
+  type DeployedEntry,
+  type Deployment,
+  startDeployment,
+} from "../stand_ins/index.ts";
+import { ChangeLog } from "./change_log.ts";
+import type {
+  Measurement,
+  MeasurementContext,
+  Outcome,
+} from "./measurement.ts";
+
+const QUICK_MS = 15_000;
+const FULL_CHANGE_COUNT = 10_000;
+const FULL_MS = 400_000;
+const POLL_MS = 20;
+const REPAIR_DEADLINE_MS = 20_000;
+const DATA_FOLDER = "data";
+
+/** Restart and repair of a voter. */
+export class RecoveryMeasurement implements Measurement {
+  readonly name = "recovery";
+  readonly summary = "restart after many changes, and repair of a lost disk";
+  readonly targets = [
+    { field: "restartMs", bound: "atMost", value: 1_000 },
+    { field: "lostCount", bound: "atMost", value: 0 },
+  ] as const;
+
+  async run(context: MeasurementContext): Promise<Outcome> {
+    const { cleanup, voterCount, random } = context;
+    // The entries without a disk take no part in this.
+    const options = { entryCount: voterCount, voterCount, random, delayMs: 0 };
+    const deployment = await startDeployment(options);
+    cleanup.add(() => deployment.stop());
+    const log = new ChangeLog(deployment);
+    await this.#makeChanges(context, deployment, log);
+    const leader = await deployment.findLeader();
+    const [replaced, lost] = deployment.entries
+      .filter((entry) => entry !== leader);
+    if (replaced === undefined || lost === undefined) {
+      throw new Error("recovery needs at least three voters: --voters 3");
+    }
+    const restartMs = await restart(deployment, replaced, log);
+    context.report(`restart after ${Math.round(restartMs)} ms`);
+    const replacedVoterMs = await replaceDisk(deployment, replaced);
+    context.report(
+      `the new disk votes after ${Math.round(replacedVoterMs)} ms`,
+    );
+    await lost.daemon.kill();
+    await rm(join(lost.plan.folder, DATA_FOLDER), { recursive: true });
+    const left = deployment.entries.filter((entry) => entry !== lost)
+      .map(({ plan }) => plan.url);
+    const lostAtMs = new SystemClock().monotonicMs();
+    const next = await log.makeChange(left);
+    return {
+      figures: {
+        changeCount: log.accepted.length,
+        restartMs,
+        replacedVoterMs,
+        lostCount: await log.countLost(left),
+        acceptedAgainMs: next.acceptedAtMs - lostAtMs,
+      },
+      plots: [],
+    };
+  }
+
+  async #makeChanges(
+    context: MeasurementContext,
+    deployment: Deployment,
+    log: ChangeLog,
+  ): Promise<void> {
+    const clock = new SystemClock();
+    const leader = await deployment.findLeader();
+    const durationMs = context.quick ? QUICK_MS : FULL_MS;
+    const untilMs = clock.monotonicMs() + durationMs;
+    while (
+      log.accepted.length < FULL_CHANGE_COUNT && clock.monotonicMs() < untilMs
+    ) {
+      await log.makeChange([leader.plan.url]);
+    }
+    context.report(`${log.accepted.length} changes are accepted`);
+  }
+}
+
+async function restart(
+  deployment: Deployment,
+  entry: DeployedEntry,
+  log: ChangeLog,
+): Promise<number> {
+  await entry.daemon.kill();
+  const startedAtMs = new SystemClock().monotonicMs();
+  await deployment.restart(entry);
+  const lostCount = await log.countLost([entry.plan.url]);
+  if (lostCount > 0) {
+    throw new Error(`${lostCount} changes are missing after the restart`);
+  }
+  return new SystemClock().monotonicMs() - startedAtMs;
+}
+
+async function replaceDisk(
+  deployment: Deployment,
+  entry: DeployedEntry,
+): Promise<number> {
+  const clock = new SystemClock();
+  await entry.daemon.kill();
+  await rm(join(entry.plan.folder, DATA_FOLDER), { recursive: true });
+  const startedAtMs = clock.monotonicMs();
+  await deployment.restart(entry);
+  while (!(await isVoter(deployment, entry))) {
+    if (clock.monotonicMs() - startedAtMs > REPAIR_DEADLINE_MS) {
+      throw new Error(`${entry.plan.entryId} does not vote again in time`);
+    }
+    await clock.sleep(POLL_MS);
+  }
+  return clock.monotonicMs() - startedAtMs;
+}
+
+async function isVoter(
+  deployment: Deployment,
+  entry: DeployedEntry,
+): Promise<boolean> {
+  const roles = await deployment.operator.readRoles(entry.plan.url);
+  const role = roles.get(entry.plan.entryId);
+  return role === "voter" || role === "leader";
+}
--- a/src/bench/registry.ts
+++ b/src/bench/registry.ts
@@ -1,18 +1,24 @@
 /** All measurements, in the order of their value. */
 import { FailoverMeasurement } from "./failover.ts";
+import { FairnessMeasurement } from "./fairness.ts";
 import { KeysMeasurement } from "./keys.ts";
 import { LimitsMeasurement } from "./limits.ts";
 import type { Measurement } from "./measurement.ts";
 import { OverloadMeasurement } from "./overload.ts";
 import { PropagationMeasurement } from "./propagation.ts";
+import { RecoveryMeasurement } from "./recovery.ts";
 import { ShutdownMeasurement } from "./shutdown.ts";
+import { ZoneOutMeasurement } from "./zone_out.ts";
 
 /** Every measurement that the bench can run. */
 export const MEASUREMENTS: readonly Measurement[] = [
   new OverloadMeasurement(),
   new LimitsMeasurement(),
+  new ZoneOutMeasurement(),
   new PropagationMeasurement(),
   new FailoverMeasurement(),
   new KeysMeasurement(),
   new ShutdownMeasurement(),
+  new RecoveryMeasurement(),
+  new FairnessMeasurement(),
 ];
--- a/src/stand_ins/deployment_operator.ts
+++ b/src/stand_ins/deployment_operator.ts
@@ -25,6 +25,10 @@
   leaderId: v.optional(v.string()),
 });
 
+const roleListSchema = v.looseObject({
+  entries: v.array(v.looseObject({ entryId: v.string(), role: v.string() })),
+});
+
 /** The status of an entry. */
 export type EntryStatus = v.InferOutput<typeof looseStatusSchema>;
 
@@ -151,6 +155,21 @@
     return new Set(items.map(({ name }) => name));
   }
 
+  /**
+   * Reads the role of every entry, as the leader sees it.
+   *
+   * @param url - Entry to ask.
+   * @returns Roles by entry id; empty when no leader answers.
+   */
+  async readRoles(url: string): Promise<Map<string, string>> {
+    const listed = await this.#createClient(url).get(
+      "/v1/entries",
+      roleListSchema,
+    );
+    const entries = listed.isOk ? listed.value.entries : [];
+    return new Map(entries.map(({ entryId, role }) => [entryId, role]));
+  }
+
   /**
    * Streams the status of an entry, line by line.
    *
