Show an emptied data folder as a learner until it votes

Cause: the list of entries named roles by entry id, while the membership counts data folders; right after a repair had begun an operator read 'voter' and could let a second VM go, which lost the quorum. Change: a voter is shown only when its newest pull comes from the data folder that votes. Before: the new test saw 'voter' first; after: 'learner' until the membership has the new folder.

--- a/src/replication/entry_lister.ts
+++ b/src/replication/entry_lister.ts
@@ -1,6 +1,11 @@
 /** Lists which revision is in force at each entry, as the leader knows it. */
 import { Result } from "true-myth";
-import { type Failure, validateWith } from "../domain/index.ts";
+import {
+  type Failure,
+  includesMember,
+  type Member,
+  validateWith,
+} from "../domain/index.ts";
 import type { EntryList, EntryReport } from "../ports/index.ts";
 import type { Leadership } from "./leadership.ts";
 import { entryListSchema, METHODS } from "./messages.ts";
@@ -76,18 +81,27 @@
       earlierMs,
       ...known.map(({ leaseEndMs }) => leaseEndMs),
     );
-    const { voters, learners } = this.#core.log.membership;
-    const isIn = (members: typeof voters) =>
-      members.some((member) => member.entryId === entryId);
     return {
       entryId,
-      role: isIn(voters) ? "voter" : isIn(learners) ? "learner" : "observer",
+      role: this.#findRole(entryId, known.at(-1)?.member),
       // After a restart the newest run of an entry is the one that counts.
       revision: known.at(-1)?.revision,
       leaseLeftMs: this.#computeLeft(endMs),
     };
   }
 
+  // An emptied data folder does not vote yet, though its entry is listed.
+  #findRole(entryId: string, newest: Member | undefined): EntryReport["role"] {
+    const { voters, learners } = this.#core.log.membership;
+    const isNamed = (members: readonly Member[]) =>
+      members.some((member) => member.entryId === entryId);
+    if (!isNamed(voters)) {
+      return isNamed(learners) ? "learner" : "observer";
+    }
+    const votes = newest === undefined || includesMember(voters, newest);
+    return votes ? "voter" : "learner";
+  }
+
   #computeLeft(endMs: number): number {
     const leftMs = endMs - this.#core.options.clock.monotonicMs();
     return Math.max(0, Math.ceil(leftMs));
