Explain requests of other entries, and list the entries

Cause: behind the balancer an operator's call reaches any entry, but the latest requests are remembered only by the entry that served them. Change: requests and open decisions that are not known here are asked for at all other entries. 'cardamomsill entries' shows role, revision and lease of each entry.

--- a/src/adapters/http/operator_routes.ts
+++ b/src/adapters/http/operator_routes.ts
@@ -12,7 +12,7 @@
 } from "../../domain/index.ts";
 import type { Agreement } from "../../ports/index.ts";
 import type {
-  ExplainService,
+  FleetExplainer,
   Operator,
   OperatorService,
 } from "../../services/index.ts";
@@ -39,7 +39,7 @@
 /** Options of {@link addOperatorRoutes}. */
 export interface OperatorRoutesOptions {
   readonly operators: OperatorService;
-  readonly explain: ExplainService;
+  readonly explainer: FleetExplainer;
   readonly agreement: Agreement;
 }
 
@@ -151,7 +151,7 @@
   return Promise.resolve();
 }
 
-function explain(
+async function explain(
   exchange: Exchange,
   options: OperatorRoutesOptions,
 ): Promise<void> {
@@ -159,9 +159,8 @@
   const sinceMs = Number(exchange.query.get("sinceMs") ?? 0);
   sendResult(
     exchange.response,
-    options.explain.explain(`${kind}/${name}`, sinceMs),
+    await options.explainer.explain(`${kind}/${name}`, sinceMs),
   );
-  return Promise.resolve();
 }
 
 function list(
--- a/src/cli/command_line_test.ts
+++ b/src/cli/command_line_test.ts
@@ -136,6 +136,14 @@
     });
   });
 
+  describe("entries", () => {
+    it("shows role, revision and lease of each", async () => {
+      const result = await run(["entries"]);
+      assert.match(result.stdout, /^ENTRY +ROLE +REVISION +LEASE LEFT\n/);
+      assert.match(result.stdout, /^entry-1 +leader +1 +\d+ ms$/m);
+    });
+  });
+
   describe("failures name the setting, the value and the remedy", () => {
     for (const { title, args, exitCode, stderr } of FAILURES) {
       it(title, async () => {
--- a/src/cli/commands/index.ts
+++ b/src/cli/commands/index.ts
@@ -1,5 +1,6 @@
 /** Commands, one to a file. */
 export * from "./apply.ts";
+export * from "./entries.ts";
 export * from "./explain.ts";
 export * from "./get.ts";
 export * from "./key_create.ts";
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -10,6 +10,7 @@
   binaryVersion: "0.1.0",
 });
 cli.register(commands.ApplyCommand);
+cli.register(commands.EntriesCommand);
 cli.register(commands.ExplainCommand);
 cli.register(commands.GetCommand);
 cli.register(commands.KeyCreateCommand);
--- a/src/daemon/create_front.ts
+++ b/src/daemon/create_front.ts
@@ -8,7 +8,11 @@
   addOperatorRoutes,
   HttpServer,
 } from "../adapters/http/index.ts";
-import { ExplainService, OperatorService } from "../services/index.ts";
+import {
+  ExplainService,
+  FleetExplainer,
+  OperatorService,
+} from "../services/index.ts";
 import type { PermitParts } from "./create_permits.ts";
 import type { RequestParts } from "./create_requests.ts";
 import type { EntryContext } from "./entry_context.ts";
@@ -39,11 +43,15 @@
     secrets,
   });
   const operators = new OperatorService({ ...context, bootstrapDigest });
-  const explain = new ExplainService({ ...context, ...requestParts });
+  const explainer = new FleetExplainer({
+    local: new ExplainService({ ...context, ...requestParts }),
+    network: context.network,
+    peerIds: settings.peers.map(({ entryId }) => entryId),
+  });
   const server = new HttpServer({ ...context, ...settings.http });
   addCallerRoutes(server, { ...context, ...requestParts });
   addBackendRoutes(server, permitParts);
-  addOperatorRoutes(server, { ...context, operators, explain });
+  addOperatorRoutes(server, { ...context, operators, explainer });
   addEntryRoutes(server, { operators, entries: context.entries });
   addHealthRoutes(server, { ...context, isStopping });
   return server;
--- a/src/services/index.ts
+++ b/src/services/index.ts
@@ -4,6 +4,7 @@
 export * from "./controller/index.ts";
 export * from "./decision_recorder.ts";
 export * from "./explain_service.ts";
+export * from "./fleet_explainer.ts";
 export * from "./operator_service.ts";
 export * from "./permits.ts";
 export * from "./permits/index.ts";
