--- a/src/adapters/peer/limits.ts
+++ b/src/adapters/peer/limits.ts
@@ -8,3 +8,7 @@
 export const HANDSHAKE_TIMEOUT_MS = 2_000;
 /** Connections that may be open without being authenticated. */
 export const MAX_UNAUTHENTICATED_CONNECTIONS = 64;
+/** Calls of one peer that may run at once. */
+export const MAX_RUNNING_CALLS = 4_096;
+/** Bytes that may wait for a peer that does not read. */
+export const MAX_UNSENT_BYTES = 2 * MAX_FRAME_BYTES;
--- a/src/adapters/peer/peer_link.ts
+++ b/src/adapters/peer/peer_link.ts
@@ -17,6 +17,7 @@
   HANDSHAKE_TIMEOUT_MS,
   MAX_FRAME_BYTES,
   MAX_HANDSHAKE_FRAME_BYTES,
+  MAX_UNSENT_BYTES,
 } from "./limits.ts";
 
 const RECONNECT_DELAY_MS = 200;
@@ -133,6 +134,9 @@
     if (socket === undefined) {
       return Result.err(this.#createUnreachable("not connected"));
     }
+    if (socket.writableLength > MAX_UNSENT_BYTES) {
+      return Result.err(this.#createUnreachable("the peer does not read"));
+    }
     const callId = this.#nextCallId;
     this.#nextCallId += 1;
     const answered = new Promise<Result<unknown, Failure>>((resolve) => {
--- a/src/adapters/peer/tcp_peer_network.ts
+++ b/src/adapters/peer/tcp_peer_network.ts
@@ -18,7 +18,9 @@
   HANDSHAKE_TIMEOUT_MS,
   MAX_FRAME_BYTES,
   MAX_HANDSHAKE_FRAME_BYTES,
+  MAX_RUNNING_CALLS,
   MAX_UNAUTHENTICATED_CONNECTIONS,
+  MAX_UNSENT_BYTES,
 } from "./limits.ts";
 import { type CallMessage, callSchema } from "./messages.ts";
 import { type PeerAddress, PeerLink } from "./peer_link.ts";
@@ -152,21 +154,26 @@
     socket: Socket,
     reader: FrameReader,
   ): Promise<void> {
+    let runningCount = 0;
     for (;;) {
       const readBefore = socket.bytesRead;
       const message = await reader.read();
       if (message === undefined) {
         return;
       }
+      if (runningCount >= MAX_RUNNING_CALLS) {
+        throw new RangeError(`peer ${peerId} has ${runningCount} open calls`);
+      }
       this.#options.metrics.countControlBytes(
         "received",
         socket.bytesRead - readBefore,
       );
       const call = v.parse(callSchema, message);
-      this.#options.tasks.start(
-        `call ${call.method}`,
-        async () => await this.#answerCall(peerId, socket, call),
-      );
+      runningCount += 1;
+      this.#options.tasks.start(`call ${call.method}`, async () => {
+        await this.#answerCall(peerId, socket, call);
+        runningCount -= 1;
+      });
     }
   }
 
@@ -182,6 +189,9 @@
       ...(answer.isOk ? { value: answer.value } : { failure: answer.error }),
     });
     this.#options.metrics.countControlBytes("sent", frame.length);
+    if (socket.writableLength > MAX_UNSENT_BYTES) {
+      socket.destroy();
+    }
     if (!socket.destroyed) {
       socket.write(frame);
     }
