--- a/src/daemon/create_agreement.ts
+++ b/src/daemon/create_agreement.ts
@@ -7,7 +7,7 @@
 } from "../adapters/disk/index.ts";
 import type { Failure } from "../domain/index.ts";
 import type { LogStore, PeerNetwork } from "../ports/index.ts";
-import { Replica } from "../replication/index.ts";
+import { MajorityCommitRule, Replica } from "../replication/index.ts";
 import type { EntryBase } from "./entry_context.ts";
 import type { Settings } from "./settings/index.ts";
 
@@ -30,6 +30,7 @@
     wantsVote: settings.voter,
     peerIds: settings.peers.map(({ entryId }) => entryId),
     initialVoterIds: listInitialVoters(settings),
+    commitRule: new MajorityCommitRule(),
     store: await createStore(base),
     network,
   });
--- a/src/replication/follower_progress.ts
+++ b/src/replication/follower_progress.ts
@@ -17,6 +17,8 @@
   matchIndex = 0;
   /** Stamp of the newest answer that the follower has acknowledged (ms). */
   echoMs = -Infinity;
+  /** Leader's time at which the follower last had its whole log (ms). */
+  caughtUpMs: number | undefined;
   hasDisk = false;
   wantsVote = false;
   /** Configuration revision in force at the follower. */
--- a/src/replication/leader_task.ts
+++ b/src/replication/leader_task.ts
@@ -47,6 +47,7 @@
       await core.mutex.run(() => this.#stepDown("a quorum is silent"));
       return;
     }
+    leadership.advanceCommit();
     if (!leadership.isEstablished || this.#isMembershipOpen()) {
       return;
     }
--- a/src/replication/leadership.ts
+++ b/src/replication/leadership.ts
@@ -9,6 +9,7 @@
   includesMember,
   type Member,
 } from "../domain/index.ts";
+import type { VoterPosition } from "./commit_rule.ts";
 import { FollowerProgress } from "./follower_progress.ts";
 import type { Pull } from "./messages.ts";
 import type { ReplicaCore } from "./replica_core.ts";
@@ -93,19 +94,23 @@
    * @param index - Index of the last entry that it holds.
    */
   recordMatch(follower: FollowerProgress, index: number): void {
+    const { log, options } = this.#core;
+    if (index >= log.last.index) {
+      follower.caughtUpMs = options.clock.monotonicMs();
+    }
     if (index > follower.matchIndex) {
       follower.matchIndex = index;
       this.advanceCommit();
     }
   }
 
-  /** Commits what a quorum of voters holds durably. */
+  /** Commits what enough voters hold durably. */
   advanceCommit(): void {
     const core = this.#core;
-    const index = this.#findQuorumValue(
-      core.log.last.index,
-      (voter) => this.#followers.get(voter.storeId)?.matchIndex ?? 0,
+    const positions = core.log.membership.voters.map((voter) =>
+      this.#findPosition(voter)
     );
+    const index = core.options.commitRule.findCommitted(positions);
     // Entries of earlier terms are committed only by one of this term after them.
     if (index > core.commitIndex && core.log.findTerm(index) === this.term) {
       core.advanceCommit(index);
@@ -171,6 +176,19 @@
     return known;
   }
 
+  #findPosition({ storeId }: Member): VoterPosition {
+    const { log, options, self } = this.#core;
+    if (storeId === self.storeId) {
+      return { matchIndex: log.last.index, lagMs: 0 };
+    }
+    const follower = this.#followers.get(storeId);
+    const caughtUpMs = follower?.caughtUpMs ?? this.sinceMs;
+    return {
+      matchIndex: follower?.matchIndex ?? 0,
+      lagMs: options.clock.monotonicMs() - caughtUpMs,
+    };
+  }
+
   // The largest value that at least a majority of the voters have reached.
   #findQuorumValue(own: number, read: (voter: Member) => number): number {
     const { log, self } = this.#core;
--- /dev/null
+++ b/src/replication/leadership_test.ts
@@ -0,0 +1,146 @@
+import { Result } from "true-myth";
+import * as assert from "uvu/assert";
+import { MemoryLogStore } from "../adapters/disk/index.ts";
+import { SeededRandom } from "../adapters/random/index.ts";
+import {
+  beforeEach,
+  describe,
+  FakeClock,
+  FakeLogger,
+  FakeNetwork,
+  it,
+} from "../testing/index.ts";
+import { AllInSyncCommitRule, MajorityCommitRule } from "./commit_rule.ts";
+import type { Leadership } from "./leadership.ts";
+import type { Pull } from "./messages.ts";
+import { ReplicaCore } from "./replica_core.ts";
+
+const TERM = 3;
+const voters = ["a", "b", "c"].map((entryId) => ({
+  entryId,
+  storeId: `store-${entryId}`,
+}));
+
+function createPull(at: number, pull: Partial<Pull>): Pull {
+  return {
+    term: TERM,
+    storeId: voters[at]?.storeId ?? "",
+    hasDisk: true,
+    wantsVote: true,
+    prevIndex: 0,
+    prevTerm: 0,
+    commitIndex: 0,
+    revision: 0,
+    askMs: 0,
+    echoMs: 0,
+    echoTerm: 0,
+    isHurried: false,
+    ...pull,
+  };
+}
+
+describe("leadership", () => {
+  let clock: FakeClock;
+  let core: ReplicaCore;
+  let leadership: Leadership;
+
+  beforeEach(async () => {
+    clock = new FakeClock();
+    const random = new SeededRandom(1);
+    core = new ReplicaCore({
+      entryId: "a",
+      hasDisk: true,
+      wantsVote: true,
+      peerIds: ["b", "c"],
+      initialVoterIds: ["a", "b", "c"],
+      commitRule: new MajorityCommitRule(),
+      store: new MemoryLogStore(random),
+      network: new FakeNetwork(clock, random).join("a"),
+      clock,
+      random,
+      logger: new FakeLogger(),
+    }, {
+      vote: { term: TERM, votedFor: "a", storeId: "store-a" },
+      snapshot: undefined,
+      entries: [
+        {
+          index: 1,
+          term: 1,
+          command: { type: "membership", voters, learners: [] },
+        },
+        { index: 2, term: 2, command: { type: "leader", leaderId: "a" } },
+      ],
+    });
+    await core.lead([{ type: "leader", leaderId: "a" }]);
+    assert.ok(core.leadership);
+    leadership = core.leadership;
+  });
+
+  it("commits older entries only with one of its own term", () => {
+    const follower = leadership.recordPull("b", createPull(1, {}));
+    leadership.recordMatch(follower, 2);
+    assert.is(core.commitIndex, 0);
+    leadership.recordMatch(follower, 3);
+    assert.is(core.commitIndex, 3);
+  });
+
+  it("confirms an ask only by answers sent after it arrived", async () => {
+    const observer = createPull(9, { storeId: "store-d", askMs: 40 });
+    const follower = leadership.recordPull("b", createPull(1, {}));
+    leadership.recordMatch(follower, 3);
+    await clock.advance(50);
+    const asking = leadership.recordPull("d", observer);
+    const echo = { echoTerm: TERM, echoMs: 49 };
+    leadership.recordPull("b", createPull(1, echo));
+    assert.is(leadership.findConfirmedAsk(asking), undefined);
+    leadership.recordPull("b", createPull(1, { ...echo, echoTerm: 2 }));
+    leadership.recordPull("b", createPull(1, { echoMs: 60, echoTerm: 2 }));
+    assert.is(leadership.findConfirmedAsk(asking), undefined);
+    leadership.recordPull("b", createPull(1, { echoMs: 50, echoTerm: TERM }));
+    assert.is(leadership.findConfirmedAsk(asking), 40);
+  });
+
+  it("confirms nothing before an entry of its own term is committed", () => {
+    const echo = { echoMs: 50, echoTerm: TERM };
+    const follower = leadership.recordPull("b", createPull(1, echo));
+    assert.is(leadership.findConfirmedAsk(follower), undefined);
+    leadership.recordMatch(follower, 3);
+    assert.is(leadership.findConfirmedAsk(follower), 0);
+  });
+
+  it("counts no other data folder of a voter", () => {
+    const other = createPull(1, {
+      storeId: "store-new",
+      echoMs: 10,
+      echoTerm: TERM,
+    });
+    const follower = leadership.recordPull("b", other);
+    leadership.recordMatch(follower, 3);
+    assert.is(core.commitIndex, 0);
+    assert.is(leadership.confirmedMs, -Infinity);
+  });
+
+  it("settles what waits as in doubt when it ends", () => {
+    const settled: string[] = [];
+    leadership.await(3, (proposed) => {
+      settled.push(proposed.isErr ? proposed.error.kind : "accepted");
+    });
+    core.stepDown("the test says so");
+    leadership.settle(3, Result.ok({ revision: 1 }));
+    assert.equal(settled, ["noQuorum"]);
+  });
+});
+
+describe("commit rules", () => {
+  const positions = [
+    { matchIndex: 9, lagMs: 0 },
+    { matchIndex: 7, lagMs: 10 },
+    { matchIndex: 2, lagMs: 900 },
+  ];
+
+  it("commit what a majority holds, or all that do not lag", () => {
+    assert.is(new MajorityCommitRule().findCommitted(positions), 7);
+    assert.is(new AllInSyncCommitRule(1_000).findCommitted(positions), 2);
+    assert.is(new AllInSyncCommitRule(500).findCommitted(positions), 7);
+  });
+});
--- a/src/replication/replica.ts
+++ b/src/replication/replica.ts
@@ -13,7 +13,7 @@
   EntryList,
   StoredLog,
 } from "../ports/index.ts";
-import type { TaskGroup } from "../tasks/index.ts";
+import { Notifier, type TaskGroup } from "../tasks/index.ts";
 import { startDeployment } from "./bootstrap_task.ts";
 import { ElectionTask } from "./election_task.ts";
 import { EntryLister } from "./entry_lister.ts";
@@ -76,6 +76,7 @@
     const elections = new ElectionTask(core);
     const leader = new LeaderTask(core, this.#queue);
     const snapshots = new SnapshotTask(core);
+    tasks.start("store", (signal) => this.#closeOnAbort(signal));
     tasks.start("bootstrap", (signal) => startDeployment(core, signal));
     tasks.startForever("pull", (signal) => pulls.run(signal));
     tasks.startForever("election", (signal) => elections.run(signal));
@@ -121,6 +122,12 @@
     return this.#lister.list();
   }
 
+  async #closeOnAbort(signal: AbortSignal): Promise<void> {
+    const { mutex, options } = this.#core;
+    await new Notifier().wait(signal);
+    await mutex.run(() => options.store.close());
+  }
+
   #computeFreshUntil(): number {
     const { leadership, freshness } = this.#core;
     return leadership?.isEstablished
--- a/src/replication/replica_core.ts
+++ b/src/replication/replica_core.ts
@@ -20,6 +20,7 @@
   StoredSnapshot,
 } from "../ports/index.ts";
 import { Mutex, Notifier } from "../tasks/index.ts";
+import type { CommitRule } from "./commit_rule.ts";
 import { FreshnessLease } from "./freshness_lease.ts";
 import { Leadership } from "./leadership.ts";
 import { ReplicaLog } from "./replica_log.ts";
@@ -36,6 +37,7 @@
   readonly peerIds: readonly string[];
   /** Ids of the entries that vote when the deployment is new. */
   readonly initialVoterIds: readonly string[];
+  readonly commitRule: CommitRule;
   readonly store: LogStore;
   readonly network: PeerNetwork;
   readonly clock: Clock;
--- a/src/replication/replica_test.ts
+++ b/src/replication/replica_test.ts
@@ -6,7 +6,12 @@
   FakeCluster,
   it,
 } from "../testing/index.ts";
-import { FRESHNESS_LEASE_MS, SNAPSHOT_INTERVAL_COUNT } from "./timing.ts";
+import { METHODS } from "./messages.ts";
+import {
+  FRESHNESS_LEASE_MS,
+  MAX_BATCH_COUNT,
+  SNAPSHOT_INTERVAL_COUNT,
+} from "./timing.ts";
 
 const VOTERS = ["a", "b", "c"];
 const OBSERVER = "d";
@@ -62,11 +67,11 @@
   }
 
   // Enough entries for a snapshot, appended in large batches.
-  async function fillLog(): Promise<void> {
+  async function fillLog(count = SNAPSHOT_INTERVAL_COUNT + 10): Promise<void> {
     const { replica } = cluster.find(leaderId);
     const record = { type: "record" as const, records: [] };
     const proposals = Array.from(
-      { length: SNAPSHOT_INTERVAL_COUNT + 10 },
+      { length: count },
       () => replica?.propose(record),
     );
     await cluster.clock.runUntil(Promise.all(proposals), SETTLE_MS);
@@ -180,6 +185,64 @@
     }
   });
 
+  describe("a lease", () => {
+    it("lapses with the leader's quorum, also for who still hears the leader", async () => {
+      for (const entryId of followers) {
+        cluster.network.isolate(entryId);
+      }
+      await cluster.clock.advance(FRESHNESS_LEASE_MS);
+      assert.not(isFresh(OBSERVER) || isFresh(leaderId));
+    });
+
+    it("counts only once all that was committed before is applied", async () => {
+      cluster.network.isolate(OBSERVER);
+      await fillLog(MAX_BATCH_COUNT * 3);
+      await accept(leaderId, "zone-1");
+      await cluster.clock.advance(FRESHNESS_LEASE_MS);
+      cluster.network.heal();
+      for (let passedMs = 0; passedMs < SETTLE_MS; passedMs += 1) {
+        await cluster.clock.advance(1);
+        const { revision } = cluster.replica(OBSERVER).state;
+        assert.ok(!isFresh(OBSERVER) || revision === 1);
+      }
+      assert.ok(isFresh(OBSERVER));
+    });
+  });
+
+  describe("a vote", () => {
+    async function askForVote(candidateId: string): Promise<boolean> {
+      const { network, clock } = cluster;
+      const request = { term: 50, isPreVote: false };
+      const last = { lastIndex: 1_000, lastTerm: 49 };
+      const answered = await clock.runUntil(
+        network.join(candidateId).call(
+          follower(0),
+          METHODS.vote,
+          { ...request, ...last },
+          { timeoutMs: 100 },
+        ),
+        SETTLE_MS,
+      );
+      return answered.isOk && JSON.stringify(answered.value).includes("true");
+    }
+
+    it("is given once in a term, also across a crash", async () => {
+      cluster.crash(leaderId);
+      cluster.crash(follower(1));
+      await cluster.clock.advance(SETTLE_MS);
+      assert.ok(await askForVote("x"));
+      cluster.crash(follower(0));
+      await cluster.startEntry(follower(0));
+      await cluster.clock.advance(SETTLE_MS);
+      assert.not(await askForVote("y"));
+      assert.ok(await askForVote("x"));
+    });
+
+    it("is refused while a leader is heard", async () => {
+      assert.not(await askForVote("x"));
+    });
+  });
+
   describe("without a quorum", () => {
     it("accepts nothing, and the leader and all leases lapse", async () => {
       followers.forEach((entryId) => cluster.crash(entryId));
--- a/src/testing/fake_cluster.ts
+++ b/src/testing/fake_cluster.ts
@@ -3,7 +3,7 @@
 import { FileLogStore, MemoryLogStore } from "../adapters/disk/index.ts";
 import { SeededRandom } from "../adapters/random/index.ts";
 import type { AppliedValue, Change, Failure } from "../domain/index.ts";
-import { Replica } from "../replication/index.ts";
+import { MajorityCommitRule, Replica } from "../replication/index.ts";
 import type { Clock } from "../ports/index.ts";
 import { Notifier, TaskGroup } from "../tasks/index.ts";
 import { FakeClock } from "./fake_clock.ts";
@@ -138,6 +138,7 @@
       wantsVote: hasDisk,
       peerIds: this.entryIds.filter((other) => other !== entryId),
       initialVoterIds: voterIds,
+      commitRule: new MajorityCommitRule(),
       store,
       network: this.network.join(entryId),
       clock,
