--- a/src/services/permits.ts
+++ b/src/services/permits.ts
@@ -13,6 +13,13 @@
   /** Monotonic time at which the caller stops waiting for the answer. */
   readonly deadlineAtMs?: number;
   readonly signal: AbortSignal;
+  /**
+   * Asked right before the permit is handed over, as the configuration may
+   * have changed during the wait.
+   *
+   * @returns Why the request may no longer run, or undefined when it may.
+   */
+  readonly findRefusal?: (() => Failure | undefined) | undefined;
 }
 
 /** How the attempt under a permit ended. */
@@ -35,6 +42,18 @@
   readonly zone: string;
   /** How long the attempt may run, in milliseconds. */
   readonly leaseMs: number;
+  /**
+   * Idle connections that this entry may keep to the backend server. Beyond
+   * them it has at most one connection there for each permit that it holds.
+   */
+  readonly idleConnectionCount?: number | undefined;
+  /**
+   * Asked right before the attempt is sent, when time has passed since the
+   * permit was handed over.
+   *
+   * @returns False when lease, limit or configuration forbid the start now.
+   */
+  readonly mayStart?: (() => boolean) | undefined;
   /**
    * Gives the permit back; a second call has no effect.
    *
@@ -50,7 +69,8 @@
    *
    * @param request - Who wants to run what.
    * @returns The permit, or why none can be had in time: `teamLimitReached`,
-   * `overloaded`, `noBackendServer`, `zoneOut`, `expired` or `cancelled`.
+   * `overloaded`, `noBackendServer`, `zoneOut`, `expired` or `cancelled`, or
+   * what {@link PermitRequest.findRefusal} found.
    */
   acquire(request: PermitRequest): Promise<Result<Permit, Failure>>;
 }
--- a/src/services/requests/attempt_runner.ts
+++ b/src/services/requests/attempt_runner.ts
@@ -112,6 +112,7 @@
       waitUntilMs: Math.min(queueEndMs, request.deadlineAtMs),
       deadlineAtMs: request.deadlineAtMs,
       signal: request.signal,
+      findRefusal: run.findRefusal,
     });
     run.waitMs = clock.monotonicMs() - run.startedAtMs;
     return permit;
@@ -128,6 +129,10 @@
     if (leftMs <= 0 || request.signal.aborted) {
       return Result.err({ failure: createTooLate(leftMs), notStarted: true });
     }
+    // A claim may have taken long: the permit may have lapsed meanwhile.
+    if (permit.mayStart?.() === false) {
+      return Result.err({ failure: createLapsed(), notStarted: true });
+    }
     health.recordStart(permit);
     return await client.send({
       attemptId: permit.attemptId,
@@ -239,3 +244,11 @@
       "the caller went away before the work started",
     );
 }
+
+function createLapsed(): Failure {
+  return createFailure(
+    "overloaded",
+    "the permit lapsed before the attempt was sent",
+    { remedy: "try again" },
+  );
+}
--- a/src/services/requests/request_run.ts
+++ b/src/services/requests/request_run.ts
@@ -1,5 +1,5 @@
 /** Progress of one admitted request. */
-import type { CallerRequest } from "../../domain/index.ts";
+import type { CallerRequest, Failure } from "../../domain/index.ts";
 import type { Admission } from "../../decisions/index.ts";
 import type { RequestClaim } from "./request_claim.ts";
 
@@ -13,6 +13,8 @@
   readonly contentDigest: string;
   /** The claim on the idempotency key; undefined without a key. */
   readonly claim: RequestClaim | undefined;
+  /** Tells why the request may no longer run, by the configuration of now. */
+  readonly findRefusal: () => Failure | undefined;
   /** Time until the latest permit was granted, in milliseconds. */
   waitMs: number;
 }
