Let permits be used longer while no other team waits

Change: the window is 1,500 ms, and 400 ms while another team below its limit waits. Entries hear of leaving backend servers with every answer.

--- a/src/services/permits/coordinator_view.ts
+++ b/src/services/permits/coordinator_view.ts
@@ -51,6 +51,17 @@
       (this.#reply?.takingOver ?? false);
   }
 
+  /**
+   * Tells whether another team could use a place of a team.
+   *
+   * @param team - The team that has the place.
+   * @returns True when another team waits below its limit.
+   */
+  isContended(team: string): boolean {
+    const contending = this.#reply?.contendingTeams ?? [];
+    return contending.some((other) => other !== team);
+  }
+
   /** Notes that a report is sent. */
   markAsked(nowMs: number): void {
     this.#askedAtMs = nowMs;
--- a/src/services/permits/fleet_permit_source.ts
+++ b/src/services/permits/fleet_permit_source.ts
@@ -18,7 +18,11 @@
   PermitPush,
   PermitReply,
 } from "./permit_messages.ts";
-import { IDLE_HOLD_MS, REUSE_WINDOW_MS } from "./permit_times.ts";
+import {
+  CONTENDED_WINDOW_MS,
+  IDLE_HOLD_MS,
+  REUSE_WINDOW_MS,
+} from "./permit_times.ts";
 import { createWaitFailure } from "./wait_failure.ts";
 import { WaitingRequests } from "./waiting_requests.ts";
 
@@ -235,7 +239,10 @@
   // Whether the permit may be given to a further request.
   #isUsable(holding: Holding): boolean {
     const nowMs = this.#options.clock.monotonicMs();
-    const isInWindow = nowMs < holding.arrivedAtMs + REUSE_WINDOW_MS ||
+    const windowMs = this.view.isContended(holding.grant.team)
+      ? CONTENDED_WINDOW_MS
+      : REUSE_WINDOW_MS;
+    const isInWindow = nowMs < holding.arrivedAtMs + windowMs ||
       this.view.keepsPermits(nowMs);
     return isInWindow && this.#mayStart(holding);
   }
--- a/src/services/permits/grant_round.ts
+++ b/src/services/permits/grant_round.ts
@@ -11,6 +11,7 @@
 import type { SlotRecord, SlotTable } from "./slot_table.ts";
 
 const DEFAULT_SHARE = 1;
+const MAX_CONTENDING = 2;
 
 /** A place that has been found for a want. */
 export interface FoundSlot {
@@ -74,6 +75,25 @@
     return table.countTeam(team) + countUnknown() >= limit;
   }
 
+  /**
+   * Lists teams whose waiting requests could use a place now.
+   *
+   * @param index - The configuration in force.
+   * @returns None, one, or two of them, which is all that entries need to know.
+   */
+  listContending(index: FleetIndex): string[] {
+    const contending: string[] = [];
+    for (const team of this.#options.demand.listTeams()) {
+      if (contending.length === MAX_CONTENDING) {
+        break;
+      }
+      if (!this.isLimited(index, team)) {
+        contending.push(team);
+      }
+    }
+    return contending;
+  }
+
   #createClaimant(
     index: FleetIndex,
     team: string,
--- a/src/services/permits/permit_ledger.ts
+++ b/src/services/permits/permit_ledger.ts
@@ -234,7 +234,6 @@
   #createReply(session: EntrySession | undefined, nowMs: number): PermitReply {
     const teams = new Set(session?.wants.map(({ team }) => team));
     const queues = new Set(session?.wants.map(({ queue }) => queue));
-    const takingOver = this.#takeover.isRunning(nowMs);
     const { freshUntilMs } = this.#options.agreement.status();
     const confirmedMs = freshUntilMs - nowMs;
     return {
@@ -250,8 +249,9 @@
       ),
       unservedQueues: [...queues].filter((queue) => !this.#isServed(queue)),
       contended: !this.#demand.listTeams().next().done,
-      takingOver,
-      leavingBackendIds: takingOver ? this.#listLeaving() : [],
+      contendingTeams: this.#rounds.listContending(this.#index),
+      takingOver: this.#takeover.isRunning(nowMs),
+      leavingBackendIds: this.#slots.listLeaving(),
     };
   }
 
@@ -261,12 +261,6 @@
     return pools.some(({ resource }) => this.#slots.isServed(resource.name));
   }
 
-  #listLeaving(): string[] {
-    return this.#slots.listAll()
-      .filter(({ announcement }) => announcement.leaving)
-      .map(({ announcement }) => announcement.backendServerId);
-  }
-
   #refreshIndex(nowMs: number): void {
     const index = this.#options.fleet.current();
     if (index !== this.#index) {
--- a/src/services/permits/permit_messages.ts
+++ b/src/services/permits/permit_messages.ts
@@ -114,11 +114,13 @@
   limitedTeams: v.array(v.string()),
   /** Queues of the entry's wants for which no backend server is open. */
   unservedQueues: v.array(v.string()),
-  /** True while requests of any entry wait for a permit. */
+  /** Whether requests of any entry wait for a permit. */
   contended: v.boolean(),
+  /** Teams below their limits whose requests wait: none, one, or two of them. */
+  contendingTeams: v.array(v.string()),
   /** True while a new coordinator grants nothing; entries keep what they have. */
   takingOver: v.boolean(),
-  /** Leaving backend servers, while {@link takingOver}. */
+  /** Backend servers that get nothing more. */
   leavingBackendIds: v.array(v.string()),
 });
 
--- a/src/services/permits/permit_times.ts
+++ b/src/services/permits/permit_times.ts
@@ -10,8 +10,10 @@
 export const REPORT_BATCH_MS = 2;
 /** Pause after a report that failed. */
 export const REPORT_RETRY_MS = 50;
-/** Time for which a permit may be used for further requests without a report. */
-export const REUSE_WINDOW_MS = 400;
+/** Time for which a permit is used again while other teams wait. */
+export const CONTENDED_WINDOW_MS = 400;
+/** Time for which a permit is used again while no other team waits. */
+export const REUSE_WINDOW_MS = 1_500;
 /** Time for which an entry keeps a permit that it has no request for. */
 export const IDLE_HOLD_MS = 30;
 /** Time between an entry's last check and the start at the backend server. */
--- a/src/services/permits/slot_table.ts
+++ b/src/services/permits/slot_table.ts
@@ -46,6 +46,7 @@
   readonly #records = new Map<string, SlotRecord>();
   readonly #freeByPool = new Map<string, FreeList>();
   readonly #openCountByPool = new Map<string, number>();
+  readonly #leavingIds = new Set<string>();
   #index: FleetIndex;
 
   /**
@@ -76,6 +77,11 @@
       return false;
     }
     this.#close(backendServerId);
+    if (announcement.leaving) {
+      this.#leavingIds.add(backendServerId);
+    } else {
+      this.#leavingIds.delete(backendServerId);
+    }
     this.#records.set(backendServerId, {
       announcement,
       heardAtMs,
@@ -97,6 +103,11 @@
     return [...this.#records.values()];
   }
 
+  /** Lists the ids of the backend servers that leave. */
+  listLeaving(): string[] {
+    return [...this.#leavingIds];
+  }
+
   /** Tells whether a pool has a backend server that may get new work. */
   isServed(pool: string): boolean {
     return (this.#openCountByPool.get(pool) ?? 0) > 0;
@@ -190,6 +201,7 @@
    */
   forget(backendServerId: string): void {
     this.#close(backendServerId);
+    this.#leavingIds.delete(backendServerId);
     this.#records.delete(backendServerId);
   }
 
