Tell every entry of all backend servers, within their connections

Cause: each entry judged backend servers by those that had announced themselves to it, and one entry could hold more permits at a backend server than its part of the connections. Change: answers to reports carry changes of the set once; an entry holds at most its part of a backend server's connections there.

--- a/src/daemon/create_permits.ts
+++ b/src/daemon/create_permits.ts
@@ -1,6 +1,5 @@
 /** Composes what hands out permits: directory, coordinator and source. */
 import {
-  AlwaysHealthy,
   TwoChoicesPicker,
   WeightedMaxMinAllocator,
 } from "../decisions/index.ts";
@@ -41,7 +40,6 @@
     entryIds,
     allocator: new WeightedMaxMinAllocator(),
     picker: new TwoChoicesPicker(random),
-    health: new AlwaysHealthy(),
     pushToSelf: (push) => source.takeGrants(push),
   });
   const reporter = new PermitReporter({
--- a/src/decisions/routing/index.ts
+++ b/src/decisions/routing/index.ts
@@ -1,3 +1,2 @@
 /** Chooses backend servers. */
-export * from "./backend_health.ts";
 export * from "./backend_picker.ts";
--- a/src/services/backend_directory.ts
+++ b/src/services/backend_directory.ts
@@ -13,11 +13,21 @@
   readonly heardAtMs: number;
 }
 
+/** What changed in the set of backend servers. */
+export interface MemberChanges {
+  readonly members: readonly Announcement[];
+  readonly silentBackendIds: readonly string[];
+  /** Whether it replaces all that was known. */
+  readonly isWhole: boolean;
+}
+
 /** Keeps the newest announcement of each backend server. */
 export class BackendDirectory {
   readonly #clock: Clock;
   readonly #backends = new Map<string, KnownBackend>();
   readonly #unrelayed = new Set<string>();
+  /** Backend servers that other entries have heard. */
+  readonly #members = new Map<string, Announcement>();
   /** Wakes when an announcement has changed what is known. */
   readonly changed = new Notifier();
 
@@ -79,6 +89,23 @@
     }
   }
 
+  /**
+   * Takes in which backend servers other entries have heard.
+   *
+   * @param changes - New, changed and silent ones; all when it is whole.
+   */
+  takeMembers(changes: MemberChanges): void {
+    if (changes.isWhole) {
+      this.#members.clear();
+    }
+    for (const announcement of changes.members) {
+      this.#members.set(announcement.backendServerId, announcement);
+    }
+    for (const backendServerId of changes.silentBackendIds) {
+      this.#members.delete(backendServerId);
+    }
+  }
+
   /** Marks all announcements for a report to a new coordinator. */
   relayAll(): void {
     this.relayAgain(this.listAll().map(({ announcement }) => announcement));
@@ -97,12 +124,28 @@
   /**
    * Lists the backend servers that may get new work.
    *
-   * @returns Those heard within {@link ANNOUNCEMENT_TTL_MS} that are not leaving.
+   * @returns Those heard within {@link ANNOUNCEMENT_TTL_MS}, here or by other
+   * entries, that are not leaving.
    */
   listServing(): KnownBackend[] {
-    const oldestMs = this.#clock.monotonicMs() - ANNOUNCEMENT_TTL_MS;
-    return [...this.#backends.values()].filter(({ announcement, heardAtMs }) =>
-      !announcement.leaving && heardAtMs >= oldestMs
+    const nowMs = this.#clock.monotonicMs();
+    const serving = new Map<string, KnownBackend>();
+    for (const announcement of this.#members.values()) {
+      serving.set(announcement.backendServerId, {
+        announcement,
+        heardAtMs: nowMs,
+      });
+    }
+    for (const known of this.#backends.values()) {
+      const { backendServerId, sequence } = known.announcement;
+      const other = serving.get(backendServerId)?.announcement;
+      const isNewest = other === undefined || sequence >= other.sequence;
+      if (isNewest && known.heardAtMs >= nowMs - ANNOUNCEMENT_TTL_MS) {
+        serving.set(backendServerId, known);
+      }
+    }
+    return [...serving.values()].filter(({ announcement }) =>
+      !announcement.leaving
     );
   }
 
--- a/src/services/permits/fleet_permit_source.ts
+++ b/src/services/permits/fleet_permit_source.ts
@@ -209,7 +209,6 @@
       pool: grant.pool,
       zone: grant.zone,
       leaseMs: grant.runLeaseMs,
-      idleConnectionCount: grant.idleConnectionCount,
       mayStart: () => !isReleased && this.#mayStart(holding),
       release: (end) => {
         if (!isReleased) {
@@ -220,10 +219,7 @@
     };
   }
 
-  #release(holding: Holding, { ended, healthy }: PermitEnd): void {
-    if (healthy !== undefined) {
-      this.holdings.addEvidence(holding.grant.backendServerId, healthy);
-    }
+  #release(holding: Holding, { ended }: PermitEnd): void {
     if (ended) {
       this.#offer(holding);
     } else {
--- a/src/services/permits/fleet_permits_test.ts
+++ b/src/services/permits/fleet_permits_test.ts
@@ -38,6 +38,7 @@
   readonly limits: Readonly<Record<string, number>>;
   readonly shares?: Readonly<Record<string, number>>;
   readonly backendCount?: number;
+  readonly connectionCount?: number;
 }
 
 function createTeam(name: string, maxRunningCount: number, share = 1) {
@@ -111,6 +112,7 @@
         clock,
         random,
         slotCount: SLOT_COUNT,
+        connectionCount: options.connectionCount ?? 64,
         onStart: checkStart,
       }),
     );
@@ -479,6 +481,40 @@
     });
   });
 
+  describe("what entries know of backend servers", () => {
+    it("is the same everywhere, and follows a leave and a loss", async () => {
+      const world = createWorld({ seed: 20, limits: { red: 1 } });
+      await world.clock.advance(SETTLE_MS);
+      findBackend(world, 0).isLeaving = true;
+      findBackend(world, 1).stop();
+      await world.clock.advance(5_000);
+      for (const { directory } of world.fleet.entries.values()) {
+        const serving = directory.listServing()
+          .map(({ announcement }) => announcement.backendServerId);
+        const expected = [2, 3, 4, 5].map((at) => `server-${at}`);
+        assert.equal(serving.sort(), expected);
+      }
+    });
+
+    it("keeps an entry within its part of the connections", async () => {
+      const connectionCount = 2 * ENTRY_IDS.length;
+      const limits = { red: 100 };
+      const world = createWorld({ seed: 21, limits, connectionCount });
+      keepBusy(world, "entry-2", {
+        team: "red",
+        queue: "jobs",
+        workMs: 50,
+        atOnceCount: 24,
+      });
+      await world.clock.advance(SETTLE_MS);
+      const { holdings } = world.fleet.entries.get("entry-2")?.source ?? {};
+      const held = [0, 1, 2, 3, 4, 5].map((at) =>
+        holdings?.countBackend(`server-${at}`)
+      );
+      assert.equal(held, [2, 2, 2, 2, 2, 2]);
+    });
+  });
+
   describe("refusals", () => {
     const CASES = [
       {
--- a/src/services/permits/permit_coordinator.ts
+++ b/src/services/permits/permit_coordinator.ts
@@ -6,7 +6,6 @@
   validateWith,
 } from "../../domain/index.ts";
 import type {
-  BackendHealth,
   BackendPicker,
   FleetIndexCache,
   ShareAllocator,
@@ -50,7 +49,6 @@
   readonly fleet: FleetIndexCache;
   readonly allocator: ShareAllocator;
   readonly picker: BackendPicker;
-  readonly health: BackendHealth;
   /** Hands grants to this entry itself. */
   readonly pushToSelf: (push: PermitPush) => void;
 }
--- a/src/services/permits/permit_holdings.ts
+++ b/src/services/permits/permit_holdings.ts
@@ -1,7 +1,6 @@
 /** The permits that this entry holds, and those that it gives back. */
 import { createKey } from "./waiting_requests.ts";
 import type {
-  BackendEvidence,
   HeldPermit,
   PermitGrant,
   ReturnedPermit,
@@ -22,7 +21,6 @@
   readonly #countByBackend = new Map<string, number>();
   #returns: ReturnedPermit[] = [];
   #returnCount = 0;
-  readonly #evidence = new Map<string, BackendEvidence>();
 
   /** Number of permits held. */
   get size(): number {
@@ -117,24 +115,6 @@
     return [...this.#holdings.values()].map(describeHeld);
   }
 
-  /** Notes how an attempt at a backend server ended. */
-  addEvidence(backendServerId: string, healthy: boolean): void {
-    const known = this.#evidence.get(backendServerId) ??
-      { backendServerId, healthyCount: 0, unhealthyCount: 0 };
-    this.#evidence.set(backendServerId, {
-      backendServerId,
-      healthyCount: known.healthyCount + (healthy ? 1 : 0),
-      unhealthyCount: known.unhealthyCount + (healthy ? 0 : 1),
-    });
-  }
-
-  /** Takes the evidence since the last report; a lost report loses it. */
-  takeEvidence(): BackendEvidence[] {
-    const evidence = [...this.#evidence.values()];
-    this.#evidence.clear();
-    return evidence;
-  }
-
   #count(backendServerId: string, delta: number): void {
     const count = this.countBackend(backendServerId) + delta;
     if (count === 0) {
--- a/src/services/permits/permit_ledger.ts
+++ b/src/services/permits/permit_ledger.ts
@@ -1,18 +1,18 @@
 /** Everything that the coordinator of one term keeps and decides. */
 import type {
-  BackendHealth,
   BackendPicker,
   FleetIndex,
   FleetIndexCache,
   ShareAllocator,
 } from "../../decisions/index.ts";
 import type { Agreement, Clock } from "../../ports/index.ts";
+import { ANNOUNCEMENT_TTL_MS } from "../backend_directory.ts";
 import { createGrant } from "./create_grant.ts";
 import { Demand } from "./demand.ts";
 import type { EntrySession, EntryWant } from "./entry_session.ts";
 import { type FoundSlot, GrantRounds } from "./grant_round.ts";
+import { MembershipLog } from "./membership_log.ts";
 import type {
-  BackendEvidence,
   PermitReply,
   PermitReport,
   RelayedAnnouncement,
@@ -36,7 +36,6 @@
   readonly fleet: FleetIndexCache;
   readonly allocator: ShareAllocator;
   readonly picker: BackendPicker;
-  readonly health: BackendHealth;
   /** Called for each new session, which wants a task that hands out grants. */
   readonly onSession: (session: EntrySession) => void;
 }
@@ -46,6 +45,7 @@
   readonly #options: PermitLedgerOptions;
   readonly #sessions: SessionRegistry;
   readonly #demand = new Demand();
+  readonly #members = new MembershipLog();
   readonly #table: PermitTable;
   readonly #slots: SlotTable;
   readonly #takeover: Takeover;
@@ -55,7 +55,7 @@
   #unknownCount = 0;
 
   constructor(options: PermitLedgerOptions) {
-    const { coordinatorId, leaderSinceMs, entryIds, picker, health } = options;
+    const { coordinatorId, leaderSinceMs, entryIds, picker } = options;
     this.#options = options;
     this.#index = options.fleet.current();
     this.#table = new PermitTable({
@@ -79,9 +79,6 @@
     this.#slots = new SlotTable(this.#index, {
       picker,
       countUsed: (id) => this.#table.countBackend(id),
-      isEjected: ({ announcement, pool }) =>
-        pool !== undefined &&
-        health.isEjected(announcement.backendServerId, pool),
       findVerifiedFromMs: () => this.#takeover.verifiedFromMs,
     });
     this.#rounds = new GrantRounds({
@@ -89,6 +86,7 @@
       demand: this.#demand,
       table: this.#table,
       slots: this.#slots,
+      entryCount: entryIds.length,
       countUnknown: () => this.#unknownCount,
       grant: (want, found) => this.#grant(want, found),
     });
@@ -121,14 +119,14 @@
     this.#refreshIndex(nowMs);
     const session = this.#sessions.findOrOpen(entryId, report, nowMs);
     if (session === undefined) {
-      return this.#createReply(undefined, nowMs);
+      return this.#createReply(undefined, report, nowMs);
     }
     if (!isLate(session, report)) {
       this.#apply(session, report, nowMs);
       this.runRound();
       session.markDelivered();
     }
-    return this.#createReply(session, nowMs);
+    return this.#createReply(session, report, nowMs);
   }
 
   /** Wakes the tasks that hand out grants, so that they end. */
@@ -164,7 +162,6 @@
     for (const relayed of report.announcements) {
       this.#takeAnnouncement(relayed, report, nowMs);
     }
-    report.evidence.forEach((evidence) => this.#takeEvidence(evidence));
     this.#demand.remove(session);
     session.replaceWants(report, nowMs);
     this.#demand.add(session);
@@ -205,25 +202,18 @@
     const { backendServerId } = announcement;
     if (this.#slots.accept(announcement, heardAtMs, nowMs)) {
       const pool = this.#slots.find(backendServerId)?.pool ?? "";
+      this.#members.record(announcement);
       this.#table.observe(announcement, heardAtMs);
       this.#takeover.adopt(announcement, pool, this.#findMaxRunMs(), nowMs);
     }
   }
 
-  #takeEvidence(evidence: BackendEvidence): void {
-    const pool = this.#slots.find(evidence.backendServerId)?.pool;
-    if (pool !== undefined) {
-      this.#options.health.record({ ...evidence, pool });
-    }
-  }
-
   #grant(want: EntryWant, found: FoundSlot): void {
-    const { coordinatorId, entryIds } = this.#options;
+    const { coordinatorId } = this.#options;
     this.#permitCount += 1;
     const grant = createGrant(want, found, {
       coordinatorId,
       permitNumber: this.#permitCount,
-      entryCount: entryIds.length,
       maxRunningCount: this.#index.findTeam(want.team)?.resource
         .maxRunningCount,
     });
@@ -231,7 +221,11 @@
     want.session.addGrant(grant);
   }
 
-  #createReply(session: EntrySession | undefined, nowMs: number): PermitReply {
+  #createReply(
+    session: EntrySession | undefined,
+    report: PermitReport,
+    nowMs: number,
+  ): PermitReply {
     const teams = new Set(session?.wants.map(({ team }) => team));
     const queues = new Set(session?.wants.map(({ queue }) => queue));
     const { freshUntilMs } = this.#options.agreement.status();
@@ -251,6 +245,7 @@
       contended: !this.#demand.listTeams().next().done,
       contendingTeams: this.#rounds.listContending(this.#index),
       takingOver: this.#takeover.isRunning(nowMs),
+      ...this.#members.listSince(report.membershipVersion),
       leavingBackendIds: this.#slots.listLeaving(),
     };
   }
@@ -284,9 +279,14 @@
 
   #forgetSilent(nowMs: number): void {
     for (const { announcement, heardAtMs } of this.#slots.listAll()) {
-      if (heardAtMs < nowMs - FORGET_BACKEND_MS) {
-        this.#slots.forget(announcement.backendServerId);
-        this.#table.forgetBackend(announcement.backendServerId);
+      const { backendServerId } = announcement;
+      const silentMs = nowMs - heardAtMs;
+      if (silentMs > ANNOUNCEMENT_TTL_MS) {
+        this.#members.recordSilent(backendServerId);
+      }
+      if (silentMs > FORGET_BACKEND_MS) {
+        this.#slots.forget(backendServerId);
+        this.#table.forgetBackend(backendServerId);
       }
     }
   }
--- a/src/services/permits/permit_messages.ts
+++ b/src/services/permits/permit_messages.ts
@@ -47,13 +47,6 @@
   ageMs: durationMsSchema,
 });
 
-/** Schema of {@link BackendEvidence}. */
-export const backendEvidenceSchema = v.object({
-  backendServerId: v.string(),
-  healthyCount: countSchema,
-  unhealthyCount: countSchema,
-});
-
 /** Schema of {@link PermitReport}. */
 export const permitReportSchema = v.object({
   /** Wall-clock time at which the entry's process started; names its run. */
@@ -78,10 +71,8 @@
     v.array(relayedAnnouncementSchema),
     v.maxLength(MAX_LIST_LENGTH),
   ),
-  evidence: v.pipe(
-    v.array(backendEvidenceSchema),
-    v.maxLength(MAX_LIST_LENGTH),
-  ),
+  /** Version of the set of backend servers that the entry has. */
+  membershipVersion: countSchema,
   /** Time since the last answer arrived, in milliseconds. */
   sinceReplyMs: durationMsSchema,
   /** Time of the coordinator in that answer, on its own monotonic clock. */
@@ -97,8 +88,6 @@
   /** The team's upper limit at the time; undefined without a limit. */
   maxRunningCount: v.optional(countSchema),
   backend: announcementSchema,
-  /** Idle connections that the entry may keep to the backend server. */
-  idleConnectionCount: countSchema,
 });
 
 /** Schema of {@link PermitReply}. */
@@ -120,6 +109,11 @@
   contendingTeams: v.array(v.string()),
   /** True while a new coordinator grants nothing; entries keep what they have. */
   takingOver: v.boolean(),
+  membershipVersion: countSchema,
+  /** Backend servers that are new or changed since the report's version. */
+  members: v.array(announcementSchema),
+  /** Backend servers that have gone silent since. */
+  silentBackendIds: v.array(v.string()),
   /** Backend servers that get nothing more. */
   leavingBackendIds: v.array(v.string()),
 });
@@ -140,8 +134,6 @@
 export type RelayedAnnouncement = v.InferOutput<
   typeof relayedAnnouncementSchema
 >;
-/** How attempts at one backend server ended since the last report. */
-export type BackendEvidence = v.InferOutput<typeof backendEvidenceSchema>;
 /** What an entry tells the coordinator. */
 export type PermitReport = v.InferOutput<typeof permitReportSchema>;
 /** A permit as the coordinator grants it. */
--- a/src/services/permits/permit_reporter.ts
+++ b/src/services/permits/permit_reporter.ts
@@ -134,7 +134,11 @@
     source.takeReply(reply, askedAtMs);
     if (reply.mustReopen) {
       this.#hasNews = true;
-    } else if (report.sessionId === undefined) {
+      return;
+    }
+    const isOpening = report.sessionId === undefined;
+    directory.takeMembers({ ...reply, isWhole: isOpening });
+    if (isOpening) {
       directory.relayAll();
       this.#hasNews = true;
     }
@@ -155,7 +159,9 @@
       wants: waiting.listWants(nowMs),
       // Their age can be told only in the time of an open session.
       announcements: sessionId === undefined ? [] : directory.takeUnrelayed(),
-      evidence: holdings.takeEvidence(),
+      membershipVersion: sessionId === undefined
+        ? 0
+        : view.reply?.membershipVersion ?? 0,
       sinceReplyMs: Math.max(0, nowMs - view.repliedAtMs),
       repliedAtMs: view.reply?.repliedAtMs ?? 0,
     };
--- a/src/services/permits/slot_table.ts
+++ b/src/services/permits/slot_table.ts
@@ -16,7 +16,6 @@
   | "silent"
   | "notServing"
   | "zoneOut"
-  | "ejected"
   | "unverified";
 
 /** A backend server as the coordinator knows it. */
@@ -34,8 +33,6 @@
   readonly picker: BackendPicker;
   /** Counts the slots in use at a backend server. */
   readonly countUsed: (backendServerId: string) => number;
-  /** Tells whether evidence keeps new work away from a backend server. */
-  readonly isEjected: (record: SlotRecord) => boolean;
   /** Monotonic time from which announcements show all that runs. */
   readonly findVerifiedFromMs: () => number;
 }
@@ -225,7 +222,7 @@
     if (record.heardAtMs < this.#options.findVerifiedFromMs()) {
       return "unverified";
     }
-    return this.#options.isEjected(record) ? "ejected" : undefined;
+    return undefined;
   }
 
   // Most picks find an allowed one at once; only a request that was refused by
--- a/src/testing/permit_fleet.ts
+++ b/src/testing/permit_fleet.ts
@@ -2,7 +2,6 @@
 import type { Result } from "true-myth";
 import * as v from "valibot";
 import {
-  AlwaysHealthy,
   type BackendPicker,
   FleetIndexCache,
   type ShareAllocator,
@@ -102,7 +101,6 @@
       entryIds,
       allocator: allocator ?? new WeightedMaxMinAllocator(),
       picker: picker ?? new TwoChoicesPicker(random),
-      health: new AlwaysHealthy(),
       pushToSelf: (push) => source.takeGrants(push),
     });
     const reporter = new PermitReporter({ ...shared, source, coordinator });
--- a/src/testing/recording_backend.ts
+++ b/src/testing/recording_backend.ts
@@ -20,6 +20,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly slotCount?: number;
+  readonly connectionCount?: number;
   /** Called when an attempt has just started. */
   readonly onStart?: (backend: RecordingBackend, attempt: FakeAttempt) => void;
 }
@@ -47,7 +48,8 @@
 
   /** What the next announcement says. */
   get announcement(): Announcement {
-    const { backendServerId, vm, slotCount = 8 } = this.#options;
+    const { backendServerId, vm, slotCount = 8, connectionCount = 64 } =
+      this.#options;
     return {
       backendServerId,
       sequence: this.#sequence,
@@ -55,7 +57,7 @@
       host: "127.0.0.1",
       port: 1,
       slotCount,
-      connectionCount: 64,
+      connectionCount,
       leaving: this.isLeaving,
       running: [...this.#running.values()].map(({ attemptId, team }) => ({
         attemptId,
