--- a/src/testing/index.ts
+++ b/src/testing/index.ts
@@ -1,4 +1,5 @@
 /** What tests, quickstart and bench share. */
+export * from "./controller_world.ts";
 export * from "./daemon_cluster.ts";
 export * from "./daemon_process.ts";
 export * from "./describe.ts";
@@ -9,10 +10,12 @@
 export * from "./fake_entry.ts";
 export * from "./fake_file_system.ts";
 export * from "./fake_leadership.ts";
+export * from "./fake_log.ts";
 export * from "./fake_network.ts";
 export * from "./fake_permits.ts";
 export * from "./fake_ports.ts";
 export * from "./free_port.ts";
 export * from "./permit_fleet.ts";
 export * from "./recording_backend.ts";
+export * from "./replica_history.ts";
 export * from "./test_runner.ts";
