--- a/src/services/permits/slot_table.ts
+++ b/src/services/permits/slot_table.ts
@@ -16,7 +16,6 @@
   | "silent"
   | "notServing"
   | "zoneOut"
-  | "ejected"
   | "unverified";
 
 /** A backend server as the coordinator knows it. */
@@ -34,8 +33,6 @@
   readonly picker: BackendPicker;
   /** Counts the slots in use at a backend server. */
   readonly countUsed: (backendServerId: string) => number;
-  /** Tells whether evidence keeps new work away from a backend server. */
-  readonly isEjected: (record: SlotRecord) => boolean;
   /** Monotonic time from which announcements show all that runs. */
   readonly findVerifiedFromMs: () => number;
 }
@@ -46,6 +43,7 @@
   readonly #records = new Map<string, SlotRecord>();
   readonly #freeByPool = new Map<string, FreeList>();
   readonly #openCountByPool = new Map<string, number>();
+  readonly #leavingIds = new Set<string>();
   #index: FleetIndex;
 
   /**
@@ -76,6 +74,11 @@
       return false;
     }
     this.#close(backendServerId);
+    if (announcement.leaving) {
+      this.#leavingIds.add(backendServerId);
+    } else {
+      this.#leavingIds.delete(backendServerId);
+    }
     this.#records.set(backendServerId, {
       announcement,
       heardAtMs,
@@ -97,6 +100,11 @@
     return [...this.#records.values()];
   }
 
+  /** Lists the ids of the backend servers that leave. */
+  listLeaving(): string[] {
+    return [...this.#leavingIds];
+  }
+
   /** Tells whether a pool has a backend server that may get new work. */
   isServed(pool: string): boolean {
     return (this.#openCountByPool.get(pool) ?? 0) > 0;
@@ -190,6 +198,7 @@
    */
   forget(backendServerId: string): void {
     this.#close(backendServerId);
+    this.#leavingIds.delete(backendServerId);
     this.#records.delete(backendServerId);
   }
 
@@ -213,7 +222,7 @@
     if (record.heardAtMs < this.#options.findVerifiedFromMs()) {
       return "unverified";
     }
-    return this.#options.isEjected(record) ? "ejected" : undefined;
+    return undefined;
   }
 
   // Most picks find an allowed one at once; only a request that was refused by
