--- a/src/bench/recovery.ts
+++ b/src/bench/recovery.ts
@@ -20,6 +20,7 @@
 const POLL_MS = 20;
 const REPAIR_DEADLINE_MS = 20_000;
 const DATA_FOLDER = "data";
+const MEMBERSHIP_CHANGE_COUNT = 2;
 
 /** Restart and repair of a voter. */
 export class RecoveryMeasurement implements Measurement {
@@ -46,7 +47,7 @@
     }
     const restartMs = await restart(deployment, replaced, log);
     context.report(`restart after ${Math.round(restartMs)} ms`);
-    const replacedVoterMs = await replaceDisk(deployment, replaced);
+    const replacedVoterMs = await replaceDisk(deployment, leader, replaced);
     context.report(
       `the new disk votes after ${Math.round(replacedVoterMs)} ms`,
     );
@@ -103,14 +104,16 @@
 
 async function replaceDisk(
   deployment: Deployment,
+  leader: DeployedEntry,
   entry: DeployedEntry,
 ): Promise<number> {
   const clock = new SystemClock();
   await entry.daemon.kill();
   await rm(join(entry.plan.folder, DATA_FOLDER), { recursive: true });
+  const beforeIndex = await readCommitIndex(deployment, leader);
   const startedAtMs = clock.monotonicMs();
   await deployment.restart(entry);
-  while (!(await isVoter(deployment, entry))) {
+  while (!(await isRepaired(deployment, leader, entry, beforeIndex))) {
     if (clock.monotonicMs() - startedAtMs > REPAIR_DEADLINE_MS) {
       throw new Error(`${entry.plan.entryId} does not vote again in time`);
     }
@@ -119,11 +122,27 @@
   return clock.monotonicMs() - startedAtMs;
 }
 
-async function isVoter(
+// The role alone does not tell: the old disk was a voter too. The new one
+// counts once two changes of the membership are committed.
+async function isRepaired(
   deployment: Deployment,
+  leader: DeployedEntry,
   entry: DeployedEntry,
+  beforeIndex: number,
 ): Promise<boolean> {
-  const roles = await deployment.operator.readRoles(entry.plan.url);
-  const role = roles.get(entry.plan.entryId);
-  return role === "voter" || role === "leader";
+  const commitIndex = await readCommitIndex(deployment, leader);
+  const roles = await deployment.operator.readRoles(leader.plan.url);
+  return commitIndex >= beforeIndex + MEMBERSHIP_CHANGE_COUNT &&
+    roles.get(entry.plan.entryId) === "voter";
+}
+
+async function readCommitIndex(
+  { operator }: Deployment,
+  { plan }: DeployedEntry,
+): Promise<number> {
+  const status = await operator.readStatus(plan.url);
+  if (status.isErr) {
+    throw new Error(`${plan.entryId}: ${status.error.message}`);
+  }
+  return status.value.commitIndex;
 }
--- a/src/stand_ins/deployment_operator.ts
+++ b/src/stand_ins/deployment_operator.ts
@@ -23,6 +23,7 @@
 const looseStatusSchema = v.looseObject({
   ...statusSchema.entries,
   leaderId: v.optional(v.string()),
+  commitIndex: v.number(),
 });
 
 const roleListSchema = v.looseObject({
