--- a/src/domain/fleet_state.ts
+++ b/src/domain/fleet_state.ts
@@ -1,8 +1,9 @@
 /** The durable state that the replicated log builds, the same on every entry. */
 import { Result } from "true-myth";
+import { findAssignmentConflict } from "./assignment.ts";
 import { dropOldest } from "./bounded_map.ts";
-import { ClaimTable } from "./claim_table.ts";
 import type { Change, ResourceRef } from "./change.ts";
+import { ClaimTable } from "./claim_table.ts";
 import type { Claim, Command, VmAssignment } from "./command.ts";
 import type { DecisionRecord } from "./decision_record.ts";
 import { createFailure, type Failure } from "./errors.ts";
@@ -244,20 +245,14 @@
   }
 
   #applyAssignment(command: Extract<Command, { type: "assign" }>): Applied {
-    const { assignment, expectedOperationId, record } = command;
+    const { assignment, record } = command;
     const current = this.#assignments.get(assignment.vm);
     if (current?.operationId === assignment.operationId) {
       return this.#done();
     }
-    if (current?.operationId !== expectedOperationId) {
-      return Result.err(
-        createFailure(
-          "conflict",
-          `vm/${assignment.vm} is at step ${
-            current?.operationId ?? "none"
-          }, not ${expectedOperationId ?? "none"}`,
-        ),
-      );
+    const conflict = findAssignmentConflict(command, this);
+    if (conflict !== undefined) {
+      return Result.err(conflict);
     }
     this.#assignments.set(assignment.vm, assignment);
     this.#placementVersion += 1;
--- a/src/services/requests/request_service.ts
+++ b/src/services/requests/request_service.ts
@@ -120,10 +120,18 @@
       ...admitted,
       contentDigest,
       claim,
+      findRefusal: () => this.#findRefusal(request),
       waitMs: 0,
     }));
   }
 
+  // The key may have been withdrawn while the request waited.
+  #findRefusal(request: CallerRequest): Failure | undefined {
+    const { admission, fleet } = this.#options;
+    const admitted = admission.admit(fleet.current(), request);
+    return admitted.isErr ? admitted.error.failure : undefined;
+  }
+
   #createClaim(
     { request, admission }: AdmittedRequest,
     contentDigest: string,
--- a/src/testing/fake_entry.ts
+++ b/src/testing/fake_entry.ts
@@ -22,7 +22,6 @@
   ClaimService,
   DecisionRecorder,
   GuardedPermitSource,
-  LocalPermitSource,
   OutcomeRecorder,
   RequestHistory,
   RequestService,
@@ -30,6 +29,7 @@
 import { TaskGroup } from "../tasks/index.ts";
 import type { FakeAgreement } from "./fake_agreement.ts";
 import type { FakeClock } from "./fake_clock.ts";
+import { FakePermitSource } from "./fake_permits.ts";
 import { FakeLogger, FakeMetrics } from "./fake_ports.ts";
 
 const ANNOUNCE_MS = 1_000;
@@ -115,7 +115,7 @@
   const permits = new GuardedPermitSource({
     clock,
     policy: options.overload ?? new WaitTimePolicy(),
-    permits: new LocalPermitSource({
+    permits: new FakePermitSource({
       ...base,
       directory,
       random,
