Explain the present state, plan a change, learn sizes and relieve pressure

Change: explain says where a subject stands and by which labels before it lists records; POST /v1/plan and 'cardamomsill plan' run the controller's decision classes on a copy of the state; maintenance forecasts; smoothed return of zones; sizes by quantiles from usage; throttle, checkpoint, stop. Measured: 16 fault cases of the controller pass (clashing selectors, cordon, drain deadline, force label, budgets, stuck VM, cancelled wave, peaks); the daemon test plans, makes and explains a move over HTTP.

--- a/src/adapters/http/index.ts
+++ b/src/adapters/http/index.ts
@@ -5,3 +5,4 @@
 export * from "./health_routes.ts";
 export * from "./http_server.ts";
 export * from "./operator_routes.ts";
+export * from "./plan_routes.ts";
--- a/src/adapters/http/operator_routes.ts
+++ b/src/adapters/http/operator_routes.ts
@@ -25,7 +25,8 @@
 } from "./exchange.ts";
 import type { HttpServer } from "./http_server.ts";
 
-const MAX_CHANGE_BYTES = 1_024 * 1_024;
+/** Largest change of configuration that is taken, in bytes. */
+export const MAX_CHANGE_BYTES = 1_024 * 1_024;
 const WATCH_IDLE_MS = 15_000;
 
 const newKeySchema = v.strictObject({
@@ -43,7 +44,8 @@
   readonly agreement: Agreement;
 }
 
-type OperatorHandler = (
+/** Handles a call of an authenticated operator. */
+export type OperatorHandler = (
   exchange: Exchange,
   operator: Operator,
 ) => Promise<void>;
@@ -59,7 +61,7 @@
   options: OperatorRoutesOptions,
 ): void {
   const guard = (handler: OperatorHandler) => (exchange: Exchange) =>
-    serveOperator(exchange, options, handler);
+    serveOperator(exchange, options.operators, handler);
   server.route(
     ["POST"],
     "/v1/changes",
@@ -97,12 +99,19 @@
   );
 }
 
-async function serveOperator(
+/**
+ * Serves a call when it shows an operator's key.
+ *
+ * @param exchange - The call.
+ * @param operators - Authenticates the key.
+ * @param handler - Handles the call of an operator.
+ */
+export async function serveOperator(
   exchange: Exchange,
-  options: OperatorRoutesOptions,
+  operators: OperatorService,
   handler: OperatorHandler,
 ): Promise<void> {
-  const operator = options.operators.authenticate(readSecret(exchange.request));
+  const operator = operators.authenticate(readSecret(exchange.request));
   if (operator.isErr) {
     sendFailure(exchange.response, operator.error);
     return;
--- a/src/cli/api/schemas.ts
+++ b/src/cli/api/schemas.ts
@@ -1,6 +1,10 @@
 /** Schemas of the answers that the command line reads. */
 import * as v from "valibot";
-import { decisionRecordSchema, resourceSchema } from "../../domain/index.ts";
+import {
+  decisionCauseSchema,
+  decisionRecordSchema,
+  resourceSchema,
+} from "../../domain/index.ts";
 
 /** Schema of a resource with the change that set it. */
 export const storedResourceSchema = v.object({
@@ -27,9 +31,35 @@
 export const explanationSchema = v.object({
   subject: v.string(),
   summary: v.optional(v.string()),
+  present: v.optional(v.object({
+    lines: v.array(v.string()),
+    causes: v.array(decisionCauseSchema),
+  })),
   records: v.array(decisionRecordSchema),
 });
 
+/** Schema of a plan. */
+export const planSchema = v.object({
+  revision: v.number(),
+  actions: v.array(v.object({
+    vm: v.string(),
+    actionId: v.string(),
+    pool: v.string(),
+    targetPool: v.optional(v.string()),
+    summary: v.string(),
+    waitsFor: v.optional(v.string()),
+  })),
+  clashes: v.array(v.string()),
+  budgets: v.array(v.string()),
+  zonesOut: v.array(v.string()),
+  zonesBack: v.array(v.string()),
+  lostWork: v.array(v.object({
+    team: v.string(),
+    queue: v.string(),
+    reason: v.string(),
+  })),
+});
+
 /** Schema of an entry's status. */
 export const statusSchema = v.looseObject({
   entryId: v.string(),
@@ -43,3 +73,5 @@
 export type StoredResourceAnswer = v.InferOutput<typeof storedResourceSchema>;
 /** An explanation as the entry gives it. */
 export type ExplanationAnswer = v.InferOutput<typeof explanationSchema>;
+/** A plan as the entry gives it. */
+export type PlanAnswer = v.InferOutput<typeof planSchema>;
--- a/src/cli/commands/index.ts
+++ b/src/cli/commands/index.ts
@@ -5,5 +5,6 @@
 export * from "./key_create.ts";
 export * from "./key_withdraw.ts";
 export * from "./label.ts";
+export * from "./plan.ts";
 export * from "./status.ts";
 export * from "./watch.ts";
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -15,6 +15,7 @@
 cli.register(commands.KeyCreateCommand);
 cli.register(commands.KeyWithdrawCommand);
 cli.register(commands.LabelCommand);
+cli.register(commands.PlanCommand);
 cli.register(commands.StatusCommand);
 cli.register(commands.WatchCommand);
 cli.register(Builtins.HelpCommand);
--- a/src/cli/output/explanation.ts
+++ b/src/cli/output/explanation.ts
@@ -9,14 +9,24 @@
  * @returns One block for each decision.
  */
 export function renderExplanation(explanation: ExplanationAnswer): string {
-  const { subject, summary, records } = explanation;
+  const { subject, summary, present, records } = explanation;
   const head = summary === undefined
     ? `${subject}\n`
     : `${subject}: ${summary}\n`;
+  const now = present === undefined ? "" : renderPresent(present);
   if (records.length === 0) {
-    return `${head}  no automated action is on record\n`;
+    return `${head}${now}  no automated action is on record\n`;
   }
-  return head + records.map(renderRecord).join("");
+  return head + now + records.map(renderRecord).join("");
+}
+
+function renderPresent(
+  { lines, causes }: NonNullable<ExplanationAnswer["present"]>,
+): string {
+  return [
+    ...lines.map((line) => `now: ${line}`),
+    ...causes.map((cause) => `    because ${renderCause(cause)}`),
+  ].map((line) => `  ${line}\n`).join("");
 }
 
 function renderRecord(record: DecisionRecord): string {
--- a/src/cli/output/index.ts
+++ b/src/cli/output/index.ts
@@ -1,3 +1,4 @@
 /** Output for people. */
 export * from "./explanation.ts";
+export * from "./plan.ts";
 export * from "./table.ts";
--- a/src/daemon/create_controller.ts
+++ b/src/daemon/create_controller.ts
@@ -1,12 +1,16 @@
 /** Composes the controller; it works on the leader, where a platform is set. */
 import { HttpPlatform } from "../adapters/platform/index.ts";
 import {
+  type BudgetPolicy,
   DomainBudgetPolicy,
+  EscalatingPressurePolicy,
   type FleetIndexCache,
   HysteresisMovePolicy,
   type PoolDemand,
+  type WavePolicy,
   ZoneByZoneWavePolicy,
 } from "../decisions/index.ts";
+import type { PlatformVm } from "../ports/index.ts";
 import {
   type BackendDirectory,
   Controller,
@@ -22,29 +26,44 @@
   readonly directory: BackendDirectory;
 }
 
+/** What operators' questions are answered from. */
+export interface ControllerParts {
+  readonly budgets: BudgetPolicy;
+  readonly waves: WavePolicy;
+  /** The platform's last report; undefined on entries that do not observe it. */
+  readonly findPlatformVms: () => readonly PlatformVm[] | undefined;
+}
+
 /**
  * Starts the controller when the setting `platformUrl` names a platform.
  *
  * @param options - The parts that it is built from.
+ * @returns The policies that it decides by, and what it last observed.
  */
-export function createController(options: CreateControllerOptions): void {
+export function createController(
+  options: CreateControllerOptions,
+): ControllerParts {
   const { context, recorder, directory } = options;
   const { clock, fleet, settings, tasks } = context;
+  const budgets = new DomainBudgetPolicy();
+  const waves = new ZoneByZoneWavePolicy();
   if (settings.platformUrl === null) {
-    return;
+    return { budgets, waves, findPlatformVms: () => undefined };
   }
   const controller = new Controller({
     ...context,
     platform: new HttpPlatform({ url: settings.platformUrl }),
     recorder,
-    budgets: new DomainBudgetPolicy(),
-    waves: new ZoneByZoneWavePolicy(),
+    budgets,
+    waves,
     moves: new HysteresisMovePolicy(),
+    pressure: new EscalatingPressurePolicy(),
     inForce: new FreshnessLeaseWait(clock),
     countRunning: (vm) => countRunning(directory, vm),
     listDemand: () => listDemand(directory, fleet),
   });
   tasks.startForever("controller", (signal) => controller.run(signal));
+  return { budgets, waves, findPlatformVms: () => controller.platformVms };
 }
 
 function countRunning(directory: BackendDirectory, vm: string): number {
--- a/src/daemon/create_entry.ts
+++ b/src/daemon/create_entry.ts
@@ -51,12 +51,14 @@
   const recorder = createRecorder(context);
   const permitParts = createPermits(context);
   const requestParts = createRequests(context, recorder, permitParts.permits);
-  createController({ context, recorder, directory: permitParts.directory });
+  const { directory } = permitParts;
+  const controllerParts = createController({ context, recorder, directory });
   let isStopping = false;
   const front = await createFront({
     context,
     permitParts,
     requestParts,
+    controllerParts,
     isStopping: () => isStopping,
   });
   const httpPort = await front.start();
--- a/src/daemon/create_front.ts
+++ b/src/daemon/create_front.ts
@@ -5,9 +5,16 @@
   addCallerRoutes,
   addHealthRoutes,
   addOperatorRoutes,
+  addPlanRoutes,
   HttpServer,
 } from "../adapters/http/index.ts";
-import { ExplainService, OperatorService } from "../services/index.ts";
+import {
+  ExplainService,
+  OperatorService,
+  PlanService,
+  PresentState,
+} from "../services/index.ts";
+import type { ControllerParts } from "./create_controller.ts";
 import type { PermitParts } from "./create_permits.ts";
 import type { RequestParts } from "./create_requests.ts";
 import type { EntryContext } from "./entry_context.ts";
@@ -18,6 +25,7 @@
   readonly context: EntryContext;
   readonly permitParts: PermitParts;
   readonly requestParts: RequestParts;
+  readonly controllerParts: ControllerParts;
   /** Tells whether the entry has begun its planned stop. */
   readonly isStopping: () => boolean;
 }
@@ -29,7 +37,8 @@
  * @returns The server.
  */
 export async function createFront(options: FrontOptions): Promise<HttpServer> {
-  const { context, permitParts, requestParts, isStopping } = options;
+  const { context, permitParts, requestParts, controllerParts, isStopping } =
+    options;
   const { settings, secrets } = context;
   const bootstrapDigest = await loadOperatorKey({
     file: resolve(settings.dataFolder ?? ".", settings.operatorKeyFile),
@@ -38,11 +47,14 @@
     secrets,
   });
   const operators = new OperatorService({ ...context, bootstrapDigest });
-  const explain = new ExplainService({ ...context, ...requestParts });
+  const present = new PresentState({ ...context, ...controllerParts });
+  const explain = new ExplainService({ ...context, ...requestParts, present });
+  const plans = new PlanService({ ...context, ...controllerParts });
   const server = new HttpServer({ ...context, ...settings.http });
   addCallerRoutes(server, { ...context, ...requestParts });
   addBackendRoutes(server, permitParts);
   addOperatorRoutes(server, { ...context, operators, explain });
+  addPlanRoutes(server, { operators, plans });
   addHealthRoutes(server, { ...context, isStopping });
   return server;
 }
--- a/src/decisions/fleet/index.ts
+++ b/src/decisions/fleet/index.ts
@@ -1,5 +1,6 @@
 /** Look-ups over the configuration in force. */
 export * from "./fleet_index.ts";
 export * from "./fleet_view.ts";
+export * from "./lost_work.ts";
 export * from "./pool_claims.ts";
 export * from "./zones_out.ts";
--- a/src/decisions/index.ts
+++ b/src/decisions/index.ts
@@ -5,3 +5,4 @@
 export * from "./maintenance/index.ts";
 export * from "./moves/index.ts";
 export * from "./routing/index.ts";
+export * from "./sizing/index.ts";
--- a/src/domain/assignment.ts
+++ b/src/domain/assignment.ts
@@ -36,6 +36,8 @@
   operationId: v.string(),
   /** Wall-clock time at which the step was written. */
   startedAtMs: v.number(),
+  /** Wall-clock time at which the action took the VM out of service. */
+  beganAtMs: v.optional(v.number()),
   purpose: v.optional(assignmentPurposeSchema),
   /** Spare pool that lends the VM while demand elsewhere is high. */
   loanedFrom: v.optional(v.string()),
--- a/src/services/controller/action_starter.ts
+++ b/src/services/controller/action_starter.ts
@@ -107,6 +107,7 @@
       next: {
         ...assignment,
         phase: "cordoned",
+        beganAtMs: this.#options.clock.nowMs(),
         purpose: wish.purpose,
         actionId: wish.actionId,
         targetPool: wish.targetPool,
--- a/src/services/controller/controller.ts
+++ b/src/services/controller/controller.ts
@@ -2,11 +2,12 @@
 import { Result } from "true-myth";
 import { FleetView, type VmView } from "../../decisions/index.ts";
 import type { Failure } from "../../domain/index.ts";
-import type { PlatformTask } from "../../ports/index.ts";
+import type { PlatformTask, PlatformVm } from "../../ports/index.ts";
 import { ActionStarter } from "./action_starter.ts";
 import { Confirmation } from "./confirmation.ts";
 import type { ControllerOptions, Observation } from "./controller_options.ts";
 import { HoldLog } from "./hold_log.ts";
+import { PressureRelief } from "./pressure_relief.ts";
 import { StepWriter } from "./step_writer.ts";
 import { TaskDrainer } from "./task_drainer.ts";
 import { VmStepper } from "./vm_stepper.ts";
@@ -25,6 +26,8 @@
   readonly #holds: HoldLog;
   readonly #stepper: VmStepper;
   readonly #starter: ActionStarter;
+  readonly #relief: PressureRelief;
+  #platformVms: readonly PlatformVm[] | undefined;
   readonly #outages: Confirmation;
 
   constructor(options: ControllerOptions) {
@@ -38,6 +41,12 @@
       drainer: new TaskDrainer(options, this.#holds),
     });
     this.#starter = new ActionStarter(options, this.#writer, this.#holds);
+    this.#relief = new PressureRelief(options, options.pressure, this.#holds);
+  }
+
+  /** The platform's last report; undefined while this entry does not lead. */
+  get platformVms(): readonly PlatformVm[] | undefined {
+    return this.#platformVms;
   }
 
   /**
@@ -47,9 +56,10 @@
    */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
+      const { placementVersion } = this.#options.agreement.state;
       const isBusy = await this.runRound();
       const pauseMs = isBusy ? BUSY_INTERVAL_MS : IDLE_INTERVAL_MS;
-      await this.#options.clock.sleep(pauseMs, signal);
+      await this.#pause(pauseMs, placementVersion, signal);
     }
   }
 
@@ -62,6 +72,7 @@
     const { agreement, logger } = this.#options;
     if (agreement.status().leaderSinceMs === undefined) {
       this.#stepper.forget();
+      this.#platformVms = undefined;
       return false;
     }
     const observation = await this.#observe();
@@ -81,18 +92,37 @@
     );
     this.#refreshChanged(observation.value);
     await this.#starter.start(observation.value);
+    await this.#relief.relieve(observation.value);
     this.#holds.closeUntouched();
     return agreement.state.listAssignments().some(({ phase }) =>
       phase !== "serving"
     );
   }
 
+  // The platform is asked seldom while nothing happens, but a changed label or
+  // selector is acted on soon.
+  async #pause(
+    pauseMs: number,
+    placementVersion: number,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const { agreement, clock } = this.#options;
+    const endMs = clock.monotonicMs() + pauseMs;
+    do {
+      await clock.sleep(BUSY_INTERVAL_MS, signal);
+    } while (
+      !signal.aborted && clock.monotonicMs() < endMs &&
+      agreement.state.placementVersion === placementVersion
+    );
+  }
+
   async #observe(): Promise<Result<Observation, Failure>> {
     const { agreement, platform } = this.#options;
     const vms = await platform.listVms();
     if (vms.isErr) {
       return Result.err(vms.error);
     }
+    this.#platformVms = vms.value;
     const tasks = await platform.listTasks();
     return tasks.map((listed) => ({
       view: new FleetView(agreement.state, vms.value),
--- /dev/null
+++ b/src/services/controller/controller_faults_test.ts
@@ -0,0 +1,253 @@
+import * as assert from "uvu/assert";
+import type { Resource } from "../../domain/index.ts";
+import {
+  beforeEach,
+  ControllerWorld,
+  declarePool,
+  declareVm,
+  describe,
+  it,
+  type RunningController,
+} from "../../testing/index.ts";
+
+const DAY_MS = 86_400_000;
+const ONE_AT_A_TIME = [{ domain: "pool" as const, maxUnavailableVmCount: 1 }];
+
+function declareTask(taskId: string, checkpointable: boolean) {
+  return {
+    taskId,
+    vm: "v1",
+    team: "fitting",
+    queue: "swings",
+    priority: 0,
+    checkpointable,
+    usedCores: 1,
+    usedMemoryMb: 1,
+    runMs: 0,
+  };
+}
+
+function declareReboot(changes: Partial<Resource> = {}): Resource {
+  return {
+    kind: "maintenance",
+    name: "kernel",
+    labels: {},
+    action: "reboot",
+    vmSelector: { zone: ["a", "b"] },
+    drainDeadlineMs: 30_000,
+    cancelled: false,
+    ...changes,
+  } as Resource;
+}
+
+describe("controller actions", () => {
+  let world: ControllerWorld;
+  let controller: RunningController;
+
+  beforeEach(async () => {
+    world = new ControllerWorld(6);
+    // The stand-in would hide a reboot that comes too early.
+    world.platform.refusesUndrained = false;
+    world.declare([
+      { kind: "zone", name: "a", labels: {}, region: "r" },
+      { kind: "zone", name: "b", labels: {}, region: "r" },
+      declarePool("studio", { budgets: ONE_AT_A_TIME }),
+      declarePool("workshop", { spare: true }),
+      declareVm("v1", "a", "rack-1", "studio"),
+      declareVm("v2", "a", "rack-2", "studio"),
+      declareVm("v3", "b", "rack-1", "studio"),
+      declareVm("v4", "b", "rack-2", "workshop"),
+    ]);
+    controller = world.startController();
+    await world.run([controller], 2);
+  });
+
+  describe("a VM that no single selector claims", () => {
+    const cases: [string, Resource[], RegExp][] = [
+      [
+        "claimed twice",
+        [declarePool("portal", { vmSelector: { pool: ["studio"] } })],
+        /pool\/studio and pool\/portal all claim vm\/v1; it stays/,
+      ],
+      [
+        "claimed by none",
+        [declareVm("v1", "a", "rack-1", "nowhere")],
+        /no pool's selector claims vm\/v1; it stays in pool\/studio/,
+      ],
+    ];
+    for (const [title, change, summary] of cases) {
+      it(`${title} stays and is told once`, async () => {
+        world.log.declare(change);
+        await world.run([controller], 10);
+        assert.is(world.assignment("v1").phase, "serving");
+        assert.is(world.assignment("v1").pool, "studio");
+        const holds = world.records("vm/v1", "hold");
+        assert.is(holds.length, 1);
+        assert.match(holds[0]?.summary ?? "", summary);
+        assert.ok(holds[0]?.causes.some(({ setBy }) => setBy === "key/alba"));
+      });
+    }
+  });
+
+  describe("the cordon", () => {
+    it("is in force for the freshness lease before anything drains", async () => {
+      world.relabel("v1", { pool: "workshop" });
+      await world.run([controller], 1);
+      assert.is(world.assignment("v1").phase, "cordoned");
+      await world.run([controller], 3);
+      assert.is(world.platform.findState("v1"), "up");
+      assert.is(world.assignment("v1").phase, "cordoned");
+    });
+
+    it("is waited for again by a controller that takes over", async () => {
+      world.relabel("v1", { pool: "workshop" });
+      await world.run([controller], 3);
+      await world.run([world.startController()], 3);
+      assert.is(world.assignment("v1").phase, "cordoned");
+    });
+  });
+
+  describe("work on a draining VM", () => {
+    it("is checkpointed when it can be", async () => {
+      world.platform.addTask(declareTask("t1", true));
+      world.relabel("v1", { pool: "workshop" });
+      await world.run([controller], 60);
+      assert.equal(world.platform.taskActions, ["checkpoint t1"]);
+      assert.is(world.assignment("v1").pool, "workshop");
+      assert.is(world.records("vm/v1", "checkpoint").length, 1);
+    });
+
+    it("is waited for beyond the deadline, which is told once", async () => {
+      world.platform.addTask(declareTask("t1", false));
+      const studio = { vmSelector: { pool: ["studio"] } };
+      world.log.declare([declareReboot(studio)]);
+      await world.run([controller], 120);
+      assert.equal(world.platform.reboots, []);
+      assert.equal(world.platform.taskActions, []);
+      const [hold, ...more] = world.records("vm/v1", "hold");
+      assert.match(hold?.summary ?? "", /after its drain deadline/);
+      assert.match(hold?.rejected.join() ?? "", /force=true/);
+      assert.is(more.length, 0);
+      world.platform.endTask("t1");
+      await world.run([controller], 60);
+      assert.is(world.platform.reboots[0]?.cutCount, 0);
+    });
+
+    it("is stopped after the deadline under the label force=true", async () => {
+      world.platform.addTask(declareTask("t1", false));
+      world.log.declare([declareReboot({ labels: { force: "true" } })]);
+      await world.run([controller], 30);
+      assert.equal(world.platform.taskActions, []);
+      await world.run([controller], 40);
+      assert.equal(world.platform.taskActions, ["stop t1"]);
+      const [stop] = world.records("vm/v1", "stop");
+      assert.is(stop?.causes[0]?.field, "labels.force");
+    });
+  });
+
+  describe("a budget", () => {
+    it("lets one of two moves wait, and says for what", async () => {
+      world.relabel("v1", { pool: "workshop" });
+      world.relabel("v2", { pool: "workshop" });
+      await world.run([controller], 2);
+      assert.is(world.assignment("v2").phase, "serving");
+      const [hold] = world.records("vm/v2", "hold");
+      assert.match(hold?.summary ?? "", /1 of at most 1 .*vm\/v1 is cordoned/);
+      await world.run([controller], 120);
+      assert.is(world.assignment("v2").pool, "workshop");
+    });
+
+    const losses: ["down" | "rebooting", string][] = [
+      ["down", "an unplanned loss"],
+      ["rebooting", "an unplanned reboot"],
+    ];
+    for (const [state, title] of losses) {
+      it(`is spent by ${title}, which is told`, async () => {
+        world.platform.setState("v3", state);
+        world.relabel("v1", { pool: "workshop" });
+        await world.run([controller], 10);
+        assert.is(world.assignment("v1").phase, "serving");
+        const [told] = world.records("vm/v3", "ejection");
+        assert.match(told?.summary ?? "", /counts as unavailable/);
+        world.platform.setState("v3", "up");
+        await world.run([controller], 60);
+        assert.is(world.assignment("v1").pool, "workshop");
+      });
+    }
+  });
+
+  describe("a wave", () => {
+    it("reboots every VM once, one after the other", async () => {
+      world.log.declare([declareReboot()]);
+      await world.run([controller], 200);
+      const rebooted = world.platform.reboots.map(({ vm }) => vm).toSorted();
+      assert.equal(rebooted, ["v1", "v2", "v3", "v4"]);
+    });
+
+    it("stops when a VM does not come back, and says so", async () => {
+      const budgets = [
+        { domain: "pool" as const, maxUnavailableVmCount: 3 },
+        { domain: "zone" as const, maxUnavailableVmCount: 1 },
+      ];
+      const studio = { vmSelector: { pool: ["studio"], zone: ["a"] } };
+      world.log.declare([declarePool("studio", { budgets })]);
+      world.platform.stuckVms.add("v1");
+      world.log.declare([declareReboot(studio)]);
+      await world.run([controller], 700);
+      // The budget would let a VM of the other zone go now.
+      world.log.declare([declareReboot({ vmSelector: { pool: ["studio"] } })]);
+      await world.run([controller], 60);
+      assert.equal(world.platform.reboots.map(({ vm }) => vm), ["v1"]);
+      const told = world.records("vm/v1", "hold").map(({ summary }) => summary);
+      assert.match(told.join("\n"), /did not come back after its reboot/);
+      const action = world.records("action/maintenance.kernel", "hold");
+      assert.match(action.at(-1)?.summary ?? "", /no further VM is taken/);
+    });
+
+    it("that is cancelled half way puts the VM back", async () => {
+      world.platform.addTask(declareTask("t1", false));
+      const studio = { vmSelector: { pool: ["studio"] } };
+      world.log.declare([declareReboot(studio)]);
+      await world.run([controller], 10);
+      assert.is(world.assignment("v1").phase, "draining");
+      world.log.declare([declareReboot({ ...studio, cancelled: true })]);
+      await world.run([controller], 10);
+      assert.is(world.assignment("v1").phase, "serving");
+      assert.is(world.platform.findState("v1"), "up");
+      assert.equal(world.platform.reboots, []);
+    });
+
+    it("maintains all VMs within two weeks without being asked", async () => {
+      await world.clock.advance(7 * DAY_MS);
+      await world.run([controller], 200);
+      assert.is(world.platform.reboots.length, 4);
+    });
+  });
+
+  describe("capacity", () => {
+    const high = [{ pool: "studio", busySlotCount: 23, slotCount: 24 }];
+    const low = [{ pool: "studio", busySlotCount: 2, slotCount: 32 }];
+
+    it("stays where it is while a peak lasts seconds", async () => {
+      for (let peak = 0; peak < 10; peak += 1) {
+        world.demand = high;
+        await world.run([controller], 30);
+        world.demand = low;
+        await world.run([controller], 60);
+      }
+      assert.equal(world.platform.reboots, []);
+    });
+
+    it("moves from the spare pool for lasting demand, and back", async () => {
+      world.demand = high;
+      await world.run([controller], 700);
+      assert.is(world.assignment("v4").pool, "studio");
+      assert.is(world.assignment("v4").loanedFrom, "workshop");
+      world.demand = low;
+      await world.run([controller], 1_300);
+      assert.is(world.assignment("v4").pool, "workshop");
+      assert.is(world.assignment("v4").loanedFrom, undefined);
+      assert.is(world.platform.reboots.length, 2);
+    });
+  });
+});
--- a/src/services/controller/controller_options.ts
+++ b/src/services/controller/controller_options.ts
@@ -4,6 +4,7 @@
   FleetView,
   MovePolicy,
   PoolDemand,
+  PressurePolicy,
   WavePolicy,
 } from "../../decisions/index.ts";
 import type {
@@ -28,6 +29,7 @@
   readonly budgets: BudgetPolicy;
   readonly waves: WavePolicy;
   readonly moves: MovePolicy;
+  readonly pressure: PressurePolicy;
   readonly inForce: InForceWait;
   /**
    * Counts requests that backend servers of a VM say they are running, so that
--- a/src/services/controller/vm_stepper.ts
+++ b/src/services/controller/vm_stepper.ts
@@ -1,5 +1,6 @@
 /** Takes one VM from step to step: cordon, drain, reboot, join. */
 import {
+  ACTION_DURATION_FIGURE,
   findReboot,
   findWantedPool,
   isMaintenanceWanted,
@@ -182,6 +183,7 @@
     }, {
       action: "join",
       summary: `vm/${vm.name} serves in pool/${pool}`,
+      figures: this.#measure(assignment),
     });
   }
 
@@ -253,6 +255,13 @@
     });
   }
 
+  // Forecasts of maintenance learn from what earlier actions took.
+  #measure({ beganAtMs, bootCount }: VmAssignment): Record<string, number> {
+    return beganAtMs === undefined || bootCount === undefined
+      ? {}
+      : { [ACTION_DURATION_FIGURE]: this.#options.clock.nowMs() - beganAtMs };
+  }
+
   async #goOn(
     { vm, assignment }: BusyVm,
     changes: Partial<VmAssignment>,
--- /dev/null
+++ b/src/services/explain/index.ts
@@ -0,0 +1,2 @@
+/** Explanations of the present state. */
+export * from "./present_state.ts";
--- a/src/services/explain_service.ts
+++ b/src/services/explain_service.ts
@@ -7,6 +7,7 @@
 } from "../domain/index.ts";
 import type { Agreement } from "../ports/index.ts";
 import type { DecisionRecorder } from "./decision_recorder.ts";
+import type { Present, PresentState } from "./explain/index.ts";
 import type { RequestHistory } from "./request_history.ts";
 
 const MAX_EXPLAINED_RECORDS = 50;
@@ -16,6 +17,7 @@
   readonly agreement: Agreement;
   readonly recorder: DecisionRecorder;
   readonly history: RequestHistory;
+  readonly present: PresentState;
 }
 
 /** Why things were done to a subject, newest first. */
@@ -23,6 +25,8 @@
   readonly subject: string;
   /** What became of the request, when the subject is a request. */
   readonly summary: string | undefined;
+  /** Where the subject stands now; undefined for requests and decisions. */
+  readonly present?: Present | undefined;
   readonly records: readonly DecisionRecord[];
 }
 
@@ -49,7 +53,7 @@
       case "decision":
         return this.#explainDecision(subject, name);
       default:
-        return this.#explainResource(subject, sinceMs);
+        return this.#explainResource(kind, name, sinceMs);
     }
   }
 
@@ -87,16 +91,31 @@
   }
 
   #explainResource(
-    subject: string,
+    kind: string,
+    name: string,
     sinceMs: number,
   ): Result<Explanation, Failure> {
+    const subject = `${kind}/${name}`;
+    const present = this.#options.present.describe(kind, name);
     const records = this.#options.agreement.state.listRecords()
       .filter((record) =>
         record.subjects.includes(subject) && record.atMs >= sinceMs
       )
       .reverse()
       .slice(0, MAX_EXPLAINED_RECORDS);
-    return Result.ok({ subject, summary: undefined, records });
+    if (present === undefined && records.length === 0) {
+      return Result.err(
+        createFailure(
+          "notFound",
+          `${subject} does not exist and is not in the audit trail`,
+          {
+            remedy:
+              "name a subject such as vm/NAME, pool/NAME, team/NAME, queue/NAME, zone/NAME, action/ID, request/ID or decision/ID",
+          },
+        ),
+      );
+    }
+    return Result.ok({ subject, summary: undefined, present, records });
   }
 
   #findRecord(decisionId: string): DecisionRecord | undefined {
--- /dev/null
+++ b/src/services/plan_service.ts
@@ -0,0 +1,199 @@
+/** Says beforehand what a change would set in motion, without doing it. */
+import { Result } from "true-myth";
+import * as v from "valibot";
+import {
+  type BudgetPolicy,
+  type BudgetUse,
+  describeClash,
+  describeUse,
+  findLabelMoves,
+  findLostWork,
+  FleetView,
+  type LostWork,
+  type WavePolicy,
+  type Wish,
+} from "../decisions/index.ts";
+import {
+  changeSchema,
+  type Failure,
+  FleetState,
+  validateWith,
+} from "../domain/index.ts";
+import type { Agreement, Clock, PlatformVm } from "../ports/index.ts";
+
+const PLAN_OPERATION_ID = "plan-without-effect";
+
+/** Schema of what is planned: a change without operation id and revision. */
+export const planInputSchema = v.omit(changeSchema, [
+  "operationId",
+  "expectedRevision",
+]);
+
+/** What is planned. */
+export type PlanInput = v.InferOutput<typeof planInputSchema>;
+
+/** Options of {@link PlanService}. */
+export interface PlanServiceOptions {
+  readonly agreement: Agreement;
+  readonly clock: Clock;
+  readonly budgets: BudgetPolicy;
+  readonly waves: WavePolicy;
+  /** The platform's last report; undefined on entries that do not observe it. */
+  readonly findPlatformVms: () => readonly PlatformVm[] | undefined;
+}
+
+/** A VM that the change would drain and reboot. */
+export interface PlannedAction {
+  readonly vm: string;
+  readonly actionId: string;
+  readonly pool: string;
+  readonly targetPool: string | undefined;
+  readonly summary: string;
+  /** Budget that makes it wait; undefined when it would start at once. */
+  readonly waitsFor: string | undefined;
+}
+
+/** What a change would set in motion. */
+export interface Plan {
+  /** Configuration revision that the plan was made on. */
+  readonly revision: number;
+  readonly actions: readonly PlannedAction[];
+  /** VMs that would stay where they are, because selectors clash. */
+  readonly clashes: readonly string[];
+  /** Budgets of the pools concerned, once the first actions have started. */
+  readonly budgets: readonly string[];
+  readonly zonesOut: readonly string[];
+  readonly zonesBack: readonly string[];
+  readonly lostWork: readonly LostWork[];
+}
+
+/** Plans with the decision classes of the controller, on a copy of the state. */
+export class PlanService {
+  readonly #options: PlanServiceOptions;
+
+  constructor(options: PlanServiceOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Plans a change.
+   *
+   * @param input - Resources to declare and to delete, not validated yet.
+   * @returns What it would set in motion, or `invalidInput`.
+   */
+  plan(input: unknown): Result<Plan, Failure> {
+    const planned = validateWith(planInputSchema, input, { subject: "plan" });
+    return planned.andThen((change) => this.#planChange(change));
+  }
+
+  #planChange(change: PlanInput): Result<Plan, Failure> {
+    const { agreement, clock } = this.#options;
+    const before = this.#copy(agreement.state);
+    const after = this.#copy(before);
+    const applied = after.apply({
+      type: "change",
+      operator: "plan",
+      atMs: clock.nowMs(),
+      change: {
+        ...change,
+        operationId: PLAN_OPERATION_ID,
+        expectedRevision: after.revision,
+      },
+    });
+    return applied.map(() => this.#compare(before, after));
+  }
+
+  #compare(before: FleetState, after: FleetState): Plan {
+    const platformVms = this.#options.findPlatformVms();
+    const viewBefore = new FleetView(before, platformVms);
+    const viewAfter = new FleetView(after, platformVms);
+    const labels = findLabelMoves(viewAfter);
+    const wishes = [
+      ...labels.moves,
+      ...this.#findNewReboots(viewBefore, viewAfter),
+    ];
+    const actions = wishes.map((wish) => this.#start(wish, viewAfter));
+    const pools = new Set(actions.map(({ pool }) => pool));
+    const uses = [...pools].flatMap((pool) =>
+      this.#options.budgets.listUses(viewAfter, pool)
+    );
+    const outBefore = [...viewBefore.zonesOut.keys()];
+    const outAfter = [...viewAfter.zonesOut.keys()];
+    return {
+      revision: before.revision,
+      actions,
+      clashes: labels.clashes.map((clash) => describeClash(clash)),
+      budgets: uses.filter(isSpent).map((use) => describeUse(use)),
+      zonesOut: outAfter.filter((zone) => !outBefore.includes(zone)),
+      zonesBack: outBefore.filter((zone) => !outAfter.includes(zone)),
+      lostWork: findLostWork(before, after),
+    };
+  }
+
+  #findNewReboots(before: FleetView, after: FleetView): Wish[] {
+    const { clock, waves } = this.#options;
+    const nowMs = clock.nowMs();
+    const due = new Set(
+      waves.listDue(before, nowMs).map(({ vm, actionId }) =>
+        `${vm.name} ${actionId}`
+      ),
+    );
+    return waves.listDue(after, nowMs).filter(({ vm, actionId }) =>
+      !due.has(`${vm.name} ${actionId}`)
+    );
+  }
+
+  // Starts the action on the copy, so that the next one meets a spent budget.
+  #start(wish: Wish, view: FleetView): PlannedAction {
+    const vm = view.find(wish.vm.name) ?? wish.vm;
+    const exhausted = this.#options.budgets.findExhausted(view, vm);
+    if (exhausted === undefined && vm.assignment?.phase === "serving") {
+      view.state.apply({
+        type: "assign",
+        expectedOperationId: vm.assignment.operationId,
+        assignment: {
+          ...vm.assignment,
+          phase: "cordoned",
+          actionId: wish.actionId,
+          operationId: `${PLAN_OPERATION_ID} ${vm.name}`,
+        },
+      });
+      view.refresh(vm.name);
+    }
+    return {
+      vm: vm.name,
+      actionId: wish.actionId,
+      pool: vm.pool ?? "",
+      targetPool: wish.targetPool,
+      summary: wish.summary,
+      waitsFor: exhausted && describeUse(exhausted),
+    };
+  }
+
+  // VMs that no controller has adopted yet move like adopted ones.
+  #copy(state: FleetState): FleetState {
+    const copy = FleetState.restore(state.toSnapshot());
+    for (const { name, pool, assignment } of new FleetView(copy).list()) {
+      if (assignment === undefined && pool !== undefined) {
+        copy.apply({
+          type: "assign",
+          assignment: {
+            vm: name,
+            pool,
+            phase: "serving",
+            actionId: `adopt.${name}`,
+            operationId: `${PLAN_OPERATION_ID} adopt ${name}`,
+            startedAtMs: this.#options.clock.nowMs(),
+            maintainedAtMs: this.#options.clock.nowMs(),
+            maintainedRevision: copy.revision,
+          },
+        });
+      }
+    }
+    return copy;
+  }
+}
+
+function isSpent({ unavailable }: BudgetUse): boolean {
+  return unavailable.length > 0;
+}
--- a/src/testing/controller_world.ts
+++ b/src/testing/controller_world.ts
@@ -2,6 +2,7 @@
 import { SeededRandom } from "../adapters/random/index.ts";
 import {
   DomainBudgetPolicy,
+  EscalatingPressurePolicy,
   HysteresisMovePolicy,
   type MovePolicy,
   type PoolDemand,
@@ -97,6 +98,7 @@
       budgets: new DomainBudgetPolicy(),
       waves: new ZoneByZoneWavePolicy(),
       moves: this.moves(),
+      pressure: new EscalatingPressurePolicy(),
       inForce: new FreshnessLeaseWait(this.clock),
       countRunning: () => 0,
       listDemand: () => this.demand,
