--- a/src/daemon/create_front.ts
+++ b/src/daemon/create_front.ts
@@ -3,6 +3,7 @@
 import {
   addBackendRoutes,
   addCallerRoutes,
+  addEntryRoutes,
   addHealthRoutes,
   addOperatorRoutes,
   addPlanRoutes,
@@ -55,6 +56,7 @@
   addBackendRoutes(server, permitParts);
   addOperatorRoutes(server, { ...context, operators, explain });
   addPlanRoutes(server, { operators, plans });
+  addEntryRoutes(server, { operators, entries: context.entries });
   addHealthRoutes(server, { ...context, isStopping });
   return server;
 }
--- a/src/decisions/fleet/zones_out_test.ts
+++ b/src/decisions/fleet/zones_out_test.ts
@@ -10,7 +10,7 @@
     puts,
     deletes: [],
   };
-  state.apply({ type: "change", change, operator: "key/alba", atMs: 5 });
+  state.apply({ type: "change", change, operator: "key/operator-1", atMs: 5 });
 }
 
 function declareZone(name: string, labels = {}): Resource {
--- a/src/domain/fleet_snapshot.ts
+++ b/src/domain/fleet_snapshot.ts
@@ -9,8 +9,6 @@
 
 /** Decision records that the audit trail keeps. */
 export const MAX_KEPT_RECORDS = 10_000;
-/** Claims of idempotency keys that are kept. */
-export const MAX_KEPT_CLAIMS = 50_000;
 
 /** A declared resource with the change that set it. */
 export interface StoredResource<R extends Resource = Resource> {
--- a/src/services/controller/controller_faults_test.ts
+++ b/src/services/controller/controller_faults_test.ts
@@ -84,7 +84,9 @@
         const holds = world.records("vm/v1", "hold");
         assert.is(holds.length, 1);
         assert.match(holds[0]?.summary ?? "", summary);
-        assert.ok(holds[0]?.causes.some(({ setBy }) => setBy === "key/alba"));
+        assert.ok(
+          holds[0]?.causes.some(({ setBy }) => setBy === "key/operator-1"),
+        );
       });
     }
   });
--- a/src/services/explain_service.ts
+++ b/src/services/explain_service.ts
@@ -8,7 +8,7 @@
 import type { Agreement } from "../ports/index.ts";
 import type { DecisionRecorder } from "./decision_recorder.ts";
 import type { Present, PresentState } from "./explain/index.ts";
-import type { RequestHistory } from "./request_history.ts";
+import type { RequestHistory } from "./requests/request_history.ts";
 
 const MAX_EXPLAINED_RECORDS = 50;
 
--- a/src/services/plan_service_test.ts
+++ b/src/services/plan_service_test.ts
@@ -12,7 +12,7 @@
   declarePool,
   declareVm,
   describe,
-  FakeAgreement,
+  FakeLogAgreement,
   it,
 } from "../testing/index.ts";
 import { PlanService, PresentState } from "./index.ts";
@@ -65,7 +65,7 @@
       QUEUE,
       BINDING,
     ]);
-    const agreement = new FakeAgreement(world.log);
+    const agreement = new FakeLogAgreement(world.log);
     const findPlatformVms = () => undefined;
     const options = {
       agreement,
@@ -159,7 +159,9 @@
       it(`of a ${kind} names its causes`, () => {
         const now = present.describe(kind, name);
         assert.match(now?.lines.join("\n") ?? "", line);
-        const isTold = now?.causes.every(({ setBy }) => setBy === "key/alba");
+        const isTold = now?.causes.every(({ setBy }) =>
+          setBy === "key/operator-1"
+        );
         assert.ok(isTold);
       });
     }
--- a/src/testing/controller_world.ts
+++ b/src/testing/controller_world.ts
@@ -21,7 +21,7 @@
   FreshnessLeaseWait,
 } from "../services/index.ts";
 import { PlatformModel } from "../stand_ins/platform_model.ts";
-import { FakeAgreement, FakeLog } from "./fake_agreement.ts";
+import { FakeLog, FakeLogAgreement } from "./fake_log.ts";
 import { FakeClock } from "./fake_clock.ts";
 import { FakeLogger } from "./fake_ports.ts";
 
@@ -30,7 +30,7 @@
 
 /** A controller that runs rounds until it crashes. */
 export interface RunningController {
-  readonly agreement: FakeAgreement;
+  readonly agreement: FakeLogAgreement;
   /** Ends it at the next call of the platform after so many more. */
   crashAfter(callCount: number): void;
   /** Runs one round; a crash in it is no error. */
@@ -78,7 +78,7 @@
   startController(): RunningController {
     this.#startedCount += 1;
     const entryId = `entry-${this.#startedCount}`;
-    const agreement = new FakeAgreement(this.log, entryId);
+    const agreement = new FakeLogAgreement(this.log, entryId);
     const logger = new FakeLogger();
     const guarded = guardPlatform(this.platform);
     const recorder = new DecisionRecorder({
--- a/src/testing/fake_agreement.ts
+++ b/src/testing/fake_agreement.ts
@@ -1,4 +1,4 @@
-/** Agreement over one state, with answers that are lost and leaders that change. */
+/** Agreement of several fake entries on one log, with faults of proposals. */
 import { Result } from "true-myth";
 import {
   type AppliedValue,
@@ -6,133 +6,60 @@
   createFailure,
   type Failure,
   FleetState,
-  type Resource,
 } from "../domain/index.ts";
-import type {
-  Agreement,
-  AgreementStatus,
-  Clock,
-  Random,
-} from "../ports/index.ts";
-import { Notifier } from "../tasks/index.ts";
+import type { Agreement, AgreementStatus, Clock } from "../ports/index.ts";
 
-const PERCENT = 100;
+/** What becomes of a proposal. */
+export type ProposalFault = "none" | "lost" | "appliedInDoubt" | "refused";
 
-/** What goes wrong with proposals, each with its chance in percent. */
-export interface ProposalFaults {
-  /** The command is not accepted. */
-  readonly refusedPercent: number;
-  /** The command is accepted, but the proposer does not learn it. */
-  readonly lostAnswerPercent: number;
-  /** Longest time until a command is applied, in milliseconds. */
-  readonly maxDelayMs: number;
-}
-
-const NO_FAULTS: ProposalFaults = {
-  refusedPercent: 0,
-  lostAnswerPercent: 0,
-  maxDelayMs: 0,
-};
+const DEFAULT_PROPOSE_MS = 4;
 
-/** The log that all fake agreements of a test share. */
-export class FakeLog {
+/** Applies each command after a delay; all entries see the same state. */
+export class FakeAgreement implements Agreement {
   readonly state = new FleetState();
-  readonly applied = new Notifier();
-  faults = NO_FAULTS;
-  index = 0;
+  readonly commands: Command[] = [];
+  /** What becomes of the next proposals. */
+  fault: ProposalFault = "none";
+  /** Time that a proposal takes, in milliseconds. */
+  proposeMs = DEFAULT_PROPOSE_MS;
+  freshUntilMs = Infinity;
   readonly #clock: Clock;
-  readonly #random: Random;
 
-  constructor(clock: Clock, random: Random) {
+  constructor(clock: Clock) {
     this.#clock = clock;
-    this.#random = random;
   }
 
-  /** Sets what goes wrong from now on. */
-  setFaults(faults: Partial<ProposalFaults>): void {
-    this.faults = { ...NO_FAULTS, ...faults };
-  }
-
-  /** Applies a command, unless the faults say otherwise. */
   async propose(command: Command): Promise<Result<AppliedValue, Failure>> {
-    const { maxDelayMs } = this.faults;
-    if (maxDelayMs > 0) {
-      await this.#clock.sleep(this.#random.nextInt(maxDelayMs));
-    }
-    if (this.#happens(this.faults.refusedPercent)) {
+    const { fault } = this;
+    await this.#clock.sleep(this.proposeMs);
+    if (fault === "refused") {
       return Result.err(createFailure("notLeader", "another entry leads"));
     }
-    this.index += 1;
+    if (fault === "lost") {
+      return Result.err(createFailure("noQuorum", "no quorum answered"));
+    }
+    this.commands.push(command);
     const applied = this.state.apply(command);
-    this.applied.notify();
-    return this.#happens(this.faults.lostAnswerPercent)
-      ? Result.err(createFailure("noQuorum", "the answer was lost"))
+    return fault === "appliedInDoubt"
+      ? Result.err(createFailure("noQuorum", "no quorum answered"))
       : applied;
   }
 
-  /** Declares resources as an operator does. */
-  declare(resources: readonly Resource[], operator = "key/alba"): void {
-    const revision = this.state.revision;
-    this.index += 1;
-    this.state.apply({
-      type: "change",
-      operator,
-      atMs: 0,
-      change: {
-        operationId: `change-${revision}`,
-        expectedRevision: revision,
-        puts: [...resources],
-        deletes: [],
-      },
-    });
-    this.applied.notify();
-  }
-
-  #happens(percent: number): boolean {
-    return percent > 0 && this.#random.nextInt(PERCENT) < percent;
-  }
-}
-
-/** One entry's side of a {@link FakeLog}. */
-export class FakeAgreement implements Agreement {
-  readonly #log: FakeLog;
-  readonly #entryId: string;
-  /** Whether this entry believes that it leads; several may. */
-  isLeader = true;
-
-  constructor(log: FakeLog, entryId = "entry-1") {
-    this.#log = log;
-    this.#entryId = entryId;
-  }
-
-  get state(): FleetState {
-    return this.#log.state;
-  }
-
-  propose(command: Command): Promise<Result<AppliedValue, Failure>> {
-    return this.#log.propose(command);
-  }
-
-  async follow(
-    appliedIndex: number,
-    signal: AbortSignal,
-  ): Promise<AgreementStatus> {
-    while (this.#log.index <= appliedIndex && !signal.aborted) {
-      await this.#log.applied.wait(signal);
-    }
+  async follow(_index: number, signal: AbortSignal): Promise<AgreementStatus> {
+    await this.#clock.sleep(Infinity, signal);
     return this.status();
   }
 
   status(): AgreementStatus {
     return {
-      entryId: this.#entryId,
-      leaderId: this.isLeader ? this.#entryId : undefined,
+      entryId: "entry-1",
+      leaderId: "entry-1",
       term: 1,
-      leaderSinceMs: this.isLeader ? 0 : undefined,
-      appliedIndex: this.#log.index,
-      commitIndex: this.#log.index,
-      revision: this.#log.state.revision,
-      freshUntilMs: Infinity,
+      leaderSinceMs: 0,
+      appliedIndex: this.commands.length,
+      commitIndex: this.commands.length,
+      revision: this.state.revision,
+      freshUntilMs: this.freshUntilMs,
     };
   }
 }
