--- a/src/decisions/index.ts
+++ b/src/decisions/index.ts
@@ -10,3 +10,4 @@
 export * from "./overload/index.ts";
 export * from "./retries/index.ts";
 export * from "./routing/index.ts";
+export * from "./sizing/index.ts";
