--- a/src/services/permits/fleet_permit_source.ts
+++ b/src/services/permits/fleet_permit_source.ts
@@ -18,7 +18,11 @@
   PermitPush,
   PermitReply,
 } from "./permit_messages.ts";
-import { IDLE_HOLD_MS, REUSE_WINDOW_MS } from "./permit_times.ts";
+import {
+  CONTENDED_WINDOW_MS,
+  IDLE_HOLD_MS,
+  REUSE_WINDOW_MS,
+} from "./permit_times.ts";
 import { createWaitFailure } from "./wait_failure.ts";
 import { WaitingRequests } from "./waiting_requests.ts";
 
@@ -205,7 +209,6 @@
       pool: grant.pool,
       zone: grant.zone,
       leaseMs: grant.runLeaseMs,
-      idleConnectionCount: grant.idleConnectionCount,
       mayStart: () => !isReleased && this.#mayStart(holding),
       release: (end) => {
         if (!isReleased) {
@@ -216,10 +219,7 @@
     };
   }
 
-  #release(holding: Holding, { ended, healthy }: PermitEnd): void {
-    if (healthy !== undefined) {
-      this.holdings.addEvidence(holding.grant.backendServerId, healthy);
-    }
+  #release(holding: Holding, { ended }: PermitEnd): void {
     if (ended) {
       this.#offer(holding);
     } else {
@@ -235,7 +235,10 @@
   // Whether the permit may be given to a further request.
   #isUsable(holding: Holding): boolean {
     const nowMs = this.#options.clock.monotonicMs();
-    const isInWindow = nowMs < holding.arrivedAtMs + REUSE_WINDOW_MS ||
+    const windowMs = this.view.isContended(holding.grant.team)
+      ? CONTENDED_WINDOW_MS
+      : REUSE_WINDOW_MS;
+    const isInWindow = nowMs < holding.arrivedAtMs + windowMs ||
       this.view.keepsPermits(nowMs);
     return isInWindow && this.#mayStart(holding);
   }
