--- /dev/null
+++ b/src/daemon/planned_stop_test.ts
@@ -0,0 +1,245 @@
+import { mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { Agent, request } from "undici";
+import * as assert from "uvu/assert";
+import { SystemClock } from "../adapters/clock/index.ts";
+import { StandInBackend } from "../stand_ins/index.ts";
+import {
+  afterEach,
+  beforeEach,
+  type DaemonProcess,
+  describe,
+  findFreePort,
+  it,
+  runCommandLine,
+  startDaemon,
+} from "../testing/index.ts";
+
+const EXAMPLE_FILE = fileURLToPath(
+  new URL("../../examples/quickstart.jsonc", import.meta.url),
+);
+const GRACE_MS = 400;
+const WORK_MS = 600;
+const POLL_MS = 20;
+const CALLER_COUNT = 4;
+
+interface Answer {
+  readonly status: number;
+  readonly connection: unknown;
+  readonly text: string;
+}
+
+/** A daemon with the example's resources, which can be started again. */
+class TestEntry {
+  daemon: DaemonProcess | undefined;
+  readonly #settings: Readonly<Record<string, unknown>>;
+  #folder = "";
+  #url = "";
+
+  constructor(settings: Readonly<Record<string, unknown>> = {}) {
+    this.#settings = { readinessGraceMs: GRACE_MS, ...settings };
+  }
+
+  get url(): string {
+    return this.#url;
+  }
+
+  get keyFile(): string {
+    return join(this.#folder, "data", "operator.key");
+  }
+
+  async create(): Promise<void> {
+    this.#folder = await mkdtemp(join(tmpdir(), "cardamomsill-stop-"));
+    const port = await findFreePort();
+    this.#url = `http://127.0.0.1:${port}`;
+    await writeFile(
+      join(this.#folder, "entry.jsonc"),
+      JSON.stringify({ ...this.#settings, http: { port }, peer: { port: 0 } }),
+    );
+    await this.start();
+    const applied = await runCommandLine(["apply", "-f", EXAMPLE_FILE], {
+      CARDAMOMSILL_URL: this.#url,
+      CARDAMOMSILL_KEY_FILE: this.keyFile,
+    });
+    assert.is(applied.exitCode, 0, applied.stderr);
+  }
+
+  async start(): Promise<void> {
+    this.daemon = await startDaemon({
+      folder: this.#folder,
+      settingsFile: join(this.#folder, "entry.jsonc"),
+      url: this.#url,
+    });
+  }
+
+  async remove(): Promise<void> {
+    if (this.daemon?.child.exitCode === null) {
+      await this.daemon.kill();
+    }
+    await rm(this.#folder, { recursive: true });
+  }
+}
+
+async function call(
+  url: string,
+  dispatcher: Agent,
+  path = "/q/prices/x",
+): Promise<Answer> {
+  const answer = await request(`${url}${path}`, { dispatcher });
+  return {
+    status: answer.statusCode,
+    connection: answer.headers["connection"],
+    text: await answer.body.text(),
+  };
+}
+
+describe("planned stop", () => {
+  const clock = new SystemClock();
+  let agent: Agent;
+  let entries: TestEntry[] = [];
+  let backends: StandInBackend[] = [];
+
+  async function createEntry(
+    settings: Readonly<Record<string, unknown>> = {},
+  ): Promise<TestEntry> {
+    const entry = new TestEntry(settings);
+    entries.push(entry);
+    await entry.create();
+    return entry;
+  }
+
+  async function startBackend(workMs: number): Promise<StandInBackend> {
+    let at = 0;
+    const backend = new StandInBackend({
+      backendServerId: "vm-2-runner",
+      vm: "vm-2",
+      workMs,
+      chooseEntryUrl: () => {
+        at += 1;
+        return entries[at % entries.length]?.url ?? "";
+      },
+    });
+    backends.push(backend);
+    await backend.start();
+    for (const _entry of entries) {
+      await backend.announce();
+    }
+    return backend;
+  }
+
+  async function waitUntilStarted(backend: StandInBackend): Promise<void> {
+    while (backend.started.length === 0) {
+      await clock.sleep(POLL_MS);
+    }
+  }
+
+  beforeEach(() => {
+    agent = new Agent();
+    entries = [];
+    backends = [];
+  });
+
+  afterEach(async () => {
+    await Promise.all(backends.map((backend) => backend.stop()));
+    await Promise.all(entries.map((entry) => entry.remove()));
+    await agent.close();
+  });
+
+  it("refuses readiness, serves on, and finishes what runs", async () => {
+    const entry = await createEntry();
+    const backend = await startBackend(WORK_MS);
+    const running = call(entry.url, agent);
+    await waitUntilStarted(backend);
+    const stopped = entry.daemon?.stop();
+    await clock.sleep(POLL_MS);
+    const ready = await call(entry.url, agent, "/readyz");
+    assert.is(ready.status, 503);
+    const late = call(entry.url, agent);
+    assert.is((await running).status, 200);
+    const lateAnswer = await late;
+    assert.is(lateAnswer.status, 200);
+    assert.is(lateAnswer.connection, "close");
+    assert.is(await stopped, 0);
+    assert.is(backend.started.length, 2);
+  });
+
+  it("ends streams without an end at once", async () => {
+    const entry = await createEntry();
+    const key = (await readFile(entry.keyFile, "utf8")).trim();
+    const watch = await request(`${entry.url}/v1/watch`, {
+      dispatcher: agent,
+      headers: { authorization: `Bearer ${key}` },
+    });
+    const stopped = entry.daemon?.stop();
+    await watch.body.text();
+    assert.is(await stopped, 0);
+  });
+
+  it("cuts what runs beyond the stop deadline, as unknown", async () => {
+    const entry = await createEntry({ stopDeadlineMs: 100 });
+    const backend = await startBackend(20_000);
+    const running = call(entry.url, agent).catch((error) => error);
+    await waitUntilStarted(backend);
+    assert.is(await entry.daemon?.stop(), 0);
+    const answer = await running;
+    const isUnknown = answer instanceof Error ||
+      (answer.status === 502 && answer.text.includes("outcomeUnknown"));
+    assert.ok(isUnknown, JSON.stringify(answer));
+  });
+
+  it("cuts no request in a rolling restart under load", async () => {
+    await createEntry();
+    await createEntry();
+    await startBackend(30);
+    const ready = new Set(entries);
+    const stop = new AbortController();
+    const poll = async (entry: TestEntry) => {
+      while (!stop.signal.aborted) {
+        const status = await call(entry.url, agent, "/readyz")
+          .then((answer) => answer.status, () => 0);
+        if (status === 200) {
+          ready.add(entry);
+        } else {
+          ready.delete(entry);
+        }
+        await clock.sleep(POLL_MS);
+      }
+    };
+    const failures: string[] = [];
+    let answeredCount = 0;
+    const callForever = async (offset: number) => {
+      for (let at = offset; !stop.signal.aborted; at += 1) {
+        const targets = [...ready];
+        const target = targets[at % targets.length];
+        if (target === undefined) {
+          failures.push("no entry is ready");
+          await clock.sleep(POLL_MS);
+          continue;
+        }
+        const answer = await call(target.url, agent).catch((error) => error);
+        if (answer instanceof Error || answer.status !== 200) {
+          failures.push(answer instanceof Error ? String(answer) : answer.text);
+        } else {
+          answeredCount += 1;
+        }
+      }
+    };
+    const tasks = [
+      ...entries.map(poll),
+      ...Array.from({ length: CALLER_COUNT }, (_, at) => callForever(at)),
+    ];
+    for (const entry of entries) {
+      await clock.sleep(GRACE_MS);
+      assert.is(await entry.daemon?.stop(), 0);
+      await entry.start();
+      // Its backend servers have to announce themselves again.
+      await clock.sleep(3 * GRACE_MS);
+    }
+    stop.abort();
+    await Promise.all(tasks);
+    assert.equal(failures, []);
+    assert.ok(answeredCount > 50, `${answeredCount} answers`);
+  });
+});
--- a/src/testing/entry_fixture.ts
+++ b/src/testing/entry_fixture.ts
@@ -44,6 +44,7 @@
   const text = JSON.stringify({
     dataFolder: folder,
     http: { port: 0 },
+    readinessGraceMs: 0,
     peer: { port: 0 },
   });
   const settings = validateSettings(text, "fixture").unwrapOrElse((failure) => {
