--- /dev/null
+++ b/src/adapters/http/caller_routes_test.ts
@@ -0,0 +1,275 @@
+import { once } from "node:events";
+import {
+  createServer,
+  type IncomingMessage,
+  request as openRequest,
+  type RequestListener,
+  type Server,
+} from "node:http";
+import { SystemClock } from "../clock/index.ts";
+import * as assert from "uvu/assert";
+import { afterEach, beforeEach, describe, it } from "../../testing/index.ts";
+import {
+  type EntryFixture,
+  startEntryFixture,
+} from "../../testing/entry_fixture.ts";
+
+const MEBIBYTE = 1_024 * 1_024;
+const LARGE_BYTES = 64 * MEBIBYTE;
+const CHUNK = new Uint8Array(64 * 1_024);
+const MAX_IN_FLIGHT_BYTES = 16 * MEBIBYTE;
+const QUIET_MS = 200;
+const RESOURCES = [
+  { kind: "zone", name: "zone-1", region: "region-1" },
+  {
+    kind: "vm",
+    name: "vm-1",
+    zone: "zone-1",
+    rack: "rack-1",
+    labels: { pool: "pool-1" },
+  },
+  {
+    kind: "pool",
+    name: "pool-1",
+    labels: { work: "any" },
+    vmSelector: { pool: ["pool-1"] },
+  },
+  {
+    kind: "queue",
+    name: "open",
+    poolSelector: { work: ["any"] },
+    openToAll: true,
+  },
+];
+
+describe("caller routes", () => {
+  const clock = new SystemClock();
+  let entry: EntryFixture;
+  let backend: Server;
+  let serve: RequestListener = () => undefined;
+
+  /** Backend servers echo the attempt's id whatever else they do. */
+  const serveEchoing: RequestListener = (incoming, response) => {
+    const attemptId = incoming.headers["cardamomsill-attempt-id"] ?? "";
+    response.setHeader("cardamomsill-attempt-id", attemptId);
+    serve(incoming, response);
+  };
+
+  async function announce(): Promise<void> {
+    const address = backend.address();
+    const port = typeof address === "object" ? address?.port : 0;
+    const announced = await entry.send({
+      method: "POST",
+      path: "/v1/announcements",
+      body: JSON.stringify({
+        backendServerId: "runner-1",
+        sequence: 1,
+        vm: "vm-1",
+        host: "127.0.0.1",
+        port,
+        slotCount: 8,
+        connectionCount: 64,
+      }),
+    });
+    assert.is(announced.status, 200, announced.text);
+  }
+
+  async function applyResources(): Promise<void> {
+    const applied = await entry.send({
+      method: "POST",
+      path: "/v1/changes",
+      key: entry.operatorKey,
+      body: JSON.stringify({
+        operationId: "declare-fleet",
+        expectedRevision: 0,
+        puts: RESOURCES,
+        deletes: [],
+      }),
+    });
+    assert.is(applied.status, 200, applied.text);
+  }
+
+  function openAnswer(path: string): Promise<IncomingMessage> {
+    return new Promise((resolve, reject) => {
+      openRequest(`${entry.url}${path}`, resolve).on("error", reject).end();
+    });
+  }
+
+  async function countOutcomes(outcome: string): Promise<number> {
+    const { text } = await entry.send({ method: "GET", path: "/metrics" });
+    const line = new RegExp(
+      `^cardamomsill_requests_total{.*outcome="${outcome}".*} (\\d+)`,
+      "m",
+    );
+    return Number(line.exec(text)?.[1] ?? 0);
+  }
+
+  beforeEach(async () => {
+    entry = await startEntryFixture();
+    backend = createServer(serveEchoing);
+    backend.listen(0, "127.0.0.1");
+    await once(backend, "listening");
+    await applyResources();
+    await announce();
+  });
+
+  afterEach(async () => {
+    backend.closeAllConnections();
+    backend.close();
+    await entry.stop();
+  });
+
+  describe("an answer cut short", () => {
+    const cuts: readonly {
+      readonly cut: string;
+      readonly serve: RequestListener;
+    }[] = [
+      {
+        cut: "within chunks",
+        serve: (_, response) => {
+          response.write("half");
+          setTimeout(() => response.destroy(), 20);
+        },
+      },
+      {
+        cut: "short of its length",
+        serve: (_, response) => {
+          response.setHeader("content-length", 100);
+          response.write("half");
+          setTimeout(() => response.destroy(), 20);
+        },
+      },
+    ];
+    for (const { cut, serve: serveCut } of cuts) {
+      it(`${cut}: never looks complete and counts as unknown`, async () => {
+        serve = serveCut;
+        const answer = await openAnswer("/q/open/x");
+        let isError = false;
+        answer.resume().once("error", () => {
+          isError = true;
+        });
+        await new Promise((resolve) => answer.once("close", resolve));
+        assert.is(answer.complete, false);
+        assert.ok(isError);
+        assert.is(await countOutcomes("unknown"), 1);
+        assert.is(await countOutcomes("succeeded"), 0);
+      });
+    }
+  });
+
+  describe("large bodies", () => {
+    it("answers wait for a slow caller", async () => {
+      let writtenBytes = 0;
+      serve = (_, response) => {
+        response.setHeader("content-length", LARGE_BYTES);
+        const write = () => {
+          while (writtenBytes < LARGE_BYTES) {
+            writtenBytes += CHUNK.length;
+            if (!response.write(CHUNK)) {
+              response.once("drain", write);
+              return;
+            }
+          }
+          response.end();
+        };
+        write();
+      };
+      const answer = await openAnswer("/q/open/x");
+      await clock.sleep(QUIET_MS);
+      assert.ok(writtenBytes < MAX_IN_FLIGHT_BYTES, `${writtenBytes} bytes`);
+      let readBytes = 0;
+      for await (const chunk of answer) {
+        readBytes += chunk.length;
+      }
+      assert.is(readBytes, LARGE_BYTES);
+      assert.is(await countOutcomes("succeeded"), 1);
+    });
+
+    it("uploads wait for a slow backend server", async () => {
+      let readBytes = 0;
+      let startReading: () => void = () => undefined;
+      serve = (incoming, response) => {
+        startReading = () => {
+          incoming.on("data", (chunk) => {
+            readBytes += chunk.length;
+          }).on("end", () => response.end("done"));
+        };
+      };
+      const upload = openRequest(`${entry.url}/q/open/x`, { method: "POST" });
+      const answered = once(upload, "response");
+      let sentBytes = 0;
+      const write = () => {
+        while (sentBytes < LARGE_BYTES) {
+          sentBytes += CHUNK.length;
+          if (!upload.write(CHUNK)) {
+            upload.once("drain", write);
+            return;
+          }
+        }
+        upload.end();
+      };
+      write();
+      await clock.sleep(QUIET_MS);
+      assert.ok(sentBytes < MAX_IN_FLIGHT_BYTES, `${sentBytes} bytes`);
+      startReading();
+      const [answer] = await answered;
+      assert.is(answer.statusCode, 200);
+      assert.is(readBytes, LARGE_BYTES);
+    });
+  });
+
+  it("counts an upload that its caller cuts as unknown", async () => {
+    const arrived = new Promise<void>((resolve) => {
+      serve = (incoming) => {
+        incoming.on("error", () => undefined).resume();
+        resolve();
+      };
+    });
+    const upload = openRequest(`${entry.url}/q/open/x`, { method: "POST" });
+    upload.on("error", () => undefined).write(new Uint8Array(2 * CHUNK.length));
+    await arrived;
+    upload.destroy();
+    await clock.sleep(QUIET_MS);
+    assert.is(await countOutcomes("unknown"), 1);
+  });
+
+  it("passes the rest of the deadline on", async () => {
+    let leftMs = 0;
+    serve = (incoming, response) => {
+      leftMs = Number(incoming.headers["cardamomsill-deadline-ms"]);
+      response.end();
+    };
+    await entry.send({
+      method: "GET",
+      path: "/q/open/x",
+      headers: { "cardamomsill-deadline-ms": "5000" },
+    });
+    assert.ok(leftMs > 0 && leftMs <= 5_000, `${leftMs} ms`);
+  });
+
+  it("tells a resend the outcome of the first request", async () => {
+    let runCount = 0;
+    serve = (_, response) => {
+      runCount += 1;
+      response.writeHead(201).end("made");
+    };
+    const order = {
+      method: "POST",
+      path: "/q/open/order",
+      body: "two heads",
+      headers: { "idempotency-key": "order-7" },
+    };
+    const first = await entry.send(order);
+    assert.is(first.text, "made");
+    await clock.sleep(QUIET_MS);
+    const second = await entry.send(order);
+    assert.is(second.status, 201);
+    assert.is(
+      second.headers["cardamomsill-replayed"],
+      first.headers["cardamomsill-request-id"],
+    );
+    const other = await entry.send({ ...order, body: "three heads" });
+    assert.is(other.status, 422);
+    assert.is(runCount, 1);
+  });
+});
