--- a/src/decisions/overload/wait_line.ts
+++ b/src/decisions/overload/wait_line.ts
@@ -5,21 +5,50 @@
 const MIN_OBSERVED_MS = 100;
 const RUN_TIME_WEIGHT = 0.05;
 
-/** Follows one line: who waits, how many are granted, how long work takes. */
+/** Follows how long the work of one queue takes. */
+export class RunTimes {
+  #quickRunMs: number | undefined;
+
+  /** A low estimate, in milliseconds; 0 before any work. */
+  get quickRunMs(): number {
+    return this.#quickRunMs ?? 0;
+  }
+
+  /**
+   * Notes how long work took.
+   *
+   * @param runMs - Run time, in milliseconds.
+   */
+  record(runMs: number): void {
+    const known = this.#quickRunMs ?? runMs;
+    // Falls at once and rises slowly, so that short work is never given up.
+    this.#quickRunMs = Math.min(
+      runMs,
+      known + (runMs - known) * RUN_TIME_WEIGHT,
+    );
+  }
+}
+
+/** Follows one line: who waits and how many are granted. */
 export class WaitLine {
   #waitingCount = 0;
   #backlogSinceMs = 0;
   #grants = new WindowCounter(RATE_WINDOW_MS);
-  #quickRunMs: number | undefined;
+  readonly #runTimes: RunTimes;
+
+  /** @param runTimes - Run times of the queue, shared by all of its lines. */
+  constructor(runTimes: RunTimes) {
+    this.#runTimes = runTimes;
+  }
 
   /** Requests that wait now. */
   get waitingCount(): number {
     return this.#waitingCount;
   }
 
-  /** A low estimate of the run time of recent work, in milliseconds. */
+  /** A low estimate of the run time of the queue's work, in milliseconds. */
   get quickRunMs(): number {
-    return this.#quickRunMs ?? 0;
+    return this.#runTimes.quickRunMs;
   }
 
   /**
@@ -48,20 +77,6 @@
     }
   }
 
-  /**
-   * Notes how long work took.
-   *
-   * @param runMs - Run time, in milliseconds.
-   */
-  recordRun(runMs: number): void {
-    const known = this.#quickRunMs ?? runMs;
-    // Falls at once and rises slowly, so that short work is never given up.
-    this.#quickRunMs = Math.min(
-      runMs,
-      known + (runMs - known) * RUN_TIME_WEIGHT,
-    );
-  }
-
   /**
    * Estimates the wait of a request that enters now. The rate of grants says
    * something only while the line has a backlog.
--- a/src/decisions/retries/retry_budget.ts
+++ b/src/decisions/retries/retry_budget.ts
@@ -54,7 +54,7 @@
   takeRetry(nowMs: number): boolean {
     const allowedCount = Math.max(
       this.#minRetryCount,
-      this.#requests.count(nowMs) * this.#fraction,
+      Math.floor(this.#requests.count(nowMs) * this.#fraction),
     );
     if (this.#retries.count(nowMs) >= allowedCount) {
       return false;
--- /dev/null
+++ b/src/domain/claim_table_test.ts
@@ -0,0 +1,113 @@
+import * as assert from "uvu/assert";
+import { describe, it } from "../testing/index.ts";
+import { ClaimTable, MAX_KEPT_CLAIMS } from "./claim_table.ts";
+import type { Claim } from "./command.ts";
+
+const LEASE_MS = 1_000;
+
+function createClaim(parts: Partial<Claim> = {}): Claim {
+  return {
+    claimId: "team/queue/key",
+    contentDigest: "d",
+    requestId: "r1",
+    entryId: "entry-1",
+    atMs: 0,
+    leaseMs: LEASE_MS,
+    state: "running",
+    ...parts,
+  };
+}
+
+describe("ClaimTable", () => {
+  describe("a command after others", () => {
+    const own = { requestId: "r1" };
+    const other = { requestId: "r2" };
+    const cases: readonly {
+      readonly title: string;
+      readonly before: readonly Partial<Claim>[];
+      readonly command: Partial<Claim>;
+      readonly standing: Partial<Claim>;
+    }[] = [
+      {
+        title: "a second request does not take a claim that runs",
+        before: [own],
+        command: other,
+        standing: { ...own, state: "running" },
+      },
+      {
+        title: "a second request takes a claim whose first did not run",
+        before: [own, { ...own, state: "notRun" }],
+        command: other,
+        standing: { ...other, state: "running" },
+      },
+      {
+        title: "a second request does not take a claim that succeeded",
+        before: [own, { ...own, state: "succeeded", status: 200 }],
+        command: other,
+        standing: { ...own, state: "succeeded", status: 200 },
+      },
+      {
+        title: "a second request does not settle a first one's claim",
+        before: [own],
+        command: { ...other, state: "notRun" },
+        standing: { ...own, state: "running" },
+      },
+      {
+        title: "a late copy of a claim does not revive it",
+        before: [own, { ...own, state: "notRun" }],
+        command: own,
+        standing: { ...own, state: "notRun" },
+      },
+      {
+        title: "a claim that comes after its settlement does not run",
+        before: [{ ...own, state: "notRun" }],
+        command: own,
+        standing: { ...own, state: "notRun" },
+      },
+      {
+        title: "a late settlement does not undo a new request's claim",
+        before: [own, { ...own, state: "notRun" }, other],
+        command: { ...own, state: "unknown" },
+        standing: { ...other, state: "running" },
+      },
+    ];
+    for (const { title, before, command, standing } of cases) {
+      it(title, () => {
+        const table = new ClaimTable();
+        table.apply(before.map(createClaim));
+        const [found] = table.apply([createClaim(command)]);
+        assert.equal(found, createClaim(standing));
+      });
+    }
+  });
+
+  it("drops the oldest, but none that may still run", () => {
+    const table = new ClaimTable();
+    table.apply([
+      createClaim({ claimId: "long", leaseMs: 1_000_000 }),
+      createClaim({ claimId: "short" }),
+    ]);
+    table.apply(
+      Array.from(
+        { length: MAX_KEPT_CLAIMS },
+        (_, at) =>
+          createClaim({
+            claimId: `c${at}`,
+            atMs: 2 * LEASE_MS,
+            state: "succeeded",
+          }),
+      ),
+    );
+    assert.ok(table.find("long") !== undefined);
+    assert.is(table.find("short"), undefined);
+    assert.is(table.list().length, MAX_KEPT_CLAIMS);
+  });
+
+  it("copies itself through a snapshot", () => {
+    const table = new ClaimTable();
+    table.apply([createClaim(), createClaim({ claimId: "b" })]);
+    const copy = new ClaimTable();
+    copy.restore(table.list());
+    assert.equal(copy.list(), table.list());
+  });
+});
--- a/src/services/requests/guarded_permits.ts
+++ b/src/services/requests/guarded_permits.ts
@@ -4,6 +4,7 @@
 import {
   type Admission,
   type OverloadPolicy,
+  RunTimes,
   WaitLine,
   type WaitRefusal,
 } from "../../decisions/index.ts";
@@ -23,6 +24,7 @@
 export class GuardedPermitSource implements PermitSource {
   readonly #options: GuardedPermitOptions;
   readonly #lines = new Map<string, WaitLine>();
+  readonly #runTimes = new Map<string, RunTimes>();
   #totalWaitingCount = 0;
 
   constructor(options: GuardedPermitOptions) {
@@ -60,19 +62,19 @@
     line.leave(clock.monotonicMs(), permit.isOk);
     return permit
       .mapErr(withRetryAfter)
-      .andThen((granted) => this.#passOn(granted, line, request.signal));
+      .andThen((granted) => this.#passOn(granted, request));
   }
 
   #passOn(
     permit: Permit,
-    line: WaitLine,
-    signal: AbortSignal,
+    request: PermitRequest,
   ): Result<Permit, Failure> {
-    if (signal.aborted) {
+    if (request.signal.aborted) {
       permit.release({ ended: true, healthy: undefined });
       return Result.err(createCancelled());
     }
     const { clock } = this.#options;
+    const runTimes = this.#findRunTimes(request.admission.queue.name);
     const grantedAtMs = clock.monotonicMs();
     const { attemptId, backend, pool, zone, leaseMs } = permit;
     return Result.ok({
@@ -83,7 +85,7 @@
       leaseMs,
       release: (end) => {
         if (end.ended && end.healthy === true) {
-          line.recordRun(clock.monotonicMs() - grantedAtMs);
+          runTimes.record(clock.monotonicMs() - grantedAtMs);
         }
         permit.release(end);
       },
@@ -96,10 +98,20 @@
     if (known !== undefined) {
       return known;
     }
-    const line = new WaitLine();
+    const line = new WaitLine(this.#findRunTimes(queue.name));
     this.#lines.set(key, line);
     return line;
   }
+
+  #findRunTimes(queueName: string): RunTimes {
+    const known = this.#runTimes.get(queueName);
+    if (known !== undefined) {
+      return known;
+    }
+    const runTimes = new RunTimes();
+    this.#runTimes.set(queueName, runTimes);
+    return runTimes;
+  }
 }
 
 function createCancelled(): Failure {
--- a/src/testing/fake_entry.ts
+++ b/src/testing/fake_entry.ts
@@ -24,6 +24,7 @@
   GuardedPermitSource,
   LocalPermitSource,
   OutcomeRecorder,
+  type PermitSource,
   RequestHistory,
   RequestService,
 } from "../services/index.ts";
@@ -50,6 +51,8 @@
   readonly overload?: OverloadPolicy;
   readonly health?: HealthPolicy;
   readonly maxBatchCount?: number;
+  /** Grants permits in place of the entry's own counting. */
+  readonly permits?: PermitSource;
 }
 
 /** A composed entry with what tests look at. */
@@ -115,7 +118,7 @@
   const permits = new GuardedPermitSource({
     clock,
     policy: options.overload ?? new WaitTimePolicy(),
-    permits: new LocalPermitSource({
+    permits: options.permits ?? new LocalPermitSource({
       ...base,
       directory,
       random,
--- a/src/testing/index.ts
+++ b/src/testing/index.ts
@@ -7,6 +7,7 @@
 export * from "./fake_entry.ts";
 export * from "./fake_file_system.ts";
 export * from "./fake_network.ts";
+export * from "./fake_permits.ts";
 export * from "./fake_ports.ts";
 export * from "./free_port.ts";
 export * from "./test_runner.ts";
