--- a/src/daemon/create_entry.ts
+++ b/src/daemon/create_entry.ts
@@ -4,6 +4,7 @@
 import type { Failure } from "../domain/index.ts";
 import type { ClaimService, DecisionRecorder } from "../services/index.ts";
 import { createAgreement } from "./create_agreement.ts";
+import { createController } from "./create_controller.ts";
 import { createFront } from "./create_front.ts";
 import { createNetwork } from "./create_network.ts";
 import { createPermits } from "./create_permits.ts";
@@ -56,6 +57,7 @@
   const recorder = createRecorder(context);
   const permitParts = createPermits(context);
   const requestParts = createRequests(context, recorder, permitParts);
+  createController({ context, recorder, directory: permitParts.directory });
   let isStopping = false;
   const front = await createFront({
     context,
--- a/src/services/requests/guarded_permits.ts
+++ b/src/services/requests/guarded_permits.ts
@@ -76,13 +76,8 @@
     const { clock } = this.#options;
     const runTimes = this.#findRunTimes(request.admission.queue.name);
     const grantedAtMs = clock.monotonicMs();
-    const { attemptId, backend, pool, zone, leaseMs } = permit;
     return Result.ok({
-      attemptId,
-      backend,
-      pool,
-      zone,
-      leaseMs,
+      ...permit,
       release: (end) => {
         if (end.ended && end.healthy === true) {
           runTimes.record(clock.monotonicMs() - grantedAtMs);
--- a/src/services/requests/guarded_permits_test.ts
+++ b/src/services/requests/guarded_permits_test.ts
@@ -14,7 +14,7 @@
   FakeBackendClient,
   FakeClock,
   type FakeEntry,
-  FakePermitSource,
+  FifoPermitSource,
   it,
 } from "../../testing/index.ts";
 
@@ -45,7 +45,7 @@
       agreement,
       client,
       overload,
-      permits: new FakePermitSource(clock, SLOT_COUNT),
+      permits: new FifoPermitSource(clock, SLOT_COUNT),
     }),
   };
 }
