--- a/src/ports/backend_client.ts
+++ b/src/ports/backend_client.ts
@@ -19,6 +19,11 @@
   /** How long the caller still waits, in milliseconds; it travels along. */
   readonly deadlineMs: number;
   readonly signal: AbortSignal;
+  /**
+   * Idle connections that may be kept to the backend server; undefined when
+   * nothing bounds them.
+   */
+  readonly idleConnectionCount?: number | undefined;
 }
 
 /** The answer of a backend server that echoed the attempt's id. */
