Give permits back by excess, and spare rounds that can grant nothing

Cause: while teams wait, every piece of work paid a round trip to the coordinator when its permit's window ended; slots stood idle meanwhile. Change: answers name the teams that hold more than their share and the part to give up; all others go on. A round ends at once without a free slot, a full queue is looked at once, and reports keep 8 ms apart.

--- a/src/decisions/fairness/share_allocator.ts
+++ b/src/decisions/fairness/share_allocator.ts
@@ -29,6 +29,25 @@
    * @returns Number of places granted.
    */
   allocate(claimants: Iterable<ShareClaimant>): number;
+  /**
+   * Finds the teams that should give up places for those that wait.
+   *
+   * @param holders - All teams with places.
+   * @param waiting - Teams that could use a place now.
+   * @returns The part of its places, from 0 to 1, that each such team should
+   * give up.
+   */
+  findExcesses(
+    holders: Iterable<ShareHolder>,
+    waiting: Iterable<ShareHolder>,
+  ): Map<string, number>;
+}
+
+/** A team with the places that it holds. */
+export interface ShareHolder {
+  readonly team: string;
+  readonly share: number;
+  readonly runningCount: number;
 }
 
 interface Ranked {
@@ -48,6 +67,27 @@
       return (claimant.countRunning() + 1) / share;
     });
   }
+
+  // Only a place whose loss leaves its team no worse off for its share than
+  // the neediest team is with it: places do not go back and forth.
+  findExcesses(
+    holders: Iterable<ShareHolder>,
+    waiting: Iterable<ShareHolder>,
+  ): Map<string, number> {
+    let neediestLevel = Infinity;
+    for (const { share, runningCount } of waiting) {
+      const level = (runningCount + 1) / Math.max(share, MIN_SHARE);
+      neediestLevel = Math.min(neediestLevel, level);
+    }
+    const excesses = new Map<string, number>();
+    for (const { team, share, runningCount } of holders) {
+      const fairCount = neediestLevel * Math.max(share, MIN_SHARE);
+      if (runningCount > fairCount) {
+        excesses.set(team, (runningCount - fairCount) / runningCount);
+      }
+    }
+    return excesses;
+  }
 }
 
 /** Baseline: the longest waiting request first, whatever its team holds. */
@@ -55,6 +95,10 @@
   allocate(claimants: Iterable<ShareClaimant>): number {
     return grantInOrder(claimants, (claimant) => claimant.findOldestMs());
   }
+
+  findExcesses(): Map<string, number> {
+    return new Map();
+  }
 }
 
 function grantInOrder(
--- a/src/services/permits/coordinator_view.ts
+++ b/src/services/permits/coordinator_view.ts
@@ -11,6 +11,8 @@
   #reply: PermitReply | undefined;
   #repliedAtMs = 0;
   #isReachable = true;
+  /** What teams hold in excess and have not given up yet, in permits. */
+  readonly #owedByTeam = new Map<string, number>();
   #askedAtMs: number | undefined;
 
   /** Session that is open, if any. */
@@ -52,14 +54,22 @@
   }
 
   /**
-   * Tells whether another team could use a place of a team.
+   * Decides at the end of an attempt whether its permit goes back now, so that
+   * of many the team gives up the part that it holds in excess.
    *
-   * @param team - The team that has the place.
-   * @returns True when another team waits below its limit.
+   * @param team - The team that holds the permit.
+   * @returns True when it should go back.
    */
-  isContended(team: string): boolean {
-    const contending = this.#reply?.contendingTeams ?? [];
-    return contending.some((other) => other !== team);
+  shouldGiveUp(team: string): boolean {
+    const excess = this.#reply?.excesses.find((found) => found.team === team);
+    const owed = (this.#owedByTeam.get(team) ?? 0) + (excess?.fraction ?? 0);
+    const isDue = owed >= 1;
+    if (excess === undefined) {
+      this.#owedByTeam.delete(team);
+    } else {
+      this.#owedByTeam.set(team, isDue ? owed - 1 : owed);
+    }
+    return isDue;
   }
 
   /** Notes that a report is sent. */
--- a/src/services/permits/fleet_permit_source.ts
+++ b/src/services/permits/fleet_permit_source.ts
@@ -18,11 +18,7 @@
   PermitPush,
   PermitReply,
 } from "./permit_messages.ts";
-import {
-  CONTENDED_WINDOW_MS,
-  IDLE_HOLD_MS,
-  REUSE_WINDOW_MS,
-} from "./permit_times.ts";
+import { IDLE_HOLD_MS, REUSE_WINDOW_MS } from "./permit_times.ts";
 import { createWaitFailure } from "./wait_failure.ts";
 import { WaitingRequests } from "./waiting_requests.ts";
 
@@ -220,10 +216,13 @@
   }
 
   #release(holding: Holding, { ended }: PermitEnd): void {
-    if (ended) {
+    const nowMs = this.#options.clock.monotonicMs();
+    const isGivenUp = !this.view.keepsPermits(nowMs) &&
+      this.view.shouldGiveUp(holding.grant.team);
+    if (ended && !isGivenUp) {
       this.#offer(holding);
     } else {
-      this.#giveBack(holding, false);
+      this.#giveBack(holding, ended);
     }
   }
 
@@ -235,10 +234,7 @@
   // Whether the permit may be given to a further request.
   #isUsable(holding: Holding): boolean {
     const nowMs = this.#options.clock.monotonicMs();
-    const windowMs = this.view.isContended(holding.grant.team)
-      ? CONTENDED_WINDOW_MS
-      : REUSE_WINDOW_MS;
-    const isInWindow = nowMs < holding.arrivedAtMs + windowMs ||
+    const isInWindow = nowMs < holding.arrivedAtMs + REUSE_WINDOW_MS ||
       this.view.keepsPermits(nowMs);
     return isInWindow && this.#mayStart(holding);
   }
--- a/src/services/permits/grant_round.ts
+++ b/src/services/permits/grant_round.ts
@@ -4,14 +4,15 @@
   type FleetIndex,
   type ShareAllocator,
   type ShareClaimant,
+  type ShareHolder,
 } from "../../decisions/index.ts";
+import type { Pool, StoredResource } from "../../domain/index.ts";
 import type { Demand } from "./demand.ts";
 import type { EntryWant } from "./entry_session.ts";
 import type { PermitTable } from "./permit_table.ts";
 import type { SlotRecord, SlotTable } from "./slot_table.ts";
 
 const DEFAULT_SHARE = 1;
-const MAX_CONTENDING = 2;
 
 /** A place that has been found for a want. */
 export interface FoundSlot {
@@ -37,6 +38,8 @@
 /** Grants free slots within the limits, in the order of the allocator. */
 export class GrantRounds {
   readonly #options: GrantRoundsOptions;
+  /** Queues for which no slot is left in the round. */
+  readonly #fullQueues = new Set<string>();
   #round = 0;
 
   constructor(options: GrantRoundsOptions) {
@@ -51,7 +54,11 @@
    * @returns Number of permits granted.
    */
   run(index: FleetIndex, nowMs: number): number {
+    if (!this.#options.slots.hasAnyFree) {
+      return 0;
+    }
     this.#round += 1;
+    this.#fullQueues.clear();
     const claimants: ShareClaimant[] = [];
     for (const team of this.#options.demand.listTeams()) {
       if (!this.isLimited(index, team)) {
@@ -78,22 +85,30 @@
   }
 
   /**
-   * Lists teams whose waiting requests could use a place now.
+   * Finds the teams that should give up places for those that wait.
    *
    * @param index - The configuration in force.
-   * @returns None, one, or two of them, which is all that entries need to know.
+   * @returns The part of its places, from 0 to 1, for each such team.
    */
-  listContending(index: FleetIndex): string[] {
-    const contending: string[] = [];
-    for (const team of this.#options.demand.listTeams()) {
-      if (contending.length === MAX_CONTENDING) {
-        break;
-      }
-      if (!this.isLimited(index, team)) {
-        contending.push(team);
-      }
+  findExcesses(index: FleetIndex): Map<string, number> {
+    const { allocator, demand, table } = this.#options;
+    const waiting = [...demand.listTeams()]
+      .filter((team) => !this.isLimited(index, team))
+      .map((team) => this.#describeHolder(index, team));
+    if (waiting.length === 0) {
+      return new Map();
     }
-    return contending;
+    const holders = [...table.listTeams()]
+      .map((team) => this.#describeHolder(index, team));
+    return allocator.findExcesses(holders, waiting);
+  }
+
+  #describeHolder(index: FleetIndex, team: string): ShareHolder {
+    return {
+      team,
+      share: index.findTeam(team)?.resource.share ?? DEFAULT_SHARE,
+      runningCount: this.#options.table.countTeam(team),
+    };
   }
 
   #createClaimant(
@@ -126,11 +141,30 @@
         this.#options.demand.takeOne(want, nowMs);
         return true;
       }
-      want.blockedRound = this.#round;
+      this.#markBlocked(index, want);
     }
     return false;
   }
 
+  // What is full for a want without exclusions is full for its whole queue.
+  #markBlocked(index: FleetIndex, want: EntryWant): void {
+    want.blockedRound = this.#round;
+    const isQueueFull = this.#options.slots.isFull(
+      this.#listPools(index, want.queue),
+    );
+    if (isQueueFull) {
+      this.#fullQueues.add(want.queue);
+    }
+  }
+
+  #listPools(
+    index: FleetIndex,
+    queueName: string,
+  ): readonly StoredResource<Pool>[] {
+    const queue = index.findQueue(queueName)?.resource;
+    return queue === undefined ? [] : index.listPools(queue);
+  }
+
   #findFirst(
     index: FleetIndex,
     team: string,
@@ -140,6 +174,7 @@
     let firstPriority = -Infinity;
     for (const want of this.#options.demand.listWants(team)) {
       const isOpen = want.blockedRound !== this.#round &&
+        !this.#fullQueues.has(want.queue) &&
         want.session.isResponsive(nowMs);
       if (isOpen) {
         const priority = index.findQueue(want.queue)?.resource.priority ?? 0;
--- a/src/services/permits/permit_coordinator.ts
+++ b/src/services/permits/permit_coordinator.ts
@@ -24,6 +24,7 @@
   GRANT_METHOD,
   type PermitPush,
   type PermitReply,
+  type PermitReport,
   permitReportSchema,
   REPORT_METHOD,
 } from "./permit_messages.ts";
@@ -68,7 +69,11 @@
     this.#options = options;
     options.network.handle(
       REPORT_METHOD,
-      (peerId, body) => Promise.resolve(this.takeReport(peerId, body)),
+      (peerId, body) =>
+        Promise.resolve(
+          validateWith(permitReportSchema, body, { subject: REPORT_METHOD })
+            .andThen((report) => this.takeReport(peerId, report)),
+        ),
     );
   }
 
@@ -81,21 +86,22 @@
    * Takes in a report of an entry.
    *
    * @param entryId - The entry, as authenticated.
-   * @param body - The report, not validated yet.
+   * @param report - The report.
    * @returns The answer, or `notLeader` when this entry must not grant.
    */
-  takeReport(entryId: string, body: unknown): Result<PermitReply, Failure> {
+  takeReport(
+    entryId: string,
+    report: PermitReport,
+  ): Result<PermitReply, Failure> {
     const ledger = this.#findLedger();
-    if (ledger === undefined) {
-      return Result.err(
+    return ledger === undefined
+      ? Result.err(
         createFailure(
           "notLeader",
           `${this.#options.entryId} is not the confirmed leader`,
         ),
-      );
-    }
-    return validateWith(permitReportSchema, body, { subject: REPORT_METHOD })
-      .map((report) => ledger.takeReport(entryId, report));
+      )
+      : Result.ok(ledger.takeReport(entryId, report));
   }
 
   /**
--- a/src/services/permits/permit_ledger.ts
+++ b/src/services/permits/permit_ledger.ts
@@ -53,6 +53,7 @@
   #index: FleetIndex;
   #permitCount = 0;
   #unknownCount = 0;
+  #excesses = new Map<string, number>();
 
   constructor(options: PermitLedgerOptions) {
     const { coordinatorId, leaderSinceMs, entryIds, picker } = options;
@@ -138,6 +139,7 @@
   runRound(): void {
     const nowMs = this.#options.clock.monotonicMs();
     this.#rounds.run(this.#index, nowMs);
+    this.#excesses = this.#rounds.findExcesses(this.#index);
   }
 
   /** Looks for leases that have lapsed and for backend servers gone silent. */
@@ -243,7 +245,10 @@
       ),
       unservedQueues: [...queues].filter((queue) => !this.#isServed(queue)),
       contended: !this.#demand.listTeams().next().done,
-      contendingTeams: this.#rounds.listContending(this.#index),
+      excesses: [...this.#excesses].map(([team, fraction]) => ({
+        team,
+        fraction,
+      })),
       takingOver: this.#takeover.isRunning(nowMs),
       ...this.#members.listSince(report.membershipVersion),
       leavingBackendIds: this.#slots.listLeaving(),
--- a/src/services/permits/permit_messages.ts
+++ b/src/services/permits/permit_messages.ts
@@ -79,6 +79,13 @@
   repliedAtMs: v.number(),
 });
 
+/** Schema of {@link TeamExcess}. */
+export const teamExcessSchema = v.object({
+  team: v.string(),
+  /** Part of its places that the team should give up, from 0 to 1. */
+  fraction: v.pipe(v.number(), v.minValue(0), v.maxValue(1)),
+});
+
 /** Schema of {@link PermitGrant}. */
 export const permitGrantSchema = v.object({
   ...heldPermitSchema.entries,
@@ -105,8 +112,8 @@
   unservedQueues: v.array(v.string()),
   /** Whether requests of any entry wait for a permit. */
   contended: v.boolean(),
-  /** Teams below their limits whose requests wait: none, one, or two of them. */
-  contendingTeams: v.array(v.string()),
+  /** Teams that hold more than their share while others wait. */
+  excesses: v.array(teamExcessSchema),
   /** True while a new coordinator grants nothing; entries keep what they have. */
   takingOver: v.boolean(),
   membershipVersion: countSchema,
@@ -136,6 +143,8 @@
 >;
 /** What an entry tells the coordinator. */
 export type PermitReport = v.InferOutput<typeof permitReportSchema>;
+/** By how much a team holds more than its share. */
+export type TeamExcess = v.InferOutput<typeof teamExcessSchema>;
 /** A permit as the coordinator grants it. */
 export type PermitGrant = v.InferOutput<typeof permitGrantSchema>;
 /** What the coordinator answers to a report. */
--- a/src/services/permits/permit_reporter.ts
+++ b/src/services/permits/permit_reporter.ts
@@ -15,9 +15,11 @@
   REPORT_METHOD,
 } from "./permit_messages.ts";
 import {
+  HOLDING_INTERVAL_MS,
   REPORT_BATCH_MS,
   REPORT_INTERVAL_MS,
   REPORT_RETRY_MS,
+  REPORT_SPACING_MS,
   REPORT_TIMEOUT_MS,
 } from "./permit_times.ts";
 
@@ -38,6 +40,7 @@
   readonly #options: PermitReporterOptions;
   readonly #runStartedAtMs: number;
   #sequence = 0;
+  #reportedAtMs = -Infinity;
   #coordinatorEntryId: string | undefined;
   #hasNews = true;
   readonly #wake = new Notifier();
@@ -64,7 +67,7 @@
     void this.#watch(this.#options.directory.changed, signal);
     while (!signal.aborted) {
       await this.#waitForNews(signal);
-      await this.#options.clock.sleep(REPORT_BATCH_MS, signal);
+      await this.#waitForBatch(signal);
       const isDone = await this.#exchange();
       if (!isDone) {
         await this.#options.clock.sleep(REPORT_RETRY_MS, signal);
@@ -85,17 +88,29 @@
     if (this.#hasNews) {
       return;
     }
+    const { clock, source } = this.#options;
+    const intervalMs = source.holdings.size > 0
+      ? HOLDING_INTERVAL_MS
+      : REPORT_INTERVAL_MS;
     const stop = new AbortController();
     const end = () => stop.abort();
     signal.addEventListener("abort", end, { once: true });
     await Promise.race([
       this.#wake.wait(stop.signal),
-      this.#options.clock.sleep(REPORT_INTERVAL_MS, stop.signal),
+      clock.sleep(intervalMs, stop.signal),
     ]);
     stop.abort();
     signal.removeEventListener("abort", end);
   }
 
+  async #waitForBatch(signal: AbortSignal): Promise<void> {
+    const { clock } = this.#options;
+    const spacedMs = this.#reportedAtMs + REPORT_SPACING_MS -
+      clock.monotonicMs();
+    await clock.sleep(Math.max(REPORT_BATCH_MS, spacedMs), signal);
+    this.#reportedAtMs = clock.monotonicMs();
+  }
+
   async #exchange(): Promise<boolean> {
     const { agreement, clock, source } = this.#options;
     const { leaderId } = agreement.status();
--- a/src/services/permits/permit_table.ts
+++ b/src/services/permits/permit_table.ts
@@ -54,6 +54,11 @@
     return this.#countByTeam.get(team) ?? 0;
   }
 
+  /** Lists the teams with permits. */
+  listTeams(): IterableIterator<string> {
+    return this.#countByTeam.keys();
+  }
+
   /** Counts the permits at a backend server. */
   countBackend(backendServerId: string): number {
     return this.#countByBackend.get(backendServerId) ?? 0;
--- a/src/services/permits/permit_times.ts
+++ b/src/services/permits/permit_times.ts
@@ -4,15 +4,17 @@
 export const PERMIT_LEASE_MS = 2_000;
 /** Time between reports of an entry that has nothing new to say. */
 export const REPORT_INTERVAL_MS = 400;
+/** The same for an entry that holds permits: it must hear when to give back. */
+export const HOLDING_INTERVAL_MS = 100;
+/** Least time between two reports, so that load does not multiply them. */
+export const REPORT_SPACING_MS = 8;
 /** Time after which an entry gives up on the answer to a report. */
 export const REPORT_TIMEOUT_MS = 400;
 /** Time for which news is gathered before a report is sent. */
 export const REPORT_BATCH_MS = 2;
 /** Pause after a report that failed. */
 export const REPORT_RETRY_MS = 50;
-/** Time for which a permit is used again while other teams wait. */
-export const CONTENDED_WINDOW_MS = 400;
-/** Time for which a permit is used again while no other team waits. */
+/** Time for which a permit is used again before it goes back. */
 export const REUSE_WINDOW_MS = 1_500;
 /** Time for which an entry keeps a permit that it has no request for. */
 export const IDLE_HOLD_MS = 30;
--- a/src/services/permits/slot_table.ts
+++ b/src/services/permits/slot_table.ts
@@ -1,5 +1,5 @@
 /** The coordinator's view of backend servers and of their free slots. */
-import type { Announcement } from "../../domain/index.ts";
+import type { Announcement, Pool, StoredResource } from "../../domain/index.ts";
 import type {
   BackendCandidate,
   BackendPicker,
@@ -110,9 +110,21 @@
     return (this.#openCountByPool.get(pool) ?? 0) > 0;
   }
 
-  /** Tells whether a pool has a free slot. */
-  hasFree(pool: string): boolean {
-    return (this.#freeByPool.get(pool)?.length ?? 0) > 0;
+  /** Whether any backend server has a free slot. */
+  get hasAnyFree(): boolean {
+    for (const free of this.#freeByPool.values()) {
+      if (free.length > 0) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Tells whether none of some pools has a free slot. */
+  isFull(pools: readonly StoredResource<Pool>[]): boolean {
+    return pools.every(({ resource }) =>
+      (this.#freeByPool.get(resource.name)?.length ?? 0) === 0
+    );
   }
 
   /**
