--- /dev/null
+++ b/src/bench/permit_limit_use.ts
@@ -0,0 +1,142 @@
+/** How much of its limit one busy team uses, through uneven balancing. */
+import { SeededRandom } from "../adapters/random/index.ts";
+import { FleetIndexCache, TwoChoicesPicker } from "../decisions/index.ts";
+import { BackendDirectory } from "../services/index.ts";
+import { FakeClock, FakePermitSource } from "../testing/index.ts";
+import {
+  averageRunningByTeam,
+  createPermitWorld,
+  createSimulatedState,
+  keepCallersBusy,
+} from "./permit_world.ts";
+
+const ENTRY_COUNT = 9;
+const BACKEND_COUNT = 18;
+const SLOT_COUNT = 8;
+const LIMIT = 60;
+const CALLER_COUNT = 120;
+const WORK_MS = 400;
+const SETTLE_MS = 5_000;
+const MEASURE_MS = 5_000;
+const TEAM = "team-1";
+/** Part of the calls that the first entry gets; the others share the rest. */
+const UNEVEN_PERCENT = 60;
+const PERCENT = 100;
+
+/**
+ * Measures the coordinator against a fixed split over the entries.
+ *
+ * @param seed - Seed of the balancing.
+ * @returns Ratios of the limit that was used on average.
+ */
+export async function measureLimitUse(seed: number) {
+  return {
+    coordinatorLimitUse: await measureCoordinator(seed),
+    staticSplitLimitUse: await measureStaticSplit(seed),
+  };
+}
+
+async function measureCoordinator(seed: number): Promise<number> {
+  const world = createPermitWorld({
+    seed,
+    entryCount: ENTRY_COUNT,
+    backendCount: BACKEND_COUNT,
+    slotCount: SLOT_COUNT,
+    teams: [{ name: TEAM, share: 1, maxRunningCount: LIMIT }],
+  });
+  keepCallersBusy(world, {
+    team: TEAM,
+    callerCount: CALLER_COUNT,
+    workMs: WORK_MS,
+    chooseEntry: () => `entry-${drawEntry(world.random) + 1}`,
+  });
+  await world.clock.advance(SETTLE_MS);
+  const means = await averageRunningByTeam(world, [TEAM], MEASURE_MS);
+  return roundRatio((means.get(TEAM) ?? 0) / LIMIT);
+}
+
+// Each entry owns its part of the limit and of the backend servers.
+async function measureStaticSplit(seed: number): Promise<number> {
+  const clock = new FakeClock();
+  const random = new SeededRandom(seed);
+  const maxRunningCount = Math.floor(LIMIT / ENTRY_COUNT);
+  const team = { name: TEAM, share: 1, maxRunningCount };
+  const state = createSimulatedState({
+    teams: [team],
+    backendCount: BACKEND_COUNT,
+  });
+  const fleet = new FleetIndexCache(() => state);
+  const sources = Array.from({ length: ENTRY_COUNT }, (_, entryAt) => {
+    const directory = new BackendDirectory(clock);
+    announceOwned(directory, entryAt);
+    const picker = new TwoChoicesPicker(random);
+    return {
+      directory,
+      source: new FakePermitSource({ clock, directory, fleet, picker, random }),
+    };
+  });
+  let busyMs = 0;
+  const queue = fleet.current().findQueue("jobs")?.resource;
+  const runCaller = async () => {
+    while (queue !== undefined) {
+      const permit = await sources[drawEntry(random)]?.source.acquire({
+        admission: {
+          team: fleet.current().findTeam(TEAM)?.resource,
+          teamName: TEAM,
+          queue,
+          poolNames: ["main"],
+          causes: [],
+        },
+        excludedBackendIds: new Set(),
+        waitUntilMs: clock.monotonicMs() + queue.maxWaitMs,
+        signal: new AbortController().signal,
+      });
+      if (permit?.isOk) {
+        await clock.sleep(WORK_MS);
+        busyMs += WORK_MS;
+        permit.value.release({ ended: true, healthy: true });
+      }
+      await clock.sleep(1);
+    }
+  };
+  for (let count = 0; count < CALLER_COUNT; count += 1) {
+    void runCaller();
+  }
+  const stepMs = 1_000;
+  let startedBusyMs = 0;
+  for (let atMs = 0; atMs < SETTLE_MS + MEASURE_MS; atMs += stepMs) {
+    startedBusyMs = atMs === SETTLE_MS ? busyMs : startedBusyMs;
+    sources.forEach(({ directory }, at) => announceOwned(directory, at, atMs));
+    await clock.advance(stepMs);
+  }
+  return roundRatio((busyMs - startedBusyMs) / MEASURE_MS / LIMIT);
+}
+
+function announceOwned(
+  directory: BackendDirectory,
+  entryAt: number,
+  sequence = 0,
+): void {
+  for (let at = entryAt; at < BACKEND_COUNT; at += ENTRY_COUNT) {
+    directory.accept({
+      backendServerId: `server-${at}`,
+      sequence,
+      vm: `vm-${at}`,
+      host: "127.0.0.1",
+      port: 1,
+      slotCount: SLOT_COUNT,
+      connectionCount: 64,
+      leaving: false,
+      running: [],
+    });
+  }
+}
+
+function drawEntry(random: SeededRandom): number {
+  const isFirst = random.nextInt(PERCENT) < UNEVEN_PERCENT;
+  return isFirst ? 0 : 1 + random.nextInt(ENTRY_COUNT - 1);
+}
+
+function roundRatio(ratio: number): number {
+  return Math.round(ratio * 10_000) / 10_000;
+}
--- /dev/null
+++ b/src/bench/permit_rounds.ts
@@ -0,0 +1,169 @@
+/** What one decision of the coordinator costs as the fleet grows. */
+import { SeededRandom } from "../adapters/random/index.ts";
+import {
+  FleetIndexCache,
+  TwoChoicesPicker,
+  WeightedMaxMinAllocator,
+} from "../decisions/index.ts";
+import type { Clock } from "../ports/index.ts";
+import { PermitLedger, type PermitReport } from "../services/index.ts";
+import { FakeAgreement, FakeClock } from "../testing/index.ts";
+import { createSimulatedState } from "./permit_world.ts";
+
+const SLOT_COUNT = 8;
+const ROUND_COUNT = 2_000;
+const SETTLE_MS = 5_000;
+const MICROS_PER_MS = 1_000;
+
+interface Size {
+  readonly backendCount: number;
+  readonly teamCount: number;
+}
+
+/**
+ * Measures a return with the grant that follows it, on a full fleet where
+ * every team waits.
+ *
+ * @param clock - The machine's clock.
+ * @returns Microseconds for each decision, by size.
+ */
+export function measureRounds(clock: Clock) {
+  // The first run is thrown away: it pays for the compiler.
+  measureOne(clock, { backendCount: 10, teamCount: 6 });
+  return {
+    decisionUs10Servers6Teams: measureOne(clock, {
+      backendCount: 10,
+      teamCount: 6,
+    }),
+    decisionUs1000Servers6Teams: measureOne(clock, {
+      backendCount: 1_000,
+      teamCount: 6,
+    }),
+    decisionUs10Servers320Teams: measureOne(clock, {
+      backendCount: 10,
+      teamCount: 320,
+    }),
+    decisionUs1000Servers320Teams: measureOne(clock, {
+      backendCount: 1_000,
+      teamCount: 320,
+    }),
+  };
+}
+
+function measureOne(clock: Clock, size: Size): number {
+  const entry = new SimulatedEntry(size);
+  entry.fill();
+  const startedMs = clock.monotonicMs();
+  for (let count = 0; count < ROUND_COUNT; count += 1) {
+    entry.returnAndTake();
+  }
+  const tookMs = clock.monotonicMs() - startedMs;
+  return Math.round(tookMs * MICROS_PER_MS / ROUND_COUNT * 10) / 10;
+}
+
+/** Drives a ledger as one entry does, without tasks. */
+class SimulatedEntry {
+  readonly #clock = new FakeClock();
+  readonly #size: Size;
+  readonly #ledger: PermitLedger;
+  readonly #held: PermitReport["held"] = [];
+  #sessionId: string | undefined;
+  #sequence = 0;
+  #seenGrant = 0;
+  #returnCount = 0;
+  #membershipVersion = 0;
+
+  constructor(size: Size) {
+    const teams = Array.from({ length: size.teamCount }, (_, at) => ({
+      name: `team-${at}`,
+      share: 1 + at % 4,
+      maxRunningCount: size.backendCount * SLOT_COUNT,
+    }));
+    const state = createSimulatedState({ ...size, teams });
+    const agreement = Object.assign(new FakeAgreement(this.#clock), { state });
+    this.#size = size;
+    this.#ledger = new PermitLedger({
+      coordinatorId: "1.simulated",
+      leaderSinceMs: -SETTLE_MS,
+      entryIds: ["entry-1"],
+      agreement,
+      clock: this.#clock,
+      fleet: new FleetIndexCache(() => state),
+      allocator: new WeightedMaxMinAllocator(),
+      picker: new TwoChoicesPicker(new SeededRandom(1)),
+      onSession: () => undefined,
+    });
+  }
+
+  /** Opens a session and takes permits for all slots. */
+  fill(): void {
+    this.#report([]);
+    const { backendCount } = this.#size;
+    const announcements = Array.from({ length: backendCount }, (_, at) => ({
+      ageMs: 0,
+      announcement: {
+        backendServerId: `server-${at}`,
+        sequence: 1,
+        vm: `vm-${at}`,
+        host: "127.0.0.1",
+        port: 1,
+        slotCount: SLOT_COUNT,
+        connectionCount: SLOT_COUNT,
+        leaving: false,
+        running: [],
+      },
+    }));
+    this.#report([], announcements);
+    if (this.#held.length !== backendCount * SLOT_COUNT) {
+      throw new Error(`only ${this.#held.length} permits were granted`);
+    }
+  }
+
+  /** Gives one permit back and takes the one that is granted for it. */
+  returnAndTake(): void {
+    const permit = this.#held.shift();
+    if (permit === undefined) {
+      throw new Error("there is no permit to give back");
+    }
+    this.#returnCount += 1;
+    const returnNumber = this.#returnCount;
+    this.#report([{ ...permit, returnNumber, ended: true, attemptCount: 1 }]);
+  }
+
+  #report(
+    returns: PermitReport["returns"],
+    announcements: PermitReport["announcements"] = [],
+  ): void {
+    this.#sequence += 1;
+    const reply = this.#ledger.takeReport("entry-1", {
+      runStartedAtMs: 0,
+      sequence: this.#sequence,
+      ...(this.#sessionId === undefined ? {} : { sessionId: this.#sessionId }),
+      held: [],
+      acknowledgedGrant: this.#seenGrant,
+      returns,
+      wants: this.#listWants(),
+      announcements,
+      membershipVersion: this.#membershipVersion,
+      sinceReplyMs: SETTLE_MS,
+      repliedAtMs: 0,
+    });
+    this.#sessionId = reply.sessionId;
+    this.#membershipVersion = reply.membershipVersion;
+    for (const { grantNumber, ...grant } of reply.grants) {
+      this.#seenGrant = grantNumber;
+      this.#held.push(grant);
+    }
+  }
+
+  #listWants(): PermitReport["wants"] {
+    const { teamCount, backendCount } = this.#size;
+    return Array.from({ length: teamCount }, (_, at) => ({
+      team: `team-${at}`,
+      queue: "jobs",
+      count: backendCount * SLOT_COUNT,
+      oldestWaitMs: at,
+      excludedBackendIds: [],
+    }));
+  }
+}
--- /dev/null
+++ b/src/bench/permit_world.ts
@@ -0,0 +1,162 @@
+/** A deployment in simulated time, for comparing permit policies. */
+import { SeededRandom } from "../adapters/random/index.ts";
+import type { ShareAllocator } from "../decisions/index.ts";
+import { FleetState } from "../domain/index.ts";
+import {
+  FakeClock,
+  FakeNetwork,
+  PermitFleet,
+  putResources,
+  RecordingBackend,
+} from "../testing/index.ts";
+
+const REFUSED_PAUSE_MS = 50;
+const LATENCY_MS = 2;
+
+/** A team of the simulated deployment. */
+export interface SimulatedTeam {
+  readonly name: string;
+  readonly share: number;
+  readonly maxRunningCount: number;
+}
+
+/** Options of {@link createPermitWorld}. */
+export interface PermitWorldOptions {
+  readonly seed: number;
+  readonly entryCount: number;
+  readonly backendCount: number;
+  readonly slotCount: number;
+  readonly teams: readonly SimulatedTeam[];
+  readonly allocator?: ShareAllocator;
+}
+
+/** A simulated deployment. */
+export interface PermitWorld {
+  readonly clock: FakeClock;
+  readonly random: SeededRandom;
+  readonly fleet: PermitFleet;
+  readonly entryIds: readonly string[];
+}
+
+/**
+ * Declares one pool with one queue that reaches it.
+ *
+ * @param options - Teams and number of backend servers.
+ * @returns The state with all resources.
+ */
+export function createSimulatedState(
+  options: Pick<PermitWorldOptions, "teams" | "backendCount">,
+): FleetState {
+  const state = new FleetState();
+  const vms = Array.from({ length: options.backendCount }, (_, at) => ({
+    kind: "vm",
+    name: `vm-${at}`,
+    zone: "zone-1",
+    rack: "rack-1",
+  }));
+  putResources(state, [
+    { kind: "zone", name: "zone-1", region: "region-1" },
+    { kind: "pool", name: "main", vmSelector: {} },
+    { kind: "queue", name: "jobs", poolSelector: {} },
+    ...vms,
+    ...options.teams.map((team) => ({ kind: "team", ...team })),
+  ]);
+  return state;
+}
+
+/**
+ * Creates a deployment whose entries have a coordinator.
+ *
+ * @param options - Size, teams and allocator.
+ * @returns The deployment; its clock stands still until it is advanced.
+ */
+export function createPermitWorld(options: PermitWorldOptions): PermitWorld {
+  const clock = new FakeClock();
+  const random = new SeededRandom(options.seed);
+  const network = new FakeNetwork(clock, random);
+  network.setDefaults({ delayMs: LATENCY_MS });
+  const entryIds = Array.from(
+    { length: options.entryCount },
+    (_, at) => `entry-${at + 1}`,
+  );
+  const fleet = new PermitFleet({
+    clock,
+    random,
+    network,
+    state: createSimulatedState(options),
+    entryIds,
+    ...(options.allocator === undefined
+      ? {}
+      : { allocator: options.allocator }),
+  });
+  for (let at = 0; at < options.backendCount; at += 1) {
+    fleet.addBackend(
+      new RecordingBackend({
+        backendServerId: `server-${at}`,
+        vm: `vm-${at}`,
+        clock,
+        random,
+        slotCount: options.slotCount,
+      }),
+    );
+  }
+  return { clock, random, fleet, entryIds };
+}
+
+/** Options of {@link keepCallersBusy}. */
+export interface BusyCallers {
+  readonly team: string;
+  readonly callerCount: number;
+  readonly workMs: number;
+  /** Chooses the entry of the next call, as the balancer does. */
+  readonly chooseEntry: () => string;
+}
+
+/**
+ * Keeps callers busy that each wait for an answer before the next call.
+ *
+ * @param world - The deployment.
+ * @param options - Team, number of callers and choice of entries.
+ */
+export function keepCallersBusy(
+  world: PermitWorld,
+  options: BusyCallers,
+): void {
+  const { team, workMs, callerCount, chooseEntry } = options;
+  const runCaller = async () => {
+    for (;;) {
+      const work = { team, queue: "jobs", workMs };
+      const result = await world.fleet.request(chooseEntry(), work);
+      await world.clock.sleep(result === "ran" ? 1 : REFUSED_PAUSE_MS);
+    }
+  };
+  for (let count = 0; count < callerCount; count += 1) {
+    void runCaller();
+  }
+}
+
+/**
+ * Measures how many attempts of each team ran on average.
+ *
+ * @param world - The deployment.
+ * @param teams - Names of the teams.
+ * @param durationMs - Simulated time to average over.
+ * @returns The mean for each team.
+ */
+export async function averageRunningByTeam(
+  world: PermitWorld,
+  teams: readonly string[],
+  durationMs: number,
+): Promise<Map<string, number>> {
+  const stepMs = 10;
+  const stepCount = Math.ceil(durationMs / stepMs);
+  const means = new Map(teams.map((team) => [team, 0]));
+  for (let step = 0; step < stepCount; step += 1) {
+    await world.clock.advance(stepMs);
+    for (const team of teams) {
+      const running = world.fleet.countRunning(team);
+      means.set(team, (means.get(team) ?? 0) + running / stepCount);
+    }
+  }
+  return means;
+}
