--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -10,11 +10,13 @@
   binaryVersion: "0.1.0",
 });
 cli.register(commands.ApplyCommand);
+cli.register(commands.EntriesCommand);
 cli.register(commands.ExplainCommand);
 cli.register(commands.GetCommand);
 cli.register(commands.KeyCreateCommand);
 cli.register(commands.KeyWithdrawCommand);
 cli.register(commands.LabelCommand);
+cli.register(commands.PlanCommand);
 cli.register(commands.StatusCommand);
 cli.register(commands.WatchCommand);
 cli.register(Builtins.HelpCommand);
