Measure capacity moves and average the demand they follow

Change: demand is averaged over five minutes, and half of the spare pool is kept; bench 'moves' drives the real classes over drawn demand.

--- /dev/null
+++ b/src/bench/capacity_model.ts
@@ -0,0 +1,282 @@
+/** Drives a move policy over recorded demand, with the real decision classes. */
+import {
+  DomainBudgetPolicy,
+  FleetView,
+  type MovePolicy,
+  type PoolDemand,
+  type Wish,
+} from "../decisions/index.ts";
+import {
+  FleetState,
+  type Resource,
+  type VmAssignment,
+} from "../domain/index.ts";
+import { computeEntitled } from "./max_min_share.ts";
+import type { DemandSeries } from "./move_demand.ts";
+
+const SLOTS_PER_VM = 8;
+const MOVE_MS = 150_000;
+const MS_PER_HOUR = 3_600_000;
+const START_MS = MS_PER_HOUR;
+
+/** A deployment: zones, and VMs of each service; the last one is the spare. */
+export interface Deployment {
+  readonly zoneCount: number;
+  readonly vmCounts: readonly number[];
+}
+
+/** Figures of one run. */
+export interface MoveFigures {
+  readonly moveCount: number;
+  /** VM-hours out of service for moves, or idle in the spare pool or on loan. */
+  readonly bufferCostVmHours: number;
+  /** Distance from weighted max-min shares, as a part of them. */
+  readonly shareErrorRatio: number;
+  /** Work done as a part of the work asked for. */
+  readonly workRatio: number;
+}
+
+/** Options of {@link runMovePolicy}. */
+export interface ModelOptions {
+  readonly deployment: Deployment;
+  readonly policy: MovePolicy;
+  readonly demand: ReadonlyMap<string, DemandSeries>;
+  readonly stepCount: number;
+  readonly stepMs: number;
+}
+
+interface Totals {
+  moveCount: number;
+  bufferVmMs: number;
+  errorSlots: number;
+  entitledSlots: number;
+  wantedSlots: number;
+  servedSlots: number;
+}
+
+/**
+ * Names the pools of a deployment.
+ *
+ * @param deployment - The deployment.
+ * @returns Names in the order of {@link Deployment.vmCounts}.
+ */
+export function namePools({ vmCounts }: Deployment): string[] {
+  return vmCounts.map((_, at) => `pool-${at + 1}`);
+}
+
+/**
+ * Runs a policy over a demand.
+ *
+ * @param options - Deployment, policy and demand.
+ * @returns The figures of the run.
+ */
+export function runMovePolicy(options: ModelOptions): MoveFigures {
+  const state = createState(options.deployment);
+  const totals: Totals = {
+    moveCount: 0,
+    bufferVmMs: 0,
+    errorSlots: 0,
+    entitledSlots: 0,
+    wantedSlots: 0,
+    servedSlots: 0,
+  };
+  for (let step = 0; step < options.stepCount; step += 1) {
+    const nowMs = START_MS + step * options.stepMs;
+    endMoves(state, nowMs);
+    const view = new FleetView(state);
+    const demand = serve(view, options, step, totals);
+    const input = { view, demand, nowMs, monotonicMs: nowMs };
+    for (const wish of options.policy.decide(input)) {
+      totals.moveCount += Number(startMove(view, wish, nowMs));
+    }
+  }
+  return {
+    moveCount: totals.moveCount,
+    bufferCostVmHours: totals.bufferVmMs / MS_PER_HOUR,
+    shareErrorRatio: totals.errorSlots / totals.entitledSlots,
+    workRatio: totals.servedSlots / totals.wantedSlots,
+  };
+}
+
+// A pool serves what it can; the rest overflows to free slots of the spare.
+function serve(
+  view: FleetView,
+  { deployment, demand, stepMs }: ModelOptions,
+  step: number,
+  totals: Totals,
+): PoolDemand[] {
+  const pools = namePools(deployment).map((pool) => {
+    const wantedCount = demand.get(pool)?.[step] ?? 0;
+    const slotCount = countServing(view, pool) * SLOTS_PER_VM;
+    const ownCount = Math.min(wantedCount, slotCount);
+    return { pool, wantedCount, slotCount, ownCount };
+  });
+  const spare = pools.at(-1);
+  let freeCount = (spare?.slotCount ?? 0) - (spare?.ownCount ?? 0);
+  const totalCount = pools.reduce((sum, pool) => sum + pool.slotCount, 0);
+  const claimants = pools.map(({ pool, wantedCount }) => ({
+    name: pool,
+    share: 1,
+    wantedCount,
+  }));
+  const entitled = computeEntitled(claimants, totalCount);
+  for (const { pool, wantedCount, ownCount } of pools) {
+    const overflowCount = Math.min(freeCount, wantedCount - ownCount);
+    freeCount -= overflowCount;
+    const servedCount = ownCount + overflowCount;
+    const fairCount = entitled.get(pool) ?? 0;
+    totals.wantedSlots += wantedCount;
+    totals.servedSlots += servedCount;
+    totals.entitledSlots += fairCount;
+    totals.errorSlots += Math.max(0, fairCount - servedCount);
+  }
+  const idleCount = Math.floor(freeCount / SLOTS_PER_VM) +
+    countIdleLoans(view, pools);
+  totals.bufferVmMs += (countBusy(view) + idleCount) * stepMs;
+  return pools.map(({ pool, ownCount, slotCount }) => ({
+    pool,
+    busySlotCount: ownCount,
+    slotCount,
+  }));
+}
+
+function countIdleLoans(
+  view: FleetView,
+  pools: readonly { pool: string; slotCount: number; ownCount: number }[],
+): number {
+  return pools.reduce((sum, { pool, slotCount, ownCount }) => {
+    const idleCount = Math.floor((slotCount - ownCount) / SLOTS_PER_VM);
+    const loanCount = view.listPool(pool).filter(({ assignment }) =>
+      assignment?.loanedFrom !== undefined && assignment.phase === "serving"
+    ).length;
+    return sum + Math.min(idleCount, loanCount);
+  }, 0);
+}
+
+function countServing(view: FleetView, pool: string): number {
+  return view.listPool(pool).filter(({ outage }) => outage === undefined)
+    .length;
+}
+
+function countBusy(view: FleetView): number {
+  return view.list().filter(({ outage }) => outage === "busy").length;
+}
+
+function startMove(view: FleetView, wish: Wish, nowMs: number): boolean {
+  const vm = view.find(wish.vm.name);
+  const isExhausted = vm === undefined ||
+    new DomainBudgetPolicy().findExhausted(view, vm) !== undefined;
+  if (isExhausted || vm.assignment?.phase !== "serving") {
+    return false;
+  }
+  const operationId = `${vm.name} cordoned ${nowMs}`;
+  const applied = view.state.apply({
+    type: "assign",
+    expectedOperationId: vm.assignment.operationId,
+    assignment: {
+      ...vm.assignment,
+      phase: "cordoned",
+      purpose: wish.purpose,
+      actionId: wish.actionId,
+      targetPool: wish.targetPool,
+      loanedFrom: wish.loanedFrom,
+      operationId,
+      startedAtMs: nowMs,
+    },
+    record: {
+      decisionId: operationId,
+      atMs: nowMs,
+      action: "move",
+      subjects: [`vm/${vm.name}`, `action/${wish.actionId}`],
+      summary: wish.summary,
+      revision: view.revision,
+      causes: [],
+      figures: { ...wish.figures },
+      rejected: [],
+      count: 1,
+    },
+  });
+  view.refresh(vm.name);
+  return applied.isOk;
+}
+
+function endMoves(state: FleetState, nowMs: number): void {
+  const ended = state.listAssignments().filter(({ phase, startedAtMs }) =>
+    phase !== "serving" && nowMs - startedAtMs >= MOVE_MS
+  );
+  for (const assignment of ended) {
+    const pool = assignment.targetPool ?? assignment.pool;
+    const isHome = assignment.loanedFrom === pool;
+    goOn(state, assignment, { phase: "draining" });
+    goOn(state, assignment, { phase: "rebooting" });
+    goOn(state, assignment, { phase: "joining" });
+    goOn(state, assignment, {
+      phase: "serving",
+      pool,
+      targetPool: undefined,
+      loanedFrom: isHome ? undefined : assignment.loanedFrom,
+    });
+  }
+}
+
+function goOn(
+  state: FleetState,
+  { vm }: VmAssignment,
+  changes: Partial<VmAssignment>,
+): void {
+  const current = state.findAssignment(vm);
+  if (current !== undefined) {
+    const operationId = `${current.operationId} ${changes.phase}`;
+    const applied = state.apply({
+      type: "assign",
+      expectedOperationId: current.operationId,
+      assignment: { ...current, ...changes, operationId },
+    });
+    if (applied.isErr) {
+      throw new Error(applied.error.message);
+    }
+  }
+}
+
+function createState({ zoneCount, vmCounts }: Deployment): FleetState {
+  const state = new FleetState();
+  const puts: Resource[] = vmCounts.flatMap((vmCount, at) => {
+    const name = `pool-${at + 1}`;
+    const budgets = [{ domain: "pool" as const, maxUnavailableVmCount: 2 }];
+    const pool: Resource = {
+      kind: "pool",
+      name,
+      labels: {},
+      vmSelector: { pool: [name] },
+      spare: at === vmCounts.length - 1,
+      budgets,
+    };
+    const vms = Array.from({ length: vmCount }, (_, number): Resource => ({
+      kind: "vm",
+      name: `vm-${at + 1}-${number + 1}`,
+      labels: { pool: name },
+      zone: `zone-${(number % zoneCount) + 1}`,
+      rack: "rack-1",
+    }));
+    return [pool, ...vms];
+  });
+  const change = {
+    operationId: "declare-fleet",
+    expectedRevision: 0,
+    puts,
+    deletes: [],
+  };
+  state.apply({ type: "change", change, operator: "bench", atMs: 0 });
+  for (const { name, pool } of new FleetView(state).list()) {
+    const assignment: VmAssignment = {
+      vm: name,
+      pool: pool ?? "",
+      phase: "serving",
+      actionId: "adopt",
+      operationId: `${name} adopt`,
+      startedAtMs: 0,
+    };
+    state.apply({ type: "assign", assignment });
+  }
+  return state;
+}
--- /dev/null
+++ b/src/bench/move_policies.ts
@@ -0,0 +1,89 @@
+/** Capacity moves of both deployments, against the reactive baseline. */
+import { SeededRandom } from "../adapters/random/index.ts";
+import {
+  HysteresisMovePolicy,
+  type MovePolicy,
+  ReactiveMovePolicy,
+} from "../decisions/index.ts";
+import {
+  type Deployment,
+  type MoveFigures,
+  namePools,
+  runMovePolicy,
+} from "./capacity_model.ts";
+import type {
+  Measurement,
+  MeasurementContext,
+  Outcome,
+} from "./measurement.ts";
+import { recordDemand } from "./move_demand.ts";
+
+const STEP_MS = 10_000;
+const HOURS = 24;
+const QUICK_HOURS = 6;
+const MS_PER_HOUR = 3_600_000;
+const SEED_COUNT = 5;
+const SLOTS_PER_VM = 8;
+
+/** Three zones with five services, and four zones with five services. */
+const DEPLOYMENTS: readonly Deployment[] = [
+  { zoneCount: 3, vmCounts: [6, 7, 7, 6, 9] },
+  { zoneCount: 4, vmCounts: [8, 8, 8, 8, 8] },
+];
+
+/** Moves, buffer cost, shares and work of the move policies. */
+export class MovesMeasurement implements Measurement {
+  readonly name = "moves";
+  readonly summary = "capacity moves over recorded demand, without daemons";
+  readonly targets = [];
+
+  run(context: MeasurementContext): Promise<Outcome> {
+    const hours = context.quick ? QUICK_HOURS : HOURS;
+    const stepCount = hours * MS_PER_HOUR / STEP_MS;
+    const chosen: MoveFigures[] = [];
+    const baseline: MoveFigures[] = [];
+    for (const deployment of DEPLOYMENTS) {
+      for (let seed = 0; seed < SEED_COUNT; seed += 1) {
+        const random = new SeededRandom(context.seed + seed);
+        const demand = recordDemand({
+          random,
+          poolNames: namePools(deployment),
+          slotCounts: deployment.vmCounts.map((count) => count * SLOTS_PER_VM),
+          stepCount,
+          stepMs: STEP_MS,
+        });
+        const run = (policy: MovePolicy) =>
+          runMovePolicy({
+            deployment,
+            policy,
+            demand,
+            stepCount,
+            stepMs: STEP_MS,
+          });
+        chosen.push(run(new HysteresisMovePolicy()));
+        baseline.push(run(new ReactiveMovePolicy()));
+      }
+      context.report(`${deployment.zoneCount} zones are done`);
+    }
+    const figures = { hours, ...summarize(chosen, baseline) };
+    return Promise.resolve({ figures, plots: [] });
+  }
+}
+
+function summarize(
+  chosen: readonly MoveFigures[],
+  baseline: readonly MoveFigures[],
+): Record<string, number> {
+  const mean = (runs: readonly MoveFigures[], field: keyof MoveFigures) =>
+    runs.reduce((sum, run) => sum + run[field], 0) / runs.length;
+  return {
+    moveCount: mean(chosen, "moveCount"),
+    bufferCostVmHours: mean(chosen, "bufferCostVmHours"),
+    shareErrorRatio: mean(chosen, "shareErrorRatio"),
+    workRatio: mean(chosen, "workRatio"),
+    baselineMoveCount: mean(baseline, "moveCount"),
+    baselineBufferCostVmHours: mean(baseline, "bufferCostVmHours"),
+    baselineShareErrorRatio: mean(baseline, "shareErrorRatio"),
+    baselineWorkRatio: mean(baseline, "workRatio"),
+  };
+}
--- a/src/bench/registry.ts
+++ b/src/bench/registry.ts
@@ -4,6 +4,7 @@
 import { KeysMeasurement } from "./keys.ts";
 import { LimitsMeasurement } from "./limits.ts";
 import type { Measurement } from "./measurement.ts";
+import { MovesMeasurement } from "./move_policies.ts";
 import { OverloadMeasurement } from "./overload.ts";
 import { PropagationMeasurement } from "./propagation.ts";
 import { RecoveryMeasurement } from "./recovery.ts";
@@ -21,4 +22,5 @@
   new ShutdownMeasurement(),
   new RecoveryMeasurement(),
   new FairnessMeasurement(),
+  new MovesMeasurement(),
 ];
--- a/src/decisions/moves/hysteresis_move_policy.ts
+++ b/src/decisions/moves/hysteresis_move_policy.ts
@@ -8,6 +8,7 @@
   type MoveNeed,
   type MovePolicy,
   type MoveThresholds,
+  type PoolDemand,
 } from "./move_policy.ts";
 import type { Wish } from "./wish.ts";
 
@@ -18,15 +19,24 @@
   /** How long demand must stay low before a pool gives back, in milliseconds. */
   readonly returnAfterMs: number;
   readonly maxMovesPerHourCount: number;
+  /** Time constant over which demand is averaged, in milliseconds. */
+  readonly averagingMs: number;
 }
 
 const DEFAULT_HYSTERESIS: HysteresisOptions = {
   ...DEFAULT_THRESHOLDS,
-  borrowAfterMs: 600_000,
+  reserveRatio: 0.5,
+  borrowAfterMs: 300_000,
   returnAfterMs: 1_200_000,
   maxMovesPerHourCount: 6,
+  averagingMs: 300_000,
 };
 
+interface AveragedRatio {
+  readonly ratio: number;
+  readonly atMs: number;
+}
+
 interface SustainedNeed {
   readonly direction: MoveNeed["direction"];
   readonly sinceMs: number;
@@ -41,25 +51,45 @@
 export class HysteresisMovePolicy implements MovePolicy {
   readonly #options: HysteresisOptions;
   readonly #since = new Map<string, SustainedNeed>();
+  readonly #averages = new Map<string, AveragedRatio>();
 
   constructor(options: Partial<HysteresisOptions> = {}) {
     this.#options = { ...DEFAULT_HYSTERESIS, ...options };
   }
 
   decide(input: MoveInput): Wish[] {
-    const needs = findNeeds(input, this.#options);
+    const averaged = {
+      ...input,
+      demand: input.demand.map((demand) =>
+        this.#average(demand, input.monotonicMs)
+      ),
+    };
+    const needs = findNeeds(averaged, this.#options);
     const sustained = this.#keepSustained(needs, input.monotonicMs);
     if (sustained.length === 0) {
       return [];
     }
+    const { reserveRatio } = this.#options;
     const leftCount = this.#options.maxMovesPerHourCount -
       countRecentMoves(input);
     return sustained
-      .map((need) => createCapacityMove(input, need))
+      .map((need) => createCapacityMove(averaged, need, reserveRatio))
       .filter((wish) => wish !== undefined)
       .slice(0, Math.max(0, leftCount));
   }
 
+  // Peaks of seconds would otherwise interrupt every long rise and every fall.
+  #average(demand: PoolDemand, monotonicMs: number): PoolDemand {
+    const { pool, busySlotCount, slotCount } = demand;
+    const ratio = slotCount === 0 ? 0 : busySlotCount / slotCount;
+    const known = this.#averages.get(pool) ?? { ratio, atMs: monotonicMs };
+    const elapsedMs = monotonicMs - known.atMs;
+    const weight = 1 - Math.exp(-elapsedMs / this.#options.averagingMs);
+    const averaged = known.ratio + (ratio - known.ratio) * weight;
+    this.#averages.set(pool, { ratio: averaged, atMs: monotonicMs });
+    return { pool, slotCount, busySlotCount: averaged * slotCount };
+  }
+
   #keepSustained(
     needs: readonly MoveNeed[],
     monotonicMs: number,
@@ -88,7 +118,9 @@
 export class ReactiveMovePolicy implements MovePolicy {
   decide(input: MoveInput): Wish[] {
     return findNeeds(input, DEFAULT_THRESHOLDS)
-      .map((need) => createCapacityMove(input, need))
+      .map((need) =>
+        createCapacityMove(input, need, DEFAULT_THRESHOLDS.reserveRatio)
+      )
       .filter((wish) => wish !== undefined);
   }
 }
--- a/src/decisions/moves/move_policy.ts
+++ b/src/decisions/moves/move_policy.ts
@@ -41,12 +41,15 @@
   readonly borrowAboveRatio: number;
   /** Share of busy slots below which a pool gives back. */
   readonly returnBelowRatio: number;
+  /** Part of a spare pool's VMs that is kept for the overflow of peaks. */
+  readonly reserveRatio: number;
 }
 
 /** Thresholds that leave room between borrowing and giving back. */
 export const DEFAULT_THRESHOLDS: MoveThresholds = {
   borrowAboveRatio: 0.85,
   returnBelowRatio: 0.5,
+  reserveRatio: 0,
 };
 
 /** A pool whose demand asks for a move. */
@@ -91,11 +94,13 @@
  *
  * @param input - The fleet and its demand.
  * @param need - The pool that borrows or gives back.
+ * @param reserveRatio - Part of a spare pool's VMs that is not lent.
  * @returns The move, or undefined while one is under way or no VM can be had.
  */
 export function createCapacityMove(
   input: MoveInput,
   need: MoveNeed,
+  reserveRatio: number,
 ): Wish | undefined {
   const { view } = input;
   const { pool } = need.demand;
@@ -103,7 +108,9 @@
     return undefined;
   }
   const isBorrow = need.direction === "borrow";
-  const vm = isBorrow ? findSpareVm(input, pool) : findLoanedVm(view, pool);
+  const vm = isBorrow
+    ? findSpareVm(input, pool, reserveRatio)
+    : findLoanedVm(view, pool);
   const home = isBorrow ? vm?.pool : vm?.assignment?.loanedFrom;
   if (vm === undefined || home === undefined) {
     return undefined;
@@ -152,28 +159,44 @@
 }
 
 // A VM of the zone where the borrower has the fewest VMs spreads it best.
-function findSpareVm(input: MoveInput, borrower: string): VmView | undefined {
+function findSpareVm(
+  input: MoveInput,
+  borrower: string,
+  reserveRatio: number,
+): VmView | undefined {
   const { view } = input;
   const zoneCounts = new Map<string, number>();
   for (const { vm } of view.listPool(borrower)) {
     const count = zoneCounts.get(vm.resource.zone) ?? 0;
     zoneCounts.set(vm.resource.zone, count + 1);
   }
-  const candidates = view.list().filter((vm) =>
-    vm.outage === undefined && vm.assignment?.phase === "serving" &&
-    view.findPool(vm.pool ?? "")?.resource.spare === true &&
-    isLendable(input, vm.pool ?? "")
-  );
+  const candidates = view.state.list("pool")
+    .filter(({ resource }) => resource.spare)
+    .filter(({ resource }) => isLendable(input, resource.name, reserveRatio))
+    .flatMap(({ resource }) => view.listPool(resource.name))
+    .filter(({ outage, assignment }) =>
+      outage === undefined && assignment?.phase === "serving"
+    );
   const count = ({ vm }: VmView) => zoneCounts.get(vm.resource.zone) ?? 0;
   return candidates.sort((left, right) => count(left) - count(right))[0];
 }
 
 // A spare pool that is busy itself lends nothing, so that its own work and the
 // overflow of short peaks keep their room.
-function isLendable({ demand }: MoveInput, pool: string): boolean {
+function isLendable(
+  { view, demand }: MoveInput,
+  pool: string,
+  reserveRatio: number,
+): boolean {
   const own = demand.find((candidate) => candidate.pool === pool);
-  return own === undefined || own.slotCount === 0 ||
-    own.busySlotCount / own.slotCount < DEFAULT_THRESHOLDS.borrowAboveRatio;
+  const isBusy = own !== undefined && own.slotCount > 0 &&
+    own.busySlotCount / own.slotCount >= DEFAULT_THRESHOLDS.borrowAboveRatio;
+  const homeCount =
+    view.state.list("vm").filter(({ resource }) =>
+      view.claims.findDesired(resource)?.resource.name === pool
+    ).length;
+  const leftCount = view.listPool(pool).length - 1;
+  return !isBusy && leftCount >= Math.floor(homeCount * reserveRatio);
 }
 
 function findLoanedVm(view: FleetView, pool: string): VmView | undefined {
