--- a/src/adapters/http/operator_routes.ts
+++ b/src/adapters/http/operator_routes.ts
@@ -12,7 +12,7 @@
 } from "../../domain/index.ts";
 import type { Agreement } from "../../ports/index.ts";
 import type {
-  ExplainService,
+  FleetExplainer,
   Operator,
   OperatorService,
 } from "../../services/index.ts";
@@ -40,7 +40,7 @@
 /** Options of {@link addOperatorRoutes}. */
 export interface OperatorRoutesOptions {
   readonly operators: OperatorService;
-  readonly explain: ExplainService;
+  readonly explainer: FleetExplainer;
   readonly agreement: Agreement;
 }
 
@@ -160,7 +160,7 @@
   return Promise.resolve();
 }
 
-function explain(
+async function explain(
   exchange: Exchange,
   options: OperatorRoutesOptions,
 ): Promise<void> {
@@ -168,9 +168,8 @@
   const sinceMs = Number(exchange.query.get("sinceMs") ?? 0);
   sendResult(
     exchange.response,
-    options.explain.explain(`${kind}/${name}`, sinceMs),
+    await options.explainer.explain(`${kind}/${name}`, sinceMs),
   );
-  return Promise.resolve();
 }
 
 function list(
--- a/src/daemon/create_front.ts
+++ b/src/daemon/create_front.ts
@@ -11,6 +11,7 @@
 } from "../adapters/http/index.ts";
 import {
   ExplainService,
+  FleetExplainer,
   OperatorService,
   PlanService,
   PresentState,
@@ -49,12 +50,16 @@
   });
   const operators = new OperatorService({ ...context, bootstrapDigest });
   const present = new PresentState({ ...context, ...controllerParts });
-  const explain = new ExplainService({ ...context, ...requestParts, present });
+  const explainer = new FleetExplainer({
+    local: new ExplainService({ ...context, ...requestParts, present }),
+    network: context.network,
+    peerIds: settings.peers.map(({ entryId }) => entryId),
+  });
   const plans = new PlanService({ ...context, ...controllerParts });
   const server = new HttpServer({ ...context, ...settings.http });
   addCallerRoutes(server, { ...context, ...requestParts });
   addBackendRoutes(server, permitParts);
-  addOperatorRoutes(server, { ...context, operators, explain });
+  addOperatorRoutes(server, { ...context, operators, explainer });
   addPlanRoutes(server, { operators, plans });
   addEntryRoutes(server, { operators, entries: context.entries });
   addHealthRoutes(server, { ...context, isStopping });
--- a/src/services/index.ts
+++ b/src/services/index.ts
@@ -5,6 +5,7 @@
 export * from "./decision_recorder.ts";
 export * from "./explain/index.ts";
 export * from "./explain_service.ts";
+export * from "./fleet_explainer.ts";
 export * from "./operator_service.ts";
 export * from "./permits.ts";
 export * from "./plan_service.ts";
