Bound the connections to a backend server by one rule

Cause: permits now keep an entry within its part of a backend server's connections, and the field that had bounded idle connections is gone; but the HTTP client could open one more than the running attempts, since a connection is free only a moment after its answer has been read (seen: 3 open for 2 attempts at once). Change: one function computes an entry's part; permits and the pool of connections both use it. The test of idle connections is replaced by one that bounds all open connections, which is stricter.

--- a/src/adapters/backend/attempt_exchange.ts
+++ b/src/adapters/backend/attempt_exchange.ts
@@ -28,7 +28,6 @@
   readonly result: Promise<Result<AttemptAnswer, AttemptFailure>>;
   readonly #attempt: Attempt;
   readonly #lease: NodeJS.Timeout;
-  #onEnd: (() => void) | undefined;
   #settle: (result: Result<AttemptAnswer, AttemptFailure>) => void = () => {};
   #controller: Dispatcher.DispatchController | undefined;
   #abortReason: Error | undefined;
@@ -37,11 +36,9 @@
 
   /**
    * @param attempt - The attempt; its lease begins now.
-   * @param onEnd - Called once, when the attempt needs no connection any more.
    */
-  constructor(attempt: Attempt, onEnd: () => void) {
+  constructor(attempt: Attempt) {
     this.#attempt = attempt;
-    this.#onEnd = onEnd;
     this.result = new Promise((resolve) => {
       this.#settle = resolve;
     });
@@ -149,8 +146,6 @@
   #stopWaiting(): void {
     clearTimeout(this.#lease);
     this.#attempt.signal.removeEventListener("abort", this.#onCancel);
-    this.#onEnd?.();
-    this.#onEnd = undefined;
   }
 
   #createBody(controller: Dispatcher.DispatchController): Readable {
--- a/src/adapters/backend/undici_backend_client.ts
+++ b/src/adapters/backend/undici_backend_client.ts
@@ -1,7 +1,7 @@
 /** Attempts over HTTP by undici; each attempt is sent once at the most. */
 import type { Readable } from "node:stream";
 import type { Result } from "true-myth";
-import { Agent } from "undici";
+import { Pool } from "undici";
 import {
   ATTEMPT_ID_HEADER,
   DEADLINE_MS_HEADER,
@@ -21,40 +21,21 @@
 // meet a connection that is being closed.
 const KEEP_ALIVE_MS = 4_000;
 
-/** Options of {@link UndiciBackendClient}. */
-export interface UndiciBackendClientOptions {
-  /** Connections that one process may open to one backend server. */
+interface SizedPool {
+  readonly pool: Pool;
   readonly connectionCount: number;
 }
 
 /** Sends attempts with one connection for each running attempt. */
 export class UndiciBackendClient implements BackendClient {
-  readonly #agent: Agent;
-  readonly #runningCounts = new Map<string, number>();
-
-  constructor(options: UndiciBackendClientOptions) {
-    this.#agent = new Agent({
-      connections: options.connectionCount,
-      pipelining: 1,
-      connect: { timeout: CONNECT_TIMEOUT_MS },
-      keepAliveTimeout: KEEP_ALIVE_MS,
-      keepAliveMaxTimeout: KEEP_ALIVE_MS,
-    });
-  }
+  readonly #pools = new Map<string, SizedPool>();
 
   send(attempt: Attempt): Promise<Result<AttemptAnswer, AttemptFailure>> {
-    const origin = `http://${attempt.host}:${attempt.port}`;
-    const runningCount = this.#addRunning(origin, 1);
-    const exchange = new AttemptExchange(
-      attempt,
-      () => this.#addRunning(origin, -1),
-    );
+    const exchange = new AttemptExchange(attempt);
     if (attempt.signal.aborted) {
       return exchange.result;
     }
-    const { idleConnectionCount = Infinity } = attempt;
-    this.#agent.dispatch({
-      origin,
+    this.#findPool(attempt).dispatch({
       path: attempt.path,
       method: attempt.method as "GET",
       headers: {
@@ -65,26 +46,38 @@
       },
       // undici takes any iterable; its types name only streams.
       body: (attempt.body ?? null) as Readable | Uint8Array | null,
-      // undici fills its connections in order, so that only the first ones are
-      // ever left idle.
-      reset: runningCount > idleConnectionCount,
       headersTimeout: 0,
       bodyTimeout: 0,
     }, exchange);
     return exchange.result;
   }
 
-  #addRunning(origin: string, delta: number): number {
-    const count = (this.#runningCounts.get(origin) ?? 0) + delta;
-    if (count === 0) {
-      this.#runningCounts.delete(origin);
-    } else {
-      this.#runningCounts.set(origin, count);
-    }
-    return count;
+  async close(): Promise<void> {
+    const pools = [...this.#pools.values()];
+    this.#pools.clear();
+    await Promise.all(pools.map(({ pool }) => pool.destroy()));
   }
 
-  async close(): Promise<void> {
-    await this.#agent.destroy();
+  #findPool({ host, port, connectionCount }: Attempt): Pool {
+    const origin = `http://${host}:${port}`;
+    const known = this.#pools.get(origin);
+    if (known?.connectionCount === connectionCount) {
+      return known.pool;
+    }
+    const pool = createPool(origin, connectionCount);
+    this.#pools.set(origin, { pool, connectionCount });
+    // Running attempts end on the pool of the former size.
+    void known?.pool.close();
+    return pool;
   }
 }
+
+function createPool(origin: string, connectionCount: number): Pool {
+  return new Pool(origin, {
+    connections: connectionCount,
+    pipelining: 1,
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+    keepAliveTimeout: KEEP_ALIVE_MS,
+    keepAliveMaxTimeout: KEEP_ALIVE_MS,
+  });
+}
--- a/src/adapters/backend/undici_backend_client_test.ts
+++ b/src/adapters/backend/undici_backend_client_test.ts
@@ -78,6 +78,7 @@
       attemptId: "a1",
       host: "127.0.0.1",
       port,
+      connectionCount: 1,
       method: "GET",
       path: "/x",
       headers: {},
@@ -92,7 +93,7 @@
   beforeEach(async () => {
     server = new RawServer();
     port = await server.start();
-    client = new UndiciBackendClient({ connectionCount: 1 });
+    client = new UndiciBackendClient();
   });
 
   afterEach(async () => {
@@ -107,22 +108,18 @@
     assert.is(await readBody(sent.value.body), "ok");
   });
 
-  it("leaves no more connections idle than it may", async () => {
-    await client.close();
-    client = new UndiciBackendClient({ connectionCount: 8 });
+  it("opens no more connections than its part", async () => {
     server.respond = answerWhole;
-    for (let round = 0; round < 3; round += 1) {
-      await Promise.all(["a1", "a2", "a3", "a4"].map(async (attemptId) => {
+    const attempts = ["a1", "a2", "a3", "a4"];
+    for (let round = 0; round < 5; round += 1) {
+      await Promise.all(attempts.map(async (attemptId) => {
         const sent = await client.send(
-          createAttempt({ attemptId, idleConnectionCount: 2 }),
+          createAttempt({ attemptId, connectionCount: 2 }),
         );
         assert.ok(sent.isOk);
         await readBody(sent.value.body);
       }));
-      while (server.openCount > 2) {
-        await new Promise(setImmediate);
-      }
-      assert.is(server.openCount, 2);
+      assert.ok(server.openCount <= 2, `${server.openCount} are open`);
     }
   });
 
--- a/src/daemon/create_requests.ts
+++ b/src/daemon/create_requests.ts
@@ -22,7 +22,6 @@
 import type { EntryContext } from "./entry_context.ts";
 
 // Permits bound the connections; this only bounds what a fault could open.
-const CONNECTIONS_PER_BACKEND = 64;
 const RUN_ID_LENGTH = 8;
 
 /** The parts that serve callers. */
@@ -72,15 +71,14 @@
   const history = new RequestHistory();
   const claims = new ClaimService(context);
   tasks.startForever("claims", (signal) => claims.run(signal));
-  const client = new UndiciBackendClient({
-    connectionCount: CONNECTIONS_PER_BACKEND,
-  });
+  const client = new UndiciBackendClient();
   const outcomes = new OutcomeRecorder({ ...context, recorder, history });
   const policy = new OutlierHealthPolicy();
   const attempts = new AttemptRunner({
     ...context,
     client,
     outcomes,
+    entryCount: settings.peers.length + 1,
     signal: tasks.signal,
     permits: new GuardedPermitSource({
       permits: permitParts.permits,
--- a/src/domain/backend_server.ts
+++ b/src/domain/backend_server.ts
@@ -43,3 +43,18 @@
 export type Announcement = v.InferOutput<typeof announcementSchema>;
 /** An attempt that a backend server says it is running. */
 export type RunningAttempt = v.InferOutput<typeof runningAttemptSchema>;
+
+/**
+ * Computes how many connections each entry may open to a backend server, so
+ * that all entries together never open more than it accepts.
+ *
+ * @param announcement - What the backend server accepts.
+ * @param entryCount - Number of entries of the deployment.
+ * @returns Connections of one entry, at least 1.
+ */
+export function computeConnectionPart(
+  { connectionCount }: Announcement,
+  entryCount: number,
+): number {
+  return Math.max(1, Math.floor(connectionCount / entryCount));
+}
--- a/src/ports/backend_client.ts
+++ b/src/ports/backend_client.ts
@@ -10,6 +10,8 @@
   readonly attemptId: string;
   readonly host: string;
   readonly port: number;
+  /** Connections that this entry may have open to the backend server. */
+  readonly connectionCount: number;
   readonly method: string;
   readonly path: string;
   readonly headers: Readonly<Record<string, string>>;
@@ -19,11 +21,6 @@
   /** How long the caller still waits, in milliseconds; it travels along. */
   readonly deadlineMs: number;
   readonly signal: AbortSignal;
-  /**
-   * Idle connections that may be kept to the backend server; undefined when
-   * nothing bounds them.
-   */
-  readonly idleConnectionCount?: number | undefined;
 }
 
 /** The answer of a backend server that echoed the attempt's id. */
--- a/src/services/permits/grant_round.ts
+++ b/src/services/permits/grant_round.ts
@@ -6,7 +6,11 @@
   type ShareClaimant,
   type ShareHolder,
 } from "../../decisions/index.ts";
-import type { Pool, StoredResource } from "../../domain/index.ts";
+import {
+  computeConnectionPart,
+  type Pool,
+  type StoredResource,
+} from "../../domain/index.ts";
 import type { Demand } from "./demand.ts";
 import type { EntryWant } from "./entry_session.ts";
 import type { PermitTable } from "./permit_table.ts";
@@ -219,8 +223,8 @@
   // them together never open too many.
   #isAtPart({ session }: EntryWant, { announcement }: SlotRecord): boolean {
     const { table, entryCount } = this.#options;
-    const { backendServerId, connectionCount } = announcement;
-    const partCount = Math.max(1, Math.floor(connectionCount / entryCount));
+    const { backendServerId } = announcement;
+    const partCount = computeConnectionPart(announcement, entryCount);
     return table.countEntry(session.entryId, backendServerId) >= partCount;
   }
 }
--- a/src/services/requests/attempt_runner.ts
+++ b/src/services/requests/attempt_runner.ts
@@ -2,6 +2,7 @@
 import { Result } from "true-myth";
 import {
   type CallerAnswer,
+  computeConnectionPart,
   createFailure,
   type Failure,
   type RequestFailure,
@@ -32,6 +33,8 @@
   readonly outcomes: OutcomeRecorder;
   readonly fleet: FleetIndexCache;
   readonly clock: Clock;
+  /** Number of entries of the deployment. */
+  readonly entryCount: number;
   /** Aborts when this entry can no longer wait for any work. */
   readonly signal: AbortSignal;
 }
@@ -138,6 +141,10 @@
       attemptId: permit.attemptId,
       host: permit.backend.host,
       port: permit.backend.port,
+      connectionCount: computeConnectionPart(
+        permit.backend,
+        this.#options.entryCount,
+      ),
       method: request.method,
       path: request.path,
       headers: request.headers,
@@ -145,7 +152,6 @@
       leaseMs: Math.min(permit.leaseMs, leftMs),
       deadlineMs: leftMs,
       signal: this.#findAttemptSignal(run),
-      idleConnectionCount: permit.idleConnectionCount,
     });
   }
 
--- a/src/testing/fake_entry.ts
+++ b/src/testing/fake_entry.ts
@@ -132,6 +132,7 @@
     policy: options.health ?? new OutlierHealthPolicy(),
   });
   const attempts = new AttemptRunner({
+    entryCount: 1,
     ...base,
     client,
     outcomes,
