Let operators add and remove voters

Cause: a voter lost for good could be replaced only from inside the program.

Change: POST /v1/voters and 'cardamomsill voter add|remove' change one voter; an added entry learns first and votes once it has caught up.

--- a/src/adapters/http/entry_routes.ts
+++ b/src/adapters/http/entry_routes.ts
@@ -1,9 +1,18 @@
-/** Routes that show which revision is in force at each entry. */
-import type { EntryDirectory } from "../../ports/index.ts";
+/** Routes about the entries: which revision is in force where, and who votes. */
+import { validateWith } from "../../domain/index.ts";
+import { type EntryDirectory, voterChangeSchema } from "../../ports/index.ts";
 import type { OperatorService } from "../../services/index.ts";
-import { readSecret, sendFailure, sendResult } from "./exchange.ts";
+import {
+  type Exchange,
+  readJson,
+  readSecret,
+  sendFailure,
+  sendResult,
+} from "./exchange.ts";
 import type { HttpServer } from "./http_server.ts";
 
+const MAX_BODY_BYTES = 1_024;
+
 /** Options of {@link addEntryRoutes}. */
 export interface EntryRoutesOptions {
   readonly operators: OperatorService;
@@ -11,7 +20,7 @@
 }
 
 /**
- * Adds `/v1/entries`.
+ * Adds `/v1/entries` and `/v1/voters`.
  *
  * @param server - The entry's HTTP server.
  * @param options - Who may ask, and who knows the entries.
@@ -20,12 +29,41 @@
   server: HttpServer,
   options: EntryRoutesOptions,
 ): void {
-  server.route(["GET"], "/v1/entries", async ({ request, response }) => {
-    const operator = options.operators.authenticate(readSecret(request));
-    if (operator.isErr) {
-      sendFailure(response, operator.error);
-      return;
+  const { entries } = options;
+  server.route(["GET"], "/v1/entries", async (exchange) => {
+    if (authenticate(exchange, options)) {
+      sendResult(exchange.response, await entries.listEntries());
+    }
+  });
+  server.route(["POST"], "/v1/voters", async (exchange) => {
+    if (authenticate(exchange, options)) {
+      await changeVoter(exchange, options);
     }
-    sendResult(response, await options.entries.listEntries());
   });
 }
+
+function authenticate(
+  { request, response }: Exchange,
+  { operators }: EntryRoutesOptions,
+): boolean {
+  const operator = operators.authenticate(readSecret(request));
+  if (operator.isErr) {
+    sendFailure(response, operator.error);
+  }
+  return operator.isOk;
+}
+
+async function changeVoter(
+  { request, response }: Exchange,
+  { entries }: EntryRoutesOptions,
+): Promise<void> {
+  const body = await readJson(request, MAX_BODY_BYTES);
+  const change = body.andThen((value) =>
+    validateWith(voterChangeSchema, value, { subject: "change of a voter" })
+  );
+  if (change.isErr) {
+    sendFailure(response, change.error);
+    return;
+  }
+  sendResult(response, await entries.changeVoter(change.value));
+}
--- a/src/cli/commands/entries.ts
+++ b/src/cli/commands/entries.ts
@@ -1,6 +1,7 @@
 /** `cardamomsill entries`: shows which revision is in force where. */
 import { Command } from "clipanion";
 import type { Result } from "true-myth";
+import type * as v from "valibot";
 import type { Failure } from "../../domain/index.ts";
 import { type ApiClient, entryListSchema } from "../api/index.ts";
 import { ApiCommand, type CommandOutput } from "../api_command.ts";
@@ -23,17 +24,26 @@
     client: ApiClient,
   ): Promise<Result<CommandOutput, Failure>> {
     const listed = await client.get("/v1/entries", entryListSchema);
-    return listed.map((value) => ({
-      value,
-      text: renderTable(
-        HEADER,
-        value.entries.map(({ entryId, role, revision, leaseLeftMs }) => [
-          entryId,
-          role,
-          revision === undefined ? "not heard" : String(revision),
-          leaseLeftMs === 0 ? "lapsed" : `${leaseLeftMs} ms`,
-        ]),
-      ),
-    }));
+    return listed.map((value) => ({ value, text: renderEntries(value) }));
   }
 }
+
+/**
+ * Renders the entries as a table.
+ *
+ * @param list - What the leader knows of them.
+ * @returns The table.
+ */
+export function renderEntries(
+  { entries }: v.InferOutput<typeof entryListSchema>,
+): string {
+  return renderTable(
+    HEADER,
+    entries.map(({ entryId, role, revision, leaseLeftMs }) => [
+      entryId,
+      role,
+      revision === undefined ? "not heard" : String(revision),
+      leaseLeftMs === 0 ? "lapsed" : `${leaseLeftMs} ms`,
+    ]),
+  );
+}
--- a/src/cli/commands/index.ts
+++ b/src/cli/commands/index.ts
@@ -8,4 +8,5 @@
 export * from "./label.ts";
 export * from "./plan.ts";
 export * from "./status.ts";
+export * from "./voter_change.ts";
 export * from "./watch.ts";
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -18,6 +18,8 @@
 cli.register(commands.LabelCommand);
 cli.register(commands.PlanCommand);
 cli.register(commands.StatusCommand);
+cli.register(commands.VoterAddCommand);
+cli.register(commands.VoterRemoveCommand);
 cli.register(commands.WatchCommand);
 cli.register(Builtins.HelpCommand);
 cli.register(Builtins.VersionCommand);
--- a/src/daemon/replicated_entries_test.ts
+++ b/src/daemon/replicated_entries_test.ts
@@ -78,6 +78,21 @@
     });
   });
 
+  describe("voter remove", () => {
+    it("leaves the entry as an observer, and add lets it vote again", async () => {
+      const env = {
+        CARDAMOMSILL_URL: cluster.entries[3]?.url ?? "",
+        CARDAMOMSILL_KEY_FILE: join(folder, "operator.key"),
+      };
+      const removed = await runCommandLine(["voter", "remove", "entry-3"], env);
+      assert.is(removed.exitCode, 0, removed.stderr);
+      assert.match(removed.stdout, /entry-3 +observer/);
+      const added = await runCommandLine(["voter", "add", "entry-3"], env);
+      assert.is(added.exitCode, 0, added.stderr);
+      assert.match(added.stdout, /entry-3 +(learner|voter)/);
+    });
+  });
+
   describe("when the leader's process is killed", () => {
     it("accepts the next change soon, and loses none when it returns", async () => {
       const url = cluster.entries[3]?.url ?? "";
--- a/src/ports/agreement.ts
+++ b/src/ports/agreement.ts
@@ -1,10 +1,12 @@
 /** Agreement on the durable state: policies only propose and follow. */
 import type { Result } from "true-myth";
-import type {
-  AppliedValue,
-  Command,
-  Failure,
-  FleetState,
+import * as v from "valibot";
+import {
+  type AppliedValue,
+  type Command,
+  type Failure,
+  type FleetState,
+  nameSchema,
 } from "../domain/index.ts";
 
 /** What an entry knows of the agreement. */
@@ -69,6 +71,15 @@
   readonly entries: readonly EntryReport[];
 }
 
+/** Schema of {@link VoterChange}. */
+export const voterChangeSchema = v.strictObject({
+  action: v.picklist(["add", "remove"]),
+  entryId: nameSchema,
+});
+
+/** A change of one voter that an operator asks for. */
+export type VoterChange = v.InferOutput<typeof voterChangeSchema>;
+
 /** Lists which revision is in force where. */
 export interface EntryDirectory {
   /**
@@ -77,4 +88,12 @@
    * @returns The list, `notLeader` without a leader, or `peerUnreachable`.
    */
   listEntries(): Promise<Result<EntryList, Failure>>;
+  /**
+   * Adds or removes one voter; an added one votes once it has caught up.
+   *
+   * @param change - The entry, and what becomes of it.
+   * @returns The list then; `notFound` for an entry that has no disk or does
+   * not run, `conflict` while an earlier change is under way.
+   */
+  changeVoter(change: VoterChange): Promise<Result<EntryList, Failure>>;
 }
--- a/src/replication/messages.ts
+++ b/src/replication/messages.ts
@@ -11,6 +11,7 @@
   snapshotPart: "replication.snapshotPart",
   propose: "replication.propose",
   entries: "replication.entries",
+  changeVoter: "replication.changeVoter",
 } as const;
 
 /** Schema of {@link Pull}. */
--- a/src/replication/replica.ts
+++ b/src/replication/replica.ts
@@ -12,6 +12,7 @@
   EntryDirectory,
   EntryList,
   StoredLog,
+  VoterChange,
 } from "../ports/index.ts";
 import { Notifier, type TaskGroup } from "../tasks/index.ts";
 import { startDeployment } from "./bootstrap_task.ts";
@@ -26,6 +27,7 @@
 import { ReplicaCore, type ReplicaOptions } from "./replica_core.ts";
 import { SnapshotTask } from "./snapshot_task.ts";
 import { FRESHNESS_LEASE_MS } from "./timing.ts";
+import { VoterChanger } from "./voter_changer.ts";
 import { VoteHandler } from "./vote_handler.ts";
 
 /** Voter, learner or observer; the membership in the log says which. */
@@ -34,6 +36,7 @@
   readonly #queue: ProposalQueue;
   readonly #proposer: Proposer;
   readonly #lister: EntryLister;
+  readonly #voters: VoterChanger;
 
   /**
    * @param options - The ports and what the settings say.
@@ -44,6 +47,7 @@
     this.#queue = new ProposalQueue(this.#core);
     this.#proposer = new Proposer(this.#core, this.#queue);
     this.#lister = new EntryLister(this.#core);
+    this.#voters = new VoterChanger(this.#core, this.#queue, this.#lister);
     this.#addHandlers();
   }
 
@@ -122,6 +126,10 @@
     return this.#lister.list();
   }
 
+  changeVoter(change: VoterChange): Promise<Result<EntryList, Failure>> {
+    return this.#voters.change(change);
+  }
+
   async #closeOnAbort(signal: AbortSignal): Promise<void> {
     const { mutex, options } = this.#core;
     await new Notifier().wait(signal);
@@ -162,5 +170,9 @@
       METHODS.entries,
       () => Promise.resolve(this.#lister.createList()),
     );
+    network.handle(
+      METHODS.changeVoter,
+      (_peer, body) => this.#voters.takeForwarded(body),
+    );
   }
 }
