Hand the lead over before a planned stop

Cause: a planned stop of the leader left the others to their election timeout, 1.0 to 1.6 s without an accepted change.

Change: a leader that stops drains its proposals, steps down and tells the voters, who need not wait out the timeout. A single voter keeps leading.

--- a/src/daemon/create_entry.ts
+++ b/src/daemon/create_entry.ts
@@ -46,14 +46,18 @@
     return Result.err(agreement.error);
   }
   const context = createContext(base, network.value, agreement.value);
-  const entry = await startServices(context);
+  const handOver = () => agreement.value.handOver();
+  const entry = await startServices(context, handOver);
   if (base.settings.peers.length > 0) {
     await network.value.start();
   }
   return Result.ok(entry);
 }
 
-async function startServices(context: EntryContext): Promise<Entry> {
+async function startServices(
+  context: EntryContext,
+  handOver: () => Promise<void>,
+): Promise<Entry> {
   const recorder = createRecorder(context);
   const permitParts = createPermits(context);
   const requestParts = createRequests(context, recorder, permitParts);
@@ -76,6 +80,7 @@
     httpPort,
     stop: async () => {
       isStopping = true;
+      await handOver();
       await stopEntry({ context, front, recorder, requestParts });
     },
   };
--- a/src/replication/election_task.ts
+++ b/src/replication/election_task.ts
@@ -41,7 +41,13 @@
     while (!signal.aborted) {
       const waitMs = this.#computeWait(timeoutMs);
       if (waitMs > 0) {
-        await clock.sleep(waitMs, signal);
+        await waitFor({
+          clock,
+          notifier: this.#core.changed,
+          timeoutMs: waitMs,
+          signal,
+          isMet: () => this.#computeWait(timeoutMs) <= 0,
+        });
         continue;
       }
       await this.#stand();
--- a/src/replication/histories_test.ts
+++ b/src/replication/histories_test.ts
@@ -28,6 +28,7 @@
   pause: { weight: 2, target: anyEntry },
   resume: { weight: 3, target: anyEntry },
   disturb: { weight: 1, target: anyEntry },
+  handOver: { weight: 1, target: voter },
   heal: { weight: 3, target: anyEntry },
 } as const;
 
@@ -96,6 +97,8 @@
         duplicatePercent: amount / 3,
         jitterMs: amount * 3,
       });
+    case "handOver":
+      return void cluster.find(target).replica?.handOver();
     case "heal":
       network.setDefaults({});
       return network.heal();
--- a/src/replication/messages.ts
+++ b/src/replication/messages.ts
@@ -7,6 +7,7 @@
   pull: "replication.pull",
   vote: "replication.vote",
   announce: "replication.announce",
+  resign: "replication.resign",
   probe: "replication.probe",
   snapshotPart: "replication.snapshotPart",
   propose: "replication.propose",
--- a/src/replication/proposal_queue.ts
+++ b/src/replication/proposal_queue.ts
@@ -9,7 +9,11 @@
 } from "../domain/index.ts";
 import { Notifier, waitFor } from "../tasks/index.ts";
 import type { ReplicaCore } from "./replica_core.ts";
-import { MAX_BATCH_COUNT, PROPOSE_TIMEOUT_MS } from "./timing.ts";
+import {
+  CALL_TIMEOUT_MS,
+  MAX_BATCH_COUNT,
+  PROPOSE_TIMEOUT_MS,
+} from "./timing.ts";
 
 /** What applying a proposal led to, or why it was not applied. */
 export type Proposed = Result<AppliedValue, Failure>;
@@ -55,6 +59,19 @@
     return settled ?? Result.err(createNoQuorum());
   }
 
+  /** Waits until nothing waits to be applied, or for a short while. */
+  async drain(): Promise<void> {
+    const core = this.#core;
+    await waitFor({
+      clock: core.options.clock,
+      notifier: core.changed,
+      timeoutMs: CALL_TIMEOUT_MS,
+      isMet: () =>
+        this.#waiting.length === 0 &&
+        core.commitIndex === core.log.last.index,
+    });
+  }
+
   /**
    * Appends proposals batch by batch; those that arrive during a sync share
    * the next one.
@@ -83,7 +100,7 @@
     const appended = await core.log.append(entries);
     if (appended.isErr) {
       settleAll(accepted, appended.error);
-      core.resign(appended.error);
+      core.refuseToLead(appended.error);
       return;
     }
     entries.forEach(({ index }, at) => {
--- a/src/replication/replica.ts
+++ b/src/replication/replica.ts
@@ -26,7 +26,7 @@
 import { PullTask } from "./pull_task.ts";
 import { ReplicaCore, type ReplicaOptions } from "./replica_core.ts";
 import { SnapshotTask } from "./snapshot_task.ts";
-import { FRESHNESS_LEASE_MS } from "./timing.ts";
+import { FRESHNESS_LEASE_MS, VOTE_TIMEOUT_MS } from "./timing.ts";
 import { VoterChanger } from "./voter_changer.ts";
 import { VoteHandler } from "./vote_handler.ts";
 
@@ -130,6 +130,23 @@
     return this.#voters.change(change);
   }
 
+  /** Lets another voter lead before a planned stop, if this replica leads. */
+  async handOver(): Promise<void> {
+    const core = this.#core;
+    const { network, peerIds } = core.options;
+    const isAlone = core.log.membership.voters.length === 1;
+    if (core.leadership === undefined || isAlone) {
+      return;
+    }
+    await this.#queue.drain();
+    await core.mutex.run(() => Promise.resolve(core.resign("it stops")));
+    await Promise.all(
+      peerIds.map((peerId) =>
+        network.call(peerId, METHODS.resign, {}, { timeoutMs: VOTE_TIMEOUT_MS })
+      ),
+    );
+  }
+
   async #closeOnAbort(signal: AbortSignal): Promise<void> {
     const { mutex, options } = this.#core;
     await new Notifier().wait(signal);
@@ -161,6 +178,10 @@
       METHODS.announce,
       (peer, body) => votes.takeAnnouncement(peer, body),
     );
+    network.handle(
+      METHODS.resign,
+      (peer) => Promise.resolve(votes.takeResignation(peer)),
+    );
     network.handle(METHODS.probe, () => Promise.resolve(votes.probe()));
     network.handle(
       METHODS.propose,
--- a/src/replication/replica_core.ts
+++ b/src/replication/replica_core.ts
@@ -185,7 +185,7 @@
     const entries = this.createEntries(commands);
     const appended = await this.log.append(entries);
     if (appended.isErr) {
-      this.resign(appended.error);
+      this.refuseToLead(appended.error);
       return;
     }
     this.leadership = new Leadership(this);
@@ -225,12 +225,16 @@
     this.changed.notify();
   }
 
-  /** Stops leading and does not stand for a while, because the disk refuses. */
-  resign(failure: Failure): void {
-    const { clock, logger } = this.options;
-    logger.error({ failure }, "the disk refuses entries");
-    this.resignedUntilMs = clock.monotonicMs() + RESIGNED_MS;
-    this.stepDown(failure.message);
+  /** Stops leading and does not stand for a while. */
+  resign(reason: string): void {
+    this.resignedUntilMs = this.options.clock.monotonicMs() + RESIGNED_MS;
+    this.stepDown(reason);
+  }
+
+  /** Resigns because the disk refuses entries. */
+  refuseToLead(failure: Failure): void {
+    this.options.logger.error({ failure }, "the disk refuses entries");
+    this.resign(failure.message);
   }
 
   /**
--- a/src/replication/replica_test.ts
+++ b/src/replication/replica_test.ts
@@ -10,6 +10,7 @@
 import {
   FRESHNESS_LEASE_MS,
   MAX_BATCH_COUNT,
+  MIN_ELECTION_TIMEOUT_MS,
   SNAPSHOT_INTERVAL_COUNT,
 } from "./timing.ts";
 
@@ -253,6 +254,18 @@
     });
   });
 
+  describe("a leader that stops as planned", () => {
+    it("hands over before the election timeout", async () => {
+      const handedOver = cluster.replica(leaderId).handOver();
+      await cluster.clock.runUntil(handedOver, MIN_ELECTION_TIMEOUT_MS);
+      assert.is(cluster.replica(leaderId).status().leaderSinceMs, undefined);
+      const startedMs = cluster.clock.monotonicMs();
+      assert.is(await accept(OBSERVER, "zone-1"), 1);
+      const tookMs = cluster.clock.monotonicMs() - startedMs;
+      assert.ok(tookMs < MIN_ELECTION_TIMEOUT_MS, `took ${tookMs} ms`);
+    });
+  });
+
   describe("a caller that gives up", () => {
     for (const entryId of ["a", OBSERVER]) {
       it(`at ${entryId} learns that its proposal is in doubt`, async () => {
--- a/src/replication/vote_handler.ts
+++ b/src/replication/vote_handler.ts
@@ -68,6 +68,21 @@
     return message.map(() => ({}));
   }
 
+  /**
+   * Takes note of a leader that stops: an election need not wait any longer.
+   *
+   * @param peerId - The leader.
+   */
+  takeResignation(peerId: string): Result<unknown, Failure> {
+    const core = this.#core;
+    if (core.leaderId === peerId) {
+      const nowMs = core.options.clock.monotonicMs();
+      core.contactMs = nowMs - MIN_ELECTION_TIMEOUT_MS;
+      core.setLeader(undefined);
+    }
+    return Result.ok({});
+  }
+
   async #decide(peerId: string, request: VoteRequest): Promise<boolean> {
     const core = this.#core;
     const { clock, hasDisk } = core.options;
