--- a/src/services/requests/attempt_runner.ts
+++ b/src/services/requests/attempt_runner.ts
@@ -145,6 +145,7 @@
       leaseMs: Math.min(permit.leaseMs, leftMs),
       deadlineMs: leftMs,
       signal: this.#findAttemptSignal(run),
+      idleConnectionCount: permit.idleConnectionCount,
     });
   }
 
