--- a/src/replication/replica.ts
+++ b/src/replication/replica.ts
@@ -12,6 +12,7 @@
   EntryDirectory,
   EntryList,
   StoredLog,
+  VoterChange,
 } from "../ports/index.ts";
 import { Notifier, type TaskGroup } from "../tasks/index.ts";
 import { startDeployment } from "./bootstrap_task.ts";
@@ -25,7 +26,8 @@
 import { PullTask } from "./pull_task.ts";
 import { ReplicaCore, type ReplicaOptions } from "./replica_core.ts";
 import { SnapshotTask } from "./snapshot_task.ts";
-import { FRESHNESS_LEASE_MS } from "./timing.ts";
+import { FRESHNESS_LEASE_MS, VOTE_TIMEOUT_MS } from "./timing.ts";
+import { VoterChanger } from "./voter_changer.ts";
 import { VoteHandler } from "./vote_handler.ts";
 
 /** Voter, learner or observer; the membership in the log says which. */
@@ -34,6 +36,7 @@
   readonly #queue: ProposalQueue;
   readonly #proposer: Proposer;
   readonly #lister: EntryLister;
+  readonly #voters: VoterChanger;
 
   /**
    * @param options - The ports and what the settings say.
@@ -44,6 +47,7 @@
     this.#queue = new ProposalQueue(this.#core);
     this.#proposer = new Proposer(this.#core, this.#queue);
     this.#lister = new EntryLister(this.#core);
+    this.#voters = new VoterChanger(this.#core, this.#queue, this.#lister);
     this.#addHandlers();
   }
 
@@ -122,6 +126,27 @@
     return this.#lister.list();
   }
 
+  changeVoter(change: VoterChange): Promise<Result<EntryList, Failure>> {
+    return this.#voters.change(change);
+  }
+
+  /** Lets another voter lead before a planned stop, if this replica leads. */
+  async handOver(): Promise<void> {
+    const core = this.#core;
+    const { network, peerIds } = core.options;
+    const isAlone = core.log.membership.voters.length === 1;
+    if (core.leadership === undefined || isAlone) {
+      return;
+    }
+    await this.#queue.drain();
+    await core.mutex.run(() => Promise.resolve(core.resign("it stops")));
+    await Promise.all(
+      peerIds.map((peerId) =>
+        network.call(peerId, METHODS.resign, {}, { timeoutMs: VOTE_TIMEOUT_MS })
+      ),
+    );
+  }
+
   async #closeOnAbort(signal: AbortSignal): Promise<void> {
     const { mutex, options } = this.#core;
     await new Notifier().wait(signal);
@@ -153,6 +178,10 @@
       METHODS.announce,
       (peer, body) => votes.takeAnnouncement(peer, body),
     );
+    network.handle(
+      METHODS.resign,
+      (peer) => Promise.resolve(votes.takeResignation(peer)),
+    );
     network.handle(METHODS.probe, () => Promise.resolve(votes.probe()));
     network.handle(
       METHODS.propose,
@@ -162,5 +191,9 @@
       METHODS.entries,
       () => Promise.resolve(this.#lister.createList()),
     );
+    network.handle(
+      METHODS.changeVoter,
+      (_peer, body) => this.#voters.takeForwarded(body),
+    );
   }
 }
