Carry the relays of a deployment in a process of their own

Cause: the process of the bench carried callers, backend servers and all relays. Change: a forked process carries the relays; callers that were refused come back after 100 to 300 ms and not all at once; each run prints how late the bench itself was (benchLateP99Ms, benchLateMaxMs).

--- a/src/bench/failover.ts
+++ b/src/bench/failover.ts
@@ -126,10 +126,11 @@
   if (fault === "kill") {
     await leader.daemon.kill();
   } else if (fault === "isolate") {
-    network.isolate(leaderId);
+    await network.isolate(leaderId);
   } else {
-    entries.filter((entry) => entry !== leader).forEach(({ plan }) =>
-      network.cutOneWay(leaderId, plan.entryId)
+    const others = entries.filter((entry) => entry !== leader);
+    await Promise.all(
+      others.map(({ plan }) => network.cutOneWay(leaderId, plan.entryId)),
     );
   }
 }
@@ -139,7 +140,7 @@
   leader: DeployedEntry,
   fault: Fault,
 ): Promise<void> {
-  deployment.network.heal();
+  await deployment.network.heal();
   if (fault === "kill") {
     await deployment.restart(leader);
   }
--- a/src/bench/keys.ts
+++ b/src/bench/keys.ts
@@ -33,13 +33,14 @@
       workMs: WORK_MS,
     });
     const load = runClosedLoop({
+      random: context.random,
       caller: bench.caller,
       callerCount: CALLER_COUNT,
       durationMs: BEFORE_MS + AFTER_MS,
       chooseCall: () => createCall(bench, TEAM, 0),
     });
     await new SystemClock().sleep(BEFORE_MS);
-    const cutOffId = cutOneOff(context, bench);
+    const cutOffId = await cutOneOff(context, bench);
     const withdrawnAtMs = await withdraw(context, bench);
     await load;
     const works = collectWork(bench.backends);
@@ -71,14 +72,17 @@
 }
 
 // An entry without a disk is cut off, so that the voters keep their quorum.
-function cutOneOff(context: MeasurementContext, bench: Workbench): string {
+async function cutOneOff(
+  context: MeasurementContext,
+  bench: Workbench,
+): Promise<string> {
   const { entries, network } = bench.deployment;
   const last = entries.at(-1);
   if (last === undefined || context.entryCount === 1) {
     return "none";
   }
   context.report(`${last.plan.entryId} is cut off`);
-  network.isolate(last.plan.entryId);
+  await network.isolate(last.plan.entryId);
   return last.plan.entryId;
 }
 
--- a/src/bench/limits.ts
+++ b/src/bench/limits.ts
@@ -3,6 +3,7 @@
 import {
   averageRunning,
   collectWork,
+  describeUnanswered,
   type Span,
   walkStarts,
   type Work,
@@ -63,6 +64,9 @@
     const alone = await this.#runAlone(context, bench, steadyMs);
     const lowered = await this.#runWithFaults(context, bench);
     const works = collectWork(bench.backends);
+    describeUnanswered(bench.caller.records).forEach((line) =>
+      context.report(line)
+    );
     const busy = works.filter(({ team }) => team === BUSY_TEAM);
     const limitUseRatio = averageRunning(busy, alone) / BUSY_LIMIT;
     const steps = [{ fromMs: -Infinity, limit: BUSY_LIMIT }, lowered];
@@ -142,6 +146,7 @@
   durationMs: number,
 ): Promise<void> {
   await runClosedLoop({
+    random: context.random,
     caller: bench.caller,
     callerCount: limit * CALLERS_PER_LIMIT,
     durationMs,
--- a/src/bench/overload.ts
+++ b/src/bench/overload.ts
@@ -4,7 +4,7 @@
 import {
   auditCalls,
   collectWork,
-  describeBroken,
+  describeUnanswered,
   type Work,
 } from "./evidence.ts";
 import { LatencyHistogram } from "./latency_histogram.ts";
@@ -65,7 +65,7 @@
     const goodCount = countBetween(records, startedAtMs);
     const goodPerSecond = goodCount / (OVERLOAD_MS / MS_PER_SECOND);
     const waits = measureWaits(overloaded, works);
-    describeBroken(records).forEach((line) => context.report(line));
+    describeUnanswered(records).forEach((line) => context.report(line));
     return {
       figures: {
         offeredRatio: OFFERED_RATIO,
--- a/src/bench/role_usage.ts
+++ b/src/bench/role_usage.ts
@@ -71,7 +71,7 @@
 function sampleAll(deployment: Deployment): Promise<Sample[]> {
   return Promise.all(deployment.entries.map(async ({ plan, daemon }) => ({
     ...await readProcessUsage(daemon.child.pid ?? 0),
-    byteCount: deployment.network.countBytes(plan.entryId),
+    byteCount: await deployment.network.countBytes(plan.entryId),
   })));
 }
 
--- a/src/bench/run_measurement.ts
+++ b/src/bench/run_measurement.ts
@@ -1,4 +1,5 @@
 /** Runs one measurement, cleans up whatever happens, and prints its figures. */
+import { monitorEventLoopDelay } from "node:perf_hooks";
 import process from "node:process";
 import { SeededRandom } from "../adapters/random/index.ts";
 import { CleanupStack } from "./cleanup_stack.ts";
@@ -14,6 +15,7 @@
 const INTERRUPTED_EXIT_CODE = 130;
 const QUICK_LIMIT_MS = 50_000;
 const DECIMALS = 4;
+const NANOSECONDS_PER_MS = 1_000_000;
 
 /** Options of {@link runMeasurement}. */
 export interface RunOptions {
@@ -48,9 +50,15 @@
     random: new SeededRandom(options.seed),
     report: (text) => process.stderr.write(`${measurement.name}: ${text}\n`),
   };
+  const loopDelay = monitorEventLoopDelay();
+  loopDelay.enable();
   try {
     const outcome = await measurement.run(context);
-    return { ...outcome, figures: roundFigures(outcome.figures) };
+    // A harness that is late itself spoils what it measures.
+    const benchLateP99Ms = loopDelay.percentile(99) / NANOSECONDS_PER_MS;
+    const benchLateMaxMs = loopDelay.max / NANOSECONDS_PER_MS;
+    const figures = { ...outcome.figures, benchLateP99Ms, benchLateMaxMs };
+    return { ...outcome, figures: roundFigures(figures) };
   } finally {
     clearTimeout(limit);
     process.off("SIGINT", interrupt);
--- a/src/bench/shutdown.ts
+++ b/src/bench/shutdown.ts
@@ -1,7 +1,7 @@
 /** A planned stop of every entry in turn, under load. */
 import { SystemClock } from "../adapters/clock/index.ts";
 import type { CallRecord } from "../stand_ins/index.ts";
-import { auditCalls, collectWork, describeBroken } from "./evidence.ts";
+import { auditCalls, collectWork, describeUnanswered } from "./evidence.ts";
 import { runClosedLoop } from "./load.ts";
 import type {
   Measurement,
@@ -35,6 +35,7 @@
     });
     const over = new AbortController();
     const load = runClosedLoop({
+      random: context.random,
       caller: bench.caller,
       callerCount: CALLER_COUNT,
       durationMs: LONGEST_MS,
@@ -46,7 +47,7 @@
     await load;
     const { records } = bench.caller;
     const cut = records.filter(isCut);
-    describeBroken(records).forEach((line) => context.report(line));
+    describeUnanswered(records).forEach((line) => context.report(line));
     return {
       figures: {
         requestCount: records.length,
--- a/src/bench/zone_out.ts
+++ b/src/bench/zone_out.ts
@@ -4,7 +4,7 @@
 import {
   auditCalls,
   collectWork,
-  describeBroken,
+  describeUnanswered,
   type Span,
   type Work,
 } from "./evidence.ts";
@@ -78,7 +78,7 @@
       sentAtMs >= times.acceptedOutMs
     );
     const done = meanwhile.filter(({ outcome }) => outcome === "succeeded");
-    describeBroken(records).forEach((line) => context.report(line));
+    describeUnanswered(records).forEach((line) => context.report(line));
     const audit = auditCalls(records, works);
     return {
       figures: {
--- a/src/stand_ins/deployment.ts
+++ b/src/stand_ins/deployment.ts
@@ -17,7 +17,7 @@
   writeSettings,
   writeSharedFiles,
 } from "./deployment_files.ts";
-import { DeploymentNetwork } from "./deployment_network.ts";
+import { RelayedNetwork } from "./relayed_network.ts";
 import { DeploymentOperator } from "./deployment_operator.ts";
 
 const DEFAULT_ZONE_COUNT = 3;
@@ -49,7 +49,7 @@
 interface DeploymentParts {
   readonly folder: string;
   readonly entries: DeployedEntry[];
-  readonly network: DeploymentNetwork;
+  readonly network: RelayedNetwork;
   readonly balancer: DeploymentBalancer;
   readonly operator: DeploymentOperator;
 }
@@ -57,7 +57,7 @@
 /** Real daemons with everything around them. */
 export class Deployment {
   readonly entries: readonly DeployedEntry[];
-  readonly network: DeploymentNetwork;
+  readonly network: RelayedNetwork;
   readonly balancer: DeploymentBalancer;
   readonly operator: DeploymentOperator;
   readonly #folder: string;
@@ -131,7 +131,7 @@
     voterCount: options.voterCount,
     zoneCount: options.zoneCount ?? DEFAULT_ZONE_COUNT,
   });
-  const network = await DeploymentNetwork.start(
+  const network = await RelayedNetwork.start(
     plans,
     options.delayMs ?? DEFAULT_DELAY_MS,
   );
--- a/src/stand_ins/deployment_files.ts
+++ b/src/stand_ins/deployment_files.ts
@@ -2,7 +2,7 @@
 import { mkdir, writeFile } from "node:fs/promises";
 import { join } from "node:path";
 import { findFreePort } from "../testing/free_port.ts";
-import type { DeploymentNetwork } from "./deployment_network.ts";
+import type { RelayedNetwork } from "./relayed_network.ts";
 
 const PEER_SECRET = "secret-of-the-test-deployment";
 
@@ -79,7 +79,7 @@
 /** Options of {@link writeSettings}. */
 export interface WriteSettingsOptions {
   readonly plans: readonly EntryPlan[];
-  readonly network: DeploymentNetwork;
+  readonly network: RelayedNetwork;
   readonly shared: SharedFiles;
   /** Further settings, over those that the deployment needs. */
   readonly extraSettings: Readonly<Record<string, unknown>>;
