--- a/src/cli/commands/index.ts
+++ b/src/cli/commands/index.ts
@@ -1,9 +1,11 @@
 /** Commands, one to a file. */
 export * from "./apply.ts";
+export * from "./entries.ts";
 export * from "./explain.ts";
 export * from "./get.ts";
 export * from "./key_create.ts";
 export * from "./key_withdraw.ts";
 export * from "./label.ts";
+export * from "./plan.ts";
 export * from "./status.ts";
 export * from "./watch.ts";
--- a/src/daemon/create_front.ts
+++ b/src/daemon/create_front.ts
@@ -6,9 +6,17 @@
   addEntryRoutes,
   addHealthRoutes,
   addOperatorRoutes,
+  addPlanRoutes,
   HttpServer,
 } from "../adapters/http/index.ts";
-import { ExplainService, OperatorService } from "../services/index.ts";
+import {
+  ExplainService,
+  FleetExplainer,
+  OperatorService,
+  PlanService,
+  PresentState,
+} from "../services/index.ts";
+import type { ControllerParts } from "./create_controller.ts";
 import type { PermitParts } from "./create_permits.ts";
 import type { RequestParts } from "./create_requests.ts";
 import type { EntryContext } from "./entry_context.ts";
@@ -19,6 +27,7 @@
   readonly context: EntryContext;
   readonly permitParts: PermitParts;
   readonly requestParts: RequestParts;
+  readonly controllerParts: ControllerParts;
   /** Tells whether the entry has begun its planned stop. */
   readonly isStopping: () => boolean;
 }
@@ -30,7 +39,8 @@
  * @returns The server.
  */
 export async function createFront(options: FrontOptions): Promise<HttpServer> {
-  const { context, permitParts, requestParts, isStopping } = options;
+  const { context, permitParts, requestParts, controllerParts, isStopping } =
+    options;
   const { settings, secrets } = context;
   const bootstrapDigest = await loadOperatorKey({
     file: resolve(settings.dataFolder ?? ".", settings.operatorKeyFile),
@@ -39,11 +49,18 @@
     secrets,
   });
   const operators = new OperatorService({ ...context, bootstrapDigest });
-  const explain = new ExplainService({ ...context, ...requestParts });
+  const present = new PresentState({ ...context, ...controllerParts });
+  const explainer = new FleetExplainer({
+    local: new ExplainService({ ...context, ...requestParts, present }),
+    network: context.network,
+    peerIds: settings.peers.map(({ entryId }) => entryId),
+  });
+  const plans = new PlanService({ ...context, ...controllerParts });
   const server = new HttpServer({ ...context, ...settings.http });
   addCallerRoutes(server, { ...context, ...requestParts });
   addBackendRoutes(server, permitParts);
-  addOperatorRoutes(server, { ...context, operators, explain });
+  addOperatorRoutes(server, { ...context, operators, explainer });
+  addPlanRoutes(server, { operators, plans });
   addEntryRoutes(server, { operators, entries: context.entries });
   addHealthRoutes(server, { ...context, isStopping });
   return server;
--- a/src/services/permits/grant_round.ts
+++ b/src/services/permits/grant_round.ts
@@ -11,6 +11,7 @@
 import type { SlotRecord, SlotTable } from "./slot_table.ts";
 
 const DEFAULT_SHARE = 1;
+const MAX_CONTENDING = 2;
 
 /** A place that has been found for a want. */
 export interface FoundSlot {
@@ -25,6 +26,8 @@
   readonly demand: Demand;
   readonly table: PermitTable;
   readonly slots: SlotTable;
+  /** Entries among which the connections of a backend server are divided. */
+  readonly entryCount: number;
   /** Counts attempts that may run unseen, for any team. */
   readonly countUnknown: () => number;
   /** Hands a permit for the place to the want's entry. */
@@ -74,6 +77,25 @@
     return table.countTeam(team) + countUnknown() >= limit;
   }
 
+  /**
+   * Lists teams whose waiting requests could use a place now.
+   *
+   * @param index - The configuration in force.
+   * @returns None, one, or two of them, which is all that entries need to know.
+   */
+  listContending(index: FleetIndex): string[] {
+    const contending: string[] = [];
+    for (const team of this.#options.demand.listTeams()) {
+      if (contending.length === MAX_CONTENDING) {
+        break;
+      }
+      if (!this.isLimited(index, team)) {
+        contending.push(team);
+      }
+    }
+    return contending;
+  }
+
   #createClaimant(
     index: FleetIndex,
     team: string,
@@ -138,11 +160,32 @@
     }
     for (const { resource } of index.listPools(queue)) {
       const pool = resource.name;
-      const slot = this.#options.slots.pick(pool, want.excludedBackendIds);
+      const slot = this.#pick(pool, want);
       if (slot !== undefined) {
         return { pool, slot, runLeaseMs: queue.maxRunMs };
       }
     }
     return undefined;
   }
+
+  #pick(pool: string, want: EntryWant): SlotRecord | undefined {
+    const { slots } = this.#options;
+    const excludedIds = [...want.excludedBackendIds];
+    for (;;) {
+      const slot = slots.pick(pool, excludedIds);
+      if (slot === undefined || !this.#isAtPart(want, slot)) {
+        return slot;
+      }
+      excludedIds.push(slot.announcement.backendServerId);
+    }
+  }
+
+  // Each entry has its part of a backend server's connections, so that all of
+  // them together never open too many.
+  #isAtPart({ session }: EntryWant, { announcement }: SlotRecord): boolean {
+    const { table, entryCount } = this.#options;
+    const { backendServerId, connectionCount } = announcement;
+    const partCount = Math.max(1, Math.floor(connectionCount / entryCount));
+    return table.countEntry(session.entryId, backendServerId) >= partCount;
+  }
 }
