--- a/src/daemon/create_requests.ts
+++ b/src/daemon/create_requests.ts
@@ -21,8 +21,8 @@
 import type { PermitParts } from "./create_permits.ts";
 import type { EntryContext } from "./entry_context.ts";
 
+// Permits bound the connections; this only bounds what a fault could open.
 const CONNECTIONS_PER_BACKEND = 64;
-const MAX_CONNECTIONS_PER_ENTRY = 32;
 const RUN_ID_LENGTH = 8;
 
 /** The parts that serve callers. */
@@ -73,7 +73,7 @@
   const claims = new ClaimService(context);
   tasks.startForever("claims", (signal) => claims.run(signal));
   const client = new UndiciBackendClient({
-    connectionCount: countConnections(settings.peers.length + 1),
+    connectionCount: CONNECTIONS_PER_BACKEND,
   });
   const outcomes = new OutcomeRecorder({ ...context, recorder, history });
   const policy = new OutlierHealthPolicy();
@@ -101,10 +101,3 @@
   });
   return { recorder, history, client, claims, requests };
 }
-
-// All entries together stay within the connections of a backend server, even
-// when each has used all of its slots a moment ago.
-function countConnections(entryCount: number): number {
-  const evenCount = Math.floor(CONNECTIONS_PER_BACKEND / entryCount);
-  return Math.max(1, Math.min(evenCount, MAX_CONNECTIONS_PER_ENTRY));
-}
