Bound idle connections by the permit instead of permits by connections

Cause: the backend client now has one connection for each running attempt and keeps as many idle ones as the permit says, so that a part of the connections for each entry would only keep permits away. Change: grants carry the idle number; reports keep 4 ms apart.

--- a/src/services/permits/create_grant.ts
+++ b/src/services/permits/create_grant.ts
@@ -1,4 +1,5 @@
 /** Writes a grant for a place that has been found. */
+import type { Announcement } from "../../domain/index.ts";
 import type { EntryWant } from "./entry_session.ts";
 import type { FoundSlot } from "./grant_round.ts";
 import { createPermitId } from "./permit_id.ts";
@@ -8,6 +9,7 @@
 export interface CreateGrantOptions {
   readonly coordinatorId: string;
   readonly permitNumber: number;
+  readonly entryCount: number;
   /** The team's upper limit now; undefined without a limit. */
   readonly maxRunningCount: number | undefined;
 }
@@ -27,7 +29,7 @@
 ): PermitGrant {
   const { session, team, queue } = want;
   const { announcement, zone } = found.slot;
-  const { maxRunningCount } = options;
+  const { maxRunningCount, entryCount } = options;
   return {
     grantNumber: session.nextGrantNumber,
     permitId: createPermitId({ team, ...options }),
@@ -39,5 +41,16 @@
     backendServerId: announcement.backendServerId,
     backend: { ...announcement, running: [] },
     runLeaseMs: found.runLeaseMs,
+    idleConnectionCount: countIdleConnections(announcement, entryCount),
   };
 }
+
+// With at most one connection for each running attempt besides, the entries
+// together stay within the backend server's number.
+function countIdleConnections(
+  { connectionCount, slotCount }: Announcement,
+  entryCount: number,
+): number {
+  const sparedCount = Math.max(0, connectionCount - slotCount);
+  return Math.floor(sparedCount / entryCount);
+}
--- a/src/services/permits/fleet_permit_source.ts
+++ b/src/services/permits/fleet_permit_source.ts
@@ -205,6 +205,7 @@
       pool: grant.pool,
       zone: grant.zone,
       leaseMs: grant.runLeaseMs,
+      idleConnectionCount: grant.idleConnectionCount,
       mayStart: () => !isReleased && this.#mayStart(holding),
       release: (end) => {
         if (!isReleased) {
--- a/src/services/permits/permit_times.ts
+++ b/src/services/permits/permit_times.ts
@@ -7,7 +7,7 @@
 /** The same for an entry that holds permits: it must hear when to give back. */
 export const HOLDING_INTERVAL_MS = 100;
 /** Least time between two reports, so that load does not multiply them. */
-export const REPORT_SPACING_MS = 8;
+export const REPORT_SPACING_MS = 4;
 /** Time after which an entry gives up on the answer to a report. */
 export const REPORT_TIMEOUT_MS = 400;
 /** Time for which news is gathered before a report is sent. */
