--- a/src/bench/registry.ts
+++ b/src/bench/registry.ts
@@ -7,6 +7,7 @@
 import { OverloadMeasurement } from "./overload.ts";
 import { PropagationMeasurement } from "./propagation.ts";
 import { RecoveryMeasurement } from "./recovery.ts";
+import { RequestCostMeasurement } from "./request_cost.ts";
 import { ShutdownMeasurement } from "./shutdown.ts";
 import { ZoneOutMeasurement } from "./zone_out.ts";
 
@@ -21,4 +22,5 @@
   new ShutdownMeasurement(),
   new RecoveryMeasurement(),
   new FairnessMeasurement(),
+  new RequestCostMeasurement(),
 ];
--- a/src/stand_ins/stand_in_backend.ts
+++ b/src/stand_ins/stand_in_backend.ts
@@ -60,6 +60,11 @@
     });
   }
 
+  /** Address of the open port. */
+  get url(): string {
+    return `http://127.0.0.1:${this.#port}`;
+  }
+
   /** Opens the port and starts to announce. */
   async start(): Promise<void> {
     await new Promise<void>((resolve) =>
