Abort waits with a reason, so that no error is built for each request

Cause: a profile of one entry under 32 callers showed 0.35 s of 9 s in DOMException, one for each abort without a reason. Change: waits and exchanges abort with a constant reason.

--- a/src/adapters/http/http_server.ts
+++ b/src/adapters/http/http_server.ts
@@ -15,6 +15,9 @@
 const HEADERS_TIMEOUT_MS = 10_000;
 const IDLE_CONNECTION_MS = 5_000;
 
+// With a reason, an abort builds no error with a stack for each request.
+const EXCHANGE_OVER = "the exchange is over";
+
 /** Handles one request from its first to its last byte. */
 export type ExchangeHandler = (exchange: Exchange) => Promise<void>;
 
@@ -132,7 +135,7 @@
 
   #startExchange(request: IncomingMessage, response: ServerResponse): void {
     const running = { response, gone: new AbortController() };
-    response.once("close", () => running.gone.abort());
+    response.once("close", () => running.gone.abort(EXCHANGE_OVER));
     if (this.#stopping.signal.aborted) {
       closeAfterAnswer(response);
     }
--- a/src/services/claims/claim_service.ts
+++ b/src/services/claims/claim_service.ts
@@ -6,6 +6,8 @@
 
 /** Time after which a claim that is not durable is given up, in milliseconds. */
 export const CLAIM_TIMEOUT_MS = 2_000;
+// With a reason, an abort builds no error with a stack for each claim.
+const WAIT_OVER = "the wait is over";
 const RETRY_DELAY_MS = 250;
 const MAX_BATCH_COUNT = 500;
 const MAX_OPEN_SETTLEMENTS = 20_000;
@@ -79,7 +81,7 @@
     const timeout = this.#options.clock.sleep(CLAIM_TIMEOUT_MS, stop.signal)
       .then(() => Result.err<Claim, Failure>(createClaimFailure("no answer")));
     const standing = await Promise.race([taken, timeout]);
-    stop.abort();
+    stop.abort(WAIT_OVER);
     if (standing.isErr) {
       // The claim may become durable all the same; a resend must be able to run.
       this.settle(claim, { state: "notRun" });
@@ -174,7 +176,7 @@
       ? stop.signal
       : AbortSignal.any([signal, stop.signal]);
     const timeout = clock.sleep(CLAIM_TIMEOUT_MS, either).then(() => {
-      stop.abort();
+      stop.abort(WAIT_OVER);
       return Result.err<readonly Claim[], Failure>(
         createClaimFailure("the log did not answer in time"),
       );
@@ -184,7 +186,7 @@
       either,
     ).then((applied) => applied.map((value) => value.claims ?? []));
     const first = await Promise.race([proposed, timeout]);
-    stop.abort();
+    stop.abort(WAIT_OVER);
     return first;
   }
 }
--- a/src/services/requests/request_body.ts
+++ b/src/services/requests/request_body.ts
@@ -5,6 +5,8 @@
 
 /** Largest body that is kept, in bytes. */
 export const MAX_KEPT_BODY_BYTES = 64 * 1_024;
+// With a reason, an abort builds no error with a stack for each request.
+const WAIT_OVER = "the wait is over";
 const DEFAULT_MAX_TOTAL_BYTES = 16 * 1_024 * 1_024;
 
 /** Options of {@link BodyLoader}. */
@@ -129,7 +131,7 @@
         createFailure("cancelled", `the body was cut short: ${String(error)}`),
       );
     } finally {
-      stop.abort();
+      stop.abort(WAIT_OVER);
     }
   }
 
