--- a/src/daemon/create_requests.ts
+++ b/src/daemon/create_requests.ts
@@ -21,7 +21,6 @@
 import type { PermitParts } from "./create_permits.ts";
 import type { EntryContext } from "./entry_context.ts";
 
-// Permits bound the connections; this only bounds what a fault could open.
 const CONNECTIONS_PER_BACKEND = 64;
 const RUN_ID_LENGTH = 8;
 
@@ -73,7 +72,7 @@
   const claims = new ClaimService(context);
   tasks.startForever("claims", (signal) => claims.run(signal));
   const client = new UndiciBackendClient({
-    connectionCount: CONNECTIONS_PER_BACKEND,
+    connectionCount: countConnections(settings.peers.length + 1),
   });
   const outcomes = new OutcomeRecorder({ ...context, recorder, history });
   const policy = new OutlierHealthPolicy();
@@ -101,3 +100,8 @@
   });
   return { recorder, history, client, claims, requests };
 }
+
+// The part of one entry, as permits divide the connections among entries.
+function countConnections(entryCount: number): number {
+  return Math.max(1, Math.floor(CONNECTIONS_PER_BACKEND / entryCount));
+}
--- a/src/services/permits/fleet_permit_source.ts
+++ b/src/services/permits/fleet_permit_source.ts
@@ -205,7 +205,6 @@
       pool: grant.pool,
       zone: grant.zone,
       leaseMs: grant.runLeaseMs,
-      idleConnectionCount: grant.idleConnectionCount,
       mayStart: () => !isReleased && this.#mayStart(holding),
       release: (end) => {
         if (!isReleased) {
@@ -216,14 +215,14 @@
     };
   }
 
-  #release(holding: Holding, { ended, healthy }: PermitEnd): void {
-    if (healthy !== undefined) {
-      this.holdings.addEvidence(holding.grant.backendServerId, healthy);
-    }
-    if (ended) {
+  #release(holding: Holding, { ended }: PermitEnd): void {
+    const nowMs = this.#options.clock.monotonicMs();
+    const isGivenUp = !this.view.keepsPermits(nowMs) &&
+      this.view.shouldGiveUp(holding.grant.team);
+    if (ended && !isGivenUp) {
       this.#offer(holding);
     } else {
-      this.#giveBack(holding, false);
+      this.#giveBack(holding, ended);
     }
   }
 
--- a/src/services/permits/grant_round.ts
+++ b/src/services/permits/grant_round.ts
@@ -4,7 +4,9 @@
   type FleetIndex,
   type ShareAllocator,
   type ShareClaimant,
+  type ShareHolder,
 } from "../../decisions/index.ts";
+import type { Pool, StoredResource } from "../../domain/index.ts";
 import type { Demand } from "./demand.ts";
 import type { EntryWant } from "./entry_session.ts";
 import type { PermitTable } from "./permit_table.ts";
@@ -25,6 +27,8 @@
   readonly demand: Demand;
   readonly table: PermitTable;
   readonly slots: SlotTable;
+  /** Entries among which the connections of a backend server are divided. */
+  readonly entryCount: number;
   /** Counts attempts that may run unseen, for any team. */
   readonly countUnknown: () => number;
   /** Hands a permit for the place to the want's entry. */
@@ -34,6 +38,8 @@
 /** Grants free slots within the limits, in the order of the allocator. */
 export class GrantRounds {
   readonly #options: GrantRoundsOptions;
+  /** Queues for which no slot is left in the round. */
+  readonly #fullQueues = new Set<string>();
   #round = 0;
 
   constructor(options: GrantRoundsOptions) {
@@ -48,7 +54,11 @@
    * @returns Number of permits granted.
    */
   run(index: FleetIndex, nowMs: number): number {
+    if (!this.#options.slots.hasAnyFree) {
+      return 0;
+    }
     this.#round += 1;
+    this.#fullQueues.clear();
     const claimants: ShareClaimant[] = [];
     for (const team of this.#options.demand.listTeams()) {
       if (!this.isLimited(index, team)) {
@@ -74,6 +84,33 @@
     return table.countTeam(team) + countUnknown() >= limit;
   }
 
+  /**
+   * Finds the teams that should give up places for those that wait.
+   *
+   * @param index - The configuration in force.
+   * @returns The part of its places, from 0 to 1, for each such team.
+   */
+  findExcesses(index: FleetIndex): Map<string, number> {
+    const { allocator, demand, table } = this.#options;
+    const waiting = [...demand.listTeams()]
+      .filter((team) => !this.isLimited(index, team))
+      .map((team) => this.#describeHolder(index, team));
+    if (waiting.length === 0) {
+      return new Map();
+    }
+    const holders = [...table.listTeams()]
+      .map((team) => this.#describeHolder(index, team));
+    return allocator.findExcesses(holders, waiting);
+  }
+
+  #describeHolder(index: FleetIndex, team: string): ShareHolder {
+    return {
+      team,
+      share: index.findTeam(team)?.resource.share ?? DEFAULT_SHARE,
+      runningCount: this.#options.table.countTeam(team),
+    };
+  }
+
   #createClaimant(
     index: FleetIndex,
     team: string,
@@ -104,11 +141,30 @@
         this.#options.demand.takeOne(want, nowMs);
         return true;
       }
-      want.blockedRound = this.#round;
+      this.#markBlocked(index, want);
     }
     return false;
   }
 
+  // What is full for a want without exclusions is full for its whole queue.
+  #markBlocked(index: FleetIndex, want: EntryWant): void {
+    want.blockedRound = this.#round;
+    const isQueueFull = this.#options.slots.isFull(
+      this.#listPools(index, want.queue),
+    );
+    if (isQueueFull) {
+      this.#fullQueues.add(want.queue);
+    }
+  }
+
+  #listPools(
+    index: FleetIndex,
+    queueName: string,
+  ): readonly StoredResource<Pool>[] {
+    const queue = index.findQueue(queueName)?.resource;
+    return queue === undefined ? [] : index.listPools(queue);
+  }
+
   #findFirst(
     index: FleetIndex,
     team: string,
@@ -118,6 +174,7 @@
     let firstPriority = -Infinity;
     for (const want of this.#options.demand.listWants(team)) {
       const isOpen = want.blockedRound !== this.#round &&
+        !this.#fullQueues.has(want.queue) &&
         want.session.isResponsive(nowMs);
       if (isOpen) {
         const priority = index.findQueue(want.queue)?.resource.priority ?? 0;
@@ -138,11 +195,32 @@
     }
     for (const { resource } of index.listPools(queue)) {
       const pool = resource.name;
-      const slot = this.#options.slots.pick(pool, want.excludedBackendIds);
+      const slot = this.#pick(pool, want);
       if (slot !== undefined) {
         return { pool, slot, runLeaseMs: queue.maxRunMs };
       }
     }
     return undefined;
   }
+
+  #pick(pool: string, want: EntryWant): SlotRecord | undefined {
+    const { slots } = this.#options;
+    const excludedIds = [...want.excludedBackendIds];
+    for (;;) {
+      const slot = slots.pick(pool, excludedIds);
+      if (slot === undefined || !this.#isAtPart(want, slot)) {
+        return slot;
+      }
+      excludedIds.push(slot.announcement.backendServerId);
+    }
+  }
+
+  // Each entry has its part of a backend server's connections, so that all of
+  // them together never open too many.
+  #isAtPart({ session }: EntryWant, { announcement }: SlotRecord): boolean {
+    const { table, entryCount } = this.#options;
+    const { backendServerId, connectionCount } = announcement;
+    const partCount = Math.max(1, Math.floor(connectionCount / entryCount));
+    return table.countEntry(session.entryId, backendServerId) >= partCount;
+  }
 }
--- a/src/services/permits/slot_table.ts
+++ b/src/services/permits/slot_table.ts
@@ -1,5 +1,5 @@
 /** The coordinator's view of backend servers and of their free slots. */
-import type { Announcement } from "../../domain/index.ts";
+import type { Announcement, Pool, StoredResource } from "../../domain/index.ts";
 import type {
   BackendCandidate,
   BackendPicker,
@@ -16,7 +16,6 @@
   | "silent"
   | "notServing"
   | "zoneOut"
-  | "ejected"
   | "unverified";
 
 /** A backend server as the coordinator knows it. */
@@ -34,8 +33,6 @@
   readonly picker: BackendPicker;
   /** Counts the slots in use at a backend server. */
   readonly countUsed: (backendServerId: string) => number;
-  /** Tells whether evidence keeps new work away from a backend server. */
-  readonly isEjected: (record: SlotRecord) => boolean;
   /** Monotonic time from which announcements show all that runs. */
   readonly findVerifiedFromMs: () => number;
 }
@@ -46,6 +43,7 @@
   readonly #records = new Map<string, SlotRecord>();
   readonly #freeByPool = new Map<string, FreeList>();
   readonly #openCountByPool = new Map<string, number>();
+  readonly #leavingIds = new Set<string>();
   #index: FleetIndex;
 
   /**
@@ -76,6 +74,11 @@
       return false;
     }
     this.#close(backendServerId);
+    if (announcement.leaving) {
+      this.#leavingIds.add(backendServerId);
+    } else {
+      this.#leavingIds.delete(backendServerId);
+    }
     this.#records.set(backendServerId, {
       announcement,
       heardAtMs,
@@ -97,14 +100,31 @@
     return [...this.#records.values()];
   }
 
+  /** Lists the ids of the backend servers that leave. */
+  listLeaving(): string[] {
+    return [...this.#leavingIds];
+  }
+
   /** Tells whether a pool has a backend server that may get new work. */
   isServed(pool: string): boolean {
     return (this.#openCountByPool.get(pool) ?? 0) > 0;
   }
 
-  /** Tells whether a pool has a free slot. */
-  hasFree(pool: string): boolean {
-    return (this.#freeByPool.get(pool)?.length ?? 0) > 0;
+  /** Whether any backend server has a free slot. */
+  get hasAnyFree(): boolean {
+    for (const free of this.#freeByPool.values()) {
+      if (free.length > 0) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Tells whether none of some pools has a free slot. */
+  isFull(pools: readonly StoredResource<Pool>[]): boolean {
+    return pools.every(({ resource }) =>
+      (this.#freeByPool.get(resource.name)?.length ?? 0) === 0
+    );
   }
 
   /**
@@ -190,6 +210,7 @@
    */
   forget(backendServerId: string): void {
     this.#close(backendServerId);
+    this.#leavingIds.delete(backendServerId);
     this.#records.delete(backendServerId);
   }
 
@@ -213,7 +234,7 @@
     if (record.heardAtMs < this.#options.findVerifiedFromMs()) {
       return "unverified";
     }
-    return this.#options.isEjected(record) ? "ejected" : undefined;
+    return undefined;
   }
 
   // Most picks find an allowed one at once; only a request that was refused by
