--- a/src/adapters/backend/attempt_exchange.ts
+++ b/src/adapters/backend/attempt_exchange.ts
@@ -34,7 +34,9 @@
   #hasStarted = false;
   #body: Readable | undefined;
 
-  /** @param attempt - The attempt; its lease begins now. */
+  /**
+   * @param attempt - The attempt; its lease begins now.
+   */
   constructor(attempt: Attempt) {
     this.#attempt = attempt;
     this.result = new Promise((resolve) => {
--- a/src/adapters/backend/undici_backend_client.ts
+++ b/src/adapters/backend/undici_backend_client.ts
@@ -1,7 +1,7 @@
 /** Attempts over HTTP by undici; each attempt is sent once at the most. */
 import type { Readable } from "node:stream";
 import type { Result } from "true-myth";
-import { Agent } from "undici";
+import { Pool } from "undici";
 import {
   ATTEMPT_ID_HEADER,
   DEADLINE_MS_HEADER,
@@ -21,33 +21,21 @@
 // meet a connection that is being closed.
 const KEEP_ALIVE_MS = 4_000;
 
-/** Options of {@link UndiciBackendClient}. */
-export interface UndiciBackendClientOptions {
-  /** Connections that this entry may open to one backend server. */
+interface SizedPool {
+  readonly pool: Pool;
   readonly connectionCount: number;
 }
 
 /** Sends attempts with one connection for each running attempt. */
 export class UndiciBackendClient implements BackendClient {
-  readonly #agent: Agent;
-
-  constructor(options: UndiciBackendClientOptions) {
-    this.#agent = new Agent({
-      connections: options.connectionCount,
-      pipelining: 1,
-      connect: { timeout: CONNECT_TIMEOUT_MS },
-      keepAliveTimeout: KEEP_ALIVE_MS,
-      keepAliveMaxTimeout: KEEP_ALIVE_MS,
-    });
-  }
+  readonly #pools = new Map<string, SizedPool>();
 
   send(attempt: Attempt): Promise<Result<AttemptAnswer, AttemptFailure>> {
     const exchange = new AttemptExchange(attempt);
     if (attempt.signal.aborted) {
       return exchange.result;
     }
-    this.#agent.dispatch({
-      origin: `http://${attempt.host}:${attempt.port}`,
+    this.#findPool(attempt).dispatch({
       path: attempt.path,
       method: attempt.method as "GET",
       headers: {
@@ -65,6 +53,31 @@
   }
 
   async close(): Promise<void> {
-    await this.#agent.destroy();
+    const pools = [...this.#pools.values()];
+    this.#pools.clear();
+    await Promise.all(pools.map(({ pool }) => pool.destroy()));
   }
+
+  #findPool({ host, port, connectionCount }: Attempt): Pool {
+    const origin = `http://${host}:${port}`;
+    const known = this.#pools.get(origin);
+    if (known?.connectionCount === connectionCount) {
+      return known.pool;
+    }
+    const pool = createPool(origin, connectionCount);
+    this.#pools.set(origin, { pool, connectionCount });
+    // Running attempts end on the pool of the former size.
+    void known?.pool.close();
+    return pool;
+  }
+}
+
+function createPool(origin: string, connectionCount: number): Pool {
+  return new Pool(origin, {
+    connections: connectionCount,
+    pipelining: 1,
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+    keepAliveTimeout: KEEP_ALIVE_MS,
+    keepAliveMaxTimeout: KEEP_ALIVE_MS,
+  });
 }
--- a/src/adapters/backend/undici_backend_client_test.ts
+++ b/src/adapters/backend/undici_backend_client_test.ts
@@ -24,6 +24,10 @@
     return typeof address === "object" && address !== null ? address.port : 0;
   }
 
+  get openCount(): number {
+    return [...this.#sockets].filter(({ closed }) => !closed).length;
+  }
+
   async stop(): Promise<void> {
     this.#sockets.forEach((socket) => socket.destroy());
     this.#server.close();
@@ -74,6 +78,7 @@
       attemptId: "a1",
       host: "127.0.0.1",
       port,
+      connectionCount: 1,
       method: "GET",
       path: "/x",
       headers: {},
@@ -88,7 +93,7 @@
   beforeEach(async () => {
     server = new RawServer();
     port = await server.start();
-    client = new UndiciBackendClient({ connectionCount: 1 });
+    client = new UndiciBackendClient();
   });
 
   afterEach(async () => {
@@ -103,6 +108,21 @@
     assert.is(await readBody(sent.value.body), "ok");
   });
 
+  it("opens no more connections than its part", async () => {
+    server.respond = answerWhole;
+    const attempts = ["a1", "a2", "a3", "a4"];
+    for (let round = 0; round < 5; round += 1) {
+      await Promise.all(attempts.map(async (attemptId) => {
+        const sent = await client.send(
+          createAttempt({ attemptId, connectionCount: 2 }),
+        );
+        assert.ok(sent.isOk);
+        await readBody(sent.value.body);
+      }));
+      assert.ok(server.openCount <= 2, `${server.openCount} are open`);
+    }
+  });
+
   describe("before an answer", () => {
     const faults: readonly {
       readonly fault: string;
--- a/src/daemon/create_requests.ts
+++ b/src/daemon/create_requests.ts
@@ -21,7 +21,7 @@
 import type { PermitParts } from "./create_permits.ts";
 import type { EntryContext } from "./entry_context.ts";
 
-const CONNECTIONS_PER_BACKEND = 64;
+// Permits bound the connections; this only bounds what a fault could open.
 const RUN_ID_LENGTH = 8;
 
 /** The parts that serve callers. */
@@ -71,15 +71,14 @@
   const history = new RequestHistory();
   const claims = new ClaimService(context);
   tasks.startForever("claims", (signal) => claims.run(signal));
-  const client = new UndiciBackendClient({
-    connectionCount: countConnections(settings.peers.length + 1),
-  });
+  const client = new UndiciBackendClient();
   const outcomes = new OutcomeRecorder({ ...context, recorder, history });
   const policy = new OutlierHealthPolicy();
   const attempts = new AttemptRunner({
     ...context,
     client,
     outcomes,
+    entryCount: settings.peers.length + 1,
     signal: tasks.signal,
     permits: new GuardedPermitSource({
       permits: permitParts.permits,
@@ -100,8 +99,3 @@
   });
   return { recorder, history, client, claims, requests };
 }
-
-// The part of one entry, as permits divide the connections among entries.
-function countConnections(entryCount: number): number {
-  return Math.max(1, Math.floor(CONNECTIONS_PER_BACKEND / entryCount));
-}
--- a/src/ports/backend_client.ts
+++ b/src/ports/backend_client.ts
@@ -10,6 +10,8 @@
   readonly attemptId: string;
   readonly host: string;
   readonly port: number;
+  /** Connections that this entry may have open to the backend server. */
+  readonly connectionCount: number;
   readonly method: string;
   readonly path: string;
   readonly headers: Readonly<Record<string, string>>;
--- a/src/replication/replica_test.ts
+++ b/src/replication/replica_test.ts
@@ -10,6 +10,7 @@
 import {
   FRESHNESS_LEASE_MS,
   MAX_BATCH_COUNT,
+  MIN_ELECTION_TIMEOUT_MS,
   SNAPSHOT_INTERVAL_COUNT,
 } from "./timing.ts";
 
@@ -253,6 +254,18 @@
     });
   });
 
+  describe("a leader that stops as planned", () => {
+    it("hands over before the election timeout", async () => {
+      const handedOver = cluster.replica(leaderId).handOver();
+      await cluster.clock.runUntil(handedOver, MIN_ELECTION_TIMEOUT_MS);
+      assert.is(cluster.replica(leaderId).status().leaderSinceMs, undefined);
+      const startedMs = cluster.clock.monotonicMs();
+      assert.is(await accept(OBSERVER, "zone-1"), 1);
+      const tookMs = cluster.clock.monotonicMs() - startedMs;
+      assert.ok(tookMs < MIN_ELECTION_TIMEOUT_MS, `took ${tookMs} ms`);
+    });
+  });
+
   describe("a caller that gives up", () => {
     for (const entryId of ["a", OBSERVER]) {
       it(`at ${entryId} learns that its proposal is in doubt`, async () => {
@@ -342,18 +355,43 @@
       return proposed.isOk ? "accepted" : proposed.error.kind;
     }
 
+    async function changeVoter(
+      action: "add" | "remove",
+      entryId: string,
+    ): Promise<string> {
+      const changed = await cluster.clock.runUntil(
+        cluster.replica(OBSERVER).changeVoter({ action, entryId }),
+        SETTLE_MS,
+      );
+      return changed.isOk ? "accepted" : changed.error.kind;
+    }
+
     it("refuses to change two voters at once", async () => {
       assert.is(await setVoters([leaderId]), "conflict");
       assert.is(await setVoters([]), "conflict");
     });
 
-    it("lets a learner vote once it has caught up", async () => {
+    it("lets an added entry vote once it has caught up", async () => {
       await accept(leaderId, "zone-1");
-      assert.is(await setVoters(VOTERS, [SPARE]), "accepted");
+      assert.is(await changeVoter("add", SPARE), "accepted");
+      assert.is(await changeVoter("add", SPARE), "accepted");
       await cluster.clock.advance(SETTLE_MS);
       assert.equal(listVoters(OBSERVER), [...VOTERS, SPARE]);
     });
 
+    it("replaces a voter that is lost for good", async () => {
+      cluster.crash(follower(0));
+      assert.is(await changeVoter("remove", follower(0)), "accepted");
+      assert.is(await changeVoter("add", SPARE), "accepted");
+      await cluster.clock.advance(SETTLE_MS);
+      cluster.crash(follower(1));
+      assert.is(await accept(OBSERVER, "zone-1"), 1);
+    });
+
+    it("refuses to add an entry without a disk", async () => {
+      assert.is(await changeVoter("add", OBSERVER), "notFound");
+    });
+
     it("hands over when the leader is removed, which then keeps quiet", async () => {
       assert.is(await setVoters(followers), "accepted");
       await cluster.clock.advance(SETTLE_MS);
