--- a/src/bench/registry.ts
+++ b/src/bench/registry.ts
@@ -9,6 +9,7 @@
 import { OverloadMeasurement } from "./overload.ts";
 import { PropagationMeasurement } from "./propagation.ts";
 import { RecoveryMeasurement } from "./recovery.ts";
+import { RequestCostMeasurement } from "./request_cost.ts";
 import { ShutdownMeasurement } from "./shutdown.ts";
 import { ZoneOutMeasurement } from "./zone_out.ts";
 
@@ -23,6 +24,7 @@
   new ShutdownMeasurement(),
   new RecoveryMeasurement(),
   new FairnessMeasurement(),
+  new RequestCostMeasurement(),
   new FootprintMeasurement(),
   new MovesMeasurement(),
 ];
