Keep actions on record beside requests, and prove a reboot in two ways

Cause: one bound on the trail let refusals push out why a VM was moved. Change: AuditTrail with a bound for requests and one for actions; a VM that was seen rebooting twice during its step has rebooted, whatever the count says.

--- a/src/domain/fleet_snapshot.ts
+++ b/src/domain/fleet_snapshot.ts
@@ -7,9 +7,6 @@
 import type { Membership } from "./membership.ts";
 import type { Resource } from "./resources/index.ts";
 
-/** Decision records that the audit trail keeps. */
-export const MAX_KEPT_RECORDS = 10_000;
-
 /** A declared resource with the change that set it. */
 export interface StoredResource<R extends Resource = Resource> {
   readonly resource: R;
--- a/src/domain/fleet_state.ts
+++ b/src/domain/fleet_state.ts
@@ -1,7 +1,7 @@
 /** The durable state that the replicated log builds, the same on every entry. */
 import { Result } from "true-myth";
 import { findAssignmentConflict } from "./assignment.ts";
-import { dropOldest } from "./bounded_map.ts";
+import { AuditTrail } from "./audit_trail.ts";
 import type { Change, ResourceRef } from "./change.ts";
 import { ClaimTable } from "./claim_table.ts";
 import type { Claim, Command, VmAssignment } from "./command.ts";
@@ -10,7 +10,6 @@
 import {
   type Applied,
   type FleetSnapshot,
-  MAX_KEPT_RECORDS,
   type StoredResource,
 } from "./fleet_snapshot.ts";
 import { type Membership, NO_MEMBERSHIP } from "./membership.ts";
@@ -27,7 +26,7 @@
   #placementVersion = 0;
   readonly #resources = new Map<ResourceKind, Map<string, StoredResource>>();
   readonly #operations = new OperationTable();
-  readonly #records = new Map<string, DecisionRecord>();
+  readonly #trail = new AuditTrail();
   readonly #assignments = new Map<string, VmAssignment>();
   readonly #claims = new ClaimTable();
   #membership: Membership = NO_MEMBERSHIP;
@@ -87,7 +86,7 @@
    * @returns The kept decision records, oldest first.
    */
   listRecords(): DecisionRecord[] {
-    return [...this.#records.values()];
+    return this.#trail.list();
   }
 
   /**
@@ -135,7 +134,7 @@
           command.atMs,
         );
       case "record":
-        command.records.forEach((record) => this.#putRecord(record));
+        command.records.forEach((record) => this.#trail.put(record));
         return this.#done();
       case "assign":
         return this.#applyAssignment(command);
@@ -189,7 +188,7 @@
       state.#operations.put(operation);
     }
     for (const record of snapshot.records) {
-      state.#records.set(record.decisionId, record);
+      state.#trail.put(record);
     }
     for (const assignment of snapshot.assignments) {
       state.#assignments.set(assignment.vm, assignment);
@@ -257,7 +256,7 @@
     this.#assignments.set(assignment.vm, assignment);
     this.#placementVersion += 1;
     if (record !== undefined) {
-      this.#putRecord(record);
+      this.#trail.put(record);
     }
     return this.#done();
   }
@@ -269,12 +268,6 @@
     );
   }
 
-  #putRecord(record: DecisionRecord): void {
-    this.#records.delete(record.decisionId);
-    this.#records.set(record.decisionId, record);
-    dropOldest(this.#records, MAX_KEPT_RECORDS);
-  }
-
   #done(): Applied {
     return Result.ok({ revision: this.#revision });
   }
--- a/src/domain/index.ts
+++ b/src/domain/index.ts
@@ -1,5 +1,6 @@
 /** Schemas, the types inferred from them, and the closed list of errors. */
 export * from "./assignment.ts";
+export * from "./audit_trail.ts";
 export * from "./backend_server.ts";
 export * from "./bounded_map.ts";
 export * from "./change.ts";
--- a/src/services/controller/controller_test.ts
+++ b/src/services/controller/controller_test.ts
@@ -59,6 +59,7 @@
   | { readonly type: "relabel"; readonly vm: string; readonly pool: string }
   | { readonly type: "relabelAll"; readonly pool: string }
   | { readonly type: "crash"; readonly callCount: number }
+  | { readonly type: "maintain"; readonly cancelled: boolean }
   | { readonly type: "second" }
   | { readonly type: "task"; readonly vm: string }
   | { readonly type: "run"; readonly roundCount: number };
@@ -77,6 +78,10 @@
     type: fc.constant("crash" as const),
     callCount: fc.integer({ min: 0, max: 12 }),
   }),
+  fc.record({
+    type: fc.constant("maintain" as const),
+    cancelled: fc.boolean(),
+  }),
   fc.record({ type: fc.constant("second" as const) }),
   fc.record({
     type: fc.constant("task" as const),
@@ -114,6 +119,17 @@
       case "relabelAll":
         VMS.forEach((vm) => world.relabel(vm, { pool: event.pool }));
         break;
+      case "maintain":
+        world.log.declare([{
+          kind: "maintenance",
+          name: "kernel",
+          labels: {},
+          action: "reboot",
+          vmSelector: {},
+          drainDeadlineMs: 30_000,
+          cancelled: event.cancelled,
+        }]);
+        break;
       case "crash":
         controllers[0]?.crashAfter(event.callCount);
         await world.run(controllers, 2, check);
@@ -153,12 +169,20 @@
   return world;
 }
 
+/** Every VM was rebooted after the maintenance was declared last. */
+function isMaintained(world: ControllerWorld, vm: string): boolean {
+  const reboot = world.log.state.find("maintenance", "kernel");
+  const isAsked = reboot !== undefined && !reboot.resource.cancelled;
+  const { maintainedRevision = 0 } = world.assignment(vm);
+  return !isAsked || maintainedRevision >= reboot.revision;
+}
+
 function isSettled(world: ControllerWorld): boolean {
   return VMS.every((vm) => {
     const label = world.log.state.find("vm", vm)?.resource.labels["pool"];
     const { pool, phase } = world.assignment(vm);
     const isUp = world.platform.findState(vm) === "up";
-    return isUp && phase === "serving" &&
+    return isUp && phase === "serving" && isMaintained(world, vm) &&
       (label === "nowhere" || label === pool);
   });
 }
--- a/src/services/controller/vm_stepper.ts
+++ b/src/services/controller/vm_stepper.ts
@@ -39,6 +39,8 @@
   readonly #options: ControllerOptions;
   readonly #parts: VmStepperParts;
   readonly #confirmation: Confirmation;
+  /** Reboot steps during which the VM was seen rebooting, by VM. */
+  readonly #seenRebooting = new Map<string, string>();
 
   constructor(options: ControllerOptions, parts: VmStepperParts) {
     this.#options = options;
@@ -133,8 +135,9 @@
     const { vm, assignment, observation } = busy;
     const bootCount = vm.platform?.bootCount ?? 0;
     const state = vm.platform?.state;
-    const isBack = bootCount > (assignment.bootCount ?? 0) &&
-      state !== "rebooting" && state !== "down";
+    const hasBooted = bootCount > (assignment.bootCount ?? 0) ||
+      this.#wasSeenRebooting(busy);
+    const isBack = hasBooted && state !== "rebooting" && state !== "down";
     const report = isBack
       ? `${assignment.operationId} ${bootCount}`
       : undefined;
@@ -159,6 +162,17 @@
     });
   }
 
+  // The boot count that was written may come from a wrong report.
+  #wasSeenRebooting({ vm, assignment }: BusyVm): boolean {
+    const { operationId } = assignment;
+    const isRebooting = vm.platform?.state === "rebooting";
+    const report = isRebooting ? operationId : undefined;
+    if (this.#confirmation.confirm(`${vm.name} rebooting`, report)) {
+      this.#seenRebooting.set(vm.name, operationId);
+    }
+    return this.#seenRebooting.get(vm.name) === operationId;
+  }
+
   async #join(busy: BusyVm): Promise<void> {
     const { vm, assignment, observation } = busy;
     const isUp = vm.platform?.state === "up";
