--- a/src/testing/fake_cluster.ts
+++ b/src/testing/fake_cluster.ts
@@ -4,12 +4,12 @@
 import { SeededRandom } from "../adapters/random/index.ts";
 import type { AppliedValue, Change, Failure } from "../domain/index.ts";
 import { MajorityCommitRule, Replica } from "../replication/index.ts";
-import type { Clock } from "../ports/index.ts";
-import { Notifier, TaskGroup } from "../tasks/index.ts";
+import { TaskGroup } from "../tasks/index.ts";
 import { FakeClock } from "./fake_clock.ts";
 import { FakeFileSystem } from "./fake_file_system.ts";
 import { FakeNetwork } from "./fake_network.ts";
 import { FakeLogger } from "./fake_ports.ts";
+import { PausableClock } from "./pausable_clock.ts";
 
 const LEADER_WAIT_MS = 60_000;
 const STEP_MS = 50;
@@ -37,44 +37,6 @@
   tasks: TaskGroup | undefined;
 }
 
-/** The clock of one process, whose timers wait while the process is stopped. */
-export class PausableClock implements Clock {
-  readonly #clock: Clock;
-  readonly #resumed = new Notifier();
-  #isPaused = false;
-
-  /** @param clock - The time of all processes. */
-  constructor(clock: Clock) {
-    this.#clock = clock;
-  }
-
-  nowMs(): number {
-    return this.#clock.nowMs();
-  }
-
-  monotonicMs(): number {
-    return this.#clock.monotonicMs();
-  }
-
-  async sleep(delayMs: number, signal?: AbortSignal): Promise<void> {
-    await this.#clock.sleep(delayMs, signal);
-    while (this.#isPaused && !signal?.aborted) {
-      await this.#resumed.wait(signal);
-    }
-  }
-
-  /** Holds back all timers. */
-  pause(): void {
-    this.#isPaused = true;
-  }
-
-  /** Ends all timers that are due. */
-  resume(): void {
-    this.#isPaused = false;
-    this.#resumed.notify();
-  }
-}
-
 /** Entries whose processes, disks and links a test ends and restores. */
 export class FakeCluster {
   readonly clock = new FakeClock();
--- a/src/testing/index.ts
+++ b/src/testing/index.ts
@@ -18,5 +18,6 @@
 export * from "./free_port.ts";
 export * from "./permit_fleet.ts";
 export * from "./recording_backend.ts";
+export * from "./pausable_clock.ts";
 export * from "./replica_history.ts";
 export * from "./test_runner.ts";
