Go back to one rule for connections: an entry's part of them

Cause: the backend client meanwhile bounds all its connections by the same part that permits are kept to, which is the stricter rule.

--- a/src/services/permits.ts
+++ b/src/services/permits.ts
@@ -42,11 +42,6 @@
   readonly zone: string;
   /** How long the attempt may run, in milliseconds. */
   readonly leaseMs: number;
-  /**
-   * Idle connections that this entry may keep to the backend server. Beyond
-   * them it has at most one connection there for each permit that it holds.
-   */
-  readonly idleConnectionCount?: number | undefined;
   /**
    * Asked right before the attempt is sent, when time has passed since the
    * permit was handed over.
--- a/src/services/permits/create_grant.ts
+++ b/src/services/permits/create_grant.ts
@@ -1,5 +1,4 @@
 /** Writes a grant for a place that has been found. */
-import type { Announcement } from "../../domain/index.ts";
 import type { EntryWant } from "./entry_session.ts";
 import type { FoundSlot } from "./grant_round.ts";
 import { createPermitId } from "./permit_id.ts";
@@ -9,7 +8,6 @@
 export interface CreateGrantOptions {
   readonly coordinatorId: string;
   readonly permitNumber: number;
-  readonly entryCount: number;
   /** The team's upper limit now; undefined without a limit. */
   readonly maxRunningCount: number | undefined;
 }
@@ -29,7 +27,7 @@
 ): PermitGrant {
   const { session, team, queue } = want;
   const { announcement, zone } = found.slot;
-  const { maxRunningCount, entryCount } = options;
+  const { maxRunningCount } = options;
   return {
     grantNumber: session.nextGrantNumber,
     permitId: createPermitId({ team, ...options }),
@@ -41,16 +39,5 @@
     backendServerId: announcement.backendServerId,
     backend: { ...announcement, running: [] },
     runLeaseMs: found.runLeaseMs,
-    idleConnectionCount: countIdleConnections(announcement, entryCount),
   };
 }
-
-// With at most one connection for each running attempt besides, the entries
-// together stay within the backend server's number.
-function countIdleConnections(
-  { connectionCount, slotCount }: Announcement,
-  entryCount: number,
-): number {
-  const sparedCount = Math.max(0, connectionCount - slotCount);
-  return Math.floor(sparedCount / entryCount);
-}
--- a/src/services/permits/fleet_permit_source.ts
+++ b/src/services/permits/fleet_permit_source.ts
@@ -205,7 +205,6 @@
       pool: grant.pool,
       zone: grant.zone,
       leaseMs: grant.runLeaseMs,
-      idleConnectionCount: grant.idleConnectionCount,
       mayStart: () => !isReleased && this.#mayStart(holding),
       release: (end) => {
         if (!isReleased) {
--- a/src/services/permits/fleet_permits_test.ts
+++ b/src/services/permits/fleet_permits_test.ts
@@ -496,19 +496,22 @@
       }
     });
 
-    it("leaves connections for all slots beside the idle ones", async () => {
-      const connectionCount = SLOT_COUNT + 2 * ENTRY_IDS.length + 1;
+    it("keeps an entry within its part of the connections", async () => {
+      const connectionCount = 2 * ENTRY_IDS.length;
       const limits = { red: 100 };
       const world = createWorld({ seed: 21, limits, connectionCount });
+      keepBusy(world, "entry-2", {
+        team: "red",
+        queue: "jobs",
+        workMs: 50,
+        atOnceCount: 24,
+      });
       await world.clock.advance(SETTLE_MS);
-      const work = { team: "red", queue: "jobs", workMs: 1 };
-      const permit = await world.clock.runUntil(
-        world.fleet.acquire("entry-2", work),
-        1_000,
+      const { holdings } = world.fleet.entries.get("entry-2")?.source ?? {};
+      const held = [0, 1, 2, 3, 4, 5].map((at) =>
+        holdings?.countBackend(`server-${at}`)
       );
-      assert.ok(permit.isOk);
-      const idleCount = permit.isOk ? permit.value.idleConnectionCount : 0;
-      assert.is(idleCount, 2);
+      assert.equal(held, [2, 2, 2, 2, 2, 2]);
     });
   });
 
--- a/src/services/permits/grant_round.ts
+++ b/src/services/permits/grant_round.ts
@@ -27,6 +27,8 @@
   readonly demand: Demand;
   readonly table: PermitTable;
   readonly slots: SlotTable;
+  /** Entries among which the connections of a backend server are divided. */
+  readonly entryCount: number;
   /** Counts attempts that may run unseen, for any team. */
   readonly countUnknown: () => number;
   /** Hands a permit for the place to the want's entry. */
@@ -193,11 +195,32 @@
     }
     for (const { resource } of index.listPools(queue)) {
       const pool = resource.name;
-      const slot = this.#options.slots.pick(pool, want.excludedBackendIds);
+      const slot = this.#pick(pool, want);
       if (slot !== undefined) {
         return { pool, slot, runLeaseMs: queue.maxRunMs };
       }
     }
     return undefined;
   }
+
+  #pick(pool: string, want: EntryWant): SlotRecord | undefined {
+    const { slots } = this.#options;
+    const excludedIds = [...want.excludedBackendIds];
+    for (;;) {
+      const slot = slots.pick(pool, excludedIds);
+      if (slot === undefined || !this.#isAtPart(want, slot)) {
+        return slot;
+      }
+      excludedIds.push(slot.announcement.backendServerId);
+    }
+  }
+
+  // Each entry has its part of a backend server's connections, so that all of
+  // them together never open too many.
+  #isAtPart({ session }: EntryWant, { announcement }: SlotRecord): boolean {
+    const { table, entryCount } = this.#options;
+    const { backendServerId, connectionCount } = announcement;
+    const partCount = Math.max(1, Math.floor(connectionCount / entryCount));
+    return table.countEntry(session.entryId, backendServerId) >= partCount;
+  }
 }
--- a/src/services/permits/permit_ledger.ts
+++ b/src/services/permits/permit_ledger.ts
@@ -87,6 +87,7 @@
       demand: this.#demand,
       table: this.#table,
       slots: this.#slots,
+      entryCount: entryIds.length,
       countUnknown: () => this.#unknownCount,
       grant: (want, found) => this.#grant(want, found),
     });
@@ -210,12 +211,11 @@
   }
 
   #grant(want: EntryWant, found: FoundSlot): void {
-    const { coordinatorId, entryIds } = this.#options;
+    const { coordinatorId } = this.#options;
     this.#permitCount += 1;
     const grant = createGrant(want, found, {
       coordinatorId,
       permitNumber: this.#permitCount,
-      entryCount: entryIds.length,
       maxRunningCount: this.#index.findTeam(want.team)?.resource
         .maxRunningCount,
     });
--- a/src/services/permits/permit_messages.ts
+++ b/src/services/permits/permit_messages.ts
@@ -95,8 +95,6 @@
   /** The team's upper limit at the time; undefined without a limit. */
   maxRunningCount: v.optional(countSchema),
   backend: announcementSchema,
-  /** Idle connections that the entry may keep to the backend server. */
-  idleConnectionCount: countSchema,
 });
 
 /** Schema of {@link PermitReply}. */
--- a/src/services/permits/permit_table.ts
+++ b/src/services/permits/permit_table.ts
@@ -38,6 +38,7 @@
   readonly #listedByBackend = new Map<string, ListedAttempts>();
   readonly #countByTeam = new Map<string, number>();
   readonly #countByBackend = new Map<string, number>();
+  readonly #countByEntry = new Map<string, number>();
 
   constructor(options: PermitTableOptions) {
     this.#options = options;
@@ -63,6 +64,11 @@
     return this.#countByBackend.get(backendServerId) ?? 0;
   }
 
+  /** Counts the permits that an entry has had at a backend server. */
+  countEntry(entryId: string, backendServerId: string): number {
+    return this.#countByEntry.get(`${entryId} ${backendServerId}`) ?? 0;
+  }
+
   /** Finds a permit that counts. */
   find(permitId: string): PermitRecord | undefined {
     return this.#records.get(permitId);
@@ -187,6 +193,8 @@
   #count(record: PermitRecord, delta: number): void {
     addTo(this.#countByTeam, record.team, delta);
     addTo(this.#countByBackend, record.backendServerId, delta);
+    const { entryId = "", backendServerId } = record;
+    addTo(this.#countByEntry, `${entryId} ${backendServerId}`, delta);
     this.#options.onSlotsChanged(record.backendServerId);
   }
 }
