--- a/src/replication/messages.ts
+++ b/src/replication/messages.ts
@@ -7,10 +7,12 @@
   pull: "replication.pull",
   vote: "replication.vote",
   announce: "replication.announce",
+  resign: "replication.resign",
   probe: "replication.probe",
   snapshotPart: "replication.snapshotPart",
   propose: "replication.propose",
   entries: "replication.entries",
+  changeVoter: "replication.changeVoter",
 } as const;
 
 /** Schema of {@link Pull}. */
