--- a/src/daemon/create_entry.ts
+++ b/src/daemon/create_entry.ts
@@ -6,7 +6,7 @@
 import { createAgreement } from "./create_agreement.ts";
 import { createController } from "./create_controller.ts";
 import { createFront } from "./create_front.ts";
-import { createNetwork } from "./create_network.ts";
+import { createNetwork, startNetwork } from "./create_network.ts";
 import { createPermits } from "./create_permits.ts";
 import {
   createRecorder,
@@ -48,8 +48,10 @@
   const context = createContext(base, network.value, agreement.value);
   const handOver = () => agreement.value.handOver();
   const entry = await startServices(context, handOver);
-  if (base.settings.peers.length > 0) {
-    await network.value.start();
+  const listening = await startNetwork(base, network.value);
+  if (listening.isErr) {
+    await entry.stop();
+    return Result.err(listening.error);
   }
   return Result.ok(entry);
 }
--- a/src/daemon/create_network.ts
+++ b/src/daemon/create_network.ts
@@ -28,6 +28,35 @@
   );
 }
 
+/**
+ * Listens for the other entries, if there are any.
+ *
+ * @param base - The adapters of the machine.
+ * @param network - The network.
+ * @returns Nothing, or `invalidSetting` when the address cannot be used.
+ */
+export async function startNetwork(
+  { settings }: EntryBase,
+  network: TcpPeerNetwork,
+): Promise<Result<void, Failure>> {
+  const { peer, peers } = settings;
+  if (peers.length === 0) {
+    return Result.ok(undefined);
+  }
+  try {
+    await network.start();
+    return Result.ok(undefined);
+  } catch (error) {
+    return Result.err(
+      createFailure(
+        "invalidSetting",
+        `peer.port ${peer.port} at ${peer.host} cannot be used: ${error}`,
+        { path: "peer.port", remedy: "choose a free port of this machine" },
+      ),
+    );
+  }
+}
+
 async function loadPeerSecret(
   file: string | null,
 ): Promise<Result<string, Failure>> {
--- a/src/daemon/replicated_entries_test.ts
+++ b/src/daemon/replicated_entries_test.ts
@@ -1,4 +1,5 @@
-import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { once } from "node:events";
+import { mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import * as assert from "uvu/assert";
@@ -10,8 +11,10 @@
   createDaemonCluster,
   type DaemonCluster,
   describe,
+  findFreePort,
   it,
   runCommandLine,
+  spawnDaemon,
   startDaemon,
 } from "../testing/index.ts";
 
@@ -78,6 +81,25 @@
     });
   });
 
+  describe("a peer port that is taken", () => {
+    it("ends the process and names the setting", async () => {
+      const first = cluster.entries[0];
+      assert.ok(first?.daemon);
+      // The second process of the entry gets another HTTP port only.
+      const settings = JSON.parse(await readFile(first.settingsFile, "utf8"));
+      const settingsFile = join(folder, "second.jsonc");
+      const http = { port: await findFreePort() };
+      const dataFolder = join(folder, "second");
+      const second = { ...settings, http, dataFolder };
+      await writeFile(settingsFile, JSON.stringify(second));
+      const daemon = spawnDaemon({ folder, settingsFile, url: "" });
+      const [code] = await once(daemon.child, "exit");
+      const log = await readFile(join(folder, "daemon.log"), "utf8");
+      assert.is(code, 2, log);
+      assert.match(log, "peer.port");
+    });
+  });
+
   describe("voter remove", () => {
     it("leaves the entry as an observer, and add lets it vote again", async () => {
       const env = {
