--- a/src/bench/registry.ts
+++ b/src/bench/registry.ts
@@ -6,6 +6,7 @@
 import { LimitsMeasurement } from "./limits.ts";
 import type { Measurement } from "./measurement.ts";
 import { OverloadMeasurement } from "./overload.ts";
+import { PlacementMeasurement } from "./placement.ts";
 import { PropagationMeasurement } from "./propagation.ts";
 import { RecoveryMeasurement } from "./recovery.ts";
 import { ShutdownMeasurement } from "./shutdown.ts";
@@ -23,4 +24,5 @@
   new RecoveryMeasurement(),
   new FairnessMeasurement(),
   new FootprintMeasurement(),
+  new PlacementMeasurement(),
 ];
