--- a/src/adapters/backend/undici_backend_client.ts
+++ b/src/adapters/backend/undici_backend_client.ts
@@ -23,13 +23,14 @@
 
 /** Options of {@link UndiciBackendClient}. */
 export interface UndiciBackendClientOptions {
-  /** Connections that this entry may open to one backend server. */
+  /** Connections that one process may open to one backend server. */
   readonly connectionCount: number;
 }
 
 /** Sends attempts with one connection for each running attempt. */
 export class UndiciBackendClient implements BackendClient {
   readonly #agent: Agent;
+  readonly #runningCounts = new Map<string, number>();
 
   constructor(options: UndiciBackendClientOptions) {
     this.#agent = new Agent({
@@ -42,12 +43,18 @@
   }
 
   send(attempt: Attempt): Promise<Result<AttemptAnswer, AttemptFailure>> {
-    const exchange = new AttemptExchange(attempt);
+    const origin = `http://${attempt.host}:${attempt.port}`;
+    const runningCount = this.#addRunning(origin, 1);
+    const exchange = new AttemptExchange(
+      attempt,
+      () => this.#addRunning(origin, -1),
+    );
     if (attempt.signal.aborted) {
       return exchange.result;
     }
+    const { idleConnectionCount = Infinity } = attempt;
     this.#agent.dispatch({
-      origin: `http://${attempt.host}:${attempt.port}`,
+      origin,
       path: attempt.path,
       method: attempt.method as "GET",
       headers: {
@@ -58,12 +65,25 @@
       },
       // undici takes any iterable; its types name only streams.
       body: (attempt.body ?? null) as Readable | Uint8Array | null,
+      // undici fills its connections in order, so that only the first ones are
+      // ever left idle.
+      reset: runningCount > idleConnectionCount,
       headersTimeout: 0,
       bodyTimeout: 0,
     }, exchange);
     return exchange.result;
   }
 
+  #addRunning(origin: string, delta: number): number {
+    const count = (this.#runningCounts.get(origin) ?? 0) + delta;
+    if (count === 0) {
+      this.#runningCounts.delete(origin);
+    } else {
+      this.#runningCounts.set(origin, count);
+    }
+    return count;
+  }
+
   async close(): Promise<void> {
     await this.#agent.destroy();
   }
--- a/src/bench/registry.ts
+++ b/src/bench/registry.ts
@@ -5,10 +5,12 @@
 import { KeysMeasurement } from "./keys.ts";
 import { LimitsMeasurement } from "./limits.ts";
 import type { Measurement } from "./measurement.ts";
+import { MovesMeasurement } from "./move_policies.ts";
 import { OverloadMeasurement } from "./overload.ts";
 import { PlacementMeasurement } from "./placement.ts";
 import { PropagationMeasurement } from "./propagation.ts";
 import { RecoveryMeasurement } from "./recovery.ts";
+import { ScriptMeasurement } from "./script_measurement.ts";
 import { ShutdownMeasurement } from "./shutdown.ts";
 import { ZoneOutMeasurement } from "./zone_out.ts";
 
@@ -25,4 +27,15 @@
   new FairnessMeasurement(),
   new FootprintMeasurement(),
   new PlacementMeasurement(),
+  new MovesMeasurement(),
+  new ScriptMeasurement({
+    name: "replication-acks",
+    summary: "commit rules with one slow voter, and traffic of idle entries",
+    file: "replication_acks.js",
+  }),
+  new ScriptMeasurement({
+    name: "permit-policies",
+    summary: "ways of handing out permits, in simulated time",
+    file: "permit_policies.js",
+  }),
 ];
--- a/src/testing/index.ts
+++ b/src/testing/index.ts
@@ -14,6 +14,7 @@
 export * from "./fake_network.ts";
 export * from "./fake_permits.ts";
 export * from "./fake_ports.ts";
+export * from "./fifo_permits.ts";
 export * from "./free_port.ts";
 export * from "./permit_fleet.ts";
 export * from "./recording_backend.ts";
