--- a/src/bench/registry.ts
+++ b/src/bench/registry.ts
@@ -7,9 +7,11 @@
 import type { Measurement } from "./measurement.ts";
 import { MovesMeasurement } from "./move_policies.ts";
 import { OverloadMeasurement } from "./overload.ts";
+import { PlacementMeasurement } from "./placement.ts";
 import { PropagationMeasurement } from "./propagation.ts";
 import { RecoveryMeasurement } from "./recovery.ts";
 import { RequestCostMeasurement } from "./request_cost.ts";
+import { ScriptMeasurement } from "./script_measurement.ts";
 import { ShutdownMeasurement } from "./shutdown.ts";
 import { ZoneOutMeasurement } from "./zone_out.ts";
 
@@ -26,5 +28,16 @@
   new FairnessMeasurement(),
   new RequestCostMeasurement(),
   new FootprintMeasurement(),
+  new PlacementMeasurement(),
   new MovesMeasurement(),
+  new ScriptMeasurement({
+    name: "replication-acks",
+    summary: "commit rules with one slow voter, and traffic of idle entries",
+    file: "replication_acks.js",
+  }),
+  new ScriptMeasurement({
+    name: "permit-policies",
+    summary: "ways of handing out permits, in simulated time",
+    file: "permit_policies.js",
+  }),
 ];
