--- a/src/domain/claim_table.ts
+++ b/src/domain/claim_table.ts
@@ -41,14 +41,23 @@
     return [...this.#claims.values()];
   }
 
+  /** Wall-clock time of the newest claim ever taken, in milliseconds. */
+  get newestAtMs(): number {
+    return this.#newestAtMs;
+  }
+
   /**
    * Takes over the claims of a snapshot.
    *
    * @param claims - What {@link ClaimTable.list} returned.
+   * @param newestAtMs - {@link ClaimTable.newestAtMs} at that time. It may be
+   * the time of a claim that is no longer kept, and decides what is dropped
+   * next: a copy without it would drop other claims than its peers.
    */
-  restore(claims: readonly Claim[]): void {
+  restore(claims: readonly Claim[], newestAtMs: number): void {
     this.#claims.clear();
     claims.forEach((claim) => this.#put(claim));
+    this.#newestAtMs = newestAtMs;
   }
 
   #applyOne(claim: Claim): Claim {
--- a/src/domain/claim_table_test.ts
+++ b/src/domain/claim_table_test.ts
@@ -107,7 +107,28 @@
     const table = new ClaimTable();
     table.apply([createClaim(), createClaim({ claimId: "b" })]);
     const copy = new ClaimTable();
-    copy.restore(table.list());
+    copy.restore(table.list(), table.newestAtMs);
+    assert.equal(copy.list(), table.list());
+  });
+
+  it("drops the same claims as its copy, whatever the clocks said", () => {
+    const table = new ClaimTable();
+    // Settled long ago by an entry whose clock was ahead, so dropped first.
+    const ahead = createClaim({ claimId: "ahead", atMs: 1_000_000 });
+    table.apply([ahead]);
+    table.apply([{ ...ahead, state: "succeeded" }]);
+    table.apply(
+      Array.from(
+        { length: MAX_KEPT_CLAIMS },
+        (_, at) => createClaim({ claimId: `c${at}` }),
+      ),
+    );
+    assert.is(table.find("ahead"), undefined);
+    const copy = new ClaimTable();
+    copy.restore(table.list(), table.newestAtMs);
+    const more = createClaim({ claimId: "more" });
+    table.apply([more]);
+    copy.apply([more]);
     assert.equal(copy.list(), table.list());
   });
 });
--- a/src/domain/fleet_snapshot.ts
+++ b/src/domain/fleet_snapshot.ts
@@ -30,6 +30,8 @@
   readonly records: readonly DecisionRecord[];
   readonly assignments: readonly VmAssignment[];
   readonly claims: readonly Claim[];
+  /** Wall-clock time of the newest claim ever taken, also of one not kept (ms). */
+  readonly newestClaimAtMs: number;
   readonly membership: Membership;
 }
 
--- a/src/domain/fleet_state.ts
+++ b/src/domain/fleet_state.ts
@@ -167,6 +167,7 @@
       records: this.listRecords(),
       assignments: this.listAssignments(),
       claims: this.#claims.list(),
+      newestClaimAtMs: this.#claims.newestAtMs,
       membership: this.#membership,
     };
   }
@@ -193,7 +194,7 @@
     for (const assignment of snapshot.assignments) {
       state.#assignments.set(assignment.vm, assignment);
     }
-    state.#claims.restore(snapshot.claims);
+    state.#claims.restore(snapshot.claims, snapshot.newestClaimAtMs);
     state.#membership = snapshot.membership;
     return state;
   }
--- a/src/replication/snapshot_transfer.ts
+++ b/src/replication/snapshot_transfer.ts
@@ -29,6 +29,7 @@
   index: v.number(),
   term: v.number(),
   revision: v.number(),
+  newestClaimAtMs: v.number(),
   membership: membershipSchema,
   items: v.array(itemSchema),
 });
@@ -76,6 +77,7 @@
     index,
     term,
     revision: state.revision,
+    newestClaimAtMs: state.newestClaimAtMs,
     membership: state.membership,
     items: items.slice(start, start + SNAPSHOT_PART_COUNT),
   };
@@ -125,6 +127,7 @@
     items.filter((item) => item.list === list).map(({ value }) => value);
   const state: unknown = {
     revision: first.revision,
+    newestClaimAtMs: first.newestClaimAtMs,
     membership: first.membership,
     ...Object.fromEntries(LIST_NAMES.map((list) => [list, select(list)])),
   };
