Name lost work in a plan also while its zone is out

Cause: a pair of team and queue whose VMs were out of service counted as not allowed before, so a plan kept silent about a binding that it would lose (seen with three entries). Change: all obstacles of both states are compared; being out of service does not count as a lack of permission.

--- a/src/decisions/fleet/lost_work.ts
+++ b/src/decisions/fleet/lost_work.ts
@@ -2,6 +2,9 @@
 import type { FleetState, Queue, Team } from "../../domain/index.ts";
 import { FleetIndex } from "./fleet_index.ts";
 
+// Passes by itself, unlike the obstacles that labels and limits make.
+const OUT_OF_SERVICE = "no VM of the queue's pools is in service";
+
 /** A team and queue whose work is no longer allowed, and why. */
 export interface LostWork {
   readonly team: string;
@@ -27,17 +30,15 @@
   const lost: LostWork[] = [];
   for (const { resource: team } of before.list("team")) {
     for (const { resource: queue } of before.list("queue")) {
-      const wasAllowed =
-        findObstacle(indexBefore, poolsBefore, team, queue) === undefined;
-      const reason = wasAllowed
-        ? findObstacle(
-          indexAfter,
-          poolsAfter,
-          indexAfter.findTeam(team.name)?.resource,
-          indexAfter.findQueue(queue.name)?.resource,
-        )
-        : undefined;
-      if (reason !== undefined) {
+      const known = listObstacles(indexBefore, poolsBefore, team, queue);
+      const reason = listObstacles(
+        indexAfter,
+        poolsAfter,
+        indexAfter.findTeam(team.name)?.resource,
+        indexAfter.findQueue(queue.name)?.resource,
+      ).find((obstacle) => !known.includes(obstacle));
+      const wasAllowed = known.every((obstacle) => obstacle === OUT_OF_SERVICE);
+      if (wasAllowed && reason !== undefined) {
         lost.push({ team: team.name, queue: queue.name, reason });
       }
     }
@@ -45,27 +46,30 @@
   return lost;
 }
 
-function findObstacle(
+// All of them: a zone that is out today must not hide a binding that is lost.
+function listObstacles(
   index: FleetIndex,
   openPools: ReadonlySet<string>,
   team: Team | undefined,
   queue: Queue | undefined,
-): string | undefined {
+): string[] {
   if (team === undefined || queue === undefined) {
-    return "the team or the queue is deleted";
+    return ["the team or the queue is deleted"];
   }
+  const obstacles: string[] = [];
   if (!queue.openToAll && index.findBinding(team, queue) === undefined) {
-    return "no binding lets the team use the queue";
+    obstacles.push("no binding lets the team use the queue");
   }
   if (team.maxRunningCount === 0) {
-    return "the team's upper limit is 0";
+    obstacles.push("the team's upper limit is 0");
   }
   const pools = index.listPools(queue);
   if (pools.length === 0) {
-    return "no pool matches the queue's selector";
+    obstacles.push("no pool matches the queue's selector");
+  } else if (!pools.some(({ resource }) => openPools.has(resource.name))) {
+    obstacles.push(OUT_OF_SERVICE);
   }
-  const hasVm = pools.some(({ resource }) => openPools.has(resource.name));
-  return hasVm ? undefined : "no VM of the queue's pools is in service";
+  return obstacles;
 }
 
 function listOpenPools(index: FleetIndex): ReadonlySet<string> {
--- a/src/services/plan_service_test.ts
+++ b/src/services/plan_service_test.ts
@@ -135,6 +135,18 @@
       });
     }
 
+    it("names work that a lost binding no longer allows while its zone is out", () => {
+      const zone: Resource = {
+        kind: "zone",
+        name: "a",
+        labels: { service: "out" },
+        region: "r",
+      };
+      world.declare([zone]);
+      const input = { deletes: [{ kind: "binding", name: "all" }] };
+      assert.match(plan(input).lostWork[0]?.reason ?? "", /no binding/);
+    });
+
     it("names reboots and zones", () => {
       const reboot = { ...takeOut, action: "reboot", vmSelector: {} };
       assert.is(plan({ puts: [reboot] }).actions.length, 2);
