--- a/src/testing/free_port.ts
+++ b/src/testing/free_port.ts
@@ -1,26 +1,35 @@
 /** Ports for daemons that tests start. */
 import { createServer } from "node:net";
-import { SeededRandom } from "../adapters/random/index.ts";
+import process from "node:process";
 
 // Below the range from which systems take the ports of outgoing connections:
 // a daemon that connects must not take the port of one that starts later.
 const FIRST_PORT = 15_000;
-const PORT_COUNT = 15_000;
+const RANGE_COUNT = 100;
+const PORTS_PER_RANGE = 150;
 
-const random = SeededRandom.fromMachine();
+let givenCount = 0;
 
 /**
  * Finds a free TCP port on loopback.
  *
- * @returns A port that was free a moment ago.
+ * A port is given once only, and test processes that run side by side take
+ * theirs from different ranges: a port that is merely free may be given to two
+ * daemons before the first one listens.
+ *
+ * @returns A port that nobody listens on.
+ * @throws Error when the range of this process is used up.
  */
 export async function findFreePort(): Promise<number> {
-  for (;;) {
-    const port = FIRST_PORT + random.nextInt(PORT_COUNT);
+  const rangeStart = FIRST_PORT + process.pid % RANGE_COUNT * PORTS_PER_RANGE;
+  while (givenCount < PORTS_PER_RANGE) {
+    const port = rangeStart + givenCount;
+    givenCount += 1;
     if (await isFree(port)) {
       return port;
     }
   }
+  throw new Error(`all ports from ${rangeStart} on are used up`);
 }
 
 async function isFree(port: number): Promise<boolean> {
