Name the zone's label or the maintenance behind a refusal for a zone out

Cause: a refusal of kind zoneOut named key, binding and selector, but not the label that took the zone out, nor who set it. Change: one function describes what took a zone out; explain of a zone and refusals both use it.

--- /dev/null
+++ b/src/decisions/fleet/decision_cause.ts
@@ -0,0 +1,29 @@
+/** Causes of decisions: the fields of declared resources that led to them. */
+import type {
+  DecisionCause,
+  Resource,
+  StoredResource,
+} from "../../domain/index.ts";
+
+/**
+ * Describes one field of a stored resource as the cause of a decision.
+ *
+ * @param stored - The resource with the change that set it.
+ * @param field - The field that mattered.
+ * @param value - Its value.
+ * @returns The cause, with who set the resource, when, and in which revision.
+ */
+export function createCause(
+  stored: StoredResource<Resource>,
+  field: string,
+  value: string,
+): DecisionCause {
+  return {
+    resource: { kind: stored.resource.kind, name: stored.resource.name },
+    field,
+    value,
+    setBy: stored.setBy,
+    setAtMs: stored.setAtMs,
+    revision: stored.revision,
+  };
+}
--- a/src/decisions/fleet/fleet_index.ts
+++ b/src/decisions/fleet/fleet_index.ts
@@ -1,13 +1,11 @@
 /** Look-ups over the configuration in force, rebuilt when it changes. */
 import {
   type Binding,
-  type DecisionCause,
   type FleetState,
   type Key,
   matchesSelector,
   type Pool,
   type Queue,
-  type Resource,
   type StoredResource,
   type Team,
   type Vm,
@@ -196,26 +194,3 @@
   const pool = claims.findDesired(vm.resource)?.resource.name;
   return { vm, pool, serving: pool !== undefined };
 }
-
-/**
- * Describes one field of a stored resource as the cause of a decision.
- *
- * @param stored - The resource with the change that set it.
- * @param field - The field that mattered.
- * @param value - Its value.
- * @returns The cause, with who set the resource, when, and in which revision.
- */
-export function createCause(
-  stored: StoredResource<Resource>,
-  field: string,
-  value: string,
-): DecisionCause {
-  return {
-    resource: { kind: stored.resource.kind, name: stored.resource.name },
-    field,
-    value,
-    setBy: stored.setBy,
-    setAtMs: stored.setAtMs,
-    revision: stored.revision,
-  };
-}
--- /dev/null
+++ b/src/decisions/fleet/pool_zones_out.ts
@@ -0,0 +1,28 @@
+/** The zones out of service that keep pools from running work. */
+import type { FleetIndex } from "./fleet_index.ts";
+import type { ZoneOut } from "./zones_out.ts";
+
+/**
+ * Lists the zones that are out and hold VMs of the pools.
+ *
+ * @param index - The configuration in force.
+ * @param poolNames - Names of the pools.
+ * @returns Each such zone once, by name.
+ */
+export function listPoolZonesOut(
+  index: FleetIndex,
+  poolNames: readonly string[],
+): ZoneOut[] {
+  const found = new Map<string, ZoneOut>();
+  for (const { vm, pool } of index.listVms()) {
+    const { zone } = vm.resource;
+    const zoneOut = index.findZoneOutCause(zone);
+    const isOfPool = pool !== undefined && poolNames.includes(pool);
+    if (isOfPool && zoneOut !== undefined) {
+      found.set(zone, zoneOut);
+    }
+  }
+  return [...found.values()].sort((left, right) =>
+    left.zone.resource.name < right.zone.resource.name ? -1 : 1
+  );
+}
--- a/src/decisions/fleet/zones_out.ts
+++ b/src/decisions/fleet/zones_out.ts
@@ -1,5 +1,6 @@
 /** Which availability zones are out of service, by label or by maintenance. */
 import {
+  type DecisionCause,
   type FleetState,
   type Labels,
   type Maintenance,
@@ -11,6 +12,7 @@
   ZONE_OUT_VALUE,
   ZONE_SERVICE_LABEL,
 } from "../../domain/index.ts";
+import { createCause } from "./decision_cause.ts";
 
 /** A zone that is out of service, and what took it out. */
 export interface ZoneOut {
@@ -46,6 +48,22 @@
   return zonesOut;
 }
 
+/**
+ * Describes what took a zone out.
+ *
+ * @param zoneOut - A zone that is out of service.
+ * @returns The zone's label, or the selector of the maintenance action.
+ */
+export function createZoneOutCause({ cause }: ZoneOut): DecisionCause {
+  return cause.resource.kind === "zone"
+    ? createCause(cause, `labels.${ZONE_SERVICE_LABEL}`, ZONE_OUT_VALUE)
+    : createCause(
+      cause,
+      "zoneSelector",
+      JSON.stringify(cause.resource.zoneSelector),
+    );
+}
+
 /**
  * Tells whether a maintenance action selects a zone.
  *
--- a/src/services/explain/present_state.ts
+++ b/src/services/explain/present_state.ts
@@ -2,6 +2,7 @@
 import {
   type BudgetPolicy,
   createCause,
+  createZoneOutCause,
   describeClash,
   describeUse,
   findWantedPool,
@@ -176,15 +177,7 @@
     lines: [
       `zone/${name} is out of service since ${since} by ${by}; its ${vmCount} VMs take no work`,
     ],
-    causes: [
-      cause.resource.kind === "zone"
-        ? createCause(cause, `labels.${ZONE_SERVICE_LABEL}`, label)
-        : createCause(
-          cause,
-          "zoneSelector",
-          JSON.stringify(cause.resource.zoneSelector),
-        ),
-    ],
+    causes: [createZoneOutCause(out)],
   };
 }
 
--- a/src/services/permits/wait_failure.ts
+++ b/src/services/permits/wait_failure.ts
@@ -1,6 +1,6 @@
 /** Says why a request got no permit in time. */
 import { createFailure, type Failure } from "../../domain/index.ts";
-import type { FleetIndex } from "../../decisions/index.ts";
+import { type FleetIndex, listPoolZonesOut } from "../../decisions/index.ts";
 import type { PermitRequest } from "../permits.ts";
 
 const RETRY_AFTER_MS = 1_000;
@@ -45,7 +45,8 @@
   }
   const pools = admission.poolNames.join(", ");
   if (situation.unservedQueues.includes(admission.queue.name)) {
-    const zones = listZonesOut(index, admission.poolNames);
+    const zones = listPoolZonesOut(index, admission.poolNames)
+      .map(({ zone }) => zone.resource.name);
     return zones.length > 0
       ? createFailure(
         "zoneOut",
@@ -68,19 +69,3 @@
     )
     : createFailure("overloaded", `no slot of ${pools} became free`, options);
 }
-
-function listZonesOut(
-  index: FleetIndex,
-  poolNames: readonly string[],
-): string[] {
-  const zones = new Set<string>();
-  for (const { vm, pool } of index.listVms()) {
-    const { zone } = vm.resource;
-    const isOut = pool !== undefined && poolNames.includes(pool) &&
-      index.findZoneOut(zone) !== undefined;
-    if (isOut) {
-      zones.add(zone);
-    }
-  }
-  return [...zones].sort();
-}
--- a/src/services/requests/refusals.ts
+++ b/src/services/requests/refusals.ts
@@ -7,7 +7,9 @@
 import {
   type Admission,
   createCause,
+  createZoneOutCause,
   type FleetIndex,
+  listPoolZonesOut,
   type Refusal,
 } from "../../decisions/index.ts";
 
@@ -45,36 +47,39 @@
   admission: Admission,
   index: FleetIndex,
 ): Refusal {
-  const limit = findLimitCause(failure, admission, index);
   return {
     failure,
     teamName: admission.teamName,
     subjects: [`queue/${admission.queue.name}`, `team/${admission.teamName}`],
-    causes: limit === undefined
-      ? admission.causes
-      : [limit, ...admission.causes],
+    causes: [...listCauses(failure, admission, index), ...admission.causes],
     rejected: admission.poolNames.map((pool) => `pool/${pool}`),
   };
 }
 
-function findLimitCause(
+function listCauses(
   failure: Failure,
   admission: Admission,
   index: FleetIndex,
-): DecisionCause | undefined {
-  if (failure.kind === "teamLimitReached") {
-    const team = index.findTeam(admission.teamName);
-    return team === undefined ? undefined : createCause(
-      team,
-      "maxRunningCount",
-      String(team.resource.maxRunningCount),
-    );
+): DecisionCause[] {
+  switch (failure.kind) {
+    case "teamLimitReached": {
+      const team = index.findTeam(admission.teamName);
+      const limit = String(team?.resource.maxRunningCount);
+      return team === undefined
+        ? []
+        : [createCause(team, "maxRunningCount", limit)];
+    }
+    case "overloaded": {
+      const queue = index.findQueue(admission.queue.name);
+      const limit = String(queue?.resource.maxWaitMs);
+      return queue === undefined
+        ? []
+        : [createCause(queue, "maxWaitMs", limit)];
+    }
+    case "zoneOut":
+      return listPoolZonesOut(index, admission.poolNames)
+        .map(createZoneOutCause);
+    default:
+      return [];
   }
-  if (failure.kind === "overloaded") {
-    const queue = index.findQueue(admission.queue.name);
-    return queue === undefined
-      ? undefined
-      : createCause(queue, "maxWaitMs", String(queue.resource.maxWaitMs));
-  }
-  return undefined;
 }
