Close the log store when an entry stops

Cause: files stayed open until the garbage collector closed them (a warning in tests that stop entries in process). Change: the stop sequence closes the store after the last task has ended.

--- a/src/daemon/create_entry.ts
+++ b/src/daemon/create_entry.ts
@@ -2,6 +2,7 @@
 import { Result } from "true-myth";
 import type { HttpServer } from "../adapters/http/index.ts";
 import type { Failure } from "../domain/index.ts";
+import type { Replica } from "../replication/index.ts";
 import type { ClaimService, DecisionRecorder } from "../services/index.ts";
 import { createAgreement } from "./create_agreement.ts";
 import { createController } from "./create_controller.ts";
@@ -46,8 +47,7 @@
     return Result.err(agreement.error);
   }
   const context = createContext(base, network.value, agreement.value);
-  const handOver = () => agreement.value.handOver();
-  const entry = await startServices(context, handOver);
+  const entry = await startServices(context, agreement.value);
   const listening = await startNetwork(base, network.value);
   if (listening.isErr) {
     await entry.stop();
@@ -58,7 +58,7 @@
 
 async function startServices(
   context: EntryContext,
-  handOver: () => Promise<void>,
+  replica: Replica,
 ): Promise<Entry> {
   const recorder = createRecorder(context);
   const permitParts = createPermits(context);
@@ -82,8 +82,10 @@
     httpPort,
     stop: async () => {
       isStopping = true;
-      await handOver();
+      await replica.handOver();
       await stopEntry({ context, front, recorder, requestParts });
+      // Only now does no task write any more.
+      await replica.close();
     },
   };
 }
--- a/src/replication/replica.ts
+++ b/src/replication/replica.ts
@@ -153,6 +153,11 @@
     await mutex.run(() => options.store.close());
   }
 
+  /** Closes the store, once the replica's tasks have ended. */
+  async close(): Promise<void> {
+    await this.#core.options.store.close();
+  }
+
   #computeFreshUntil(): number {
     const { leadership, freshness } = this.#core;
     return leadership?.isEstablished
