End the quickstart's daemon also when it is interrupted early

An answer may now take 30 s to become the expected one, since a new coordinator counts for some seconds and slow machines are slower.

--- a/src/quickstart/main.ts
+++ b/src/quickstart/main.ts
@@ -15,10 +15,15 @@
 const EXAMPLE_FILE = fileURLToPath(
   new URL("../../examples/quickstart.jsonc", import.meta.url),
 );
-const SETTLE_MS = 5_000;
+// A new coordinator first counts what runs; slow machines need their time too.
+const SETTLE_MS = 30_000;
+/** Exit code of a process that was interrupted. */
+const INTERRUPTED_EXIT_CODE = 130;
 
 async function main(): Promise<void> {
   const stay = process.argv.includes("--stay");
+  // Taken from the start on, so that Ctrl-C leaves no daemon behind.
+  const interrupted = waitForInterrupt();
   const folder = await mkdtemp(join(tmpdir(), "cardamomsill-"));
   const daemon = await startQuickstartDaemon(folder);
   const backends = ["vm-1", "vm-2"].map((vm) =>
@@ -36,9 +41,13 @@
       exampleFile: EXAMPLE_FILE,
       settleMs: SETTLE_MS,
     };
-    process.exitCode = await runTour(context);
+    process.exitCode = await Promise.race([
+      runTour(context),
+      interrupted.then(() => INTERRUPTED_EXIT_CODE),
+    ]);
     if (stay) {
-      await waitForInterrupt(context);
+      printNextSteps(context);
+      await interrupted;
     }
   } finally {
     await Promise.all(backends.map((backend) => backend.stop()));
@@ -61,7 +70,7 @@
   });
 }
 
-async function waitForInterrupt({ url, keyFile }: TourContext): Promise<void> {
+function printNextSteps({ url, keyFile }: TourContext): void {
   process.stdout.write(
     `\nThe entry stays up until you press Ctrl-C. Try next, in another terminal:
   export CARDAMOMSILL_URL=${url} CARDAMOMSILL_KEY_FILE=${keyFile}
@@ -71,7 +80,13 @@
   node dist/cli/main.js watch
 `,
   );
-  await new Promise<void>((resolve) => process.once("SIGINT", () => resolve()));
+}
+
+function waitForInterrupt(): Promise<void> {
+  return new Promise((resolve) => {
+    process.once("SIGINT", () => resolve());
+    process.once("SIGTERM", () => resolve());
+  });
 }
 
 await main();
