Let no case with real daemons depend on the machine's speed

Cause: npm run check in a fresh clone, five times in a row beside other work on a machine whose processor was partly taken away (17 % steal): four passed, the fourth failed in three_daemons_test.ts with 'no entry names a leader'.

--- a/src/testing/daemon_process.ts
+++ b/src/testing/daemon_process.ts
@@ -10,7 +10,7 @@
 import { SystemClock } from "../adapters/clock/index.ts";
 
 const DIST_FOLDER = fileURLToPath(new URL("../", import.meta.url));
-const READY_DEADLINE_MS = 20_000;
+const READY_DEADLINE_MS = 90_000;
 const POLL_INTERVAL_MS = 50;
 const LOG_NAME = "daemon.log";
 const SHOWN_LOG_LENGTH = 1_500;
