Load only the connection pool of undici in an entry

Cause: a daemon takes 81 MB and a restart misses its second; the index of undici loads fetch, web sockets and caches that an entry never uses. Change: the backend client loads the one module; the platform client is loaded where a platform is set.

--- a/src/adapters/backend/undici_backend_client.ts
+++ b/src/adapters/backend/undici_backend_client.ts
@@ -1,7 +1,9 @@
 /** Attempts over HTTP by undici; each attempt is sent once at the most. */
 import type { Readable } from "node:stream";
 import type { Result } from "true-myth";
-import { Pool } from "undici";
+// The package's index also loads fetch, web sockets and caches, which would
+// cost every entry memory and start time.
+import Pool from "undici/lib/dispatcher/pool.js";
 import {
   ATTEMPT_ID_HEADER,
   DEADLINE_MS_HEADER,
--- a/src/daemon/create_controller.ts
+++ b/src/daemon/create_controller.ts
@@ -1,5 +1,4 @@
 /** Composes the controller; it works on the leader, where a platform is set. */
-import { HttpPlatform } from "../adapters/platform/index.ts";
 import {
   type BudgetPolicy,
   DomainBudgetPolicy,
@@ -40,9 +39,9 @@
  * @param options - The parts that it is built from.
  * @returns The policies that it decides by, and what it last observed.
  */
-export function createController(
+export async function createController(
   options: CreateControllerOptions,
-): ControllerParts {
+): Promise<ControllerParts> {
   const { context, recorder, directory } = options;
   const { clock, fleet, settings, tasks } = context;
   const budgets = new DomainBudgetPolicy();
@@ -50,6 +49,8 @@
   if (settings.platformUrl === null) {
     return { budgets, waves, findPlatformVms: () => undefined };
   }
+  // Loaded only here: its HTTP client costs every entry memory and start time.
+  const { HttpPlatform } = await import("../adapters/platform/index.ts");
   const controller = new Controller({
     ...context,
     platform: new HttpPlatform({ url: settings.platformUrl }),
--- a/src/daemon/create_entry.ts
+++ b/src/daemon/create_entry.ts
@@ -64,7 +64,11 @@
   const permitParts = createPermits(context);
   const requestParts = createRequests(context, recorder, permitParts);
   const { directory } = permitParts;
-  const controllerParts = createController({ context, recorder, directory });
+  const controllerParts = await createController({
+    context,
+    recorder,
+    directory,
+  });
   let isStopping = false;
   const front = await createFront({
     context,
