Log request, attempt, decision and revision of each request

Cause: the line at the end of a request named the request alone, so that a log could not be followed to the decision. Change: a line for each placement and each refusal carries the ids.

--- a/src/adapters/http/surface_test.ts
+++ b/src/adapters/http/surface_test.ts
@@ -300,6 +300,25 @@
     });
   });
 
+  describe("logs", () => {
+    it("carry request, decision and revision of a refusal", async () => {
+      const answer = await entry.send({
+        method: "POST",
+        path: "/q/none/x",
+        key: teamKey,
+      });
+      const line = entry.logger.lines.find(({ message }) =>
+        message === "request refused"
+      );
+      assert.equal(line?.fields, {
+        requestId: answer.headers["cardamomsill-request-id"],
+        decisionId: answer.headers["cardamomsill-decision-id"],
+        revision: 2,
+        kind: "notFound",
+      });
+    });
+  });
+
   describe("balancer and scraper", () => {
     it("answers /healthz, /readyz and /metrics without a key", async () => {
       for (const path of ["/healthz", "/readyz", "/metrics"]) {
--- a/src/services/requests/outcome_recorder.ts
+++ b/src/services/requests/outcome_recorder.ts
@@ -73,6 +73,15 @@
       decisionId,
       summary: `placed on ${where} in zone/${permit.zone}`,
     });
+    this.#options.logger.debug(
+      {
+        requestId: request.requestId,
+        attemptId: permit.attemptId,
+        decisionId,
+        revision: this.#options.fleet.current().revision,
+      },
+      "request placed",
+    );
     return decisionId;
   }
 
@@ -139,7 +148,7 @@
     refusal: Refusal,
     outcome?: RequestOutcome,
   ): RequestFailure {
-    const { recorder, history, clock } = this.#options;
+    const { recorder, history, clock, fleet, logger } = this.#options;
     const decisionId = recorder.record({
       action: "refusal",
       subjects: refusal.subjects,
@@ -157,6 +166,15 @@
       decisionId,
       summary: `refused: ${failure.message}`,
     });
+    logger.debug(
+      {
+        requestId,
+        decisionId,
+        revision: fleet.current().revision,
+        kind: failure.kind,
+      },
+      "request refused",
+    );
     const isNotRun = findAnswer(failure).notRun;
     this.count(
       {
