Start the entries of three measurements in one place

Cause: failover, propagation and recovery each wrote the same start and clean-up. Change: startMeasuredDeployment. Seen: propagation and recovery run and print their figures; failover was only type-checked.

--- a/src/bench/failover.ts
+++ b/src/bench/failover.ts
@@ -1,11 +1,7 @@
 /** The leader ended or cut off: how long until the next change is accepted. */
 import { randomUUID } from "node:crypto";
 import { SystemClock } from "../adapters/clock/index.ts";
-import {
-  type DeployedEntry,
-  type Deployment,
-  startDeployment,
-} from "../stand_ins/index.ts";
+import { type DeployedEntry, type Deployment } from "../stand_ins/index.ts";
 import { ChangeLog } from "./change_log.ts";
 import { LatencyHistogram } from "./latency_histogram.ts";
 import type {
@@ -13,6 +9,7 @@
   MeasurementContext,
   Outcome,
 } from "./measurement.ts";
+import { startMeasuredDeployment } from "./measured_deployment.ts";
 
 const QUICK_MS = 32_000;
 const FULL_MS = 120_000;
@@ -42,11 +39,7 @@
   ] as const;
 
   async run(context: MeasurementContext): Promise<Outcome> {
-    const { cleanup, entryCount, voterCount, random } = context;
-    const options = { entryCount, voterCount, random };
-    context.report(`starting ${entryCount} entries, ${voterCount} voters`);
-    const deployment = await startDeployment(options);
-    cleanup.add(() => deployment.stop());
+    const deployment = await startMeasuredDeployment(context);
     const log = new ChangeLog(deployment);
     const clock = new SystemClock();
     const untilMs = clock.monotonicMs() + (context.quick ? QUICK_MS : FULL_MS);
--- a/src/bench/propagation.ts
+++ b/src/bench/propagation.ts
@@ -1,6 +1,5 @@
 /** Changes of configuration: accepted how soon, in force everywhere how soon. */
 import { SystemClock } from "../adapters/clock/index.ts";
-import { startDeployment } from "../stand_ins/index.ts";
 import { type AcceptedEntry, ChangeLog } from "./change_log.ts";
 import { LatencyHistogram } from "./latency_histogram.ts";
 import type {
@@ -8,6 +7,7 @@
   MeasurementContext,
   Outcome,
 } from "./measurement.ts";
+import { startMeasuredDeployment } from "./measured_deployment.ts";
 import { RevisionWatch } from "./revision_watch.ts";
 
 const QUICK_MS = 10_000;
@@ -26,11 +26,8 @@
   ] as const;
 
   async run(context: MeasurementContext): Promise<Outcome> {
-    const { cleanup, entryCount, voterCount, random } = context;
-    const options = { entryCount, voterCount, random };
-    context.report(`starting ${entryCount} entries, ${voterCount} voters`);
-    const deployment = await startDeployment(options);
-    cleanup.add(() => deployment.stop());
+    const { cleanup, random } = context;
+    const deployment = await startMeasuredDeployment(context);
     const watch = new RevisionWatch();
     watch.start(deployment);
     cleanup.add(() => watch.stop());
--- a/src/bench/recovery.ts
+++ b/src/bench/recovery.ts
@@ -2,17 +2,14 @@
 import { rm } from "node:fs/promises";
 import { join } from "node:path";
 import { SystemClock } from "../adapters/clock/index.ts";
-import {
-  type DeployedEntry,
-  type Deployment,
-  startDeployment,
-} from "../stand_ins/index.ts";
+import { type DeployedEntry, type Deployment } from "../stand_ins/index.ts";
 import { ChangeLog } from "./change_log.ts";
 import type {
   Measurement,
   MeasurementContext,
   Outcome,
 } from "./measurement.ts";
+import { startMeasuredDeployment } from "./measured_deployment.ts";
 
 const QUICK_MS = 15_000;
 const FULL_CHANGE_COUNT = 10_000;
@@ -32,11 +29,11 @@
   ] as const;
 
   async run(context: MeasurementContext): Promise<Outcome> {
-    const { cleanup, voterCount, random } = context;
     // The entries without a disk take no part in this.
-    const options = { entryCount: voterCount, voterCount, random, delayMs: 0 };
-    const deployment = await startDeployment(options);
-    cleanup.add(() => deployment.stop());
+    const deployment = await startMeasuredDeployment(context, {
+      entryCount: context.voterCount,
+      delayMs: 0,
+    });
     const log = new ChangeLog(deployment);
     await this.#makeChanges(context, deployment, log);
     const leader = await deployment.findLeader();
