--- a/src/adapters/clock/system_clock.ts
+++ b/src/adapters/clock/system_clock.ts
@@ -4,14 +4,55 @@
 
 const MAX_TIMER_MS = 2_147_483_647;
 
+/**
+ * Difference between the two clocks that counts as a suspension, in
+ * milliseconds: more than what time servers correct at once.
+ */
+const MIN_SUSPENSION_MS = 250;
+
+/** Where a clock reads its time from; tests pass their own. */
+export interface ClockSources {
+  readonly wallMs: () => number;
+  readonly steadyMs: () => number;
+}
+
+const MACHINE_SOURCES: ClockSources = {
+  wallMs: () => Date.now(),
+  steadyMs: () => performance.now(),
+};
+
 /** Reads the machine's clocks. */
 export class SystemClock implements Clock {
+  readonly #sources: ClockSources;
+  #wallMs: number;
+  #steadyMs: number;
+  #elapsedMs: number;
+
+  /** @param sources - The clocks to read; those of the machine by default. */
+  constructor(sources: ClockSources = MACHINE_SOURCES) {
+    this.#sources = sources;
+    this.#wallMs = sources.wallMs();
+    this.#steadyMs = sources.steadyMs();
+    this.#elapsedMs = this.#steadyMs;
+  }
+
   nowMs(): number {
-    return Date.now();
+    return this.#sources.wallMs();
   }
 
+  // The steady clock stands still while a VM is suspended, and only the time of
+  // day shows it. A step of the time of day looks alike: leases then end early,
+  // which is safe.
   monotonicMs(): number {
-    return performance.now();
+    const wallMs = this.#sources.wallMs();
+    const steadyMs = this.#sources.steadyMs();
+    const steadyElapsedMs = steadyMs - this.#steadyMs;
+    const wallElapsedMs = wallMs - this.#wallMs;
+    const isSuspended = wallElapsedMs - steadyElapsedMs > MIN_SUSPENSION_MS;
+    this.#elapsedMs += isSuspended ? wallElapsedMs : steadyElapsedMs;
+    this.#wallMs = wallMs;
+    this.#steadyMs = steadyMs;
+    return this.#elapsedMs;
   }
 
   // Not the promise timers of node: their wait that ends early builds an
--- a/src/adapters/http/exchange.ts
+++ b/src/adapters/http/exchange.ts
@@ -48,6 +48,21 @@
   request: IncomingMessage,
   maxBytes: number,
 ): Promise<Result<unknown, Failure>> {
+  const text = await readText(request, maxBytes);
+  return text.andThen((value) => parseJson(value));
+}
+
+/**
+ * Reads a body as text within a limit.
+ *
+ * @param request - The request.
+ * @param maxBytes - Largest body that is taken, in bytes.
+ * @returns The text, or `bodyTooLarge`.
+ */
+export async function readText(
+  request: IncomingMessage,
+  maxBytes: number,
+): Promise<Result<string, Failure>> {
   const chunks: Buffer[] = [];
   let sizeBytes = 0;
   for await (const chunk of request as AsyncIterable<Buffer>) {
@@ -65,8 +80,12 @@
     }
     chunks.push(chunk);
   }
+  return Result.ok(Buffer.concat(chunks).toString("utf8"));
+}
+
+function parseJson(text: string): Result<unknown, Failure> {
   try {
-    return Result.ok(JSON.parse(Buffer.concat(chunks).toString("utf8")));
+    return Result.ok(JSON.parse(text));
   } catch (error) {
     return Result.err(
       createFailure("invalidInput", `the body is not JSON: ${String(error)}`),
--- a/src/adapters/http/http_server.ts
+++ b/src/adapters/http/http_server.ts
@@ -25,6 +25,8 @@
 export interface HttpServerOptions {
   readonly host: string;
   readonly port: number;
+  /** How long an idle connection is kept, in milliseconds. */
+  readonly idleConnectionMs?: number;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly tasks: TaskGroup;
@@ -55,7 +57,7 @@
       maxHeaderSize: MAX_HEADER_BYTES,
       headersTimeout: HEADERS_TIMEOUT_MS,
       requestTimeout: 0,
-      keepAliveTimeout: IDLE_CONNECTION_MS,
+      keepAliveTimeout: options.idleConnectionMs ?? IDLE_CONNECTION_MS,
       noDelay: true,
     }, (request, response) => this.#startExchange(request, response));
   }
--- /dev/null
+++ b/src/adapters/metrics/silent_metrics.ts
@@ -0,0 +1,11 @@
+/** Metrics of processes that expose none. */
+import type { Metrics } from "../../ports/index.ts";
+
+/** Records nothing. */
+export class SilentMetrics implements Metrics {
+  recordRequest(): void {}
+
+  setRevision(): void {}
+
+  countControlBytes(): void {}
+}
--- a/src/adapters/peer/tcp_peer_network.ts
+++ b/src/adapters/peer/tcp_peer_network.ts
@@ -33,6 +33,8 @@
   readonly host: string;
   readonly port: number;
   readonly peers: readonly PeerAddress[];
+  /** Finds the address of a peer that is not listed; by default there is none. */
+  readonly findPeer?: (peerId: string) => PeerAddress | undefined;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
@@ -81,7 +83,7 @@
     body: unknown,
     options: PeerCallOptions,
   ): Promise<Result<unknown, Failure>> {
-    const link = this.#links.get(peerId);
+    const link = this.#links.get(peerId) ?? this.#openLink(peerId);
     if (link === undefined) {
       return Result.err(
         createFailure(
@@ -96,6 +98,18 @@
     return await link.call(method, body, options);
   }
 
+  #openLink(peerId: string): PeerLink | undefined {
+    const { findPeer, tasks } = this.#options;
+    const peer = findPeer?.(peerId);
+    if (peer === undefined) {
+      return undefined;
+    }
+    const link = new PeerLink({ ...this.#options, peer });
+    this.#links.set(peerId, link);
+    tasks.start(`peer ${peerId}`, (signal) => link.run(signal));
+    return link;
+  }
+
   handle(method: string, handler: PeerHandler): void {
     this.#handlers.set(method, handler);
   }
--- /dev/null
+++ b/src/daemon/scheduling/create_scheduling_controller.ts
@@ -0,0 +1,164 @@
+/** Composes a controller: a voter that schedules while it leads. */
+import { Result } from "true-myth";
+import { FileLogStore, NodeFileSystem } from "../../adapters/disk/index.ts";
+import {
+  LeastLossUpkeepPolicy,
+  ScoredPlacementPolicy,
+  SlackOrderPolicy,
+  StartPlanner,
+} from "../../decisions/index.ts";
+import type { Failure } from "../../domain/index.ts";
+import type { RunnerClient, VmControl } from "../../ports/index.ts";
+import { MajorityCommitRule, Replica } from "../../replication/index.ts";
+import {
+  addSchedulingHandlers,
+  ControllerCaller,
+  followLog,
+  JobService,
+  LeaderCaller,
+  LeadTerm,
+  OperationsService,
+  RunnerFleet,
+  RunnerRegistry,
+  Scheduler,
+  SchedulingLog,
+  WaveTask,
+} from "../../services/scheduling/index.ts";
+import { Notifier, type TaskGroup } from "../../tasks/index.ts";
+import {
+  createSchedulingBase,
+  type SchedulingBase,
+  type SchedulingProcessOptions,
+} from "./scheduling_base.ts";
+
+/** Options of {@link createSchedulingController}. */
+export interface SchedulingControllerOptions extends SchedulingProcessOptions {
+  readonly dataFolder: string;
+  /** Whether the deployment starts for the first time. */
+  readonly mayBootstrap: boolean;
+  readonly runners: RunnerClient;
+  /** Absent where VMs cannot be moved or maintained. */
+  readonly vms: VmControl | undefined;
+  /** Ends the process when the disk can no longer be trusted. */
+  readonly onFatal: (failure: Failure) => void;
+}
+
+/** A running controller, without the interface that operators use. */
+export interface SchedulingController extends SchedulingBase {
+  readonly replica: Replica;
+  readonly caller: ControllerCaller;
+}
+
+interface LeaderParts {
+  readonly registry: RunnerRegistry;
+}
+
+/**
+ * Starts a controller.
+ *
+ * @param options - Identity, peers, disk, and the clients it gives orders by.
+ * @returns The controller, or the failure of its disk.
+ */
+export async function createSchedulingController(
+  options: SchedulingControllerOptions,
+): Promise<Result<SchedulingController, Failure>> {
+  const base = createSchedulingBase(options);
+  const loaded = await loadReplica(base, options);
+  if (loaded.isErr) {
+    return Result.err(loaded.error);
+  }
+  const replica = loaded.value;
+  const { clock, logger, network, tasks } = base;
+  const log = new SchedulingLog({ agreement: replica, clock });
+  const changed = new Notifier();
+  let leading: LeaderParts | undefined;
+  const handlers = addSchedulingHandlers({
+    network,
+    agreement: replica,
+    jobs: new JobService({ log, logger }),
+    operations: new OperationsService({ log, clock, logger }),
+    findRegistry: () => leading?.registry,
+  });
+  const leader = new LeaderCaller({
+    ...base,
+    controllerIds: options.seedIds.filter((id) => id !== options.entryId),
+  });
+  const caller = new ControllerCaller({ agreement: replica, leader, handlers });
+  const lead = new LeadTerm({
+    agreement: replica,
+    clock,
+    logger,
+    startLeading: (term, group) => {
+      leading = startLeading({ base, options, log, changed, term, group });
+    },
+    stopLeading: () => {
+      leading = undefined;
+    },
+  });
+  await network.start();
+  replica.start(tasks);
+  tasks.startForever(
+    "log feed",
+    (signal) => followLog(replica, changed, signal),
+  );
+  tasks.startForever("leadership", (signal) => lead.run(signal));
+  return Result.ok({ ...base, replica, caller });
+}
+
+async function loadReplica(
+  base: SchedulingBase,
+  options: SchedulingControllerOptions,
+): Promise<Result<Replica, Failure>> {
+  const { entryId, seedIds, dataFolder, mayBootstrap, onFatal } = options;
+  const files = await NodeFileSystem.load(dataFolder);
+  return await Replica.load({
+    ...base,
+    entryId,
+    hasDisk: true,
+    wantsVote: true,
+    peerIds: seedIds.filter((id) => id !== entryId),
+    initialVoterIds: seedIds,
+    mayBootstrap,
+    admitsMembers: true,
+    commitRule: new MajorityCommitRule(),
+    store: new FileLogStore({ ...base, files, onSyncFailure: onFatal }),
+  });
+}
+
+interface StartLeadingOptions {
+  readonly base: SchedulingBase;
+  readonly options: SchedulingControllerOptions;
+  readonly log: SchedulingLog;
+  readonly changed: Notifier;
+  readonly term: number;
+  readonly group: TaskGroup;
+}
+
+function startLeading(options: StartLeadingOptions): LeaderParts {
+  const { base, log, changed, term, group } = options;
+  const { runners: client, vms } = options.options;
+  const shared = { ...base, log, changed, client, fencingToken: term };
+  const fleet = new RunnerFleet(shared);
+  const waves = vms === undefined ? undefined : new WaveTask({
+    ...shared,
+    fleet,
+    vms,
+    policy: new LeastLossUpkeepPolicy(),
+    holderId: base.entryId,
+  });
+  const scheduler = new Scheduler({
+    ...shared,
+    planner: new StartPlanner({
+      order: new SlackOrderPolicy(),
+      placement: new ScoredPlacementPolicy(),
+    }),
+    findStatus: (runner) => fleet.findStatus(runner),
+    isCordoned: (runner) => waves?.isCordoned(runner) ?? false,
+  });
+  group.startForever("runners", (signal) => fleet.run(signal));
+  group.startForever("scheduler", (signal) => scheduler.run(signal));
+  if (waves !== undefined) {
+    group.startForever("waves", (signal) => waves.run(signal));
+  }
+  return { registry: new RunnerRegistry({ ...shared, fleet }) };
+}
--- /dev/null
+++ b/src/daemon/scheduling/scheduling_base.ts
@@ -0,0 +1,65 @@
+/** What the processes of a scheduling deployment share. */
+import { SystemClock } from "../../adapters/clock/index.ts";
+import { SilentMetrics } from "../../adapters/metrics/silent_metrics.ts";
+import { TcpPeerNetwork } from "../../adapters/peer/index.ts";
+import { SeededRandom } from "../../adapters/random/index.ts";
+import type { Clock, Logger, Random } from "../../ports/index.ts";
+import { TaskGroup } from "../../tasks/index.ts";
+
+/**
+ * Secret of the links where the platform hands out none. It keeps apart
+ * deployments that are set up alike, and protects nothing: see
+ * docs/decisions/0008-platform.md.
+ */
+const OPEN_SECRET = "cardamomsill-without-a-secret";
+
+/** Options of one process. */
+export interface SchedulingProcessOptions {
+  /** Address of the machine, by which its peers find it. */
+  readonly entryId: string;
+  /** Port at which every controller listens for its peers. */
+  readonly peerPort: number;
+  /** Addresses of controllers that are known from the settings. */
+  readonly seedIds: readonly string[];
+  readonly logger: Logger;
+}
+
+/** Adapters that every process uses. */
+export interface SchedulingBase extends SchedulingProcessOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly tasks: TaskGroup;
+  readonly network: TcpPeerNetwork;
+}
+
+/**
+ * Creates the adapters.
+ *
+ * @param options - Identity, peers and logger.
+ */
+export function createSchedulingBase(
+  options: SchedulingProcessOptions,
+): SchedulingBase {
+  const { entryId, peerPort, logger } = options;
+  const clock = new SystemClock();
+  const tasks = new TaskGroup({ clock, logger });
+  const network = new TcpPeerNetwork({
+    entryId,
+    secret: OPEN_SECRET,
+    host: entryId,
+    port: peerPort,
+    peers: [],
+    findPeer: (peerId) => ({ entryId: peerId, host: peerId, port: peerPort }),
+    clock,
+    logger,
+    metrics: new SilentMetrics(),
+    tasks,
+  });
+  return {
+    ...options,
+    clock,
+    random: SeededRandom.fromMachine(),
+    tasks,
+    network,
+  };
+}
--- a/src/decisions/index.ts
+++ b/src/decisions/index.ts
@@ -10,4 +10,5 @@
 export * from "./overload/index.ts";
 export * from "./retries/index.ts";
 export * from "./routing/index.ts";
+export * from "./scheduling/index.ts";
 export * from "./sizing/index.ts";
--- /dev/null
+++ b/src/decisions/scheduling/index.ts
@@ -0,0 +1,7 @@
+/** Which waiting work starts next, and where. */
+export * from "./order_policy.ts";
+export * from "./placement_policy.ts";
+export * from "./ready_step.ts";
+export * from "./start_planner.ts";
+export * from "./availability.ts";
+export * from "./upkeep_policy.ts";
--- /dev/null
+++ b/src/decisions/scheduling/order_policy.ts
@@ -0,0 +1,51 @@
+/** In which order waiting steps get runners. */
+import type { ReadyStep } from "./ready_step.ts";
+
+/** Orders waiting steps. */
+export interface OrderPolicy {
+  /**
+   * Sorts steps, those that get runners first in front.
+   *
+   * @param steps - The steps; the array is not changed.
+   * @param nowMs - Wall-clock time (ms).
+   */
+  sort(steps: readonly ReadyStep[], nowMs: number): readonly ReadyStep[];
+}
+
+/** First come, first served; the baseline. */
+export class ArrivalOrderPolicy implements OrderPolicy {
+  sort(steps: readonly ReadyStep[]): readonly ReadyStep[] {
+    return steps.toSorted((left, right) =>
+      left.job.acceptedAtMs - right.job.acceptedAtMs
+    );
+  }
+}
+
+/**
+ * Endless tasks come back first, then work that can still be in time by the
+ * time it has left, then work that is late anyway.
+ */
+export class SlackOrderPolicy implements OrderPolicy {
+  sort(steps: readonly ReadyStep[], nowMs: number): readonly ReadyStep[] {
+    const ranked = steps.map((step) => ({
+      step,
+      rank: findRank(step, nowMs),
+      slackMs: step.objectiveMs - step.chainMs,
+    }));
+    ranked.sort((left, right) =>
+      left.rank - right.rank || left.slackMs - right.slackMs
+    );
+    return ranked.map(({ step }) => step);
+  }
+}
+
+const ENDLESS_RANK = 0;
+const IN_TIME_RANK = 1;
+const LATE_RANK = 2;
+
+function findRank(ready: ReadyStep, nowMs: number): number {
+  if (ready.step.isEndless) {
+    return ENDLESS_RANK;
+  }
+  return nowMs + ready.chainMs <= ready.objectiveMs ? IN_TIME_RANK : LATE_RANK;
+}
--- /dev/null
+++ b/src/decisions/scheduling/ready_step.ts
@@ -0,0 +1,98 @@
+/** Steps whose tasks may be started now. */
+import type {
+  Catalog,
+  JobQueue,
+  JobRecord,
+  JobStep,
+  JobTable,
+  StepRecord,
+} from "../../domain/index.ts";
+
+/** A step of one occurrence with tasks that wait for a runner. */
+export interface ReadyStep {
+  readonly job: JobRecord;
+  readonly occurrence: number;
+  readonly stepIndex: number;
+  readonly step: JobStep;
+  readonly record: StepRecord;
+  /** Pool whose runners may run it now. */
+  readonly pool: string;
+  readonly priority: number;
+  /** Wall-clock time by which the job is in time (ms). */
+  readonly objectiveMs: number;
+  /** Longest chain of work from this step on, by the estimates (ms). */
+  readonly chainMs: number;
+}
+
+/**
+ * Lists the steps whose turn has come.
+ *
+ * @param jobs - All jobs.
+ * @param catalog - Tells where each queue's tasks run now.
+ * @param nowMs - Wall-clock time (ms).
+ */
+export function listReadySteps(
+  jobs: JobTable,
+  catalog: Catalog,
+  nowMs: number,
+): ReadyStep[] {
+  const queues = new Map(catalog.queues.map((queue) => [queue.name, queue]));
+  const ready: ReadyStep[] = [];
+  for (const job of jobs.open) {
+    addReadySteps(ready, job, queues.get(job.queue), nowMs);
+  }
+  return ready;
+}
+
+/**
+ * Computes for each step the longest chain of estimates that begins with it.
+ *
+ * @param steps - The steps of a job.
+ * @returns Durations by step, in milliseconds.
+ */
+export function computeChains(steps: readonly JobStep[]): number[] {
+  const chains = steps.map(({ estimateMs }) => estimateMs);
+  for (let at = steps.length - 1; at >= 0; at -= 1) {
+    for (const earlier of steps[at]?.dependsOn ?? []) {
+      const own = steps[earlier]?.estimateMs ?? 0;
+      chains[earlier] = Math.max(chains[earlier] ?? 0, own + (chains[at] ?? 0));
+    }
+  }
+  return chains;
+}
+
+function addReadySteps(
+  ready: ReadyStep[],
+  job: JobRecord,
+  queue: JobQueue | undefined,
+  nowMs: number,
+): void {
+  let chains: readonly number[] | undefined;
+  job.occurrences.forEach((records, occurrence) => {
+    const dueMs = job.findDueMs(occurrence);
+    if (dueMs > nowMs) {
+      return;
+    }
+    records.forEach((record, stepIndex) => {
+      const step = job.spec.steps[stepIndex];
+      const isReady = step !== undefined && record.waitingCount > 0 &&
+        job.isUnblocked(occurrence, stepIndex);
+      if (!isReady) {
+        return;
+      }
+      chains ??= computeChains(job.spec.steps);
+      const allowedMs = (queue?.stretch ?? 1) * Math.max(0, ...chains);
+      ready.push({
+        job,
+        occurrence,
+        stepIndex,
+        step,
+        record,
+        pool: queue?.pool ?? job.pool,
+        priority: queue?.priority ?? 0,
+        objectiveMs: dueMs + allowedMs + (queue?.targetLatencyMs ?? 0),
+        chainMs: chains[stepIndex] ?? 0,
+      });
+    });
+  });
+}
--- /dev/null
+++ b/src/decisions/scheduling/start_planner.ts
@@ -0,0 +1,259 @@
+/** Plans which waiting tasks start where. */
+import {
+  addAmounts,
+  type Amounts,
+  findHeld,
+  type JobTeam,
+  type RunnerLife,
+  type SchedulingState,
+  staysBelow,
+  type TaskId,
+} from "../../domain/index.ts";
+import type { OrderPolicy } from "./order_policy.ts";
+import type {
+  Candidate,
+  PlacementDemand,
+  PlacementPolicy,
+} from "./placement_policy.ts";
+import { listReadySteps, type ReadyStep } from "./ready_step.ts";
+
+/** A task that is to start on a runner. */
+export interface PlannedStart extends RunnerLife {
+  readonly task: TaskId;
+  readonly runNumber: number;
+}
+
+/** Options of {@link StartPlanner}. */
+export interface StartPlannerOptions {
+  readonly order: OrderPolicy;
+  readonly placement: PlacementPolicy;
+}
+
+/** What a plan is made from. */
+export interface PlanInput {
+  readonly state: SchedulingState;
+  /** Runners that may get work, by pool. */
+  readonly candidates: ReadonlyMap<string, readonly Candidate[]>;
+  /** Wall-clock time, in milliseconds. */
+  readonly nowMs: number;
+}
+
+interface Round {
+  readonly input: PlanInput;
+  readonly teams: ReadonlyMap<string, JobTeam>;
+  readonly usedByTeam: Map<string, Amounts>;
+  readonly starts: PlannedStart[];
+}
+
+/** Starts that one plan names at the most, which bounds the time it takes. */
+const MAX_PLANNED_STARTS = 400;
+
+/** Goes through the waiting steps in order and gives each task a runner. */
+export class StartPlanner {
+  readonly #order: OrderPolicy;
+  readonly #placement: PlacementPolicy;
+
+  constructor({ order, placement }: StartPlannerOptions) {
+    this.#order = order;
+    this.#placement = placement;
+  }
+
+  /**
+   * Plans starts within the limits of runners and teams.
+   *
+   * @param input - State, runners and time; the candidates are changed.
+   * @returns What to start, gangs whole.
+   */
+  plan(input: PlanInput): PlannedStart[] {
+    const { state, nowMs } = input;
+    const ready = listReadySteps(state.jobs, state.catalog, nowMs);
+    const round: Round = {
+      input,
+      teams: new Map(state.catalog.teams.map((team) => [team.name, team])),
+      usedByTeam: new Map(),
+      starts: [],
+    };
+    for (const step of this.#order.sort(ready, nowMs)) {
+      if (round.starts.length >= MAX_PLANNED_STARTS) {
+        break;
+      }
+      if (step.step.isGang) {
+        this.#planGang(step, round);
+      } else {
+        this.#planTasks(step, round);
+      }
+    }
+    return round.starts;
+  }
+
+  #planTasks(ready: ReadyStep, round: Round): void {
+    const demand = createDemand(ready);
+    const candidates = round.input.candidates.get(ready.pool) ?? [];
+    for (const [index, task] of ready.record.tasks.entries()) {
+      if (task.state !== "waiting") {
+        continue;
+      }
+      if (!hasTeamRoom(ready, round, 1)) {
+        return;
+      }
+      const chosen = this.#placement.choose(candidates, demand);
+      if (chosen === undefined) {
+        return;
+      }
+      this.#take(ready, demand, chosen, round);
+      round.starts.push(createStart(ready, index, task.runNumber + 1, chosen));
+    }
+  }
+
+  // All members or none: a part of a gang would only hold room and wait.
+  #planGang(ready: ReadyStep, round: Round): void {
+    const { tasks, waitingCount } = ready.record;
+    if (
+      waitingCount < tasks.length || !hasTeamRoom(ready, round, tasks.length)
+    ) {
+      return;
+    }
+    const candidates = round.input.candidates.get(ready.pool) ?? [];
+    for (const group of listGangGroups(ready, candidates)) {
+      if (this.#placeGang(ready, group, round)) {
+        return;
+      }
+    }
+  }
+
+  #placeGang(
+    ready: ReadyStep,
+    group: readonly Candidate[],
+    round: Round,
+  ): boolean {
+    const demand = createDemand(ready);
+    const trial = group.map((candidate) => ({ ...candidate }));
+    const chosen: Candidate[] = [];
+    for (const _task of ready.record.tasks) {
+      const candidate = this.#placement.choose(trial, demand);
+      if (candidate === undefined) {
+        return false;
+      }
+      occupy(candidate, demand);
+      chosen.push(candidate);
+    }
+    const runNumber = 1 +
+      Math.max(...ready.record.tasks.map((task) => task.runNumber));
+    const real = createDemand(ready);
+    chosen.forEach((copy, index) => {
+      const candidate = group.find(({ runnerId }) =>
+        runnerId === copy.runnerId
+      );
+      if (candidate !== undefined) {
+        this.#take(ready, real, candidate, round);
+        round.starts.push(createStart(ready, index, runNumber, candidate));
+      }
+    });
+    return true;
+  }
+
+  #take(
+    ready: ReadyStep,
+    demand: MutableDemand,
+    chosen: Candidate,
+    round: Round,
+  ): void {
+    occupy(chosen, demand);
+    const { team } = ready.job;
+    if (team !== undefined) {
+      const used = findUsed(team, round);
+      round.usedByTeam.set(team, addAmounts(used, ready.step.needs));
+    }
+  }
+}
+
+interface MutableDemand extends PlacementDemand {
+  readonly countByRunner: Map<string, number>;
+  readonly countByZone: Map<string, number>;
+}
+
+function createDemand({ step, record }: ReadyStep): MutableDemand {
+  const countByRunner = new Map<string, number>();
+  for (const { life } of record.tasks) {
+    if (life !== undefined) {
+      increment(countByRunner, life.runnerId);
+    }
+  }
+  return {
+    step,
+    held: findHeld(step),
+    countByRunner,
+    countByZone: new Map(),
+  };
+}
+
+function occupy(candidate: Candidate, demand: MutableDemand): void {
+  const { step, held, countByRunner, countByZone } = demand;
+  candidate.free = addAmounts(candidate.free, held, -1);
+  candidate.servingCount += Number(step.tailTargetMs > 0);
+  candidate.leftoverCount += Number(step.usesLeftovers);
+  increment(countByRunner, candidate.runnerId);
+  increment(countByZone, candidate.zone);
+}
+
+function increment(counts: Map<string, number>, key: string): void {
+  counts.set(key, (counts.get(key) ?? 0) + 1);
+}
+
+// A gang that wants one rack tries the racks first, the emptiest in front.
+function listGangGroups(
+  { step }: ReadyStep,
+  candidates: readonly Candidate[],
+): (readonly Candidate[])[] {
+  if (!step.wantsOneRack) {
+    return [candidates];
+  }
+  const byRack = new Map<string, Candidate[]>();
+  for (const candidate of candidates) {
+    const rack = byRack.get(candidate.rack) ?? [];
+    rack.push(candidate);
+    byRack.set(candidate.rack, rack);
+  }
+  const racks = [...byRack.values()].toSorted((left, right) =>
+    sumFree(right) - sumFree(left)
+  );
+  return [...racks, candidates];
+}
+
+function sumFree(candidates: readonly Candidate[]): number {
+  return candidates.reduce((sum, { free }) => sum + free.cpuMillicores, 0);
+}
+
+function hasTeamRoom(ready: ReadyStep, round: Round, count: number): boolean {
+  const { team } = ready.job;
+  const limit = team === undefined ? undefined : round.teams.get(team)?.limit;
+  if (team === undefined || limit === undefined) {
+    return true;
+  }
+  const used = addAmounts(findUsed(team, round), ready.step.needs, count);
+  return staysBelow(used, limit);
+}
+
+function findUsed(team: string, round: Round): Amounts {
+  return round.usedByTeam.get(team) ??
+    round.input.state.jobs.findUsedByTeam(team);
+}
+
+function createStart(
+  ready: ReadyStep,
+  index: number,
+  runNumber: number,
+  { runnerId, bornAtMs }: Candidate,
+): PlannedStart {
+  return {
+    task: {
+      jobId: ready.job.spec.jobId,
+      occurrence: ready.occurrence,
+      step: ready.stepIndex,
+      index,
+    },
+    runNumber,
+    runnerId,
+    bornAtMs,
+  };
+}
--- /dev/null
+++ b/src/decisions/scheduling/upkeep_policy.ts
@@ -0,0 +1,73 @@
+/** Which VM of a wave has its upkeep next. */
+import type { RunningTask } from "../../domain/index.ts";
+
+/** A VM that waits for its upkeep. */
+export interface UpkeepCandidate {
+  readonly vm: string;
+  /** What runs on it. */
+  readonly running: readonly RunningTask[];
+  /** Whether ending its endless tasks would take too many of a step away. */
+  readonly isProtected: boolean;
+}
+
+/** The state of a wave. */
+export interface UpkeepInput {
+  readonly candidates: readonly UpkeepCandidate[];
+  /** VMs that may go away now. */
+  readonly freeCount: number;
+  /** Time left for all of them, in milliseconds. */
+  readonly leftMs: number;
+  /** VMs that may be away at once. */
+  readonly maxAwayCount: number;
+}
+
+/** What to do about a wave now. */
+export interface UpkeepPlan {
+  /** VMs whose upkeep begins. */
+  readonly begin: readonly string[];
+  /** VMs that get no new work, so that they run empty. */
+  readonly cordon: readonly string[];
+}
+
+/** Chooses VMs for their upkeep. */
+export interface UpkeepPolicy {
+  /** Plans the next steps of a wave. */
+  plan(input: UpkeepInput): UpkeepPlan;
+}
+
+/**
+ * How long the upkeep of one VM takes until the next may begin, in
+ * milliseconds: the platform's two seconds and the time to see the VM again.
+ */
+const UPKEEP_TURN_MS = 3_200;
+
+/**
+ * Begins with the VMs on which the least work is lost, and waits for a VM to
+ * run empty as long as the wave is ahead of its time.
+ */
+export class LeastLossUpkeepPolicy implements UpkeepPolicy {
+  plan(input: UpkeepInput): UpkeepPlan {
+    const { candidates, freeCount, leftMs, maxAwayCount } = input;
+    const sorted = candidates
+      .map((candidate) => ({ ...candidate, loss: computeLoss(candidate) }))
+      .toSorted((left, right) => left.loss - right.loss);
+    const turnCount = Math.ceil(candidates.length / maxAwayCount);
+    const isLate = leftMs < turnCount * UPKEEP_TURN_MS;
+    const begin = sorted
+      .filter(({ isProtected, loss }) => !isProtected && (isLate || loss === 0))
+      .slice(0, freeCount)
+      .map(({ vm }) => vm);
+    const cordon = sorted.slice(0, freeCount + maxAwayCount)
+      .map(({ vm }) => vm);
+    return { begin, cordon };
+  }
+}
+
+// Endless tasks lose nothing but a restart; other work starts again from what
+// it has saved.
+function computeLoss({ running }: UpkeepCandidate): number {
+  return running.reduce(
+    (sum, { step }) => sum + (step.isEndless ? 0 : step.needs.cpuMillicores),
+    0,
+  );
+}
--- a/src/domain/command.ts
+++ b/src/domain/command.ts
@@ -4,6 +4,7 @@
 import { changeSchema } from "./change.ts";
 import { decisionRecordSchema } from "./decision_record.ts";
 import { membershipSchema } from "./membership.ts";
+import { schedulingCommandSchema } from "./scheduling/scheduling_command.ts";
 
 export type { VmAssignment } from "./assignment.ts";
 
@@ -66,6 +67,7 @@
   claimCommandSchema,
   leaderCommandSchema,
   membershipCommandSchema,
+  schedulingCommandSchema,
 ]);
 
 /** A command of the replicated log. */
--- a/src/domain/fleet_snapshot.ts
+++ b/src/domain/fleet_snapshot.ts
@@ -6,6 +6,7 @@
 import type { Failure } from "./errors.ts";
 import type { Membership } from "./membership.ts";
 import type { Resource } from "./resources/index.ts";
+import type { SchedulingItem } from "./scheduling/index.ts";
 
 /** A declared resource with the change that set it. */
 export interface StoredResource<R extends Resource = Resource> {
@@ -33,6 +34,8 @@
   /** Wall-clock time of the newest claim ever taken, also of one not kept (ms). */
   readonly newestClaimAtMs: number;
   readonly membership: Membership;
+  /** Absent in snapshots of releases that ran no jobs. */
+  readonly scheduling?: readonly SchedulingItem[];
 }
 
 /** What applying a command led to; the same on every entry. */
--- a/src/domain/fleet_state.ts
+++ b/src/domain/fleet_state.ts
@@ -19,6 +19,7 @@
   type ResourceKind,
   type ResourceOf,
 } from "./resources/index.ts";
+import { SchedulingState } from "./scheduling/index.ts";
 
 /** The state that all entries agree on. */
 export class FleetState {
@@ -30,6 +31,7 @@
   readonly #assignments = new Map<string, VmAssignment>();
   readonly #claims = new ClaimTable();
   #membership: Membership = NO_MEMBERSHIP;
+  #scheduling = new SchedulingState();
 
   constructor() {
     for (const kind of RESOURCE_KINDS) {
@@ -52,6 +54,11 @@
     return this.#membership;
   }
 
+  /** Jobs, runs, runners, the catalog and waves. */
+  get scheduling(): SchedulingState {
+    return this.#scheduling;
+  }
+
   /**
    * Finds a declared resource.
    *
@@ -149,6 +156,9 @@
           learners: command.learners,
         };
         return this.#done();
+      case "scheduling":
+        this.#scheduling.apply(command);
+        return this.#done();
       case "leader":
         return this.#done();
     }
@@ -169,6 +179,7 @@
       claims: this.#claims.list(),
       newestClaimAtMs: this.#claims.newestAtMs,
       membership: this.#membership,
+      scheduling: this.#scheduling.toItems(),
     };
   }
 
@@ -196,6 +207,7 @@
     }
     state.#claims.restore(snapshot.claims, snapshot.newestClaimAtMs);
     state.#membership = snapshot.membership;
+    state.#scheduling = SchedulingState.restore(snapshot.scheduling ?? []);
     return state;
   }
 
--- a/src/domain/index.ts
+++ b/src/domain/index.ts
@@ -15,4 +15,5 @@
 export * from "./operation_table.ts";
 export * from "./request.ts";
 export * from "./resources/index.ts";
+export * from "./scheduling/index.ts";
 export * from "./validation.ts";
--- /dev/null
+++ b/src/domain/scheduling/index.ts
@@ -0,0 +1,9 @@
+/** Jobs, runs, runners, the catalog and waves. */
+export * from "./amounts.ts";
+export * from "./catalog.ts";
+export * from "./job.ts";
+export * from "./job_record.ts";
+export * from "./job_table.ts";
+export * from "./runner.ts";
+export * from "./scheduling_command.ts";
+export * from "./scheduling_state.ts";
--- /dev/null
+++ b/src/domain/scheduling/job_record.ts
@@ -0,0 +1,225 @@
+/** One job with the progress of its tasks. */
+import * as v from "valibot";
+import {
+  type JobSpec,
+  jobSpecSchema,
+  type JobState,
+  type JobStep,
+  type TaskId,
+  taskIdSchema,
+} from "./job.ts";
+import type { RunnerLife } from "./runner.ts";
+
+/** Progress of one task. */
+export interface TaskRecord {
+  state: "waiting" | "running" | "done";
+  /** Number of the newest run; 0 before the first. */
+  runNumber: number;
+  /** Runs that ended as failed. */
+  failedCount: number;
+  /** Progress to start from; empty for none. */
+  saved: string;
+  /** Where the task runs; undefined unless it does. */
+  life: RunnerLife | undefined;
+  /** Wall-clock time of the newest change, in milliseconds. */
+  changedAtMs: number;
+}
+
+/** Progress of one step in one occurrence. */
+export interface StepRecord {
+  readonly tasks: readonly TaskRecord[];
+  waitingCount: number;
+  doneCount: number;
+}
+
+const OUTCOMES = ["completed", "failed", "cancelled"] as const;
+
+/** Schema of {@link StoredJob}. */
+export const storedJobSchema = v.object({
+  spec: jobSpecSchema,
+  queue: v.string(),
+  pool: v.string(),
+  team: v.optional(v.string()),
+  maxAttempts: v.number(),
+  acceptedAtMs: v.number(),
+  endedAtMs: v.optional(v.number()),
+  outcome: v.optional(v.picklist(OUTCOMES)),
+  hasStarted: v.boolean(),
+  /** Tasks that have been started at least once. */
+  tasks: v.array(v.object({
+    task: taskIdSchema,
+    state: v.picklist(["waiting", "running", "done"]),
+    runNumber: v.number(),
+    failedCount: v.number(),
+    saved: v.string(),
+    life: v.optional(v.object({ runnerId: v.string(), bornAtMs: v.number() })),
+    changedAtMs: v.number(),
+  })),
+});
+
+/** A job in plain values, for snapshots. */
+export type StoredJob = v.InferOutput<typeof storedJobSchema>;
+
+/** What is known of a job when it is accepted. */
+export interface JobOptions {
+  readonly spec: JobSpec;
+  readonly queue: string;
+  readonly pool: string;
+  readonly team: string | undefined;
+  /** Failed ends of one task after which the job has failed. */
+  readonly maxAttempts: number;
+  readonly acceptedAtMs: number;
+}
+
+/** A job and its tasks; the job table changes it. */
+export class JobRecord {
+  readonly spec: JobSpec;
+  readonly queue: string;
+  readonly pool: string;
+  readonly team: string | undefined;
+  readonly maxAttempts: number;
+  readonly acceptedAtMs: number;
+  /** Progress by occurrence, then by step. */
+  readonly occurrences: readonly (readonly StepRecord[])[];
+  hasStarted = false;
+  endedAtMs: number | undefined;
+  outcome: StoredJob["outcome"];
+
+  constructor(options: JobOptions) {
+    this.spec = options.spec;
+    this.queue = options.queue;
+    this.pool = options.pool;
+    this.team = options.team;
+    this.maxAttempts = options.maxAttempts;
+    this.acceptedAtMs = options.acceptedAtMs;
+    const count = options.spec.schedule?.occurrenceCount ?? 1;
+    this.occurrences = Array.from(
+      { length: count },
+      () => options.spec.steps.map(createStepRecord),
+    );
+  }
+
+  /** State as callers see it. */
+  get state(): JobState {
+    return this.outcome ?? (this.hasStarted ? "running" : "queued");
+  }
+
+  /** Whether every task of every occurrence is done. */
+  get isDone(): boolean {
+    return this.occurrences.every((steps) =>
+      steps.every(({ tasks, doneCount }) => doneCount === tasks.length)
+    );
+  }
+
+  /**
+   * Finds the time at which an occurrence may begin.
+   *
+   * @param occurrence - Number of the occurrence, from 0.
+   * @returns Wall-clock time, in milliseconds.
+   */
+  findDueMs(occurrence: number): number {
+    const { schedule } = this.spec;
+    return schedule === undefined
+      ? this.acceptedAtMs
+      : schedule.firstAtMs + occurrence * schedule.intervalMs;
+  }
+
+  /** Finds the progress of a task. */
+  findTask(id: TaskId): TaskRecord | undefined {
+    return this.occurrences[id.occurrence]?.[id.step]?.tasks[id.index];
+  }
+
+  /**
+   * Tells whether the steps that a step waits for are done.
+   *
+   * @param occurrence - Number of the occurrence.
+   * @param step - Number of the step.
+   */
+  isUnblocked(occurrence: number, step: number): boolean {
+    const steps = this.occurrences[occurrence];
+    return this.spec.steps[step]?.dependsOn.every((other) => {
+      const record = steps?.[other];
+      return record !== undefined && record.doneCount === record.tasks.length;
+    }) ?? false;
+  }
+
+  /**
+   * Tells whether a run is of no use any more.
+   *
+   * @param id - The task.
+   * @param runNumber - The run.
+   * @returns True when the job has ended, or a member of the run's gang has.
+   */
+  isRunUseless(id: TaskId, runNumber: number): boolean {
+    if (this.outcome !== undefined || !this.spec.steps[id.step]?.isGang) {
+      return this.outcome !== undefined;
+    }
+    const record = this.occurrences[id.occurrence]?.[id.step];
+    return record?.tasks.some((member) =>
+      member.state !== "running" || member.runNumber !== runNumber
+    ) ?? true;
+  }
+
+  /** Copies the job for a snapshot. */
+  toStored(): StoredJob {
+    const { spec, queue, pool, team, acceptedAtMs, endedAtMs, outcome } = this;
+    const tasks: StoredJob["tasks"] = [];
+    this.occurrences.forEach((steps, occurrence) =>
+      steps.forEach((record, step) =>
+        record.tasks.forEach((task, index) => {
+          if (task.runNumber > 0 || task.state !== "waiting") {
+            const id = { jobId: spec.jobId, occurrence, step, index };
+            tasks.push({ task: id, ...task });
+          }
+        })
+      )
+    );
+    const { hasStarted, maxAttempts } = this;
+    return {
+      spec,
+      queue,
+      pool,
+      team,
+      maxAttempts,
+      acceptedAtMs,
+      endedAtMs,
+      outcome,
+      hasStarted,
+      tasks,
+    };
+  }
+
+  /** Builds a job from a snapshot. */
+  static restore(stored: StoredJob): JobRecord {
+    const job = new JobRecord({ ...stored, team: stored.team });
+    job.hasStarted = stored.hasStarted;
+    job.endedAtMs = stored.endedAtMs;
+    job.outcome = stored.outcome;
+    for (const { task: id, ...progress } of stored.tasks) {
+      const step = job.occurrences[id.occurrence]?.[id.step];
+      const task = step?.tasks[id.index];
+      if (step === undefined || task === undefined) {
+        continue;
+      }
+      Object.assign(task, progress);
+      step.waitingCount -= Number(task.state !== "waiting");
+      step.doneCount += Number(task.state === "done");
+    }
+    return job;
+  }
+}
+
+function createStepRecord(step: JobStep): StepRecord {
+  return {
+    tasks: Array.from({ length: step.taskCount }, () => ({
+      state: "waiting",
+      runNumber: 0,
+      failedCount: 0,
+      saved: "",
+      life: undefined,
+      changedAtMs: 0,
+    })),
+    waitingCount: step.taskCount,
+    doneCount: 0,
+  };
+}
--- /dev/null
+++ b/src/domain/scheduling/scheduling_state.ts
@@ -0,0 +1,199 @@
+/** The scheduling state that the log builds, the same on every voter. */
+import type { Catalog } from "./catalog.ts";
+import { EMPTY_CATALOG } from "./catalog.ts";
+import type { StoredJob } from "./job_record.ts";
+import { JobTable } from "./job_table.ts";
+import { formatRunnerLife, type Runner, type RunnerLife } from "./runner.ts";
+import type {
+  SchedulingCommand,
+  SchedulingOperation,
+} from "./scheduling_command.ts";
+
+/** A wave of upkeep and how far it is. */
+export interface WaveRecord {
+  readonly waveId: number;
+  readonly vms: readonly string[];
+  /** VMs that may be away for their upkeep at once. */
+  readonly maxAwayCount: number;
+  /** Wall-clock time by which every VM must have had its upkeep (ms). */
+  readonly completeByMs: number;
+  /** VMs whose upkeep was ordered or is done. */
+  readonly progress: Readonly<Record<string, "ordered" | "done">>;
+}
+
+/** One value of the scheduling state in a snapshot. */
+export type SchedulingItem =
+  | { readonly type: "catalog"; readonly catalog: Catalog }
+  | { readonly type: "zonesOut"; readonly zones: readonly string[] }
+  | { readonly type: "runner"; readonly runner: Runner }
+  | { readonly type: "wave"; readonly wave: WaveRecord }
+  | { readonly type: "job"; readonly job: StoredJob };
+
+/** Catalog, zones that are out, runners, waves and jobs. */
+export class SchedulingState {
+  readonly jobs = new JobTable();
+  #catalog: Catalog = EMPTY_CATALOG;
+  readonly #zonesOut = new Set<string>();
+  readonly #runners = new Map<string, Runner>();
+  readonly #waves = new Map<number, WaveRecord>();
+
+  /** The catalog in force. */
+  get catalog(): Catalog {
+    return this.#catalog;
+  }
+
+  /** Zones in which nothing may be started. */
+  get zonesOut(): ReadonlySet<string> {
+    return this.#zonesOut;
+  }
+
+  /** Known runners by id, the newest lifetime of each. */
+  get runners(): ReadonlyMap<string, Runner> {
+    return this.#runners;
+  }
+
+  /** Waves by id. */
+  get waves(): ReadonlyMap<number, WaveRecord> {
+    return this.#waves;
+  }
+
+  /** Applies a batch of changes. */
+  apply({ atMs, operations }: SchedulingCommand): void {
+    for (const operation of operations) {
+      this.#applyOne(operation, atMs);
+    }
+    this.jobs.prune(atMs);
+  }
+
+  /** Copies the state for a snapshot. */
+  toItems(): readonly SchedulingItem[] {
+    return [
+      { type: "catalog", catalog: this.#catalog },
+      { type: "zonesOut", zones: [...this.#zonesOut] },
+      ...[...this.#runners.values()].map((runner) => ({
+        type: "runner" as const,
+        runner,
+      })),
+      ...[...this.#waves.values()].map((wave) => ({
+        type: "wave" as const,
+        wave,
+      })),
+      ...this.jobs.list().map((job) => ({
+        type: "job" as const,
+        job: job.toStored(),
+      })),
+    ];
+  }
+
+  /** Builds the state from a snapshot. */
+  static restore(items: readonly SchedulingItem[]): SchedulingState {
+    const state = new SchedulingState();
+    for (const item of items) {
+      state.#restoreOne(item);
+    }
+    return state;
+  }
+
+  #restoreOne(item: SchedulingItem): void {
+    switch (item.type) {
+      case "catalog":
+        this.#catalog = item.catalog;
+        return;
+      case "zonesOut":
+        item.zones.forEach((zone) => this.#zonesOut.add(zone));
+        return;
+      case "runner":
+        this.#runners.set(item.runner.runnerId, item.runner);
+        return;
+      case "wave":
+        this.#waves.set(item.wave.waveId, item.wave);
+        return;
+      case "job":
+        this.jobs.restore(item.job);
+        return;
+    }
+  }
+
+  #applyOne(operation: SchedulingOperation, atMs: number): void {
+    switch (operation.type) {
+      case "accept":
+        this.jobs.accept(operation, atMs);
+        return;
+      case "cancel":
+        this.jobs.cancel(operation.jobId, atMs);
+        return;
+      case "start":
+        this.jobs.start(operation, atMs);
+        return;
+      case "end":
+        this.jobs.end(operation, atMs);
+        return;
+      case "runner":
+        this.#putRunner(operation.runner, atMs);
+        return;
+      case "runnerGone":
+        this.#dropRunner(operation, atMs);
+        return;
+      case "catalog":
+        if (operation.catalog.version > this.#catalog.version) {
+          this.#catalog = operation.catalog;
+        }
+        return;
+      case "zone":
+        if (operation.isOut) {
+          this.#zonesOut.add(operation.zone);
+        } else {
+          this.#zonesOut.delete(operation.zone);
+        }
+        return;
+      case "wave":
+        this.#putWave(operation);
+        return;
+      case "upkeep":
+        this.#recordUpkeep(operation);
+        return;
+    }
+  }
+
+  // A new lifetime under the same id has lost all runs of the one before.
+  #putRunner(runner: Runner, atMs: number): void {
+    const known = this.#runners.get(runner.runnerId);
+    if (known !== undefined && known.bornAtMs > runner.bornAtMs) {
+      return;
+    }
+    if (known !== undefined && known.bornAtMs < runner.bornAtMs) {
+      this.jobs.endLife(known, atMs);
+    }
+    this.#runners.set(runner.runnerId, runner);
+  }
+
+  #dropRunner(life: RunnerLife, atMs: number): void {
+    this.jobs.endLife(life, atMs);
+    const known = this.#runners.get(life.runnerId);
+    if (
+      known !== undefined && formatRunnerLife(known) === formatRunnerLife(life)
+    ) {
+      this.#runners.delete(life.runnerId);
+    }
+  }
+
+  #putWave(
+    operation: Extract<SchedulingOperation, { type: "wave" }>,
+  ): void {
+    const { waveId, vms, maxAwayCount, completeByMs } = operation;
+    if (!this.#waves.has(waveId)) {
+      const wave = { waveId, vms, maxAwayCount, completeByMs, progress: {} };
+      this.#waves.set(waveId, wave);
+    }
+  }
+
+  #recordUpkeep(
+    { waveId, vm, state }: Extract<SchedulingOperation, { type: "upkeep" }>,
+  ): void {
+    const wave = this.#waves.get(waveId);
+    if (wave !== undefined && wave.progress[vm] !== "done") {
+      const progress = { ...wave.progress, [vm]: state };
+      this.#waves.set(waveId, { ...wave, progress });
+    }
+  }
+}
--- a/src/ports/index.ts
+++ b/src/ports/index.ts
@@ -9,4 +9,6 @@
 export * from "./peer_network.ts";
 export * from "./platform.ts";
 export * from "./random.ts";
+export * from "./runner_client.ts";
 export * from "./secrets.ts";
+export * from "./vm_control.ts";
--- a/src/replication/bootstrap_task.ts
+++ b/src/replication/bootstrap_task.ts
@@ -21,9 +21,9 @@
   core: ReplicaCore,
   signal: AbortSignal,
 ): Promise<void> {
-  const { clock, initialVoterIds, hasDisk } = core.options;
+  const { clock, initialVoterIds, hasDisk, mayBootstrap } = core.options;
   const firstId = initialVoterIds.toSorted()[0];
-  if (firstId !== core.self.entryId || !hasDisk) {
+  if (firstId !== core.self.entryId || !hasDisk || mayBootstrap === false) {
     return;
   }
   while (!signal.aborted && core.isBlank) {
--- a/src/replication/election_task.ts
+++ b/src/replication/election_task.ts
@@ -198,8 +198,8 @@
   if (core.leadership === undefined) {
     return;
   }
-  const { network, peerIds } = core.options;
-  for (const peerId of peerIds) {
+  const { network } = core.options;
+  for (const peerId of core.peerIds) {
     void network.call(peerId, METHODS.announce, { term: core.term }, {
       timeoutMs: CALL_TIMEOUT_MS,
     });
--- a/src/replication/entry_lister.ts
+++ b/src/replication/entry_lister.ts
@@ -59,7 +59,7 @@
         leadership.confirmedMs + FRESHNESS_LEASE_MS,
       ),
     };
-    const others = core.options.peerIds.map((peerId) =>
+    const others = core.peerIds.map((peerId) =>
       this.#report(leadership, peerId)
     );
     return Result.ok({
--- a/src/replication/follower_progress.ts
+++ b/src/replication/follower_progress.ts
@@ -63,6 +63,17 @@
     return nowMs - this.#lastPullMs < RECENT_PULL_MS;
   }
 
+  /**
+   * Computes for how long the follower has not pulled.
+   *
+   * @param nowMs - Leader's monotonic time (ms).
+   * @param sinceMs - Time from which on it is counted, if it never pulled (ms).
+   * @returns The silence, in milliseconds.
+   */
+  computeSilenceMs(nowMs: number, sinceMs: number): number {
+    return nowMs - Math.max(sinceMs, this.#lastPullMs);
+  }
+
   /**
    * Finds the newest ask that arrived before a quorum confirmed.
    *
--- a/src/replication/leader_task.ts
+++ b/src/replication/leader_task.ts
@@ -4,7 +4,7 @@
 import type { Leadership } from "./leadership.ts";
 import type { ProposalQueue } from "./proposal_queue.ts";
 import type { ReplicaCore } from "./replica_core.ts";
-import { CAUGHT_UP_COUNT, LEADER_CHECK_MS } from "./timing.ts";
+import { CAUGHT_UP_COUNT, LEADER_CHECK_MS, LOST_VOTER_MS } from "./timing.ts";
 
 /** Steps down without a quorum, and repairs the membership step by step. */
 export class LeaderTask {
@@ -72,7 +72,9 @@
   }
 
   #planRepair(leadership: Leadership): Command | undefined {
-    return this.#planDemotion(leadership) ?? this.#planPromotion(leadership);
+    return this.#planDemotion(leadership) ??
+      this.#planReplacement(leadership) ??
+      this.#planPromotion(leadership) ?? this.#planAdmission(leadership);
   }
 
   // A member that runs with another data folder has forgotten votes and log.
@@ -109,20 +111,61 @@
   }
 
   #planPromotion(leadership: Leadership): Command | undefined {
+    const { voters, learners } = this.#core.log.membership;
+    const learner = this.#findCaughtUp(leadership);
+    return learner === undefined ? undefined : createCommand({
+      voters: [...voters, learner],
+      learners: learners.filter((other) => other !== learner),
+    });
+  }
+
+  #findCaughtUp(leadership: Leadership): Member | undefined {
     const { log, commitIndex } = this.#core;
-    const { voters, learners } = log.membership;
     const caughtUp = this.#listRunning(leadership).filter((follower) =>
       follower.wantsVote && follower.matchIndex >= commitIndex - CAUGHT_UP_COUNT
     );
-    const learner = learners.find(({ storeId }) =>
+    return log.membership.learners.find(({ storeId }) =>
       caughtUp.some((follower) => follower.member.storeId === storeId)
     );
-    return learner === undefined ? undefined : createCommand({
-      voters: [...voters, learner],
-      learners: learners.filter((other) => other !== learner),
+  }
+
+  // A voter that is gone for good makes room for the learner in its place;
+  // one that comes back is admitted again like any other.
+  #planReplacement(leadership: Leadership): Command | undefined {
+    const { self, options, log } = this.#core;
+    const { voters, learners } = log.membership;
+    if (
+      !options.admitsMembers || this.#findCaughtUp(leadership) === undefined
+    ) {
+      return undefined;
+    }
+    const lost = voters.find((voter) =>
+      voter.storeId !== self.storeId &&
+      leadership.computeSilenceMs(voter) > LOST_VOTER_MS
+    );
+    return lost === undefined ? undefined : createCommand({
+      voters: voters.filter((voter) => voter !== lost),
+      learners,
     });
   }
 
+  #planAdmission(leadership: Leadership): Command | undefined {
+    const { options, log } = this.#core;
+    const { voters, learners } = log.membership;
+    if (!options.admitsMembers) {
+      return undefined;
+    }
+    const candidate = this.#listRunning(leadership).find((follower) =>
+      follower.wantsVote &&
+      ![...voters, ...learners].some(({ entryId }) =>
+        entryId === follower.member.entryId
+      )
+    );
+    return candidate === undefined
+      ? undefined
+      : createCommand({ voters, learners: [...learners, candidate.member] });
+  }
+
   #listRunning(leadership: Leadership): FollowerProgress[] {
     const nowMs = this.#core.options.clock.monotonicMs();
     return leadership.followers.filter((follower) =>
--- a/src/replication/leadership.ts
+++ b/src/replication/leadership.ts
@@ -129,6 +129,14 @@
       : undefined;
   }
 
+  /** Computes for how long a member has not pulled in this term, in milliseconds. */
+  computeSilenceMs({ storeId }: Member): number {
+    const nowMs = this.#core.options.clock.monotonicMs();
+    const follower = this.#followers.get(storeId);
+    return follower?.computeSilenceMs(nowMs, this.sinceMs) ??
+      nowMs - this.sinceMs;
+  }
+
   /** Asks the voters that wait for entries to confirm at once. */
   startRound(): void {
     this.round += 1;
--- a/src/replication/pull_task.ts
+++ b/src/replication/pull_task.ts
@@ -60,7 +60,7 @@
   }
 
   #chooseLeader(): string | undefined {
-    const { log, options, leaderId, self } = this.#core;
+    const { log, leaderId, self, options } = this.#core;
     const hint = this.#hint;
     this.#hint = undefined;
     if (leaderId !== undefined || hint !== undefined) {
@@ -70,7 +70,7 @@
     const known = voterIds.length > 0 ? voterIds : options.initialVoterIds;
     const others = known.filter((entryId) => entryId !== self.entryId);
     // An entry that was away may know none of the voters of today.
-    const candidates = [...others, ...options.peerIds];
+    const candidates = [...others, ...this.#core.peerIds];
     this.#attemptCount += 1;
     return candidates[this.#attemptCount % Math.max(1, candidates.length)];
   }
--- a/src/replication/replica.ts
+++ b/src/replication/replica.ts
@@ -133,7 +133,7 @@
   /** Lets another voter lead before a planned stop, if this replica leads. */
   async handOver(): Promise<void> {
     const core = this.#core;
-    const { network, peerIds } = core.options;
+    const { network } = core.options;
     const isAlone = core.log.membership.voters.length === 1;
     if (core.leadership === undefined || isAlone) {
       return;
@@ -141,7 +141,7 @@
     await this.#queue.drain();
     await core.mutex.run(() => Promise.resolve(core.resign("it stops")));
     await Promise.all(
-      peerIds.map((peerId) =>
+      core.peerIds.map((peerId) =>
         network.call(peerId, METHODS.resign, {}, { timeoutMs: VOTE_TIMEOUT_MS })
       ),
     );
--- a/src/replication/replica_core.ts
+++ b/src/replication/replica_core.ts
@@ -37,6 +37,10 @@
   readonly peerIds: readonly string[];
   /** Ids of the entries that vote when the deployment is new. */
   readonly initialVoterIds: readonly string[];
+  /** Whether the deployment may be started anew here; true unless told. */
+  readonly mayBootstrap?: boolean;
+  /** Whether entries that want to vote are admitted without an operator. */
+  readonly admitsMembers?: boolean;
   readonly commitRule: CommitRule;
   readonly store: LogStore;
   readonly network: PeerNetwork;
@@ -96,6 +100,15 @@
     return this.#leaderChange.signal;
   }
 
+  /** Ids of all other entries that the settings or the membership name. */
+  get peerIds(): readonly string[] {
+    const { voters, learners } = this.log.membership;
+    const memberIds = [...voters, ...learners].map(({ entryId }) => entryId);
+    const ids = new Set([...this.options.peerIds, ...memberIds]);
+    ids.delete(this.self.entryId);
+    return [...ids];
+  }
+
   /** Whether the data folder holds neither a vote nor an entry. */
   get isBlank(): boolean {
     return this.term === 0 && this.log.last.index === 0;
--- a/src/replication/snapshot_transfer.ts
+++ b/src/replication/snapshot_transfer.ts
@@ -18,6 +18,7 @@
   "records",
   "assignments",
   "claims",
+  "scheduling",
 ] as const;
 
 const itemSchema = v.object({
@@ -51,7 +52,7 @@
  */
 export function countParts(snapshot: StoredSnapshot): number {
   const itemCount = LIST_NAMES.reduce(
-    (sum, name) => sum + snapshot.state[name].length,
+    (sum, name) => sum + (snapshot.state[name]?.length ?? 0),
     0,
   );
   return Math.max(1, Math.ceil(itemCount / SNAPSHOT_PART_COUNT));
@@ -70,7 +71,7 @@
 ): SnapshotPart {
   const { index, term, state } = snapshot;
   const items = LIST_NAMES.flatMap((list) =>
-    state[list].map((value) => ({ list, value }))
+    (state[list] ?? []).map((value) => ({ list, value }))
   );
   const start = part * SNAPSHOT_PART_COUNT;
   return {
--- a/src/replication/timing.ts
+++ b/src/replication/timing.ts
@@ -60,6 +60,11 @@
 export const CAUGHT_UP_COUNT = 10;
 /** Time after its last pull in which a member counts as running, in milliseconds. */
 export const RECENT_PULL_MS = 1_500;
+/**
+ * Silence after which a voter is replaced when another has caught up, in
+ * milliseconds: longer than a restart with a full log.
+ */
+export const LOST_VOTER_MS = 8_000;
 /** Asks that the leader remembers for each follower. */
 export const MAX_KEPT_ASKS = 16;
 /** Answers to proposals that the leader remembers. */
--- a/src/services/index.ts
+++ b/src/services/index.ts
@@ -11,3 +11,4 @@
 export * from "./plan_service.ts";
 export * from "./permits/index.ts";
 export * from "./requests/index.ts";
+export * from "./scheduling/index.ts";
--- /dev/null
+++ b/src/services/scheduling/job_service.ts
@@ -0,0 +1,229 @@
+/** Calls about jobs, as the leader answers them. */
+import { Result } from "true-myth";
+import * as v from "valibot";
+import {
+  createFailure,
+  type Failure,
+  findJobFault,
+  type JobQueue,
+  type JobSpec,
+  jobSpecSchema,
+  type JobState,
+  validateWith,
+} from "../../domain/index.ts";
+import type { Logger } from "../../ports/index.ts";
+import type { SchedulingLog } from "./scheduling_log.ts";
+
+/** Schema of {@link JobCall}. */
+export const jobCallSchema = v.object({
+  action: v.picklist(["submit", "read", "cancel"]),
+  host: v.string(),
+  path: v.string(),
+  /** Key of the caller's team. */
+  key: v.optional(v.string()),
+  requestId: v.string(),
+  /** What to do, for a submit; the path names the job. */
+  work: v.optional(v.omit(jobSpecSchema, ["jobId"])),
+});
+
+/** A call about a job or a queue, free of any encoding. */
+export type JobCall = v.InferOutput<typeof jobCallSchema>;
+
+/** The answer to a call about a job or a queue. */
+export interface JobCallAnswer {
+  readonly state?: JobState;
+  /** Accepted jobs of the queue of which no task has started. */
+  readonly pendingCount?: number;
+}
+
+/** Options of {@link JobService}. */
+export interface JobServiceOptions {
+  readonly log: SchedulingLog;
+  readonly logger: Logger;
+}
+
+interface Target {
+  readonly queue: JobQueue;
+  /** What the path names below the queue's prefix. */
+  readonly rest: string;
+  readonly team: string | undefined;
+}
+
+const JOB_ID = /^[0-9a-f]{16}$/;
+
+/** Accepts, shows and cancels jobs. */
+export class JobService {
+  readonly #log: SchedulingLog;
+  readonly #logger: Logger;
+
+  constructor({ log, logger }: JobServiceOptions) {
+    this.#log = log;
+    this.#logger = logger;
+  }
+
+  /**
+   * Answers a call.
+   *
+   * @param body - The call, not validated yet.
+   * @returns The answer, or the failure by kind.
+   */
+  async answer(body: unknown): Promise<Result<JobCallAnswer, Failure>> {
+    const call = validateWith(jobCallSchema, body, { subject: "job" });
+    if (call.isErr) {
+      return Result.err(call.error);
+    }
+    const target = this.#resolve(call.value);
+    const answered = target.isErr
+      ? Result.err<JobCallAnswer, Failure>(target.error)
+      : await this.#act(call.value, target.value);
+    this.#logCall(call.value, answered);
+    return answered;
+  }
+
+  #act(
+    call: JobCall,
+    target: Target,
+  ): Promise<Result<JobCallAnswer, Failure>> | Result<JobCallAnswer, Failure> {
+    if (target.rest === "" && call.action === "read") {
+      return Result.ok({ pendingCount: this.#countPending(target.queue) });
+    }
+    if (!JOB_ID.test(target.rest)) {
+      return Result.err(
+        createFailure("jobUnknown", `${call.path} does not name a job`, {
+          remedy: "name a job by 16 hexadecimal digits",
+        }),
+      );
+    }
+    switch (call.action) {
+      case "submit":
+        return this.#submit(call, target);
+      case "read":
+        return this.#read(target.rest);
+      case "cancel":
+        return this.#cancel(target.rest);
+    }
+  }
+
+  async #submit(
+    { work }: JobCall,
+    { queue, rest, team }: Target,
+  ): Promise<Result<JobCallAnswer, Failure>> {
+    if (work === undefined) {
+      return Result.err(createFailure("invalidInput", "the job has no steps"));
+    }
+    const known = this.#log.state.jobs.find(rest);
+    if (known !== undefined) {
+      return Result.ok({ state: known.state });
+    }
+    const spec: JobSpec = { ...work, jobId: rest };
+    const fault = findJobFault(spec);
+    if (fault !== undefined) {
+      return Result.err(
+        createFailure("invalidInput", `job ${rest} is refused: ${fault}`),
+      );
+    }
+    const accepted = await this.#log.propose([{
+      type: "accept",
+      spec,
+      queue: queue.name,
+      pool: queue.pool,
+      team,
+      maxAttempts: queue.maxAttempts,
+    }]);
+    return accepted.map(() => ({ state: "queued" as const }));
+  }
+
+  #read(jobId: string): Result<JobCallAnswer, Failure> {
+    const job = this.#log.state.jobs.find(jobId);
+    return job === undefined
+      ? Result.err(createUnknown(jobId))
+      : Result.ok({ state: job.state });
+  }
+
+  async #cancel(jobId: string): Promise<Result<JobCallAnswer, Failure>> {
+    const job = this.#log.state.jobs.find(jobId);
+    if (job === undefined) {
+      return Result.err(createUnknown(jobId));
+    }
+    if (job.outcome !== undefined) {
+      return Result.ok({ state: job.state });
+    }
+    const cancelled = await this.#log.propose([{ type: "cancel", jobId }]);
+    return cancelled.map(() => ({ state: job.state }));
+  }
+
+  #resolve(call: JobCall): Result<Target, Failure> {
+    const { catalog } = this.#log.state;
+    if (catalog.version < 0) {
+      return Result.err(
+        createFailure("noCatalog", "no catalog of queues is accepted yet", {
+          remedy: "send one, or wait until it has been sent",
+          retryAfterMs: 1_000,
+        }),
+      );
+    }
+    const queue = findQueue(catalog.queues, call.host, call.path);
+    if (queue === undefined) {
+      return Result.err(
+        createFailure(
+          "unknownKind",
+          `no queue is at ${call.host}${call.path} in catalog ${catalog.version}`,
+        ),
+      );
+    }
+    const rest = call.path.slice(queue.pathPrefix.length);
+    const team = catalog.teams.find(({ keys }) =>
+      call.key !== undefined && keys.includes(call.key)
+    );
+    if (team === undefined && !queue.isPublic) {
+      return Result.err(
+        createFailure(
+          "unauthenticated",
+          `the key is of no team in catalog ${catalog.version}`,
+          { remedy: "send a key of the team" },
+        ),
+      );
+    }
+    return Result.ok({ queue, rest, team: team?.name });
+  }
+
+  #countPending(queue: JobQueue): number {
+    let count = 0;
+    for (const job of this.#log.state.jobs.open) {
+      count += Number(job.queue === queue.name && !job.hasStarted);
+    }
+    return count;
+  }
+
+  #logCall(call: JobCall, answered: Result<JobCallAnswer, Failure>): void {
+    const { action, host, path, requestId } = call;
+    const catalogVersion = this.#log.state.catalog.version;
+    const fields = { requestId, action, host, path, catalogVersion };
+    if (answered.isErr) {
+      const { kind, message } = answered.error;
+      this.#logger.info({ ...fields, kind, reason: message }, "refused a call");
+    } else if (action !== "read") {
+      this.#logger.info({ ...fields, ...answered.value }, "answered a call");
+    }
+  }
+}
+
+function findQueue(
+  queues: readonly JobQueue[],
+  host: string,
+  path: string,
+): JobQueue | undefined {
+  let found: JobQueue | undefined;
+  for (const queue of queues) {
+    const matches = queue.host === host && path.startsWith(queue.pathPrefix);
+    const isLonger = queue.pathPrefix.length > (found?.pathPrefix.length ?? -1);
+    if (matches && isLonger) {
+      found = queue;
+    }
+  }
+  return found;
+}
+
+function createUnknown(jobId: string): Failure {
+  return createFailure("jobUnknown", `job ${jobId} is not known`);
+}
--- /dev/null
+++ b/src/services/scheduling/leader_watch.ts
@@ -0,0 +1,70 @@
+/** An entry's view of the leader: whether it answers, and who may lead. */
+import { validateWith } from "../../domain/index.ts";
+import type { Clock, Logger } from "../../ports/index.ts";
+import type { LeaderCaller } from "./leader_caller.ts";
+import { leaderPingSchema, SCHEDULING_METHODS } from "./scheduling_handlers.ts";
+import { LEADER_PING_MS, LEADER_SILENCE_MS } from "./timing.ts";
+
+/** Options of {@link LeaderWatch}. */
+export interface LeaderWatchOptions {
+  readonly leader: LeaderCaller;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+/** Asks the leader again and again, and remembers when it last answered. */
+export class LeaderWatch {
+  readonly #options: LeaderWatchOptions;
+  #answeredMs = -Infinity;
+  #hasCatalog = false;
+  #isReached = false;
+
+  constructor(options: LeaderWatchOptions) {
+    this.#options = options;
+  }
+
+  /** Whether callers can be served. */
+  get isReady(): boolean {
+    const ageMs = this.#options.clock.monotonicMs() - this.#answeredMs;
+    return this.#hasCatalog && ageMs < LEADER_SILENCE_MS;
+  }
+
+  /**
+   * Asks until the signal aborts.
+   *
+   * @param signal - Ends the task.
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock } = this.#options;
+    while (!signal.aborted) {
+      await this.#ask();
+      await clock.sleep(LEADER_PING_MS, signal);
+    }
+  }
+
+  async #ask(): Promise<void> {
+    const { clock, leader, logger } = this.#options;
+    const answered = await leader.call(
+      SCHEDULING_METHODS.ping,
+      {},
+      LEADER_SILENCE_MS,
+    );
+    const ping = answered.andThen((body) =>
+      validateWith(leaderPingSchema, body, { subject: "answer to a ping" })
+    );
+    if (ping.isOk) {
+      leader.learnControllers(ping.value.controllerIds);
+      this.#answeredMs = clock.monotonicMs();
+      this.#hasCatalog = ping.value.hasCatalog;
+    }
+    if (ping.isOk !== this.#isReached) {
+      this.#isReached = ping.isOk;
+      const { leaderId } = leader;
+      const reason = ping.isErr ? ping.error.message : undefined;
+      logger.info(
+        { leaderId, reason },
+        ping.isOk ? "reached the leader" : "lost the leader",
+      );
+    }
+  }
+}
--- /dev/null
+++ b/src/services/scheduling/run_orders.ts
@@ -0,0 +1,285 @@
+/** Orders about the runs of one runner, each repeated until it is answered. */
+import {
+  formatTaskId,
+  type Runner,
+  type RunnerLoad,
+  type RunningTask,
+} from "../../domain/index.ts";
+import type {
+  Clock,
+  Logger,
+  RunName,
+  RunnerClient,
+  RunnerFailure,
+  RunReport,
+} from "../../ports/index.ts";
+import type { Notifier, TaskGroup } from "../../tasks/index.ts";
+import type { LeaseBound } from "./lease_bound.ts";
+import type { RunnerStatus } from "./runner_status.ts";
+import type { SchedulingLog } from "./scheduling_log.ts";
+import { MAX_START_ATTEMPTS, ORDER_RETRY_MS } from "./timing.ts";
+
+/** Refusals after which a start without earlier attempts never began. */
+const NOT_BEGUN: ReadonlySet<string> = new Set([
+  "noRoom",
+  "leaseOver",
+  "noTicket",
+  "invalid",
+  "unhealthy",
+]);
+
+interface RunOrder {
+  state: "starting" | "there" | "closing" | "closed";
+  /** Monotonic time from which on a look must know the run (ms). */
+  settledAtMs: number;
+}
+
+/** Options of {@link RunOrders}. */
+export interface RunOrdersOptions {
+  readonly status: RunnerStatus;
+  readonly log: SchedulingLog;
+  readonly client: RunnerClient;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly tasks: TaskGroup;
+  readonly changed: Notifier;
+  readonly fencingToken: number;
+  readonly lease: LeaseBound;
+  readonly findRunner: () => Runner;
+  readonly findLoad: () => RunnerLoad;
+}
+
+/** Starts what the log places here, and stops what is no longer wanted. */
+export class RunOrders {
+  readonly #options: RunOrdersOptions;
+  readonly #orders = new Map<string, RunOrder>();
+  /** Runs that the runner lists and the log does not place there. */
+  readonly #strays = new Set<string>();
+
+  constructor(options: RunOrdersOptions) {
+    this.#options = options;
+  }
+
+  /** Whether runs are being stopped that the log does not know. */
+  get hasStrays(): boolean {
+    return this.#strays.size > 0;
+  }
+
+  /** Whether a stop waits to be confirmed by a look. */
+  get isClosing(): boolean {
+    return [...this.#orders.values()].some(({ state }) =>
+      state === "closing" || state === "closed"
+    );
+  }
+
+  /**
+   * Gives orders until the signal aborts.
+   *
+   * @param signal - Ends the task.
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    const { changed, status, log } = this.#options;
+    while (!signal.aborted) {
+      if (status.isSynced && log.mayOrder) {
+        this.#orderAll(signal);
+      }
+      await changed.wait(signal);
+    }
+  }
+
+  /** Takes which runs a look found at work. */
+  takeRunning(running: readonly RunReport[]): void {
+    const placed = this.#options.findLoad().running;
+    const nowMs = this.#options.clock.monotonicMs();
+    this.#strays.clear();
+    for (const report of running) {
+      const run = placed.get(formatTaskId(report.task));
+      if (run?.runNumber === report.runNumber) {
+        this.#settle(formatRun(report), "there", nowMs);
+      } else {
+        this.#strays.add(formatRun(report));
+        this.#stopStray(report);
+      }
+    }
+  }
+
+  /**
+   * Lists the runs that a look must know.
+   *
+   * @param sentAtMs - Monotonic time at which the look was sent (ms).
+   */
+  listSettledBefore(sentAtMs: number): RunningTask[] {
+    const placed = [...this.#options.findLoad().running.values()];
+    return placed.filter((run) => {
+      const order = this.#orders.get(formatRun({ task: run.id, ...run }));
+      const isSettled = order?.state === "there" || order?.state === "closed";
+      return isSettled && order.settledAtMs < sentAtMs;
+    });
+  }
+
+  #orderAll(signal: AbortSignal): void {
+    const { status, findLoad, tasks } = this.#options;
+    const placed = findLoad().running;
+    const wanted = new Set<string>();
+    for (const run of placed.values()) {
+      const key = formatRun({ task: run.id, ...run });
+      wanted.add(key);
+      const order = this.#orders.get(key);
+      const isUnwanted = status.isLeaving ||
+        run.job.isRunUseless(run.id, run.runNumber);
+      if (isUnwanted && (order === undefined || order.state === "there")) {
+        this.#orders.set(key, { state: "closing", settledAtMs: Infinity });
+        tasks.start("stop", () => this.#close(run, key, signal));
+      } else if (order === undefined) {
+        this.#orders.set(key, { state: "starting", settledAtMs: Infinity });
+        tasks.start("start", () => this.#start(run, key, signal));
+      }
+    }
+    for (const key of this.#orders.keys()) {
+      if (!wanted.has(key)) {
+        this.#orders.delete(key);
+      }
+    }
+  }
+
+  async #start(
+    run: RunningTask,
+    key: string,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const { clock } = this.#options;
+    let unansweredCount = 0;
+    while (this.#isOpen(key, "starting", signal)) {
+      const failure = await this.#sendStart(run);
+      if (signal.aborted || this.#orders.get(key)?.state !== "starting") {
+        return;
+      }
+      if (failure === undefined) {
+        this.#settle(key, "there", clock.monotonicMs());
+        return;
+      }
+      if (failure.refusal === "staleFence") {
+        return;
+      }
+      const hasNotBegun = unansweredCount === 0 &&
+        NOT_BEGUN.has(failure.refusal ?? "");
+      if (failure.refusal === "outdatedRun" || hasNotBegun) {
+        this.#settle(key, "closed", clock.monotonicMs());
+        this.#options.changed.notify();
+        return;
+      }
+      unansweredCount += 1;
+      if (
+        run.job.outcome !== undefined || unansweredCount >= MAX_START_ATTEMPTS
+      ) {
+        this.#orders.set(key, { state: "closing", settledAtMs: Infinity });
+        await this.#close(run, key, signal);
+        return;
+      }
+      await clock.sleep(ORDER_RETRY_MS, signal);
+    }
+  }
+
+  async #sendStart(run: RunningTask): Promise<RunnerFailure | undefined> {
+    const { client, fencingToken, findRunner, lease, log, logger, status } =
+      this.#options;
+    const leaseUntilMs = lease.grant();
+    if (leaseUntilMs === undefined || !log.mayOrder) {
+      return { message: "the lease of this leader or its clock is missing" };
+    }
+    const runner = findRunner();
+    const started = await client.start(runner, {
+      task: run.id,
+      runNumber: run.runNumber,
+      text: run.job.spec.text,
+      leaseUntilMs,
+      fencingToken,
+      saved: run.saved,
+    });
+    if (started.isOk) {
+      lease.observe(started.value.clockMs);
+      status.recordAnswer();
+      return undefined;
+    }
+    const failure = started.error;
+    logger.warn(
+      {
+        task: formatTaskId(run.id),
+        runNumber: run.runNumber,
+        runnerId: runner.runnerId,
+        failure,
+      },
+      "a start was not confirmed",
+    );
+    if (failure.refusal === undefined) {
+      status.recordSilence();
+    }
+    return failure;
+  }
+
+  async #close(
+    run: RunningTask,
+    key: string,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const { clock } = this.#options;
+    const name = { task: run.id, runNumber: run.runNumber };
+    while (this.#isOpen(key, "closing", signal)) {
+      if (await this.#sendStop(name)) {
+        this.#settle(key, "closed", clock.monotonicMs());
+        this.#options.changed.notify();
+        return;
+      }
+      await clock.sleep(ORDER_RETRY_MS, signal);
+    }
+  }
+
+  #stopStray(name: RunName): void {
+    const { tasks, log } = this.#options;
+    if (log.mayOrder) {
+      tasks.start("stop a stray run", async () => {
+        await this.#sendStop(name);
+      });
+    }
+  }
+
+  async #sendStop(name: RunName): Promise<boolean> {
+    const { client, fencingToken, findRunner, log, logger } = this.#options;
+    if (!log.mayOrder) {
+      return false;
+    }
+    const runner = findRunner();
+    const stopped = await client.stop(runner, name, fencingToken);
+    if (stopped.isErr) {
+      logger.warn(
+        {
+          task: formatTaskId(name.task),
+          runNumber: name.runNumber,
+          runnerId: runner.runnerId,
+          failure: stopped.error,
+        },
+        "a stop was not confirmed",
+      );
+    }
+    return stopped.isOk;
+  }
+
+  #isOpen(key: string, state: RunOrder["state"], signal: AbortSignal): boolean {
+    return !signal.aborted && this.#orders.get(key)?.state === state;
+  }
+
+  #settle(key: string, state: "there" | "closed", atMs: number): void {
+    const known = this.#orders.get(key);
+    const isDecided = known?.state === "closing" || known?.state === "closed" ||
+      known?.state === state;
+    if (state === "there" && isDecided) {
+      return;
+    }
+    this.#orders.set(key, { state, settledAtMs: atMs });
+  }
+}
+
+/** Formats the name of a run. */
+export function formatRun({ task, runNumber }: RunName): string {
+  return `${formatTaskId(task)}#${runNumber}`;
+}
--- /dev/null
+++ b/src/services/scheduling/runner_fleet.ts
@@ -0,0 +1,108 @@
+/** The runners as the leader serves them: one task for each lifetime. */
+import {
+  formatRunnerLife,
+  type Runner,
+  type RunnerLife,
+  type RunningTask,
+} from "../../domain/index.ts";
+import type { Clock, Logger, RunnerClient } from "../../ports/index.ts";
+import { Notifier, TaskGroup } from "../../tasks/index.ts";
+import { RunnerStatus } from "./runner_status.ts";
+import { RunnerTask } from "./runner_task.ts";
+import type { SchedulingLog } from "./scheduling_log.ts";
+
+/** Options of {@link RunnerFleet}. */
+export interface RunnerFleetOptions {
+  readonly log: SchedulingLog;
+  readonly client: RunnerClient;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Notified when the scheduling state has changed. */
+  readonly changed: Notifier;
+  readonly fencingToken: number;
+}
+
+interface Served {
+  readonly task: RunnerTask;
+  readonly group: TaskGroup;
+}
+
+/** Starts and ends the runners' tasks as the log names and drops them. */
+export class RunnerFleet {
+  readonly #options: RunnerFleetOptions;
+  readonly #served = new Map<string, Served>();
+
+  constructor(options: RunnerFleetOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Finds what has been seen of a runner.
+   *
+   * @param life - Id and birth.
+   * @returns The status, or undefined before the runner is served.
+   */
+  findStatus(life: RunnerLife): RunnerStatus | undefined {
+    return this.#served.get(formatRunnerLife(life))?.task.status;
+  }
+
+  /**
+   * Serves the runners of the log until the signal aborts.
+   *
+   * @param signal - Ends the task.
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    const { changed, log } = this.#options;
+    while (!signal.aborted) {
+      this.#adopt(log.state.runners);
+      await changed.wait(signal);
+    }
+    const served = [...this.#served.values()];
+    this.#served.clear();
+    await Promise.all(served.map(({ group }) => group.stop()));
+  }
+
+  #adopt(runners: ReadonlyMap<string, Runner>): void {
+    const lives = new Set<string>();
+    for (const runner of runners.values()) {
+      const life = formatRunnerLife(runner);
+      lives.add(life);
+      const known = this.#served.get(life);
+      if (known === undefined) {
+        this.#served.set(life, this.#serve(runner));
+      } else if (known.task.runner !== runner) {
+        known.task.update(runner);
+      }
+    }
+    for (const [life, { group }] of this.#served) {
+      if (!lives.has(life)) {
+        this.#served.delete(life);
+        void group.stop();
+      }
+    }
+  }
+
+  #serve(runner: Runner): Served {
+    const { clock, logger } = this.#options;
+    const group = new TaskGroup({ clock, logger });
+    const task = new RunnerTask({
+      ...this.#options,
+      runner,
+      status: new RunnerStatus(clock),
+      tasks: group,
+      findMaxAttempts: (run) => this.#findMaxAttempts(run),
+    });
+    group.startForever(
+      `runner ${runner.runnerId}`,
+      (signal) => task.run(signal),
+    );
+    return { task, group };
+  }
+
+  #findMaxAttempts({ job }: RunningTask): number {
+    const queue = this.#options.log.state.catalog.queues.find(({ name }) =>
+      name === job.queue
+    );
+    return queue?.maxAttempts ?? job.maxAttempts;
+  }
+}
--- /dev/null
+++ b/src/services/scheduling/runner_registry.ts
@@ -0,0 +1,112 @@
+/** Announcements of runners, as they reach the leader. */
+import { Result } from "true-myth";
+import {
+  type Failure,
+  type Runner,
+  runnerSchema,
+  validateWith,
+} from "../../domain/index.ts";
+import type { Clock, Logger, RunnerClient } from "../../ports/index.ts";
+import type { RunnerFleet } from "./runner_fleet.ts";
+import type { SchedulingLog } from "./scheduling_log.ts";
+
+/** Options of {@link RunnerRegistry}. */
+export interface RunnerRegistryOptions {
+  readonly log: SchedulingLog;
+  readonly fleet: RunnerFleet;
+  readonly client: RunnerClient;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly fencingToken: number;
+}
+
+/** Records new runners and changes of known ones. */
+export class RunnerRegistry {
+  readonly #options: RunnerRegistryOptions;
+  /** Lifetimes that are over, by runner id: the newest birth seen (ms). */
+  readonly #leftAtBirthMs = new Map<string, number>();
+
+  constructor(options: RunnerRegistryOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Takes an announcement.
+   *
+   * @param body - The runner, not validated yet.
+   * @returns Nothing once it is durable; `invalidInput`, or why it is not.
+   */
+  async announce(body: unknown): Promise<Result<unknown, Failure>> {
+    const checked = validateWith(runnerSchema, body, { subject: "runner" });
+    if (checked.isErr) {
+      return Result.err(checked.error);
+    }
+    const runner = checked.value;
+    const { log, fleet } = this.#options;
+    const known = log.state.runners.get(runner.runnerId);
+    const leftMs = this.#leftAtBirthMs.get(runner.runnerId) ?? -Infinity;
+    const isOutdated = runner.bornAtMs <= leftMs ||
+      (known !== undefined && known.bornAtMs > runner.bornAtMs);
+    if (isOutdated) {
+      return Result.ok({});
+    }
+    fleet.findStatus(runner)?.recordSign();
+    if (known !== undefined && isSame(known, runner)) {
+      return Result.ok({});
+    }
+    if (known !== undefined && known.bornAtMs < runner.bornAtMs) {
+      await this.#closeFormerRuns(known, runner);
+    }
+    return await this.#record(runner);
+  }
+
+  /**
+   * Takes the word of a runner that it ends now.
+   *
+   * @param runnerId - The runner.
+   */
+  leave(runnerId: string): Result<unknown, Failure> {
+    const { log, fleet, logger } = this.#options;
+    const known = log.state.runners.get(runnerId);
+    if (known !== undefined) {
+      logger.info({ runnerId }, "a runner leaves");
+      this.#leftAtBirthMs.set(runnerId, known.bornAtMs);
+      const status = fleet.findStatus(known);
+      if (status !== undefined) {
+        status.isLeaving = true;
+      }
+    }
+    return Result.ok({});
+  }
+
+  async #record(runner: Runner): Promise<Result<unknown, Failure>> {
+    const { log, logger } = this.#options;
+    const { runnerId, bornAtMs, pool, zone, isDraining } = runner;
+    logger.info(
+      { runnerId, bornAtMs, pool, zone, isDraining },
+      "a runner announced itself",
+    );
+    return await log.propose([{ type: "runner", runner }]);
+  }
+
+  // An order to the former lifetime may still reach the new one: a stopped run
+  // can never begin there, so the task may be placed elsewhere.
+  async #closeFormerRuns(former: Runner, runner: Runner): Promise<void> {
+    const { client, fencingToken, log, logger } = this.#options;
+    const runs = [...log.state.jobs.findLoad(former).running.values()];
+    const stopped = await Promise.all(
+      runs.map(({ id, runNumber }) =>
+        client.stop(runner, { task: id, runNumber }, fencingToken)
+      ),
+    );
+    const openCount = stopped.filter(({ isErr }) => isErr).length;
+    logger.info(
+      { runnerId: runner.runnerId, runCount: runs.length, openCount },
+      "closed the runs of a former lifetime",
+    );
+  }
+}
+
+function isSame(left: Runner, right: Runner): boolean {
+  return JSON.stringify(left) === JSON.stringify(right);
+}
--- /dev/null
+++ b/src/services/scheduling/runner_status.ts
@@ -0,0 +1,50 @@
+/** What the leader has seen of one lifetime of a runner. */
+import type { Clock } from "../../ports/index.ts";
+import { SIGN_OF_LIFE_MS } from "./timing.ts";
+
+/** Signs of life, failures and progress; lost with the leadership. */
+export class RunnerStatus {
+  readonly #clock: Clock;
+  #signMs: number;
+  #isAnswering = true;
+  /** Whether its list of runs has been seen in this term. */
+  isSynced = false;
+  /** Whether it has said that it ends now. */
+  isLeaving = false;
+  /** Progress in percent by formatted task id. */
+  progress: ReadonlyMap<string, number> = new Map();
+  /** Load by formatted task id: tail (ms) of a serving task, else millicores. */
+  loads: ReadonlyMap<string, number> = new Map();
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+    this.#signMs = clock.monotonicMs();
+  }
+
+  /** Time since the newest sign of life, in milliseconds. */
+  get silenceMs(): number {
+    return this.#clock.monotonicMs() - this.#signMs;
+  }
+
+  /** Whether it may get work. */
+  get isSound(): boolean {
+    return this.isSynced && this.#isAnswering && !this.isLeaving &&
+      this.silenceMs < SIGN_OF_LIFE_MS;
+  }
+
+  /** Takes note of an announcement. */
+  recordSign(): void {
+    this.#signMs = this.#clock.monotonicMs();
+  }
+
+  /** Takes note of an answer. */
+  recordAnswer(): void {
+    this.#isAnswering = true;
+    this.recordSign();
+  }
+
+  /** Takes note of an order without an answer. */
+  recordSilence(): void {
+    this.#isAnswering = false;
+  }
+}
--- /dev/null
+++ b/src/services/scheduling/runner_task.ts
@@ -0,0 +1,301 @@
+/** One lifetime of a runner: its orders, its looks, its leases. */
+import {
+  formatTaskId,
+  type JobTable,
+  type Runner,
+  type RunnerLoad,
+  type RunningTask,
+  type SchedulingOperation,
+} from "../../domain/index.ts";
+import type {
+  Clock,
+  EndReport,
+  Logger,
+  RunName,
+  RunnerClient,
+  RunnerFailure,
+  RunnerReport,
+} from "../../ports/index.ts";
+import { Notifier, type TaskGroup, waitFor } from "../../tasks/index.ts";
+import { LeaseBound } from "./lease_bound.ts";
+import { formatRun, RunOrders } from "./run_orders.ts";
+import type { RunnerStatus } from "./runner_status.ts";
+import type { SchedulingLog } from "./scheduling_log.ts";
+import {
+  CLOSING_LOOK_WAIT_MS,
+  END_BATCH_MS,
+  LOOK_WAIT_MS,
+  LOST_RETRY_MS,
+  ORDER_RETRY_MS,
+  PROPOSE_RETRY_MS,
+  SCHEDULER_TICK_MS,
+} from "./timing.ts";
+
+/** Rows of ends in one report after which there may be more. */
+const MAX_REPORTED_ENDS = 500;
+
+/** Options of {@link RunnerTask}. */
+export interface RunnerTaskOptions {
+  readonly runner: Runner;
+  readonly status: RunnerStatus;
+  readonly log: SchedulingLog;
+  readonly client: RunnerClient;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly tasks: TaskGroup;
+  /** Notified when the scheduling state has changed. */
+  readonly changed: Notifier;
+  readonly fencingToken: number;
+  /** Finds how many failed ends a run's job allows. */
+  readonly findMaxAttempts: (run: RunningTask) => number;
+}
+
+/** Looks at the runner, extends its leases and records what has ended. */
+export class RunnerTask {
+  readonly status: RunnerStatus;
+  readonly #options: RunnerTaskOptions;
+  readonly #lease: LeaseBound;
+  readonly #orders: RunOrders;
+  /** Position up to which ends are recorded in the log. */
+  #recordedUpTo = 0;
+  /** Position that the runner was told. */
+  #forgottenUpTo = 0;
+  #runner: Runner;
+  #isRefused = false;
+
+  constructor(options: RunnerTaskOptions) {
+    this.#options = options;
+    this.#runner = options.runner;
+    this.status = options.status;
+    this.#lease = new LeaseBound(options.clock);
+    this.#orders = new RunOrders({
+      ...options,
+      lease: this.#lease,
+      findRunner: () => this.#runner,
+      findLoad: () => this.#load,
+    });
+  }
+
+  /** The runner as it last announced itself. */
+  get runner(): Runner {
+    return this.#runner;
+  }
+
+  /** Takes what the runner announces anew. */
+  update(runner: Runner): void {
+    this.#runner = runner;
+  }
+
+  /**
+   * Serves the runner until the signal aborts.
+   *
+   * @param signal - Ends the task.
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    await Promise.all([this.#look(signal), this.#orders.run(signal)]);
+    this.#options.client.forget(this.#runner);
+  }
+
+  get #table(): JobTable {
+    return this.#options.log.state.jobs;
+  }
+
+  get #load(): RunnerLoad {
+    return this.#table.findLoad(this.#runner);
+  }
+
+  get #isLookDue(): boolean {
+    return !this.status.isSynced || this.#load.running.size > 0 ||
+      this.#orders.hasStrays || this.#recordedUpTo > this.#forgottenUpTo;
+  }
+
+  async #look(signal: AbortSignal): Promise<void> {
+    const { clock, changed, log } = this.#options;
+    while (!signal.aborted && !this.#isRefused) {
+      if (!this.#isLookDue) {
+        await waitFor({
+          clock,
+          notifier: changed,
+          timeoutMs: SCHEDULER_TICK_MS * 5,
+          signal,
+          isMet: () => this.#isLookDue,
+        });
+        continue;
+      }
+      if (!log.mayOrder) {
+        await clock.sleep(ORDER_RETRY_MS, signal);
+        continue;
+      }
+      await this.#lookOnce(signal);
+    }
+  }
+
+  async #lookOnce(signal: AbortSignal): Promise<void> {
+    const { client, clock, fencingToken } = this.#options;
+    const forgetUpTo = this.#recordedUpTo;
+    const isBusy = this.status.isSynced && this.#load.running.size > 0;
+    const sentAtMs = clock.monotonicMs();
+    const looked = await client.look(this.#runner, {
+      fencingToken,
+      forgetUpTo,
+      leaseUntilMs: isBusy ? this.#lease.grant() : undefined,
+      waitMs: this.#chooseWait(isBusy),
+    });
+    if (signal.aborted) {
+      return;
+    }
+    if (looked.isErr) {
+      await this.#takeFailure(looked.error, signal);
+      return;
+    }
+    if (looked.value.bornAtMs !== this.#runner.bornAtMs) {
+      this.status.recordSilence();
+      await clock.sleep(ORDER_RETRY_MS, signal);
+      return;
+    }
+    this.#forgottenUpTo = Math.max(this.#forgottenUpTo, forgetUpTo);
+    await this.#take(looked.value, sentAtMs, signal);
+  }
+
+  #chooseWait(isBusy: boolean): number {
+    if (!isBusy) {
+      return 0;
+    }
+    return this.#orders.isClosing ? CLOSING_LOOK_WAIT_MS : LOOK_WAIT_MS;
+  }
+
+  async #take(
+    report: RunnerReport,
+    sentAtMs: number,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const { clock } = this.#options;
+    this.#lease.observe(report.clockMs);
+    this.status.recordAnswer();
+    this.status.progress = new Map(
+      report.running.map(({ task, percent }) => [formatTaskId(task), percent]),
+    );
+    this.status.loads = new Map(
+      report.running.map(({ task, load }) => [formatTaskId(task), load]),
+    );
+    this.#orders.takeRunning(report.running);
+    const operations = [
+      ...this.#listEnds(report.ended),
+      ...this.#listVanished(report, sentAtMs),
+    ];
+    if (operations.length > 0 && !await this.#record(operations, signal)) {
+      return;
+    }
+    const positions = report.ended.map(({ position }) => position);
+    this.#recordedUpTo = Math.max(this.#recordedUpTo, ...positions);
+    this.status.isSynced = true;
+    this.#options.changed.notify();
+    const isIdle = operations.length === 0 && report.running.length > 0;
+    // Without a pause, each end of a burst would cost a look of its own.
+    await clock.sleep(isIdle ? 1 : END_BATCH_MS, signal);
+  }
+
+  #listEnds(ended: readonly EndReport[]): SchedulingOperation[] {
+    const operations: SchedulingOperation[] = [];
+    for (const { task, runNumber, how, saved } of ended) {
+      const run = this.#findRun({ task, runNumber });
+      if (run !== undefined) {
+        operations.push(this.#createEnd(run, how, saved));
+      }
+    }
+    return operations;
+  }
+
+  // A run that was there or can no longer begin, and is in neither list, is
+  // over without a trace.
+  #listVanished(
+    report: RunnerReport,
+    sentAtMs: number,
+  ): SchedulingOperation[] {
+    if (report.ended.length >= MAX_REPORTED_ENDS) {
+      return [];
+    }
+    const known = new Set([...report.running, ...report.ended].map(formatRun));
+    return this.#orders.listSettledBefore(sentAtMs)
+      .filter((run) => !known.has(formatRun({ task: run.id, ...run })))
+      .map((run) => this.#createEnd(run, "lost", ""));
+  }
+
+  #findRun({ task, runNumber }: RunName): RunningTask | undefined {
+    const run = this.#load.running.get(formatTaskId(task));
+    return run?.runNumber === runNumber ? run : undefined;
+  }
+
+  #createEnd(
+    run: RunningTask,
+    how: EndReport["how"],
+    saved: string,
+  ): SchedulingOperation {
+    this.#options.logger.info(
+      {
+        task: formatTaskId(run.id),
+        runNumber: run.runNumber,
+        runnerId: this.#runner.runnerId,
+        how,
+      },
+      "a run ended",
+    );
+    return {
+      type: "end",
+      task: run.id,
+      runNumber: run.runNumber,
+      how,
+      saved,
+      maxAttempts: this.#options.findMaxAttempts(run),
+    };
+  }
+
+  async #record(
+    operations: readonly SchedulingOperation[],
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    const { clock, log, logger } = this.#options;
+    const proposed = await log.propose(operations);
+    if (proposed.isErr) {
+      logger.warn(
+        { runnerId: this.#runner.runnerId, failure: proposed.error },
+        "ends are not recorded yet",
+      );
+      await clock.sleep(PROPOSE_RETRY_MS, signal);
+    }
+    return proposed.isOk;
+  }
+
+  async #takeFailure(
+    failure: RunnerFailure,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const { clock, logger } = this.#options;
+    const { runnerId } = this.#runner;
+    logger.warn({ runnerId, failure }, "a look at a runner failed");
+    if (failure.refusal === "staleFence") {
+      this.#isRefused = true;
+      return;
+    }
+    this.status.recordSilence();
+    const isGone = failure.refusal === "otherLife" ||
+      (failure.refusal === "notListening" && this.status.isLeaving);
+    if (isGone || this.#lease.isOver) {
+      await this.#giveUp(isGone ? "it has ended" : "its leases have ended");
+      await clock.sleep(LOST_RETRY_MS, signal);
+      return;
+    }
+    await clock.sleep(ORDER_RETRY_MS, signal);
+  }
+
+  async #giveUp(reason: string): Promise<void> {
+    const { log, logger } = this.#options;
+    const { runnerId, bornAtMs } = this.#runner;
+    if (!log.mayOrder) {
+      return;
+    }
+    const runCount = this.#load.running.size;
+    logger.warn({ runnerId, bornAtMs, runCount, reason }, "gives up a runner");
+    await log.propose([{ type: "runnerGone", runnerId, bornAtMs }]);
+  }
+}
--- /dev/null
+++ b/src/services/scheduling/scheduler.ts
@@ -0,0 +1,137 @@
+/** The leader's task that places waiting work on runners. */
+import {
+  addAmounts,
+  formatTaskId,
+  type Runner,
+  type SchedulingOperation,
+  type SchedulingState,
+} from "../../domain/index.ts";
+import type {
+  Candidate,
+  PlannedStart,
+  StartPlanner,
+} from "../../decisions/index.ts";
+import type { Clock, Logger } from "../../ports/index.ts";
+import type { Notifier } from "../../tasks/index.ts";
+import type { RunnerStatus } from "./runner_status.ts";
+import type { SchedulingLog } from "./scheduling_log.ts";
+import { PROPOSE_RETRY_MS, SCHEDULER_TICK_MS } from "./timing.ts";
+
+/** Options of {@link Scheduler}. */
+export interface SchedulerOptions {
+  readonly log: SchedulingLog;
+  readonly planner: StartPlanner;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Notified when the scheduling state or a runner's status has changed. */
+  readonly changed: Notifier;
+  readonly findStatus: (runner: Runner) => RunnerStatus | undefined;
+  /** Tells whether a runner's VM is being emptied for its upkeep or a move. */
+  readonly isCordoned: (runner: Runner) => boolean;
+}
+
+/** Plans, writes the plan to the log, and lets the runners' tasks act on it. */
+export class Scheduler {
+  readonly #options: SchedulerOptions;
+
+  constructor(options: SchedulerOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Places work until the signal aborts.
+   *
+   * @param signal - Ends the task.
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock, log, logger } = this.#options;
+    while (!signal.aborted) {
+      const starts = log.mayOrder ? this.#plan() : [];
+      if (starts.length === 0) {
+        await this.#waitForChange(signal);
+        continue;
+      }
+      const proposed = await log.propose(starts.map(toOperation));
+      if (proposed.isErr) {
+        logger.warn({ failure: proposed.error }, "a plan was not accepted");
+        await clock.sleep(PROPOSE_RETRY_MS, signal);
+        continue;
+      }
+      this.#logStarts(starts);
+    }
+  }
+
+  #plan(): PlannedStart[] {
+    const { log, planner, clock } = this.#options;
+    return planner.plan({
+      state: log.state,
+      candidates: this.#listCandidates(log.state),
+      nowMs: clock.nowMs(),
+    });
+  }
+
+  #listCandidates(state: SchedulingState): Map<string, Candidate[]> {
+    const byPool = new Map<string, Candidate[]>();
+    for (const runner of state.runners.values()) {
+      if (this.#mayPlaceOn(runner, state)) {
+        const pool = byPool.get(runner.pool) ?? [];
+        pool.push(createCandidate(runner, state));
+        byPool.set(runner.pool, pool);
+      }
+    }
+    return byPool;
+  }
+
+  #mayPlaceOn(runner: Runner, state: SchedulingState): boolean {
+    const { findStatus, isCordoned } = this.#options;
+    return !runner.isDraining && !state.zonesOut.has(runner.zone) &&
+      (findStatus(runner)?.isSound ?? false) && !isCordoned(runner);
+  }
+
+  async #waitForChange(signal: AbortSignal): Promise<void> {
+    const { clock, changed } = this.#options;
+    const stop = new AbortController();
+    const end = () => stop.abort();
+    signal.addEventListener("abort", end, { once: true });
+    await Promise.race([
+      changed.wait(stop.signal),
+      clock.sleep(SCHEDULER_TICK_MS, stop.signal),
+    ]);
+    signal.removeEventListener("abort", end);
+    end();
+  }
+
+  #logStarts(starts: readonly PlannedStart[]): void {
+    const { log, logger } = this.#options;
+    const { version } = log.state.catalog;
+    const tasks = starts.map(({ task, runNumber, runnerId }) =>
+      `${formatTaskId(task)}#${runNumber}@${runnerId}`
+    );
+    logger.info({ tasks, catalogVersion: version }, "placed tasks");
+  }
+}
+
+function createCandidate(runner: Runner, state: SchedulingState): Candidate {
+  const load = state.jobs.findLoad(runner);
+  let servingCount = 0;
+  let leftoverCount = 0;
+  for (const { step } of load.running.values()) {
+    servingCount += Number(step.tailTargetMs > 0);
+    leftoverCount += Number(step.usesLeftovers);
+  }
+  const { runnerId, bornAtMs, zone, rack, labels, capacity } = runner;
+  return {
+    runnerId,
+    bornAtMs,
+    zone,
+    rack,
+    labels,
+    free: addAmounts(capacity, load.used, -1),
+    servingCount,
+    leftoverCount,
+  };
+}
+
+function toOperation(start: PlannedStart): SchedulingOperation {
+  return { type: "start", ...start };
+}
--- /dev/null
+++ b/src/services/scheduling/scheduling_handlers.ts
@@ -0,0 +1,117 @@
+/** Messages about scheduling between entries, controllers and the leader. */
+import { Result } from "true-myth";
+import * as v from "valibot";
+import {
+  createFailure,
+  type Failure,
+  validateWith,
+} from "../../domain/index.ts";
+import type { Agreement, PeerNetwork } from "../../ports/index.ts";
+import type { JobService } from "./job_service.ts";
+import type { OperationsService } from "./operations_service.ts";
+import type { RunnerRegistry } from "./runner_registry.ts";
+
+/** Names of the messages. */
+export const SCHEDULING_METHODS = {
+  job: "scheduling.job",
+  announce: "scheduling.announce",
+  leave: "scheduling.leave",
+  replaceCatalog: "scheduling.replaceCatalog",
+  readCatalog: "scheduling.readCatalog",
+  setZone: "scheduling.setZone",
+  startWave: "scheduling.startWave",
+  readWave: "scheduling.readWave",
+  ping: "scheduling.ping",
+} as const;
+
+/** Schema of {@link LeaderPing}. */
+export const leaderPingSchema = v.object({
+  /** Controllers of the newest membership. */
+  controllerIds: v.array(v.string()),
+  hasCatalog: v.boolean(),
+});
+
+/** What the leader tells entries that ask whether it is there. */
+export type LeaderPing = v.InferOutput<typeof leaderPingSchema>;
+
+const leaveSchema = v.object({ runnerId: v.string() });
+
+type Answer = Result<unknown, Failure> | Promise<Result<unknown, Failure>>;
+
+/** Options of {@link addSchedulingHandlers}. */
+export interface SchedulingHandlersOptions {
+  readonly network: PeerNetwork;
+  readonly agreement: Agreement;
+  readonly jobs: JobService;
+  readonly operations: OperationsService;
+  /** The registry while this entry leads. */
+  readonly findRegistry: () => RunnerRegistry | undefined;
+}
+
+/** Answers a message at the leader. */
+export type SchedulingHandler = (body: unknown) => Promise<
+  Result<unknown, Failure>
+>;
+
+/**
+ * Adds the handlers of all scheduling messages.
+ *
+ * @param options - The services that answer.
+ * @returns The handlers by method, for calls of the own process.
+ */
+export function addSchedulingHandlers(
+  options: SchedulingHandlersOptions,
+): ReadonlyMap<string, SchedulingHandler> {
+  const { network, agreement, jobs, operations, findRegistry } = options;
+  const handlers = new Map<string, SchedulingHandler>();
+  const add = (method: string, answer: (body: unknown) => Answer) => {
+    const handler = async (body: unknown) =>
+      agreement.status().leaderSinceMs === undefined
+        ? Result.err<unknown, Failure>(createNotLeader(agreement))
+        : await answer(body);
+    handlers.set(method, handler);
+    network.handle(method, (_peerId, body) => handler(body));
+  };
+  add(SCHEDULING_METHODS.job, (body) => jobs.answer(body));
+  add(
+    SCHEDULING_METHODS.replaceCatalog,
+    (body) => operations.replaceCatalog(body),
+  );
+  add(SCHEDULING_METHODS.readCatalog, () => operations.readCatalog());
+  add(SCHEDULING_METHODS.setZone, (body) => operations.setZone(body));
+  add(SCHEDULING_METHODS.startWave, (body) => operations.startWave(body));
+  add(SCHEDULING_METHODS.readWave, (body) => operations.readWave(body));
+  add(SCHEDULING_METHODS.ping, () => createPing(agreement));
+  add(
+    SCHEDULING_METHODS.announce,
+    (body) =>
+      findRegistry()?.announce(body) ?? Result.err(createNotLeader(agreement)),
+  );
+  add(
+    SCHEDULING_METHODS.leave,
+    (body) =>
+      validateWith(leaveSchema, body, { subject: "leave" })
+        .andThen(({ runnerId }) =>
+          findRegistry()?.leave(runnerId) ??
+            Result.err<unknown, Failure>(createNotLeader(agreement))
+        ),
+  );
+  return handlers;
+}
+
+function createPing(agreement: Agreement): Result<LeaderPing, Failure> {
+  const { membership, scheduling } = agreement.state;
+  const members = [...membership.voters, ...membership.learners];
+  return Result.ok({
+    controllerIds: members.map(({ entryId }) => entryId),
+    hasCatalog: scheduling.catalog.version >= 0,
+  });
+}
+
+function createNotLeader(agreement: Agreement): Failure {
+  const { entryId, leaderId, term } = agreement.status();
+  return createFailure("notLeader", `controller ${entryId} does not lead`, {
+    remedy: "ask the leader, or wait until one is elected",
+    detail: { leaderId, term },
+  });
+}
--- /dev/null
+++ b/src/services/scheduling/scheduling_log.ts
@@ -0,0 +1,58 @@
+/** Proposals of scheduling changes, and whether this entry may give orders. */
+import type { Result } from "true-myth";
+import type {
+  AppliedValue,
+  Failure,
+  SchedulingOperation,
+  SchedulingState,
+} from "../../domain/index.ts";
+import type { Agreement, Clock } from "../../ports/index.ts";
+
+/** Options of {@link SchedulingLog}. */
+export interface SchedulingLogOptions {
+  readonly agreement: Agreement;
+  readonly clock: Clock;
+}
+
+/** The scheduling part of the replicated state. */
+export class SchedulingLog {
+  readonly #agreement: Agreement;
+  readonly #clock: Clock;
+
+  constructor({ agreement, clock }: SchedulingLogOptions) {
+    this.#agreement = agreement;
+    this.#clock = clock;
+  }
+
+  /** The state as applied here. */
+  get state(): SchedulingState {
+    return this.#agreement.state.scheduling;
+  }
+
+  /** Term of the log; a leader's fencing token. */
+  get term(): number {
+    return this.#agreement.status().term;
+  }
+
+  /** Whether no other leader can have been elected yet. */
+  get mayOrder(): boolean {
+    return this.#agreement.status().leaderSinceMs !== undefined;
+  }
+
+  /**
+   * Proposes changes as one batch.
+   *
+   * @param operations - The changes, in order.
+   * @returns Nothing of use, or `notLeader` when they are certainly not in the
+   * log, `noQuorum` when they may be.
+   */
+  propose(
+    operations: readonly SchedulingOperation[],
+  ): Promise<Result<AppliedValue, Failure>> {
+    return this.#agreement.propose({
+      type: "scheduling",
+      atMs: this.#clock.nowMs(),
+      operations: [...operations],
+    });
+  }
+}
--- /dev/null
+++ b/src/services/scheduling/timing.ts
@@ -0,0 +1,49 @@
+/** Times of the scheduler. */
+
+/**
+ * How long runs may go on without another look at their runner, in
+ * milliseconds: a change of leader (about 2 s) and one lost look fit into it,
+ * and it stays below the platform's longest lease of 6 s.
+ */
+export const RUN_LEASE_MS = 4_500;
+/** How much slower than this clock a runner's clock may be, as a share. */
+export const MAX_CLOCK_DRIFT = 0.02;
+/** Added to the end of a lease before its runs count as over, in milliseconds. */
+export const LEASE_SLACK_MS = 100;
+/** How long a look waits at a busy runner for an end, in milliseconds. */
+export const LOOK_WAIT_MS = 1_000;
+/** The same while a run is being stopped, in milliseconds. */
+export const CLOSING_LOOK_WAIT_MS = 150;
+/** Pause after a look that brought ends, so that the next brings several (ms). */
+export const END_BATCH_MS = 15;
+/** Pause after a failed order, in milliseconds: a tenth of a run's lease or less. */
+export const ORDER_RETRY_MS = 200;
+/** Pause after a failed look at a runner whose leases have ended, in milliseconds. */
+export const LOST_RETRY_MS = 1_000;
+/** Unanswered starts after which a run is closed and placed elsewhere. */
+export const MAX_START_ATTEMPTS = 2;
+/**
+ * Age of the newest sign of a runner after which it gets no work, in
+ * milliseconds: two announcements may be missed.
+ */
+export const SIGN_OF_LIFE_MS = 3_600;
+/** Silence after which an idle runner is forgotten, in milliseconds. */
+export const FORGET_RUNNER_MS = 12_000;
+/** Longest pause of the scheduler, for due times and leases, in milliseconds. */
+export const SCHEDULER_TICK_MS = 200;
+/** Pause after a proposal that failed, in milliseconds. */
+export const PROPOSE_RETRY_MS = 100;
+/** How long a leaving runner is given to end after its notice, in milliseconds. */
+export const LEAVE_GRACE_MS = 300;
+/** How often the leadership is looked at, in milliseconds. */
+export const LEAD_CHECK_MS = 50;
+/** How often waves are looked at, in milliseconds: a call to the platform each. */
+export const WAVE_TICK_MS = 700;
+/** Time for one call to the leader, in milliseconds. */
+export const LEADER_CALL_MS = 1_200;
+/** Pause between two attempts to reach the leader, in milliseconds. */
+export const LEADER_RETRY_MS = 60;
+/** How often an entry asks whether it reaches the leader, in milliseconds. */
+export const LEADER_PING_MS = 700;
+/** Age of the leader's newest answer after which an entry is not ready (ms). */
+export const LEADER_SILENCE_MS = 4_000;
--- /dev/null
+++ b/src/services/scheduling/wave_task.ts
@@ -0,0 +1,222 @@
+/** The leader's task that carries out waves of upkeep. */
+import type { Runner, RunningTask, WaveRecord } from "../../domain/index.ts";
+import { formatTaskId } from "../../domain/index.ts";
+import {
+  Availability,
+  type UpkeepCandidate,
+  type UpkeepPolicy,
+} from "../../decisions/index.ts";
+import type { Clock, ListedVm, Logger, VmControl } from "../../ports/index.ts";
+import { type Notifier, waitFor } from "../../tasks/index.ts";
+import type { RunnerFleet } from "./runner_fleet.ts";
+import type { SchedulingLog } from "./scheduling_log.ts";
+import { WAVE_TICK_MS } from "./timing.ts";
+
+/** Options of {@link WaveTask}. */
+export interface WaveTaskOptions {
+  readonly log: SchedulingLog;
+  readonly fleet: RunnerFleet;
+  readonly vms: VmControl;
+  readonly policy: UpkeepPolicy;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly changed: Notifier;
+  readonly holderId: string;
+  readonly fencingToken: number;
+}
+
+/** Longest wait for a wave to begin, in milliseconds; a change ends it early. */
+const IDLE_WAIT_MS = 1_000;
+
+/** Empties VMs, begins their upkeep within budgets, and records the progress. */
+export class WaveTask {
+  readonly #options: WaveTaskOptions;
+  readonly #availability: Availability;
+  /** VMs whose upkeep was confirmed in this term, and when (monotonic ms). */
+  readonly #begunAtMs = new Map<string, number>();
+  #cordonedRunnerIds: ReadonlySet<string> = new Set();
+
+  constructor(options: WaveTaskOptions) {
+    this.#options = options;
+    const { log, fleet } = options;
+    this.#availability = new Availability({
+      jobs: log.state.jobs,
+      findPercent: ({ life, id }) =>
+        fleet.findStatus(life)?.progress.get(formatTaskId(id)) ?? 0,
+    });
+  }
+
+  /** Tells whether a runner gets no work because its VM is about to go away. */
+  isCordoned(runner: Runner): boolean {
+    return this.#cordonedRunnerIds.has(runner.runnerId);
+  }
+
+  /**
+   * Carries out waves until the signal aborts.
+   *
+   * @param signal - Ends the task.
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    const { changed, clock } = this.#options;
+    while (!signal.aborted) {
+      if (this.#listOpen().length === 0) {
+        this.#cordonedRunnerIds = new Set();
+        await waitFor({
+          clock,
+          notifier: changed,
+          timeoutMs: IDLE_WAIT_MS,
+          signal,
+          isMet: () => this.#listOpen().length > 0,
+        });
+        continue;
+      }
+      await this.#advance();
+      await clock.sleep(WAVE_TICK_MS, signal);
+    }
+  }
+
+  #listOpen(): WaveRecord[] {
+    const { log } = this.#options;
+    return [...log.state.waves.values()].filter(({ vms, progress }) =>
+      vms.some((vm) => progress[vm] !== "done")
+    );
+  }
+
+  async #advance(): Promise<void> {
+    const { clock, log, logger, vms } = this.#options;
+    if (!log.mayOrder) {
+      return;
+    }
+    const askedAtMs = clock.monotonicMs();
+    const listed = await vms.list();
+    if (listed.isErr) {
+      logger.warn({ failure: listed.error }, "the VMs could not be listed");
+      return;
+    }
+    const byName = new Map(listed.value.map((vm) => [vm.vm, vm]));
+    const cordoned = new Set<string>();
+    for (const wave of this.#listOpen()) {
+      await this.#recordDone(wave, byName, askedAtMs);
+      await this.#advanceWave(wave.waveId, byName, cordoned);
+    }
+    this.#cordonedRunnerIds = cordoned;
+  }
+
+  // A VM that is no longer listed cannot have an upkeep any more.
+  async #recordDone(
+    wave: WaveRecord,
+    byName: ReadonlyMap<string, ListedVm>,
+    askedAtMs: number,
+  ): Promise<void> {
+    const { log } = this.#options;
+    const done = wave.vms.filter((vm) => {
+      const begunAtMs = this.#begunAtMs.get(vm) ?? Infinity;
+      const isBack = byName.get(vm)?.state === "up" && begunAtMs < askedAtMs;
+      return wave.progress[vm] !== "done" && (isBack || !byName.has(vm));
+    });
+    if (done.length > 0) {
+      await log.propose(done.map((vm) => ({
+        type: "upkeep",
+        waveId: wave.waveId,
+        vm,
+        state: "done",
+      })));
+    }
+  }
+
+  async #advanceWave(
+    waveId: number,
+    byName: ReadonlyMap<string, ListedVm>,
+    cordoned: Set<string>,
+  ): Promise<void> {
+    const { clock, log, policy } = this.#options;
+    const wave = log.state.waves.get(waveId);
+    if (wave === undefined) {
+      return;
+    }
+    const away = wave.vms.filter((vm) => wave.progress[vm] === "ordered");
+    const candidates = wave.vms
+      .filter((vm) => wave.progress[vm] === undefined)
+      .map((vm) => byName.get(vm))
+      .filter((listed) => listed?.state === "up")
+      .map((listed) => this.#createCandidate(listed));
+    const plan = policy.plan({
+      candidates,
+      freeCount: Math.max(0, wave.maxAwayCount - away.length),
+      leftMs: wave.completeByMs - clock.nowMs(),
+      maxAwayCount: wave.maxAwayCount,
+    });
+    for (const vm of plan.cordon) {
+      cordoned.add(byName.get(vm)?.runnerId ?? "");
+    }
+    const unconfirmed = away.filter((vm) => !this.#begunAtMs.has(vm));
+    for (const vm of [...unconfirmed, ...plan.begin]) {
+      await this.#begin(wave, vm, byName.get(vm)?.runnerId);
+    }
+  }
+
+  #createCandidate(listed: ListedVm | undefined): UpkeepCandidate {
+    const running = this.#listRunning(listed?.runnerId);
+    return {
+      vm: listed?.vm ?? "",
+      running,
+      isProtected: !this.#availability.mayEnd(running),
+    };
+  }
+
+  #listRunning(runnerId: string | undefined): RunningTask[] {
+    const { log } = this.#options;
+    const runner = runnerId === undefined
+      ? undefined
+      : log.state.runners.get(runnerId);
+    return runner === undefined
+      ? []
+      : [...log.state.jobs.findLoad(runner).running.values()];
+  }
+
+  // The order is in the log before it is sent, so that the next leader counts
+  // the VM as away whatever became of the call.
+  async #begin(
+    wave: WaveRecord,
+    vm: string,
+    runnerId: string | undefined,
+  ): Promise<void> {
+    const { clock, fencingToken, holderId, log, logger, vms } = this.#options;
+    const { waveId } = wave;
+    const running = this.#listRunning(runnerId);
+    const isKnown = wave.progress[vm] === "ordered";
+    if (!isKnown && !this.#availability.mayEnd(running)) {
+      return;
+    }
+    if (!isKnown) {
+      const proposed = await log.propose([
+        { type: "upkeep", waveId, vm, state: "ordered" },
+      ]);
+      if (proposed.isErr) {
+        return;
+      }
+    }
+    if (!log.mayOrder) {
+      return;
+    }
+    const source = { holderId, fencingToken };
+    const begun = await vms.beginUpkeep(vm, waveId, source);
+    const fields = { waveId, vm, runnerId, runCount: running.length };
+    if (begun.isErr) {
+      logger.warn(
+        { ...fields, failure: begun.error },
+        "an upkeep has not begun",
+      );
+      return;
+    }
+    logger.info(fields, "began the upkeep of a VM");
+    this.#begunAtMs.set(vm, clock.monotonicMs());
+    const runner = log.state.runners.get(runnerId ?? "");
+    if (runner !== undefined && !isKnown) {
+      const { bornAtMs } = runner;
+      await log.propose([
+        { type: "runnerGone", runnerId: runner.runnerId, bornAtMs },
+      ]);
+    }
+  }
+}
