Keep room for endless tasks, wake only the runners that changed

Change: the roomiest runner is kept for an endless task that waits; a runner's tasks wake for its own load only; followers hear of commits with the next entries; the membership is searched again only after one was appended.

--- a/src/adapters/peer/peer_link.ts
+++ b/src/adapters/peer/peer_link.ts
@@ -101,7 +101,7 @@
     const { clock } = this.#options;
     const stop = new AbortController();
     // Joining signals would leave a trace on the caller's for each call.
-    const end = () => stop.abort();
+    const end = () => stop.abort("the call is over");
     options.signal?.addEventListener("abort", end, { once: true });
     const startedAtMs = clock.monotonicMs();
     let isAnswered = options.signal?.aborted ?? false;
--- a/src/daemon/scheduling/create_scheduling_controller.ts
+++ b/src/daemon/scheduling/create_scheduling_controller.ts
@@ -49,6 +49,12 @@
   readonly caller: ControllerCaller;
 }
 
+/**
+ * How late followers may hear of commits, in milliseconds: only the leader
+ * serves, so that a second answer for each entry would be wasted work.
+ */
+const COMMIT_NEWS_DELAY_MS = 100;
+
 interface LeaderParts {
   readonly registry: RunnerRegistry;
 }
@@ -99,7 +105,7 @@
   replica.start(tasks);
   tasks.startForever(
     "log feed",
-    (signal) => followLog(replica, changed, signal),
+    (signal) => followLog({ agreement: replica, changed, clock }, signal),
   );
   tasks.startForever("leadership", (signal) => lead.run(signal));
   return Result.ok({ ...base, replica, caller });
@@ -120,6 +126,7 @@
     initialVoterIds: seedIds,
     mayBootstrap,
     admitsMembers: true,
+    commitNewsDelayMs: COMMIT_NEWS_DELAY_MS,
     commitRule: new MajorityCommitRule(),
     store: new FileLogStore({ ...base, files, onSyncFailure: onFatal }),
   });
--- a/src/decisions/scheduling/placement_policy.ts
+++ b/src/decisions/scheduling/placement_policy.ts
@@ -14,6 +14,8 @@
   servingCount: number;
   /** Tasks on it that live on processor time that others leave over. */
   leftoverCount: number;
+  /** Whether what is left is kept for a task that comes first. */
+  isReserved: boolean;
 }
 
 /** What a placement has to heed beyond capacity. */
@@ -105,11 +107,20 @@
 /** Tells whether a runner may and can take a task. */
 export function canTake(
   candidate: Candidate,
-  { step, held, countByRunner }: PlacementDemand,
+  demand: PlacementDemand,
+): boolean {
+  return !candidate.isReserved && isAllowed(candidate, demand) &&
+    fitsInto(demand.held, candidate.free);
+}
+
+/** Tells whether a runner may take a task once it has room. */
+export function isAllowed(
+  candidate: Candidate,
+  { step, countByRunner }: PlacementDemand,
 ): boolean {
   const hasLabel = step.requiredLabel === undefined ||
     candidate.labels.includes(step.requiredLabel);
   const count = countByRunner.get(candidate.runnerId) ?? 0;
   const isApart = step.maxPerRunner === 0 || count < step.maxPerRunner;
-  return hasLabel && isApart && fitsInto(held, candidate.free);
+  return hasLabel && isApart;
 }
--- a/src/decisions/scheduling/ready_step.ts
+++ b/src/decisions/scheduling/ready_step.ts
@@ -67,7 +67,8 @@
   queue: JobQueue | undefined,
   nowMs: number,
 ): void {
-  let chains: readonly number[] | undefined;
+  const chains = findChains(job);
+  const longestMs = Math.max(0, ...chains);
   job.occurrences.forEach((records, occurrence) => {
     const dueMs = job.findDueMs(occurrence);
     if (dueMs > nowMs) {
@@ -80,8 +81,7 @@
       if (!isReady) {
         return;
       }
-      chains ??= computeChains(job.spec.steps);
-      const allowedMs = (queue?.stretch ?? 1) * Math.max(0, ...chains);
+      const allowedMs = (queue?.stretch ?? 1) * longestMs;
       ready.push({
         job,
         occurrence,
@@ -96,3 +96,12 @@
     });
   });
 }
+
+const chainsByJob = new WeakMap<JobRecord, readonly number[]>();
+
+// A job's steps never change, and it is looked at many times while it waits.
+function findChains(job: JobRecord): readonly number[] {
+  const chains = chainsByJob.get(job) ?? computeChains(job.spec.steps);
+  chainsByJob.set(job, chains);
+  return chains;
+}
--- a/src/decisions/scheduling/start_planner.ts
+++ b/src/decisions/scheduling/start_planner.ts
@@ -3,6 +3,7 @@
   addAmounts,
   type Amounts,
   findHeld,
+  fitsInto,
   type JobTeam,
   type RunnerLife,
   type SchedulingState,
@@ -10,10 +11,11 @@
   type TaskId,
 } from "../../domain/index.ts";
 import type { OrderPolicy } from "./order_policy.ts";
-import type {
-  Candidate,
-  PlacementDemand,
-  PlacementPolicy,
+import {
+  type Candidate,
+  isAllowed,
+  type PlacementDemand,
+  type PlacementPolicy,
 } from "./placement_policy.ts";
 import { listReadySteps, type ReadyStep } from "./ready_step.ts";
 
@@ -43,6 +45,8 @@
   readonly teams: ReadonlyMap<string, JobTeam>;
   readonly usedByTeam: Map<string, Amounts>;
   readonly starts: PlannedStart[];
+  /** By pool, the least that no runner has room for any more. */
+  readonly fullFor: Map<string, Amounts>;
 }
 
 /** Starts that one plan names at the most, which bounds the time it takes. */
@@ -72,6 +76,7 @@
       teams: new Map(state.catalog.teams.map((team) => [team.name, team])),
       usedByTeam: new Map(),
       starts: [],
+      fullFor: new Map(),
     };
     for (const step of this.#order.sort(ready, nowMs)) {
       if (round.starts.length >= MAX_PLANNED_STARTS) {
@@ -88,6 +93,10 @@
 
   #planTasks(ready: ReadyStep, round: Round): void {
     const demand = createDemand(ready);
+    const full = round.fullFor.get(ready.pool);
+    if (full !== undefined && fitsInto(full, demand.held)) {
+      return;
+    }
     const candidates = round.input.candidates.get(ready.pool) ?? [];
     for (const [index, task] of ready.record.tasks.entries()) {
       if (task.state !== "waiting") {
@@ -98,6 +107,12 @@
       }
       const chosen = this.#placement.choose(candidates, demand);
       if (chosen === undefined) {
+        if (ready.step.isEndless) {
+          reserve(candidates, demand);
+        }
+        if (!candidates.some(({ free }) => fitsInto(demand.held, free))) {
+          round.fullFor.set(ready.pool, demand.held);
+        }
         return;
       }
       this.#take(ready, demand, chosen, round);
@@ -196,6 +211,26 @@
   increment(countByZone, candidate.zone);
 }
 
+// Smaller tasks would fill each gap on a full runner before it is large enough
+// for a task that comes first.
+function reserve(
+  candidates: readonly Candidate[],
+  demand: PlacementDemand,
+): void {
+  let roomiest: Candidate | undefined;
+  for (const candidate of candidates) {
+    const isRoomier = roomiest === undefined ||
+      candidate.free.cpuMillicores > roomiest.free.cpuMillicores;
+    const isFree = !candidate.isReserved && isAllowed(candidate, demand);
+    if (isFree && isRoomier) {
+      roomiest = candidate;
+    }
+  }
+  if (roomiest !== undefined) {
+    roomiest.isReserved = true;
+  }
+}
+
 function increment(counts: Map<string, number>, key: string): void {
   counts.set(key, (counts.get(key) ?? 0) + 1);
 }
--- a/src/domain/scheduling/job_table.ts
+++ b/src/domain/scheduling/job_table.ts
@@ -29,14 +29,21 @@
   readonly running: ReadonlyMap<string, RunningTask>;
   /** What the runs hold; tasks that live on leftovers hold no processor. */
   readonly used: Amounts;
+  /** Rises whenever a run begins or ends here, or is no longer wanted. */
+  readonly version: number;
 }
 
 interface MutableLoad extends RunnerLoad {
   readonly running: Map<string, RunningTask>;
   used: Amounts;
+  version: number;
 }
 
-const NO_LOAD: RunnerLoad = { running: new Map(), used: NO_AMOUNTS };
+const NO_LOAD: RunnerLoad = {
+  running: new Map(),
+  used: NO_AMOUNTS,
+  version: 0,
+};
 
 /** Jobs by id, runs by runner, and what each team has running. */
 export class JobTable {
@@ -219,6 +226,25 @@
     job.outcome = outcome;
     job.endedAtMs = atMs;
     this.#open.delete(job);
+    for (const steps of job.occurrences) {
+      steps.forEach(({ tasks }) => this.#touch(tasks));
+    }
+  }
+
+  // A member that has ended makes the runs of its whole gang useless.
+  #touchGang(job: JobRecord, id: TaskId): void {
+    if (job.spec.steps[id.step]?.isGang) {
+      this.#touch(job.occurrences[id.occurrence]?.[id.step]?.tasks ?? []);
+    }
+  }
+
+  #touch(tasks: readonly TaskRecord[]): void {
+    for (const { life } of tasks) {
+      const load = life && this.#loads.get(formatRunnerLife(life));
+      if (load !== undefined) {
+        load.version += 1;
+      }
+    }
   }
 
   #count(
@@ -241,8 +267,9 @@
     }
     const key = formatRunnerLife(task.life);
     const load = this.#loads.get(key) ??
-      { running: new Map<string, RunningTask>(), used: NO_AMOUNTS };
+      { running: new Map<string, RunningTask>(), used: NO_AMOUNTS, version: 0 };
     this.#loads.set(key, load);
+    load.version += 1;
     load.running.set(formatTaskId(id), {
       job,
       id,
@@ -262,6 +289,8 @@
     task.life = undefined;
     if (step !== undefined && load?.running.delete(formatTaskId(id))) {
       load.used = addAmounts(load.used, findHeld(step), -1);
+      load.version += 1;
+      this.#touchGang(job, id);
       this.#countTeam(job, step.needs, -1);
     }
   }
--- a/src/replication/pull_handler.ts
+++ b/src/replication/pull_handler.ts
@@ -96,16 +96,19 @@
       leadership.startRound();
     }
     const { round } = leadership;
+    const { clock, commitNewsDelayMs = 0 } = core.options;
+    const newsFromMs = clock.monotonicMs() + commitNewsDelayMs;
     const isConfirmed = () =>
       (leadership.findConfirmedAsk(follower) ?? -Infinity) >= pull.askMs;
     const isMet = () =>
       core.leadership !== leadership ||
       core.log.last.index > pull.prevIndex ||
-      core.commitIndex > pull.commitIndex ||
+      (core.commitIndex > pull.commitIndex &&
+        clock.monotonicMs() >= newsFromMs) ||
       (leadership.round > round && leadership.isVoter(follower)) ||
       (pull.isHurried && isConfirmed());
     await waitFor({
-      clock: core.options.clock,
+      clock,
       notifier: core.changed,
       timeoutMs: POLL_WAIT_MS,
       signal: core.stopSignal,
--- a/src/replication/replica_core.ts
+++ b/src/replication/replica_core.ts
@@ -41,6 +41,11 @@
   readonly mayBootstrap?: boolean;
   /** Whether entries that want to vote are admitted without an operator. */
   readonly admitsMembers?: boolean;
+  /**
+   * How long a follower that has all entries waits to hear that they are
+   * committed, in milliseconds; 0 unless followers serve from their state.
+   */
+  readonly commitNewsDelayMs?: number;
   readonly commitRule: CommitRule;
   readonly store: LogStore;
   readonly network: PeerNetwork;
--- a/src/replication/replica_log.ts
+++ b/src/replication/replica_log.ts
@@ -143,11 +143,17 @@
     }
     const appended = await this.#store.append(entries);
     if (appended.isOk) {
-      this.#entries.length = first.index - this.#base.index - 1;
+      const keptCount = first.index - this.#base.index - 1;
+      const isCut = keptCount < this.#entries.length;
+      this.#entries.length = keptCount;
+      let hasMembership = false;
       for (const entry of entries) {
         this.#entries.push(entry);
+        hasMembership ||= entry.command.type === "membership";
+      }
+      if (isCut || hasMembership) {
+        this.#found = undefined;
       }
-      this.#found = undefined;
     }
     return appended;
   }
--- a/src/services/scheduling/lead_term.ts
+++ b/src/services/scheduling/lead_term.ts
@@ -1,7 +1,7 @@
 /** What runs only at the leader, for as long as it leads one term. */
 import type { Agreement, Clock, Logger } from "../../ports/index.ts";
-import { Notifier, TaskGroup } from "../../tasks/index.ts";
-import { LEAD_CHECK_MS } from "./timing.ts";
+import { type Notifier, TaskGroup } from "../../tasks/index.ts";
+import { LEAD_CHECK_MS, LOG_FEED_MS } from "./timing.ts";
 
 /** Starts what a leader does; called once for each term. */
 export type StartLeading = (term: number, tasks: TaskGroup) => void;
@@ -59,21 +59,28 @@
   }
 }
 
+/** Options of {@link followLog}. */
+export interface FollowLogOptions {
+  readonly agreement: Agreement;
+  /** Notified when the log has been applied further. */
+  readonly changed: Notifier;
+  readonly clock: Clock;
+}
+
 /**
  * Notifies whenever the log has been applied further.
  *
- * @param agreement - The replicated state.
- * @param changed - Notified.
+ * @param options - The log, and what is notified.
  * @param signal - Ends the task.
  */
 export async function followLog(
-  agreement: Agreement,
-  changed: Notifier,
+  { agreement, changed, clock }: FollowLogOptions,
   signal: AbortSignal,
 ): Promise<void> {
   let { appliedIndex } = agreement.status();
   while (!signal.aborted) {
     ({ appliedIndex } = await agreement.follow(appliedIndex, signal));
+    await clock.sleep(LOG_FEED_MS, signal);
     changed.notify();
   }
 }
--- a/src/services/scheduling/run_orders.ts
+++ b/src/services/scheduling/run_orders.ts
@@ -13,11 +13,11 @@
   RunnerFailure,
   RunReport,
 } from "../../ports/index.ts";
-import type { Notifier, TaskGroup } from "../../tasks/index.ts";
+import { type Notifier, type TaskGroup, waitFor } from "../../tasks/index.ts";
 import type { LeaseBound } from "./lease_bound.ts";
 import type { RunnerStatus } from "./runner_status.ts";
 import type { SchedulingLog } from "./scheduling_log.ts";
-import { MAX_START_ATTEMPTS, ORDER_RETRY_MS } from "./timing.ts";
+import { IDLE_LOOK_MS, MAX_START_ATTEMPTS, ORDER_RETRY_MS } from "./timing.ts";
 
 /** Refusals after which a start without earlier attempts never began. */
 const NOT_BEGUN: ReadonlySet<string> = new Set([
@@ -42,7 +42,8 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly tasks: TaskGroup;
-  readonly changed: Notifier;
+  /** Notified when the runner's own load has changed. */
+  readonly loadChanged: Notifier;
   readonly fencingToken: number;
   readonly lease: LeaseBound;
   readonly findRunner: () => Runner;
@@ -78,12 +79,19 @@
    * @param signal - Ends the task.
    */
   async run(signal: AbortSignal): Promise<void> {
-    const { changed, status, log } = this.#options;
+    const { clock, findLoad, loadChanged, status, log } = this.#options;
     while (!signal.aborted) {
+      const { version } = findLoad();
       if (status.isSynced && log.mayOrder) {
         this.#orderAll(signal);
       }
-      await changed.wait(signal);
+      await waitFor({
+        clock,
+        notifier: loadChanged,
+        timeoutMs: IDLE_LOOK_MS,
+        signal,
+        isMet: () => findLoad().version !== version,
+      });
     }
   }
 
@@ -165,7 +173,7 @@
         NOT_BEGUN.has(failure.refusal ?? "");
       if (failure.refusal === "outdatedRun" || hasNotBegun) {
         this.#settle(key, "closed", clock.monotonicMs());
-        this.#options.changed.notify();
+        this.#options.loadChanged.notify();
         return;
       }
       unansweredCount += 1;
@@ -227,7 +235,7 @@
     while (this.#isOpen(key, "closing", signal)) {
       if (await this.#sendStop(name)) {
         this.#settle(key, "closed", clock.monotonicMs());
-        this.#options.changed.notify();
+        this.#options.loadChanged.notify();
         return;
       }
       await clock.sleep(ORDER_RETRY_MS, signal);
--- a/src/services/scheduling/runner_fleet.ts
+++ b/src/services/scheduling/runner_fleet.ts
@@ -25,6 +25,10 @@
 interface Served {
   readonly task: RunnerTask;
   readonly group: TaskGroup;
+  /** Notified when the runner's own load has changed. */
+  readonly changed: Notifier;
+  /** Version of the load that its tasks were told of. */
+  toldVersion: number;
 }
 
 /** Starts and ends the runners' tasks as the log names and drops them. */
@@ -55,6 +59,7 @@
     const { changed, log } = this.#options;
     while (!signal.aborted) {
       this.#adopt(log.state.runners);
+      this.#tellChanges();
       await changed.wait(signal);
     }
     const served = [...this.#served.values()];
@@ -82,11 +87,25 @@
     }
   }
 
+  // Most changes concern few runners: only their tasks wake up.
+  #tellChanges(): void {
+    const { jobs } = this.#options.log.state;
+    for (const served of this.#served.values()) {
+      const { version } = jobs.findLoad(served.task.runner);
+      if (version !== served.toldVersion) {
+        served.toldVersion = version;
+        served.changed.notify();
+      }
+    }
+  }
+
   #serve(runner: Runner): Served {
     const { clock, logger } = this.#options;
     const group = new TaskGroup({ clock, logger });
+    const changed = new Notifier();
     const task = new RunnerTask({
       ...this.#options,
+      loadChanged: changed,
       runner,
       status: new RunnerStatus(clock),
       tasks: group,
@@ -96,7 +115,7 @@
       `runner ${runner.runnerId}`,
       (signal) => task.run(signal),
     );
-    return { task, group };
+    return { task, group, changed, toldVersion: 0 };
   }
 
   #findMaxAttempts({ job }: RunningTask): number {
--- a/src/services/scheduling/runner_task.ts
+++ b/src/services/scheduling/runner_task.ts
@@ -24,11 +24,11 @@
 import {
   CLOSING_LOOK_WAIT_MS,
   END_BATCH_MS,
+  IDLE_LOOK_MS,
   LOOK_WAIT_MS,
   LOST_RETRY_MS,
   ORDER_RETRY_MS,
   PROPOSE_RETRY_MS,
-  SCHEDULER_TICK_MS,
 } from "./timing.ts";
 
 /** Rows of ends in one report after which there may be more. */
@@ -43,8 +43,10 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly tasks: TaskGroup;
-  /** Notified when the scheduling state has changed. */
+  /** Notified when the runner has become sound. */
   readonly changed: Notifier;
+  /** Notified when the runner's own load has changed. */
+  readonly loadChanged: Notifier;
   readonly fencingToken: number;
   /** Finds how many failed ends a run's job allows. */
   readonly findMaxAttempts: (run: RunningTask) => number;
@@ -110,13 +112,13 @@
   }
 
   async #look(signal: AbortSignal): Promise<void> {
-    const { clock, changed, log } = this.#options;
+    const { clock, loadChanged, log } = this.#options;
     while (!signal.aborted && !this.#isRefused) {
       if (!this.#isLookDue) {
         await waitFor({
           clock,
-          notifier: changed,
-          timeoutMs: SCHEDULER_TICK_MS * 5,
+          notifier: loadChanged,
+          timeoutMs: IDLE_LOOK_MS,
           signal,
           isMet: () => this.#isLookDue,
         });
@@ -188,8 +190,11 @@
     }
     const positions = report.ended.map(({ position }) => position);
     this.#recordedUpTo = Math.max(this.#recordedUpTo, ...positions);
-    this.status.isSynced = true;
-    this.#options.changed.notify();
+    if (!this.status.isSynced) {
+      this.status.isSynced = true;
+      this.#options.loadChanged.notify();
+      this.#options.changed.notify();
+    }
     const isIdle = operations.length === 0 && report.running.length > 0;
     // Without a pause, each end of a burst would cost a look of its own.
     await clock.sleep(isIdle ? 1 : END_BATCH_MS, signal);
--- a/src/services/scheduling/scheduler.ts
+++ b/src/services/scheduling/scheduler.ts
@@ -15,7 +15,11 @@
 import type { Notifier } from "../../tasks/index.ts";
 import type { RunnerStatus } from "./runner_status.ts";
 import type { SchedulingLog } from "./scheduling_log.ts";
-import { PROPOSE_RETRY_MS, SCHEDULER_TICK_MS } from "./timing.ts";
+import {
+  PLAN_PAUSE_MS,
+  PROPOSE_RETRY_MS,
+  SCHEDULER_TICK_MS,
+} from "./timing.ts";
 
 /** Options of {@link Scheduler}. */
 export interface SchedulerOptions {
@@ -49,6 +53,7 @@
       const starts = log.mayOrder ? this.#plan() : [];
       if (starts.length === 0) {
         await this.#waitForChange(signal);
+        await clock.sleep(PLAN_PAUSE_MS, signal);
         continue;
       }
       const proposed = await log.propose(starts.map(toOperation));
@@ -91,7 +96,7 @@
   async #waitForChange(signal: AbortSignal): Promise<void> {
     const { clock, changed } = this.#options;
     const stop = new AbortController();
-    const end = () => stop.abort();
+    const end = () => stop.abort("the wait is over");
     signal.addEventListener("abort", end, { once: true });
     await Promise.race([
       changed.wait(stop.signal),
@@ -129,6 +134,7 @@
     free: addAmounts(capacity, load.used, -1),
     servingCount,
     leftoverCount,
+    isReserved: false,
   };
 }
 
--- a/src/services/scheduling/timing.ts
+++ b/src/services/scheduling/timing.ts
@@ -10,6 +10,8 @@
 export const MAX_CLOCK_DRIFT = 0.02;
 /** Added to the end of a lease before its runs count as over, in milliseconds. */
 export const LEASE_SLACK_MS = 100;
+/** How often an idle runner's task looks whether there is work (ms). */
+export const IDLE_LOOK_MS = 1_000;
 /** How long a look waits at a busy runner for an end, in milliseconds. */
 export const LOOK_WAIT_MS = 1_000;
 /** The same while a run is being stopped, in milliseconds. */
@@ -31,6 +33,13 @@
 export const FORGET_RUNNER_MS = 12_000;
 /** Longest pause of the scheduler, for due times and leases, in milliseconds. */
 export const SCHEDULER_TICK_MS = 200;
+/**
+ * Least pause between two plans, in milliseconds: about one commit, in which
+ * several changes gather.
+ */
+export const PLAN_PAUSE_MS = 6;
+/** How long changes of the log gather before tasks look at them (ms). */
+export const LOG_FEED_MS = 3;
 /** Pause after a proposal that failed, in milliseconds. */
 export const PROPOSE_RETRY_MS = 100;
 /** How long a leaving runner is given to end after its notice, in milliseconds. */
--- a/src/tasks/wait_for.ts
+++ b/src/tasks/wait_for.ts
@@ -24,7 +24,8 @@
     return isMet();
   }
   const stop = new AbortController();
-  const end = () => stop.abort();
+  // With a reason, an abort builds no error with a stack for each wait.
+  const end = () => stop.abort("the wait is over");
   signal?.addEventListener("abort", end, { once: true });
   void clock.sleep(timeoutMs, stop.signal).then(end);
   while (!isMet() && !stop.signal.aborted) {
