Let idle VMs follow the demand of the pools

Cause: by turns each queue asks for more than its pool holds while the other VMs idle; half of the jobs waited 0.4 s, one in twenty 5 s. The expectation comes from the jobs kept in the log: a period that all pools share.

--- a/src/daemon/scheduling/create_scheduling_controller.ts
+++ b/src/daemon/scheduling/create_scheduling_controller.ts
@@ -2,7 +2,9 @@
 import { Result } from "true-myth";
 import { FileLogStore, NodeFileSystem } from "../../adapters/disk/index.ts";
 import {
+  FollowingCapacityPolicy,
   LeastLossUpkeepPolicy,
+  PeriodicForecast,
   ScoredPlacementPolicy,
   SlackOrderPolicy,
   StartPlanner,
@@ -12,6 +14,7 @@
 import { MajorityCommitRule, Replica } from "../../replication/index.ts";
 import {
   addSchedulingHandlers,
+  CapacityTask,
   ControllerCaller,
   followLog,
   JobService,
@@ -153,6 +156,15 @@
     policy: new LeastLossUpkeepPolicy(),
     holderId: base.entryId,
   });
+  const capacity = vms === undefined ? undefined : new CapacityTask({
+    ...shared,
+    fleet,
+    vms,
+    policy: new FollowingCapacityPolicy(),
+    forecast: new PeriodicForecast(),
+    holderId: base.entryId,
+    isInUpkeep: (runner) => waves?.isCordoned(runner) ?? false,
+  });
   const scheduler = new Scheduler({
     ...shared,
     planner: new StartPlanner({
@@ -160,12 +172,17 @@
       placement: new ScoredPlacementPolicy(),
     }),
     findStatus: (runner) => fleet.findStatus(runner),
-    isCordoned: (runner) => waves?.isCordoned(runner) ?? false,
+    isCordoned: (runner) =>
+      (waves?.isCordoned(runner) ?? false) ||
+      (capacity?.isCordoned(runner) ?? false),
   });
   group.startForever("runners", (signal) => fleet.run(signal));
   group.startForever("scheduler", (signal) => scheduler.run(signal));
   if (waves !== undefined) {
     group.startForever("waves", (signal) => waves.run(signal));
   }
+  if (capacity !== undefined) {
+    group.startForever("capacity", (signal) => capacity.run(signal));
+  }
   return { registry: new RunnerRegistry({ ...shared, fleet }) };
 }
--- a/src/decisions/scheduling/index.ts
+++ b/src/decisions/scheduling/index.ts
@@ -5,3 +5,5 @@
 export * from "./start_planner.ts";
 export * from "./availability.ts";
 export * from "./upkeep_policy.ts";
+export * from "./capacity_policy.ts";
+export * from "./demand_forecast.ts";
--- a/src/ports/vm_control.ts
+++ b/src/ports/vm_control.ts
@@ -8,6 +8,7 @@
   readonly pool: string;
   readonly state: "up" | "moving" | "upkeep" | "down";
   readonly zone: string;
+  readonly cpuMillicores: number;
   /** Runner that lives on the VM, if any. */
   readonly runnerId: string | undefined;
 }
--- /dev/null
+++ b/src/services/scheduling/capacity_task.ts
@@ -0,0 +1,292 @@
+/** The leader's task that moves idle VMs to the pools that lack capacity. */
+import {
+  type Arrival,
+  type CapacityPolicy,
+  type DemandForecast,
+  type IdleVm,
+  listReadySteps,
+  type PlannedMove,
+  type PoolLoad,
+  sumWork,
+} from "../../decisions/index.ts";
+import type { Runner } from "../../domain/index.ts";
+import type { Clock, ListedVm, Logger, VmControl } from "../../ports/index.ts";
+import type { RunnerFleet } from "./runner_fleet.ts";
+import type { SchedulingLog } from "./scheduling_log.ts";
+import {
+  ARRIVAL_WINDOW_MS,
+  CAPACITY_TICK_MS,
+  CORDON_MS,
+  FORECAST_AHEAD_MS,
+  MAX_LISTING_AGE_MS,
+  MIN_ARRIVALS,
+  MOVE_MS,
+} from "./timing.ts";
+
+/** Options of {@link CapacityTask}. */
+export interface CapacityTaskOptions {
+  readonly log: SchedulingLog;
+  readonly fleet: RunnerFleet;
+  readonly vms: VmControl;
+  readonly policy: CapacityPolicy;
+  readonly forecast: DemandForecast;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly holderId: string;
+  readonly fencingToken: number;
+  /** Tells whether a runner's VM is being emptied for its upkeep. */
+  readonly isInUpkeep: (runner: Runner) => boolean;
+}
+
+interface ArrivingVm {
+  readonly pool: string;
+  readonly cpuMillicores: number;
+  readonly untilMs: number;
+}
+
+/** Follows the demand of the pools with VMs that run nothing. */
+export class CapacityTask {
+  readonly #options: CapacityTaskOptions;
+  readonly #idleSinceMs = new Map<string, number>();
+  readonly #arriving = new Map<string, ArrivingVm>();
+  #cordonedRunnerIds: ReadonlySet<string> = new Set();
+  #vms: readonly ListedVm[] = [];
+  #listedAtMs = -Infinity;
+
+  constructor(options: CapacityTaskOptions) {
+    this.#options = options;
+  }
+
+  /** Tells whether a runner gets no work because its VM is about to move. */
+  isCordoned(runner: Runner): boolean {
+    return this.#cordonedRunnerIds.has(runner.runnerId);
+  }
+
+  /**
+   * Moves VMs until the signal aborts.
+   *
+   * @param signal - Ends the task.
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock, log } = this.#options;
+    while (!signal.aborted) {
+      if (log.mayOrder && log.state.catalog.version >= 0) {
+        await this.#follow(signal);
+      }
+      await clock.sleep(CAPACITY_TICK_MS, signal);
+    }
+  }
+
+  async #follow(signal: AbortSignal): Promise<void> {
+    const { clock, policy } = this.#options;
+    this.#noteIdle();
+    const pools = this.#listLoads();
+    const moves = policy.plan({ pools, idle: this.#listIdle() });
+    if (moves.length === 0) {
+      await this.#refreshListing();
+      return;
+    }
+    const runnerIds = moves.map(({ vm }) => this.#findVm(vm)?.runnerId ?? "");
+    this.#cordonedRunnerIds = new Set(runnerIds);
+    // A plan that was made before the cordon may still place work there.
+    await clock.sleep(CORDON_MS, signal);
+    await Promise.all(moves.map((move) => this.#move(move, pools)));
+    this.#cordonedRunnerIds = new Set();
+  }
+
+  #findVm(vm: string): ListedVm | undefined {
+    return this.#vms.find((listed) => listed.vm === vm);
+  }
+
+  async #refreshListing(): Promise<void> {
+    const { clock, logger, log, vms } = this.#options;
+    const nowMs = clock.monotonicMs();
+    const known = new Set(this.#vms.map(({ runnerId }) => runnerId));
+    const hasUnknown = [...log.state.runners.keys()].some((id) =>
+      !known.has(id)
+    );
+    const maxAgeMs = hasUnknown ? MAX_LISTING_AGE_MS : 10 * MAX_LISTING_AGE_MS;
+    if (nowMs - this.#listedAtMs < maxAgeMs) {
+      return;
+    }
+    this.#listedAtMs = nowMs;
+    const listed = await vms.list();
+    if (listed.isErr) {
+      logger.warn({ failure: listed.error }, "the VMs could not be listed");
+      return;
+    }
+    this.#vms = listed.value;
+  }
+
+  #noteIdle(): void {
+    const { clock, log } = this.#options;
+    const nowMs = clock.monotonicMs();
+    for (const runner of log.state.runners.values()) {
+      const { runnerId } = runner;
+      const isIdle = log.state.jobs.findLoad(runner).running.size === 0;
+      if (!isIdle) {
+        this.#idleSinceMs.delete(runnerId);
+      } else if (!this.#idleSinceMs.has(runnerId)) {
+        this.#idleSinceMs.set(runnerId, nowMs);
+      }
+    }
+    for (const [vm, { untilMs }] of this.#arriving) {
+      if (nowMs > untilMs) {
+        this.#arriving.delete(vm);
+      }
+    }
+  }
+
+  #listIdle(): IdleVm[] {
+    const { clock, log } = this.#options;
+    const standby = new Set(
+      log.state.catalog.pools.filter(({ isStandby }) => isStandby)
+        .map(({ name }) => name),
+    );
+    const nowMs = clock.monotonicMs();
+    return this.#vms.flatMap((listed): IdleVm[] => {
+      const { vm, pool, cpuMillicores, runnerId, state, zone } = listed;
+      const isAway = this.#arriving.has(vm) || state !== "up" ||
+        log.state.zonesOut.has(zone);
+      if (isAway) {
+        return [];
+      }
+      if (standby.has(pool)) {
+        return [{ vm, pool, cpuMillicores, idleMs: 0 }];
+      }
+      const runner = log.state.runners.get(runnerId ?? "");
+      const sinceMs = this.#idleSinceMs.get(runnerId ?? "");
+      const isIdle = runner !== undefined && sinceMs !== undefined &&
+        runner.pool === pool && this.#mayMove(runner);
+      return isIdle
+        ? [{ vm, pool, cpuMillicores, idleMs: nowMs - sinceMs }]
+        : [];
+    });
+  }
+
+  #mayMove(runner: Runner): boolean {
+    const { fleet, isInUpkeep, log } = this.#options;
+    return !runner.isDraining && !isInUpkeep(runner) &&
+      (fleet.findStatus(runner)?.isSound ?? false) &&
+      log.state.jobs.findLoad(runner).running.size === 0;
+  }
+
+  #listLoads(): PoolLoad[] {
+    const { clock, forecast, log } = this.#options;
+    const { state } = log;
+    const nowMs = clock.nowMs();
+    const capacity = this.#sumCapacity();
+    const running = new Map<string, number>();
+    for (const runner of state.runners.values()) {
+      const { used } = state.jobs.findLoad(runner);
+      add(running, runner.pool, used.cpuMillicores);
+    }
+    const waiting = new Map<string, number>();
+    for (const ready of listReadySteps(state.jobs, state.catalog, nowMs)) {
+      const isInTime = nowMs + ready.chainMs <= ready.objectiveMs;
+      if (isInTime && !ready.step.usesLeftovers) {
+        const { needs } = ready.step;
+        add(
+          waiting,
+          ready.pool,
+          ready.record.waitingCount * needs.cpuMillicores,
+        );
+      }
+    }
+    const arrivals = this.#listArrivals();
+    const recent = sumRecent(arrivals, nowMs);
+    const expected = forecast.predict(
+      arrivals,
+      nowMs + FORECAST_AHEAD_MS,
+      nowMs,
+    );
+    return state.catalog.pools.map(({ name, isStandby }) => ({
+      pool: name,
+      isStandby,
+      runningMillicores: running.get(name) ?? 0,
+      waitingMillicores: waiting.get(name) ?? 0,
+      arrivingMillicores: recent.get(name) ?? 0,
+      forecastMillicores: expected.get(name) ?? 0,
+      capacityMillicores: capacity.get(name) ?? 0,
+    }));
+  }
+
+  #sumCapacity(): Map<string, number> {
+    const { fleet, log } = this.#options;
+    const capacity = new Map<string, number>();
+    for (const runner of log.state.runners.values()) {
+      if (fleet.findStatus(runner)?.isSound && !runner.isDraining) {
+        add(capacity, runner.pool, runner.capacity.cpuMillicores);
+      }
+    }
+    for (const { pool, cpuMillicores } of this.#arriving.values()) {
+      add(capacity, pool, cpuMillicores);
+    }
+    return capacity;
+  }
+
+  #listArrivals(): Arrival[] {
+    const { state } = this.#options.log;
+    const pools = new Map(
+      state.catalog.queues.map(({ name, pool }) => [name, pool]),
+    );
+    return state.jobs.list().map((job) => ({
+      pool: pools.get(job.queue) ?? job.pool,
+      atMs: job.acceptedAtMs,
+      work: sumWork(job),
+    }));
+  }
+
+  async #move(move: PlannedMove, pools: readonly PoolLoad[]): Promise<void> {
+    const { clock, fencingToken, holderId, log, logger, vms } = this.#options;
+    const listed = this.#findVm(move.vm);
+    const runner = log.state.runners.get(listed?.runnerId ?? "");
+    const isStillIdle = runner === undefined || this.#mayMove(runner);
+    if (!isStillIdle || listed === undefined || !log.mayOrder) {
+      return;
+    }
+    const source = { holderId, fencingToken };
+    const moved = await vms.move(move.vm, move.to, source);
+    const target = pools.find(({ pool }) => pool === move.to);
+    if (moved.isErr) {
+      logger.warn({ ...move, failure: moved.error }, "a VM was not moved");
+      this.#listedAtMs = -Infinity;
+      return;
+    }
+    logger.info({ ...move, target }, "moved a VM");
+    const { cpuMillicores } = listed;
+    const untilMs = clock.monotonicMs() + MOVE_MS;
+    this.#arriving.set(move.vm, { pool: move.to, cpuMillicores, untilMs });
+    this.#vms = this.#vms.map((vm) =>
+      vm === listed ? { ...vm, pool: move.to, runnerId: undefined } : vm
+    );
+    if (runner !== undefined) {
+      const { runnerId, bornAtMs } = runner;
+      await log.propose([{ type: "runnerGone", runnerId, bornAtMs }]);
+    }
+  }
+}
+
+function add(sums: Map<string, number>, key: string, value: number): void {
+  sums.set(key, (sums.get(key) ?? 0) + value);
+}
+
+function sumRecent(
+  arrivals: readonly Arrival[],
+  nowMs: number,
+): Map<string, number> {
+  const sums = new Map<string, number>();
+  const counts = new Map<string, number>();
+  for (const { pool, atMs, work } of arrivals) {
+    if (nowMs - atMs <= ARRIVAL_WINDOW_MS) {
+      add(sums, pool, work / ARRIVAL_WINDOW_MS);
+      add(counts, pool, 1);
+    }
+  }
+  for (const [pool, count] of counts) {
+    if (count < MIN_ARRIVALS) {
+      sums.delete(pool);
+    }
+  }
+  return sums;
+}
--- a/src/services/scheduling/index.ts
+++ b/src/services/scheduling/index.ts
@@ -1,4 +1,5 @@
 /** Jobs on runners: what entries ask, and what the leader does. */
+export * from "./capacity_task.ts";
 export * from "./controller_caller.ts";
 export * from "./job_service.ts";
 export * from "./lead_term.ts";
--- a/src/services/scheduling/timing.ts
+++ b/src/services/scheduling/timing.ts
@@ -56,3 +56,18 @@
 export const LEADER_PING_MS = 700;
 /** Age of the leader's newest answer after which an entry is not ready (ms). */
 export const LEADER_SILENCE_MS = 4_000;
+
+/** How often the capacity of the pools is looked at, in milliseconds. */
+export const CAPACITY_TICK_MS = 120;
+/** How long a VM is kept free of new work before it moves: two commits (ms). */
+export const CORDON_MS = 40;
+/** Time in which a moved VM serves its new pool, in milliseconds. */
+export const MOVE_MS = 2_300;
+/** How far ahead demand is predicted: what a move takes, in milliseconds. */
+export const FORECAST_AHEAD_MS = 2_000;
+/** Time over which arriving work is averaged, in milliseconds. */
+export const ARRIVAL_WINDOW_MS = 600;
+/** Jobs in that time from which on their average counts. */
+export const MIN_ARRIVALS = 3;
+/** Age at which the list of VMs is read again when runners are new (ms). */
+export const MAX_LISTING_AGE_MS = 700;
