Ask the advice service for tickets, and pace leftover work

Change: an advice desk asks one question after the other, the most urgent step first, and the planner places such steps only where a ticket holds; leftover work stands still while a serving task beside it misses its target, halves near it, and recovers in steps.

--- a/src/daemon/scheduling/create_scheduling_controller.ts
+++ b/src/daemon/scheduling/create_scheduling_controller.ts
@@ -1,38 +1,30 @@
 /** Composes a controller: a voter that schedules while it leads. */
 import { Result } from "true-myth";
 import { FileLogStore, NodeFileSystem } from "../../adapters/disk/index.ts";
-import {
-  FollowingCapacityPolicy,
-  LeastLossUpkeepPolicy,
-  PeriodicForecast,
-  ScoredPlacementPolicy,
-  SlackOrderPolicy,
-  StartPlanner,
-} from "../../decisions/index.ts";
 import type { Failure } from "../../domain/index.ts";
-import type { RunnerClient, VmControl } from "../../ports/index.ts";
+import type {
+  AdviceClient,
+  RunnerClient,
+  VmControl,
+} from "../../ports/index.ts";
 import { MajorityCommitRule, Replica } from "../../replication/index.ts";
 import {
   addSchedulingHandlers,
-  CapacityTask,
   ControllerCaller,
   followLog,
   JobService,
   LeaderCaller,
   LeadTerm,
   OperationsService,
-  RunnerFleet,
-  RunnerRegistry,
-  Scheduler,
   SchedulingLog,
-  WaveTask,
 } from "../../services/scheduling/index.ts";
-import { Notifier, type TaskGroup } from "../../tasks/index.ts";
+import { Notifier } from "../../tasks/index.ts";
 import {
   createSchedulingBase,
   type SchedulingBase,
   type SchedulingProcessOptions,
 } from "./scheduling_base.ts";
+import { type LeaderParts, startLeading } from "./start_leading.ts";
 
 /** Options of {@link createSchedulingController}. */
 export interface SchedulingControllerOptions extends SchedulingProcessOptions {
@@ -42,6 +34,8 @@
   readonly runners: RunnerClient;
   /** Absent where VMs cannot be moved or maintained. */
   readonly vms: VmControl | undefined;
+  /** Absent where no queue needs advice. */
+  readonly advice: AdviceClient | undefined;
   /** Ends the process when the disk can no longer be trusted. */
   readonly onFatal: (failure: Failure) => void;
 }
@@ -58,10 +52,6 @@
  */
 const COMMIT_NEWS_DELAY_MS = 100;
 
-interface LeaderParts {
-  readonly registry: RunnerRegistry;
-}
-
 /**
  * Starts a controller.
  *
@@ -98,7 +88,14 @@
     clock,
     logger,
     startLeading: (term, group) => {
-      leading = startLeading({ base, options, log, changed, term, group });
+      leading = startLeading({
+        ...base,
+        ...options,
+        log,
+        changed,
+        fencingToken: term,
+        group,
+      });
     },
     stopLeading: () => {
       leading = undefined;
@@ -134,55 +131,3 @@
     store: new FileLogStore({ ...base, files, onSyncFailure: onFatal }),
   });
 }
-
-interface StartLeadingOptions {
-  readonly base: SchedulingBase;
-  readonly options: SchedulingControllerOptions;
-  readonly log: SchedulingLog;
-  readonly changed: Notifier;
-  readonly term: number;
-  readonly group: TaskGroup;
-}
-
-function startLeading(options: StartLeadingOptions): LeaderParts {
-  const { base, log, changed, term, group } = options;
-  const { runners: client, vms } = options.options;
-  const shared = { ...base, log, changed, client, fencingToken: term };
-  const fleet = new RunnerFleet(shared);
-  const waves = vms === undefined ? undefined : new WaveTask({
-    ...shared,
-    fleet,
-    vms,
-    policy: new LeastLossUpkeepPolicy(),
-    holderId: base.entryId,
-  });
-  const capacity = vms === undefined ? undefined : new CapacityTask({
-    ...shared,
-    fleet,
-    vms,
-    policy: new FollowingCapacityPolicy(),
-    forecast: new PeriodicForecast(),
-    holderId: base.entryId,
-    isInUpkeep: (runner) => waves?.isCordoned(runner) ?? false,
-  });
-  const scheduler = new Scheduler({
-    ...shared,
-    planner: new StartPlanner({
-      order: new SlackOrderPolicy(),
-      placement: new ScoredPlacementPolicy(),
-    }),
-    findStatus: (runner) => fleet.findStatus(runner),
-    isCordoned: (runner) =>
-      (waves?.isCordoned(runner) ?? false) ||
-      (capacity?.isCordoned(runner) ?? false),
-  });
-  group.startForever("runners", (signal) => fleet.run(signal));
-  group.startForever("scheduler", (signal) => scheduler.run(signal));
-  if (waves !== undefined) {
-    group.startForever("waves", (signal) => waves.run(signal));
-  }
-  if (capacity !== undefined) {
-    group.startForever("capacity", (signal) => capacity.run(signal));
-  }
-  return { registry: new RunnerRegistry({ ...shared, fleet }) };
-}
--- /dev/null
+++ b/src/decisions/scheduling/capacity_policy_test.ts
@@ -0,0 +1,105 @@
+import * as assert from "uvu/assert";
+import { describe, it } from "../../testing/describe.ts";
+import {
+  FixedCapacityPolicy,
+  FollowingCapacityPolicy,
+  type IdleVm,
+  type PoolLoad,
+} from "./capacity_policy.ts";
+
+const VM_MILLICORES = 64_000;
+
+function createLoad(
+  pool: string,
+  vmCount: number,
+  changes: Partial<PoolLoad> = {},
+): PoolLoad {
+  return {
+    pool,
+    isStandby: false,
+    runningMillicores: 0,
+    waitingMillicores: 0,
+    arrivingMillicores: 0,
+    forecastMillicores: 0,
+    capacityMillicores: vmCount * VM_MILLICORES,
+    ...changes,
+  };
+}
+
+function createIdle(pool: string, count: number, idleMs: number): IdleVm[] {
+  return Array.from({ length: count }, (_, at) => ({
+    vm: `${pool}-${at}`,
+    pool,
+    cpuMillicores: VM_MILLICORES,
+    idleMs,
+  }));
+}
+
+// Pattern: by turns each pool is asked for more than it holds, the others rest.
+describe("capacity under turns", () => {
+  const pools = [
+    createLoad("busy", 6, {
+      runningMillicores: 380_000,
+      waitingMillicores: 200_000,
+    }),
+    createLoad("resting", 6, { runningMillicores: 10_000 }),
+    createLoad("standby", 6, { isStandby: true }),
+  ];
+
+  describe("when a pool is asked for more than it holds", () => {
+    it("fetches what the demand needs, from resting pools first", () => {
+      const idle = [
+        ...createIdle("resting", 2, 100),
+        ...createIdle("standby", 6, 0),
+      ];
+      const moves = new FollowingCapacityPolicy().plan({ pools, idle });
+      assert.is(moves.length, 5, "580 cores and room for odd sizes");
+      assert.ok(moves.every(({ to }) => to === "busy"));
+      assert.is(moves.filter(({ from }) => from === "resting").length, 2);
+    });
+
+    it("stays where it is in the baseline", () => {
+      const idle = createIdle("standby", 6, 0);
+      assert.equal(new FixedCapacityPolicy().plan(), []);
+      assert.ok(idle.length > 0);
+    });
+  });
+
+  describe("when a turn is expected", () => {
+    it("fetches before the work arrives", () => {
+      const expected = [
+        createLoad("next", 6, { forecastMillicores: 500_000 }),
+        createLoad("standby", 6, { isStandby: true }),
+      ];
+      const moves = new FollowingCapacityPolicy().plan({
+        pools: expected,
+        idle: createIdle("standby", 6, 0),
+      });
+      assert.is(moves.length, 3);
+    });
+  });
+
+  describe("when a pool rests", () => {
+    const resting = [
+      createLoad("resting", 6),
+      createLoad("standby", 0, { isStandby: true }),
+    ];
+
+    it("parks what stays idle, but keeps some VMs", () => {
+      const moves = new FollowingCapacityPolicy().plan({
+        pools: resting,
+        idle: createIdle("resting", 6, 5_000),
+      });
+      assert.is(moves.length, 4);
+      assert.ok(moves.every(({ to }) => to === "standby"));
+    });
+
+    it("keeps VMs that were busy a moment ago", () => {
+      const moves = new FollowingCapacityPolicy().plan({
+        pools: resting,
+        idle: createIdle("resting", 6, 200),
+      });
+      assert.equal(moves, []);
+    });
+  });
+});
--- a/src/decisions/scheduling/index.ts
+++ b/src/decisions/scheduling/index.ts
@@ -7,3 +7,4 @@
 export * from "./upkeep_policy.ts";
 export * from "./capacity_policy.ts";
 export * from "./demand_forecast.ts";
+export * from "./pace_policy.ts";
--- /dev/null
+++ b/src/decisions/scheduling/pace_policy_test.ts
@@ -0,0 +1,24 @@
+import * as assert from "uvu/assert";
+import { describe, it } from "../../testing/describe.ts";
+import { BackOffPacePolicy, FullPacePolicy } from "./pace_policy.ts";
+
+describe("pace of leftover work", () => {
+  const policy = new BackOffPacePolicy();
+
+  it("is nothing while a serving task misses its target", () => {
+    assert.is(policy.choose({ worstShare: 1.2, percent: 100 }), 0);
+  });
+
+  it("is halved near the target", () => {
+    assert.is(policy.choose({ worstShare: 0.9, percent: 80 }), 40);
+  });
+
+  it("recovers step by step, up to full", () => {
+    assert.is(policy.choose({ worstShare: 0.2, percent: 0 }), 10);
+    assert.is(policy.choose({ worstShare: 0.2, percent: 95 }), 100);
+  });
+
+  it("stays full in the baseline", () => {
+    assert.is(new FullPacePolicy().choose(), 100);
+  });
+});
--- a/src/decisions/scheduling/placement_policy.ts
+++ b/src/decisions/scheduling/placement_policy.ts
@@ -25,6 +25,8 @@
   readonly held: Amounts;
   /** Tasks of the same step on each runner, by runner id. */
   readonly countByRunner: ReadonlyMap<string, number>;
+  /** Runners that may run the step; undefined where any may. */
+  readonly approvedIds: ReadonlySet<string> | undefined;
   /** Tasks of the same step in each zone. */
   readonly countByZone: ReadonlyMap<string, number>;
 }
@@ -116,11 +118,12 @@
 /** Tells whether a runner may take a task once it has room. */
 export function isAllowed(
   candidate: Candidate,
-  { step, countByRunner }: PlacementDemand,
+  { step, approvedIds, countByRunner }: PlacementDemand,
 ): boolean {
   const hasLabel = step.requiredLabel === undefined ||
     candidate.labels.includes(step.requiredLabel);
   const count = countByRunner.get(candidate.runnerId) ?? 0;
   const isApart = step.maxPerRunner === 0 || count < step.maxPerRunner;
-  return hasLabel && isApart;
+  const isApproved = approvedIds?.has(candidate.runnerId) ?? true;
+  return hasLabel && isApart && isApproved;
 }
--- a/src/decisions/scheduling/ready_step.ts
+++ b/src/decisions/scheduling/ready_step.ts
@@ -1,5 +1,6 @@
 /** Steps whose tasks may be started now. */
 import type {
+  AdviceTerms,
   Catalog,
   JobQueue,
   JobRecord,
@@ -8,6 +9,13 @@
   StepRecord,
 } from "../../domain/index.ts";
 
+/** Names a step of one occurrence of a job. */
+export interface AdviceQuestion {
+  readonly jobId: string;
+  readonly occurrence: number;
+  readonly step: number;
+}
+
 /** A step of one occurrence with tasks that wait for a runner. */
 export interface ReadyStep {
   readonly job: JobRecord;
@@ -18,6 +26,8 @@
   /** Pool whose runners may run it now. */
   readonly pool: string;
   readonly priority: number;
+  /** Set where an advice service says which runners may run the step. */
+  readonly advice: AdviceTerms | undefined;
   /** Wall-clock time by which the job is in time (ms). */
   readonly objectiveMs: number;
   /** Longest chain of work from this step on, by the estimates (ms). */
@@ -90,6 +100,7 @@
         record,
         pool: queue?.pool ?? job.pool,
         priority: queue?.priority ?? 0,
+        advice: queue?.advice,
         objectiveMs: dueMs + allowedMs + (queue?.targetLatencyMs ?? 0),
         chainMs: chains[stepIndex] ?? 0,
       });
--- a/src/decisions/scheduling/start_planner.ts
+++ b/src/decisions/scheduling/start_planner.ts
@@ -36,6 +36,8 @@
   readonly state: SchedulingState;
   /** Runners that may get work, by pool. */
   readonly candidates: ReadonlyMap<string, readonly Candidate[]>;
+  /** Finds the runners that may run a step; undefined where any may. */
+  readonly findApproved: (step: ReadyStep) => ReadonlySet<string> | undefined;
   /** Wall-clock time, in milliseconds. */
   readonly nowMs: number;
 }
@@ -92,7 +94,7 @@
   }
 
   #planTasks(ready: ReadyStep, round: Round): void {
-    const demand = createDemand(ready);
+    const demand = createDemand(ready, round);
     const full = round.fullFor.get(ready.pool);
     if (full !== undefined && fitsInto(full, demand.held)) {
       return;
@@ -141,7 +143,7 @@
     group: readonly Candidate[],
     round: Round,
   ): boolean {
-    const demand = createDemand(ready);
+    const demand = createDemand(ready, round);
     const trial = group.map((candidate) => ({ ...candidate }));
     const chosen: Candidate[] = [];
     for (const _task of ready.record.tasks) {
@@ -154,7 +156,7 @@
     }
     const runNumber = 1 +
       Math.max(...ready.record.tasks.map((task) => task.runNumber));
-    const real = createDemand(ready);
+    const real = createDemand(ready, round);
     chosen.forEach((copy, index) => {
       const candidate = group.find(({ runnerId }) =>
         runnerId === copy.runnerId
@@ -187,7 +189,11 @@
   readonly countByZone: Map<string, number>;
 }
 
-function createDemand({ step, record }: ReadyStep): MutableDemand {
+function createDemand(
+  ready: ReadyStep,
+  { input }: Round,
+): MutableDemand {
+  const { step, record } = ready;
   const countByRunner = new Map<string, number>();
   for (const { life } of record.tasks) {
     if (life !== undefined) {
@@ -197,6 +203,7 @@
   return {
     step,
     held: findHeld(step),
+    approvedIds: input.findApproved(ready),
     countByRunner,
     countByZone: new Map(),
   };
--- a/src/decisions/scheduling/start_planner_test.ts
+++ b/src/decisions/scheduling/start_planner_test.ts
@@ -125,6 +125,7 @@
   return planner.plan({
     state,
     candidates: new Map([[POOL, candidates]]),
+    findApproved: () => undefined,
     nowMs,
   });
 }
@@ -217,6 +218,7 @@
       const starts = planner.plan({
         state,
         candidates: new Map([[POOL, [createCandidate("a", 3_000)]]]),
+        findApproved: () => undefined,
         nowMs: 10_000,
       });
       assert.is(starts[0]?.task.jobId, first);
--- a/src/ports/index.ts
+++ b/src/ports/index.ts
@@ -1,4 +1,5 @@
 /** Interfaces through which the inside of the system reaches the outside. */
+export * from "./advice_client.ts";
 export * from "./agreement.ts";
 export * from "./backend_client.ts";
 export * from "./clock.ts";
--- /dev/null
+++ b/src/services/scheduling/pace_task.ts
@@ -0,0 +1,99 @@
+/** The leader's task that slows leftover work down where it disturbs others. */
+import {
+  formatTaskId,
+  type Runner,
+  type RunningTask,
+} from "../../domain/index.ts";
+import type { PacePolicy } from "../../decisions/index.ts";
+import type { Clock, Logger, RunnerClient } from "../../ports/index.ts";
+import { formatRun } from "./run_orders.ts";
+import type { RunnerFleet } from "./runner_fleet.ts";
+import type { SchedulingLog } from "./scheduling_log.ts";
+import { PACE_TICK_MS } from "./timing.ts";
+
+/** Options of {@link PaceTask}. */
+export interface PaceTaskOptions {
+  readonly log: SchedulingLog;
+  readonly fleet: RunnerFleet;
+  readonly client: RunnerClient;
+  readonly policy: PacePolicy;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly fencingToken: number;
+}
+
+/** Paces leftover work by the tails of the tasks that serve beside it. */
+export class PaceTask {
+  readonly #options: PaceTaskOptions;
+  /** Confirmed pace by run, in percent; a run begins at 100. */
+  readonly #percents = new Map<string, number>();
+
+  constructor(options: PaceTaskOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Paces until the signal aborts.
+   *
+   * @param signal - Ends the task.
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock, log } = this.#options;
+    while (!signal.aborted) {
+      if (log.mayOrder) {
+        const runners = [...log.state.runners.values()];
+        await Promise.all(runners.map((runner) => this.#pace(runner)));
+      }
+      await clock.sleep(PACE_TICK_MS, signal);
+    }
+  }
+
+  async #pace(runner: Runner): Promise<void> {
+    const { fleet, log, policy } = this.#options;
+    const runs = [...log.state.jobs.findLoad(runner).running.values()];
+    const leftovers = runs.filter(({ step }) => step.usesLeftovers);
+    const serving = runs.filter(({ step }) => step.tailTargetMs > 0);
+    const status = fleet.findStatus(runner);
+    if (leftovers.length === 0 || serving.length === 0 || !status?.isSound) {
+      return;
+    }
+    const worstShare = Math.max(
+      ...serving.map(({ id, step }) =>
+        (status.loads.get(formatTaskId(id)) ?? 0) / step.tailTargetMs
+      ),
+    );
+    await Promise.all(leftovers.map(async (run) => {
+      const key = formatRun({ task: run.id, ...run });
+      const percent = this.#percents.get(key) ?? 100;
+      const wanted = policy.choose({ worstShare, percent });
+      if (wanted !== percent) {
+        await this.#send(runner, run, wanted, worstShare);
+      }
+    }));
+  }
+
+  async #send(
+    runner: Runner,
+    run: RunningTask,
+    percent: number,
+    worstShare: number,
+  ): Promise<void> {
+    const { client, fencingToken, logger } = this.#options;
+    const { id: task, runNumber } = run;
+    const order = { task, runNumber, percent };
+    const paced = await client.pace(runner, order, fencingToken);
+    const fields = {
+      task: formatTaskId(task),
+      runNumber,
+      runnerId: runner.runnerId,
+      percent,
+      worstShare,
+    };
+    if (paced.isErr) {
+      logger.warn({ ...fields, failure: paced.error }, "a pace was not set");
+      return;
+    }
+    this.#percents.set(formatRun(order), percent);
+    logger.info(fields, "set the pace of leftover work");
+  }
+}
--- a/src/services/scheduling/run_orders.ts
+++ b/src/services/scheduling/run_orders.ts
@@ -4,6 +4,7 @@
   type Runner,
   type RunnerLoad,
   type RunningTask,
+  type TaskId,
 } from "../../domain/index.ts";
 import type {
   Clock,
@@ -46,6 +47,8 @@
   readonly loadChanged: Notifier;
   readonly fencingToken: number;
   readonly lease: LeaseBound;
+  /** Finds the proof that a runner may run a task, where one is needed. */
+  readonly findTicket: (task: TaskId, runner: Runner) => string | undefined;
   readonly findRunner: () => Runner;
   readonly findLoad: () => RunnerLoad;
 }
@@ -189,8 +192,8 @@
   }
 
   async #sendStart(run: RunningTask): Promise<RunnerFailure | undefined> {
-    const { client, fencingToken, findRunner, lease, log, logger, status } =
-      this.#options;
+    const { client, fencingToken, findRunner, findTicket } = this.#options;
+    const { lease, log, logger, status } = this.#options;
     const leaseUntilMs = log.mayOrder && status.isAnswering
       ? lease.grant()
       : undefined;
@@ -207,6 +210,7 @@
       leaseUntilMs,
       fencingToken,
       saved: run.saved,
+      ticket: findTicket(run.id, runner),
     });
     if (started.isOk) {
       lease.observe(started.value.clockMs);
--- a/src/services/scheduling/runner_fleet.ts
+++ b/src/services/scheduling/runner_fleet.ts
@@ -4,6 +4,7 @@
   type Runner,
   type RunnerLife,
   type RunningTask,
+  type TaskId,
 } from "../../domain/index.ts";
 import type { Clock, Logger, RunnerClient } from "../../ports/index.ts";
 import { Notifier, TaskGroup } from "../../tasks/index.ts";
@@ -20,6 +21,8 @@
   /** Notified when the scheduling state has changed. */
   readonly changed: Notifier;
   readonly fencingToken: number;
+  /** Finds the proof that a runner may run a task, where one is needed. */
+  readonly findTicket: (task: TaskId, runner: Runner) => string | undefined;
 }
 
 interface Served {
--- a/src/services/scheduling/runner_task.ts
+++ b/src/services/scheduling/runner_task.ts
@@ -6,6 +6,7 @@
   type RunnerLoad,
   type RunningTask,
   type SchedulingOperation,
+  type TaskId,
 } from "../../domain/index.ts";
 import type {
   Clock,
@@ -49,6 +50,8 @@
   /** Notified when the runner's own load has changed. */
   readonly loadChanged: Notifier;
   readonly fencingToken: number;
+  /** Finds the proof that a runner may run a task, where one is needed. */
+  readonly findTicket: (task: TaskId, runner: Runner) => string | undefined;
   /** Finds how many failed ends a run's job allows. */
   readonly findMaxAttempts: (run: RunningTask) => number;
 }
--- a/src/services/scheduling/scheduler.ts
+++ b/src/services/scheduling/scheduler.ts
@@ -9,6 +9,7 @@
 import type {
   Candidate,
   PlannedStart,
+  ReadyStep,
   StartPlanner,
 } from "../../decisions/index.ts";
 import type { Clock, Logger } from "../../ports/index.ts";
@@ -30,6 +31,8 @@
   /** Notified when the scheduling state or a runner's status has changed. */
   readonly changed: Notifier;
   readonly findStatus: (runner: Runner) => RunnerStatus | undefined;
+  /** Finds the runners that may run a step; undefined where any may. */
+  readonly findApproved: (step: ReadyStep) => ReadonlySet<string> | undefined;
   /** Tells whether a runner's VM is being emptied for its upkeep or a move. */
   readonly isCordoned: (runner: Runner) => boolean;
 }
@@ -71,6 +74,7 @@
     return planner.plan({
       state: log.state,
       candidates: this.#listCandidates(log.state),
+      findApproved: this.#options.findApproved,
       nowMs: clock.nowMs(),
     });
   }
@@ -78,7 +82,7 @@
   #listCandidates(state: SchedulingState): Map<string, Candidate[]> {
     const byPool = new Map<string, Candidate[]>();
     for (const runner of state.runners.values()) {
-      if (this.#mayPlaceOn(runner, state)) {
+      if (this.mayPlaceOn(runner)) {
         const pool = byPool.get(runner.pool) ?? [];
         pool.push(createCandidate(runner, state));
         byPool.set(runner.pool, pool);
@@ -87,8 +91,10 @@
     return byPool;
   }
 
-  #mayPlaceOn(runner: Runner, state: SchedulingState): boolean {
-    const { findStatus, isCordoned } = this.#options;
+  /** Tells whether a runner may get work now. */
+  mayPlaceOn(runner: Runner): boolean {
+    const { findStatus, isCordoned, log } = this.#options;
+    const { state } = log;
     return !runner.isDraining && !state.zonesOut.has(runner.zone) &&
       (findStatus(runner)?.isSound ?? false) && !isCordoned(runner);
   }
--- a/src/services/scheduling/timing.ts
+++ b/src/services/scheduling/timing.ts
@@ -71,3 +71,14 @@
 export const MIN_ARRIVALS = 3;
 /** Age at which the list of VMs is read again when runners are new (ms). */
 export const MAX_LISTING_AGE_MS = 700;
+
+/** Runners that one question to the advice service names. */
+export const ADVICE_RUNNER_COUNT = 30;
+/** Pause of the advice desk without a question, in milliseconds. */
+export const ADVICE_IDLE_MS = 200;
+/** Added to the time that the service's terms name, in milliseconds. */
+export const ADVICE_MARGIN_MS = 600;
+/** Kept of a ticket's validity for the way to the runner, in milliseconds. */
+export const TICKET_MARGIN_MS = 150;
+/** How often the pace of leftover work is looked at (ms): half a reported span. */
+export const PACE_TICK_MS = 250;
--- a/src/testing/layout_test.ts
+++ b/src/testing/layout_test.ts
@@ -46,7 +46,80 @@
   return relative(SOURCE_FOLDER, path).split("/")[0] ?? "";
 }
 
+const PLATFORM_FOLDER = fileURLToPath(
+  new URL("../../platform/", import.meta.url),
+);
+
+/** Names that only the users' platform uses. */
+const WIRE_NAMES = [
+  "fencing_token",
+  "ack_cursor",
+  "run_id",
+  "mem_mb",
+  "path_prefix",
+  "depends_on",
+  "long_running",
+  "rack_sensitive",
+  "anti_affinity",
+  "may_miss",
+  "api_keys",
+  "machine-move",
+  "Instances.Heartbeat",
+  "Config.Replace",
+  "Evacuate",
+  "CARDAMOMSILL_BOOT",
+];
+
+/** Folders that hold decisions; what only translates imports none of them. */
+const DECIDING_FOLDERS = /\/(decisions|replication)\//;
+
+async function readSources(folder: string): Promise<Map<string, string>> {
+  const names = await readdir(folder, { recursive: true });
+  const sources = names.filter((name) =>
+    name.endsWith(".ts") && !name.endsWith("_test.ts")
+  );
+  const texts = await Promise.all(
+    sources.map((name) => readFile(join(folder, name), "utf8")),
+  );
+  return new Map(sources.map((name, at) => [name, texts[at] ?? ""]));
+}
+
+function countLines(sources: ReadonlyMap<string, string>): number {
+  return [...sources.values()].reduce(
+    (sum, text) => sum + text.split("\n").length,
+    0,
+  );
+}
+
 describe("layout", () => {
+  describe("platform", () => {
+    it("holds every name of the users' platform", async () => {
+      const found: string[] = [];
+      for (const [name, text] of await readSources(SOURCE_FOLDER)) {
+        const words = WIRE_NAMES.filter((word) => text.includes(word));
+        found.push(...words.map((word) => `${name}: ${word}`));
+      }
+      assert.equal(found, []);
+    });
+
+    it("decides nothing", async () => {
+      const found: string[] = [];
+      for (const [name, text] of await readSources(PLATFORM_FOLDER)) {
+        const imports = text.matchAll(/from ["']([^"']+)["']/g);
+        const deciding = [...imports].map((match) => match[1] ?? "")
+          .filter((target) => DECIDING_FOLDERS.test(target));
+        found.push(...deciding.map((target) => `${name}: ${target}`));
+      }
+      assert.equal(found, []);
+    });
+
+    it("stays under a tenth of the code", async () => {
+      const product = countLines(await readSources(SOURCE_FOLDER));
+      const platform = countLines(await readSources(PLATFORM_FOLDER));
+      assert.ok(platform < product / 10, `${platform} of ${product} lines`);
+    });
+  });
+
   for (const [folder, allowed] of Object.entries(ALLOWED)) {
     describe(folder, () => {
       it("imports inwards only", async () => {
--- a/src/testing/scheduling_world.ts
+++ b/src/testing/scheduling_world.ts
@@ -202,6 +202,7 @@
       changed,
       client: this.runners,
       fencingToken: view.term,
+      findTicket: () => undefined,
     };
     const fleet = new RunnerFleet(shared);
     const scheduler = new Scheduler({
@@ -212,6 +213,7 @@
       }),
       findStatus: (runner) => fleet.findStatus(runner),
       isCordoned: () => false,
+      findApproved: () => undefined,
     });
     tasks.start(
       "feed",
