Refuse at once while the leader is lost, and order guarded VMs in time

Change: a link says whether a call was sent at all; after 0.7 s without a leader callers are refused at once, with 503 where nothing was sent; a wave counts its longest row of VMs that exclude each other, and takes those first.

--- a/src/adapters/peer/peer_link.ts
+++ b/src/adapters/peer/peer_link.ts
@@ -105,19 +105,22 @@
     options.signal?.addEventListener("abort", end, { once: true });
     const startedAtMs = clock.monotonicMs();
     let isAnswered = options.signal?.aborted ?? false;
+    let isSent = false;
     const timeout = clock.sleep(options.timeoutMs, stop.signal).then(() => {
       const isOver = clock.monotonicMs() - startedAtMs >= options.timeoutMs;
       if (isOver && !isAnswered) {
         this.#dropSilentSocket(startedAtMs);
       }
       return Result.err<unknown, Failure>(
-        this.#createUnreachable(`no answer to ${method} in time`),
+        this.#createUnreachable(`no answer to ${method} in time`, isSent),
       );
     });
     if (options.signal?.aborted) {
       end();
     }
-    const sent = this.#send(method, body, stop.signal);
+    const sent = this.#send(method, body, stop.signal, () => {
+      isSent = true;
+    });
     const answer = await Promise.race([sent, timeout]);
     isAnswered = true;
     options.signal?.removeEventListener("abort", end);
@@ -129,16 +132,19 @@
     method: string,
     body: unknown,
     signal: AbortSignal,
+    noteSent: () => void,
   ): Promise<Result<unknown, Failure>> {
     while (this.#socket === undefined && !signal.aborted) {
       await this.#connected.wait(signal);
     }
     const socket = this.#socket;
     if (socket === undefined || signal.aborted) {
-      return Result.err(this.#createUnreachable("not connected"));
+      return Result.err(this.#createUnreachable("not connected", false));
     }
     if (socket.writableLength > MAX_UNSENT_BYTES) {
-      return Result.err(this.#createUnreachable("the peer does not read"));
+      return Result.err(
+        this.#createUnreachable("the peer does not read", false),
+      );
     }
     const callId = this.#nextCallId;
     this.#nextCallId += 1;
@@ -150,6 +156,7 @@
     });
     const frame = encodeFrame({ type: "call", callId, method, body });
     this.#options.metrics.countControlBytes("sent", frame.length);
+    noteSent();
     socket.write(frame);
     return await answered;
   }
@@ -195,14 +202,16 @@
     const pending = [...this.#pending.values()];
     this.#pending.clear();
     for (const settle of pending) {
-      settle(Result.err(this.#createUnreachable("the connection broke")));
+      settle(Result.err(this.#createUnreachable("the connection broke", true)));
     }
   }
 
-  #createUnreachable(why: string): Failure {
+  // What was sent may have been handled, whatever became of the answer.
+  #createUnreachable(why: string, isSent: boolean): Failure {
     return createFailure(
       "peerUnreachable",
       `entry ${this.#options.peer.entryId}: ${why}`,
+      { detail: { isSent } },
     );
   }
 }
--- a/src/decisions/scheduling/upkeep_policy.ts
+++ b/src/decisions/scheduling/upkeep_policy.ts
@@ -8,6 +8,8 @@
   readonly running: readonly RunningTask[];
   /** Whether ending its endless tasks would take too many of a step away. */
   readonly isProtected: boolean;
+  /** Steps of which few tasks may be away: their VMs go one after the other. */
+  readonly guardedSteps: readonly string[];
 }
 
 /** The state of a wave. */
@@ -37,9 +39,10 @@
 
 /**
  * How long the upkeep of one VM takes until the next may begin, in
- * milliseconds: the platform's two seconds and the time to see the VM again.
+ * milliseconds: the platform's two seconds, the time to see the VM again, and
+ * the start of its endless tasks elsewhere.
  */
-const UPKEEP_TURN_MS = 3_200;
+const UPKEEP_TURN_MS = 4_000;
 
 /**
  * Begins with the VMs on which the least work is lost, and waits for a VM to
@@ -50,8 +53,14 @@
     const { candidates, freeCount, leftMs, maxAwayCount } = input;
     const sorted = candidates
       .map((candidate) => ({ ...candidate, loss: computeLoss(candidate) }))
-      .toSorted((left, right) => left.loss - right.loss);
-    const turnCount = Math.ceil(candidates.length / maxAwayCount);
+      .toSorted((left, right) =>
+        left.loss - right.loss ||
+        right.guardedSteps.length - left.guardedSteps.length
+      );
+    const turnCount = Math.max(
+      Math.ceil(candidates.length / maxAwayCount),
+      countLongestRow(candidates),
+    );
     const isLate = leftMs < turnCount * UPKEEP_TURN_MS;
     const begin = sorted
       .filter(({ isProtected, loss }) => !isProtected && (isLate || loss === 0))
@@ -63,6 +72,14 @@
   }
 }
 
+function countLongestRow(candidates: readonly UpkeepCandidate[]): number {
+  const counts = new Map<string, number>();
+  for (const step of candidates.flatMap(({ guardedSteps }) => guardedSteps)) {
+    counts.set(step, (counts.get(step) ?? 0) + 1);
+  }
+  return Math.max(0, ...counts.values());
+}
+
 // Endless tasks lose nothing but a restart; other work starts again from what
 // it has saved.
 function computeLoss({ running }: UpkeepCandidate): number {
--- a/src/services/scheduling/leader_caller.ts
+++ b/src/services/scheduling/leader_caller.ts
@@ -7,9 +7,15 @@
   validateWith,
 } from "../../domain/index.ts";
 import type { Clock, PeerNetwork } from "../../ports/index.ts";
-import { LEADER_CALL_MS, LEADER_RETRY_MS } from "./timing.ts";
+import {
+  LEADER_CALL_MS,
+  LEADER_PATIENCE_MS,
+  LEADER_RETRY_MS,
+  LEADER_SEARCH_MS,
+} from "./timing.ts";
 
 const hintSchema = v.object({ leaderId: v.optional(v.string()) });
+const unsentSchema = v.object({ isSent: v.literal(false) });
 
 /** Options of {@link LeaderCaller}. */
 export interface LeaderCallerOptions {
@@ -25,6 +31,8 @@
   #controllerIds: readonly string[];
   #leaderId: string | undefined;
   #attemptCount = 0;
+  /** Monotonic time at which the leader was lost; undefined while it answers. */
+  #lostAtMs: number | undefined;
 
   constructor(options: LeaderCallerOptions) {
     this.#options = options;
@@ -64,27 +72,41 @@
     const { clock, network } = this.#options;
     const deadlineMs = clock.monotonicMs() + timeoutMs;
     let isInDoubt = false;
-    for (;;) {
+    for (let attempt = 0;; attempt += 1) {
       const leftMs = deadlineMs - clock.monotonicMs();
-      if (leftMs <= 0) {
+      if (leftMs <= 0 || (attempt > 0 && this.#isHopeless)) {
         return Result.err(createNoLeader(isInDoubt));
       }
       const target = this.#chooseTarget();
       if (target !== undefined) {
         const answered = await network.call(target, method, body, {
-          timeoutMs: Math.min(leftMs, LEADER_CALL_MS),
+          timeoutMs: Math.min(leftMs, this.#findPatienceMs()),
         });
         const isOver = answered.isOk || !this.#mayRetry(target, answered.error);
         if (isOver) {
+          this.#lostAtMs = undefined;
           this.#leaderId = answered.isOk ? target : this.#leaderId;
           return answered;
         }
-        isInDoubt ||= answered.error.kind !== "notLeader";
+        this.#lostAtMs ??= clock.monotonicMs();
+        isInDoubt ||= mayHaveBeenHandled(answered.error);
       }
       await clock.sleep(LEADER_RETRY_MS);
     }
   }
 
+  // Callers return sooner when they are told at once than when they wait for
+  // an election that may not come.
+  get #isHopeless(): boolean {
+    const { clock } = this.#options;
+    return this.#lostAtMs !== undefined &&
+      clock.monotonicMs() - this.#lostAtMs > LEADER_PATIENCE_MS;
+  }
+
+  #findPatienceMs(): number {
+    return this.#lostAtMs === undefined ? LEADER_CALL_MS : LEADER_SEARCH_MS;
+  }
+
   #chooseTarget(): string | undefined {
     if (this.#leaderId !== undefined) {
       return this.#leaderId;
@@ -110,6 +132,10 @@
   }
 }
 
+function mayHaveBeenHandled(failure: Failure): boolean {
+  return failure.kind !== "notLeader" && !v.is(unsentSchema, failure.detail);
+}
+
 function createNoLeader(isInDoubt: boolean): Failure {
   return isInDoubt
     ? createFailure("noQuorum", "the leader did not answer in time", {
--- /dev/null
+++ b/src/services/scheduling/leader_caller_test.ts
@@ -0,0 +1,84 @@
+import { Result } from "true-myth";
+import * as assert from "uvu/assert";
+import { createFailure, type Failure } from "../../domain/index.ts";
+import type { PeerNetwork } from "../../ports/index.ts";
+import { describe, it } from "../../testing/describe.ts";
+import { FakeClock } from "../../testing/fake_clock.ts";
+import { LeaderCaller } from "./leader_caller.ts";
+
+const CALL_MS = 2_500;
+const MANY_MS = 60_000;
+
+type Reply = (peerId: string) => Result<unknown, Failure>;
+
+function createCaller(reply: Reply, latencyMs = 2) {
+  const clock = new FakeClock();
+  const called: string[] = [];
+  const network: PeerNetwork = {
+    call: async (peerId) => {
+      called.push(peerId);
+      await clock.sleep(latencyMs);
+      return reply(peerId);
+    },
+    handle: () => undefined,
+  };
+  const controllerIds = ["c1", "c2", "c3"];
+  const caller = new LeaderCaller({ network, clock, controllerIds });
+  const call = () =>
+    clock.runUntil(caller.call("method", {}, CALL_MS), MANY_MS);
+  return { call, called, caller, clock };
+}
+
+function createUnreachable(isSent: boolean): Failure {
+  return createFailure("peerUnreachable", "gone", { detail: { isSent } });
+}
+
+describe("calls to the leader", () => {
+  it("follow the hint of a controller that does not lead", async () => {
+    const { call, caller } = createCaller((peerId) =>
+      peerId === "c3" ? Result.ok("done") : Result.err(
+        createFailure("notLeader", "no", { detail: { leaderId: "c3" } }),
+      )
+    );
+    const answered = await call();
+    assert.ok(answered.isOk);
+    assert.is(caller.leaderId, "c3");
+  });
+
+  describe("while nobody leads", () => {
+    it("say that nothing was done when nothing was sent", async () => {
+      const { call } = createCaller(() => Result.err(createUnreachable(false)));
+      const answered = await call();
+      assert.is(answered.isErr && answered.error.kind, "notLeader");
+      assert.ok(answered.isErr && answered.error.retryAfterMs);
+    });
+
+    it("stay in doubt when one was sent without an answer", async () => {
+      const { call } = createCaller(() => Result.err(createUnreachable(true)));
+      const answered = await call();
+      assert.is(answered.isErr && answered.error.kind, "noQuorum");
+    });
+
+    it("are refused at once when the leader was lost long ago", async () => {
+      const { call, clock } = createCaller(() =>
+        Result.err(createUnreachable(false))
+      );
+      await call();
+      await clock.advance(CALL_MS);
+      const startedAtMs = clock.monotonicMs();
+      await call();
+      assert.ok(clock.monotonicMs() - startedAtMs < 100);
+    });
+
+    it("go on once a leader answers", async () => {
+      let isUp = false;
+      const { call, clock } = createCaller(() =>
+        isUp ? Result.ok("done") : Result.err(createUnreachable(false))
+      );
+      await call();
+      await clock.advance(CALL_MS);
+      isUp = true;
+      assert.ok((await call()).isOk);
+    });
+  });
+});
--- a/src/services/scheduling/timing.ts
+++ b/src/services/scheduling/timing.ts
@@ -52,6 +52,13 @@
 export const LEADER_CALL_MS = 1_200;
 /** Pause between two attempts to reach the leader, in milliseconds. */
 export const LEADER_RETRY_MS = 60;
+/** The same for a controller that is only asked whether it leads (ms). */
+export const LEADER_SEARCH_MS = 250;
+/**
+ * How long callers wait for a lost leader before they are refused at once, in
+ * milliseconds: a planned change of leader fits into it.
+ */
+export const LEADER_PATIENCE_MS = 700;
 /** How often an entry asks whether it reaches the leader, in milliseconds. */
 export const LEADER_PING_MS = 700;
 /** Age of the leader's newest answer after which an entry is not ready (ms). */
--- a/src/services/scheduling/wave_task.ts
+++ b/src/services/scheduling/wave_task.ts
@@ -161,6 +161,9 @@
       vm: listed?.vm ?? "",
       running,
       isProtected: !this.#availability.mayEnd(running),
+      guardedSteps: running
+        .filter(({ step }) => step.isEndless && step.maxAwayCount !== undefined)
+        .map(({ id }) => `${id.jobId}.${id.occurrence}.${id.step}`),
     };
   }
 
