--- a/src/decisions/scheduling/index.ts
+++ b/src/decisions/scheduling/index.ts
@@ -8,3 +8,4 @@
 export * from "./capacity_policy.ts";
 export * from "./demand_forecast.ts";
 export * from "./pace_policy.ts";
+export * from "./waiting_demand.ts";
--- a/src/services/scheduling/capacity_task.ts
+++ b/src/services/scheduling/capacity_task.ts
@@ -7,6 +7,7 @@
   listReadySteps,
   type PlannedMove,
   type PoolLoad,
+  sumWaiting,
   sumWork,
 } from "../../decisions/index.ts";
 import type { Runner } from "../../domain/index.ts";
@@ -177,21 +178,15 @@
     const nowMs = clock.nowMs();
     const capacity = this.#sumCapacity();
     const running = new Map<string, number>();
+    let largest = 0;
     for (const runner of state.runners.values()) {
       const { used } = state.jobs.findLoad(runner);
+      largest = Math.max(largest, runner.capacity.cpuMillicores);
       add(running, runner.pool, used.cpuMillicores);
     }
     const waiting = new Map<string, number>();
     for (const ready of listReadySteps(state.jobs, state.catalog, nowMs)) {
-      const isInTime = nowMs + ready.chainMs <= ready.objectiveMs;
-      if (isInTime && !ready.step.usesLeftovers) {
-        const { needs } = ready.step;
-        add(
-          waiting,
-          ready.pool,
-          ready.record.waitingCount * needs.cpuMillicores,
-        );
-      }
+      add(waiting, ready.pool, sumWaiting(ready, largest, nowMs));
     }
     const arrivals = this.#listArrivals();
     const recent = sumRecent(arrivals, nowMs);
