Move guarded endless tasks away one by one before their VM's upkeep

Change: two such VMs at a time are kept free of new work and emptied, one task after the other, each counted as away until it is at full work elsewhere; VMs that are being emptied or whose zone is out are no capacity.

--- a/src/decisions/scheduling/upkeep_policy.ts
+++ b/src/decisions/scheduling/upkeep_policy.ts
@@ -29,6 +29,8 @@
   readonly begin: readonly string[];
   /** VMs that get no new work, so that they run empty. */
   readonly cordon: readonly string[];
+  /** VMs whose endless tasks move elsewhere, as many at once as may be away. */
+  readonly empty: readonly string[];
 }
 
 /** Chooses VMs for their upkeep. */
@@ -44,6 +46,12 @@
  */
 const UPKEEP_TURN_MS = 4_000;
 
+/**
+ * VMs that are emptied of guarded tasks at a time: more would leave no VM for
+ * those tasks to go to.
+ */
+const EMPTIED_COUNT = 2;
+
 /**
  * Begins with the VMs on which the least work is lost, and waits for a VM to
  * run empty as long as the wave is ahead of its time.
@@ -66,9 +74,15 @@
       .filter(({ isProtected, loss }) => !isProtected && (isLate || loss === 0))
       .slice(0, freeCount)
       .map(({ vm }) => vm);
-    const cordon = sorted.slice(0, freeCount + maxAwayCount)
-      .map(({ vm }) => vm);
-    return { begin, cordon };
+    const next = sorted.filter(({ isProtected }) => !isProtected)
+      .slice(0, freeCount + maxAwayCount);
+    const emptied = sorted.filter(({ isProtected }) => isProtected)
+      .slice(0, EMPTIED_COUNT);
+    return {
+      begin,
+      cordon: [...next, ...emptied].map(({ vm }) => vm),
+      empty: emptied.map(({ vm }) => vm),
+    };
   }
 }
 
--- /dev/null
+++ b/src/decisions/scheduling/upkeep_policy_test.ts
@@ -0,0 +1,54 @@
+import * as assert from "uvu/assert";
+import { describe, it } from "../../testing/describe.ts";
+import {
+  LeastLossUpkeepPolicy,
+  type UpkeepCandidate,
+} from "./upkeep_policy.ts";
+
+function createCandidate(
+  vm: string,
+  changes: Partial<UpkeepCandidate> = {},
+): UpkeepCandidate {
+  return { vm, running: [], isProtected: false, guardedSteps: [], ...changes };
+}
+
+describe("upkeep of a wave", () => {
+  const policy = new LeastLossUpkeepPolicy();
+  const time = { leftMs: 60_000, maxAwayCount: 2 };
+
+  it("begins no more than may be away", () => {
+    const candidates = ["a", "b", "c", "d"].map((vm) => createCandidate(vm));
+    const plan = policy.plan({ ...time, candidates, freeCount: 1 });
+    assert.is(plan.begin.length, 1);
+  });
+
+  it("never begins where too many tasks of a step would be away", () => {
+    const candidates = [createCandidate("a", { isProtected: true })];
+    const plan = policy.plan({
+      leftMs: 0,
+      maxAwayCount: 2,
+      freeCount: 2,
+      candidates,
+    });
+    assert.equal(plan.begin, []);
+  });
+
+  it("takes VMs first that must go one after the other", () => {
+    const candidates = [
+      createCandidate("a"),
+      createCandidate("b", { guardedSteps: ["s"] }),
+    ];
+    const plan = policy.plan({ ...time, candidates, freeCount: 1 });
+    assert.equal(plan.begin, ["b"]);
+  });
+
+  // Pattern: a VM holds more tasks of one step than may be away at once.
+  it("empties protected VMs, few at a time", () => {
+    const candidates = ["a", "b", "c"].map((vm) =>
+      createCandidate(vm, { isProtected: true, guardedSteps: ["s"] })
+    );
+    const plan = policy.plan({ ...time, candidates, freeCount: 2 });
+    assert.equal(plan.empty, ["a", "b"]);
+    assert.equal(plan.cordon, ["a", "b"]);
+  });
+});
--- a/src/services/scheduling/capacity_task.ts
+++ b/src/services/scheduling/capacity_task.ts
@@ -207,10 +207,13 @@
   }
 
   #sumCapacity(): Map<string, number> {
-    const { fleet, log } = this.#options;
+    const { fleet, isInUpkeep, log } = this.#options;
     const capacity = new Map<string, number>();
     for (const runner of log.state.runners.values()) {
-      if (fleet.findStatus(runner)?.isSound && !runner.isDraining) {
+      const isUsable = fleet.findStatus(runner)?.isSound &&
+        !runner.isDraining && !isInUpkeep(runner) &&
+        !log.state.zonesOut.has(runner.zone);
+      if (isUsable) {
         add(capacity, runner.pool, runner.capacity.cpuMillicores);
       }
     }
--- a/src/services/scheduling/run_orders.ts
+++ b/src/services/scheduling/run_orders.ts
@@ -98,6 +98,21 @@
     }
   }
 
+  /**
+   * Stops a run so that its task goes elsewhere.
+   *
+   * @param run - A run that is placed here.
+   * @param signal - Ends the attempts.
+   */
+  evict(run: RunningTask, signal: AbortSignal): void {
+    const key = formatRun({ task: run.id, ...run });
+    if (this.#orders.get(key)?.state === "there") {
+      this.#orders.set(key, { state: "closing", settledAtMs: Infinity });
+      const { tasks } = this.#options;
+      tasks.start("evict", () => this.#close(run, key, signal));
+    }
+  }
+
   /** Takes which runs a look found at work. */
   takeRunning(running: readonly RunReport[]): void {
     const placed = this.#options.findLoad().running;
--- a/src/services/scheduling/runner_fleet.ts
+++ b/src/services/scheduling/runner_fleet.ts
@@ -53,6 +53,15 @@
     return this.#served.get(formatRunnerLife(life))?.task.status;
   }
 
+  /**
+   * Stops a run so that its task goes elsewhere.
+   *
+   * @param run - The run.
+   */
+  evict(run: RunningTask): void {
+    this.#served.get(formatRunnerLife(run.life))?.task.evict(run);
+  }
+
   /**
    * Serves the runners of the log until the signal aborts.
    *
--- a/src/services/scheduling/runner_task.ts
+++ b/src/services/scheduling/runner_task.ts
@@ -87,6 +87,11 @@
     return this.#runner;
   }
 
+  /** Stops a run so that its task goes elsewhere. */
+  evict(run: RunningTask): void {
+    this.#orders.evict(run, this.#options.tasks.signal);
+  }
+
   /** Takes what the runner announces anew. */
   update(runner: Runner): void {
     this.#runner = runner;
--- a/src/services/scheduling/wave_task.ts
+++ b/src/services/scheduling/wave_task.ts
@@ -8,6 +8,7 @@
 } from "../../decisions/index.ts";
 import type { Clock, ListedVm, Logger, VmControl } from "../../ports/index.ts";
 import { type Notifier, waitFor } from "../../tasks/index.ts";
+import { formatRun } from "./run_orders.ts";
 import type { RunnerFleet } from "./runner_fleet.ts";
 import type { SchedulingLog } from "./scheduling_log.ts";
 import { WAVE_TICK_MS } from "./timing.ts";
@@ -34,6 +35,8 @@
   readonly #availability: Availability;
   /** VMs whose upkeep was confirmed in this term, and when (monotonic ms). */
   readonly #begunAtMs = new Map<string, number>();
+  /** Runs that were told to stop; they may still be listed as at work. */
+  readonly #evicted = new Set<string>();
   #cordonedRunnerIds: ReadonlySet<string> = new Set();
 
   constructor(options: WaveTaskOptions) {
@@ -41,8 +44,10 @@
     const { log, fleet } = options;
     this.#availability = new Availability({
       jobs: log.state.jobs,
-      findPercent: ({ life, id }) =>
-        fleet.findStatus(life)?.progress.get(formatTaskId(id)) ?? 0,
+      findPercent: (run) =>
+        this.#evicted.has(formatRun({ task: run.id, ...run }))
+          ? 0
+          : fleet.findStatus(run.life)?.progress.get(formatTaskId(run.id)) ?? 0,
     });
   }
 
@@ -149,6 +154,9 @@
     for (const vm of plan.cordon) {
       cordoned.add(byName.get(vm)?.runnerId ?? "");
     }
+    for (const vm of plan.empty) {
+      this.#evictOne(wave.waveId, vm, byName.get(vm)?.runnerId);
+    }
     const unconfirmed = away.filter((vm) => !this.#begunAtMs.has(vm));
     for (const vm of [...unconfirmed, ...plan.begin]) {
       await this.#begin(wave, vm, byName.get(vm)?.runnerId);
@@ -177,6 +185,20 @@
       : [...log.state.jobs.findLoad(runner).running.values()];
   }
 
+  // One after the other: each counts as away until it is back at full work.
+  #evictOne(waveId: number, vm: string, runnerId: string | undefined): void {
+    const { fleet, logger } = this.#options;
+    const run = this.#listRunning(runnerId).find((candidate) =>
+      candidate.step.isEndless && this.#availability.mayEnd([candidate])
+    );
+    if (run !== undefined) {
+      const task = formatTaskId(run.id);
+      logger.info({ waveId, vm, runnerId, task }, "moves an endless task away");
+      this.#evicted.add(formatRun({ task: run.id, ...run }));
+      fleet.evict(run);
+    }
+  }
+
   // The order is in the log before it is sent, so that the next leader counts
   // the VM as away whatever became of the call.
   async #begin(
