Keep work going that is late, and at most one runner for an endless task

Ruled out: the team's limit and the zone out (back since 52 s). Change: late work asks for one VM at the most; endless tasks keep one runner of several.

--- a/src/decisions/scheduling/start_planner.ts
+++ b/src/decisions/scheduling/start_planner.ts
@@ -219,11 +219,16 @@
 }
 
 // Smaller tasks would fill each gap on a full runner before it is large enough
-// for a task that comes first.
+// for a task that comes first. One runner of several at most: what it waits for
+// may never end.
 function reserve(
   candidates: readonly Candidate[],
   demand: PlacementDemand,
 ): void {
+  const isTaken = candidates.some(({ isReserved }) => isReserved);
+  if (isTaken || candidates.length < 2) {
+    return;
+  }
   let roomiest: Candidate | undefined;
   for (const candidate of candidates) {
     const isRoomier = roomiest === undefined ||
--- a/src/decisions/scheduling/start_planner_test.ts
+++ b/src/decisions/scheduling/start_planner_test.ts
@@ -196,6 +196,26 @@
     });
   });
 
+  describe("endless tasks that find no room", () => {
+    it("never keep the last runners from other work", () => {
+      const state = createState();
+      accept(state, 1, [small]);
+      for (const number of [2, 3]) {
+        accept(state, number, [createStep({
+          taskCount: 1,
+          needs: { cpuMillicores: 60_000 },
+          isEndless: true,
+        })]);
+      }
+      const starts = plan(state, [
+        createCandidate("a", 7_000),
+        createCandidate("b", 7_000),
+      ]);
+      assert.is(starts.length, 2);
+      assert.is(plan(state, [createCandidate("a", 7_000)]).length, 2);
+    });
+  });
+
   describe("order", () => {
     it("places work that can be in time before work that is late", () => {
       const state = createState();
--- a/src/services/scheduling/capacity_task.ts
+++ b/src/services/scheduling/capacity_task.ts
@@ -184,10 +184,8 @@
       largest = Math.max(largest, runner.capacity.cpuMillicores);
       add(running, runner.pool, used.cpuMillicores);
     }
-    const waiting = new Map<string, number>();
-    for (const ready of listReadySteps(state.jobs, state.catalog, nowMs)) {
-      add(waiting, ready.pool, sumWaiting(ready, largest, nowMs));
-    }
+    const ready = listReadySteps(state.jobs, state.catalog, nowMs);
+    const waiting = sumWaiting(ready, largest, nowMs);
     const arrivals = this.#listArrivals();
     const recent = sumRecent(arrivals, nowMs);
     const expected = forecast.predict(
