--- /dev/null
+++ b/src/services/scheduling/job_service_test.ts
@@ -0,0 +1,184 @@
+import * as assert from "uvu/assert";
+import { FakeAgreement } from "../../testing/fake_agreement.ts";
+import { describe, it } from "../../testing/describe.ts";
+import { FakeClock } from "../../testing/fake_clock.ts";
+import { FakeLogger } from "../../testing/fake_ports.ts";
+import { type JobCall, JobService } from "./job_service.ts";
+import { SchedulingLog } from "./scheduling_log.ts";
+
+const JOB_ID = "0123456789abcdef";
+const WAIT_MS = 1_000;
+const WORK: JobCall["work"] = {
+  text: "build",
+  steps: [{ taskCount: 1, needs: { cpuMillicores: 100 } }],
+} as JobCall["work"];
+
+async function createService() {
+  const clock = new FakeClock();
+  const agreement = new FakeAgreement(clock);
+  const logger = new FakeLogger();
+  const log = new SchedulingLog({ agreement, clock });
+  const service = new JobService({ log, logger });
+  const queue = {
+    name: "q",
+    host: "h",
+    pathPrefix: "/q/",
+    pool: "bay",
+    isPublic: false,
+    priority: 0,
+    maxAttempts: 2,
+    timeoutMs: 3_000,
+    stretch: 1,
+    targetLatencyMs: 0,
+  };
+  const open = {
+    ...queue,
+    name: "open",
+    pathPrefix: "/q/open/",
+    isPublic: true,
+  };
+  const put = (version: number, keys: string[]) =>
+    log.propose([{
+      type: "catalog",
+      catalog: {
+        version,
+        queues: [queue, open],
+        pools: [{ name: "bay", isStandby: false, guardsCapacity: false }],
+        teams: [{
+          name: "team",
+          keys,
+          priority: 0,
+          weight: 1,
+          limit: { cpuMillicores: 0, memoryMb: 0, gpuCount: 0 },
+        }],
+        source: "",
+      },
+    }]);
+  const run = <T>(promise: Promise<T>) => clock.runUntil(promise, WAIT_MS);
+  const call = (changes: Partial<JobCall> = {}) =>
+    run(service.answer({
+      action: "submit",
+      host: "h",
+      path: `/q/${JOB_ID}`,
+      key: "key",
+      requestId: "request-1",
+      work: WORK,
+      ...changes,
+    }));
+  await run(put(1, ["key"]));
+  return { agreement, call, log, logger, put, run };
+}
+
+describe("calls about jobs", () => {
+  describe("submit", () => {
+    it("is accepted only once it is in the log", async () => {
+      const { agreement, call, log } = await createService();
+      agreement.fault = "lost";
+      const lost = await call();
+      assert.is(lost.isErr && lost.error.kind, "noQuorum");
+      assert.is(log.state.jobs.find(JOB_ID), undefined);
+      agreement.fault = "none";
+      assert.ok((await call()).isOk);
+      assert.is(log.state.jobs.find(JOB_ID)?.state, "queued");
+    });
+
+    it("stays one job when it is sent again", async () => {
+      const { agreement, call } = await createService();
+      await call();
+      const count = agreement.commands.length;
+      assert.ok((await call()).isOk);
+      assert.is(agreement.commands.length, count);
+    });
+
+    it("stays one job after an answer in doubt", async () => {
+      const { agreement, call, log } = await createService();
+      agreement.fault = "appliedInDoubt";
+      assert.ok((await call()).isErr);
+      agreement.fault = "none";
+      assert.ok((await call()).isOk);
+      assert.is(log.state.jobs.list().length, 1);
+    });
+  });
+
+  describe("is refused, with the reason and its inputs in the log", () => {
+    const refusals = [
+      {
+        title: "without a key",
+        changes: { key: undefined },
+        kind: "unauthenticated",
+      },
+      {
+        title: "with a key of no team",
+        changes: { key: "no" },
+        kind: "unauthenticated",
+      },
+      {
+        title: "outside all queues",
+        changes: { path: "/x/" },
+        kind: "unknownKind",
+      },
+      { title: "at another host", changes: { host: "i" }, kind: "unknownKind" },
+      {
+        title: "with an odd id",
+        changes: { path: "/q/no" },
+        kind: "jobUnknown",
+      },
+      {
+        title: "without work",
+        changes: { work: undefined },
+        kind: "invalidInput",
+      },
+      {
+        title: "for a job that is not known",
+        changes: { action: "read" as const },
+        kind: "jobUnknown",
+      },
+    ];
+    for (const { title, changes, kind } of refusals) {
+      it(title, async () => {
+        const { call, logger } = await createService();
+        const answered = await call(changes);
+        assert.is(answered.isErr && answered.error.kind, kind);
+        const line = logger.lines.at(-1);
+        assert.is(line?.fields["requestId"], "request-1");
+        assert.is(line?.fields["kind"], kind);
+        assert.is(line?.fields["catalogVersion"], 1);
+        assert.ok(line?.fields["reason"]);
+      });
+    }
+
+    it("with a key that was taken away", async () => {
+      const { call, put, run } = await createService();
+      assert.ok((await call()).isOk);
+      await run(put(2, ["other"]));
+      const answered = await call({ action: "read" });
+      assert.is(answered.isErr && answered.error.kind, "unauthenticated");
+    });
+  });
+
+  it("goes to the queue with the longest prefix", async () => {
+    const { call, log } = await createService();
+    const path = `/q/open/${JOB_ID}`;
+    assert.ok((await call({ path, key: undefined })).isOk);
+    assert.is(log.state.jobs.find(JOB_ID)?.queue, "open");
+  });
+
+  it("counts jobs of which no task has started", async () => {
+    const { call } = await createService();
+    await call();
+    const counted = await call({ action: "read", path: "/q/" });
+    assert.is(counted.isOk && counted.value.pendingCount, 1);
+  });
+
+  it("cancels a job for good", async () => {
+    const { call, log, run } = await createService();
+    await call();
+    await call({ action: "cancel" });
+    assert.is(log.state.jobs.find(JOB_ID)?.state, "cancelled");
+    const task = { jobId: JOB_ID, occurrence: 0, step: 0, index: 0 };
+    await run(log.propose([
+      { type: "start", task, runNumber: 1, runnerId: "r", bornAtMs: 1 },
+    ]));
+    assert.is(log.state.jobs.find(JOB_ID)?.hasStarted, false);
+  });
+});
