--- a/src/decisions/scheduling/start_planner.ts
+++ b/src/decisions/scheduling/start_planner.ts
@@ -2,7 +2,6 @@
 import {
   addAmounts,
   type Amounts,
-  findHeld,
   fitsInto,
   type JobTeam,
   type RunnerLife,
@@ -12,11 +11,12 @@
 } from "../../domain/index.ts";
 import type { OrderPolicy } from "./order_policy.ts";
 import {
-  type Candidate,
-  isAllowed,
-  type PlacementDemand,
-  type PlacementPolicy,
-} from "./placement_policy.ts";
+  createDemand,
+  type MutableDemand,
+  occupy,
+  reserve,
+} from "./placement_demand.ts";
+import type { Candidate, PlacementPolicy } from "./placement_policy.ts";
 import { listReadySteps, type ReadyStep } from "./ready_step.ts";
 
 /** A task that is to start on a runner. */
@@ -94,7 +94,7 @@
   }
 
   #planTasks(ready: ReadyStep, round: Round): void {
-    const demand = createDemand(ready, round);
+    const demand = createDemand(ready, round.input.findApproved(ready));
     const full = round.fullFor.get(ready.pool);
     if (full !== undefined && fitsInto(full, demand.held)) {
       return;
@@ -143,7 +143,7 @@
     group: readonly Candidate[],
     round: Round,
   ): boolean {
-    const demand = createDemand(ready, round);
+    const demand = createDemand(ready, round.input.findApproved(ready));
     const trial = group.map((candidate) => ({ ...candidate }));
     const chosen: Candidate[] = [];
     for (const _task of ready.record.tasks) {
@@ -156,7 +156,7 @@
     }
     const runNumber = 1 +
       Math.max(...ready.record.tasks.map((task) => task.runNumber));
-    const real = createDemand(ready, round);
+    const real = createDemand(ready, round.input.findApproved(ready));
     chosen.forEach((copy, index) => {
       const candidate = group.find(({ runnerId }) =>
         runnerId === copy.runnerId
@@ -184,69 +184,6 @@
   }
 }
 
-interface MutableDemand extends PlacementDemand {
-  readonly countByRunner: Map<string, number>;
-  readonly countByZone: Map<string, number>;
-}
-
-function createDemand(
-  ready: ReadyStep,
-  { input }: Round,
-): MutableDemand {
-  const { step, record } = ready;
-  const countByRunner = new Map<string, number>();
-  for (const { life } of record.tasks) {
-    if (life !== undefined) {
-      increment(countByRunner, life.runnerId);
-    }
-  }
-  return {
-    step,
-    held: findHeld(step),
-    approvedIds: input.findApproved(ready),
-    countByRunner,
-    countByZone: new Map(),
-  };
-}
-
-function occupy(candidate: Candidate, demand: MutableDemand): void {
-  const { step, held, countByRunner, countByZone } = demand;
-  candidate.free = addAmounts(candidate.free, held, -1);
-  candidate.servingCount += Number(step.tailTargetMs > 0);
-  candidate.leftoverCount += Number(step.usesLeftovers);
-  increment(countByRunner, candidate.runnerId);
-  increment(countByZone, candidate.zone);
-}
-
-// Smaller tasks would fill each gap on a full runner before it is large enough
-// for a task that comes first. One runner of several at most: what it waits for
-// may never end.
-function reserve(
-  candidates: readonly Candidate[],
-  demand: PlacementDemand,
-): void {
-  const isTaken = candidates.some(({ isReserved }) => isReserved);
-  if (isTaken || candidates.length < 2) {
-    return;
-  }
-  let roomiest: Candidate | undefined;
-  for (const candidate of candidates) {
-    const isRoomier = roomiest === undefined ||
-      candidate.free.cpuMillicores > roomiest.free.cpuMillicores;
-    const isFree = !candidate.isReserved && isAllowed(candidate, demand);
-    if (isFree && isRoomier) {
-      roomiest = candidate;
-    }
-  }
-  if (roomiest !== undefined) {
-    roomiest.isReserved = true;
-  }
-}
-
-function increment(counts: Map<string, number>, key: string): void {
-  counts.set(key, (counts.get(key) ?? 0) + 1);
-}
-
 // A gang that wants one rack tries the racks first, the emptiest in front.
 function listGangGroups(
   { step }: ReadyStep,
--- a/src/domain/scheduling/index.ts
+++ b/src/domain/scheduling/index.ts
@@ -5,5 +5,6 @@
 export * from "./job_record.ts";
 export * from "./job_table.ts";
 export * from "./runner.ts";
+export * from "./runner_loads.ts";
 export * from "./scheduling_command.ts";
 export * from "./scheduling_state.ts";
--- a/src/domain/scheduling/job_table.ts
+++ b/src/domain/scheduling/job_table.ts
@@ -1,8 +1,9 @@
 /** All jobs, and where their tasks run. */
-import { addAmounts, type Amounts, NO_AMOUNTS } from "./amounts.ts";
-import { formatTaskId, type JobStep, type TaskId } from "./job.ts";
+import type { Amounts } from "./amounts.ts";
+import type { TaskId } from "./job.ts";
 import { JobRecord, type StoredJob, type TaskRecord } from "./job_record.ts";
-import { formatRunnerLife, type RunnerLife } from "./runner.ts";
+import type { RunnerLife } from "./runner.ts";
+import { type RunnerLoad, RunnerLoads } from "./runner_loads.ts";
 import type { SchedulingOperation } from "./scheduling_command.ts";
 
 /** How long an ended job can still be asked for, in milliseconds. */
@@ -12,45 +13,11 @@
 type EndOperation = Extract<SchedulingOperation, { type: "end" }>;
 type AcceptOperation = Extract<SchedulingOperation, { type: "accept" }>;
 
-/** A run that was started and whose end is not recorded. */
-export interface RunningTask {
-  readonly job: JobRecord;
-  readonly id: TaskId;
-  readonly step: JobStep;
-  readonly runNumber: number;
-  readonly saved: string;
-  readonly life: RunnerLife;
-  readonly startedAtMs: number;
-}
-
-/** What runs in one lifetime of a runner. */
-export interface RunnerLoad {
-  /** Runs by formatted task id. */
-  readonly running: ReadonlyMap<string, RunningTask>;
-  /** What the runs hold; tasks that live on leftovers hold no processor. */
-  readonly used: Amounts;
-  /** Rises whenever a run begins or ends here, or is no longer wanted. */
-  readonly version: number;
-}
-
-interface MutableLoad extends RunnerLoad {
-  readonly running: Map<string, RunningTask>;
-  used: Amounts;
-  version: number;
-}
-
-const NO_LOAD: RunnerLoad = {
-  running: new Map(),
-  used: NO_AMOUNTS,
-  version: 0,
-};
-
 /** Jobs by id, runs by runner, and what each team has running. */
 export class JobTable {
   readonly #jobs = new Map<string, JobRecord>();
   readonly #open = new Set<JobRecord>();
-  readonly #loads = new Map<string, MutableLoad>();
-  readonly #usedByTeam = new Map<string, Amounts>();
+  readonly #loads = new RunnerLoads();
 
   /** Jobs that have not ended. */
   get open(): ReadonlySet<JobRecord> {
@@ -69,12 +36,12 @@
 
   /** Finds what runs in one lifetime of a runner. */
   findLoad(life: RunnerLife): RunnerLoad {
-    return this.#loads.get(formatRunnerLife(life)) ?? NO_LOAD;
+    return this.#loads.find(life);
   }
 
   /** Sums what a team has running over all runners. */
   findUsedByTeam(team: string): Amounts {
-    return this.#usedByTeam.get(team) ?? NO_AMOUNTS;
+    return this.#loads.findUsedByTeam(team);
   }
 
   /** Adds a job; a job that is known already stays as it is. */
@@ -113,7 +80,7 @@
     task.life = { runnerId, bornAtMs };
     task.changedAtMs = atMs;
     job.hasStarted = true;
-    this.#occupy(job, id, task);
+    this.#loads.occupy(job, id, task);
   }
 
   /** Records how a run ended; an end that is known already changes nothing. */
@@ -153,7 +120,7 @@
         maxAttempts: Infinity,
       }, atMs);
     }
-    this.#loads.delete(formatRunnerLife(life));
+    this.#loads.forget(life);
   }
 
   /** Forgets jobs that ended long ago. */
@@ -177,7 +144,7 @@
     for (const { task: id } of stored.tasks) {
       const task = job.findTask(id);
       if (task?.state === "running") {
-        this.#occupy(job, id, task);
+        this.#loads.occupy(job, id, task);
       }
     }
   }
@@ -227,23 +194,19 @@
     job.endedAtMs = atMs;
     this.#open.delete(job);
     for (const steps of job.occurrences) {
-      steps.forEach(({ tasks }) => this.#touch(tasks));
+      steps.forEach(({ tasks }) => this.#loads.touch(tasks));
     }
   }
 
+  #release(job: JobRecord, id: TaskId, task: TaskRecord): void {
+    this.#loads.release(job, id, task);
+    this.#touchGang(job, id);
+  }
+
   // A member that has ended makes the runs of its whole gang useless.
   #touchGang(job: JobRecord, id: TaskId): void {
     if (job.spec.steps[id.step]?.isGang) {
-      this.#touch(job.occurrences[id.occurrence]?.[id.step]?.tasks ?? []);
-    }
-  }
-
-  #touch(tasks: readonly TaskRecord[]): void {
-    for (const { life } of tasks) {
-      const load = life && this.#loads.get(formatRunnerLife(life));
-      if (load !== undefined) {
-        load.version += 1;
-      }
+      this.#loads.touch(job.occurrences[id.occurrence]?.[id.step]?.tasks ?? []);
     }
   }
 
@@ -259,58 +222,6 @@
       record.doneCount += doneChange;
     }
   }
-
-  #occupy(job: JobRecord, id: TaskId, task: TaskRecord): void {
-    const step = job.spec.steps[id.step];
-    if (step === undefined || task.life === undefined) {
-      return;
-    }
-    const key = formatRunnerLife(task.life);
-    const load = this.#loads.get(key) ??
-      { running: new Map<string, RunningTask>(), used: NO_AMOUNTS, version: 0 };
-    this.#loads.set(key, load);
-    load.version += 1;
-    load.running.set(formatTaskId(id), {
-      job,
-      id,
-      step,
-      runNumber: task.runNumber,
-      saved: task.saved,
-      life: task.life,
-      startedAtMs: task.changedAtMs,
-    });
-    load.used = addAmounts(load.used, findHeld(step));
-    this.#countTeam(job, step.needs, 1);
-  }
-
-  #release(job: JobRecord, id: TaskId, task: TaskRecord): void {
-    const step = job.spec.steps[id.step];
-    const load = task.life && this.#loads.get(formatRunnerLife(task.life));
-    task.life = undefined;
-    if (step !== undefined && load?.running.delete(formatTaskId(id))) {
-      load.used = addAmounts(load.used, findHeld(step), -1);
-      load.version += 1;
-      this.#touchGang(job, id);
-      this.#countTeam(job, step.needs, -1);
-    }
-  }
-
-  #countTeam(job: JobRecord, needs: Amounts, factor: number): void {
-    if (job.team !== undefined) {
-      const used = addAmounts(this.findUsedByTeam(job.team), needs, factor);
-      this.#usedByTeam.set(job.team, used);
-    }
-  }
-}
-
-/**
- * Finds what a task of a step holds of a runner's capacity.
- *
- * @param step - The step.
- * @returns Its needs, without processor for tasks that live on leftovers.
- */
-export function findHeld(step: JobStep): Amounts {
-  return step.usesLeftovers ? { ...step.needs, cpuMillicores: 0 } : step.needs;
 }
 
 function hasRunningTask(job: JobRecord): boolean {
