Split the runner's task, its orders and the fake runners by their jobs

No change of behaviour: single orders, names of runs and ends of runs stand in modules of their own, and the fake lifetime apart from the fake network.

--- a/src/services/scheduling/former_life.ts
+++ b/src/services/scheduling/former_life.ts
@@ -6,7 +6,7 @@
   SchedulingOperation,
 } from "../../domain/index.ts";
 import type { Logger, RunnerClient } from "../../ports/index.ts";
-import { formatRun } from "./run_orders.ts";
+import { formatRun } from "./run_name.ts";
 import type { RunnerStatus } from "./runner_status.ts";
 import type { SchedulingLog } from "./scheduling_log.ts";
 
--- a/src/services/scheduling/pace_task.ts
+++ b/src/services/scheduling/pace_task.ts
@@ -6,7 +6,7 @@
 } from "../../domain/index.ts";
 import type { PacePolicy } from "../../decisions/index.ts";
 import type { Clock, Logger, RunnerClient } from "../../ports/index.ts";
-import { formatRun } from "./run_orders.ts";
+import { formatRun } from "./run_name.ts";
 import type { RunnerFleet } from "./runner_fleet.ts";
 import type { SchedulingLog } from "./scheduling_log.ts";
 import { PACE_TICK_MS } from "./timing.ts";
--- /dev/null
+++ b/src/services/scheduling/run_commands.ts
@@ -0,0 +1,115 @@
+/** Single orders to one runner, under the lease of the leader. */
+import {
+  formatTaskId,
+  type Runner,
+  type RunningTask,
+  type TaskId,
+} from "../../domain/index.ts";
+import type {
+  Clock,
+  Logger,
+  RunName,
+  RunnerClient,
+  RunnerFailure,
+} from "../../ports/index.ts";
+import type { LeaseBound } from "./lease_bound.ts";
+import type { RunnerStatus } from "./runner_status.ts";
+import type { SchedulingLog } from "./scheduling_log.ts";
+
+/** Options of {@link RunCommands}. */
+export interface RunCommandsOptions {
+  readonly status: RunnerStatus;
+  readonly log: SchedulingLog;
+  readonly client: RunnerClient;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly fencingToken: number;
+  readonly lease: LeaseBound;
+  /** Finds the proof that a runner may run a task, where one is needed. */
+  readonly findTicket: (task: TaskId, runner: Runner) => string | undefined;
+  readonly findRunner: () => Runner;
+}
+
+/** Sends each order once, and logs those that are not confirmed. */
+export class RunCommands {
+  readonly #options: RunCommandsOptions;
+
+  constructor(options: RunCommandsOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Sends a start, with a lease, unless the runner is silent.
+   *
+   * @param run - The run.
+   * @returns Why it is not confirmed, or undefined.
+   */
+  async start(run: RunningTask): Promise<RunnerFailure | undefined> {
+    const { client, fencingToken, findRunner, findTicket } = this.#options;
+    const { lease, log, logger, status } = this.#options;
+    const leaseUntilMs = log.mayOrder && status.isAnswering
+      ? lease.grant()
+      : undefined;
+    if (leaseUntilMs === undefined) {
+      return {
+        message: "the runner is silent, or this leader's lease is over",
+      };
+    }
+    const runner = findRunner();
+    const started = await client.start(runner, {
+      task: run.id,
+      runNumber: run.runNumber,
+      text: run.job.spec.text,
+      leaseUntilMs,
+      fencingToken,
+      saved: run.saved,
+      ticket: findTicket(run.id, runner),
+    });
+    if (started.isOk) {
+      lease.observe(started.value.clockMs);
+      status.recordAnswer();
+      return undefined;
+    }
+    const failure = started.error;
+    logger.warn(
+      {
+        task: formatTaskId(run.id),
+        runNumber: run.runNumber,
+        runnerId: runner.runnerId,
+        failure,
+      },
+      "a start was not confirmed",
+    );
+    if (failure.refusal === undefined) {
+      status.recordSilence();
+    }
+    return failure;
+  }
+
+  /**
+   * Sends a stop.
+   *
+   * @param name - The run.
+   * @returns Whether it was confirmed.
+   */
+  async stop(name: RunName): Promise<boolean> {
+    const { client, fencingToken, findRunner, log, logger } = this.#options;
+    if (!log.mayOrder) {
+      return false;
+    }
+    const runner = findRunner();
+    const stopped = await client.stop(runner, name, fencingToken);
+    if (stopped.isErr) {
+      logger.warn(
+        {
+          task: formatTaskId(name.task),
+          runNumber: name.runNumber,
+          runnerId: runner.runnerId,
+          failure: stopped.error,
+        },
+        "a stop was not confirmed",
+      );
+    }
+    return stopped.isOk;
+  }
+}
--- a/src/services/scheduling/run_orders.ts
+++ b/src/services/scheduling/run_orders.ts
@@ -1,23 +1,13 @@
 /** Orders about the runs of one runner, each repeated until it is answered. */
 import {
   formatTaskId,
-  type Runner,
   type RunnerLoad,
   type RunningTask,
-  type TaskId,
 } from "../../domain/index.ts";
-import type {
-  Clock,
-  Logger,
-  RunName,
-  RunnerClient,
-  RunnerFailure,
-  RunReport,
-} from "../../ports/index.ts";
+import type { RunName, RunReport } from "../../ports/index.ts";
 import { type Notifier, type TaskGroup, waitFor } from "../../tasks/index.ts";
-import type { LeaseBound } from "./lease_bound.ts";
-import type { RunnerStatus } from "./runner_status.ts";
-import type { SchedulingLog } from "./scheduling_log.ts";
+import { RunCommands, type RunCommandsOptions } from "./run_commands.ts";
+import { formatRun } from "./run_name.ts";
 import { IDLE_LOOK_MS, MAX_START_ATTEMPTS, ORDER_RETRY_MS } from "./timing.ts";
 
 /** Refusals after which a start without earlier attempts never began. */
@@ -36,32 +26,24 @@
 }
 
 /** Options of {@link RunOrders}. */
-export interface RunOrdersOptions {
-  readonly status: RunnerStatus;
-  readonly log: SchedulingLog;
-  readonly client: RunnerClient;
-  readonly clock: Clock;
-  readonly logger: Logger;
+export interface RunOrdersOptions extends RunCommandsOptions {
   readonly tasks: TaskGroup;
   /** Notified when the runner's own load has changed. */
   readonly loadChanged: Notifier;
-  readonly fencingToken: number;
-  readonly lease: LeaseBound;
-  /** Finds the proof that a runner may run a task, where one is needed. */
-  readonly findTicket: (task: TaskId, runner: Runner) => string | undefined;
-  readonly findRunner: () => Runner;
   readonly findLoad: () => RunnerLoad;
 }
 
 /** Starts what the log places here, and stops what is no longer wanted. */
 export class RunOrders {
   readonly #options: RunOrdersOptions;
+  readonly #commands: RunCommands;
   readonly #orders = new Map<string, RunOrder>();
   /** Runs that the runner lists and the log does not place there. */
   readonly #strays = new Set<string>();
 
   constructor(options: RunOrdersOptions) {
     this.#options = options;
+    this.#commands = new RunCommands(options);
   }
 
   /** Whether runs are being stopped that the log does not know. */
@@ -176,7 +158,7 @@
     const { clock } = this.#options;
     let unansweredCount = 0;
     while (this.#isOpen(key, "starting", signal)) {
-      const failure = await this.#sendStart(run);
+      const failure = await this.#commands.start(run);
       if (signal.aborted || this.#orders.get(key)?.state !== "starting") {
         return;
       }
@@ -206,48 +188,6 @@
     }
   }
 
-  async #sendStart(run: RunningTask): Promise<RunnerFailure | undefined> {
-    const { client, fencingToken, findRunner, findTicket } = this.#options;
-    const { lease, log, logger, status } = this.#options;
-    const leaseUntilMs = log.mayOrder && status.isAnswering
-      ? lease.grant()
-      : undefined;
-    if (leaseUntilMs === undefined) {
-      return {
-        message: "the runner is silent, or this leader's lease is over",
-      };
-    }
-    const runner = findRunner();
-    const started = await client.start(runner, {
-      task: run.id,
-      runNumber: run.runNumber,
-      text: run.job.spec.text,
-      leaseUntilMs,
-      fencingToken,
-      saved: run.saved,
-      ticket: findTicket(run.id, runner),
-    });
-    if (started.isOk) {
-      lease.observe(started.value.clockMs);
-      status.recordAnswer();
-      return undefined;
-    }
-    const failure = started.error;
-    logger.warn(
-      {
-        task: formatTaskId(run.id),
-        runNumber: run.runNumber,
-        runnerId: runner.runnerId,
-        failure,
-      },
-      "a start was not confirmed",
-    );
-    if (failure.refusal === undefined) {
-      status.recordSilence();
-    }
-    return failure;
-  }
-
   async #close(
     run: RunningTask,
     key: string,
@@ -256,7 +196,7 @@
     const { clock } = this.#options;
     const name = { task: run.id, runNumber: run.runNumber };
     while (this.#isOpen(key, "closing", signal)) {
-      if (await this.#sendStop(name)) {
+      if (await this.#commands.stop(name)) {
         this.#settle(key, "closed", clock.monotonicMs());
         this.#options.loadChanged.notify();
         return;
@@ -269,32 +209,11 @@
     const { tasks, log } = this.#options;
     if (log.mayOrder) {
       tasks.start("stop a stray run", async () => {
-        await this.#sendStop(name);
+        await this.#commands.stop(name);
       });
     }
   }
 
-  async #sendStop(name: RunName): Promise<boolean> {
-    const { client, fencingToken, findRunner, log, logger } = this.#options;
-    if (!log.mayOrder) {
-      return false;
-    }
-    const runner = findRunner();
-    const stopped = await client.stop(runner, name, fencingToken);
-    if (stopped.isErr) {
-      logger.warn(
-        {
-          task: formatTaskId(name.task),
-          runNumber: name.runNumber,
-          runnerId: runner.runnerId,
-          failure: stopped.error,
-        },
-        "a stop was not confirmed",
-      );
-    }
-    return stopped.isOk;
-  }
-
   #isOpen(key: string, state: RunOrder["state"], signal: AbortSignal): boolean {
     return !signal.aborted && this.#orders.get(key)?.state === state;
   }
@@ -309,8 +228,3 @@
     this.#orders.set(key, { state, settledAtMs: atMs });
   }
 }
-
-/** Formats the name of a run. */
-export function formatRun({ task, runNumber }: RunName): string {
-  return `${formatTaskId(task)}#${runNumber}`;
-}
--- a/src/services/scheduling/runner_task.ts
+++ b/src/services/scheduling/runner_task.ts
@@ -10,9 +10,7 @@
 } from "../../domain/index.ts";
 import type {
   Clock,
-  EndReport,
   Logger,
-  RunName,
   RunnerClient,
   RunnerFailure,
   RunnerReport,
@@ -20,7 +18,8 @@
 import { Notifier, type TaskGroup, waitFor } from "../../tasks/index.ts";
 import { closeFormerLife } from "./former_life.ts";
 import { LeaseBound } from "./lease_bound.ts";
-import { formatRun, RunOrders } from "./run_orders.ts";
+import { RunEnds } from "./run_ends.ts";
+import { RunOrders } from "./run_orders.ts";
 import type { RunnerStatus } from "./runner_status.ts";
 import type { SchedulingLog } from "./scheduling_log.ts";
 import {
@@ -33,9 +32,6 @@
   PROPOSE_RETRY_MS,
 } from "./timing.ts";
 
-/** Rows of ends in one report after which there may be more. */
-const MAX_REPORTED_ENDS = 500;
-
 /** Options of {@link RunnerTask}. */
 export interface RunnerTaskOptions {
   readonly runner: Runner;
@@ -62,6 +58,7 @@
   readonly #options: RunnerTaskOptions;
   readonly #lease: LeaseBound;
   readonly #orders: RunOrders;
+  readonly #ends: RunEnds;
   /** Position up to which ends are recorded in the log. */
   #recordedUpTo = 0;
   /** Position that the runner was told. */
@@ -74,6 +71,11 @@
     this.#runner = options.runner;
     this.status = options.status;
     this.#lease = new LeaseBound(options.clock);
+    this.#ends = new RunEnds({
+      ...options,
+      findRunner: () => this.#runner,
+      findLoad: () => this.#load,
+    });
     this.#orders = new RunOrders({
       ...options,
       lease: this.#lease,
@@ -202,8 +204,11 @@
     );
     this.#orders.takeRunning(report.running);
     const operations = [
-      ...this.#listEnds(report.ended),
-      ...this.#listVanished(report, sentAtMs),
+      ...this.#ends.listReported(report.ended),
+      ...this.#ends.listVanished(
+        report,
+        this.#orders.listSettledBefore(sentAtMs),
+      ),
     ];
     if (operations.length > 0 && !await this.#record(operations, signal)) {
       return;
@@ -220,61 +225,6 @@
     await clock.sleep(isIdle ? 1 : END_BATCH_MS, signal);
   }
 
-  #listEnds(ended: readonly EndReport[]): SchedulingOperation[] {
-    const operations: SchedulingOperation[] = [];
-    for (const { task, runNumber, how, saved } of ended) {
-      const run = this.#findRun({ task, runNumber });
-      if (run !== undefined) {
-        operations.push(this.#createEnd(run, how, saved));
-      }
-    }
-    return operations;
-  }
-
-  // A run that was there or can no longer begin, and is in neither list, is
-  // over without a trace.
-  #listVanished(
-    report: RunnerReport,
-    sentAtMs: number,
-  ): SchedulingOperation[] {
-    if (report.ended.length >= MAX_REPORTED_ENDS) {
-      return [];
-    }
-    const known = new Set([...report.running, ...report.ended].map(formatRun));
-    return this.#orders.listSettledBefore(sentAtMs)
-      .filter((run) => !known.has(formatRun({ task: run.id, ...run })))
-      .map((run) => this.#createEnd(run, "lost", ""));
-  }
-
-  #findRun({ task, runNumber }: RunName): RunningTask | undefined {
-    const run = this.#load.running.get(formatTaskId(task));
-    return run?.runNumber === runNumber ? run : undefined;
-  }
-
-  #createEnd(
-    run: RunningTask,
-    how: EndReport["how"],
-    saved: string,
-  ): SchedulingOperation {
-    this.#options.logger.info(
-      {
-        task: formatTaskId(run.id),
-        runNumber: run.runNumber,
-        runnerId: this.#runner.runnerId,
-        how,
-      },
-      "a run ended",
-    );
-    return {
-      type: "end",
-      task: run.id,
-      runNumber: run.runNumber,
-      how,
-      saved,
-      maxAttempts: this.#options.findMaxAttempts(run),
-    };
-  }
-
   async #record(
     operations: readonly SchedulingOperation[],
     signal: AbortSignal,
--- a/src/services/scheduling/scheduling_histories_test.ts
+++ b/src/services/scheduling/scheduling_histories_test.ts
@@ -6,7 +6,7 @@
 import { jobStepSchema } from "../../domain/index.ts";
 import { describe, it } from "../../testing/describe.ts";
 import { FakeClock } from "../../testing/fake_clock.ts";
-import type { RunSpan } from "../../testing/fake_runners.ts";
+import type { RunSpan } from "../../testing/fake_runner_life.ts";
 import { SchedulingWorld } from "../../testing/scheduling_world.ts";
 
 const SEED = Number(process.env["SEED"] ?? 20_263);
--- a/src/services/scheduling/wave_task.ts
+++ b/src/services/scheduling/wave_task.ts
@@ -8,7 +8,7 @@
 } from "../../decisions/index.ts";
 import type { Clock, ListedVm, Logger, VmControl } from "../../ports/index.ts";
 import { type Notifier, waitFor } from "../../tasks/index.ts";
-import { formatRun } from "./run_orders.ts";
+import { formatRun } from "./run_name.ts";
 import type { RunnerFleet } from "./runner_fleet.ts";
 import type { SchedulingLog } from "./scheduling_log.ts";
 import { WAVE_TICK_MS } from "./timing.ts";
