Count tasks on silent runners as away before another is moved

Ruled out: a second move of the wave (the one before was back at full work). Change: progress counts only of runners that answer and were heard lately.

--- a/src/services/scheduling/runner_status.ts
+++ b/src/services/scheduling/runner_status.ts
@@ -37,6 +37,17 @@
       this.silenceMs < SIGN_OF_LIFE_MS;
   }
 
+  /**
+   * Finds the progress of a task as far as it is known now: what a silent
+   * runner last said is no sign that the task is still at work.
+   *
+   * @param task - Formatted task id.
+   * @returns Percent; 0 when nothing is known.
+   */
+  findPercent(task: string): number {
+    return this.isSound ? this.progress.get(task) ?? 0 : 0;
+  }
+
   /** Takes note of an announcement. */
   recordSign(): void {
     this.#signMs = this.#clock.monotonicMs();
--- a/src/services/scheduling/wave_task.ts
+++ b/src/services/scheduling/wave_task.ts
@@ -47,7 +47,7 @@
       findPercent: (run) =>
         this.#evicted.has(formatRun({ task: run.id, ...run }))
           ? 0
-          : fleet.findStatus(run.life)?.progress.get(formatTaskId(run.id)) ?? 0,
+          : fleet.findStatus(run.life)?.findPercent(formatTaskId(run.id)) ?? 0,
     });
   }
 
