Make an entry ready only once it can hand out permits

Cause of the red rolling restart: an entry that leads itself answers /readyz with 200 as soon as its configuration is fresh, but its permit coordinator counts what runs for 1 s after the first report and then needs one announcement of each backend server. In planned_stop_test a backend server announces to each entry once a second, so the first slot may open 2 s after the start: just as long as a request may wait (maxWaitMs, 2,000 ms). Requests that came with readiness lost that race now and then.

Ruled out: the stop itself (both refusals said notRun and named a new coordinator), a change of leader (each entry of the test leads itself).

Change: /readyz stays 503 with its own reason until one coordinator has counted; it stays 200 in later changes of coordinator, which concern all entries alike. The test of /readyz on a fresh entry waits for readiness now instead of asking at once.

--- a/src/adapters/http/health_routes.ts
+++ b/src/adapters/http/health_routes.ts
@@ -11,6 +11,8 @@
   readonly metrics: PrometheusMetrics;
   /** Tells whether the entry has begun its planned stop. */
   readonly isStopping: () => boolean;
+  /** Tells whether the entry has been able to hand out permits yet. */
+  readonly hasSettled: () => boolean;
 }
 
 /**
@@ -49,5 +51,11 @@
   }
   const isFresh =
     options.agreement.status().freshUntilMs > options.clock.monotonicMs();
-  return isFresh ? undefined : "the entry cannot vouch for its configuration";
+  if (!isFresh) {
+    return "the entry cannot vouch for its configuration";
+  }
+  // Requests sent now would only wait, many of them past their deadlines.
+  return options.hasSettled()
+    ? undefined
+    : "the permit coordinator is still counting what runs";
 }
--- a/src/adapters/http/surface_test.ts
+++ b/src/adapters/http/surface_test.ts
@@ -321,6 +321,7 @@
 
   describe("balancer and scraper", () => {
     it("answers /healthz, /readyz and /metrics without a key", async () => {
+      await entry.waitUntilReady();
       for (const path of ["/healthz", "/readyz", "/metrics"]) {
         const answer = await entry.send({ method: "GET", path });
         assert.is(answer.status, 200, path);
--- a/src/daemon/create_front.ts
+++ b/src/daemon/create_front.ts
@@ -62,6 +62,6 @@
   addOperatorRoutes(server, { ...context, operators, explainer });
   addPlanRoutes(server, { operators, plans });
   addEntryRoutes(server, { operators, entries: context.entries });
-  addHealthRoutes(server, { ...context, isStopping });
+  addHealthRoutes(server, { ...context, ...permitParts, isStopping });
   return server;
 }
--- a/src/daemon/create_permits.ts
+++ b/src/daemon/create_permits.ts
@@ -20,6 +20,8 @@
   readonly directory: BackendDirectory;
   readonly permits: PermitSource;
   readonly coordinator: PermitCoordinator;
+  /** Tells whether this entry has been able to hand out permits yet. */
+  readonly hasSettled: () => boolean;
 }
 
 /**
@@ -60,5 +62,10 @@
       directory.forgetSilent(FORGET_BACKEND_MS);
     }
   });
-  return { directory, permits: source, coordinator };
+  return {
+    directory,
+    permits: source,
+    coordinator,
+    hasSettled: () => source.view.hasSettled,
+  };
 }
--- a/src/services/permits/coordinator_view.ts
+++ b/src/services/permits/coordinator_view.ts
@@ -11,6 +11,7 @@
   #reply: PermitReply | undefined;
   #repliedAtMs = 0;
   #isReachable = true;
+  #hasSettled = false;
   /** What teams hold in excess and have not given up yet, in permits. */
   readonly #owedByTeam = new Map<string, number>();
   #askedAtMs: number | undefined;
@@ -30,6 +31,14 @@
     return this.#reply;
   }
 
+  /**
+   * Whether any coordinator had counted what runs since this entry started;
+   * stays true, as a later change of coordinator concerns all entries.
+   */
+  get hasSettled(): boolean {
+    return this.#hasSettled;
+  }
+
   /** Local monotonic time at which the last answer arrived. */
   get repliedAtMs(): number {
     return this.#repliedAtMs;
@@ -110,6 +119,7 @@
     this.#reply = reply;
     this.#repliedAtMs = nowMs;
     this.#leaseUntilMs = askedAtMs + reply.leaseMs;
+    this.#hasSettled ||= !reply.takingOver;
   }
 
   /**
--- a/src/testing/entry_fixture.ts
+++ b/src/testing/entry_fixture.ts
@@ -3,9 +3,13 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { request } from "undici";
+import { SystemClock } from "../adapters/clock/index.ts";
 import { createEntry, validateSettings } from "../daemon/index.ts";
 import { FakeLogger } from "./fake_ports.ts";
 
+const READY_DEADLINE_MS = 5_000;
+const POLL_INTERVAL_MS = 50;
+
 /** A request of a test. */
 export interface TestRequest {
   readonly method: string;
@@ -30,6 +34,8 @@
   readonly operatorKey: string;
   readonly logger: FakeLogger;
   send(request: TestRequest): Promise<TestAnswer>;
+  /** Waits until `/readyz` answers 200, for at most some seconds. */
+  waitUntilReady(): Promise<void>;
   stop(): Promise<void>;
 }
 
@@ -65,6 +71,7 @@
     operatorKey: operatorKey.trim(),
     logger,
     send: (testRequest) => send(url, testRequest),
+    waitUntilReady: () => waitUntilReady(url),
     stop: async () => {
       await entry.stop();
       await rm(folder, { recursive: true });
@@ -72,6 +79,18 @@
   };
 }
 
+async function waitUntilReady(url: string): Promise<void> {
+  const clock = new SystemClock();
+  const deadlineMs = clock.monotonicMs() + READY_DEADLINE_MS;
+  while (clock.monotonicMs() < deadlineMs) {
+    const { status } = await send(url, { method: "GET", path: "/readyz" });
+    if (status === 200) {
+      return;
+    }
+    await clock.sleep(POLL_INTERVAL_MS);
+  }
+}
+
 async function send(
   url: string,
   testRequest: TestRequest,
