Bound the log under load and never wait for its reader

Cause: bunyan wrote each line to standard output, which blocks the event loop while a pipe is full; a flood of refusals wrote a line each. A hanging reader of the logs could so stop a leader.

Change: lines go through a queue that writes in batches outside the event loop and drops, with a count, what exceeds 256 KiB; of each message at most logLinesPerSecond lines (200) are written a second, the next one says how many were left out (omittedCount).

Ruled out: non-blocking standard output through node's own handle, which is not part of its interface.

--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -2,12 +2,15 @@
 /** The daemon `cardamomsilld`. */
 import process from "node:process";
 import { Builtins, Cli, Command, Option } from "clipanion";
-import { createBunyanLogger } from "../adapters/logging/index.ts";
+import { SystemClock } from "../adapters/clock/index.ts";
+import { createProcessLogger } from "../adapters/logging/index.ts";
 import { type Failure, findAnswer } from "../domain/index.ts";
 import { createEntry } from "./create_entry.ts";
 import { loadSettings } from "./settings/index.ts";
 
 const FATAL_EXIT_CODE = 8;
+/** How long the last lines of the log may take at a stop, in milliseconds. */
+const LOG_FLUSH_MS = 500;
 
 class RunCommand extends Command {
   static override usage = Command.Usage({
@@ -28,11 +31,14 @@
     if (settings.isErr) {
       return this.#refuse(settings.error);
     }
-    const logger = createBunyanLogger({
+    const { entryId, logLevel, logLinesPerSecond } = settings.value;
+    const log = createProcessLogger({
       name: "cardamomsilld",
-      level: settings.value.logLevel,
-    })
-      .child({ entryId: settings.value.entryId });
+      level: logLevel,
+      maxLinesPerSecond: logLinesPerSecond,
+      clock: new SystemClock(),
+    });
+    const logger = log.logger.child({ entryId });
     const onFatal = (failure: Failure) => {
       logger.error({ failure }, "the entry ends: its disk cannot be trusted");
       process.exit(FATAL_EXIT_CODE);
@@ -49,6 +55,7 @@
     logger.info({ signalName }, "the entry stops");
     await entry.value.stop();
     logger.info({}, "the entry has stopped");
+    await log.stream.flush(LOG_FLUSH_MS);
     return 0;
   }
 
--- a/src/daemon/settings/settings_schema.ts
+++ b/src/daemon/settings/settings_schema.ts
@@ -59,6 +59,11 @@
   /** Address of the platform; null when the platform is not driven. */
   platformUrl: v.optional(v.nullable(v.pipe(v.string(), v.url())), null),
   logLevel: v.optional(v.picklist(["debug", "info", "warn", "error"]), "info"),
+  /** Lines of one message that the log takes in a second; more are counted. */
+  logLinesPerSecond: v.optional(
+    v.pipe(v.number(), v.integer(), v.minValue(1)),
+    200,
+  ),
   /** How long a planned stop serves on with readiness refused, in milliseconds. */
   readinessGraceMs: v.optional(
     v.pipe(v.number(), v.minValue(0)),
