Serve scheduling metrics, and log at entries how each call was answered

Cause: the processes on the users' platform exposed no metrics, and an entry wrote no line for a call that it refused itself: a caller's 504 left no trace unless the leader had seen the call.

Change: histograms of calls (by action and outcome), of waits, runs and whole jobs by team and queue, gauges of open jobs and runners at the leader, dropped log lines; on port 9102 of each machine.

Weighed: measuring in each service that ends or starts something, against one meter at the proposal of changes. The meter sees them all in one place and records only what was accepted.

--- a/src/daemon/scheduling/create_scheduling_controller.ts
+++ b/src/daemon/scheduling/create_scheduling_controller.ts
@@ -16,6 +16,7 @@
   LeaderCaller,
   LeadTerm,
   OperationsService,
+  RecordingOperationMeter,
   SchedulingLog,
 } from "../../services/scheduling/index.ts";
 import { Notifier } from "../../tasks/index.ts";
@@ -24,6 +25,7 @@
   type SchedulingBase,
   type SchedulingProcessOptions,
 } from "./scheduling_base.ts";
+import { serveMetrics } from "./serve_metrics.ts";
 import { type LeaderParts, startLeading } from "./start_leading.ts";
 
 /** Options of {@link createSchedulingController}. */
@@ -61,16 +63,17 @@
 export async function createSchedulingController(
   options: SchedulingControllerOptions,
 ): Promise<Result<SchedulingController, Failure>> {
-  const base = createSchedulingBase(options);
+  let leading: LeaderParts | undefined;
+  const base = createSchedulingBase(options, () => leading?.readGauges());
   const loaded = await loadReplica(base, options);
   if (loaded.isErr) {
     return Result.err(loaded.error);
   }
   const replica = loaded.value;
   const { clock, logger, network, tasks } = base;
-  const log = new SchedulingLog({ agreement: replica, clock });
+  const meter = new RecordingOperationMeter(base.metrics);
+  const log = new SchedulingLog({ agreement: replica, clock, meter });
   const changed = new Notifier();
-  let leading: LeaderParts | undefined;
   const handlers = addSchedulingHandlers({
     network,
     agreement: replica,
@@ -101,6 +104,7 @@
       leading = undefined;
     },
   });
+  await serveMetrics(base);
   await network.start();
   replica.start(tasks);
   tasks.startForever(
--- a/src/daemon/scheduling/create_scheduling_entry.ts
+++ b/src/daemon/scheduling/create_scheduling_entry.ts
@@ -1,14 +1,19 @@
 /** Composes an entry that passes callers' jobs to the leader. */
-import { LeaderCaller, LeaderWatch } from "../../services/scheduling/index.ts";
+import {
+  CallDesk,
+  LeaderCaller,
+  LeaderWatch,
+} from "../../services/scheduling/index.ts";
 import {
   createSchedulingBase,
   type SchedulingBase,
   type SchedulingProcessOptions,
 } from "./scheduling_base.ts";
+import { serveMetrics } from "./serve_metrics.ts";
 
 /** A running entry, without the interface that callers use. */
 export interface SchedulingEntry extends SchedulingBase {
-  readonly leader: LeaderCaller;
+  readonly calls: CallDesk;
   readonly watch: LeaderWatch;
 }
 
@@ -17,12 +22,13 @@
  *
  * @param options - Identity, peers and logger.
  */
-export function createSchedulingEntry(
+export async function createSchedulingEntry(
   options: SchedulingProcessOptions,
-): SchedulingEntry {
+): Promise<SchedulingEntry> {
   const base = createSchedulingBase(options);
   const leader = new LeaderCaller({ ...base, controllerIds: options.seedIds });
   const watch = new LeaderWatch({ ...base, leader });
   base.tasks.startForever("leader watch", (signal) => watch.run(signal));
-  return { ...base, leader, watch };
+  await serveMetrics(base);
+  return { ...base, calls: new CallDesk({ ...base, leader }), watch };
 }
--- a/src/daemon/scheduling/scheduling_base.ts
+++ b/src/daemon/scheduling/scheduling_base.ts
@@ -1,9 +1,15 @@
 /** What the processes of a scheduling deployment share. */
 import { SystemClock } from "../../adapters/clock/index.ts";
+import { PrometheusSchedulingMetrics } from "../../adapters/metrics/prometheus_scheduling_metrics.ts";
 import { SilentMetrics } from "../../adapters/metrics/silent_metrics.ts";
 import { TcpPeerNetwork } from "../../adapters/peer/index.ts";
 import { SeededRandom } from "../../adapters/random/index.ts";
-import type { Clock, Logger, Random } from "../../ports/index.ts";
+import type {
+  Clock,
+  Logger,
+  Random,
+  SchedulingGauges,
+} from "../../ports/index.ts";
 import { TaskGroup } from "../../tasks/index.ts";
 
 /**
@@ -13,6 +19,12 @@
  */
 const OPEN_SECRET = "cardamomsill-without-a-secret";
 
+/** Host and port of a server. */
+export interface ListenAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
 /** Options of one process. */
 export interface SchedulingProcessOptions {
   /** Address of the machine, by which its peers find it. */
@@ -22,6 +34,10 @@
   /** Addresses of controllers that are known from the settings. */
   readonly seedIds: readonly string[];
   readonly logger: Logger;
+  /** Where metrics are served; absent for nowhere. */
+  readonly metricsAddress?: ListenAddress | undefined;
+  /** Reads how many lines of the log were dropped. */
+  readonly readDroppedLineCount: () => number;
 }
 
 /** Adapters that every process uses. */
@@ -30,15 +46,18 @@
   readonly random: Random;
   readonly tasks: TaskGroup;
   readonly network: TcpPeerNetwork;
+  readonly metrics: PrometheusSchedulingMetrics;
 }
 
 /**
  * Creates the adapters.
  *
  * @param options - Identity, peers and logger.
+ * @param readGauges - Reads what the process keeps while it leads.
  */
 export function createSchedulingBase(
   options: SchedulingProcessOptions,
+  readGauges: () => SchedulingGauges | undefined = () => undefined,
 ): SchedulingBase {
   const { entryId, peerPort, logger } = options;
   const clock = new SystemClock();
@@ -61,5 +80,6 @@
     random: SeededRandom.fromMachine(),
     tasks,
     network,
+    metrics: new PrometheusSchedulingMetrics({ ...options, readGauges }),
   };
 }
--- a/src/daemon/scheduling/start_leading.ts
+++ b/src/daemon/scheduling/start_leading.ts
@@ -8,12 +8,13 @@
   SlackOrderPolicy,
   StartPlanner,
 } from "../../decisions/index.ts";
-import type { Runner } from "../../domain/index.ts";
+import type { JobState, Runner } from "../../domain/index.ts";
 import type {
   AdviceClient,
   Clock,
   Logger,
   RunnerClient,
+  SchedulingGauges,
   VmControl,
 } from "../../ports/index.ts";
 import {
@@ -47,6 +48,7 @@
 /** What others need of a leader. */
 export interface LeaderParts {
   readonly registry: RunnerRegistry;
+  readonly readGauges: () => SchedulingGauges;
 }
 
 /**
@@ -110,5 +112,27 @@
       group.startForever(name, (signal) => part.run(signal));
     }
   }
-  return { registry: new RunnerRegistry({ ...options, client, fleet }) };
+  return {
+    registry: new RunnerRegistry({ ...options, client, fleet }),
+    readGauges: () => readGauges(options, fleet),
+  };
+}
+
+function readGauges(
+  { fencingToken, log }: StartLeadingOptions,
+  fleet: RunnerFleet,
+): SchedulingGauges {
+  const openJobCounts = new Map<JobState, number>([
+    ["queued", 0],
+    ["running", 0],
+  ]);
+  for (const { state } of log.state.jobs.open) {
+    openJobCounts.set(state, (openJobCounts.get(state) ?? 0) + 1);
+  }
+  return {
+    term: fencingToken,
+    catalogVersion: log.state.catalog.version,
+    openJobCounts,
+    runnerCounts: fleet.countConditions(),
+  };
 }
--- a/src/ports/index.ts
+++ b/src/ports/index.ts
@@ -11,5 +11,6 @@
 export * from "./platform.ts";
 export * from "./random.ts";
 export * from "./runner_client.ts";
+export * from "./scheduling_metrics.ts";
 export * from "./secrets.ts";
 export * from "./vm_control.ts";
--- /dev/null
+++ b/src/services/scheduling/call_desk.ts
@@ -0,0 +1,70 @@
+/** Calls about jobs, as an entry passes them to the leader. */
+import type { Result } from "true-myth";
+import { type Failure, validateWith } from "../../domain/index.ts";
+import type { Clock, Logger, SchedulingMetrics } from "../../ports/index.ts";
+import {
+  type JobCall,
+  type JobCallAnswer,
+  jobCallAnswerSchema,
+} from "./job_service.ts";
+import type { LeaderCaller } from "./leader_caller.ts";
+import { SCHEDULING_METHODS } from "./scheduling_handlers.ts";
+
+/** Options of {@link CallDesk}. */
+export interface CallDeskOptions {
+  readonly leader: LeaderCaller;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: SchedulingMetrics;
+}
+
+/** Passes each call on, and logs and measures how it was answered. */
+export class CallDesk {
+  readonly #options: CallDeskOptions;
+
+  constructor(options: CallDeskOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Answers a call.
+   *
+   * @param call - The call.
+   * @param waitMs - Time for the leader's answer (ms).
+   * @returns The leader's answer, or the failure by kind.
+   */
+  async answer(
+    call: JobCall,
+    waitMs: number,
+  ): Promise<Result<JobCallAnswer, Failure>> {
+    const { clock, leader } = this.#options;
+    const startedMs = clock.monotonicMs();
+    const body = await leader.call(SCHEDULING_METHODS.job, call, waitMs);
+    const answered = body.andThen((value) =>
+      validateWith(jobCallAnswerSchema, value, {
+        subject: "answer of the leader",
+        kind: "internal",
+      })
+    );
+    this.#record(call, answered, clock.monotonicMs() - startedMs);
+    return answered;
+  }
+
+  #record(
+    { action, host, path, requestId }: JobCall,
+    answered: Result<JobCallAnswer, Failure>,
+    tookMs: number,
+  ): void {
+    const { leader, logger, metrics } = this.#options;
+    const { leaderId } = leader;
+    const fields = { requestId, action, host, path, leaderId, tookMs };
+    const outcome = answered.isOk ? "answered" : answered.error.kind;
+    metrics.recordCall({ action, outcome, tookMs });
+    if (answered.isErr) {
+      const { kind, message } = answered.error;
+      logger.info({ ...fields, kind, reason: message }, "refused a caller");
+    } else if (action !== "read") {
+      logger.info({ ...fields, ...answered.value }, "answered a caller");
+    }
+  }
+}
--- /dev/null
+++ b/src/services/scheduling/call_desk_test.ts
@@ -0,0 +1,68 @@
+import { Result } from "true-myth";
+import * as assert from "uvu/assert";
+import { createFailure, type Failure } from "../../domain/index.ts";
+import type { CallMeasurement } from "../../ports/index.ts";
+import { describe, it } from "../../testing/describe.ts";
+import { FakeClock } from "../../testing/fake_clock.ts";
+import { FakeLogger } from "../../testing/fake_ports.ts";
+import { CallDesk } from "./call_desk.ts";
+import type { JobCall } from "./job_service.ts";
+import { LeaderCaller } from "./leader_caller.ts";
+
+const CALL: JobCall = {
+  action: "submit",
+  host: "h",
+  path: "/q/0123456789abcdef",
+  requestId: "request-1",
+};
+const WAIT_MS = 500;
+
+function setUp(answer: Result<unknown, Failure>) {
+  const clock = new FakeClock();
+  const logger = new FakeLogger();
+  const calls: CallMeasurement[] = [];
+  const network = {
+    handle: () => undefined,
+    call: () => Promise.resolve(answer),
+  };
+  const leader = new LeaderCaller({ network, clock, controllerIds: ["c1"] });
+  const metrics = {
+    recordCall: (call: CallMeasurement) => calls.push(call),
+    recordWait: () => undefined,
+    recordRun: () => undefined,
+    recordJob: () => undefined,
+  };
+  const desk = new CallDesk({ leader, clock, logger, metrics });
+  return { clock, logger, calls, desk };
+}
+
+describe("call desk", () => {
+  it("logs what a submit was answered, by its request id", async () => {
+    const { calls, desk, logger } = setUp(Result.ok({ state: "queued" }));
+    const answered = await desk.answer(CALL, WAIT_MS);
+    assert.is(answered.isOk, true);
+    const [line] = logger.lines;
+    assert.is(line?.message, "answered a caller");
+    assert.is(line?.fields["requestId"], "request-1");
+    assert.is(line?.fields["leaderId"], "c1");
+    assert.equal(calls.map(({ outcome }) => outcome), ["answered"]);
+  });
+
+  it("logs why a caller was refused, also without a leader", async () => {
+    const failure = createFailure("notLeader", "c1 does not lead");
+    const { calls, clock, desk, logger } = setUp(Result.err(failure));
+    const answer = desk.answer(CALL, WAIT_MS);
+    await clock.runUntil(answer, 2 * WAIT_MS);
+    const [line] = logger.lines;
+    assert.is(line?.message, "refused a caller");
+    assert.is(line?.fields["kind"], "notLeader");
+    assert.ok(Number(line?.fields["tookMs"]) >= WAIT_MS);
+    assert.equal(calls.map(({ outcome }) => outcome), ["notLeader"]);
+  });
+
+  it("does not take an unreadable answer of the leader", async () => {
+    const { desk } = setUp(Result.ok({ state: "unheard of" }));
+    const answered = await desk.answer(CALL, WAIT_MS);
+    assert.is(answered.isErr && answered.error.kind, "internal");
+  });
+});
--- a/src/services/scheduling/job_service.ts
+++ b/src/services/scheduling/job_service.ts
@@ -5,10 +5,10 @@
   createFailure,
   type Failure,
   findJobFault,
+  JOB_STATES,
   type JobQueue,
   type JobSpec,
   jobSpecSchema,
-  type JobState,
   validateWith,
 } from "../../domain/index.ts";
 import type { Logger } from "../../ports/index.ts";
@@ -29,12 +29,15 @@
 /** A call about a job or a queue, free of any encoding. */
 export type JobCall = v.InferOutput<typeof jobCallSchema>;
 
-/** The answer to a call about a job or a queue. */
-export interface JobCallAnswer {
-  readonly state?: JobState;
+/** Schema of {@link JobCallAnswer}. */
+export const jobCallAnswerSchema = v.object({
+  state: v.optional(v.picklist(JOB_STATES)),
   /** Accepted jobs of the queue of which no task has started. */
-  readonly pendingCount?: number;
-}
+  pendingCount: v.optional(v.number()),
+});
+
+/** The answer to a call about a job or a queue. */
+export type JobCallAnswer = v.InferOutput<typeof jobCallAnswerSchema>;
 
 /** Options of {@link JobService}. */
 export interface JobServiceOptions {
--- /dev/null
+++ b/src/services/scheduling/operation_meter_test.ts
@@ -0,0 +1,126 @@
+import * as assert from "uvu/assert";
+import * as v from "valibot";
+import {
+  jobStepSchema,
+  type RunEnd,
+  type Runner,
+  type SchedulingOperation,
+  SchedulingState,
+} from "../../domain/index.ts";
+import { describe, it } from "../../testing/describe.ts";
+import { RecordingOperationMeter } from "./operation_meter.ts";
+
+const JOB_ID = "0123456789abcdef";
+const LIFE = { runnerId: "r1", bornAtMs: 1 };
+const RUNNER: Runner = {
+  ...LIFE,
+  address: "127.0.0.1:1",
+  pool: "bay",
+  zone: "zone-a",
+  capacity: { cpuMillicores: 1_000, memoryMb: 100, gpuCount: 0 },
+  rack: "r1",
+  labels: [],
+  isDraining: false,
+};
+
+function setUp() {
+  const seen: string[] = [];
+  const meter = new RecordingOperationMeter({
+    recordCall: () => undefined,
+    recordWait: ({ team, queue }, waitMs) =>
+      seen.push(`wait ${team}/${queue} ${waitMs}`),
+    recordRun: (_labels, how, runMs) => seen.push(`run ${how} ${runMs}`),
+    recordJob: (_labels, outcome, totalMs) =>
+      seen.push(`job ${outcome} ${totalMs}`),
+  });
+  const state = new SchedulingState();
+  const play = (atMs: number, ...operations: SchedulingOperation[]) => {
+    const record = meter.begin(operations, state, atMs);
+    state.apply({ type: "scheduling", atMs, operations });
+    record();
+  };
+  play(900, { type: "runner", runner: RUNNER });
+  play(1_000, {
+    type: "accept",
+    spec: {
+      jobId: JOB_ID,
+      text: "",
+      steps: [v.parse(jobStepSchema, {
+        taskCount: 2,
+        needs: { cpuMillicores: 100 },
+      })],
+    },
+    queue: "q",
+    pool: "bay",
+    team: "team",
+    maxAttempts: 2,
+  });
+  return { meter, state, seen, play };
+}
+
+function start(index: number, runNumber = 1): SchedulingOperation {
+  const task = { jobId: JOB_ID, occurrence: 0, step: 0, index };
+  return { type: "start", task, runNumber, ...LIFE };
+}
+
+function end(index: number, how: RunEnd, runNumber = 1): SchedulingOperation {
+  const task = { jobId: JOB_ID, occurrence: 0, step: 0, index };
+  return { type: "end", task, runNumber, how, saved: "", maxAttempts: 2 };
+}
+
+describe("operation meter", () => {
+  it("records one wait, each run and the end of a job", () => {
+    const { seen, play } = setUp();
+    play(1_200, start(0), start(1));
+    play(1_500, end(0, "done"));
+    play(1_700, end(1, "failed"), start(1, 2));
+    play(2_000, end(1, "done", 2));
+    assert.equal(seen, [
+      "wait team/q 200",
+      "run done 300",
+      "run failed 500",
+      "run done 300",
+      "job completed 1000",
+    ]);
+  });
+
+  it("records an end once although runners list it again", () => {
+    const { seen, play } = setUp();
+    play(1_200, start(0), start(1));
+    play(1_500, end(0, "done"));
+    play(1_600, end(0, "done"));
+    assert.equal(seen.slice(1), ["run done 300"]);
+  });
+
+  it("records the runs that are lost with their runner", () => {
+    const { seen, play } = setUp();
+    play(1_200, start(0), start(1));
+    play(1_900, { type: "runnerGone", ...LIFE });
+    assert.equal(seen.slice(1), ["run lost 700", "run lost 700"]);
+  });
+
+  it("records a cancelled job", () => {
+    const { seen, play } = setUp();
+    play(1_400, { type: "cancel", jobId: JOB_ID });
+    assert.equal(seen, ["job cancelled 400"]);
+  });
+
+  it("records nothing of a batch that was not accepted", () => {
+    const { meter, state, seen } = setUp();
+    meter.begin([start(0)], state, 1_200);
+    assert.equal(seen, []);
+  });
+
+  it("records the end of a job once when batches overlap", () => {
+    const { meter, state, seen, play } = setUp();
+    play(1_200, start(0), start(1));
+    seen.length = 0;
+    const first = meter.begin([end(0, "done")], state, 1_500);
+    const second = meter.begin([end(1, "done")], state, 1_500);
+    const operations = [end(0, "done"), end(1, "done")];
+    state.apply({ type: "scheduling", atMs: 1_500, operations });
+    first();
+    second();
+    assert.equal(seen, ["run done 300", "job completed 500", "run done 300"]);
+  });
+});
--- a/src/services/scheduling/runner_fleet.ts
+++ b/src/services/scheduling/runner_fleet.ts
@@ -6,7 +6,12 @@
   type RunningTask,
   type TaskId,
 } from "../../domain/index.ts";
-import type { Clock, Logger, RunnerClient } from "../../ports/index.ts";
+import type {
+  Clock,
+  Logger,
+  RunnerClient,
+  RunnerCondition,
+} from "../../ports/index.ts";
 import { Notifier, TaskGroup } from "../../tasks/index.ts";
 import { RunnerStatus } from "./runner_status.ts";
 import { RunnerTask } from "./runner_task.ts";
@@ -53,6 +58,24 @@
     return this.#served.get(formatRunnerLife(life))?.task.status;
   }
 
+  /** Counts the runners by what is known of them. */
+  countConditions(): ReadonlyMap<RunnerCondition, number> {
+    const counts = new Map<RunnerCondition, number>([
+      ["sound", 0],
+      ["draining", 0],
+      ["silent", 0],
+    ]);
+    for (const { task: { runner, status } } of this.#served.values()) {
+      const condition = !status.isSound
+        ? "silent"
+        : runner.isDraining
+        ? "draining"
+        : "sound";
+      counts.set(condition, (counts.get(condition) ?? 0) + 1);
+    }
+    return counts;
+  }
+
   /**
    * Stops a run so that its task goes elsewhere.
    *
--- a/src/services/scheduling/scheduling_log.ts
+++ b/src/services/scheduling/scheduling_log.ts
@@ -7,21 +7,29 @@
   SchedulingState,
 } from "../../domain/index.ts";
 import type { Agreement, Clock } from "../../ports/index.ts";
+import {
+  type OperationMeter,
+  SilentOperationMeter,
+} from "./operation_meter.ts";
 
 /** Options of {@link SchedulingLog}. */
 export interface SchedulingLogOptions {
   readonly agreement: Agreement;
   readonly clock: Clock;
+  /** Measures what is proposed here; nothing by default. */
+  readonly meter?: OperationMeter;
 }
 
 /** The scheduling part of the replicated state. */
 export class SchedulingLog {
   readonly #agreement: Agreement;
   readonly #clock: Clock;
+  readonly #meter: OperationMeter;
 
-  constructor({ agreement, clock }: SchedulingLogOptions) {
+  constructor({ agreement, clock, meter }: SchedulingLogOptions) {
     this.#agreement = agreement;
     this.#clock = clock;
+    this.#meter = meter ?? new SilentOperationMeter();
   }
 
   /** The state as applied here. */
@@ -46,13 +54,19 @@
    * @returns Nothing of use, or `notLeader` when they are certainly not in the
    * log, `noQuorum` when they may be.
    */
-  propose(
+  async propose(
     operations: readonly SchedulingOperation[],
   ): Promise<Result<AppliedValue, Failure>> {
-    return this.#agreement.propose({
+    const atMs = this.#clock.nowMs();
+    const record = this.#meter.begin(operations, this.state, atMs);
+    const proposed = await this.#agreement.propose({
       type: "scheduling",
-      atMs: this.#clock.nowMs(),
+      atMs,
       operations: [...operations],
     });
+    if (proposed.isOk) {
+      record();
+    }
+    return proposed;
   }
 }
