Serve jobs, lists and explanations in the product's own interface and CLI

Cause: jobs could be handed in and read only in the words of the users' platform, and nobody could ask why a task waits.

Change: beside the metrics each scheduling process serves /v1/jobs (submit, read, cancel under the team's key), /v1/scheduling/job|runner|wave and /v1/explain/job|task| runner.

Weighed: routes on the entries' callers' port (its paths belong to the catalog) and a key for reading lists (the platform hands none to operators; the address is the one that metrics have already).

Seen: one controller, one entry, two runners as processes, every command through the real command line.

--- a/src/adapters/http/index.ts
+++ b/src/adapters/http/index.ts
@@ -5,5 +5,6 @@
 export * from "./exchange.ts";
 export * from "./health_routes.ts";
 export * from "./http_server.ts";
+export * from "./job_routes.ts";
 export * from "./operator_routes.ts";
 export * from "./plan_routes.ts";
--- /dev/null
+++ b/src/adapters/http/job_routes.ts
@@ -0,0 +1,123 @@
+/** The product's own routes for jobs, and for what the leader schedules. */
+import { Result } from "true-myth";
+import * as v from "valibot";
+import {
+  type Failure,
+  jobSpecSchema,
+  validateWith,
+} from "../../domain/index.ts";
+import type { Random } from "../../ports/index.ts";
+import {
+  type CallDesk,
+  type JobCall,
+  SCHEDULING_METHODS,
+  type SchedulingCaller,
+} from "../../services/scheduling/index.ts";
+import {
+  type Exchange,
+  readJson,
+  readSecret,
+  REQUEST_ID_HEADER,
+  sendResult,
+} from "./exchange.ts";
+import type { HttpServer } from "./http_server.ts";
+
+/** Largest body of a job, in bytes: 20,000 steps of a few words. */
+const MAX_JOB_BYTES = 1_048_576;
+/** Time for the leader's answer, in milliseconds: an election fits into it. */
+const ANSWER_MS = 5_000;
+
+/** Schema of a job that a caller submits. */
+const submittedJobSchema = v.object({
+  ...jobSpecSchema.entries,
+  /** Name of the queue. */
+  queue: v.string(),
+});
+
+/** Options of {@link addJobRoutes}. */
+export interface JobRoutesOptions {
+  readonly calls: CallDesk;
+  readonly leader: Pick<SchedulingCaller, "call">;
+  readonly random: Random;
+}
+
+/**
+ * Adds the routes of jobs.
+ *
+ * @param server - The server for operators.
+ * @param options - Calls to the leader.
+ */
+export function addJobRoutes(
+  server: HttpServer,
+  options: JobRoutesOptions,
+): void {
+  server.route(["POST"], "/v1/jobs", (exchange) => submit(exchange, options));
+  for (
+    const [method, action] of [["GET", "read"], ["DELETE", "cancel"]] as const
+  ) {
+    server.route(
+      [method],
+      "/v1/jobs/:jobId",
+      (exchange) => answer(exchange, options, { action }),
+    );
+  }
+  server.route(["GET"], "/v1/scheduling/:kind", async (exchange) => {
+    const { kind } = exchange.params;
+    const listed = await options.leader.call(
+      SCHEDULING_METHODS.list,
+      { kind },
+      ANSWER_MS,
+    );
+    sendResult(exchange.response, listed.map((items) => ({ items })));
+  });
+  server.route(["GET"], "/v1/explain/:kind/:name", async (exchange) => {
+    const { kind, name } = exchange.params;
+    const question = { kind, name };
+    const explained = await options.leader.call(
+      SCHEDULING_METHODS.explain,
+      question,
+      ANSWER_MS,
+    );
+    sendResult(exchange.response, explained);
+  });
+}
+
+async function submit(
+  exchange: Exchange,
+  options: JobRoutesOptions,
+): Promise<void> {
+  const body = await readJson(exchange.request, MAX_JOB_BYTES);
+  const job = body.andThen((value) =>
+    validateWith(submittedJobSchema, value, { subject: "job" })
+  );
+  if (job.isErr) {
+    sendResult(exchange.response, Result.err<unknown, Failure>(job.error));
+    return;
+  }
+  const { queue, jobId, ...work } = job.value;
+  await answer(exchange, options, { action: "submit", queue, jobId, work });
+}
+
+interface OwnCall extends Pick<JobCall, "action" | "queue" | "work"> {
+  readonly jobId?: string;
+}
+
+async function answer(
+  { params, request, response }: Exchange,
+  { calls, random }: JobRoutesOptions,
+  { jobId, ...call }: OwnCall,
+): Promise<void> {
+  const requestId = random.nextId();
+  response.setHeader(REQUEST_ID_HEADER, requestId);
+  const answered = await calls.answer({
+    ...call,
+    host: "",
+    path: `/${jobId ?? params["jobId"] ?? ""}`,
+    key: readSecret(request),
+    requestId,
+  }, ANSWER_MS);
+  sendResult(
+    response,
+    answered.map((value) => ({ jobId: jobId ?? params["jobId"], ...value })),
+  );
+}
--- a/src/cli/api/api_client.ts
+++ b/src/cli/api/api_client.ts
@@ -59,6 +59,20 @@
     return await this.#call("POST", path, body, schema);
   }
 
+  /**
+   * Deletes a resource of the interface.
+   *
+   * @param path - Path below the entry's address.
+   * @param schema - Schema of the answer.
+   * @returns The validated answer, or the entry's failure.
+   */
+  async delete<TSchema extends v.GenericSchema>(
+    path: string,
+    schema: TSchema,
+  ): Promise<Result<v.InferOutput<TSchema>, Failure>> {
+    return await this.#call("DELETE", path, undefined, schema);
+  }
+
   /**
    * Streams JSON lines until the signal aborts or the entry ends the stream.
    *
@@ -82,7 +96,7 @@
   }
 
   async #call<TSchema extends v.GenericSchema>(
-    method: "GET" | "POST",
+    method: "GET" | "POST" | "DELETE",
     path: string,
     body: unknown,
     schema: TSchema,
--- a/src/cli/api/schemas.ts
+++ b/src/cli/api/schemas.ts
@@ -3,6 +3,7 @@
 import {
   decisionCauseSchema,
   decisionRecordSchema,
+  JOB_STATES,
   resourceSchema,
 } from "../../domain/index.ts";
 
@@ -60,6 +61,17 @@
   })),
 });
 
+/** Schema of the answer to a call about a job. */
+export const jobAnswerSchema = v.object({
+  jobId: v.string(),
+  state: v.picklist(JOB_STATES),
+});
+
+/** Schema of a list of what is scheduled. */
+export const schedulingListSchema = v.object({
+  items: v.array(v.record(v.string(), v.union([v.string(), v.number()]))),
+});
+
 /** Schema of an entry's status. */
 export const statusSchema = v.looseObject({
   entryId: v.string(),
--- /dev/null
+++ b/src/cli/commands/job_get.ts
@@ -0,0 +1,27 @@
+/** `cardamomsill job get ID`: shows the state of a job. */
+import { Command, Option } from "clipanion";
+import type { Result } from "true-myth";
+import type { Failure } from "../../domain/index.ts";
+import { type ApiClient, jobAnswerSchema } from "../api/index.ts";
+import { ApiCommand, type CommandOutput } from "../api_command.ts";
+
+/** Shows the state of a job. */
+export class JobGetCommand extends ApiCommand {
+  static override paths = [["job", "get"]];
+  static override usage = Command.Usage({
+    description: "Show the state of a job; explain job/ID says why.",
+    examples: [["A job", "cardamomsill job get 0123456789abcdef"]],
+  });
+
+  id = Option.String({ required: true });
+
+  override async run(
+    client: ApiClient,
+  ): Promise<Result<CommandOutput, Failure>> {
+    const answer = await client.get(`/v1/jobs/${this.id}`, jobAnswerSchema);
+    return answer.map((value) => ({
+      value,
+      text: `job/${this.id} is ${value.state}\n`,
+    }));
+  }
+}
--- /dev/null
+++ b/src/cli/commands/job_submit.ts
@@ -0,0 +1,80 @@
+/** `cardamomsill job submit QUEUE -f FILE`: hands in a job. */
+import { readFile } from "node:fs/promises";
+import { Command, Option } from "clipanion";
+import { Result } from "true-myth";
+import { createFailure, type Failure } from "../../domain/index.ts";
+import { type ApiClient, jobAnswerSchema } from "../api/index.ts";
+import { ApiCommand, type CommandOutput } from "../api_command.ts";
+import { waitForJob } from "../wait_for_job.ts";
+
+const JOB_ID_LENGTH = 16;
+
+/** Hands in a job, and waits for its end when asked to. */
+export class JobSubmitCommand extends ApiCommand {
+  static override paths = [["job", "submit"]];
+  static override usage = Command.Usage({
+    description: "Hand in a job.",
+    details: `
+      The file holds the job as JSON: \`steps\` with \`taskCount\`, \`needs\` and
+      \`estimateMs\`, and the \`text\` that tasks get. The key file holds a key
+      of the team. A job that is sent again under its id stays one job.
+    `,
+    examples: [
+      ["Hand in", "cardamomsill job submit captures -f job.json"],
+      ["And wait", "cardamomsill job submit captures -f job.json --wait"],
+    ],
+  });
+
+  queue = Option.String({ required: true });
+  file = Option.String("-f,--file", { required: true });
+  id = Option.String("--id", {
+    description: "16 hexadecimal digits; drawn when left out",
+  });
+  wait = Option.Boolean("--wait", false, {
+    description: "Show progress until the job has ended",
+  });
+
+  override async run(
+    client: ApiClient,
+  ): Promise<Result<CommandOutput, Failure>> {
+    const job = await readJob(this.file);
+    if (job.isErr) {
+      return Result.err(job.error);
+    }
+    const jobId = this.id ?? this.#drawId();
+    const submitted = await client.post(
+      "/v1/jobs",
+      { text: "", ...job.value, jobId, queue: this.queue },
+      jobAnswerSchema,
+    );
+    if (submitted.isErr || !this.wait) {
+      return submitted.map((value) => ({
+        value,
+        text: `job/${jobId} is ${value.state}\n`,
+      }));
+    }
+    return await waitForJob({
+      client,
+      jobId,
+      onProgress: (line) => this.context.stderr.write(`${line}\n`),
+    });
+  }
+
+  #drawId(): string {
+    return this.createOperationId().replaceAll("-", "").slice(0, JOB_ID_LENGTH);
+  }
+}
+
+async function readJob(
+  file: string,
+): Promise<Result<Record<string, unknown>, Failure>> {
+  try {
+    return Result.ok(JSON.parse(await readFile(file, "utf8")));
+  } catch (error) {
+    return Result.err(
+      createFailure("invalidInput", `${file} cannot be read: ${error}`, {
+        remedy: "name a file with a job as JSON",
+      }),
+    );
+  }
+}
--- a/src/daemon/scheduling/create_scheduling_controller.ts
+++ b/src/daemon/scheduling/create_scheduling_controller.ts
@@ -10,6 +10,7 @@
 import { MajorityCommitRule, Replica } from "../../replication/index.ts";
 import {
   addSchedulingHandlers,
+  CallDesk,
   ControllerCaller,
   followLog,
   JobService,
@@ -25,7 +26,7 @@
   type SchedulingBase,
   type SchedulingProcessOptions,
 } from "./scheduling_base.ts";
-import { serveMetrics } from "./serve_metrics.ts";
+import { serveInspection } from "./serve_inspection.ts";
 import { type LeaderParts, startLeading } from "./start_leading.ts";
 
 /** Options of {@link createSchedulingController}. */
@@ -80,6 +81,7 @@
     jobs: new JobService({ log, logger }),
     operations: new OperationsService({ log, clock, logger }),
     findRegistry: () => leading?.registry,
+    findExplainer: () => leading?.explainer,
   });
   const leader = new LeaderCaller({
     ...base,
@@ -104,7 +106,8 @@
       leading = undefined;
     },
   });
-  await serveMetrics(base);
+  const calls = new CallDesk({ ...base, leader: caller });
+  await serveInspection({ base, calls, leader: caller });
   await network.start();
   replica.start(tasks);
   tasks.startForever(
--- a/src/daemon/scheduling/create_scheduling_entry.ts
+++ b/src/daemon/scheduling/create_scheduling_entry.ts
@@ -9,7 +9,7 @@
   type SchedulingBase,
   type SchedulingProcessOptions,
 } from "./scheduling_base.ts";
-import { serveMetrics } from "./serve_metrics.ts";
+import { serveInspection } from "./serve_inspection.ts";
 
 /** A running entry, without the interface that callers use. */
 export interface SchedulingEntry extends SchedulingBase {
@@ -29,6 +29,7 @@
   const leader = new LeaderCaller({ ...base, controllerIds: options.seedIds });
   const watch = new LeaderWatch({ ...base, leader });
   base.tasks.startForever("leader watch", (signal) => watch.run(signal));
-  await serveMetrics(base);
-  return { ...base, calls: new CallDesk({ ...base, leader }), watch };
+  const calls = new CallDesk({ ...base, leader });
+  await serveInspection({ base, calls, leader });
+  return { ...base, calls, watch };
 }
--- a/src/daemon/scheduling/scheduling_base.ts
+++ b/src/daemon/scheduling/scheduling_base.ts
@@ -34,8 +34,8 @@
   /** Addresses of controllers that are known from the settings. */
   readonly seedIds: readonly string[];
   readonly logger: Logger;
-  /** Where metrics are served; absent for nowhere. */
-  readonly metricsAddress?: ListenAddress | undefined;
+  /** Where metrics, jobs and explanations are served; absent for nowhere. */
+  readonly inspectionAddress?: ListenAddress | undefined;
   /** Reads how many lines of the log were dropped. */
   readonly readDroppedLineCount: () => number;
 }
--- a/src/daemon/scheduling/start_leading.ts
+++ b/src/daemon/scheduling/start_leading.ts
@@ -23,6 +23,7 @@
   PaceTask,
   RunnerFleet,
   RunnerRegistry,
+  ScheduleExplainer,
   Scheduler,
   type SchedulingLog,
   WaveTask,
@@ -48,6 +49,7 @@
 /** What others need of a leader. */
 export interface LeaderParts {
   readonly registry: RunnerRegistry;
+  readonly explainer: ScheduleExplainer;
   readonly readGauges: () => SchedulingGauges;
 }
 
@@ -114,6 +116,11 @@
   }
   return {
     registry: new RunnerRegistry({ ...options, client, fleet }),
+    explainer: new ScheduleExplainer({
+      ...options,
+      findStatus: (runner) => fleet.findStatus(runner),
+      mayPlaceOn: (runner) => scheduler.mayPlaceOn(runner),
+    }),
     readGauges: () => readGauges(options, fleet),
   };
 }
--- a/src/decisions/scheduling/index.ts
+++ b/src/decisions/scheduling/index.ts
@@ -8,4 +8,5 @@
 export * from "./capacity_policy.ts";
 export * from "./demand_forecast.ts";
 export * from "./pace_policy.ts";
+export * from "./wait_reason.ts";
 export * from "./waiting_demand.ts";
--- /dev/null
+++ b/src/decisions/scheduling/wait_reason.ts
@@ -0,0 +1,86 @@
+/** Why the tasks of a step wait. */
+import {
+  addAmounts,
+  fitsInto,
+  type JobRecord,
+  type Runner,
+  type SchedulingState,
+  staysBelow,
+} from "../../domain/index.ts";
+
+/** Names a step, and what decides where it may run. */
+export interface WaitQuestion {
+  readonly state: SchedulingState;
+  readonly job: JobRecord;
+  readonly occurrence: number;
+  readonly stepIndex: number;
+  /** Tells whether a runner may get work now. */
+  readonly mayPlaceOn: (runner: Runner) => boolean;
+  /** Wall-clock time (ms). */
+  readonly nowMs: number;
+}
+
+/**
+ * Finds why the waiting tasks of a step do not run.
+ *
+ * @param question - The step and the present state.
+ * @returns A sentence that names what decides it.
+ */
+export function findWaitReason(question: WaitQuestion): string {
+  const { job, occurrence, stepIndex, nowMs } = question;
+  const step = job.spec.steps[stepIndex];
+  if (step === undefined) {
+    return "the job has no such step";
+  }
+  const dueMs = job.findDueMs(occurrence);
+  if (dueMs > nowMs) {
+    return `it is due in ${Math.round(dueMs - nowMs)} ms`;
+  }
+  if (!job.isUnblocked(occurrence, stepIndex)) {
+    return `it waits for step ${step.dependsOn.join(", ")}`;
+  }
+  return findLimit(question) ?? findLackOfRoom(question) ??
+    "the next plan places it";
+}
+
+function findLimit(
+  { state, job, stepIndex }: WaitQuestion,
+): string | undefined {
+  const team = state.catalog.teams.find(({ name }) => name === job.team);
+  const needs = job.spec.steps[stepIndex]?.needs;
+  if (team === undefined || needs === undefined) {
+    return undefined;
+  }
+  const used = state.jobs.findUsedByTeam(team.name);
+  return staysBelow(addAmounts(used, needs), team.limit)
+    ? undefined
+    : `team/${team.name} has ${used.cpuMillicores} of ${team.limit.cpuMillicores} millicores and ${used.memoryMb} of ${team.limit.memoryMb} MB running (catalog ${state.catalog.version})`;
+}
+
+function findLackOfRoom(question: WaitQuestion): string | undefined {
+  const { state, job, stepIndex, mayPlaceOn } = question;
+  const step = job.spec.steps[stepIndex];
+  const queue = state.catalog.queues.find(({ name }) => name === job.queue);
+  const pool = queue?.pool ?? job.pool;
+  const members = [...state.runners.values()].filter((runner) =>
+    runner.pool === pool
+  );
+  const open = members.filter(mayPlaceOn);
+  if (step === undefined || open.length === 0) {
+    return `none of the ${members.length} runners of ${pool} may get work (draining, silent, out of service or about to move)`;
+  }
+  const { requiredLabel } = step;
+  const fitting = open.filter(({ labels }) =>
+    requiredLabel === undefined || labels.includes(requiredLabel)
+  );
+  if (fitting.length === 0) {
+    return `no runner of ${pool} has the label ${requiredLabel}`;
+  }
+  const isRoom = fitting.some((runner) => {
+    const { used } = state.jobs.findLoad(runner);
+    return fitsInto(step.needs, addAmounts(runner.capacity, used, -1));
+  });
+  return isRoom
+    ? undefined
+    : `none of ${fitting.length} open runners of ${pool} has ${step.needs.cpuMillicores} millicores and ${step.needs.memoryMb} MB free`;
+}
--- a/src/services/scheduling/call_desk.ts
+++ b/src/services/scheduling/call_desk.ts
@@ -2,17 +2,17 @@
 import type { Result } from "true-myth";
 import { type Failure, validateWith } from "../../domain/index.ts";
 import type { Clock, Logger, SchedulingMetrics } from "../../ports/index.ts";
+import type { SchedulingCaller } from "./controller_caller.ts";
 import {
   type JobCall,
   type JobCallAnswer,
   jobCallAnswerSchema,
 } from "./job_service.ts";
-import type { LeaderCaller } from "./leader_caller.ts";
 import { SCHEDULING_METHODS } from "./scheduling_handlers.ts";
 
 /** Options of {@link CallDesk}. */
 export interface CallDeskOptions {
-  readonly leader: LeaderCaller;
+  readonly leader: SchedulingCaller;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: SchedulingMetrics;
@@ -51,13 +51,14 @@
   }
 
   #record(
-    { action, host, path, requestId }: JobCall,
+    { action, queue, host, path, requestId }: JobCall,
     answered: Result<JobCallAnswer, Failure>,
     tookMs: number,
   ): void {
     const { leader, logger, metrics } = this.#options;
     const { leaderId } = leader;
-    const fields = { requestId, action, host, path, leaderId, tookMs };
+    const named = { requestId, action, queue, host, path };
+    const fields = { ...named, leaderId, tookMs };
     const outcome = answered.isOk ? "answered" : answered.error.kind;
     metrics.recordCall({ action, outcome, tookMs });
     if (answered.isErr) {
--- a/src/services/scheduling/controller_caller.ts
+++ b/src/services/scheduling/controller_caller.ts
@@ -7,6 +7,8 @@
 
 /** Calls whoever leads. */
 export interface SchedulingCaller {
+  /** The controller that is thought to lead. */
+  readonly leaderId: string | undefined;
   /**
    * Calls the leader.
    *
@@ -36,6 +38,10 @@
     this.#options = options;
   }
 
+  get leaderId(): string | undefined {
+    return this.#options.agreement.status().leaderId;
+  }
+
   async call(
     method: string,
     body: unknown,
--- a/src/services/scheduling/index.ts
+++ b/src/services/scheduling/index.ts
@@ -12,6 +12,7 @@
 export * from "./pace_task.ts";
 export * from "./runner_fleet.ts";
 export * from "./runner_registry.ts";
+export * from "./schedule_explainer.ts";
 export * from "./scheduler.ts";
 export * from "./scheduling_handlers.ts";
 export * from "./scheduling_log.ts";
--- a/src/services/scheduling/job_service.ts
+++ b/src/services/scheduling/job_service.ts
@@ -17,8 +17,11 @@
 /** Schema of {@link JobCall}. */
 export const jobCallSchema = v.object({
   action: v.picklist(["submit", "read", "cancel"]),
+  /** Host and path by which the catalog finds the queue. */
   host: v.string(),
   path: v.string(),
+  /** Name of the queue; the path names only the job then. */
+  queue: v.optional(v.string()),
   /** Key of the caller's team. */
   key: v.optional(v.string()),
   requestId: v.string(),
@@ -165,16 +168,11 @@
         }),
       );
     }
-    const queue = findQueue(catalog.queues, call.host, call.path);
-    if (queue === undefined) {
-      return Result.err(
-        createFailure(
-          "unknownKind",
-          `no queue is at ${call.host}${call.path} in catalog ${catalog.version}`,
-        ),
-      );
+    const found = this.#findQueue(call);
+    if (found === undefined) {
+      return Result.err(createNoQueue(call, catalog.version));
     }
-    const rest = call.path.slice(queue.pathPrefix.length);
+    const { queue, rest } = found;
     const team = catalog.teams.find(({ keys }) =>
       call.key !== undefined && keys.includes(call.key)
     );
@@ -190,6 +188,20 @@
     return Result.ok({ queue, rest, team: team?.name });
   }
 
+  // A call without a host names its queue, or a job that tells it.
+  #findQueue(call: JobCall): Omit<Target, "team"> | undefined {
+    const { catalog, jobs } = this.#log.state;
+    if (call.host !== "") {
+      const queue = findQueue(catalog.queues, call.host, call.path);
+      return queue &&
+        { queue, rest: call.path.slice(queue.pathPrefix.length) };
+    }
+    const rest = call.path.slice(1);
+    const name = call.queue ?? jobs.find(rest)?.queue;
+    const queue = catalog.queues.find((known) => known.name === name);
+    return queue && { queue, rest };
+  }
+
   #countPending(queue: JobQueue): number {
     let count = 0;
     for (const job of this.#log.state.jobs.open) {
@@ -230,3 +242,16 @@
 function createUnknown(jobId: string): Failure {
   return createFailure("jobUnknown", `job ${jobId} is not known`);
 }
+
+function createNoQueue(
+  { host, path, queue }: JobCall,
+  catalogVersion: number,
+): Failure {
+  if (host === "" && queue === undefined) {
+    return createUnknown(path.slice(1));
+  }
+  const what = queue === undefined
+    ? `no queue is at ${host}${path}`
+    : `no queue is named ${queue}`;
+  return createFailure("unknownKind", `${what} in catalog ${catalogVersion}`);
+}
--- /dev/null
+++ b/src/services/scheduling/schedule_explainer.ts
@@ -0,0 +1,228 @@
+/** What the leader knows of jobs, tasks, runners and waves, for operators. */
+import { Result } from "true-myth";
+import * as v from "valibot";
+import { findWaitReason } from "../../decisions/index.ts";
+import {
+  createFailure,
+  type Failure,
+  formatTaskId,
+  type JobRecord,
+  type Runner,
+  type StepRecord,
+  validateWith,
+} from "../../domain/index.ts";
+import type { Clock } from "../../ports/index.ts";
+import type { RunnerStatus } from "./runner_status.ts";
+import type { SchedulingLog } from "./scheduling_log.ts";
+
+/** Rows that one list has at the most: what fits on some screens. */
+const MAX_ROWS = 500;
+/** Tasks that one explanation names at the most. */
+const MAX_NAMED_TASKS = 20;
+
+/** Kinds that can be listed. */
+export const LISTED_KINDS = ["job", "runner", "wave"] as const;
+
+/** Schema of the question for a list. */
+export const listQuestionSchema = v.object({
+  kind: v.picklist(LISTED_KINDS),
+});
+
+/** Schema of the question for an explanation. */
+export const explainQuestionSchema = v.object({
+  kind: v.picklist(["job", "task", "runner"]),
+  name: v.string(),
+});
+
+/** One line of a list, by column. */
+export type ListedRow = Readonly<Record<string, string | number>>;
+
+/** Where a subject stands. */
+export interface ScheduleExplanation {
+  readonly subject: string;
+  readonly present: {
+    readonly lines: readonly string[];
+    readonly causes: readonly never[];
+  };
+  readonly records: readonly never[];
+}
+
+/** Options of {@link ScheduleExplainer}. */
+export interface ScheduleExplainerOptions {
+  readonly log: SchedulingLog;
+  readonly clock: Clock;
+  readonly findStatus: (runner: Runner) => RunnerStatus | undefined;
+  /** Tells whether a runner may get work now. */
+  readonly mayPlaceOn: (runner: Runner) => boolean;
+}
+
+/** Lists and explains what the leader schedules. */
+export class ScheduleExplainer {
+  readonly #options: ScheduleExplainerOptions;
+
+  constructor(options: ScheduleExplainerOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Lists the open jobs, the runners or the waves.
+   *
+   * @param body - The question, not validated yet.
+   */
+  list(body: unknown): Result<readonly ListedRow[], Failure> {
+    return validateWith(listQuestionSchema, body, { subject: "list" })
+      .map(({ kind }) => this.#listRows(kind).slice(0, MAX_ROWS));
+  }
+
+  /**
+   * Explains where a job, a task or a runner stands.
+   *
+   * @param body - The question, not validated yet.
+   * @returns The explanation, `jobUnknown`, or `notFound`.
+   */
+  explain(body: unknown): Result<ScheduleExplanation, Failure> {
+    const question = validateWith(explainQuestionSchema, body, {
+      subject: "explain",
+    });
+    return question.andThen(({ kind, name }) => {
+      const lines = this.#describe(kind, name);
+      return lines === undefined
+        ? Result.err(createFailure("notFound", `there is no ${kind}/${name}`))
+        : Result.ok({
+          subject: `${kind}/${name}`,
+          present: { lines, causes: [] },
+          records: [],
+        });
+    });
+  }
+
+  #listRows(kind: (typeof LISTED_KINDS)[number]): ListedRow[] {
+    const { log } = this.#options;
+    const { jobs, runners, waves } = log.state;
+    switch (kind) {
+      case "job":
+        return [...jobs.open].map((job) => ({
+          job: job.spec.jobId,
+          queue: job.queue,
+          team: job.team ?? "-",
+          state: job.state,
+          ageMs: this.#nowMs - job.acceptedAtMs,
+        }));
+      case "runner":
+        return [...runners.values()].map((runner) => this.#listRunner(runner));
+      case "wave":
+        return [...waves.values()].map((wave) => ({
+          wave: wave.waveId,
+          vms: wave.vms.length,
+          done: wave.vms.filter((vm) => wave.progress[vm] === "done").length,
+          maxAway: wave.maxAwayCount,
+          leftMs: wave.completeByMs - this.#nowMs,
+        }));
+    }
+  }
+
+  #listRunner(runner: Runner): ListedRow {
+    const { findStatus, log, mayPlaceOn } = this.#options;
+    const { running, used } = log.state.jobs.findLoad(runner);
+    const status = findStatus(runner);
+    return {
+      runner: runner.runnerId,
+      pool: runner.pool,
+      zone: runner.zone,
+      state: mayPlaceOn(runner) ? "open" : "closed",
+      silentMs: Math.round(status?.silenceMs ?? 0),
+      runs: running.size,
+      freeMillicores: runner.capacity.cpuMillicores - used.cpuMillicores,
+    };
+  }
+
+  #describe(kind: string, name: string): string[] | undefined {
+    const { jobs, runners } = this.#options.log.state;
+    if (kind === "runner") {
+      const runner = runners.get(name);
+      return runner && this.#describeRunner(runner);
+    }
+    const [jobId = "", occurrence, step, index] = name.split(".");
+    const job = jobs.find(jobId);
+    if (job === undefined || kind === "job") {
+      return job && this.#describeJob(job);
+    }
+    const task = job.findTask({
+      jobId,
+      occurrence: Number(occurrence),
+      step: Number(step),
+      index: Number(index),
+    });
+    if (task === undefined) {
+      return undefined;
+    }
+    const where = task.life === undefined ? "" : ` on ${task.life.runnerId}`;
+    const reason = task.state === "waiting"
+      ? [`waits: ${this.#findReason(job, Number(occurrence), Number(step))}`]
+      : [];
+    return [
+      `${task.state}${where}, run ${task.runNumber}, ${task.failedCount} failed runs`,
+      `for ${Math.round(this.#nowMs - task.changedAtMs)} ms`,
+      ...reason,
+    ];
+  }
+
+  #describeRunner(runner: Runner): string[] {
+    const { log } = this.#options;
+    const { running } = log.state.jobs.findLoad(runner);
+    const names = [...running.values()].slice(0, MAX_NAMED_TASKS)
+      .map(({ id, runNumber }) => `${formatTaskId(id)}#${runNumber}`);
+    const fields = Object.entries(this.#listRunner(runner))
+      .map(([field, value]) => `${field} ${value}`);
+    return [fields.join(", "), ...names.map((name) => `runs ${name}`)];
+  }
+
+  #describeJob(job: JobRecord): string[] {
+    const team = job.team === undefined ? "no team" : `team/${job.team}`;
+    const endMs = job.endedAtMs ?? this.#nowMs;
+    const lines = [
+      `${job.state}, queue/${job.queue}, ${team}`,
+      `accepted at ${new Date(job.acceptedAtMs).toISOString()}, ${
+        Math.round(endMs - job.acceptedAtMs)
+      } ms ${job.endedAtMs === undefined ? "ago" : "until its end"}`,
+    ];
+    job.occurrences.forEach((steps, occurrence) =>
+      steps.forEach((record, step) => {
+        lines.push(this.#describeStep(job, occurrence, step, record));
+      })
+    );
+    return lines.slice(0, MAX_ROWS);
+  }
+
+  #describeStep(
+    job: JobRecord,
+    occurrence: number,
+    step: number,
+    { tasks, waitingCount, doneCount }: StepRecord,
+  ): string {
+    const failedCount = tasks.reduce((sum, task) => sum + task.failedCount, 0);
+    const runningCount = tasks.length - waitingCount - doneCount;
+    const reason = waitingCount > 0 && job.outcome === undefined
+      ? `; waits: ${this.#findReason(job, occurrence, step)}`
+      : "";
+    return `step ${occurrence}.${step}: ${doneCount} done, ${runningCount} run, ${waitingCount} wait, ${failedCount} failed runs${reason}`;
+  }
+
+  #findReason(job: JobRecord, occurrence: number, stepIndex: number): string {
+    const { log, mayPlaceOn } = this.#options;
+    const { state } = log;
+    const nowMs = this.#nowMs;
+    return findWaitReason({
+      state,
+      job,
+      occurrence,
+      stepIndex,
+      mayPlaceOn,
+      nowMs,
+    });
+  }
+
+  get #nowMs(): number {
+    return this.#options.clock.nowMs();
+  }
+}
--- a/src/services/scheduling/scheduling_handlers.ts
+++ b/src/services/scheduling/scheduling_handlers.ts
@@ -10,6 +10,7 @@
 import type { JobService } from "./job_service.ts";
 import type { OperationsService } from "./operations_service.ts";
 import type { RunnerRegistry } from "./runner_registry.ts";
+import type { ScheduleExplainer } from "./schedule_explainer.ts";
 
 /** Names of the messages. */
 export const SCHEDULING_METHODS = {
@@ -21,6 +22,8 @@
   setZone: "scheduling.setZone",
   startWave: "scheduling.startWave",
   readWave: "scheduling.readWave",
+  list: "scheduling.list",
+  explain: "scheduling.explain",
   ping: "scheduling.ping",
 } as const;
 
@@ -46,6 +49,8 @@
   readonly operations: OperationsService;
   /** The registry while this entry leads. */
   readonly findRegistry: () => RunnerRegistry | undefined;
+  /** The explainer while this entry leads. */
+  readonly findExplainer: () => ScheduleExplainer | undefined;
 }
 
 /** Answers a message at the leader. */
@@ -62,7 +67,8 @@
 export function addSchedulingHandlers(
   options: SchedulingHandlersOptions,
 ): ReadonlyMap<string, SchedulingHandler> {
-  const { network, agreement, jobs, operations, findRegistry } = options;
+  const { network, agreement, jobs, operations } = options;
+  const { findExplainer, findRegistry } = options;
   const handlers = new Map<string, SchedulingHandler>();
   const add = (method: string, answer: (body: unknown) => Answer) => {
     const handler = async (body: unknown) =>
@@ -81,6 +87,16 @@
   add(SCHEDULING_METHODS.setZone, (body) => operations.setZone(body));
   add(SCHEDULING_METHODS.startWave, (body) => operations.startWave(body));
   add(SCHEDULING_METHODS.readWave, (body) => operations.readWave(body));
+  add(
+    SCHEDULING_METHODS.list,
+    (body) =>
+      findExplainer()?.list(body) ?? Result.err(createNotLeader(agreement)),
+  );
+  add(
+    SCHEDULING_METHODS.explain,
+    (body) =>
+      findExplainer()?.explain(body) ?? Result.err(createNotLeader(agreement)),
+  );
   add(SCHEDULING_METHODS.ping, () => createPing(agreement));
   add(
     SCHEDULING_METHODS.announce,
