Take seeds that change while a process runs

Cause: SIGHUP only logged the new settings, and a file that changed without a signal was never read: an entry whose controllers had all been replaced would not have found the new ones.

--- a/src/daemon/scheduling/create_scheduling_controller.ts
+++ b/src/daemon/scheduling/create_scheduling_controller.ts
@@ -47,6 +47,7 @@
 export interface SchedulingController extends SchedulingBase {
   readonly replica: Replica;
   readonly caller: ControllerCaller;
+  readonly leader: LeaderCaller;
 }
 
 /**
@@ -115,7 +116,7 @@
     (signal) => followLog({ agreement: replica, changed, clock }, signal),
   );
   tasks.startForever("leadership", (signal) => lead.run(signal));
-  return Result.ok({ ...base, replica, caller });
+  return Result.ok({ ...base, replica, caller, leader });
 }
 
 async function loadReplica(
--- a/src/daemon/scheduling/create_scheduling_entry.ts
+++ b/src/daemon/scheduling/create_scheduling_entry.ts
@@ -14,6 +14,7 @@
 /** A running entry, without the interface that callers use. */
 export interface SchedulingEntry extends SchedulingBase {
   readonly calls: CallDesk;
+  readonly leader: LeaderCaller;
   readonly watch: LeaderWatch;
 }
 
@@ -31,5 +32,5 @@
   base.tasks.startForever("leader watch", (signal) => watch.run(signal));
   const calls = new CallDesk({ ...base, leader });
   await serveInspection({ base, calls, leader });
-  return { ...base, calls, watch };
+  return { ...base, calls, leader, watch };
 }
--- a/src/services/scheduling/leader_caller.ts
+++ b/src/services/scheduling/leader_caller.ts
@@ -28,6 +28,7 @@
 /** Finds the leader and calls it; every call it carries may be repeated. */
 export class LeaderCaller {
   readonly #options: LeaderCallerOptions;
+  #seedIds: readonly string[];
   #controllerIds: readonly string[];
   #leaderId: string | undefined;
   #attemptCount = 0;
@@ -36,6 +37,7 @@
 
   constructor(options: LeaderCallerOptions) {
     this.#options = options;
+    this.#seedIds = options.controllerIds;
     this.#controllerIds = options.controllerIds;
   }
 
@@ -46,8 +48,13 @@
 
   /** Takes which controllers there are now, beside those of the settings. */
   learnControllers(controllerIds: readonly string[]): void {
-    const known = new Set([...this.#options.controllerIds, ...controllerIds]);
-    this.#controllerIds = [...known];
+    this.#controllerIds = [...new Set([...this.#seedIds, ...controllerIds])];
+  }
+
+  /** Takes which controllers the settings name from now on. */
+  replaceSeeds(seedIds: readonly string[]): void {
+    this.#seedIds = seedIds;
+    this.learnControllers(this.#controllerIds);
   }
 
   /** Takes who is said to lead. */
--- a/src/services/scheduling/leader_caller_test.ts
+++ b/src/services/scheduling/leader_caller_test.ts
@@ -45,6 +45,21 @@
     assert.is(caller.leaderId, "c3");
   });
 
+  it("reach a leader that only new settings name", async () => {
+    const { call, called, caller } = createCaller((peerId) =>
+      peerId === "c9" ? Result.ok("done") : Result.err(createUnreachable(false))
+    );
+    assert.not((await call()).isOk);
+    caller.replaceSeeds(["c9"]);
+    // Each call asks one controller while the leader has been lost for long.
+    for (let at = 0; at < 4 && caller.leaderId !== "c9"; at += 1) {
+      await call();
+    }
+    called.length = 0;
+    assert.ok((await call()).isOk);
+    assert.equal(called, ["c9"]);
+  });
+
   describe("while nobody leads", () => {
     it("say that nothing was done when nothing was sent", async () => {
       const { call } = createCaller(() => Result.err(createUnreachable(false)));
