Test waves under lost leaders and lost answers, and draining runners

Open until now: no test caused a leader lost between the order of an upkeep and its answer, nor played a draining runner. FakeVms plays the VM port (fences, upkeep, lost answers) in the scheduling world; its leader's view of the log moves to a file of its own, and fake runners say 100 percent of an endless task.

--- a/src/testing/fake_runner_life.ts
+++ b/src/testing/fake_runner_life.ts
@@ -150,11 +150,12 @@
 
   /** Lists what runs and what has ended. */
   report(): RunnerReport {
-    const running = [...this.#running.values()].map(({ span }) => ({
+    const running = [...this.#running.values()].map(({ span, endsMs }) => ({
       task: parseTask(span.task),
       runNumber: span.runNumber,
       saved: "",
-      percent: 50,
+      // An endless task is at work at once; others are said to be half done.
+      percent: endsMs === Infinity ? 100 : 50,
       load: 0,
     }));
     const ended = this.#ended.map(({ span: _span, ...report }) => report);
--- a/src/testing/scheduling_world.ts
+++ b/src/testing/scheduling_world.ts
@@ -1,6 +1,7 @@
 /** Leaders that follow each other over one log, with fake runners. */
-import { Result } from "true-myth";
+import type { Result } from "true-myth";
 import {
+  LeastLossUpkeepPolicy,
   ScoredPlacementPolicy,
   SlackOrderPolicy,
   StartPlanner,
@@ -8,13 +9,12 @@
 import {
   type AppliedValue,
   type Command,
-  createFailure,
   type Failure,
   FleetState,
   type JobStep,
   type Runner,
 } from "../domain/index.ts";
-import type { Agreement, AgreementStatus, Random } from "../ports/index.ts";
+import type { Random } from "../ports/index.ts";
 import {
   followLog,
   JobService,
@@ -22,63 +22,19 @@
   RunnerRegistry,
   Scheduler,
   SchedulingLog,
+  WaveTask,
 } from "../services/scheduling/index.ts";
 import { Notifier, TaskGroup } from "../tasks/index.ts";
 import type { FakeClock } from "./fake_clock.ts";
 import { FakeLogger } from "./fake_ports.ts";
 import { FakeRunners } from "./fake_runners.ts";
+import { FakeVms } from "./fake_vms.ts";
+import { LeaderView } from "./leader_view.ts";
 
-const PROPOSE_MS = 12;
 const BEAT_MS = 1_500;
 const RUNNER_MILLICORES = 8_000;
 const STOP_MS = 60_000;
-
-/** The log as one leader sees it, until it is deposed. */
-class LeaderView implements Agreement {
-  isLeading = true;
-  readonly term: number;
-  readonly #world: SchedulingWorld;
-
-  constructor(world: SchedulingWorld, term: number) {
-    this.#world = world;
-    this.term = term;
-  }
-
-  get state(): FleetState {
-    return this.#world.state;
-  }
-
-  async propose(command: Command): Promise<Result<AppliedValue, Failure>> {
-    await this.#world.clock.sleep(PROPOSE_MS);
-    return this.isLeading
-      ? this.#world.apply(command)
-      : Result.err(createFailure("noQuorum", "the leader was deposed"));
-  }
-
-  async follow(
-    appliedIndex: number,
-    signal: AbortSignal,
-  ): Promise<AgreementStatus> {
-    while (this.#world.appliedIndex <= appliedIndex && !signal.aborted) {
-      await this.#world.applied.wait(signal);
-    }
-    return this.status();
-  }
-
-  status(): AgreementStatus {
-    const { appliedIndex } = this.#world;
-    return {
-      entryId: `leader-${this.term}`,
-      leaderId: this.isLeading ? `leader-${this.term}` : undefined,
-      term: this.term,
-      leaderSinceMs: this.isLeading ? 0 : undefined,
-      appliedIndex,
-      commitIndex: appliedIndex,
-      revision: 0,
-      freshUntilMs: Infinity,
-    };
-  }
-}
+const POOL = "bay";
 
 interface Leader {
   readonly view: LeaderView;
@@ -94,6 +50,8 @@
   readonly runnerIds: readonly string[];
   /** Millicores that the team may have running; 0 for no limit. */
   readonly limitMillicores?: number;
+  /** Whether each runner lives on a VM of its name, which has upkeeps. */
+  readonly hasVms?: boolean;
 }
 
 /** One pool, one queue, one team; leaders and runners that come and go. */
@@ -102,6 +60,7 @@
   readonly state = new FleetState();
   readonly applied = new Notifier();
   readonly runners: FakeRunners;
+  readonly vms: FakeVms | undefined;
   readonly logger = new FakeLogger();
   appliedIndex = 0;
   readonly #options: SchedulingWorldOptions;
@@ -118,6 +77,7 @@
       ...options,
       findWork: (task) => this.#findWork(task),
     });
+    this.vms = options.hasVms ? this.#createVms(options) : undefined;
     this.#putCatalog();
     options.runnerIds.forEach((id) => this.bringUp(id));
     void this.#beat();
@@ -149,7 +109,7 @@
       runnerId,
       bornAtMs: this.#bornCount,
       address: "127.0.0.1:1",
-      pool: "bay",
+      pool: POOL,
       zone: "zone-a",
       capacity: {
         cpuMillicores: RUNNER_MILLICORES,
@@ -170,6 +130,23 @@
     this.#upRunners.delete(runnerId);
   }
 
+  /**
+   * Lets a runner announce that it drains.
+   *
+   * @param runnerId - The runner.
+   * @returns Whether the leader has taken note.
+   */
+  async drain(runnerId: string): Promise<boolean> {
+    const runner = this.#upRunners.get(runnerId);
+    if (runner === undefined) {
+      return false;
+    }
+    const draining = { ...runner, isDraining: true };
+    this.#upRunners.set(runnerId, draining);
+    const announced = await this.#leader?.registry.announce(draining);
+    return announced?.isOk ?? false;
+  }
+
   /** Hands in a job. */
   async submit(jobId: string, steps: readonly JobStep[]): Promise<boolean> {
     const answered = await this.#leader?.jobs.answer({
@@ -205,6 +182,13 @@
       findTicket: () => undefined,
     };
     const fleet = new RunnerFleet(shared);
+    const waves = this.vms && new WaveTask({
+      ...shared,
+      fleet,
+      vms: this.vms,
+      policy: new LeastLossUpkeepPolicy(),
+      holderId: `leader-${view.term}`,
+    });
     const scheduler = new Scheduler({
       ...shared,
       planner: new StartPlanner({
@@ -212,7 +196,7 @@
         placement: new ScoredPlacementPolicy(),
       }),
       findStatus: (runner) => fleet.findStatus(runner),
-      isCordoned: () => false,
+      isCordoned: (runner) => waves?.isCordoned(runner) ?? false,
       findApproved: () => undefined,
     });
     tasks.start(
@@ -220,6 +204,7 @@
       (signal) => followLog({ agreement: view, changed, clock }, signal),
     );
     tasks.start("fleet", (signal) => fleet.run(signal));
+    tasks.start("waves", async (signal) => await waves?.run(signal));
     tasks.start("scheduler", (signal) => scheduler.run(signal));
     return {
       view,
@@ -241,6 +226,16 @@
     }
   }
 
+  #createVms({ clock, runnerIds }: SchedulingWorldOptions): FakeVms {
+    return new FakeVms({
+      clock,
+      names: runnerIds,
+      pool: POOL,
+      crash: (vm) => this.crash(vm),
+      bringUp: (vm) => this.bringUp(vm),
+    });
+  }
+
   #findWork(
     task: string,
   ): { readonly workMs: number; readonly millicores: number } {
@@ -263,7 +258,7 @@
       name: "q",
       host: "h",
       pathPrefix: "/q/",
-      pool: "bay",
+      pool: POOL,
       isPublic: false,
       priority: 0,
       maxAttempts: 3,
@@ -279,7 +274,7 @@
         catalog: {
           version: 1,
           queues: [queue],
-          pools: [{ name: "bay", isStandby: false, guardsCapacity: false }],
+          pools: [{ name: POOL, isStandby: false, guardsCapacity: false }],
           teams: [{
             name: "team",
             keys: ["key"],
