Test the advice desk: tickets, one question at a time, an absent service

The advice service was never played, as no site has it. FakeAdvice plays its port with the time of a question, tickets that end, and an absence.

--- /dev/null
+++ b/src/services/scheduling/advice_desk_test.ts
@@ -0,0 +1,154 @@
+import * as assert from "uvu/assert";
+import * as v from "valibot";
+import { listReadySteps, SlackOrderPolicy } from "../../decisions/index.ts";
+import { jobStepSchema, type Runner } from "../../domain/index.ts";
+import { Notifier } from "../../tasks/index.ts";
+import { afterEach, describe, it } from "../../testing/describe.ts";
+import { FakeAdvice } from "../../testing/fake_advice.ts";
+import { FakeAgreement } from "../../testing/fake_agreement.ts";
+import { FakeClock } from "../../testing/fake_clock.ts";
+import { FakeLogger } from "../../testing/fake_ports.ts";
+import { AdviceDesk } from "./advice_desk.ts";
+import { SchedulingLog } from "./scheduling_log.ts";
+import { ADVICE_RUNNER_COUNT } from "./timing.ts";
+
+const RUNNER_COUNT = 50;
+const VALID_MS = 4_000;
+const TERMS = { decisionMs: 100, perRunnerMs: 2, validMs: VALID_MS };
+const STEP = { jobId: "00000000000000ac", occurrence: 0, step: 0 };
+const POOL = "bay";
+
+function createRunner(at: number, bornAtMs = 1): Runner {
+  return {
+    runnerId: `r${at}`,
+    bornAtMs,
+    address: "127.0.0.1:1",
+    pool: POOL,
+    zone: "zone-a",
+    capacity: { cpuMillicores: 8_000, memoryMb: 1_000, gpuCount: 0 },
+    rack: "rack-1",
+    labels: [],
+    isDraining: false,
+  };
+}
+
+describe("advice desk", () => {
+  const stop: AbortController[] = [];
+
+  afterEach(() => stop.splice(0).forEach((controller) => controller.abort()));
+
+  async function setUp(isApproved: (runnerId: string) => boolean) {
+    const clock = new FakeClock();
+    const agreement = new FakeAgreement(clock);
+    const log = new SchedulingLog({ agreement, clock });
+    const client = new FakeAdvice({ clock, ...TERMS, isApproved });
+    const desk = new AdviceDesk({
+      log,
+      client,
+      order: new SlackOrderPolicy(),
+      clock,
+      logger: new FakeLogger(),
+      changed: new Notifier(),
+      mayPlaceOn: () => true,
+    });
+    void log.propose([
+      {
+        type: "catalog",
+        catalog: {
+          version: 1,
+          queues: [{
+            name: "q",
+            host: "h",
+            pathPrefix: "/q/",
+            pool: POOL,
+            isPublic: true,
+            priority: 0,
+            maxAttempts: 2,
+            timeoutMs: 3_000,
+            stretch: 1.6,
+            targetLatencyMs: 600,
+            advice: TERMS,
+          }],
+          pools: [{ name: POOL, isStandby: false, guardsCapacity: false }],
+          teams: [],
+          source: "",
+        },
+      },
+      ...Array.from({ length: RUNNER_COUNT }, (_, at) => ({
+        type: "runner" as const,
+        runner: createRunner(at),
+      })),
+      {
+        type: "accept",
+        spec: {
+          jobId: STEP.jobId,
+          text: "",
+          steps: [v.parse(jobStepSchema, {
+            taskCount: 3,
+            needs: { cpuMillicores: 1_000 },
+          })],
+        },
+        queue: "q",
+        pool: POOL,
+        maxAttempts: 2,
+      },
+    ]);
+    await clock.advance(50);
+    const controller = new AbortController();
+    stop.push(controller);
+    void desk.run(controller.signal);
+    const findApproved = () => {
+      const [ready] = listReadySteps(
+        log.state.jobs,
+        log.state.catalog,
+        clock.nowMs(),
+      );
+      return ready && [...desk.findApproved(ready) ?? []].toSorted();
+    };
+    return { clock, client, desk, findApproved };
+  }
+
+  it("approves only what the service approved, with its ticket", async () => {
+    const { clock, desk, findApproved } = await setUp((id) =>
+      ["r1", "r2", "r3"].includes(id)
+    );
+    await clock.advance(1_000);
+    assert.equal(findApproved(), ["r1", "r2", "r3"]);
+    assert.match(desk.findTicket(STEP, createRunner(1)) ?? "", /^r1\//);
+    assert.is(desk.findTicket(STEP, createRunner(9)), undefined);
+    assert.is(
+      desk.findTicket(STEP, createRunner(1, 2)),
+      undefined,
+      "a ticket is for one lifetime of the runner",
+    );
+  });
+
+  it("asks one question at a time, of a bounded number of runners", async () => {
+    const { clock, client } = await setUp(() => false);
+    await clock.advance(3_000);
+    assert.is(client.maxOpenCount, 1);
+    assert.equal(client.questions.map(({ length }) => length), [
+      ADVICE_RUNNER_COUNT,
+      RUNNER_COUNT - ADVICE_RUNNER_COUNT,
+    ]);
+  });
+
+  it("asks no more once enough runners are approved", async () => {
+    const { clock, client } = await setUp(() => true);
+    await clock.advance(2_000);
+    assert.is(client.questions.length, 1);
+  });
+
+  it("does not use a ticket that may be over, and asks again", async () => {
+    const { clock, client, findApproved } = await setUp((id) => id === "r1");
+    await clock.advance(1_000);
+    const askedCount = client.questions.length;
+    client.isAway = true;
+    await clock.advance(VALID_MS);
+    assert.equal(findApproved(), []);
+    client.isAway = false;
+    await clock.advance(2_000);
+    assert.equal(findApproved(), ["r1"]);
+    assert.ok(client.questions.length > askedCount);
+  });
+});
