--- a/src/services/scheduling/call_desk.ts
+++ b/src/services/scheduling/call_desk.ts
@@ -58,7 +58,7 @@
     const { leader, logger, metrics } = this.#options;
     const { leaderId } = leader;
     const named = { requestId, action, queue, host, path };
-    const fields = { ...named, leaderId, tookMs };
+    const fields = { ...named, leaderId, tookMs: Math.round(tookMs) };
     const outcome = answered.isOk ? "answered" : answered.error.kind;
     metrics.recordCall({ action, outcome, tookMs });
     if (answered.isErr) {
--- a/src/services/scheduling/schedule_explainer.ts
+++ b/src/services/scheduling/schedule_explainer.ts
@@ -157,12 +157,15 @@
       return undefined;
     }
     const where = task.life === undefined ? "" : ` on ${task.life.runnerId}`;
+    const sinceMs = task.changedAtMs === 0
+      ? job.findDueMs(Number(occurrence))
+      : task.changedAtMs;
     const reason = task.state === "waiting"
       ? [`waits: ${this.#findReason(job, Number(occurrence), Number(step))}`]
       : [];
     return [
       `${task.state}${where}, run ${task.runNumber}, ${task.failedCount} failed runs`,
-      `for ${Math.round(this.#nowMs - task.changedAtMs)} ms`,
+      `for ${Math.round(this.#nowMs - sinceMs)} ms`,
       ...reason,
     ];
   }
