--- a/src/bench/registry.ts
+++ b/src/bench/registry.ts
@@ -11,6 +11,7 @@
 import { PropagationMeasurement } from "./propagation.ts";
 import { RecoveryMeasurement } from "./recovery.ts";
 import { RequestCostMeasurement } from "./request_cost.ts";
+import { SchedulingMeasurement } from "./scheduling.ts";
 import { ScriptMeasurement } from "./script_measurement.ts";
 import { ShutdownMeasurement } from "./shutdown.ts";
 import { ZoneOutMeasurement } from "./zone_out.ts";
@@ -29,6 +30,7 @@
   new RequestCostMeasurement(),
   new FootprintMeasurement(),
   new PlacementMeasurement(),
+  new SchedulingMeasurement(),
   new MovesMeasurement(),
   new ScriptMeasurement({
     name: "replication-acks",
