Let a full pipe at the end of a process keep its exit code

Read in the diff: writeSync in the exit handler throws EAGAIN when the reader of the log is slow, and an error there turns a planned end into exit code 7. The lines are counted as dropped instead. Not caused by a test: the handler runs after the loop.

--- a/src/adapters/logging/queued_stream.ts
+++ b/src/adapters/logging/queued_stream.ts
@@ -91,11 +91,18 @@
     stop.abort("flushed");
   }
 
-  /** Writes what is queued at the end of the process, unless a reader hangs. */
+  /** Writes what is queued at the end of the process, once. */
   flushAtExit(): void {
-    if (this.#queued.length > 0) {
-      writeSync(this.#options.fileDescriptor, this.#queued.join(""));
-      this.#queued = [];
+    const lines = this.#queued;
+    this.#queued = [];
+    if (lines.length === 0) {
+      return;
+    }
+    try {
+      writeSync(this.#options.fileDescriptor, lines.join(""));
+    } catch {
+      // A full pipe must not change the exit code, and nobody reads any more.
+      this.#droppedCount += lines.length;
     }
   }
 
