Tell a call without a host from one with an empty host

Read in the diff: the product's own calls were told apart by an empty host, so a caller on the platform's port with an empty Host header would have reached jobs by their id alone, past the paths of the catalog (still under a key). Absent now means absent; the case is tested.

--- a/src/adapters/http/job_routes.ts
+++ b/src/adapters/http/job_routes.ts
@@ -111,7 +111,6 @@
   response.setHeader(REQUEST_ID_HEADER, requestId);
   const answered = await calls.answer({
     ...call,
-    host: "",
     path: `/${jobId ?? params["jobId"] ?? ""}`,
     key: readSecret(request),
     requestId,
--- a/src/services/scheduling/job_service.ts
+++ b/src/services/scheduling/job_service.ts
@@ -17,10 +17,11 @@
 /** Schema of {@link JobCall}. */
 export const jobCallSchema = v.object({
   action: v.picklist(["submit", "read", "cancel"]),
-  /** Host and path by which the catalog finds the queue. */
-  host: v.string(),
+  /** Host by which, with the path, the catalog finds the queue. */
+  host: v.optional(v.string()),
+  /** Names the job below the queue's prefix, or alone when there is no host. */
   path: v.string(),
-  /** Name of the queue; the path names only the job then. */
+  /** Name of the queue, for a call without a host. */
   queue: v.optional(v.string()),
   /** Key of the caller's team. */
   key: v.optional(v.string()),
@@ -191,7 +192,7 @@
   // A call without a host names its queue, or a job that tells it.
   #findQueue(call: JobCall): Omit<Target, "team"> | undefined {
     const { catalog, jobs } = this.#log.state;
-    if (call.host !== "") {
+    if (call.host !== undefined) {
       const queue = findQueue(catalog.queues, call.host, call.path);
       return queue &&
         { queue, rest: call.path.slice(queue.pathPrefix.length) };
@@ -247,11 +248,11 @@
   { host, path, queue }: JobCall,
   catalogVersion: number,
 ): Failure {
-  if (host === "" && queue === undefined) {
+  if (host === undefined && queue === undefined) {
     return createUnknown(path.slice(1));
   }
-  const what = queue === undefined
-    ? `no queue is at ${host}${path}`
-    : `no queue is named ${queue}`;
+  const what = host === undefined
+    ? `no queue is named ${queue}`
+    : `no queue is at ${host}${path}`;
   return createFailure("unknownKind", `${what} in catalog ${catalogVersion}`);
 }
--- a/src/services/scheduling/job_service_test.ts
+++ b/src/services/scheduling/job_service_test.ts
@@ -156,6 +156,32 @@
     });
   });
 
+  describe("without a host", () => {
+    const own = { host: undefined, path: `/${JOB_ID}` };
+
+    it("names its queue, or a job that tells it", async () => {
+      const { call } = await createService();
+      assert.ok((await call({ ...own, queue: "q" })).isOk);
+      const read = await call({ ...own, action: "read" });
+      assert.equal(read.isOk && read.value, { state: "queued" });
+    });
+
+    it("is refused when neither is known", async () => {
+      const { call } = await createService();
+      const unnamed = await call({ ...own, action: "read" });
+      assert.is(unnamed.isErr && unnamed.error.kind, "jobUnknown");
+      const unknown = await call({ ...own, queue: "none" });
+      assert.is(unknown.isErr && unknown.error.kind, "unknownKind");
+    });
+
+    it("is another thing than an empty host", async () => {
+      const { call } = await createService();
+      await call();
+      const empty = await call({ ...own, host: "", action: "read" });
+      assert.is(empty.isErr && empty.error.kind, "unknownKind");
+    });
+  });
+
   it("goes to the queue with the longest prefix", async () => {
     const { call, log } = await createService();
     const path = `/q/open/${JOB_ID}`;
