--- a/src/services/scheduling/runner_fleet.ts
+++ b/src/services/scheduling/runner_fleet.ts
@@ -66,11 +66,7 @@
       ["silent", 0],
     ]);
     for (const { task: { runner, status } } of this.#served.values()) {
-      const condition = !status.isSound
-        ? "silent"
-        : runner.isDraining
-        ? "draining"
-        : "sound";
+      const condition = findCondition(runner, status);
       counts.set(condition, (counts.get(condition) ?? 0) + 1);
     }
     return counts;
@@ -165,3 +161,13 @@
     return queue?.maxAttempts ?? job.maxAttempts;
   }
 }
+
+function findCondition(
+  { isDraining }: Runner,
+  { isSound }: RunnerStatus,
+): RunnerCondition {
+  if (!isSound) {
+    return "silent";
+  }
+  return isDraining ? "draining" : "sound";
+}
