--- a/src/bench/registry.ts
+++ b/src/bench/registry.ts
@@ -12,6 +12,7 @@
 import { RecoveryMeasurement } from "./recovery.ts";
 import { RequestCostMeasurement } from "./request_cost.ts";
 import { SchedulingMeasurement } from "./scheduling.ts";
+import { SchedulingPoliciesMeasurement } from "./scheduling_policies.ts";
 import { ScriptMeasurement } from "./script_measurement.ts";
 import { ShutdownMeasurement } from "./shutdown.ts";
 import { ZoneOutMeasurement } from "./zone_out.ts";
@@ -31,6 +32,7 @@
   new FootprintMeasurement(),
   new PlacementMeasurement(),
   new SchedulingMeasurement(),
+  new SchedulingPoliciesMeasurement(),
   new MovesMeasurement(),
   new ScriptMeasurement({
     name: "replication-acks",
--- /dev/null
+++ b/src/bench/scheduling_policies.ts
@@ -0,0 +1,157 @@
+/** Order and placement of waiting work over the same loads, in simulated time. */
+import * as v from "valibot";
+import { SeededRandom } from "../adapters/random/index.ts";
+import {
+  ArrivalOrderPolicy,
+  FirstFitPlacementPolicy,
+  ScoredPlacementPolicy,
+  SlackOrderPolicy,
+  StartPlanner,
+} from "../decisions/index.ts";
+import { type JobRecord, jobStepSchema } from "../domain/index.ts";
+import { FakeClock } from "../testing/fake_clock.ts";
+import { SchedulingWorld } from "../testing/scheduling_world.ts";
+import type {
+  Measurement,
+  MeasurementContext,
+  Outcome,
+} from "./measurement.ts";
+
+const RUNNER_IDS = ["r1", "r2", "r3", "r4"];
+/** Four runners of 8 cores are busy at about two thirds by this. */
+const ARRIVAL_MS = 200;
+const PLAY_MS = 20_000;
+const QUICK_PLAY_MS = 12_000;
+const SETTLE_MS = 30_000;
+const FAULT_FROM_MS = 5_000;
+const FAULT_UNTIL_MS = 8_000;
+const BURST_FACTOR = 3;
+const LARGE_SHARE = 10;
+const STRETCH = 1.6;
+const TARGET_MS = 600;
+
+/** What a load does besides the steady arrivals. */
+interface Load {
+  readonly name: string;
+  readonly hasBurst: boolean;
+  readonly hasSilentRunner: boolean;
+}
+
+const LOADS: readonly Load[] = [
+  { name: "steady", hasBurst: false, hasSilentRunner: false },
+  { name: "burst", hasBurst: true, hasSilentRunner: false },
+  { name: "silentRunner", hasBurst: false, hasSilentRunner: true },
+];
+
+/** The used policies, and each with one of the plain ones. */
+const POLICIES: Readonly<Record<string, () => StartPlanner>> = {
+  used: () =>
+    new StartPlanner({
+      order: new SlackOrderPolicy(),
+      placement: new ScoredPlacementPolicy(),
+    }),
+  arrivalOrder: () =>
+    new StartPlanner({
+      order: new ArrivalOrderPolicy(),
+      placement: new ScoredPlacementPolicy(),
+    }),
+  firstFit: () =>
+    new StartPlanner({
+      order: new SlackOrderPolicy(),
+      placement: new FirstFitPlacementPolicy(),
+    }),
+};
+
+/** Jobs in time under each policy and load. */
+export class SchedulingPoliciesMeasurement implements Measurement {
+  readonly name = "policies";
+  readonly summary = "order and placement of jobs, used against plain policies";
+  readonly targets = [];
+
+  async run(context: MeasurementContext): Promise<Outcome> {
+    const figures: Record<string, number> = {};
+    for (const load of LOADS) {
+      for (const [policy, createPlanner] of Object.entries(POLICIES)) {
+        const jobs = await play(load, createPlanner(), context);
+        const largest = jobs.toSorted((left, right) =>
+          sumTaskMs(right) - sumTaskMs(left)
+        ).slice(0, Math.ceil(jobs.length / LARGE_SHARE));
+        figures[`${load.name}.${policy}.inTimeRatio`] = findInTime(jobs);
+        figures[`${load.name}.${policy}.largestTenthRatio`] = findInTime(
+          largest,
+        );
+        context.report(`${load.name}, ${policy}: ${jobs.length} jobs`);
+      }
+    }
+    return { figures, plots: [] };
+  }
+}
+
+async function play(
+  load: Load,
+  planner: StartPlanner,
+  { quick, seed }: MeasurementContext,
+): Promise<readonly JobRecord[]> {
+  const clock = new FakeClock();
+  const world = new SchedulingWorld({
+    clock,
+    random: new SeededRandom(seed),
+    runnerIds: RUNNER_IDS,
+    planner,
+  });
+  world.changeLeader();
+  await clock.advance(2_000);
+  // Each policy gets the same jobs.
+  const random = new SeededRandom(seed);
+  const startedMs = clock.monotonicMs();
+  const playMs = quick ? QUICK_PLAY_MS : PLAY_MS;
+  for (let jobCount = 0; clock.monotonicMs() - startedMs < playMs;) {
+    const elapsedMs = clock.monotonicMs() - startedMs;
+    const isFault = elapsedMs >= FAULT_FROM_MS && elapsedMs < FAULT_UNTIL_MS;
+    setSilence(world, load.hasSilentRunner && isFault);
+    jobCount += 1;
+    const jobId = jobCount.toString(16).padStart(16, "0");
+    void world.submit(jobId, createSteps(random));
+    const factor = load.hasBurst && isFault ? BURST_FACTOR : 1;
+    await clock.advance(ARRIVAL_MS / factor);
+  }
+  setSilence(world, false);
+  await clock.advance(SETTLE_MS);
+  await world.stop();
+  return world.state.scheduling.jobs.list();
+}
+
+function setSilence(world: SchedulingWorld, isSilent: boolean): void {
+  if (isSilent) {
+    world.runners.cutIds.add("r1");
+  } else {
+    world.runners.cutIds.clear();
+  }
+}
+
+function createSteps(random: SeededRandom) {
+  const isLarge = random.nextInt(LARGE_SHARE) === 0;
+  const step = {
+    taskCount: isLarge ? 8 : 1 + random.nextInt(4),
+    needs: { cpuMillicores: 500 + random.nextInt(2_000) },
+    estimateMs: isLarge ? 1_200 : 200 + random.nextInt(800),
+  };
+  const steps = isLarge ? [step, { ...step, dependsOn: [0] }] : [step];
+  return steps.map((each) => v.parse(jobStepSchema, each));
+}
+
+function sumTaskMs({ spec }: JobRecord): number {
+  return spec.steps.reduce(
+    (sum, { taskCount, estimateMs }) => sum + taskCount * estimateMs,
+    0,
+  );
+}
+
+function findInTime(jobs: readonly JobRecord[]): number {
+  const inTime = jobs.filter(({ spec, acceptedAtMs, endedAtMs }) => {
+    const chainMs = spec.steps.reduce((sum, step) => sum + step.estimateMs, 0);
+    return endedAtMs !== undefined &&
+      endedAtMs - acceptedAtMs <= STRETCH * chainMs + TARGET_MS;
+  });
+  return jobs.length === 0 ? 0 : inTime.length / jobs.length;
+}
--- a/src/testing/scheduling_world.ts
+++ b/src/testing/scheduling_world.ts
@@ -52,6 +52,8 @@
   readonly limitMillicores?: number;
   /** Whether each runner lives on a VM of its name, which has upkeeps. */
   readonly hasVms?: boolean;
+  /** Plans what starts where; the used policies by default. */
+  readonly planner?: StartPlanner;
 }
 
 /** One pool, one queue, one team; leaders and runners that come and go. */
@@ -191,10 +193,7 @@
     });
     const scheduler = new Scheduler({
       ...shared,
-      planner: new StartPlanner({
-        order: new SlackOrderPolicy(),
-        placement: new ScoredPlacementPolicy(),
-      }),
+      planner: this.#options.planner ?? createPlanner(),
       findStatus: (runner) => fleet.findStatus(runner),
       isCordoned: (runner) => waves?.isCordoned(runner) ?? false,
       findApproved: () => undefined,
@@ -288,3 +287,10 @@
     });
   }
 }
+
+function createPlanner(): StartPlanner {
+  return new StartPlanner({
+    order: new SlackOrderPolicy(),
+    placement: new ScoredPlacementPolicy(),
+  });
+}
