Keep following a leader whose announcement ends a question asked before

A voter had just asked the one that was being elected; its announcement set the new leader and thereby ended the question, and the ended question was taken for a lost leader, so that the voter went on to ask the two that were cut off, 0.7 s each. The new leader, heard by too few, stepped down after 1.5 s ("a quorum is silent"), and the next election came 2.7 s after the first one.

Ruled out: links between the three (they had just voted), a slow disk, the shorter leases (they only made it cost more: runs lapse after 3.4 s).

Change: only a pull to the leader that was followed when it was sent can lose it.

--- a/src/replication/pull_task.ts
+++ b/src/replication/pull_task.ts
@@ -51,10 +51,14 @@
         await core.changed.wait(signal);
         continue;
       }
+      const wasFollowed = core.leaderId === leaderId;
       const pulled = await this.#pull(leaderId);
       if (pulled.isErr && !signal.aborted) {
         logger.debug({ leaderId, failure: pulled.error }, "a pull failed");
-        await clock.sleep(this.#reactTo(pulled.error, leaderId), signal);
+        if (wasFollowed) {
+          this.#loseLeader(pulled.error, leaderId);
+        }
+        await clock.sleep(this.#reactTo(pulled.error), signal);
       }
     }
   }
@@ -75,7 +79,17 @@
     return candidates[this.#attemptCount % Math.max(1, candidates.length)];
   }
 
-  #reactTo(failure: Failure, leaderId: string): number {
+  // A question that was asked before its peer was elected says nothing of it:
+  // the announcement of the new leader has ended it.
+  #loseLeader(failure: Failure, leaderId: string): void {
+    const isLost = failure.kind === "notLeader" ||
+      failure.kind === "peerUnreachable";
+    if (isLost && this.#core.leaderId === leaderId) {
+      this.#core.setLeader(undefined);
+    }
+  }
+
+  #reactTo(failure: Failure): number {
     const core = this.#core;
     if (failure.kind === "readOnly") {
       core.options.logger.error({ failure }, "the disk refuses entries");
@@ -89,11 +103,6 @@
         hint.value.leaderId !== core.self.entryId;
       this.#hint = isUsable ? hint.value.leaderId : undefined;
     }
-    const isLost = failure.kind === "notLeader" ||
-      failure.kind === "peerUnreachable";
-    if (isLost && core.leaderId === leaderId) {
-      core.setLeader(undefined);
-    }
     return RETRY_DELAY_MS;
   }
 
