Measure how late the event loop fires timers

Cause: neither the log nor the metrics say that a process is short of processor time.

Change: each process checks four times a second how late a timer fires. The metrics gain series for commits, plans, requests to runners and removed runners, and the waiting tasks beside the free CPU of each pool.

--- a/src/adapters/metrics/prometheus_scheduling_metrics.ts
+++ b/src/adapters/metrics/prometheus_scheduling_metrics.ts
@@ -3,7 +3,13 @@
 import type { JobState, RunEnd } from "../../domain/index.ts";
 import type {
   CallMeasurement,
+  EventLoopMetrics,
   JobLabels,
+  LeaderMetrics,
+  ProcessUsage,
+  RunnerRemoval,
+  RunnerRequestKind,
+  RunnerRequestOutcome,
   SchedulingGauges,
   SchedulingMetrics,
 } from "../../ports/index.ts";
@@ -11,6 +17,19 @@
 const MS_PER_SECOND = 1_000;
 /** Buckets from one network round trip to the longest wait for a job. */
 const BUCKETS_SECONDS = [0.01, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 15, 60];
+/** Buckets from one step of a plan to a leader that can hardly work. */
+const SHORT_BUCKETS_SECONDS = [
+  0.001,
+  0.005,
+  0.01,
+  0.025,
+  0.05,
+  0.1,
+  0.25,
+  0.5,
+  1,
+  2.5,
+];
 const JOB_LABELS = ["team", "queue"] as const;
 
 /** Options of {@link PrometheusSchedulingMetrics}. */
@@ -19,10 +38,12 @@
   readonly readGauges: () => SchedulingGauges | undefined;
   /** Reads the number of log lines that were dropped. */
   readonly readDroppedLineCount: () => number;
+  readonly usage: ProcessUsage;
 }
 
 /** Collects the scheduling metrics of one process. */
-export class PrometheusSchedulingMetrics implements SchedulingMetrics {
+export class PrometheusSchedulingMetrics
+  implements SchedulingMetrics, LeaderMetrics, EventLoopMetrics {
   readonly #options: PrometheusSchedulingMetricsOptions;
   readonly #registry = new Registry();
   readonly #registers = [this.#registry];
@@ -81,6 +102,64 @@
     help: "Log lines that were dropped because their reader was too slow",
     registers: this.#registers,
   });
+  readonly #loopDelays = new Histogram({
+    name: "cardamomsill_event_loop_delay_seconds",
+    help: "How late a timer of the process fired, four times a second",
+    buckets: SHORT_BUCKETS_SECONDS,
+    registers: this.#registers,
+  });
+  readonly #cpu = new Counter({
+    name: "cardamomsill_process_cpu_seconds_total",
+    help: "Processor time of the process",
+    registers: this.#registers,
+  });
+  readonly #loopActive = new Counter({
+    name: "cardamomsill_event_loop_active_seconds_total",
+    help: "Time in which the event loop was not waiting for events",
+    registers: this.#registers,
+  });
+  readonly #commits = new Histogram({
+    name: "cardamomsill_commit_seconds",
+    help: "Time from a proposal of the leader to its outcome",
+    labelNames: ["outcome"],
+    buckets: SHORT_BUCKETS_SECONDS,
+    registers: this.#registers,
+  });
+  readonly #plans = new Histogram({
+    name: "cardamomsill_plan_seconds",
+    help: "Time to plan the starts of waiting tasks",
+    buckets: SHORT_BUCKETS_SECONDS,
+    registers: this.#registers,
+  });
+  readonly #plannedStarts = new Counter({
+    name: "cardamomsill_planned_starts_total",
+    help: "Starts in plans, also in those that the log did not take",
+    registers: this.#registers,
+  });
+  readonly #waitingTasks = new Gauge({
+    name: "cardamomsill_waiting_tasks",
+    help: "Tasks at the leader that could start now, by pool",
+    labelNames: ["pool"],
+    registers: this.#registers,
+  });
+  readonly #freeMillicores = new Gauge({
+    name: "cardamomsill_free_millicores",
+    help: "Free CPU of the runners that may get work, at the leader, by pool",
+    labelNames: ["pool"],
+    registers: this.#registers,
+  });
+  readonly #runnerRequests = new Counter({
+    name: "cardamomsill_runner_requests_total",
+    help: "Requests of the leader to runners, by kind and outcome",
+    labelNames: ["kind", "outcome"],
+    registers: this.#registers,
+  });
+  readonly #removedRunners = new Counter({
+    name: "cardamomsill_removed_runners_total",
+    help: "Runners removed without notice of a shutdown, by reason",
+    labelNames: ["reason"],
+    registers: this.#registers,
+  });
 
   constructor(options: PrometheusSchedulingMetricsOptions) {
     this.#options = options;
@@ -102,13 +181,44 @@
     this.#jobs.observe({ ...labels, outcome }, totalMs / MS_PER_SECOND);
   }
 
+  recordEventLoopDelay(delayMs: number): void {
+    this.#loopDelays.observe(delayMs / MS_PER_SECOND);
+  }
+
+  recordCommit(outcome: string, tookMs: number): void {
+    this.#commits.observe({ outcome }, tookMs / MS_PER_SECOND);
+  }
+
+  recordPlan(tookMs: number, startCount: number): void {
+    this.#plans.observe(tookMs / MS_PER_SECOND);
+    this.#plannedStarts.inc(startCount);
+  }
+
+  countRunnerRequest(
+    kind: RunnerRequestKind,
+    outcome: RunnerRequestOutcome,
+  ): void {
+    this.#runnerRequests.inc({ kind, outcome });
+  }
+
+  countRemovedRunner(reason: RunnerRemoval): void {
+    this.#removedRunners.inc({ reason });
+  }
+
   /** Renders all metrics in the text format of Prometheus. */
   render(): Promise<string> {
-    const { readGauges, readDroppedLineCount } = this.#options;
+    const { readGauges, readDroppedLineCount, usage } = this.#options;
+    const { cpuMs, loopActiveMs } = usage.read();
+    this.#cpu.reset();
+    this.#cpu.inc(cpuMs / MS_PER_SECOND);
+    this.#loopActive.reset();
+    this.#loopActive.inc(loopActiveMs / MS_PER_SECOND);
     this.#droppedLines.reset();
     this.#droppedLines.inc(readDroppedLineCount());
     this.#openJobs.reset();
     this.#runners.reset();
+    this.#waitingTasks.reset();
+    this.#freeMillicores.reset();
     const gauges = readGauges();
     this.#term.set(gauges?.term ?? 0);
     if (gauges !== undefined) {
@@ -119,6 +229,12 @@
       for (const [condition, count] of gauges.runnerCounts) {
         this.#runners.set({ condition }, count);
       }
+      for (const [pool, count] of gauges.waitingTaskCounts) {
+        this.#waitingTasks.set({ pool }, count);
+      }
+      for (const [pool, millicores] of gauges.freeMillicores) {
+        this.#freeMillicores.set({ pool }, millicores);
+      }
     }
     return this.#registry.metrics();
   }
--- a/src/daemon/scheduling/create_scheduling_controller.ts
+++ b/src/daemon/scheduling/create_scheduling_controller.ts
@@ -70,10 +70,11 @@
   options: SchedulingControllerOptions,
 ): Promise<Result<SchedulingController, Failure>> {
   let leaderServices: LeaderServices | undefined;
-  const base = createSchedulingBase(
-    options,
-    () => leaderServices?.readGauges(),
-  );
+  const base = createSchedulingBase(options, {
+    role: "controller",
+    readGauges: () => leaderServices?.readGauges(),
+    isLeading: () => leaderServices !== undefined,
+  });
   const loaded = await loadReplica(base, options);
   if (loaded.isErr) {
     return Result.err(loaded.error);
--- a/src/daemon/scheduling/create_scheduling_entry.ts
+++ b/src/daemon/scheduling/create_scheduling_entry.ts
@@ -27,7 +27,11 @@
 export async function createSchedulingEntry(
   options: SchedulingProcessOptions,
 ): Promise<SchedulingEntry> {
-  const base = createSchedulingBase(options);
+  const base = createSchedulingBase(options, {
+    role: "entry",
+    readGauges: () => undefined,
+    isLeading: () => false,
+  });
   const leader = new LeaderClient({ ...base, controllerIds: options.seedIds });
   const watch = new LeaderWatch({ ...base, leader });
   base.tasks.startForever("leader watch", (signal) => watch.run(signal));
--- a/src/daemon/scheduling/scheduling_base.ts
+++ b/src/daemon/scheduling/scheduling_base.ts
@@ -3,6 +3,7 @@
 import { PrometheusSchedulingMetrics } from "../../adapters/metrics/prometheus_scheduling_metrics.ts";
 import { NoopMetrics } from "../../adapters/metrics/noop_metrics.ts";
 import { TcpPeerNetwork } from "../../adapters/peer/index.ts";
+import { NodeProcessUsage } from "../../adapters/process/index.ts";
 import { SeededRandom } from "../../adapters/random/index.ts";
 import type {
   Clock,
@@ -10,6 +11,7 @@
   Random,
   SchedulingGauges,
 } from "../../ports/index.ts";
+import { EventLoopWatch } from "../../services/scheduling/index.ts";
 import { TaskGroup } from "../../tasks/index.ts";
 
 /**
@@ -47,19 +49,28 @@
   readonly tasks: TaskGroup;
   readonly network: TcpPeerNetwork;
   readonly metrics: PrometheusSchedulingMetrics;
+  readonly eventLoop: EventLoopWatch;
+}
+
+/** What the process does, for its metrics and log lines. */
+export interface ProcessRole {
+  readonly role: "controller" | "entry";
+  /** Returns the gauges of the leader; undefined while this process isn't it. */
+  readonly readGauges: () => SchedulingGauges | undefined;
+  /** Returns whether this process leads. */
+  readonly isLeading: () => boolean;
 }
 
 /**
- * Creates the adapters of a process.
+ * Creates the adapters of a process and starts the watch of its event loop.
  *
  * @param options - Identity, peers, logger and inspection address.
- * @param readGauges - Returns the gauges of the leader; undefined while this
- * process does not lead.
+ * @param processRole - Role of the process.
  * @returns The options together with the adapters.
  */
 export function createSchedulingBase(
   options: SchedulingProcessOptions,
-  readGauges: () => SchedulingGauges | undefined = () => undefined,
+  processRole: ProcessRole,
 ): SchedulingBase {
   const { entryId, peerPort, logger } = options;
   const clock = new SystemClock();
@@ -76,12 +87,27 @@
     metrics: new NoopMetrics(),
     tasks,
   });
+  const usage = new NodeProcessUsage();
+  const metrics = new PrometheusSchedulingMetrics({
+    ...options,
+    ...processRole,
+    usage,
+  });
+  const eventLoop = new EventLoopWatch({
+    ...processRole,
+    clock,
+    logger,
+    usage,
+    metrics,
+  });
+  tasks.startForever("event loop watch", (signal) => eventLoop.run(signal));
   return {
     ...options,
     clock,
     random: SeededRandom.withRandomSeed(),
     tasks,
     network,
-    metrics: new PrometheusSchedulingMetrics({ ...options, readGauges }),
+    metrics,
+    eventLoop,
   };
 }
--- a/src/daemon/scheduling/start_leading.ts
+++ b/src/daemon/scheduling/start_leading.ts
@@ -3,6 +3,7 @@
   BackOffPacePolicy,
   DemandCapacityPolicy,
   LeastLossMaintenancePolicy,
+  listReadySteps,
   PeriodicForecast,
   ScoredPlacementPolicy,
   SlackOrderPolicy,
@@ -12,6 +13,8 @@
 import type {
   AdviceClient,
   Clock,
+  EventLoopDelays,
+  LeaderMetrics,
   Logger,
   RunnerClient,
   SchedulingGauges,
@@ -36,6 +39,8 @@
   readonly entryId: string;
   readonly clock: Clock;
   readonly logger: Logger;
+  readonly metrics: LeaderMetrics;
+  readonly eventLoop: EventLoopDelays;
   readonly log: SchedulingLog;
   readonly changed: Notifier;
   /** The leader's term, which no other leader has. */
@@ -132,13 +137,14 @@
       findStatus: (runner) => fleet.findStatus(runner),
       mayPlaceOn: (runner) => scheduler.mayPlaceOn(runner),
     }),
-    readGauges: () => readGauges(options, fleet),
+    readGauges: () => readGauges(options, fleet, scheduler),
   };
 }
 
 function readGauges(
-  { fencingToken, log }: StartLeadingOptions,
+  { clock, fencingToken, log }: StartLeadingOptions,
   fleet: RunnerFleet,
+  scheduler: Scheduler,
 ): SchedulingGauges {
   const openJobCounts = new Map<JobState, number>([
     ["queued", 0],
@@ -152,5 +158,33 @@
     catalogVersion: log.state.catalog.version,
     openJobCounts,
     runnerCounts: fleet.countConditions(),
+    waitingTaskCounts: countWaitingTasks(log, clock.nowMs()),
+    freeMillicores: sumFreeMillicores(log, scheduler),
   };
 }
+
+function countWaitingTasks(
+  { state: { jobs, catalog } }: SchedulingLog,
+  nowMs: number,
+): ReadonlyMap<string, number> {
+  const counts = new Map(catalog.pools.map(({ name }) => [name, 0]));
+  for (const { pool, record } of listReadySteps(jobs, catalog, nowMs)) {
+    counts.set(pool, (counts.get(pool) ?? 0) + record.waitingCount);
+  }
+  return counts;
+}
+
+function sumFreeMillicores(
+  { state: { catalog, jobs, runners } }: SchedulingLog,
+  scheduler: Scheduler,
+): ReadonlyMap<string, number> {
+  const sums = new Map(catalog.pools.map(({ name }) => [name, 0]));
+  for (const runner of runners.values()) {
+    if (scheduler.mayPlaceOn(runner)) {
+      const { used } = jobs.findLoad(runner);
+      const free = runner.capacity.cpuMillicores - used.cpuMillicores;
+      sums.set(runner.pool, (sums.get(runner.pool) ?? 0) + free);
+    }
+  }
+  return sums;
+}
--- /dev/null
+++ b/src/ports/leader_metrics.ts
@@ -0,0 +1,36 @@
+/** Ports for metrics of the process itself and of the leader's own work. */
+
+/** A kind of request that the leader sends to a runner. */
+export type RunnerRequestKind = "poll" | "start" | "stop";
+
+/** What became of a request to a runner. */
+export type RunnerRequestOutcome = "answered" | "refused" | "unanswered";
+
+/** Why the leader removed a runner that had not announced its shutdown. */
+export type RunnerRemoval = "ended" | "leasesExpired" | "replaced";
+
+/** Records how late the timers of the process fire. */
+export interface EventLoopMetrics {
+  /** Records the delay of one timer (ms). */
+  recordEventLoopDelay(delayMs: number): void;
+}
+
+/** Records measurements of the leader's own work. */
+export interface LeaderMetrics {
+  /**
+   * Records a proposal to the log.
+   *
+   * @param outcome - `applied`, or the error kind of the failure.
+   * @param tookMs - Time from the proposal to its outcome (ms).
+   */
+  recordCommit(outcome: string, tookMs: number): void;
+  /** Records a plan that took a time (ms) and starts a number of tasks. */
+  recordPlan(tookMs: number, startCount: number): void;
+  /** Counts a request to a runner. */
+  countRunnerRequest(
+    kind: RunnerRequestKind,
+    outcome: RunnerRequestOutcome,
+  ): void;
+  /** Counts a removed runner. */
+  countRemovedRunner(reason: RunnerRemoval): void;
+}
--- a/src/ports/scheduling_metrics.ts
+++ b/src/ports/scheduling_metrics.ts
@@ -23,6 +23,10 @@
   readonly openJobCounts: ReadonlyMap<JobState, number>;
   /** Number of runners by condition. */
   readonly runnerCounts: ReadonlyMap<RunnerCondition, number>;
+  /** Number of tasks that could start now, by pool. */
+  readonly waitingTaskCounts: ReadonlyMap<string, number>;
+  /** Free CPU of the runners that may get work, by pool. */
+  readonly freeMillicores: ReadonlyMap<string, number>;
 }
 
 /**
--- a/src/services/scheduling/index.ts
+++ b/src/services/scheduling/index.ts
@@ -5,6 +5,7 @@
 export * from "./job_call_forwarder.ts";
 export * from "./capacity_task.ts";
 export * from "./controller_leader_client.ts";
+export * from "./event_loop_watch.ts";
 export * from "./job_service.ts";
 export * from "./leadership_task.ts";
 export * from "./leader_client.ts";
--- a/src/services/scheduling/timing.ts
+++ b/src/services/scheduling/timing.ts
@@ -132,3 +132,13 @@
  * reported load.
  */
 export const PACE_TICK_MS = 250;
+
+/** Interval at which the delay of the event loop is measured (ms). */
+export const EVENT_LOOP_CHECK_MS = 250;
+/**
+ * Delay of a timer from which the event loop counts as late, in milliseconds:
+ * the margin of a lease.
+ */
+export const LATE_EVENT_LOOP_MS = LEASE_SLACK_MS;
+/** Least time between two log lines about a late event loop (ms). */
+export const LATE_EVENT_LOOP_LINE_MS = 1_000;
--- a/src/testing/fake_ports.ts
+++ b/src/testing/fake_ports.ts
@@ -1,6 +1,17 @@
 /** Fakes of the logger and metrics ports that collect what they receive. */
-import type { RequestMeasurement } from "../ports/index.ts";
-import type { LogFields, Logger, Metrics } from "../ports/index.ts";
+import type {
+  EventLoopMetrics,
+  LeaderMetrics,
+  LogFields,
+  Logger,
+  Metrics,
+  ProcessUsage,
+  ProcessUsageReading,
+  RequestMeasurement,
+  RunnerRemoval,
+  RunnerRequestKind,
+  RunnerRequestOutcome,
+} from "../ports/index.ts";
 
 /** One collected log line. */
 export interface CollectedLine {
@@ -57,3 +68,46 @@
     }
   }
 }
+
+/** Collects the measurements of a leader and its event loop. */
+export class FakeLeaderMetrics implements LeaderMetrics, EventLoopMetrics {
+  readonly loopDelaysMs: number[] = [];
+  readonly commits: { outcome: string; tookMs: number }[] = [];
+  readonly planStartCounts: number[] = [];
+  /** Number of requests by kind and outcome, as in `poll answered`. */
+  readonly requestCounts = new Map<string, number>();
+  readonly removals: RunnerRemoval[] = [];
+
+  recordEventLoopDelay(delayMs: number): void {
+    this.loopDelaysMs.push(delayMs);
+  }
+
+  recordCommit(outcome: string, tookMs: number): void {
+    this.commits.push({ outcome, tookMs });
+  }
+
+  recordPlan(_tookMs: number, startCount: number): void {
+    this.planStartCounts.push(startCount);
+  }
+
+  countRunnerRequest(
+    kind: RunnerRequestKind,
+    outcome: RunnerRequestOutcome,
+  ): void {
+    const key = `${kind} ${outcome}`;
+    this.requestCounts.set(key, (this.requestCounts.get(key) ?? 0) + 1);
+  }
+
+  countRemovedRunner(reason: RunnerRemoval): void {
+    this.removals.push(reason);
+  }
+}
+
+/** A process usage that a test sets. */
+export class FakeProcessUsage implements ProcessUsage {
+  reading: ProcessUsageReading = { cpuMs: 0, loopActiveMs: 0 };
+
+  read(): ProcessUsageReading {
+    return this.reading;
+  }
+}
