Record the time of each commit and plan

Cause: a leader whose commits or plans take long could not be told from one that is short of processor time.

Change: the log of scheduling records the time from a proposal to its outcome, and the scheduler the time of a plan and the number of its starts.

--- a/src/daemon/scheduling/create_scheduling_controller.ts
+++ b/src/daemon/scheduling/create_scheduling_controller.ts
@@ -80,9 +80,9 @@
     return Result.err(loaded.error);
   }
   const replica = loaded.value;
-  const { clock, logger, network, tasks } = base;
-  const meter = new RecordingOperationMeter(base.metrics);
-  const log = new SchedulingLog({ agreement: replica, clock, meter });
+  const { clock, logger, metrics, network, tasks } = base;
+  const meter = new RecordingOperationMeter(metrics);
+  const log = new SchedulingLog({ agreement: replica, clock, meter, metrics });
   const changed = new Notifier();
   const handlers = addSchedulingHandlers({
     network,
--- a/src/services/scheduling/scheduler.ts
+++ b/src/services/scheduling/scheduler.ts
@@ -12,7 +12,7 @@
   ReadyStep,
   StartPlanner,
 } from "../../decisions/index.ts";
-import type { Clock, Logger } from "../../ports/index.ts";
+import type { Clock, LeaderMetrics, Logger } from "../../ports/index.ts";
 import type { Notifier } from "../../tasks/index.ts";
 import type { RunnerStatus } from "./runner_status.ts";
 import type { SchedulingLog } from "./scheduling_log.ts";
@@ -28,6 +28,7 @@
   readonly planner: StartPlanner;
   readonly clock: Clock;
   readonly logger: Logger;
+  readonly metrics: LeaderMetrics;
   /** Notified when the scheduling state or a runner's status has changed. */
   readonly changed: Notifier;
   readonly findStatus: (runner: Runner) => RunnerStatus | undefined;
@@ -73,13 +74,16 @@
   }
 
   #plan(): PlannedStart[] {
-    const { log, planner, clock } = this.#options;
-    return planner.plan({
+    const { log, metrics, planner, clock } = this.#options;
+    const startedMs = clock.monotonicMs();
+    const starts = planner.plan({
       state: log.state,
       candidates: this.#listCandidates(log.state),
       findApproved: this.#options.findApproved,
       nowMs: clock.nowMs(),
     });
+    metrics.recordPlan(clock.monotonicMs() - startedMs, starts.length);
+    return starts;
   }
 
   #listCandidates(state: SchedulingState): Map<string, Candidate[]> {
--- a/src/services/scheduling/scheduling_log.ts
+++ b/src/services/scheduling/scheduling_log.ts
@@ -6,7 +6,7 @@
   SchedulingOperation,
   SchedulingState,
 } from "../../domain/index.ts";
-import type { Agreement, Clock } from "../../ports/index.ts";
+import type { Agreement, Clock, LeaderMetrics } from "../../ports/index.ts";
 import { NoopOperationMeter, type OperationMeter } from "./operation_meter.ts";
 
 /** Options of {@link SchedulingLog}. */
@@ -15,6 +15,8 @@
   readonly clock: Clock;
   /** Measures the proposed changes; nothing by default. */
   readonly meter?: OperationMeter;
+  /** Where the times of proposals go; nowhere by default. */
+  readonly metrics?: LeaderMetrics;
 }
 
 /** Reads the scheduling state, proposes changes to it and shows who leads. */
@@ -22,11 +24,13 @@
   readonly #agreement: Agreement;
   readonly #clock: Clock;
   readonly #meter: OperationMeter;
+  readonly #metrics: LeaderMetrics | undefined;
 
-  constructor({ agreement, clock, meter }: SchedulingLogOptions) {
+  constructor({ agreement, clock, meter, metrics }: SchedulingLogOptions) {
     this.#agreement = agreement;
     this.#clock = clock;
     this.#meter = meter ?? new NoopOperationMeter();
+    this.#metrics = metrics;
   }
 
   /** The scheduling state as applied by this entry. */
@@ -58,12 +62,17 @@
     operations: readonly SchedulingOperation[],
   ): Promise<Result<AppliedValue, Failure>> {
     const atMs = this.#clock.nowMs();
+    const startedMs = this.#clock.monotonicMs();
     const record = this.#meter.begin(operations, this.state, atMs);
     const proposed = await this.#agreement.propose({
       type: "scheduling",
       atMs,
       operations: [...operations],
     });
+    this.#metrics?.recordCommit(
+      proposed.isOk ? "applied" : proposed.error.kind,
+      this.#clock.monotonicMs() - startedMs,
+    );
     if (proposed.isOk) {
       record();
     }
--- a/src/testing/scheduling_fixture.ts
+++ b/src/testing/scheduling_fixture.ts
@@ -26,7 +26,7 @@
 } from "../services/scheduling/index.ts";
 import { Notifier, TaskGroup } from "../tasks/index.ts";
 import type { FakeClock } from "./fake_clock.ts";
-import { FakeLogger } from "./fake_ports.ts";
+import { FakeLeaderMetrics, FakeLogger } from "./fake_ports.ts";
 import { FakeRunners } from "./fake_runners.ts";
 import { FakeVms } from "./fake_vms.ts";
 import { LeaderView } from "./leader_view.ts";
@@ -66,6 +66,7 @@
   readonly runners: FakeRunners;
   readonly vms: FakeVms | undefined;
   readonly logger = new FakeLogger();
+  readonly metrics = new FakeLeaderMetrics();
   appliedIndex = 0;
   readonly #options: SchedulingFixtureOptions;
   readonly #activeRunners = new Map<string, Runner>();
@@ -172,14 +173,16 @@
   }
 
   #startLeader(view: LeaderView): Leader {
-    const { clock, logger } = this;
+    const { clock, logger, metrics } = this;
     const tasks = new TaskGroup({ clock, logger });
-    const log = new SchedulingLog({ agreement: view, clock });
+    const log = new SchedulingLog({ agreement: view, clock, metrics });
     const changed = new Notifier();
     const shared = {
       log,
       clock,
       logger,
+      metrics,
+      eventLoop: { findLongestDelayMs: () => 0 },
       changed,
       client: this.runners,
       fencingToken: view.term,
