Log what decided that a runner does not respond

Cause: "a look at a runner failed", "gives up a runner", "a start was not confirmed" and "a stop was not confirmed" did not say whether the runner was silent or the leader itself was late.

Change: these lines gain the time since the request was sent and since the last answer, the silence, the longest delay of the event loop in that time, and what is left of the leases. Their messages stay. Requests to runners are counted by kind and outcome, removed runners by reason.

--- a/src/services/scheduling/run_commands.ts
+++ b/src/services/scheduling/run_commands.ts
@@ -16,6 +16,7 @@
   RunnerFailure,
 } from "../../ports/index.ts";
 import type { LeaseTracker } from "./lease_tracker.ts";
+import type { RequestObserver } from "./request_observer.ts";
 import type { RunnerStatus } from "./runner_status.ts";
 import type { SchedulingLog } from "./scheduling_log.ts";
 
@@ -28,6 +29,7 @@
   readonly logger: Logger;
   readonly fencingToken: number;
   readonly lease: LeaseTracker;
+  readonly requests: RequestObserver;
   /** Finds the ticket of a task for a runner; undefined where none is needed. */
   readonly findTicket: (task: TaskId, runner: Runner) => string | undefined;
   /** Returns the runner as it last announced itself. */
@@ -49,8 +51,9 @@
    * @returns Why the start is not confirmed, or undefined when it is.
    */
   async start(run: RunningTask): Promise<RunnerFailure | undefined> {
-    const { client, fencingToken, findRunner, findTicket } = this.#options;
-    const { lease, log, logger, status } = this.#options;
+    const { client, clock, fencingToken, findRunner, findTicket } =
+      this.#options;
+    const { lease, log, logger, requests, status } = this.#options;
     const leaseUntilMs = log.holdsLeaderLease && status.isAnswering
       ? lease.grantForStart()
       : undefined;
@@ -61,6 +64,7 @@
       };
     }
     const runner = findRunner();
+    const sentAtMs = clock.monotonicMs();
     const endRequest = status.beginRequest(0);
     const started = await client.start(runner, {
       task: run.id,
@@ -72,6 +76,7 @@
       ticket: findTicket(run.id, runner),
     });
     endRequest();
+    requests.count("start", started);
     if (started.isOk) {
       lease.observe(started.value.clockMs);
       status.recordAnswer();
@@ -84,6 +89,7 @@
         runNumber: run.runNumber,
         runnerId: runner.runnerId,
         failure,
+        ...requests.describeRequest(sentAtMs),
       },
       "a start was not confirmed",
     );
@@ -100,12 +106,15 @@
    * @returns Whether the runner confirmed it.
    */
   async stop(name: RunName): Promise<boolean> {
-    const { client, fencingToken, findRunner, log, logger } = this.#options;
+    const { client, clock, fencingToken, findRunner, log, logger, requests } =
+      this.#options;
     if (!log.holdsLeaderLease) {
       return false;
     }
     const runner = findRunner();
+    const sentAtMs = clock.monotonicMs();
     const stopped = await client.stop(runner, name, fencingToken);
+    requests.count("stop", stopped);
     if (stopped.isErr) {
       logger.warn(
         {
@@ -113,6 +122,7 @@
           runNumber: name.runNumber,
           runnerId: runner.runnerId,
           failure: stopped.error,
+          ...requests.describeRequest(sentAtMs),
         },
         "a stop was not confirmed",
       );
--- a/src/services/scheduling/runner_fleet.ts
+++ b/src/services/scheduling/runner_fleet.ts
@@ -8,6 +8,8 @@
 } from "../../domain/index.ts";
 import type {
   Clock,
+  EventLoopDelays,
+  LeaderMetrics,
   Logger,
   RunnerClient,
   RunnerCondition,
@@ -23,6 +25,8 @@
   readonly client: RunnerClient;
   readonly clock: Clock;
   readonly logger: Logger;
+  readonly metrics: LeaderMetrics;
+  readonly eventLoop: EventLoopDelays;
   /** Notified when the scheduling state has changed. */
   readonly changed: Notifier;
   readonly fencingToken: number;
--- a/src/services/scheduling/runner_status.ts
+++ b/src/services/scheduling/runner_status.ts
@@ -1,5 +1,6 @@
 /** What the leader has observed of one runner incarnation. */
-import type { Clock } from "../../ports/index.ts";
+import { formatTaskId } from "../../domain/index.ts";
+import type { Clock, RunnerReport } from "../../ports/index.ts";
 import { MAX_SILENCE_MS, OVERDUE_MS } from "./timing.ts";
 
 /**
@@ -9,6 +10,7 @@
 export class RunnerStatus {
   readonly #clock: Clock;
   #lastContactMs: number;
+  #answeredAtMs: number;
   #isAnswering = true;
   /**
    * Unanswered requests, with the monotonic time (ms) at which each is overdue.
@@ -32,6 +34,7 @@
   constructor(clock: Clock) {
     this.#clock = clock;
     this.#lastContactMs = clock.monotonicMs();
+    this.#answeredAtMs = this.#lastContactMs;
   }
 
   /** Time since the last announcement or answer, in milliseconds. */
@@ -39,6 +42,14 @@
     return this.#clock.monotonicMs() - this.#lastContactMs;
   }
 
+  /**
+   * Monotonic time of the last answer (ms); before the first, the time since
+   * when the runner is served.
+   */
+  get answeredAtMs(): number {
+    return this.#answeredAtMs;
+  }
+
   /** Whether the newest request was answered. */
   get isAnswering(): boolean {
     return this.#isAnswering;
@@ -92,6 +103,18 @@
   recordAnswer(): void {
     this.#isAnswering = true;
     this.recordContact();
+    this.#answeredAtMs = this.#lastContactMs;
+  }
+
+  /** Records the answer to a poll. */
+  recordReport({ running }: RunnerReport): void {
+    this.recordAnswer();
+    this.progress = new Map(
+      running.map(({ task, percent }) => [formatTaskId(task), percent]),
+    );
+    this.loads = new Map(
+      running.map(({ task, load }) => [formatTaskId(task), load]),
+    );
   }
 
   /** Records that a request was not answered. */
--- a/src/services/scheduling/runner_task.ts
+++ b/src/services/scheduling/runner_task.ts
@@ -1,7 +1,5 @@
 /** Task of the leader that serves one runner incarnation. */
 import {
-  formatTaskId,
-  type JobTable,
   type Runner,
   type RunnerLoad,
   type RunningTask,
@@ -9,16 +7,20 @@
   type TaskId,
 } from "../../domain/index.ts";
 import type {
-  Clock,
   Logger,
   RunnerClient,
   RunnerFailure,
+  RunnerRemoval,
   RunnerReport,
 } from "../../ports/index.ts";
 import { Notifier, type TaskGroup, waitFor } from "../../tasks/index.ts";
 import { closePreviousIncarnation } from "./previous_incarnation.ts";
 import { LeaseTracker } from "./lease_tracker.ts";
 import { choosePollTimes } from "./poll_times.ts";
+import {
+  RequestObserver,
+  type RequestObserverOptions,
+} from "./request_observer.ts";
 import { RunEndDetector } from "./run_end_detector.ts";
 import { RunReconciler } from "./run_reconciler.ts";
 import type { RunnerStatus } from "./runner_status.ts";
@@ -32,12 +34,11 @@
 } from "./timing.ts";
 
 /** Options of {@link RunnerTask}. */
-export interface RunnerTaskOptions {
+export interface RunnerTaskOptions
+  extends Omit<RequestObserverOptions, "lease"> {
   readonly runner: Runner;
-  readonly status: RunnerStatus;
   readonly log: SchedulingLog;
   readonly client: RunnerClient;
-  readonly clock: Clock;
   readonly logger: Logger;
   readonly tasks: TaskGroup;
   /** Notified when the runner has become operational. */
@@ -56,6 +57,7 @@
   readonly status: RunnerStatus;
   readonly #options: RunnerTaskOptions;
   readonly #lease: LeaseTracker;
+  readonly #requests: RequestObserver;
   readonly #runs: RunReconciler;
   readonly #ends: RunEndDetector;
   /** Position in the runner's list of ended runs up to which the log has them. */
@@ -70,6 +72,7 @@
     this.#runner = options.runner;
     this.status = options.status;
     this.#lease = new LeaseTracker(options.clock);
+    this.#requests = new RequestObserver({ ...options, lease: this.#lease });
     this.#ends = new RunEndDetector({
       ...options,
       findRunner: () => this.#runner,
@@ -78,6 +81,7 @@
     this.#runs = new RunReconciler({
       ...options,
       lease: this.#lease,
+      requests: this.#requests,
       findRunner: () => this.#runner,
       findLoad: () => this.#load,
     });
@@ -108,12 +112,8 @@
     this.#options.client.disconnect(this.#runner);
   }
 
-  get #table(): JobTable {
-    return this.#options.log.state.jobs;
-  }
-
   get #load(): RunnerLoad {
-    return this.#table.findLoad(this.#runner);
+    return this.#options.log.state.jobs.findLoad(this.#runner);
   }
 
   get #isPollDue(): boolean {
@@ -167,8 +167,9 @@
     if (signal.aborted) {
       return;
     }
+    this.#requests.count("poll", polled);
     if (polled.isErr) {
-      await this.#handleFailure(polled.error, signal);
+      await this.#handleFailure(polled.error, sentAtMs, signal);
       return;
     }
     if (polled.value.bornAtMs !== this.#runner.bornAtMs) {
@@ -195,13 +196,7 @@
   ): Promise<void> {
     const { clock } = this.#options;
     this.#lease.observe(report.clockMs);
-    this.status.recordAnswer();
-    this.status.progress = new Map(
-      report.running.map(({ task, percent }) => [formatTaskId(task), percent]),
-    );
-    this.status.loads = new Map(
-      report.running.map(({ task, load }) => [formatTaskId(task), load]),
-    );
+    this.status.recordReport(report);
     this.#runs.recordRunning(report.running);
     const operations = [
       ...this.#ends.listReported(report.ended),
@@ -243,11 +238,16 @@
 
   async #handleFailure(
     failure: RunnerFailure,
+    sentAtMs: number,
     signal: AbortSignal,
   ): Promise<void> {
     const { clock, logger } = this.#options;
     const { runnerId } = this.#runner;
-    logger.warn({ runnerId, failure }, "a look at a runner failed");
+    const evidence = this.#requests.describeRequest(sentAtMs);
+    logger.warn(
+      { runnerId, failure, ...evidence },
+      "a look at a runner failed",
+    );
     if (failure.refusal === "staleFence") {
       this.#isFenced = true;
       return;
@@ -256,9 +256,7 @@
     const isGone = failure.refusal === "otherLife" ||
       (failure.refusal === "notListening" && this.status.isLeaving);
     if (isGone || this.#lease.isExpired) {
-      await this.#removeRunner(
-        isGone ? "it has ended" : "its leases have ended",
-      );
+      await this.#removeRunner(isGone ? "ended" : "leasesExpired");
       await clock.sleep(EXPIRED_RETRY_MS, signal);
       return;
     }
@@ -270,29 +268,32 @@
   async #closeReplaced(): Promise<void> {
     const { log, logger } = this.#options;
     const { runnerId, bornAtMs } = this.#runner;
-    const { status } = this;
     const ends = await closePreviousIncarnation(
-      { ...this.#options, findStatus: () => status },
+      { ...this.#options, findStatus: () => this.status },
       this.#runner,
       this.#runner,
     );
     if (ends !== undefined && log.holdsLeaderLease) {
       logger.warn(
-        { runnerId, bornAtMs },
+        { runnerId, bornAtMs, ...this.#requests.recordRemoval("replaced") },
         "a runner was replaced by a new incarnation",
       );
       await log.propose([...ends, { type: "runnerGone", runnerId, bornAtMs }]);
     }
   }
 
-  async #removeRunner(reason: string): Promise<void> {
+  async #removeRunner(removal: RunnerRemoval): Promise<void> {
     const { log, logger } = this.#options;
     const { runnerId, bornAtMs } = this.#runner;
     if (!log.holdsLeaderLease) {
       return;
     }
     const runCount = this.#load.running.size;
-    logger.warn({ runnerId, bornAtMs, runCount, reason }, "gives up a runner");
+    const fields = this.#requests.recordRemoval(removal);
+    logger.warn(
+      { runnerId, bornAtMs, runCount, ...fields },
+      "gives up a runner",
+    );
     await log.propose([{ type: "runnerGone", runnerId, bornAtMs }]);
   }
 }
--- a/src/services/scheduling/unresponsive_runner_test.ts
+++ b/src/services/scheduling/unresponsive_runner_test.ts
@@ -8,6 +8,7 @@
 import {
   LEASE_SLACK_MS,
   MAX_CLOCK_DRIFT,
+  POLL_TIMEOUT_MS,
   REQUEST_RETRY_MS,
   RUN_LEASE_MS,
 } from "./timing.ts";
@@ -99,6 +100,32 @@
     );
   });
 
+  // Guards against a removal whose log line does not show what decided it.
+  it("logs how long the runner was silent and that the loop was not late", async () => {
+    const { fixture, arrivals } = await setUp();
+    fixture.runners.cutIds.add("r1");
+    await arrivals.submitJobs(MAX_ARRIVAL_COUNT);
+    await fixture.stop();
+    const { lines } = fixture.logger;
+    const failed = lines.find(({ message }) =>
+      message === "a look at a runner failed"
+    );
+    const removed = lines.find(({ message }) =>
+      message === "gives up a runner"
+    );
+    assert.is(failed?.fields["loopLateMs"], 0);
+    assert.ok(Number(failed?.fields["sinceSentMs"]) >= POLL_TIMEOUT_MS);
+    assert.ok(Number(failed?.fields["leaseLeftMs"]) > 0);
+    assert.is(removed?.fields["loopLateMs"], 0);
+    assert.ok(Number(removed?.fields["sinceAnswerMs"]) >= RUN_LEASE_MS);
+    assert.ok(Number(removed?.fields["leaseLeftMs"]) <= 0);
+    const { metrics } = fixture;
+    assert.equal(metrics.removals, ["leasesExpired"]);
+    assert.ok((metrics.requestCounts.get("poll unanswered") ?? 0) > 0);
+    assert.ok((metrics.requestCounts.get("start answered") ?? 0) > 0);
+    assert.ok(metrics.planStartCounts.some((count) => count > 0));
+  });
+
   it("places nothing there once a request is overdue", async () => {
     const { fixture, arrivals } = await setUp();
     fixture.runners.cutIds.add("r1");
