--- a/src/daemon/scheduling/create_scheduling_controller.ts
+++ b/src/daemon/scheduling/create_scheduling_controller.ts
@@ -70,18 +70,19 @@
   options: SchedulingControllerOptions,
 ): Promise<Result<SchedulingController, Failure>> {
   let leaderServices: LeaderServices | undefined;
-  const base = createSchedulingBase(
-    options,
-    () => leaderServices?.readGauges(),
-  );
+  const base = createSchedulingBase(options, {
+    role: "controller",
+    readGauges: () => leaderServices?.readGauges(),
+    isLeading: () => leaderServices !== undefined,
+  });
   const loaded = await loadReplica(base, options);
   if (loaded.isErr) {
     return Result.err(loaded.error);
   }
   const replica = loaded.value;
-  const { clock, logger, network, tasks } = base;
-  const meter = new RecordingOperationMeter(base.metrics);
-  const log = new SchedulingLog({ agreement: replica, clock, meter });
+  const { clock, logger, metrics, network, tasks } = base;
+  const meter = new RecordingOperationMeter(metrics);
+  const log = new SchedulingLog({ agreement: replica, clock, meter, metrics });
   const changed = new Notifier();
   const handlers = addSchedulingHandlers({
     network,
