Keep an end whose lease has lapsed out of the acknowledged ones

The fake compared the lease at the time of that poll, when the second start had already granted a new one, and counted the end as acknowledged. A lapse between an end and its acknowledgement stands for good, so the fake now records it at each end.

--- a/src/testing/fake_runner_incarnation.ts
+++ b/src/testing/fake_runner_incarnation.ts
@@ -49,6 +49,12 @@
   readonly endsMs: number;
 }
 
+interface EndedRun extends EndReport {
+  readonly span: RunSpan;
+  /** Whether the lease has expired since the end, which a new one keeps so. */
+  hasLapsed: boolean;
+}
+
 /** Carries out requests by the rules of the platform's runners. */
 export class FakeRunnerIncarnation {
   readonly runner: Runner;
@@ -58,7 +64,7 @@
   readonly #closedRunNumbers = new Map<string, number>();
   #fencingToken = 0;
   #leaseUntilMs = 0;
-  #ended: (EndReport & { readonly span: RunSpan })[] = [];
+  #ended: EndedRun[] = [];
   #endCount = 0;
 
   constructor(runner: Runner, options: FakeRunnerIncarnationOptions) {
@@ -141,9 +147,9 @@
       return this.#refuse("staleFence");
     }
     this.#fencingToken = request.fencingToken;
-    for (const { position, span } of this.#ended) {
-      const isLeaseValid = this.#clockMs <= this.#leaseUntilMs;
-      span.isAcknowledged ||= position <= request.ackPosition && isLeaseValid;
+    this.#noteLapse();
+    for (const { position, span, hasLapsed } of this.#ended) {
+      span.isAcknowledged ||= position <= request.ackPosition && !hasLapsed;
     }
     this.#ended = this.#ended.filter(({ position }) =>
       position > request.ackPosition
@@ -165,7 +171,9 @@
       percent: endsMs === Infinity ? 100 : 50,
       load: 0,
     }));
-    const ended = this.#ended.map(({ span: _span, ...report }) => report);
+    const ended = this.#ended.map((
+      { span: _span, hasLapsed: _hasLapsed, ...report },
+    ) => report);
     return {
       ...this.createAnswer(),
       bornAtMs: this.runner.bornAtMs,
@@ -203,10 +211,20 @@
       how,
       saved: "",
       span,
+      hasLapsed: false,
     });
   }
 
+  #noteLapse(): void {
+    if (this.#clockMs > this.#leaseUntilMs) {
+      this.#ended.forEach((ended) => {
+        ended.hasLapsed = true;
+      });
+    }
+  }
+
   #extendLeases(untilMs: number): void {
+    this.#noteLapse();
     const bounded = Math.min(untilMs, this.#clockMs + MAX_LEASE_MS);
     this.#leaseUntilMs = Math.max(this.#leaseUntilMs, bounded);
   }
