Read what has arrived before a timeout counts

Callers saw: jobs late or lost while no runner had a fault; the leader logged 'a look at a runner failed', 'a start was not confirmed' and gave up runners. Cause: Node.js runs due timers before it reads its sockets. A leader that is short of processor time fired the timeouts of requests whose answers were already in its sockets, took the runners for unresponsive, stopped and placed their work again, and so made more work for itself.

--- a/src/adapters/clock/system_clock.ts
+++ b/src/adapters/clock/system_clock.ts
@@ -1,5 +1,6 @@
 /** Clock port on top of the clocks of the operating system. */
 import { performance } from "node:perf_hooks";
+import { clearTimeout, setImmediate, setTimeout } from "node:timers";
 import type { Clock } from "../../ports/index.ts";
 
 /** Longest delay that `setTimeout` supports, in milliseconds. */
@@ -65,15 +66,32 @@
     if (signal?.aborted) {
       return Promise.resolve();
     }
-    const boundedMs = Math.min(Math.max(0, delayMs), MAX_TIMER_MS);
     return new Promise((resolve) => {
       const finish = () => {
-        clearTimeout(timer);
+        cancel();
         signal?.removeEventListener("abort", finish);
         resolve();
       };
-      const timer = setTimeout(finish, boundedMs);
+      const cancel = this.startTimer(delayMs, finish);
       signal?.addEventListener("abort", finish, { once: true });
     });
   }
+
+  // Node.js runs due timers before it reads its sockets. In a process that was
+  // busy, a timeout would thus fire before the answer that already waits in the
+  // socket is read, so the timer first lets one round of input pass.
+  startTimer(delayMs: number, wake: () => void): () => void {
+    let isCancelled = false;
+    const fire = () => {
+      if (!isCancelled) {
+        wake();
+      }
+    };
+    const boundedMs = Math.min(Math.max(0, delayMs), MAX_TIMER_MS);
+    const timer = setTimeout(() => setImmediate(fire), boundedMs);
+    return () => {
+      isCancelled = true;
+      clearTimeout(timer);
+    };
+  }
 }
--- a/src/adapters/clock/system_clock_test.ts
+++ b/src/adapters/clock/system_clock_test.ts
@@ -1,3 +1,6 @@
+import { once } from "node:events";
+import { connect, createServer } from "node:net";
+import { performance } from "node:perf_hooks";
 import * as assert from "uvu/assert";
 import { describe, it } from "../../testing/describe.ts";
 import { SystemClock } from "./system_clock.ts";
@@ -34,4 +37,50 @@
       assert.is(clock.monotonicMs(), 60);
     });
   });
+
+  describe("timers of a busy process", () => {
+    // Guards against timeouts that a busy leader reports although the answer
+    // already waits in its socket.
+    it("fire after the input that arrived meanwhile is read", async () => {
+      const clock = new SystemClock();
+      const server = createServer().listen(0, "127.0.0.1");
+      await once(server, "listening");
+      const address = server.address();
+      assert.ok(address !== null && typeof address === "object");
+      const accepted = once(server, "connection");
+      const socket = connect(address.port, "127.0.0.1");
+      const [peer] = await accepted;
+      const order: string[] = [];
+      socket.on("data", () => order.push("input"));
+      const isOver = new Promise<void>((resolve) => {
+        clock.startTimer(5, () => {
+          order.push("timer");
+          resolve();
+        });
+      });
+      peer.write("answer");
+      keepBusyFor(30);
+      await isOver;
+      socket.destroy();
+      server.close();
+      assert.equal(order, ["input", "timer"]);
+    });
+
+    it("do not fire once they are cancelled", async () => {
+      const clock = new SystemClock();
+      let hasFired = false;
+      const cancel = clock.startTimer(5, () => {
+        hasFired = true;
+      });
+      keepBusyFor(10);
+      cancel();
+      await clock.sleep(20);
+      assert.is(hasFired, false);
+    });
+  });
 });
+
+function keepBusyFor(durationMs: number): void {
+  const endMs = performance.now() + durationMs;
+  while (performance.now() < endMs);
+}
--- a/src/ports/clock.ts
+++ b/src/ports/clock.ts
@@ -15,4 +15,14 @@
    * aborts.
    */
   sleep(delayMs: number, signal?: AbortSignal): Promise<void>;
+  /**
+   * Calls a function once after a time. Unlike a sleep, it needs no signal and
+   * no promise, which matters for waits that end early thousands of times a
+   * second.
+   *
+   * @param delayMs - Time to wait, in milliseconds.
+   * @param wake - Called after the delay, unless the timer was cancelled.
+   * @returns A function that cancels the timer.
+   */
+  startTimer(delayMs: number, wake: () => void): () => void;
 }
--- a/src/tasks/notifier.ts
+++ b/src/tasks/notifier.ts
@@ -13,6 +13,17 @@
     }
   }
 
+  /**
+   * Registers a function that the next notification calls.
+   *
+   * @param wake - Called once.
+   * @returns A function that removes the registration.
+   */
+  onNext(wake: () => void): () => void {
+    this.#waiting.add(wake);
+    return () => this.#waiting.delete(wake);
+  }
+
   /**
    * Waits for the next notification.
    *
--- a/src/tasks/wait_for.ts
+++ b/src/tasks/wait_for.ts
@@ -23,15 +23,23 @@
   if (isMet() || signal?.aborted) {
     return isMet();
   }
-  const stop = new AbortController();
-  // Without a reason, each abort would create an error with a stack trace.
-  const end = () => stop.abort("the wait is over");
+  let isOver = false;
+  let wake = () => {};
+  const end = () => {
+    isOver = true;
+    wake();
+  };
   signal?.addEventListener("abort", end, { once: true });
-  void clock.sleep(timeoutMs, stop.signal).then(end);
-  while (!isMet() && !stop.signal.aborted) {
-    await notifier.wait(stop.signal);
+  const cancelTimer = clock.startTimer(timeoutMs, end);
+  let forget = () => {};
+  while (!isMet() && !isOver) {
+    await new Promise<void>((resolve) => {
+      wake = resolve;
+      forget = notifier.onNext(resolve);
+    });
   }
+  forget();
+  cancelTimer();
   signal?.removeEventListener("abort", end);
-  end();
   return isMet();
 }
--- a/src/testing/fake_clock.ts
+++ b/src/testing/fake_clock.ts
@@ -36,6 +36,16 @@
     });
   }
 
+  startTimer(delayMs: number, wake: () => void): () => void {
+    const fire = () => {
+      this.#timers.delete(timer);
+      wake();
+    };
+    const timer = { dueMs: this.#nowMs + Math.max(0, delayMs), wake: fire };
+    this.#timers.add(timer);
+    return () => this.#timers.delete(timer);
+  }
+
   /**
    * Advances time and fires each timer when it is due, in order.
    *
--- a/src/testing/pausable_clock.ts
+++ b/src/testing/pausable_clock.ts
@@ -32,6 +32,25 @@
     }
   }
 
+  startTimer(delayMs: number, wake: () => void): () => void {
+    let isCancelled = false;
+    const fire = () => {
+      if (isCancelled) {
+        return;
+      }
+      if (this.#isPaused) {
+        void this.#resumed.wait().then(fire);
+      } else {
+        wake();
+      }
+    };
+    const cancel = this.#clock.startTimer(delayMs, fire);
+    return () => {
+      isCancelled = true;
+      cancel();
+    };
+  }
+
   /** Delays all timers until `resume`; the time itself goes on. */
   pause(): void {
     this.#isPaused = true;
