Wake waiting pulls only when one of them waits for a confirmation

Each pull that raised the confirmed time of the leader woke all waiting pulls: with nine controllers some 60 wakes for one batch of the log, although only a hurried pull waits for a confirmation. Leadership counts these pulls and notifies only while there is one.

--- a/src/replication/leadership.ts
+++ b/src/replication/leadership.ts
@@ -24,6 +24,8 @@
   readonly sinceMs: number;
   /** Number of rounds in which voters were requested to confirm at once. */
   confirmationRound = 0;
+  /** Number of waiting pulls that end once a quorum has confirmed the leader. */
+  hurriedPullCount = 0;
   readonly #core: ReplicaCore;
   /** Index of the last log entry with which the leader opened the term. */
   readonly #firstIndex: number;
@@ -87,9 +89,8 @@
       storeId: pull.storeId,
     });
     const nowMs = this.#core.options.clock.monotonicMs();
-    const previousMs = this.confirmedAtMs;
     follower.recordPull(pull, nowMs, this.term);
-    if (this.confirmedAtMs > previousMs) {
+    if (this.hurriedPullCount > 0) {
       this.#core.changed.notify();
     }
     return follower;
--- a/src/replication/pull_handler.ts
+++ b/src/replication/pull_handler.ts
@@ -119,6 +119,7 @@
       (leadership.confirmationRound > initialRound &&
         leadership.isVoter(follower)) ||
       (pull.isHurried && isConfirmed());
+    leadership.hurriedPullCount += Number(pull.isHurried);
     await waitFor({
       clock,
       notifier: core.changed,
@@ -126,6 +127,7 @@
       signal: core.stopSignal,
       isMet,
     });
+    leadership.hurriedPullCount -= Number(pull.isHurried);
   }
 
   #createResponse(
