Batch the log of a scheduling deployment and poll its runners less often

Each batch of the log costs the leader a message to and from eight followers, and each poll of a runner a request. The scheduling controller now appends a batch at most every 20 ms, a busy runner may hold a poll for 700 ms instead of 400 ms, and ends gather for 25 ms instead of 15 ms. The lease grows from 3.4 s to 3.6 s, so that as much of it is left when all controllers restart just before a poll (2.9 s instead of 3.0 s).

--- a/src/daemon/scheduling/create_scheduling_controller.ts
+++ b/src/daemon/scheduling/create_scheduling_controller.ts
@@ -58,6 +58,11 @@
  * response for each log entry would be wasted work.
  */
 const COMMIT_NOTIFICATION_DELAY_MS = 100;
+/**
+ * Least time between two batches of the log, in milliseconds: a few network
+ * round trips, and far less than a task's run.
+ */
+const BATCH_INTERVAL_MS = 20;
 
 /**
  * Starts a controller.
@@ -151,6 +156,7 @@
     mayBootstrap,
     admitsMembers: true,
     commitNotificationDelayMs: COMMIT_NOTIFICATION_DELAY_MS,
+    batchIntervalMs: BATCH_INTERVAL_MS,
     commitRule: new MajorityCommitRule(),
     store: new FileLogStore({ ...base, files, onSyncFailure: onFatal }),
   });
--- a/src/replication/proposal_queue.ts
+++ b/src/replication/proposal_queue.ts
@@ -74,16 +74,22 @@
 
   /**
    * Appends proposals in batches, one sync to disk per batch. Proposals that
-   * arrive during a sync form the next batch.
+   * arrive during a sync, or within the batch interval, form the next batch.
    *
    * @param signal - Stops the task.
    */
   async run(signal: AbortSignal): Promise<void> {
+    const { clock, batchIntervalMs = 0 } = this.#core.options;
     while (!signal.aborted) {
       if (this.#pending.length === 0) {
         await this.#arrived.wait(signal);
       }
+      const nextBatchAtMs = clock.monotonicMs() + batchIntervalMs;
       await this.#core.mutex.run(() => this.#appendBatch());
+      const leftMs = nextBatchAtMs - clock.monotonicMs();
+      if (leftMs > 0) {
+        await clock.sleep(leftMs, signal);
+      }
     }
   }
 
--- a/src/replication/replica_options.ts
+++ b/src/replication/replica_options.ts
@@ -32,6 +32,12 @@
    * followers do not serve from their state.
    */
   readonly commitNotificationDelayMs?: number;
+  /**
+   * Least time between two batches that the leader appends, in milliseconds.
+   * The default is 0. Each batch costs the leader a message to and from every
+   * follower, however few changes it carries.
+   */
+  readonly batchIntervalMs?: number;
   readonly commitRule: CommitRule;
   readonly store: LogStore;
   readonly network: PeerNetwork;
--- a/src/services/scheduling/timing.ts
+++ b/src/services/scheduling/timing.ts
@@ -7,7 +7,7 @@
  * allows. The work of a runner that stops responding can be placed elsewhere
  * after this time.
  */
-export const RUN_LEASE_MS = 3_400;
+export const RUN_LEASE_MS = 3_600;
 /**
  * Least remaining time of a granted lease that a start may use without a new
  * grant, in milliseconds. The next poll renews the lease.
@@ -23,10 +23,10 @@
 /** Interval at which the task of an idle runner checks for work (ms). */
 export const IDLE_CHECK_MS = 1_000;
 /**
- * How long a busy runner may delay a poll until a run ends, in milliseconds: an
- * eighth of a lease.
+ * How long a busy runner may delay a poll until a run ends, in milliseconds: a
+ * fifth of a lease, because each poll of each runner costs the leader.
  */
-export const POLL_WAIT_MS = 400;
+export const POLL_WAIT_MS = 700;
 /** Time for the answer to a poll after that wait (ms): far above a round trip. */
 export const POLL_TIMEOUT_MS = 700;
 /** Least timeout of a poll of a runner that does not respond (ms). */
@@ -40,7 +40,7 @@
 /** How long a runner may delay a poll while a run is being stopped (ms). */
 export const CLOSING_POLL_WAIT_MS = 150;
 /** Pause after a poll that reported ended runs, so that more gather (ms). */
-export const END_BATCH_MS = 15;
+export const END_BATCH_MS = 25;
 /** Pause after a failed request, in milliseconds: at most a tenth of a lease. */
 export const REQUEST_RETRY_MS = 200;
 /**
