Count a change of jobs when it takes effect, also after a change of leader

Seen: a job of five tasks completed, every one of its runs ended as `done`, and `cardamomsill_run_seconds_count{how="done"}` of all controllers together was 3.

Cause: a batch was recorded in the metrics only when its proposal returned as applied. A proposal whose outcome is unknown (`noQuorum`: the leader steps down, or no quorum confirms it in 5 s) may be committed later all the same. In the traced run the leader of term 4 logged two ends, stepped down ("a quorum is silent"), and logged "failed to record ended runs" with kind `noQuorum`; both ends were committed in a later term, and no process counted them. Waits, lost runs and ends of jobs could be missed alike.

Change: the proposing process observes its batch, by identity, in the scheduling state: the meter reads the state right before the batch is applied and records it right after, whenever that is. So a batch that two proposals repeat is measured against the state that it really changes.

Test: "measures a batch that takes effect after an unknown outcome" in scheduling_log_test fails without the change (the meter had read the state at the proposal and recorded nothing) and passes with it.

--- a/src/domain/scheduling/scheduling_state.ts
+++ b/src/domain/scheduling/scheduling_state.ts
@@ -33,6 +33,13 @@
   | { readonly type: "wave"; readonly wave: WaveRecord }
   | { readonly type: "job"; readonly job: StoredJob };
 
+/**
+ * Observes one batch of changes: called right before the batch is applied.
+ *
+ * @returns A function that is called right after it was applied.
+ */
+export type BatchObserver = () => () => void;
+
 /**
  * Catalog, zones that are out of service, runners, waves and jobs. Applying the
  * same commands yields the same state on every voter.
@@ -43,6 +50,7 @@
   readonly #zonesOut = new Set<string>();
   readonly #runners = new Map<string, Runner>();
   readonly #waves = new Map<number, WaveRecord>();
+  readonly #observers = new WeakMap<SchedulingCommand, BatchObserver>();
 
   /** The catalog in force. */
   get catalog(): Catalog {
@@ -64,12 +72,27 @@
     return this.#waves;
   }
 
+  /**
+   * Observes a batch of changes that has yet to be applied, by the identity of
+   * the object. The observer is not called if the batch is never applied, or if
+   * its effect arrives as part of a snapshot.
+   *
+   * @param command - The batch.
+   * @param observer - Called when the batch is applied.
+   */
+  observe(command: SchedulingCommand, observer: BatchObserver): void {
+    this.#observers.set(command, observer);
+  }
+
   /** Applies a batch of changes, and removes jobs that ended long ago. */
-  apply({ atMs, operations }: SchedulingCommand): void {
+  apply(command: SchedulingCommand): void {
+    const { atMs, operations } = command;
+    const finish = this.#observers.get(command)?.();
     for (const operation of operations) {
       this.#applyOne(operation, atMs);
     }
     this.jobs.prune(atMs);
+    finish?.();
   }
 
   /** Copies the state into plain values for a snapshot. */
--- a/src/services/scheduling/scheduling_log.ts
+++ b/src/services/scheduling/scheduling_log.ts
@@ -3,6 +3,7 @@
 import type {
   AppliedValue,
   Failure,
+  SchedulingCommand,
   SchedulingOperation,
   SchedulingState,
 } from "../../domain/index.ts";
@@ -52,7 +53,8 @@
   }
 
   /**
-   * Proposes changes as one batch.
+   * Proposes changes as one batch. The batch is measured when it takes effect,
+   * which may be after a proposal whose outcome was unknown.
    *
    * @param operations - The changes, in order.
    * @returns The applied value, which callers need not read; `notLeader` when
@@ -63,19 +65,20 @@
   ): Promise<Result<AppliedValue, Failure>> {
     const atMs = this.#clock.nowMs();
     const startedMs = this.#clock.monotonicMs();
-    const record = this.#meter.begin(operations, this.state, atMs);
-    const proposed = await this.#agreement.propose({
+    const command: SchedulingCommand = {
       type: "scheduling",
       atMs,
       operations: [...operations],
-    });
+    };
+    this.state.observe(
+      command,
+      () => this.#meter.begin(operations, this.state, atMs),
+    );
+    const proposed = await this.#agreement.propose(command);
     this.#metrics?.recordCommit(
       proposed.isOk ? "applied" : proposed.error.kind,
       this.#clock.monotonicMs() - startedMs,
     );
-    if (proposed.isOk) {
-      record();
-    }
     return proposed;
   }
 }
