Log where tasks were placed also when the plan's outcome was unknown

Whoever follows a job by the logs finds a run without a start. Whether this is why `failed_requests_test` once saw no second `placed tasks` is not shown; that run's logs were not kept.

Cause: the line was written after the proposal had returned as applied.

Change: the scheduler logs `placed tasks` when the plan takes effect in its process, also after a failed proposal, and the line about a failed plan names its tasks.

--- a/src/services/scheduling/scheduler.ts
+++ b/src/services/scheduling/scheduler.ts
@@ -60,16 +60,18 @@
         await clock.sleep(PLAN_PAUSE_MS, signal);
         continue;
       }
-      const proposed = await log.propose(starts.map(toOperation));
+      // A plan whose outcome is unknown may still take effect later.
+      const proposed = await log.propose(
+        starts.map(toOperation),
+        () => this.#logStarts(starts),
+      );
       if (proposed.isErr) {
         logger.warn(
-          { failure: proposed.error },
+          { failure: proposed.error, tasks: starts.map(formatStart) },
           "failed to record a plan in the log; planning again",
         );
         await clock.sleep(PROPOSE_RETRY_MS, signal);
-        continue;
       }
-      this.#logStarts(starts);
     }
   }
 
@@ -125,10 +127,10 @@
   #logStarts(starts: readonly PlannedStart[]): void {
     const { log, logger } = this.#options;
     const { version } = log.state.catalog;
-    const tasks = starts.map(({ task, runNumber, runnerId }) =>
-      `${formatTaskId(task)}#${runNumber}@${runnerId}`
+    logger.info(
+      { tasks: starts.map(formatStart), catalogVersion: version },
+      "placed tasks",
     );
-    logger.info({ tasks, catalogVersion: version }, "placed tasks");
   }
 }
 
@@ -154,6 +156,10 @@
   };
 }
 
+function formatStart({ task, runNumber, runnerId }: PlannedStart): string {
+  return `${formatTaskId(task)}#${runNumber}@${runnerId}`;
+}
+
 function toOperation(start: PlannedStart): SchedulingOperation {
   return { type: "start", ...start };
 }
--- a/src/services/scheduling/scheduling_log.ts
+++ b/src/services/scheduling/scheduling_log.ts
@@ -57,11 +57,13 @@
    * which may be after a proposal whose outcome was unknown.
    *
    * @param operations - The changes, in order.
+   * @param onApplied - Called when the batch has taken effect in this process.
    * @returns The applied value, which callers need not read; `notLeader` when
    * the changes are certainly not in the log, `noQuorum` when they may be.
    */
   async propose(
     operations: readonly SchedulingOperation[],
+    onApplied?: () => void,
   ): Promise<Result<AppliedValue, Failure>> {
     const atMs = this.#clock.nowMs();
     const startedMs = this.#clock.monotonicMs();
@@ -70,10 +72,13 @@
       atMs,
       operations: [...operations],
     };
-    this.state.observe(
-      command,
-      () => this.#meter.begin(operations, this.state, atMs),
-    );
+    this.state.observe(command, () => {
+      const record = this.#meter.begin(operations, this.state, atMs);
+      return () => {
+        record();
+        onApplied?.();
+      };
+    });
     const proposed = await this.#agreement.propose(command);
     this.#metrics?.recordCommit(
       proposed.isOk ? "applied" : proposed.error.kind,
