Poll an idle runner until it answers again

Seen with fake runners: a sound runner, idle and announcing itself, gets no work for as long as the leader leads; `cardamomsill_runners` counts it as `silent`.

Cause: any request to a runner that gets no answer marks the runner as not answering, and only an answer removes the mark. A runner was polled while it had runs, orphaned runs or ends to confirm. When the answer to a start was lost and the run was short, its end was reported and confirmed before the start timed out (700 ms). The mark was set on an idle runner then, and nothing was sent to it that it could have answered. A leader that is late in reading answers has the same effect as a lost answer.

Change: a runner that did not answer its newest request is polled, idle or not. One that stays silent is removed, as a busy one is; it announces itself if it lives.

Test: idle_runner_test. Without the change the second job is still waiting after 20 s; with it, the job completes.

--- a/src/services/scheduling/runner_task.ts
+++ b/src/services/scheduling/runner_task.ts
@@ -117,7 +117,8 @@
   }
 
   get #isPollDue(): boolean {
-    return !this.status.isSynced || this.#load.running.size > 0 ||
+    return !this.status.isSynced || !this.status.isAnswering ||
+      this.#load.running.size > 0 ||
       this.#runs.hasOrphans || this.#recordedPosition > this.#ackedPosition;
   }
 
