--- a/src/adapters/metrics/prometheus_scheduling_metrics.ts
+++ b/src/adapters/metrics/prometheus_scheduling_metrics.ts
@@ -3,6 +3,9 @@
 import type { JobState, RunEnd } from "../../domain/index.ts";
 import type {
   CallMeasurement,
+  DiskMetrics,
+  DiskWriteKind,
+  DiskWriteOutcome,
   EventLoopMetrics,
   JobLabels,
   LeaderMetrics,
@@ -43,7 +46,7 @@
 
 /** Collects the scheduling metrics of one process. */
 export class PrometheusSchedulingMetrics
-  implements SchedulingMetrics, LeaderMetrics, EventLoopMetrics {
+  implements SchedulingMetrics, LeaderMetrics, EventLoopMetrics, DiskMetrics {
   readonly #options: PrometheusSchedulingMetricsOptions;
   readonly #registry = new Registry();
   readonly #registers = [this.#registry];
@@ -125,6 +128,13 @@
     buckets: SHORT_BUCKETS_SECONDS,
     registers: this.#registers,
   });
+  readonly #diskWrites = new Histogram({
+    name: "cardamomsill_disk_write_seconds",
+    help: "Time to store a write durably or to reject it, by kind and outcome",
+    labelNames: ["kind", "outcome"],
+    buckets: SHORT_BUCKETS_SECONDS,
+    registers: this.#registers,
+  });
   readonly #plans = new Histogram({
     name: "cardamomsill_plan_seconds",
     help: "Time to plan the starts of waiting tasks",
@@ -189,6 +199,14 @@
     this.#commits.observe({ outcome }, tookMs / MS_PER_SECOND);
   }
 
+  recordDiskWrite(
+    kind: DiskWriteKind,
+    outcome: DiskWriteOutcome,
+    tookMs: number,
+  ): void {
+    this.#diskWrites.observe({ kind, outcome }, tookMs / MS_PER_SECOND);
+  }
+
   recordPlan(tookMs: number, startCount: number): void {
     this.#plans.observe(tookMs / MS_PER_SECOND);
     this.#plannedStarts.inc(startCount);
--- a/src/adapters/metrics/prometheus_scheduling_metrics_test.ts
+++ b/src/adapters/metrics/prometheus_scheduling_metrics_test.ts
@@ -53,6 +53,18 @@
     });
   });
 
+  describe("of the disk", () => {
+    it("show stored and rejected writes", async () => {
+      const { metrics, listLines } = setUp();
+      metrics.recordDiskWrite("log", "stored", 20);
+      metrics.recordDiskWrite("log", "rejected", 3);
+      const lines = await listLines();
+      const name = "cardamomsill_disk_write_seconds";
+      assertIncludes(lines, `${name}_sum{kind="log",outcome="stored"} 0.02`);
+      assertIncludes(lines, `${name}_count{kind="log",outcome="rejected"} 1`);
+    });
+  });
+
   describe("of the leader", () => {
     it("show commits, plans, requests to runners and removals", async () => {
       const { metrics, listLines } = setUp();
--- a/src/daemon/scheduling/create_scheduling_controller.ts
+++ b/src/daemon/scheduling/create_scheduling_controller.ts
@@ -19,6 +19,7 @@
   OperationsService,
   RecordingOperationMeter,
   SchedulingLog,
+  WatchedLogStore,
 } from "../../services/scheduling/index.ts";
 import { Notifier } from "../../tasks/index.ts";
 import {
@@ -159,6 +160,9 @@
     commitNotificationDelayMs: COMMIT_NOTIFICATION_DELAY_MS,
     batchIntervalMs: BATCH_INTERVAL_MS,
     commitRule: new MajorityCommitRule(),
-    store: new FileLogStore({ ...base, files, onSyncFailure: onFatal }),
+    store: new WatchedLogStore({
+      ...base,
+      store: new FileLogStore({ ...base, files, onSyncFailure: onFatal }),
+    }),
   });
 }
--- a/src/ports/leader_metrics.ts
+++ b/src/ports/leader_metrics.ts
@@ -15,6 +15,22 @@
   recordEventLoopDelay(delayMs: number): void;
 }
 
+/** What a write to the disk of a replica stores. */
+export type DiskWriteKind = "log" | "vote" | "snapshot";
+
+/** Whether a write is durable, or was rejected, as by a full disk. */
+export type DiskWriteOutcome = "stored" | "rejected";
+
+/** Records measurements of the disk of the process. */
+export interface DiskMetrics {
+  /** Records a write, which includes its sync to disk, and its duration (ms). */
+  recordDiskWrite(
+    kind: DiskWriteKind,
+    outcome: DiskWriteOutcome,
+    tookMs: number,
+  ): void;
+}
+
 /** Records measurements of the leader's own work. */
 export interface LeaderMetrics {
   /**
--- a/src/services/scheduling/index.ts
+++ b/src/services/scheduling/index.ts
@@ -20,3 +20,4 @@
 export * from "./scheduling_handlers.ts";
 export * from "./scheduling_log.ts";
 export * from "./wave_task.ts";
+export * from "./watched_log_store.ts";
