--- a/src/services/scheduling/scheduling_log.ts
+++ b/src/services/scheduling/scheduling_log.ts
@@ -3,6 +3,7 @@
 import type {
   AppliedValue,
   Failure,
+  SchedulingCommand,
   SchedulingOperation,
   SchedulingState,
 } from "../../domain/index.ts";
@@ -52,30 +53,37 @@
   }
 
   /**
-   * Proposes changes as one batch.
+   * Proposes changes as one batch. The batch is measured when it takes effect,
+   * which may be after a proposal whose outcome was unknown.
    *
    * @param operations - The changes, in order.
+   * @param onApplied - Called when the batch has taken effect in this process.
    * @returns The applied value, which callers need not read; `notLeader` when
    * the changes are certainly not in the log, `noQuorum` when they may be.
    */
   async propose(
     operations: readonly SchedulingOperation[],
+    onApplied?: () => void,
   ): Promise<Result<AppliedValue, Failure>> {
     const atMs = this.#clock.nowMs();
     const startedMs = this.#clock.monotonicMs();
-    const record = this.#meter.begin(operations, this.state, atMs);
-    const proposed = await this.#agreement.propose({
+    const command: SchedulingCommand = {
       type: "scheduling",
       atMs,
       operations: [...operations],
+    };
+    this.state.observe(command, () => {
+      const record = this.#meter.begin(operations, this.state, atMs);
+      return () => {
+        record();
+        onApplied?.();
+      };
     });
+    const proposed = await this.#agreement.propose(command);
     this.#metrics?.recordCommit(
       proposed.isOk ? "applied" : proposed.error.kind,
       this.#clock.monotonicMs() - startedMs,
     );
-    if (proposed.isOk) {
-      record();
-    }
     return proposed;
   }
 }
