Look up runner incarnations without building a key

What callers saw: a leader short of processor time answered late. After each commit it looked up every runner three times, and each lookup joined the runner's id and start time to a new string; further lookups came with each poll, plan and capacity check.

Change: loads and served runners stand in a map by runner id and start time, so a lookup allocates nothing. The fleet compares its tasks with the runners of the log directly instead of through a set of keys.

--- a/src/domain/scheduling/runner.ts
+++ b/src/domain/scheduling/runner.ts
@@ -34,11 +34,14 @@
 }
 
 /**
- * Formats the identity of a runner incarnation.
+ * Tells whether two values name the same runner incarnation.
  *
- * @param incarnation - Runner id and start time.
- * @returns A key that is unique to this incarnation.
+ * @param left - Runner id and start time.
+ * @param right - Runner id and start time.
  */
-export function formatIncarnation(incarnation: RunnerIncarnation): string {
-  return `${incarnation.runnerId}@${incarnation.bornAtMs}`;
+export function isSameIncarnation(
+  left: RunnerIncarnation,
+  right: RunnerIncarnation,
+): boolean {
+  return left.runnerId === right.runnerId && left.bornAtMs === right.bornAtMs;
 }
--- a/src/domain/scheduling/runner_loads.ts
+++ b/src/domain/scheduling/runner_loads.ts
@@ -1,8 +1,9 @@
 /** Running tasks by runner, with the amounts that runners and teams use. */
 import { addAmounts, type Amounts, NO_AMOUNTS } from "./amounts.ts";
+import { IncarnationMap } from "./incarnation_map.ts";
 import { formatTaskId, type JobStep, type TaskId } from "./job.ts";
 import type { JobRecord, TaskRecord } from "./job_record.ts";
-import { formatIncarnation, type RunnerIncarnation } from "./runner.ts";
+import type { RunnerIncarnation } from "./runner.ts";
 
 /** A run that was started and whose end is not recorded yet. */
 export interface RunningTask {
@@ -41,12 +42,12 @@
 
 /** Index of runs by runner incarnation, and of used amounts by team. */
 export class RunnerLoads {
-  readonly #loads = new Map<string, MutableLoad>();
+  readonly #loads = new IncarnationMap<MutableLoad>();
   readonly #usedByTeam = new Map<string, Amounts>();
 
   /** Finds the load of a runner incarnation; an unknown one has no load. */
   find(incarnation: RunnerIncarnation): RunnerLoad {
-    return this.#loads.get(formatIncarnation(incarnation)) ?? NO_LOAD;
+    return this.#loads.get(incarnation) ?? NO_LOAD;
   }
 
   /** Finds the amounts that a team uses on all runners. */
@@ -56,7 +57,7 @@
 
   /** Removes a runner incarnation, which must have no runs left. */
   forget(incarnation: RunnerIncarnation): void {
-    this.#loads.delete(formatIncarnation(incarnation));
+    this.#loads.delete(incarnation);
   }
 
   /** Adds the current run of a task to the load of its runner and its team. */
@@ -65,10 +66,9 @@
     if (step === undefined || task.life === undefined) {
       return;
     }
-    const key = formatIncarnation(task.life);
-    const load = this.#loads.get(key) ??
+    const load = this.#loads.get(task.life) ??
       { running: new Map<string, RunningTask>(), used: NO_AMOUNTS, version: 0 };
-    this.#loads.set(key, load);
+    this.#loads.set(task.life, load);
     load.version += 1;
     load.running.set(formatTaskId(id), {
       job,
@@ -86,7 +86,7 @@
   /** Removes a run from the load of its runner and its team. */
   removeRun(job: JobRecord, id: TaskId, task: TaskRecord): void {
     const step = job.spec.steps[id.step];
-    const load = task.life && this.#loads.get(formatIncarnation(task.life));
+    const load = task.life && this.#loads.get(task.life);
     task.life = undefined;
     if (step !== undefined && load?.running.delete(formatTaskId(id))) {
       load.used = addAmounts(load.used, computeReservedAmounts(step), -1);
@@ -108,7 +108,7 @@
    */
   raiseVersions(tasks: readonly TaskRecord[]): void {
     for (const { life } of tasks) {
-      const load = life && this.#loads.get(formatIncarnation(life));
+      const load = life && this.#loads.get(life);
       if (load !== undefined) {
         load.version += 1;
       }
--- a/src/domain/scheduling/scheduling_state.ts
+++ b/src/domain/scheduling/scheduling_state.ts
@@ -4,7 +4,7 @@
 import type { StoredJob } from "./job_record.ts";
 import { JobTable } from "./job_table.ts";
 import {
-  formatIncarnation,
+  isSameIncarnation,
   type Runner,
   type RunnerIncarnation,
 } from "./runner.ts";
@@ -189,10 +189,7 @@
   #removeRunner(incarnation: RunnerIncarnation, atMs: number): void {
     this.jobs.endIncarnation(incarnation, atMs);
     const known = this.#runners.get(incarnation.runnerId);
-    if (
-      known !== undefined &&
-      formatIncarnation(known) === formatIncarnation(incarnation)
-    ) {
+    if (known !== undefined && isSameIncarnation(known, incarnation)) {
       this.#runners.delete(incarnation.runnerId);
     }
   }
--- a/src/services/scheduling/runner_fleet.ts
+++ b/src/services/scheduling/runner_fleet.ts
@@ -1,6 +1,6 @@
 /** Runs one task of the leader for each runner incarnation. */
 import {
-  formatIncarnation,
+  IncarnationMap,
   type Runner,
   type RunnerIncarnation,
   type RunningTask,
@@ -49,7 +49,7 @@
  */
 export class RunnerFleet {
   readonly #options: RunnerFleetOptions;
-  readonly #served = new Map<string, ServedRunner>();
+  readonly #served = new IncarnationMap<ServedRunner>();
 
   constructor(options: RunnerFleetOptions) {
     this.#options = options;
@@ -62,7 +62,7 @@
    * @returns The status, or undefined before the runner is served.
    */
   findStatus(incarnation: RunnerIncarnation): RunnerStatus | undefined {
-    return this.#served.get(formatIncarnation(incarnation))?.task.status;
+    return this.#served.get(incarnation)?.task.status;
   }
 
   /** Counts the runners by condition. */
@@ -85,7 +85,7 @@
    * @param run - The run.
    */
   evict(run: RunningTask): void {
-    this.#served.get(formatIncarnation(run.life))?.task.evict(run);
+    this.#served.get(run.life)?.task.evict(run);
   }
 
   /**
@@ -106,20 +106,17 @@
   }
 
   #reconcile(runners: ReadonlyMap<string, Runner>): void {
-    const keys = new Set<string>();
     for (const runner of runners.values()) {
-      const key = formatIncarnation(runner);
-      keys.add(key);
-      const known = this.#served.get(key);
+      const known = this.#served.get(runner);
       if (known === undefined) {
-        this.#served.set(key, this.#serve(runner));
+        this.#served.set(runner, this.#serve(runner));
       } else if (known.task.runner !== runner) {
         known.task.update(runner);
       }
     }
-    for (const [key, { group }] of this.#served) {
-      if (!keys.has(key)) {
-        this.#served.delete(key);
+    for (const { task: { runner }, group } of this.#served.values()) {
+      if (runners.get(runner.runnerId)?.bornAtMs !== runner.bornAtMs) {
+        this.#served.delete(runner);
         void group.stop();
       }
     }
