Keep a leader's decisions in its own term

Callers could see one task run twice at once after a change of leader.

A leader proposed the ends of runs, plans and removals of runners like the change of any entry. When it was deposed before such a proposal was in its log, the proposal was retried and forwarded to the next leader, for up to 5 s. That leader accepted it, although it rested on what another leader had seen: it ended a run that had been started meanwhile, and the task was placed again beside it. The same held for a proposal that waited in the queue while its leader lost and regained the leadership.

`Agreement.proposeInTerm` proposes what the leader of one term has decided. It is neither forwarded nor retried, and the log accepts it only in that term. The log that a leader's tasks use is bound to the term, as is its view of its own lease. Calls about jobs and orders of operators are forwarded as before.

Commits can take up to 3 s, leaders can be paused with the answers that arrive meanwhile, runners can answer slowly, refuse starts, and have clocks that are slow or fast. The random histories use all of that in a second case; `checkNeverTwice` has moved to `src/testing` unchanged.

`ends no run that the next leader has started` fails when the leader's log is not bound to its term (`ran twice at once`) and passes now.

--- a/src/daemon/scheduling/create_scheduling_controller.ts
+++ b/src/daemon/scheduling/create_scheduling_controller.ts
@@ -87,7 +87,8 @@
   const replica = loaded.value;
   const { clock, logger, metrics, network, tasks } = base;
   const meter = new RecordingOperationMeter(metrics);
-  const log = new SchedulingLog({ agreement: replica, clock, meter, metrics });
+  const logOptions = { agreement: replica, clock, meter, metrics };
+  const log = new SchedulingLog(logOptions);
   const changed = new Notifier();
   const handlers = addSchedulingHandlers({
     network,
@@ -114,7 +115,7 @@
       leaderServices = startLeading({
         ...base,
         ...options,
-        log,
+        log: new SchedulingLog({ ...logOptions, term }),
         changed,
         fencingToken: term,
         group,
--- a/src/ports/agreement.ts
+++ b/src/ports/agreement.ts
@@ -48,6 +48,19 @@
     command: Command,
     signal?: AbortSignal,
   ): Promise<Result<AppliedValue, Failure>>;
+  /**
+   * Proposes a command that the leader of a term has decided. No other leader
+   * accepts it, because that leader may have decided otherwise meanwhile.
+   *
+   * @param term - The term.
+   * @param command - The command.
+   * @returns As defined by `propose`; `notLeader` unless this entry still leads
+   * the term.
+   */
+  proposeInTerm(
+    term: number,
+    command: Command,
+  ): Promise<Result<AppliedValue, Failure>>;
   /**
    * Waits until this entry has applied a log entry after the given index.
    *
--- a/src/replication/proposal_queue.ts
+++ b/src/replication/proposal_queue.ts
@@ -20,6 +20,8 @@
 
 interface PendingProposal {
   readonly command: Command;
+  /** The only term in which the log may accept it; undefined for any. */
+  readonly term: number | undefined;
   readonly settle: (proposed: ProposalResult) => void;
 }
 
@@ -37,17 +39,18 @@
    * Proposes a command while this replica leads.
    *
    * @param command - The command.
+   * @param term - The only term in which it may be accepted; any by default.
    * @returns The result of applying it; `notLeader` or `readOnly` if it is
    * certainly not in the log, `noQuorum` if it may still be accepted.
    */
-  async propose(command: Command): Promise<ProposalResult> {
+  async propose(command: Command, term?: number): Promise<ProposalResult> {
     let result: ProposalResult | undefined;
     const settledNotifier = new Notifier();
     const settle = (proposed: ProposalResult) => {
       result ??= proposed;
       settledNotifier.notify();
     };
-    this.#pending.push({ command, settle });
+    this.#pending.push({ command, term, settle });
     this.#arrived.notify();
     await waitFor({
       clock: this.#core.options.clock,
@@ -101,7 +104,9 @@
       failAll(batch, core.createNotLeaderFailure());
       return;
     }
-    const accepted = this.#rejectConflictingMemberships(batch);
+    const accepted = this.#rejectConflictingMemberships(
+      this.#rejectOtherTerms(batch, leadership.term),
+    );
     const entries = core.createLogEntries(
       accepted.map(({ command }) => command),
     );
@@ -121,6 +126,20 @@
     core.changed.notify();
   }
 
+  // Proposals wait here while a term ends and another one begins.
+  #rejectOtherTerms(
+    batch: readonly PendingProposal[],
+    leaderTerm: number,
+  ): readonly PendingProposal[] {
+    const failure = this.#core.createNotLeaderFailure();
+    return batch.filter(({ term = leaderTerm, settle }) => {
+      if (term !== leaderTerm) {
+        settle(Result.err(failure));
+      }
+      return term === leaderTerm;
+    });
+  }
+
   // Only one membership change may be in progress, so a batch holds at most one.
   #rejectConflictingMemberships(
     batch: readonly PendingProposal[],
--- a/src/replication/replica.ts
+++ b/src/replication/replica.ts
@@ -102,6 +102,13 @@
     return this.#proposer.propose(command, signal);
   }
 
+  proposeInTerm(
+    term: number,
+    command: Command,
+  ): Promise<Result<AppliedValue, Failure>> {
+    return this.#queue.propose(command, term);
+  }
+
   async follow(
     appliedIndex: number,
     signal: AbortSignal,
--- a/src/replication/replica_test.ts
+++ b/src/replication/replica_test.ts
@@ -267,6 +267,46 @@
     });
   });
 
+  describe("a proposal for one term", () => {
+    async function proposeInTerm(term: number): Promise<string | undefined> {
+      const proposed = await cluster.clock.runUntil(
+        cluster.replica(leaderId).proposeInTerm(
+          term,
+          createChange({ name: "zone-term" }, 0),
+        ),
+        SETTLE_MS,
+      );
+      return proposed.isErr ? proposed.error.kind : undefined;
+    }
+
+    it("is accepted while the term lasts", async () => {
+      const { term } = cluster.replica(leaderId).status();
+      assert.is(await proposeInTerm(term), undefined);
+      await expectRevisionEverywhere(1);
+    });
+
+    // Guards against decisions of a deposed leader that take effect under the
+    // next one.
+    it("is not forwarded to the leader of the next term", async () => {
+      const { term } = cluster.replica(leaderId).status();
+      await cluster.clock.runUntil(
+        cluster.replica(leaderId).transferLeadership(),
+        SETTLE_MS,
+      );
+      assert.is(await proposeInTerm(term), "notLeader");
+      await cluster.waitForLeader();
+      await expectRevisionEverywhere(0);
+    });
+
+    // Guards against a proposal that waits in the queue while its leader loses
+    // and regains the leadership.
+    it("is not accepted in a later term of the same leader", async () => {
+      const { term } = cluster.replica(leaderId).status();
+      assert.is(await proposeInTerm(term - 1), "notLeader");
+      await expectRevisionEverywhere(0);
+    });
+  });
+
   describe("a caller that stops waiting", () => {
     for (const entryId of ["a", OBSERVER]) {
       it(`at ${entryId} learns that the outcome of its proposal is unknown`, async () => {
--- a/src/services/scheduling/scheduling_histories_test.ts
+++ b/src/services/scheduling/scheduling_histories_test.ts
@@ -7,6 +7,7 @@
 import { describe, it } from "../../testing/describe.ts";
 import { FakeClock } from "../../testing/fake_clock.ts";
 import type { RunSpan } from "../../testing/fake_runner_incarnation.ts";
+import { checkNeverTwice } from "../../testing/run_span_checks.ts";
 import { SchedulingFixture } from "../../testing/scheduling_fixture.ts";
 
 const SEED = Number(process.env["SEED"] ?? 20_263);
@@ -21,6 +22,13 @@
  * Delayed requests arrive up to 12 s later; their leases expire 6 s after that.
  */
 const RECOVERY_MS = 40_000;
+const MAX_CLOCK_DRIFT_PERCENT = 2;
+/** Longest delay of a commit at full amount is 3 s. */
+const MAX_COMMIT_PERCENT_MS = 30;
+/** A proposal is forwarded for 1 s at full amount. */
+const FORWARD_PERCENT_MS = 10;
+/** Longest pause of a leader at full amount is 2 s. */
+const MAX_PAUSE_PERCENT_MS = 20;
 
 const runnerId = fc.constantFrom(...RUNNER_IDS);
 const ACTIONS = [
@@ -37,14 +45,29 @@
   "answerAll",
 ] as const;
 
-const stepArbitrary = fc.record({
-  action: fc.constantFrom(...ACTIONS),
-  runnerId,
-  amount: fc.nat(100),
-  waitMs: fc.nat(MAX_STEP_MS),
-});
+const LEADER_ACTIONS = [
+  ...ACTIONS,
+  "slowAnswers",
+  "slowCommits",
+  "refuseStarts",
+  "pauseLeader",
+  "pauseLeader",
+] as const;
+
+type Action = typeof LEADER_ACTIONS[number];
+
+function createStepArbitrary(actions: readonly Action[]) {
+  return fc.record({
+    action: fc.constantFrom(...actions),
+    runnerId,
+    amount: fc.nat(100),
+    waitMs: fc.nat(MAX_STEP_MS),
+  });
+}
 
-type Step = typeof stepArbitrary extends fc.Arbitrary<infer T> ? T : never;
+type Step = ReturnType<typeof createStepArbitrary> extends fc.Arbitrary<infer T>
+  ? T
+  : never;
 
 function createSteps(amount: number) {
   const first = {
@@ -91,45 +114,44 @@
     case "delayRequests":
       runners.latePercent = step.amount % 50;
       break;
+    case "slowAnswers":
+      runners.slowPercent = step.amount;
+      break;
+    case "slowCommits":
+      fixture.maxCommitDelayMs = step.amount * MAX_COMMIT_PERCENT_MS;
+      fixture.forwardMs = step.amount * FORWARD_PERCENT_MS;
+      break;
+    case "refuseStarts":
+      runners.unhealthyIds.add(step.runnerId);
+      break;
+    case "pauseLeader":
+      fixture.pauseLeader(step.amount * MAX_PAUSE_PERCENT_MS);
+      break;
     case "answerAll":
-      runners.lostPercent = 0;
-      runners.latePercent = 0;
+      answerAll(fixture);
       break;
   }
   await fixture.clock.advance(step.waitMs);
 }
 
+function answerAll(fixture: SchedulingFixture): void {
+  const { runners } = fixture;
+  runners.lostPercent = 0;
+  runners.latePercent = 0;
+  runners.slowPercent = 0;
+  runners.unhealthyIds.clear();
+  fixture.maxCommitDelayMs = 0;
+  fixture.forwardMs = 0;
+}
+
 async function heal(fixture: SchedulingFixture): Promise<void> {
   fixture.runners.cutIds.clear();
-  fixture.runners.lostPercent = 0;
-  fixture.runners.latePercent = 0;
+  answerAll(fixture);
   await fixture.clock.advance(RECOVERY_MS);
   RUNNER_IDS.forEach((id) => fixture.startRunner(id));
   await fixture.clock.advance(RECOVERY_MS);
 }
 
-function checkNeverTwice(spans: readonly RunSpan[]): void {
-  const byTask = new Map<string, RunSpan[]>();
-  for (const span of spans) {
-    byTask.set(span.task, [...byTask.get(span.task) ?? [], span]);
-  }
-  for (const [task, runs] of byTask) {
-    const sorted = runs.toSorted((left, right) => left.fromMs - right.fromMs);
-    sorted.forEach((run, at) => {
-      const later = sorted[at + 1];
-      assert.ok(
-        later === undefined || later.fromMs >= run.toMs,
-        `${task} ran twice at once: ${JSON.stringify([run, later])}`,
-      );
-      const isFinal = run.how === "done" && run.isAcknowledged;
-      assert.ok(
-        !isFinal || later === undefined,
-        `${task} began after it was done: ${JSON.stringify([run, later])}`,
-      );
-    });
-  }
-}
-
 function checkLoad(
   spans: readonly RunSpan[],
   limitMillicores: number,
@@ -151,12 +173,14 @@
 async function checkHistory(
   steps: readonly Step[],
   seed: number,
+  maxClockDriftPercent = 0,
 ): Promise<void> {
   const fixture = new SchedulingFixture({
     clock: new FakeClock(),
     random: new SeededRandom(seed),
     runnerIds: RUNNER_IDS,
     limitMillicores: LIMIT_MILLICORES,
+    maxClockDriftPercent,
   });
   fixture.changeLeader();
   await fixture.clock.advance(50);
@@ -268,11 +292,14 @@
     }
   });
 
-  it("keeps its invariants under random faults", async () => {
+  async function checkRandomHistories(
+    actions: readonly Action[],
+    maxClockDriftPercent: number,
+  ): Promise<void> {
     const histories = fc.asyncProperty(
-      fc.array(stepArbitrary, { maxLength: MAX_STEP_COUNT }),
+      fc.array(createStepArbitrary(actions), { maxLength: MAX_STEP_COUNT }),
       fc.nat(1_000),
-      checkHistory,
+      (steps, seed) => checkHistory(steps, seed, maxClockDriftPercent),
     );
     await fc.assert(histories, {
       seed: SEED,
@@ -281,5 +308,13 @@
       markInterruptAsFailure: false,
       includeErrorInReport: true,
     });
+  }
+
+  it("keeps its invariants under random faults", async () => {
+    await checkRandomHistories(ACTIONS, 0);
+  });
+
+  it("keeps its invariants with late commits, pauses of the leader and drifting clocks", async () => {
+    await checkRandomHistories(LEADER_ACTIONS, MAX_CLOCK_DRIFT_PERCENT);
   });
 });
--- a/src/services/scheduling/scheduling_log.ts
+++ b/src/services/scheduling/scheduling_log.ts
@@ -3,6 +3,7 @@
 import type {
   AppliedValue,
   Failure,
+  SchedulingCommand,
   SchedulingOperation,
   SchedulingState,
 } from "../../domain/index.ts";
@@ -17,6 +18,11 @@
   readonly meter?: OperationMeter;
   /** Where the times of proposals go; nowhere by default. */
   readonly metrics?: LeaderMetrics;
+  /**
+   * Term of the leader that reads and proposes; any entry in any term by
+   * default. What a leader has decided counts only in its own term.
+   */
+  readonly term?: number;
 }
 
 /** Reads the scheduling state, proposes changes to it and shows who leads. */
@@ -25,12 +31,15 @@
   readonly #clock: Clock;
   readonly #meter: OperationMeter;
   readonly #metrics: LeaderMetrics | undefined;
+  readonly #term: number | undefined;
 
-  constructor({ agreement, clock, meter, metrics }: SchedulingLogOptions) {
+  constructor(options: SchedulingLogOptions) {
+    const { agreement, clock, meter, metrics, term } = options;
     this.#agreement = agreement;
     this.#clock = clock;
     this.#meter = meter ?? new NoopOperationMeter();
     this.#metrics = metrics;
+    this.#term = term;
   }
 
   /** The scheduling state as applied by this entry. */
@@ -38,17 +47,13 @@
     return this.#agreement.state.scheduling;
   }
 
-  /** Current term of the log, which a leader uses as its fencing token. */
-  get term(): number {
-    return this.#agreement.status().term;
-  }
-
   /**
-   * Whether this entry leads and no other leader can have been elected yet;
-   * only then may it send requests to runners and VMs.
+   * Whether this entry leads the term and no other leader can have been elected
+   * yet; only then may it send requests to runners and VMs.
    */
   get holdsLeaderLease(): boolean {
-    return this.#agreement.status().leaderSinceMs !== undefined;
+    const { leaderSinceMs, term } = this.#agreement.status();
+    return leaderSinceMs !== undefined && term === (this.#term ?? term);
   }
 
   /**
@@ -64,7 +69,7 @@
     const atMs = this.#clock.nowMs();
     const startedMs = this.#clock.monotonicMs();
     const record = this.#meter.begin(operations, this.state, atMs);
-    const proposed = await this.#agreement.propose({
+    const proposed = await this.#send({
       type: "scheduling",
       atMs,
       operations: [...operations],
@@ -78,4 +83,10 @@
     }
     return proposed;
   }
+
+  #send(command: SchedulingCommand): Promise<Result<AppliedValue, Failure>> {
+    return this.#term === undefined
+      ? this.#agreement.propose(command)
+      : this.#agreement.proposeInTerm(this.#term, command);
+  }
 }
--- a/src/testing/fake_agreement.ts
+++ b/src/testing/fake_agreement.ts
@@ -57,6 +57,13 @@
       : applied;
   }
 
+  proposeInTerm(
+    _term: number,
+    command: Command,
+  ): Promise<Result<AppliedValue, Failure>> {
+    return this.propose(command);
+  }
+
   async follow(_index: number, signal: AbortSignal): Promise<AgreementStatus> {
     await this.#clock.sleep(Infinity, signal);
     return this.status();
--- a/src/testing/fake_leadership.ts
+++ b/src/testing/fake_leadership.ts
@@ -143,6 +143,10 @@
     return Promise.resolve(Result.ok({ revision: this.state.revision }));
   }
 
+  proposeInTerm(): Promise<Result<AppliedValue, Failure>> {
+    return this.propose();
+  }
+
   follow(): Promise<AgreementStatus> {
     return Promise.resolve(this.status());
   }
--- a/src/testing/fake_log.ts
+++ b/src/testing/fake_log.ts
@@ -115,6 +115,13 @@
     return this.#log.propose(command);
   }
 
+  proposeInTerm(
+    _term: number,
+    command: Command,
+  ): Promise<Result<AppliedValue, Failure>> {
+    return this.#log.propose(command);
+  }
+
   async follow(
     appliedIndex: number,
     signal: AbortSignal,
--- a/src/testing/fake_runner_incarnation.ts
+++ b/src/testing/fake_runner_incarnation.ts
@@ -36,6 +36,8 @@
   readonly clock: Clock;
   /** Receives a record of each run. */
   readonly spans: RunSpan[];
+  /** Speed of its clock; below 1 for a slow one. */
+  readonly clockRate: number;
   /**
    * Returns how long a task runs (ms) and how much CPU it uses (millicores).
    */
@@ -184,7 +186,8 @@
 
   /** Ends the runs whose work is done or whose lease has expired by now. */
   advance(): void {
-    const leaseEndMs = this.#startedMs + this.#leaseUntilMs;
+    const leaseEndMs = this.#startedMs +
+      this.#leaseUntilMs / this.#options.clockRate;
     for (const [task, { endsMs }] of [...this.#running]) {
       const atMs = Math.min(endsMs, leaseEndMs);
       if (atMs <= this.#nowMs) {
@@ -230,7 +233,7 @@
   }
 
   get #clockMs(): number {
-    return this.#nowMs - this.#startedMs;
+    return (this.#nowMs - this.#startedMs) * this.#options.clockRate;
   }
 
   /** Creates an answer with the current time on the runner's clock. */
--- a/src/testing/fake_runners.ts
+++ b/src/testing/fake_runners.ts
@@ -23,6 +23,9 @@
 const MIN_LATE_DELAY_MS = 2_000;
 const LATE_DELAY_RANGE_MS = 10_000;
 const POLL_STEP_MS = 10;
+/** Longest additional time of a slow answer, within the timeout (ms). */
+const MAX_SLOW_MS = 650;
+const PERCENT = 100;
 
 /** Options of {@link FakeRunners}. */
 export interface FakeRunnersOptions {
@@ -32,6 +35,8 @@
    * Returns how long a task runs (ms) and how much CPU it uses (millicores).
    */
   readonly findWork: FakeRunnerIncarnationOptions["findWork"];
+  /** Most by which the runners' clocks are slow or fast, in percent. */
+  readonly maxClockDriftPercent?: number;
 }
 
 /** Runners with injectable faults. */
@@ -42,6 +47,13 @@
   latePercent = 0;
   /** Share of requests that are carried out but get no answer, in percent. */
   lostPercent = 0;
+  /**
+   * Share of requests whose way there and back takes long, in percent; requests
+   * and answers then overtake each other.
+   */
+  slowPercent = 0;
+  /** Ids of runners that refuse all starts, because they are unhealthy. */
+  readonly unhealthyIds = new Set<string>();
   /** Ids of runners that no request reaches. */
   readonly cutIds = new Set<string>();
   readonly #options: FakeRunnersOptions;
@@ -54,7 +66,8 @@
   /** Starts an incarnation of a runner and ends the previous one. */
   startIncarnation(runner: Runner): void {
     this.crash(runner.runnerId);
-    const options = { ...this.#options, spans: this.spans };
+    const clockRate = this.#chooseClockRate();
+    const options = { ...this.#options, spans: this.spans, clockRate };
     this.#incarnations.set(
       runner.runnerId,
       new FakeRunnerIncarnation(runner, options),
@@ -78,7 +91,13 @@
     runner: Runner,
     request: StartRequest,
   ): Promise<Result<RunnerAnswer, RunnerFailure>> {
-    return this.#send(runner, (incarnation) => incarnation.start(request));
+    return this.#send(
+      runner,
+      (incarnation) =>
+        this.unhealthyIds.has(runner.runnerId)
+          ? Result.err({ refusal: "unhealthy", message: "unhealthy" })
+          : incarnation.start(request),
+    );
   }
 
   stop(
@@ -158,6 +177,15 @@
       return Result.err({ message: "no answer, carried out late" });
     }
     const isLost = random.nextInt(100) < this.lostPercent;
+    const slowMs = this.#chooseSlowMs();
+    const thereMs = slowMs > 0 ? random.nextInt(slowMs) : 0;
+    const incarnation = this.#incarnations.get(runnerId);
+    if (thereMs > 0) {
+      await clock.sleep(thereMs);
+    }
+    if (thereMs > 0 && incarnation !== this.#incarnations.get(runnerId)) {
+      return Result.err({ message: "the connection was lost" });
+    }
     const result = this.#carryOut(runnerId, carryOut);
     if (result === undefined) {
       return Result.err({
@@ -165,10 +193,25 @@
         message: "no process listens",
       });
     }
-    await clock.sleep(isLost ? timeoutMs : LATENCY_MS);
+    const backMs = LATENCY_MS + slowMs - thereMs;
+    await clock.sleep(isLost ? timeoutMs : backMs);
     return isLost ? Result.err({ message: "no answer, carried out" }) : result;
   }
 
+  #chooseSlowMs(): number {
+    const { random } = this.#options;
+    const isSlow = this.slowPercent > 0 &&
+      random.nextInt(PERCENT) < this.slowPercent;
+    return isSlow ? random.nextInt(MAX_SLOW_MS) : 0;
+  }
+
+  #chooseClockRate(): number {
+    const { maxClockDriftPercent: drift = 0, random } = this.#options;
+    return drift === 0
+      ? 1
+      : 1 + (random.nextInt(2 * drift + 1) - drift) / PERCENT;
+  }
+
   #carryOut<T>(
     runnerId: string,
     carryOut: (incarnation: FakeRunnerIncarnation) => Result<T, RunnerFailure>,
--- a/src/testing/pausable_clock.ts
+++ b/src/testing/pausable_clock.ts
@@ -17,6 +17,11 @@
     this.#clock = clock;
   }
 
+  /** Whether the timers are paused. */
+  get isPaused(): boolean {
+    return this.#isPaused;
+  }
+
   nowMs(): number {
     return this.#clock.nowMs();
   }
@@ -27,6 +32,11 @@
 
   async sleep(delayMs: number, signal?: AbortSignal): Promise<void> {
     await this.#clock.sleep(delayMs, signal);
+    await this.waitUntilResumed(signal);
+  }
+
+  /** Waits while the clock is paused, as everything in that process does. */
+  async waitUntilResumed(signal?: AbortSignal): Promise<void> {
     while (this.#isPaused && !signal?.aborted) {
       await this.#resumed.wait(signal);
     }
--- a/src/testing/scheduling_fixture.ts
+++ b/src/testing/scheduling_fixture.ts
@@ -1,5 +1,5 @@
 /** Runs the scheduler of successive leaders over one log, with fake runners. */
-import type { Result } from "true-myth";
+import { Result } from "true-myth";
 import {
   LeastLossMaintenancePolicy,
   ScoredPlacementPolicy,
@@ -9,6 +9,7 @@
 import {
   type AppliedValue,
   type Command,
+  createFailure,
   type Failure,
   FleetState,
   type JobStep,
@@ -30,14 +31,19 @@
 import { FakeRunners } from "./fake_runners.ts";
 import { FakeVms } from "./fake_vms.ts";
 import { LeaderView } from "./leader_view.ts";
+import { PausableClock } from "./pausable_clock.ts";
+import { PausableRunnerClient } from "./pausable_runner_client.ts";
 
 const HEARTBEAT_INTERVAL_MS = 1_500;
 const RUNNER_MILLICORES = 8_000;
+const LEADERSHIP_CHECK_MS = 50;
 const STOP_TIMEOUT_MS = 60_000;
 const POOL = "bay";
 
 interface Leader {
   readonly view: LeaderView;
+  /** Clock of the leader's process; paused while the process is. */
+  readonly clock: PausableClock;
   readonly tasks: TaskGroup;
   readonly registry: RunnerRegistry;
   readonly jobs: JobService;
@@ -50,6 +56,8 @@
   readonly runnerIds: readonly string[];
   /** CPU that the team may use at once, in millicores; 0 for no limit. */
   readonly limitMillicores?: number;
+  /** Most by which the runners' clocks are slow or fast, in percent. */
+  readonly maxClockDriftPercent?: number;
   /** Whether each runner is on a VM of its name, which can get maintenance. */
   readonly hasVms?: boolean;
   /**
@@ -67,7 +75,12 @@
   readonly vms: FakeVms | undefined;
   readonly logger = new FakeLogger();
   readonly metrics = new FakeLeaderMetrics();
+  readonly random: Random;
   appliedIndex = 0;
+  maxCommitDelayMs = 0;
+  /** Time for which a proposal is forwarded, in milliseconds. */
+  forwardMs = 0;
+  readonly commits: PausableClock;
   readonly #options: SchedulingFixtureOptions;
   readonly #activeRunners = new Map<string, Runner>();
   readonly #heartbeatStop = new AbortController();
@@ -78,6 +91,8 @@
   constructor(options: SchedulingFixtureOptions) {
     this.#options = options;
     this.clock = options.clock;
+    this.random = options.random;
+    this.commits = new PausableClock(options.clock);
     this.runners = new FakeRunners({
       ...options,
       findWork: (task) => this.#findWork(task),
@@ -96,15 +111,42 @@
     return applied;
   }
 
-  /** Starts a new leader; the previous one loses its leadership at once. */
+  /** Proposes a command at the current leader. */
+  async forward(command: Command): Promise<Result<AppliedValue, Failure>> {
+    if (this.forwardMs > 0) {
+      await this.clock.sleep(this.forwardMs);
+    }
+    const leader = this.#leader;
+    return leader === undefined
+      ? Result.err(createFailure("notLeader", "there is no leader"))
+      : await leader.view.propose(command);
+  }
+
+  /**
+   * Starts a new leader; the previous one loses its leadership at once, and
+   * stops once its process runs.
+   */
   changeLeader(): void {
     const previous = this.#leader;
     if (previous !== undefined) {
-      previous.view.isLeading = false;
-      void previous.tasks.stop();
+      previous.view.depose();
+      void this.#stopDeposed(previous);
     }
     this.#term += 1;
-    this.#leader = this.#startLeader(new LeaderView(this, this.#term));
+    this.#leader = this.#startLeader(this.#term);
+  }
+
+  /**
+   * Pauses the process of the current leader.
+   *
+   * @param durationMs - Duration of the pause (ms).
+   */
+  pauseLeader(durationMs: number): void {
+    const { clock } = this.#leader ?? {};
+    if (clock !== undefined && !clock.isPaused) {
+      clock.pause();
+      void this.clock.sleep(durationMs).then(() => clock.resume());
+    }
   }
 
   /** Starts a new incarnation of a runner. */
@@ -148,13 +190,14 @@
     }
     const draining = { ...runner, isDraining: true };
     this.#activeRunners.set(runnerId, draining);
-    const announced = await this.#leader?.registry.announce(draining);
-    return announced?.isOk ?? false;
+    return await this.#announce(draining);
   }
 
   /** Submits a job and returns whether the leader accepted it. */
   async submit(jobId: string, steps: readonly JobStep[]): Promise<boolean> {
-    const submitted = await this.#leader?.jobs.answer({
+    const leader = this.#leader;
+    await leader?.clock.waitUntilResumed();
+    const submitted = await leader?.jobs.answer({
       action: "submit",
       host: "h",
       path: `/q/${jobId}`,
@@ -172,10 +215,28 @@
     await this.clock.runUntil(stopped, STOP_TIMEOUT_MS);
   }
 
-  #startLeader(view: LeaderView): Leader {
-    const { clock, logger, metrics } = this;
+  async #stopDeposed({ clock, tasks }: Leader): Promise<void> {
+    if (clock.isPaused) {
+      await clock.waitUntilResumed();
+      await clock.sleep(LEADERSHIP_CHECK_MS);
+    }
+    await tasks.stop();
+  }
+
+  async #announce(runner: Runner): Promise<boolean> {
+    const leader = this.#leader;
+    await leader?.clock.waitUntilResumed();
+    const announced = await leader?.registry.announce(runner);
+    return announced?.isOk ?? false;
+  }
+
+  #startLeader(term: number): Leader {
+    const { logger, metrics } = this;
+    const clock = new PausableClock(this.clock);
+    const view = new LeaderView(this, clock, term);
     const tasks = new TaskGroup({ clock, logger });
-    const log = new SchedulingLog({ agreement: view, clock, metrics });
+    const logOptions = { agreement: view, clock, metrics };
+    const log = new SchedulingLog({ ...logOptions, term });
     const changed = new Notifier();
     const shared = {
       log,
@@ -184,8 +245,8 @@
       metrics,
       eventLoop: { findLongestDelayMs: () => 0 },
       changed,
-      client: this.runners,
-      fencingToken: view.term,
+      client: new PausableRunnerClient(this.runners, clock),
+      fencingToken: term,
       findTicket: () => undefined,
     };
     const fleet = new RunnerFleet(shared);
@@ -194,7 +255,7 @@
       fleet,
       vms: this.vms,
       policy: new LeastLossMaintenancePolicy(),
-      holderId: `leader-${view.term}`,
+      holderId: `leader-${term}`,
     });
     const scheduler = new Scheduler({
       ...shared,
@@ -212,9 +273,10 @@
     tasks.start("scheduler", (signal) => scheduler.run(signal));
     return {
       view,
+      clock,
       tasks,
       registry: new RunnerRegistry({ ...shared, fleet }),
-      jobs: new JobService({ log, logger }),
+      jobs: new JobService({ log: new SchedulingLog(logOptions), logger }),
     };
   }
 
@@ -223,7 +285,7 @@
     while (!signal.aborted) {
       for (const runner of this.#activeRunners.values()) {
         if (!this.runners.cutIds.has(runner.runnerId)) {
-          void this.#leader?.registry.announce(runner);
+          void this.#announce(runner);
         }
       }
       await this.clock.sleep(HEARTBEAT_INTERVAL_MS, signal);
