Grant leases under one rule, and none once a removal is decided

The rule for a lease stood in two places and left gaps through which a run could get one although its task was about to be placed elsewhere, which is how one task runs twice at once.

- A removal of a runner rests on its leases having expired.
While it waited to be committed, or when its outcome was unknown and the log applied it later, a late answer brought the runner back into use: starts and polls gave it new leases.
A decided removal now closes the incarnation for good, and is proposed again until the log has applied it.
- A start was repeated for a few milliseconds after the log had ended its run.
The run must now be placed on the runner when its start is sent.
- The leadership was checked before the lease was computed.
A process that was stopped in between granted a lease that began after its leadership had ended.
The check now comes afterwards.

`LeaseGrants` holds the rule for polls and starts; `RunnerStatus.close` ends the use of an incarnation, also of one that was replaced.

Three of the new cases of `lease_grants_test.ts` fail with the former conditions in `LeaseGrants`, and pass now.

--- a/src/services/scheduling/previous_incarnation.ts
+++ b/src/services/scheduling/previous_incarnation.ts
@@ -54,6 +54,7 @@
   const status = findStatus(previous);
   if (status !== undefined) {
     status.isLeaving = true;
+    status.close();
   }
   const recorded = await log.propose([]);
   if (recorded.isErr) {
--- a/src/services/scheduling/run_commands.ts
+++ b/src/services/scheduling/run_commands.ts
@@ -15,6 +15,7 @@
   RunnerClient,
   RunnerFailure,
 } from "../../ports/index.ts";
+import type { LeaseGrants } from "./lease_grants.ts";
 import type { LeaseTracker } from "./lease_tracker.ts";
 import type { RequestObserver } from "./request_observer.ts";
 import type { RunnerStatus } from "./runner_status.ts";
@@ -29,6 +30,7 @@
   readonly logger: Logger;
   readonly fencingToken: number;
   readonly lease: LeaseTracker;
+  readonly grants: LeaseGrants;
   readonly requests: RequestObserver;
   /** Finds the ticket of a task for a runner; undefined where none is needed. */
   readonly findTicket: (task: TaskId, runner: Runner) => string | undefined;
@@ -45,7 +47,7 @@
   }
 
   /**
-   * Sends a start request with a lease, unless the runner does not respond.
+   * Sends a start request with a lease, unless the run may not get one.
    *
    * @param run - The run.
    * @returns Why the start is not confirmed, or undefined when it is.
@@ -53,15 +55,10 @@
   async start(run: RunningTask): Promise<RunnerFailure | undefined> {
     const { client, clock, fencingToken, findRunner, findTicket } =
       this.#options;
-    const { lease, log, logger, requests, status } = this.#options;
-    const leaseUntilMs = log.holdsLeaderLease && status.isAnswering
-      ? lease.grantForStart()
-      : undefined;
+    const { grants, lease, logger, requests, status } = this.#options;
+    const leaseUntilMs = grants.grantForStart(run);
     if (leaseUntilMs === undefined) {
-      return {
-        message:
-          "the runner does not respond, or this leader's lease has expired",
-      };
+      return { message: "the run may not get a lease" };
     }
     const runner = findRunner();
     const sentAtMs = clock.monotonicMs();
--- a/src/services/scheduling/runner_status.ts
+++ b/src/services/scheduling/runner_status.ts
@@ -12,6 +12,7 @@
   #lastContactMs: number;
   #answeredAtMs: number;
   #isAnswering = true;
+  #isClosed = false;
   /**
    * Unanswered requests, with the monotonic time (ms) at which each is overdue.
    */
@@ -55,6 +56,14 @@
     return this.#isAnswering;
   }
 
+  /**
+   * Whether its runs may get a lease. A runner that does not respond gets none,
+   * so that its leases expire.
+   */
+  get mayGetLease(): boolean {
+    return this.#isAnswering && !this.#isClosed;
+  }
+
   /** Whether a request has been unanswered for longer than usual. */
   get hasOverdueRequest(): boolean {
     const nowMs = this.#clock.monotonicMs();
@@ -66,7 +75,7 @@
    * down.
    */
   get isOperational(): boolean {
-    return this.isSynced && this.#isAnswering && !this.isLeaving &&
+    return this.isSynced && this.mayGetLease && !this.isLeaving &&
       this.silenceMs < MAX_SILENCE_MS;
   }
 
@@ -117,6 +126,17 @@
     );
   }
 
+  /**
+   * Ends the use of the incarnation: its tasks are about to be placed elsewhere,
+   * so nothing may start there, and no lease may be renewed. That holds for good,
+   * because a proposal whose outcome is unknown may still be applied. The
+   * incarnation can be used again once the log has removed it and it has
+   * announced itself.
+   */
+  close(): void {
+    this.#isClosed = true;
+  }
+
   /** Records that a request was not answered. */
   recordNoAnswer(): void {
     this.#isAnswering = false;
--- a/src/services/scheduling/runner_task.ts
+++ b/src/services/scheduling/runner_task.ts
@@ -15,6 +15,7 @@
 } from "../../ports/index.ts";
 import { Notifier, type TaskGroup, waitFor } from "../../tasks/index.ts";
 import { closePreviousIncarnation } from "./previous_incarnation.ts";
+import { LeaseGrants } from "./lease_grants.ts";
 import { LeaseTracker } from "./lease_tracker.ts";
 import { choosePollTimes } from "./poll_times.ts";
 import {
@@ -57,6 +58,7 @@
   readonly status: RunnerStatus;
   readonly #options: RunnerTaskOptions;
   readonly #lease: LeaseTracker;
+  readonly #grants: LeaseGrants;
   readonly #requests: RequestObserver;
   readonly #runs: RunReconciler;
   readonly #ends: RunEndDetector;
@@ -66,12 +68,19 @@
   #ackedPosition = 0;
   #runner: Runner;
   #isFenced = false;
+  /** Why the runner is being removed; undefined while it is in use. */
+  #removal: RunnerRemoval | undefined;
 
   constructor(options: RunnerTaskOptions) {
     this.#options = options;
     this.#runner = options.runner;
     this.status = options.status;
     this.#lease = new LeaseTracker(options.clock);
+    this.#grants = new LeaseGrants({
+      ...options,
+      lease: this.#lease,
+      findLoad: () => this.#load,
+    });
     this.#requests = new RequestObserver({ ...options, lease: this.#lease });
     this.#ends = new RunEndDetector({
       ...options,
@@ -81,6 +90,7 @@
     this.#runs = new RunReconciler({
       ...options,
       lease: this.#lease,
+      grants: this.#grants,
       requests: this.#requests,
       findRunner: () => this.#runner,
       findLoad: () => this.#load,
@@ -124,6 +134,11 @@
   async #poll(signal: AbortSignal): Promise<void> {
     const { clock, loadChanged, log } = this.#options;
     while (!signal.aborted && !this.#isFenced) {
+      if (this.#removal !== undefined) {
+        await this.#proposeRemoval();
+        await clock.sleep(EXPIRED_RETRY_MS, signal);
+        continue;
+      }
       if (!this.#isPollDue) {
         await waitFor({
           clock,
@@ -145,12 +160,9 @@
   async #pollOnce(signal: AbortSignal): Promise<void> {
     const { client, clock, fencingToken } = this.#options;
     const ackPosition = this.#chooseAckPosition();
-    const isBusy = this.status.isSynced && this.#load.running.size > 0;
-    // A granted lease counts even if the request that carries it is lost. A
-    // runner that does not respond gets none, so that its leases expire.
-    const isGranted = isBusy && this.status.isAnswering;
+    const leaseUntilMs = this.#grants.renew();
     const times = choosePollTimes({
-      isBusy,
+      isBusy: this.status.isSynced && this.#load.running.size > 0,
       isAnswering: this.status.isAnswering,
       isClosing: this.#runs.isClosing,
       leaseLeftMs: this.#lease.remainingMs,
@@ -160,7 +172,7 @@
     const polled = await client.poll(this.#runner, {
       fencingToken,
       ackPosition,
-      leaseUntilMs: isGranted ? this.#lease.grant() : undefined,
+      leaseUntilMs,
       ...times,
     });
     endRequest();
@@ -256,8 +268,7 @@
     const isGone = failure.refusal === "otherLife" ||
       (failure.refusal === "notListening" && this.status.isLeaving);
     if (isGone || this.#lease.isExpired) {
-      await this.#removeRunner(isGone ? "ended" : "leasesExpired");
-      await clock.sleep(EXPIRED_RETRY_MS, signal);
+      this.#decideRemoval(isGone ? "ended" : "leasesExpired");
       return;
     }
     const pauseMs = Math.min(REQUEST_RETRY_MS, this.#lease.remainingMs);
@@ -282,18 +293,34 @@
     }
   }
 
-  async #removeRunner(removal: RunnerRemoval): Promise<void> {
+  // The proposal is repeated until it is applied, which ends this task.
+  #decideRemoval(removal: RunnerRemoval): void {
     const { log, logger } = this.#options;
     const { runnerId, bornAtMs } = this.#runner;
     if (!log.holdsLeaderLease) {
       return;
     }
+    this.#removal = removal;
+    this.status.close();
     const runCount = this.#load.running.size;
     const fields = this.#requests.recordRemoval(removal);
     logger.warn(
       { runnerId, bornAtMs, runCount, ...fields },
       "gives up a runner",
     );
-    await log.propose([{ type: "runnerGone", runnerId, bornAtMs }]);
+  }
+
+  async #proposeRemoval(): Promise<void> {
+    const { log, logger } = this.#options;
+    const { runnerId, bornAtMs } = this.#runner;
+    const proposed = await log.propose([
+      { type: "runnerGone", runnerId, bornAtMs },
+    ]);
+    if (proposed.isErr) {
+      logger.warn(
+        { runnerId, bornAtMs, failure: proposed.error },
+        "failed to record the removal of a runner; proposing it again",
+      );
+    }
   }
 }
