--- a/src/testing/pausable_clock.ts
+++ b/src/testing/pausable_clock.ts
@@ -7,6 +7,8 @@
   readonly #clock: Clock;
   readonly #resumed = new Notifier();
   #isPaused = false;
+  /** Time by which the wall clock was set ahead (ms). */
+  #aheadMs = 0;
 
   /**
    * Creates the clock of a process.
@@ -17,16 +19,30 @@
     this.#clock = clock;
   }
 
+  /** Whether the timers are paused. */
+  get isPaused(): boolean {
+    return this.#isPaused;
+  }
+
   nowMs(): number {
-    return this.#clock.nowMs();
+    return this.#clock.nowMs() + this.#aheadMs;
   }
 
   monotonicMs(): number {
-    return this.#clock.monotonicMs();
+    return this.#clock.monotonicMs() + this.#aheadMs;
+  }
+
+  steadyMs(): number {
+    return this.#clock.steadyMs();
   }
 
   async sleep(delayMs: number, signal?: AbortSignal): Promise<void> {
     await this.#clock.sleep(delayMs, signal);
+    await this.waitUntilResumed(signal);
+  }
+
+  /** Waits while the clock is paused, as everything in that process does. */
+  async waitUntilResumed(signal?: AbortSignal): Promise<void> {
     while (this.#isPaused && !signal?.aborted) {
       await this.#resumed.wait(signal);
     }
@@ -51,6 +67,15 @@
     };
   }
 
+  /**
+   * Sets the wall clock ahead, which looks like a suspension of the VM.
+   *
+   * @param stepMs - Time by which it is set ahead (ms).
+   */
+  setAhead(stepMs: number): void {
+    this.#aheadMs += stepMs;
+  }
+
   /** Delays all timers until `resume`; the time itself goes on. */
   pause(): void {
     this.#isPaused = true;
