Record the ends that a runner listed before its VM is taken away

Cause: three tasks of the leader removed runners from the log. The wave task and the capacity task did so as soon as the VM control had answered, while an answer to a poll, which the runner had sent before it went down, was still unread. The removal came before the end in the log, so the end was ignored and the task was placed again. A leader short of processor time reads answers from different connections in any order, up to 300 ms late.

Change: only the task of a runner removes it from the log. RunnerFleet.retire closes the runner, and its task proposes the removal after the poll in progress has ended and its ends are recorded.

Evidence: 'starts no task again whose end was listed before its VM went down' lists restarted tasks without the change and none with it.

--- a/src/services/scheduling/capacity_task.ts
+++ b/src/services/scheduling/capacity_task.ts
@@ -237,7 +237,8 @@
   }
 
   async #move(move: PlannedMove, pools: readonly PoolLoad[]): Promise<void> {
-    const { clock, fencingToken, holderId, log, logger, vms } = this.#options;
+    const { clock, fencingToken, fleet, holderId, log, logger, vms } =
+      this.#options;
     const listed = this.#findVm(move.vm);
     const runner = log.state.runners.get(listed?.runnerId ?? "");
     const isStillIdle = runner === undefined || this.#mayMove(runner);
@@ -260,8 +261,7 @@
       vm === listed ? { ...vm, pool: move.to, runnerId: undefined } : vm
     );
     if (runner !== undefined) {
-      const { runnerId, bornAtMs } = runner;
-      await log.propose([{ type: "runnerGone", runnerId, bornAtMs }]);
+      fleet.retire(runner);
     }
   }
 }
--- a/src/services/scheduling/runner_fleet.ts
+++ b/src/services/scheduling/runner_fleet.ts
@@ -88,6 +88,16 @@
     this.#served.get(run.life)?.task.evict(run);
   }
 
+  /**
+   * Removes a runner whose VM was taken away by request, once the answer to its
+   * last poll is recorded.
+   *
+   * @param incarnation - Id and start time of the runner.
+   */
+  retire(incarnation: RunnerIncarnation): void {
+    this.#served.get(incarnation)?.task.retire();
+  }
+
   /**
    * Runs a task for each runner in the log until the signal aborts.
    *
--- a/src/services/scheduling/runner_task.ts
+++ b/src/services/scheduling/runner_task.ts
@@ -68,8 +68,8 @@
   #ackedPosition = 0;
   #runner: Runner;
   #isFenced = false;
-  /** Why the runner is being removed; undefined while it is in use. */
-  #removal: RunnerRemoval | undefined;
+  /** Whether the runner is to be removed from the log. */
+  #isRemoved = false;
 
   constructor(options: RunnerTaskOptions) {
     this.#options = options;
@@ -107,6 +107,17 @@
     this.#runs.evict(run, this.#options.tasks.signal);
   }
 
+  /**
+   * Removes the runner, whose VM was taken away by request. The answer to the
+   * last poll may still be on its way: the ends that it lists are recorded
+   * first, so that no task that is done starts again.
+   */
+  retire(): void {
+    this.#isRemoved = true;
+    this.status.close();
+    this.#options.loadChanged.notify();
+  }
+
   /** Sets the runner as it has announced itself again. */
   update(runner: Runner): void {
     this.#runner = runner;
@@ -135,7 +146,7 @@
   async #poll(signal: AbortSignal): Promise<void> {
     const { clock, loadChanged, log } = this.#options;
     while (!signal.aborted && !this.#isFenced) {
-      if (this.#removal !== undefined) {
+      if (this.#isRemoved) {
         await this.#proposeRemoval();
         await clock.sleep(EXPIRED_RETRY_MS, signal);
         continue;
@@ -146,7 +157,7 @@
           notifier: loadChanged,
           timeoutMs: IDLE_CHECK_MS,
           signal,
-          isMet: () => this.#isPollDue,
+          isMet: () => this.#isPollDue || this.#isRemoved,
         });
         continue;
       }
@@ -266,6 +277,9 @@
       return;
     }
     this.status.recordNoAnswer();
+    if (this.#isRemoved) {
+      return;
+    }
     const isGone = failure.refusal === "otherLife" ||
       (failure.refusal === "notListening" && this.status.isLeaving);
     if (isGone || this.#lease.isExpired) {
@@ -301,7 +315,7 @@
     if (!log.holdsLeaderLease) {
       return;
     }
-    this.#removal = removal;
+    this.#isRemoved = true;
     this.status.close();
     const runCount = this.#load.running.size;
     const fields = this.#requests.recordRemoval(removal);
--- a/src/services/scheduling/wave_task.ts
+++ b/src/services/scheduling/wave_task.ts
@@ -226,7 +226,8 @@
     vm: string,
     runnerId: string | undefined,
   ): Promise<void> {
-    const { clock, fencingToken, holderId, log, logger, vms } = this.#options;
+    const { clock, fencingToken, fleet, holderId, log, logger, vms } =
+      this.#options;
     const { waveId } = wave;
     const running = this.#listRunning(runnerId);
     const isKnown = wave.progress[vm] === "ordered";
@@ -258,10 +259,7 @@
     this.#begunAtMsByVm.set(vm, clock.monotonicMs());
     const runner = log.state.runners.get(runnerId ?? "");
     if (runner !== undefined && !isKnown) {
-      const { bornAtMs } = runner;
-      await log.propose([
-        { type: "runnerGone", runnerId: runner.runnerId, bornAtMs },
-      ]);
+      fleet.retire(runner);
     }
   }
 }
--- a/src/services/scheduling/wave_task_test.ts
+++ b/src/services/scheduling/wave_task_test.ts
@@ -4,7 +4,9 @@
 import { jobStepSchema } from "../../domain/index.ts";
 import { describe, it } from "../../testing/describe.ts";
 import { FakeClock } from "../../testing/fake_clock.ts";
+import type { RunSpan } from "../../testing/fake_runner_incarnation.ts";
 import { SchedulingFixture } from "../../testing/scheduling_fixture.ts";
+import { WAVE_TICK_MS } from "./timing.ts";
 
 const SEED = 20_271;
 const VM_NAMES = ["r1", "r2", "r3", "r4", "r5"];
@@ -12,14 +14,31 @@
 const MAX_UNAVAILABLE = 2;
 const COMPLETE_BY_MS = 60_000;
 const JOB_ID = "00000000000000ab";
+/** Longer than the answer of the VM control takes. */
+const POLL_ANSWER_DELAY_MS = 300;
+/** Too short to wait until no VM of the wave has work. */
+const SHORT_WAVE_MS = 4_000;
+/** More work than the VMs carry out in that time, so that none is ever idle. */
+const SHORT_JOB_COUNT = 80;
+const JOBS_BEFORE_WAVE_COUNT = 20;
+const SHORT_JOB_INTERVAL_MS = 50;
+const SHORT_JOB_SPREAD_MS = 37;
+const SHORT_STEP = v.parse(jobStepSchema, {
+  taskCount: 8,
+  needs: { cpuMillicores: 1_000 },
+});
 
-async function startWave(): Promise<SchedulingFixture> {
-  const fixture = new SchedulingFixture({
+function createFixture(): SchedulingFixture {
+  return new SchedulingFixture({
     clock: new FakeClock(),
     random: new SeededRandom(SEED),
     runnerIds: VM_NAMES,
     hasVms: true,
   });
+}
+
+async function startWave(): Promise<SchedulingFixture> {
+  const fixture = createFixture();
   fixture.changeLeader();
   await fixture.clock.advance(2_000);
   void fixture.submit(JOB_ID, [v.parse(jobStepSchema, {
@@ -30,18 +49,43 @@
     maxAwayCount: 1,
   })]);
   await fixture.clock.advance(1_000);
+  startWaveNow(fixture, COMPLETE_BY_MS);
+  return fixture;
+}
+
+function startWaveNow(fixture: SchedulingFixture, durationMs: number): void {
+  const atMs = fixture.clock.nowMs();
   fixture.apply({
     type: "scheduling",
-    atMs: fixture.clock.nowMs(),
+    atMs,
     operations: [{
       type: "wave",
       waveId: 1,
       vms: WAVE_VMS,
       maxAwayCount: MAX_UNAVAILABLE,
-      completeByMs: fixture.clock.nowMs() + COMPLETE_BY_MS,
+      completeByMs: atMs + durationMs,
     }],
   });
-  return fixture;
+}
+
+// Returns the runs of a wave that has no time to wait until its VMs are empty.
+async function runBusyWave(delayMs: number): Promise<RunSpan[]> {
+  const fixture = createFixture();
+  fixture.changeLeader();
+  await fixture.clock.advance(2_000 + delayMs);
+  fixture.runners.pollAnswerDelayMs = POLL_ANSWER_DELAY_MS;
+  for (let count = 0; count < SHORT_JOB_COUNT; count += 1) {
+    if (count === JOBS_BEFORE_WAVE_COUNT) {
+      startWaveNow(fixture, SHORT_WAVE_MS);
+    }
+    const jobId = String(delayMs * 1_000 + count).padStart(16, "0");
+    const estimateMs = 200 + (count * SHORT_JOB_SPREAD_MS) % 400;
+    void fixture.submit(jobId, [{ ...SHORT_STEP, estimateMs }]);
+    await fixture.clock.advance(SHORT_JOB_INTERVAL_MS);
+  }
+  await finish(fixture);
+  assert.ok(isWaveDone(fixture), "the wave is complete in time");
+  return fixture.runners.spans;
 }
 
 function isWaveDone(fixture: SchedulingFixture): boolean {
@@ -125,4 +169,25 @@
       );
     }
   });
+
+  // Guards against running a task twice: the answer of the VM control is read
+  // before an answer to a poll that lists an end, so that the removal of the
+  // runner is in the log before that end, and the task is placed again.
+  it("starts no task again whose end was listed before its VM went down", async () => {
+    const spans: RunSpan[] = [];
+    for (let delayMs = 0; delayMs < WAVE_TICK_MS; delayMs += 50) {
+      spans.push(...await runBusyWave(delayMs));
+    }
+    const listed = spans.filter(({ how, isListed }) =>
+      how === "done" && isListed
+    );
+    const startedAgain = listed.filter((span) =>
+      spans.some((other) =>
+        other.task === span.task && other.runNumber > span.runNumber
+      )
+    );
+    assert.ok(spans.some(({ how }) => how === "lost"), "a VM had work");
+    assert.ok(listed.length > 0, "some tasks were done");
+    assert.equal(startedAgain, []);
+  });
 });
--- a/src/testing/fake_runner_incarnation.ts
+++ b/src/testing/fake_runner_incarnation.ts
@@ -27,6 +27,8 @@
   toMs: number;
   /** How the run ended; `runs` while it is in progress. */
   how: RunEnd | "runs";
+  /** Whether an answer to a poll has listed the end. */
+  isListed: boolean;
   /** Whether a poll acknowledged the end before the lease expired. */
   isAcknowledged: boolean;
 }
@@ -117,6 +119,7 @@
       fromMs: this.#nowMs,
       toMs: Infinity,
       how: "runs",
+      isListed: false,
       isAcknowledged: false,
     };
     this.#options.spans.push(span);
@@ -174,8 +177,11 @@
       load: 0,
     }));
     const ended = this.#ended.map((
-      { span: _span, hasLapsed: _hasLapsed, ...report },
-    ) => report);
+      { span, hasLapsed: _hasLapsed, ...report },
+    ) => {
+      span.isListed = true;
+      return report;
+    });
     return {
       ...this.createAnswer(),
       bornAtMs: this.runner.bornAtMs,
--- a/src/testing/fake_runners.ts
+++ b/src/testing/fake_runners.ts
@@ -54,6 +54,8 @@
   slowPercent = 0;
   /** Ids of runners that refuse all starts, because they are unhealthy. */
   readonly unhealthyIds = new Set<string>();
+  /** How long the answer to a poll is on its way to the leader, in milliseconds. */
+  pollAnswerDelayMs = 0;
   /** Ids of runners that no request reaches. */
   readonly cutIds = new Set<string>();
   readonly #options: FakeRunnersOptions;
@@ -143,6 +145,7 @@
       incarnation.advance();
       report = Result.ok(incarnation.report());
     }
+    await this.#options.clock.sleep(this.pollAnswerDelayMs);
     return report;
   }
 
