Let the fake disk write partly, refuse, hang, and lose power

A full fake disk refused whole writes only, and a crash lost all that was not synced, so tests could not reach short writes, a refused truncate or a name that outlives its file's content. The fake disk can now write a share of the bytes of a refused write, refuse any other operation as well, wait or throw in any operation, and lose power with each unsynced write kept, lost or torn and each unsynced name kept or lost. What it did before stays the default.

--- a/src/replication/replica_core.ts
+++ b/src/replication/replica_core.ts
@@ -55,7 +55,11 @@
   constructor(options: ReplicaOptions, stored: StoredLog) {
     const { vote, snapshot } = stored;
     this.options = options;
-    this.log = new ReplicaLog(options.store, stored);
+    this.log = new ReplicaLog(
+      options.store,
+      stored,
+      options.trailingEntryCount,
+    );
     this.self = { entryId: options.entryId, storeId: vote.storeId };
     this.state = snapshot === undefined
       ? new FleetState()
--- a/src/replication/replica_log.ts
+++ b/src/replication/replica_log.ts
@@ -31,6 +31,7 @@
 /** Log entries after a base position; changed only under the replica's mutex. */
 export class ReplicaLog {
   readonly #store: LogStore;
+  readonly #trailingEntryCount: number;
   /** Position just before the first log entry in memory. */
   #base: LogPosition;
   #entries: LogEntry[];
@@ -40,9 +41,16 @@
   /**
    * @param store - Makes log entries and snapshots durable.
    * @param stored - Contents of the store.
+   * @param trailingEntryCount - Number of log entries that stay in memory
+   * although a snapshot covers them.
    */
-  constructor(store: LogStore, stored: StoredLog) {
+  constructor(
+    store: LogStore,
+    stored: StoredLog,
+    trailingEntryCount = TRAILING_ENTRY_COUNT,
+  ) {
     this.#store = store;
+    this.#trailingEntryCount = trailingEntryCount;
     this.#snapshot = stored.snapshot;
     this.#base = {
       index: stored.snapshot?.index ?? 0,
@@ -167,7 +175,7 @@
 
   /**
    * Saves a local snapshot. Of the log entries that it covers, only the last
-   * {@link TRAILING_ENTRY_COUNT} stay in memory.
+   * ones stay in memory, {@link TRAILING_ENTRY_COUNT} by default.
    *
    * @param snapshot - The state at an applied index.
    * @returns Nothing, or the failure of the disk.
@@ -176,7 +184,7 @@
     const saved = await this.#store.saveSnapshot(snapshot);
     if (saved.isOk) {
       this.#snapshot = snapshot;
-      this.#discardUpTo(snapshot.index - TRAILING_ENTRY_COUNT);
+      this.#discardUpTo(snapshot.index - this.#trailingEntryCount);
     }
     return saved;
   }
--- a/src/replication/replica_options.ts
+++ b/src/replication/replica_options.ts
@@ -38,6 +38,16 @@
    * follower, however few changes it carries.
    */
   readonly batchIntervalMs?: number;
+  /**
+   * Number of applied log entries after which a snapshot is saved; by default
+   * `SNAPSHOT_INTERVAL_COUNT`.
+   */
+  readonly snapshotIntervalCount?: number;
+  /**
+   * Number of log entries that stay in memory although a snapshot covers them;
+   * by default `TRAILING_ENTRY_COUNT`.
+   */
+  readonly trailingEntryCount?: number;
   readonly commitRule: CommitRule;
   readonly store: LogStore;
   readonly network: PeerNetwork;
--- a/src/replication/snapshot_task.ts
+++ b/src/replication/snapshot_task.ts
@@ -30,9 +30,10 @@
   }
 
   #isDue(): boolean {
-    const { log, appliedIndex } = this.#core;
+    const { log, appliedIndex, options } = this.#core;
+    const { snapshotIntervalCount = SNAPSHOT_INTERVAL_COUNT } = options;
     const savedIndex = log.snapshot?.index ?? 0;
-    return appliedIndex - savedIndex >= SNAPSHOT_INTERVAL_COUNT;
+    return appliedIndex - savedIndex >= snapshotIntervalCount;
   }
 
   async #save(): Promise<boolean> {
--- a/src/testing/fake_cluster.ts
+++ b/src/testing/fake_cluster.ts
@@ -3,7 +3,11 @@
 import { FileLogStore, MemoryLogStore } from "../adapters/disk/index.ts";
 import { SeededRandom } from "../adapters/random/index.ts";
 import type { AppliedValue, Change, Failure } from "../domain/index.ts";
-import { MajorityCommitRule, Replica } from "../replication/index.ts";
+import {
+  MajorityCommitRule,
+  Replica,
+  type ReplicaOptions,
+} from "../replication/index.ts";
 import { TaskGroup } from "../tasks/index.ts";
 import { FakeClock } from "./fake_clock.ts";
 import { FakeFileSystem } from "./fake_file_system.ts";
@@ -23,6 +27,13 @@
   readonly observerIds?: readonly string[];
   /** Entries with a disk that can be added as voters later. */
   readonly spareIds?: readonly string[];
+  /** Options of every replica that differ from the defaults. */
+  readonly replica?: Partial<
+    Pick<
+      ReplicaOptions,
+      "admitsMembers" | "snapshotIntervalCount" | "trailingEntryCount"
+    >
+  >;
 }
 
 /** One entry of the cluster; its disk survives a restart of its process. */
@@ -106,6 +117,7 @@
       clock,
       random,
       logger,
+      ...this.#options.replica,
     }, stored.value);
     entry.tasks = new TaskGroup({ clock, logger });
     entry.replica.start(entry.tasks);
@@ -120,13 +132,17 @@
    * reached the disk anyway.
    */
   crash(entryId: string, keptBytes = 0): void {
-    const entry = this.find(entryId);
-    this.resume(entryId);
-    this.network.leave(entryId);
-    entry.disk.crash(keptBytes);
-    void entry.tasks?.stop();
-    entry.replica = undefined;
-    entry.tasks = undefined;
+    this.#stop(entryId).disk.crash(keptBytes);
+  }
+
+  /**
+   * Stops an entry by a loss of power, after which each unsynced write of its
+   * disk is kept, lost or torn.
+   *
+   * @param entryId - Id of the entry.
+   */
+  losePower(entryId: string): void {
+    this.#stop(entryId).disk.losePower(this.#random);
   }
 
   /** Pauses an entry's process, as a stalled VM does. */
@@ -238,6 +254,16 @@
     );
   }
 
+  #stop(entryId: string): FakeReplica {
+    const entry = this.find(entryId);
+    this.resume(entryId);
+    this.network.leave(entryId);
+    void entry.tasks?.stop();
+    entry.replica = undefined;
+    entry.tasks = undefined;
+    return entry;
+  }
+
   #findOrCreate(entryId: string): FakeReplica {
     const known = this.entries.get(entryId) ?? {
       entryId,
--- a/src/testing/fake_file_system.ts
+++ b/src/testing/fake_file_system.ts
@@ -1,21 +1,60 @@
 /** An in-memory file system that loses unsynced data in a crash. */
-import type { FileSystem, OpenFile } from "../ports/index.ts";
+import type { FileSystem, OpenFile, Random } from "../ports/index.ts";
+
+/** An operation on a file or on the names of a folder. */
+export type DiskOperation =
+  | "open"
+  | "write"
+  | "sync"
+  | "truncate"
+  | "close"
+  | "rename"
+  | "remove"
+  | "syncFolder";
+
+/** What a full disk does besides refusing to store all bytes of a write. */
+export interface FullDisk {
+  /** Share of the bytes of a refused write that is written, in percent. */
+  readonly writtenPercent: number;
+  /** Operations that fail as well; a failed `open` only creates no file. */
+  readonly refused: ReadonlySet<DiskOperation>;
+}
+
+/** A change of a file's content that no sync has made durable. */
+type UnsyncedChange =
+  | { readonly bytes: Uint8Array; readonly position: number }
+  | { readonly sizeBytes: number };
+
+/** A change of a folder's names that no sync has made durable. */
+type NameChange = (names: Map<string, FakeFile>) => void;
 
 interface FakeFile {
   /** Content that a process reads, including unsynced writes. */
   content: Uint8Array;
   /** Content that survives a crash. */
   synced: Uint8Array;
+  /** Changes of the content since the last sync, in order. */
+  unsynced: UnsyncedChange[];
 }
 
-/** A file system whose disk can fill up, fail a sync, or crash. */
+const PERCENT = 100;
+
+/** A file system whose disk can fill up, hang, fail a sync, or crash. */
 export class FakeFileSystem implements FileSystem {
   #files = new Map<string, FakeFile>();
   #syncedNames = new Map<string, FakeFile>();
+  /** Changes of the names since the last sync of the folder, in order. */
+  #unsyncedNames: NameChange[] = [];
   /** Makes every sync fail with EIO. */
   failsSync = false;
   /** Makes every write fail with ENOSPC. */
   isFull = false;
+  /** What the disk does while it is full. */
+  full: FullDisk = { writtenPercent: 0, refused: new Set() };
+  /** Awaited before each operation; tests use it for a slow or hanging disk. */
+  beforeOperation:
+    | ((operation: DiskOperation, name: string) => Promise<void>)
+    | undefined;
   /** Number of syncs so far; tests use it to measure the cost of an append. */
   syncCount = 0;
   /** Awaited before each sync; tests use it to slow syncs down. */
@@ -32,32 +71,85 @@
     return Promise.resolve(content === undefined ? undefined : content.slice());
   }
 
-  open(name: string): Promise<OpenFile> {
+  async open(name: string): Promise<OpenFile> {
+    if (this.beforeOperation !== undefined) {
+      await this.delay("open", name);
+    }
     const known = this.#files.get(name);
+    if (known === undefined) {
+      this.requireSpace("open");
+    }
     const file = known ??
-      { content: new Uint8Array(), synced: new Uint8Array() };
-    this.#files.set(name, file);
-    return Promise.resolve(new FakeOpenFile(file, this));
+      { content: new Uint8Array(), synced: new Uint8Array(), unsynced: [] };
+    if (known === undefined) {
+      this.#changeNames((names) => names.set(name, file));
+    }
+    return new FakeOpenFile(name, file, this);
   }
 
-  rename(from: string, to: string): Promise<void> {
+  async rename(from: string, to: string): Promise<void> {
+    if (this.beforeOperation !== undefined) {
+      await this.delay("rename", to);
+    }
+    this.requireSpace("rename");
     const file = this.#files.get(from);
     if (file === undefined) {
-      return Promise.reject(new Error(`ENOENT: ${from}`));
+      throw new Error(`ENOENT: ${from}`);
     }
-    this.#files.delete(from);
-    this.#files.set(to, file);
-    return Promise.resolve();
+    this.#changeNames((names) => {
+      names.delete(from);
+      names.set(to, file);
+    });
   }
 
-  remove(name: string): Promise<void> {
-    this.#files.delete(name);
-    return Promise.resolve();
+  async remove(name: string): Promise<void> {
+    if (this.beforeOperation !== undefined) {
+      await this.delay("remove", name);
+    }
+    this.requireSpace("remove");
+    if (this.#files.has(name)) {
+      this.#changeNames((names) => names.delete(name));
+    }
   }
 
-  syncFolder(): Promise<void> {
+  async syncFolder(): Promise<void> {
+    if (this.beforeOperation !== undefined) {
+      await this.delay("syncFolder", ".");
+    }
+    this.requireSpace("syncFolder");
     this.#syncedNames = new Map(this.#files);
-    return Promise.resolve();
+    this.#unsyncedNames = [];
+  }
+
+  /**
+   * Waits as long as the disk delays an operation.
+   *
+   * @param operation - The operation.
+   * @param name - Name of the file.
+   * @returns Nothing at once unless `beforeOperation` is set.
+   */
+  delay(operation: DiskOperation, name: string): Promise<void> | undefined {
+    const { crashCount } = this;
+    return this.beforeOperation?.(operation, name).then(() =>
+      crashCount === this.crashCount ? undefined : never()
+    );
+  }
+
+  /**
+   * Refuses an operation on a full disk.
+   *
+   * @param operation - The operation.
+   * @throws Error when the disk refuses the operation.
+   */
+  requireSpace(operation: DiskOperation): void {
+    if (this.isFull && this.full.refused.has(operation)) {
+      throw createNoSpaceError();
+    }
+  }
+
+  #changeNames(change: NameChange): void {
+    change(this.#files);
+    this.#unsyncedNames.push(change);
   }
 
   /**
@@ -74,7 +166,36 @@
       const isAppend = file.content.length > file.synced.length;
       file.content = isAppend && keptBytes > 0 ? torn : file.synced.slice();
       file.synced = file.content.slice();
+      file.unsynced = [];
     }
+    this.#unsyncedNames = [];
+  }
+
+  /**
+   * Simulates a loss of power: each unsynced write is kept, lost or torn, and
+   * each unsynced name is kept or lost, independently of the others.
+   *
+   * @param random - Draws what is kept.
+   */
+  losePower(random: Random): void {
+    this.crashCount += 1;
+    const names = new Map(this.#syncedNames);
+    for (const change of this.#unsyncedNames) {
+      if (random.nextInt(2) === 0) {
+        change(names);
+      }
+    }
+    for (const file of new Set(names.values())) {
+      file.content = file.synced.slice();
+      for (const change of file.unsynced) {
+        applyTorn(file, change, random);
+      }
+      file.synced = file.content.slice();
+      file.unsynced = [];
+    }
+    this.#files = new Map(names);
+    this.#syncedNames = names;
+    this.#unsyncedNames = [];
   }
 
   /** Loses all files, as when the disk is replaced. */
@@ -82,6 +203,7 @@
     this.crashCount += 1;
     this.#files = new Map();
     this.#syncedNames = new Map();
+    this.#unsyncedNames = [];
   }
 
   /**
@@ -107,33 +229,36 @@
 }
 
 class FakeOpenFile implements OpenFile {
+  readonly #name: string;
   readonly #file: FakeFile;
   readonly #disk: FakeFileSystem;
   readonly #crashCount: number;
 
-  constructor(file: FakeFile, disk: FakeFileSystem) {
+  constructor(name: string, file: FakeFile, disk: FakeFileSystem) {
+    this.#name = name;
     this.#file = file;
     this.#disk = disk;
     this.#crashCount = disk.crashCount;
   }
 
-  write(bytes: Uint8Array, position: number): Promise<void> {
-    if (this.#isGone()) {
-      return never();
+  async write(bytes: Uint8Array, position: number): Promise<void> {
+    if (this.#mustWait()) {
+      await this.#wait("write");
     }
-    if (this.#disk.isFull) {
-      return Promise.reject(new Error("ENOSPC: no space left on device"));
+    if (!this.#disk.isFull) {
+      return this.#apply({ bytes: bytes.slice(), position });
     }
-    const size = Math.max(this.#file.content.length, position + bytes.length);
-    const content = new Uint8Array(size);
-    content.set(this.#file.content);
-    content.set(bytes, position);
-    this.#file.content = content;
-    return Promise.resolve();
+    const { writtenPercent } = this.#disk.full;
+    const writtenBytes = Math.floor(bytes.length * writtenPercent / PERCENT);
+    this.#apply({ bytes: bytes.slice(0, writtenBytes), position });
+    throw createNoSpaceError();
   }
 
   async sync(): Promise<void> {
     this.#disk.syncCount += 1;
+    if (this.#mustWait()) {
+      await this.#wait("sync");
+    }
     await this.#disk.beforeSync?.();
     if (this.#isGone()) {
       return await never();
@@ -141,19 +266,40 @@
     if (this.#disk.failsSync) {
       throw new Error("EIO: i/o error");
     }
+    this.#disk.requireSpace("sync");
     this.#file.synced = this.#file.content.slice();
+    this.#file.unsynced = [];
   }
 
-  truncate(sizeBytes: number): Promise<void> {
-    if (this.#isGone()) {
-      return never();
+  async truncate(sizeBytes: number): Promise<void> {
+    if (this.#mustWait()) {
+      await this.#wait("truncate");
+    }
+    this.#disk.requireSpace("truncate");
+    this.#apply({ sizeBytes });
+  }
+
+  async close(): Promise<void> {
+    if (this.#mustWait()) {
+      await this.#wait("close");
     }
-    this.#file.content = this.#file.content.slice(0, sizeBytes);
-    return Promise.resolve();
+    this.#disk.requireSpace("close");
+  }
+
+  #apply(change: UnsyncedChange): void {
+    applyChange(this.#file, change);
+    this.#file.unsynced.push(change);
   }
 
-  close(): Promise<void> {
-    return Promise.resolve();
+  #mustWait(): boolean {
+    return this.#isGone() || this.#disk.beforeOperation !== undefined;
+  }
+
+  async #wait(operation: DiskOperation): Promise<void> {
+    if (this.#isGone()) {
+      return await never();
+    }
+    await this.#disk.delay(operation, this.#name);
   }
 
   #isGone(): boolean {
@@ -161,6 +307,43 @@
   }
 }
 
+function applyChange(file: FakeFile, change: UnsyncedChange): void {
+  if ("sizeBytes" in change) {
+    file.content = file.content.slice(0, change.sizeBytes);
+    return;
+  }
+  const { bytes, position } = change;
+  if (bytes.length > 0) {
+    const size = Math.max(file.content.length, position + bytes.length);
+    const content = new Uint8Array(size);
+    content.set(file.content);
+    content.set(bytes, position);
+    file.content = content;
+  }
+}
+
+// Keeps, loses or tears one change.
+function applyTorn(
+  file: FakeFile,
+  change: UnsyncedChange,
+  random: Random,
+): void {
+  const fate = random.nextInt(3);
+  if (fate === 0) {
+    applyChange(file, change);
+  } else if (fate === 1 && "bytes" in change) {
+    const bytes = change.bytes.slice(
+      0,
+      random.nextInt(change.bytes.length + 1),
+    );
+    applyChange(file, { ...change, bytes });
+  }
+}
+
+function createNoSpaceError(): Error {
+  return new Error("ENOSPC: no space left on device");
+}
+
 class MountedFiles implements FileSystem {
   readonly #disk: FakeFileSystem;
   readonly #crashCount: number;
