Return the failure of a full disk instead of throwing it

Callers waited 5 s for an answer to a change, and the leader went on to lead with a disk that takes nothing: opening the log, or cutting off a partial record, threw out of the log store. The queue of proposals ended with an error, the proposals it had taken were never settled, and the leader did not resign. Likewise the pull task of a follower ended.

The store now returns `readOnly` for these too. A partial record that cannot be cut off stays until the next record overwrites its start; its rest counts as a torn tail at start. A replaced log whose closing fails is given up: before, later records went to the file without a name and were lost at the next start.

--- a/src/adapters/disk/file_log_store.ts
+++ b/src/adapters/disk/file_log_store.ts
@@ -105,13 +105,13 @@
   async #appendToEnd(
     entries: readonly LogEntry[],
   ): Promise<Result<void, Failure>> {
-    const log = await this.#openLog();
     const record = encodeRecord(entries);
+    let log: OpenFile;
     try {
+      log = await this.#openLog();
       await log.write(record, this.#sizeBytes);
     } catch (error) {
-      // A partial record in front of later ones would count as damage at start.
-      await log.truncate(this.#sizeBytes);
+      await this.#cutPartialRecord();
       return Result.err(createReadOnlyFailure(LOG_NAME, error));
     }
     const synced = await syncFile(this.#options, log, LOG_NAME);
@@ -123,6 +123,19 @@
     return Result.ok(undefined);
   }
 
+  // A full disk may refuse this as well. The partial record then stays until the
+  // next one overwrites its start; at start, its rest counts as a torn tail.
+  async #cutPartialRecord(): Promise<void> {
+    try {
+      await this.#log?.truncate(this.#sizeBytes);
+    } catch (error) {
+      this.#options.logger.warn(
+        { file: LOG_NAME, offset: this.#sizeBytes, err: error },
+        "a partial record was not cut off",
+      );
+    }
+  }
+
   // Replaces the whole file to remove a conflicting tail. A record can hold
   // both conflicting and valid entries, so truncating the file in place could
   // lose synced entries in a crash.
@@ -144,12 +157,26 @@
     if (replaced.isErr) {
       return replaced;
     }
-    await this.close();
+    const previousLog = this.#log;
+    this.#log = undefined;
     this.#sizeBytes = record.length;
     this.#entries = [...entries];
+    await this.#closeReplaced(previousLog);
     return replaced;
   }
 
+  // The file has no name any more, so its content no longer matters.
+  async #closeReplaced(file: OpenFile | undefined): Promise<void> {
+    try {
+      await file?.close();
+    } catch (error) {
+      this.#options.logger.warn(
+        { file: LOG_NAME, err: error },
+        "closing the replaced log failed",
+      );
+    }
+  }
+
   async #loadLog(mustExist: boolean): Promise<Result<void, Failure>> {
     const { files } = this.#options;
     const bytes = await files.read(LOG_NAME);
--- a/src/adapters/disk/file_log_store_test.ts
+++ b/src/adapters/disk/file_log_store_test.ts
@@ -5,6 +5,7 @@
 import {
   beforeEach,
   describe,
+  type DiskOperation,
   FakeFileSystem,
   FakeLogger,
   it,
@@ -212,6 +213,112 @@
     }
   });
 
+  // Guards against a store that throws instead of returning a failure, which
+  // ended the tasks of the replica and left its proposals without an answer.
+  describe("a full disk that refuses more than writes", () => {
+    const REFUSED: readonly DiskOperation[] = [
+      "open",
+      "truncate",
+      "rename",
+      "remove",
+      "close",
+    ];
+    const writes = [
+      {
+        title: "an append",
+        write: (store: FileLogStore) => store.append([createEntry(3)]),
+      },
+      {
+        title: "a replaced tail",
+        write: (store: FileLogStore) => store.append([createEntry(2, 2)]),
+      },
+      {
+        title: "a vote",
+        write: (store: FileLogStore) =>
+          store.saveVote({ term: 9, votedFor: "c", storeId: "store" }),
+      },
+      {
+        title: "a snapshot",
+        write: (store: FileLogStore) => store.saveSnapshot(createSnapshot(2)),
+      },
+    ];
+    for (const refused of REFUSED) {
+      for (const { title, write } of writes) {
+        it(`returns the failure of ${title} when it also refuses ${refused}`, async () => {
+          const store = await open();
+          await store.append([createEntry(1), createEntry(2)]);
+          disk.full = { writtenPercent: 60, refused: new Set([refused]) };
+          disk.isFull = true;
+          const failed = await write(store);
+          assert.ok(failed.isErr && failed.error.kind === "readOnly");
+          disk.isFull = false;
+          const appended = await store.append([createEntry(3, 3)]);
+          assert.ok(appended.isOk);
+          disk.crash();
+          const log = await reload();
+          assert.equal(listPositions(log), ["1.1", "2.1", "3.3"]);
+        });
+      }
+    }
+
+    it("returns the failure to open the log after a snapshot", async () => {
+      const store = await open();
+      await store.append([createEntry(1)]);
+      await store.saveSnapshot(createSnapshot(1));
+      disk.beforeOperation = (operation) =>
+        operation === "open"
+          ? Promise.reject(new Error("ENOSPC"))
+          : Promise.resolve();
+      const failed = await store.append([createEntry(2)]);
+      assert.ok(failed.isErr && failed.error.kind === "readOnly");
+      disk.beforeOperation = undefined;
+      assert.ok((await store.append([createEntry(2)])).isOk);
+      disk.crash();
+      assert.equal(listPositions(await reload()), ["2.1"]);
+    });
+
+    // Guards against records that went to the replaced file, which no name
+    // leads to, after closing that file had failed.
+    it("appends to the new log although the replaced one was not closed", async () => {
+      const store = await open();
+      await store.append([createEntry(1), createEntry(2)]);
+      disk.beforeOperation = (operation, name) =>
+        operation === "close" && name === "log"
+          ? Promise.reject(new Error("EIO"))
+          : Promise.resolve();
+      assert.ok((await store.saveSnapshot(createSnapshot(1))).isOk);
+      disk.beforeOperation = undefined;
+      assert.ok((await store.append([createEntry(3)])).isOk);
+      disk.crash();
+      assert.equal(listPositions(await reload()), ["2.1", "3.1"]);
+    });
+
+    for (const entryCount of [1, 9]) {
+      it(`keeps later records over the rest of a partial one, loss of power after ${entryCount}`, async () => {
+        for (let seed = 0; seed < 50; seed += 1) {
+          disk = new FakeFileSystem();
+          const store = await open();
+          await store.append([createEntry(1)]);
+          disk.full = { writtenPercent: 90, refused: new Set(["truncate"]) };
+          disk.isFull = true;
+          const refused = Array.from(
+            { length: 5 },
+            (_, at) => createEntry(at + 2),
+          );
+          assert.ok((await store.append(refused)).isErr);
+          disk.isFull = false;
+          const expected = ["1.1"];
+          for (let index = 2; index < entryCount + 2; index += 1) {
+            assert.ok((await store.append([createEntry(index, 2)])).isOk);
+            expected.push(`${index}.2`);
+          }
+          disk.losePower(new SeededRandom(seed));
+          assert.equal(listPositions(await reload()), expected);
+        }
+      });
+    }
+  });
+
   describe("a failed sync", () => {
     it("is reported once and not retried", async () => {
       const store = await open();
