--- a/src/replication/election_task.ts
+++ b/src/replication/election_task.ts
@@ -107,12 +107,8 @@
       ) {
         return undefined;
       }
-      core.term += 1;
-      core.votedFor = core.self.entryId;
-      core.setLeader(undefined);
-      const request = this.#createRequest(false);
-      const saved = await core.saveVote();
-      return saved.isOk ? request : undefined;
+      const isStarted = await core.startTerm();
+      return isStarted ? this.#createRequest(false) : undefined;
     });
   }
 
--- a/src/replication/replica_core.ts
+++ b/src/replication/replica_core.ts
@@ -9,7 +9,12 @@
   includesMember,
   type Member,
 } from "../domain/index.ts";
-import type { LogEntry, StoredLog, StoredSnapshot } from "../ports/index.ts";
+import type {
+  LogEntry,
+  StoredLog,
+  StoredSnapshot,
+  VoteRecord,
+} from "../ports/index.ts";
 import { Mutex, Notifier } from "../tasks/index.ts";
 import { FreshnessLease } from "./freshness_lease.ts";
 import { Leadership } from "./leadership.ts";
@@ -135,12 +140,36 @@
   }
 
   /**
-   * Saves the term and the vote durably; call it under the mutex.
+   * Starts the next term with a vote for this replica; call it under the mutex.
    *
+   * A term that is not durable must not become visible: the other voters would
+   * depose their leader for a candidate that cannot lead.
+   *
+   * @returns Whether the term began; false when the disk rejected the vote.
+   */
+  async startTerm(): Promise<boolean> {
+    const term = this.term + 1;
+    const votedFor = this.self.entryId;
+    const saved = await this.saveVote({ term, votedFor });
+    if (saved.isErr) {
+      return false;
+    }
+    this.term = term;
+    this.votedFor = votedFor;
+    this.setLeader(undefined);
+    return true;
+  }
+
+  /**
+   * Saves a term and a vote durably; call it under the mutex.
+   *
+   * @param vote - By default the present term and vote.
    * @returns Nothing, or the failure of the disk.
    */
-  async saveVote(): Promise<Result<void, Failure>> {
-    const { term, votedFor } = this;
+  async saveVote(
+    vote: Pick<VoteRecord, "term" | "votedFor"> = this,
+  ): Promise<Result<void, Failure>> {
+    const { term, votedFor } = vote;
     const { storeId } = this.self;
     const saved = await this.options.store.saveVote({
       term,
