Let a voter stand again soon after its full disk has room

Changes stayed without a leader long after the last full disk had room: a leader whose disk rejected an entry started no election for 10 s. With three voters, three short full disks one after another left no candidate at all until the first of these pauses had passed.

The pause after a rejected write is now 2 s, longer than any election timeout, so that voters whose disks work come first. It also follows a rejected vote. An election begins with a write, so a voter whose disk is still full pauses again before it disturbs anyone. The pause after a planned stop stays at 10 s.

full_disk_test "have a leader soon after the last disk has room" failed with the pause of 10 s.

--- a/src/replication/full_disk_test.ts
+++ b/src/replication/full_disk_test.ts
@@ -1,7 +1,19 @@
 import * as assert from "uvu/assert";
 import { beforeEach, describe, FakeCluster, it } from "../testing/index.ts";
+import {
+  DISK_COOLDOWN_MS,
+  ELECTION_JITTER_MS,
+  MAX_ELECTION_RETRY_DELAY_MS,
+  MIN_ELECTION_TIMEOUT_MS,
+  VOTE_TIMEOUT_MS,
+} from "./timing.ts";
 
 const VOTERS = ["a", "b", "c"];
+const FULL_MS = 200;
+/** A cooldown, an election timeout and two elections. */
+const RECOVERY_MS = DISK_COOLDOWN_MS + MIN_ELECTION_TIMEOUT_MS +
+  ELECTION_JITTER_MS +
+  2 * (2 * VOTE_TIMEOUT_MS + MAX_ELECTION_RETRY_DELAY_MS);
 
 describe("voters with full disks", () => {
   let cluster: FakeCluster;
@@ -20,6 +32,22 @@
     cluster.find(entryId).disk.isFull = isFull;
   }
 
+  // Guards against a cluster without a candidate: each leader whose disk had been
+  // full started no election for 10 s, also when its disk had room again.
+  describe("one after another", () => {
+    it("have a leader soon after the last disk has room", async () => {
+      for (let turn = 0; turn < VOTERS.length; turn += 1) {
+        const fullId = await cluster.waitForLeader();
+        setFull(fullId, true);
+        void cluster.propose(fullId, { name: `zone-${turn}` });
+        await cluster.clock.advance(FULL_MS);
+        setFull(fullId, false);
+      }
+      await cluster.clock.advance(RECOVERY_MS);
+      assert.is(cluster.listLeaders().length, 1);
+    });
+  });
+
   describe("in an election", () => {
     // Guards against candidates that raise the term although their disk rejects
     // it, and so depose every leader that the others elect.
--- a/src/replication/replica_core.ts
+++ b/src/replication/replica_core.ts
@@ -20,7 +20,7 @@
 import { Leadership } from "./leadership.ts";
 import { ReplicaLog } from "./replica_log.ts";
 import type { ReplicaOptions } from "./replica_options.ts";
-import { RESIGNATION_COOLDOWN_MS } from "./timing.ts";
+import { DISK_COOLDOWN_MS, RESIGNATION_COOLDOWN_MS } from "./timing.ts";
 
 /** Term, vote, log and applied state of a replica. */
 export class ReplicaCore {
@@ -152,6 +152,7 @@
     const votedFor = this.self.entryId;
     const saved = await this.saveVote({ term, votedFor });
     if (saved.isErr) {
+      this.resignOnDiskFailure(saved.error);
       return false;
     }
     this.term = term;
@@ -246,17 +247,24 @@
     this.changed.notify();
   }
 
-  /** Stops leading and starts no election for {@link RESIGNATION_COOLDOWN_MS}. */
-  resign(reason: string): void {
-    this.resignedUntilMs = this.options.clock.monotonicMs() +
-      RESIGNATION_COOLDOWN_MS;
+  /**
+   * Stops leading, and starts no election for a while.
+   *
+   * @param reason - Why, for the log.
+   * @param cooldownMs - Time without an election of its own, in milliseconds.
+   */
+  resign(reason: string, cooldownMs = RESIGNATION_COOLDOWN_MS): void {
+    this.resignedUntilMs = this.options.clock.monotonicMs() + cooldownMs;
     this.stepDown(reason);
   }
 
-  /** Resigns because the disk rejected log entries. */
+  /**
+   * Resigns because the disk rejected log entries or a vote. The next election
+   * of this replica starts with another write, so it needs no long pause.
+   */
   resignOnDiskFailure(failure: Failure): void {
     this.options.logger.error({ failure }, "the disk rejected log entries");
-    this.resign(failure.message);
+    this.resign(failure.message, DISK_COOLDOWN_MS);
   }
 
   /**
--- a/src/replication/timing.ts
+++ b/src/replication/timing.ts
@@ -22,10 +22,16 @@
 /** Upper limit of the random delay between two elections, in milliseconds. */
 export const MAX_ELECTION_RETRY_DELAY_MS = 250;
 /**
- * Time in which an entry starts no election after it resigned because of a disk
- * failure or a planned stop, in milliseconds.
+ * Time in which an entry starts no election after it resigned because of a
+ * planned stop, in milliseconds.
  */
 export const RESIGNATION_COOLDOWN_MS = 10_000;
+/**
+ * Time in which an entry starts no election after its disk rejected a write, in
+ * milliseconds. It exceeds the longest election timeout, so that a voter whose
+ * disk works is elected first.
+ */
+export const DISK_COOLDOWN_MS = 2_000;
 
 /**
  * Leader lease: how long a leader is certainly the only one after a quorum
