--- a/src/replication/replica_core.ts
+++ b/src/replication/replica_core.ts
@@ -9,13 +9,18 @@
   includesMember,
   type Member,
 } from "../domain/index.ts";
-import type { LogEntry, StoredLog, StoredSnapshot } from "../ports/index.ts";
+import type {
+  LogEntry,
+  StoredLog,
+  StoredSnapshot,
+  VoteRecord,
+} from "../ports/index.ts";
 import { Mutex, Notifier } from "../tasks/index.ts";
 import { FreshnessLease } from "./freshness_lease.ts";
 import { Leadership } from "./leadership.ts";
 import { ReplicaLog } from "./replica_log.ts";
 import type { ReplicaOptions } from "./replica_options.ts";
-import { RESIGNATION_COOLDOWN_MS } from "./timing.ts";
+import { DISK_COOLDOWN_MS, RESIGNATION_COOLDOWN_MS } from "./timing.ts";
 
 /** Term, vote, log and applied state of a replica. */
 export class ReplicaCore {
@@ -55,7 +60,11 @@
   constructor(options: ReplicaOptions, stored: StoredLog) {
     const { vote, snapshot } = stored;
     this.options = options;
-    this.log = new ReplicaLog(options.store, stored);
+    this.log = new ReplicaLog(
+      options.store,
+      stored,
+      options.trailingEntryCount,
+    );
     this.self = { entryId: options.entryId, storeId: vote.storeId };
     this.state = snapshot === undefined
       ? new FleetState()
@@ -131,12 +140,37 @@
   }
 
   /**
-   * Saves the term and the vote durably; call it under the mutex.
+   * Starts the next term with a vote for this replica; call it under the mutex.
+   *
+   * A term that is not durable must not become visible: the other voters would
+   * depose their leader for a candidate that cannot lead.
    *
+   * @returns Whether the term began; false when the disk rejected the vote.
+   */
+  async startTerm(): Promise<boolean> {
+    const term = this.term + 1;
+    const votedFor = this.self.entryId;
+    const saved = await this.saveVote({ term, votedFor });
+    if (saved.isErr) {
+      this.resignOnDiskFailure(saved.error);
+      return false;
+    }
+    this.term = term;
+    this.votedFor = votedFor;
+    this.setLeader(undefined);
+    return true;
+  }
+
+  /**
+   * Saves a term and a vote durably; call it under the mutex.
+   *
+   * @param vote - By default the present term and vote.
    * @returns Nothing, or the failure of the disk.
    */
-  async saveVote(): Promise<Result<void, Failure>> {
-    const { term, votedFor } = this;
+  async saveVote(
+    vote: Pick<VoteRecord, "term" | "votedFor"> = this,
+  ): Promise<Result<void, Failure>> {
+    const { term, votedFor } = vote;
     const { storeId } = this.self;
     const saved = await this.options.store.saveVote({
       term,
@@ -213,17 +247,24 @@
     this.changed.notify();
   }
 
-  /** Stops leading and starts no election for {@link RESIGNATION_COOLDOWN_MS}. */
-  resign(reason: string): void {
-    this.resignedUntilMs = this.options.clock.monotonicMs() +
-      RESIGNATION_COOLDOWN_MS;
+  /**
+   * Stops leading, and starts no election for a while.
+   *
+   * @param reason - Why, for the log.
+   * @param cooldownMs - Time without an election of its own, in milliseconds.
+   */
+  resign(reason: string, cooldownMs = RESIGNATION_COOLDOWN_MS): void {
+    this.resignedUntilMs = this.options.clock.monotonicMs() + cooldownMs;
     this.stepDown(reason);
   }
 
-  /** Resigns because the disk rejected log entries. */
+  /**
+   * Resigns because the disk rejected log entries or a vote. The next election
+   * of this replica starts with another write, so it needs no long pause.
+   */
   resignOnDiskFailure(failure: Failure): void {
     this.options.logger.error({ failure }, "the disk rejected log entries");
-    this.resign(failure.message);
+    this.resign(failure.message, DISK_COOLDOWN_MS);
   }
 
   /**
