Encode a log entry once for all followers

What callers saw: a leader short of processor time answered late. It encoded each log entry once for each of its eight followers.

Change: replication marks the entries of a response as shared, which means that they go to several peers and never change. The peer network encodes a shared value when it is first sent and copies the bytes into later frames. The bytes are kept no longer than the entry itself. Messages hold the same values in the same order, and peers of an older build decode them as before.

Evidence: "encodes a shared value once for all peers" failed with 8 reads of the entry instead of 1, and "shares the log entries of its responses to pulls" failed, with the change switched off; both pass now, with the other cases of the peer network and of replication.

--- a/src/adapters/peer/frame_codec.ts
+++ b/src/adapters/peer/frame_codec.ts
@@ -1,14 +1,10 @@
 /** Frames of the peer protocol: a payload length of four bytes, then CBOR. */
 import { Buffer } from "node:buffer";
 import type { Socket } from "node:net";
-import { Encoder } from "cbor-x";
+import { decodeMessage, encodeMessage } from "./message_encoder.ts";
 
 const LENGTH_BYTES = 4;
 
-// Record structures are not shared, so that no message of a peer can change how
-// the decoder reads later messages.
-const encoder = new Encoder({ useRecords: false, mapsAsObjects: true });
-
 /**
  * Encodes a message as a frame.
  *
@@ -16,10 +12,14 @@
  * @returns The length and the payload.
  */
 export function encodeFrame(message: unknown): Buffer {
-  const payload = encoder.encode(message);
-  const frame = Buffer.allocUnsafe(LENGTH_BYTES + payload.length);
-  frame.writeUInt32BE(payload.length, 0);
-  payload.copy(frame, LENGTH_BYTES);
+  const parts = encodeMessage(message);
+  const payloadBytes = parts.reduce((sum, { length }) => sum + length, 0);
+  const frame = Buffer.allocUnsafe(LENGTH_BYTES + payloadBytes);
+  let offset = frame.writeUInt32BE(payloadBytes, 0);
+  for (const part of parts) {
+    frame.set(part, offset);
+    offset += part.length;
+  }
   return frame;
 }
 
@@ -63,7 +63,7 @@
       LENGTH_BYTES,
       LENGTH_BYTES + payloadBytes,
     );
-    const message = encoder.decode(payload);
+    const message = decodeMessage(payload);
     this.#buffered = this.#buffered.subarray(LENGTH_BYTES + payloadBytes);
     return message;
   }
--- a/src/ports/index.ts
+++ b/src/ports/index.ts
@@ -15,4 +15,5 @@
 export * from "./runner_client.ts";
 export * from "./scheduling_metrics.ts";
 export * from "./secrets.ts";
+export * from "./shared_value.ts";
 export * from "./vm_control.ts";
--- a/src/replication/leadership_test.ts
+++ b/src/replication/leadership_test.ts
@@ -2,6 +2,7 @@
 import * as assert from "uvu/assert";
 import { MemoryLogStore } from "../adapters/disk/index.ts";
 import { SeededRandom } from "../adapters/random/index.ts";
+import { isSharedValue } from "../ports/index.ts";
 import {
   beforeEach,
   describe,
@@ -13,6 +14,7 @@
 import { AllInSyncCommitRule, MajorityCommitRule } from "./commit_rule.ts";
 import type { Leadership } from "./leadership.ts";
 import type { PullRequest } from "./messages.ts";
+import { PullHandler } from "./pull_handler.ts";
 import { ReplicaCore } from "./replica_core.ts";
 
 const TERM = 3;
@@ -149,6 +151,17 @@
     assert.is(readCount, firstReadCount);
   });
 
+  // Guards against a leader that encodes each log entry once for each follower.
+  it("shares the log entries of its responses to pulls", async () => {
+    const pull = createPull(1, { prevIndex: 1, prevTerm: 1 });
+    const response = await new PullHandler(core).handlePull("b", pull);
+    const sent = response.map((value) =>
+      value.type === "entries" ? value.entries : []
+    ).unwrapOr([]);
+    assert.is(sent.length, 2);
+    assert.ok(sent.every(isSharedValue));
+  });
+
   it("fails pending proposals with an unknown outcome when it ends", () => {
     const settled: string[] = [];
     leadership.onApplied(3, (proposed) => {
--- a/src/replication/pull_handler.ts
+++ b/src/replication/pull_handler.ts
@@ -1,6 +1,7 @@
 /** The leader's side of log replication: each pull is a long poll of a follower. */
 import { Result } from "true-myth";
 import { createFailure, type Failure, validateWith } from "../domain/index.ts";
+import { shareValue } from "../ports/index.ts";
 import { waitFor } from "../tasks/index.ts";
 import type { FollowerProgress } from "./follower_progress.ts";
 import type { Leadership } from "./leadership.ts";
@@ -145,6 +146,7 @@
     };
     if (this.#matchesLog(pull)) {
       const entries = log.selectBatch(pull.prevIndex + 1);
+      entries.forEach(shareValue);
       return { type: "entries", ...base, entries };
     }
     const last = log.findLastUpTo(pull.prevIndex, pull.prevTerm);
