--- a/src/services/scheduling/runner_task.ts
+++ b/src/services/scheduling/runner_task.ts
@@ -140,6 +140,11 @@
     return this.#options.log.state.jobs.findLoad(this.#runner);
   }
 
+  // A successor may have taken a lease that was meant for this incarnation.
+  get #leaseLeftMs(): number {
+    return this.status.mayRunAtSuccessor ? Infinity : this.#lease.remainingMs;
+  }
+
   get #isPollDue(): boolean {
     return !this.status.isSynced || !this.status.isAnswering ||
       this.#load.running.size > 0 ||
@@ -180,7 +185,7 @@
       isBusy: this.status.isSynced && this.#load.running.size > 0,
       isAnswering: this.status.isAnswering,
       isClosing: this.#runs.isClosing,
-      leaseLeftMs: this.#lease.remainingMs,
+      leaseLeftMs: this.#leaseLeftMs,
     });
     const sentAtMs = clock.monotonicMs();
     const endRequest = this.status.beginRequest(times.waitMs);
@@ -285,11 +290,11 @@
     }
     const isGone = failure.refusal === "otherLife" ||
       (failure.refusal === "notListening" && this.status.isLeaving);
-    if (isGone || this.#lease.isExpired) {
+    if (isGone || this.#leaseLeftMs === 0) {
       this.#decideRemoval(isGone ? "ended" : "leasesExpired");
       return;
     }
-    const pauseMs = Math.min(REQUEST_RETRY_MS, this.#lease.remainingMs);
+    const pauseMs = Math.min(REQUEST_RETRY_MS, this.#leaseLeftMs);
     await clock.sleep(pauseMs, signal);
   }
 
