Announce a resignation after a rejected write

A leader that resigned because its disk rejected entries told nobody, so the others waited for their whole election timeout of 1.0 to 1.6 s, and changes waited with them. A planned stop has announced the resignation all along; now a rejected batch does too, and only the random part of the timeout remains. full_disk_test "are announced, and another voter leads without the whole timeout" failed before: no leader after 900 ms.

--- a/src/replication/election_task.ts
+++ b/src/replication/election_task.ts
@@ -187,6 +187,23 @@
   return { type: "leader", leaderId: core.self.entryId };
 }
 
+/**
+ * Announces that this replica has resigned, so that others start an election
+ * without waiting for their whole election timeout.
+ *
+ * @param core - The state of the replica that led until now.
+ * @returns A promise that resolves when every entry has answered, or after
+ * {@link VOTE_TIMEOUT_MS}.
+ */
+export async function announceResignation(core: ReplicaCore): Promise<void> {
+  const { network } = core.options;
+  await Promise.all(
+    core.peerIds.map((peerId) =>
+      network.call(peerId, METHODS.resign, {}, { timeoutMs: VOTE_TIMEOUT_MS })
+    ),
+  );
+}
+
 /**
  * Announces this replica as leader, so that other entries need not search.
  *
--- a/src/replication/full_disk_test.ts
+++ b/src/replication/full_disk_test.ts
@@ -10,6 +10,8 @@
 
 const VOTERS = ["a", "b", "c"];
 const FULL_MS = 200;
+/** The random part of an election timeout, an election and its confirmation. */
+const RESIGNED_ELECTION_MS = ELECTION_JITTER_MS + VOTE_TIMEOUT_MS;
 /** A cooldown, an election timeout and two elections. */
 const RECOVERY_MS = DISK_COOLDOWN_MS + MIN_ELECTION_TIMEOUT_MS +
   ELECTION_JITTER_MS +
@@ -32,6 +34,19 @@
     cluster.find(entryId).disk.isFull = isFull;
   }
 
+  // Guards against followers that wait for their whole election timeout although
+  // the leader knows that it no longer leads.
+  describe("at the leader", () => {
+    it("are announced, and another voter leads without the whole timeout", async () => {
+      setFull(leaderId, true);
+      void cluster.propose(leaderId, { name: "zone-1" });
+      await cluster.clock.advance(RESIGNED_ELECTION_MS);
+      const leaders = cluster.listLeaders();
+      assert.is(leaders.length, 1);
+      assert.is.not(leaders[0], leaderId);
+    });
+  });
+
   // Guards against a cluster without a candidate: each leader whose disk had been
   // full started no election for 10 s, also when its disk had room again.
   describe("one after another", () => {
--- a/src/replication/proposal_queue.ts
+++ b/src/replication/proposal_queue.ts
@@ -8,6 +8,7 @@
   type Failure,
 } from "../domain/index.ts";
 import { Notifier, waitFor } from "../tasks/index.ts";
+import { announceResignation } from "./election_task.ts";
 import type { ReplicaCore } from "./replica_core.ts";
 import {
   CALL_TIMEOUT_MS,
@@ -109,6 +110,7 @@
     if (appended.isErr) {
       failAll(accepted, appended.error);
       core.resignOnDiskFailure(appended.error);
+      void announceResignation(core);
       return;
     }
     entries.forEach(({ index }, at) => {
--- a/src/replication/replica.ts
+++ b/src/replication/replica.ts
@@ -16,7 +16,7 @@
 } from "../ports/index.ts";
 import { Notifier, type TaskGroup } from "../tasks/index.ts";
 import { startDeployment } from "./bootstrap_task.ts";
-import { ElectionTask } from "./election_task.ts";
+import { announceResignation, ElectionTask } from "./election_task.ts";
 import { EntryLister } from "./entry_lister.ts";
 import { LeaderTask } from "./leader_task.ts";
 import { METHODS } from "./messages.ts";
@@ -27,7 +27,7 @@
 import { ReplicaCore } from "./replica_core.ts";
 import type { ReplicaOptions } from "./replica_options.ts";
 import { SnapshotTask } from "./snapshot_task.ts";
-import { FRESHNESS_LEASE_MS, VOTE_TIMEOUT_MS } from "./timing.ts";
+import { FRESHNESS_LEASE_MS } from "./timing.ts";
 import { VoterChanger } from "./voter_changer.ts";
 import { VoteHandler } from "./vote_handler.ts";
 
@@ -139,7 +139,6 @@
   /** Lets another voter take over before a planned stop, if this replica leads. */
   async transferLeadership(): Promise<void> {
     const core = this.#core;
-    const { network } = core.options;
     const isOnlyVoter = core.log.membership.voters.length === 1;
     if (core.leadership === undefined || isOnlyVoter) {
       return;
@@ -148,11 +147,7 @@
     await core.mutex.run(() =>
       Promise.resolve(core.resign("the entry is shutting down"))
     );
-    await Promise.all(
-      core.peerIds.map((peerId) =>
-        network.call(peerId, METHODS.resign, {}, { timeoutMs: VOTE_TIMEOUT_MS })
-      ),
-    );
+    await announceResignation(core);
   }
 
   async #closeOnAbort(signal: AbortSignal): Promise<void> {
