Retry a change that the full disk of a leader rejected

Operators were refused with `readOnly` (507) by a leader whose disk was full, although that leader had resigned and another voter accepted changes a second later. `readOnly` says that the proposal is certainly not in the log, just as `notLeader` does, so it is now retried in the same way until the timeout of the proposal. The only voter of a deployment still refuses at once, as nobody can take over.

A refusal after an attempt with unknown outcome was also reported as "not carried out" when its kind was `readOnly`; it is now `noQuorum`, as for `notLeader`. This was found by reading; no test reaches it.

--- a/src/replication/proposer.ts
+++ b/src/replication/proposer.ts
@@ -51,7 +51,8 @@
 
   /**
    * Proposes a command, and retries while there is no leader, until
-   * {@link PROPOSE_TIMEOUT_MS} have passed. A change is also retried after
+   * {@link PROPOSE_TIMEOUT_MS} have passed. It is also retried when the disk of
+   * the leader, which then resigns, rejected it. A change is also retried after
    * `noQuorum`: its operation id keeps it from being applied twice.
    *
    * @param command - The command.
@@ -77,11 +78,13 @@
       }
       const { kind } = proposed.error;
       hasUnknownOutcome ||= kind === "noQuorum";
+      const isRefused = kind === "notLeader" || kind === "readOnly";
       const mayRetry = kind === "notLeader" ||
+        (kind === "readOnly" && this.#hasOtherVoters) ||
         (kind === "noQuorum" && command.type === "change");
       const isOver = clock.monotonicMs() >= deadlineMs || signal?.aborted;
       if (!mayRetry || isOver) {
-        return hasUnknownOutcome && kind === "notLeader"
+        return hasUnknownOutcome && isRefused
           ? Result.err(createNoQuorumFailure())
           : proposed;
       }
@@ -120,6 +123,13 @@
     return proposed.map((value) => ({ ...value, appliedIndex }));
   }
 
+  get #hasOtherVoters(): boolean {
+    const { log, self } = this.#core;
+    return log.membership.voters.some(({ storeId }) =>
+      storeId !== self.storeId
+    );
+  }
+
   async #attempt(
     proposalId: string,
     command: Command,
