Iterate over runner incarnations without a generator

What was seen: the map of incarnations listed its values with a generator, which made an object for each value.

Change: the map keeps a set of its values beside the index.

--- a/src/domain/scheduling/incarnation_map.ts
+++ b/src/domain/scheduling/incarnation_map.ts
@@ -2,12 +2,14 @@
 import type { RunnerIncarnation } from "./runner.ts";
 
 /**
- * Map whose keys are runner incarnations. A lookup creates no key, because the
- * leader looks up every runner after each commit.
+ * Map whose keys are runner incarnations. Lookups and iterations create no
+ * objects, because the leader looks at every runner after each commit. Each
+ * value belongs to one incarnation.
  */
-export class IncarnationMap<T> {
+export class IncarnationMap<T extends object> {
   /** By runner id, then by start time. */
   readonly #byRunner = new Map<string, Map<number, T>>();
+  readonly #values = new Set<T>();
 
   /** Finds the value of an incarnation; undefined when there is none. */
   get({ runnerId, bornAtMs }: RunnerIncarnation): T | undefined {
@@ -15,17 +17,25 @@
   }
 
   /** Sets the value of an incarnation. */
-  set({ runnerId, bornAtMs }: RunnerIncarnation, value: T): void {
+  set(incarnation: RunnerIncarnation, value: T): void {
+    this.delete(incarnation);
+    const { runnerId, bornAtMs } = incarnation;
     const byStart = this.#byRunner.get(runnerId) ?? new Map<number, T>();
     this.#byRunner.set(runnerId, byStart);
     byStart.set(bornAtMs, value);
+    this.#values.add(value);
   }
 
   /** Removes the value of an incarnation, if there is one. */
   delete({ runnerId, bornAtMs }: RunnerIncarnation): void {
     const byStart = this.#byRunner.get(runnerId);
-    byStart?.delete(bornAtMs);
-    if (byStart?.size === 0) {
+    const value = byStart?.get(bornAtMs);
+    if (byStart === undefined || value === undefined) {
+      return;
+    }
+    this.#values.delete(value);
+    byStart.delete(bornAtMs);
+    if (byStart.size === 0) {
       this.#byRunner.delete(runnerId);
     }
   }
@@ -33,12 +43,11 @@
   /** Removes all values. */
   clear(): void {
     this.#byRunner.clear();
+    this.#values.clear();
   }
 
-  /** Iterates over all values; values may be removed meanwhile. */
-  *values(): IterableIterator<T> {
-    for (const byStart of this.#byRunner.values()) {
-      yield* byStart.values();
-    }
+  /** All values; they may be removed while they are iterated. */
+  values(): Iterable<T> {
+    return this.#values;
   }
 }
