Grant no lease that outlasts what the next leader expects

After a change of leader, a task could run twice at once: on a runner that had been idle, and elsewhere.

The end of a lease is a time on the runner's clock. The leader took that clock to run as fast as its own, and reads it only while it polls the runner, which it does not do while the runner is idle. The clock may be 2 % slow, so a start on a runner that had been idle for 60 s got a lease of 4.9 s by the leader's clock. The leader itself counted that, but the next leader knows nothing of it and expects 3.67 s and a margin of 0.1 s.

A lease is now computed from the least that the runner's clock can show. So that leases don't become short instead, an idle runner is polled when the newest reading is 30 s old. Its leases have expired long ago, so it is not removed when one of these polls is lost.

`grants one lease at most, however old the reading of a slow clock is` fails without the change, and `keeps an idle runner of which one poll was lost` fails when one lost poll removes an idle runner; both pass now.

--- a/src/services/scheduling/lease_tracker.ts
+++ b/src/services/scheduling/lease_tracker.ts
@@ -3,6 +3,7 @@
 import {
   LEASE_SLACK_MS,
   MAX_CLOCK_DRIFT,
+  MAX_READING_AGE_MS,
   MIN_START_LEASE_MS,
   RUN_LEASE_MS,
 } from "./timing.ts";
@@ -54,6 +55,14 @@
     return Math.max(0, Math.floor(this.leftMs) + 1);
   }
 
+  /**
+   * Whether a lease would be short because the newest reading of the runner's
+   * clock is old.
+   */
+  get needsReading(): boolean {
+    return this.#readingAgeMs > MAX_READING_AGE_MS;
+  }
+
   /** Records a reading of the runner's clock that has just arrived (ms). */
   observe(runnerMs: number): void {
     this.#runnerMs = runnerMs;
@@ -70,9 +79,10 @@
     if (this.#runnerMs === undefined) {
       return undefined;
     }
-    const untilMs = Math.floor(
-      this.#estimateRunnerMs(this.#runnerMs) + RUN_LEASE_MS,
-    );
+    // The runner's clock may be slow. If it were taken to be ahead of what it
+    // shows, the lease could last longer than the next leader expects.
+    const leastElapsedMs = this.#readingAgeMs * (1 - MAX_CLOCK_DRIFT);
+    const untilMs = Math.floor(this.#runnerMs + leastElapsedMs + RUN_LEASE_MS);
     const endMs = this.#arrivedMs + toLongestMs(untilMs - this.#runnerMs);
     this.#endMs = Math.max(this.#endMs, endMs);
     this.#grantedUntilMs = Math.max(this.#grantedUntilMs, untilMs);
@@ -90,13 +100,13 @@
    */
   grantForStart(): number | undefined {
     const isEnough = this.#runnerMs !== undefined &&
-      this.#grantedUntilMs - this.#estimateRunnerMs(this.#runnerMs) >=
+      this.#grantedUntilMs - this.#runnerMs - this.#readingAgeMs >=
         MIN_START_LEASE_MS;
     return isEnough ? this.#grantedUntilMs : this.grant();
   }
 
-  #estimateRunnerMs(runnerMs: number): number {
-    return runnerMs + this.#clock.steadyMs() - this.#arrivedMs;
+  get #readingAgeMs(): number {
+    return this.#clock.steadyMs() - this.#arrivedMs;
   }
 }
 
--- a/src/services/scheduling/lease_tracker_test.ts
+++ b/src/services/scheduling/lease_tracker_test.ts
@@ -3,7 +3,11 @@
 import { describe, it } from "../../testing/describe.ts";
 import { FakeClock } from "../../testing/fake_clock.ts";
 import { LeaseTracker } from "./lease_tracker.ts";
-import { MIN_START_LEASE_MS, RUN_LEASE_MS } from "./timing.ts";
+import {
+  MAX_READING_AGE_MS,
+  MIN_START_LEASE_MS,
+  RUN_LEASE_MS,
+} from "./timing.ts";
 
 const SEED = 20_264;
 /** Slowest and fastest clock that a runner may have. */
@@ -35,6 +39,37 @@
     assert.ok((lease.grantForStart() ?? 0) > (untilMs ?? 0));
   });
 
+  // Guards against a task that runs twice at once after a change of leader: the
+  // next leader expects one lease, and a runner that had been idle got more.
+  it("grants one lease at most, however old the reading of a slow clock is", async () => {
+    await fc.assert(
+      fc.asyncProperty(
+        fc.double({ min: MIN_RATE, max: 1, noNaN: true }),
+        fc.integer({ min: 0, max: MAX_READING_AGE_MS }),
+        async (rate, ageMs) => {
+          const clock = new FakeClock();
+          const lease = new LeaseTracker(clock);
+          lease.observe(0);
+          await clock.advance(ageMs);
+          const leaseMs = (lease.grant() ?? 0) - clock.steadyMs() * rate;
+          assert.ok(leaseMs <= RUN_LEASE_MS, `${leaseMs} ms`);
+          assert.ok(leaseMs >= MIN_START_LEASE_MS, `${leaseMs} ms`);
+        },
+      ),
+      { seed: SEED },
+    );
+  });
+
+  it("asks for a reading once the newest one is old", async () => {
+    const clock = new FakeClock();
+    const lease = new LeaseTracker(clock);
+    lease.observe(0);
+    await clock.advance(MAX_READING_AGE_MS);
+    assert.not(lease.needsReading);
+    await clock.advance(1);
+    assert.ok(lease.needsReading);
+  });
+
   it("never ends before a lease ends on a clock that is up to 2 % slow", async () => {
     const exchange = fc.record({
       latencyMs: fc.integer({ min: 0, max: MAX_LATENCY_MS }),
--- a/src/services/scheduling/runner_task.ts
+++ b/src/services/scheduling/runner_task.ts
@@ -133,7 +133,8 @@
 
   get #isPollDue(): boolean {
     return !this.status.isSynced || this.#load.running.size > 0 ||
-      this.#runs.hasOrphans || this.#recordedPosition > this.#ackedPosition;
+      this.#runs.hasOrphans || this.#recordedPosition > this.#ackedPosition ||
+      this.#lease.needsReading;
   }
 
   async #poll(signal: AbortSignal): Promise<void> {
@@ -166,11 +167,12 @@
     const { client, clock, fencingToken } = this.#options;
     const ackPosition = this.#chooseAckPosition();
     const leaseUntilMs = this.#grants.renew();
+    const hasRuns = this.#load.running.size > 0;
     const times = choosePollTimes({
-      isBusy: this.status.isSynced && this.#load.running.size > 0,
+      isBusy: this.status.isSynced && hasRuns,
       isAnswering: this.status.isAnswering,
       isClosing: this.#runs.isClosing,
-      leaseLeftMs: this.#leaseLeftMs,
+      leaseLeftMs: hasRuns ? this.#leaseLeftMs : Infinity,
     });
     const sentAtMs = clock.monotonicMs();
     const endRequest = this.status.beginRequest(times.waitMs);
@@ -269,14 +271,19 @@
       this.#isFenced = true;
       return;
     }
+    // The leases of an idle runner expired long ago, so that one lost poll shows
+    // nothing.
+    const isIdleOnce = this.status.isAnswering && this.#load.running.size === 0;
     this.status.recordNoAnswer();
     const isGone = failure.refusal === "otherLife" ||
       (failure.refusal === "notListening" && this.status.isLeaving);
-    if (isGone || this.#leaseLeftMs === 0) {
+    if (isGone || (this.#leaseLeftMs === 0 && !isIdleOnce)) {
       this.#decideRemoval(isGone ? "ended" : "leasesExpired");
       return;
     }
-    const pauseMs = Math.min(REQUEST_RETRY_MS, this.#leaseLeftMs);
+    const pauseMs = isIdleOnce
+      ? REQUEST_RETRY_MS
+      : Math.min(REQUEST_RETRY_MS, this.#leaseLeftMs);
     await clock.sleep(pauseMs, signal);
   }
 
--- a/src/services/scheduling/timing.ts
+++ b/src/services/scheduling/timing.ts
@@ -3,8 +3,7 @@
 /**
  * Lease of the runs on a runner, in milliseconds. Each poll renews it. It is
  * long enough for one poll plus a restart of all controllers, which takes 2.4 s
- * with the election, and shorter than 6 s, the longest lease that the platform
- * allows. The work of a runner that stops responding can be placed elsewhere
+ * with the election, and far shorter than {@link MAX_LEASE_MS}. The work of a runner that stops responding can be placed elsewhere
  * after this time.
  */
 export const RUN_LEASE_MS = 3_600;
@@ -21,6 +20,12 @@
 export const MAX_LEASE_MS = 10_000;
 /** Share by which a runner's clock may be slower than the leader's. */
 export const MAX_CLOCK_DRIFT = 0.02;
+/**
+ * Age of the newest reading of a runner's clock at which an idle runner is
+ * polled, in milliseconds. A lease is shorter by the drift of the clock in this
+ * time.
+ */
+export const MAX_READING_AGE_MS = 30_000;
 /**
  * Margin after the end of a lease before its runs count as ended, in
  * milliseconds.
--- a/src/services/scheduling/unresponsive_runner_test.ts
+++ b/src/services/scheduling/unresponsive_runner_test.ts
@@ -9,6 +9,7 @@
 import {
   LEASE_SLACK_MS,
   MAX_CLOCK_DRIFT,
+  MAX_READING_AGE_MS,
   POLL_TIMEOUT_MS,
   REQUEST_RETRY_MS,
   RUN_LEASE_MS,
@@ -124,6 +125,31 @@
     await fixture.stop();
   });
 
+  // Guards against the removal of a sound runner, because one of the polls that
+  // keep the reading of an idle runner's clock new was lost.
+  it("keeps an idle runner of which one poll was lost", async () => {
+    const fixture = new SchedulingFixture({
+      clock: new FakeClock(),
+      random: new SeededRandom(SEED),
+      runnerIds: ["r1", "r2"],
+    });
+    const { clock, runners } = fixture;
+    fixture.changeLeader();
+    await clock.advance(2_000);
+    runners.lostPercent = 100;
+    const { requestCounts, removals } = fixture.metrics;
+    while ((requestCounts.get("poll unanswered") ?? 0) === 0) {
+      await clock.advance(10);
+    }
+    runners.lostPercent = 0;
+    await clock.advance(MAX_READING_AGE_MS / 2);
+    assert.equal(removals, []);
+    runners.cutIds.add("r1");
+    await clock.advance(2 * MAX_READING_AGE_MS);
+    assert.equal(removals, ["leasesExpired"]);
+    await fixture.stop();
+  });
+
   // Guards against a removal whose log line does not show what decided it.
   it("logs how long the runner was silent and that the loop was not late", async () => {
     const { fixture, arrivals } = await setUp();
