--- a/src/testing/replica_history.ts
+++ b/src/testing/replica_history.ts
@@ -1,6 +1,6 @@
 /** Checks the invariants of replication while a test runs replicas. */
 import * as assert from "uvu/assert";
-import type { Change } from "../domain/index.ts";
+import { type Change, type Failure, findAnswer } from "../domain/index.ts";
 import { FRESHNESS_LEASE_MS, type Replica } from "../replication/index.ts";
 import {
   createChange,
@@ -13,6 +13,9 @@
   readonly atMs: number;
 }
 
+/** Delay before an operator sends a refused change again, in milliseconds. */
+const RESEND_DELAY_MS = 100;
+
 /** The changes that were proposed, accepted and applied in one test run. */
 export class ReplicaHistory {
   readonly #cluster: FakeCluster;
@@ -23,6 +26,9 @@
   readonly #leaderByTerm = new Map<number, string>();
   readonly #revisionOf = new Map<Replica, number>();
   readonly #readLineCounts = new Map<string, number>();
+  /** Operations of which every answer said that they were not carried out. */
+  readonly #refused = new Set<string>();
+  readonly #sendCounts = new Map<string, number>();
 
   constructor(cluster: FakeCluster) {
     this.#cluster = cluster;
@@ -41,10 +47,33 @@
     if (replica === undefined) {
       return;
     }
-    const name = `zone-${this.#changes.length + 1}`;
-    const { change } = createChange({ name }, replica.state.revision);
-    this.#changes.push(change);
-    void this.#send(replica, change);
+    void this.#send(replica, this.#createNext(replica));
+  }
+
+  /**
+   * Sends a new change to one entry after the other until it is accepted, as an
+   * operator does who gets no acknowledgement. After a conflict the change gets
+   * the current revision and a new operation id.
+   *
+   * @param chooseEntryId - Chooses the entry of each attempt.
+   * @returns Time until the change was accepted, in milliseconds.
+   */
+  async proposeUntilAccepted(chooseEntryId: () => string): Promise<number> {
+    const { clock } = this.#cluster;
+    const startedMs = clock.monotonicMs();
+    let change: Change | undefined;
+    for (;;) {
+      const { replica } = this.#cluster.find(chooseEntryId());
+      if (replica !== undefined) {
+        change ??= this.#createNext(replica);
+        const failure = await this.#send(replica, change);
+        if (failure === undefined) {
+          return clock.monotonicMs() - startedMs;
+        }
+        change = failure.kind === "conflict" ? undefined : change;
+      }
+      await clock.sleep(RESEND_DELAY_MS);
+    }
   }
 
   /** Resends the latest change, as an operator does who got no answer. */
@@ -90,7 +119,20 @@
     }
   }
 
-  async #send(replica: Replica, change: Change): Promise<void> {
+  #createNext(replica: Replica): Change {
+    const name = `zone-${this.#changes.length + 1}`;
+    const { change } = createChange({ name }, replica.state.revision);
+    this.#changes.push(change);
+    return change;
+  }
+
+  async #send(replica: Replica, change: Change): Promise<Failure | undefined> {
+    const { operationId } = change;
+    this.#refused.delete(operationId);
+    this.#sendCounts.set(
+      operationId,
+      (this.#sendCounts.get(operationId) ?? 0) + 1,
+    );
     const proposed = await replica.propose({
       type: "change",
       change,
@@ -98,9 +140,9 @@
       atMs: 0,
     });
     if (proposed.isErr) {
-      return;
+      this.#recordFailure(operationId, proposed.error);
+      return proposed.error;
     }
-    const { operationId } = change;
     const { revision } = proposed.value;
     const first = this.#accepted.get(operationId);
     assert.is(
@@ -110,6 +152,17 @@
     );
     const atMs = this.#cluster.clock.monotonicMs();
     this.#accepted.set(operationId, first ?? { revision, atMs });
+    return undefined;
+  }
+
+  // A change that was sent once and refused as "not carried out" must not take
+  // effect later. One that was sent again may be in doubt because of that.
+  #recordFailure(operationId: string, failure: Failure): void {
+    if (
+      this.#sendCounts.get(operationId) === 1 && findAnswer(failure).notRun
+    ) {
+      this.#refused.add(operationId);
+    }
   }
 
   #checkLeaders({ entryId, logger }: FakeReplica): void {
@@ -144,6 +197,10 @@
         `two operations have revision ${accepted.revision}`,
       );
       this.#operationByRevision.set(accepted.revision, operationId);
+      assert.not.ok(
+        this.#refused.has(operationId),
+        `${operationId} was refused, but ${entryId} has applied it`,
+      );
     }
     const ids = operations.map(({ operationId }) => operationId);
     assert.is(new Set(ids).size, ids.length, "an operation was applied twice");
