Take no successor's answer for that of the incarnation before it

A task could begin again after its end was noted, when a runner restarted under its id.

A start that reaches the successor is answered like any other, and its answer carries no start time. The leader took it for a sign that the previous incarnation responds. The next poll then acknowledged ends up to the position that the previous incarnation had reported, and reached the successor too, which deleted its own ends up to there: among them that of the run just started, of which the log never heard. The start also renewed leases for the incarnation that had ended.

The answer does carry the runner's clock, which starts anew with each incarnation. An answer whose clock is further back than answers can overtake each other now counts as none, so that the next poll carries neither an acknowledgement nor a lease, and shows the successor.

Two incarnations of which the first was younger than 2 s cannot be told apart in this way; the next poll does.

--- a/src/services/scheduling/lease_tracker.ts
+++ b/src/services/scheduling/lease_tracker.ts
@@ -2,6 +2,7 @@
 import type { Clock } from "../../ports/index.ts";
 import {
   LEASE_SLACK_MS,
+  MAX_ANSWER_DELAY_MS,
   MAX_CLOCK_DRIFT,
   MAX_READING_AGE_MS,
   MIN_START_LEASE_MS,
@@ -63,6 +64,16 @@
     return this.#readingAgeMs > MAX_READING_AGE_MS;
   }
 
+  /**
+   * Checks whether a reading is from the clock of a successor, which starts anew.
+   *
+   * @param runnerMs - The reading (ms).
+   */
+  isOtherClock(runnerMs: number): boolean {
+    return this.#runnerMs !== undefined &&
+      runnerMs < this.#runnerMs - MAX_ANSWER_DELAY_MS;
+  }
+
   /** Records a reading of the runner's clock that has just arrived (ms). */
   observe(runnerMs: number): void {
     this.#runnerMs = runnerMs;
--- a/src/services/scheduling/lease_tracker_test.ts
+++ b/src/services/scheduling/lease_tracker_test.ts
@@ -4,6 +4,7 @@
 import { FakeClock } from "../../testing/fake_clock.ts";
 import { LeaseTracker } from "./lease_tracker.ts";
 import {
+  MAX_ANSWER_DELAY_MS,
   MAX_READING_AGE_MS,
   MIN_START_LEASE_MS,
   RUN_LEASE_MS,
@@ -60,6 +61,15 @@
     );
   });
 
+  it("tells the clock of a successor from an answer that was overtaken", () => {
+    const lease = new LeaseTracker(new FakeClock());
+    assert.not(lease.isOtherClock(0));
+    lease.observe(MAX_ANSWER_DELAY_MS);
+    assert.not(lease.isOtherClock(0));
+    lease.observe(MAX_ANSWER_DELAY_MS + 1);
+    assert.ok(lease.isOtherClock(0));
+  });
+
   it("asks for a reading once the newest one is old", async () => {
     const clock = new FakeClock();
     const lease = new LeaseTracker(clock);
--- a/src/services/scheduling/run_commands.ts
+++ b/src/services/scheduling/run_commands.ts
@@ -74,6 +74,10 @@
     });
     endRequest();
     requests.count("start", started);
+    if (started.isOk && lease.isOtherClock(started.value.clockMs)) {
+      status.recordNoAnswer();
+      return { message: "a successor of the runner carried out the start" };
+    }
     if (started.isOk) {
       lease.observe(started.value.clockMs);
       status.recordAnswer();
--- a/src/services/scheduling/timing.ts
+++ b/src/services/scheduling/timing.ts
@@ -50,6 +50,11 @@
 export const OVERDUE_MS = 250;
 /** How long a runner may delay a poll while a run is being stopped (ms). */
 export const CLOSING_POLL_WAIT_MS = 150;
+/**
+ * Longest time by which a later answer of a runner may overtake an earlier one,
+ * in milliseconds: the timeout of a request, and a late event loop.
+ */
+export const MAX_ANSWER_DELAY_MS = 2_000;
 /** Pause after a poll that reported ended runs, so that more gather (ms). */
 export const END_BATCH_MS = 25;
 /** Pause after a failed request, in milliseconds: at most a tenth of a lease. */
