Hold to the limits of a step for orders that another leader logged

Cause: an order for the maintenance of a VM is in the log before it is sent. A leader that found such an order sent it without asking whether the tasks on the VM may stop, although it may be the first to send it; and tasks that it ended that way still counted as available.

Change: the limits hold for each order. After a repeated one the tasks of the VM count as unavailable until the runner has answered again. A first order is checked once more after its commit.

Evidence: 'ends no more of them for the orders that another leader logged' failed with 2 tasks unavailable instead of 1 and passes now.

--- a/src/services/scheduling/wave_task.ts
+++ b/src/services/scheduling/wave_task.ts
@@ -47,17 +47,22 @@
    * reported.
    */
   readonly #evicted = new Set<string>();
+  /**
+   * Monotonic time (ms) of the newest request for maintenance that an earlier
+   * leader may have made before, by runner id. Whether it ended the runs there
+   * shows only in a later answer of the runner.
+   */
+  readonly #repeatedAtMsByRunner = new Map<string, number>();
+  /** VMs whose request this leader has logged and not sent yet. */
+  readonly #unsentVms = new Set<string>();
   #cordonedRunnerIds: ReadonlySet<string> = new Set();
 
   constructor(options: WaveTaskOptions) {
     this.#options = options;
-    const { log, fleet } = options;
+    const { log } = options;
     this.#availability = new StepAvailability({
       jobs: log.state.jobs,
-      findPercent: (run) =>
-        this.#evicted.has(formatRun({ task: run.id, ...run }))
-          ? 0
-          : fleet.findStatus(run.life)?.findPercent(formatTaskId(run.id)) ?? 0,
+      findPercent: (run) => this.#findPercent(run),
     });
   }
 
@@ -93,6 +98,18 @@
     }
   }
 
+  #findPercent(run: RunningTask): number {
+    const { fleet } = this.#options;
+    const status = fleet.findStatus(run.life);
+    const isEvicted = this.#evicted.has(formatRun({ task: run.id, ...run }));
+    const repeatedAtMs = this.#repeatedAtMsByRunner.get(run.life.runnerId) ??
+      -Infinity;
+    return status === undefined || isEvicted ||
+        status.answeredAtMs <= repeatedAtMs
+      ? 0
+      : status.findPercent(formatTaskId(run.id));
+  }
+
   #listOpen(): WaveRecord[] {
     const { log } = this.#options;
     return [...log.state.waves.values()].filter(({ vms, progress }) =>
@@ -220,7 +237,8 @@
   }
 
   // The request is in the log before it is sent, so that the next leader counts
-  // the VM as unavailable whatever the outcome of the call.
+  // the VM as unavailable whatever the outcome of the call. A leader that finds
+  // such a request may be the first to send it, so the limits hold for it too.
   async #beginMaintenance(
     wave: WaveRecord,
     vm: string,
@@ -229,24 +247,31 @@
     const { clock, fencingToken, fleet, holderId, log, logger, vms } =
       this.#options;
     const { waveId } = wave;
-    const running = this.#listRunning(runnerId);
-    const isKnown = wave.progress[vm] === "ordered";
-    if (!isKnown && !this.#availability.mayStop(running)) {
+    const mayStop = () =>
+      this.#availability.mayStop(this.#listRunning(runnerId));
+    if (!mayStop()) {
       return;
     }
-    if (!isKnown) {
+    if (wave.progress[vm] !== "ordered") {
       const proposed = await log.propose([
         { type: "upkeep", waveId, vm, state: "ordered" },
       ]);
       if (proposed.isErr) {
         return;
       }
+      this.#unsentVms.add(vm);
     }
-    if (!log.holdsLeaderLease) {
+    // Other tasks of a step may have become unavailable meanwhile.
+    if (!log.holdsLeaderLease || !mayStop()) {
       return;
     }
+    const running = this.#listRunning(runnerId);
+    const isFirst = this.#unsentVms.delete(vm);
     const source = { holderId, fencingToken };
     const begun = await vms.beginMaintenance(vm, waveId, source);
+    if (!isFirst && runnerId !== undefined) {
+      this.#repeatedAtMsByRunner.set(runnerId, clock.monotonicMs());
+    }
     const fields = { waveId, vm, runnerId, runCount: running.length };
     if (begun.isErr) {
       logger.warn(
@@ -258,7 +283,7 @@
     logger.info(fields, "began the upkeep of a VM");
     this.#begunAtMsByVm.set(vm, clock.monotonicMs());
     const runner = log.state.runners.get(runnerId ?? "");
-    if (runner !== undefined && !isKnown) {
+    if (runner !== undefined && isFirst) {
       fleet.retire(runner);
     }
   }
--- a/src/services/scheduling/wave_task_test.ts
+++ b/src/services/scheduling/wave_task_test.ts
@@ -111,6 +111,23 @@
   );
 }
 
+// Of the tasks of the job, one at most may be unavailable.
+function checkUnavailableTasks(fixture: SchedulingFixture): void {
+  const spans = fixture.runners.spans.filter(({ task }) =>
+    task.startsWith(JOB_ID)
+  );
+  const ends = spans.filter(({ how }) => how !== "runs");
+  assert.ok(ends.length > 0, "some tasks had to move");
+  for (const { toMs } of ends) {
+    const unavailableCount = 3 -
+      spans.filter((span) => span.fromMs <= toMs && span.toMs > toMs).length;
+    assert.ok(
+      unavailableCount <= 1,
+      `${unavailableCount} tasks were unavailable at ${toMs}`,
+    );
+  }
+}
+
 describe("a maintenance wave", () => {
   it("maintains each VM once, within its limit", async () => {
     const fixture = await startWave();
@@ -155,19 +172,31 @@
   it("ends no more long-running tasks than may be unavailable", async () => {
     const fixture = await startWave();
     await finish(fixture);
-    const spans = fixture.runners.spans.filter(({ task }) =>
-      task.startsWith(JOB_ID)
-    );
-    const ends = spans.filter(({ how }) => how !== "runs");
-    assert.ok(ends.length > 0, "some tasks had to move");
-    for (const { toMs } of ends) {
-      const unavailableCount = 3 -
-        spans.filter((span) => span.fromMs <= toMs && span.toMs > toMs).length;
-      assert.ok(
-        unavailableCount <= 1,
-        `${unavailableCount} tasks were unavailable at ${toMs}`,
-      );
-    }
+    checkUnavailableTasks(fixture);
+  });
+
+  // Guards against ending more tasks of a step than may be unavailable: a leader
+  // was lost between logging an order and sending it, and the next leader sent
+  // all such orders at once.
+  it("ends no more of them for the orders that another leader logged", async () => {
+    const fixture = await startWave();
+    const busyVms = fixture.runners.spans.map(({ runnerId }) => runnerId)
+      .filter((vm) => WAVE_VMS.includes(vm)).slice(0, MAX_UNAVAILABLE);
+    assert.is(busyVms.length, MAX_UNAVAILABLE);
+    fixture.apply({
+      type: "scheduling",
+      atMs: fixture.clock.nowMs(),
+      operations: busyVms.map((vm) => ({
+        type: "upkeep",
+        waveId: 1,
+        vm,
+        state: "ordered",
+      })),
+    });
+    fixture.changeLeader();
+    await finish(fixture);
+    checkUnavailableTasks(fixture);
+    checkEachVmOnce(fixture);
   });
 
   // Guards against running a task twice: the answer of the VM control is read
