Write the first membership again after a full disk rejected it

A new deployment never got a leader, however long its processes ran, when the disk of the voter that writes the first membership was full for a moment at the first start: the voter counted its folder as used although nothing was in it, and the task ended.

The first term now counts once its vote is durable, and the folder counts as blank again when the log rejected the membership; the task tries again until an entry is stored.

Not covered: a pull sent while the rejected membership was being written, and a restart between the two writes, still carry the first term to other voters.

--- a/src/replication/bootstrap_task.ts
+++ b/src/replication/bootstrap_task.ts
@@ -31,7 +31,6 @@
     if (voters.length === initialVoterIds.length) {
       await writeFirstMembership(core, voters);
       announceLeader(core);
-      return;
     }
     await clock.sleep(BOOTSTRAP_INTERVAL_MS, signal);
   }
@@ -74,15 +73,21 @@
     if (!core.isBlank) {
       return;
     }
-    core.term = FIRST_TERM;
-    core.votedFor = core.self.entryId;
-    const saved = await core.saveVote();
+    const vote = { term: FIRST_TERM, votedFor: core.self.entryId };
+    const saved = await core.saveVote(vote);
     if (saved.isOk) {
+      core.term = vote.term;
+      core.votedFor = vote.votedFor;
       const membership = { voters: [...voters], learners: [] };
       await core.becomeLeader([
         { type: "membership", ...membership },
         createLeaderCommand(core),
       ]);
+      if (core.leadership === undefined) {
+        // The disk took the vote but not the log: the folder is blank again.
+        core.term = 0;
+        core.votedFor = undefined;
+      }
     }
   });
 }
--- a/src/replication/full_disk_test.ts
+++ b/src/replication/full_disk_test.ts
@@ -10,6 +10,7 @@
 
 const VOTERS = ["a", "b", "c"];
 const FULL_MS = 200;
+const FIRST_START_FULL_MS = 3_000;
 /** The random part of an election timeout, an election and its confirmation. */
 const RESIGNED_ELECTION_MS = ELECTION_JITTER_MS + VOTE_TIMEOUT_MS;
 /** A cooldown, an election timeout and two elections. */
@@ -63,6 +64,27 @@
     });
   });
 
+  // Guards against a deployment that never starts because the disk of the voter
+  // that writes its first membership was full for a moment.
+  describe("at the first start", () => {
+    for (const name of ["vote.new", "log"]) {
+      it(`write the first membership once ${name} can be written`, async () => {
+        const blank = new FakeCluster({ seed: 9, voterIds: VOTERS });
+        await blank.start();
+        const { disk } = blank.find("a");
+        let isFull = true;
+        disk.beforeOperation = (operation, file) =>
+          isFull && operation === "write" && file === name
+            ? Promise.reject(new Error("ENOSPC"))
+            : Promise.resolve();
+        await blank.clock.advance(FIRST_START_FULL_MS);
+        assert.equal(blank.listLeaders(), []);
+        isFull = false;
+        await blank.waitForLeader();
+      });
+    }
+  });
+
   describe("in an election", () => {
     // Guards against candidates that raise the term although their disk rejects
     // it, and so depose every leader that the others elect.
