Find the queues of a catalog through an index

What callers saw: a leader short of processor time answered late. Each call of a job and each recorded end of a run walked through all queues of the catalog, some 250 on the grown deployments, and each plan and capacity check built a map of them.

Change: the index of a catalog, by name and by host, is built once for each catalog. Where several queues have one name, which no rule forbids, the first counts everywhere; plans and capacity checks used the last, all other parts the first.

Evidence: "reads the queues once for all lookups" failed with 100,500 reads of a name instead of 500 for 100 lookups with the index built each time, and passes now; the 122 cases of scheduling pass.

--- a/src/decisions/scheduling/ready_step.ts
+++ b/src/decisions/scheduling/ready_step.ts
@@ -1,12 +1,13 @@
 /** Lists the steps whose tasks may start now. */
-import type {
-  AdviceTerms,
-  Catalog,
-  JobQueue,
-  JobRecord,
-  JobStep,
-  JobTable,
-  StepRecord,
+import {
+  type AdviceTerms,
+  type Catalog,
+  indexQueues,
+  type JobQueue,
+  type JobRecord,
+  type JobStep,
+  type JobTable,
+  type StepRecord,
 } from "../../domain/index.ts";
 
 /** Identifies a step of one occurrence of a job. */
@@ -49,7 +50,7 @@
   catalog: Catalog,
   nowMs: number,
 ): ReadyStep[] {
-  const queues = new Map(catalog.queues.map((queue) => [queue.name, queue]));
+  const queues = indexQueues(catalog).byName;
   const ready: ReadyStep[] = [];
   for (const job of jobs.open) {
     addReadySteps(ready, job, queues.get(job.queue), nowMs);
--- a/src/decisions/scheduling/wait_reason.ts
+++ b/src/decisions/scheduling/wait_reason.ts
@@ -2,6 +2,7 @@
 import {
   addAmounts,
   fitsInto,
+  indexQueues,
   isWithinLimit,
   type JobRecord,
   type Runner,
@@ -60,7 +61,7 @@
 function findCapacityReason(input: WaitReasonInput): string | undefined {
   const { state, job, stepIndex, mayPlaceOn } = input;
   const step = job.spec.steps[stepIndex];
-  const queue = state.catalog.queues.find(({ name }) => name === job.queue);
+  const queue = indexQueues(state.catalog).byName.get(job.queue);
   const pool = queue?.pool ?? job.pool;
   const members = [...state.runners.values()].filter((runner) =>
     runner.pool === pool
--- a/src/domain/scheduling/index.ts
+++ b/src/domain/scheduling/index.ts
@@ -5,6 +5,7 @@
 export * from "./job.ts";
 export * from "./job_record.ts";
 export * from "./job_table.ts";
+export * from "./queue_index.ts";
 export * from "./runner.ts";
 export * from "./runner_loads.ts";
 export * from "./scheduling_command.ts";
--- a/src/services/scheduling/capacity_task.ts
+++ b/src/services/scheduling/capacity_task.ts
@@ -10,7 +10,7 @@
   sumWaitingDemand,
   sumWork,
 } from "../../decisions/index.ts";
-import type { Runner } from "../../domain/index.ts";
+import { indexQueues, type Runner } from "../../domain/index.ts";
 import type { Clock, ListedVm, Logger, VmControl } from "../../ports/index.ts";
 import type { RunnerFleet } from "./runner_fleet.ts";
 import type { SchedulingLog } from "./scheduling_log.ts";
@@ -226,11 +226,9 @@
 
   #listArrivals(): Arrival[] {
     const { state } = this.#options.log;
-    const pools = new Map(
-      state.catalog.queues.map(({ name, pool }) => [name, pool]),
-    );
+    const { byName } = indexQueues(state.catalog);
     return state.jobs.list().map((job) => ({
-      pool: pools.get(job.queue) ?? job.pool,
+      pool: byName.get(job.queue)?.pool ?? job.pool,
       atMs: job.acceptedAtMs,
       work: sumWork(job),
     }));
--- a/src/services/scheduling/job_service.ts
+++ b/src/services/scheduling/job_service.ts
@@ -5,6 +5,8 @@
   createFailure,
   type Failure,
   findJobFault,
+  findQueueByAddress,
+  indexQueues,
   JOB_STATES,
   type JobQueue,
   type JobSpec,
@@ -201,13 +203,13 @@
   #findQueue(call: JobCall): Omit<Target, "team"> | undefined {
     const { catalog, jobs } = this.#log.state;
     if (call.host !== undefined) {
-      const queue = findQueue(catalog.queues, call.host, call.path);
+      const queue = findQueueByAddress(catalog, call.host, call.path);
       return queue &&
         { queue, rest: call.path.slice(queue.pathPrefix.length) };
     }
     const rest = call.path.slice(1);
     const name = call.queue ?? jobs.find(rest)?.queue;
-    const queue = catalog.queues.find((known) => known.name === name);
+    const queue = indexQueues(catalog).byName.get(name ?? "");
     return queue && { queue, rest };
   }
 
@@ -232,22 +234,6 @@
   }
 }
 
-function findQueue(
-  queues: readonly JobQueue[],
-  host: string,
-  path: string,
-): JobQueue | undefined {
-  let found: JobQueue | undefined;
-  for (const queue of queues) {
-    const matches = queue.host === host && path.startsWith(queue.pathPrefix);
-    const isLonger = queue.pathPrefix.length > (found?.pathPrefix.length ?? -1);
-    if (matches && isLonger) {
-      found = queue;
-    }
-  }
-  return found;
-}
-
 function createUnknown(jobId: string): Failure {
   return createFailure("jobUnknown", `job ${jobId} is not known`);
 }
--- a/src/services/scheduling/runner_fleet.ts
+++ b/src/services/scheduling/runner_fleet.ts
@@ -1,6 +1,7 @@
 /** Runs one task of the leader for each runner incarnation. */
 import {
   IncarnationMap,
+  indexQueues,
   type Runner,
   type RunnerIncarnation,
   type RunningTask,
@@ -159,10 +160,8 @@
    * @param run - A run of the job.
    */
   findMaxAttempts({ job }: RunningTask): number {
-    const queue = this.#options.log.state.catalog.queues.find(({ name }) =>
-      name === job.queue
-    );
-    return queue?.maxAttempts ?? job.maxAttempts;
+    const { byName } = indexQueues(this.#options.log.state.catalog);
+    return byName.get(job.queue)?.maxAttempts ?? job.maxAttempts;
   }
 }
 
