--- a/src/adapters/logging/process_logger.ts
+++ b/src/adapters/logging/process_logger.ts
@@ -14,11 +14,6 @@
  * times what the most frequent decision logs in normal operation.
  */
 const DEFAULT_LINES_PER_SECOND = 200;
-/**
- * Time for which lines gather before they are written, in milliseconds. A busy
- * process would otherwise wake another thread in each turn of its event loop.
- */
-const WRITE_INTERVAL_MS = 50;
 
 /** Options of {@link createProcessLogger}. */
 export interface ProcessLoggerOptions
@@ -43,11 +38,7 @@
  */
 export function createProcessLogger(options: ProcessLoggerOptions): ProcessLog {
   const { clock, maxLinesPerSecond = DEFAULT_LINES_PER_SECOND } = options;
-  const stream = new QueuedStream({
-    clock,
-    fileDescriptor: STANDARD_OUTPUT,
-    writeIntervalMs: WRITE_INTERVAL_MS,
-  });
+  const stream = new QueuedStream({ clock, fileDescriptor: STANDARD_OUTPUT });
   process.on("exit", () => stream.flushAtExit());
   const inner = createBunyanLogger({
     ...options,
--- a/src/adapters/logging/queued_stream.ts
+++ b/src/adapters/logging/queued_stream.ts
@@ -28,11 +28,6 @@
    * counted.
    */
   readonly maxQueuedBytes?: number;
-  /**
-   * Least time between the starts of two writes, in milliseconds; 0 by default.
-   * Each write occupies another thread.
-   */
-  readonly writeIntervalMs?: number;
   /** Writes to the file asynchronously; `fs.write` by default. */
   readonly write?: (
     fileDescriptor: number,
@@ -48,10 +43,6 @@
   #queuedBytes = 0;
   #writing: Promise<void> | undefined;
   #droppedCount = 0;
-  /** Monotonic time before which no write starts (ms). */
-  #nextWriteAtMs = -Infinity;
-  /** Aborted by the first flush, after which writes start at once. */
-  readonly #flushing = new AbortController();
 
   constructor(options: QueuedStreamOptions) {
     this.#options = options;
@@ -97,7 +88,6 @@
    */
   async flush(timeoutMs: number): Promise<void> {
     const stop = new AbortController();
-    this.#flushing.abort("writes no longer wait");
     await Promise.race([
       this.#writing ?? Promise.resolve(),
       this.#options.clock.sleep(timeoutMs, stop.signal),
@@ -125,7 +115,6 @@
     // Collects the lines of one turn of the event loop into a single write.
     await new Promise((resolve) => setImmediate(resolve));
     while (this.#queued.length > 0) {
-      await this.#waitForInterval();
       const bytes = Buffer.from(this.#queued.join(""));
       this.#queued = [];
       await this.#writeFully(bytes);
@@ -134,15 +123,6 @@
     this.#writing = undefined;
   }
 
-  async #waitForInterval(): Promise<void> {
-    const { clock, writeIntervalMs = 0 } = this.#options;
-    const leftMs = this.#nextWriteAtMs - clock.monotonicMs();
-    if (leftMs > 0) {
-      await clock.sleep(leftMs, this.#flushing.signal);
-    }
-    this.#nextWriteAtMs = clock.monotonicMs() + writeIntervalMs;
-  }
-
   async #writeFully(bytes: Uint8Array): Promise<void> {
     let offset = 0;
     while (offset < bytes.length) {
--- a/src/adapters/logging/queued_stream_test.ts
+++ b/src/adapters/logging/queued_stream_test.ts
@@ -41,14 +41,13 @@
 }
 
 describe("queued stream", () => {
-  function setUp(maxQueuedBytes = 100, writeIntervalMs = 0) {
+  function setUp(maxQueuedBytes = 100) {
     const pipe = new SlowPipe();
     const clock = new FakeClock();
     const stream = new QueuedStream({
       clock,
       fileDescriptor: 1,
       maxQueuedBytes,
-      writeIntervalMs,
       write: pipe.write,
     });
     return { pipe, clock, stream };
@@ -65,38 +64,6 @@
     assert.is(pipe.writeCount, 1);
   });
 
-  // Guards against a busy process that wakes another thread for each of its log
-  // lines.
-  it("writes the lines of one interval together", async () => {
-    const { pipe, clock, stream } = setUp(1_000, 50);
-    for (let atMs = 0; atMs < 100; atMs += 1) {
-      stream.write(`${atMs}\n`);
-      await settle();
-      pipe.read();
-      await clock.advance(1);
-      await settle();
-      pipe.read();
-    }
-    assert.is(pipe.text.split("\n").length, 101);
-    assert.is(pipe.writeCount, 3);
-  });
-
-  it("writes the lines of an interval at once when it is flushed", async () => {
-    const { pipe, stream } = setUp(100, 50);
-    stream.write("one\n");
-    await settle();
-    pipe.read();
-    await settle();
-    stream.write("two\n");
-    await settle();
-    assert.is(pipe.writeCount, 1);
-    const flushed = stream.flush(300);
-    await settle();
-    pipe.read();
-    await flushed;
-    assert.is(pipe.text, "one\ntwo\n");
-  });
-
   // Guards against unbounded memory when the log reader hangs and the process
   // keeps logging.
   it("drops and counts lines above its limit when the reader hangs", async () => {
