Settle a plan whose outcome is unknown before the next one

A runner could get more work than it holds, and a team more than its limit, when the commit of a plan took longer than the leader waits for it.

The proposal of such a plan ends without an outcome after 5 s. The scheduler then planned again, on a state in which the first plan was missing, and both were applied later. A task that is in both starts once, but other tasks of the two plans took the same room.

After a plan whose proposal failed, the scheduler now proposes an empty batch, and plans again once that is applied: the earlier plan is in the state by then, or never will be.

`is settled before the next plan is made` fails without the change (10,000 millicores placed on a runner of 8,000) and passes now.

--- a/src/services/scheduling/scheduler.ts
+++ b/src/services/scheduling/scheduler.ts
@@ -53,7 +53,17 @@
    */
   async run(signal: AbortSignal): Promise<void> {
     const { clock, log, logger } = this.#options;
+    let isOutcomeKnown = true;
     while (!signal.aborted) {
+      // A plan whose outcome is unknown may still be applied. It has been, or
+      // never will be, once a later entry of the log is.
+      if (!isOutcomeKnown) {
+        isOutcomeKnown = (await log.propose([])).isOk;
+        if (!isOutcomeKnown) {
+          await clock.sleep(PROPOSE_RETRY_MS, signal);
+        }
+        continue;
+      }
       const starts = log.holdsLeaderLease ? this.#plan() : [];
       if (starts.length === 0) {
         await this.#waitForChange(signal);
@@ -66,6 +76,7 @@
           { failure: proposed.error },
           "failed to record a plan in the log; planning again",
         );
+        isOutcomeKnown = false;
         await clock.sleep(PROPOSE_RETRY_MS, signal);
         continue;
       }
