--- a/src/domain/scheduling/job_table.ts
+++ b/src/domain/scheduling/job_table.ts
@@ -134,11 +134,15 @@
 
   /** Removes jobs that ended more than {@link JOB_KEEP_MS} ago. */
   prune(atMs: number): void {
-    for (const job of this.#ended.takeEndedBefore(atMs - JOB_KEEP_MS)) {
+    const beforeMs = atMs - JOB_KEEP_MS;
+    for (const job of this.#ended.takeEndedBefore(beforeMs)) {
       this.#expired.add(job);
     }
     for (const job of this.#expired) {
-      if (!hasRunningTask(job)) {
+      // The wall clock of a later leader may be behind. A voter that begins from
+      // a snapshot does not know that the job was too old before.
+      const isOld = (job.endedAtMs ?? Infinity) < beforeMs;
+      if (isOld && !hasRunningTask(job)) {
         this.#expired.delete(job);
         this.#jobs.delete(job.spec.jobId);
       }
--- a/src/domain/scheduling/job_table_test.ts
+++ b/src/domain/scheduling/job_table_test.ts
@@ -90,6 +90,28 @@
     });
 
     // Guards against a commit whose cost grows with the number of kept jobs.
+    // Guards against voters whose states differ: a job was too old under one
+    // leader and not under the next, whose wall clock was behind, and only the
+    // voter that had begun from a snapshot kept it.
+    it("removes the same jobs before and after a snapshot", () => {
+      const jobs = new JobTable();
+      const jobId = formatJobId(1);
+      const task = { jobId, occurrence: 0, step: 0, index: 0 };
+      acceptJob(jobs, jobId, 0);
+      jobs.start({ type: "start", task, runNumber: 1, ...RUNNER }, 1);
+      jobs.cancel(jobId, 1_000);
+      jobs.prune(1_001 + JOB_KEEP_MS);
+      const restored = new JobTable();
+      jobs.list().forEach((job) => restored.restore(job.toStored()));
+      for (const table of [jobs, restored]) {
+        table.endIncarnation(RUNNER, 1_000 + JOB_KEEP_MS);
+        table.prune(1_000 + JOB_KEEP_MS);
+        assert.ok(table.find(jobId));
+        table.prune(1_001 + JOB_KEEP_MS);
+        assert.is(table.find(jobId), undefined);
+      }
+    });
+
     it("reads no job that is still kept", () => {
       const jobs = new JobTable();
       for (let index = 0; index < KEPT_JOB_COUNT; index += 1) {
