Wait for a successor's lease as long as its slow clock may measure it

What callers could see: a task that runs twice at once, on a platform with leases of up to 10 s. Found in a review, not seen in a run.

Change: the leader waits for the longest time of a request and of a lease on a slow clock, with the margin that all leases have.

Evidence: "may have runs at its successor until the last lease has expired" fails without the change and passes with it; the cases of runner_status_test, replaced_runner_test and lease_tracker_test pass.

--- a/src/services/scheduling/lease_tracker.ts
+++ b/src/services/scheduling/lease_tracker.ts
@@ -100,8 +100,13 @@
   }
 }
 
-// Returns the longest time on the leader's clock until the runner's clock,
-// which may be slow, has advanced by a duration, plus a margin.
-function toLongestMs(durationMs: number): number {
+/**
+ * Computes the longest time on the leader's clock until the clock of a runner,
+ * which may be slow, has advanced by a duration.
+ *
+ * @param durationMs - The duration on the runner's clock (ms).
+ * @returns The time with a margin, in milliseconds.
+ */
+export function toLongestMs(durationMs: number): number {
   return durationMs / (1 - MAX_CLOCK_DRIFT) + LEASE_SLACK_MS;
 }
--- a/src/services/scheduling/runner_status.ts
+++ b/src/services/scheduling/runner_status.ts
@@ -1,7 +1,23 @@
 /** What the leader has observed of one runner incarnation. */
 import { formatTaskId } from "../../domain/index.ts";
 import type { Clock, RunnerReport } from "../../ports/index.ts";
-import { MAX_LEASE_MS, MAX_SILENCE_MS, OVERDUE_MS } from "./timing.ts";
+import { toLongestMs } from "./lease_tracker.ts";
+import {
+  MAX_LEASE_MS,
+  MAX_SILENCE_MS,
+  OVERDUE_MS,
+  POLL_TIMEOUT_MS,
+  POLL_WAIT_MS,
+} from "./timing.ts";
+
+/**
+ * Time after the last request to a replaced incarnation was sent until no run
+ * can be left at its successor, in milliseconds. The request may arrive there
+ * until it times out, and the lease that it grants begins then.
+ */
+const SUCCESSOR_LEASE_MS = toLongestMs(
+  POLL_WAIT_MS + POLL_TIMEOUT_MS + MAX_LEASE_MS,
+);
 
 /**
  * Last contact, failures and progress of a runner; discarded with the
@@ -72,7 +88,7 @@
    */
   get mayRunAtSuccessor(): boolean {
     return this.#replacedAtMs !== undefined &&
-      this.#clock.steadyMs() - this.#replacedAtMs <= MAX_LEASE_MS;
+      this.#clock.steadyMs() - this.#replacedAtMs <= SUCCESSOR_LEASE_MS;
   }
 
   /** Whether a request has been unanswered for longer than usual. */
--- a/src/services/scheduling/runner_status_test.ts
+++ b/src/services/scheduling/runner_status_test.ts
@@ -2,6 +2,12 @@
 import { describe, it } from "../../testing/describe.ts";
 import { FakeClock } from "../../testing/fake_clock.ts";
 import { RunnerStatus } from "./runner_status.ts";
+import {
+  MAX_CLOCK_DRIFT,
+  MAX_LEASE_MS,
+  POLL_TIMEOUT_MS,
+  POLL_WAIT_MS,
+} from "./timing.ts";
 
 const TASK = "0123456789abcdef.0.0.1";
 const LONG_MS = 10_000;
@@ -38,3 +44,19 @@
     });
   });
 });
+
+describe("a runner that was replaced", () => {
+  // Guards against a task that runs twice at once: the last request to the
+  // previous incarnation reached its successor late, and the lease that it got
+  // there was measured on a slow clock.
+  it("may have runs at its successor until the last lease has expired", async () => {
+    const { clock, status } = createWorkingRunner();
+    assert.not(status.mayRunAtSuccessor);
+    status.recordReplaced();
+    await clock.advance(POLL_WAIT_MS + POLL_TIMEOUT_MS);
+    await clock.advance(MAX_LEASE_MS / (1 - MAX_CLOCK_DRIFT));
+    assert.ok(status.mayRunAtSuccessor);
+    await clock.advance(MAX_LEASE_MS);
+    assert.not(status.mayRunAtSuccessor);
+  });
+});
