Bound what one run changes in the delay of its queue

What callers could see: no job of a queue starts while another queue fills the runners of the same pool. Found in a review, not seen in a run.

All steps of the queue then counted as late and came after those of other queues, so no run of the queue ended that could have corrected the average.

Change: a run counts with at most 1 s of difference from the average.

Evidence: "places the steps of a queue in turn after one run took very long" fails without the change and passes with it; all 6 cases of order_policy_test pass.

--- a/src/decisions/scheduling/order_policy_test.ts
+++ b/src/decisions/scheduling/order_policy_test.ts
@@ -15,10 +15,14 @@
   estimateMs: ESTIMATE_MS,
 });
 
-function createReadyStep(dueMs: number, criticalStepCount = 1): ReadyStep {
+function createReadyStep(
+  dueMs: number,
+  criticalStepCount = 1,
+  queue = QUEUE,
+): ReadyStep {
   const job = new JobRecord({
     spec: { jobId: String(dueMs).padStart(16, "0"), text: "", steps: [STEP] },
-    queue: QUEUE,
+    queue,
     pool: "bay",
     team: undefined,
     maxAttempts: 1,
@@ -74,6 +78,19 @@
     assert.is(policy.sort([chain, single], nowMs)[0], single);
   });
 
+  // Guards against a queue that gets no runner any more while another one fills
+  // them: one of its runs took far longer than estimated, all its steps counted
+  // as late for that, and no other run corrected the average.
+  it("places the steps of a queue in turn after one run took very long", () => {
+    const nowMs = 5_000;
+    const other = createReadyStep(nowMs, 1, "other");
+    const earlier = createReadyStep(nowMs - 100);
+    const delays = createDelays(100);
+    delays.record(QUEUE, 60_000);
+    const policy = new SlackOrderPolicy(delays);
+    assert.is(policy.sort([other, earlier], nowMs)[0], earlier);
+  });
+
   // Guards against an overload in which nearly every job is late: a queue asks
   // for half as much again as its runners carry out, and each run takes longer
   // than estimated, because the leader is late. The steps with the least slack
--- a/src/decisions/scheduling/run_delays.ts
+++ b/src/decisions/scheduling/run_delays.ts
@@ -2,6 +2,12 @@
 
 /** Weight of one run in the average: about the last twenty count. */
 const RUN_WEIGHT = 0.05;
+/**
+ * Largest difference from the average that one run counts with, in
+ * milliseconds. Steps that count as late for a single long run may get no
+ * runner, and then no other run would correct the average.
+ */
+const MAX_DEVIATION_MS = 1_000;
 
 /**
  * Average delay of the runs of each queue: the time from placing a task until
@@ -20,7 +26,11 @@
    */
   record(queue: string, delayMs: number): void {
     const meanMs = this.#meanMsByQueue.get(queue) ?? 0;
-    this.#meanMsByQueue.set(queue, meanMs + (delayMs - meanMs) * RUN_WEIGHT);
+    const deviationMs = Math.max(
+      -MAX_DEVIATION_MS,
+      Math.min(delayMs - meanMs, MAX_DEVIATION_MS),
+    );
+    this.#meanMsByQueue.set(queue, meanMs + deviationMs * RUN_WEIGHT);
   }
 
   /**
