Forget the delays of a queue that ends no runs

What callers could see: no job of a queue starts for as long as another queue fills the runners of their pool, after an outage had raised the average delay of its runs. Found in a review, not seen in a run.

Cause: only a run that ends corrects the average, and steps that count as late get no runner.

Change: the average halves each 5 s without an ended run.

Evidence: 'places the steps of a queue in turn again some time after an outage' needs the change; the other cases of order_policy_test pass as before.

--- a/src/decisions/scheduling/order_policy.ts
+++ b/src/decisions/scheduling/order_policy.ts
@@ -50,7 +50,8 @@
 
   #computeSlackMs(ready: ReadyStep, nowMs: number): number {
     const { criticalPathMs, criticalStepCount, job, targetEndMs } = ready;
-    const delayMs = this.#delays.find(job.queue) * criticalStepCount;
+    const delayMs = this.#delays.find(job.queue, nowMs) *
+      criticalStepCount;
     return targetEndMs - nowMs - Math.max(0, criticalPathMs + delayMs);
   }
 }
--- a/src/decisions/scheduling/order_policy_test.ts
+++ b/src/decisions/scheduling/order_policy_test.ts
@@ -46,22 +46,24 @@
 }
 
 describe("order by slack", () => {
-  function createDelays(delayMs: number): RunDelays {
+  const NOW_MS = 5_000;
+
+  function createDelays(delayMs: number, runCount = 200): RunDelays {
     const delays = new RunDelays();
-    for (let count = 0; count < 200; count += 1) {
-      delays.record(QUEUE, delayMs);
+    for (let count = 0; count < runCount; count += 1) {
+      delays.record(QUEUE, delayMs, NOW_MS);
     }
     return delays;
   }
 
   it("learns the delay of a queue's runs", () => {
-    const delayMs = createDelays(400).find(QUEUE);
+    const delayMs = createDelays(400).find(QUEUE, NOW_MS);
     assert.ok(Math.abs(delayMs - 400) < 1, `learned ${delayMs} ms`);
-    assert.is(new RunDelays().find(QUEUE), 0);
+    assert.is(new RunDelays().find(QUEUE, NOW_MS), 0);
   });
 
   it("places a step that would be late with the usual delay behind others", () => {
-    const nowMs = 5_000;
+    const nowMs = NOW_MS;
     const tight = createReadyStep(nowMs - 700);
     const fresh = createReadyStep(nowMs);
     const steps = [fresh, tight];
@@ -71,7 +73,7 @@
   });
 
   it("counts the delay for each step of the critical path", () => {
-    const nowMs = 5_000;
+    const nowMs = NOW_MS;
     const chain = createReadyStep(nowMs - 100, 3);
     const single = createReadyStep(nowMs - 50, 1);
     const policy = new SlackOrderPolicy(createDelays(400));
@@ -82,15 +84,28 @@
   // them: one of its runs took far longer than estimated, all its steps counted
   // as late for that, and no other run corrected the average.
   it("places the steps of a queue in turn after one run took very long", () => {
-    const nowMs = 5_000;
+    const nowMs = NOW_MS;
     const other = createReadyStep(nowMs, 1, "other");
     const earlier = createReadyStep(nowMs - 100);
     const delays = createDelays(100);
-    delays.record(QUEUE, 60_000);
+    delays.record(QUEUE, 60_000, nowMs);
     const policy = new SlackOrderPolicy(delays);
     assert.is(policy.sort([other, earlier], nowMs)[0], earlier);
   });
 
+  // Guards against the same after many slow runs in a row, as in an outage.
+  it("places the steps of a queue in turn again some time after an outage", () => {
+    const delays = createDelays(4_000, 60);
+    const policy = new SlackOrderPolicy(delays);
+    const findFirst = (nowMs: number) => {
+      const other = createReadyStep(nowMs, 1, "other");
+      const earlier = createReadyStep(nowMs - 100);
+      return policy.sort([other, earlier], nowMs)[0]?.job.queue;
+    };
+    assert.is(findFirst(NOW_MS), "other");
+    assert.is(findFirst(NOW_MS + 20_000), QUEUE);
+  });
+
   // Guards against an overload in which nearly every job is late: a queue asks
   // for half as much again as its runners carry out, and each run takes longer
   // than estimated, because the leader is late. The steps with the least slack
@@ -116,7 +131,7 @@
           if (next !== undefined) {
             const doneMs = nowMs + ESTIMATE_MS + DELAY_MS;
             slotEndsMs[slot] = doneMs;
-            delays?.record(QUEUE, DELAY_MS);
+            delays?.record(QUEUE, DELAY_MS, nowMs);
             inTimeCount += Number(doneMs <= next.targetEndMs);
           }
         });
--- a/src/decisions/scheduling/run_delays.ts
+++ b/src/decisions/scheduling/run_delays.ts
@@ -8,6 +8,17 @@
  * runner, and then no other run would correct the average.
  */
 const MAX_DEVIATION_MS = 1_000;
+/**
+ * Time without an ended run in which the average halves, in milliseconds. A
+ * queue whose steps count as late ends no run that could correct it.
+ */
+const HALF_LIFE_MS = 5_000;
+
+interface Average {
+  readonly meanMs: number;
+  /** Wall-clock time of the newest run (ms). */
+  readonly atMs: number;
+}
 
 /**
  * Average delay of the runs of each queue: the time from placing a task until
@@ -15,7 +26,7 @@
  * as well as commits, requests and a leader that is short of processor time.
  */
 export class RunDelays {
-  readonly #meanMsByQueue = new Map<string, number>();
+  readonly #averageByQueue = new Map<string, Average>();
 
   /**
    * Records a run that ended as done.
@@ -23,22 +34,32 @@
    * @param queue - Name of the job's queue.
    * @param delayMs - Its duration minus the estimate (ms); negative for a run
    * that was faster than estimated.
+   * @param nowMs - Wall-clock time (ms).
    */
-  record(queue: string, delayMs: number): void {
-    const meanMs = this.#meanMsByQueue.get(queue) ?? 0;
+  record(queue: string, delayMs: number, nowMs: number): void {
+    const meanMs = this.find(queue, nowMs);
     const deviationMs = Math.max(
       -MAX_DEVIATION_MS,
       Math.min(delayMs - meanMs, MAX_DEVIATION_MS),
     );
-    this.#meanMsByQueue.set(queue, meanMs + deviationMs * RUN_WEIGHT);
+    this.#averageByQueue.set(queue, {
+      meanMs: meanMs + deviationMs * RUN_WEIGHT,
+      atMs: nowMs,
+    });
   }
 
   /**
    * Returns the average delay of a queue's runs (ms); 0 before the first.
    *
    * @param queue - Name of the queue.
+   * @param nowMs - Wall-clock time (ms).
    */
-  find(queue: string): number {
-    return this.#meanMsByQueue.get(queue) ?? 0;
+  find(queue: string, nowMs: number): number {
+    const average = this.#averageByQueue.get(queue);
+    if (average === undefined) {
+      return 0;
+    }
+    const ageMs = Math.max(0, nowMs - average.atMs);
+    return average.meanMs * 0.5 ** (ageMs / HALF_LIFE_MS);
   }
 }
--- a/src/services/scheduling/run_end_detector.ts
+++ b/src/services/scheduling/run_end_detector.ts
@@ -90,8 +90,9 @@
 
   #recordDelay({ job, startedAtMs, step }: RunningTask): void {
     const { clock, delays } = this.#options;
-    const tookMs = clock.nowMs() - startedAtMs;
-    delays.record(job.queue, tookMs - step.estimateMs);
+    const nowMs = clock.nowMs();
+    const delayMs = nowMs - startedAtMs - step.estimateMs;
+    delays.record(job.queue, delayMs, nowMs);
   }
 
   #createEnd(
