Forget a queue's delays after ten seconds instead of halving them

The average now stays as it is for 10 s after the last ended run and is then forgotten. All 7 cases pass, also 'places the steps of a queue in turn again some time after an outage'.

--- a/src/decisions/scheduling/run_delays.ts
+++ b/src/decisions/scheduling/run_delays.ts
@@ -9,10 +9,11 @@
  */
 const MAX_DEVIATION_MS = 1_000;
 /**
- * Time without an ended run in which the average halves, in milliseconds. A
- * queue whose steps count as late ends no run that could correct it.
+ * Time without an ended run after which the average is forgotten, in
+ * milliseconds. A queue whose steps count as late ends no run that could correct
+ * it.
  */
-const HALF_LIFE_MS = 5_000;
+const MAX_AGE_MS = 10_000;
 
 interface Average {
   readonly meanMs: number;
@@ -49,17 +50,15 @@
   }
 
   /**
-   * Returns the average delay of a queue's runs (ms); 0 before the first.
+   * Returns the average delay of a queue's runs (ms); 0 when none has
+   * ended for long.
    *
    * @param queue - Name of the queue.
    * @param nowMs - Wall-clock time (ms).
    */
   find(queue: string, nowMs: number): number {
     const average = this.#averageByQueue.get(queue);
-    if (average === undefined) {
-      return 0;
-    }
-    const ageMs = Math.max(0, nowMs - average.atMs);
-    return average.meanMs * 0.5 ** (ageMs / HALF_LIFE_MS);
+    const isKnown = average !== undefined && nowMs - average.atMs <= MAX_AGE_MS;
+    return isKnown ? average.meanMs : 0;
   }
 }
