Send no stops to a runner that does not respond

What callers saw: a leader short of processor time.

Change: a stop waits until the runner answers again, which its polls show.

--- a/src/services/scheduling/run_reconciler.ts
+++ b/src/services/scheduling/run_reconciler.ts
@@ -230,10 +230,12 @@
     key: string,
     signal: AbortSignal,
   ): Promise<void> {
-    const { clock } = this.#options;
+    const { clock, status } = this.#options;
     const name = { task: run.id, runNumber: run.runNumber };
     while (this.#hasState(key, "closing", signal)) {
-      if (await this.#commands.stop(name)) {
+      // The polls show when a runner responds again. Requests for each of its
+      // runs meanwhile would cost the leader a connection each.
+      if (status.isAnswering && await this.#commands.stop(name)) {
         this.#confirm(key, "closed", clock.monotonicMs());
         this.#options.loadChanged.notify();
         return;
--- a/src/services/scheduling/unresponsive_runner_test.ts
+++ b/src/services/scheduling/unresponsive_runner_test.ts
@@ -79,6 +79,31 @@
     ).flatMap((runner) => [...jobs.findLoad(runner).running.values()]);
   }
 
+  // Guards against a leader that spends its processor time on connections to a
+  // runner that is gone: each of its runs was stopped anew every 200 ms.
+  it("sends few stops for the cancelled jobs of a runner that is gone", async () => {
+    const { fixture } = await setUp();
+    const runCount = listRunsOn(fixture, "r1").length;
+    assert.ok(runCount > 1, "r1 is busy");
+    let stopCount = 0;
+    const stop = fixture.runners.stop.bind(fixture.runners);
+    fixture.runners.stop = (...request) => {
+      stopCount += 1;
+      return stop(...request);
+    };
+    fixture.crash("r1");
+    for (const { job } of listRunsOn(fixture, "r1")) {
+      fixture.apply({
+        type: "scheduling",
+        atMs: fixture.clock.nowMs(),
+        operations: [{ type: "cancel", jobId: job.spec.jobId }],
+      });
+    }
+    await fixture.clock.advance(RUN_LEASE_MS);
+    assert.ok(stopCount <= runCount, `${stopCount} stops for ${runCount} runs`);
+    await fixture.stop();
+  });
+
   it("places its work elsewhere as soon as its leases expire", async () => {
     const { fixture, arrivals } = await setUp();
     assert.ok(listRunsOn(fixture, "r1").length > 0, "r1 is busy");
