--- a/src/services/scheduling/runner_task.ts
+++ b/src/services/scheduling/runner_task.ts
@@ -4,18 +4,10 @@
   type RunnerLoad,
   type RunningTask,
   type SchedulingOperation,
-  type TaskId,
 } from "../../domain/index.ts";
 import type { RunDelays } from "../../decisions/index.ts";
-import type {
-  Logger,
-  RunnerClient,
-  RunnerFailure,
-  RunnerRemoval,
-  RunnerReport,
-} from "../../ports/index.ts";
-import { Notifier, type TaskGroup, waitFor } from "../../tasks/index.ts";
-import { closePreviousIncarnation } from "./previous_incarnation.ts";
+import type { RunnerFailure, RunnerReport } from "../../ports/index.ts";
+import { type Notifier, waitFor } from "../../tasks/index.ts";
 import { LeaseGrants } from "./lease_grants.ts";
 import { LeaseTracker } from "./lease_tracker.ts";
 import { choosePollTimes } from "./poll_times.ts";
@@ -24,9 +16,9 @@
   type RequestObserverOptions,
 } from "./request_observer.ts";
 import { RunEndDetector } from "./run_end_detector.ts";
-import { RunReconciler } from "./run_reconciler.ts";
+import { RunReconciler, type RunReconcilerOptions } from "./run_reconciler.ts";
+import { RunnerRemover } from "./runner_remover.ts";
 import type { RunnerStatus } from "./runner_status.ts";
-import type { SchedulingLog } from "./scheduling_log.ts";
 import {
   END_BATCH_MS,
   EXPIRED_RETRY_MS,
@@ -35,21 +27,17 @@
   REQUEST_RETRY_MS,
 } from "./timing.ts";
 
+/** Options of its parts that the task sets itself. */
+type OwnPart = "lease" | "grants" | "requests" | "findRunner" | "findLoad";
+
 /** Options of {@link RunnerTask}. */
 export interface RunnerTaskOptions
-  extends Omit<RequestObserverOptions, "lease"> {
+  extends
+    Omit<RequestObserverOptions, OwnPart>,
+    Omit<RunReconcilerOptions, OwnPart> {
   readonly runner: Runner;
-  readonly log: SchedulingLog;
-  readonly client: RunnerClient;
-  readonly logger: Logger;
-  readonly tasks: TaskGroup;
   /** Notified when the runner has become operational. */
   readonly changed: Notifier;
-  /** Notified when the runner's own load has changed. */
-  readonly loadChanged: Notifier;
-  readonly fencingToken: number;
-  /** Finds the ticket of a task for a runner; undefined where none is needed. */
-  readonly findTicket: (task: TaskId, runner: Runner) => string | undefined;
   /** Returns how many failed runs of a task its job allows. */
   readonly findMaxAttempts: (run: RunningTask) => number;
   /** Records how much longer than estimated runs took. */
@@ -65,14 +53,13 @@
   readonly #requests: RequestObserver;
   readonly #runs: RunReconciler;
   readonly #ends: RunEndDetector;
+  readonly #remover: RunnerRemover;
   /** Position in the runner's list of ended runs up to which the log has them. */
   #recordedPosition = 0;
   /** Position up to which the runner was told to delete ended runs. */
   #ackedPosition = 0;
   #runner: Runner;
   #isFenced = false;
-  /** Whether the runner is to be removed from the log. */
-  #isRemoved = false;
 
   constructor(options: RunnerTaskOptions) {
     this.#options = options;
@@ -98,6 +85,12 @@
       findRunner: () => this.#runner,
       findLoad: () => this.#load,
     });
+    this.#remover = new RunnerRemover({
+      ...options,
+      requests: this.#requests,
+      findRunner: () => this.#runner,
+      findLoad: () => this.#load,
+    });
   }
 
   /** The runner as it last announced itself. */
@@ -116,8 +109,7 @@
    * first, so that no task that is done starts again.
    */
   retire(): void {
-    this.#isRemoved = true;
-    this.status.close();
+    this.#remover.retire();
     this.#options.loadChanged.notify();
   }
 
@@ -154,8 +146,8 @@
   async #poll(signal: AbortSignal): Promise<void> {
     const { clock, loadChanged, log } = this.#options;
     while (!signal.aborted && !this.#isFenced) {
-      if (this.#isRemoved) {
-        await this.#proposeRemoval();
+      if (this.#remover.isDecided) {
+        await this.#remover.record();
         await clock.sleep(EXPIRED_RETRY_MS, signal);
         continue;
       }
@@ -165,7 +157,7 @@
           notifier: loadChanged,
           timeoutMs: IDLE_CHECK_MS,
           signal,
-          isMet: () => this.#isPollDue || this.#isRemoved,
+          isMet: () => this.#isPollDue || this.#remover.isDecided,
         });
         continue;
       }
@@ -207,7 +199,7 @@
     }
     if (polled.value.bornAtMs !== this.#runner.bornAtMs) {
       this.status.recordNoAnswer();
-      await this.#closeReplaced();
+      await this.#remover.replace();
       await clock.sleep(REQUEST_RETRY_MS, signal);
       return;
     }
@@ -289,13 +281,13 @@
     // nothing.
     const isIdleOnce = this.status.isAnswering && this.#load.running.size === 0;
     this.status.recordNoAnswer();
-    if (this.#isRemoved) {
+    if (this.#remover.isDecided) {
       return;
     }
     const isGone = failure.refusal === "otherLife" ||
       (failure.refusal === "notListening" && this.status.isLeaving);
     if (isGone || (this.#leaseLeftMs === 0 && !isIdleOnce)) {
-      this.#decideRemoval(isGone ? "ended" : "leasesExpired");
+      this.#remover.giveUp(isGone ? "ended" : "leasesExpired");
       return;
     }
     const pauseMs = isIdleOnce
@@ -303,53 +295,4 @@
       : Math.min(REQUEST_RETRY_MS, this.#leaseLeftMs);
     await clock.sleep(pauseMs, signal);
   }
-
-  // Another incarnation answers under the same id and has not announced itself.
-  async #closeReplaced(): Promise<void> {
-    const { log, logger } = this.#options;
-    const { runnerId, bornAtMs } = this.#runner;
-    const ends = await closePreviousIncarnation(
-      { ...this.#options, findStatus: () => this.status },
-      this.#runner,
-      this.#runner,
-    );
-    if (ends !== undefined && log.holdsLeaderLease) {
-      logger.warn(
-        { runnerId, bornAtMs, ...this.#requests.recordRemoval("replaced") },
-        "a runner was replaced by a new incarnation",
-      );
-      await log.propose([...ends, { type: "runnerGone", runnerId, bornAtMs }]);
-    }
-  }
-
-  // The proposal is repeated until it is applied, which ends this task.
-  #decideRemoval(removal: RunnerRemoval): void {
-    const { log, logger } = this.#options;
-    const { runnerId, bornAtMs } = this.#runner;
-    if (!log.holdsLeaderLease) {
-      return;
-    }
-    this.#isRemoved = true;
-    this.status.close();
-    const runCount = this.#load.running.size;
-    const fields = this.#requests.recordRemoval(removal);
-    logger.warn(
-      { runnerId, bornAtMs, runCount, ...fields },
-      "gives up a runner",
-    );
-  }
-
-  async #proposeRemoval(): Promise<void> {
-    const { log, logger } = this.#options;
-    const { runnerId, bornAtMs } = this.#runner;
-    const proposed = await log.propose([
-      { type: "runnerGone", runnerId, bornAtMs },
-    ]);
-    if (proposed.isErr) {
-      logger.warn(
-        { runnerId, bornAtMs, failure: proposed.error },
-        "failed to record the removal of a runner; proposing it again",
-      );
-    }
-  }
 }
