Refuse announcements of runners that cannot be used

Seen by callers: nothing yet; by a test, a start time of 1e300 under the id of a sound runner shut out all its later announcements, and an address with port 99999 or an unreadable host went into the replicated log.

Cause: the heartbeat schema checked the form of an address only, and `v.integer()` accepts any whole number that a double holds.

The log keeps the weaker schema, since it may hold such entries already.

--- a/src/domain/scheduling/runner.ts
+++ b/src/domain/scheduling/runner.ts
@@ -21,6 +21,40 @@
   isDraining: v.boolean(),
 });
 
+const MAX_PORT = 65_535;
+/** Latest time that a date can hold, in milliseconds since the epoch. */
+const MAX_TIME_MS = 8.64e15;
+
+/** Schema of an address to which requests can be sent, as `host:port`. */
+export const requestAddressSchema = v.pipe(
+  v.string(),
+  v.regex(/^[A-Za-z0-9.-]+:\d{1,5}$/, "write host:port"),
+  v.check(isRequestAddress, `write a host and a port from 1 to ${MAX_PORT}`),
+);
+
+/** Schema of the start time of an incarnation, in milliseconds. */
+export const startTimeSchema = v.pipe(
+  v.number(),
+  v.safeInteger(),
+  v.minValue(0),
+  v.maxValue(MAX_TIME_MS),
+);
+
+/**
+ * Schema of a runner that announces itself. The log keeps the weaker
+ * {@link runnerSchema}, because it may hold runners that were accepted before.
+ */
+export const announcedRunnerSchema = v.object({
+  ...runnerSchema.entries,
+  bornAtMs: startTimeSchema,
+  address: requestAddressSchema,
+});
+
+function isRequestAddress(address: string): boolean {
+  const port = Number(address.split(":")[1]);
+  return port >= 1 && port <= MAX_PORT && URL.canParse(`http://${address}`);
+}
+
 /**
  * A runner as it announces itself. `runnerId` and `bornAtMs` together identify
  * one incarnation, the time from one start of the runner to the next.
--- a/src/services/scheduling/runner_registry.ts
+++ b/src/services/scheduling/runner_registry.ts
@@ -1,9 +1,10 @@
 /** The leader's service for announcements and departures of runners. */
 import { Result } from "true-myth";
 import {
+  announcedRunnerSchema,
+  createFailure,
   type Failure,
   type Runner,
-  runnerSchema,
   type SchedulingOperation,
   validateWith,
 } from "../../domain/index.ts";
@@ -11,6 +12,7 @@
 import { closePreviousIncarnation } from "./previous_incarnation.ts";
 import type { RunnerFleet } from "./runner_fleet.ts";
 import type { SchedulingLog } from "./scheduling_log.ts";
+import { MAX_START_TIME_AHEAD_MS } from "./timing.ts";
 
 /** Options of {@link RunnerRegistry}. */
 export interface RunnerRegistryOptions {
@@ -40,12 +42,17 @@
    * or why it could not be recorded.
    */
   async announce(body: unknown): Promise<Result<unknown, Failure>> {
-    const checked = validateWith(runnerSchema, body, { subject: "runner" });
+    const checked = validateWith(announcedRunnerSchema, body, {
+      subject: "runner",
+    });
     if (checked.isErr) {
       return Result.err(checked.error);
     }
     const runner = checked.value;
-    const { log, fleet } = this.#options;
+    const { clock, log, fleet } = this.#options;
+    if (runner.bornAtMs > clock.nowMs() + MAX_START_TIME_AHEAD_MS) {
+      return Result.err(createFutureStart(runner));
+    }
     const known = log.state.runners.get(runner.runnerId);
     const departedMs = this.#departedBornAtMs.get(runner.runnerId) ?? -Infinity;
     const isOutdated = runner.bornAtMs <= departedMs ||
@@ -116,6 +123,15 @@
   }
 }
 
+// It would shut out every later announcement under the same id.
+function createFutureStart({ runnerId, bornAtMs }: Runner): Failure {
+  return createFailure(
+    "invalidInput",
+    `runner ${runnerId}: bornAtMs is ${bornAtMs}, which is in the future`,
+    { remedy: "announce the time at which the runner has started" },
+  );
+}
+
 function isSame(left: Runner, right: Runner): boolean {
   return JSON.stringify(left) === JSON.stringify(right);
 }
--- a/src/services/scheduling/timing.ts
+++ b/src/services/scheduling/timing.ts
@@ -98,6 +98,11 @@
  * once.
  */
 export const WAVE_TICK_MS = 700;
+/**
+ * Time by which the start of a runner may lie ahead of the leader's wall clock,
+ * in milliseconds: far above what clocks of one deployment differ by.
+ */
+export const MAX_START_TIME_AHEAD_MS = 24 * 3_600_000;
 /** Timeout of one call to a leader that answers, in milliseconds. */
 export const LEADER_CALL_MS = 1_200;
 /** Pause between two attempts to reach the leader, in milliseconds. */
--- a/src/testing/scheduling_fixture.ts
+++ b/src/testing/scheduling_fixture.ts
@@ -200,7 +200,20 @@
     }
     const draining = { ...runner, isDraining: true };
     this.#activeRunners.set(runnerId, draining);
-    return await this.#announce(draining);
+    return await this.announce(draining);
+  }
+
+  /**
+   * Announces a runner to the leader.
+   *
+   * @param runner - The runner; the leader may refuse it.
+   * @returns Whether the leader accepted the announcement.
+   */
+  async announce(runner: Runner): Promise<boolean> {
+    const leader = this.#leader;
+    await leader?.clock.waitUntilResumed();
+    const announced = await leader?.registry.announce(runner);
+    return announced?.isOk ?? false;
   }
 
   /** Submits a job and returns whether the leader accepted it. */
@@ -233,13 +246,6 @@
     await tasks.stop();
   }
 
-  async #announce(runner: Runner): Promise<boolean> {
-    const leader = this.#leader;
-    await leader?.clock.waitUntilResumed();
-    const announced = await leader?.registry.announce(runner);
-    return announced?.isOk ?? false;
-  }
-
   #startLeader(term: number): Leader {
     const { logger, metrics } = this;
     const clock = new PausableClock(this.clock);
@@ -296,7 +302,7 @@
     while (!signal.aborted) {
       for (const runner of this.#activeRunners.values()) {
         if (!this.runners.cutIds.has(runner.runnerId)) {
-          void this.#announce(runner);
+          void this.announce(runner);
         }
       }
       await this.clock.sleep(HEARTBEAT_INTERVAL_MS, signal);
