End both halves of a runner's task when one throws

When the poll of a runner threw an error, its task was restarted every 500 ms while the half that sends starts and stops ran on, one more with each restart: 45 waiting timers after 20 s instead of 5.

Cause: `Promise.all` rejects with the first error and leaves the rest running.

Change: `runTogether` aborts the other parts, waits for them and then throws. RunnerTask is the only task that ran parts in that way for as long as a runner lives; the other uses of `Promise.all` wait for requests with a timeout.

Evidence: the case "has one task at a time" of odd_announcement_test failed before with the figures above.

--- a/src/services/scheduling/odd_announcement_test.ts
+++ b/src/services/scheduling/odd_announcement_test.ts
@@ -52,3 +52,38 @@
     });
   });
 });
+
+describe("a stored runner whose requests throw an error", () => {
+  // Guards against halves of a runner's task that pile up, one for each
+  // restart of the task.
+  it("has one task at a time, and the others get work", async () => {
+    const { fixture, known } = await setUp();
+    const { clock, runners, state } = fixture;
+    const odd: Runner = { ...known, runnerId: "odd", address: "a[b:8080" };
+    let pollingCount = 0;
+    const poll = runners.poll.bind(runners);
+    runners.poll = (runner, request) => {
+      if (runner.runnerId !== "odd") {
+        return poll(runner, request);
+      }
+      pollingCount += 1;
+      throw new TypeError("Invalid URL");
+    };
+    fixture.apply({
+      type: "scheduling",
+      atMs: clock.nowMs(),
+      operations: [{ type: "runner", runner: odd }],
+    });
+    const waitingCount = clock.timerCount;
+    await clock.advance(20_000);
+    assert.ok(pollingCount > 1, "the task was restarted");
+    assert.ok(
+      clock.timerCount <= waitingCount + 5,
+      `${clock.timerCount} timers instead of ${waitingCount}`,
+    );
+    void fixture.submit(JOB_ID, [STEP]);
+    await clock.advance(2_000);
+    assert.is(state.scheduling.jobs.find(JOB_ID)?.outcome, "completed");
+    await fixture.stop();
+  });
+});
--- a/src/services/scheduling/runner_task.ts
+++ b/src/services/scheduling/runner_task.ts
@@ -7,7 +7,7 @@
 } from "../../domain/index.ts";
 import type { RunDelays } from "../../decisions/index.ts";
 import type { RunnerFailure, RunnerReport } from "../../ports/index.ts";
-import { type Notifier, waitFor } from "../../tasks/index.ts";
+import { type Notifier, runTogether, waitFor } from "../../tasks/index.ts";
 import { LeaseGrants } from "./lease_grants.ts";
 import { LeaseTracker } from "./lease_tracker.ts";
 import { choosePollTimes } from "./poll_times.ts";
@@ -124,7 +124,10 @@
    * @param signal - Ends the task.
    */
   async run(signal: AbortSignal): Promise<void> {
-    await Promise.all([this.#poll(signal), this.#runs.run(signal)]);
+    await runTogether([
+      (ownSignal) => this.#poll(ownSignal),
+      (ownSignal) => this.#runs.run(ownSignal),
+    ], signal);
     this.#options.client.disconnect(this.#runner);
   }
 
--- a/src/tasks/index.ts
+++ b/src/tasks/index.ts
@@ -1,5 +1,6 @@
 /** Groups of tasks that stop together, and waiting without spinning. */
 export * from "./mutex.ts";
 export * from "./notifier.ts";
+export * from "./run_together.ts";
 export * from "./task_group.ts";
 export * from "./wait_for.ts";
--- a/src/testing/fake_clock.ts
+++ b/src/testing/fake_clock.ts
@@ -12,6 +12,11 @@
   #nowMs = 0;
   readonly #timers = new Set<Timer>();
 
+  /** Number of timers that wait. */
+  get timerCount(): number {
+    return this.#timers.size;
+  }
+
   nowMs(): number {
     return this.#nowMs;
   }
