Gather work longer while the leader is busy

Cause: polls, plans and batches of the log follow fixed short intervals. Each end had a poll and a proposal of its own, so the cost for each task did not fall when the leader fell behind.

Change: BatchIntervalPolicy chooses how long ends, changes and log entries gather, from 25, 6 and 20 ms up to 150, 40 and 50 ms, by the share of the last quarter of a second in which the event loop was active. An idle leader works as before.

Evidence: busy_leader_test needs half of the polls and fewer commits for the same arrivals; with FixedBatchIntervalPolicy, which is what the code did before, its first case fails.

--- a/src/daemon/scheduling/create_scheduling_controller.ts
+++ b/src/daemon/scheduling/create_scheduling_controller.ts
@@ -1,6 +1,10 @@
 /** Composes a scheduling controller: a voter that schedules jobs while it leads. */
 import { Result } from "true-myth";
 import { FileLogStore, NodeFileSystem } from "../../adapters/disk/index.ts";
+import {
+  type BatchInterval,
+  LoadBatchIntervalPolicy,
+} from "../../decisions/index.ts";
 import type { Failure } from "../../domain/index.ts";
 import type {
   AdviceClient,
@@ -60,10 +64,10 @@
  */
 const COMMIT_NOTIFICATION_DELAY_MS = 100;
 /**
- * Least time between two batches of the log, in milliseconds: a few network
- * round trips, and far less than a task's run.
+ * Least time between two batches of the log, in milliseconds: from a few network
+ * round trips to a small part of a task's run.
  */
-const BATCH_INTERVAL_MS = 20;
+const LOG_BATCH_INTERVAL: BatchInterval = { leastMs: 20, mostMs: 50 };
 
 /**
  * Starts a controller.
@@ -148,6 +152,7 @@
   options: SchedulingControllerOptions,
 ): Promise<Result<Replica, Failure>> {
   const { entryId, seedIds, dataFolder, mayBootstrap, onFatal } = options;
+  const batching = new LoadBatchIntervalPolicy(base.eventLoop);
   const files = await NodeFileSystem.load(dataFolder);
   return await Replica.load({
     ...base,
@@ -159,7 +164,7 @@
     mayBootstrap,
     admitsMembers: true,
     commitNotificationDelayMs: COMMIT_NOTIFICATION_DELAY_MS,
-    batchIntervalMs: BATCH_INTERVAL_MS,
+    chooseBatchIntervalMs: () => batching.chooseMs(LOG_BATCH_INTERVAL),
     commitRule: new MajorityCommitRule(),
     store: new WatchedLogStore({
       ...base,
--- a/src/services/scheduling/scheduler.ts
+++ b/src/services/scheduling/scheduler.ts
@@ -7,6 +7,7 @@
   type SchedulingState,
 } from "../../domain/index.ts";
 import type {
+  BatchIntervalPolicy,
   Candidate,
   PlannedStart,
   ReadyStep,
@@ -16,16 +17,14 @@
 import type { Notifier } from "../../tasks/index.ts";
 import type { RunnerStatus } from "./runner_status.ts";
 import type { SchedulingLog } from "./scheduling_log.ts";
-import {
-  PLAN_PAUSE_MS,
-  PROPOSE_RETRY_MS,
-  SCHEDULER_TICK_MS,
-} from "./timing.ts";
+import { PLAN_PAUSE, PROPOSE_RETRY_MS, SCHEDULER_TICK_MS } from "./timing.ts";
 
 /** Options of {@link Scheduler}. */
 export interface SchedulerOptions {
   readonly log: SchedulingLog;
   readonly planner: StartPlanner;
+  /** Chooses how long changes gather before the next plan. */
+  readonly batching: BatchIntervalPolicy;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: LeaderMetrics;
@@ -52,7 +51,7 @@
    * @param signal - Ends the task.
    */
   async run(signal: AbortSignal): Promise<void> {
-    const { clock, log, logger } = this.#options;
+    const { batching, clock, log, logger } = this.#options;
     let isOutcomeKnown = true;
     while (!signal.aborted) {
       // A plan whose outcome is unknown may still be applied. It has been, or
@@ -67,7 +66,7 @@
       const starts = log.holdsLeaderLease ? this.#plan() : [];
       if (starts.length === 0) {
         await this.#waitForChange(signal);
-        await clock.sleep(PLAN_PAUSE_MS, signal);
+        await clock.sleep(batching.chooseMs(PLAN_PAUSE), signal);
         continue;
       }
       // A plan whose outcome is unknown may still take effect later.
--- a/src/testing/scheduling_fixture.ts
+++ b/src/testing/scheduling_fixture.ts
@@ -1,6 +1,8 @@
 /** Runs the scheduler of successive leaders over one log, with fake runners. */
 import { Result } from "true-myth";
 import {
+  type BatchIntervalPolicy,
+  FixedBatchIntervalPolicy,
   LeastLossMaintenancePolicy,
   RunDelays,
   ScoredPlacementPolicy,
@@ -59,6 +61,8 @@
   readonly limitMillicores?: number;
   /** Most by which the runners' clocks are slow or fast, in percent. */
   readonly maxClockDriftPercent?: number;
+  /** Chooses how long work gathers; the shortest times by default. */
+  readonly batching?: BatchIntervalPolicy;
   /** Whether each runner is on a VM of its name, which can get maintenance. */
   readonly hasVms?: boolean;
   /**
@@ -261,6 +265,7 @@
       metrics,
       eventLoop: { findLongestDelayMs: () => 0 },
       delays: new RunDelays(),
+      batching: this.#options.batching ?? new FixedBatchIntervalPolicy(),
       changed,
       client: new PausableRunnerClient(this.runners, clock),
       fencingToken: term,
