Relay the leader's requests to runners through other controllers

Cause: the leader alone sends every poll, start and stop, some 2.2 requests over HTTP for each task and new connections for each VM that moves, while the other controllers idle in 96 to 99 % of the samples. At the peaks of the queues' turns its event loop is late by 110 to 160 ms with its whole share of a core in use, and it starts some 600 tasks a second where 1,000 arrive. The class of fault: one process does work that need not be done in one place.

Change: with more than 100 runners the requests go in batches to three other voters, which send them on and return the answers in batches. Decisions, leases and fencing stay with the leader; a request that a relay holds up is like one that the network holds up. A relay that does not confirm in 400 ms is left alone for 10 s, a runner that a relay does not reach is called directly.

--- a/src/daemon/scheduling/create_scheduling_controller.ts
+++ b/src/daemon/scheduling/create_scheduling_controller.ts
@@ -22,6 +22,8 @@
   LeadershipTask,
   OperationsService,
   RecordingOperationMeter,
+  RelayedRunnerClient,
+  RunnerRelay,
   SchedulingLog,
   WatchedLogStore,
 } from "../../services/scheduling/index.ts";
@@ -112,6 +114,15 @@
     leader: remoteLeaderClient,
     handlers,
   });
+  new RunnerRelay({ ...base, client: options.runners });
+  const runners = new RelayedRunnerClient({
+    ...base,
+    direct: options.runners,
+    batching: new LoadBatchIntervalPolicy(base.eventLoop),
+    sessionId: base.random.nextId(),
+    listRelayIds: () => listOtherVoters(replica),
+    countRunners: () => log.state.runners.size,
+  });
   const leadershipTask = new LeadershipTask({
     agreement: replica,
     clock,
@@ -120,6 +131,7 @@
       leaderServices = startLeading({
         ...base,
         ...options,
+        runners,
         log: new SchedulingLog({ ...logOptions, term }),
         changed,
         fencingToken: term,
@@ -147,6 +159,12 @@
   });
 }
 
+function listOtherVoters(replica: Replica): readonly string[] {
+  const { entryId } = replica.status();
+  return replica.state.membership.voters.map((voter) => voter.entryId)
+    .filter((voterId) => voterId !== entryId);
+}
+
 async function loadReplica(
   base: SchedulingBase,
   options: SchedulingControllerOptions,
--- a/src/ports/runner_client.ts
+++ b/src/ports/runner_client.ts
@@ -100,30 +100,33 @@
   readonly timeoutMs: number;
 }
 
+/** What a request needs to know of a runner. */
+export type RunnerEndpoint = Pick<Runner, "runnerId" | "address">;
+
 /** Sends requests to runners; each request is sent at most once. */
 export interface RunnerClient {
   /** Starts a run; a run that has started already stays as it is. */
   start(
-    runner: Runner,
+    runner: RunnerEndpoint,
     request: StartRequest,
   ): Promise<Result<RunnerAnswer, RunnerFailure>>;
   /** Stops a run; a run that has not started there can no longer start. */
   stop(
-    runner: Runner,
+    runner: RunnerEndpoint,
     run: RunName,
     fencingToken: number,
   ): Promise<Result<RunnerAnswer, RunnerFailure>>;
   /** Reads which runs are in progress and which have ended, and renews leases. */
   poll(
-    runner: Runner,
+    runner: RunnerEndpoint,
     request: PollRequest,
   ): Promise<Result<RunnerReport, RunnerFailure>>;
   /** Limits a run to a share of its full speed, in percent. */
   pace(
-    runner: Runner,
+    runner: RunnerEndpoint,
     run: RunName & { readonly percent: number },
     fencingToken: number,
   ): Promise<Result<RunnerAnswer, RunnerFailure>>;
   /** Closes the connections to a runner. */
-  disconnect(runner: Runner): void;
+  disconnect(runner: RunnerEndpoint): void;
 }
--- /dev/null
+++ b/src/services/scheduling/relay/relay_link.ts
@@ -0,0 +1,147 @@
+/** The leader's side of one relay: requests on their way and their answers. */
+import type {
+  Clock,
+  Logger,
+  PeerNetwork,
+  RunnerFailure,
+} from "../../../ports/index.ts";
+import { BatchSender } from "./batch_sender.ts";
+import {
+  RELAY_METHODS,
+  type RelayedAnswer,
+  type RelayedRequest,
+} from "./relay_messages.ts";
+import {
+  MAX_RELAY_BATCH_COUNT,
+  RELAY_CONFIRM_MS,
+  RELAY_PAUSE_MS,
+} from "./relay_timing.ts";
+
+/** Options of {@link RelayLink}. */
+export interface RelayLinkOptions {
+  /** Id of the controller that relays. */
+  readonly relayId: string;
+  /** Names this process in the answers of the relay. */
+  readonly sessionId: string;
+  readonly network: PeerNetwork;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Chooses how long requests gather for one message (ms). */
+  readonly chooseGatherMs: () => number;
+}
+
+interface PendingRequest {
+  readonly settle: (answer: RelayedAnswer) => void;
+  readonly cancelTimer: () => void;
+}
+
+/** A request without its number, which the link sets. */
+export type UnnumberedRequest = RelayedRequest extends infer Each
+  ? Each extends RelayedRequest ? Omit<Each, "callId"> : never
+  : never;
+
+/** Sends requests through one relay and matches the answers. */
+export class RelayLink {
+  readonly #options: RelayLinkOptions;
+  readonly #sender: BatchSender<RelayedRequest>;
+  readonly #pending = new Map<number, PendingRequest>();
+  #nextCallId = 1;
+  /** Monotonic time until which the relay is not used (ms). */
+  #pausedUntilMs = -Infinity;
+
+  constructor(options: RelayLinkOptions) {
+    this.#options = options;
+    this.#sender = new BatchSender<RelayedRequest>({
+      ...options,
+      maxCount: MAX_RELAY_BATCH_COUNT,
+      send: (requests) => this.#send(requests),
+    });
+  }
+
+  /** Whether the relay may be used. */
+  get isUsable(): boolean {
+    return this.#options.clock.monotonicMs() >= this.#pausedUntilMs;
+  }
+
+  /**
+   * Sends requests in batches until the signal aborts.
+   *
+   * @param signal - Ends the task.
+   */
+  run(signal: AbortSignal): Promise<void> {
+    return this.#sender.run(signal);
+  }
+
+  /** Sends a request that gets no answer. */
+  post(request: UnnumberedRequest): void {
+    this.#sender.push({ ...request, callId: this.#nextCallId });
+    this.#nextCallId += 1;
+  }
+
+  /**
+   * Sends a request.
+   *
+   * @param request - The request.
+   * @param timeoutMs - Time after which the answer counts as lost (ms).
+   * @returns The answer; a failure without a refusal when it was lost.
+   */
+  call(request: UnnumberedRequest, timeoutMs: number): Promise<RelayedAnswer> {
+    const callId = this.#nextCallId;
+    return new Promise((settle) => {
+      const cancelTimer = this.#options.clock.startTimer(
+        timeoutMs,
+        () => this.#lose(callId, `no answer within ${timeoutMs} ms`),
+      );
+      this.#pending.set(callId, { settle, cancelTimer });
+      this.post(request);
+    });
+  }
+
+  /** Handles the answers of one message. */
+  receive(answers: readonly RelayedAnswer[]): void {
+    for (const answer of answers) {
+      this.#settle(answer);
+    }
+  }
+
+  async #send(requests: readonly RelayedRequest[]): Promise<boolean> {
+    const { network, relayId, sessionId } = this.#options;
+    const sent = await network.call(
+      relayId,
+      RELAY_METHODS.requests,
+      { sessionId, requests },
+      { timeoutMs: RELAY_CONFIRM_MS },
+    );
+    if (sent.isErr) {
+      this.#pause(sent.error.message);
+    }
+    return sent.isOk;
+  }
+
+  // The relay may have carried out what it was sent, and may still do so.
+  #pause(reason: string): void {
+    const { clock, logger, relayId } = this.#options;
+    logger.warn(
+      { relayId, reason, pendingCount: this.#pending.size },
+      "lost a relay of requests to runners",
+    );
+    this.#pausedUntilMs = clock.monotonicMs() + RELAY_PAUSE_MS;
+    this.#sender.clear();
+    for (const callId of [...this.#pending.keys()]) {
+      this.#lose(callId, "the relay does not respond");
+    }
+  }
+
+  #lose(callId: number, reason: string): void {
+    const message = `controller ${this.#options.relayId}: ${reason}`;
+    const failure: RunnerFailure = { message };
+    this.#settle({ callId, failure });
+  }
+
+  #settle(answer: RelayedAnswer): void {
+    const pending = this.#pending.get(answer.callId);
+    this.#pending.delete(answer.callId);
+    pending?.cancelTimer();
+    pending?.settle(answer);
+  }
+}
--- /dev/null
+++ b/src/services/scheduling/relay/relay_timing.ts
@@ -0,0 +1,39 @@
+/** Intervals, timeouts and limits of the relaying of requests. */
+import type { BatchInterval } from "../../../decisions/index.ts";
+
+/**
+ * Number of runners up to which the leader sends all requests itself. So many
+ * polls need only a small part of its processor time, and a relay adds two
+ * ways between controllers to each request.
+ */
+export const MAX_DIRECT_RUNNER_COUNT = 100;
+/**
+ * Number of controllers that relay at once. With more of them, each message
+ * would carry fewer requests.
+ */
+export const RELAY_COUNT = 3;
+/** How long requests gather at the leader for one message (ms). */
+export const RELAY_REQUEST_GATHER: BatchInterval = { leastMs: 4, mostMs: 20 };
+/** How long answers gather at a relay for one message (ms). */
+export const RELAY_GATHER_MS = 10;
+/** Largest number of requests or answers in one message. */
+export const MAX_RELAY_BATCH_COUNT = 500;
+/**
+ * Time for a relay to confirm a message (ms): several round trips and a late
+ * event loop. A relay that takes longer counts as lost.
+ */
+export const RELAY_CONFIRM_MS = 400;
+/**
+ * Time beyond the timeout of a request after which its answer counts as lost,
+ * in milliseconds.
+ */
+export const RELAY_ANSWER_MARGIN_MS = 300;
+/** Timeout of a request other than a poll at the relay (ms). */
+export const RELAY_REQUEST_MS = 700;
+/** Time for which a lost relay is not used (ms). */
+export const RELAY_PAUSE_MS = 10_000;
+/**
+ * Time for which the leader itself sends the requests to a runner that a relay
+ * did not reach, in milliseconds.
+ */
+export const DIRECT_RETRY_MS = 10_000;
--- /dev/null
+++ b/src/services/scheduling/relay/relayed_runner_client.ts
@@ -0,0 +1,273 @@
+/** Runner client of the leader that spreads its requests over controllers. */
+import { Result } from "true-myth";
+import { type Failure, validateWith } from "../../../domain/index.ts";
+import type {
+  Clock,
+  Logger,
+  PeerNetwork,
+  PollRequest,
+  RunName,
+  RunnerAnswer,
+  RunnerClient,
+  RunnerEndpoint,
+  RunnerFailure,
+  RunnerReport,
+  StartRequest,
+} from "../../../ports/index.ts";
+import type { TaskGroup } from "../../../tasks/index.ts";
+import type { BatchIntervalPolicy } from "../../../decisions/index.ts";
+import { RelayLink, type UnnumberedRequest } from "./relay_link.ts";
+import {
+  RELAY_METHODS,
+  type RelayedAnswer,
+  relayedAnswersSchema,
+  unpackReport,
+} from "./relay_messages.ts";
+import {
+  DIRECT_RETRY_MS,
+  MAX_DIRECT_RUNNER_COUNT,
+  RELAY_ANSWER_MARGIN_MS,
+  RELAY_COUNT,
+  RELAY_REQUEST_GATHER,
+  RELAY_REQUEST_MS,
+} from "./relay_timing.ts";
+
+/** Options of {@link RelayedRunnerClient}. */
+export interface RelayedRunnerClientOptions {
+  /** Sends requests from this process. */
+  readonly direct: RunnerClient;
+  readonly network: PeerNetwork;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly tasks: TaskGroup;
+  readonly batching: BatchIntervalPolicy;
+  /** Names this process in the answers of relays; unique. */
+  readonly sessionId: string;
+  /** Lists the other controllers, which can relay. */
+  readonly listRelayIds: () => readonly string[];
+  /** Counts the runners of the deployment. */
+  readonly countRunners: () => number;
+  /**
+   * Number of runners up to which the leader sends all requests itself;
+   * {@link MAX_DIRECT_RUNNER_COUNT} by default.
+   */
+  readonly maxDirectRunnerCount?: number;
+}
+
+/** Where the requests to one runner go. */
+interface Route {
+  /** The relay that last sent requests to the runner. */
+  relayId: string | undefined;
+  /** Monotonic time until which requests go straight to the runner (ms). */
+  directUntilMs: number;
+}
+
+/**
+ * Sends the requests to runners through other controllers where there are many
+ * runners: connections and messages of each runner would otherwise take most of
+ * the leader's processor time. The leader decides and grants leases as before;
+ * a request that a relay holds up is like one that the network holds up.
+ */
+export class RelayedRunnerClient implements RunnerClient {
+  readonly #options: RelayedRunnerClientOptions;
+  readonly #links = new Map<string, RelayLink>();
+  /** Routes by runner id. */
+  readonly #routes = new Map<string, Route>();
+
+  constructor(options: RelayedRunnerClientOptions) {
+    this.#options = options;
+    options.network.handle(
+      RELAY_METHODS.answers,
+      (peerId, body) => Promise.resolve(this.#receive(peerId, body)),
+    );
+  }
+
+  async start(
+    runner: RunnerEndpoint,
+    request: StartRequest,
+  ): Promise<Result<RunnerAnswer, RunnerFailure>> {
+    const link = this.#chooseLink(runner);
+    return link === undefined
+      ? await this.#options.direct.start(runner, request)
+      : await this.#relay(runner, link, { kind: "start", runner, request });
+  }
+
+  async stop(
+    runner: RunnerEndpoint,
+    run: RunName,
+    fencingToken: number,
+  ): Promise<Result<RunnerAnswer, RunnerFailure>> {
+    const link = this.#chooseLink(runner);
+    const request = { task: run.task, runNumber: run.runNumber };
+    return link === undefined
+      ? await this.#options.direct.stop(runner, run, fencingToken)
+      : await this.#relay(runner, link, {
+        kind: "stop",
+        runner,
+        request,
+        fencingToken,
+      });
+  }
+
+  async pace(
+    runner: RunnerEndpoint,
+    run: RunName & { readonly percent: number },
+    fencingToken: number,
+  ): Promise<Result<RunnerAnswer, RunnerFailure>> {
+    const link = this.#chooseLink(runner);
+    const { task, runNumber, percent } = run;
+    return link === undefined
+      ? await this.#options.direct.pace(runner, run, fencingToken)
+      : await this.#relay(runner, link, {
+        kind: "pace",
+        runner,
+        request: { task, runNumber, percent },
+        fencingToken,
+      });
+  }
+
+  async poll(
+    runner: RunnerEndpoint,
+    request: PollRequest,
+  ): Promise<Result<RunnerReport, RunnerFailure>> {
+    const link = this.#chooseLink(runner);
+    if (link === undefined) {
+      return await this.#options.direct.poll(runner, request);
+    }
+    const answer = await this.#exchange(
+      runner,
+      link,
+      { kind: "poll", runner, request },
+      request.timeoutMs,
+    );
+    const report = unpackReport(answer);
+    return report === undefined
+      ? Result.err(answer.failure ?? NO_ANSWER)
+      : Result.ok(report);
+  }
+
+  disconnect(runner: RunnerEndpoint): void {
+    const { relayId } = this.#routes.get(runner.runnerId) ?? {};
+    this.#routes.delete(runner.runnerId);
+    this.#options.direct.disconnect(runner);
+    if (relayId !== undefined) {
+      this.#links.get(relayId)?.post({
+        kind: "disconnect",
+        runner: toEndpoint(runner),
+      });
+    }
+  }
+
+  async #relay(
+    runner: RunnerEndpoint,
+    link: RelayLink,
+    request: UnnumberedRequest,
+  ): Promise<Result<RunnerAnswer, RunnerFailure>> {
+    const { clockMs, failure } = await this.#exchange(
+      runner,
+      link,
+      request,
+      RELAY_REQUEST_MS,
+    );
+    return clockMs === undefined || failure !== undefined
+      ? Result.err(failure ?? NO_ANSWER)
+      : Result.ok({ clockMs });
+  }
+
+  async #exchange(
+    runner: RunnerEndpoint,
+    link: RelayLink,
+    request: UnnumberedRequest,
+    timeoutMs: number,
+  ): Promise<RelayedAnswer> {
+    const answer = await link.call(
+      { ...request, runner: toEndpoint(runner) },
+      timeoutMs + RELAY_ANSWER_MARGIN_MS,
+    );
+    const { failure } = answer;
+    const isUnreached = failure !== undefined &&
+      (failure.refusal === undefined || failure.refusal === "notListening");
+    const route = this.#routes.get(runner.runnerId);
+    if (isUnreached && route !== undefined) {
+      // The relay may be cut off from a runner that this process reaches.
+      route.directUntilMs = this.#options.clock.monotonicMs() +
+        DIRECT_RETRY_MS;
+    }
+    return answer;
+  }
+
+  #chooseLink({ runnerId }: RunnerEndpoint): RelayLink | undefined {
+    const {
+      clock,
+      countRunners,
+      maxDirectRunnerCount = MAX_DIRECT_RUNNER_COUNT,
+    } = this.#options;
+    const route = this.#routes.get(runnerId) ??
+      { relayId: undefined, directUntilMs: -Infinity };
+    this.#routes.set(runnerId, route);
+    const isDirect = clock.monotonicMs() < route.directUntilMs ||
+      countRunners() <= maxDirectRunnerCount;
+    if (isDirect) {
+      return undefined;
+    }
+    const relays = this.#listUsable();
+    const kept = relays.find(({ relayId }) => relayId === route.relayId);
+    const chosen = kept ?? relays[hash(runnerId) % relays.length];
+    route.relayId = chosen?.relayId ?? route.relayId;
+    return chosen?.link;
+  }
+
+  #listUsable(): { readonly relayId: string; readonly link: RelayLink }[] {
+    const usable = [];
+    for (const relayId of this.#options.listRelayIds()) {
+      const link = this.#findLink(relayId);
+      if (link.isUsable && usable.length < RELAY_COUNT) {
+        usable.push({ relayId, link });
+      }
+    }
+    return usable;
+  }
+
+  #findLink(relayId: string): RelayLink {
+    const known = this.#links.get(relayId);
+    if (known !== undefined) {
+      return known;
+    }
+    const { batching, tasks } = this.#options;
+    const link = new RelayLink({
+      ...this.#options,
+      relayId,
+      chooseGatherMs: () => batching.chooseMs(RELAY_REQUEST_GATHER),
+    });
+    this.#links.set(relayId, link);
+    tasks.startForever(`relay ${relayId}`, (signal) => link.run(signal));
+    return link;
+  }
+
+  #receive(peerId: string, body: unknown): Result<unknown, Failure> {
+    return validateWith(relayedAnswersSchema, body, {
+      subject: "relayed answers",
+    }).map(({ sessionId, answers }) => {
+      // Answers to requests of a process that has ended have no receiver.
+      if (sessionId === this.#options.sessionId) {
+        this.#links.get(peerId)?.receive(answers);
+      }
+      return {};
+    });
+  }
+}
+
+const NO_ANSWER: RunnerFailure = { message: "the relay returned no answer" };
+
+function toEndpoint({ runnerId, address }: RunnerEndpoint): RunnerEndpoint {
+  return { runnerId, address };
+}
+
+/** Spreads runners evenly, and each to the same relay while the relays stay. */
+function hash(text: string): number {
+  let value = 0;
+  for (const char of text) {
+    value = (value * 31 + (char.codePointAt(0) ?? 0)) % 1_000_003;
+  }
+  return value;
+}
--- /dev/null
+++ b/src/services/scheduling/relay/relayed_runner_client_test.ts
@@ -0,0 +1,213 @@
+import * as assert from "uvu/assert";
+import { SeededRandom } from "../../../adapters/random/index.ts";
+import { FixedBatchIntervalPolicy } from "../../../decisions/index.ts";
+import type { Runner } from "../../../domain/index.ts";
+import type { PeerNetwork } from "../../../ports/index.ts";
+import { TaskGroup } from "../../../tasks/index.ts";
+import { describe, it } from "../../../testing/describe.ts";
+import { FakeClock } from "../../../testing/fake_clock.ts";
+import { FakeNetwork } from "../../../testing/fake_network.ts";
+import { FakeLogger } from "../../../testing/fake_ports.ts";
+import { FakeRunners } from "../../../testing/fake_runners.ts";
+import { MAX_DIRECT_RUNNER_COUNT, RELAY_CONFIRM_MS } from "./relay_timing.ts";
+import { RelayedRunnerClient } from "./relayed_runner_client.ts";
+import { RunnerRelay } from "./runner_relay.ts";
+
+const SEED = 20_430;
+const RELAY_IDS = ["relay-a", "relay-b", "relay-c", "relay-d"];
+const WORK_MS = 100;
+const JOB_ID = "0000000000000001";
+const POLL = { fencingToken: 1, ackPosition: 0, waitMs: 0, timeoutMs: 700 };
+
+function createRunner(index: number): Runner {
+  return {
+    runnerId: `i-${index}`,
+    bornAtMs: 1,
+    address: `10.0.0.${index}:80`,
+    pool: "bay",
+    zone: "zone-a",
+    capacity: { cpuMillicores: 8_000, memoryMb: 1_000, gpuCount: 0 },
+    rack: "r1",
+    labels: [],
+    isDraining: false,
+  };
+}
+
+function createStart(index: number) {
+  return {
+    task: { jobId: JOB_ID, occurrence: 0, step: 0, index },
+    runNumber: 1,
+    text: "",
+    leaseUntilMs: 5_000,
+    fencingToken: 1,
+    saved: "",
+  };
+}
+
+function setUp(runnerCount: number) {
+  const clock = new FakeClock();
+  const random = new SeededRandom(SEED);
+  const logger = new FakeLogger();
+  const tasks = new TaskGroup({ clock, logger });
+  const network = new FakeNetwork(clock, random);
+  const findWork = () => ({ workMs: WORK_MS, millicores: 500 });
+  const createRunners = () => new FakeRunners({ clock, random, findWork });
+  const reached = createRunners();
+  const runners = Array.from(
+    { length: runnerCount },
+    (_, at) => createRunner(at),
+  );
+  runners.forEach((runner) => reached.startIncarnation(runner));
+  let directCount = 0;
+  const direct = createRunners();
+  const sendDirect = async () => {
+    directCount += 1;
+    await clock.sleep(1);
+  };
+  direct.start = async (...request) => {
+    await sendDirect();
+    return await reached.start(...request);
+  };
+  direct.poll = async (...request) => {
+    await sendDirect();
+    return await reached.poll(...request);
+  };
+  let messageCount = 0;
+  const leaderNetwork = network.join("leader");
+  const countingNetwork: PeerNetwork = {
+    call: (...call) => {
+      messageCount += 1;
+      return leaderNetwork.call(...call);
+    },
+    handle: (...handler) => leaderNetwork.handle(...handler),
+  };
+  for (const relayId of RELAY_IDS) {
+    new RunnerRelay({
+      network: network.join(relayId),
+      client: reached,
+      clock,
+      logger,
+      tasks,
+    });
+  }
+  const client = new RelayedRunnerClient({
+    direct,
+    network: countingNetwork,
+    clock,
+    logger,
+    tasks,
+    batching: new FixedBatchIntervalPolicy(),
+    sessionId: "session",
+    listRelayIds: () => RELAY_IDS,
+    countRunners: () => runnerCount,
+  });
+  return {
+    client,
+    clock,
+    network,
+    reached,
+    runners,
+    tasks,
+    countDirect: () => directCount,
+    countMessages: () => messageCount,
+  };
+}
+
+const MANY = MAX_DIRECT_RUNNER_COUNT + 100;
+
+describe("requests to many runners at once", () => {
+  // Guards against a leader that spends its processor time on a connection and
+  // a message for each request while other controllers idle.
+  it("go through relays in a few messages", async () => {
+    const { client, clock, countDirect, countMessages, runners, tasks } = setUp(
+      MANY,
+    );
+    const started = runners.map((runner, at) =>
+      client.start(runner, createStart(at))
+    );
+    const answers = await clock.runUntil(Promise.all(started), 1_000);
+    assert.ok(answers.every(({ isOk }) => isOk));
+    assert.is(countDirect(), 0);
+    assert.ok(countMessages() <= 6, `${countMessages()} messages`);
+    tasks.stop();
+  });
+
+  it("return what the runners report", async () => {
+    const { client, clock, reached, runners, tasks } = setUp(MANY);
+    const runner = runners[0] ?? createRunner(0);
+    await clock.runUntil(client.start(runner, createStart(0)), 1_000);
+    const polled = await clock.runUntil(client.poll(runner, POLL), 1_000);
+    const expected = await clock.runUntil(reached.poll(runner, POLL), 1_000);
+    assert.ok(polled.isOk && expected.isOk);
+    const [run] = polled.value.running;
+    assert.equal(run?.task, createStart(0).task);
+    assert.is(polled.value.bornAtMs, 1);
+    await clock.advance(WORK_MS);
+    const over = await clock.runUntil(client.poll(runner, POLL), 1_000);
+    assert.ok(over.isOk);
+    assert.equal(over.value.ended.map(({ how }) => how), ["done"]);
+    tasks.stop();
+  });
+
+  it("return the refusals of the runners", async () => {
+    const { client, clock, runners, tasks } = setUp(MANY);
+    const runner = runners[0] ?? createRunner(0);
+    await clock.runUntil(
+      client.start(runner, { ...createStart(0), fencingToken: 9 }),
+      1_000,
+    );
+    const polled = await clock.runUntil(client.poll(runner, POLL), 1_000);
+    assert.is(polled.isErr && polled.error.refusal, "staleFence");
+    tasks.stop();
+  });
+});
+
+describe("a relay that does not respond", () => {
+  it("leaves the outcome of a start open, and others take over", async () => {
+    const { client, clock, network, runners, tasks } = setUp(MANY);
+    RELAY_IDS.slice(0, 3).forEach((relayId) => network.isolate(relayId));
+    network.setFaults("leader", "relay-d", {});
+    network.setFaults("relay-d", "leader", {});
+    const runner = runners[0] ?? createRunner(0);
+    const started = await clock.runUntil(
+      client.start(runner, createStart(0)),
+      RELAY_CONFIRM_MS + 50,
+    );
+    assert.ok(started.isErr);
+    assert.is(started.error.refusal, undefined);
+    const polled = await clock.runUntil(client.poll(runner, POLL), 1_000);
+    assert.ok(polled.isOk, "the runner is reached without the relay");
+    tasks.stop();
+  });
+});
+
+describe("a relay that is cut off from a runner", () => {
+  // Guards against a sound runner that is given up because of its relay.
+  it("is not used for it while that lasts", async () => {
+    const { client, clock, countDirect, reached, runners, tasks } = setUp(MANY);
+    const runner = runners[0] ?? createRunner(0);
+    reached.cutIds.add(runner.runnerId);
+    const lost = await clock.runUntil(client.poll(runner, POLL), 2_000);
+    assert.ok(lost.isErr);
+    assert.is(lost.error.refusal, undefined);
+    assert.is(countDirect(), 0);
+    reached.cutIds.clear();
+    const polled = await clock.runUntil(client.poll(runner, POLL), 2_000);
+    assert.ok(polled.isOk);
+    assert.is(countDirect(), 1);
+    tasks.stop();
+  });
+});
+
+describe("requests to few runners", () => {
+  it("are sent by the leader itself", async () => {
+    const { client, clock, countDirect, countMessages, runners, tasks } = setUp(
+      MAX_DIRECT_RUNNER_COUNT,
+    );
+    const runner = runners[0] ?? createRunner(0);
+    await clock.runUntil(client.poll(runner, POLL), 1_000);
+    assert.is(countDirect(), 1);
+    assert.is(countMessages(), 0);
+    tasks.stop();
+  });
+});
--- /dev/null
+++ b/src/services/scheduling/relay/runner_relay.ts
@@ -0,0 +1,145 @@
+/** A controller's service that sends requests to runners for the leader. */
+import { Result } from "true-myth";
+import { type Failure, validateWith } from "../../../domain/index.ts";
+import type {
+  Clock,
+  Logger,
+  PeerNetwork,
+  RunnerAnswer,
+  RunnerClient,
+  RunnerFailure,
+} from "../../../ports/index.ts";
+import type { TaskGroup } from "../../../tasks/index.ts";
+import { BatchSender } from "./batch_sender.ts";
+import {
+  packFailure,
+  packReport,
+  RELAY_METHODS,
+  type RelayedAnswer,
+  type RelayedRequest,
+  relayedRequestsSchema,
+} from "./relay_messages.ts";
+import {
+  MAX_RELAY_BATCH_COUNT,
+  RELAY_CONFIRM_MS,
+  RELAY_GATHER_MS,
+} from "./relay_timing.ts";
+
+/** Options of {@link RunnerRelay}. */
+export interface RunnerRelayOptions {
+  readonly network: PeerNetwork;
+  readonly client: RunnerClient;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly tasks: TaskGroup;
+}
+
+/** Carries out the requests of other controllers and returns the answers. */
+export class RunnerRelay {
+  readonly #options: RunnerRelayOptions;
+  /** Senders of answers, by peer and session. */
+  readonly #senders = new Map<string, BatchSender<RelayedAnswer>>();
+
+  constructor(options: RunnerRelayOptions) {
+    this.#options = options;
+    options.network.handle(
+      RELAY_METHODS.requests,
+      (peerId, body) => Promise.resolve(this.#accept(peerId, body)),
+    );
+  }
+
+  // The answers follow in messages of their own, because a poll may wait long.
+  #accept(peerId: string, body: unknown): Result<unknown, Failure> {
+    const checked = validateWith(relayedRequestsSchema, body, {
+      subject: "relayed requests",
+    });
+    if (checked.isErr) {
+      return Result.err(checked.error);
+    }
+    const { sessionId, requests } = checked.value;
+    const sender = this.#findSender(peerId, sessionId);
+    for (const relayed of requests) {
+      this.#options.tasks.start("relayed request", async () => {
+        const answer = await this.#carryOut(relayed);
+        if (answer !== undefined) {
+          sender.push(answer);
+        }
+      });
+    }
+    return Result.ok({});
+  }
+
+  async #carryOut(
+    relayed: RelayedRequest,
+  ): Promise<RelayedAnswer | undefined> {
+    const { client } = this.#options;
+    const { callId, runner } = relayed;
+    switch (relayed.kind) {
+      case "start":
+        return pack(callId, await client.start(runner, relayed.request));
+      case "stop":
+        return pack(
+          callId,
+          await client.stop(runner, relayed.request, relayed.fencingToken),
+        );
+      case "pace":
+        return pack(
+          callId,
+          await client.pace(runner, relayed.request, relayed.fencingToken),
+        );
+      case "poll": {
+        const polled = await client.poll(runner, relayed.request);
+        return polled.isOk
+          ? packReport(callId, polled.value)
+          : packFailure(callId, polled.error);
+      }
+      case "disconnect":
+        client.disconnect(runner);
+        return undefined;
+    }
+  }
+
+  #findSender(
+    peerId: string,
+    sessionId: string,
+  ): BatchSender<RelayedAnswer> {
+    const key = `${peerId} ${sessionId}`;
+    const known = this.#senders.get(key);
+    if (known !== undefined) {
+      return known;
+    }
+    const { clock, tasks } = this.#options;
+    const sender = new BatchSender<RelayedAnswer>({
+      clock,
+      chooseGatherMs: () => RELAY_GATHER_MS,
+      maxCount: MAX_RELAY_BATCH_COUNT,
+      send: (answers) => this.#send(peerId, { sessionId, answers }),
+    });
+    this.#senders.set(key, sender);
+    tasks.startForever(`answers to ${peerId}`, (signal) => sender.run(signal));
+    return sender;
+  }
+
+  async #send(peerId: string, body: unknown): Promise<boolean> {
+    const { logger, network } = this.#options;
+    const sent = await network.call(peerId, RELAY_METHODS.answers, body, {
+      timeoutMs: RELAY_CONFIRM_MS,
+    });
+    if (sent.isErr) {
+      logger.warn(
+        { peerId, failure: sent.error },
+        "answers of runners may not have reached the leader",
+      );
+    }
+    return sent.isOk;
+  }
+}
+
+function pack(
+  callId: number,
+  answer: Result<RunnerAnswer, RunnerFailure>,
+): RelayedAnswer {
+  return answer.isOk
+    ? { callId, clockMs: answer.value.clockMs }
+    : packFailure(callId, answer.error);
+}
--- a/src/services/scheduling/scheduling_histories_test.ts
+++ b/src/services/scheduling/scheduling_histories_test.ts
@@ -60,7 +60,21 @@
   "setClockAhead",
 ] as const;
 
-type Action = typeof LEADER_ACTIONS[number];
+const RELAY_IDS = ["relay-a", "relay-b"];
+/** Longest pause of a relay at full amount is 5 s. */
+const MAX_RELAY_PAUSE_PERCENT_MS = 50;
+
+const RELAY_ACTIONS = [
+  ...LEADER_ACTIONS,
+  "submit",
+  "submit",
+  "pauseRelay",
+  "pauseRelay",
+  "cutRelay",
+  "joinRelays",
+] as const;
+
+type Action = typeof RELAY_ACTIONS[number];
 
 function createStepArbitrary(actions: readonly Action[]) {
   return fc.record({
@@ -136,6 +150,15 @@
     case "pauseLeader":
       fixture.pauseLeader(step.amount * MAX_PAUSE_PERCENT_MS);
       break;
+    case "pauseRelay":
+      pauseRelay(fixture, step.amount);
+      break;
+    case "cutRelay":
+      fixture.network.isolate(chooseRelay(step.amount));
+      break;
+    case "joinRelays":
+      fixture.network.heal();
+      break;
     case "answerAll":
       answerAll(fixture);
       break;
@@ -143,6 +166,19 @@
   await fixture.clock.advance(step.waitMs);
 }
 
+function chooseRelay(amount: number): string {
+  return RELAY_IDS[amount % RELAY_IDS.length] ?? "";
+}
+
+// Requests and answers that arrive meanwhile are handled after the pause.
+function pauseRelay(fixture: SchedulingFixture, amount: number): void {
+  const relayId = chooseRelay(amount);
+  fixture.network.pause(relayId);
+  void fixture.clock.sleep(amount * MAX_RELAY_PAUSE_PERCENT_MS).then(() =>
+    fixture.network.resume(relayId)
+  );
+}
+
 function answerAll(fixture: SchedulingFixture): void {
   const { runners } = fixture;
   runners.lostPercent = 0;
@@ -155,6 +191,7 @@
 
 async function heal(fixture: SchedulingFixture): Promise<void> {
   fixture.runners.cutIds.clear();
+  fixture.network.heal();
   answerAll(fixture);
   await fixture.clock.advance(RECOVERY_MS);
   RUNNER_IDS.forEach((id) => fixture.startRunner(id));
@@ -183,6 +220,7 @@
   steps: readonly Step[],
   seed: number,
   maxClockDriftPercent = 0,
+  relayIds: readonly string[] = [],
 ): Promise<void> {
   const fixture = new SchedulingFixture({
     clock: new FakeClock(),
@@ -190,6 +228,7 @@
     runnerIds: RUNNER_IDS,
     limitMillicores: LIMIT_MILLICORES,
     maxClockDriftPercent,
+    relayIds,
   });
   fixture.changeLeader();
   await fixture.clock.advance(50);
@@ -376,11 +415,13 @@
   async function checkRandomHistories(
     steps: fc.Arbitrary<Step[]>,
     maxClockDriftPercent: number,
+    relayIds: readonly string[] = [],
   ): Promise<void> {
     const histories = fc.asyncProperty(
       steps,
       fc.nat(1_000),
-      (steps, seed) => checkHistory(steps, seed, maxClockDriftPercent),
+      (steps, seed) =>
+        checkHistory(steps, seed, maxClockDriftPercent, relayIds),
     );
     await fc.assert(histories, {
       seed: SEED,
@@ -406,4 +447,13 @@
     });
     await checkRandomHistories(steps, MAX_CLOCK_DRIFT_PERCENT);
   });
+
+  it("keeps its invariants with relays that pause and are cut off", async () => {
+    const steps = fc.array(createStepArbitrary(RELAY_ACTIONS), {
+      minLength: MAX_STEP_COUNT / 2,
+      maxLength: 2 * MAX_STEP_COUNT,
+      size: "max",
+    });
+    await checkRandomHistories(steps, MAX_CLOCK_DRIFT_PERCENT, RELAY_IDS);
+  });
 });
--- a/src/testing/scheduling_fixture.ts
+++ b/src/testing/scheduling_fixture.ts
@@ -18,12 +18,14 @@
   type JobStep,
   type Runner,
 } from "../domain/index.ts";
-import type { Random } from "../ports/index.ts";
+import type { Random, RunnerClient } from "../ports/index.ts";
 import {
   followLog,
   JobService,
+  RelayedRunnerClient,
   RunnerFleet,
   RunnerRegistry,
+  RunnerRelay,
   Scheduler,
   SchedulingLog,
   WaveTask,
@@ -31,6 +33,7 @@
 import { Notifier, TaskGroup } from "../tasks/index.ts";
 import type { FakeClock } from "./fake_clock.ts";
 import { FakeLeaderMetrics, FakeLogger } from "./fake_ports.ts";
+import { FakeNetwork } from "./fake_network.ts";
 import { FakeRunners } from "./fake_runners.ts";
 import { FakeVms } from "./fake_vms.ts";
 import { LeaderView } from "./leader_view.ts";
@@ -63,6 +66,8 @@
   readonly maxClockDriftPercent?: number;
   /** Chooses how long work gathers; the shortest times by default. */
   readonly batching?: BatchIntervalPolicy;
+  /** Controllers that relay the leader's requests; none by default. */
+  readonly relayIds?: readonly string[];
   /** Whether each runner is on a VM of its name, which can get maintenance. */
   readonly hasVms?: boolean;
   /**
@@ -81,6 +86,10 @@
   readonly logger = new FakeLogger();
   readonly metrics = new FakeLeaderMetrics();
   readonly random: Random;
+  /** Controllers that relay the leader's requests to runners. */
+  readonly relayIds: readonly string[];
+  /** Connects the leaders with the relays. */
+  readonly network: FakeNetwork;
   appliedIndex = 0;
   maxCommitDelayMs = 0;
   /** Time for which a proposal is forwarded, in milliseconds. */
@@ -103,6 +112,9 @@
       findWork: (task) => this.#findWork(task),
     });
     this.vms = options.hasVms ? this.#createVms(options) : undefined;
+    this.relayIds = options.relayIds ?? [];
+    this.network = new FakeNetwork(options.clock, options.random);
+    this.#startRelays();
     this.#putCatalog();
     options.runnerIds.forEach((id) => this.startRunner(id));
     void this.#sendHeartbeats();
@@ -267,7 +279,10 @@
       delays: new RunDelays(),
       batching: this.#options.batching ?? new FixedBatchIntervalPolicy(),
       changed,
-      client: new PausableRunnerClient(this.runners, clock),
+      client: new PausableRunnerClient(
+        this.#createClient(term, tasks),
+        clock,
+      ),
       fencingToken: term,
       findTicket: () => undefined,
     };
@@ -302,6 +317,35 @@
     };
   }
 
+  #createClient(term: number, tasks: TaskGroup): RunnerClient {
+    const { clock, logger, random, relayIds, runners } = this;
+    return relayIds.length === 0 ? runners : new RelayedRunnerClient({
+      direct: runners,
+      network: this.network.join(`leader-${term}`),
+      clock,
+      logger,
+      tasks,
+      batching: new FixedBatchIntervalPolicy(),
+      sessionId: random.nextId(),
+      listRelayIds: () => relayIds,
+      countRunners: () => this.state.scheduling.runners.size,
+      maxDirectRunnerCount: 0,
+    });
+  }
+
+  #startRelays(): void {
+    const { clock, logger } = this;
+    for (const relayId of this.relayIds) {
+      new RunnerRelay({
+        network: this.network.join(relayId),
+        client: this.runners,
+        clock,
+        logger,
+        tasks: new TaskGroup({ clock, logger }),
+      });
+    }
+  }
+
   async #sendHeartbeats(): Promise<void> {
     const { signal } = this.#heartbeatStop;
     while (!signal.aborted) {
