Let every controller take the heartbeats of runners that change nothing

Change: with more than 100 runners they are spread over the other voters. A controller whose copy of the state is fresh and holds the same runner acknowledges at once, and reports the contacts to the leader together, every 0.3 s. What changes something, a runner that begins to drain above all, goes to the leader as before and is acknowledged once it is durable.

--- a/src/daemon/scheduling/create_scheduling_controller.ts
+++ b/src/daemon/scheduling/create_scheduling_controller.ts
@@ -23,6 +23,7 @@
   OperationsService,
   RecordingOperationMeter,
   RelayedRunnerClient,
+  RunnerAnnouncer,
   RunnerRelay,
   SchedulingLog,
   WatchedLogStore,
@@ -53,6 +54,8 @@
 /** A running controller, without the HTTP interface for operators. */
 export interface SchedulingController extends SchedulingBase {
   readonly replica: Replica;
+  /** Takes the announcements of runners. */
+  readonly announcer: RunnerAnnouncer;
   /** Calls the leader, which may be this controller. */
   readonly leaderClient: ControllerLeaderClient;
   /** Calls the leader among the other controllers. */
@@ -150,10 +153,18 @@
     "log feed",
     (signal) => followLog({ agreement: replica, changed, clock }, signal),
   );
+  const announcer = new RunnerAnnouncer({
+    agreement: replica,
+    leader: leaderClient,
+    clock,
+    logger,
+  });
+  tasks.startForever("announcements", (signal) => announcer.run(signal));
   tasks.startForever("leadership", (signal) => leadershipTask.run(signal));
   return Result.ok({
     ...base,
     replica,
+    announcer,
     leaderClient,
     remoteLeaderClient,
   });
--- a/src/domain/scheduling/runner.ts
+++ b/src/domain/scheduling/runner.ts
@@ -67,6 +67,23 @@
   readonly bornAtMs: number;
 }
 
+/**
+ * Tells whether two announcements say the same.
+ *
+ * @param left - A runner.
+ * @param right - A runner.
+ */
+export function isSameRunner(left: Runner, right: Runner): boolean {
+  return isSameIncarnation(left, right) && left.address === right.address &&
+    left.pool === right.pool && left.zone === right.zone &&
+    left.rack === right.rack && left.isDraining === right.isDraining &&
+    left.capacity.cpuMillicores === right.capacity.cpuMillicores &&
+    left.capacity.memoryMb === right.capacity.memoryMb &&
+    left.capacity.gpuCount === right.capacity.gpuCount &&
+    left.labels.length === right.labels.length &&
+    left.labels.every((label, at) => label === right.labels[at]);
+}
+
 /**
  * Tells whether two values name the same runner incarnation.
  *
--- a/src/services/scheduling/index.ts
+++ b/src/services/scheduling/index.ts
@@ -14,6 +14,7 @@
 export * from "./operation_meter.ts";
 export * from "./pace_task.ts";
 export * from "./relay/index.ts";
+export * from "./runner_announcer.ts";
 export * from "./runner_fleet.ts";
 export * from "./runner_registry.ts";
 export * from "./schedule_explainer.ts";
--- a/src/services/scheduling/relay/relay_link.ts
+++ b/src/services/scheduling/relay/relay_link.ts
@@ -5,7 +5,7 @@
   PeerNetwork,
   RunnerFailure,
 } from "../../../ports/index.ts";
-import { BatchSender } from "./batch_sender.ts";
+import { BatchSender } from "../../../tasks/index.ts";
 import {
   RELAY_METHODS,
   type RelayedAnswer,
--- a/src/services/scheduling/relay/relay_timing.ts
+++ b/src/services/scheduling/relay/relay_timing.ts
@@ -2,9 +2,9 @@
 import type { BatchInterval } from "../../../decisions/index.ts";
 
 /**
- * Number of runners up to which the leader sends all requests itself. So many
- * polls need only a small part of its processor time, and a relay adds two
- * ways between controllers to each request.
+ * Number of runners up to which the leader sends all requests and takes all
+ * announcements itself. So many need only a small part of its processor time,
+ * and another controller in between adds two ways to each.
  */
 export const MAX_DIRECT_RUNNER_COUNT = 100;
 /**
--- a/src/services/scheduling/relay/relayed_runner_client.ts
+++ b/src/services/scheduling/relay/relayed_runner_client.ts
@@ -1,6 +1,6 @@
 /** Runner client of the leader that spreads its requests over controllers. */
 import { Result } from "true-myth";
-import { type Failure, validateWith } from "../../../domain/index.ts";
+import { type Failure, hashText, validateWith } from "../../../domain/index.ts";
 import type {
   Clock,
   Logger,
@@ -150,11 +150,9 @@
     const { relayId } = this.#routes.get(runner.runnerId) ?? {};
     this.#routes.delete(runner.runnerId);
     this.#options.direct.disconnect(runner);
-    if (relayId !== undefined) {
-      this.#links.get(relayId)?.post({
-        kind: "disconnect",
-        runner: toEndpoint(runner),
-      });
+    const link = relayId === undefined ? undefined : this.#links.get(relayId);
+    if (link?.isUsable) {
+      link.post({ kind: "disconnect", runner: toEndpoint(runner) });
     }
   }
 
@@ -212,7 +210,7 @@
     }
     const relays = this.#listUsable();
     const kept = relays.find(({ relayId }) => relayId === route.relayId);
-    const chosen = kept ?? relays[hash(runnerId) % relays.length];
+    const chosen = kept ?? relays[hashText(runnerId) % relays.length];
     route.relayId = chosen?.relayId ?? route.relayId;
     return chosen?.link;
   }
@@ -262,12 +260,3 @@
 function toEndpoint({ runnerId, address }: RunnerEndpoint): RunnerEndpoint {
   return { runnerId, address };
 }
-
-/** Spreads runners evenly, and each to the same relay while the relays stay. */
-function hash(text: string): number {
-  let value = 0;
-  for (const char of text) {
-    value = (value * 31 + (char.codePointAt(0) ?? 0)) % 1_000_003;
-  }
-  return value;
-}
--- a/src/services/scheduling/relay/runner_relay.ts
+++ b/src/services/scheduling/relay/runner_relay.ts
@@ -9,8 +9,7 @@
   RunnerClient,
   RunnerFailure,
 } from "../../../ports/index.ts";
-import type { TaskGroup } from "../../../tasks/index.ts";
-import { BatchSender } from "./batch_sender.ts";
+import { BatchSender, type TaskGroup } from "../../../tasks/index.ts";
 import {
   packFailure,
   packReport,
--- a/src/services/scheduling/runner_registry.ts
+++ b/src/services/scheduling/runner_registry.ts
@@ -4,7 +4,9 @@
   announcedRunnerSchema,
   createFailure,
   type Failure,
+  isSameRunner,
   type Runner,
+  type RunnerIncarnation,
   type SchedulingOperation,
   validateWith,
 } from "../../domain/index.ts";
@@ -61,7 +63,7 @@
       return Result.ok({});
     }
     fleet.findStatus(runner)?.recordContact();
-    if (known !== undefined && isSame(known, runner)) {
+    if (known !== undefined && isSameRunner(known, runner)) {
       return Result.ok({});
     }
     const ends = known !== undefined && known.bornAtMs < runner.bornAtMs
@@ -73,6 +75,18 @@
       : await this.#record(runner, ends);
   }
 
+  /**
+   * Records that runners have announced themselves without a change.
+   *
+   * @param incarnations - The runners; unknown ones are ignored, because their
+   * next announcement is not known and arrives in full.
+   */
+  recordContacts(incarnations: readonly RunnerIncarnation[]): void {
+    for (const incarnation of incarnations) {
+      this.#options.fleet.findStatus(incarnation)?.recordContact();
+    }
+  }
+
   /**
    * Handles the notice of a runner that it is shutting down.
    *
@@ -131,7 +145,3 @@
     { remedy: "announce the time at which the runner has started" },
   );
 }
-
-function isSame(left: Runner, right: Runner): boolean {
-  return JSON.stringify(left) === JSON.stringify(right);
-}
--- a/src/services/scheduling/scheduling_handlers.ts
+++ b/src/services/scheduling/scheduling_handlers.ts
@@ -16,6 +16,7 @@
 export const SCHEDULING_METHODS = {
   job: "scheduling.job",
   announce: "scheduling.announce",
+  contacts: "scheduling.contacts",
   leave: "scheduling.leave",
   replaceCatalog: "scheduling.replaceCatalog",
   readCatalog: "scheduling.readCatalog",
@@ -37,6 +38,10 @@
 /** The leader's answer to the ping of an entry. */
 export type LeaderPing = v.InferOutput<typeof leaderPingSchema>;
 
+const contactsSchema = v.object({
+  runners: v.array(v.object({ runnerId: v.string(), bornAtMs: v.number() })),
+});
+
 const leaveSchema = v.object({ runnerId: v.string() });
 
 type Answer = Result<unknown, Failure> | Promise<Result<unknown, Failure>>;
@@ -104,6 +109,15 @@
     (body) =>
       findRegistry()?.announce(body) ?? Result.err(createNotLeader(agreement)),
   );
+  add(
+    SCHEDULING_METHODS.contacts,
+    (body) =>
+      validateWith(contactsSchema, body, { subject: "contacts" })
+        .map(({ runners }) => {
+          findRegistry()?.recordContacts(runners);
+          return {};
+        }),
+  );
   add(
     SCHEDULING_METHODS.leave,
     (body) =>
--- a/src/services/scheduling/timing.ts
+++ b/src/services/scheduling/timing.ts
@@ -70,6 +70,15 @@
 export const EXPIRED_RETRY_MS = 1_000;
 /** Failed starts after which a run is stopped and its task placed elsewhere. */
 export const MAX_START_ATTEMPTS = 2;
+/**
+ * How long a controller gathers announcements without a change before it
+ * reports them to the leader (ms): far below {@link MAX_SILENCE_MS}.
+ */
+export const CONTACT_GATHER_MS = 300;
+/** Largest number of announcements in one report. */
+export const MAX_CONTACT_COUNT = 1_000;
+/** Timeout of such a report, in milliseconds. */
+export const CONTACT_CALL_MS = 600;
 /**
  * Time without an announcement or answer of a runner after which it gets no
  * work, in milliseconds: two announcements may be missed.
--- a/src/services/scheduling/relay/batch_sender.ts
+++ b/src/tasks/batch_sender.ts
@@ -1,6 +1,6 @@
 /** Sends items to one peer in batches. */
-import type { Clock } from "../../../ports/index.ts";
-import { Notifier } from "../../../tasks/index.ts";
+import type { Clock } from "../ports/index.ts";
+import { Notifier } from "./notifier.ts";
 
 /** Options of {@link BatchSender}. */
 export interface BatchSenderOptions<T> {
--- a/src/tasks/index.ts
+++ b/src/tasks/index.ts
@@ -1,4 +1,5 @@
 /** Groups of tasks that stop together, and waiting without spinning. */
+export * from "./batch_sender.ts";
 export * from "./mutex.ts";
 export * from "./notifier.ts";
 export * from "./run_together.ts";
