--- a/src/daemon/scheduling/create_scheduling_controller.ts
+++ b/src/daemon/scheduling/create_scheduling_controller.ts
@@ -1,10 +1,6 @@
 /** Composes a scheduling controller: a voter that schedules jobs while it leads. */
 import { Result } from "true-myth";
 import { FileLogStore, NodeFileSystem } from "../../adapters/disk/index.ts";
-import {
-  type BatchInterval,
-  LoadBatchIntervalPolicy,
-} from "../../decisions/index.ts";
 import type { Failure } from "../../domain/index.ts";
 import type {
   AdviceClient,
@@ -69,10 +65,10 @@
  */
 const COMMIT_NOTIFICATION_DELAY_MS = 100;
 /**
- * Least time between two batches of the log, in milliseconds: from a few network
- * round trips to a small part of a task's run.
+ * Least time between two batches of the log, in milliseconds: a few network
+ * round trips, and far less than a task's run.
  */
-const LOG_BATCH_INTERVAL: BatchInterval = { leastMs: 20, mostMs: 50 };
+const BATCH_INTERVAL_MS = 20;
 
 /**
  * Starts a controller.
@@ -121,7 +117,6 @@
   const runners = new RelayedRunnerClient({
     ...base,
     direct: options.runners,
-    batching: new LoadBatchIntervalPolicy(base.eventLoop),
     sessionId: base.random.nextId(),
     listRelayIds: () => listOtherVoters(replica),
     countRunners: () => log.state.runners.size,
@@ -181,7 +176,6 @@
   options: SchedulingControllerOptions,
 ): Promise<Result<Replica, Failure>> {
   const { entryId, seedIds, dataFolder, mayBootstrap, onFatal } = options;
-  const batching = new LoadBatchIntervalPolicy(base.eventLoop);
   const files = await NodeFileSystem.load(dataFolder);
   return await Replica.load({
     ...base,
@@ -193,7 +187,7 @@
     mayBootstrap,
     admitsMembers: true,
     commitNotificationDelayMs: COMMIT_NOTIFICATION_DELAY_MS,
-    chooseBatchIntervalMs: () => batching.chooseMs(LOG_BATCH_INTERVAL),
+    batchIntervalMs: BATCH_INTERVAL_MS,
     commitRule: new MajorityCommitRule(),
     store: new WatchedLogStore({
       ...base,
--- a/src/daemon/scheduling/start_leading.ts
+++ b/src/daemon/scheduling/start_leading.ts
@@ -4,7 +4,6 @@
   DemandCapacityPolicy,
   LeastLossMaintenancePolicy,
   listReadySteps,
-  LoadBatchIntervalPolicy,
   PeriodicForecast,
   RunDelays,
   ScoredPlacementPolicy,
@@ -16,7 +15,6 @@
   AdviceClient,
   Clock,
   EventLoopDelays,
-  EventLoopLoad,
   LeaderMetrics,
   Logger,
   RunnerClient,
@@ -43,7 +41,7 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: LeaderMetrics;
-  readonly eventLoop: EventLoopDelays & EventLoopLoad;
+  readonly eventLoop: EventLoopDelays;
   readonly log: SchedulingLog;
   readonly changed: Notifier;
   /** The leader's term, which no other leader has. */
@@ -71,11 +69,9 @@
 export function startLeading(options: StartLeadingOptions): LeaderServices {
   const { advice, entryId, group, runners: client, vms } = options;
   const delays = new RunDelays();
-  const batching = new LoadBatchIntervalPolicy(options.eventLoop);
   const order = new SlackOrderPolicy(delays);
   const fleet: RunnerFleet = new RunnerFleet({
     ...options,
-    batching,
     delays,
     client,
     findTicket: (task, runner) => adviceTask?.findTicket(task, runner),
@@ -100,7 +96,6 @@
   });
   const scheduler: Scheduler = new Scheduler({
     ...options,
-    batching,
     planner: new StartPlanner({
       order,
       placement: new ScoredPlacementPolicy(),
--- a/src/ports/process_usage.ts
+++ b/src/ports/process_usage.ts
@@ -13,12 +13,6 @@
   read(): ProcessUsageReading;
 }
 
-/** Reads how busy the event loop of the process is. */
-export interface EventLoopLoad {
-  /** Share of a recent time in which it was not waiting for events, 0 to 1. */
-  readonly activeShare: number;
-}
-
 /** Reads how late the event loop of the process was. */
 export interface EventLoopDelays {
   /**
--- a/src/replication/proposal_queue.ts
+++ b/src/replication/proposal_queue.ts
@@ -83,13 +83,12 @@
    * @param signal - Stops the task.
    */
   async run(signal: AbortSignal): Promise<void> {
-    const { clock, chooseBatchIntervalMs } = this.#core.options;
+    const { clock, batchIntervalMs = 0 } = this.#core.options;
     while (!signal.aborted) {
       if (this.#pending.length === 0) {
         await this.#arrived.wait(signal);
       }
-      const nextBatchAtMs = clock.monotonicMs() +
-        (chooseBatchIntervalMs?.() ?? 0);
+      const nextBatchAtMs = clock.monotonicMs() + batchIntervalMs;
       await this.#core.mutex.run(() => this.#appendBatch());
       const leftMs = nextBatchAtMs - clock.monotonicMs();
       if (leftMs > 0) {
--- a/src/replication/replica_options.ts
+++ b/src/replication/replica_options.ts
@@ -33,11 +33,11 @@
    */
   readonly commitNotificationDelayMs?: number;
   /**
-   * Chooses the least time between two batches that the leader appends, in
-   * milliseconds; 0 by default. Each batch costs the leader a message to and
-   * from every follower, however few changes it carries.
+   * Least time between two batches that the leader appends, in milliseconds.
+   * The default is 0. Each batch costs the leader a message to and from every
+   * follower, however few changes it carries.
    */
-  readonly chooseBatchIntervalMs?: () => number;
+  readonly batchIntervalMs?: number;
   /**
    * Number of applied log entries after which a snapshot is saved; by default
    * `SNAPSHOT_INTERVAL_COUNT`.
--- a/src/services/scheduling/event_loop_watch.ts
+++ b/src/services/scheduling/event_loop_watch.ts
@@ -2,7 +2,6 @@
 import type {
   Clock,
   EventLoopDelays,
-  EventLoopLoad,
   EventLoopMetrics,
   Logger,
   ProcessUsage,
@@ -37,7 +36,7 @@
 }
 
 /** Checks a few times a second how late the event loop fires a timer. */
-export class EventLoopWatch implements EventLoopDelays, EventLoopLoad {
+export class EventLoopWatch implements EventLoopDelays {
   readonly #options: EventLoopWatchOptions;
   #delays: readonly Delay[] = [];
   /** Monotonic time at which the pending timer is due (ms). */
@@ -46,16 +45,11 @@
   #lineAtMs = -Infinity;
   /** Longest delay since the last log line (ms). */
   #longestMs = 0;
-  #activeShare = 0;
 
   constructor(options: EventLoopWatchOptions) {
     this.#options = options;
   }
 
-  get activeShare(): number {
-    return this.#activeShare;
-  }
-
   findLongestDelayMs(sinceMs: number): number {
     const nowMs = this.#options.clock.monotonicMs();
     let longestMs = Math.max(0, nowMs - Math.max(this.#dueMs, sinceMs));
@@ -85,8 +79,6 @@
       const before = reading;
       reading = usage.read();
       this.#record({ atMs, delayMs });
-      const activeMs = reading.loopActiveMs - before.loopActiveMs;
-      this.#activeShare = Math.min(1, activeMs / (atMs - startedMs));
       this.#log(
         { atMs, delayMs },
         computeShares(before, reading, startedMs, atMs),
--- a/src/services/scheduling/relay/relay_link.ts
+++ b/src/services/scheduling/relay/relay_link.ts
@@ -14,6 +14,7 @@
 import {
   MAX_RELAY_BATCH_COUNT,
   RELAY_CONFIRM_MS,
+  RELAY_GATHER_MS,
   RELAY_PAUSE_MS,
 } from "./relay_timing.ts";
 
@@ -26,8 +27,6 @@
   readonly network: PeerNetwork;
   readonly clock: Clock;
   readonly logger: Logger;
-  /** Chooses how long requests gather for one message (ms). */
-  readonly chooseGatherMs: () => number;
 }
 
 interface PendingRequest {
@@ -52,7 +51,8 @@
   constructor(options: RelayLinkOptions) {
     this.#options = options;
     this.#sender = new BatchSender<RelayedRequest>({
-      ...options,
+      clock: options.clock,
+      gatherMs: RELAY_GATHER_MS,
       maxCount: MAX_RELAY_BATCH_COUNT,
       send: (requests) => this.#send(requests),
     });
--- a/src/services/scheduling/relay/relay_timing.ts
+++ b/src/services/scheduling/relay/relay_timing.ts
@@ -1,6 +1,4 @@
 /** Intervals, timeouts and limits of the relaying of requests. */
-import type { BatchInterval } from "../../../decisions/index.ts";
-
 /**
  * Number of runners up to which the leader sends all requests and takes all
  * announcements itself. So many need only a small part of its processor time,
@@ -12,10 +10,11 @@
  * would carry fewer requests.
  */
 export const RELAY_COUNT = 3;
-/** How long requests gather at the leader for one message (ms). */
-export const RELAY_REQUEST_GATHER: BatchInterval = { leastMs: 4, mostMs: 20 };
-/** How long answers gather at a relay for one message (ms). */
-export const RELAY_GATHER_MS = 10;
+/**
+ * How long requests and answers gather for one message (ms): about a round trip
+ * between controllers.
+ */
+export const RELAY_GATHER_MS = 5;
 /** Largest number of requests or answers in one message. */
 export const MAX_RELAY_BATCH_COUNT = 500;
 /**
--- a/src/services/scheduling/relay/relayed_runner_client.ts
+++ b/src/services/scheduling/relay/relayed_runner_client.ts
@@ -15,7 +15,6 @@
   StartRequest,
 } from "../../../ports/index.ts";
 import type { TaskGroup } from "../../../tasks/index.ts";
-import type { BatchIntervalPolicy } from "../../../decisions/index.ts";
 import { RelayLink, type UnnumberedRequest } from "./relay_link.ts";
 import {
   RELAY_METHODS,
@@ -28,7 +27,6 @@
   MAX_DIRECT_RUNNER_COUNT,
   RELAY_ANSWER_MARGIN_MS,
   RELAY_COUNT,
-  RELAY_REQUEST_GATHER,
   RELAY_REQUEST_MS,
 } from "./relay_timing.ts";
 
@@ -40,7 +38,6 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly tasks: TaskGroup;
-  readonly batching: BatchIntervalPolicy;
   /** Names this process in the answers of relays; unique. */
   readonly sessionId: string;
   /** Lists the other controllers, which can relay. */
@@ -231,12 +228,8 @@
     if (known !== undefined) {
       return known;
     }
-    const { batching, tasks } = this.#options;
-    const link = new RelayLink({
-      ...this.#options,
-      relayId,
-      chooseGatherMs: () => batching.chooseMs(RELAY_REQUEST_GATHER),
-    });
+    const { tasks } = this.#options;
+    const link = new RelayLink({ ...this.#options, relayId });
     this.#links.set(relayId, link);
     tasks.startForever(`relay ${relayId}`, (signal) => link.run(signal));
     return link;
--- a/src/services/scheduling/relay/relayed_runner_client_test.ts
+++ b/src/services/scheduling/relay/relayed_runner_client_test.ts
@@ -1,6 +1,5 @@
 import * as assert from "uvu/assert";
 import { SeededRandom } from "../../../adapters/random/index.ts";
-import { FixedBatchIntervalPolicy } from "../../../decisions/index.ts";
 import type { Runner } from "../../../domain/index.ts";
 import type { PeerNetwork } from "../../../ports/index.ts";
 import { TaskGroup } from "../../../tasks/index.ts";
@@ -96,7 +95,6 @@
     clock,
     logger,
     tasks,
-    batching: new FixedBatchIntervalPolicy(),
     sessionId: "session",
     listRelayIds: () => RELAY_IDS,
     countRunners: () => runnerCount,
--- a/src/services/scheduling/relay/runner_relay.ts
+++ b/src/services/scheduling/relay/runner_relay.ts
@@ -110,7 +110,7 @@
     const { clock, tasks } = this.#options;
     const sender = new BatchSender<RelayedAnswer>({
       clock,
-      chooseGatherMs: () => RELAY_GATHER_MS,
+      gatherMs: RELAY_GATHER_MS,
       maxCount: MAX_RELAY_BATCH_COUNT,
       send: (answers) => this.#send(peerId, { sessionId, answers }),
     });
--- a/src/services/scheduling/runner_announcer.ts
+++ b/src/services/scheduling/runner_announcer.ts
@@ -44,7 +44,7 @@
     this.#options = options;
     this.#contacts = new BatchSender<RunnerIncarnation>({
       clock: options.clock,
-      chooseGatherMs: () => CONTACT_GATHER_MS,
+      gatherMs: CONTACT_GATHER_MS,
       maxCount: MAX_CONTACT_COUNT,
       send: (runners) => this.#report(runners),
     });
--- a/src/services/scheduling/runner_fleet.ts
+++ b/src/services/scheduling/runner_fleet.ts
@@ -7,7 +7,7 @@
   type RunningTask,
   type TaskId,
 } from "../../domain/index.ts";
-import type { BatchIntervalPolicy, RunDelays } from "../../decisions/index.ts";
+import type { RunDelays } from "../../decisions/index.ts";
 import type {
   Clock,
   EventLoopDelays,
@@ -29,8 +29,6 @@
   readonly logger: Logger;
   readonly metrics: LeaderMetrics;
   readonly eventLoop: EventLoopDelays;
-  /** Chooses how long ends gather before the next poll of a runner. */
-  readonly batching: BatchIntervalPolicy;
   /** Records how much longer than estimated runs took. */
   readonly delays: Pick<RunDelays, "record">;
   /** Notified when the scheduling state has changed. */
--- a/src/services/scheduling/runner_task.ts
+++ b/src/services/scheduling/runner_task.ts
@@ -5,7 +5,7 @@
   type RunningTask,
   type SchedulingOperation,
 } from "../../domain/index.ts";
-import type { BatchIntervalPolicy, RunDelays } from "../../decisions/index.ts";
+import type { RunDelays } from "../../decisions/index.ts";
 import type { RunnerFailure, RunnerReport } from "../../ports/index.ts";
 import { type Notifier, runTogether, waitFor } from "../../tasks/index.ts";
 import { LeaseGrants } from "./lease_grants.ts";
@@ -20,7 +20,7 @@
 import { RunnerRemover } from "./runner_remover.ts";
 import type { RunnerStatus } from "./runner_status.ts";
 import {
-  END_BATCH,
+  END_BATCH_MS,
   EXPIRED_RETRY_MS,
   IDLE_CHECK_MS,
   PROPOSE_RETRY_MS,
@@ -40,8 +40,6 @@
   readonly changed: Notifier;
   /** Returns how many failed runs of a task its job allows. */
   readonly findMaxAttempts: (run: RunningTask) => number;
-  /** Chooses how long ends gather before the next poll. */
-  readonly batching: BatchIntervalPolicy;
   /** Records how much longer than estimated runs took. */
   readonly delays: Pick<RunDelays, "record">;
 }
@@ -224,7 +222,7 @@
     sentAtMs: number,
     signal: AbortSignal,
   ): Promise<void> {
-    const { batching, clock } = this.#options;
+    const { clock } = this.#options;
     this.#lease.observe(report.clockMs);
     this.status.recordReport(report);
     this.#runs.recordRunning(report.running);
@@ -247,7 +245,7 @@
     }
     const isIdle = operations.length === 0 && report.running.length > 0;
     // Without a pause, each of several ends in a row would need its own poll.
-    await clock.sleep(isIdle ? 1 : batching.chooseMs(END_BATCH), signal);
+    await clock.sleep(isIdle ? 1 : END_BATCH_MS, signal);
   }
 
   async #record(
--- a/src/services/scheduling/scheduler.ts
+++ b/src/services/scheduling/scheduler.ts
@@ -7,7 +7,6 @@
   type SchedulingState,
 } from "../../domain/index.ts";
 import type {
-  BatchIntervalPolicy,
   Candidate,
   PlannedStart,
   ReadyStep,
@@ -17,14 +16,16 @@
 import type { Notifier } from "../../tasks/index.ts";
 import type { RunnerStatus } from "./runner_status.ts";
 import type { SchedulingLog } from "./scheduling_log.ts";
-import { PLAN_PAUSE, PROPOSE_RETRY_MS, SCHEDULER_TICK_MS } from "./timing.ts";
+import {
+  PLAN_PAUSE_MS,
+  PROPOSE_RETRY_MS,
+  SCHEDULER_TICK_MS,
+} from "./timing.ts";
 
 /** Options of {@link Scheduler}. */
 export interface SchedulerOptions {
   readonly log: SchedulingLog;
   readonly planner: StartPlanner;
-  /** Chooses how long changes gather before the next plan. */
-  readonly batching: BatchIntervalPolicy;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: LeaderMetrics;
@@ -51,7 +52,7 @@
    * @param signal - Ends the task.
    */
   async run(signal: AbortSignal): Promise<void> {
-    const { batching, clock, log, logger } = this.#options;
+    const { clock, log, logger } = this.#options;
     let isOutcomeKnown = true;
     while (!signal.aborted) {
       // A plan whose outcome is unknown may still be applied. It has been, or
@@ -66,7 +67,7 @@
       const starts = log.holdsLeaderLease ? this.#plan() : [];
       if (starts.length === 0) {
         await this.#waitForChange(signal);
-        await clock.sleep(batching.chooseMs(PLAN_PAUSE), signal);
+        await clock.sleep(PLAN_PAUSE_MS, signal);
         continue;
       }
       // A plan whose outcome is unknown may still take effect later.
--- a/src/services/scheduling/scheduler_test.ts
+++ b/src/services/scheduling/scheduler_test.ts
@@ -1,7 +1,6 @@
 import * as assert from "uvu/assert";
 import * as v from "valibot";
 import {
-  FixedBatchIntervalPolicy,
   ScoredPlacementPolicy,
   SlackOrderPolicy,
   StartPlanner,
@@ -65,7 +64,6 @@
   status.isSynced = true;
   const scheduler = new Scheduler({
     log: new SchedulingLog({ agreement, clock }),
-    batching: new FixedBatchIntervalPolicy(),
     planner: new StartPlanner({
       order: new SlackOrderPolicy(),
       placement: new ScoredPlacementPolicy(),
--- a/src/services/scheduling/timing.ts
+++ b/src/services/scheduling/timing.ts
@@ -1,5 +1,4 @@
 /** Intervals, timeouts and limits of the scheduling services. */
-import type { BatchInterval } from "../../decisions/index.ts";
 
 /**
  * Lease of the runs on a runner, in milliseconds. Each poll renews it. It is
@@ -56,11 +55,8 @@
  * in milliseconds: the timeout of a request, and a late event loop.
  */
 export const MAX_ANSWER_DELAY_MS = 2_000;
-/**
- * Pause after a poll that reported ended runs, so that more gather (ms); the
- * longest one is a small part of a lease.
- */
-export const END_BATCH: BatchInterval = { leastMs: 25, mostMs: 150 };
+/** Pause after a poll that reported ended runs, so that more gather (ms). */
+export const END_BATCH_MS = 25;
 /** Pause after a failed request, in milliseconds: at most a tenth of a lease. */
 export const REQUEST_RETRY_MS = 200;
 /**
@@ -97,7 +93,7 @@
  * Least pause between two plans, in milliseconds: about one commit, so that
  * several changes go into one plan.
  */
-export const PLAN_PAUSE: BatchInterval = { leastMs: 6, mostMs: 40 };
+export const PLAN_PAUSE_MS = 6;
 /** How long changes of the log are batched before tasks are notified (ms). */
 export const LOG_BATCH_MS = 3;
 /** Pause after a failed proposal, in milliseconds. */
--- a/src/tasks/batch_sender.ts
+++ b/src/tasks/batch_sender.ts
@@ -5,8 +5,8 @@
 /** Options of {@link BatchSender}. */
 export interface BatchSenderOptions<T> {
   readonly clock: Clock;
-  /** Chooses how long items gather before they are sent (ms). */
-  readonly chooseGatherMs: () => number;
+  /** How long items gather before they are sent (ms). */
+  readonly gatherMs: number;
   /** Largest number of items in one message. */
   readonly maxCount: number;
   /**
@@ -50,11 +50,11 @@
    * @param signal - Ends the task.
    */
   async run(signal: AbortSignal): Promise<void> {
-    const { clock, chooseGatherMs, maxCount, send } = this.#options;
+    const { clock, gatherMs, maxCount, send } = this.#options;
     while (!signal.aborted) {
       if (this.#queued.length === 0) {
         await this.#arrived.wait(signal);
-        await clock.sleep(chooseGatherMs(), signal);
+        await clock.sleep(gatherMs, signal);
         continue;
       }
       await send(this.#queued.splice(0, maxCount));
--- a/src/testing/scheduling_fixture.ts
+++ b/src/testing/scheduling_fixture.ts
@@ -1,8 +1,6 @@
 /** Runs the scheduler of successive leaders over one log, with fake runners. */
 import { Result } from "true-myth";
 import {
-  type BatchIntervalPolicy,
-  FixedBatchIntervalPolicy,
   LeastLossMaintenancePolicy,
   RunDelays,
   ScoredPlacementPolicy,
@@ -64,8 +62,6 @@
   readonly limitMillicores?: number;
   /** Most by which the runners' clocks are slow or fast, in percent. */
   readonly maxClockDriftPercent?: number;
-  /** Chooses how long work gathers; the shortest times by default. */
-  readonly batching?: BatchIntervalPolicy;
   /** Controllers that relay the leader's requests; none by default. */
   readonly relayIds?: readonly string[];
   /** Whether each runner is on a VM of its name, which can get maintenance. */
@@ -277,7 +273,6 @@
       metrics,
       eventLoop: { findLongestDelayMs: () => 0 },
       delays: new RunDelays(),
-      batching: this.#options.batching ?? new FixedBatchIntervalPolicy(),
       changed,
       client: new PausableRunnerClient(
         this.#createClient(term, tasks),
@@ -325,7 +320,6 @@
       clock,
       logger,
       tasks,
-      batching: new FixedBatchIntervalPolicy(),
       sessionId: random.nextId(),
       listRelayIds: () => relayIds,
       countRunners: () => this.state.scheduling.runners.size,
