Extend the rise of a pool's demand to the time at which moved VMs serve

With a leader that keeps up, the first two to three seconds of each queue's turn remained: half of the jobs waited 0.5 to 0.7 s for their first start there, which makes most of them late.

Cause: VMs move for the work that waits already, and each serves 2 s later, when three times as much arrives. The class of fault: a controller that reacts to the present with a delay.

Change: TrendForecast extends the rise from one second to the next to the time at which a VM that moves now serves, to at most twice the present demand; HighestForecast joins it with the periodic one.

--- a/src/daemon/scheduling/start_leading.ts
+++ b/src/daemon/scheduling/start_leading.ts
@@ -2,6 +2,7 @@
 import {
   BackOffPacePolicy,
   DemandCapacityPolicy,
+  HighestForecast,
   LeastLossMaintenancePolicy,
   listReadySteps,
   PeriodicForecast,
@@ -9,6 +10,7 @@
   ScoredPlacementPolicy,
   SlackOrderPolicy,
   StartPlanner,
+  TrendForecast,
 } from "../../decisions/index.ts";
 import type { JobState, Runner } from "../../domain/index.ts";
 import type {
@@ -90,7 +92,10 @@
     fleet,
     vms,
     policy: new DemandCapacityPolicy(),
-    forecast: new PeriodicForecast(),
+    forecast: new HighestForecast([
+      new PeriodicForecast(),
+      new TrendForecast(),
+    ]),
     holderId: entryId,
     isInMaintenance,
   });
