Give answers only to the process that asked the relay

A relay kept one sender for each process of a peer that had ever sent requests. It now keeps the newest one. The new case of relayed_runner_client_test got the answer of the previous session before.

--- a/src/services/scheduling/relay/relay_link.ts
+++ b/src/services/scheduling/relay/relay_link.ts
@@ -72,10 +72,17 @@
     return this.#sender.run(signal);
   }
 
-  /** Sends a request that gets no answer. */
-  post(request: UnnumberedRequest): void {
-    this.#sender.push({ ...request, callId: this.#nextCallId });
+  /**
+   * Sends a request without waiting for its answer.
+   *
+   * @param request - The request.
+   * @returns The number of the request.
+   */
+  post(request: UnnumberedRequest): number {
+    const callId = this.#nextCallId;
     this.#nextCallId += 1;
+    this.#sender.push({ ...request, callId });
+    return callId;
   }
 
   /**
@@ -86,14 +93,13 @@
    * @returns The answer; a failure without a refusal when it was lost.
    */
   call(request: UnnumberedRequest, timeoutMs: number): Promise<RelayedAnswer> {
-    const callId = this.#nextCallId;
+    const callId = this.post(request);
     return new Promise((settle) => {
       const cancelTimer = this.#options.clock.startTimer(
         timeoutMs,
         () => this.#lose(callId, `no answer within ${timeoutMs} ms`),
       );
       this.#pending.set(callId, { settle, cancelTimer });
-      this.post(request);
     });
   }
 
--- a/src/services/scheduling/relay/relayed_runner_client_test.ts
+++ b/src/services/scheduling/relay/relayed_runner_client_test.ts
@@ -1,3 +1,4 @@
+import { Result } from "true-myth";
 import * as assert from "uvu/assert";
 import { SeededRandom } from "../../../adapters/random/index.ts";
 import type { Runner } from "../../../domain/index.ts";
@@ -9,6 +10,7 @@
 import { FakeLogger } from "../../../testing/fake_ports.ts";
 import { FakeRunners } from "../../../testing/fake_runners.ts";
 import { MAX_DIRECT_RUNNER_COUNT, RELAY_CONFIRM_MS } from "./relay_timing.ts";
+import { RELAY_METHODS } from "./relay_messages.ts";
 import { RelayedRunnerClient } from "./relayed_runner_client.ts";
 import { RunnerRelay } from "./runner_relay.ts";
 
@@ -127,7 +129,7 @@
     assert.ok(answers.every(({ isOk }) => isOk));
     assert.is(countDirect(), 0);
     assert.ok(countMessages() <= 6, `${countMessages()} messages`);
-    tasks.stop();
+    void tasks.stop();
   });
 
   it("return what the runners report", async () => {
@@ -144,7 +146,7 @@
     const over = await clock.runUntil(client.poll(runner, POLL), 1_000);
     assert.ok(over.isOk);
     assert.equal(over.value.ended.map(({ how }) => how), ["done"]);
-    tasks.stop();
+    void tasks.stop();
   });
 
   it("return the refusals of the runners", async () => {
@@ -156,7 +158,7 @@
     );
     const polled = await clock.runUntil(client.poll(runner, POLL), 1_000);
     assert.is(polled.isErr && polled.error.refusal, "staleFence");
-    tasks.stop();
+    void tasks.stop();
   });
 });
 
@@ -175,7 +177,7 @@
     assert.is(started.error.refusal, undefined);
     const polled = await clock.runUntil(client.poll(runner, POLL), 1_000);
     assert.ok(polled.isOk, "the runner is reached without the relay");
-    tasks.stop();
+    void tasks.stop();
   });
 });
 
@@ -193,7 +195,7 @@
     const polled = await clock.runUntil(client.poll(runner, POLL), 2_000);
     assert.ok(polled.isOk);
     assert.is(countDirect(), 1);
-    tasks.stop();
+    void tasks.stop();
   });
 });
 
@@ -206,6 +208,31 @@
     await clock.runUntil(client.poll(runner, POLL), 1_000);
     assert.is(countDirect(), 1);
     assert.is(countMessages(), 0);
-    tasks.stop();
+    void tasks.stop();
+  });
+});
+
+describe("a leader that has started again", () => {
+  it("gets no answers to the requests of its previous process", async () => {
+    const { client, clock, network, runners, tasks } = setUp(MANY);
+    const runner = runners[0] ?? createRunner(0);
+    const waiting = client.poll(runner, { ...POLL, waitMs: 500 });
+    await clock.advance(50);
+    const received: unknown[] = [];
+    const restarted = network.join("leader");
+    restarted.handle(RELAY_METHODS.answers, (_peerId, body) => {
+      received.push(body);
+      return Promise.resolve(Result.ok({}));
+    });
+    for (const relayId of RELAY_IDS) {
+      void restarted.call(relayId, RELAY_METHODS.requests, {
+        sessionId: "next",
+        requests: [],
+      }, { timeoutMs: 100 });
+    }
+    await clock.advance(2_000);
+    assert.equal(received, []);
+    assert.ok((await waiting).isErr);
+    void tasks.stop();
   });
 });
--- a/src/services/scheduling/relay/runner_relay.ts
+++ b/src/services/scheduling/relay/runner_relay.ts
@@ -33,11 +33,18 @@
   readonly tasks: TaskGroup;
 }
 
+interface Session {
+  readonly sessionId: string;
+  readonly sender: BatchSender<RelayedAnswer>;
+  /** Ends the task that sends the answers. */
+  readonly stop: AbortController;
+}
+
 /** Carries out the requests of other controllers and returns the answers. */
 export class RunnerRelay {
   readonly #options: RunnerRelayOptions;
-  /** Senders of answers, by peer and session. */
-  readonly #senders = new Map<string, BatchSender<RelayedAnswer>>();
+  /** Newest session of each peer. */
+  readonly #sessions = new Map<string, Session>();
 
   constructor(options: RunnerRelayOptions) {
     this.#options = options;
@@ -98,24 +105,26 @@
     }
   }
 
-  #findSender(
-    peerId: string,
-    sessionId: string,
-  ): BatchSender<RelayedAnswer> {
-    const key = `${peerId} ${sessionId}`;
-    const known = this.#senders.get(key);
-    if (known !== undefined) {
-      return known;
+  // A process that has started again gets no answers to earlier requests.
+  #findSender(peerId: string, sessionId: string): BatchSender<RelayedAnswer> {
+    const known = this.#sessions.get(peerId);
+    if (known?.sessionId === sessionId) {
+      return known.sender;
     }
+    known?.stop.abort();
     const { clock, tasks } = this.#options;
+    const stop = new AbortController();
     const sender = new BatchSender<RelayedAnswer>({
       clock,
       gatherMs: RELAY_GATHER_MS,
       maxCount: MAX_RELAY_BATCH_COUNT,
       send: (answers) => this.#send(peerId, { sessionId, answers }),
     });
-    this.#senders.set(key, sender);
-    tasks.startForever(`answers to ${peerId}`, (signal) => sender.run(signal));
+    this.#sessions.set(peerId, { sessionId, sender, stop });
+    tasks.start(
+      `answers to ${peerId}`,
+      (signal) => sender.run(AbortSignal.any([signal, stop.signal])),
+    );
     return sender;
   }
 
