Relay only through controllers that the leader hears from

Change: the leader relays through voters that have pulled within 1.5 s in its own term. The one that died has not pulled in the new term.

Evidence: the new case of leadership_test. Before, the list held all other voters of the membership.

--- a/src/daemon/scheduling/create_scheduling_controller.ts
+++ b/src/daemon/scheduling/create_scheduling_controller.ts
@@ -118,7 +118,7 @@
     ...base,
     direct: options.runners,
     sessionId: base.random.nextId(),
-    listRelayIds: () => listOtherVoters(replica),
+    listRelayIds: () => replica.listRunningVoterIds(),
     countRunners: () => log.state.runners.size,
   });
   const leadershipTask = new LeadershipTask({
@@ -165,12 +165,6 @@
   });
 }
 
-function listOtherVoters(replica: Replica): readonly string[] {
-  const { entryId } = replica.status();
-  return replica.state.membership.voters.map((voter) => voter.entryId)
-    .filter((voterId) => voterId !== entryId);
-}
-
 async function loadReplica(
   base: SchedulingBase,
   options: SchedulingControllerOptions,
--- a/src/replication/leadership.ts
+++ b/src/replication/leadership.ts
@@ -172,6 +172,14 @@
     this.#core.changed.notify();
   }
 
+  /** Lists the entries of the other voters that have pulled lately, sorted. */
+  listRunningVoterIds(): readonly string[] {
+    const nowMs = this.#core.options.clock.monotonicMs();
+    return this.followers.filter((follower) =>
+      follower.isRunning(nowMs) && this.isVoter(follower)
+    ).map(({ member }) => member.entryId).toSorted();
+  }
+
   /** Returns whether a follower is a voter. */
   isVoter(follower: FollowerProgress): boolean {
     return includesMember(this.#core.log.membership.voters, follower.member);
--- a/src/replication/leadership_test.ts
+++ b/src/replication/leadership_test.ts
@@ -16,6 +16,7 @@
 import type { PullRequest } from "./messages.ts";
 import { PullHandler } from "./pull_handler.ts";
 import { ReplicaCore } from "./replica_core.ts";
+import { RECENT_PULL_MS } from "./timing.ts";
 
 const TERM = 3;
 const STATUS_COUNT = 100;
@@ -124,6 +125,18 @@
   });
 
   // Guards against a leader that sorts its voters for each request to a runner.
+  // Guards against a new leader that relays through the one that has died.
+  it("lists the voters that have pulled lately in its term", async () => {
+    assert.equal(leadership.listRunningVoterIds(), []);
+    leadership.recordPull("c", createPull(2, {}));
+    leadership.recordPull("b", createPull(1, {}));
+    leadership.recordPull("d", { ...createPull(1, {}), storeId: "store-d" });
+    assert.equal(leadership.listRunningVoterIds(), ["b", "c"]);
+    await clock.advance(RECENT_PULL_MS);
+    leadership.recordPull("c", createPull(2, {}));
+    assert.equal(leadership.listRunningVoterIds(), ["c"]);
+  });
+
   it("reads the voters once for each response that they confirm", () => {
     let readCount = 0;
     const { membership } = core.log;
--- a/src/replication/replica.ts
+++ b/src/replication/replica.ts
@@ -135,6 +135,15 @@
     };
   }
 
+  /**
+   * Lists the other voters that have pulled lately.
+   *
+   * @returns Their entry ids, sorted; none while this replica does not lead.
+   */
+  listRunningVoterIds(): readonly string[] {
+    return this.#core.leadership?.listRunningVoterIds() ?? [];
+  }
+
   listEntries(): Promise<Result<EntryList, Failure>> {
     return this.#lister.list();
   }
--- a/src/services/scheduling/relay/relayed_runner_client.ts
+++ b/src/services/scheduling/relay/relayed_runner_client.ts
@@ -40,7 +40,7 @@
   readonly tasks: TaskGroup;
   /** Names this process in the answers of relays; unique. */
   readonly sessionId: string;
-  /** Lists the other controllers, which can relay. */
+  /** Lists the other controllers that are known to run, which can relay. */
   readonly listRelayIds: () => readonly string[];
   /** Counts the runners of the deployment. */
   readonly countRunners: () => number;
--- a/src/services/scheduling/runner_task.ts
+++ b/src/services/scheduling/runner_task.ts
@@ -124,10 +124,9 @@
    * @param signal - Ends the task.
    */
   async run(signal: AbortSignal): Promise<void> {
-    await runTogether([
-      (ownSignal) => this.#poll(ownSignal),
-      (ownSignal) => this.#runs.run(ownSignal),
-    ], signal);
+    const poll = (stop: AbortSignal) => this.#poll(stop);
+    const reconcile = (stop: AbortSignal) => this.#runs.run(stop);
+    await runTogether([poll, reconcile], signal);
     this.#options.client.disconnect(this.#runner);
   }
 
