Carry out no relayed request that may have waited in a suspended process

A runner may have started again under its id meanwhile. A poll would then delete ends of the new incarnation that nobody has read, and its lease, a time on the previous clock, could last longer there than the leader knows.

Change: a relay whose event loop was late by 400 ms or more refuses the batch. The sender has lost it in any case.

Evidence: the case "carries out no request that may have waited meanwhile" of relayed_runner_client_test failed with the check taken out.

--- a/src/services/scheduling/relay/relayed_runner_client_test.ts
+++ b/src/services/scheduling/relay/relayed_runner_client_test.ts
@@ -74,6 +74,7 @@
     return await reached.poll(...request);
   };
   let messageCount = 0;
+  let lateMs = 0;
   const leaderNetwork = network.join("leader");
   const countingNetwork: PeerNetwork = {
     call: (...call) => {
@@ -87,6 +88,7 @@
       network: network.join(relayId),
       client: reached,
       clock,
+      eventLoop: { findLongestDelayMs: () => lateMs },
       logger,
       tasks,
     });
@@ -110,6 +112,9 @@
     tasks,
     countDirect: () => directCount,
     countMessages: () => messageCount,
+    setLate: (durationMs: number) => {
+      lateMs = durationMs;
+    },
   };
 }
 
@@ -181,6 +186,36 @@
   });
 });
 
+describe("a relay that was suspended", () => {
+  // Guards against requests that are carried out after their sender has given
+  // them up, at a runner that has started again meanwhile.
+  it("carries out no request that may have waited meanwhile", async () => {
+    const { client, clock, reached, runners, setLate, tasks } = setUp(MANY);
+    setLate(RELAY_CONFIRM_MS);
+    const runner = runners[0] ?? createRunner(0);
+    const started = await clock.runUntil(
+      client.start(runner, createStart(0)),
+      1_000,
+    );
+    assert.ok(started.isErr);
+    assert.is(started.error.refusal, undefined);
+    assert.equal(reached.spans, []);
+    void tasks.stop();
+  });
+
+  it("is used while it is only a little late", async () => {
+    const { client, clock, runners, setLate, tasks } = setUp(MANY);
+    setLate(RELAY_CONFIRM_MS - 1);
+    const runner = runners[0] ?? createRunner(0);
+    const started = await clock.runUntil(
+      client.start(runner, createStart(0)),
+      1_000,
+    );
+    assert.ok(started.isOk);
+    void tasks.stop();
+  });
+});
+
 describe("a relay that is cut off from a runner", () => {
   // Guards against a sound runner that is given up because of its relay.
   it("is not used for it while that lasts", async () => {
--- a/src/services/scheduling/relay/runner_relay.ts
+++ b/src/services/scheduling/relay/runner_relay.ts
@@ -1,8 +1,13 @@
 /** A controller's service that sends requests to runners for the leader. */
 import { Result } from "true-myth";
-import { type Failure, validateWith } from "../../../domain/index.ts";
+import {
+  createFailure,
+  type Failure,
+  validateWith,
+} from "../../../domain/index.ts";
 import type {
   Clock,
+  EventLoopDelays,
   Logger,
   PeerNetwork,
   RunnerAnswer,
@@ -29,10 +34,14 @@
   readonly network: PeerNetwork;
   readonly client: RunnerClient;
   readonly clock: Clock;
+  readonly eventLoop: EventLoopDelays;
   readonly logger: Logger;
   readonly tasks: TaskGroup;
 }
 
+const SUSPENDED_MESSAGE =
+  "the requests may have waited here for longer than their sender did";
+
 interface Session {
   readonly sessionId: string;
   readonly sender: BatchSender<RelayedAnswer>;
@@ -54,6 +63,15 @@
     );
   }
 
+  // Messages that waited while the process was suspended are those that their
+  // sender has given up. Meanwhile a runner may have started again, for which
+  // they are not meant.
+  get #wasSuspended(): boolean {
+    const { clock, eventLoop } = this.#options;
+    const sinceMs = clock.monotonicMs() - 2 * RELAY_CONFIRM_MS;
+    return eventLoop.findLongestDelayMs(sinceMs) >= RELAY_CONFIRM_MS;
+  }
+
   // The answers follow in messages of their own, because a poll may wait long.
   #accept(peerId: string, body: unknown): Result<unknown, Failure> {
     const checked = validateWith(relayedRequestsSchema, body, {
@@ -62,6 +80,9 @@
     if (checked.isErr) {
       return Result.err(checked.error);
     }
+    if (this.#wasSuspended) {
+      return Result.err(createFailure("peerUnreachable", SUSPENDED_MESSAGE));
+    }
     const { sessionId, requests } = checked.value;
     const sender = this.#findSender(peerId, sessionId);
     for (const relayed of requests) {
--- a/src/testing/scheduling_fixture.ts
+++ b/src/testing/scheduling_fixture.ts
@@ -334,6 +334,7 @@
         network: this.network.join(relayId),
         client: this.runners,
         clock,
+        eventLoop: { findLongestDelayMs: () => 0 },
         logger,
         tasks: new TaskGroup({ clock, logger }),
       });
