--- a/src/ports/runner_client.ts
+++ b/src/ports/runner_client.ts
@@ -1,27 +1,32 @@
 /** Port through which the scheduler controls the runs on runners. */
 import type { Result } from "true-myth";
+import * as v from "valibot";
 import type { RunEnd, Runner, TaskId } from "../domain/index.ts";
 
-/** Why a request was certainly not carried out; the values are logged. */
-export type RunnerRefusal =
+/** Schema of {@link RunnerRefusal}. */
+export const runnerRefusalSchema = v.picklist([
   /** The runner has seen a higher fencing token, that of another leader. */
-  | "staleFence"
+  "staleFence",
   /** This run, or a later run of the task, was stopped or has ended there. */
-  | "outdatedRun"
+  "outdatedRun",
   /** The lease of the request has expired on the runner's clock. */
-  | "leaseOver"
+  "leaseOver",
   /** The runner has too little free capacity. */
-  | "noRoom"
+  "noRoom",
   /** The request has no valid ticket of the advice service. */
-  | "noTicket"
+  "noTicket",
   /** Another incarnation of the runner answers at the address. */
-  | "otherLife"
+  "otherLife",
   /** The runner is overloaded or does not serve at present. */
-  | "unhealthy"
+  "unhealthy",
   /** The runner rejects the request as malformed. */
-  | "invalid"
+  "invalid",
   /** No process listens at the address. */
-  | "notListening";
+  "notListening",
+]);
+
+/** Why a request was certainly not carried out; the values are logged. */
+export type RunnerRefusal = v.InferOutput<typeof runnerRefusalSchema>;
 
 /** A request that was refused or got no usable answer. */
 export interface RunnerFailure {
--- a/src/services/scheduling/relay/relay_messages.ts
+++ b/src/services/scheduling/relay/relay_messages.ts
@@ -1,11 +1,12 @@
 /** Messages between the leader and the controllers that relay its requests. */
 import * as v from "valibot";
 import { RUN_ENDS, type TaskId, taskIdSchema } from "../../../domain/index.ts";
-import type {
-  EndReport,
-  RunnerFailure,
-  RunnerReport,
-  RunReport,
+import {
+  type EndReport,
+  type RunnerFailure,
+  runnerRefusalSchema,
+  type RunnerReport,
+  type RunReport,
 } from "../../../ports/index.ts";
 
 /** Names of the messages. */
@@ -77,11 +78,13 @@
   requests: v.array(relayedRequestSchema),
 });
 
+/** Job id, occurrence, step and index of a task. */
 const taskEntries = [v.string(), v.number(), v.number(), v.number()] as const;
 
 /**
- * Schema of a run in progress. Rows take a fraction of the time that objects
- * take to encode, and a poll reports every run of a runner.
+ * Schema of a run in progress: its task, run number, saved progress, percent
+ * and load. Rows without names of fields are smaller, and a poll reports every
+ * run of a runner.
  */
 const runRowSchema = v.tuple([
   ...taskEntries,
@@ -91,7 +94,10 @@
   v.number(),
 ]);
 
-/** Schema of a run that has ended. */
+/**
+ * Schema of a run that has ended: its task, run number, saved progress, position
+ * in the runner's list, and how it ended.
+ */
 const endRowSchema = v.tuple([
   ...taskEntries,
   v.number(),
@@ -103,24 +109,12 @@
 type RunRow = v.InferOutput<typeof runRowSchema>;
 type EndRow = v.InferOutput<typeof endRowSchema>;
 
-const refusalSchema = v.picklist([
-  "staleFence",
-  "outdatedRun",
-  "leaseOver",
-  "noRoom",
-  "noTicket",
-  "otherLife",
-  "unhealthy",
-  "invalid",
-  "notListening",
-]);
-
 /** Schema of {@link RelayedAnswer}. */
 export const relayedAnswerSchema = v.object({
   callId: v.number(),
   /** Present when the request failed. */
   failure: v.optional(v.object({
-    refusal: v.optional(refusalSchema),
+    refusal: v.optional(runnerRefusalSchema),
     clockMs: v.optional(v.number()),
     message: v.string(),
   })),
