Wait for the answer of a peer with one timer and no abort signal

Every call to a peer created an abort controller, two races of promises, a failure that nobody read and an abort event. A leader and an entry make hundreds of calls a second, and an unloaded leader's profile shows abort signals and event targets beside the work itself.

A call is now an entry of a map that the answer, the timer, the caller's signal or the end of the connection settles. What callers get is unchanged; the tests of the peer network are too.

--- a/src/adapters/peer/peer_link.ts
+++ b/src/adapters/peer/peer_link.ts
@@ -9,7 +9,6 @@
   Metrics,
   PeerCallOptions,
 } from "../../ports/index.ts";
-import { Notifier } from "../../tasks/index.ts";
 import { encodeFrame, FrameReader } from "./frame_codec.ts";
 import { connectHandshake } from "./handshake.ts";
 import { answerSchema } from "./messages.ts";
@@ -40,13 +39,20 @@
   readonly metrics: Metrics;
 }
 
-type Settle = (answer: Result<unknown, Failure>) => void;
+/** A call that has neither an answer nor a failure yet. */
+interface OpenCall {
+  readonly callId: number;
+  readonly method: string;
+  readonly body: unknown;
+  readonly settle: (answer: Result<unknown, Failure>) => void;
+  isSent: boolean;
+}
 
 /** Calls one peer over one connection, and reconnects when it breaks. */
 export class PeerLink {
   readonly #options: PeerLinkOptions;
-  readonly #pending = new Map<number, Settle>();
-  readonly #connected = new Notifier();
+  /** Calls by id; those that are not sent yet wait for a connection. */
+  readonly #openCalls = new Map<number, OpenCall>();
   #socket: Socket | undefined;
   #nextCallId = 1;
   #lastReceivedAtMs = -Infinity;
@@ -81,7 +87,7 @@
       }
       signal.removeEventListener("abort", close);
       socket.destroy();
-      this.#failPending();
+      this.#failSent();
       await clock.sleep(RECONNECT_DELAY_MS, signal);
     }
   }
@@ -95,87 +101,58 @@
    * @returns The answer, or `peerUnreachable`; `isSent` in its detail is false
    * only if the call was certainly not sent.
    */
-  async call(
+  call(
     method: string,
     body: unknown,
-    options: PeerCallOptions,
+    { timeoutMs, signal }: PeerCallOptions,
   ): Promise<Result<unknown, Failure>> {
     const { clock } = this.#options;
-    const abortController = new AbortController();
-    // `AbortSignal.any` would leave a reference on the caller's signal for each
-    // call.
-    const abort = () => abortController.abort("the call has ended");
-    options.signal?.addEventListener("abort", abort, { once: true });
     const startedAtMs = clock.monotonicMs();
-    let isSettled = options.signal?.aborted ?? false;
-    let isSent = false;
-    const timeout = clock.sleep(options.timeoutMs, abortController.signal).then(
-      () => {
-        const hasTimedOut =
-          clock.monotonicMs() - startedAtMs >= options.timeoutMs;
-        if (hasTimedOut && !isSettled) {
-          this.#closeUnresponsiveSocket(startedAtMs);
+    const callId = this.#nextCallId;
+    this.#nextCallId += 1;
+    return new Promise((resolve) => {
+      const settle = (answer: Result<unknown, Failure>) => {
+        if (this.#openCalls.delete(callId)) {
+          cancelTimer();
+          signal?.removeEventListener("abort", giveUp);
+          resolve(answer);
         }
-        return Result.err<unknown, Failure>(
-          this.#createUnreachableFailure(
-            `no answer to ${method} in time`,
-            isSent,
-          ),
-        );
-      },
-    );
-    if (options.signal?.aborted) {
-      abort();
-    }
-    const pendingAnswer = this.#send(
-      method,
-      body,
-      abortController.signal,
-      () => {
-        isSent = true;
-      },
-    );
-    const answer = await Promise.race([pendingAnswer, timeout]);
-    isSettled = true;
-    options.signal?.removeEventListener("abort", abort);
-    abort();
-    return answer;
+      };
+      const call: OpenCall = { callId, method, body, settle, isSent: false };
+      const giveUp = () => {
+        const reason = `no answer to ${method} in time`;
+        settle(this.#createUnreachable(reason, call.isSent));
+      };
+      const cancelTimer = clock.startTimer(timeoutMs, () => {
+        this.#closeUnresponsiveSocket(startedAtMs);
+        giveUp();
+      });
+      this.#openCalls.set(callId, call);
+      if (signal?.aborted) {
+        giveUp();
+        return;
+      }
+      signal?.addEventListener("abort", giveUp, { once: true });
+      this.#send(call);
+    });
   }
 
-  async #send(
-    method: string,
-    body: unknown,
-    signal: AbortSignal,
-    onSent: () => void,
-  ): Promise<Result<unknown, Failure>> {
-    while (this.#socket === undefined && !signal.aborted) {
-      await this.#connected.wait(signal);
-    }
+  // Without a connection, the call is sent as soon as there is one.
+  #send(call: OpenCall): void {
     const socket = this.#socket;
-    if (socket === undefined || signal.aborted) {
-      return Result.err(this.#createUnreachableFailure("not connected", false));
+    if (socket === undefined) {
+      return;
     }
     if (socket.writableLength > MAX_UNSENT_BYTES) {
-      return Result.err(
-        this.#createUnreachableFailure(
-          "the peer does not read its connection",
-          false,
-        ),
-      );
+      const reason = "the peer does not read its connection";
+      call.settle(this.#createUnreachable(reason, false));
+      return;
     }
-    const callId = this.#nextCallId;
-    this.#nextCallId += 1;
-    const answered = new Promise<Result<unknown, Failure>>((resolve) => {
-      this.#pending.set(callId, resolve);
-      signal.addEventListener("abort", () => this.#pending.delete(callId), {
-        once: true,
-      });
-    });
+    const { callId, method, body } = call;
     const frame = encodeFrame({ type: "call", callId, method, body });
     this.#options.metrics.countControlBytes("sent", frame.length);
-    onSent();
+    call.isSent = true;
     socket.write(frame);
-    return await answered;
   }
 
   async #runConnection(socket: Socket): Promise<void> {
@@ -186,7 +163,9 @@
     socket.setTimeout(0);
     reader.maxFrameBytes = MAX_FRAME_BYTES;
     this.#socket = socket;
-    this.#connected.notify();
+    for (const call of [...this.#openCalls.values()]) {
+      this.#send(call);
+    }
     for (;;) {
       const bytesReadBefore = socket.bytesRead;
       const message = await reader.read();
@@ -196,9 +175,7 @@
       metrics.countControlBytes("received", socket.bytesRead - bytesReadBefore);
       this.#lastReceivedAtMs = clock.monotonicMs();
       const answer = v.parse(answerSchema, message);
-      const settle = this.#pending.get(answer.callId);
-      this.#pending.delete(answer.callId);
-      settle?.(
+      this.#openCalls.get(answer.callId)?.settle(
         answer.failure === undefined
           ? Result.ok(answer.value)
           : Result.err(answer.failure),
@@ -215,25 +192,21 @@
     }
   }
 
-  #failPending(): void {
+  #failSent(): void {
     this.#socket = undefined;
-    const pending = [...this.#pending.values()];
-    this.#pending.clear();
-    for (const settle of pending) {
-      settle(
-        Result.err(
-          this.#createUnreachableFailure("the connection was closed", true),
-        ),
-      );
+    for (const call of [...this.#openCalls.values()]) {
+      if (call.isSent) {
+        call.settle(this.#createUnreachable("the connection was closed", true));
+      }
     }
   }
 
   // With `isSent`, the peer may have handled the call although no answer came.
-  #createUnreachableFailure(reason: string, isSent: boolean): Failure {
-    return createFailure(
+  #createUnreachable(reason: string, isSent: boolean): Result<never, Failure> {
+    return Result.err(createFailure(
       "peerUnreachable",
       `entry ${this.#options.peer.entryId}: ${reason}`,
       { detail: { isSent } },
-    );
+    ));
   }
 }
