Keep the relays in use, and choose them once for many requests

A controller that comes back after a suspension has often the lowest id. It then took a place among the three relays, and a third of the runners changed to another relay, each with a new connection, while the leader was busy with the requests that the returning controller had lost.

The leader also sorted the list of running voters for every single request.

Relays now stay in use for as long as they can be used, and the list is read every 100 ms or when a relay is lost. Both new tests failed before: a runner had two relays, and 200 polls read the list 200 times.

--- a/src/services/scheduling/relay/relay_link.ts
+++ b/src/services/scheduling/relay/relay_link.ts
@@ -27,6 +27,8 @@
   readonly network: PeerNetwork;
   readonly clock: Clock;
   readonly logger: Logger;
+  /** Called when the relay may no longer be used. */
+  readonly onLost: () => void;
 }
 
 interface PendingRequest {
@@ -58,6 +60,11 @@
     });
   }
 
+  /** Id of the controller that relays. */
+  get relayId(): string {
+    return this.#options.relayId;
+  }
+
   /** Whether the relay may be used. */
   get isUsable(): boolean {
     return this.#options.clock.monotonicMs() >= this.#pausedUntilMs;
@@ -126,13 +133,14 @@
 
   // The relay may have carried out what it was sent, and may still do so.
   #pause(reason: string): void {
-    const { clock, logger, relayId } = this.#options;
+    const { clock, logger, onLost, relayId } = this.#options;
     logger.warn(
       { relayId, reason, pendingCount: this.#pending.size },
       "lost a relay of requests to runners",
     );
     this.#pausedUntilMs = clock.monotonicMs() + RELAY_PAUSE_MS;
     this.#sender.clear();
+    onLost();
     for (const callId of [...this.#pending.keys()]) {
       this.#lose(callId, "the relay does not respond");
     }
--- a/src/services/scheduling/relay/relay_timing.ts
+++ b/src/services/scheduling/relay/relay_timing.ts
@@ -29,6 +29,8 @@
 export const RELAY_ANSWER_MARGIN_MS = 300;
 /** Timeout of a request other than a poll at the relay (ms). */
 export const RELAY_REQUEST_MS = 700;
+/** Interval at which the controllers that can relay are listed (ms). */
+export const RELAY_CHECK_MS = 100;
 /** Time for which a lost relay is not used (ms). */
 export const RELAY_PAUSE_MS = 10_000;
 /**
--- a/src/services/scheduling/relay/relayed_runner_client.ts
+++ b/src/services/scheduling/relay/relayed_runner_client.ts
@@ -26,6 +26,7 @@
   DIRECT_RETRY_MS,
   MAX_DIRECT_RUNNER_COUNT,
   RELAY_ANSWER_MARGIN_MS,
+  RELAY_CHECK_MS,
   RELAY_COUNT,
   RELAY_REQUEST_MS,
 } from "./relay_timing.ts";
@@ -70,6 +71,10 @@
   readonly #links = new Map<string, RelayLink>();
   /** Routes by runner id. */
   readonly #routes = new Map<string, Route>();
+  /** The relays in use; each stays in use for as long as it can be used. */
+  #relays: readonly RelayLink[] = [];
+  /** Monotonic time at which the relays are chosen again (ms). */
+  #chooseRelaysAtMs = -Infinity;
 
   constructor(options: RelayedRunnerClientOptions) {
     this.#options = options;
@@ -200,27 +205,32 @@
     const route = this.#routes.get(runnerId) ??
       { relayId: undefined, directUntilMs: -Infinity };
     this.#routes.set(runnerId, route);
-    const isDirect = clock.monotonicMs() < route.directUntilMs ||
+    const nowMs = clock.monotonicMs();
+    const isDirect = nowMs < route.directUntilMs ||
       countRunners() <= maxDirectRunnerCount;
     if (isDirect) {
       return undefined;
     }
-    const relays = this.#listUsable();
+    if (nowMs >= this.#chooseRelaysAtMs) {
+      this.#chooseRelaysAtMs = nowMs + RELAY_CHECK_MS;
+      this.#relays = this.#chooseRelays();
+    }
+    const relays = this.#relays;
     const kept = relays.find(({ relayId }) => relayId === route.relayId);
     const chosen = kept ?? relays[hashText(runnerId) % relays.length];
     route.relayId = chosen?.relayId ?? route.relayId;
-    return chosen?.link;
+    return chosen;
   }
 
-  #listUsable(): { readonly relayId: string; readonly link: RelayLink }[] {
-    const usable = [];
-    for (const relayId of this.#options.listRelayIds()) {
-      const link = this.#findLink(relayId);
-      if (link.isUsable && usable.length < RELAY_COUNT) {
-        usable.push({ relayId, link });
-      }
-    }
-    return usable;
+  // A runner whose relay changes costs a new connection, so a controller that
+  // returns takes no place from a relay in use.
+  #chooseRelays(): readonly RelayLink[] {
+    const usable = this.#options.listRelayIds()
+      .map((relayId) => this.#findLink(relayId))
+      .filter(({ isUsable }) => isUsable);
+    const kept = this.#relays.filter((link) => usable.includes(link));
+    const added = usable.filter((link) => !kept.includes(link));
+    return [...kept, ...added].slice(0, RELAY_COUNT);
   }
 
   #findLink(relayId: string): RelayLink {
@@ -229,7 +239,13 @@
       return known;
     }
     const { tasks } = this.#options;
-    const link = new RelayLink({ ...this.#options, relayId });
+    const link = new RelayLink({
+      ...this.#options,
+      relayId,
+      onLost: () => {
+        this.#chooseRelaysAtMs = -Infinity;
+      },
+    });
     this.#links.set(relayId, link);
     tasks.startForever(`relay ${relayId}`, (signal) => link.run(signal));
     return link;
--- a/src/services/scheduling/relay/relayed_runner_client_test.ts
+++ b/src/services/scheduling/relay/relayed_runner_client_test.ts
@@ -9,7 +9,11 @@
 import { FakeNetwork } from "../../../testing/fake_network.ts";
 import { FakeLogger } from "../../../testing/fake_ports.ts";
 import { FakeRunners } from "../../../testing/fake_runners.ts";
-import { MAX_DIRECT_RUNNER_COUNT, RELAY_CONFIRM_MS } from "./relay_timing.ts";
+import {
+  MAX_DIRECT_RUNNER_COUNT,
+  RELAY_CHECK_MS,
+  RELAY_CONFIRM_MS,
+} from "./relay_timing.ts";
 import { RELAY_METHODS } from "./relay_messages.ts";
 import { RelayedRunnerClient } from "./relayed_runner_client.ts";
 import { RunnerRelay } from "./runner_relay.ts";
@@ -74,7 +78,11 @@
     return await reached.poll(...request);
   };
   let messageCount = 0;
+  let listCount = 0;
+  /** Relays that have polled a runner, by runner id. */
+  const relayIdsByRunner = new Map<string, Set<string>>();
   let lateMs = 0;
+  let relayIds = RELAY_IDS;
   const leaderNetwork = network.join("leader");
   const countingNetwork: PeerNetwork = {
     call: (...call) => {
@@ -84,9 +92,17 @@
     handle: (...handler) => leaderNetwork.handle(...handler),
   };
   for (const relayId of RELAY_IDS) {
+    const relayed = createRunners();
+    relayed.start = (...request) => reached.start(...request);
+    relayed.poll = (runner, ...request) => {
+      const { runnerId } = runner;
+      const relayIds = relayIdsByRunner.get(runnerId) ?? new Set();
+      relayIdsByRunner.set(runnerId, relayIds.add(relayId));
+      return reached.poll(runner, ...request);
+    };
     new RunnerRelay({
       network: network.join(relayId),
-      client: reached,
+      client: relayed,
       clock,
       eventLoop: { findLongestDelayMs: () => lateMs },
       logger,
@@ -100,7 +116,10 @@
     logger,
     tasks,
     sessionId: "session",
-    listRelayIds: () => RELAY_IDS,
+    listRelayIds: () => {
+      listCount += 1;
+      return relayIds;
+    },
     countRunners: () => runnerCount,
   });
   return {
@@ -112,6 +131,11 @@
     tasks,
     countDirect: () => directCount,
     countMessages: () => messageCount,
+    countLists: () => listCount,
+    relayIdsByRunner,
+    setRelayIds: (ids: string[]) => {
+      relayIds = ids;
+    },
     setLate: (durationMs: number) => {
       lateMs = durationMs;
     },
@@ -186,6 +210,42 @@
   });
 });
 
+describe("a controller that returns", () => {
+  // Guards against connections that are all opened anew at once: a third of the
+  // runners changed their relay when a controller with a lower id was back.
+  it("takes over no runners from the relays in use", async () => {
+    const { client, clock, relayIdsByRunner, runners, setRelayIds, tasks } =
+      setUp(MANY);
+    const pollAll = () =>
+      clock.runUntil(
+        Promise.all(runners.map((runner) => client.poll(runner, POLL))),
+        2_000,
+      );
+    setRelayIds(RELAY_IDS.slice(1));
+    await pollAll();
+    setRelayIds(RELAY_IDS);
+    await clock.advance(2 * RELAY_CHECK_MS);
+    await pollAll();
+    const counts = [...relayIdsByRunner.values()].map(({ size }) => size);
+    assert.is(counts.length, MANY);
+    assert.is(Math.max(...counts), 1, "a runner has changed its relay");
+    void tasks.stop();
+  });
+});
+
+describe("the choice of relays", () => {
+  // Guards against a busy leader that sorts all controllers for each request.
+  it("is made once for many requests", async () => {
+    const { client, clock, countLists, runners, tasks } = setUp(MANY);
+    await clock.runUntil(
+      Promise.all(runners.map((runner) => client.poll(runner, POLL))),
+      2_000,
+    );
+    assert.is(countLists(), 1);
+    void tasks.stop();
+  });
+});
+
 describe("a relay that was suspended", () => {
   // Guards against requests that are carried out after their sender has given
   // them up, at a runner that has started again meanwhile.
