Log what a leader does by time within its term

The log showed that the next leader makes 3 plans in its first second, and nothing in it told why: a leader that polls all runners, slow commits, tasks that find no free CPU and VMs that are not there yet look alike, and the metrics are read too rarely for spans of some hundred milliseconds.

Now the leader logs its work, each 100 ms in the first 3 s of a term and each second after that: requests to runners, plans, commits with their times, messages by method, runners by condition, waiting tasks and free CPU by pool, and its share of the processor. The messages are a metric as well. A line of the first 3 s costs one reading of the gauges.

--- a/src/adapters/metrics/prometheus_scheduling_metrics.ts
+++ b/src/adapters/metrics/prometheus_scheduling_metrics.ts
@@ -170,6 +170,12 @@
     labelNames: ["reason"],
     registers: this.#registers,
   });
+  readonly #messages = new Counter({
+    name: "cardamomsill_leader_messages_total",
+    help: "Messages of entries and controllers to the leader, by method",
+    labelNames: ["method"],
+    registers: this.#registers,
+  });
 
   constructor(options: PrometheusSchedulingMetricsOptions) {
     this.#options = options;
@@ -223,6 +229,10 @@
     this.#removedRunners.inc({ reason });
   }
 
+  countMessage(method: string): void {
+    this.#messages.inc({ method });
+  }
+
   /** Renders all metrics in the text format of Prometheus. */
   render(): Promise<string> {
     const { readGauges, readDroppedLineCount, usage } = this.#options;
--- a/src/daemon/scheduling/create_scheduling_controller.ts
+++ b/src/daemon/scheduling/create_scheduling_controller.ts
@@ -16,6 +16,7 @@
   JobService,
   LeaderClient,
   LeadershipTask,
+  LeaderWork,
   OperationsService,
   RecordingOperationMeter,
   RelayedRunnerClient,
@@ -93,12 +94,14 @@
   const replica = loaded.value;
   const { clock, logger, metrics, network, tasks } = base;
   const meter = new RecordingOperationMeter(metrics);
-  const logOptions = { agreement: replica, clock, meter, metrics };
+  const work = new LeaderWork(base);
+  const logOptions = { agreement: replica, clock, meter, metrics: work };
   const log = new SchedulingLog(logOptions);
   const changed = new Notifier();
   const handlers = addSchedulingHandlers({
     network,
     agreement: replica,
+    metrics: work,
     jobs: new JobService({ log, logger }),
     operations: new OperationsService({ log, clock, logger }),
     findRegistry: () => leaderServices?.registry,
@@ -130,6 +133,7 @@
         ...base,
         ...options,
         runners,
+        work,
         log: new SchedulingLog({ ...logOptions, term }),
         changed,
         fencingToken: term,
--- a/src/daemon/scheduling/scheduling_base.ts
+++ b/src/daemon/scheduling/scheduling_base.ts
@@ -8,6 +8,7 @@
 import type {
   Clock,
   Logger,
+  ProcessUsage,
   Random,
   SchedulingGauges,
 } from "../../ports/index.ts";
@@ -48,6 +49,7 @@
   readonly random: Random;
   readonly tasks: TaskGroup;
   readonly network: TcpPeerNetwork;
+  readonly usage: ProcessUsage;
   readonly metrics: PrometheusSchedulingMetrics;
   readonly eventLoop: EventLoopWatch;
 }
@@ -107,6 +109,7 @@
     random: SeededRandom.withRandomSeed(),
     tasks,
     network,
+    usage,
     metrics,
     eventLoop,
   };
--- a/src/daemon/scheduling/start_leading.ts
+++ b/src/daemon/scheduling/start_leading.ts
@@ -17,7 +17,6 @@
   AdviceClient,
   Clock,
   EventLoopDelays,
-  LeaderMetrics,
   Logger,
   RunnerClient,
   SchedulingGauges,
@@ -26,6 +25,7 @@
 import {
   AdviceTask,
   CapacityTask,
+  type LeaderWork,
   PaceTask,
   RunnerFleet,
   RunnerRegistry,
@@ -42,7 +42,8 @@
   readonly entryId: string;
   readonly clock: Clock;
   readonly logger: Logger;
-  readonly metrics: LeaderMetrics;
+  /** Measures and logs what the leader does. */
+  readonly work: LeaderWork;
   readonly eventLoop: EventLoopDelays;
   readonly log: SchedulingLog;
   readonly changed: Notifier;
@@ -64,12 +65,13 @@
 /**
  * Starts the tasks of a leader.
  *
- * @param options - The log, the clients, and the group that runs the tasks and
+ * @param given - The log, the clients, and the group that runs the tasks and
  * ends them when the leadership ends.
  * @returns The services that other components call.
  */
-export function startLeading(options: StartLeadingOptions): LeaderServices {
-  const { advice, entryId, group, runners: client, vms } = options;
+export function startLeading(given: StartLeadingOptions): LeaderServices {
+  const options = { ...given, metrics: given.work };
+  const { advice, entryId, group, runners: client, vms, work } = options;
   const delays = new RunDelays();
   const order = new SlackOrderPolicy(delays);
   const fleet: RunnerFleet = new RunnerFleet({
@@ -138,6 +140,8 @@
       group.startForever(name, (signal) => task.run(signal));
     }
   }
+  const readLeaderGauges = () => readGauges(options, fleet, scheduler);
+  group.startForever("work", (signal) => work.report(readLeaderGauges, signal));
   return {
     registry: new RunnerRegistry({ ...options, client, fleet }),
     explainer: new ScheduleExplainer({
@@ -145,7 +149,7 @@
       findStatus: (runner) => fleet.findStatus(runner),
       mayPlaceOn: (runner) => scheduler.mayPlaceOn(runner),
     }),
-    readGauges: () => readGauges(options, fleet, scheduler),
+    readGauges: readLeaderGauges,
   };
 }
 
--- a/src/ports/leader_metrics.ts
+++ b/src/ports/leader_metrics.ts
@@ -49,4 +49,6 @@
   ): void;
   /** Counts a removed runner. */
   countRemovedRunner(reason: RunnerRemoval): void;
+  /** Counts a message of an entry or controller that the leader handles. */
+  countMessage(method: string): void;
 }
--- a/src/services/scheduling/index.ts
+++ b/src/services/scheduling/index.ts
@@ -10,6 +10,7 @@
 export * from "./leadership_task.ts";
 export * from "./leader_client.ts";
 export * from "./leader_watch.ts";
+export * from "./leader_work.ts";
 export * from "./operations_service.ts";
 export * from "./operation_meter.ts";
 export * from "./pace_task.ts";
--- a/src/services/scheduling/scheduling_handlers.ts
+++ b/src/services/scheduling/scheduling_handlers.ts
@@ -6,7 +6,11 @@
   type Failure,
   validateWith,
 } from "../../domain/index.ts";
-import type { Agreement, PeerNetwork } from "../../ports/index.ts";
+import type {
+  Agreement,
+  LeaderMetrics,
+  PeerNetwork,
+} from "../../ports/index.ts";
 import type { JobService } from "./job_service.ts";
 import type { OperationsService } from "./operations_service.ts";
 import type { RunnerRegistry } from "./runner_registry.ts";
@@ -50,6 +54,7 @@
 export interface SchedulingHandlersOptions {
   readonly network: PeerNetwork;
   readonly agreement: Agreement;
+  readonly metrics: Pick<LeaderMetrics, "countMessage">;
   readonly jobs: JobService;
   readonly operations: OperationsService;
   /** Returns the registry, or undefined while this entry does not lead. */
@@ -73,14 +78,17 @@
 export function addSchedulingHandlers(
   options: SchedulingHandlersOptions,
 ): ReadonlyMap<string, SchedulingHandler> {
-  const { network, agreement, jobs, operations } = options;
+  const { network, agreement, jobs, metrics, operations } = options;
   const { findExplainer, findRegistry } = options;
   const handlers = new Map<string, SchedulingHandler>();
   const add = (method: string, answer: (body: unknown) => Answer) => {
-    const handler = async (body: unknown) =>
-      agreement.status().leaderSinceMs === undefined
-        ? Result.err<unknown, Failure>(createNotLeader(agreement))
-        : await answer(body);
+    const handler = async (body: unknown) => {
+      if (agreement.status().leaderSinceMs === undefined) {
+        return Result.err<unknown, Failure>(createNotLeader(agreement));
+      }
+      metrics.countMessage(method);
+      return await answer(body);
+    };
     handlers.set(method, handler);
     network.handle(method, (_peerId, body) => handler(body));
   };
--- a/src/testing/fake_ports.ts
+++ b/src/testing/fake_ports.ts
@@ -77,6 +77,8 @@
   /** Number of requests by kind and outcome, as in `poll answered`. */
   readonly requestCounts = new Map<string, number>();
   readonly removals: RunnerRemoval[] = [];
+  /** Methods of the messages, in order. */
+  readonly methods: string[] = [];
 
   recordEventLoopDelay(delayMs: number): void {
     this.loopDelaysMs.push(delayMs);
@@ -101,6 +103,10 @@
   countRemovedRunner(reason: RunnerRemoval): void {
     this.removals.push(reason);
   }
+
+  countMessage(method: string): void {
+    this.methods.push(method);
+  }
 }
 
 /** A process usage that a test sets. */
