Ignore late announcements of runners that have ended

What callers saw: tasks waited while the leader was short of processor time.

Cause: the log forgot a removed incarnation at once, and the registry kept the departed ones in the memory of one leader, and only those that gave notice.

No runner id there has two start times, so a moved VM gets a new id.

Change: `runnerGone` has an optional `fate`. `ended` is set where the VM was taken away by a confirmed order, after a leave notice, on `otherLife`, and where a later incarnation answers; a later announcement has the same effect. An incarnation that was given up because its leases had ended can come back. Where an earlier incarnation answers (an odd announcement under its id), it may announce itself again. `#departedBornAtMs`, which grew for a whole term, is gone.

The capacity task moves no VM whose runner is of another pool than the listing says; no test covers that check.

Not final, because this side cannot tell: orders whose outcome is unknown, and maintenance that an earlier leader ordered. A leave notice without a removal is not known to the next leader, as before. During a rolling upgrade a voter of the earlier release may put a runner back that the others ignore; its removal ends that.

--- a/src/domain/scheduling/index.ts
+++ b/src/domain/scheduling/index.ts
@@ -1,6 +1,7 @@
 /** Jobs, runs, runners, the catalog and waves. */
 export * from "./amounts.ts";
 export * from "./catalog.ts";
+export * from "./ended_runners.ts";
 export * from "./incarnation_map.ts";
 export * from "./job.ts";
 export * from "./job_record.ts";
--- a/src/domain/scheduling/scheduling_command.ts
+++ b/src/domain/scheduling/scheduling_command.ts
@@ -52,7 +52,16 @@
     maxAttempts: v.number(),
   }),
   v.object({ type: v.literal("runner"), runner: runnerSchema }),
-  v.object({ type: v.literal("runnerGone"), ...incarnationEntries }),
+  v.object({
+    type: v.literal("runnerGone"),
+    ...incarnationEntries,
+    /**
+     * `ended`: the incarnation and earlier ones have certainly ended.
+     * `earlierAnswers`: an earlier one answers in its place. Absent where it may
+     * come back, and in the logs of earlier releases.
+     */
+    fate: v.optional(v.picklist(["ended", "earlierAnswers"])),
+  }),
   v.object({ type: v.literal("catalog"), catalog: catalogSchema }),
   v.object({
     type: v.literal("zone"),
--- a/src/domain/scheduling/scheduling_state.ts
+++ b/src/domain/scheduling/scheduling_state.ts
@@ -1,6 +1,7 @@
 /** The scheduling state, built by applying the commands of the log. */
 import type { Catalog } from "./catalog.ts";
 import { EMPTY_CATALOG } from "./catalog.ts";
+import { type EndedRunner, EndedRunners } from "./ended_runners.ts";
 import type { StoredJob } from "./job_record.ts";
 import { JobTable } from "./job_table.ts";
 import {
@@ -30,6 +31,11 @@
   | { readonly type: "catalog"; readonly catalog: Catalog }
   | { readonly type: "zonesOut"; readonly zones: readonly string[] }
   | { readonly type: "runner"; readonly runner: Runner }
+  /** Absent in snapshots of earlier releases. */
+  | {
+    readonly type: "endedRunners";
+    readonly runners: readonly EndedRunner[];
+  }
   | { readonly type: "wave"; readonly wave: WaveRecord }
   | { readonly type: "job"; readonly job: StoredJob };
 
@@ -49,6 +55,7 @@
   #catalog: Catalog = EMPTY_CATALOG;
   readonly #zonesOut = new Set<string>();
   readonly #runners = new Map<string, Runner>();
+  readonly #endedRunners = new EndedRunners();
   readonly #waves = new Map<number, WaveRecord>();
   readonly #observers = new WeakMap<SchedulingCommand, BatchObserver>();
 
@@ -67,6 +74,17 @@
     return this.#runners;
   }
 
+  /**
+   * Tells whether a runner incarnation has certainly ended. What it announced
+   * before may still arrive.
+   *
+   * @param incarnation - Id and start time of the runner.
+   * @returns False also where the end was recorded long ago.
+   */
+  hasEnded(incarnation: RunnerIncarnation): boolean {
+    return this.#endedRunners.has(incarnation);
+  }
+
   /** Waves by id. */
   get waves(): ReadonlyMap<number, WaveRecord> {
     return this.#waves;
@@ -84,7 +102,7 @@
     this.#observers.set(command, observer);
   }
 
-  /** Applies a batch of changes, and removes jobs that ended long ago. */
+  /** Applies a batch of changes, and forgets what ended long ago. */
   apply(command: SchedulingCommand): void {
     const { atMs, operations } = command;
     const finish = this.#observers.get(command)?.();
@@ -92,6 +110,7 @@
       this.#applyOne(operation, atMs);
     }
     this.jobs.prune(atMs);
+    this.#endedRunners.prune(atMs);
     finish?.();
   }
 
@@ -104,6 +123,7 @@
         type: "runner" as const,
         runner,
       })),
+      { type: "endedRunners", runners: this.#endedRunners.list() },
       ...[...this.#waves.values()].map((wave) => ({
         type: "wave" as const,
         wave,
@@ -135,6 +155,9 @@
       case "runner":
         this.#runners.set(item.runner.runnerId, item.runner);
         return;
+      case "endedRunners":
+        this.#endedRunners.restore(item.runners);
+        return;
       case "wave":
         this.#waves.set(item.wave.waveId, item.wave);
         return;
@@ -200,17 +223,28 @@
   // A runner that restarts has lost the runs of its previous incarnation.
   #putRunner(runner: Runner, atMs: number): void {
     const known = this.#runners.get(runner.runnerId);
-    if (known !== undefined && known.bornAtMs > runner.bornAtMs) {
+    const isOutdated = this.hasEnded(runner) ||
+      (known !== undefined && known.bornAtMs > runner.bornAtMs);
+    if (isOutdated) {
       return;
     }
     if (known !== undefined && known.bornAtMs < runner.bornAtMs) {
       this.jobs.endIncarnation(known, atMs);
+      this.#endedRunners.add(known, atMs);
     }
     this.#runners.set(runner.runnerId, runner);
   }
 
-  #removeRunner(incarnation: RunnerIncarnation, atMs: number): void {
+  #removeRunner(
+    incarnation: Extract<SchedulingOperation, { type: "runnerGone" }>,
+    atMs: number,
+  ): void {
     this.jobs.endIncarnation(incarnation, atMs);
+    if (incarnation.fate === "ended") {
+      this.#endedRunners.add(incarnation, atMs);
+    } else if (incarnation.fate === "earlierAnswers") {
+      this.#endedRunners.delete(incarnation.runnerId);
+    }
     const known = this.#runners.get(incarnation.runnerId);
     if (known !== undefined && isSameIncarnation(known, incarnation)) {
       this.#runners.delete(incarnation.runnerId);
--- /dev/null
+++ b/src/domain/scheduling/scheduling_state_test.ts
@@ -0,0 +1,106 @@
+import * as assert from "uvu/assert";
+import * as v from "valibot";
+import { describe, it } from "../../testing/describe.ts";
+import { ENDED_RUNNER_KEEP_MS } from "./ended_runners.ts";
+import type { Runner } from "./runner.ts";
+import {
+  type SchedulingOperation,
+  schedulingOperationSchema,
+} from "./scheduling_command.ts";
+import { SchedulingState } from "./scheduling_state.ts";
+
+const RUNNER: Runner = {
+  runnerId: "r1",
+  bornAtMs: 7,
+  address: "10.0.0.9:80",
+  pool: "bay",
+  zone: "zone-a",
+  capacity: { cpuMillicores: 8_000, memoryMb: 1_000, gpuCount: 0 },
+  rack: "r1",
+  labels: [],
+  isDraining: false,
+};
+const INCARNATION = { runnerId: "r1", bornAtMs: 7 };
+
+function apply(
+  state: SchedulingState,
+  atMs: number,
+  ...operations: SchedulingOperation[]
+): void {
+  state.apply({ type: "scheduling", atMs, operations });
+}
+
+function createWithEnded(atMs: number): SchedulingState {
+  const state = new SchedulingState();
+  apply(
+    state,
+    atMs,
+    { type: "runner", runner: RUNNER },
+    { type: "runnerGone", ...INCARNATION, fate: "ended" },
+  );
+  return state;
+}
+
+describe("SchedulingState", () => {
+  describe("a runner that has ended for good", () => {
+    // Guards against a revived runner: its change was proposed before its
+    // removal and is applied after that.
+    it("is not put back, unlike its next incarnation", () => {
+      const state = createWithEnded(0);
+      apply(state, 1, { type: "runner", runner: RUNNER });
+      assert.is(state.runners.size, 0);
+      apply(state, 2, { type: "runner", runner: { ...RUNNER, bornAtMs: 8 } });
+      assert.is(state.runners.get("r1")?.bornAtMs, 8);
+      assert.ok(state.hasEnded(INCARNATION));
+    });
+
+    // Guards against a state that grows with each runner that was ever removed.
+    it("is forgotten after a while", () => {
+      const state = createWithEnded(1_000);
+      apply(state, 1_000 + ENDED_RUNNER_KEEP_MS);
+      assert.ok(state.hasEnded(INCARNATION));
+      apply(state, 1_001 + ENDED_RUNNER_KEEP_MS);
+      assert.not(state.hasEnded(INCARNATION));
+    });
+
+    it("is forgotten when its leader's clock was far ahead", () => {
+      const state = createWithEnded(1_000 + 2 * ENDED_RUNNER_KEEP_MS);
+      apply(state, 1_000);
+      assert.not(state.hasEnded(INCARNATION));
+    });
+
+    it("is part of a snapshot", () => {
+      const state = createWithEnded(0);
+      const copy = SchedulingState.restore(state.toItems());
+      assert.equal(copy.toItems(), state.toItems());
+      assert.ok(copy.hasEnded(INCARNATION));
+      apply(copy, 1, { type: "runner", runner: RUNNER });
+      assert.is(copy.runners.size, 0);
+    });
+  });
+
+  describe("a runner that may come back", () => {
+    // Guards against a deployment that cannot read its log after an upgrade.
+    it("is what an entry of an earlier release removes", () => {
+      const state = new SchedulingState();
+      const gone = { type: "runnerGone", ...INCARNATION };
+      apply(
+        state,
+        0,
+        { type: "runner", runner: RUNNER },
+        v.parse(schedulingOperationSchema, gone),
+        { type: "runner", runner: RUNNER },
+      );
+      assert.equal(state.runners.get("r1"), RUNNER);
+    });
+
+    it("is known after a snapshot of an earlier release", () => {
+      const items = createWithEnded(0).toItems().filter(({ type }) =>
+        type !== "endedRunners"
+      );
+      const state = SchedulingState.restore(items);
+      apply(state, 1, { type: "runner", runner: RUNNER });
+      assert.equal(state.runners.get("r1"), RUNNER);
+    });
+  });
+});
--- a/src/services/scheduling/capacity_task.ts
+++ b/src/services/scheduling/capacity_task.ts
@@ -239,7 +239,10 @@
       this.#options;
     const listed = this.#findVm(move.vm);
     const runner = log.state.runners.get(listed?.runnerId ?? "");
-    const isStillIdle = runner === undefined || this.#mayMove(runner);
+    // The platform confirms a move that is done already, and then the runner of
+    // the new pool goes on.
+    const isStillIdle = runner === undefined ||
+      (runner.pool === listed?.pool && this.#mayMove(runner));
     if (!isStillIdle || listed === undefined || !log.holdsLeaderLease) {
       return;
     }
--- a/src/services/scheduling/runner_announcer.ts
+++ b/src/services/scheduling/runner_announcer.ts
@@ -70,7 +70,10 @@
     runner: Runner,
     timeoutMs: number,
   ): Promise<Result<unknown, Failure>> {
-    const { leader } = this.#options;
+    const { agreement, leader } = this.#options;
+    if (this.#isFresh && agreement.state.scheduling.hasEnded(runner)) {
+      return Result.ok({});
+    }
     if (this.#mayTake(runner)) {
       const { runnerId, bornAtMs } = runner;
       this.#contacts.push({ runnerId, bornAtMs });
@@ -103,12 +106,16 @@
     return agreement.state.scheduling.runners.size > maxDirectRunnerCount;
   }
 
-  #mayTake(runner: Runner): boolean {
+  get #isFresh(): boolean {
     const { agreement, clock } = this.#options;
-    const { entryId, freshUntilMs, leaderId } = agreement.status();
-    const isFresh = clock.monotonicMs() < freshUntilMs;
+    return clock.monotonicMs() < agreement.status().freshUntilMs;
+  }
+
+  #mayTake(runner: Runner): boolean {
+    const { agreement } = this.#options;
+    const { entryId, leaderId } = agreement.status();
     const known = agreement.state.scheduling.runners.get(runner.runnerId);
-    return this.#hasManyRunners && isFresh && leaderId !== entryId &&
+    return this.#hasManyRunners && this.#isFresh && leaderId !== entryId &&
       known !== undefined && isSameRunner(known, runner);
   }
 
--- a/src/services/scheduling/runner_announcer_test.ts
+++ b/src/services/scheduling/runner_announcer_test.ts
@@ -162,6 +162,26 @@
   });
 });
 
+describe("a late announcement of a runner that has ended", () => {
+  // Guards against a leader that handles many announcements that had waited at
+  // a suspended controller.
+  it("is not passed on once the controller knows", async () => {
+    const { agreement, announcer, calls, runners } = setUp(0);
+    const [runner = createRunner(0)] = runners;
+    const { runnerId, bornAtMs } = runner;
+    agreement.state.apply({
+      type: "scheduling",
+      atMs: 0,
+      operations: [{ type: "runnerGone", runnerId, bornAtMs, fate: "ended" }],
+    });
+    assert.ok((await announcer.announce(runner, TIMEOUT_MS)).isOk);
+    assert.equal(calls, []);
+    agreement.freshUntilMs = -1;
+    await announcer.announce(runner, TIMEOUT_MS);
+    assert.is(calls[0]?.method, SCHEDULING_METHODS.announce);
+  });
+});
+
 describe("announcements of few runners", () => {
   it("are passed on to the leader", async () => {
     const { announcer, calls, runners } = setUp(RUNNER_COUNT);
--- a/src/services/scheduling/runner_registry.ts
+++ b/src/services/scheduling/runner_registry.ts
@@ -29,8 +29,6 @@
 /** Records new runners and changes of known runners in the log. */
 export class RunnerRegistry {
   readonly #options: RunnerRegistryOptions;
-  /** Start time (ms) of the newest incarnation that has left, by runner id. */
-  readonly #departedBornAtMs = new Map<string, number>();
 
   constructor(options: RunnerRegistryOptions) {
     this.#options = options;
@@ -51,18 +49,26 @@
       return Result.err(checked.error);
     }
     const runner = checked.value;
-    const { clock, log, fleet } = this.#options;
+    const { clock, log, logger, fleet } = this.#options;
     if (runner.bornAtMs > clock.nowMs() + MAX_START_TIME_AHEAD_MS) {
       return Result.err(createFutureStart(runner));
     }
     const known = log.state.runners.get(runner.runnerId);
-    const departedMs = this.#departedBornAtMs.get(runner.runnerId) ?? -Infinity;
-    const isOutdated = runner.bornAtMs <= departedMs ||
+    const status = fleet.findStatus(runner);
+    const isOutdated = (status?.hasGivenNotice ?? false) ||
       (known !== undefined && known.bornAtMs > runner.bornAtMs);
     if (isOutdated) {
       return Result.ok({});
     }
-    fleet.findStatus(runner)?.recordContact();
+    if (log.state.hasEnded(runner)) {
+      const { runnerId, bornAtMs } = runner;
+      logger.info(
+        { runnerId, bornAtMs },
+        "ignores the announcement of a runner that has ended",
+      );
+      return Result.ok({});
+    }
+    status?.recordContact();
     if (known !== undefined && isSameRunner(known, runner)) {
       return Result.ok({});
     }
@@ -98,11 +104,7 @@
     const known = log.state.runners.get(runnerId);
     if (known !== undefined) {
       logger.info({ runnerId }, "a runner is shutting down");
-      this.#departedBornAtMs.set(runnerId, known.bornAtMs);
-      const status = fleet.findStatus(known);
-      if (status !== undefined) {
-        status.isLeaving = true;
-      }
+      fleet.findStatus(known)?.recordNotice();
     }
     return Result.ok({});
   }
--- a/src/services/scheduling/runner_remover.ts
+++ b/src/services/scheduling/runner_remover.ts
@@ -12,6 +12,12 @@
 import type { RequestObserver } from "./request_observer.ts";
 import type { RunnerStatus } from "./runner_status.ts";
 
+/** What is known of a removed incarnation; undefined if it may come back. */
+type RunnerFate = Extract<
+  SchedulingOperation,
+  { type: "runnerGone" }
+>["fate"];
+
 /** Options of {@link RunnerRemover}. */
 export interface RunnerRemoverOptions
   extends Omit<PreviousIncarnationOptions, "findStatus"> {
@@ -29,6 +35,7 @@
 export class RunnerRemover {
   readonly #options: RunnerRemoverOptions;
   #isDecided = false;
+  #fate: RunnerFate;
 
   constructor(options: RunnerRemoverOptions) {
     this.#options = options;
@@ -41,8 +48,7 @@
 
   /** Decides to remove a runner whose VM was taken away by request. */
   retire(): void {
-    this.#isDecided = true;
-    this.#options.status.close();
+    this.#decide("ended");
   }
 
   /**
@@ -52,11 +58,13 @@
    * @param removal - The reason, for the log and the metrics.
    */
   giveUp(removal: RunnerRemoval): void {
-    const { findLoad, findRunner, log, logger, requests } = this.#options;
+    const { findLoad, findRunner, log, logger, requests, status } =
+      this.#options;
     if (!log.holdsLeaderLease) {
       return;
     }
-    this.retire();
+    const hasEnded = removal === "ended" || status.hasGivenNotice;
+    this.#decide(hasEnded ? "ended" : undefined);
     const { runnerId, bornAtMs } = findRunner();
     const runCount = findLoad().running.size;
     logger.warn(
@@ -67,14 +75,16 @@
 
   /** Records the removal. To be called again until the log has applied it. */
   async record(): Promise<void> {
-    await this.#propose([]);
+    await this.#propose([], this.#fate);
   }
 
   /**
    * Removes a runner in whose place another incarnation answers that has not
    * announced itself yet, once its runs can no longer start there.
+   *
+   * @param answeringBornAtMs - Start time of the other incarnation (ms).
    */
-  async replace(): Promise<void> {
+  async replace(answeringBornAtMs: number): Promise<void> {
     const { findRunner, log, logger, requests, status } = this.#options;
     const runner = findRunner();
     const { runnerId, bornAtMs } = runner;
@@ -88,16 +98,27 @@
         { runnerId, bornAtMs, ...requests.recordRemoval("replaced") },
         "a runner was replaced by a new incarnation",
       );
-      await this.#propose(ends);
+      // An announcement under another runner's id may have named a later start.
+      const hasEnded = answeringBornAtMs > bornAtMs;
+      await this.#propose(ends, hasEnded ? "ended" : "earlierAnswers");
     }
   }
 
-  async #propose(ends: readonly SchedulingOperation[]): Promise<void> {
+  #decide(fate: RunnerFate): void {
+    this.#isDecided = true;
+    this.#fate ??= fate;
+    this.#options.status.close();
+  }
+
+  async #propose(
+    ends: readonly SchedulingOperation[],
+    fate: RunnerFate,
+  ): Promise<void> {
     const { findRunner, log, logger } = this.#options;
     const { runnerId, bornAtMs } = findRunner();
     const proposed = await log.propose([
       ...ends,
-      { type: "runnerGone", runnerId, bornAtMs },
+      { type: "runnerGone", runnerId, bornAtMs, fate },
     ]);
     if (proposed.isErr) {
       logger.warn(
--- a/src/services/scheduling/runner_status.ts
+++ b/src/services/scheduling/runner_status.ts
@@ -42,6 +42,8 @@
    * incarnation.
    */
   isLeaving = false;
+  /** Whether it has announced its shutdown. */
+  hasGivenNotice = false;
   /** Progress in percent by formatted task id. */
   progress: ReadonlyMap<string, number> = new Map();
   /**
@@ -164,6 +166,12 @@
     this.#isClosed = true;
   }
 
+  /** Records that it has announced its shutdown. */
+  recordNotice(): void {
+    this.hasGivenNotice = true;
+    this.isLeaving = true;
+  }
+
   /**
    * Records that another incarnation of the runner has taken its place. Requests
    * to this one may have reached that one.
--- a/src/services/scheduling/runner_task.ts
+++ b/src/services/scheduling/runner_task.ts
@@ -201,7 +201,7 @@
     }
     if (polled.value.bornAtMs !== this.#runner.bornAtMs) {
       this.status.recordNoAnswer();
-      await this.#remover.replace();
+      await this.#remover.replace(polled.value.bornAtMs);
       await clock.sleep(REQUEST_RETRY_MS, signal);
       return;
     }
--- a/src/services/scheduling/wave_task.ts
+++ b/src/services/scheduling/wave_task.ts
@@ -267,6 +267,8 @@
     }
     const running = this.#listRunning(runnerId);
     const isFirst = this.#unsentVms.delete(vm);
+    // By the time of the answer, the next incarnation may have taken its place.
+    const runner = log.state.runners.get(runnerId ?? "");
     const source = { holderId, fencingToken };
     const begun = await vms.beginMaintenance(vm, waveId, source);
     if (!isFirst && runnerId !== undefined) {
@@ -282,7 +284,6 @@
     }
     logger.info(fields, "began the upkeep of a VM");
     this.#begunAtMsByVm.set(vm, clock.monotonicMs());
-    const runner = log.state.runners.get(runnerId ?? "");
     if (runner !== undefined && isFirst) {
       fleet.retire(runner);
     }
--- a/src/testing/scheduling_fixture.ts
+++ b/src/testing/scheduling_fixture.ts
@@ -228,6 +228,12 @@
     return announced?.isOk ?? false;
   }
 
+  /** Tells the leader that a runner is shutting down, and ends the runner. */
+  leave(runnerId: string): void {
+    this.#leader?.registry.leave(runnerId);
+    this.crash(runnerId);
+  }
+
   /** Submits a job and returns whether the leader accepted it. */
   async submit(jobId: string, steps: readonly JobStep[]): Promise<boolean> {
     const leader = this.#leader;
