Remove idle runners that refuse connections without waiting

What callers saw: tasks waited while the leader was short of processor time.

Cause: the task of a runner that does not respond waits until all leases have certainly ended, whether or not the log places a run there. A refused poll was repeated after 200 ms, like one that may have been carried out.

Change: PollFailures decides what follows a failed poll. A runner without runs in the log and without orphans is removed after three refused connections in a row, with the new reason `notListening`. This removal is not final: the next announcement brings the incarnation back. After a refusal, the pause doubles from 200 ms up to 800 ms, and never goes past the end of the leases. A replaced or leaving runner counts as ended on the first refusal, as before, so `mayRunAtSuccessor` needs no condition here.

No run is lost early. What an earlier leader started is in the log, so such a runner has runs. A start that is proposed but not applied when the removal is decided comes before the removal in the log, as one leader proposes both in one term: it is applied, gets no lease (RunnerStatus.close()), is not sent, and ends as lost with `runnerGone`. If the start comes later in the log, the state ignores it.

--- a/src/ports/leader_metrics.ts
+++ b/src/ports/leader_metrics.ts
@@ -7,7 +7,12 @@
 export type RunnerRequestOutcome = "answered" | "refused" | "unanswered";
 
 /** Why the leader removed a runner that had not announced its shutdown. */
-export type RunnerRemoval = "ended" | "leasesExpired" | "replaced";
+export type RunnerRemoval =
+  | "ended"
+  | "leasesExpired"
+  /** It refuses connections and runs nothing. */
+  | "notListening"
+  | "replaced";
 
 /** Records how late the timers of the process fire. */
 export interface EventLoopMetrics {
--- a/src/services/scheduling/request_observer.ts
+++ b/src/services/scheduling/request_observer.ts
@@ -33,6 +33,7 @@
 const REMOVAL_REASONS: Readonly<Record<RunnerRemoval, string>> = {
   ended: "it has ended",
   leasesExpired: "its leases have ended",
+  notListening: "it refuses connections and runs nothing",
   replaced: "another incarnation answers",
 };
 
--- a/src/services/scheduling/runner_task.ts
+++ b/src/services/scheduling/runner_task.ts
@@ -10,6 +10,7 @@
 import { type Notifier, runTogether, waitFor } from "../../tasks/index.ts";
 import { LeaseGrants } from "./lease_grants.ts";
 import { LeaseTracker } from "./lease_tracker.ts";
+import { PollFailures } from "./poll_failures.ts";
 import { choosePollTimes } from "./poll_times.ts";
 import {
   RequestObserver,
@@ -54,6 +55,7 @@
   readonly #runs: RunReconciler;
   readonly #ends: RunEndDetector;
   readonly #remover: RunnerRemover;
+  readonly #failures: PollFailures;
   /** Position in the runner's list of ended runs up to which the log has them. */
   #recordedPosition = 0;
   /** Position up to which the runner was told to delete ended runs. */
@@ -65,6 +67,7 @@
     this.#options = options;
     this.#runner = options.runner;
     this.status = options.status;
+    this.#failures = new PollFailures(options.status);
     this.#lease = new LeaseTracker(options.clock);
     this.#grants = new LeaseGrants({
       ...options,
@@ -199,6 +202,7 @@
       await this.#handleFailure(polled.error, sentAtMs, signal);
       return;
     }
+    this.#failures.recordAnswer();
     if (polled.value.bornAtMs !== this.#runner.bornAtMs) {
       this.status.recordNoAnswer();
       await this.#remover.replace(polled.value.bornAtMs);
@@ -269,32 +273,27 @@
     signal: AbortSignal,
   ): Promise<void> {
     const { clock, logger } = this.#options;
-    const { runnerId } = this.#runner;
     const evidence = this.#requests.describeRequest(sentAtMs);
     logger.warn(
-      { runnerId, failure, ...evidence },
+      { runnerId: this.#runner.runnerId, failure, ...evidence },
       "a look at a runner failed",
     );
     if (failure.refusal === "staleFence") {
       this.#isFenced = true;
       return;
     }
-    // The leases of an idle runner expired long ago, so that one lost poll shows
-    // nothing.
-    const isIdleOnce = this.status.isAnswering && this.#load.running.size === 0;
-    this.status.recordNoAnswer();
+    const step = this.#failures.record(failure, {
+      runCount: this.#load.running.size,
+      hasOrphans: this.#runs.hasOrphans,
+      leaseLeftMs: this.#leaseLeftMs,
+    });
     if (this.#remover.isDecided) {
       return;
     }
-    const isGone = failure.refusal === "otherLife" ||
-      (failure.refusal === "notListening" && this.status.isLeaving);
-    if (isGone || (this.#leaseLeftMs === 0 && !isIdleOnce)) {
-      this.#remover.giveUp(isGone ? "ended" : "leasesExpired");
-      return;
+    if ("removal" in step) {
+      this.#remover.giveUp(step.removal);
+    } else {
+      await clock.sleep(step.pauseMs, signal);
     }
-    const pauseMs = isIdleOnce
-      ? REQUEST_RETRY_MS
-      : Math.min(REQUEST_RETRY_MS, this.#leaseLeftMs);
-    await clock.sleep(pauseMs, signal);
   }
 }
--- a/src/services/scheduling/timing.ts
+++ b/src/services/scheduling/timing.ts
@@ -59,6 +59,17 @@
 export const END_BATCH_MS = 25;
 /** Pause after a failed request, in milliseconds: at most a tenth of a lease. */
 export const REQUEST_RETRY_MS = 200;
+/**
+ * Longest pause after a poll of a runner that refuses connections, in
+ * milliseconds. Each refusal doubles the pause, which is
+ * {@link REQUEST_RETRY_MS} after the first.
+ */
+export const MAX_REFUSED_RETRY_MS = 800;
+/**
+ * Refused connections in a row after which a runner without runs is removed. Its
+ * next announcement brings it back.
+ */
+export const MAX_REFUSED_POLLS = 3;
 /**
  * Pause after a failed poll of a runner whose leases have expired, in
  * milliseconds.
