Let the next leader wait for a start that a successor may have carried out

What callers saw: a task that ran twice at once. A runner restarts under its id, a start for the previous incarnation reaches the successor, where its lease lasts as long as a runner accepts, the runner is cut off and the leader changes.

Cause: the next leader knew nothing of the successor, and waited for the lease on the previous clock (3.6 s). Only a start that the runner itself has not confirmed can have reached a successor, but the log did not tell such starts from others.

Change: the log holds starts as unconfirmed. Twice a second the leader gathers those that were confirmed since into one entry, which names the newest of them and the open ones before it; without new starts there is none. The next leader ends the confirmed runs of a silent runner after 3.6 s as before, and holds the others alone until no successor can have them (11.7 s from its election), unless the runner answers or no process listens at its address. What the old leader noticed does not matter.

A waiting poll of a fake runner that is cut off now gets no answer, where it got one before.

Not fixed: under the same leader an unanswered start is still waited for 3.6 s. Waiting longer there would delay the work in flight of every runner that is cut off.

--- a/src/daemon/scheduling/start_leading.ts
+++ b/src/daemon/scheduling/start_leading.ts
@@ -32,6 +32,7 @@
   ScheduleExplainer,
   Scheduler,
   type SchedulingLog,
+  StartConfirmer,
   WaveTask,
 } from "../../services/scheduling/index.ts";
 import type { Notifier, TaskGroup } from "../../tasks/index.ts";
@@ -132,6 +133,7 @@
     capacity,
     advice: adviceTask,
     pace,
+    confirmations: new StartConfirmer({ ...options, fleet }),
   };
   for (const [name, task] of Object.entries(tasksByName)) {
     if (task !== undefined) {
--- a/src/domain/scheduling/index.ts
+++ b/src/domain/scheduling/index.ts
@@ -10,3 +10,4 @@
 export * from "./runner_loads.ts";
 export * from "./scheduling_command.ts";
 export * from "./scheduling_state.ts";
+export * from "./unconfirmed_starts.ts";
--- a/src/domain/scheduling/job_table.ts
+++ b/src/domain/scheduling/job_table.ts
@@ -6,6 +6,7 @@
 import type { RunnerIncarnation } from "./runner.ts";
 import { type RunnerLoad, RunnerLoads } from "./runner_loads.ts";
 import type { SchedulingOperation } from "./scheduling_command.ts";
+import { UnconfirmedStarts } from "./unconfirmed_starts.ts";
 
 /** Time for which an ended job can still be read, in milliseconds. */
 export const JOB_KEEP_MS = 150_000;
@@ -22,6 +23,8 @@
   /** Jobs that are too old to be kept, but of which a run has not ended. */
   readonly #expired = new Set<JobRecord>();
   readonly #loads = new RunnerLoads();
+  /** Starts that the log does not show as confirmed by their runner. */
+  readonly unconfirmed = new UnconfirmedStarts();
 
   /** Jobs that have not ended. */
   get open(): ReadonlySet<JobRecord> {
@@ -88,6 +91,7 @@
     task.changedAtMs = atMs;
     job.hasStarted = true;
     this.#loads.addRun(job, id, task);
+    this.unconfirmed.add(operation);
   }
 
   /** Records how a run ended. Does nothing when that end is already recorded. */
@@ -220,6 +224,7 @@
 
   #removeRun(job: JobRecord, id: TaskId, task: TaskRecord): void {
     this.#loads.removeRun(job, id, task);
+    this.unconfirmed.delete({ task: id, runNumber: task.runNumber });
     this.#raiseGangVersions(job, id);
   }
 
--- a/src/domain/scheduling/scheduling_command.ts
+++ b/src/domain/scheduling/scheduling_command.ts
@@ -3,6 +3,7 @@
 import { catalogSchema } from "./catalog.ts";
 import { jobSpecSchema, taskIdSchema } from "./job.ts";
 import { runnerSchema } from "./runner.ts";
+import { startConfirmationSchema } from "./unconfirmed_starts.ts";
 
 /** Ways in which a run can end. */
 export const RUN_ENDS = [
@@ -51,6 +52,10 @@
     /** Number of failed runs of the task after which its job has failed. */
     maxAttempts: v.number(),
   }),
+  v.object({
+    type: v.literal("confirm"),
+    ...startConfirmationSchema.entries,
+  }),
   v.object({ type: v.literal("runner"), runner: runnerSchema }),
   v.object({ type: v.literal("runnerGone"), ...incarnationEntries }),
   v.object({ type: v.literal("catalog"), catalog: catalogSchema }),
--- a/src/domain/scheduling/scheduling_state.ts
+++ b/src/domain/scheduling/scheduling_state.ts
@@ -12,6 +12,7 @@
   SchedulingCommand,
   SchedulingOperation,
 } from "./scheduling_command.ts";
+import type { StartName } from "./unconfirmed_starts.ts";
 
 /** A wave, which puts a set of VMs through maintenance, with its progress. */
 export interface WaveRecord {
@@ -31,7 +32,9 @@
   | { readonly type: "zonesOut"; readonly zones: readonly string[] }
   | { readonly type: "runner"; readonly runner: Runner }
   | { readonly type: "wave"; readonly wave: WaveRecord }
-  | { readonly type: "job"; readonly job: StoredJob };
+  | { readonly type: "job"; readonly job: StoredJob }
+  // Absent in snapshots of releases that did not record confirmations.
+  | { readonly type: "unconfirmed"; readonly starts: readonly StartName[] };
 
 /**
  * Observes one batch of changes: called right before the batch is applied.
@@ -112,6 +115,7 @@
         type: "job" as const,
         job: job.toStored(),
       })),
+      { type: "unconfirmed", starts: this.jobs.unconfirmed.list() },
     ];
   }
 
@@ -141,6 +145,9 @@
       case "job":
         this.jobs.restore(item.job);
         return;
+      case "unconfirmed":
+        item.starts.forEach((start) => this.jobs.unconfirmed.add(start));
+        return;
     }
   }
 
@@ -158,6 +165,9 @@
       case "end":
         this.jobs.end(operation, atMs);
         return;
+      case "confirm":
+        this.jobs.unconfirmed.confirm(operation);
+        return;
       case "runner":
         this.#putRunner(operation.runner, atMs);
         return;
--- a/src/services/scheduling/index.ts
+++ b/src/services/scheduling/index.ts
@@ -21,5 +21,6 @@
 export * from "./scheduler.ts";
 export * from "./scheduling_handlers.ts";
 export * from "./scheduling_log.ts";
+export * from "./start_confirmer.ts";
 export * from "./wave_task.ts";
 export * from "./watched_log_store.ts";
--- a/src/services/scheduling/replaced_runner_test.ts
+++ b/src/services/scheduling/replaced_runner_test.ts
@@ -13,13 +13,18 @@
 const WORK_MS = 8_000;
 
 interface RunnerFault {
+  /**
+   * Whether the leader notices the successor before the runner no longer
+   * answers; it cannot record it.
+   */
+  readonly isNoticed?: boolean;
   /** Whether the leader changes once the runner no longer answers. */
   readonly changesLeader: boolean;
 }
 
 /** Lets a run begin at a successor that answers no request after that. */
 async function runAtSuccessor(
-  { changesLeader }: RunnerFault,
+  { changesLeader, isNoticed = true }: RunnerFault,
 ): Promise<readonly RunSpan[]> {
   const fixture = new SchedulingFixture({
     clock: new FakeClock(),
@@ -40,9 +45,17 @@
   }
   const { runnerId = "" } = findBusyRunner() ?? {};
   fixture.startRunner(runnerId);
-  commits.pause();
-  await clock.advance(1_000);
+  if (isNoticed) {
+    commits.pause();
+    await clock.advance(1_000);
+  } else {
+    runners.lostPercent = 100;
+    while (runners.spans.length === 0) {
+      await clock.advance(1);
+    }
+  }
   runners.cutIds.add(runnerId);
+  runners.lostPercent = 0;
   if (changesLeader) {
     fixture.changeLeader();
   }
@@ -50,6 +63,7 @@
   await clock.advance(2 * MAX_LEASE_MS);
   runners.advanceAll();
   await fixture.stop();
+  assert.is(runners.spans[0]?.runnerId, runnerId, "its successor ran the task");
   return runners.spans;
 }
 
@@ -67,6 +81,29 @@
   // of the successor and waits only for the lease on the previous clock.
   it("keeps its tasks as long under the next leader", async () => {
     const spans = await runAtSuccessor({ changesLeader: true });
+    assert.equal(spans.map(({ how }) => how), ["lapsed", "done"]);
+    checkNeverTwice(spans);
+  });
+
+  // Guards against a task that runs twice at once: no answer of the successor
+  // had arrived when the leader changed.
+  it("keeps its tasks under the next leader if nobody noticed the successor", async () => {
+    const spans = await runAtSuccessor({
+      changesLeader: true,
+      isNoticed: false,
+    });
+    assert.equal(spans.map(({ how }) => how), ["lapsed", "done"]);
+    checkNeverTwice(spans);
+  });
+
+  // Guards against a task that runs twice at once: no answer of the successor
+  // had arrived when it was cut off, and the leader stayed.
+  it("keeps its tasks under the same leader if nobody noticed the successor", async () => {
+    const spans = await runAtSuccessor({
+      changesLeader: false,
+      isNoticed: false,
+    });
+    assert.equal(spans.map(({ how }) => how), ["lapsed", "done"]);
     checkNeverTwice(spans);
   });
 });
--- a/src/services/scheduling/run_reconciler.ts
+++ b/src/services/scheduling/run_reconciler.ts
@@ -180,6 +180,7 @@
     for (const key of this.#trackedRuns.keys()) {
       if (!wanted.has(key)) {
         this.#trackedRuns.delete(key);
+        status.confirmedRuns.delete(key);
       }
     }
   }
@@ -269,5 +270,9 @@
       return;
     }
     this.#trackedRuns.set(key, { state, confirmedAtMs: atMs });
+    // The next leader may send the start of a closed run again.
+    if (state === "running") {
+      this.#options.status.confirmedRuns.add(key);
+    }
   }
 }
--- a/src/services/scheduling/runner_remover.ts
+++ b/src/services/scheduling/runner_remover.ts
@@ -4,17 +4,20 @@
   RunnerLoad,
   SchedulingOperation,
 } from "../../domain/index.ts";
-import type { RunnerRemoval } from "../../ports/index.ts";
+import type { Clock, RunnerFailure, RunnerRemoval } from "../../ports/index.ts";
+import { InheritedStarts } from "./inherited_starts.ts";
 import {
   closePreviousIncarnation,
   type PreviousIncarnationOptions,
 } from "./previous_incarnation.ts";
 import type { RequestObserver } from "./request_observer.ts";
 import type { RunnerStatus } from "./runner_status.ts";
+import { EXPIRED_RETRY_MS } from "./timing.ts";
 
 /** Options of {@link RunnerRemover}. */
 export interface RunnerRemoverOptions
   extends Omit<PreviousIncarnationOptions, "findStatus"> {
+  readonly clock: Clock;
   readonly status: RunnerStatus;
   readonly requests: RequestObserver;
   /** Returns the runner as it last announced itself. */
@@ -28,10 +31,12 @@
  */
 export class RunnerRemover {
   readonly #options: RunnerRemoverOptions;
+  readonly #inherited: InheritedStarts;
   #isDecided = false;
 
   constructor(options: RunnerRemoverOptions) {
     this.#options = options;
+    this.#inherited = new InheritedStarts(options);
   }
 
   /** Whether the runner is to be removed. */
@@ -47,15 +52,32 @@
 
   /**
    * Decides to remove a runner that has ended or does not respond; only a leader
-   * that holds its lease does.
+   * that holds its lease does. While a successor may run some of its tasks, only
+   * the other runs end.
    *
    * @param removal - The reason, for the log and the metrics.
+   * @param failure - Why the last poll failed.
+   * @param signal - Ends the pause before the next poll.
    */
-  giveUp(removal: RunnerRemoval): void {
-    const { findLoad, findRunner, log, logger, requests } = this.#options;
+  async giveUp(
+    removal: RunnerRemoval,
+    { refusal }: RunnerFailure,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const { clock, findLoad, findRunner, log, logger, requests } =
+      this.#options;
     if (!log.holdsLeaderLease) {
       return;
     }
+    const { leftMs } = this.#inherited;
+    // A successor that ran a task would listen at the address.
+    if (
+      removal === "leasesExpired" && refusal !== "notListening" && leftMs > 0
+    ) {
+      await this.#endOtherRuns();
+      await clock.sleep(Math.min(EXPIRED_RETRY_MS, leftMs), signal);
+      return;
+    }
     this.retire();
     const { runnerId, bornAtMs } = findRunner();
     const runCount = findLoad().running.size;
@@ -92,6 +114,47 @@
     }
   }
 
+  // Their leases have ended, so that they have too, also if the runner answers
+  // before the entry is applied.
+  async #endOtherRuns(): Promise<void> {
+    const { findLoad, findMaxAttempts, findRunner, log, logger } =
+      this.#options;
+    const runs = [...findLoad().running.values()];
+    const others = runs.filter((run) =>
+      !this.#inherited.mayRunAtSuccessor(run)
+    );
+    if (others.length === 0) {
+      return;
+    }
+    const { runnerId, bornAtMs } = findRunner();
+    const fields = {
+      runnerId,
+      bornAtMs,
+      runCount: others.length,
+      heldCount: runs.length - others.length,
+    };
+    logger.warn(
+      fields,
+      "ends the runs of a silent runner that no successor can have",
+    );
+    const proposed = await log.propose(
+      others.map((run) => ({
+        type: "end",
+        task: run.id,
+        runNumber: run.runNumber,
+        how: "lost",
+        saved: "",
+        maxAttempts: findMaxAttempts(run),
+      })),
+    );
+    if (proposed.isErr) {
+      logger.warn(
+        { ...fields, failure: proposed.error },
+        "failed to record the ends of these runs; proposing them again",
+      );
+    }
+  }
+
   async #propose(ends: readonly SchedulingOperation[]): Promise<void> {
     const { findRunner, log, logger } = this.#options;
     const { runnerId, bornAtMs } = findRunner();
--- a/src/services/scheduling/runner_status.ts
+++ b/src/services/scheduling/runner_status.ts
@@ -15,7 +15,7 @@
  * can be left at its successor, in milliseconds. The request may arrive there
  * until it times out, and the lease that it grants begins then.
  */
-const SUCCESSOR_LEASE_MS = toLongestMs(
+export const SUCCESSOR_LEASE_MS = toLongestMs(
   POLL_WAIT_MS + POLL_TIMEOUT_MS + MAX_LEASE_MS,
 );
 
@@ -49,6 +49,8 @@
    * it, else millicores.
    */
   loads: ReadonlyMap<string, number> = new Map();
+  /** Names of the placed runs whose start this incarnation has confirmed. */
+  readonly confirmedRuns = new Set<string>();
 
   constructor(clock: Clock) {
     this.#clock = clock;
--- a/src/services/scheduling/runner_task.ts
+++ b/src/services/scheduling/runner_task.ts
@@ -279,8 +279,7 @@
       this.#isFenced = true;
       return;
     }
-    // The leases of an idle runner expired long ago, so that one lost poll shows
-    // nothing.
+    // The leases of an idle runner expired long ago: one lost poll shows nothing.
     const isIdleOnce = this.status.isAnswering && this.#load.running.size === 0;
     this.status.recordNoAnswer();
     if (this.#remover.isDecided) {
@@ -289,7 +288,8 @@
     const isGone = failure.refusal === "otherLife" ||
       (failure.refusal === "notListening" && this.status.isLeaving);
     if (isGone || (this.#leaseLeftMs === 0 && !isIdleOnce)) {
-      this.#remover.giveUp(isGone ? "ended" : "leasesExpired");
+      const removal = isGone ? "ended" : "leasesExpired";
+      await this.#remover.giveUp(removal, failure, signal);
       return;
     }
     const pauseMs = isIdleOnce
--- a/src/services/scheduling/timing.ts
+++ b/src/services/scheduling/timing.ts
@@ -55,6 +55,8 @@
  * in milliseconds: the timeout of a request, and a late event loop.
  */
 export const MAX_ANSWER_DELAY_MS = 2_000;
+/** Interval at which confirmed starts are recorded in the log (ms). */
+export const CONFIRM_TICK_MS = 500;
 /** Pause after a poll that reported ended runs, so that more gather (ms). */
 export const END_BATCH_MS = 25;
 /** Pause after a failed request, in milliseconds: at most a tenth of a lease. */
--- a/src/testing/fake_runners.ts
+++ b/src/testing/fake_runners.ts
@@ -125,6 +125,7 @@
     request: PollRequest,
   ): Promise<Result<RunnerReport, RunnerFailure>> {
     const timeoutMs = request.timeoutMs - request.waitMs;
+    const timedOutMs = this.#nowMs + request.timeoutMs;
     const first = await this.#send(
       runner,
       (incarnation) => incarnation.poll(request),
@@ -145,6 +146,10 @@
       incarnation.advance();
       report = Result.ok(incarnation.report());
     }
+    if (report.isOk && this.cutIds.has(runner.runnerId)) {
+      await this.#options.clock.sleep(timedOutMs - this.#nowMs);
+      return Result.err({ message: "no answer" });
+    }
     await this.#options.clock.sleep(this.pollAnswerDelayMs);
     return report;
   }
--- a/src/testing/scheduling_fixture.ts
+++ b/src/testing/scheduling_fixture.ts
@@ -26,6 +26,7 @@
   RunnerRelay,
   Scheduler,
   SchedulingLog,
+  StartConfirmer,
   WaveTask,
 } from "../services/scheduling/index.ts";
 import { Notifier, TaskGroup } from "../tasks/index.ts";
@@ -303,6 +304,8 @@
     tasks.start("fleet", (signal) => fleet.run(signal));
     tasks.start("waves", async (signal) => await waves?.run(signal));
     tasks.start("scheduler", (signal) => scheduler.run(signal));
+    const confirmer = new StartConfirmer({ ...shared, fleet });
+    tasks.start("confirmations", (signal) => confirmer.run(signal));
     return {
       view,
       clock,
