--- a/src/services/scheduling/runner_task.ts
+++ b/src/services/scheduling/runner_task.ts
@@ -291,7 +291,7 @@
       return;
     }
     if ("removal" in step) {
-      this.#remover.giveUp(step.removal);
+      await this.#remover.giveUp(step.removal, failure, signal);
     } else {
       await clock.sleep(step.pauseMs, signal);
     }
