Start what waits for the first answer of a runner at once

Cause: the task that sends starts waits until the load of the runner changes. The first answer of a runner in a term does not change its load, so the starts that waited for this answer were sent by the check once a second.

Evidence: unsent_start_test.ts, in which a run is in the log and was not sent when the leader changes: no start within 50 ms without the change.

Change: the first answer ends the wait too.

Result: the run starts within 50 ms (npm test unsent_start).

--- a/src/services/scheduling/run_reconciler.ts
+++ b/src/services/scheduling/run_reconciler.ts
@@ -87,7 +87,8 @@
     const { clock, findLoad, loadChanged, status, log } = this.#options;
     while (!signal.aborted) {
       const { version } = findLoad();
-      if (status.isSynced && log.holdsLeaderLease) {
+      const { isSynced } = status;
+      if (isSynced && log.holdsLeaderLease) {
         this.#reconcile(signal);
       }
       await waitFor({
@@ -95,7 +96,8 @@
         notifier: loadChanged,
         timeoutMs: IDLE_CHECK_MS,
         signal,
-        isMet: () => findLoad().version !== version,
+        isMet: () =>
+          findLoad().version !== version || status.isSynced !== isSynced,
       });
     }
   }
