Poll runners without runs once they get work

Cause: a new leader creates a task for each runner of the log and polls all of them in one stretch, and places work only where a poll was answered. What it does first grows with the fleet and not with the work.

Evidence: npm test new_leader polled 290 runners without work and placed 0 of 20 tasks before an answer.

Change: a runner on which the log places no run when the term begins is presumed free. It has a status and no task, counts as capacity until it is silent, and gets work after runners that have answered. Its task starts with its first run, which still needs a poll before the start, or on removal. The others are polled from 1 s on, 5 each 40 ms, which finds runs that the log has ended.

No lease of an earlier leader can hold a run there: a leader leads once all entries of earlier terms are applied, and starts count only in the term that planned them. So the work of such a runner that misses two polls before its first start waits for no lease. One lost poll is not enough, since a relay may be lost with the previous leader. A runner that is announced within the term is polled before it gets work, as before, so that one that only announces itself does not get work again and again.

--- a/src/bench/scheduling.ts
+++ b/src/bench/scheduling.ts
@@ -235,6 +235,7 @@
     byPool.set(runner.pool, pool);
     pool.push({
       ...runner,
+      hasAnswered: true,
       free: { ...runner.capacity },
       latencyTargetCount: 0,
       bestEffortCount: 0,
--- a/src/services/scheduling/runner_task.ts
+++ b/src/services/scheduling/runner_task.ts
@@ -65,7 +65,8 @@
     this.#options = options;
     this.#runner = options.runner;
     this.status = options.status;
-    this.#lease = new LeaseTracker(options.clock);
+    const mayHoldLease = !options.status.isPresumedFree;
+    this.#lease = new LeaseTracker(options.clock, mayHoldLease);
     this.#grants = new LeaseGrants({
       ...options,
       lease: this.#lease,
@@ -175,12 +176,12 @@
     const { client, clock, fencingToken } = this.#options;
     const ackPosition = this.#chooseAckPosition();
     const leaseUntilMs = this.#grants.renew();
-    const hasRuns = this.#load.running.size > 0;
+    const mayRun = this.status.mayRun(this.#load);
     const times = choosePollTimes({
-      isBusy: this.status.isSynced && hasRuns,
+      isBusy: this.status.isSynced && mayRun,
       isAnswering: this.status.isAnswering,
       isClosing: this.#runs.isClosing,
-      leaseLeftMs: hasRuns ? this.#leaseLeftMs : Infinity,
+      leaseLeftMs: mayRun ? this.#leaseLeftMs : Infinity,
     });
     const sentAtMs = clock.monotonicMs();
     const endRequest = this.status.beginRequest(times.waitMs);
@@ -221,7 +222,6 @@
     sentAtMs: number,
     signal: AbortSignal,
   ): Promise<void> {
-    const { clock } = this.#options;
     this.#lease.observe(report.clockMs);
     this.status.recordReport(report);
     this.#runs.recordRunning(report.running);
@@ -244,7 +244,7 @@
     }
     const isIdle = operations.length === 0 && report.running.length > 0;
     // Without a pause, each of several ends in a row would need its own poll.
-    await clock.sleep(isIdle ? 1 : END_BATCH_MS, signal);
+    await this.#options.clock.sleep(isIdle ? 1 : END_BATCH_MS, signal);
   }
 
   async #record(
@@ -279,9 +279,9 @@
       this.#isFenced = true;
       return;
     }
-    // The leases of an idle runner expired long ago, so that one lost poll shows
-    // nothing.
-    const isIdleOnce = this.status.isAnswering && this.#load.running.size === 0;
+    // No lease delays the removal of a runner without runs.
+    const isIdleOnce = this.status.isAnswering &&
+      !this.status.mayRun(this.#load);
     this.status.recordNoAnswer();
     if (this.#remover.isDecided) {
       return;
