--- a/src/services/scheduling/runner_task.ts
+++ b/src/services/scheduling/runner_task.ts
@@ -68,7 +68,8 @@
     this.#runner = options.runner;
     this.status = options.status;
     this.#failures = new PollFailures(options.status);
-    this.#lease = new LeaseTracker(options.clock);
+    const mayHoldLease = !options.status.isPresumedFree;
+    this.#lease = new LeaseTracker(options.clock, mayHoldLease);
     this.#grants = new LeaseGrants({
       ...options,
       lease: this.#lease,
@@ -178,12 +179,12 @@
     const { client, clock, fencingToken } = this.#options;
     const ackPosition = this.#chooseAckPosition();
     const leaseUntilMs = this.#grants.renew();
-    const hasRuns = this.#load.running.size > 0;
+    const mayRun = this.status.mayRun(this.#load);
     const times = choosePollTimes({
-      isBusy: this.status.isSynced && hasRuns,
+      isBusy: this.status.isSynced && mayRun,
       isAnswering: this.status.isAnswering,
       isClosing: this.#runs.isClosing,
-      leaseLeftMs: hasRuns ? this.#leaseLeftMs : Infinity,
+      leaseLeftMs: mayRun ? this.#leaseLeftMs : Infinity,
     });
     const sentAtMs = clock.monotonicMs();
     const endRequest = this.status.beginRequest(times.waitMs);
@@ -225,7 +226,6 @@
     sentAtMs: number,
     signal: AbortSignal,
   ): Promise<void> {
-    const { clock } = this.#options;
     this.#lease.observe(report.clockMs);
     this.status.recordReport(report);
     this.#runs.recordRunning(report.running);
@@ -248,7 +248,7 @@
     }
     const isIdle = operations.length === 0 && report.running.length > 0;
     // Without a pause, each of several ends in a row would need its own poll.
-    await clock.sleep(isIdle ? 1 : END_BATCH_MS, signal);
+    await this.#options.clock.sleep(isIdle ? 1 : END_BATCH_MS, signal);
   }
 
   async #record(
@@ -284,6 +284,7 @@
     }
     const step = this.#failures.record(failure, {
       runCount: this.#load.running.size,
+      mayRun: this.status.mayRun(this.#load),
       hasOrphans: this.#runs.hasOrphans,
       leaseLeftMs: this.#leaseLeftMs,
     });
