Expect the turn of the pool that is next

Callers whose jobs came in the first two seconds of a queue's turn got late answers: its pool had its VMs two seconds after the step.

TrendForecast compares whole seconds, so it finds a step late and then exceeds it.

Change: the turns of each pool are found by cumulative sums of the likelihood ratio, some six jobs after the step. Used in place of the two others, which stay as alternatives.

--- a/src/daemon/scheduling/start_leading.ts
+++ b/src/daemon/scheduling/start_leading.ts
@@ -2,15 +2,13 @@
 import {
   BackOffPacePolicy,
   DemandCapacityPolicy,
-  HighestForecast,
   LeastLossMaintenancePolicy,
   listReadySteps,
-  PeriodicForecast,
   RunDelays,
   ScoredPlacementPolicy,
   SlackOrderPolicy,
   StartPlanner,
-  TrendForecast,
+  TurnForecast,
 } from "../../decisions/index.ts";
 import type { JobState, Runner } from "../../domain/index.ts";
 import type {
@@ -92,10 +90,7 @@
     fleet,
     vms,
     policy: new DemandCapacityPolicy(),
-    forecast: new HighestForecast([
-      new PeriodicForecast(),
-      new TrendForecast(),
-    ]),
+    forecast: new TurnForecast(),
     holderId: entryId,
     isInMaintenance,
   });
--- a/src/decisions/scheduling/index.ts
+++ b/src/decisions/scheduling/index.ts
@@ -10,5 +10,6 @@
 export * from "./demand_forecast.ts";
 export * from "./pace_policy.ts";
 export * from "./trend_forecast.ts";
+export * from "./turn_forecast.ts";
 export * from "./wait_reason.ts";
 export * from "./waiting_demand.ts";
--- /dev/null
+++ b/src/decisions/scheduling/turn_detector.ts
@@ -0,0 +1,187 @@
+/** Finds the turns of pools: spans in which work arrives far more often. */
+import type { Arrival } from "./demand_forecast.ts";
+
+/** A span in which jobs arrive at a pool far more often than before it. */
+export interface Turn {
+  readonly pool: string;
+  /** Wall-clock time of its first job (ms). */
+  readonly startMs: number;
+  /** Wall-clock time of its end (ms); undefined while it lasts. */
+  readonly endMs: number | undefined;
+  /** Mean demand from the start on, in millicores. */
+  readonly millicores: number;
+}
+
+/** Factor between two rates of arrival from which they count as different. */
+const RATE_FACTOR = 3;
+const LOG_FACTOR = Math.log(RATE_FACTOR);
+/**
+ * Logarithm of the likelihood ratio from which a change of the rate is certain:
+ * some six jobs.
+ */
+const MIN_EVIDENCE = 6;
+/** Weight of the rate that is assumed while little is known. */
+const ASSUMED_COUNT = 0.5;
+const ASSUMED_SPAN_MS = 500;
+/**
+ * Share of the highest demand of any pool below which demand is too low for a
+ * turn.
+ */
+const MIN_DEMAND_SHARE = 0.1;
+/** Span whose demand counts for the highest demand (ms). */
+const PEAK_SPAN_MS = 1_000;
+
+/**
+ * Finds the turns of each pool by cumulative sums of the likelihood ratio
+ * between the present rate of arrival and one that differs by a factor. A step
+ * is found after a few jobs, however long they take to come.
+ *
+ * @param arrivals - Work that has arrived, oldest first.
+ * @param nowMs - Wall-clock time (ms).
+ * @returns The turns, in the order of their starts.
+ */
+export function findTurns(
+  arrivals: readonly Arrival[],
+  nowMs: number,
+): Turn[] {
+  const byPool = new Map<string, Arrival[]>();
+  for (const arrival of arrivals.filter(({ work }) => work > 0)) {
+    const own = byPool.get(arrival.pool) ?? [];
+    byPool.set(arrival.pool, own);
+    own.push(arrival);
+  }
+  const pools = [...byPool.values()];
+  const firstMs = Math.min(...pools.map((own) => own[0]?.atMs ?? nowMs));
+  const leastDemand = MIN_DEMAND_SHARE * Math.max(...pools.map(findPeak));
+  return pools.flatMap((own) =>
+    new PoolTurns(firstMs, leastDemand / computeMeanWork(own)).read(own, nowMs)
+  ).toSorted((left, right) => left.startMs - right.startMs);
+}
+
+function computeMeanWork(arrivals: readonly Arrival[]): number {
+  return arrivals.reduce((sum, { work }) => sum + work, 0) / arrivals.length;
+}
+
+function findPeak(arrivals: readonly Arrival[]): number {
+  let peak = 0;
+  let sum = 0;
+  let first = 0;
+  for (const { atMs, work } of arrivals) {
+    sum += work;
+    while ((arrivals[first]?.atMs ?? atMs) <= atMs - PEAK_SPAN_MS) {
+      sum -= arrivals[first]?.work ?? 0;
+      first += 1;
+    }
+    peak = Math.max(peak, sum / PEAK_SPAN_MS);
+  }
+  return peak;
+}
+
+/** Jobs that arrived in a span. */
+interface Span {
+  startMs: number;
+  count: number;
+  work: number;
+}
+
+/** Reads the arrivals of one pool in their order. */
+class PoolTurns {
+  readonly #ended: (Span & { readonly endMs: number })[] = [];
+  #isTurn = false;
+  /** Arrivals since the latest change, without those of `#run`. */
+  #span: Span;
+  /** Arrivals since the time from which on the rate may be another one. */
+  #run: Span;
+  #evidence = 0;
+  #latestMs: number;
+
+  readonly #leastRate: number;
+
+  /**
+   * @param firstMs - Wall-clock time at which the history begins (ms).
+   * @param leastRate - Rate below which there is no turn, in jobs a millisecond.
+   */
+  constructor(firstMs: number, leastRate: number) {
+    this.#leastRate = leastRate;
+    this.#span = { startMs: firstMs, count: 0, work: 0 };
+    this.#run = { startMs: firstMs, count: 0, work: 0 };
+    this.#latestMs = firstMs;
+  }
+
+  /**
+   * Finds the turns of a pool.
+   *
+   * @param arrivals - Its arrivals, oldest first.
+   * @param nowMs - Wall-clock time (ms).
+   */
+  read(arrivals: readonly Arrival[], nowMs: number): Turn[] {
+    arrivals.forEach((arrival) => this.#add(arrival));
+    this.#pass(nowMs);
+    return this.#list(arrivals[0]?.pool ?? "", nowMs);
+  }
+
+  #add({ atMs, work }: Arrival): void {
+    this.#pass(atMs);
+    if (this.#isTurn) {
+      this.#evidence -= LOG_FACTOR;
+    } else {
+      this.#evidence += LOG_FACTOR;
+      this.#run.startMs = this.#run.count === 0 ? atMs : this.#run.startMs;
+    }
+    this.#run.count += 1;
+    this.#run.work += work;
+    this.#check(atMs);
+  }
+
+  #list(pool: string, nowMs: number): Turn[] {
+    const turns = this.#ended.map((span): Turn => ({
+      pool,
+      startMs: span.startMs,
+      endMs: span.endMs,
+      millicores: span.work / Math.max(1, span.endMs - span.startMs),
+    }));
+    if (this.#isTurn) {
+      const { startMs } = this.#span;
+      const work = this.#span.work + this.#run.work;
+      const count = this.#span.count + this.#run.count;
+      // The first job comes at the start, as if the time before it had passed.
+      const lengthMs = Math.max(1, nowMs - startMs) * (1 + 1 / count);
+      const millicores = work / lengthMs;
+      turns.push({ pool, startMs, endMs: undefined, millicores });
+    }
+    return turns;
+  }
+
+  // Time in which no job came speaks for the lower rate.
+  #pass(atMs: number): void {
+    const passedMs = Math.max(0, atMs - this.#latestMs);
+    this.#latestMs = Math.max(atMs, this.#latestMs);
+    const { count, startMs } = this.#span;
+    const lengthMs = this.#run.startMs - startMs;
+    const rate = Math.max(
+      this.#leastRate,
+      (count + ASSUMED_COUNT) / (lengthMs + ASSUMED_SPAN_MS),
+    );
+    this.#evidence += this.#isTurn
+      ? rate * (1 - 1 / RATE_FACTOR) * passedMs
+      : -rate * (RATE_FACTOR - 1) * passedMs;
+    this.#check(atMs);
+  }
+
+  #check(atMs: number): void {
+    if (this.#evidence <= 0) {
+      this.#evidence = 0;
+      this.#span.count += this.#run.count;
+      this.#span.work += this.#run.work;
+      this.#run = { startMs: atMs, count: 0, work: 0 };
+    } else if (this.#evidence >= MIN_EVIDENCE) {
+      if (this.#isTurn) {
+        this.#ended.push({ ...this.#span, endMs: this.#run.startMs });
+      }
+      this.#isTurn = !this.#isTurn;
+      this.#evidence = 0;
+      this.#span = this.#run;
+      this.#run = { startMs: atMs, count: 0, work: 0 };
+    }
+  }
+}
