Extend the rise of demand beside the turns again

Cause: while a turn is not expected, work gathers until its VMs serve. The forecast of turns gives the demand of the turn and nothing for what gathered; the extended rise exceeds the turn for a second and does.

Change: the highest of both is used.

--- a/src/daemon/scheduling/start_leading.ts
+++ b/src/daemon/scheduling/start_leading.ts
@@ -2,12 +2,14 @@
 import {
   BackOffPacePolicy,
   DemandCapacityPolicy,
+  HighestForecast,
   LeastLossMaintenancePolicy,
   listReadySteps,
   RunDelays,
   ScoredPlacementPolicy,
   SlackOrderPolicy,
   StartPlanner,
+  TrendForecast,
   TurnForecast,
 } from "../../decisions/index.ts";
 import type { JobState, Runner } from "../../domain/index.ts";
@@ -90,7 +92,10 @@
     fleet,
     vms,
     policy: new DemandCapacityPolicy(),
-    forecast: new TurnForecast(),
+    forecast: new HighestForecast([
+      new TurnForecast(),
+      new TrendForecast(),
+    ]),
     holderId: entryId,
     isInMaintenance,
   });
