List the VMs while VMs move

Cause: the list was read again only in ticks without moves.

Change: it is read after moves as well, no more often than before by age.

--- a/src/services/scheduling/capacity_task.ts
+++ b/src/services/scheduling/capacity_task.ts
@@ -27,7 +27,7 @@
 /** Options of {@link CapacityTask}. */
 export interface CapacityTaskOptions {
   readonly log: SchedulingLog;
-  readonly fleet: RunnerFleet;
+  readonly fleet: Pick<RunnerFleet, "findStatus" | "retire">;
   readonly vms: VmControl;
   readonly policy: CapacityPolicy;
   readonly forecast: DemandForecast;
@@ -82,14 +82,22 @@
   }
 
   async #rebalance(signal: AbortSignal): Promise<void> {
-    const { clock, policy } = this.#options;
+    const { policy } = this.#options;
     this.#updateIdleTimes();
     const pools = this.#listLoads();
     const moves = policy.plan({ pools, idle: this.#listIdleVms() });
-    if (moves.length === 0) {
-      await this.#refreshListing();
-      return;
+    if (moves.length > 0) {
+      await this.#carryOut(moves, pools, signal);
     }
+    await this.#refreshListing();
+  }
+
+  async #carryOut(
+    moves: readonly PlannedMove[],
+    pools: readonly PoolLoad[],
+    signal: AbortSignal,
+  ): Promise<void> {
+    const { clock } = this.#options;
     const runnerIds = moves.map(({ vm }) => this.#findVm(vm)?.runnerId ?? "");
     this.#cordonedRunnerIds = new Set(runnerIds);
     // A plan made before the cordon may still place work on these VMs.
