Keep idle VMs in their pool for a cycle of turns

Callers of the first turn of a queue got late answers: the pool had parked its VMs after 1.2 s without work and got them back 2 s late.

Cause: a pool that takes turns rests for far longer than 1.2 s, and a parked VM is of use to no pool sooner than an idle one elsewhere.

Change: a VM is parked after 30 s without work.

--- a/src/decisions/scheduling/capacity_policy.ts
+++ b/src/decisions/scheduling/capacity_policy.ts
@@ -64,8 +64,10 @@
   readonly headroomFactor?: number;
   /**
    * Time that a VM stays idle before it is parked, which means moved to a
-   * standby pool, in milliseconds. Parking a VM and moving it back costs as
-   * much as about two seconds in its pool.
+   * standby pool, in milliseconds. Idle VMs are the reserve for the first
+   * seconds of the next turn of their pool, so they stay for longer than pools
+   * that take turns rest. Other pools get them as soon as those of a standby
+   * pool.
    */
   readonly parkAfterMs?: number;
   /** VMs that a pool keeps for the first tasks after an idle time. */
@@ -73,7 +75,7 @@
 }
 
 const DEFAULT_HEADROOM_FACTOR = 1.15;
-const DEFAULT_PARK_AFTER_MS = 1_200;
+const DEFAULT_PARK_AFTER_MS = 30_000;
 const DEFAULT_MIN_POOL_VM_COUNT = 2;
 
 interface Balance {
