--- a/src/daemon/scheduling/start_leading.ts
+++ b/src/daemon/scheduling/start_leading.ts
@@ -5,12 +5,12 @@
   HighestForecast,
   LeastLossMaintenancePolicy,
   listReadySteps,
-  PeriodicForecast,
   RunDelays,
   ScoredPlacementPolicy,
   SlackOrderPolicy,
   StartPlanner,
   TrendForecast,
+  TurnForecast,
 } from "../../decisions/index.ts";
 import type { JobState, Runner } from "../../domain/index.ts";
 import type {
@@ -96,7 +96,7 @@
     vms,
     policy: new DemandCapacityPolicy(),
     forecast: new HighestForecast([
-      new PeriodicForecast(),
+      new TurnForecast(),
       new TrendForecast(),
     ]),
     holderId: entryId,
