Release answered relay requests at once

Seen by callers: a leader that is late in the turns of queues.

Cause: the map of requests on their way replaces its table every few hundred requests. A replaced table keeps its entries until a full garbage collection, refers to the next table, and so kept requests that had long been answered, with their answers and timers, alive: collections of young objects took 10 to 13 ms and moved 2 to 3 MB each.

Evidence (in-process measurement, 100 requests at a time, processor time for each, two interleaved runs): a relayed start 15.8 and 15.9 us, a relayed poll with 3 ends and 5 runs 26.4 and 26.7 us. A single deadline check instead of a timer for each request gained nothing measurable, so the timers stay.

Change: an entry drops its references when it settles.

Result (same measurement): 12.7 and 12.3 us, 16.1 and 15.8 us.

--- a/src/services/scheduling/relay/relay_link.ts
+++ b/src/services/scheduling/relay/relay_link.ts
@@ -30,8 +30,10 @@
 }
 
 interface PendingRequest {
-  readonly settle: (answer: RelayedAnswer) => void;
-  readonly cancelTimer: () => void;
+  /** Undefined once it has settled. */
+  settle: ((answer: RelayedAnswer) => void) | undefined;
+  /** Undefined once it has settled. */
+  cancelTimer: (() => void) | undefined;
 }
 
 /** A request without its number, which the link sets. */
@@ -147,7 +149,16 @@
   #settle(answer: RelayedAnswer): void {
     const pending = this.#pending.get(answer.callId);
     this.#pending.delete(answer.callId);
-    pending?.cancelTimer();
-    pending?.settle(answer);
+    if (pending === undefined) {
+      return;
+    }
+    const { settle, cancelTimer } = pending;
+    // The map replaces its table every few hundred requests. Old tables keep the
+    // entries of that moment until a full garbage collection, and with them all
+    // that the entries refer to.
+    pending.settle = undefined;
+    pending.cancelTimer = undefined;
+    cancelTimer?.();
+    settle?.(answer);
   }
 }
