Log the work of a new leader every 500 ms instead of every 100 ms

Each line reads the gauges, a pass over all runners and open jobs, while the leader has the least time.

--- a/src/services/scheduling/timing.ts
+++ b/src/services/scheduling/timing.ts
@@ -188,7 +188,7 @@
 /** Duration of a term's start, in which its work is logged in detail (ms). */
 export const LEADER_START_MS = 3_000;
 /** Interval at which a leader logs its work at the start of a term (ms). */
-export const LEADER_START_WORK_MS = 100;
+export const LEADER_START_WORK_MS = 500;
 /** Interval at which a leader logs its work after that, in milliseconds. */
 export const LEADER_WORK_MS = 1_000;
 
