Recognize the answer of a successor by the lease that it gives

What callers saw: a task that ran twice at once. An idle runner restarts, its successor answers a start and is cut off before the next poll.

Cause: an answer counted as a successor's when its clock was 2 s behind the newest reading, so that the answer in place of a runner that was younger than 2 s counted as its own. Where it was recognized, the leader only noted that the runner had not answered, and waited for the lease on the previous clock (3.6 s), while the successor gives up to the longest one.

Change: a start whose lease lasts longer than 3.6 s on the clock of its answer was carried out by a successor; no own answer can show that, late or not. From such an answer on the leader waits as long as after a successor was noticed.

"tells the clock of a successor from an answer that was overtaken" tested the tolerance of 2 s, which is gone. In its place are a property for clocks that are up to 2 % slow or fast, old readings and leases that were granted before, and a check at the limit.

Evidence: "keeps its tasks if its successor answered only the start" fails at the ages of 1.6 s and 10 s without the change, and passes with it.

--- a/src/services/scheduling/lease_tracker.ts
+++ b/src/services/scheduling/lease_tracker.ts
@@ -1,8 +1,8 @@
 /** Computes when the leases of a runner have certainly expired. */
 import type { Clock } from "../../ports/index.ts";
 import {
+  CLOCK_STEP_MS,
   LEASE_SLACK_MS,
-  MAX_ANSWER_DELAY_MS,
   MAX_CLOCK_DRIFT,
   MAX_READING_AGE_MS,
   MIN_START_LEASE_MS,
@@ -64,16 +64,6 @@
     return this.#readingAgeMs > MAX_READING_AGE_MS;
   }
 
-  /**
-   * Checks whether a reading is from the clock of a successor, which starts anew.
-   *
-   * @param runnerMs - The reading (ms).
-   */
-  isOtherClock(runnerMs: number): boolean {
-    return this.#runnerMs !== undefined &&
-      runnerMs < this.#runnerMs - MAX_ANSWER_DELAY_MS;
-  }
-
   /** Records a reading of the runner's clock that has just arrived (ms). */
   observe(runnerMs: number): void {
     this.#runnerMs = runnerMs;
@@ -121,6 +111,18 @@
   }
 }
 
+/**
+ * Checks whether the answer to a start is from the clock of a successor, which
+ * starts anew: no lease that was granted on the clock that answers lasts longer
+ * than {@link RUN_LEASE_MS} there.
+ *
+ * @param leaseUntilMs - End of the lease that the start carried (ms).
+ * @param runnerMs - The runner's clock in the answer (ms).
+ */
+export function isOtherClock(leaseUntilMs: number, runnerMs: number): boolean {
+  return leaseUntilMs - runnerMs > RUN_LEASE_MS + CLOCK_STEP_MS;
+}
+
 /**
  * Computes the longest time on the leader's clock until the clock of a runner,
  * which may be slow, has advanced by a duration.
--- a/src/services/scheduling/lease_tracker_test.ts
+++ b/src/services/scheduling/lease_tracker_test.ts
@@ -2,9 +2,9 @@
 import * as assert from "uvu/assert";
 import { describe, it } from "../../testing/describe.ts";
 import { FakeClock } from "../../testing/fake_clock.ts";
-import { LeaseTracker } from "./lease_tracker.ts";
+import { isOtherClock, LeaseTracker } from "./lease_tracker.ts";
 import {
-  MAX_ANSWER_DELAY_MS,
+  CLOCK_STEP_MS,
   MAX_READING_AGE_MS,
   MIN_START_LEASE_MS,
   RUN_LEASE_MS,
@@ -61,13 +61,40 @@
     );
   });
 
-  it("tells the clock of a successor from an answer that was overtaken", () => {
+  // Guards against a runner whose own answers are taken for those of a successor:
+  // its clock is slow, its reading is old, or a later answer has overtaken them.
+  it("never takes a slow clock for that of a successor", async () => {
+    await fc.assert(
+      fc.asyncProperty(
+        fc.double({ min: MIN_RATE, max: 1 / MIN_RATE, noNaN: true }),
+        fc.integer({ min: 0, max: MAX_READING_AGE_MS }),
+        fc.integer({ min: 0, max: 1_000 }),
+        async (rate, ageMs, grantedMs) => {
+          const clock = new FakeClock();
+          const lease = new LeaseTracker(clock);
+          const readRunner = () => Math.floor(clock.steadyMs() * rate);
+          lease.observe(readRunner());
+          await clock.advance(ageMs);
+          const untilMs = lease.grant() ?? 0;
+          const answeredMs = readRunner();
+          assert.not(isOtherClock(untilMs, answeredMs));
+          await clock.advance(grantedMs);
+          lease.observe(readRunner());
+          assert.not(isOtherClock(lease.grantForStart() ?? 0, readRunner()));
+        },
+      ),
+      { seed: SEED },
+    );
+  });
+
+  // Guards against a task that runs twice at once: the answer of a successor was
+  // taken for one that a later answer had overtaken by up to 2 s.
+  it("tells the clock of a successor that gives a longer lease", () => {
     const lease = new LeaseTracker(new FakeClock());
-    assert.not(lease.isOtherClock(0));
-    lease.observe(MAX_ANSWER_DELAY_MS);
-    assert.not(lease.isOtherClock(0));
-    lease.observe(MAX_ANSWER_DELAY_MS + 1);
-    assert.ok(lease.isOtherClock(0));
+    lease.observe(CLOCK_STEP_MS + 1);
+    const untilMs = lease.grant() ?? 0;
+    assert.ok(isOtherClock(untilMs, 0));
+    assert.not(isOtherClock(untilMs, 1));
   });
 
   it("asks for a reading once the newest one is old", async () => {
--- a/src/services/scheduling/replaced_runner_test.ts
+++ b/src/services/scheduling/replaced_runner_test.ts
@@ -11,20 +11,24 @@
 
 const SEED = 20_275;
 const WORK_MS = 8_000;
+const LONG_MS = 60_000;
 
 interface RunnerFault {
+  /** How long the runner lives before the start (ms). */
+  readonly livedMs?: number;
   /**
-   * Whether the leader notices the successor before the runner no longer
-   * answers; it cannot record it.
+   * What the leader hears of the successor before the runner no longer answers:
+   * everything, though it cannot record it, or its answer to the start alone, or
+   * nothing.
    */
-  readonly isNoticed?: boolean;
+  readonly heard?: "all" | "startAnswer" | "nothing";
   /** Whether the leader changes once the runner no longer answers. */
   readonly changesLeader: boolean;
 }
 
 /** Lets a run begin at a successor that answers no request after that. */
 async function runAtSuccessor(
-  { changesLeader, isNoticed = true }: RunnerFault,
+  { changesLeader, heard = "all", livedMs = MAX_LEASE_MS }: RunnerFault,
 ): Promise<readonly RunSpan[]> {
   const fixture = new SchedulingFixture({
     clock: new FakeClock(),
@@ -37,7 +41,7 @@
       scheduling.jobs.findLoad(runner).running.size > 0
     );
   fixture.changeLeader();
-  await clock.advance(MAX_LEASE_MS);
+  await clock.advance(livedMs);
   const step = { taskCount: 1, needs: {}, estimateMs: WORK_MS };
   void fixture.submit("0".repeat(16), [v.parse(jobStepSchema, step)]);
   while (findBusyRunner() === undefined) {
@@ -45,17 +49,19 @@
   }
   const { runnerId = "" } = findBusyRunner() ?? {};
   fixture.startRunner(runnerId);
-  if (isNoticed) {
+  if (heard === "all") {
     commits.pause();
     await clock.advance(1_000);
   } else {
-    runners.lostPercent = 100;
+    runners.lostPercent = heard === "nothing" ? 100 : 0;
+    runners.pollAnswerDelayMs = LONG_MS;
     while (runners.spans.length === 0) {
       await clock.advance(1);
     }
   }
   runners.cutIds.add(runnerId);
   runners.lostPercent = 0;
+  runners.pollAnswerDelayMs = 0;
   if (changesLeader) {
     fixture.changeLeader();
   }
@@ -90,7 +96,7 @@
   it("keeps its tasks under the next leader if nobody noticed the successor", async () => {
     const spans = await runAtSuccessor({
       changesLeader: true,
-      isNoticed: false,
+      heard: "nothing",
     });
     assert.equal(spans.map(({ how }) => how), ["lapsed", "done"]);
     checkNeverTwice(spans);
@@ -101,9 +107,22 @@
   it("keeps its tasks under the same leader if nobody noticed the successor", async () => {
     const spans = await runAtSuccessor({
       changesLeader: false,
-      isNoticed: false,
+      heard: "nothing",
     });
     assert.equal(spans.map(({ how }) => how), ["lapsed", "done"]);
     checkNeverTwice(spans);
   });
+
+  // Guards against a task that runs twice at once: the previous incarnation was
+  // so young that the answer of its successor was taken for its own.
+  for (const livedMs of [1_600, MAX_LEASE_MS]) {
+    it(`keeps its tasks if its successor answered only the start, at the age of ${livedMs} ms`, async () => {
+      const spans = await runAtSuccessor({
+        changesLeader: false,
+        heard: "startAnswer",
+        livedMs,
+      });
+      checkNeverTwice(spans);
+    });
+  }
 });
--- a/src/services/scheduling/run_commands.ts
+++ b/src/services/scheduling/run_commands.ts
@@ -16,7 +16,7 @@
   RunnerFailure,
 } from "../../ports/index.ts";
 import type { LeaseGrants } from "./lease_grants.ts";
-import type { LeaseTracker } from "./lease_tracker.ts";
+import { isOtherClock, type LeaseTracker } from "./lease_tracker.ts";
 import type { RequestObserver } from "./request_observer.ts";
 import type { RunnerStatus } from "./runner_status.ts";
 import type { SchedulingLog } from "./scheduling_log.ts";
@@ -74,8 +74,8 @@
     });
     endRequest();
     requests.count("start", started);
-    if (started.isOk && lease.isOtherClock(started.value.clockMs)) {
-      status.recordNoAnswer();
+    if (started.isOk && isOtherClock(leaseUntilMs, started.value.clockMs)) {
+      status.recordSuccessorAnswer();
       return { message: "a successor of the runner carried out the start" };
     }
     if (started.isOk) {
--- a/src/services/scheduling/runner_status.ts
+++ b/src/services/scheduling/runner_status.ts
@@ -29,8 +29,10 @@
   #answeredAtMs: number;
   #isAnswering = true;
   #isClosed = false;
-  /** Steady time at which a successor was noticed (ms). */
+  /** Steady time at which the runner was recorded as replaced (ms). */
   #replacedAtMs: number | undefined;
+  /** Steady time of the newest answer that seems to be a successor's (ms). */
+  #successorAnswerAtMs = -Infinity;
   /**
    * Unanswered requests, with the monotonic time (ms) at which each is overdue.
    */
@@ -89,8 +91,11 @@
    * there.
    */
   get mayRunAtSuccessor(): boolean {
-    return this.#replacedAtMs !== undefined &&
-      this.#clock.steadyMs() - this.#replacedAtMs <= SUCCESSOR_LEASE_MS;
+    const noticedAtMs = Math.max(
+      this.#replacedAtMs ?? -Infinity,
+      this.#successorAnswerAtMs,
+    );
+    return this.#clock.steadyMs() - noticedAtMs <= SUCCESSOR_LEASE_MS;
   }
 
   /** Whether a request has been unanswered for longer than usual. */
@@ -176,6 +181,15 @@
     this.#replacedAtMs ??= this.#clock.steadyMs();
   }
 
+  /**
+   * Records that a successor seems to have carried out a start. The next poll
+   * shows whether there is one.
+   */
+  recordSuccessorAnswer(): void {
+    this.recordNoAnswer();
+    this.#successorAnswerAtMs = this.#clock.steadyMs();
+  }
+
   /** Records that a request was not answered. */
   recordNoAnswer(): void {
     this.#isAnswering = false;
--- a/src/services/scheduling/timing.ts
+++ b/src/services/scheduling/timing.ts
@@ -50,11 +50,8 @@
 export const OVERDUE_MS = 250;
 /** How long a runner may delay a poll while a run is being stopped (ms). */
 export const CLOSING_POLL_WAIT_MS = 150;
-/**
- * Longest time by which a later answer of a runner may overtake an earlier one,
- * in milliseconds: the timeout of a request, and a late event loop.
- */
-export const MAX_ANSWER_DELAY_MS = 2_000;
+/** Resolution of a runner's clock, in milliseconds. */
+export const CLOCK_STEP_MS = 1;
 /** Interval at which confirmed starts are recorded in the log (ms). */
 export const CONFIRM_TICK_MS = 500;
 /** Pause after a poll that reported ended runs, so that more gather (ms). */
