Let random histories lose a successor together with the leader

The random histories restarted runners, cut them off and changed leaders, but hardly ever within the few milliseconds in which a start reaches the successor of a runner that the next leader knows nothing of.

A new action submits a job, restarts a runner once a task is placed on it, cuts it off 0 to 20 ms later and changes the leader.

--- a/src/services/scheduling/scheduling_histories_test.ts
+++ b/src/services/scheduling/scheduling_histories_test.ts
@@ -29,6 +29,10 @@
 const FORWARD_PERCENT_MS = 10;
 /** Longest step of a leader's wall clock at full amount is 5 s. */
 const MAX_STEP_PERCENT_MS = 50;
+/** Time for a commit and a plan, and a little more (ms). */
+const MAX_PLACING_MS = 100;
+/** Time from the start of a successor to its loss at full amount is 20 ms. */
+const SUCCESSOR_AMOUNT_PER_MS = 5;
 /** Longest pause of a leader at full amount is 2 s. */
 const MAX_PAUSE_PERCENT_MS = 20;
 
@@ -58,6 +62,7 @@
   "pauseLeader",
   "pauseLeader",
   "setClockAhead",
+  "loseSuccessor",
 ] as const;
 
 const RELAY_IDS = ["relay-a", "relay-b"];
@@ -122,6 +127,9 @@
     case "restart":
       fixture.startRunner(step.runnerId);
       break;
+    case "loseSuccessor":
+      await loseSuccessor(fixture, step, jobIds);
+      break;
     case "cut":
       runners.cutIds.add(step.runnerId);
       break;
@@ -166,6 +174,30 @@
   await fixture.clock.advance(step.waitMs);
 }
 
+/** Lets a runner restart as it gets a task, and cuts it off a little later. */
+async function loseSuccessor(
+  fixture: SchedulingFixture,
+  { amount, runnerId }: Step,
+  jobIds: string[],
+): Promise<void> {
+  const { clock, runners, state: { scheduling } } = fixture;
+  const countRuns = () => {
+    const runner = scheduling.runners.get(runnerId);
+    return runner ? scheduling.jobs.findLoad(runner).running.size : 0;
+  };
+  const runCount = countRuns();
+  const jobId = String(jobIds.length).padStart(16, "0");
+  jobIds.push(jobId);
+  void fixture.submit(jobId, createSteps(amount));
+  for (let at = 0; at < MAX_PLACING_MS && countRuns() <= runCount; at += 1) {
+    await clock.advance(1);
+  }
+  fixture.startRunner(runnerId);
+  await clock.advance(Math.ceil(amount / SUCCESSOR_AMOUNT_PER_MS));
+  runners.cutIds.add(runnerId);
+  fixture.changeLeader();
+}
+
 function chooseRelay(amount: number): string {
   return RELAY_IDS[amount % RELAY_IDS.length] ?? "";
 }
