Leave connections to runners open for the next leader

What callers saw: lost polls and starts in the first second of a term, and work that waited for them.

Cause: when the tasks of a deposed leader end, each closes the connections to its runner, also at the relay, which closes them for the next leader as well: relays keep one set for each address. The same happens when a runner starts again at its address.

--- a/src/services/scheduling/runner_task.ts
+++ b/src/services/scheduling/runner_task.ts
@@ -131,7 +131,6 @@
     const poll = (stop: AbortSignal) => this.#poll(stop);
     const reconcile = (stop: AbortSignal) => this.#runs.run(stop);
     await runTogether([poll, reconcile], signal);
-    this.#options.client.disconnect(this.#runner);
   }
 
   get #load(): RunnerLoad {
--- a/src/services/scheduling/served_runner.ts
+++ b/src/services/scheduling/served_runner.ts
@@ -98,12 +98,18 @@
   }
 
   /**
-   * Stops its task.
+   * Stops its task. The connections stay open for the next leader or the next
+   * incarnation, unless the address is no longer in use.
    *
    * @returns A promise that resolves when the task has ended.
    */
   async stop(): Promise<void> {
     await this.#created?.group.stop();
+    const { client, log } = this.#options;
+    const { address, runnerId } = this.#runner;
+    if (log.state.runners.get(runnerId)?.address !== address) {
+      client.disconnect(this.#runner);
+    }
   }
 
   #findCreated(): CreatedTask {
--- a/src/testing/fake_runners.ts
+++ b/src/testing/fake_runners.ts
@@ -8,6 +8,7 @@
   RunName,
   RunnerAnswer,
   RunnerClient,
+  RunnerEndpoint,
   RunnerFailure,
   RunnerReport,
   StartRequest,
@@ -154,7 +155,7 @@
     return report;
   }
 
-  disconnect(): void {}
+  disconnect(_runner: RunnerEndpoint): void {}
 
   get #nowMs(): number {
     return this.#options.clock.monotonicMs();
