Send requests through other relays after the loss of one

What callers saw: a third of the runners got no work after a relay was lost, until the leader had opened connections of its own to them, at the time when it had least time for that.

Cause: the loss of a relay was taken for runners that the relay does not reach, so the leader called each of its runners itself for 10 s.

Change: a lost relay says nothing of its runners. They go to the relays that are left, if one of them was heard within the last second; else the leader calls them as before. A request that times out through a relay that lives still makes the leader call the runner.

--- a/src/services/scheduling/relay/relay_link.ts
+++ b/src/services/scheduling/relay/relay_link.ts
@@ -16,6 +16,7 @@
   RELAY_CONFIRM_MS,
   RELAY_GATHER_MS,
   RELAY_PAUSE_MS,
+  RELAY_PROOF_MS,
 } from "./relay_timing.ts";
 
 /** Options of {@link RelayLink}. */
@@ -33,7 +34,7 @@
 
 interface PendingRequest {
   /** Undefined once it has settled. */
-  settle: ((answer: RelayedAnswer) => void) | undefined;
+  settle: ((answer: RelayedAnswer | undefined) => void) | undefined;
   /** Undefined once it has settled. */
   cancelTimer: (() => void) | undefined;
 }
@@ -49,6 +50,8 @@
   readonly #sender: BatchSender<RelayedRequest>;
   readonly #pending = new Map<number, PendingRequest>();
   #nextCallId = 1;
+  /** Monotonic time of the newest message of the relay (ms). */
+  #heardAtMs = -Infinity;
   /** Monotonic time until which the relay is not used (ms). */
   #pausedUntilMs = -Infinity;
 
@@ -72,6 +75,13 @@
     return this.#options.clock.monotonicMs() >= this.#pausedUntilMs;
   }
 
+  /** Whether the relay may be used and was heard lately. */
+  get isProven(): boolean {
+    const { clock } = this.#options;
+    return this.isUsable &&
+      clock.monotonicMs() - this.#heardAtMs <= RELAY_PROOF_MS;
+  }
+
   /**
    * Sends requests in batches until the signal aborts.
    *
@@ -99,14 +109,18 @@
    *
    * @param request - The request.
    * @param timeoutMs - Time after which the answer counts as lost (ms).
-   * @returns The answer; a failure without a refusal when it was lost.
+   * @returns The answer; a failure without a refusal when it was lost, and
+   * undefined when the relay was.
    */
-  call(request: UnnumberedRequest, timeoutMs: number): Promise<RelayedAnswer> {
+  call(
+    request: UnnumberedRequest,
+    timeoutMs: number,
+  ): Promise<RelayedAnswer | undefined> {
     const callId = this.post(request);
     return new Promise((settle) => {
       const cancelTimer = this.#options.clock.startTimer(
         timeoutMs,
-        () => this.#lose(callId, `no answer within ${timeoutMs} ms`),
+        () => this.#timeOut(callId, timeoutMs),
       );
       this.#pending.set(callId, { settle, cancelTimer });
     });
@@ -114,8 +128,9 @@
 
   /** Handles the answers of one message. */
   receive(answers: readonly RelayedAnswer[]): void {
+    this.#heardAtMs = this.#options.clock.monotonicMs();
     for (const answer of answers) {
-      this.#settle(answer);
+      this.#settle(answer.callId, answer);
     }
   }
 
@@ -129,6 +144,8 @@
     );
     if (sent.isErr) {
       this.#pause(sent.error.message);
+    } else {
+      this.#heardAtMs = clock.monotonicMs();
     }
     return sent.isOk;
   }
@@ -144,19 +161,20 @@
     this.#sender.clear();
     onLost();
     for (const callId of [...this.#pending.keys()]) {
-      this.#lose(callId, "the relay does not respond");
+      this.#settle(callId, undefined);
     }
   }
 
-  #lose(callId: number, reason: string): void {
-    const message = `controller ${this.#options.relayId}: ${reason}`;
+  #timeOut(callId: number, timeoutMs: number): void {
+    const { relayId } = this.#options;
+    const message = `controller ${relayId}: no answer within ${timeoutMs} ms`;
     const failure: RunnerFailure = { message };
-    this.#settle({ callId, failure });
+    this.#settle(callId, { callId, failure });
   }
 
-  #settle(answer: RelayedAnswer): void {
-    const pending = this.#pending.get(answer.callId);
-    this.#pending.delete(answer.callId);
+  #settle(callId: number, answer: RelayedAnswer | undefined): void {
+    const pending = this.#pending.get(callId);
+    this.#pending.delete(callId);
     if (pending === undefined) {
       return;
     }
--- a/src/services/scheduling/relay/relay_messages.ts
+++ b/src/services/scheduling/relay/relay_messages.ts
@@ -172,7 +172,7 @@
  * @returns The report, or undefined when the answer holds none.
  */
 export function unpackReport(
-  { clockMs, report }: RelayedAnswer,
+  { clockMs, report }: Omit<RelayedAnswer, "callId">,
 ): RunnerReport | undefined {
   return report === undefined || clockMs === undefined ? undefined : {
     clockMs,
--- a/src/services/scheduling/relay/relay_timing.ts
+++ b/src/services/scheduling/relay/relay_timing.ts
@@ -31,6 +31,11 @@
 export const RELAY_REQUEST_MS = 700;
 /** Interval at which the controllers that can relay are listed (ms). */
 export const RELAY_CHECK_MS = 100;
+/**
+ * Time since the newest message of a relay for which it takes over the runners
+ * of a lost one, in milliseconds.
+ */
+export const RELAY_PROOF_MS = 1_000;
 /** Time for which a lost relay is not used (ms). */
 export const RELAY_PAUSE_MS = 10_000;
 /**
--- a/src/services/scheduling/relay/relayed_runner_client.ts
+++ b/src/services/scheduling/relay/relayed_runner_client.ts
@@ -179,21 +179,31 @@
     link: RelayLink,
     request: UnnumberedRequest,
     timeoutMs: number,
-  ): Promise<RelayedAnswer> {
+  ): Promise<Omit<RelayedAnswer, "callId">> {
     const answer = await link.call(
       { ...request, runner: toEndpoint(runner) },
       timeoutMs + RELAY_ANSWER_MARGIN_MS,
     );
-    const { failure } = answer;
-    const isUnreached = failure !== undefined &&
-      (failure.refusal === undefined || failure.refusal === "notListening");
+    const { failure } = answer ?? { failure: RELAY_LOST };
     const route = this.#routes.get(runner.runnerId);
-    if (isUnreached && route !== undefined) {
+    if (route !== undefined && this.#mayBeUnreached(answer, failure)) {
       // The relay may be cut off from a runner that this process reaches.
       route.directUntilMs = this.#options.clock.monotonicMs() +
         DIRECT_RETRY_MS;
     }
-    return answer;
+    return answer ?? { failure };
+  }
+
+  // A lost relay shows nothing of its runners. Connections to all of them would
+  // cost this process far more than requests through the relays that are left.
+  #mayBeUnreached(
+    answer: RelayedAnswer | undefined,
+    failure: RunnerFailure | undefined,
+  ): boolean {
+    return answer === undefined
+      ? !this.#relays.some(({ isProven }) => isProven)
+      : failure !== undefined &&
+        (failure.refusal === undefined || failure.refusal === "notListening");
   }
 
   #chooseLink({ runnerId }: RunnerEndpoint): RelayLink | undefined {
@@ -265,6 +275,7 @@
 }
 
 const NO_ANSWER: RunnerFailure = { message: "the relay returned no answer" };
+const RELAY_LOST: RunnerFailure = { message: "the relay was lost" };
 
 function toEndpoint({ runnerId, address }: RunnerEndpoint): RunnerEndpoint {
   return { runnerId, address };
--- a/src/services/scheduling/relay/relayed_runner_client_test.ts
+++ b/src/services/scheduling/relay/relayed_runner_client_test.ts
@@ -246,6 +246,29 @@
   });
 });
 
+describe("a relay that is lost with many requests", () => {
+  // Guards against a leader that opens a connection to each runner of a lost
+  // relay, at the time when it is busiest, although other relays are there.
+  it("leaves its runners to the other relays", async () => {
+    const { client, clock, countDirect, network, runners, tasks } = setUp(MANY);
+    const pollAll = (waitMs: number) =>
+      clock.runUntil(
+        Promise.all(
+          runners.map((runner) => client.poll(runner, { ...POLL, waitMs })),
+        ),
+        4_000,
+      );
+    const waiting = pollAll(600);
+    network.isolate(RELAY_IDS[0] ?? "");
+    const lost = (await waiting).filter(({ isErr }) => isErr);
+    assert.ok(lost.length > 0);
+    const polled = await pollAll(0);
+    assert.ok(polled.every(({ isOk }) => isOk));
+    assert.is(countDirect(), 0);
+    void tasks.stop();
+  });
+});
+
 describe("a relay that was suspended", () => {
   // Guards against requests that are carried out after their sender has given
   // them up, at a runner that has started again meanwhile.
