Ignore announcements from before a runner began to drain

A runner whose drain had been acknowledged got new work when an announcement from before the drain arrived late: after a partition, or from a controller that repeated it to the leader. Such a task could start later than `drain_ms` after the acknowledgement and be lost when the runner ended.

Cause: the registry and the scheduling state compared only start times, so that among the announcements of one incarnation the last to arrive or to be applied won.

The runners' protocol names only one way out of a drain, the end of the incarnation. An announcement without it is therefore older than one with it, and needs no sequence number to be told apart. `isOutdatedRunner` says so once, for the registry and for the state, where an operation that was proposed before the drain may be applied after it.

What remains: a draining runner that is removed because it only stopped responding is forgotten, so a late announcement may still bring it back without its drain.

--- a/src/domain/scheduling/runner.ts
+++ b/src/domain/scheduling/runner.ts
@@ -84,6 +84,19 @@
     left.labels.every((label, at) => label === right.labels[at]);
 }
 
+/**
+ * Tells whether an announcement was made before one that is known. An
+ * incarnation that drains does so until it ends.
+ *
+ * @param announced - The runner as announced.
+ * @param known - The runner as known.
+ */
+export function isOutdatedRunner(announced: Runner, known: Runner): boolean {
+  return announced.bornAtMs < known.bornAtMs ||
+    (announced.bornAtMs === known.bornAtMs && known.isDraining &&
+      !announced.isDraining);
+}
+
 /**
  * Tells whether two values name the same runner incarnation.
  *
--- a/src/domain/scheduling/scheduling_state.ts
+++ b/src/domain/scheduling/scheduling_state.ts
@@ -5,6 +5,7 @@
 import type { StoredJob } from "./job_record.ts";
 import { JobTable } from "./job_table.ts";
 import {
+  isOutdatedRunner,
   isSameIncarnation,
   type Runner,
   type RunnerIncarnation,
@@ -234,7 +235,7 @@
   #putRunner(runner: Runner, atMs: number): void {
     const known = this.#runners.get(runner.runnerId);
     const isOutdated = this.hasEnded(runner) ||
-      (known !== undefined && known.bornAtMs > runner.bornAtMs);
+      (known !== undefined && isOutdatedRunner(runner, known));
     if (isOutdated) {
       return;
     }
--- a/src/domain/scheduling/scheduling_state_test.ts
+++ b/src/domain/scheduling/scheduling_state_test.ts
@@ -79,6 +79,23 @@
     });
   });
 
+  describe("a runner that drains", () => {
+    const draining: Runner = { ...RUNNER, isDraining: true };
+
+    // Guards against work on a draining runner: an announcement from before the
+    // drain is applied after it.
+    it("drains until its next incarnation", () => {
+      const state = new SchedulingState();
+      apply(state, 0, { type: "runner", runner: draining });
+      const late = { ...RUNNER, address: "10.0.0.8:80" };
+      apply(state, 1, { type: "runner", runner: late });
+      assert.equal(state.runners.get("r1"), draining);
+      const next = { ...RUNNER, bornAtMs: 8 };
+      apply(state, 2, { type: "runner", runner: next });
+      assert.equal(state.runners.get("r1"), next);
+    });
+  });
+
   describe("a runner that may come back", () => {
     // Guards against a deployment that cannot read its log after an upgrade.
     it("is what an entry of an earlier release removes", () => {
--- a/src/services/scheduling/draining_runner_test.ts
+++ b/src/services/scheduling/draining_runner_test.ts
@@ -11,6 +11,8 @@
 const WORK_MS = 400;
 const JOB_COUNT = 60;
 const ANNOUNCE_MS = 200;
+/** Shorter than a write to the log takes. */
+const NO_WRITE_MS = 1;
 /** Time in which starts placed before the announcement may still arrive. */
 const IN_FLIGHT_MS = 60;
 
@@ -88,4 +90,25 @@
     );
     assert.equal(late, []);
   });
+
+  // Guards against placing work on a draining runner: an announcement from
+  // before the drain arrives after it.
+  it("ignores an announcement that was delayed from before", async () => {
+    const fixture = createFixture();
+    const drainedAtMs = await drainUnderLoad(fixture);
+    const known = fixture.state.scheduling.runners.get("r1");
+    assert.ok(known);
+    const announced = fixture.announce({ ...known, isDraining: false });
+    assert.ok(
+      await fixture.clock.runUntil(announced, NO_WRITE_MS),
+      "the announcement is acknowledged without a write",
+    );
+    assert.equal(fixture.state.scheduling.runners.get("r1"), known);
+    await submitJobs(fixture, JOB_COUNT);
+    await fixture.stop();
+    const late = listStartsOn(fixture, "r1").filter(({ fromMs }) =>
+      fromMs > drainedAtMs + IN_FLIGHT_MS
+    );
+    assert.equal(late, []);
+  });
 });
--- a/src/services/scheduling/runner_registry.ts
+++ b/src/services/scheduling/runner_registry.ts
@@ -4,6 +4,7 @@
   announcedRunnerSchema,
   createFailure,
   type Failure,
+  isOutdatedRunner,
   isSameRunner,
   type Runner,
   type RunnerIncarnation,
@@ -56,7 +57,7 @@
     const known = log.state.runners.get(runner.runnerId);
     const status = fleet.findStatus(runner);
     const isOutdated = (status?.hasGivenNotice ?? false) ||
-      (known !== undefined && known.bornAtMs > runner.bornAtMs);
+      (known !== undefined && isOutdatedRunner(runner, known));
     if (isOutdated) {
       return Result.ok({});
     }
