Check runners for advice once per pool, and only where tickets are needed

While steps waited whose queue needs advice, the leader checked every runner for every such step at each change, also for the steps that had enough tickets. This took processor time from the leader when it had the most work.

Cause: `#chooseRequest` listed the runners of a step before it looked whether the step needs any, and listed the same pool again for each step.

Steps with enough approved runners are now passed over first, and a pass lists the runners of a pool once. Which request comes next is as before.

Evidence: with 50 runners and 20 waiting steps, both new cases counted 1,000 calls of `mayPlaceOn` in one pass before the change. They now count none where each step has enough, and 50 where none has. The time was not measured.

--- a/src/services/scheduling/advice_task.ts
+++ b/src/services/scheduling/advice_task.ts
@@ -120,24 +120,37 @@
     const ready = listReadySteps(state.jobs, state.catalog, nowMs)
       .filter(({ advice }) => advice !== undefined);
     this.#dropEndedJobs(ready);
+    const runnersByPool = new Map<string, readonly Runner[]>();
     for (const step of order.sort(ready, nowMs)) {
-      const runners = this.#listRunnersToRequest(step);
       const terms = step.advice;
-      const hasEnough = (this.findApproved(step)?.size ?? 0) >=
-        step.record.waitingCount;
-      if (terms !== undefined && runners.length > 0 && !hasEnough) {
+      if (terms === undefined || this.#hasEnough(step)) {
+        continue;
+      }
+      const { pool } = step;
+      const inPool = runnersByPool.get(pool) ?? this.#listRunners(pool);
+      runnersByPool.set(pool, inPool);
+      const runners = this.#chooseRunners(step, inPool);
+      if (runners.length > 0) {
         return { step, runners, terms };
       }
     }
     return undefined;
   }
 
-  #listRunnersToRequest(step: ReadyStep): Runner[] {
+  #hasEnough(step: ReadyStep): boolean {
+    const approvedCount = this.findApproved(step)?.size ?? 0;
+    return approvedCount >= step.record.waitingCount;
+  }
+
+  #listRunners(pool: string): Runner[] {
     const { log, mayPlaceOn } = this.#options;
-    const known = this.#ticketsByStep.get(formatStep(step));
-    const inPool = [...log.state.runners.values()].filter((runner) =>
-      runner.pool === step.pool && mayPlaceOn(runner)
+    return [...log.state.runners.values()].filter((runner) =>
+      runner.pool === pool && mayPlaceOn(runner)
     );
+  }
+
+  #chooseRunners(step: ReadyStep, inPool: readonly Runner[]): Runner[] {
+    const known = this.#ticketsByStep.get(formatStep(step));
     const candidates = inPool.filter((runner) => {
       const ticket = known?.byRunner.get(runner.runnerId);
       const isKnown = known?.requestedRunners.has(
--- a/src/services/scheduling/advice_task_test.ts
+++ b/src/services/scheduling/advice_task_test.ts
@@ -1,6 +1,10 @@
 import * as assert from "uvu/assert";
 import * as v from "valibot";
-import { listReadySteps, SlackOrderPolicy } from "../../decisions/index.ts";
+import {
+  listReadySteps,
+  type ReadyStep,
+  SlackOrderPolicy,
+} from "../../decisions/index.ts";
 import { jobStepSchema, type Runner } from "../../domain/index.ts";
 import { Notifier } from "../../tasks/index.ts";
 import { afterEach, describe, it } from "../../testing/describe.ts";
@@ -17,6 +21,7 @@
 const TERMS = { decisionMs: 100, perRunnerMs: 2, validMs: VALID_MS };
 const STEP = { jobId: "00000000000000ac", occurrence: 0, step: 0 };
 const POOL = "bay";
+const JOB_COUNT = 20;
 
 function createRunner(at: number, bornAtMs = 1): Runner {
   return {
@@ -32,24 +37,43 @@
   };
 }
 
+/** Counts the passes over the ready steps. */
+class CountingOrder extends SlackOrderPolicy {
+  passCount = 0;
+
+  override sort(steps: readonly ReadyStep[], nowMs: number) {
+    this.passCount += 1;
+    return super.sort(steps, nowMs);
+  }
+}
+
 describe("advice task", () => {
   const stop: AbortController[] = [];
 
   afterEach(() => stop.splice(0).forEach((controller) => controller.abort()));
 
-  async function setUp(isApproved: (runnerId: string) => boolean) {
+  async function setUp(
+    isApproved: (runnerId: string) => boolean,
+    jobCount = 1,
+  ) {
     const clock = new FakeClock();
     const agreement = new FakeAgreement(clock);
     const log = new SchedulingLog({ agreement, clock });
     const client = new FakeAdvice({ clock, ...TERMS, isApproved });
+    const order = new CountingOrder();
+    const changed = new Notifier();
+    const checks = { count: 0 };
     const task = new AdviceTask({
       log,
       client,
-      order: new SlackOrderPolicy(),
+      order,
       clock,
       logger: new FakeLogger(),
-      changed: new Notifier(),
-      mayPlaceOn: () => true,
+      changed,
+      mayPlaceOn: () => {
+        checks.count += 1;
+        return true;
+      },
     });
     void log.propose([
       {
@@ -78,10 +102,10 @@
         type: "runner" as const,
         runner: createRunner(at),
       })),
-      {
-        type: "accept",
+      ...Array.from({ length: jobCount }, (_, at) => ({
+        type: "accept" as const,
         spec: {
-          jobId: STEP.jobId,
+          jobId: at === 0 ? STEP.jobId : String(at).padStart(16, "0"),
           text: "",
           steps: [v.parse(jobStepSchema, {
             taskCount: 3,
@@ -91,7 +115,7 @@
         queue: "q",
         pool: POOL,
         maxAttempts: 2,
-      },
+      })),
     ]);
     await clock.advance(50);
     const controller = new AbortController();
@@ -105,7 +129,16 @@
       );
       return ready && [...task.findApproved(ready) ?? []].toSorted();
     };
-    return { clock, client, task, findApproved };
+    const countOnePass = async () => {
+      order.passCount = 0;
+      checks.count = 0;
+      while (order.passCount === 0) {
+        changed.notify();
+        await clock.advance(1);
+      }
+      return checks.count / order.passCount;
+    };
+    return { clock, client, task, findApproved, countOnePass };
   }
 
   it("approves only what the service approved, with its ticket", async () => {
@@ -139,6 +172,23 @@
     assert.is(client.requests.length, 1);
   });
 
+  // Guards against a leader that spends its processor time on checks of all
+  // runners for each waiting step, at each change.
+  it("checks no runner once each step has enough", async () => {
+    const { clock, client, countOnePass } = await setUp(() => true, JOB_COUNT);
+    await clock.advance(VALID_MS - 500);
+    assert.is(client.requests.length, JOB_COUNT);
+    assert.is(await countOnePass(), 0);
+  });
+
+  // Guards against the same where too few runners are approved.
+  it("checks each runner once for all steps of its pool", async () => {
+    const { clock, client, countOnePass } = await setUp(() => false, JOB_COUNT);
+    await clock.advance(20_000);
+    assert.is(client.requests.length, 2 * JOB_COUNT);
+    assert.is(await countOnePass(), RUNNER_COUNT);
+  });
+
   it("does not use a ticket that may have expired, and requests another", async () => {
     const { clock, client, findApproved } = await setUp((id) => id === "r1");
     await clock.advance(1_000);
