--- a/src/services/scheduling/relay/relayed_runner_client.ts
+++ b/src/services/scheduling/relay/relayed_runner_client.ts
@@ -184,7 +184,8 @@
       { ...request, runner: toEndpoint(runner) },
       timeoutMs + RELAY_ANSWER_MARGIN_MS,
     );
-    const { failure } = answer ?? { failure: RELAY_LOST };
+    const { failure } = answer ??
+      { failure: createRelayLost(link.relayId) };
     const route = this.#routes.get(runner.runnerId);
     if (route !== undefined && this.#mayBeUnreached(answer, failure)) {
       // The relay may be cut off from a runner that this process reaches.
@@ -275,7 +276,10 @@
 }
 
 const NO_ANSWER: RunnerFailure = { message: "the relay returned no answer" };
-const RELAY_LOST: RunnerFailure = { message: "the relay was lost" };
+
+function createRelayLost(relayId: string): RunnerFailure {
+  return { message: `controller ${relayId}: the relay does not respond` };
+}
 
 function toEndpoint({ runnerId, address }: RunnerEndpoint): RunnerEndpoint {
   return { runnerId, address };
