--- a/src/decisions/scheduling/placement_policy.ts
+++ b/src/decisions/scheduling/placement_policy.ts
@@ -8,8 +8,6 @@
   readonly zone: string;
   readonly rack: string;
   readonly labels: readonly string[];
-  /** Whether it has answered this leader; one that has not may be gone. */
-  readonly hasAnswered: boolean;
   /** Unallocated capacity. */
   free: Amounts;
   /** Tasks on it with a target for tail latency. */
@@ -65,7 +63,6 @@
  * runners with best-effort tasks and spread over zones. Best-effort tasks avoid
  * runners with latency targets and spread over runners, the emptiest first. All
  * other tasks go to the fullest runner, so that room for large tasks remains.
- * Runners that have answered come before those that have not.
  */
 export class ScoredPlacementPolicy implements PlacementPolicy {
   choose(
@@ -93,7 +90,6 @@
 const NEAR_DATA_SCORE = 1_000_000;
 const SEPARATION_SCORE = 100_000;
 const ZONE_SCORE = 10_000;
-const ANSWER_SCORE = 1_000;
 const MILLICORES_PER_POINT = 1_000;
 
 function computeScore(candidate: Candidate, demand: PlacementDemand): number {
@@ -102,7 +98,6 @@
     candidate.rack === step.dataRack;
   const freePoints = candidate.free.cpuMillicores / MILLICORES_PER_POINT;
   let score = isNear ? NEAR_DATA_SCORE : 0;
-  score += candidate.hasAnswered ? ANSWER_SCORE : 0;
   if (step.usesLeftovers) {
     score -= candidate.latencyTargetCount * SEPARATION_SCORE;
     return score - candidate.bestEffortCount * ZONE_SCORE + freePoints;
--- a/src/services/scheduling/inherited_starts.ts
+++ b/src/services/scheduling/inherited_starts.ts
@@ -26,13 +26,12 @@
   /** @param options - The log when the leader begins to serve the runner. */
   constructor(options: InheritedStartsOptions) {
     this.#options = options;
-    const { clock, findLoad, log, status } = options;
+    const { clock, findLoad, log } = options;
     const { unconfirmed } = log.state.jobs;
-    // A presumed free runner is served from its first start in this term on.
-    const runs = status.isPresumedFree ? [] : [...findLoad().running.values()];
     this.#names = new Set(
-      runs.map(nameRun).filter((start) => unconfirmed.has(start))
-        .map(formatRun),
+      [...findLoad().running.values()].map(nameRun).filter((start) =>
+        unconfirmed.has(start)
+      ).map(formatRun),
     );
     this.#untilMs = clock.steadyMs() + SUCCESSOR_LEASE_MS;
   }
--- a/src/services/scheduling/lease_tracker.ts
+++ b/src/services/scheduling/lease_tracker.ts
@@ -28,13 +28,10 @@
    * Starts with one full lease, which an earlier leader may just have granted.
    *
    * @param clock - The leader's clock.
-   * @param mayHoldLease - False when no run that an earlier leader started can
-   * be left there, so that there is no lease yet.
    */
-  constructor(clock: Clock, mayHoldLease = true) {
+  constructor(clock: Clock) {
     this.#clock = clock;
-    this.#endMs = clock.steadyMs() +
-      (mayHoldLease ? toLongestMs(RUN_LEASE_MS) : 0);
+    this.#endMs = clock.steadyMs() + toLongestMs(RUN_LEASE_MS);
   }
 
   /** Steady time of the leader at which every lease has expired (ms). */
--- a/src/services/scheduling/poll_failures.ts
+++ b/src/services/scheduling/poll_failures.ts
@@ -11,8 +11,6 @@
 export interface PollFailureContext {
   /** Number of runs that the log places on it. */
   readonly runCount: number;
-  /** Whether one of them may be in progress. */
-  readonly mayRun: boolean;
   /** Whether its last report listed others. */
   readonly hasOrphans: boolean;
   /** Time until every lease has certainly expired, in milliseconds. */
@@ -49,7 +47,7 @@
    */
   record(
     { refusal }: RunnerFailure,
-    { runCount, mayRun, hasOrphans, leaseLeftMs }: PollFailureContext,
+    { runCount, hasOrphans, leaseLeftMs }: PollFailureContext,
   ): PollFailureStep {
     const { isAnswering, isLeaving } = this.#status;
     this.#status.recordNoAnswer();
@@ -58,18 +56,17 @@
     if (refusal === "otherLife" || (isRefused && isLeaving)) {
       return { removal: "ended" };
     }
-    // Without runs, there is no lease to wait for.
-    if (isRefused && runCount === 0 && !hasOrphans) {
-      return this.#refusedCount >= MAX_REFUSED_POLLS
-        ? { removal: "notListening" }
-        : { pauseMs: this.#choosePauseMs() };
-    }
-    // No lease delays the removal of a runner without runs, so one lost poll is
-    // not enough.
-    const isIdleOnce = isAnswering && !mayRun;
+    // The leases of an idle runner expired long ago, so that one lost poll shows
+    // nothing.
+    const isIdleOnce = isAnswering && runCount === 0;
     if (leaseLeftMs === 0 && !isIdleOnce) {
       return { removal: "leasesExpired" };
     }
+    // Without runs, there is no lease to wait for.
+    const isUnused = runCount === 0 && !hasOrphans;
+    if (isUnused && this.#refusedCount >= MAX_REFUSED_POLLS) {
+      return { removal: "notListening" };
+    }
     const pauseMs = this.#choosePauseMs();
     return { pauseMs: isIdleOnce ? pauseMs : Math.min(pauseMs, leaseLeftMs) };
   }
--- a/src/services/scheduling/runner_fleet.ts
+++ b/src/services/scheduling/runner_fleet.ts
@@ -16,11 +16,10 @@
   RunnerClient,
   RunnerCondition,
 } from "../../ports/index.ts";
-import { type Notifier, runTogether } from "../../tasks/index.ts";
-import type { RunnerStatus } from "./runner_status.ts";
+import { Notifier, TaskGroup } from "../../tasks/index.ts";
+import { RunnerStatus } from "./runner_status.ts";
+import { RunnerTask } from "./runner_task.ts";
 import type { SchedulingLog } from "./scheduling_log.ts";
-import { ServedRunner } from "./served_runner.ts";
-import { FIRST_LOOK_MS, LOOK_COUNT, LOOK_TICK_MS } from "./timing.ts";
 
 /** Options of {@link RunnerFleet}. */
 export interface RunnerFleetOptions {
@@ -39,13 +38,18 @@
   readonly findTicket: (task: TaskId, runner: Runner) => string | undefined;
 }
 
+interface ServedRunner {
+  readonly task: RunnerTask;
+  readonly group: TaskGroup;
+  /** Notified when the runner's own load has changed. */
+  readonly changed: Notifier;
+  /** Version of the load that its tasks were last notified of. */
+  notifiedVersion: number;
+}
+
 /**
  * Starts and stops the runners' tasks as runners are added to and removed from
  * the log.
- *
- * What a new leader does first depends on the work and not on the number of
- * runners: the task of a runner on which the log places no run starts once it
- * places one, or when the runner's turn to be looked at comes.
  */
 export class RunnerFleet {
   readonly #options: RunnerFleetOptions;
@@ -62,7 +66,7 @@
    * @returns The status, or undefined before the runner is served.
    */
   findStatus(incarnation: RunnerIncarnation): RunnerStatus | undefined {
-    return this.#served.get(incarnation)?.status;
+    return this.#served.get(incarnation)?.task.status;
   }
 
   /** Counts the runners by condition. */
@@ -72,7 +76,7 @@
       ["draining", 0],
       ["silent", 0],
     ]);
-    for (const { runner, status } of this.#served.values()) {
+    for (const { task: { runner, status } } of this.#served.values()) {
       const condition = findCondition(runner, status);
       counts.set(condition, (counts.get(condition) ?? 0) + 1);
     }
@@ -85,7 +89,7 @@
    * @param run - The run.
    */
   evict(run: RunningTask): void {
-    this.#served.get(run.life)?.evict(run);
+    this.#served.get(run.life)?.task.evict(run);
   }
 
   /**
@@ -95,93 +99,84 @@
    * @param incarnation - Id and start time of the runner.
    */
   retire(incarnation: RunnerIncarnation): void {
-    this.#served.get(incarnation)?.retire();
+    this.#served.get(incarnation)?.task.retire();
   }
 
   /**
-   * Serves each runner in the log until the signal aborts.
+   * Runs a task for each runner in the log until the signal aborts.
    *
    * @param signal - Ends the task.
    */
   async run(signal: AbortSignal): Promise<void> {
-    this.#serveFirst();
-    await runTogether([
-      (stop) => this.#followLog(stop),
-      (stop) => this.#lookAtFree(stop),
-    ], signal);
-    const served = [...this.#served.values()];
-    this.#served.clear();
-    await Promise.all(served.map((runner) => runner.stop()));
-  }
-
-  // The runs of runners that have some must be compared before their leases end,
-  // so these runners come first.
-  #serveFirst(): void {
-    const { jobs, runners } = this.#options.log.state;
-    const isFree = (runner: Runner) => jobs.findLoad(runner).running.size === 0;
-    const added = [...runners.values()].filter((runner) =>
-      this.#served.get(runner) === undefined
-    );
-    added.filter((runner) => !isFree(runner))
-      .forEach((runner) => this.#serve(runner, false).start());
-    added.filter(isFree).forEach((runner) => this.#serve(runner, true));
-  }
-
-  async #followLog(signal: AbortSignal): Promise<void> {
     const { changed, log } = this.#options;
     while (!signal.aborted) {
       this.#reconcile(log.state.runners);
-      for (const served of this.#served.values()) {
-        served.followLoad();
-      }
+      this.#notifyChanges();
       await changed.wait(signal);
     }
-  }
-
-  // A runner may execute a run that the log no longer places there. Few runners
-  // are polled at once, beside the work of the leader.
-  async #lookAtFree(signal: AbortSignal): Promise<void> {
-    const { clock } = this.#options;
-    await clock.sleep(FIRST_LOOK_MS, signal);
-    let left = this.#listNotStarted();
-    while (left.length > 0 && !signal.aborted) {
-      left.slice(0, LOOK_COUNT).forEach((served) => served.start());
-      await clock.sleep(LOOK_TICK_MS, signal);
-      left = this.#listNotStarted();
-    }
-  }
-
-  #listNotStarted(): ServedRunner[] {
-    return [...this.#served.values()].filter(({ isStarted }) => !isStarted);
+    const served = [...this.#served.values()];
+    this.#served.clear();
+    await Promise.all(served.map((runner) => this.#stop(runner)));
   }
 
   #reconcile(runners: ReadonlyMap<string, Runner>): void {
     for (const runner of runners.values()) {
       const known = this.#served.get(runner);
       if (known === undefined) {
-        this.#serve(runner, false).start();
-      } else if (known.runner !== runner) {
-        known.update(runner);
+        this.#served.set(runner, this.#serve(runner));
+      } else if (known.task.runner !== runner) {
+        known.task.update(runner);
       }
     }
     for (const served of this.#served.values()) {
-      const { runnerId, bornAtMs } = served.runner;
-      if (runners.get(runnerId)?.bornAtMs !== bornAtMs) {
-        this.#served.delete(served.runner);
-        void served.stop();
+      const { runner } = served.task;
+      if (runners.get(runner.runnerId)?.bornAtMs !== runner.bornAtMs) {
+        this.#served.delete(runner);
+        void this.#stop(served);
       }
     }
   }
 
-  #serve(runner: Runner, isPresumedFree: boolean): ServedRunner {
-    const served = new ServedRunner({
+  // The connections stay open for the next leader or the next incarnation, unless
+  // the address is no longer in use.
+  async #stop({ task, group }: ServedRunner): Promise<void> {
+    await group.stop();
+    const { client, log } = this.#options;
+    const { address, runnerId } = task.runner;
+    if (log.state.runners.get(runnerId)?.address !== address) {
+      client.disconnect(task.runner);
+    }
+  }
+
+  // Most changes concern few runners, so only their tasks are notified.
+  #notifyChanges(): void {
+    const { jobs } = this.#options.log.state;
+    for (const served of this.#served.values()) {
+      const { version } = jobs.findLoad(served.task.runner);
+      if (version !== served.notifiedVersion) {
+        served.notifiedVersion = version;
+        served.changed.notify();
+      }
+    }
+  }
+
+  #serve(runner: Runner): ServedRunner {
+    const { clock, logger } = this.#options;
+    const group = new TaskGroup({ clock, logger });
+    const changed = new Notifier();
+    const task = new RunnerTask({
       ...this.#options,
+      loadChanged: changed,
       runner,
-      isPresumedFree,
+      status: new RunnerStatus(clock),
+      tasks: group,
       findMaxAttempts: (run) => this.findMaxAttempts(run),
     });
-    this.#served.set(runner, served);
-    return served;
+    group.startForever(
+      `runner ${runner.runnerId}`,
+      (signal) => task.run(signal),
+    );
+    return { task, group, changed, notifiedVersion: 0 };
   }
 
   /**
--- a/src/services/scheduling/runner_status.ts
+++ b/src/services/scheduling/runner_status.ts
@@ -1,5 +1,5 @@
 /** What the leader has observed of one runner incarnation. */
-import { formatTaskId, type RunnerLoad } from "../../domain/index.ts";
+import { formatTaskId } from "../../domain/index.ts";
 import type { Clock, RunnerReport } from "../../ports/index.ts";
 import { toLongestMs } from "./lease_tracker.ts";
 import {
@@ -37,11 +37,6 @@
    * Unanswered requests, with the monotonic time (ms) at which each is overdue.
    */
   readonly #pendingRequests = new Set<{ readonly atMs: number }>();
-  /**
-   * Whether the log placed no run on it when the term began. Such a runner may
-   * get work before its list of runs has been received.
-   */
-  readonly isPresumedFree: boolean;
   /** Whether its list of runs has been received in this term. */
   isSynced = false;
   /**
@@ -61,16 +56,8 @@
   /** Names of the placed runs whose start this incarnation has confirmed. */
   readonly confirmedRuns = new Set<string>();
 
-  /**
-   * Begins with the time of now as the last contact.
-   *
-   * @param clock - The leader's clock.
-   * @param isPresumedFree - Whether the log placed no run on the runner when
-   * the term began.
-   */
-  constructor(clock: Clock, isPresumedFree = false) {
+  constructor(clock: Clock) {
     this.#clock = clock;
-    this.isPresumedFree = isPresumedFree;
     this.#lastContactMs = clock.monotonicMs();
     this.#answeredAtMs = this.#lastContactMs;
   }
@@ -120,22 +107,12 @@
   }
 
   /**
-   * Whether it responds, its list of runs is known or presumed to be empty, and
-   * it is not shutting down.
+   * Whether it responds, its list of runs is known, and it is not shutting
+   * down.
    */
   get isOperational(): boolean {
-    return (this.isSynced || this.isPresumedFree) && this.mayGetLease &&
-      !this.isLeaving && this.silenceMs < MAX_SILENCE_MS;
-  }
-
-  /**
-   * Returns whether a run that the log places on it may be in progress. No start
-   * is sent before its list of runs is known.
-   *
-   * @param load - The runs that the log places on it.
-   */
-  mayRun(load: RunnerLoad): boolean {
-    return load.running.size > 0 && (this.isSynced || !this.isPresumedFree);
+    return this.isSynced && this.mayGetLease && !this.isLeaving &&
+      this.silenceMs < MAX_SILENCE_MS;
   }
 
   /**
--- a/src/services/scheduling/runner_task.ts
+++ b/src/services/scheduling/runner_task.ts
@@ -68,8 +68,7 @@
     this.#runner = options.runner;
     this.status = options.status;
     this.#failures = new PollFailures(options.status);
-    const mayHoldLease = !options.status.isPresumedFree;
-    this.#lease = new LeaseTracker(options.clock, mayHoldLease);
+    this.#lease = new LeaseTracker(options.clock);
     this.#grants = new LeaseGrants({
       ...options,
       lease: this.#lease,
@@ -178,12 +177,12 @@
     const { client, clock, fencingToken } = this.#options;
     const ackPosition = this.#chooseAckPosition();
     const leaseUntilMs = this.#grants.renew();
-    const mayRun = this.status.mayRun(this.#load);
+    const hasRuns = this.#load.running.size > 0;
     const times = choosePollTimes({
-      isBusy: this.status.isSynced && mayRun,
+      isBusy: this.status.isSynced && hasRuns,
       isAnswering: this.status.isAnswering,
       isClosing: this.#runs.isClosing,
-      leaseLeftMs: mayRun ? this.#leaseLeftMs : Infinity,
+      leaseLeftMs: hasRuns ? this.#leaseLeftMs : Infinity,
     });
     const sentAtMs = clock.monotonicMs();
     const endRequest = this.status.beginRequest(times.waitMs);
@@ -225,6 +224,7 @@
     sentAtMs: number,
     signal: AbortSignal,
   ): Promise<void> {
+    const { clock } = this.#options;
     this.#lease.observe(report.clockMs);
     this.status.recordReport(report);
     this.#runs.recordRunning(report.running);
@@ -247,7 +247,7 @@
     }
     const isIdle = operations.length === 0 && report.running.length > 0;
     // Without a pause, each of several ends in a row would need its own poll.
-    await this.#options.clock.sleep(isIdle ? 1 : END_BATCH_MS, signal);
+    await clock.sleep(isIdle ? 1 : END_BATCH_MS, signal);
   }
 
   async #record(
@@ -283,7 +283,6 @@
     }
     const step = this.#failures.record(failure, {
       runCount: this.#load.running.size,
-      mayRun: this.status.mayRun(this.#load),
       hasOrphans: this.#runs.hasOrphans,
       leaseLeftMs: this.#leaseLeftMs,
     });
--- a/src/services/scheduling/scheduler.ts
+++ b/src/services/scheduling/scheduler.ts
@@ -104,36 +104,13 @@
     for (const runner of state.runners.values()) {
       if (this.mayPlaceOn(runner)) {
         const pool = byPool.get(runner.pool) ?? [];
-        pool.push(this.#createCandidate(runner, state));
+        pool.push(createCandidate(runner, state));
         byPool.set(runner.pool, pool);
       }
     }
     return byPool;
   }
 
-  #createCandidate(runner: Runner, state: SchedulingState): Candidate {
-    const load = state.jobs.findLoad(runner);
-    let latencyTargetCount = 0;
-    let bestEffortCount = 0;
-    for (const { step } of load.running.values()) {
-      latencyTargetCount += Number(step.tailTargetMs > 0);
-      bestEffortCount += Number(step.usesLeftovers);
-    }
-    const { runnerId, bornAtMs, zone, rack, labels, capacity } = runner;
-    return {
-      runnerId,
-      bornAtMs,
-      zone,
-      rack,
-      labels,
-      hasAnswered: this.#options.findStatus(runner)?.isSynced ?? false,
-      free: addAmounts(capacity, load.used, -1),
-      latencyTargetCount,
-      bestEffortCount,
-      isReserved: false,
-    };
-  }
-
   /** Returns whether a runner may get work now. */
   mayPlaceOn(runner: Runner): boolean {
     const { findStatus, isCordoned, log } = this.#options;
@@ -168,6 +145,28 @@
   }
 }
 
+function createCandidate(runner: Runner, state: SchedulingState): Candidate {
+  const load = state.jobs.findLoad(runner);
+  let latencyTargetCount = 0;
+  let bestEffortCount = 0;
+  for (const { step } of load.running.values()) {
+    latencyTargetCount += Number(step.tailTargetMs > 0);
+    bestEffortCount += Number(step.usesLeftovers);
+  }
+  const { runnerId, bornAtMs, zone, rack, labels, capacity } = runner;
+  return {
+    runnerId,
+    bornAtMs,
+    zone,
+    rack,
+    labels,
+    free: addAmounts(capacity, load.used, -1),
+    latencyTargetCount,
+    bestEffortCount,
+    isReserved: false,
+  };
+}
+
 function formatStart({ task, runNumber, runnerId }: PlannedStart): string {
   return `${formatTaskId(task)}#${runNumber}@${runnerId}`;
 }
--- a/src/services/scheduling/timing.ts
+++ b/src/services/scheduling/timing.ts
@@ -106,15 +106,6 @@
 export const PLAN_PAUSE_MS = 6;
 /** How long changes of the log are batched before tasks are notified (ms). */
 export const LOG_BATCH_MS = 3;
-/**
- * Time from the start of a term until the leader looks at runners that had no
- * runs then, in milliseconds: enough for the first plans and starts.
- */
-export const FIRST_LOOK_MS = 1_000;
-/** Interval at which some more of these runners are polled, in milliseconds. */
-export const LOOK_TICK_MS = 40;
-/** Number of them that are polled in one such interval. */
-export const LOOK_COUNT = 5;
 /** Pause after a failed proposal, in milliseconds. */
 export const PROPOSE_RETRY_MS = 100;
 /** How long a leaving runner may take to end after its notice (ms). */
