Ask the runner before a start without an answer is closed by a stop

What callers saw: runs thrown away, work done twice and about 1 s of delay where a start or its answer was lost, for example with a relay; a long-running task that ran well was stopped.

Cause: an attempt that was not sent, because the run may not get a lease, counted as unanswered. A lost start itself withholds the lease until the runner answers, so 200 ms later the second attempt was not sent, and a stop followed without a look at what the runner reports.

Change: an attempt that was not sent does not count; it is tried again until the runner may get a lease, the run is unwanted or the runner is removed. If nothing was sent, no stop is needed. After an unanswered start, the leader waits for the answer to a poll that was sent later. A run that it lists goes on; one that it does not list is sent again, or stopped after the last attempt. Such polls wait as briefly as those during a stop. A task is placed elsewhere as before only after a stop was answered or the leases have ended. StartAttempts decides, TrackedRuns holds the states of the runs, which were part of the reconciler.

--- a/src/services/scheduling/run_commands.ts
+++ b/src/services/scheduling/run_commands.ts
@@ -38,6 +38,12 @@
   readonly findRunner: () => Runner;
 }
 
+/** Why a start is not confirmed. */
+export interface StartFailure extends RunnerFailure {
+  /** Whether no request was sent, because the run may not get a lease. */
+  readonly isUnsent?: boolean;
+}
+
 /** Sends each request once and logs those that are not confirmed. */
 export class RunCommands {
   readonly #options: RunCommandsOptions;
@@ -52,13 +58,13 @@
    * @param run - The run.
    * @returns Why the start is not confirmed, or undefined when it is.
    */
-  async start(run: RunningTask): Promise<RunnerFailure | undefined> {
+  async start(run: RunningTask): Promise<StartFailure | undefined> {
     const { client, clock, fencingToken, findRunner, findTicket } =
       this.#options;
     const { grants, lease, logger, requests, status } = this.#options;
     const leaseUntilMs = grants.grantForStart(run);
     if (leaseUntilMs === undefined) {
-      return { message: "the run may not get a lease" };
+      return { isUnsent: true, message: "the run may not get a lease" };
     }
     const runner = findRunner();
     const sentAtMs = clock.monotonicMs();
--- a/src/services/scheduling/run_reconciler.ts
+++ b/src/services/scheduling/run_reconciler.ts
@@ -7,41 +7,13 @@
   type RunnerLoad,
   type RunningTask,
 } from "../../domain/index.ts";
-import type { RunName, RunReport } from "../../ports/index.ts";
-import { type Notifier, type TaskGroup, waitFor } from "../../tasks/index.ts";
+import type { RunName, RunnerReport } from "../../ports/index.ts";
+import { Notifier, type TaskGroup, waitFor } from "../../tasks/index.ts";
 import { RunCommands, type RunCommandsOptions } from "./run_commands.ts";
 import { formatRun } from "./run_name.ts";
-import {
-  IDLE_CHECK_MS,
-  MAX_START_ATTEMPTS,
-  REQUEST_RETRY_MS,
-} from "./timing.ts";
-
-/**
- * Refusals that show that a run did not start, if no earlier attempt was
- * unanswered.
- */
-const NOT_STARTED_REFUSALS: ReadonlySet<string> = new Set([
-  "noRoom",
-  "leaseOver",
-  "noTicket",
-  "invalid",
-  "unhealthy",
-]);
-
-interface TrackedRun {
-  /**
-   * `starting` until the runner confirms the start, then `running`; `closing`
-   * until the runner confirms the stop, then `closed`. A closed run can no
-   * longer start.
-   */
-  state: "starting" | "running" | "closing" | "closed";
-  /**
-   * Monotonic time at which the runner confirmed the state (ms); a poll that is
-   * sent later must report the run.
-   */
-  confirmedAtMs: number;
-}
+import { StartAttempts } from "./start_attempts.ts";
+import { TrackedRuns } from "./tracked_runs.ts";
+import { IDLE_CHECK_MS, REQUEST_RETRY_MS } from "./timing.ts";
 
 /** Options of {@link RunReconciler}. */
 export interface RunReconcilerOptions extends RunCommandsOptions {
@@ -55,13 +27,16 @@
 export class RunReconciler {
   readonly #options: RunReconcilerOptions;
   readonly #commands: RunCommands;
-  readonly #trackedRuns = new Map<string, TrackedRun>();
+  readonly #runs: TrackedRuns;
   /** Runs that the runner reports and the log does not place there. */
   readonly #orphans = new Set<string>();
+  /** Notified of each report of the runner. */
+  readonly #reported = new Notifier();
 
   constructor(options: RunReconcilerOptions) {
     this.#options = options;
     this.#commands = new RunCommands(options);
+    this.#runs = new TrackedRuns(options);
   }
 
   /** Whether the last poll reported runs that the log does not place here. */
@@ -70,12 +45,11 @@
   }
 
   /**
-   * Whether a run is being stopped or its end has yet to be reported by a poll.
+   * Whether a poll has yet to report the end of a run, or whether a start that
+   * got no answer was carried out.
    */
-  get isClosing(): boolean {
-    return [...this.#trackedRuns.values()].some(({ state }) =>
-      state === "closing" || state === "closed"
-    );
+  get awaitsReport(): boolean {
+    return this.#runs.awaitsReport;
   }
 
   /**
@@ -110,29 +84,35 @@
    */
   evict(run: RunningTask, signal: AbortSignal): void {
     const key = formatRun({ task: run.id, ...run });
-    if (this.#trackedRuns.get(key)?.state === "running") {
-      this.#trackedRuns.set(key, { state: "closing", confirmedAtMs: Infinity });
+    if (this.#runs.findState(key) === "running") {
+      this.#runs.begin(key, "closing");
       const { tasks } = this.#options;
       tasks.start("evict", () => this.#close(run, key, signal));
     }
   }
 
   /**
-   * Records the runs that a poll reported as running, and stops orphaned ones.
+   * Records the runs that a poll reported as running, stops orphaned ones, and
+   * lets starts without an answer go on that it does not list.
+   *
+   * @param report - The report.
+   * @param sentAtMs - Monotonic time at which the poll was sent (ms).
    */
-  recordRunning(running: readonly RunReport[]): void {
+  recordReport(report: RunnerReport, sentAtMs: number): void {
     const placed = this.#options.findLoad().running;
     const nowMs = this.#options.clock.monotonicMs();
     this.#orphans.clear();
-    for (const report of running) {
-      const run = placed.get(formatTaskId(report.task));
-      if (run?.runNumber === report.runNumber) {
-        this.#confirm(formatRun(report), "running", nowMs);
+    for (const name of report.running) {
+      const run = placed.get(formatTaskId(name.task));
+      if (run?.runNumber === name.runNumber) {
+        this.#runs.confirm(formatRun(name), "running", nowMs);
       } else {
-        this.#orphans.add(formatRun(report));
-        this.#stopOrphan(report);
+        this.#orphans.add(formatRun(name));
+        this.#stopOrphan(name);
       }
     }
+    this.#runs.settleUnanswered(report, sentAtMs);
+    this.#reported.notify();
   }
 
   /**
@@ -142,49 +122,29 @@
    * @returns Runs that were confirmed as running or closed before that time.
    */
   listConfirmedBefore(sentAtMs: number): RunningTask[] {
-    const placed = [...this.#options.findLoad().running.values()];
-    return placed.filter((run) => {
-      const tracked = this.#trackedRuns.get(
-        formatRun({ task: run.id, ...run }),
-      );
-      const isSettled = tracked?.state === "running" ||
-        tracked?.state === "closed";
-      return isSettled && tracked.confirmedAtMs < sentAtMs;
-    });
+    return this.#runs.listConfirmedBefore(sentAtMs);
   }
 
   #reconcile(signal: AbortSignal): void {
-    const { status, findLoad, tasks } = this.#options;
+    const { findLoad, tasks } = this.#options;
     const placed = findLoad().running;
     const wanted = new Set<string>();
     for (const run of placed.values()) {
       const key = formatRun({ task: run.id, ...run });
       wanted.add(key);
-      const tracked = this.#trackedRuns.get(key);
-      const isUnwanted = status.isLeaving ||
-        run.job.isRunObsolete(run.id, run.runNumber);
+      const state = this.#runs.findState(key);
       if (
-        isUnwanted && (tracked === undefined || tracked.state === "running")
+        this.#isUnwanted(run) &&
+        (state === undefined || state === "running")
       ) {
-        this.#trackedRuns.set(key, {
-          state: "closing",
-          confirmedAtMs: Infinity,
-        });
+        this.#runs.begin(key, "closing");
         tasks.start("stop", () => this.#close(run, key, signal));
-      } else if (tracked === undefined) {
-        this.#trackedRuns.set(key, {
-          state: "starting",
-          confirmedAtMs: Infinity,
-        });
+      } else if (state === undefined) {
+        this.#runs.begin(key, "starting");
         tasks.start("start", () => this.#start(run, key, signal));
       }
     }
-    for (const key of this.#trackedRuns.keys()) {
-      if (!wanted.has(key)) {
-        this.#trackedRuns.delete(key);
-        status.confirmedRuns.delete(key);
-      }
-    }
+    this.#runs.retain(wanted);
   }
 
   async #start(
@@ -192,39 +152,59 @@
     key: string,
     signal: AbortSignal,
   ): Promise<void> {
-    const { clock } = this.#options;
-    let unansweredCount = 0;
+    const { clock, loadChanged } = this.#options;
+    const attempts = new StartAttempts();
     while (this.#hasState(key, "starting", signal)) {
       const failure = await this.#commands.start(run);
-      if (signal.aborted || this.#trackedRuns.get(key)?.state !== "starting") {
+      if (!this.#hasState(key, "starting", signal)) {
         return;
       }
       if (failure === undefined) {
-        this.#confirm(key, "running", clock.monotonicMs());
+        this.#runs.confirm(key, "running", clock.monotonicMs());
         return;
       }
-      if (failure.refusal === "staleFence") {
+      const step = attempts.record(failure, this.#isUnwanted(run));
+      if (step === "end") {
         return;
       }
-      const hasNotBegun = unansweredCount === 0 &&
-        NOT_STARTED_REFUSALS.has(failure.refusal ?? "");
-      if (failure.refusal === "outdatedRun" || hasNotBegun) {
-        this.#confirm(key, "closed", clock.monotonicMs());
-        this.#options.loadChanged.notify();
+      if (step === "closed") {
+        this.#runs.confirm(key, "closed", clock.monotonicMs());
+        loadChanged.notify();
         return;
       }
-      unansweredCount += 1;
-      if (
-        run.job.outcome !== undefined || unansweredCount >= MAX_START_ATTEMPTS
-      ) {
-        this.#trackedRuns.set(key, {
-          state: "closing",
-          confirmedAtMs: Infinity,
-        });
+      if (step === "retry") {
+        await clock.sleep(REQUEST_RETRY_MS, signal);
+        continue;
+      }
+      if (step === "report") {
+        await this.#waitForReport(run, key, signal);
+      }
+      const mustStop = step === "stop" || attempts.isOver ||
+        this.#isUnwanted(run);
+      if (mustStop && this.#hasState(key, "starting", signal)) {
+        this.#runs.begin(key, "closing");
         await this.#close(run, key, signal);
-        return;
       }
-      await clock.sleep(REQUEST_RETRY_MS, signal);
+    }
+  }
+
+  /** Waits until a report shows whether an unanswered start was carried out. */
+  async #waitForReport(
+    run: RunningTask,
+    key: string,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const { clock } = this.#options;
+    this.#runs.recordUnanswered(key, clock.monotonicMs());
+    const isOver = () => !this.#runs.isUnanswered(key) || this.#isUnwanted(run);
+    while (!signal.aborted && !isOver()) {
+      await waitFor({
+        clock,
+        notifier: this.#reported,
+        timeoutMs: REQUEST_RETRY_MS,
+        signal,
+        isMet: isOver,
+      });
     }
   }
 
@@ -239,7 +219,7 @@
       // The polls show when a runner responds again. Requests for each of its
       // runs meanwhile would cost the leader a connection each.
       if (status.isAnswering && await this.#commands.stop(name)) {
-        this.#confirm(key, "closed", clock.monotonicMs());
+        this.#runs.confirm(key, "closed", clock.monotonicMs());
         this.#options.loadChanged.notify();
         return;
       }
@@ -247,6 +227,10 @@
     }
   }
 
+  #isUnwanted({ id, job, runNumber }: RunningTask): boolean {
+    return this.#options.status.isLeaving || job.isRunObsolete(id, runNumber);
+  }
+
   #stopOrphan(name: RunName): void {
     const { tasks, log } = this.#options;
     if (log.holdsLeaderLease) {
@@ -258,23 +242,9 @@
 
   #hasState(
     key: string,
-    state: TrackedRun["state"],
+    state: "starting" | "closing",
     signal: AbortSignal,
   ): boolean {
-    return !signal.aborted && this.#trackedRuns.get(key)?.state === state;
-  }
-
-  #confirm(key: string, state: "running" | "closed", atMs: number): void {
-    const known = this.#trackedRuns.get(key);
-    const isDecided = known?.state === "closing" || known?.state === "closed" ||
-      known?.state === state;
-    if (state === "running" && isDecided) {
-      return;
-    }
-    this.#trackedRuns.set(key, { state, confirmedAtMs: atMs });
-    // The next leader may send the start of a closed run again.
-    if (state === "running") {
-      this.#options.status.confirmedRuns.add(key);
-    }
+    return !signal.aborted && this.#runs.findState(key) === state;
   }
 }
--- a/src/services/scheduling/runner_task.ts
+++ b/src/services/scheduling/runner_task.ts
@@ -183,7 +183,7 @@
     const times = choosePollTimes({
       isBusy: this.status.isSynced && mayRun,
       isAnswering: this.status.isAnswering,
-      isClosing: this.#runs.isClosing,
+      awaitsReport: this.#runs.awaitsReport,
       leaseLeftMs: mayRun ? this.#leaseLeftMs : Infinity,
     });
     const sentAtMs = clock.monotonicMs();
@@ -228,7 +228,7 @@
   ): Promise<void> {
     this.#lease.observe(report.clockMs);
     this.status.recordReport(report);
-    this.#runs.recordRunning(report.running);
+    this.#runs.recordReport(report, sentAtMs);
     const operations = [
       ...this.#ends.listReported(report.ended),
       ...this.#ends.listLost(
--- a/src/services/scheduling/timing.ts
+++ b/src/services/scheduling/timing.ts
@@ -48,7 +48,10 @@
  * new work.
  */
 export const OVERDUE_MS = 250;
-/** How long a runner may delay a poll while a run is being stopped (ms). */
+/**
+ * How long a runner may delay a poll while a run is being stopped or a start has
+ * got no answer, in milliseconds.
+ */
 export const CLOSING_POLL_WAIT_MS = 150;
 /**
  * Longest time by which a later answer of a runner may overtake an earlier one,
@@ -77,7 +80,10 @@
  * milliseconds.
  */
 export const EXPIRED_RETRY_MS = 1_000;
-/** Failed starts after which a run is stopped and its task placed elsewhere. */
+/**
+ * Unanswered starts after which a run that no report lists is stopped and its
+ * task placed elsewhere.
+ */
 export const MAX_START_ATTEMPTS = 2;
 /**
  * How long a controller gathers announcements without a change before it
