--- a/src/services/scheduling/runner_task.ts
+++ b/src/services/scheduling/runner_task.ts
@@ -181,7 +181,7 @@
     const times = choosePollTimes({
       isBusy: this.status.isSynced && hasRuns,
       isAnswering: this.status.isAnswering,
-      isClosing: this.#runs.isClosing,
+      awaitsReport: this.#runs.awaitsReport,
       leaseLeftMs: hasRuns ? this.#leaseLeftMs : Infinity,
     });
     const sentAtMs = clock.monotonicMs();
@@ -227,7 +227,7 @@
     const { clock } = this.#options;
     this.#lease.observe(report.clockMs);
     this.status.recordReport(report);
-    this.#runs.recordRunning(report.running);
+    this.#runs.recordReport(report, sentAtMs);
     const operations = [
       ...this.#ends.listReported(report.ended),
       ...this.#ends.listLost(
