Log what an answer of the leader relies on, and who voted when

No line told whether two controllers held the leader lease at once, or a change was lost: leases were not logged, votes were not, and an entry did not know the term of an answer.

Change: the leader sends its term with each answer, and entries log it (leaderTerm). The leader's lines about calls and catalogs carry term, catalogVersion and leaseAgeMs. Voters log each vote with the time since they heard a leader, controllers each lease that begins or lapses, and every process a wall clock that goes ahead of the steady clock. No decision has changed.

Controllers and entries of earlier builds do not understand the new answers, so an upgrade needs a stop, as before.

--- a/src/ports/agreement.ts
+++ b/src/ports/agreement.ts
@@ -19,6 +19,11 @@
    * undefined when it is not the leader.
    */
   readonly leaderSinceMs: number | undefined;
+  /**
+   * Time since a quorum last confirmed this leader, by the clock that its lease
+   * is measured with (ms); undefined when it is not the leader.
+   */
+  readonly leaseAgeMs: number | undefined;
   /** Index of the last log entry that is applied on this entry. */
   readonly appliedIndex: number;
   /** Highest index that this entry knows to be committed. */
--- a/src/replication/leader_task.ts
+++ b/src/replication/leader_task.ts
@@ -14,6 +14,8 @@
 export class LeaderTask {
   readonly #core: ReplicaCore;
   readonly #queue: ProposalQueue;
+  /** The term in which the lease was valid at the last check. */
+  #leasedTerm: number | undefined;
 
   /**
    * @param core - The state of the replica.
@@ -47,6 +49,7 @@
     if (core.leadership !== leadership) {
       return;
     }
+    this.#logLease(leadership);
     if (leadership.hasLostQuorum) {
       await core.mutex.run(() => this.#stepDown("a quorum is silent"));
       return;
@@ -68,6 +71,19 @@
     }
   }
 
+  #logLease(leadership: Leadership): void {
+    const { hasLease, leaseAgeMs, term } = leadership;
+    if (hasLease === (this.#leasedTerm === term)) {
+      return;
+    }
+    this.#leasedTerm = hasLease ? term : undefined;
+    const { appliedIndex, options } = this.#core;
+    options.logger.info(
+      { term, appliedIndex, leaseAgeMs: Math.round(leaseAgeMs) },
+      hasLease ? "holds the leader lease" : "the leader lease has lapsed",
+    );
+  }
+
   #stepDown(reason: string): Promise<void> {
     this.#core.stepDown(reason);
     return Promise.resolve();
--- a/src/replication/leadership.ts
+++ b/src/replication/leadership.ts
@@ -79,10 +79,14 @@
     );
   }
 
+  /** Time since a quorum last confirmed this leader, in milliseconds. */
+  get leaseAgeMs(): number {
+    return this.#core.options.clock.monotonicMs() - this.confirmedAtMs;
+  }
+
   /** Whether the leader lease is valid: no other leader can be elected yet. */
   get hasLease(): boolean {
-    const ageMs = this.#core.options.clock.monotonicMs() - this.confirmedAtMs;
-    return this.isEstablished && ageMs < LEADER_LEASE_MS;
+    return this.isEstablished && this.leaseAgeMs < LEADER_LEASE_MS;
   }
 
   /** Whether no quorum has confirmed the leader for too long. */
--- a/src/replication/replica.ts
+++ b/src/replication/replica.ts
@@ -128,6 +128,7 @@
       leaderId: core.leaderId,
       term: core.term,
       leaderSinceMs: leadership?.hasLease ? leadership.sinceMs : undefined,
+      leaseAgeMs: leadership?.leaseAgeMs,
       appliedIndex: core.appliedIndex,
       commitIndex: core.commitIndex,
       revision: core.state.revision,
--- a/src/replication/vote_handler.ts
+++ b/src/replication/vote_handler.ts
@@ -79,6 +79,10 @@
   handleResignation(peerId: string): Result<unknown, Failure> {
     const core = this.#core;
     if (core.leaderId === peerId) {
+      core.options.logger.info(
+        { leaderId: peerId, term: core.term },
+        "the leader resigned",
+      );
       const nowMs = core.options.clock.monotonicMs();
       core.lastContactMs = nowMs - MIN_ELECTION_TIMEOUT_MS;
       core.setLeader(undefined);
@@ -88,29 +92,67 @@
 
   async #decideVote(peerId: string, request: VoteRequest): Promise<boolean> {
     const core = this.#core;
-    const { clock, hasDisk } = core.options;
+    const { leaderId, options, term } = core;
+    const sinceContactMs = options.clock.monotonicMs() - core.lastContactMs;
+    const refusal = await this.#findRefusal(peerId, request, sinceContactMs) ??
+      (request.isPreVote ? undefined : await this.#vote(peerId));
+    options.logger.info(
+      {
+        candidateId: peerId,
+        candidateTerm: request.term,
+        isPreVote: request.isPreVote,
+        term,
+        leaderId,
+        sinceContactMs: Math.round(sinceContactMs),
+        reason: refusal,
+      },
+      refusal === undefined ? "granted a vote" : "refused a vote",
+    );
+    return refusal === undefined;
+  }
+
+  /** Returns why no vote is granted, or undefined if one may be. */
+  async #findRefusal(
+    peerId: string,
+    request: VoteRequest,
+    sinceContactMs: number,
+  ): Promise<string | undefined> {
+    const core = this.#core;
+    if (!core.options.hasDisk) {
+      return "this replica has no disk";
+    }
     // A candidate that only lost its own connection must not depose a leader that
     // this voter still follows.
     const hasActiveLeader = core.leadership !== undefined ||
-      clock.monotonicMs() - core.lastContactMs < MIN_ELECTION_TIMEOUT_MS;
-    if (!hasDisk || hasActiveLeader || !this.#isUpToDate(request)) {
-      return false;
+      sinceContactMs < MIN_ELECTION_TIMEOUT_MS;
+    if (hasActiveLeader) {
+      return "a leader is active";
+    }
+    if (!this.#isUpToDate(request)) {
+      return "the candidate's log is older";
     }
     if (request.isPreVote) {
-      return request.term > core.term;
+      return request.term > core.term ? undefined : "the term is older";
     }
     await core.raiseTerm(request.term);
-    const mayVote = request.term === core.term &&
-      (core.votedFor === undefined || core.votedFor === peerId);
-    if (!mayVote) {
-      return false;
+    if (request.term !== core.term) {
+      return "the term is older";
     }
+    return core.votedFor === undefined || core.votedFor === peerId
+      ? undefined
+      : "another candidate has the vote of this term";
+  }
+
+  /** Saves the vote; returns why that failed, or undefined. */
+  async #vote(peerId: string): Promise<string | undefined> {
+    const core = this.#core;
+    const { clock } = core.options;
     core.votedFor = peerId;
     const saved = await core.saveVote();
     // The candidate needs time to announce itself before the next vote is granted.
     const graceEndMs = clock.monotonicMs() + VOTE_GRACE_MS;
     core.lastContactMs = graceEndMs - MIN_ELECTION_TIMEOUT_MS;
-    return saved.isOk;
+    return saved.isOk ? undefined : saved.error.message;
   }
 
   #isUpToDate({ lastTerm, lastIndex }: VoteRequest): boolean {
--- a/src/services/scheduling/controller_leader_client.ts
+++ b/src/services/scheduling/controller_leader_client.ts
@@ -9,6 +9,8 @@
 export interface SchedulingClient {
   /** The controller that leads, as far as this process knows. */
   readonly leaderId: string | undefined;
+  /** Newest term that this process knows a leader of. */
+  readonly leaderTerm: number;
   /**
    * Calls the leader.
    *
@@ -45,6 +47,10 @@
     return this.#options.agreement.status().leaderId;
   }
 
+  get leaderTerm(): number {
+    return this.#options.agreement.status().term;
+  }
+
   async call(
     method: string,
     body: unknown,
--- a/src/services/scheduling/event_loop_watch.ts
+++ b/src/services/scheduling/event_loop_watch.ts
@@ -16,6 +16,8 @@
 const PERCENT = 100;
 /** Number of kept delays: with on-time checks, more than two leases. */
 const MAX_DELAY_COUNT = 32;
+/** Step of the wall clock that is logged (ms): above what reading it takes. */
+const MIN_LOGGED_STEP_MS = 10;
 
 interface Delay {
   /** Monotonic time at which the timer fired (ms). */
@@ -35,7 +37,10 @@
   readonly isLeading: () => boolean;
 }
 
-/** Checks a few times a second how late the event loop fires a timer. */
+/**
+ * Checks a few times a second how late the event loop fires a timer, and whether
+ * the wall clock was set ahead.
+ */
 export class EventLoopWatch implements EventLoopDelays {
   readonly #options: EventLoopWatchOptions;
   #delays: readonly Delay[] = [];
@@ -69,12 +74,14 @@
     let reading = usage.read();
     while (!signal.aborted) {
       const startedMs = clock.monotonicMs();
+      const startedSteadyMs = clock.steadyMs();
       this.#dueMs = startedMs + EVENT_LOOP_CHECK_MS;
       await clock.sleep(EVENT_LOOP_CHECK_MS, signal);
       if (signal.aborted) {
         break;
       }
       const atMs = clock.monotonicMs();
+      this.#logStep((atMs - startedMs) - (clock.steadyMs() - startedSteadyMs));
       const delayMs = Math.max(0, atMs - this.#dueMs);
       const before = reading;
       reading = usage.read();
@@ -93,6 +100,17 @@
     this.#longestMs = Math.max(this.#longestMs, delay.delayMs);
   }
 
+  // A suspension in which the steady clock stands still looks the same.
+  #logStep(aheadMs: number): void {
+    const { isLeading, logger, role } = this.#options;
+    if (aheadMs >= MIN_LOGGED_STEP_MS) {
+      logger.warn(
+        { aheadMs: Math.round(aheadMs), role, isLeading: isLeading() },
+        "the wall clock went ahead of the steady clock",
+      );
+    }
+  }
+
   #log({ atMs, delayMs }: Delay, shares: UsageShares): void {
     const isLate = this.#longestMs >= LATE_EVENT_LOOP_MS;
     if (!isLate || atMs - this.#lineAtMs < LATE_EVENT_LOOP_LINE_MS) {
--- a/src/services/scheduling/event_loop_watch_test.ts
+++ b/src/services/scheduling/event_loop_watch_test.ts
@@ -11,6 +11,7 @@
 import { EVENT_LOOP_CHECK_MS, LATE_EVENT_LOOP_MS } from "./timing.ts";
 
 const PAUSE_MS = 1_000;
+const STEP_MS = 2_000;
 /** Delay of a check that was due when the pause began. */
 const LATE_MS = PAUSE_MS - EVENT_LOOP_CHECK_MS;
 
@@ -53,6 +54,19 @@
     await end();
   });
 
+  describe("after the wall clock was set ahead", () => {
+    // Guards against promises that end early without a line that says why.
+    it("logs by how much", async () => {
+      const { time, clock, logger, end } = setUp();
+      clock.setAhead(STEP_MS);
+      await time.advance(EVENT_LOOP_CHECK_MS);
+      const [line] = logger.lines;
+      assert.is(line?.message, "the wall clock went ahead of the steady clock");
+      assert.is(line?.fields["aheadMs"], STEP_MS);
+      await end();
+    });
+  });
+
   describe("after the timers fired late", () => {
     // Guards against a leader short of processor time that no log line shows.
     it("logs the delay and the share of the processor", async () => {
--- a/src/services/scheduling/index.ts
+++ b/src/services/scheduling/index.ts
@@ -8,6 +8,7 @@
 export * from "./event_loop_watch.ts";
 export * from "./job_service.ts";
 export * from "./leadership_task.ts";
+export * from "./leader_answer.ts";
 export * from "./leader_client.ts";
 export * from "./leader_watch.ts";
 export * from "./leader_work.ts";
--- a/src/services/scheduling/job_call_forwarder.ts
+++ b/src/services/scheduling/job_call_forwarder.ts
@@ -58,9 +58,10 @@
     tookMs: number,
   ): void {
     const { leader, logger, metrics } = this.#options;
-    const { leaderId } = leader;
+    const { leaderId, leaderTerm } = leader;
     const named = { requestId, action, queue, host, path };
-    const fields = { ...named, leaderId, tookMs: Math.round(tookMs) };
+    const answeredBy = { leaderId, leaderTerm };
+    const fields = { ...named, ...answeredBy, tookMs: Math.round(tookMs) };
     const outcome = answered.isOk ? "answered" : answered.error.kind;
     metrics.recordCall({ action, outcome, tookMs });
     if (answered.isErr) {
--- a/src/services/scheduling/job_call_forwarder_test.ts
+++ b/src/services/scheduling/job_call_forwarder_test.ts
@@ -7,6 +7,7 @@
 import { FakeLogger } from "../../testing/fake_ports.ts";
 import { JobCallForwarder } from "./job_call_forwarder.ts";
 import type { JobCall } from "./job_service.ts";
+import { createLeaderAnswer } from "./leader_answer.ts";
 import { LeaderClient } from "./leader_client.ts";
 
 const CALL: JobCall = {
@@ -16,6 +17,11 @@
   requestId: "request-1",
 };
 const WAIT_MS = 500;
+const TERM = 3;
+
+function answerWith(value: unknown): Result<unknown, Failure> {
+  return Result.ok(createLeaderAnswer(TERM, Result.ok(value)));
+}
 
 function setUp(answer: Result<unknown, Failure>) {
   const clock = new FakeClock();
@@ -38,13 +44,14 @@
 
 describe("job call forwarder", () => {
   it("logs the answer to a submit with its request id", async () => {
-    const { calls, forwarder, logger } = setUp(Result.ok({ state: "queued" }));
+    const { calls, forwarder, logger } = setUp(answerWith({ state: "queued" }));
     const answered = await forwarder.forward(CALL, WAIT_MS);
     assert.is(answered.isOk, true);
     const [line] = logger.lines;
     assert.is(line?.message, "answered a caller");
     assert.is(line?.fields["requestId"], "request-1");
     assert.is(line?.fields["leaderId"], "c1");
+    assert.is(line?.fields["leaderTerm"], TERM);
     assert.equal(calls.map(({ outcome }) => outcome), ["answered"]);
   });
 
@@ -61,7 +68,7 @@
   });
 
   it("rejects a malformed answer of the leader", async () => {
-    const { forwarder } = setUp(Result.ok({ state: "unheard of" }));
+    const { forwarder } = setUp(answerWith({ state: "unheard of" }));
     const answered = await forwarder.forward(CALL, WAIT_MS);
     assert.is(answered.isErr && answered.error.kind, "internal");
   });
--- a/src/services/scheduling/job_service.ts
+++ b/src/services/scheduling/job_service.ts
@@ -223,8 +223,8 @@
 
   #logCall(call: JobCall, answered: Result<JobCallAnswer, Failure>): void {
     const { action, host, path, requestId } = call;
-    const catalogVersion = this.#log.state.catalog.version;
-    const fields = { requestId, action, host, path, catalogVersion };
+    const reliance = this.#log.describeReliance();
+    const fields = { requestId, action, host, path, ...reliance };
     if (answered.isErr) {
       const { kind, message } = answered.error;
       this.#logger.info({ ...fields, kind, reason: message }, "refused a call");
--- a/src/services/scheduling/job_service_test.ts
+++ b/src/services/scheduling/job_service_test.ts
@@ -144,6 +144,8 @@
         const answered = await call(changes);
         assert.is(answered.isErr && answered.error.kind, kind);
         const line = logger.lines.at(-1);
+        assert.is(line?.fields["term"], 1);
+        assert.is(line?.fields["leaseAgeMs"], 0);
         assert.is(line?.fields["requestId"], "request-1");
         assert.is(line?.fields["kind"], kind);
         assert.is(line?.fields["catalogVersion"], 1);
--- a/src/services/scheduling/leader_client.ts
+++ b/src/services/scheduling/leader_client.ts
@@ -7,6 +7,7 @@
   validateWith,
 } from "../../domain/index.ts";
 import type { Clock, PeerNetwork } from "../../ports/index.ts";
+import { leaderAnswerSchema, readLeaderAnswer } from "./leader_answer.ts";
 import {
   LEADER_CALL_MS,
   LEADER_RETRY_MS,
@@ -34,6 +35,7 @@
   #seedIds: readonly string[];
   #controllerIds: readonly string[];
   #leaderId: string | undefined;
+  #leaderTerm = 0;
   #attemptCount = 0;
   /** Monotonic time at which the leader was lost; undefined while it answers. */
   #lostAtMs: number | undefined;
@@ -49,6 +51,11 @@
     return this.#leaderId;
   }
 
+  /** Newest term whose leader has answered; 0 before the first answer. */
+  get leaderTerm(): number {
+    return this.#leaderTerm;
+  }
+
   /** Sets the present controllers, in addition to those of the settings. */
   updateControllers(controllerIds: readonly string[]): void {
     this.#controllerIds = [...new Set([...this.#seedIds, ...controllerIds])];
@@ -79,7 +86,7 @@
     body: unknown,
     timeoutMs: number,
   ): Promise<Result<unknown, Failure>> {
-    const { clock, network } = this.#options;
+    const { clock } = this.#options;
     const deadlineMs = clock.monotonicMs() + timeoutMs;
     let isOutcomeUnknown = false;
     for (let attempt = 0;; attempt += 1) {
@@ -89,9 +96,8 @@
       }
       const target = this.#chooseTarget();
       if (target !== undefined) {
-        const answered = await network.call(target, method, body, {
-          timeoutMs: Math.min(leftMs, this.#chooseTimeoutMs()),
-        });
+        const timeoutMs = Math.min(leftMs, this.#chooseTimeoutMs());
+        const answered = await this.#ask(target, method, body, timeoutMs);
         const isFinal = answered.isOk ||
           !this.#mayRetry(target, answered.error);
         if (isFinal) {
@@ -106,6 +112,26 @@
     }
   }
 
+  async #ask(
+    target: string,
+    method: string,
+    body: unknown,
+    timeoutMs: number,
+  ): Promise<Result<unknown, Failure>> {
+    const { network } = this.#options;
+    const replied = await network.call(target, method, body, { timeoutMs });
+    const answer = replied.andThen((value) =>
+      validateWith(leaderAnswerSchema, value, {
+        subject: `answer of ${target} to ${method}`,
+        kind: "internal",
+      })
+    );
+    return answer.andThen((value) => {
+      this.#leaderTerm = Math.max(this.#leaderTerm, value.term);
+      return readLeaderAnswer(value);
+    });
+  }
+
   // Callers retry sooner when they are refused at once than when they wait for
   // an election that may not take place.
   get #isLeaderLost(): boolean {
--- a/src/services/scheduling/leader_client_test.ts
+++ b/src/services/scheduling/leader_client_test.ts
@@ -4,10 +4,12 @@
 import type { PeerNetwork } from "../../ports/index.ts";
 import { describe, it } from "../../testing/describe.ts";
 import { FakeClock } from "../../testing/fake_clock.ts";
+import { createLeaderAnswer } from "./leader_answer.ts";
 import { LeaderClient } from "./leader_client.ts";
 
 const CALL_MS = 2_500;
 const MANY_MS = 60_000;
+const DONE = createLeaderAnswer(1, Result.ok("done"));
 
 type Reply = (peerId: string) => Result<unknown, Failure>;
 
@@ -36,7 +38,7 @@
 describe("calls to the leader", () => {
   it("follow the hint of a controller that does not lead", async () => {
     const { call, client } = createCaller((peerId) =>
-      peerId === "c3" ? Result.ok("done") : Result.err(
+      peerId === "c3" ? Result.ok(DONE) : Result.err(
         createFailure("notLeader", "no", { detail: { leaderId: "c3" } }),
       )
     );
@@ -47,7 +49,7 @@
 
   it("reach a leader that only the new settings name", async () => {
     const { call, called, client } = createCaller((peerId) =>
-      peerId === "c9" ? Result.ok("done") : Result.err(createUnreachable(false))
+      peerId === "c9" ? Result.ok(DONE) : Result.err(createUnreachable(false))
     );
     assert.not((await call()).isOk);
     client.replaceSeeds(["c9"]);
@@ -88,7 +90,7 @@
     it("succeed again once a leader answers", async () => {
       let isUp = false;
       const { call, clock } = createCaller(() =>
-        isUp ? Result.ok("done") : Result.err(createUnreachable(false))
+        isUp ? Result.ok(DONE) : Result.err(createUnreachable(false))
       );
       await call();
       await clock.advance(CALL_MS);
--- a/src/services/scheduling/operations_service.ts
+++ b/src/services/scheduling/operations_service.ts
@@ -80,13 +80,22 @@
       }
     }
     const { version } = log.state.catalog;
-    logger.info({ sentVersion: catalog.version, version }, "took a catalog");
+    logger.info(
+      {
+        sentVersion: catalog.version,
+        version,
+        ...log.describeReliance(),
+      },
+      "took a catalog",
+    );
     return Result.ok({ version });
   }
 
   /** Returns the text of the catalog in force as it was sent, or `noCatalog`. */
   readCatalog(): Result<{ readonly source: string }, Failure> {
-    const { source, version } = this.#options.log.state.catalog;
+    const { log, logger } = this.#options;
+    const { source, version } = log.state.catalog;
+    logger.info({ ...log.describeReliance() }, "read the catalog");
     return version < 0
       ? Result.err(
         createFailure("noCatalog", "no catalog has been accepted yet"),
--- a/src/services/scheduling/runner_announcer_test.ts
+++ b/src/services/scheduling/runner_announcer_test.ts
@@ -74,6 +74,7 @@
       agreement,
       leader: {
         leaderId: "leader",
+        leaderTerm: 1,
         call: (method, body) => {
           calls.push({ method, body });
           const { failure } = setup;
--- a/src/services/scheduling/scheduling_handlers.ts
+++ b/src/services/scheduling/scheduling_handlers.ts
@@ -12,6 +12,7 @@
   PeerNetwork,
 } from "../../ports/index.ts";
 import type { JobService } from "./job_service.ts";
+import { createLeaderAnswer } from "./leader_answer.ts";
 import type { OperationsService } from "./operations_service.ts";
 import type { RunnerRegistry } from "./runner_registry.ts";
 import type { ScheduleExplainer } from "./schedule_explainer.ts";
@@ -90,7 +91,14 @@
       return await answer(body);
     };
     handlers.set(method, handler);
-    network.handle(method, (_peerId, body) => handler(body));
+    network.handle(method, async (_peerId, body) => {
+      const { leaderSinceMs, term } = agreement.status();
+      return leaderSinceMs === undefined
+        ? Result.err<unknown, Failure>(createNotLeader(agreement))
+        : Result.ok<unknown, Failure>(
+          createLeaderAnswer(term, await handler(body)),
+        );
+    });
   };
   add(SCHEDULING_METHODS.job, (body) => jobs.answer(body));
   add(
--- a/src/services/scheduling/scheduling_log.ts
+++ b/src/services/scheduling/scheduling_log.ts
@@ -25,6 +25,17 @@
   readonly term?: number;
 }
 
+/** What an answer of the leader relies on. */
+export interface LeaseReliance {
+  readonly term: number;
+  readonly catalogVersion: number;
+  /**
+   * Time since a quorum confirmed the leader (ms); undefined if it does not lead
+   * any more.
+   */
+  readonly leaseAgeMs: number | undefined;
+}
+
 /** Reads the scheduling state, proposes changes to it and shows who leads. */
 export class SchedulingLog {
   readonly #agreement: Agreement;
@@ -56,6 +67,21 @@
     return leaderSinceMs !== undefined && term === (this.#term ?? term);
   }
 
+  /**
+   * Describes what an answer from this state relies on, for the log.
+   *
+   * @returns Term, version of the catalog, and the age of the leader lease (ms).
+   */
+  describeReliance(): LeaseReliance {
+    const { leaseAgeMs, term } = this.#agreement.status();
+    const catalogVersion = this.state.catalog.version;
+    return {
+      term,
+      catalogVersion,
+      leaseAgeMs: leaseAgeMs === undefined ? undefined : Math.round(leaseAgeMs),
+    };
+  }
+
   /**
    * Proposes changes as one batch. The batch is measured when it takes effect,
    * which may be after a proposal whose outcome was unknown.
--- a/src/testing/fake_agreement.ts
+++ b/src/testing/fake_agreement.ts
@@ -75,6 +75,7 @@
       leaderId: "entry-1",
       term: 1,
       leaderSinceMs: 0,
+      leaseAgeMs: 0,
       appliedIndex: this.commands.length,
       commitIndex: this.commands.length,
       revision: this.state.revision,
--- a/src/testing/fake_leadership.ts
+++ b/src/testing/fake_leadership.ts
@@ -155,6 +155,7 @@
     const { revision } = this.state;
     return {
       ...this.#member,
+      leaseAgeMs: this.#member.leaderSinceMs === undefined ? undefined : 0,
       appliedIndex: revision,
       commitIndex: revision,
       revision,
--- a/src/testing/fake_log.ts
+++ b/src/testing/fake_log.ts
@@ -138,6 +138,7 @@
       leaderId: this.isLeader ? this.#entryId : undefined,
       term: 1,
       leaderSinceMs: this.isLeader ? 0 : undefined,
+      leaseAgeMs: this.isLeader ? 0 : undefined,
       appliedIndex: this.#log.index,
       commitIndex: this.#log.index,
       revision: this.#log.state.revision,
--- a/src/testing/leader_view.ts
+++ b/src/testing/leader_view.ts
@@ -131,6 +131,7 @@
       leaderId: this.#isLeading ? `leader-${this.term}` : undefined,
       term: this.term,
       leaderSinceMs: this.#isLeading ? 0 : undefined,
+      leaseAgeMs: this.#isLeading ? 0 : undefined,
       appliedIndex,
       commitIndex: appliedIndex,
       revision: 0,
