Play histories of leases with clocks that are set and VMs that are suspended

No random history of the replicas set a clock, suspended a VM, or let a message arrive long after it was sent, and none checked that one controller at a time holds the leader lease.

--- a/src/testing/fake_cluster.ts
+++ b/src/testing/fake_cluster.ts
@@ -151,7 +151,13 @@
     this.find(entryId).clock.pause();
   }
 
-  /** Resumes an entry's paused process. */
+  /** Suspends an entry's VM, whose steady clock stands still meanwhile. */
+  suspend(entryId: string): void {
+    this.network.pause(entryId);
+    this.find(entryId).clock.suspend();
+  }
+
+  /** Resumes an entry's paused process or suspended VM. */
   resume(entryId: string): void {
     this.network.resume(entryId);
     this.find(entryId).clock.resume();
--- a/src/testing/pausable_clock.ts
+++ b/src/testing/pausable_clock.ts
@@ -1,4 +1,5 @@
-/** A clock whose timers can be paused. */
+/** The clock of one process, whose VM can be paused, suspended and set. */
+import { SystemClock } from "../adapters/clock/index.ts";
 import type { Clock } from "../ports/index.ts";
 import { Notifier } from "../tasks/index.ts";
 
@@ -6,9 +7,16 @@
 export class PausableClock implements Clock {
   readonly #clock: Clock;
   readonly #resumed = new Notifier();
+  readonly #system: SystemClock;
   #isPaused = false;
   /** Time by which the wall clock was set ahead (ms). */
   #aheadMs = 0;
+  /** Time for which the steady clock stood still in earlier suspensions (ms). */
+  #suspendedMs = 0;
+  /** Readings at the beginning of the present suspension (ms). */
+  #suspended:
+    | { readonly steadyMs: number; readonly monotonicMs: number }
+    | undefined;
 
   /**
    * Creates the clock of a process.
@@ -17,6 +25,10 @@
    */
   constructor(clock: Clock) {
     this.#clock = clock;
+    this.#system = new SystemClock({
+      wallMs: () => this.nowMs(),
+      steadyMs: () => this.steadyMs(),
+    });
   }
 
   /** Whether the timers are paused. */
@@ -29,11 +41,12 @@
   }
 
   monotonicMs(): number {
-    return this.#clock.monotonicMs() + this.#aheadMs;
+    return this.#suspended?.monotonicMs ?? this.#system.monotonicMs();
   }
 
   steadyMs(): number {
-    return this.#clock.steadyMs();
+    return this.#suspended?.steadyMs ??
+      this.#clock.steadyMs() - this.#suspendedMs;
   }
 
   async sleep(delayMs: number, signal?: AbortSignal): Promise<void> {
@@ -68,9 +81,9 @@
   }
 
   /**
-   * Sets the wall clock ahead, which looks like a suspension of the VM.
+   * Sets the wall clock. Setting it ahead looks like a suspension of the VM.
    *
-   * @param stepMs - Time by which it is set ahead (ms).
+   * @param stepMs - Time by which it is set ahead (ms); negative to set it back.
    */
   setAhead(stepMs: number): void {
     this.#aheadMs += stepMs;
@@ -81,8 +94,24 @@
     this.#isPaused = true;
   }
 
-  /** Fires all timers that became due during the pause. */
+  /**
+   * Delays all timers until `resume`. The steady clock stands still for that
+   * time, and the process reads no clock.
+   */
+  suspend(): void {
+    this.#suspended ??= {
+      steadyMs: this.steadyMs(),
+      monotonicMs: this.monotonicMs(),
+    };
+    this.#isPaused = true;
+  }
+
+  /** Fires all timers that became due during the pause or suspension. */
   resume(): void {
+    if (this.#suspended !== undefined) {
+      this.#suspendedMs = this.#clock.steadyMs() - this.#suspended.steadyMs;
+      this.#suspended = undefined;
+    }
     this.#isPaused = false;
     this.#resumed.notify();
   }
