Measure the promises of voters with the steady clock

Cause: a voter that has heard a leader votes for nobody else for 1,000 ms, and the leader's lease of 900 ms relies on it. The voter measured that time with monotonicMs, which runs ahead when the wall clock is set. Three voters whose clocks were set ahead elected a second leader while the first one held its lease, and both answered calls.

Change: the election timeout, the pause after a resignation and the grace after a vote are measured with steadyMs. It never runs ahead, so the promise cannot end early; after a suspension of the voter it lasts longer. The lease itself is still measured with the clock that counts suspensions.

--- a/src/ports/clock.ts
+++ b/src/ports/clock.ts
@@ -11,7 +11,8 @@
    */
   monotonicMs(): number;
   /**
-   * Returns monotonic time in milliseconds, for leases that others hold. It may
+   * Returns monotonic time in milliseconds, for promises that this process has
+   * given, leases that others hold, and for how long others are silent. It may
    * fall behind the real time, because it stops while the VM is suspended, but
    * never runs ahead of it.
    */
--- a/src/replication/election_task.ts
+++ b/src/replication/election_task.ts
@@ -64,7 +64,7 @@
 
   #computeWaitMs(timeoutMs: number): number {
     const { lastContactMs, log, options, resignedUntilMs } = this.#core;
-    const nowMs = options.clock.monotonicMs();
+    const nowMs = options.clock.steadyMs();
     if (!this.#isEligible()) {
       return MIN_ELECTION_TIMEOUT_MS;
     }
--- a/src/replication/replica_core.ts
+++ b/src/replication/replica_core.ts
@@ -39,13 +39,14 @@
   leaderId: string | undefined;
   leadership: Leadership | undefined;
   /**
-   * Monotonic time from which the election timeout counts, in milliseconds: the
+   * Steady time from which the election timeout counts, in milliseconds: the
    * start of the replica, its last contact with a leader, or its last step-down
    * as leader. A granted vote and the resignation of the leader move it, so that
-   * only part of the timeout remains.
+   * only part of the timeout remains. The leader's lease relies on this time, so
+   * it must not end early.
    */
   lastContactMs: number;
-  /** Monotonic time before which this replica starts no election (ms). */
+  /** Steady time before which this replica starts no election (ms). */
   resignedUntilMs = -Infinity;
   commitIndex: number;
   appliedIndex: number;
@@ -73,7 +74,7 @@
     this.votedFor = vote.term === this.term ? vote.votedFor : undefined;
     // Before the restart this voter may have confirmed a leader, whose lease relies
     // on the full election timeout.
-    this.lastContactMs = options.clock.monotonicMs();
+    this.lastContactMs = options.clock.steadyMs();
     this.commitIndex = snapshot?.index ?? 0;
     this.appliedIndex = this.commitIndex;
   }
@@ -117,7 +118,7 @@
     if (term !== this.term || this.leadership !== undefined) {
       return false;
     }
-    this.lastContactMs = this.options.clock.monotonicMs();
+    this.lastContactMs = this.options.clock.steadyMs();
     this.setLeader(leaderId);
     return true;
   }
@@ -240,7 +241,7 @@
       return;
     }
     this.leadership = undefined;
-    this.lastContactMs = this.options.clock.monotonicMs();
+    this.lastContactMs = this.options.clock.steadyMs();
     this.options.logger.warn({ term: leadership.term, reason }, "steps down");
     this.setLeader(undefined);
     leadership.failPendingProposals();
@@ -254,7 +255,7 @@
    * @param cooldownMs - Time without an election of its own, in milliseconds.
    */
   resign(reason: string, cooldownMs = RESIGNATION_COOLDOWN_MS): void {
-    this.resignedUntilMs = this.options.clock.monotonicMs() + cooldownMs;
+    this.resignedUntilMs = this.options.clock.steadyMs() + cooldownMs;
     this.stepDown(reason);
   }
 
--- a/src/replication/replica_test.ts
+++ b/src/replication/replica_test.ts
@@ -243,6 +243,12 @@
     it("is refused while there is an active leader", async () => {
       assert.not(await requestVote("x"));
     });
+
+    // Guards against a second lease holder, whose answers may be older.
+    it("is refused while there is an active leader, also after the wall clock was set ahead", async () => {
+      cluster.find(follower(0)).clock.setAhead(SETTLE_MS);
+      assert.not(await requestVote("x"));
+    });
   });
 
   describe("without a quorum", () => {
--- a/src/replication/vote_handler.ts
+++ b/src/replication/vote_handler.ts
@@ -83,7 +83,7 @@
         { leaderId: peerId, term: core.term },
         "the leader resigned",
       );
-      const nowMs = core.options.clock.monotonicMs();
+      const nowMs = core.options.clock.steadyMs();
       core.lastContactMs = nowMs - MIN_ELECTION_TIMEOUT_MS;
       core.setLeader(undefined);
     }
@@ -93,7 +93,7 @@
   async #decideVote(peerId: string, request: VoteRequest): Promise<boolean> {
     const core = this.#core;
     const { leaderId, options, term } = core;
-    const sinceContactMs = options.clock.monotonicMs() - core.lastContactMs;
+    const sinceContactMs = options.clock.steadyMs() - core.lastContactMs;
     const refusal = await this.#findRefusal(peerId, request, sinceContactMs) ??
       (request.isPreVote ? undefined : await this.#vote(peerId));
     options.logger.info(
@@ -150,7 +150,7 @@
     core.votedFor = peerId;
     const saved = await core.saveVote();
     // The candidate needs time to announce itself before the next vote is granted.
-    const graceEndMs = clock.monotonicMs() + VOTE_GRACE_MS;
+    const graceEndMs = clock.steadyMs() + VOTE_GRACE_MS;
     core.lastContactMs = graceEndMs - MIN_ELECTION_TIMEOUT_MS;
     return saved.isOk ? undefined : saved.error.message;
   }
