Ignore the resignation of a leader from an earlier term

Cause: a resignation carried no term. One that arrives late, after the same controller was elected again, ended the promise of the voter at once.

Evidence: found by review. replica_test (a vote is refused also after a resignation from an earlier term arrives) fails without the comparison of the terms.

Change: the message names the term that the leader led; a voter acts on it only while it follows that term.

--- a/src/replication/election_task.ts
+++ b/src/replication/election_task.ts
@@ -192,14 +192,20 @@
  * without waiting for their whole election timeout.
  *
  * @param core - The state of the replica that led until now.
+ * @param term - The term that it led.
  * @returns A promise that resolves when every entry has answered, or after
  * {@link VOTE_TIMEOUT_MS}.
  */
-export async function announceResignation(core: ReplicaCore): Promise<void> {
+export async function announceResignation(
+  core: ReplicaCore,
+  term: number,
+): Promise<void> {
   const { network } = core.options;
   await Promise.all(
     core.peerIds.map((peerId) =>
-      network.call(peerId, METHODS.resign, {}, { timeoutMs: VOTE_TIMEOUT_MS })
+      network.call(peerId, METHODS.resign, { term }, {
+        timeoutMs: VOTE_TIMEOUT_MS,
+      })
     ),
   );
 }
--- a/src/replication/messages.ts
+++ b/src/replication/messages.ts
@@ -115,6 +115,12 @@
 /** Schema of the message with which a new leader announces itself. */
 export const leaderAnnouncementSchema = v.object({ term: v.number() });
 
+/** Schema of the message with which a leader announces that it resigned. */
+export const resignationSchema = v.object({
+  /** The term that the leader led. */
+  term: v.number(),
+});
+
 /** Schema of {@link ProbeResponse}. */
 export const probeResponseSchema = v.object({
   storeId: v.string(),
--- a/src/replication/proposal_queue.ts
+++ b/src/replication/proposal_queue.ts
@@ -115,7 +115,7 @@
     if (appended.isErr) {
       failAll(accepted, appended.error);
       core.resignOnDiskFailure(appended.error);
-      void announceResignation(core);
+      void announceResignation(core, leadership.term);
       return;
     }
     entries.forEach(({ index }, at) => {
--- a/src/replication/replica.ts
+++ b/src/replication/replica.ts
@@ -157,14 +157,15 @@
   async transferLeadership(): Promise<void> {
     const core = this.#core;
     const isOnlyVoter = core.log.membership.voters.length === 1;
-    if (core.leadership === undefined || isOnlyVoter) {
+    const { leadership } = core;
+    if (leadership === undefined || isOnlyVoter) {
       return;
     }
     await this.#queue.drain();
     await core.mutex.run(() =>
       Promise.resolve(core.resign("the entry is shutting down"))
     );
-    await announceResignation(core);
+    await announceResignation(core, leadership.term);
   }
 
   async #closeOnAbort(signal: AbortSignal): Promise<void> {
@@ -208,7 +209,7 @@
     );
     network.handle(
       METHODS.resign,
-      (peer) => Promise.resolve(votes.handleResignation(peer)),
+      (peer, body) => Promise.resolve(votes.handleResignation(peer, body)),
     );
     network.handle(METHODS.probe, () => Promise.resolve(votes.handleProbe()));
     network.handle(
--- a/src/replication/replica_test.ts
+++ b/src/replication/replica_test.ts
@@ -244,6 +244,19 @@
       assert.not(await requestVote("x"));
     });
 
+    // Guards against a second lease holder, whose answers may be older.
+    it("is refused while there is an active leader, also after its resignation from an earlier term arrives", async () => {
+      const resignation = { term: cluster.replica(leaderId).status().term - 1 };
+      const sent = cluster.network.join(leaderId).call(
+        follower(0),
+        METHODS.resign,
+        resignation,
+        { timeoutMs: 100 },
+      );
+      await cluster.clock.runUntil(sent, SETTLE_MS);
+      assert.not(await requestVote("x"));
+    });
+
     // Guards against a second lease holder, whose answers may be older.
     it("is refused while there is an active leader, also after the wall clock was set ahead", async () => {
       cluster.find(follower(0)).clock.setAhead(SETTLE_MS);
--- a/src/replication/vote_handler.ts
+++ b/src/replication/vote_handler.ts
@@ -4,6 +4,7 @@
 import {
   leaderAnnouncementSchema,
   type ProbeResponse,
+  resignationSchema,
   type VoteRequest,
   voteRequestSchema,
   type VoteResponse,
@@ -72,13 +73,21 @@
 
   /**
    * Handles the resignation of the leader. This voter grants votes from now on,
-   * and only the random part of its own election timeout remains.
+   * and only the random part of its own election timeout remains. The message may
+   * arrive when the same leader leads a later term, which it must not affect.
    *
    * @param peerId - The leader.
+   * @param body - Its message, not validated yet.
+   * @returns Nothing, or `invalidInput`.
    */
-  handleResignation(peerId: string): Result<unknown, Failure> {
+  handleResignation(peerId: string, body: unknown): Result<unknown, Failure> {
     const core = this.#core;
-    if (core.leaderId === peerId) {
+    const message = validateWith(resignationSchema, body, {
+      subject: "resignation",
+    });
+    const isFollowed = core.leaderId === peerId && message.isOk &&
+      message.value.term === core.term;
+    if (isFollowed) {
       core.options.logger.info(
         { leaderId: peerId, term: core.term },
         "the leader resigned",
@@ -87,7 +96,7 @@
       core.lastContactMs = nowMs - MIN_ELECTION_TIMEOUT_MS;
       core.setLeader(undefined);
     }
-    return Result.ok({});
+    return message.map(() => ({}));
   }
 
   async #decideVote(peerId: string, request: VoteRequest): Promise<boolean> {
