Keep the promise to a leader that is followed while a disk saves the vote

Cause: once a vote was durable, the voter set the time of its last contact to 700 ms ago, so that the candidate has 300 ms to announce itself. On a slow disk that candidate leads and is followed before the vote is saved; the assignment then ended a promise early on which its lease relies already.

Evidence: found by review. replica_test (a vote is refused also after a slow disk saved the vote for the active leader) fails without this change.

Change: a vote only moves the time of the last contact forward.

--- a/src/replication/replica_test.ts
+++ b/src/replication/replica_test.ts
@@ -212,9 +212,12 @@
   });
 
   describe("a vote", () => {
-    async function requestVote(candidateId: string): Promise<boolean> {
+    async function requestVote(
+      candidateId: string,
+      term = 50,
+    ): Promise<boolean> {
       const { network, clock } = cluster;
-      const request = { term: 50, isPreVote: false };
+      const request = { term, isPreVote: false };
       const last = { lastIndex: 1_000, lastTerm: 49 };
       const reply = await clock.runUntil(
         network.join(candidateId).call(
@@ -240,6 +243,29 @@
       assert.ok(await requestVote("x"));
     });
 
+    // Guards against a second lease holder, whose answers may be older.
+    it("is refused while there is an active leader, also after a slow disk saved the vote for it", async () => {
+      const { clock, network } = cluster;
+      const { disk } = cluster.find(follower(0));
+      cluster.crash(leaderId);
+      cluster.crash(follower(1));
+      await clock.advance(SETTLE_MS);
+      disk.beforeSync = () => clock.sleep(MIN_ELECTION_TIMEOUT_MS);
+      await requestVote("x");
+      // The disk saves the new term first, and then the vote.
+      await clock.advance(2 * MIN_ELECTION_TIMEOUT_MS - 200);
+      const announced = network.join("x").call(
+        follower(0),
+        METHODS.announce,
+        { term: 50 },
+        { timeoutMs: 50 },
+      );
+      await clock.runUntil(announced, SETTLE_MS);
+      await clock.advance(MIN_ELECTION_TIMEOUT_MS / 2);
+      disk.beforeSync = undefined;
+      assert.not(await requestVote("y", 51));
+    });
+
     it("is refused while there is an active leader", async () => {
       assert.not(await requestVote("x"));
     });
--- a/src/replication/vote_handler.ts
+++ b/src/replication/vote_handler.ts
@@ -159,8 +159,12 @@
     core.votedFor = peerId;
     const saved = await core.saveVote();
     // The candidate needs time to announce itself before the next vote is granted.
+    // It may have done so already, while a slow disk saved the vote.
     const graceEndMs = clock.steadyMs() + VOTE_GRACE_MS;
-    core.lastContactMs = graceEndMs - MIN_ELECTION_TIMEOUT_MS;
+    core.lastContactMs = Math.max(
+      core.lastContactMs,
+      graceEndMs - MIN_ELECTION_TIMEOUT_MS,
+    );
     return saved.isOk ? undefined : saved.error.message;
   }
 
