End the leases that a process holds when its clocks disagree

Cause: a suspension of the VM stops the steady clock, so only the wall clock shows it. Less than 250 ms did not count, although the margin between the leader lease and the promises of the voters is 100 ms. A wall clock that was set back in the same span hid a part of the suspension, or all of it.

Evidence: the mix 'all of these' of lease_histories_test fails without this change, and four cases of system_clock_test.

Change: when wall clock and steady clock differ by more than 50 ms between two readings, the elapsed time is unknown, and no less counts than the longest lease that a process holds.

Result: 'all of these' passes. The mix 'suspensions and wall clocks set back' still fails where the wall clock is set back by the length of the suspension, to within 50 ms: no clock of the process shows that.

--- a/src/adapters/clock/system_clock.ts
+++ b/src/adapters/clock/system_clock.ts
@@ -8,11 +8,16 @@
 const MAX_TIMER_MS = 2_147_483_647;
 
 /**
- * How much more the wall clock must advance than the steady clock to count as a
- * suspension of the VM, in milliseconds. This is more than time synchronization
- * corrects at once.
+ * Difference between the wall clock and the steady clock from which the time
+ * between two readings counts as unknown, in milliseconds: half of the margin
+ * between the leader lease and the promises that it relies on.
  */
-const MIN_SUSPENSION_MS = 250;
+const MAX_DIFFERENCE_MS = 50;
+/**
+ * Least time that counts as elapsed when it is unknown, in milliseconds. It is no
+ * shorter than any lease that a process holds.
+ */
+const MIN_UNKNOWN_MS = 2_000;
 
 /** The clocks that {@link SystemClock} reads; tests pass their own. */
 export interface ClockSources {
@@ -27,7 +32,10 @@
   steadyMs: () => performance.now(),
 };
 
-/** Reads the clocks of the operating system, and detects suspensions. */
+/**
+ * Reads the clocks of the operating system, and detects suspensions of the VM and
+ * steps of the wall clock.
+ */
 export class SystemClock implements Clock {
   readonly #sources: ClockSources;
   #lastWallMs: number;
@@ -50,19 +58,24 @@
   }
 
   // The steady clock stops while a VM is suspended, so only the wall clock
-  // shows the time that passed. A forward step of the wall clock looks the
-  // same: leases that this process holds then end early, which is safe. The
-  // process may have to wait for a processor between two readings, so the wall
-  // clock is compared with the longest time that the steady clock allows.
+  // shows the time that passed. A step of the wall clock looks the same, and one
+  // that sets it back can hide a part of a suspension. When the clocks disagree,
+  // all leases that this process holds therefore end, which is safe. The process
+  // may have to wait for a processor between two readings, so the wall clock is
+  // compared with the shortest and the longest time that the steady clock allows.
   monotonicMs(): number {
     const steadyMs = this.#sources.steadyMs();
     const wallMs = this.#sources.wallMs();
     const steadyAfterMs = this.#sources.steadyMs();
     const steadyElapsedMs = steadyAfterMs - this.#lastSteadyAfterMs;
+    const shortestMs = steadyMs - this.#lastSteadyAfterMs;
     const longestMs = steadyAfterMs - this.#lastSteadyMs;
     const wallElapsedMs = wallMs - this.#lastWallMs;
-    const isSuspended = wallElapsedMs - longestMs > MIN_SUSPENSION_MS;
-    this.#elapsedMs += isSuspended ? wallElapsedMs : steadyElapsedMs;
+    const isUnknown = wallElapsedMs - longestMs > MAX_DIFFERENCE_MS ||
+      shortestMs - wallElapsedMs > MAX_DIFFERENCE_MS;
+    this.#elapsedMs += isUnknown
+      ? Math.max(wallElapsedMs, steadyElapsedMs, MIN_UNKNOWN_MS)
+      : steadyElapsedMs;
     this.#lastWallMs = wallMs;
     this.#lastSteadyMs = steadyMs;
     this.#lastSteadyAfterMs = steadyAfterMs;
--- a/src/ports/clock.ts
+++ b/src/ports/clock.ts
@@ -5,9 +5,9 @@
   /** Returns wall-clock time in ms since the epoch, only for stored times. */
   nowMs(): number;
   /**
-   * Returns monotonic time in milliseconds, for deadlines, waits and for leases
-   * that this process holds. It may run ahead of the real time when the wall
-   * clock is set, but never falls behind it.
+   * Returns monotonic time in milliseconds, for leases that this process holds.
+   * It runs ahead of the real time when the wall clock is set, and does not fall
+   * behind it.
    */
   monotonicMs(): number;
   /**
