Ignore answers of leaders of earlier terms

Cause: an entry took any successful answer for the leader's. Of several calls under way, a late answer of the previous leader made it call that leader again; if that one still held a lease, the next answer came from an older catalog.

Evidence: leader_client_test, two cases, fail without this change.

Change: the answers carry the term; an entry or controller that has had an answer of a newer term asks again elsewhere. Whatever the clocks do, one process then never returns to an older state. The earlier leader may have carried the call out, so without another answer its outcome is unknown (504, not 503). A call that fails at one controller no longer forgets a leader that another call has found, and the time of a call is measured with the steady clock, so that a wall clock that is set does not end it (a third case, failed before).

--- a/src/services/scheduling/controller_leader_client.ts
+++ b/src/services/scheduling/controller_leader_client.ts
@@ -59,7 +59,9 @@
     const { agreement, handlers, leader } = this.#options;
     const status = agreement.status();
     const handler = handlers.get(method);
-    if (status.leaderSinceMs !== undefined && handler !== undefined) {
+    const isNewest = status.leaderSinceMs !== undefined &&
+      status.term >= leader.leaderTerm;
+    if (isNewest && handler !== undefined) {
       return await handler(body);
     }
     const isOther = status.leaderId !== status.entryId;
--- a/src/services/scheduling/leader_client.ts
+++ b/src/services/scheduling/leader_client.ts
@@ -28,7 +28,9 @@
 
 /**
  * Finds the leader and calls it. It may send a call more than once, so the
- * handler of each call must tolerate repetition.
+ * handler of each call must tolerate repetition. Once a leader has answered, the
+ * answers of leaders of earlier terms do not count: what this process returns
+ * never comes from an older state than what it has returned before.
  */
 export class LeaderClient {
   readonly #options: LeaderClientOptions;
@@ -37,7 +39,7 @@
   #leaderId: string | undefined;
   #leaderTerm = 0;
   #attemptCount = 0;
-  /** Monotonic time at which the leader was lost; undefined while it answers. */
+  /** Steady time at which the leader was lost; undefined while it answers. */
   #lostAtMs: number | undefined;
 
   constructor(options: LeaderClientOptions) {
@@ -87,10 +89,10 @@
     timeoutMs: number,
   ): Promise<Result<unknown, Failure>> {
     const { clock } = this.#options;
-    const deadlineMs = clock.monotonicMs() + timeoutMs;
+    const deadlineMs = clock.steadyMs() + timeoutMs;
     let isOutcomeUnknown = false;
     for (let attempt = 0;; attempt += 1) {
-      const leftMs = deadlineMs - clock.monotonicMs();
+      const leftMs = deadlineMs - clock.steadyMs();
       if (leftMs <= 0 || (attempt > 0 && this.#isLeaderLost)) {
         return Result.err(createNoLeader(isOutcomeUnknown));
       }
@@ -105,7 +107,7 @@
           this.#leaderId = answered.isOk ? target : this.#leaderId;
           return answered;
         }
-        this.#lostAtMs ??= clock.monotonicMs();
+        this.#lostAtMs ??= clock.steadyMs();
         isOutcomeUnknown ||= mayHaveBeenHandled(answered.error);
       }
       await clock.sleep(LEADER_RETRY_MS);
@@ -127,7 +129,12 @@
       })
     );
     return answer.andThen((value) => {
-      this.#leaderTerm = Math.max(this.#leaderTerm, value.term);
+      if (value.term < this.#leaderTerm) {
+        return Result.err<unknown, Failure>(
+          createOutdatedAnswer(target, value.term, this.#leaderTerm),
+        );
+      }
+      this.#leaderTerm = value.term;
       return readLeaderAnswer(value);
     });
   }
@@ -137,7 +144,7 @@
   get #isLeaderLost(): boolean {
     const { clock } = this.#options;
     return this.#lostAtMs !== undefined &&
-      clock.monotonicMs() - this.#lostAtMs > LOST_LEADER_WAIT_MS;
+      clock.steadyMs() - this.#lostAtMs > LOST_LEADER_WAIT_MS;
   }
 
   #chooseTimeoutMs(): number {
@@ -162,7 +169,10 @@
       return true;
     }
     if (failure.kind === "peerUnreachable") {
-      this.#leaderId = undefined;
+      // Another call may have found the next leader meanwhile.
+      if (this.#leaderId === target) {
+        this.#leaderId = undefined;
+      }
       return true;
     }
     return failure.kind === "noQuorum";
@@ -173,6 +183,19 @@
   return failure.kind !== "notLeader" && !v.is(unsentSchema, failure.detail);
 }
 
+// The earlier leader may have carried the call out before its term ended.
+function createOutdatedAnswer(
+  target: string,
+  term: number,
+  leaderTerm: number,
+): Failure {
+  return createFailure(
+    "peerUnreachable",
+    `controller ${target} answered as the leader of term ${term}, but a leader of term ${leaderTerm} has answered before`,
+    { detail: { isSent: true } },
+  );
+}
+
 function createNoLeader(isOutcomeUnknown: boolean): Failure {
   return isOutcomeUnknown
     ? createFailure(
--- a/src/services/scheduling/leader_client_test.ts
+++ b/src/services/scheduling/leader_client_test.ts
@@ -4,6 +4,7 @@
 import type { PeerNetwork } from "../../ports/index.ts";
 import { describe, it } from "../../testing/describe.ts";
 import { FakeClock } from "../../testing/fake_clock.ts";
+import { PausableClock } from "../../testing/pausable_clock.ts";
 import { createLeaderAnswer } from "./leader_answer.ts";
 import { LeaderClient } from "./leader_client.ts";
 
@@ -62,6 +63,62 @@
     assert.equal(called, ["c9"]);
   });
 
+  describe("when a leader of an earlier term answers", () => {
+    // Guards against an entry that returns to an older catalog.
+    it("go on to the leader of the newest term", async () => {
+      const terms = new Map([["c2", 2], ["c3", 1]]);
+      const { call, called, client } = createCaller((peerId) => {
+        const term = terms.get(peerId);
+        return term === undefined
+          ? Result.err(createUnreachable(false))
+          : Result.ok(createLeaderAnswer(term, Result.ok(`term ${term}`)));
+      });
+      client.suggestLeader("c2");
+      assert.equal((await call()).unwrapOr(undefined), "term 2");
+      client.suggestLeader("c3");
+      called.length = 0;
+      assert.equal((await call()).unwrapOr(undefined), "term 2");
+      assert.is(called[0], "c3");
+      assert.is(client.leaderId, "c2");
+    });
+
+    // Guards against a 503 for a job that the earlier leader may have accepted.
+    it("fail with an unknown outcome if no other leader answers", async () => {
+      let term = 2;
+      const { call } = createCaller((peerId) =>
+        peerId === "c2"
+          ? Result.ok(createLeaderAnswer(term, Result.ok("done")))
+          : Result.err(createUnreachable(false))
+      );
+      assert.ok((await call()).isOk);
+      term = 1;
+      const answered = await call();
+      assert.is(answered.isErr && answered.error.kind, "noQuorum");
+    });
+  });
+
+  // Guards against calls that an entry gives up because its wall clock was set.
+  it("get their whole time after the wall clock was set ahead", async () => {
+    const time = new FakeClock();
+    const clock = new PausableClock(time);
+    const network: PeerNetwork = {
+      call: async () => {
+        clock.setAhead(2 * CALL_MS);
+        await time.sleep(2);
+        return client.leaderId === undefined
+          ? Result.err(createUnreachable(false))
+          : Result.ok(DONE);
+      },
+      handle: () => undefined,
+    };
+    const controllerIds = ["c1"];
+    const client = new LeaderClient({ network, clock, controllerIds });
+    const call = client.call("method", {}, CALL_MS);
+    await time.advance(CALL_MS / 10);
+    client.suggestLeader("c1");
+    assert.ok((await time.runUntil(call, MANY_MS)).isOk);
+  });
+
   describe("while nobody leads", () => {
     it("fail as not handled when nothing was sent", async () => {
       const { call } = createCaller(() => Result.err(createUnreachable(false)));
