Wait for the leases of others with the steady clock in the controller

A controller whose wall clock was set ahead took a step for in force before the freshness leases of entries had ended, and a report for confirmed after one observation, so that a VM could be drained while an entry still sent it work.

--- a/src/services/controller/in_force.ts
+++ b/src/services/controller/in_force.ts
@@ -40,7 +40,7 @@
   }
 
   isInForce(vm: string, operationId: string): boolean {
-    const nowMs = this.#clock.monotonicMs();
+    const nowMs = this.#clock.steadyMs();
     const seen = this.#seen.get(vm);
     if (seen?.operationId !== operationId) {
       this.#seen.set(vm, { operationId, seenAtMs: nowMs });
--- a/src/services/controller/report_confirmation.ts
+++ b/src/services/controller/report_confirmation.ts
@@ -42,7 +42,7 @@
   ): boolean {
     const seen = this.#track(subject, report);
     return seen !== undefined &&
-      this.#clock.monotonicMs() - seen.sinceMs >= durationMs;
+      this.#clock.steadyMs() - seen.sinceMs >= durationMs;
   }
 
   /** Discards all reports; needed when another controller may have acted. */
@@ -59,7 +59,7 @@
     if (before?.report === report) {
       return before;
     }
-    this.#seen.set(subject, { report, sinceMs: this.#clock.monotonicMs() });
+    this.#seen.set(subject, { report, sinceMs: this.#clock.steadyMs() });
     return undefined;
   }
 }
