--- a/src/services/scheduling/runner_status.ts
+++ b/src/services/scheduling/runner_status.ts
@@ -34,7 +34,7 @@
   /** Steady time of the newest answer that seems to be a successor's (ms). */
   #successorAnswerAtMs = -Infinity;
   /**
-   * Unanswered requests, with the monotonic time (ms) at which each is overdue.
+   * Unanswered requests, with the steady time (ms) at which each is overdue.
    */
   readonly #pendingRequests = new Set<{ readonly atMs: number }>();
   /** Whether its list of runs has been received in this term. */
@@ -58,13 +58,13 @@
 
   constructor(clock: Clock) {
     this.#clock = clock;
-    this.#lastContactMs = clock.monotonicMs();
-    this.#answeredAtMs = this.#lastContactMs;
+    this.#lastContactMs = clock.steadyMs();
+    this.#answeredAtMs = clock.monotonicMs();
   }
 
   /** Time since the last announcement or answer, in milliseconds. */
   get silenceMs(): number {
-    return this.#clock.monotonicMs() - this.#lastContactMs;
+    return this.#clock.steadyMs() - this.#lastContactMs;
   }
 
   /**
@@ -102,7 +102,7 @@
 
   /** Whether a request has been unanswered for longer than usual. */
   get hasOverdueRequest(): boolean {
-    const nowMs = this.#clock.monotonicMs();
+    const nowMs = this.#clock.steadyMs();
     return [...this.#pendingRequests].some(({ atMs }) => atMs < nowMs);
   }
 
@@ -134,21 +134,21 @@
    * @returns A function to call once the request is answered or counts as lost.
    */
   beginRequest(waitMs: number): () => void {
-    const due = { atMs: this.#clock.monotonicMs() + waitMs + OVERDUE_MS };
+    const due = { atMs: this.#clock.steadyMs() + waitMs + OVERDUE_MS };
     this.#pendingRequests.add(due);
     return () => this.#pendingRequests.delete(due);
   }
 
   /** Records an announcement. */
   recordContact(): void {
-    this.#lastContactMs = this.#clock.monotonicMs();
+    this.#lastContactMs = this.#clock.steadyMs();
   }
 
   /** Records an answer. */
   recordAnswer(): void {
     this.#isAnswering = true;
     this.recordContact();
-    this.#answeredAtMs = this.#lastContactMs;
+    this.#answeredAtMs = this.#clock.monotonicMs();
   }
 
   /** Records the answer to a poll. */
--- a/src/services/scheduling/runner_status_test.ts
+++ b/src/services/scheduling/runner_status_test.ts
@@ -1,6 +1,8 @@
 import * as assert from "uvu/assert";
+import type { Clock } from "../../ports/index.ts";
 import { describe, it } from "../../testing/describe.ts";
 import { FakeClock } from "../../testing/fake_clock.ts";
+import { PausableClock } from "../../testing/pausable_clock.ts";
 import { RunnerStatus } from "./runner_status.ts";
 import {
   MAX_CLOCK_DRIFT,
@@ -12,13 +14,18 @@
 const TASK = "0123456789abcdef.0.0.1";
 const LONG_MS = 10_000;
 
-function createWorkingRunner() {
-  const clock = new FakeClock();
+function createWorkingStatus(clock: Clock): RunnerStatus {
   const status = new RunnerStatus(clock);
   status.isSynced = true;
   status.recordAnswer();
+  status.beginRequest(POLL_WAIT_MS);
   status.progress = new Map([[TASK, 100]]);
-  return { clock, status };
+  return status;
+}
+
+function createWorkingRunner() {
+  const clock = new FakeClock();
+  return { clock, status: createWorkingStatus(clock) };
 }
 
 describe("progress of a task on a runner", () => {
@@ -37,6 +44,16 @@
       assert.is(status.findPercent(TASK), 0);
     });
 
+    // Guards against a fleet that seems silent because the leader's wall clock was
+    // set.
+    it("not because the leader's wall clock was set ahead", () => {
+      const clock = new PausableClock(new FakeClock());
+      const status = createWorkingStatus(clock);
+      clock.setAhead(LONG_MS);
+      assert.is(status.findPercent(TASK), 100);
+      assert.not(status.hasOverdueRequest);
+    });
+
     it("once the runner has not been in contact for long", async () => {
       const { clock, status } = createWorkingRunner();
       await clock.advance(LONG_MS);
