Measure leases of followers and their silence with the steady clock

A leader whose wall clock was set ahead reported freshness leases of entries as ended while they were held, granted permits again that a silent entry could still use, counted reports as newer than they were, and saw a lost quorum or lost voters. A step down costs callers an election.

Change: the leader measures what others hold, and how long they are silent, with steadyMs; its own lease is still measured with the clock that counts suspensions. leaderSinceMs is a steady time.

Evidence: entry_lister_test, replica_test (a wall clock that is set, two cases) and permit_ledger_test fail without this change.

--- a/src/ports/agreement.ts
+++ b/src/ports/agreement.ts
@@ -15,7 +15,7 @@
   readonly leaderId: string | undefined;
   readonly term: number;
   /**
-   * Monotonic time at which this entry became leader of the term (ms);
+   * Steady time at which this entry became leader of the term (ms);
    * undefined when it is not the leader.
    */
   readonly leaderSinceMs: number | undefined;
--- a/src/replication/entry_lister.ts
+++ b/src/replication/entry_lister.ts
@@ -55,12 +55,14 @@
     }
     const { entryId } = core.self;
     const { revision } = core.state;
+    const { clock } = core.options;
     const own: EntryReport = {
       entryId,
       role: "leader",
       revision,
-      leaseLeftMs: this.#computeTimeLeft(
+      leaseLeftMs: computeTimeLeft(
         leadership.confirmedAtMs + FRESHNESS_LEASE_MS,
+        clock.monotonicMs(),
       ),
     };
     const others = core.peerIds.map((peerId) =>
@@ -91,7 +93,10 @@
       // After a restart with an empty store, an entry has several followers, one
       // for each store id; the last one is the current one.
       revision: followers.at(-1)?.revision,
-      leaseLeftMs: this.#computeTimeLeft(endMs),
+      leaseLeftMs: computeTimeLeft(
+        endMs,
+        this.#core.options.clock.steadyMs(),
+      ),
     };
   }
 
@@ -108,9 +113,8 @@
     const votes = newest === undefined || includesMember(voters, newest);
     return votes ? "voter" : "learner";
   }
+}
 
-  #computeTimeLeft(endMs: number): number {
-    const leftMs = endMs - this.#core.options.clock.monotonicMs();
-    return Math.max(0, Math.ceil(leftMs));
-  }
+function computeTimeLeft(endMs: number, nowMs: number): number {
+  return Math.max(0, Math.ceil(endMs - nowMs));
 }
--- a/src/replication/entry_lister_test.ts
+++ b/src/replication/entry_lister_test.ts
@@ -1,5 +1,6 @@
 import * as assert from "uvu/assert";
 import { beforeEach, describe, FakeCluster, it } from "../testing/index.ts";
+import { FRESHNESS_LEASE_MS } from "./timing.ts";
 
 const VOTERS = ["a", "b", "c"];
 const SETTLE_MS = 4_000;
@@ -30,6 +31,26 @@
     return list.entries.find((entry) => entry.entryId === entryId)?.role;
   }
 
+  describe("the time left of a lease", () => {
+    // Guards against a change that counts as in force everywhere while an entry
+    // that is cut off still serves from its lease.
+    it("does not end because the leader's wall clock was set ahead", async () => {
+      cluster.network.isolate("d");
+      cluster.find(leaderId).clock.setAhead(SETTLE_MS);
+      await cluster.clock.advance(FRESHNESS_LEASE_MS / 4);
+      const listed = await cluster.clock.runUntil(
+        cluster.replica(leaderId).listEntries(),
+        SETTLE_MS,
+      );
+      const nowMs = cluster.find("d").clock.monotonicMs();
+      const heldMs = cluster.replica("d").status().freshUntilMs - nowMs;
+      const entry = listed.unwrapOr(undefined)?.entries
+        .find(({ entryId }) => entryId === "d");
+      assert.ok(heldMs > 0);
+      assert.ok(Number(entry?.leaseLeftMs) >= heldMs);
+    });
+  });
+
   describe("roles", () => {
     it("tells leader, voters and observers apart", async () => {
       const follower = VOTERS.find((entryId) => entryId !== leaderId) ?? "";
--- a/src/replication/follower_progress.ts
+++ b/src/replication/follower_progress.ts
@@ -1,5 +1,6 @@
 /** A leader's view of one follower. */
 import type { Member } from "../domain/index.ts";
+import type { Clock } from "../ports/index.ts";
 import type { PullRequest } from "./messages.ts";
 import {
   FRESHNESS_LEASE_MS,
@@ -12,6 +13,8 @@
   readonly requestedAtMs: number;
   /** Leader's monotonic time at which the pull arrived, in milliseconds. */
   readonly receivedAtMs: number;
+  /** Leader's steady time at which the pull arrived, in milliseconds. */
+  readonly receivedAtSteadyMs: number;
 }
 
 /** Replication progress, confirmations and freshness lease of one follower. */
@@ -19,14 +22,18 @@
   readonly member: Member;
   /** Index up to which the follower holds the leader's log durably. */
   matchIndex = 0;
-  /** Leader's time of the newest response that the follower acknowledged (ms). */
+  /**
+   * Leader's monotonic time of the newest response that the follower acknowledged
+   * (ms).
+   */
   echoedTimestampMs = -Infinity;
-  /** Leader's time at which the follower last held its whole log (ms). */
+  /** Leader's steady time at which the follower last held its whole log (ms). */
   caughtUpAtMs: number | undefined;
   hasDisk = false;
   wantsVote = false;
   /** Configuration revision in force at the follower. */
   revision: number | undefined;
+  /** Steady time (ms). */
   #lastPullAtMs = -Infinity;
   #leaseEndsAtMs = -Infinity;
   #receivedPulls: ReceivedPull[] = [];
@@ -36,7 +43,10 @@
     this.member = member;
   }
 
-  /** Leader's time by which the follower's freshness lease ends at the latest (ms). */
+  /**
+   * Leader's steady time by which the follower's freshness lease ends at the
+   * latest (ms).
+   */
   get leaseEndsAtMs(): number {
     return this.#leaseEndsAtMs;
   }
@@ -45,15 +55,21 @@
    * Records a pull.
    *
    * @param pull - The message.
-   * @param receivedAtMs - Leader's monotonic time of its arrival (ms).
+   * @param clock - The leader's clock, which reads the time of its arrival.
    * @param term - The leader's term.
    */
-  recordPull(pull: PullRequest, receivedAtMs: number, term: number): void {
+  recordPull(pull: PullRequest, clock: Clock, term: number): void {
+    const receivedAtMs = clock.monotonicMs();
+    const receivedAtSteadyMs = clock.steadyMs();
     this.hasDisk = pull.hasDisk;
     this.wantsVote = pull.wantsVote;
     this.revision = Math.max(this.revision ?? 0, pull.revision);
-    this.#lastPullAtMs = receivedAtMs;
-    this.#receivedPulls.push({ requestedAtMs: pull.askMs, receivedAtMs });
+    this.#lastPullAtMs = receivedAtSteadyMs;
+    this.#receivedPulls.push({
+      requestedAtMs: pull.askMs,
+      receivedAtMs,
+      receivedAtSteadyMs,
+    });
     if (this.#receivedPulls.length > MAX_KEPT_PULLS) {
       this.#receivedPulls.shift();
     }
@@ -62,7 +78,11 @@
     }
   }
 
-  /** Returns whether the follower has pulled within {@link RECENT_PULL_MS}. */
+  /**
+   * Returns whether the follower has pulled within {@link RECENT_PULL_MS}.
+   *
+   * @param nowMs - Leader's steady time (ms).
+   */
   isRunning(nowMs: number): boolean {
     return nowMs - this.#lastPullAtMs < RECENT_PULL_MS;
   }
@@ -70,7 +90,7 @@
   /**
    * Computes the time since the follower's last pull.
    *
-   * @param nowMs - Leader's monotonic time (ms).
+   * @param nowMs - Leader's steady time (ms).
    * @param sinceMs - Start of the period, if the last pull is older (ms).
    * @returns The time in milliseconds.
    */
@@ -90,7 +110,7 @@
       receivedAtMs <= confirmedAtMs
     );
     if (pull !== undefined) {
-      const endMs = pull.receivedAtMs + FRESHNESS_LEASE_MS;
+      const endMs = pull.receivedAtSteadyMs + FRESHNESS_LEASE_MS;
       this.#leaseEndsAtMs = Math.max(this.#leaseEndsAtMs, endMs);
     }
     return pull?.requestedAtMs;
--- a/src/replication/leader_task.ts
+++ b/src/replication/leader_task.ts
@@ -193,7 +193,7 @@
   }
 
   #listRunningFollowers(leadership: Leadership): FollowerProgress[] {
-    const nowMs = this.#core.options.clock.monotonicMs();
+    const nowMs = this.#core.options.clock.steadyMs();
     return leadership.followers.filter((follower) =>
       follower.hasDisk && follower.isRunning(nowMs)
     );
--- a/src/replication/leadership.ts
+++ b/src/replication/leadership.ts
@@ -18,8 +18,10 @@
 /** What a quorum of the voters has confirmed. */
 interface QuorumConfirmation {
   readonly voters: readonly Member[];
-  /** Time of the newest response that a quorum has confirmed (ms). */
+  /** Monotonic time of the newest response that a quorum has confirmed (ms). */
   readonly atMs: number;
+  /** Steady time at which that confirmation was noticed (ms). */
+  readonly noticedAtMs: number;
 }
 
 type SettleProposal = (applied: Result<AppliedValue, Failure>) => void;
@@ -27,7 +29,7 @@
 /** Tracks the followers of one term and the proposals that they must confirm. */
 export class Leadership {
   readonly term: number;
-  /** Monotonic time at which this replica began to lead, in milliseconds. */
+  /** Steady time at which this replica began to lead, in milliseconds. */
   readonly sinceMs: number;
   /** Number of rounds in which voters were requested to confirm at once. */
   confirmationRound = 0;
@@ -38,14 +40,15 @@
   readonly #firstIndex: number;
   readonly #followers = new Map<string, FollowerProgress>();
   readonly #pendingProposals = new Map<number, SettleProposal>();
-  /** Computed again only after a follower has confirmed a newer response. */
   #confirmation: QuorumConfirmation | undefined;
+  /** Whether a follower has confirmed a newer response since. */
+  #isConfirmationOutdated = true;
 
   /** @param core - State of a replica whose log ends with the opening of the term. */
   constructor(core: ReplicaCore) {
     this.#core = core;
     this.term = core.term;
-    this.sinceMs = core.options.clock.monotonicMs();
+    this.sinceMs = core.options.clock.steadyMs();
     this.#firstIndex = core.log.last.index;
   }
 
@@ -64,17 +67,8 @@
    * milliseconds; a voter confirms by echoing the timestamp of a response.
    */
   get confirmedAtMs(): number {
-    const { voters } = this.#core.log.membership;
-    if (this.#confirmation?.voters !== voters) {
-      const atMs = this.#findQuorumValue(
-        Infinity,
-        (voter) =>
-          this.#followers.get(voter.storeId)?.echoedTimestampMs ?? -Infinity,
-      );
-      this.#confirmation = { voters, atMs };
-    }
     return Math.min(
-      this.#confirmation.atMs,
+      this.#findConfirmation().atMs,
       this.#core.options.clock.monotonicMs(),
     );
   }
@@ -91,9 +85,10 @@
 
   /** Whether no quorum has confirmed the leader for too long. */
   get hasLostQuorum(): boolean {
-    const lastConfirmedAtMs = Math.max(this.confirmedAtMs, this.sinceMs);
-    return this.#core.options.clock.monotonicMs() - lastConfirmedAtMs >
-      QUORUM_LOSS_TIMEOUT_MS;
+    const { atMs, noticedAtMs } = this.#findConfirmation();
+    const silentMs = this.#core.options.clock.steadyMs() -
+      Math.max(noticedAtMs, this.sinceMs);
+    return atMs < Infinity && silentMs > QUORUM_LOSS_TIMEOUT_MS;
   }
 
   /**
@@ -108,12 +103,10 @@
       entryId,
       storeId: pull.storeId,
     });
-    const nowMs = this.#core.options.clock.monotonicMs();
     const { echoedTimestampMs } = follower;
-    follower.recordPull(pull, nowMs, this.term);
-    if (follower.echoedTimestampMs !== echoedTimestampMs) {
-      this.#confirmation = undefined;
-    }
+    follower.recordPull(pull, this.#core.options.clock, this.term);
+    this.#isConfirmationOutdated ||=
+      follower.echoedTimestampMs !== echoedTimestampMs;
     if (this.hurriedPullCount > 0) {
       this.#core.changed.notify();
     }
@@ -129,7 +122,7 @@
   recordMatch(follower: FollowerProgress, index: number): void {
     const { log, options } = this.#core;
     if (index >= log.last.index) {
-      follower.caughtUpAtMs = options.clock.monotonicMs();
+      follower.caughtUpAtMs = options.clock.steadyMs();
     }
     if (index > follower.matchIndex) {
       follower.matchIndex = index;
@@ -164,7 +157,7 @@
 
   /** Computes the time since a member's last pull in this term, in milliseconds. */
   computeMsSinceLastPull({ storeId }: Member): number {
-    const nowMs = this.#core.options.clock.monotonicMs();
+    const nowMs = this.#core.options.clock.steadyMs();
     const follower = this.#followers.get(storeId);
     return follower?.computeMsSinceLastPull(nowMs, this.sinceMs) ??
       nowMs - this.sinceMs;
@@ -178,7 +171,7 @@
 
   /** Lists the entries of the other voters that have pulled lately, sorted. */
   listRunningVoterIds(): readonly string[] {
-    const nowMs = this.#core.options.clock.monotonicMs();
+    const nowMs = this.#core.options.clock.steadyMs();
     return this.followers.filter((follower) =>
       follower.isRunning(nowMs) && this.isVoter(follower)
     ).map(({ member }) => member.entryId).toSorted();
@@ -219,6 +212,25 @@
     this.#pendingProposals.clear();
   }
 
+  #findConfirmation(): QuorumConfirmation {
+    const { log, options } = this.#core;
+    const { voters } = log.membership;
+    const known = this.#confirmation;
+    if (known?.voters === voters && !this.#isConfirmationOutdated) {
+      return known;
+    }
+    const atMs = this.#findQuorumValue(
+      Infinity,
+      (voter) =>
+        this.#followers.get(voter.storeId)?.echoedTimestampMs ?? -Infinity,
+    );
+    const isNewer = known === undefined || atMs > known.atMs;
+    const noticedAtMs = isNewer ? options.clock.steadyMs() : known.noticedAtMs;
+    this.#confirmation = { voters, atMs, noticedAtMs };
+    this.#isConfirmationOutdated = false;
+    return this.#confirmation;
+  }
+
   #findOrCreateFollower(member: Member): FollowerProgress {
     const follower = this.#followers.get(member.storeId) ??
       new FollowerProgress(member);
@@ -235,7 +247,7 @@
     const caughtUpAtMs = follower?.caughtUpAtMs ?? this.sinceMs;
     return {
       matchIndex: follower?.matchIndex ?? 0,
-      lagMs: options.clock.monotonicMs() - caughtUpAtMs,
+      lagMs: options.clock.steadyMs() - caughtUpAtMs,
     };
   }
 
--- a/src/replication/replica_test.ts
+++ b/src/replication/replica_test.ts
@@ -11,6 +11,7 @@
   FRESHNESS_LEASE_MS,
   MAX_BATCH_COUNT,
   MIN_ELECTION_TIMEOUT_MS,
+  QUORUM_LOSS_TIMEOUT_MS,
   SNAPSHOT_INTERVAL_COUNT,
 } from "./timing.ts";
 
@@ -290,6 +291,23 @@
     });
   });
 
+  describe("a wall clock that is set", () => {
+    // Guards against a change of leader, and so a pause for callers, that nothing
+    // but the clock of the leader calls for.
+    for (const stepMs of [SETTLE_MS, -SETTLE_MS]) {
+      it(`by ${stepMs} ms at the leader keeps the term`, async () => {
+        const { term } = cluster.replica(leaderId).status();
+        for (let at = 0; at < 20; at += 1) {
+          cluster.find(leaderId).clock.setAhead(stepMs);
+          await cluster.clock.advance(QUORUM_LOSS_TIMEOUT_MS / 7);
+        }
+        const status = cluster.replica(leaderId).status();
+        assert.is(status.term, term);
+        assert.is(status.leaderId, leaderId);
+      });
+    }
+  });
+
   describe("without a quorum", () => {
     it("accepts nothing, the leader steps down and all leases expire", async () => {
       followers.forEach((entryId) => cluster.crash(entryId));
--- a/src/replication/voter_changer.ts
+++ b/src/replication/voter_changer.ts
@@ -109,7 +109,7 @@
 
   #findCandidate(entryId: string): Member | undefined {
     const { leadership, options } = this.#core;
-    const nowMs = options.clock.monotonicMs();
+    const nowMs = options.clock.steadyMs();
     return leadership?.followers.find((follower) =>
       follower.member.entryId === entryId && follower.hasDisk &&
       follower.wantsVote && follower.isRunning(nowMs)
--- a/src/services/permits/coordinator_view.ts
+++ b/src/services/permits/coordinator_view.ts
@@ -42,7 +42,7 @@
     return this.#hasSeenTakeoverEnd;
   }
 
-  /** Local monotonic time at which the last reply arrived. */
+  /** Local steady time at which the last reply arrived. */
   get repliedAtMs(): number {
     return this.#repliedAtMs;
   }
@@ -109,7 +109,8 @@
    * @param reportSentAtMs - Local time at which the report was sent. The lease
    * starts then, so it ends here before it ends at the coordinator, which
    * counts from the report's arrival.
-   * @param nowMs - Local monotonic time.
+   * @param nowMs - Local steady time. The coordinator must not take a report for
+   * newer than it is, so this time must not run ahead.
    */
   applyReply(reply: PermitReply, reportSentAtMs: number, nowMs: number): void {
     this.#isReachable = true;
--- a/src/services/permits/demand.ts
+++ b/src/services/permits/demand.ts
@@ -32,7 +32,7 @@
    * Records that one request of a want was granted a permit.
    *
    * @param want - The want.
-   * @param nowMs - Monotonic time.
+   * @param nowMs - Steady time.
    */
   recordGrant(want: EntryWant, nowMs: number): void {
     // The estimate assumes evenly spaced arrivals. Otherwise one entry with old
--- a/src/services/permits/entry_session.ts
+++ b/src/services/permits/entry_session.ts
@@ -20,7 +20,7 @@
   readonly excludedBackendIds: readonly string[];
   /** Number of requests without a grant. */
   count: number;
-  /** Estimated monotonic time at which the oldest of them arrived. */
+  /** Estimated steady time at which the oldest of them arrived. */
   oldestAtMs: number;
   /** Last grant round in which no slot was found for it. */
   blockedRound: number;
@@ -68,7 +68,7 @@
     return this.#outbox;
   }
 
-  /** Latest monotonic time at which the entry's lease expires. */
+  /** Latest steady time at which the entry's lease expires. */
   get leaseUntilMs(): number {
     return this.lastReportAtMs + PERMIT_LEASE_MS;
   }
@@ -113,7 +113,7 @@
    * Replaces the wants with those of a report.
    *
    * @param report - The newest report of the entry.
-   * @param nowMs - Monotonic time.
+   * @param nowMs - Steady time.
    */
   replaceWants(report: PermitReport, nowMs: number): void {
     const unseen = [...this.#outbox];
--- a/src/services/permits/fleet_permit_source.ts
+++ b/src/services/permits/fleet_permit_source.ts
@@ -65,7 +65,7 @@
    * @param reportSentAtMs - Local monotonic time at which the report was sent.
    */
   handleReply(reply: PermitReply, reportSentAtMs: number): void {
-    const nowMs = this.#options.clock.monotonicMs();
+    const nowMs = this.#options.clock.steadyMs();
     this.view.applyReply(reply, reportSentAtMs, nowMs);
     this.holdings.confirmReturns(reply.acknowledgedReturn);
     this.handleGrants(reply);
--- a/src/services/permits/grant_round.ts
+++ b/src/services/permits/grant_round.ts
@@ -55,7 +55,7 @@
    * Grants permits until no team can get another one.
    *
    * @param index - The configuration in force.
-   * @param nowMs - Monotonic time.
+   * @param nowMs - Steady time.
    * @returns Number of permits granted.
    */
   run(index: FleetIndex, nowMs: number): number {
--- a/src/services/permits/permit_ledger.ts
+++ b/src/services/permits/permit_ledger.ts
@@ -116,7 +116,7 @@
    * @returns Grants, the lease, and the reasons for refusals.
    */
   handleReport(entryId: string, report: PermitReport): PermitReply {
-    const nowMs = this.#options.clock.monotonicMs();
+    const nowMs = this.#options.clock.steadyMs();
     this.#refreshIndex(nowMs);
     const session = this.#sessions.findOrOpen(entryId, report, nowMs);
     if (session === undefined) {
@@ -137,14 +137,14 @@
 
   /** Grants the slots that are free now. */
   runGrantRound(): void {
-    const nowMs = this.#options.clock.monotonicMs();
+    const nowMs = this.#options.clock.steadyMs();
     this.#rounds.run(this.#index, nowMs);
     this.#excesses = this.#rounds.findExcesses(this.#index);
   }
 
   /** Processes expired leases and backend servers that stopped announcing. */
   sweep(): void {
-    const nowMs = this.#options.clock.monotonicMs();
+    const nowMs = this.#options.clock.steadyMs();
     this.#sessions.closeLapsed(nowMs);
     this.#table.freeExpired(nowMs);
     this.#removeSilentBackends(nowMs);
@@ -231,7 +231,7 @@
     const teams = new Set(session?.wants.map(({ team }) => team));
     const queues = new Set(session?.wants.map(({ queue }) => queue));
     const { freshUntilMs } = this.#options.agreement.status();
-    const confirmedMs = freshUntilMs - nowMs;
+    const confirmedMs = freshUntilMs - this.#options.clock.monotonicMs();
     return {
       sessionId: session?.sessionId ?? "",
       mustReopen: session === undefined,
--- a/src/services/permits/permit_messages.ts
+++ b/src/services/permits/permit_messages.ts
@@ -79,7 +79,7 @@
   membershipVersion: countSchema,
   /** Time since the entry received the last reply, in milliseconds. */
   sinceReplyMs: durationMsSchema,
-  /** Time from that reply, on the coordinator's monotonic clock. */
+  /** Time from that reply, on the coordinator's steady clock. */
   repliedAtMs: v.number(),
 });
 
@@ -106,7 +106,7 @@
   sessionId: v.string(),
   /** True when the entry must open a new session. */
   mustReopen: v.boolean(),
-  /** Time of the reply on the coordinator's monotonic clock. */
+  /** Time of the reply on the coordinator's steady clock. */
   repliedAtMs: v.number(),
   /** How long the entry may start attempts after it sent the report. */
   leaseMs: durationMsSchema,
--- a/src/services/permits/permit_reporter.ts
+++ b/src/services/permits/permit_reporter.ts
@@ -161,7 +161,7 @@
   }
 
   #createReport(nowMs: number): PermitReport {
-    const { source, directory } = this.#options;
+    const { clock, source, directory } = this.#options;
     const { view, holdings, waiting } = source;
     const { sessionId } = view;
     this.#sequence += 1;
@@ -178,7 +178,7 @@
       membershipVersion: sessionId === undefined
         ? 0
         : view.reply?.membershipVersion ?? 0,
-      sinceReplyMs: Math.max(0, nowMs - view.repliedAtMs),
+      sinceReplyMs: Math.max(0, clock.steadyMs() - view.repliedAtMs),
       repliedAtMs: view.reply?.repliedAtMs ?? 0,
     };
   }
--- a/src/services/permits/permit_table.ts
+++ b/src/services/permits/permit_table.ts
@@ -9,7 +9,7 @@
 
 /** State of a permit that no entry holds any more but whose attempt may run. */
 export interface OrphanState {
-  /** Monotonic time after which no attempt can be sent under the permit. */
+  /** Steady time after which no attempt can be sent under the permit. */
   readonly sentUntilMs: number;
   /** Number of the last attempt, which may still run; undefined if unknown. */
   readonly attemptCount?: number | undefined;
@@ -150,7 +150,7 @@
    * Frees the orphans whose attempts have ended according to an announcement.
    *
    * @param announcement - The newest announcement of the backend server.
-   * @param receivedAtMs - Monotonic time, no later than when an entry received
+   * @param receivedAtMs - Steady time, no later than when an entry received
    * the announcement.
    */
   applyAnnouncement(announcement: Announcement, receivedAtMs: number): void {
@@ -180,7 +180,7 @@
   /**
    * Frees the orphans whose run leases have expired.
    *
-   * @param nowMs - Monotonic time.
+   * @param nowMs - Steady time.
    */
   freeExpired(nowMs: number): void {
     for (const orphans of [...this.#orphansByBackend.values()]) {
--- a/src/services/permits/session_registry.ts
+++ b/src/services/permits/session_registry.ts
@@ -33,7 +33,7 @@
    *
    * @param entryId - Entry that sent the report.
    * @param report - The report.
-   * @param nowMs - Monotonic time.
+   * @param nowMs - Steady time.
    * @returns The session; undefined when the report's session has ended, so
    * that the entry must open a new one.
    */
@@ -55,7 +55,7 @@
   /**
    * Closes the sessions whose leases have expired.
    *
-   * @param nowMs - Monotonic time.
+   * @param nowMs - Steady time.
    */
   closeLapsed(nowMs: number): void {
     for (const session of [...this.#sessions.values()]) {
--- a/src/services/permits/slot_table.ts
+++ b/src/services/permits/slot_table.ts
@@ -25,7 +25,7 @@
 /** A backend server as the coordinator knows it. */
 export interface SlotRecord {
   announcement: Announcement;
-  /** Coordinator's monotonic time at which an entry received it. */
+  /** Coordinator's steady time at which an entry received it. */
   receivedAtMs: number;
   /** Undefined when no pool contains the VM. */
   pool: string | undefined;
@@ -41,7 +41,7 @@
   /** Counts the slots in use at a backend server. */
   readonly countUsedSlots: (backendServerId: string) => number;
   /**
-   * Returns the monotonic time from which announcements list all attempts
+   * Returns the steady time from which announcements list all attempts
    * started under permits of earlier coordinators.
    */
   readonly findVerifiedFromMs: () => number;
@@ -69,8 +69,8 @@
    * Records an announcement.
    *
    * @param announcement - The announcement.
-   * @param receivedAtMs - Monotonic time at which an entry received it.
-   * @param nowMs - Monotonic time.
+   * @param receivedAtMs - Steady time at which an entry received it.
+   * @param nowMs - Steady time.
    * @returns False for an outdated or duplicate announcement, which is ignored.
    */
   accept(
@@ -160,7 +160,7 @@
    * Re-evaluates whether a backend server accepts new work.
    *
    * @param backendServerId - Id of the backend server.
-   * @param nowMs - Monotonic time.
+   * @param nowMs - Steady time.
    */
   refresh(backendServerId: string, nowMs: number): void {
     const record = this.#records.get(backendServerId);
@@ -182,7 +182,7 @@
    * Re-evaluates all backend servers against a configuration.
    *
    * @param index - The configuration in force.
-   * @param nowMs - Monotonic time.
+   * @param nowMs - Steady time.
    */
   refreshAll(index: FleetIndex, nowMs: number): void {
     this.#index = index;
--- a/src/services/permits/takeover.ts
+++ b/src/services/permits/takeover.ts
@@ -20,7 +20,7 @@
 /** Options of {@link Takeover}. */
 export interface TakeoverOptions {
   readonly coordinatorId: string;
-  /** Monotonic time at which this entry became leader. */
+  /** Steady time at which this entry became leader. */
   readonly leaderSinceMs: number;
   /** All entries of the deployment, including the coordinator's. */
   readonly entryIds: readonly string[];
@@ -46,7 +46,7 @@
   }
 
   /**
-   * Monotonic time from which an announcement lists all attempts started under
+   * Steady time from which an announcement lists all attempts started under
    * permits of earlier coordinators.
    */
   get verifiedFromMs(): number {
@@ -56,7 +56,7 @@
   /**
    * Returns whether entries should keep the permits that they hold.
    *
-   * @param nowMs - Monotonic time.
+   * @param nowMs - Steady time.
    * @returns True until most backend servers have had time to announce
    * themselves.
    */
@@ -69,7 +69,7 @@
    * the entry ignores any other grant of earlier coordinators.
    *
    * @param entryId - Id of the entry.
-   * @param nowMs - Monotonic time.
+   * @param nowMs - Steady time.
    * @returns True when this was the last entry to list its permits.
    */
   markEntryReported(entryId: string, nowMs: number): boolean {
@@ -97,7 +97,7 @@
    * @param announcement - The announcement.
    * @param pool - Pool of the backend server.
    * @param maxRunMs - Maximum time that an attempt may run.
-   * @param nowMs - Monotonic time.
+   * @param nowMs - Steady time.
    */
   adopt(
     announcement: Announcement,
@@ -136,7 +136,7 @@
    *
    * @param slots - The backend servers.
    * @param maxRunMs - Maximum time that an attempt may run.
-   * @param nowMs - Monotonic time.
+   * @param nowMs - Steady time.
    * @returns Number of unknown attempts that may run for any one team.
    */
   countUnknown(slots: SlotTable, maxRunMs: number, nowMs: number): number {
