--- a/src/services/scheduling/job_call_forwarder_test.ts
+++ b/src/services/scheduling/job_call_forwarder_test.ts
@@ -31,7 +31,12 @@
     handle: () => undefined,
     call: () => Promise.resolve(answer),
   };
-  const leader = new LeaderClient({ network, clock, controllerIds: ["c1"] });
+  const leader = new LeaderClient({
+    network,
+    clock,
+    logger,
+    controllerIds: ["c1"],
+  });
   const metrics = {
     recordCall: (call: CallMeasurement) => calls.push(call),
     recordWait: () => undefined,
--- a/src/services/scheduling/leader_client.ts
+++ b/src/services/scheduling/leader_client.ts
@@ -6,7 +6,7 @@
   type Failure,
   validateWith,
 } from "../../domain/index.ts";
-import type { Clock, PeerNetwork } from "../../ports/index.ts";
+import type { Clock, Logger, PeerNetwork } from "../../ports/index.ts";
 import { leaderAnswerSchema, readLeaderAnswer } from "./leader_answer.ts";
 import {
   LEADER_CALL_MS,
@@ -22,6 +22,7 @@
 export interface LeaderClientOptions {
   readonly network: PeerNetwork;
   readonly clock: Clock;
+  readonly logger: Logger;
   /** Ids of the controllers that the settings name. */
   readonly controllerIds: readonly string[];
 }
@@ -98,8 +99,8 @@
       }
       const target = this.#chooseTarget();
       if (target !== undefined) {
-        const timeoutMs = Math.min(leftMs, this.#chooseTimeoutMs());
-        const answered = await this.#ask(target, method, body, timeoutMs);
+        const attemptMs = Math.min(leftMs, this.#chooseTimeoutMs());
+        const answered = await this.#ask(target, method, body, attemptMs);
         const isFinal = answered.isOk ||
           !this.#mayRetry(target, answered.error);
         if (isFinal) {
@@ -120,7 +121,7 @@
     body: unknown,
     timeoutMs: number,
   ): Promise<Result<unknown, Failure>> {
-    const { network } = this.#options;
+    const { logger, network } = this.#options;
     const replied = await network.call(target, method, body, { timeoutMs });
     const answer = replied.andThen((value) =>
       validateWith(leaderAnswerSchema, value, {
@@ -129,12 +130,18 @@
       })
     );
     return answer.andThen((value) => {
-      if (value.term < this.#leaderTerm) {
+      const { term } = value;
+      const leaderTerm = this.#leaderTerm;
+      if (term < leaderTerm) {
+        logger.warn(
+          { controllerId: target, method, term, leaderTerm },
+          "ignored the answer of an earlier leader",
+        );
         return Result.err<unknown, Failure>(
-          createOutdatedAnswer(target, value.term, this.#leaderTerm),
+          createOutdatedAnswer(target, term, leaderTerm),
         );
       }
-      this.#leaderTerm = value.term;
+      this.#leaderTerm = term;
       return readLeaderAnswer(value);
     });
   }
--- a/src/services/scheduling/leader_client_test.ts
+++ b/src/services/scheduling/leader_client_test.ts
@@ -4,6 +4,7 @@
 import type { PeerNetwork } from "../../ports/index.ts";
 import { describe, it } from "../../testing/describe.ts";
 import { FakeClock } from "../../testing/fake_clock.ts";
+import { FakeLogger } from "../../testing/fake_ports.ts";
 import { PausableClock } from "../../testing/pausable_clock.ts";
 import { createLeaderAnswer } from "./leader_answer.ts";
 import { LeaderClient } from "./leader_client.ts";
@@ -26,10 +27,11 @@
     handle: () => undefined,
   };
   const controllerIds = ["c1", "c2", "c3"];
-  const client = new LeaderClient({ network, clock, controllerIds });
+  const logger = new FakeLogger();
+  const client = new LeaderClient({ network, clock, logger, controllerIds });
   const call = () =>
     clock.runUntil(client.call("method", {}, CALL_MS), MANY_MS);
-  return { call, called, client, clock };
+  return { call, called, client, clock, logger };
 }
 
 function createUnreachable(isSent: boolean): Failure {
@@ -67,7 +69,7 @@
     // Guards against an entry that returns to an older catalog.
     it("go on to the leader of the newest term", async () => {
       const terms = new Map([["c2", 2], ["c3", 1]]);
-      const { call, called, client } = createCaller((peerId) => {
+      const { call, called, client, logger } = createCaller((peerId) => {
         const term = terms.get(peerId);
         return term === undefined
           ? Result.err(createUnreachable(false))
@@ -80,6 +82,9 @@
       assert.equal((await call()).unwrapOr(undefined), "term 2");
       assert.is(called[0], "c3");
       assert.is(client.leaderId, "c2");
+      const [line] = logger.lines;
+      assert.is(line?.message, "ignored the answer of an earlier leader");
+      assert.is(line?.fields["controllerId"], "c3");
     });
 
     // Guards against a 503 for a job that the earlier leader may have accepted.
@@ -112,7 +117,8 @@
       handle: () => undefined,
     };
     const controllerIds = ["c1"];
-    const client = new LeaderClient({ network, clock, controllerIds });
+    const logger = new FakeLogger();
+    const client = new LeaderClient({ network, clock, logger, controllerIds });
     const call = client.call("method", {}, CALL_MS);
     await time.advance(CALL_MS / 10);
     client.suggestLeader("c1");
