Give a voter that has just been added time to confirm the leader

Found by rereading, before it was released: a leader that was the only voter for longer than 1.5 s counted that time as a lost quorum once a second voter was added, and could step down. leadership_test (has not lost a quorum that has just got another voter) fails without this change.

Change: the time without confirmation begins anew when the voters change.

--- a/src/replication/leadership.ts
+++ b/src/replication/leadership.ts
@@ -224,8 +224,9 @@
       (voter) =>
         this.#followers.get(voter.storeId)?.echoedTimestampMs ?? -Infinity,
     );
-    const isNewer = known === undefined || atMs > known.atMs;
-    const noticedAtMs = isNewer ? options.clock.steadyMs() : known.noticedAtMs;
+    // Other voters have had no time to confirm anything yet.
+    const isNews = known?.voters !== voters || atMs > known.atMs;
+    const noticedAtMs = isNews ? options.clock.steadyMs() : known.noticedAtMs;
     this.#confirmation = { voters, atMs, noticedAtMs };
     this.#isConfirmationOutdated = false;
     return this.#confirmation;
--- a/src/replication/leadership_test.ts
+++ b/src/replication/leadership_test.ts
@@ -16,7 +16,7 @@
 import type { PullRequest } from "./messages.ts";
 import { PullHandler } from "./pull_handler.ts";
 import { ReplicaCore } from "./replica_core.ts";
-import { RECENT_PULL_MS } from "./timing.ts";
+import { QUORUM_LOSS_TIMEOUT_MS, RECENT_PULL_MS } from "./timing.ts";
 
 const TERM = 3;
 const STATUS_COUNT = 100;
@@ -137,6 +137,25 @@
     assert.equal(leadership.listRunningVoterIds(), ["c"]);
   });
 
+  // Guards against a leader that counts the time in which it was the only voter
+  // as a lost quorum.
+  it("has not lost a quorum that has just got another voter", async () => {
+    const setVoters = (count: number) =>
+      core.log.append(core.createLogEntries([{
+        type: "membership",
+        voters: voters.slice(0, count),
+        learners: [],
+      }]));
+    await setVoters(1);
+    assert.not(leadership.hasLostQuorum);
+    await clock.advance(2 * QUORUM_LOSS_TIMEOUT_MS);
+    assert.not(leadership.hasLostQuorum);
+    await setVoters(2);
+    assert.not(leadership.hasLostQuorum);
+    await clock.advance(QUORUM_LOSS_TIMEOUT_MS + 1);
+    assert.ok(leadership.hasLostQuorum);
+  });
+
   it("reads the voters once for each response that they confirm", () => {
     let readCount = 0;
     const { membership } = core.log;
