Move a VM only while the log shows that nothing runs there

Cause: CapacityTask found VMs idle, cordoned them for 40 ms and handed all moves of a plan to the client at once.

Change: VmMover cordons the runners, waits until an empty entry of the log has taken effect, sends at most six orders at a time and checks lease and idleness right before each; a VM whose order got no answer stays cordoned for the time-out; a plan is carried out in parts of 40 and made anew. A listed runner that is gone no longer counts as idle. 'moved a VM' names the runner and its runs.

--- a/src/services/scheduling/capacity_task.ts
+++ b/src/services/scheduling/capacity_task.ts
@@ -5,7 +5,6 @@
   type DemandForecast,
   type IdleVm,
   listReadySteps,
-  type PlannedMove,
   type PoolLoad,
   sumWaitingDemand,
   sumWork,
@@ -17,12 +16,12 @@
 import {
   ARRIVAL_WINDOW_MS,
   CAPACITY_TICK_MS,
-  CORDON_MS,
   FORECAST_AHEAD_MS,
   MAX_LISTING_AGE_MS,
   MIN_ARRIVALS,
   MOVE_MS,
 } from "./timing.ts";
+import { type ConfirmedMove, VmMover } from "./vm_mover.ts";
 
 /** Options of {@link CapacityTask}. */
 export interface CapacityTaskOptions {
@@ -53,17 +52,22 @@
   readonly #options: CapacityTaskOptions;
   readonly #idleSinceMsByRunner = new Map<string, number>();
   readonly #arrivingVms = new Map<string, ArrivingVm>();
-  #cordonedRunnerIds: ReadonlySet<string> = new Set();
+  readonly #mover: VmMover;
   #vms: readonly ListedVm[] = [];
   #listedAtMs = -Infinity;
 
   constructor(options: CapacityTaskOptions) {
     this.#options = options;
+    this.#mover = new VmMover({
+      ...options,
+      isIdle: (runner) => this.#mayMove(runner),
+      onMoved: (moved) => this.#recordMoved(moved),
+    });
   }
 
-  /** Returns whether a runner gets no work because its VM is about to move. */
-  isCordoned(runner: Runner): boolean {
-    return this.#cordonedRunnerIds.has(runner.runnerId);
+  /** Returns whether a runner gets no work because its VM may move. */
+  isCordoned({ runnerId }: Runner): boolean {
+    return this.#mover.isCordoned(runnerId);
   }
 
   /**
@@ -74,40 +78,46 @@
   async run(signal: AbortSignal): Promise<void> {
     const { clock, log } = this.#options;
     while (!signal.aborted) {
+      let isPartial = false;
       if (log.holdsLeaderLease && log.state.catalog.version >= 0) {
-        await this.#rebalance(signal);
+        isPartial = await this.#rebalance();
+      }
+      if (!isPartial) {
+        await clock.sleep(CAPACITY_TICK_MS, signal);
       }
-      await clock.sleep(CAPACITY_TICK_MS, signal);
     }
   }
 
-  async #rebalance(signal: AbortSignal): Promise<void> {
-    const { policy } = this.#options;
+  // Returns whether more moves were planned than were tried.
+  async #rebalance(): Promise<boolean> {
+    const { logger, policy } = this.#options;
     this.#updateIdleTimes();
     const pools = this.#listLoads();
-    const moves = policy.plan({ pools, idle: this.#listIdleVms() });
+    const byName = new Map(this.#vms.map((listed) => [listed.vm, listed]));
+    const moves = policy.plan({ pools, idle: this.#listIdleVms() })
+      .flatMap((move) => {
+        const listed = byName.get(move.vm);
+        return listed === undefined ? [] : [{ move, listed }];
+      });
+    let isPartial = false;
     if (moves.length > 0) {
-      await this.#carryOut(moves, pools, signal);
+      const targets = new Set(moves.map(({ move }) => move.to));
+      logger.info(
+        {
+          moveCount: moves.length,
+          targets: pools.filter(({ pool }) => targets.has(pool)),
+        },
+        "planned moves of VMs",
+      );
+      const outcome = await this.#mover.carryOut(moves);
+      if (outcome.failedCount > 0) {
+        this.#listedAtMs = -Infinity;
+      }
+      // Moves that fail are tried again at the next tick.
+      isPartial = outcome.leftCount > 0 && outcome.confirmedCount > 0;
     }
     await this.#refreshListing();
-  }
-
-  async #carryOut(
-    moves: readonly PlannedMove[],
-    pools: readonly PoolLoad[],
-    signal: AbortSignal,
-  ): Promise<void> {
-    const { clock } = this.#options;
-    const runnerIds = moves.map(({ vm }) => this.#findVm(vm)?.runnerId ?? "");
-    this.#cordonedRunnerIds = new Set(runnerIds);
-    // A plan made before the cordon may still place work on these VMs.
-    await clock.sleep(CORDON_MS, signal);
-    await Promise.all(moves.map((move) => this.#move(move, pools)));
-    this.#cordonedRunnerIds = new Set();
-  }
-
-  #findVm(vm: string): ListedVm | undefined {
-    return this.#vms.find((listed) => listed.vm === vm);
+    return isPartial;
   }
 
   async #refreshListing(): Promise<void> {
@@ -242,32 +252,13 @@
     }));
   }
 
-  async #move(move: PlannedMove, pools: readonly PoolLoad[]): Promise<void> {
-    const { clock, fencingToken, fleet, holderId, log, logger, vms } =
-      this.#options;
-    const listed = this.#findVm(move.vm);
-    const runner = log.state.runners.get(listed?.runnerId ?? "");
-    // The platform confirms a move that is done already, and then the runner of
-    // the new pool goes on.
-    const isStillIdle = runner === undefined ||
-      (runner.pool === listed?.pool && this.#mayMove(runner));
-    if (!isStillIdle || listed === undefined || !log.holdsLeaderLease) {
-      return;
-    }
-    const source = { holderId, fencingToken };
-    const moved = await vms.move(move.vm, move.to, source);
-    const target = pools.find(({ pool }) => pool === move.to);
-    if (moved.isErr) {
-      logger.warn({ ...move, failure: moved.error }, "a VM was not moved");
-      this.#listedAtMs = -Infinity;
-      return;
-    }
-    logger.info({ ...move, target }, "moved a VM");
-    const { cpuMillicores } = listed;
+  #recordMoved({ listed, move, runner }: ConfirmedMove): void {
+    const { clock, fleet } = this.#options;
+    const { cpuMillicores, vm } = listed;
     const untilMs = clock.monotonicMs() + MOVE_MS;
-    this.#arrivingVms.set(move.vm, { pool: move.to, cpuMillicores, untilMs });
-    this.#vms = this.#vms.map((vm) =>
-      vm === listed ? { ...vm, pool: move.to, runnerId: undefined } : vm
+    this.#arrivingVms.set(vm, { pool: move.to, cpuMillicores, untilMs });
+    this.#vms = this.#vms.map((known) =>
+      known.vm === vm ? { ...known, pool: move.to, runnerId: undefined } : known
     );
     if (runner !== undefined) {
       fleet.retire(runner);
--- a/src/services/scheduling/capacity_task_test.ts
+++ b/src/services/scheduling/capacity_task_test.ts
@@ -10,7 +10,7 @@
 import { CapacityTask } from "./capacity_task.ts";
 import { RunnerStatus } from "./runner_status.ts";
 import { SchedulingLog } from "./scheduling_log.ts";
-import { CAPACITY_TICK_MS, CORDON_MS, MAX_LISTING_AGE_MS } from "./timing.ts";
+import { CAPACITY_TICK_MS, MAX_LISTING_AGE_MS } from "./timing.ts";
 
 const POOLS = ["bay", "dock"];
 const VM_MILLICORES = 8_000;
@@ -136,17 +136,17 @@
     stop.push(controller);
     void task.run(controller.signal);
     await clock.advance(1_000);
-    return { addRunner, clock, vms };
+    return { addRunner, agreement, clock, vms };
   }
 
   // Guards against a list of VMs that stays old for as long as VMs move.
   it("moves a VM soon after its runner has announced itself", async () => {
-    const { addRunner, clock, vms } = await setUp();
+    const { addRunner, agreement, clock, vms } = await setUp();
     assert.ok(vms.movedVms.length > 0);
     vms.add(NEW_VM);
     addRunner(NEW_VM);
     await clock.advance(
-      MAX_LISTING_AGE_MS + 2 * (CAPACITY_TICK_MS + CORDON_MS),
+      MAX_LISTING_AGE_MS + 2 * (CAPACITY_TICK_MS + agreement.proposeMs),
     );
     assert.ok(vms.movedVms.includes(NEW_VM));
   });
--- a/src/services/scheduling/timing.ts
+++ b/src/services/scheduling/timing.ts
@@ -146,8 +146,21 @@
 
 /** Interval at which the capacity of the pools is rebalanced, in milliseconds. */
 export const CAPACITY_TICK_MS = 120;
-/** How long a VM gets no new work before it moves (ms): two commits. */
-export const CORDON_MS = 40;
+/**
+ * Most moves between two plans of capacity, so that a plan is not carried out
+ * long after the demand has changed.
+ */
+export const MAX_MOVES_PER_PLAN = 40;
+/**
+ * Most orders to move a VM that wait for an answer: fewer than the VM control
+ * has connections, so that none waits there after it was checked.
+ */
+export const MAX_MOVES_IN_FLIGHT = 6;
+/**
+ * Time after an unanswered order in which a VM may still move (ms): the timeout
+ * of the order.
+ */
+export const MOVE_DOUBT_MS = 1_500;
 /** Time until a moved VM serves its new pool, in milliseconds. */
 export const MOVE_MS = 2_300;
 /** How far ahead demand is predicted, in milliseconds: the duration of a move. */
--- /dev/null
+++ b/src/services/scheduling/vm_mover.ts
@@ -0,0 +1,165 @@
+/** Sends the orders of a plan that moves VMs, each only while its VM is idle. */
+import type { PlannedMove } from "../../decisions/index.ts";
+import type { Runner } from "../../domain/index.ts";
+import type { Clock, ListedVm, Logger, VmControl } from "../../ports/index.ts";
+import type { SchedulingLog } from "./scheduling_log.ts";
+import {
+  MAX_MOVES_IN_FLIGHT,
+  MAX_MOVES_PER_PLAN,
+  MOVE_DOUBT_MS,
+} from "./timing.ts";
+
+/** Options of {@link VmMover}. */
+export interface VmMoverOptions {
+  readonly log: SchedulingLog;
+  readonly vms: Pick<VmControl, "move">;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Identifies this leader in its requests about VMs. */
+  readonly holderId: string;
+  readonly fencingToken: number;
+  /** Returns whether a runner is sound and has no work. */
+  readonly isIdle: (runner: Runner) => boolean;
+  /**
+   * Called when the platform has confirmed a move, before the VM's runner may
+   * get work again.
+   */
+  readonly onMoved: (moved: ConfirmedMove) => void;
+}
+
+/** A planned move, with the VM as it was listed. */
+export interface ListedMove {
+  readonly move: PlannedMove;
+  readonly listed: ListedVm;
+}
+
+/** A move that the platform has confirmed. */
+export interface ConfirmedMove extends ListedMove {
+  /** The idle runner that was on the VM, if any. */
+  readonly runner: Runner | undefined;
+}
+
+/** What came of the moves that were tried. */
+export interface MoveOutcome {
+  readonly confirmedCount: number;
+  /** Number of orders that were refused or got no answer. */
+  readonly failedCount: number;
+  /** Number of planned moves that were not tried. */
+  readonly leftCount: number;
+}
+
+type MoveResult = "confirmed" | "failed" | "notIdle";
+
+/**
+ * Moves idle VMs. Their runners get no work from the plan until the answer, and
+ * no order leaves before the log shows what earlier plans of the scheduler have
+ * placed on them.
+ */
+export class VmMover {
+  readonly #options: VmMoverOptions;
+  /** Monotonic time until which a runner gets no work (ms), by runner id. */
+  readonly #cordonedUntilMs = new Map<string, number>();
+
+  constructor(options: VmMoverOptions) {
+    this.#options = options;
+  }
+
+  /** Returns whether a runner gets no work because its VM may move. */
+  isCordoned(runnerId: string): boolean {
+    const untilMs = this.#cordonedUntilMs.get(runnerId);
+    return untilMs !== undefined &&
+      this.#options.clock.monotonicMs() < untilMs;
+  }
+
+  /**
+   * Tries the first moves of a plan. The others have to be planned anew: by then
+   * the demand may be another one.
+   *
+   * @param moves - The plan, the most urgent moves first.
+   */
+  async carryOut(moves: readonly ListedMove[]): Promise<MoveOutcome> {
+    const { log, logger } = this.#options;
+    const tried = moves.slice(0, MAX_MOVES_PER_PLAN);
+    const leftCount = moves.length - tried.length;
+    for (const { listed } of tried) {
+      this.#cordon(listed, Infinity);
+    }
+    // An entry that was proposed before may place work on these runners. Once a
+    // later one has taken effect, it has too, or it never will.
+    const proposed = await log.propose([]);
+    if (proposed.isErr) {
+      logger.warn(
+        { failure: proposed.error, moveCount: tried.length },
+        "moves no VM, as the log does not show what runs there",
+      );
+      tried.forEach(({ listed }) => this.#uncordon(listed));
+      return { confirmedCount: 0, failedCount: 0, leftCount };
+    }
+    const queue = [...tried];
+    const results: MoveResult[] = [];
+    const sendNext = async () => {
+      for (let next = queue.shift(); next; next = queue.shift()) {
+        results.push(await this.#move(next));
+      }
+    };
+    await Promise.all(
+      Array.from({ length: MAX_MOVES_IN_FLIGHT }, () => sendNext()),
+    );
+    const count = (result: MoveResult) =>
+      results.filter((known) => known === result).length;
+    return {
+      confirmedCount: count("confirmed"),
+      failedCount: count("failed"),
+      leftCount,
+    };
+  }
+
+  async #move(planned: ListedMove): Promise<MoveResult> {
+    const { clock, fencingToken, holderId, log, logger, onMoved, vms } =
+      this.#options;
+    const { listed, move } = planned;
+    const { runnerId } = listed;
+    const runner = log.state.runners.get(runnerId ?? "");
+    if (!log.holdsLeaderLease || !this.#isStillIdle(listed, runner)) {
+      this.#uncordon(listed);
+      return "notIdle";
+    }
+    const source = { holderId, fencingToken };
+    const moved = await vms.move(move.vm, move.to, source);
+    if (moved.isOk) {
+      const runCount = runner === undefined
+        ? 0
+        : log.state.jobs.findLoad(runner).running.size;
+      logger.info({ ...move, runnerId, runCount }, "moved a VM");
+      onMoved({ ...planned, runner });
+      this.#uncordon(listed);
+      return "confirmed";
+    }
+    const fields = { ...move, runnerId, failure: moved.error };
+    logger.warn(fields, "a VM was not moved");
+    if (moved.error.refusal === undefined) {
+      this.#cordon(listed, clock.monotonicMs() + MOVE_DOUBT_MS);
+    } else {
+      this.#uncordon(listed);
+    }
+    return "failed";
+  }
+
+  // A VM that was listed with a runner which is gone may have another one by now.
+  #isStillIdle({ pool, runnerId }: ListedVm, runner?: Runner): boolean {
+    const { isIdle } = this.#options;
+    return runner === undefined
+      ? runnerId === undefined
+      : runner.pool === pool && isIdle(runner);
+  }
+
+  #cordon({ runnerId }: ListedVm, untilMs: number): void {
+    if (runnerId !== undefined) {
+      this.#cordonedUntilMs.set(runnerId, untilMs);
+    }
+  }
+
+  #uncordon({ runnerId }: ListedVm): void {
+    this.#cordonedUntilMs.delete(runnerId ?? "");
+  }
+}
--- /dev/null
+++ b/src/services/scheduling/vm_mover_test.ts
@@ -0,0 +1,268 @@
+import { Result } from "true-myth";
+import * as assert from "uvu/assert";
+import * as v from "valibot";
+import {
+  type CapacityPolicy,
+  NoForecast,
+  ScoredPlacementPolicy,
+  SlackOrderPolicy,
+  StartPlanner,
+} from "../../decisions/index.ts";
+import { jobStepSchema, type Runner } from "../../domain/index.ts";
+import type { ListedVm, VmControl, VmFailure } from "../../ports/index.ts";
+import { Notifier } from "../../tasks/index.ts";
+import { afterEach, describe, it } from "../../testing/describe.ts";
+import { FakeAgreement } from "../../testing/fake_agreement.ts";
+import { FakeClock } from "../../testing/fake_clock.ts";
+import { FakeLeaderMetrics, FakeLogger } from "../../testing/fake_ports.ts";
+import { CapacityTask } from "./capacity_task.ts";
+import { RunnerStatus } from "./runner_status.ts";
+import { Scheduler } from "./scheduler.ts";
+import { SchedulingLog } from "./scheduling_log.ts";
+
+const POOL = "bay";
+const OTHER_POOL = "dock";
+const VM_MILLICORES = 8_000;
+const VM_COUNT = 60;
+/** Time of a commit under load (ms), far longer than in a calm moment. */
+const SLOW_COMMIT_MS = 300;
+const SLOW_ORDER_MS = 50;
+const JOB_ID = "0123456789abcdef";
+
+function createRunner(runnerId: string): Runner {
+  return {
+    runnerId,
+    bornAtMs: 1,
+    address: "127.0.0.1:1",
+    pool: POOL,
+    zone: "zone-a",
+    capacity: { cpuMillicores: VM_MILLICORES, memoryMb: 100, gpuCount: 0 },
+    rack: runnerId,
+    labels: [],
+    isDraining: false,
+  };
+}
+
+/** VMs whose orders take time, and may get no answer. */
+class SlowVms implements VmControl {
+  /** Names of the VMs in the order in which their orders were sent. */
+  readonly ordered: string[] = [];
+  orderMs = 0;
+  losesAnswers = false;
+  readonly #clock: FakeClock;
+  readonly #names: readonly string[];
+
+  constructor(clock: FakeClock, names: readonly string[]) {
+    this.#clock = clock;
+    this.#names = names;
+  }
+
+  list() {
+    return Promise.resolve(Result.ok<readonly ListedVm[], never>(
+      this.#names.map((vm) => ({
+        vm,
+        pool: POOL,
+        state: "up",
+        zone: "zone-a",
+        cpuMillicores: VM_MILLICORES,
+        runnerId: vm,
+      })),
+    ));
+  }
+
+  async move(vm: string): Promise<Result<void, VmFailure>> {
+    this.ordered.push(vm);
+    await this.#clock.sleep(this.orderMs);
+    return this.losesAnswers
+      ? Result.err({ message: "no answer" })
+      : Result.ok(undefined);
+  }
+
+  beginMaintenance(): never {
+    throw new Error("not part of this test");
+  }
+}
+
+/** Moves all idle VMs of the pool, and counts its plans. */
+class MoveAllPolicy implements CapacityPolicy {
+  isEnabled = false;
+  planCount = 0;
+
+  plan({ idle }: Parameters<CapacityPolicy["plan"]>[0]) {
+    if (!this.isEnabled) {
+      return [];
+    }
+    this.planCount += 1;
+    return idle.filter(({ pool }) => pool === POOL)
+      .map(({ vm, pool }) => ({ vm, from: pool, to: OTHER_POOL }));
+  }
+}
+
+// The pattern: a pool's turn is over, so that nearly all of its idle VMs move at
+// once, while its last jobs still arrive and the leader is busy.
+describe("moves of many idle VMs", () => {
+  const stop: AbortController[] = [];
+
+  afterEach(() => stop.splice(0).forEach((controller) => controller.abort()));
+
+  async function setUp() {
+    const clock = new FakeClock();
+    const agreement = new FakeAgreement(clock);
+    const names = Array.from({ length: VM_COUNT }, (_, at) => `vm${at}`);
+    agreement.state.apply({
+      type: "scheduling",
+      atMs: 0,
+      operations: [
+        ...names.map((name) => ({
+          type: "runner" as const,
+          runner: createRunner(name),
+        })),
+        {
+          type: "catalog",
+          catalog: {
+            version: 1,
+            queues: [],
+            pools: [POOL, OTHER_POOL].map((name) => ({
+              name,
+              isStandby: false,
+              guardsCapacity: false,
+            })),
+            teams: [],
+            source: "",
+          },
+        },
+      ],
+    });
+    const vms = new SlowVms(clock, names);
+    const policy = new MoveAllPolicy();
+    const status = new RunnerStatus(clock);
+    status.isSynced = true;
+    const findStatus = () => status;
+    const shared = {
+      log: new SchedulingLog({ agreement, clock }),
+      clock,
+      logger: new FakeLogger(),
+    };
+    const capacity = new CapacityTask({
+      ...shared,
+      fleet: { findStatus, retire: () => {} },
+      vms,
+      policy,
+      forecast: new NoForecast(),
+      holderId: "leader",
+      fencingToken: 1,
+      isInMaintenance: () => false,
+    });
+    const changed = new Notifier();
+    const scheduler = new Scheduler({
+      ...shared,
+      planner: new StartPlanner({
+        order: new SlackOrderPolicy(),
+        placement: new ScoredPlacementPolicy(),
+      }),
+      metrics: new FakeLeaderMetrics(),
+      changed,
+      findStatus,
+      findApproved: () => undefined,
+      isCordoned: (runner) => capacity.isCordoned(runner),
+    });
+    const controller = new AbortController();
+    stop.push(controller);
+    void capacity.run(controller.signal);
+    void scheduler.run(controller.signal);
+    await clock.advance(1_000);
+    const submit = (taskCount: number) => {
+      agreement.state.apply({
+        type: "scheduling",
+        atMs: clock.nowMs(),
+        operations: [{
+          type: "accept",
+          spec: {
+            jobId: JOB_ID,
+            text: "",
+            steps: [v.parse(jobStepSchema, {
+              taskCount,
+              needs: { cpuMillicores: VM_MILLICORES },
+            })],
+          },
+          queue: "q",
+          pool: POOL,
+          team: undefined,
+          maxAttempts: 2,
+        }],
+      });
+      changed.notify();
+    };
+    /** Names of the VMs on which the log has placed tasks. */
+    const listBusyVms = () =>
+      agreement.commands.flatMap((command) =>
+        command.type === "scheduling"
+          ? command.operations.flatMap((operation) =>
+            operation.type === "start" ? [operation.runnerId] : []
+          )
+          : []
+      );
+    return { agreement, clock, listBusyVms, policy, submit, vms };
+  }
+
+  // Guards against work that a move ends: the plan that placed it was proposed
+  // before the VM was cordoned, and committed after the VM had been found idle.
+  it("do not end work that a plan in flight places", async () => {
+    const { agreement, clock, listBusyVms, policy, submit, vms } =
+      await setUp();
+    agreement.proposeMs = SLOW_COMMIT_MS;
+    submit(VM_COUNT / 2);
+    await clock.advance(1);
+    policy.isEnabled = true;
+    await clock.advance(5_000);
+    const busyVms = listBusyVms();
+    assert.is(busyVms.length, VM_COUNT / 2);
+    assert.is(vms.ordered.length, VM_COUNT / 2, "the others move");
+    assert.equal(vms.ordered.filter((vm) => busyVms.includes(vm)), []);
+  });
+
+  // Guards against orders about VMs on which the next leader may have placed
+  // work: the lease was checked once, and the orders left over seconds.
+  it("end soon after the leader has lost its lease", async () => {
+    const { agreement, clock, policy, vms } = await setUp();
+    vms.orderMs = SLOW_ORDER_MS;
+    policy.isEnabled = true;
+    while (vms.ordered.length === 0) {
+      await clock.advance(1);
+    }
+    agreement.holdsLease = false;
+    const sentCount = vms.ordered.length;
+    assert.ok(sentCount < VM_COUNT, "orders are left");
+    await clock.advance(5_000);
+    assert.is(vms.ordered.length, sentCount);
+  });
+
+  // Guards against a plan that is carried out although the demand has changed.
+  it("are planned anew while many orders are left", async () => {
+    const { clock, policy, vms } = await setUp();
+    vms.orderMs = SLOW_ORDER_MS;
+    policy.isEnabled = true;
+    while (vms.ordered.length < VM_COUNT) {
+      await clock.advance(1);
+    }
+    assert.ok(policy.planCount > 1, `${policy.planCount} plans`);
+  });
+
+  // Guards against work on a VM whose move is carried out after the order got no
+  // answer.
+  it("keep VMs free of work whose orders got no answer", async () => {
+    const { clock, listBusyVms, policy, submit, vms } = await setUp();
+    vms.losesAnswers = true;
+    policy.isEnabled = true;
+    while (vms.ordered.length === 0) {
+      await clock.advance(1);
+    }
+    policy.isEnabled = false;
+    await clock.advance(100);
+    submit(VM_COUNT);
+    await clock.advance(500);
+    const busyVms = listBusyVms();
+    assert.ok(busyVms.length > 0, "other VMs get work");
+    assert.equal(busyVms.filter((vm) => vms.ordered.includes(vm)), []);
+  });
+});
--- a/src/testing/fake_agreement.ts
+++ b/src/testing/fake_agreement.ts
@@ -35,6 +35,8 @@
   /** Duration of a proposal, in milliseconds. */
   proposeMs = DEFAULT_PROPOSE_MS;
   freshUntilMs = Infinity;
+  /** Whether this entry holds the leader lease. */
+  holdsLease = true;
   readonly #clock: Clock;
 
   constructor(clock: Clock) {
@@ -74,8 +76,8 @@
       entryId: "entry-1",
       leaderId: "entry-1",
       term: 1,
-      leaderSinceMs: 0,
-      leaseAgeMs: 0,
+      leaderSinceMs: this.holdsLease ? 0 : undefined,
+      leaseAgeMs: this.holdsLease ? 0 : undefined,
       appliedIndex: this.commands.length,
       commitIndex: this.commands.length,
       revision: this.state.revision,
