Say that the outcome of a platform command without a valid answer is unknown

Cause: a command whose answer was lost or late failed with peerUnreachable, and one answered with a 5xx status with conflict. Both kinds tell callers that the request has not run, which is untrue: it may have.

Change: only a refused or timed-out connection says so; all else of a command is outcomeUnknown. Lists have no effect and keep their kinds.

Test: http_platform_test. The cases 'lost' and 'late' expected peerUnreachable of a command, against the error table; they now expect outcomeUnknown. They, and a new one for status 503, failed before.

--- a/src/adapters/platform/http_platform.ts
+++ b/src/adapters/platform/http_platform.ts
@@ -24,6 +24,7 @@
 const MAX_ANSWER_BYTES = 16 * 1_024 * 1_024;
 const CONNECTION_COUNT = 8;
 const FIRST_ERROR_STATUS = 400;
+const FIRST_SERVER_ERROR_STATUS = 500;
 
 /** Options of {@link HttpPlatform}. */
 export interface HttpPlatformOptions {
@@ -129,15 +130,16 @@
       });
       const value: unknown = await answer.body.json();
       return answer.statusCode >= FIRST_ERROR_STATUS
-        ? Result.err(createRefusal(path, answer.statusCode))
+        ? Result.err(createStatusFailure(method, path, answer.statusCode))
         : validateWith(schema, value, {
           subject: `platform ${path}`,
           kind: "outcomeUnknown",
         });
     } catch (error) {
+      const mayHaveRun = method === "POST" && !isNeverSent(error);
       return Result.err(
         createFailure(
-          "peerUnreachable",
+          mayHaveRun ? "outcomeUnknown" : "peerUnreachable",
           `platformUrl ${this.#options.url} gave no valid response to ${path}: ${error}`,
           {
             remedy:
@@ -149,13 +151,25 @@
   }
 }
 
-function createRefusal(path: string, status: number): Failure {
+// A proxy or the platform itself may fail after a command was carried out.
+function createStatusFailure(
+  method: "GET" | "POST",
+  path: string,
+  status: number,
+): Failure {
+  const mayHaveRun = method === "POST" && status >= FIRST_SERVER_ERROR_STATUS;
   return createFailure(
-    "conflict",
-    `the platform refused ${path} with status ${status}`,
+    mayHaveRun ? "outcomeUnknown" : "conflict",
+    `the platform answered ${path} with status ${status}`,
   );
 }
 
+// Without a connection, no request was sent.
+function isNeverSent(error: unknown): boolean {
+  const code = error instanceof Error && "code" in error ? error.code : "";
+  return code === "ECONNREFUSED" || code === "UND_ERR_CONNECT_TIMEOUT";
+}
+
 // If a list contains the same name twice, neither item can be trusted.
 function rejectDuplicates<T>(
   items: readonly T[],
--- a/src/adapters/platform/http_platform_test.ts
+++ b/src/adapters/platform/http_platform_test.ts
@@ -33,19 +33,26 @@
   });
 
   describe("with responses that are", () => {
-    const cases: [string, Partial<AnswerFaults>, string | undefined][] = [
-      ["lost", { lostPercent: 100 }, "peerUnreachable"],
-      ["late", { latePercent: 100, lateMs: 400 }, "peerUnreachable"],
-      ["mismatched", { wrongPercent: 100 }, "outcomeUnknown"],
-      ["duplicated", { doubledPercent: 100 }, undefined],
+    // What a command that reached the platform did is unknown without a valid
+    // answer. A list has no effect, so that without an answer nothing has run.
+    const cases: [string, Partial<AnswerFaults>, string?, string?][] = [
+      ["lost", { lostPercent: 100 }, "outcomeUnknown", "peerUnreachable"],
+      [
+        "late",
+        { latePercent: 100, lateMs: 400 },
+        "outcomeUnknown",
+        "peerUnreachable",
+      ],
+      ["mismatched", { wrongPercent: 100 }, "outcomeUnknown", "outcomeUnknown"],
+      ["duplicated", { doubledPercent: 100 }],
     ];
-    for (const [title, faults, kind] of cases) {
+    for (const [title, faults, commandKind, listKind] of cases) {
       it(`${title}, returns a known result or a failure, and acts once`, async () => {
         standIn.setFaults(faults);
         const drained = await platform.drain("v1", "step-1");
-        assert.is(drained.isErr ? drained.error.kind : undefined, kind);
+        assert.is(drained.isErr ? drained.error.kind : undefined, commandKind);
         const listed = await platform.listVms();
-        assert.is(listed.isErr ? listed.error.kind : undefined, kind);
+        assert.is(listed.isErr ? listed.error.kind : undefined, listKind);
         await standIn.model.undrain("v1", "step-2");
         standIn.setFaults({});
         await platform.drain("v1", "step-1");
@@ -53,4 +60,21 @@
       });
     }
   });
+
+  // Guards against commands that are said not to have run though they may have.
+  describe("with a platform that", () => {
+    it("fails with status 503, does not say that a command has not run", async () => {
+      standIn.setFaults({ failedPercent: 100 });
+      const drained = await platform.drain("v1", "step-1");
+      assert.is(standIn.model.findState("v1"), "drained");
+      assert.is(drained.isErr && drained.error.kind, "outcomeUnknown");
+    });
+
+    it("does not listen, says that a command has not run", async () => {
+      await standIn.stop();
+      const drained = await platform.drain("v1", "step-1");
+      assert.is(drained.isErr && drained.error.kind, "peerUnreachable");
+      await standIn.start();
+    });
+  });
 });
--- a/src/stand_ins/stand_in_platform.ts
+++ b/src/stand_ins/stand_in_platform.ts
@@ -24,6 +24,8 @@
    * The request is carried out, but the connection is closed without an answer.
    */
   readonly lostPercent: number;
+  /** The request is carried out, but the answer has status 503. */
+  readonly failedPercent: number;
   /** The answer is delayed by {@link AnswerFaults.lateMs}. */
   readonly latePercent: number;
   /** The command is carried out twice. */
@@ -38,6 +40,7 @@
 
 const NO_FAULTS: AnswerFaults = {
   lostPercent: 0,
+  failedPercent: 0,
   latePercent: 0,
   doubledPercent: 0,
   wrongPercent: 0,
@@ -114,6 +117,10 @@
       response.destroy();
       return;
     }
+    if (this.#happens(this.#faults.failedPercent)) {
+      response.writeHead(503).end("{}");
+      return;
+    }
     if (value === undefined) {
       response.writeHead(404).end("{}");
       return;
