Order maintenance in batches, only for VMs that get no new work

Causes, found by reading after the same form in the moves of VMs: - VMs were cordoned at the end of a round, after their orders had left, so the scheduler placed tasks on them while an order was under way. - Each order waited for a commit of its own and for the order before it: 20 VMs at once took 20 commits. - A VM whose order an earlier leader had logged and not sent got new work and was never emptied: with more tasks of a step than may stop, its wave was never complete. - An order without an answer did not count its tasks as unavailable until the runner's polls had failed.

Change: WaveTask cordons first and confirms by an empty entry of the log that nothing was placed since; MaintenanceStarter logs all orders of a round in one entry, sends four at a time, and counts the runs of orders without an answer as stopping. Logged VMs are cordoned and emptied.

--- /dev/null
+++ b/src/services/scheduling/maintenance_starter.ts
@@ -0,0 +1,199 @@
+/** Sends the orders that begin the maintenance of VMs. */
+import { formatTaskId, type RunningTask } from "../../domain/index.ts";
+import { StepAvailability } from "../../decisions/index.ts";
+import type { Clock, Logger, VmControl } from "../../ports/index.ts";
+import { formatRun } from "./run_name.ts";
+import type { RunnerFleet } from "./runner_fleet.ts";
+import type { SchedulingLog } from "./scheduling_log.ts";
+import { MAX_MAINTENANCE_ORDERS_IN_FLIGHT } from "./timing.ts";
+
+/** Options of {@link MaintenanceStarter}. */
+export interface MaintenanceStarterOptions {
+  readonly log: SchedulingLog;
+  readonly fleet: Pick<RunnerFleet, "findStatus" | "retire">;
+  readonly vms: Pick<VmControl, "beginMaintenance">;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Identifies this leader in its requests about VMs. */
+  readonly holderId: string;
+  readonly fencingToken: number;
+}
+
+/** A VM of a wave and the runner that was listed on it. */
+export interface WaveVm {
+  readonly waveId: number;
+  readonly vm: string;
+  readonly runnerId: string | undefined;
+}
+
+/**
+ * Orders maintenance within the limits of unavailable tasks, and knows which
+ * tasks are unavailable. Each order is in the log before it is sent, so that the
+ * next leader counts the VM as unavailable whatever the outcome of the call.
+ */
+export class MaintenanceStarter {
+  readonly #options: MaintenanceStarterOptions;
+  readonly #availability: StepAvailability;
+  /**
+   * Monotonic time (ms) at which maintenance was confirmed in this term, by VM.
+   */
+  readonly #begunAtMsByVm = new Map<string, number>();
+  /**
+   * Evicted runs, which count as unavailable although they may still be
+   * reported.
+   */
+  readonly #evicted = new Set<string>();
+  /**
+   * Monotonic time (ms), by runner id, of the newest order that may have been
+   * carried out then or before. Whether it ended the runs there shows only in a
+   * later answer of the runner.
+   */
+  readonly #doubtfulAtMsByRunner = new Map<string, number>();
+  /** VMs whose order this leader has logged and not sent yet. */
+  readonly #unsentVms = new Set<string>();
+  /** Runs that orders without an answer so far may end. */
+  readonly #stopping = new Set<RunningTask>();
+
+  constructor(options: MaintenanceStarterOptions) {
+    this.#options = options;
+    this.#availability = new StepAvailability({
+      jobs: options.log.state.jobs,
+      findPercent: (run) => this.#findPercent(run),
+    });
+  }
+
+  /**
+   * Returns when the maintenance of a VM was confirmed in this term.
+   *
+   * @param vm - Name of the VM.
+   * @returns Monotonic time (ms), or undefined.
+   */
+  findBegunAtMs(vm: string): number | undefined {
+    return this.#begunAtMsByVm.get(vm);
+  }
+
+  /**
+   * Tells whether runs may be stopped, beside those that orders may end now.
+   *
+   * @param runs - Runs that would stop at the same time.
+   */
+  mayStop(runs: readonly RunningTask[]): boolean {
+    return this.#availability.mayStop([
+      ...new Set([...this.#stopping, ...runs]),
+    ]);
+  }
+
+  /**
+   * Lists the runs on a runner.
+   *
+   * @param runnerId - Id of the runner; undefined for none.
+   */
+  listRunning(runnerId: string | undefined): RunningTask[] {
+    const { jobs, runners } = this.#options.log.state;
+    const runner = runners.get(runnerId ?? "");
+    return runner === undefined
+      ? []
+      : [...jobs.findLoad(runner).running.values()];
+  }
+
+  /**
+   * Counts a run as unavailable, because it is being moved away.
+   *
+   * @param run - The run.
+   */
+  recordEviction(run: RunningTask): void {
+    this.#evicted.add(formatRun({ task: run.id, ...run }));
+  }
+
+  /**
+   * Begins the maintenance of VMs, as far as their tasks may stop.
+   *
+   * @param wanted - VMs whose runners get no new work any more. An earlier
+   * leader may have logged the orders of some and sent them or not.
+   */
+  async begin(wanted: readonly WaveVm[]): Promise<void> {
+    const { log } = this.#options;
+    const runs: RunningTask[] = [];
+    const chosen = wanted.filter(({ runnerId }) => {
+      const own = this.listRunning(runnerId);
+      const isAllowed = this.mayStop([...runs, ...own]);
+      if (isAllowed) {
+        runs.push(...own);
+      }
+      return isAllowed;
+    });
+    const unlogged = chosen.filter(({ vm, waveId }) =>
+      log.state.waves.get(waveId)?.progress[vm] !== "ordered"
+    );
+    if (unlogged.length > 0) {
+      const proposed = await log.propose(
+        unlogged.map(({ vm, waveId }) => ({
+          type: "upkeep",
+          waveId,
+          vm,
+          state: "ordered",
+        })),
+      );
+      if (proposed.isErr) {
+        return;
+      }
+      unlogged.forEach(({ vm }) => this.#unsentVms.add(vm));
+    }
+    const queue = [...chosen];
+    const sendNext = async () => {
+      for (let next = queue.shift(); next; next = queue.shift()) {
+        await this.#send(next);
+      }
+    };
+    await Promise.all(
+      Array.from({ length: MAX_MAINTENANCE_ORDERS_IN_FLIGHT }, sendNext),
+    );
+  }
+
+  // A leader that finds an order in the log may be the first to send it, so the
+  // limits hold for it too.
+  async #send({ vm, waveId, runnerId }: WaveVm): Promise<void> {
+    const { clock, fencingToken, fleet, holderId, log, logger, vms } =
+      this.#options;
+    const running = this.listRunning(runnerId);
+    if (!log.holdsLeaderLease || !this.mayStop(running)) {
+      return;
+    }
+    const isFirst = this.#unsentVms.delete(vm);
+    // By the time of the answer, the next incarnation may have taken its place.
+    const runner = log.state.runners.get(runnerId ?? "");
+    running.forEach((run) => this.#stopping.add(run));
+    const source = { holderId, fencingToken };
+    const begun = await vms.beginMaintenance(vm, waveId, source);
+    const isDoubtful = !isFirst ||
+      (begun.isErr && begun.error.refusal === undefined);
+    if (isDoubtful && runnerId !== undefined) {
+      this.#doubtfulAtMsByRunner.set(runnerId, clock.monotonicMs());
+    }
+    const fields = { waveId, vm, runnerId, runCount: running.length };
+    if (begun.isErr) {
+      logger.warn(
+        { ...fields, failure: begun.error },
+        "failed to begin the maintenance of a VM",
+      );
+    } else {
+      logger.info(fields, "began the upkeep of a VM");
+      this.#begunAtMsByVm.set(vm, clock.monotonicMs());
+      if (runner !== undefined && isFirst) {
+        fleet.retire(runner);
+      }
+    }
+    running.forEach((run) => this.#stopping.delete(run));
+  }
+
+  #findPercent(run: RunningTask): number {
+    const status = this.#options.fleet.findStatus(run.life);
+    const isEvicted = this.#evicted.has(formatRun({ task: run.id, ...run }));
+    const doubtfulAtMs = this.#doubtfulAtMsByRunner.get(run.life.runnerId) ??
+      -Infinity;
+    return status === undefined || isEvicted ||
+        status.answeredAtMs <= doubtfulAtMs
+      ? 0
+      : status.findPercent(formatTaskId(run.id));
+  }
+}
--- a/src/services/scheduling/timing.ts
+++ b/src/services/scheduling/timing.ts
@@ -123,6 +123,8 @@
  * once.
  */
 export const WAVE_TICK_MS = 700;
+/** Most orders to maintain a VM that wait for an answer. */
+export const MAX_MAINTENANCE_ORDERS_IN_FLIGHT = 4;
 /**
  * Time by which the start of a runner may lie ahead of the leader's wall clock,
  * in milliseconds: far above what clocks of one deployment differ by.
--- a/src/services/scheduling/wave_task.ts
+++ b/src/services/scheduling/wave_task.ts
@@ -1,14 +1,17 @@
 /** Task of the leader that carries out maintenance waves. */
-import type { Runner, RunningTask, WaveRecord } from "../../domain/index.ts";
-import { formatTaskId } from "../../domain/index.ts";
 import {
-  type MaintenanceCandidate,
-  type MaintenancePolicy,
-  StepAvailability,
+  formatTaskId,
+  type Runner,
+  type WaveRecord,
+} from "../../domain/index.ts";
+import type {
+  MaintenanceCandidate,
+  MaintenancePlan,
+  MaintenancePolicy,
 } from "../../decisions/index.ts";
 import type { Clock, ListedVm, Logger, VmControl } from "../../ports/index.ts";
 import { type Notifier, waitFor } from "../../tasks/index.ts";
-import { formatRun } from "./run_name.ts";
+import { MaintenanceStarter } from "./maintenance_starter.ts";
 import type { RunnerFleet } from "./runner_fleet.ts";
 import type { SchedulingLog } from "./scheduling_log.ts";
 import { WAVE_TICK_MS } from "./timing.ts";
@@ -37,33 +40,12 @@
  */
 export class WaveTask {
   readonly #options: WaveTaskOptions;
-  readonly #availability: StepAvailability;
-  /**
-   * Monotonic time (ms) at which maintenance was confirmed in this term, by VM.
-   */
-  readonly #begunAtMsByVm = new Map<string, number>();
-  /**
-   * Evicted runs, which count as unavailable although they may still be
-   * reported.
-   */
-  readonly #evicted = new Set<string>();
-  /**
-   * Monotonic time (ms) of the newest request for maintenance that an earlier
-   * leader may have made before, by runner id. Whether it ended the runs there
-   * shows only in a later answer of the runner.
-   */
-  readonly #repeatedAtMsByRunner = new Map<string, number>();
-  /** VMs whose request this leader has logged and not sent yet. */
-  readonly #unsentVms = new Set<string>();
+  readonly #starter: MaintenanceStarter;
   #cordonedRunnerIds: ReadonlySet<string> = new Set();
 
   constructor(options: WaveTaskOptions) {
     this.#options = options;
-    const { log } = options;
-    this.#availability = new StepAvailability({
-      jobs: log.state.jobs,
-      findPercent: (run) => this.#findPercent(run),
-    });
+    this.#starter = new MaintenanceStarter(options);
   }
 
   /**
@@ -98,18 +80,6 @@
     }
   }
 
-  #findPercent(run: RunningTask): number {
-    const { fleet } = this.#options;
-    const status = fleet.findStatus(run.life);
-    const isEvicted = this.#evicted.has(formatRun({ task: run.id, ...run }));
-    const repeatedAtMs = this.#repeatedAtMsByRunner.get(run.life.runnerId) ??
-      -Infinity;
-    return status === undefined || isEvicted ||
-        status.answeredAtMs <= repeatedAtMs
-      ? 0
-      : status.findPercent(formatTaskId(run.id));
-  }
-
   #listOpen(): WaveRecord[] {
     const { log } = this.#options;
     return [...log.state.waves.values()].filter(({ vms, progress }) =>
@@ -146,7 +116,7 @@
   ): Promise<void> {
     const { log } = this.#options;
     const done = wave.vms.filter((vm) => {
-      const begunAtMs = this.#begunAtMsByVm.get(vm) ?? Infinity;
+      const begunAtMs = this.#starter.findBegunAtMs(vm) ?? Infinity;
       const isBack = byName.get(vm)?.state === "up" &&
         begunAtMs < requestedAtMs;
       return wave.progress[vm] !== "done" && (isBack || !byName.has(vm));
@@ -166,126 +136,110 @@
     byName: ReadonlyMap<string, ListedVm>,
     cordoned: Set<string>,
   ): Promise<void> {
-    const { clock, log, policy } = this.#options;
+    const { log } = this.#options;
     const wave = log.state.waves.get(waveId);
     if (wave === undefined) {
       return;
     }
-    const unavailable = wave.vms.filter((vm) =>
-      wave.progress[vm] === "ordered"
+    const ordered = wave.vms.filter((vm) => wave.progress[vm] === "ordered");
+    const unconfirmed = ordered.filter((vm) =>
+      this.#starter.findBegunAtMs(vm) === undefined
+    );
+    const plan = this.#plan(wave, byName, ordered.length);
+    this.#cordon([...unconfirmed, ...plan.cordon], byName, cordoned);
+    for (const vm of [...unconfirmed, ...plan.evacuate]) {
+      this.#evictOne(waveId, vm, byName.get(vm));
+    }
+    const begin = await this.#confirmIdle(wave, plan, byName, ordered.length);
+    await this.#starter.begin(
+      [...unconfirmed, ...begin].map((vm) => ({
+        waveId,
+        vm,
+        runnerId: byName.get(vm)?.runnerId,
+      })),
     );
+  }
+
+  // A plan of the scheduler that was made before the cordon may still place work
+  // on these VMs. Once a later entry of the log has taken effect, it has too, or
+  // it never will.
+  async #confirmIdle(
+    wave: WaveRecord,
+    plan: MaintenancePlan,
+    byName: ReadonlyMap<string, ListedVm>,
+    orderedCount: number,
+  ): Promise<readonly string[]> {
+    const { log } = this.#options;
+    if (plan.begin.length === 0 || (await log.propose([])).isErr) {
+      return [];
+    }
+    const cordonedVms = new Set(plan.cordon);
+    return this.#plan(wave, byName, orderedCount).begin
+      .filter((vm) => cordonedVms.has(vm));
+  }
+
+  #plan(
+    wave: WaveRecord,
+    byName: ReadonlyMap<string, ListedVm>,
+    orderedCount: number,
+  ): MaintenancePlan {
+    const { clock, policy } = this.#options;
     const candidates = wave.vms
       .filter((vm) => wave.progress[vm] === undefined)
       .map((vm) => byName.get(vm))
       .filter((listed) => listed?.state === "up")
       .map((listed) => this.#createCandidate(listed));
-    const plan = policy.plan({
+    return policy.plan({
       candidates,
-      allowedStartCount: Math.max(0, wave.maxAwayCount - unavailable.length),
+      allowedStartCount: Math.max(0, wave.maxAwayCount - orderedCount),
       leftMs: wave.completeByMs - clock.nowMs(),
       maxAwayCount: wave.maxAwayCount,
     });
-    for (const vm of plan.cordon) {
+  }
+
+  #cordon(
+    names: readonly string[],
+    byName: ReadonlyMap<string, ListedVm>,
+    cordoned: Set<string>,
+  ): void {
+    for (const vm of names) {
       cordoned.add(byName.get(vm)?.runnerId ?? "");
     }
-    for (const vm of plan.evacuate) {
-      this.#evictOne(wave.waveId, vm, byName.get(vm)?.runnerId);
-    }
-    const unconfirmed = unavailable.filter((vm) =>
-      !this.#begunAtMsByVm.has(vm)
-    );
-    for (const vm of [...unconfirmed, ...plan.begin]) {
-      await this.#beginMaintenance(wave, vm, byName.get(vm)?.runnerId);
-    }
+    this.#cordonedRunnerIds = new Set([
+      ...this.#cordonedRunnerIds,
+      ...cordoned,
+    ]);
   }
 
   #createCandidate(listed: ListedVm | undefined): MaintenanceCandidate {
-    const running = this.#listRunning(listed?.runnerId);
+    const running = this.#starter.listRunning(listed?.runnerId);
     return {
       vm: listed?.vm ?? "",
       running,
-      isProtected: !this.#availability.mayStop(running),
+      isProtected: !this.#starter.mayStop(running),
       guardedSteps: running
         .filter(({ step }) => step.isEndless && step.maxAwayCount !== undefined)
         .map(({ id }) => `${id.jobId}.${id.occurrence}.${id.step}`),
     };
   }
 
-  #listRunning(runnerId: string | undefined): RunningTask[] {
-    const { log } = this.#options;
-    const runner = runnerId === undefined
-      ? undefined
-      : log.state.runners.get(runnerId);
-    return runner === undefined
-      ? []
-      : [...log.state.jobs.findLoad(runner).running.values()];
-  }
-
   // Evicts one task at a time: each counts as unavailable until it is back at
   // 100 %.
-  #evictOne(waveId: number, vm: string, runnerId: string | undefined): void {
+  #evictOne(waveId: number, vm: string, listed: ListedVm | undefined): void {
     const { fleet, logger } = this.#options;
-    const run = this.#listRunning(runnerId).find((candidate) =>
-      candidate.step.isEndless && this.#availability.mayStop([candidate])
+    const runnerId = listed?.state === "up" ? listed.runnerId : undefined;
+    const running = this.#starter.listRunning(runnerId);
+    if (this.#starter.mayStop(running)) {
+      return;
+    }
+    const run = running.find((candidate) =>
+      candidate.step.isEndless && this.#starter.mayStop([candidate])
     );
     if (run !== undefined) {
       const task = formatTaskId(run.id);
       logger.info({ waveId, vm, runnerId, task }, "moves an endless task away");
-      this.#evicted.add(formatRun({ task: run.id, ...run }));
+      this.#starter.recordEviction(run);
       fleet.evict(run);
     }
   }
-
-  // The request is in the log before it is sent, so that the next leader counts
-  // the VM as unavailable whatever the outcome of the call. A leader that finds
-  // such a request may be the first to send it, so the limits hold for it too.
-  async #beginMaintenance(
-    wave: WaveRecord,
-    vm: string,
-    runnerId: string | undefined,
-  ): Promise<void> {
-    const { clock, fencingToken, fleet, holderId, log, logger, vms } =
-      this.#options;
-    const { waveId } = wave;
-    const mayStop = () =>
-      this.#availability.mayStop(this.#listRunning(runnerId));
-    if (!mayStop()) {
-      return;
-    }
-    if (wave.progress[vm] !== "ordered") {
-      const proposed = await log.propose([
-        { type: "upkeep", waveId, vm, state: "ordered" },
-      ]);
-      if (proposed.isErr) {
-        return;
-      }
-      this.#unsentVms.add(vm);
-    }
-    // Other tasks of a step may have become unavailable meanwhile.
-    if (!log.holdsLeaderLease || !mayStop()) {
-      return;
-    }
-    const running = this.#listRunning(runnerId);
-    const isFirst = this.#unsentVms.delete(vm);
-    // By the time of the answer, the next incarnation may have taken its place.
-    const runner = log.state.runners.get(runnerId ?? "");
-    const source = { holderId, fencingToken };
-    const begun = await vms.beginMaintenance(vm, waveId, source);
-    if (!isFirst && runnerId !== undefined) {
-      this.#repeatedAtMsByRunner.set(runnerId, clock.monotonicMs());
-    }
-    const fields = { waveId, vm, runnerId, runCount: running.length };
-    if (begun.isErr) {
-      logger.warn(
-        { ...fields, failure: begun.error },
-        "failed to begin the maintenance of a VM",
-      );
-      return;
-    }
-    logger.info(fields, "began the upkeep of a VM");
-    this.#begunAtMsByVm.set(vm, clock.monotonicMs());
-    if (runner !== undefined && isFirst) {
-      fleet.retire(runner);
-    }
-  }
 }
--- a/src/testing/fake_vms.ts
+++ b/src/testing/fake_vms.ts
@@ -9,7 +9,7 @@
   VmOrderSource,
 } from "../ports/index.ts";
 
-const LATENCY_MS = 5;
+const DEFAULT_LATENCY_MS = 5;
 const TIMEOUT_MS = 1_000;
 const MAINTENANCE_MS = 2_000;
 const VM_MILLICORES = 8_000;
@@ -38,6 +38,8 @@
   maxUnavailableCount = 0;
   /** Whether maintenance requests are carried out but get no answer. */
   losesAnswers = false;
+  /** Time until a request takes effect, in milliseconds. */
+  latencyMs = DEFAULT_LATENCY_MS;
   readonly #options: FakeVmsOptions;
   readonly #vmsInMaintenance = new Set<string>();
   readonly #fencingTokens = new Map<string, number>();
@@ -48,7 +50,7 @@
 
   async list(): Promise<Result<readonly ListedVm[], Failure>> {
     const { clock, names, pool } = this.#options;
-    await clock.sleep(LATENCY_MS);
+    await clock.sleep(this.latencyMs);
     return Result.ok(names.map((vm): ListedVm => {
       const isInMaintenance = this.#vmsInMaintenance.has(vm);
       return {
@@ -77,7 +79,7 @@
     { fencingToken }: VmOrderSource,
   ): Promise<Result<void, VmFailure>> {
     const { clock } = this.#options;
-    await clock.sleep(LATENCY_MS);
+    await clock.sleep(this.latencyMs);
     if (fencingToken < (this.#fencingTokens.get(vm) ?? 0)) {
       return Result.err({
         refusal: "staleFence",
