Evacuate more VMs at a time in a large wave

Change: a quarter of the VMs that may be unavailable, two at least.

Test: maintenance_policy_test, 40 protected VMs of a wave of 64 at once.

--- a/src/decisions/scheduling/maintenance_policy.ts
+++ b/src/decisions/scheduling/maintenance_policy.ts
@@ -57,10 +57,15 @@
 const MAINTENANCE_TURN_MS = 4_000;
 
 /**
- * Number of VMs whose protected tasks are moved elsewhere at the same time.
- * With more, no VM would be left for those tasks.
+ * Least number of VMs whose protected tasks are moved elsewhere at the same time.
+ * With more, no VM of a small pool would be left for those tasks.
  */
-const MAX_EVACUATED_COUNT = 2;
+const MIN_EVACUATED_COUNT = 2;
+/**
+ * The same for large waves, as a share of the VMs that may be unavailable at
+ * once: one by one, their VMs would still have tasks when the wave has to end.
+ */
+const EVACUATED_SHARE = 0.25;
 
 /**
  * Begins with the VMs on which the least work would be lost. While the wave is
@@ -87,7 +92,13 @@
     const next = sorted.filter(({ isProtected }) => !isProtected)
       .slice(0, allowedStartCount + maxAwayCount);
     const evacuated = sorted.filter(({ isProtected }) => isProtected)
-      .slice(0, MAX_EVACUATED_COUNT);
+      .slice(
+        0,
+        Math.max(
+          MIN_EVACUATED_COUNT,
+          Math.floor(maxAwayCount * EVACUATED_SHARE),
+        ),
+      );
     return {
       begin,
       cordon: [...next, ...evacuated].map(({ vm }) => vm),
--- a/src/decisions/scheduling/maintenance_policy_test.ts
+++ b/src/decisions/scheduling/maintenance_policy_test.ts
@@ -51,4 +51,21 @@
     assert.equal(plan.evacuate, ["a", "b"]);
     assert.equal(plan.cordon, ["a", "b"]);
   });
+
+  // Guards against large waves that are late. The pattern: dozens of VMs with
+  // more tasks of a step than may stop at once.
+  it("evacuates more VMs at a time in a large wave", () => {
+    const candidates = Array.from(
+      { length: 40 },
+      (_, at) =>
+        createCandidate(`vm${at}`, { isProtected: true, guardedSteps: ["s"] }),
+    );
+    const plan = policy.plan({
+      leftMs: 25_000,
+      maxAwayCount: 64,
+      allowedStartCount: 64,
+      candidates,
+    });
+    assert.is(plan.evacuate.length, 16);
+  });
 });
