Park the VMs of pools that rest after their turn

Change: TurnRestPolicy tells which pools rest: those whose turn is over and which are not next by the order seen so far; none once a turn came out of order. Idle VMs of such pools are parked after 2 s, the time of a move, within which another pool gets them directly; capacity for two usual jobs stays.

--- a/src/services/scheduling/capacity_task.ts
+++ b/src/services/scheduling/capacity_task.ts
@@ -3,9 +3,11 @@
   type Arrival,
   type CapacityPolicy,
   type DemandForecast,
+  findWidestDemand,
   type IdleVm,
   listReadySteps,
   type PoolLoad,
+  type RestPolicy,
   sumWaitingDemand,
   sumWork,
 } from "../../decisions/index.ts";
@@ -30,6 +32,7 @@
   readonly vms: VmControl;
   readonly policy: CapacityPolicy;
   readonly forecast: DemandForecast;
+  readonly rest: RestPolicy;
   readonly clock: Clock;
   readonly logger: Logger;
   /** Identifies this leader in its requests about VMs. */
@@ -194,7 +197,7 @@
   }
 
   #listLoads(): PoolLoad[] {
-    const { clock, forecast, log } = this.#options;
+    const { clock, forecast, log, rest } = this.#options;
     const { state } = log;
     const nowMs = clock.nowMs();
     const capacity = this.#sumCapacity();
@@ -207,7 +210,8 @@
     }
     const ready = listReadySteps(state.jobs, state.catalog, nowMs);
     const waiting = sumWaitingDemand(ready, largest, nowMs);
-    const arrivals = this.#listArrivals();
+    const { arrivals, jobDemand } = this.#listArrivals();
+    const resting = rest.findResting(arrivals, nowMs);
     const recent = sumRecent(arrivals, nowMs);
     const expected = forecast.predict(
       arrivals,
@@ -222,6 +226,8 @@
       arrivingMillicores: recent.get(name) ?? 0,
       forecastMillicores: expected.get(name) ?? 0,
       capacityMillicores: capacity.get(name) ?? 0,
+      isResting: resting.has(name),
+      jobMillicores: jobDemand.get(name) ?? 0,
     }));
   }
 
@@ -242,14 +248,25 @@
     return capacity;
   }
 
-  #listArrivals(): Arrival[] {
+  #listArrivals() {
     const { state } = this.#options.log;
     const { byName } = indexQueues(state.catalog);
-    return state.jobs.list().map((job) => ({
-      pool: byName.get(job.queue)?.pool ?? job.pool,
-      atMs: job.acceptedAtMs,
-      work: sumWork(job),
-    }));
+    const arrivals: Arrival[] = [];
+    const sums = new Map<string, number>();
+    const counts = new Map<string, number>();
+    for (const job of state.jobs.list()) {
+      const pool = byName.get(job.queue)?.pool ?? job.pool;
+      arrivals.push({ pool, atMs: job.acceptedAtMs, work: sumWork(job) });
+      const demand = findWidestDemand(job);
+      if (demand > 0) {
+        add(sums, pool, demand);
+        add(counts, pool, 1);
+      }
+    }
+    const jobDemand = new Map(
+      [...sums].map(([pool, sum]) => [pool, sum / (counts.get(pool) ?? 1)]),
+    );
+    return { arrivals, jobDemand };
   }
 
   #recordMoved({ listed, move, runner }: ConfirmedMove): void {
--- a/src/services/scheduling/vm_mover_test.ts
+++ b/src/services/scheduling/vm_mover_test.ts
@@ -3,6 +3,7 @@
 import * as v from "valibot";
 import {
   type CapacityPolicy,
+  NeverRestPolicy,
   NoForecast,
   ScoredPlacementPolicy,
   SlackOrderPolicy,
@@ -149,6 +150,7 @@
       vms,
       policy,
       forecast: new NoForecast(),
+      rest: new NeverRestPolicy(),
       holderId: "leader",
       fencingToken: 1,
       isInMaintenance: () => false,
