Keep the VMs of a wave cordoned until their turn

Cause: the cordon of a round held VMs that were not protected, and the first protected ones.

Change: VMs of earlier plans come first in the next ones and keep their cordon; they count against the number of VMs that may be cordoned.

Test: maintenance_orders_test, six jobs of six tasks on six VMs: the wave was not complete within 60 s before. maintenance_policy_test.

--- a/src/decisions/scheduling/maintenance_policy.ts
+++ b/src/decisions/scheduling/maintenance_policy.ts
@@ -14,6 +14,8 @@
    * other.
    */
   readonly guardedSteps: readonly string[];
+  /** Whether it gets no new work, because it was in an earlier plan. */
+  readonly isCordoned: boolean;
 }
 
 /** Input of {@link MaintenancePolicy.plan}: the state of a wave. */
@@ -89,19 +91,23 @@
       .filter(({ isProtected, loss }) => !isProtected && (isLate || loss === 0))
       .slice(0, allowedStartCount)
       .map(({ vm }) => vm);
-    const next = sorted.filter(({ isProtected }) => !isProtected)
-      .slice(0, allowedStartCount + maxAwayCount);
-    const evacuated = sorted.filter(({ isProtected }) => isProtected)
-      .slice(
-        0,
-        Math.max(
-          MIN_EVACUATED_COUNT,
-          Math.floor(maxAwayCount * EVACUATED_SHARE),
-        ),
-      );
+    const cordonedFirst = [
+      ...sorted.filter(({ isCordoned }) => isCordoned),
+      ...sorted.filter(({ isCordoned }) => !isCordoned),
+    ];
+    const guarded = cordonedFirst.filter(({ isProtected }) => isProtected);
+    // Tasks that were moved away would come back to these VMs.
+    const kept = guarded.filter(({ isCordoned }) => isCordoned);
+    const next = cordonedFirst.filter(({ isProtected }) => !isProtected)
+      .slice(0, Math.max(0, allowedStartCount + maxAwayCount - kept.length));
+    const evacuated = guarded.slice(
+      0,
+      Math.max(MIN_EVACUATED_COUNT, Math.floor(maxAwayCount * EVACUATED_SHARE)),
+    );
     return {
       begin,
-      cordon: [...next, ...evacuated].map(({ vm }) => vm),
+      cordon: [...new Set([...next, ...kept, ...evacuated])]
+        .map(({ vm }) => vm),
       evacuate: evacuated.map(({ vm }) => vm),
     };
   }
--- a/src/decisions/scheduling/maintenance_policy_test.ts
+++ b/src/decisions/scheduling/maintenance_policy_test.ts
@@ -9,7 +9,14 @@
   vm: string,
   changes: Partial<MaintenanceCandidate> = {},
 ): MaintenanceCandidate {
-  return { vm, running: [], isProtected: false, guardedSteps: [], ...changes };
+  return {
+    vm,
+    running: [],
+    isProtected: false,
+    guardedSteps: [],
+    isCordoned: false,
+    ...changes,
+  };
 }
 
 describe("maintenance of a wave", () => {
@@ -68,4 +75,18 @@
     });
     assert.is(plan.evacuate.length, 16);
   });
+
+  // Guards against tasks that come back to a VM that they were moved away from.
+  it("goes on with the VMs of earlier plans, also while they are protected", () => {
+    const candidates = ["a", "b", "c", "d"].map((vm) =>
+      createCandidate(vm, {
+        isProtected: true,
+        guardedSteps: ["s"],
+        isCordoned: vm === "c" || vm === "d",
+      })
+    );
+    const plan = policy.plan({ ...time, candidates, allowedStartCount: 2 });
+    assert.equal(plan.evacuate, ["c", "d"]);
+    assert.equal(plan.cordon, ["c", "d"]);
+  });
 });
--- a/src/services/scheduling/maintenance_orders_test.ts
+++ b/src/services/scheduling/maintenance_orders_test.ts
@@ -4,6 +4,7 @@
 import { jobStepSchema } from "../../domain/index.ts";
 import { describe, it } from "../../testing/describe.ts";
 import { FakeClock } from "../../testing/fake_clock.ts";
+import type { FakeVms } from "../../testing/fake_vms.ts";
 import { SchedulingFixture } from "../../testing/scheduling_fixture.ts";
 import { WAVE_TICK_MS } from "./timing.ts";
 
@@ -66,6 +67,12 @@
   return tookMs;
 }
 
+/** Returns when the maintenance of a VM began (ms). */
+function findDownMs(vms: FakeVms | undefined, vm: string): number {
+  return vms?.startedMaintenances.find((started) => started.vm === vm)
+    ?.atMs ?? Infinity;
+}
+
 describe("orders to maintain VMs", () => {
   // Guards against ending more tasks of a step than may be unavailable: they
   // were placed on a VM whose order was on its way.
@@ -122,6 +129,35 @@
     assert.is(new Set(lostAtMs).size, lostAtMs.length, "one task at a time");
   });
 
+  // Guards against waves that are late because tasks come back to the VM that
+  // they were moved away from: it was cordoned only while nothing else of their
+  // step was unavailable. The pattern: many tasks of few steps on each VM.
+  it("keep VMs cordoned until their turn", async () => {
+    const fixture = await setUp(10);
+    const { clock, runners, vms } = fixture;
+    for (let job = 0; job < 6; job += 1) {
+      void fixture.submit(`${job}`.padStart(16, "0"), [v.parse(jobStepSchema, {
+        taskCount: 6,
+        needs: { cpuMillicores: 1_000 },
+        isEndless: true,
+        maxAwayCount: 1,
+      })]);
+      await clock.advance(20);
+    }
+    await clock.advance(1_500);
+    startWave(fixture, { vmCount: 6, maxAwayCount: 2, durationMs: 60_000 });
+    await finish(fixture);
+    const moved = runners.spans.filter(({ how }) => how === "stopped");
+    assert.ok(moved.length > 0, "tasks were moved away");
+    const cameBack = moved.filter(({ runnerId, task, toMs }) =>
+      runners.spans.some((later) =>
+        later.task === task && later.runnerId === runnerId &&
+        later.fromMs >= toMs && later.fromMs < findDownMs(vms, runnerId)
+      )
+    );
+    assert.equal(cameBack, []);
+  });
+
   // Guards against waves that are late because each order waits for the commits
   // of all others. The pattern: a wave of a large fleet under load.
   it("are in time for many VMs while commits are slow", async () => {
--- a/src/services/scheduling/wave_task.ts
+++ b/src/services/scheduling/wave_task.ts
@@ -220,6 +220,7 @@
       guardedSteps: running
         .filter(({ step }) => step.isEndless && step.maxAwayCount !== undefined)
         .map(({ id }) => `${id.jobId}.${id.occurrence}.${id.step}`),
+      isCordoned: this.#cordonedRunnerIds.has(listed?.runnerId ?? ""),
     };
   }
 
--- a/src/testing/fake_vms.ts
+++ b/src/testing/fake_vms.ts
@@ -33,6 +33,8 @@
   readonly startedMaintenances: {
     readonly vm: string;
     readonly waveId: number;
+    /** Monotonic time (ms). */
+    readonly atMs: number;
   }[] = [];
   /** Highest number of VMs that were in maintenance at the same time. */
   maxUnavailableCount = 0;
@@ -102,7 +104,7 @@
 
   #startMaintenance(vm: string, waveId: number): void {
     const { startRunner, clock, crash } = this.#options;
-    this.startedMaintenances.push({ vm, waveId });
+    this.startedMaintenances.push({ vm, waveId, atMs: clock.monotonicMs() });
     this.#vmsInMaintenance.add(vm);
     this.maxUnavailableCount = Math.max(
       this.maxUnavailableCount,
