Take the parts of a turn with a lull for one

Cause: a second without jobs, or a wane before the last rise, ended a turn for the detector and began another one. The split turns spoil the time between turns, by which the next one is expected, and looked like turns out of order, after which no pool rests.

Change: parts of a pool's turn that lie a second apart or less are joined, with the mean demand of both.

--- a/src/decisions/scheduling/turn_detector.ts
+++ b/src/decisions/scheduling/turn_detector.ts
@@ -30,6 +30,8 @@
 const MIN_DEMAND_SHARE = 0.1;
 /** Span whose demand counts for the highest demand (ms). */
 const PEAK_SPAN_MS = 1_000;
+/** Longest lull in the midst of a turn, in milliseconds. */
+const MAX_LULL_MS = 1_000;
 
 /**
  * Finds the turns of each pool by cumulative sums of the likelihood ratio
@@ -54,10 +56,43 @@
   const firstMs = Math.min(...pools.map((own) => own[0]?.atMs ?? nowMs));
   const leastDemand = MIN_DEMAND_SHARE * Math.max(...pools.map(findPeak));
   return pools.flatMap((own) =>
-    new PoolTurns(firstMs, leastDemand / computeMeanWork(own)).read(own, nowMs)
+    joinParts(
+      new PoolTurns(firstMs, leastDemand / computeMeanWork(own))
+        .read(own, nowMs),
+      nowMs,
+    )
   ).toSorted((left, right) => left.startMs - right.startMs);
 }
 
+// A short lull looks like the end of a turn and the start of another one.
+function joinParts(turns: readonly Turn[], nowMs: number): Turn[] {
+  const joined: Turn[] = [];
+  for (const turn of turns) {
+    const before = joined.at(-1);
+    if (
+      before?.endMs === undefined || turn.startMs - before.endMs > MAX_LULL_MS
+    ) {
+      joined.push(turn);
+      continue;
+    }
+    const work = computeWork(before, nowMs) + computeWork(turn, nowMs);
+    const lengthMs = (turn.endMs ?? nowMs) - before.startMs;
+    joined[joined.length - 1] = {
+      ...turn,
+      startMs: before.startMs,
+      millicores: work / Math.max(1, lengthMs),
+    };
+  }
+  return joined;
+}
+
+function computeWork(
+  { endMs, millicores, startMs }: Turn,
+  nowMs: number,
+): number {
+  return millicores * ((endMs ?? nowMs) - startMs);
+}
+
 function computeMeanWork(arrivals: readonly Arrival[]): number {
   return arrivals.reduce((sum, { work }) => sum + work, 0) / arrivals.length;
 }
