Keep moves of VMs within the platform's rate of orders

Found by reading; with moves that no longer wait in the client, a plan of 40 would leave at once, and the platform refuses what exceeds its rate, orders of waves included.

Change: the port says how many orders a second are accepted; moves use three quarters of them, spread over spans of 250 ms.

--- a/src/ports/vm_control.ts
+++ b/src/ports/vm_control.ts
@@ -39,6 +39,8 @@
 
 /** Sends orders about VMs. Repeating an order that is already done succeeds. */
 export interface VmControl {
+  /** Orders that the platform accepts from all leaders together, a second. */
+  readonly maxOrdersPerSecond: number;
   /** Lists all VMs. */
   list(): Promise<Result<readonly ListedVm[], Failure>>;
   /** Moves a VM to another pool; all work on the VM ends immediately. */
--- a/src/services/scheduling/capacity_task.ts
+++ b/src/services/scheduling/capacity_task.ts
@@ -83,7 +83,7 @@
     while (!signal.aborted) {
       let isPartial = false;
       if (log.holdsLeaderLease && log.state.catalog.version >= 0) {
-        isPartial = await this.#rebalance();
+        isPartial = await this.#rebalance(signal);
       }
       if (!isPartial) {
         await clock.sleep(CAPACITY_TICK_MS, signal);
@@ -92,7 +92,7 @@
   }
 
   // Returns whether more moves were planned than were tried.
-  async #rebalance(): Promise<boolean> {
+  async #rebalance(signal: AbortSignal): Promise<boolean> {
     const { logger, policy } = this.#options;
     this.#updateIdleTimes();
     const pools = this.#listLoads();
@@ -112,7 +112,7 @@
         },
         "planned moves of VMs",
       );
-      const outcome = await this.#mover.carryOut(moves);
+      const outcome = await this.#mover.carryOut(moves, signal);
       if (outcome.failedCount > 0) {
         this.#listedAtMs = -Infinity;
       }
--- a/src/services/scheduling/capacity_task_test.ts
+++ b/src/services/scheduling/capacity_task_test.ts
@@ -48,6 +48,7 @@
 
 /** VMs that can be moved at once, without faults. */
 class MovableVms implements VmControl {
+  readonly maxOrdersPerSecond = Infinity;
   readonly movedVms: string[] = [];
   listCount = 0;
   #vms: readonly ListedVm[];
--- a/src/services/scheduling/timing.ts
+++ b/src/services/scheduling/timing.ts
@@ -153,6 +153,13 @@
  * long after the demand has changed.
  */
 export const MAX_MOVES_PER_PLAN = 40;
+/**
+ * Share of the platform's rate of orders that moves may use; the rest is for
+ * maintenance.
+ */
+export const MOVE_RATE_SHARE = 0.75;
+/** Span over which the rate of moves is kept, in milliseconds. */
+export const MOVE_RATE_SPAN_MS = 250;
 /**
  * Most orders to move a VM that wait for an answer: fewer than the VM control
  * has connections, so that none waits there after it was checked.
--- a/src/services/scheduling/vm_mover.ts
+++ b/src/services/scheduling/vm_mover.ts
@@ -7,12 +7,14 @@
   MAX_MOVES_IN_FLIGHT,
   MAX_MOVES_PER_PLAN,
   MOVE_DOUBT_MS,
+  MOVE_RATE_SHARE,
+  MOVE_RATE_SPAN_MS,
 } from "./timing.ts";
 
 /** Options of {@link VmMover}. */
 export interface VmMoverOptions {
   readonly log: SchedulingLog;
-  readonly vms: Pick<VmControl, "move">;
+  readonly vms: Pick<VmControl, "maxOrdersPerSecond" | "move">;
   readonly clock: Clock;
   readonly logger: Logger;
   /** Identifies this leader in its requests about VMs. */
@@ -48,6 +50,8 @@
   readonly leftCount: number;
 }
 
+const MS_PER_SECOND = 1_000;
+
 type MoveResult = "confirmed" | "failed" | "notIdle";
 
 /**
@@ -72,15 +76,44 @@
   }
 
   /**
-   * Tries the first moves of a plan. The others have to be planned anew: by then
-   * the demand may be another one.
+   * Tries the first moves of a plan, and waits as long as their number takes at
+   * the rate for moves. The others have to be planned anew: by then the demand
+   * may be another one.
    *
    * @param moves - The plan, the most urgent moves first.
+   * @param signal - Ends the wait.
    */
-  async carryOut(moves: readonly ListedMove[]): Promise<MoveOutcome> {
+  async carryOut(
+    moves: readonly ListedMove[],
+    signal: AbortSignal,
+  ): Promise<MoveOutcome> {
+    const { clock, vms: { maxOrdersPerSecond } } = this.#options;
+    const perMs = maxOrdersPerSecond * MOVE_RATE_SHARE / MS_PER_SECOND;
+    const maxCount = Math.min(
+      MAX_MOVES_PER_PLAN,
+      Math.max(1, Math.floor(perMs * MOVE_RATE_SPAN_MS)),
+    );
+    const tried = moves.slice(0, maxCount);
+    const startedMs = clock.monotonicMs();
+    const results = await this.#sendAll(tried);
+    const count = (result: MoveResult) =>
+      results.filter((known) => known === result).length;
+    const confirmedCount = count("confirmed");
+    const failedCount = count("failed");
+    const paceMs = (confirmedCount + failedCount) / perMs;
+    await clock.sleep(
+      Math.max(0, startedMs + paceMs - clock.monotonicMs()),
+      signal,
+    );
+    return {
+      confirmedCount,
+      failedCount,
+      leftCount: moves.length - tried.length,
+    };
+  }
+
+  async #sendAll(tried: readonly ListedMove[]): Promise<MoveResult[]> {
     const { log, logger } = this.#options;
-    const tried = moves.slice(0, MAX_MOVES_PER_PLAN);
-    const leftCount = moves.length - tried.length;
     for (const { listed } of tried) {
       this.#cordon(listed, Infinity);
     }
@@ -93,7 +126,7 @@
         "moves no VM, as the log does not show what runs there",
       );
       tried.forEach(({ listed }) => this.#uncordon(listed));
-      return { confirmedCount: 0, failedCount: 0, leftCount };
+      return [];
     }
     const queue = [...tried];
     const results: MoveResult[] = [];
@@ -105,13 +138,7 @@
     await Promise.all(
       Array.from({ length: MAX_MOVES_IN_FLIGHT }, () => sendNext()),
     );
-    const count = (result: MoveResult) =>
-      results.filter((known) => known === result).length;
-    return {
-      confirmedCount: count("confirmed"),
-      failedCount: count("failed"),
-      leftCount,
-    };
+    return results;
   }
 
   async #move(planned: ListedMove): Promise<MoveResult> {
--- a/src/services/scheduling/vm_mover_test.ts
+++ b/src/services/scheduling/vm_mover_test.ts
@@ -48,6 +48,9 @@
 class SlowVms implements VmControl {
   /** Names of the VMs in the order in which their orders were sent. */
   readonly ordered: string[] = [];
+  /** Monotonic times of the orders (ms). */
+  readonly orderedAtMs: number[] = [];
+  maxOrdersPerSecond = Infinity;
   orderMs = 0;
   losesAnswers = false;
   readonly #clock: FakeClock;
@@ -73,6 +76,7 @@
 
   async move(vm: string): Promise<Result<void, VmFailure>> {
     this.ordered.push(vm);
+    this.orderedAtMs.push(this.#clock.monotonicMs());
     await this.#clock.sleep(this.orderMs);
     return this.losesAnswers
       ? Result.err({ message: "no answer" })
@@ -250,6 +254,26 @@
     assert.ok(policy.planCount > 1, `${policy.planCount} plans`);
   });
 
+  // Guards against orders that the platform refuses because there are too many,
+  // those of a wave among them.
+  it("leave room within the rate that the platform accepts", async () => {
+    const { clock, policy, vms } = await setUp();
+    vms.maxOrdersPerSecond = 30;
+    policy.isEnabled = true;
+    while (vms.ordered.length < VM_COUNT) {
+      await clock.advance(1);
+    }
+    const highest = Math.max(
+      ...vms.orderedAtMs.map((fromMs) =>
+        vms.orderedAtMs.filter((atMs) =>
+          atMs >= fromMs && atMs < fromMs + 1_000
+        )
+          .length
+      ),
+    );
+    assert.ok(highest <= vms.maxOrdersPerSecond, `${highest} in a second`);
+  });
+
   // Guards against work on a VM whose move is carried out after the order got no
   // answer.
   it("keep VMs free of work whose orders got no answer", async () => {
--- a/src/testing/fake_vms.ts
+++ b/src/testing/fake_vms.ts
@@ -29,6 +29,7 @@
 
 /** VMs with injectable faults. */
 export class FakeVms implements VmControl {
+  readonly maxOrdersPerSecond = Infinity;
   /** Every maintenance that was started, in order. */
   readonly startedMaintenances: {
     readonly vm: string;
