Log rejections that nobody handles, instead of ending the process

Cause: Node.js ends a process at the first rejected promise without a handler, and many operations are started that nobody waits for. One of them that fails took all connections and peers of the process down.

Test: malformed_input_test, a rejection in every process of a deployment; before, they ended and no manifest was accepted.

--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -4,6 +4,7 @@
 import { Builtins, Cli, Command, Option } from "clipanion";
 import { SystemClock } from "../adapters/clock/index.ts";
 import { createProcessLogger } from "../adapters/logging/index.ts";
+import { logUnhandledRejections } from "../adapters/process/index.ts";
 import { type Failure, findAnswer } from "../domain/index.ts";
 import { createEntry } from "./create_entry.ts";
 import { loadSettings } from "./settings/index.ts";
@@ -40,6 +41,7 @@
       clock: new SystemClock(),
     });
     const logger = log.logger.child({ entryId });
+    logUnhandledRejections(logger);
     const onFatal = (failure: Failure) => {
       logger.error(
         { failure },
