--- /dev/null
+++ b/src/services/scheduling/arrivals.ts
@@ -0,0 +1,71 @@
+/** The work that arrives for each pool, as the log shows it. */
+import {
+  type Arrival,
+  findWidestDemand,
+  sumWork,
+} from "../../decisions/index.ts";
+import { indexQueues, type SchedulingState } from "../../domain/index.ts";
+import { ARRIVAL_WINDOW_MS, MIN_ARRIVALS } from "./timing.ts";
+
+/** The jobs in the log as arrivals, and their usual size. */
+export interface Arrivals {
+  readonly arrivals: readonly Arrival[];
+  /** Mean demand of a job's widest step, in millicores, by pool. */
+  readonly jobMillicores: ReadonlyMap<string, number>;
+}
+
+/**
+ * Lists the work of all jobs in the log.
+ *
+ * @param state - The scheduling state.
+ */
+export function listArrivals(state: SchedulingState): Arrivals {
+  const { byName } = indexQueues(state.catalog);
+  const arrivals: Arrival[] = [];
+  const sums = new Map<string, number>();
+  const counts = new Map<string, number>();
+  for (const job of state.jobs.list()) {
+    const pool = byName.get(job.queue)?.pool ?? job.pool;
+    arrivals.push({ pool, atMs: job.acceptedAtMs, work: sumWork(job) });
+    const millicores = findWidestDemand(job);
+    if (millicores > 0) {
+      add(sums, pool, millicores);
+      add(counts, pool, 1);
+    }
+  }
+  const jobMillicores = new Map(
+    [...sums].map(([pool, sum]) => [pool, sum / (counts.get(pool) ?? 1)]),
+  );
+  return { arrivals, jobMillicores };
+}
+
+/**
+ * Averages the work that has arrived of late.
+ *
+ * @param arrivals - The arrivals.
+ * @param nowMs - Wall-clock time (ms).
+ * @returns Millicores by pool; pools with few jobs are left out.
+ */
+export function sumRecent(
+  arrivals: readonly Arrival[],
+  nowMs: number,
+): Map<string, number> {
+  const sums = new Map<string, number>();
+  const counts = new Map<string, number>();
+  for (const { pool, atMs, work } of arrivals) {
+    if (nowMs - atMs <= ARRIVAL_WINDOW_MS) {
+      add(sums, pool, work / ARRIVAL_WINDOW_MS);
+      add(counts, pool, 1);
+    }
+  }
+  for (const [pool, count] of counts) {
+    if (count < MIN_ARRIVALS) {
+      sums.delete(pool);
+    }
+  }
+  return sums;
+}
+
+function add(sums: Map<string, number>, key: string, value: number): void {
+  sums.set(key, (sums.get(key) ?? 0) + value);
+}
--- a/src/services/scheduling/capacity_task.ts
+++ b/src/services/scheduling/capacity_task.ts
@@ -1,26 +1,22 @@
 /** Task of the leader that moves idle VMs to pools that lack capacity. */
 import {
-  type Arrival,
   type CapacityPolicy,
   type DemandForecast,
-  findWidestDemand,
   type IdleVm,
   listReadySteps,
   type PoolLoad,
   type RestPolicy,
   sumWaitingDemand,
-  sumWork,
 } from "../../decisions/index.ts";
-import { indexQueues, type Runner } from "../../domain/index.ts";
+import type { Runner } from "../../domain/index.ts";
 import type { Clock, ListedVm, Logger, VmControl } from "../../ports/index.ts";
+import { listArrivals, sumRecent } from "./arrivals.ts";
 import type { RunnerFleet } from "./runner_fleet.ts";
 import type { SchedulingLog } from "./scheduling_log.ts";
 import {
-  ARRIVAL_WINDOW_MS,
   CAPACITY_TICK_MS,
   FORECAST_AHEAD_MS,
   MAX_LISTING_AGE_MS,
-  MIN_ARRIVALS,
   MOVE_MS,
 } from "./timing.ts";
 import { type ConfirmedMove, VmMover } from "./vm_mover.ts";
@@ -210,7 +206,7 @@
     }
     const ready = listReadySteps(state.jobs, state.catalog, nowMs);
     const waiting = sumWaitingDemand(ready, largest, nowMs);
-    const { arrivals, jobDemand } = this.#listArrivals();
+    const { arrivals, jobMillicores } = listArrivals(state);
     const resting = rest.findResting(arrivals, nowMs);
     const recent = sumRecent(arrivals, nowMs);
     const expected = forecast.predict(
@@ -227,7 +223,7 @@
       forecastMillicores: expected.get(name) ?? 0,
       capacityMillicores: capacity.get(name) ?? 0,
       isResting: resting.has(name),
-      jobMillicores: jobDemand.get(name) ?? 0,
+      jobMillicores: jobMillicores.get(name) ?? 0,
     }));
   }
 
@@ -248,27 +244,6 @@
     return capacity;
   }
 
-  #listArrivals() {
-    const { state } = this.#options.log;
-    const { byName } = indexQueues(state.catalog);
-    const arrivals: Arrival[] = [];
-    const sums = new Map<string, number>();
-    const counts = new Map<string, number>();
-    for (const job of state.jobs.list()) {
-      const pool = byName.get(job.queue)?.pool ?? job.pool;
-      arrivals.push({ pool, atMs: job.acceptedAtMs, work: sumWork(job) });
-      const demand = findWidestDemand(job);
-      if (demand > 0) {
-        add(sums, pool, demand);
-        add(counts, pool, 1);
-      }
-    }
-    const jobDemand = new Map(
-      [...sums].map(([pool, sum]) => [pool, sum / (counts.get(pool) ?? 1)]),
-    );
-    return { arrivals, jobDemand };
-  }
-
   #recordMoved({ listed, move, runner }: ConfirmedMove): void {
     const { clock, fleet } = this.#options;
     const { cpuMillicores, vm } = listed;
@@ -286,23 +261,3 @@
 function add(sums: Map<string, number>, key: string, value: number): void {
   sums.set(key, (sums.get(key) ?? 0) + value);
 }
-
-function sumRecent(
-  arrivals: readonly Arrival[],
-  nowMs: number,
-): Map<string, number> {
-  const sums = new Map<string, number>();
-  const counts = new Map<string, number>();
-  for (const { pool, atMs, work } of arrivals) {
-    if (nowMs - atMs <= ARRIVAL_WINDOW_MS) {
-      add(sums, pool, work / ARRIVAL_WINDOW_MS);
-      add(counts, pool, 1);
-    }
-  }
-  for (const [pool, count] of counts) {
-    if (count < MIN_ARRIVALS) {
-      sums.delete(pool);
-    }
-  }
-  return sums;
-}
--- a/src/services/scheduling/maintenance_starter.ts
+++ b/src/services/scheduling/maintenance_starter.ts
@@ -112,9 +112,24 @@
    * leader may have logged the orders of some and sent them or not.
    */
   async begin(wanted: readonly WaveVm[]): Promise<void> {
-    const { log } = this.#options;
+    const queue = this.#chooseAllowed(wanted);
+    if (!await this.#logOrders(queue)) {
+      return;
+    }
+    const sendNext = async () => {
+      for (let next = queue.shift(); next; next = queue.shift()) {
+        await this.#send(next);
+      }
+    };
+    await Promise.all(
+      Array.from({ length: MAX_MAINTENANCE_ORDERS_IN_FLIGHT }, sendNext),
+    );
+  }
+
+  // Returns the VMs whose tasks may all stop at the same time.
+  #chooseAllowed(wanted: readonly WaveVm[]): WaveVm[] {
     const runs: RunningTask[] = [];
-    const chosen = wanted.filter(({ runnerId }) => {
+    return wanted.filter(({ runnerId }) => {
       const own = this.listRunning(runnerId);
       const isAllowed = this.mayStop([...runs, ...own]);
       if (isAllowed) {
@@ -122,32 +137,29 @@
       }
       return isAllowed;
     });
+  }
+
+  // Returns whether the log has the orders about all of these VMs.
+  async #logOrders(chosen: readonly WaveVm[]): Promise<boolean> {
+    const { log } = this.#options;
     const unlogged = chosen.filter(({ vm, waveId }) =>
       log.state.waves.get(waveId)?.progress[vm] !== "ordered"
     );
-    if (unlogged.length > 0) {
-      const proposed = await log.propose(
-        unlogged.map(({ vm, waveId }) => ({
-          type: "upkeep",
-          waveId,
-          vm,
-          state: "ordered",
-        })),
-      );
-      if (proposed.isErr) {
-        return;
-      }
-      unlogged.forEach(({ vm }) => this.#unsentVms.add(vm));
+    if (unlogged.length === 0) {
+      return true;
     }
-    const queue = [...chosen];
-    const sendNext = async () => {
-      for (let next = queue.shift(); next; next = queue.shift()) {
-        await this.#send(next);
-      }
-    };
-    await Promise.all(
-      Array.from({ length: MAX_MAINTENANCE_ORDERS_IN_FLIGHT }, sendNext),
+    const proposed = await log.propose(
+      unlogged.map(({ vm, waveId }) => ({
+        type: "upkeep",
+        waveId,
+        vm,
+        state: "ordered",
+      })),
     );
+    if (proposed.isOk) {
+      unlogged.forEach(({ vm }) => this.#unsentVms.add(vm));
+    }
+    return proposed.isOk;
   }
 
   // A leader that finds an order in the log may be the first to send it, so the
--- a/src/services/scheduling/wave_task.ts
+++ b/src/services/scheduling/wave_task.ts
@@ -187,7 +187,7 @@
     const candidates = wave.vms
       .filter((vm) => wave.progress[vm] === undefined)
       .map((vm) => byName.get(vm))
-      .filter((listed) => listed?.state === "up")
+      .filter((listed) => listed !== undefined && listed.state === "up")
       .map((listed) => this.#createCandidate(listed));
     return policy.plan({
       candidates,
@@ -203,7 +203,10 @@
     cordoned: Set<string>,
   ): void {
     for (const vm of names) {
-      cordoned.add(byName.get(vm)?.runnerId ?? "");
+      const runnerId = byName.get(vm)?.runnerId;
+      if (runnerId !== undefined) {
+        cordoned.add(runnerId);
+      }
     }
     this.#cordonedRunnerIds = new Set([
       ...this.#cordonedRunnerIds,
@@ -211,16 +214,17 @@
     ]);
   }
 
-  #createCandidate(listed: ListedVm | undefined): MaintenanceCandidate {
-    const running = this.#starter.listRunning(listed?.runnerId);
+  #createCandidate({ runnerId, vm }: ListedVm): MaintenanceCandidate {
+    const running = this.#starter.listRunning(runnerId);
     return {
-      vm: listed?.vm ?? "",
+      vm,
       running,
       isProtected: !this.#starter.mayStop(running),
       guardedSteps: running
         .filter(({ step }) => step.isEndless && step.maxAwayCount !== undefined)
         .map(({ id }) => `${id.jobId}.${id.occurrence}.${id.step}`),
-      isCordoned: this.#cordonedRunnerIds.has(listed?.runnerId ?? ""),
+      isCordoned: runnerId !== undefined &&
+        this.#cordonedRunnerIds.has(runnerId),
     };
   }
 
