--- a/src/services/scheduling/wave_task.ts
+++ b/src/services/scheduling/wave_task.ts
@@ -186,8 +186,8 @@
     const { clock, policy } = this.#options;
     const candidates = wave.vms
       .filter((vm) => wave.progress[vm] === undefined)
-      .map((vm) => byName.get(vm))
-      .filter((listed) => listed !== undefined && listed.state === "up")
+      .flatMap((vm) => byName.get(vm) ?? [])
+      .filter(({ state }) => state === "up")
       .map((listed) => this.#createCandidate(listed));
     return policy.plan({
       candidates,
