Revert the parking of VMs of pools that rest

Parking costs moves, and the VMs are not where it looks: in a turn the forecast takes up to 240 of 378 VMs into one pool, where some 150 would do, and those are not resting. The next try has to begin there.

--- a/src/daemon/scheduling/start_leading.ts
+++ b/src/daemon/scheduling/start_leading.ts
@@ -11,8 +11,6 @@
   StartPlanner,
   TrendForecast,
   TurnForecast,
-  TurnHistory,
-  TurnRestPolicy,
 } from "../../decisions/index.ts";
 import type { JobState, Runner } from "../../domain/index.ts";
 import type {
@@ -92,17 +90,15 @@
   });
   const isInMaintenance = (runner: Runner) =>
     waves?.isCordoned(runner) ?? false;
-  const turns = new TurnHistory();
   const capacity = vms === undefined ? undefined : new CapacityTask({
     ...options,
     fleet,
     vms,
     policy: new DemandCapacityPolicy(),
     forecast: new HighestForecast([
-      new TurnForecast(turns),
+      new TurnForecast(),
       new TrendForecast(),
     ]),
-    rest: new TurnRestPolicy(turns),
     holderId: entryId,
     isInMaintenance,
   });
--- a/src/decisions/scheduling/capacity_policy.ts
+++ b/src/decisions/scheduling/capacity_policy.ts
@@ -14,10 +14,6 @@
   readonly forecastMillicores: number;
   /** Capacity of usable runners and of VMs that are moving to the pool. */
   readonly capacityMillicores: number;
-  /** Whether its next turn is not near, so that its idle VMs may be parked. */
-  readonly isResting: boolean;
-  /** Mean demand of a job's widest step, in millicores. */
-  readonly jobMillicores: number;
 }
 
 /** A VM without running tasks. */
@@ -74,21 +70,13 @@
    * pool.
    */
   readonly parkAfterMs?: number;
-  /**
-   * The same for pools that rest. Within the time that a move takes, a VM that
-   * another pool needs goes there directly.
-   */
-  readonly parkRestingAfterMs?: number;
   /** VMs that a pool keeps for the first tasks after an idle time. */
   readonly minPoolVmCount?: number;
 }
 
 const DEFAULT_HEADROOM_FACTOR = 1.15;
 const DEFAULT_PARK_AFTER_MS = 30_000;
-const DEFAULT_PARK_RESTING_AFTER_MS = 2_000;
 const DEFAULT_MIN_POOL_VM_COUNT = 2;
-/** Jobs of the usual size for which a resting pool keeps capacity. */
-const RESTING_JOB_COUNT = 2;
 
 interface Balance {
   readonly load: PoolLoad;
@@ -104,14 +92,11 @@
 export class DemandCapacityPolicy implements CapacityPolicy {
   readonly #headroomFactor: number;
   readonly #parkAfterMs: number;
-  readonly #parkRestingAfterMs: number;
   readonly #minPoolVmCount: number;
 
   constructor(options: DemandCapacityOptions = {}) {
     this.#headroomFactor = options.headroomFactor ?? DEFAULT_HEADROOM_FACTOR;
     this.#parkAfterMs = options.parkAfterMs ?? DEFAULT_PARK_AFTER_MS;
-    this.#parkRestingAfterMs = options.parkRestingAfterMs ??
-      DEFAULT_PARK_RESTING_AFTER_MS;
     this.#minPoolVmCount = options.minPoolVmCount ?? DEFAULT_MIN_POOL_VM_COUNT;
   }
 
@@ -198,19 +183,13 @@
     moves: PlannedMove[],
   ): void {
     for (const donor of balances.values()) {
-      const { isResting, isStandby, jobMillicores } = donor.load;
-      if (isStandby) {
+      if (donor.load.isStandby) {
         continue;
       }
-      const parkAfterMs = isResting
-        ? this.#parkRestingAfterMs
-        : this.#parkAfterMs;
-      const reserve = isResting ? RESTING_JOB_COUNT * jobMillicores : 0;
       for (const vm of donor.idleLeft) {
         const left = donor.capacityMillicores - vm.cpuMillicores;
-        const isKept = left < this.#minPoolVmCount * vm.cpuMillicores ||
-          left < reserve + donor.load.runningMillicores;
-        const isOver = vm.idleMs >= parkAfterMs && canSpare(donor, vm);
+        const isKept = left < this.#minPoolVmCount * vm.cpuMillicores;
+        const isOver = vm.idleMs >= this.#parkAfterMs && canSpare(donor, vm);
         if (isOver && !isKept) {
           donor.capacityMillicores = left;
           moves.push({ vm: vm.vm, from: vm.pool, to: standbyPool });
--- a/src/decisions/scheduling/capacity_policy_test.ts
+++ b/src/decisions/scheduling/capacity_policy_test.ts
@@ -22,8 +22,6 @@
     arrivingMillicores: 0,
     forecastMillicores: 0,
     capacityMillicores: vmCount * VM_MILLICORES,
-    isResting: false,
-    jobMillicores: 0,
     ...changes,
   };
 }
@@ -121,47 +119,4 @@
       assert.equal(moves, []);
     });
   });
-
-  // The pattern: the turn of a pool is over, and that of another one begins.
-  describe("when a pool rests after its turn", () => {
-    const standby = createLoad("standby", 0, { isStandby: true });
-
-    it("parks VMs that no other pool needs while a move takes", () => {
-      const pools = [createLoad("resting", 6, { isResting: true }), standby];
-      const policy = new DemandCapacityPolicy();
-      const plan = (idleMs: number) =>
-        policy.plan({ pools, idle: createIdle("resting", 6, idleMs) });
-      assert.equal(plan(1_900), []);
-      assert.is(plan(2_100).length, 4);
-    });
-
-    it("hands VMs to the next pool before any is parked", () => {
-      const pools = [
-        createLoad("resting", 6, { isResting: true }),
-        createLoad("next", 6, { forecastMillicores: 500_000 }),
-        standby,
-      ];
-      const idle = createIdle("resting", 6, 2_100);
-      const moves = new DemandCapacityPolicy().plan({ pools, idle });
-      assert.equal(moves.map(({ to }) => to), [
-        "next",
-        "next",
-        "next",
-        "standby",
-      ]);
-    });
-
-    // Guards against single jobs that wait for VMs all the time between turns.
-    it("keeps capacity for two usual jobs", () => {
-      const resting = createLoad("resting", 6, {
-        isResting: true,
-        jobMillicores: 2 * VM_MILLICORES,
-      });
-      const moves = new DemandCapacityPolicy().plan({
-        pools: [resting, standby],
-        idle: createIdle("resting", 6, 2_100),
-      });
-      assert.is(moves.length, 2);
-    });
-  });
 });
--- a/src/decisions/scheduling/demand_forecast.ts
+++ b/src/decisions/scheduling/demand_forecast.ts
@@ -9,22 +9,6 @@
   readonly work: number;
 }
 
-/**
- * Finds the demand of the widest step of a job.
- *
- * @param job - The job.
- * @returns Millicores of its tasks if all run at once, without long-running and
- * best-effort ones.
- */
-export function findWidestDemand(job: JobRecord): number {
-  return Math.max(
-    0,
-    ...job.spec.steps.map(({ isEndless, needs, taskCount, usesLeftovers }) =>
-      isEndless || usesLeftovers ? 0 : taskCount * needs.cpuMillicores
-    ),
-  );
-}
-
 /**
  * Sums the estimated work of a job.
  *
--- a/src/decisions/scheduling/turn_forecast.ts
+++ b/src/decisions/scheduling/turn_forecast.ts
@@ -1,8 +1,9 @@
 /** Forecasts the demand of pools that take turns, from the order of the turns. */
 import type { Arrival, DemandForecast } from "./demand_forecast.ts";
-import type { Turn } from "./turn_detector.ts";
-import { TurnHistory } from "./turn_history.ts";
+import { findTurns, type Turn } from "./turn_detector.ts";
 
+/** Age up to which arrivals count, in milliseconds. */
+const HISTORY_MS = 60_000;
 /** Time by which a turn may begin earlier than expected (ms). */
 const EARLY_MS = 250;
 /** Time after which a turn that has not begun is no longer expected (ms). */
@@ -27,19 +28,13 @@
  * ago.
  */
 export class TurnForecast implements DemandForecast {
-  readonly #history: TurnHistory;
-
-  /** @param history - The turns, which others may read as well. */
-  constructor(history = new TurnHistory()) {
-    this.#history = history;
-  }
-
   predict(
     arrivals: readonly Arrival[],
     fromMs: number,
     nowMs: number,
   ): ReadonlyMap<string, number> {
-    const { arrivals: recent, turns } = this.#history.read(arrivals, nowMs);
+    const recent = arrivals.filter(({ atMs }) => nowMs - atMs <= HISTORY_MS);
+    const turns = findTurns(recent, nowMs);
     const expected = new Map<string, number>();
     for (const turn of turns) {
       if (turn.endMs === undefined) {
--- a/src/services/scheduling/arrivals.ts
+++ b/src/services/scheduling/arrivals.ts
@@ -1,42 +1,20 @@
 /** The work that arrives for each pool, as the log shows it. */
-import {
-  type Arrival,
-  findWidestDemand,
-  sumWork,
-} from "../../decisions/index.ts";
+import { type Arrival, sumWork } from "../../decisions/index.ts";
 import { indexQueues, type SchedulingState } from "../../domain/index.ts";
 import { ARRIVAL_WINDOW_MS, MIN_ARRIVALS } from "./timing.ts";
 
-/** The jobs in the log as arrivals, and their usual size. */
-export interface Arrivals {
-  readonly arrivals: readonly Arrival[];
-  /** Mean demand of a job's widest step, in millicores, by pool. */
-  readonly jobMillicores: ReadonlyMap<string, number>;
-}
-
 /**
  * Lists the work of all jobs in the log.
  *
  * @param state - The scheduling state.
  */
-export function listArrivals(state: SchedulingState): Arrivals {
+export function listArrivals(state: SchedulingState): Arrival[] {
   const { byName } = indexQueues(state.catalog);
-  const arrivals: Arrival[] = [];
-  const sums = new Map<string, number>();
-  const counts = new Map<string, number>();
-  for (const job of state.jobs.list()) {
-    const pool = byName.get(job.queue)?.pool ?? job.pool;
-    arrivals.push({ pool, atMs: job.acceptedAtMs, work: sumWork(job) });
-    const millicores = findWidestDemand(job);
-    if (millicores > 0) {
-      add(sums, pool, millicores);
-      add(counts, pool, 1);
-    }
-  }
-  const jobMillicores = new Map(
-    [...sums].map(([pool, sum]) => [pool, sum / (counts.get(pool) ?? 1)]),
-  );
-  return { arrivals, jobMillicores };
+  return state.jobs.list().map((job) => ({
+    pool: byName.get(job.queue)?.pool ?? job.pool,
+    atMs: job.acceptedAtMs,
+    work: sumWork(job),
+  }));
 }
 
 /**
--- a/src/services/scheduling/capacity_task.ts
+++ b/src/services/scheduling/capacity_task.ts
@@ -5,7 +5,6 @@
   type IdleVm,
   listReadySteps,
   type PoolLoad,
-  type RestPolicy,
   sumWaitingDemand,
 } from "../../decisions/index.ts";
 import type { Runner } from "../../domain/index.ts";
@@ -28,7 +27,6 @@
   readonly vms: VmControl;
   readonly policy: CapacityPolicy;
   readonly forecast: DemandForecast;
-  readonly rest: RestPolicy;
   readonly clock: Clock;
   readonly logger: Logger;
   /** Identifies this leader in its requests about VMs. */
@@ -193,7 +191,7 @@
   }
 
   #listLoads(): PoolLoad[] {
-    const { clock, forecast, log, rest } = this.#options;
+    const { clock, forecast, log } = this.#options;
     const { state } = log;
     const nowMs = clock.nowMs();
     const capacity = this.#sumCapacity();
@@ -206,8 +204,7 @@
     }
     const ready = listReadySteps(state.jobs, state.catalog, nowMs);
     const waiting = sumWaitingDemand(ready, largest, nowMs);
-    const { arrivals, jobMillicores } = listArrivals(state);
-    const resting = rest.findResting(arrivals, nowMs);
+    const arrivals = listArrivals(state);
     const recent = sumRecent(arrivals, nowMs);
     const expected = forecast.predict(
       arrivals,
@@ -222,8 +219,6 @@
       arrivingMillicores: recent.get(name) ?? 0,
       forecastMillicores: expected.get(name) ?? 0,
       capacityMillicores: capacity.get(name) ?? 0,
-      isResting: resting.has(name),
-      jobMillicores: jobMillicores.get(name) ?? 0,
     }));
   }
 
--- a/src/services/scheduling/capacity_task_test.ts
+++ b/src/services/scheduling/capacity_task_test.ts
@@ -1,10 +1,6 @@
 import { Result } from "true-myth";
 import * as assert from "uvu/assert";
-import {
-  type CapacityPolicy,
-  NeverRestPolicy,
-  NoForecast,
-} from "../../decisions/index.ts";
+import { type CapacityPolicy, NoForecast } from "../../decisions/index.ts";
 import type { Failure, Runner } from "../../domain/index.ts";
 import type { ListedVm, VmControl } from "../../ports/index.ts";
 import { afterEach, describe, it } from "../../testing/describe.ts";
@@ -131,7 +127,6 @@
       vms,
       policy: ALWAYS_MOVES,
       forecast: new NoForecast(),
-      rest: new NeverRestPolicy(),
       clock,
       logger: new FakeLogger(),
       holderId: "leader",
--- a/src/services/scheduling/vm_mover_test.ts
+++ b/src/services/scheduling/vm_mover_test.ts
@@ -3,7 +3,6 @@
 import * as v from "valibot";
 import {
   type CapacityPolicy,
-  NeverRestPolicy,
   NoForecast,
   ScoredPlacementPolicy,
   SlackOrderPolicy,
@@ -154,7 +153,6 @@
       vms,
       policy,
       forecast: new NoForecast(),
-      rest: new NeverRestPolicy(),
       holderId: "leader",
       fencingToken: 1,
       isInMaintenance: () => false,
