--- a/src/services/scheduling/maintenance_orders_test.ts
+++ b/src/services/scheduling/maintenance_orders_test.ts
@@ -102,6 +102,28 @@
     }
   });
 
+  // Guards against two leaders that order at the same time: the lease was checked
+  // once for many orders, and the others left after it had been lost.
+  it("are sent by no leader that has lost its lease", async () => {
+    const fixture = await setUp(40);
+    const { clock, vms } = fixture;
+    assert.ok(vms);
+    vms.latencyMs = SLOW_ORDER_MS;
+    startWave(fixture, { vmCount: 40, maxAwayCount: 40, durationMs: 30_000 });
+    while (vms.requests.length === 0) {
+      await clock.advance(1);
+    }
+    await clock.advance(1);
+    assert.ok(vms.requests.length < 40, "orders are left");
+    const changedAtMs = clock.monotonicMs();
+    fixture.changeLeader();
+    await finish(fixture);
+    const late = vms.requests.filter(({ atMs, fencingToken }) =>
+      fencingToken === 1 && atMs > changedAtMs
+    );
+    assert.equal(late, []);
+  });
+
   // Guards against a wave that is never complete: an earlier leader logged the
   // order and did not send it, and more tasks run on the VM than may stop.
   it("wait until tasks have moved away, also if another leader logged them", async () => {
--- a/src/testing/fake_vms.ts
+++ b/src/testing/fake_vms.ts
@@ -37,6 +37,12 @@
     /** Monotonic time (ms). */
     readonly atMs: number;
   }[] = [];
+  /** Every request for maintenance, in the order in which they were sent. */
+  readonly requests: {
+    readonly fencingToken: number;
+    /** Monotonic time (ms). */
+    readonly atMs: number;
+  }[] = [];
   /** Highest number of VMs that were in maintenance at the same time. */
   maxUnavailableCount = 0;
   /** Whether maintenance requests are carried out but get no answer. */
@@ -82,6 +88,7 @@
     { fencingToken }: VmOrderSource,
   ): Promise<Result<void, VmFailure>> {
     const { clock } = this.#options;
+    this.requests.push({ fencingToken, atMs: clock.monotonicMs() });
     await clock.sleep(this.latencyMs);
     if (fencingToken < (this.#fencingTokens.get(vm) ?? 0)) {
       return Result.err({
