--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -1,176 +1,115 @@
 /**
- * A wave of two machines. For some seconds the provider's list has one machine's
- * entry from another writer, with a state that isn't named on the pages. The
- * machine stays, and its maintenance must begin before the wave is completed.
+ * A zone is evacuated, taken back and evacuated again. A copy of the first
+ * withdrawal waits at a controller that is frozen; the same order has been
+ * acknowledged elsewhere. Once the controller wakes, the zone must stay
+ * evacuated.
  */
-import http from "node:http";
 import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
-import { createManifest } from "../lib/manifest.mjs";
+import { createJob, createJobId, createManifest, HOST, KEY } from "../lib/manifest.mjs";
 import { Runner } from "../lib/runner.mjs";
 import {
-  call, finish, HAS_TROUBLE, Operator, Recorder, Site, sleep,
+  finish, HAS_TROUBLE, Operator, Recorder, Site, sleep, submit,
 } from "../lib/site.mjs";
 
-const MAINTENANCE_MS = 2_000;
-const ODD_MS = 4_000;
+const FREEZE_MS = 5_000;
+const EVACUATE_MS = 5_000;
+const CONTACT_MS = 3_000;
+const ZONES = ["zone-a", "zone-b", "zone-c"];
 
 const recorder = new Recorder(dirname(fileURLToPath(import.meta.url)));
+const site = new Site(recorder, { zones: ZONES });
+const operator = new Operator(site, recorder);
+const runners = [];
+let lastNumber = 0;
 
-/** The provider: machines, their list and their maintenance. */
-class Provider {
-  constructor(host, site) {
-    this.host = host;
-    this.site = site;
-    this.machines = new Map();
-    this.upkeeps = [];
-    this.fences = new Map();
-    this.oddMachine = undefined;
-  }
-
-  async start() {
-    this.server = http.createServer((request, response) => {
-      void this.#serve(request).then(({ status, body }) => {
-        response.writeHead(status, { "content-type": "application/json" });
-        response.end(JSON.stringify(body));
-      });
-    });
-    await new Promise((resolve) => this.server.listen(0, this.host, resolve));
-    this.address = `${this.host}:${this.server.address().port}`;
-  }
-
-  async addMachine(name, number) {
-    const runner = new Runner({
-      id: `i-${name}-0`, host: this.site.host(100 + number), pool: "bay",
-      zone: "zone-a", site: this.site, recorder, rack: `r1-${number}`,
-    });
-    await runner.start();
-    const machine = { name, number, state: "up", runner, life: 0 };
-    this.machines.set(name, machine);
-  }
-
-  async end() {
-    this.server.closeAllConnections();
-    this.server.close();
-    for (const { runner } of this.machines.values()) {
-      if (!runner.isOver) {
-        await runner.end();
-      }
-    }
-  }
-
-  async #serve(request) {
-    let text = "";
-    for await (const chunk of request) {
-      text += chunk;
-    }
-    if (request.method === "GET") {
-      return { status: 200, body: { machines: this.#list() } };
-    }
-    const fence = Number(request.headers["x-fencing-token"] ?? 0);
-    const { machine: name, wave } = JSON.parse(text);
-    const machine = this.machines.get(name);
-    if (machine === undefined) {
-      return { status: 400, body: {} };
-    }
-    if (fence < (this.fences.get(name) ?? 0)) {
-      return { status: 409, body: { reason: "fence" } };
-    }
-    this.fences.set(name, fence);
-    if (request.url !== "/v1/machine-upkeep") {
-      return { status: 409, body: { reason: "busy" } };
-    }
-    if (this.upkeeps.includes(name)) {
-      return { status: 200, body: {} };
-    }
-    recorder.log(`provider: upkeep of ${name} begins, wave ${wave}`);
-    this.upkeeps.push(name);
-    machine.state = "upkeep";
-    await machine.runner.end();
-    setTimeout(() => void this.#bringBack(machine), MAINTENANCE_MS);
-    return { status: 200, body: {} };
-  }
-
-  async #bringBack(machine) {
-    machine.life += 1;
-    machine.runner = new Runner({
-      ...machine.runner.options,
-      id: `i-${machine.name}-${machine.life}`,
-    });
-    await machine.runner.start();
-    machine.state = "up";
-  }
-
-  #list() {
-    return [...this.machines.values()].map(({ name, state, runner }) => ({
-      machine: name,
-      pool: "bay",
-      state: name === this.oddMachine ? "inspecting" : state,
-      zone: "zone-a",
-      labels: ["a", "r1-0"],
-      capacity: { cpu: 64_000, mem_mb: 262_144, gpus: 0 },
-      ...(state === "up" ? { id: runner.id } : {}),
-    }));
+/** Clients submit small jobs as long as this runs. */
+async function sendJobs(untilMs) {
+  while (Date.now() < untilMs) {
+    lastNumber += 1;
+    const path = `/bay/${createJobId(lastNumber)}`;
+    void submit(site, { host: HOST, key: KEY, path, body: createJob(6, 400) });
+    await sleep(200);
   }
 }
 
-async function main(site, provider) {
+async function main() {
   await site.start();
-  const operator = new Operator(site, recorder);
-  if (await site.waitForLeader() === undefined) {
+  const leader = await site.waitForLeader();
+  if (leader === undefined) {
     return 2;
   }
   const manifest = createManifest(1, ["bay"]);
   if ((await operator.order("/v1/Config.Replace", manifest)).status !== 200) {
     return 2;
   }
-  for (const number of [0, 1, 2, 3, 4, 5]) {
-    await provider.addMachine(`m-${number}`, number);
+  for (let at = 0; at < 2 * ZONES.length; at += 1) {
+    const runner = new Runner({
+      id: `i-${at}`, host: site.host(100 + at), pool: "bay",
+      zone: ZONES[at % ZONES.length], site,
+      recorder: { log: () => undefined }, rack: `r1-${at}`, cpu: 2_000,
+    });
+    runners.push(runner);
+    await runner.start();
+  }
+  const jobs = sendJobs(Date.now() + 32_000);
+  await sleep(2_000);
+  const start = "/v1/Evacuate.Start/zone-a";
+  const end = "/v1/Evacuate.Finish/zone-a";
+  if ((await operator.order(start)).status !== 200) {
+    return 2;
+  }
+  await sleep(6_000);
+  const others = site.controllers.filter((each) => each !== leader);
+  const frozen = others[0];
+  if (HAS_TROUBLE) {
+    site.signal(frozen, "SIGSTOP");
   }
-  await sleep(3_000);
-  provider.oddMachine = HAS_TROUBLE ? "m-1" : undefined;
-  recorder.log(`provider: odd entry of ${provider.oddMachine}`);
-  const wave = {
-    wave: 1, machines: ["m-0", "m-1"], complete_by_s: 26, max_count: 1,
-  };
-  if ((await operator.order("/v1/wave-start", wave)).status !== 200) {
+  const frozenAtMs = Date.now();
+  await sleep(300);
+  // The operator's first choice is the frozen controller.
+  const taken = await operator.order(end, undefined, {
+    first: [frozen, others[1]],
+  });
+  await sleep(1_000);
+  const again = await operator.order(start, undefined, { first: [others[1]] });
+  const ackAtMs = Date.now();
+  if (taken.status !== 200 || again.status !== 200) {
     return 2;
   }
-  const oddUntilMs = Date.now() + ODD_MS;
-  const untilMs = Date.now() + 30_000;
-  let state;
-  while (Date.now() < untilMs && state !== "completed") {
-    await sleep(250);
-    if (Date.now() > oddUntilMs && provider.oddMachine !== undefined) {
-      recorder.log("provider: the odd entry is over");
-      provider.oddMachine = undefined;
-    }
-    const target = site.controllers[Math.floor(Math.random() * 5)];
-    const answer = await call(target.control, "GET", "/v1/wave-get/1");
-    state = answer.body?.state ?? state;
+  await sleep(Math.max(0, frozenAtMs + FREEZE_MS - Date.now()));
+  if (HAS_TROUBLE) {
+    site.signal(frozen, "SIGCONT");
   }
+  const calmAtMs = Date.now() + CONTACT_MS;
+  await jobs;
+  const fromMs = Math.max(ackAtMs + EVACUATE_MS, calmAtMs);
+  const count = (zone, afterMs) =>
+    runners.filter(({ options }) => options.zone === zone)
+      .flatMap(({ begun }) => begun)
+      .filter(({ atMs }) => atMs > afterMs).length;
+  const counts = ZONES.map((zone) => count(zone, fromMs));
+  const total = ZONES.map((zone) => count(zone, 0));
+  recorder.log(`starts by zone in the whole run: ${total}`);
   recorder.log(
-    `wave 1 is ${state}; upkeeps that have begun: ${provider.upkeeps}`,
+    `starts by zone from ${fromMs - ackAtMs} ms after the acknowledgement of ` +
+      `the second evacuation of zone-a on, with no order after it: ${counts}`,
   );
-  if (state !== "completed") {
+  if (counts[1] + counts[2] === 0 || total[0] === 0) {
     return 2;
   }
-  await sleep(3_000);
-  recorder.log(`3 s later: ${provider.upkeeps}; m-1 is still there`);
-  return provider.upkeeps.includes("m-1") ? 0 : 1;
+  return counts[0] > 0 ? 1 : 0;
 }
 
-const site = new Site(recorder, {
-  vmControl: { address: "127.0.0.1:1", orderRate: 64, listRate: 64 },
-});
-const provider = new Provider("127.0.0.1", site);
 let code = 2;
 try {
-  await provider.start();
-  site.options.vmControl.address = provider.address;
-  code = await main(site, provider);
+  code = await main();
 } catch (error) {
   recorder.log(`the case could not run: ${error.stack}`);
 }
 recorder.log(["the rule held", "the rule was broken", "not judged"][code]);
-await finish(code, () => provider.end(), () => site.stop());
+await finish(
+  code,
+  () => Promise.all(runners.map((runner) => runner.end())),
+  () => site.stop(),
+);
