--- a/review/lib/runner.mjs
+++ b/review/lib/runner.mjs
@@ -64,8 +64,10 @@
     this.sockets = new Set();
     this.begun = [];
     this.ends = [];
-    /** Set to hold back every answer until it resolves. */
-    this.hang = undefined;
+    /** Whether the runner is cut off: nothing arrives or leaves. */
+    this.isCut = false;
+    /** Called with the path of each order that was carried out, if set. */
+    this.onOrder = undefined;
     this.nextControl = options.firstControl ?? 0;
   }
 
@@ -96,7 +98,9 @@
     this.ticker = setInterval(() => this.#tick(), 20);
     this.heart = setInterval(() => void this.beat(), HEARTBEAT_MS);
     this.#log(`starts, born ${this.bornMs}, pool ${this.options.pool}`);
-    await this.beat();
+    if (!this.options.beatsLater) {
+      await this.beat();
+    }
   }
 
   /** Ends this life; everything that runs ends with it. */
@@ -133,7 +137,7 @@
 
   /** Reports itself; asks the next controller without an answer within 1 s. */
   async beat() {
-    if (this.isOver || this.isBeating) {
+    if (this.isOver || this.isBeating || this.isCut) {
       return undefined;
     }
     this.isBeating = true;
@@ -164,13 +168,14 @@
     for await (const chunk of request) {
       text += chunk;
     }
-    if (this.hang !== undefined) {
-      // The order is left unanswered and is not carried out.
-      await this.hang;
-      response.destroy();
+    if (this.isCut) {
       return;
     }
     const answer = await this.#handle(request, text);
+    await this.onOrder?.(request.url);
+    if (this.isCut) {
+      return;
+    }
     response.writeHead(answer.status, { "content-type": "application/json" });
     response.end(JSON.stringify({ clock_ms: this.clockMs, ...answer.body }));
   }
