--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -108,8 +108,8 @@
       process.once(name, () => void this.stop().then(() => process.exit(2)));
     }
     process.on("uncaughtException", (error) => {
-      this.recorder.log(`the case failed: ${error.stack}`);
       void this.stop().then(() => process.exit(2));
+      this.recorder.log(`the case failed: ${error.stack}`);
     });
     this.folder = await mkdtemp(join(tmpdir(), "review-site-"));
     await this.#chooseAddresses();
