--- a/src/replication/proposal_queue.ts
+++ b/src/replication/proposal_queue.ts
@@ -12,9 +12,11 @@
 import type { ReplicaCore } from "./replica_core.ts";
 import {
   CALL_TIMEOUT_MS,
+  MAX_BATCH_BYTES,
   MAX_BATCH_COUNT,
   PROPOSE_TIMEOUT_MS,
 } from "./timing.ts";
+import { estimateValueBytes } from "./value_size.ts";
 
 /** Result of applying a proposal; after `noQuorum` it may still be applied. */
 export type ProposalResult = Result<AppliedValue, Failure>;
@@ -99,7 +101,7 @@
 
   async #appendBatch(): Promise<void> {
     const core = this.#core;
-    const batch = this.#pending.splice(0, MAX_BATCH_COUNT);
+    const batch = this.#takeBatch();
     const { leadership } = core;
     if (leadership === undefined) {
       failAll(batch, core.createNotLeaderFailure());
@@ -128,6 +130,19 @@
     core.changed.notify();
   }
 
+  #takeBatch(): readonly PendingProposal[] {
+    let count = 0;
+    let sizeBytes = 0;
+    for (const { command } of this.#pending.slice(0, MAX_BATCH_COUNT)) {
+      if (sizeBytes > MAX_BATCH_BYTES) {
+        break;
+      }
+      sizeBytes += estimateValueBytes(command);
+      count += 1;
+    }
+    return this.#pending.splice(0, count);
+  }
+
   // Proposals wait here while a term ends and another one begins.
   #rejectOtherTerms(
     batch: readonly PendingProposal[],
--- a/src/replication/replica_log.ts
+++ b/src/replication/replica_log.ts
@@ -14,8 +14,10 @@
 import {
   MAX_BATCH_BYTES,
   MAX_BATCH_COUNT,
+  MAX_TRAILING_BYTES,
   TRAILING_ENTRY_COUNT,
 } from "./timing.ts";
+import { estimateEntryBytes } from "./value_size.ts";
 
 /** Index and term of a log entry. */
 export interface LogPosition {
@@ -138,7 +140,7 @@
       if (sizeBytes > MAX_BATCH_BYTES) {
         break;
       }
-      sizeBytes += estimateBytes(entry);
+      sizeBytes += estimateEntryBytes(entry);
       batch.push(entry);
     }
     return batch;
@@ -175,7 +177,8 @@
 
   /**
    * Saves a local snapshot. Of the log entries that it covers, only the last
-   * ones stay in memory, {@link TRAILING_ENTRY_COUNT} by default.
+   * ones stay in memory, by default {@link TRAILING_ENTRY_COUNT}, and no more
+   * than fit into {@link MAX_TRAILING_BYTES}.
    *
    * @param snapshot - The state at an applied index.
    * @returns Nothing, or the failure of the disk.
@@ -184,7 +187,7 @@
     const saved = await this.#store.saveSnapshot(snapshot);
     if (saved.isOk) {
       this.#snapshot = snapshot;
-      this.#discardUpTo(snapshot.index - this.#trailingEntryCount);
+      this.#discardUpTo(this.#findLastDiscarded(snapshot.index));
     }
     return saved;
   }
@@ -212,6 +215,21 @@
     return saved;
   }
 
+  #findLastDiscarded(snapshotIndex: number): number {
+    const lowestIndex = snapshotIndex - this.#trailingEntryCount;
+    let index = snapshotIndex;
+    let sizeBytes = 0;
+    while (index > lowestIndex && index > this.#base.index) {
+      const entry = this.find(index);
+      sizeBytes += entry === undefined ? 0 : estimateEntryBytes(entry);
+      if (sizeBytes > MAX_TRAILING_BYTES) {
+        break;
+      }
+      index -= 1;
+    }
+    return index;
+  }
+
   #discardUpTo(index: number): void {
     const term = this.findTerm(index);
     if (index > this.#base.index && term !== undefined) {
@@ -237,12 +255,3 @@
     return { index: 0, membership };
   }
 }
-
-const sizeCache = new WeakMap<LogEntry, number>();
-
-function estimateBytes(entry: LogEntry): number {
-  const sizeBytes = sizeCache.get(entry) ??
-    JSON.stringify(entry.command).length;
-  sizeCache.set(entry, sizeBytes);
-  return sizeBytes;
-}
--- a/src/replication/snapshot_task.ts
+++ b/src/replication/snapshot_task.ts
@@ -1,10 +1,22 @@
 /** Periodic snapshots of the applied state. */
 import type { ReplicaCore } from "./replica_core.ts";
-import { DISK_RETRY_DELAY_MS, SNAPSHOT_INTERVAL_COUNT } from "./timing.ts";
+import {
+  DISK_RETRY_DELAY_MS,
+  SNAPSHOT_INTERVAL_BYTES,
+  SNAPSHOT_INTERVAL_COUNT,
+} from "./timing.ts";
+import { estimateEntryBytes } from "./value_size.ts";
 
-/** Saves a snapshot after every {@link SNAPSHOT_INTERVAL_COUNT} log entries. */
+/**
+ * Saves a snapshot after every {@link SNAPSHOT_INTERVAL_COUNT} applied log
+ * entries, or sooner, once their size reaches {@link SNAPSHOT_INTERVAL_BYTES}.
+ */
 export class SnapshotTask {
   readonly #core: ReplicaCore;
+  /** Applied index up to which `#appliedBytes` counts. */
+  #measuredIndex = 0;
+  /** Estimated size of the applied log entries after the snapshot, in bytes. */
+  #appliedBytes = 0;
 
   constructor(core: ReplicaCore) {
     this.#core = core;
@@ -33,7 +45,22 @@
     const { log, appliedIndex, options } = this.#core;
     const { snapshotIntervalCount = SNAPSHOT_INTERVAL_COUNT } = options;
     const savedIndex = log.snapshot?.index ?? 0;
-    return appliedIndex - savedIndex >= snapshotIntervalCount;
+    return appliedIndex - savedIndex >= snapshotIntervalCount ||
+      this.#measureApplied(savedIndex) >= SNAPSHOT_INTERVAL_BYTES;
+  }
+
+  #measureApplied(savedIndex: number): number {
+    const { log, appliedIndex } = this.#core;
+    if (this.#measuredIndex <= savedIndex) {
+      this.#measuredIndex = savedIndex;
+      this.#appliedBytes = 0;
+    }
+    while (this.#measuredIndex < appliedIndex) {
+      this.#measuredIndex += 1;
+      const entry = log.find(this.#measuredIndex);
+      this.#appliedBytes += entry === undefined ? 0 : estimateEntryBytes(entry);
+    }
+    return this.#appliedBytes;
   }
 
   async #save(): Promise<boolean> {
@@ -48,7 +75,10 @@
       options.logger.warn({ failure: saved.error }, "saving a snapshot failed");
       return false;
     }
-    options.logger.info({ index: appliedIndex }, "saved a snapshot");
+    options.logger.info(
+      { index: appliedIndex, logBytes: this.#appliedBytes },
+      "saved a snapshot",
+    );
     return true;
   }
 }
--- a/src/replication/snapshot_transfer.ts
+++ b/src/replication/snapshot_transfer.ts
@@ -10,7 +10,12 @@
 } from "../domain/index.ts";
 import type { PeerNetwork, StoredSnapshot } from "../ports/index.ts";
 import { METHODS } from "./messages.ts";
-import { CALL_TIMEOUT_MS, MAX_SNAPSHOT_PART_ITEMS } from "./timing.ts";
+import {
+  CALL_TIMEOUT_MS,
+  MAX_SNAPSHOT_PART_BYTES,
+  MAX_SNAPSHOT_PART_ITEMS,
+} from "./timing.ts";
+import { estimateValueBytes } from "./value_size.ts";
 
 const LIST_NAMES = [
   "resources",
@@ -26,6 +31,11 @@
   value: v.unknown(),
 });
 
+type SnapshotItem = v.InferOutput<typeof itemSchema>;
+
+/** Items of each part, for the snapshots that are being transferred. */
+const partsBySnapshot = new WeakMap<StoredSnapshot, SnapshotItem[][]>();
+
 const snapshotPartSchema = v.object({
   index: v.number(),
   term: v.number(),
@@ -51,11 +61,7 @@
  * @returns The number of parts, at least one.
  */
 export function countSnapshotParts(snapshot: StoredSnapshot): number {
-  const itemCount = LIST_NAMES.reduce(
-    (sum, name) => sum + (snapshot.state[name]?.length ?? 0),
-    0,
-  );
-  return Math.max(1, Math.ceil(itemCount / MAX_SNAPSHOT_PART_ITEMS));
+  return findParts(snapshot).length;
 }
 
 /**
@@ -70,20 +76,42 @@
   part: number,
 ): SnapshotPart {
   const { index, term, state } = snapshot;
-  const items = LIST_NAMES.flatMap((list) =>
-    (state[list] ?? []).map((value) => ({ list, value }))
-  );
-  const start = part * MAX_SNAPSHOT_PART_ITEMS;
   return {
     index,
     term,
     revision: state.revision,
     newestClaimAtMs: state.newestClaimAtMs,
     membership: state.membership,
-    items: items.slice(start, start + MAX_SNAPSHOT_PART_ITEMS),
+    items: findParts(snapshot)[part] ?? [],
   };
 }
 
+function findParts(snapshot: StoredSnapshot): SnapshotItem[][] {
+  const parts = partsBySnapshot.get(snapshot) ?? splitIntoParts(snapshot);
+  partsBySnapshot.set(snapshot, parts);
+  return parts;
+}
+
+function splitIntoParts({ state }: StoredSnapshot): SnapshotItem[][] {
+  let items: SnapshotItem[] = [];
+  let sizeBytes = 0;
+  const parts = [items];
+  for (const list of LIST_NAMES) {
+    for (const value of state[list] ?? []) {
+      const isFull = items.length >= MAX_SNAPSHOT_PART_ITEMS ||
+        sizeBytes > MAX_SNAPSHOT_PART_BYTES;
+      if (isFull) {
+        items = [];
+        sizeBytes = 0;
+        parts.push(items);
+      }
+      items.push({ list, value });
+      sizeBytes += estimateValueBytes(value);
+    }
+  }
+  return parts;
+}
+
 /**
  * Fetches all parts of a snapshot from the leader.
  *
--- a/src/replication/timing.ts
+++ b/src/replication/timing.ts
@@ -64,17 +64,33 @@
 
 /** Highest number of log entries in one append or one response to a pull. */
 export const MAX_BATCH_COUNT = 500;
-/** Encoded size above which a pull response takes no further log entry (bytes). */
+/**
+ * Estimated size above which an append or a pull response takes no further log
+ * entry, in bytes.
+ */
 export const MAX_BATCH_BYTES = 1_024 * 1_024;
 /** Number of applied log entries after which a snapshot is saved. */
 export const SNAPSHOT_INTERVAL_COUNT = 5_000;
+/**
+ * Estimated size of applied log entries after which a snapshot is saved, in
+ * bytes. The log and a snapshot that is being replaced must fit into the memory
+ * of a small voter, and several times on its disk.
+ */
+export const SNAPSHOT_INTERVAL_BYTES = 8 * 1_024 * 1_024;
 /**
  * Number of log entries that stay in memory although a snapshot covers them, for
  * followers that lag slightly.
  */
 export const TRAILING_ENTRY_COUNT = 500;
+/** Highest estimated size of these log entries together, in bytes. */
+export const MAX_TRAILING_BYTES = 2 * 1_024 * 1_024;
 /** Highest number of values in one part of a transferred snapshot. */
 export const MAX_SNAPSHOT_PART_ITEMS = 1_000;
+/**
+ * Estimated size above which a part of a transferred snapshot takes no further
+ * value, in bytes; well below the largest frame between entries.
+ */
+export const MAX_SNAPSHOT_PART_BYTES = 256 * 1_024;
 /** Log entries by which a learner may lag when it becomes a voter. */
 export const MAX_PROMOTION_LAG = 10;
 /** Time after its last pull during which an entry counts as running (ms). */
