Wait for a successor that may have taken an unanswered start

Cause: the lease in a start is a time on the runner's clock. A successor, whose clock starts anew, keeps the run for the longest lease; this leader waited only for its own, unless a successor had shown itself.

Change: starts that were sent while nothing showed that the incarnation was there, and that got no answer, hold their task until no successor can run it. The incarnation's answer to a later poll, or a refused connection, ends that.

--- a/src/services/scheduling/run_commands.ts
+++ b/src/services/scheduling/run_commands.ts
@@ -20,6 +20,7 @@
 import type { RequestObserver } from "./request_observer.ts";
 import type { RunnerStatus } from "./runner_status.ts";
 import type { SchedulingLog } from "./scheduling_log.ts";
+import type { UncertainStarts } from "./uncertain_starts.ts";
 
 /** Options of {@link RunCommands}. */
 export interface RunCommandsOptions {
@@ -32,6 +33,7 @@
   readonly lease: LeaseTracker;
   readonly grants: LeaseGrants;
   readonly requests: RequestObserver;
+  readonly uncertain: UncertainStarts;
   /** Finds the ticket of a task for a runner; undefined where none is needed. */
   readonly findTicket: (task: TaskId, runner: Runner) => string | undefined;
   /** Returns the runner as it last announced itself. */
@@ -61,7 +63,8 @@
   async start(run: RunningTask): Promise<StartFailure | undefined> {
     const { client, clock, fencingToken, findRunner, findTicket } =
       this.#options;
-    const { grants, lease, logger, requests, status } = this.#options;
+    const { grants, lease, logger, requests, status, uncertain } =
+      this.#options;
     const leaseUntilMs = grants.grantForStart(run);
     if (leaseUntilMs === undefined) {
       return { isUnsent: true, message: "the run may not get a lease" };
@@ -69,6 +72,7 @@
     const runner = findRunner();
     const sentAtMs = clock.monotonicMs();
     const endRequest = status.beginRequest(0);
+    uncertain.recordSent(run);
     const started = await client.start(runner, {
       task: run.id,
       runNumber: run.runNumber,
@@ -82,11 +86,13 @@
     requests.count("start", started);
     if (started.isOk && isOtherClock(leaseUntilMs, started.value.clockMs)) {
       status.recordSuccessorAnswer();
+      uncertain.recordUnanswered(run);
       return { message: "a successor of the runner carried out the start" };
     }
     if (started.isOk) {
       lease.observe(started.value.clockMs);
       status.recordAnswer();
+      uncertain.recordConfirmed(run);
       return undefined;
     }
     const failure = started.error;
@@ -102,6 +108,9 @@
     );
     if (failure.refusal === undefined) {
       status.recordNoAnswer();
+      uncertain.recordUnanswered(run);
+    } else {
+      uncertain.recordRefused(run);
     }
     return failure;
   }
--- a/src/services/scheduling/runner_remover.ts
+++ b/src/services/scheduling/runner_remover.ts
@@ -5,7 +5,6 @@
   SchedulingOperation,
 } from "../../domain/index.ts";
 import type { Clock, RunnerFailure, RunnerRemoval } from "../../ports/index.ts";
-import { InheritedStarts } from "./inherited_starts.ts";
 import {
   closePreviousIncarnation,
   type PreviousIncarnationOptions,
@@ -13,6 +12,7 @@
 import type { RequestObserver } from "./request_observer.ts";
 import type { RunnerStatus } from "./runner_status.ts";
 import { EXPIRED_RETRY_MS } from "./timing.ts";
+import type { UncertainStarts } from "./uncertain_starts.ts";
 
 /** What is known of a removed incarnation; undefined if it may come back. */
 type RunnerFate = Extract<
@@ -26,6 +26,7 @@
   readonly clock: Clock;
   readonly status: RunnerStatus;
   readonly requests: RequestObserver;
+  readonly uncertain: UncertainStarts;
   /** Returns the runner as it last announced itself. */
   readonly findRunner: () => Runner;
   readonly findLoad: () => RunnerLoad;
@@ -37,13 +38,11 @@
  */
 export class RunnerRemover {
   readonly #options: RunnerRemoverOptions;
-  readonly #inherited: InheritedStarts;
   #isDecided = false;
   #fate: RunnerFate;
 
   constructor(options: RunnerRemoverOptions) {
     this.#options = options;
-    this.#inherited = new InheritedStarts(options);
   }
 
   /** Whether the runner is to be removed. */
@@ -72,10 +71,10 @@
   ): Promise<void> {
     const { clock, findLoad, findRunner, log, logger, requests, status } =
       this.#options;
+    const { leftMs } = this.#options.uncertain;
     if (!log.holdsLeaderLease) {
       return;
     }
-    const { leftMs } = this.#inherited;
     // A successor that ran a task would listen at the address.
     if (
       removal === "leasesExpired" && refusal !== "notListening" && leftMs > 0
@@ -134,12 +133,10 @@
   // Their leases have ended, so that they have too, also if the runner answers
   // before the entry is applied.
   async #endOtherRuns(): Promise<void> {
-    const { findLoad, findMaxAttempts, findRunner, log, logger } =
+    const { findLoad, findMaxAttempts, findRunner, log, logger, uncertain } =
       this.#options;
     const runs = [...findLoad().running.values()];
-    const others = runs.filter((run) =>
-      !this.#inherited.mayRunAtSuccessor(run)
-    );
+    const others = runs.filter((run) => !uncertain.mayRunAtSuccessor(run));
     if (others.length === 0) {
       return;
     }
--- a/src/services/scheduling/runner_task.ts
+++ b/src/services/scheduling/runner_task.ts
@@ -27,9 +27,16 @@
   PROPOSE_RETRY_MS,
   REQUEST_RETRY_MS,
 } from "./timing.ts";
+import { UncertainStarts } from "./uncertain_starts.ts";
 
 /** Options of its parts that the task sets itself. */
-type OwnPart = "lease" | "grants" | "requests" | "findRunner" | "findLoad";
+type OwnPart =
+  | "lease"
+  | "grants"
+  | "requests"
+  | "uncertain"
+  | "findRunner"
+  | "findLoad";
 
 /** Options of {@link RunnerTask}. */
 export interface RunnerTaskOptions
@@ -52,6 +59,7 @@
   readonly #lease: LeaseTracker;
   readonly #grants: LeaseGrants;
   readonly #requests: RequestObserver;
+  readonly #uncertain: UncertainStarts;
   readonly #runs: RunReconciler;
   readonly #ends: RunEndDetector;
   readonly #remover: RunnerRemover;
@@ -75,6 +83,10 @@
       findLoad: () => this.#load,
     });
     this.#requests = new RequestObserver({ ...options, lease: this.#lease });
+    this.#uncertain = new UncertainStarts({
+      ...options,
+      findLoad: () => this.#load,
+    });
     this.#ends = new RunEndDetector({
       ...options,
       findRunner: () => this.#runner,
@@ -85,12 +97,14 @@
       lease: this.#lease,
       grants: this.#grants,
       requests: this.#requests,
+      uncertain: this.#uncertain,
       findRunner: () => this.#runner,
       findLoad: () => this.#load,
     });
     this.#remover = new RunnerRemover({
       ...options,
       requests: this.#requests,
+      uncertain: this.#uncertain,
       findRunner: () => this.#runner,
       findLoad: () => this.#load,
     });
@@ -184,7 +198,9 @@
       awaitsReport: this.#runs.awaitsReport,
       leaseLeftMs: hasRuns ? this.#leaseLeftMs : Infinity,
     });
+    const endPoll = this.#uncertain.beginPoll(leaseUntilMs !== undefined);
     const sentAtMs = clock.monotonicMs();
+    const sentAtSteadyMs = clock.steadyMs();
     const endRequest = this.status.beginRequest(times.waitMs);
     const polled = await client.poll(this.#runner, {
       fencingToken,
@@ -193,6 +209,7 @@
       ...times,
     });
     endRequest();
+    endPoll();
     if (signal.aborted) {
       return;
     }
@@ -208,6 +225,7 @@
       await clock.sleep(REQUEST_RETRY_MS, signal);
       return;
     }
+    this.#uncertain.recordReport(sentAtSteadyMs);
     this.#ackedPosition = Math.max(this.#ackedPosition, ackPosition);
     await this.#applyReport(polled.value, sentAtMs, signal);
   }
