Apply a runner's departure to the incarnation that sent it

Cause: a copy of the departure waited at a suspended controller and was handed on after the restart. Its start time was not read, so the leader marked the next incarnation as leaving.

Change: a departure with a start time concerns that incarnation; one without concerns an incarnation that has announced that it drains.

--- a/src/adapters/http/exchange.ts
+++ b/src/adapters/http/exchange.ts
@@ -83,6 +83,16 @@
   return Result.ok(Buffer.concat(chunks).toString("utf8"));
 }
 
+/**
+ * Parses a body that may be absent.
+ *
+ * @param text - The body as text.
+ * @returns The parsed body, undefined if it is empty, or `invalidInput`.
+ */
+export function parseOptionalJson(text: string): Result<unknown, Failure> {
+  return text === "" ? Result.ok(undefined) : parseJson(text);
+}
+
 function parseJson(text: string): Result<unknown, Failure> {
   try {
     return Result.ok(JSON.parse(text));
--- a/src/domain/scheduling/runner.ts
+++ b/src/domain/scheduling/runner.ts
@@ -50,6 +50,19 @@
   address: requestAddressSchema,
 });
 
+/** Schema of {@link RunnerDeparture}. */
+export const runnerDepartureSchema = v.object({
+  runnerId: v.string(),
+  /**
+   * Start time of the incarnation (ms); absent where the notice does not say
+   * which one it is of.
+   */
+  bornAtMs: v.optional(startTimeSchema),
+});
+
+/** The notice of a runner that it is shutting down. */
+export type RunnerDeparture = v.InferOutput<typeof runnerDepartureSchema>;
+
 function isRequestAddress(address: string): boolean {
   const port = Number(address.split(":")[1]);
   return port >= 1 && port <= MAX_PORT && URL.canParse(`http://${address}`);
--- a/src/services/scheduling/runner_registry.ts
+++ b/src/services/scheduling/runner_registry.ts
@@ -7,6 +7,7 @@
   isOutdatedRunner,
   isSameRunner,
   type Runner,
+  type RunnerDeparture,
   type RunnerIncarnation,
   type SchedulingOperation,
   validateWith,
@@ -95,17 +96,25 @@
   }
 
   /**
-   * Handles the notice of a runner that it is shutting down.
+   * Handles the notice of a runner that it is shutting down. A copy of the notice
+   * may arrive after the runner has started again.
    *
-   * @param runnerId - The runner.
-   * @returns Nothing, also for an unknown runner.
+   * @param departure - The runner, with its start time if the notice has it.
+   * @returns Nothing, also if the notice is ignored.
    */
-  leave(runnerId: string): Result<unknown, Failure> {
+  leave(departure: RunnerDeparture): Result<unknown, Failure> {
     const { log, fleet, logger } = this.#options;
+    const { runnerId, bornAtMs } = departure;
     const known = log.state.runners.get(runnerId);
-    if (known !== undefined) {
-      logger.info({ runnerId }, "a runner is shutting down");
+    if (known === undefined) {
+      return Result.ok({});
+    }
+    const fields = { runnerId, bornAtMs, knownBornAtMs: known.bornAtMs };
+    if (isDepartureOf(departure, known)) {
+      logger.info(fields, "a runner is shutting down");
       fleet.findStatus(known)?.recordNotice();
+    } else {
+      logger.info(fields, "ignores the departure of another incarnation");
     }
     return Result.ok({});
   }
@@ -140,6 +149,14 @@
   }
 }
 
+// A runner drains before a planned end, so without a start time the notice can
+// only be that of an incarnation that drains.
+function isDepartureOf({ bornAtMs }: RunnerDeparture, known: Runner): boolean {
+  return bornAtMs === undefined
+    ? known.isDraining
+    : bornAtMs === known.bornAtMs;
+}
+
 // It would shut out every later announcement under the same id.
 function createFutureStart({ runnerId, bornAtMs }: Runner): Failure {
   return createFailure(
--- a/src/services/scheduling/scheduling_handlers.ts
+++ b/src/services/scheduling/scheduling_handlers.ts
@@ -4,6 +4,7 @@
 import {
   createFailure,
   type Failure,
+  runnerDepartureSchema,
   validateWith,
 } from "../../domain/index.ts";
 import type {
@@ -47,8 +48,6 @@
   runners: v.array(v.object({ runnerId: v.string(), bornAtMs: v.number() })),
 });
 
-const leaveSchema = v.object({ runnerId: v.string() });
-
 type Answer = Result<unknown, Failure> | Promise<Result<unknown, Failure>>;
 
 /** Options of {@link addSchedulingHandlers}. */
@@ -137,9 +136,9 @@
   add(
     SCHEDULING_METHODS.leave,
     (body) =>
-      validateWith(leaveSchema, body, { subject: "leave" })
-        .andThen(({ runnerId }) =>
-          findRegistry()?.leave(runnerId) ??
+      validateWith(runnerDepartureSchema, body, { subject: "departure" })
+        .andThen((departure) =>
+          findRegistry()?.leave(departure) ??
             Result.err<unknown, Failure>(createNotLeader(agreement))
         ),
   );
--- a/src/testing/scheduling_fixture.ts
+++ b/src/testing/scheduling_fixture.ts
@@ -15,6 +15,7 @@
   FleetState,
   type JobStep,
   type Runner,
+  type RunnerDeparture,
 } from "../domain/index.ts";
 import type { Random, RunnerClient } from "../ports/index.ts";
 import {
@@ -229,9 +230,15 @@
     return announced?.isOk ?? false;
   }
 
+  /** Hands a runner's notice that it is shutting down to the leader. */
+  depart(departure: RunnerDeparture): void {
+    this.#leader?.registry.leave(departure);
+  }
+
   /** Tells the leader that a runner is shutting down, and ends the runner. */
   leave(runnerId: string): void {
-    this.#leader?.registry.leave(runnerId);
+    const { bornAtMs } = this.#activeRunners.get(runnerId) ?? {};
+    this.depart(bornAtMs === undefined ? { runnerId } : { runnerId, bornAtMs });
     this.crash(runnerId);
   }
 
