Carry out an order about a zone only while its sender waits for it

Cause: orders about zones have no number, so a late copy looks like a new order. It could also arrive late over a cut connection to the leader, or be proposed again to the next leader for up to 5 s.

Change: the controller that receives an order drops it if its sender has hung up or may have turned elsewhere, and sends it with a ticket of the leader, which is void once another order has been taken up or another term began. The case of operations_service_test.ts about zones moved to zone_service_test.ts.

--- a/src/daemon/scheduling/create_scheduling_controller.ts
+++ b/src/daemon/scheduling/create_scheduling_controller.ts
@@ -24,6 +24,7 @@
   RunnerRelay,
   SchedulingLog,
   WatchedLogStore,
+  ZoneOrderSender,
 } from "../../services/scheduling/index.ts";
 import { Notifier } from "../../tasks/index.ts";
 import {
@@ -53,6 +54,8 @@
   readonly replica: Replica;
   /** Takes the announcements of runners. */
   readonly announcer: RunnerAnnouncer;
+  /** Takes the operators' orders about zones. */
+  readonly zoneOrders: ZoneOrderSender;
   /** Calls the leader, which may be this controller. */
   readonly leaderClient: ControllerLeaderClient;
   /** Calls the leader among the other controllers. */
@@ -105,6 +108,7 @@
     jobs: new JobService({ log, logger }),
     operations: new OperationsService({ log, clock, logger }),
     findRegistry: () => leaderServices?.registry,
+    findZones: () => leaderServices?.zones,
     findExplainer: () => leaderServices?.explainer,
   });
   const remoteLeaderClient = new LeaderClient({
@@ -164,6 +168,7 @@
     ...base,
     replica,
     announcer,
+    zoneOrders: new ZoneOrderSender({ ...base, leader: leaderClient }),
     leaderClient,
     remoteLeaderClient,
   });
--- a/src/daemon/scheduling/start_leading.ts
+++ b/src/daemon/scheduling/start_leading.ts
@@ -34,6 +34,7 @@
   type SchedulingLog,
   StartConfirmer,
   WaveTask,
+  ZoneService,
 } from "../../services/scheduling/index.ts";
 import type { Notifier, TaskGroup } from "../../tasks/index.ts";
 
@@ -59,6 +60,7 @@
 /** The services of a leader that other components call. */
 export interface LeaderServices {
   readonly registry: RunnerRegistry;
+  readonly zones: ZoneService;
   readonly explainer: ScheduleExplainer;
   readonly readGauges: () => SchedulingGauges;
 }
@@ -146,6 +148,7 @@
   group.startForever("work", (signal) => work.report(readLeaderGauges, signal));
   return {
     registry: new RunnerRegistry({ ...options, client, fleet }),
+    zones: new ZoneService(options),
     explainer: new ScheduleExplainer({
       ...options,
       findStatus: (runner) => fleet.findStatus(runner),
--- a/src/services/scheduling/index.ts
+++ b/src/services/scheduling/index.ts
@@ -26,3 +26,5 @@
 export * from "./start_confirmer.ts";
 export * from "./wave_task.ts";
 export * from "./watched_log_store.ts";
+export * from "./zone_order_sender.ts";
+export * from "./zone_service.ts";
--- a/src/services/scheduling/operations_service.ts
+++ b/src/services/scheduling/operations_service.ts
@@ -1,7 +1,4 @@
-/**
- * The leader's service for operator requests about the catalog, zones and
- * waves.
- */
+/** The leader's service for operator requests about the catalog and waves. */
 import { Result } from "true-myth";
 import * as v from "valibot";
 import {
@@ -15,12 +12,6 @@
 import type { Clock, Logger } from "../../ports/index.ts";
 import type { SchedulingLog } from "./scheduling_log.ts";
 
-/** Schema of a request to take a zone out of service or back into service. */
-export const zoneRequestSchema = v.object({
-  zone: v.pipe(v.string(), v.minLength(1)),
-  isOut: v.boolean(),
-});
-
 /** Schema of {@link WaveRequest}. */
 export const waveRequestSchema = v.object({
   waveId: v.pipe(v.number(), v.integer()),
@@ -43,10 +34,7 @@
   readonly logger: Logger;
 }
 
-/**
- * Replaces and reads the catalog, takes zones in and out of service, starts
- * waves.
- */
+/** Replaces and reads the catalog, starts and reads waves. */
 export class OperationsService {
   readonly #options: OperationsServiceOptions;
 
@@ -103,31 +91,6 @@
       : Result.ok({ source });
   }
 
-  /**
-   * Takes a zone out of service or back into service.
-   *
-   * @param body - The request, not validated yet.
-   * @returns Nothing once it is durable; `invalidInput`, or why it is not.
-   */
-  async setZone(body: unknown): Promise<Result<unknown, Failure>> {
-    const { log, logger } = this.#options;
-    const request = validateWith(zoneRequestSchema, body, { subject: "zone" });
-    if (request.isErr) {
-      return Result.err(request.error);
-    }
-    const { zone, isOut } = request.value;
-    if (log.state.zonesOut.has(zone) === isOut) {
-      return Result.ok({});
-    }
-    logger.info(
-      { zone, isOut },
-      isOut
-        ? "taking a zone out of service"
-        : "taking a zone back into service",
-    );
-    return await log.propose([{ type: "zone", zone, isOut }]);
-  }
-
   /**
    * Starts a maintenance wave; a wave that is known already stays as it is.
    *
--- a/src/services/scheduling/operations_service_test.ts
+++ b/src/services/scheduling/operations_service_test.ts
@@ -71,19 +71,6 @@
     });
   });
 
-  describe("zone", () => {
-    it("goes out and comes back; a repeated request changes nothing", async () => {
-      const { agreement, log, run, service } = createService();
-      const request = { zone: "zone-a", isOut: true };
-      await run(service.setZone(request));
-      await run(service.setZone(request));
-      assert.is(agreement.commands.length, 1);
-      assert.ok(log.state.zonesOut.has("zone-a"));
-      await run(service.setZone({ ...request, isOut: false }));
-      assert.is(log.state.zonesOut.size, 0);
-    });
-  });
-
   describe("wave", () => {
     const request = {
       waveId: 1,
--- a/src/services/scheduling/scheduling_handlers.ts
+++ b/src/services/scheduling/scheduling_handlers.ts
@@ -17,6 +17,7 @@
 import type { OperationsService } from "./operations_service.ts";
 import type { RunnerRegistry } from "./runner_registry.ts";
 import type { ScheduleExplainer } from "./schedule_explainer.ts";
+import type { ZoneService } from "./zone_service.ts";
 
 /** Names of the messages. */
 export const SCHEDULING_METHODS = {
@@ -26,6 +27,7 @@
   leave: "scheduling.leave",
   replaceCatalog: "scheduling.replaceCatalog",
   readCatalog: "scheduling.readCatalog",
+  zoneTicket: "scheduling.zoneTicket",
   setZone: "scheduling.setZone",
   startWave: "scheduling.startWave",
   readWave: "scheduling.readWave",
@@ -59,6 +61,8 @@
   readonly operations: OperationsService;
   /** Returns the registry, or undefined while this entry does not lead. */
   readonly findRegistry: () => RunnerRegistry | undefined;
+  /** Returns the service for zones, or undefined while this entry does not lead. */
+  readonly findZones: () => ZoneService | undefined;
   /** Returns the explainer, or undefined while this entry does not lead. */
   readonly findExplainer: () => ScheduleExplainer | undefined;
 }
@@ -79,7 +83,7 @@
   options: SchedulingHandlersOptions,
 ): ReadonlyMap<string, SchedulingHandler> {
   const { network, agreement, jobs, metrics, operations } = options;
-  const { findExplainer, findRegistry } = options;
+  const { findExplainer, findRegistry, findZones } = options;
   const handlers = new Map<string, SchedulingHandler>();
   const add = (method: string, answer: (body: unknown) => Answer) => {
     const handler = async (body: unknown) => {
@@ -105,7 +109,17 @@
     (body) => operations.replaceCatalog(body),
   );
   add(SCHEDULING_METHODS.readCatalog, () => operations.readCatalog());
-  add(SCHEDULING_METHODS.setZone, (body) => operations.setZone(body));
+  add(SCHEDULING_METHODS.zoneTicket, () => {
+    const zones = findZones();
+    return zones === undefined
+      ? Result.err(createNotLeader(agreement))
+      : Result.ok(zones.issueTicket());
+  });
+  add(
+    SCHEDULING_METHODS.setZone,
+    (body) =>
+      findZones()?.setZone(body) ?? Result.err(createNotLeader(agreement)),
+  );
   add(SCHEDULING_METHODS.startWave, (body) => operations.startWave(body));
   add(SCHEDULING_METHODS.readWave, (body) => operations.readWave(body));
   add(
--- a/src/services/scheduling/timing.ts
+++ b/src/services/scheduling/timing.ts
@@ -130,6 +130,16 @@
  * in milliseconds: far above what clocks of one deployment differ by.
  */
 export const MAX_START_TIME_AHEAD_MS = 24 * 3_600_000;
+/**
+ * Time after an order was received in which its sender certainly waits for the
+ * answer (ms): operators turn to another controller after 1 s.
+ */
+export const ORDER_WAIT_MS = 900;
+/**
+ * Time in which the end of a connection arrives that was closed right behind a
+ * request (ms): several round trips between zones.
+ */
+export const HANG_UP_MS = 20;
 /** Timeout of one call to a leader that answers, in milliseconds. */
 export const LEADER_CALL_MS = 1_200;
 /** Pause between two attempts to reach the leader, in milliseconds. */
