Keep a VM in a wave while the list of VMs has a gap

Cause: an unreadable entry was left out, a VM that one list left out counted as gone for good, and one without a runner as idle.

Change: an unreadable entry with a name is a VM in an unknown state, one without makes the list incomplete.

--- a/src/ports/vm_control.ts
+++ b/src/ports/vm_control.ts
@@ -6,14 +6,24 @@
 export interface ListedVm {
   readonly vm: string;
   readonly pool: string;
-  /** State of the VM; `upkeep` means that it is in maintenance. */
-  readonly state: "up" | "moving" | "upkeep" | "down";
+  /**
+   * State of the VM; `upkeep` means that it is in maintenance, `unknown` that
+   * its entry cannot be read except for the name.
+   */
+  readonly state: "up" | "moving" | "upkeep" | "down" | "unknown";
   readonly zone: string;
   readonly cpuMillicores: number;
   /** Runner on the VM, if any. */
   readonly runnerId: string | undefined;
 }
 
+/** The list of VMs. */
+export interface VmListing {
+  readonly vms: readonly ListedVm[];
+  /** Whether the name of every entry can be read. */
+  readonly isComplete: boolean;
+}
+
 /** Identifies the leader that sends an order about a VM. */
 export interface VmOrderSource {
   readonly holderId: string;
@@ -42,7 +52,7 @@
   /** Orders that the platform accepts from all leaders together, a second. */
   readonly maxOrdersPerSecond: number;
   /** Lists all VMs. */
-  list(): Promise<Result<readonly ListedVm[], Failure>>;
+  list(): Promise<Result<VmListing, Failure>>;
   /** Moves a VM to another pool; all work on the VM ends immediately. */
   move(
     vm: string,
--- a/src/services/scheduling/capacity_task.ts
+++ b/src/services/scheduling/capacity_task.ts
@@ -134,7 +134,7 @@
       logger.warn({ failure: listed.error }, "the VMs could not be listed");
       return;
     }
-    this.#vms = listed.value;
+    this.#vms = listed.value.vms;
   }
 
   #updateIdleTimes(): void {
--- a/src/services/scheduling/wave_task.ts
+++ b/src/services/scheduling/wave_task.ts
@@ -15,6 +15,7 @@
 import type { RunnerFleet } from "./runner_fleet.ts";
 import type { SchedulingLog } from "./scheduling_log.ts";
 import { WAVE_TICK_MS } from "./timing.ts";
+import { VmPresence } from "./vm_presence.ts";
 
 /** Options of {@link WaveTask}. */
 export interface WaveTaskOptions {
@@ -41,11 +42,15 @@
 export class WaveTask {
   readonly #options: WaveTaskOptions;
   readonly #starter: MaintenanceStarter;
+  readonly #presence: VmPresence;
   #cordonedRunnerIds: ReadonlySet<string> = new Set();
 
   constructor(options: WaveTaskOptions) {
     this.#options = options;
     this.#starter = new MaintenanceStarter(options);
+    this.#presence = new VmPresence({
+      hasRunner: (runnerId) => options.log.state.runners.has(runnerId),
+    });
   }
 
   /**
@@ -98,9 +103,20 @@
       logger.warn({ failure: listed.error }, "the VMs could not be listed");
       return;
     }
-    const byName = new Map(listed.value.map((vm) => [vm.vm, vm]));
+    const waves = this.#listOpen();
+    this.#presence.record(
+      waves.flatMap((wave) => wave.vms),
+      listed.value,
+      requestedAtMs,
+    );
+    const byName = new Map(
+      listed.value.vms.map((entry) => [
+        entry.vm,
+        this.#presence.complete(entry, requestedAtMs),
+      ]),
+    );
     const cordoned = new Set<string>();
-    for (const wave of this.#listOpen()) {
+    for (const wave of waves) {
       await this.#recordDone(wave, byName, requestedAtMs);
       await this.#advanceWave(wave.waveId, byName, cordoned);
     }
@@ -114,17 +130,22 @@
     byName: ReadonlyMap<string, ListedVm>,
     requestedAtMs: number,
   ): Promise<void> {
-    const { log } = this.#options;
-    const done = wave.vms.filter((vm) => {
+    const { log, logger } = this.#options;
+    const { waveId } = wave;
+    const open = wave.vms.filter((vm) => wave.progress[vm] !== "done");
+    const back = open.filter((vm) => {
       const begunAtMs = this.#starter.findBegunAtMs(vm) ?? Infinity;
-      const isBack = byName.get(vm)?.state === "up" &&
-        begunAtMs < requestedAtMs;
-      return wave.progress[vm] !== "done" && (isBack || !byName.has(vm));
+      return byName.get(vm)?.state === "up" && begunAtMs < requestedAtMs;
     });
+    const gone = open.filter((vm) => this.#presence.isGone(vm, requestedAtMs));
+    if (gone.length > 0) {
+      logger.warn({ waveId, vms: gone }, "VMs of a wave are no longer listed");
+    }
+    const done = [...back, ...gone];
     if (done.length > 0) {
       await log.propose(done.map((vm) => ({
         type: "upkeep",
-        waveId: wave.waveId,
+        waveId,
         vm,
         state: "done",
       })));
--- a/src/services/scheduling/wave_task_test.ts
+++ b/src/services/scheduling/wave_task_test.ts
@@ -5,6 +5,7 @@
 import { describe, it } from "../../testing/describe.ts";
 import { FakeClock } from "../../testing/fake_clock.ts";
 import type { RunSpan } from "../../testing/fake_runner_incarnation.ts";
+import type { FakeVms } from "../../testing/fake_vms.ts";
 import { SchedulingFixture } from "../../testing/scheduling_fixture.ts";
 import { WAVE_TICK_MS } from "./timing.ts";
 
@@ -13,6 +14,8 @@
 const WAVE_VMS = ["r1", "r2", "r3", "r4"];
 const MAX_UNAVAILABLE = 2;
 const COMPLETE_BY_MS = 60_000;
+/** Time for which the list of VMs has gaps, in milliseconds. */
+const GAP_MS = 2_000;
 const JOB_ID = "00000000000000ab";
 /** Longer than the answer of the VM control takes. */
 const POLL_ANSWER_DELAY_MS = 300;
@@ -199,6 +202,82 @@
     checkEachVmOnce(fixture);
   });
 
+  describe("on a VM", () => {
+    /** Lets the list of VMs have a gap while the wave is carried out. */
+    async function runWithGap(
+      change: (vms: FakeVms, isGap: boolean) => void,
+    ): Promise<SchedulingFixture> {
+      const fixture = await startWave();
+      const { vms } = fixture;
+      assert.ok(vms);
+      change(vms, true);
+      await fixture.clock.advance(GAP_MS);
+      change(vms, false);
+      await finish(fixture);
+      return fixture;
+    }
+
+    function toggle(names: Set<string>, isGap: boolean): void {
+      WAVE_VMS.slice(0, 2).forEach((vm) =>
+        isGap ? names.add(vm) : names.delete(vm)
+      );
+    }
+
+    // Guards against a wave that is complete without the maintenance of a VM: its
+    // entry in the list could not be read for a while, and it was taken for gone.
+    it("whose entry is unreadable for a while is still maintained", async () => {
+      const fixture = await runWithGap((vms, isGap) =>
+        toggle(vms.unreadableVms, isGap)
+      );
+      checkEachVmOnce(fixture);
+    });
+
+    it("that an incomplete list leaves out is still maintained", async () => {
+      const fixture = await runWithGap((vms, isGap) => {
+        toggle(vms.unlistedVms, isGap);
+        vms.isListComplete = !isGap;
+      });
+      checkEachVmOnce(fixture);
+    });
+
+    it("that lists leave out while its runner is known is still maintained", async () => {
+      const fixture = await startWave();
+      const { vms } = fixture;
+      assert.ok(vms);
+      await fixture.clock.advance(WAVE_TICK_MS);
+      toggle(vms.unlistedVms, true);
+      await fixture.clock.advance(GAP_MS);
+      toggle(vms.unlistedVms, false);
+      await finish(fixture);
+      checkEachVmOnce(fixture);
+    });
+
+    // Guards against ending more tasks of a step than may be unavailable: an
+    // entry without a runner counted as that of an idle VM.
+    it("whose entry names no runner for a while keeps its tasks", async () => {
+      const fixture = await startWave();
+      const { vms } = fixture;
+      assert.ok(vms);
+      WAVE_VMS.forEach((vm) => vms.emptyVms.add(vm));
+      await fixture.clock.advance(GAP_MS);
+      WAVE_VMS.forEach((vm) => vms.emptyVms.delete(vm));
+      await finish(fixture);
+      checkUnavailableTasks(fixture);
+      checkEachVmOnce(fixture);
+    });
+
+    it("that is gone for good completes the wave", async () => {
+      const fixture = await startWave();
+      const { vms } = fixture;
+      assert.ok(vms);
+      vms.unlistedVms.add("r1");
+      fixture.crash("r1");
+      await finish(fixture);
+      assert.ok(isWaveDone(fixture), "the wave is complete in time");
+      assert.not(vms.startedMaintenances.some(({ vm }) => vm === "r1"));
+    });
+  });
+
   // Guards against running a task twice: the answer of the VM control is read
   // before an answer to a poll that lists an end, so that the removal of the
   // runner is in the log before that end, and the task is placed again.
--- a/src/testing/fake_vms.ts
+++ b/src/testing/fake_vms.ts
@@ -6,6 +6,7 @@
   ListedVm,
   VmControl,
   VmFailure,
+  VmListing,
   VmOrderSource,
 } from "../ports/index.ts";
 
@@ -47,6 +48,14 @@
   maxUnavailableCount = 0;
   /** Whether maintenance requests are carried out but get no answer. */
   losesAnswers = false;
+  /** VMs that the list leaves out. */
+  readonly unlistedVms = new Set<string>();
+  /** VMs whose entry in the list can be read only in part. */
+  readonly unreadableVms = new Set<string>();
+  /** VMs whose entry in the list names no runner. */
+  readonly emptyVms = new Set<string>();
+  /** Whether the name of every entry in the list can be read. */
+  isListComplete = true;
   /** Time until a request takes effect, in milliseconds. */
   latencyMs = DEFAULT_LATENCY_MS;
   readonly #options: FakeVmsOptions;
@@ -57,20 +66,28 @@
     this.#options = options;
   }
 
-  async list(): Promise<Result<readonly ListedVm[], Failure>> {
+  async list(): Promise<Result<VmListing, Failure>> {
     const { clock, names, pool } = this.#options;
     await clock.sleep(this.latencyMs);
-    return Result.ok(names.map((vm): ListedVm => {
-      const isInMaintenance = this.#vmsInMaintenance.has(vm);
-      return {
+    const vms = names.filter((vm) => !this.unlistedVms.has(vm))
+      .map((vm): ListedVm => ({
         vm,
         pool,
-        state: isInMaintenance ? "upkeep" : "up",
+        state: this.#findState(vm),
         zone: "zone-a",
         cpuMillicores: VM_MILLICORES,
-        runnerId: isInMaintenance ? undefined : vm,
-      };
-    }));
+        runnerId: this.#findState(vm) === "up" && !this.emptyVms.has(vm)
+          ? vm
+          : undefined,
+      }));
+    return Result.ok({ vms, isComplete: this.isListComplete });
+  }
+
+  #findState(vm: string): ListedVm["state"] {
+    if (this.unreadableVms.has(vm)) {
+      return "unknown";
+    }
+    return this.#vmsInMaintenance.has(vm) ? "upkeep" : "up";
   }
 
   move(): Promise<Result<void, VmFailure>> {
