Send no order again for a VM whose tasks the list does not show

Callers would see more tasks of a step unavailable than may be (rule AVAIL): a new leader sent the order of an earlier one again for a VM whose entry could not be read, and counted no task there.

Change: such an order waits until the list shows the VM.

Evidence: the new case of wave_task_test.ts failed before the change and passes.

--- a/src/services/scheduling/wave_task.ts
+++ b/src/services/scheduling/wave_task.ts
@@ -163,8 +163,10 @@
       return;
     }
     const ordered = wave.vms.filter((vm) => wave.progress[vm] === "ordered");
+    // What runs on a VM that the list does not show could not be counted.
     const unconfirmed = ordered.filter((vm) =>
-      this.#starter.findBegunAtMs(vm) === undefined
+      this.#starter.findBegunAtMs(vm) === undefined &&
+      (byName.get(vm)?.state ?? "unknown") !== "unknown"
     );
     const plan = this.#plan(wave, byName, ordered.length);
     this.#cordon([...unconfirmed, ...plan.cordon], byName, cordoned);
--- a/src/services/scheduling/wave_task_test.ts
+++ b/src/services/scheduling/wave_task_test.ts
@@ -266,6 +266,35 @@
       checkEachVmOnce(fixture);
     });
 
+    // Guards against ending more tasks of a step than may be unavailable: the
+    // order of an earlier leader was sent again for a VM whose tasks the list did
+    // not show.
+    it("whose entry is unreadable keeps its tasks under the next leader", async () => {
+      const fixture = await startWave();
+      const { vms } = fixture;
+      assert.ok(vms);
+      const busyVms = fixture.runners.spans.map(({ runnerId }) => runnerId)
+        .filter((vm) => WAVE_VMS.includes(vm)).slice(0, MAX_UNAVAILABLE);
+      assert.is(busyVms.length, MAX_UNAVAILABLE);
+      fixture.apply({
+        type: "scheduling",
+        atMs: fixture.clock.nowMs(),
+        operations: busyVms.map((vm) => ({
+          type: "upkeep",
+          waveId: 1,
+          vm,
+          state: "ordered",
+        })),
+      });
+      busyVms.forEach((vm) => vms.unreadableVms.add(vm));
+      fixture.changeLeader();
+      await fixture.clock.advance(GAP_MS);
+      vms.unreadableVms.clear();
+      await finish(fixture);
+      checkUnavailableTasks(fixture);
+      checkEachVmOnce(fixture);
+    });
+
     it("that is gone for good completes the wave", async () => {
       const fixture = await startWave();
       const { vms } = fixture;
