Drop the answer to a poll that is older than the poll

Callers would see a task run twice at once: where a runner answers a poll twice, the second answer counted as that to a later poll, and a run that had started since counted as lost.

Cause: requests to a runner share connections, and answers have no mark of the request that they belong to.

Change: an answer whose reading of the runner's clock precedes the newest one at the time of the poll is dropped, and the connections are opened anew.

--- a/src/services/scheduling/lease_tracker.ts
+++ b/src/services/scheduling/lease_tracker.ts
@@ -34,6 +34,14 @@
     this.#endMs = clock.steadyMs() + toLongestMs(RUN_LEASE_MS);
   }
 
+  /**
+   * Newest reading of the runner's clock (ms), which the answer to a request that
+   * is sent now cannot precede; `-Infinity` before the first.
+   */
+  get readingMs(): number {
+    return this.#runnerMs ?? -Infinity;
+  }
+
   /** Steady time of the leader at which every lease has expired (ms). */
   get endMs(): number {
     return this.#endMs;
--- a/src/services/scheduling/runner_task.ts
+++ b/src/services/scheduling/runner_task.ts
@@ -199,6 +199,7 @@
       leaseLeftMs: hasRuns ? this.#leaseLeftMs : Infinity,
     });
     const endPoll = this.#uncertain.beginPoll(leaseUntilMs !== undefined);
+    const { readingMs } = this.#lease;
     const sentAtMs = clock.monotonicMs();
     const sentAtSteadyMs = clock.steadyMs();
     const endRequest = this.status.beginRequest(times.waitMs);
@@ -225,11 +226,33 @@
       await clock.sleep(REQUEST_RETRY_MS, signal);
       return;
     }
+    if (polled.value.clockMs < readingMs) {
+      await this.#dropRepeated(polled.value, readingMs, signal);
+      return;
+    }
     this.#uncertain.recordReport(sentAtSteadyMs);
     this.#ackedPosition = Math.max(this.#ackedPosition, ackPosition);
     await this.#applyReport(polled.value, sentAtMs, signal);
   }
 
+  // The second answer to an earlier request may arrive on the connection of this
+  // one. What has started since is not in it, and further answers would be off by
+  // one as well.
+  async #dropRepeated(
+    { clockMs }: RunnerReport,
+    readingMs: number,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const { client, clock, logger } = this.#options;
+    const { runnerId } = this.#runner;
+    logger.warn(
+      { runnerId, clockMs, readingMs },
+      "a poll got an answer from before it was sent; connecting anew",
+    );
+    client.disconnect(this.#runner);
+    await clock.sleep(REQUEST_RETRY_MS, signal);
+  }
+
   // Another incarnation may answer, with other ended runs at the same
   // positions. It must not delete them before a poll has shown its start time.
   #chooseAckPosition(): number {
