--- a/src/services/scheduling/runner_task.ts
+++ b/src/services/scheduling/runner_task.ts
@@ -5,20 +5,17 @@
   type RunningTask,
   type SchedulingOperation,
 } from "../../domain/index.ts";
-import type { RunDelays } from "../../decisions/index.ts";
 import type { RunnerFailure, RunnerReport } from "../../ports/index.ts";
 import { type Notifier, runTogether, waitFor } from "../../tasks/index.ts";
-import { LeaseGrants } from "./lease_grants.ts";
-import { LeaseTracker } from "./lease_tracker.ts";
-import { PollFailures } from "./poll_failures.ts";
+import type { LeaseGrants } from "./lease_grants.ts";
+import type { LeaseTracker } from "./lease_tracker.ts";
+import type { PollFailures } from "./poll_failures.ts";
 import { choosePollTimes } from "./poll_times.ts";
-import {
-  RequestObserver,
-  type RequestObserverOptions,
-} from "./request_observer.ts";
-import { RunEndDetector } from "./run_end_detector.ts";
-import { RunReconciler, type RunReconcilerOptions } from "./run_reconciler.ts";
-import { RunnerRemover } from "./runner_remover.ts";
+import type { RequestObserver } from "./request_observer.ts";
+import type { RunEndDetector } from "./run_end_detector.ts";
+import type { RunReconciler } from "./run_reconciler.ts";
+import { createRunnerParts, type RunnerPartsOptions } from "./runner_parts.ts";
+import type { RunnerRemover } from "./runner_remover.ts";
 import type { RunnerStatus } from "./runner_status.ts";
 import {
   END_BATCH_MS,
@@ -27,29 +24,14 @@
   PROPOSE_RETRY_MS,
   REQUEST_RETRY_MS,
 } from "./timing.ts";
-import { UncertainStarts } from "./uncertain_starts.ts";
-
-/** Options of its parts that the task sets itself. */
-type OwnPart =
-  | "lease"
-  | "grants"
-  | "requests"
-  | "uncertain"
-  | "findRunner"
-  | "findLoad";
+import type { UncertainStarts } from "./uncertain_starts.ts";
 
 /** Options of {@link RunnerTask}. */
 export interface RunnerTaskOptions
-  extends
-    Omit<RequestObserverOptions, OwnPart>,
-    Omit<RunReconcilerOptions, OwnPart> {
+  extends Omit<RunnerPartsOptions, "findRunner" | "findLoad"> {
   readonly runner: Runner;
   /** Notified when the runner has become operational. */
   readonly changed: Notifier;
-  /** Returns how many failed runs of a task its job allows. */
-  readonly findMaxAttempts: (run: RunningTask) => number;
-  /** Records how much longer than estimated runs took. */
-  readonly delays: Pick<RunDelays, "record">;
 }
 
 /** Polls the runner, renews its leases and records the runs that have ended. */
@@ -75,39 +57,19 @@
     this.#options = options;
     this.#runner = options.runner;
     this.status = options.status;
-    this.#failures = new PollFailures(options.status);
-    this.#lease = new LeaseTracker(options.clock);
-    this.#grants = new LeaseGrants({
-      ...options,
-      lease: this.#lease,
-      findLoad: () => this.#load,
-    });
-    this.#requests = new RequestObserver({ ...options, lease: this.#lease });
-    this.#uncertain = new UncertainStarts({
-      ...options,
-      findLoad: () => this.#load,
-    });
-    this.#ends = new RunEndDetector({
-      ...options,
-      findRunner: () => this.#runner,
-      findLoad: () => this.#load,
-    });
-    this.#runs = new RunReconciler({
-      ...options,
-      lease: this.#lease,
-      grants: this.#grants,
-      requests: this.#requests,
-      uncertain: this.#uncertain,
-      findRunner: () => this.#runner,
-      findLoad: () => this.#load,
-    });
-    this.#remover = new RunnerRemover({
+    const parts = createRunnerParts({
       ...options,
-      requests: this.#requests,
-      uncertain: this.#uncertain,
       findRunner: () => this.#runner,
       findLoad: () => this.#load,
     });
+    this.#ends = parts.ends;
+    this.#failures = parts.failures;
+    this.#grants = parts.grants;
+    this.#lease = parts.lease;
+    this.#remover = parts.remover;
+    this.#requests = parts.requests;
+    this.#runs = parts.runs;
+    this.#uncertain = parts.uncertain;
   }
 
   /** The runner as it last announced itself. */
@@ -244,9 +206,8 @@
     signal: AbortSignal,
   ): Promise<void> {
     const { client, clock, logger } = this.#options;
-    const { runnerId } = this.#runner;
     logger.warn(
-      { runnerId, clockMs, readingMs },
+      { runnerId: this.#runner.runnerId, clockMs, readingMs },
       "a poll got an answer from before it was sent; connecting anew",
     );
     client.disconnect(this.#runner);
--- a/src/services/scheduling/vm_mover_test.ts
+++ b/src/services/scheduling/vm_mover_test.ts
@@ -9,12 +9,7 @@
   StartPlanner,
 } from "../../decisions/index.ts";
 import { jobStepSchema, type Runner } from "../../domain/index.ts";
-import type {
-  ListedVm,
-  VmControl,
-  VmFailure,
-  VmListing,
-} from "../../ports/index.ts";
+import type { VmControl, VmFailure, VmListing } from "../../ports/index.ts";
 import { Notifier } from "../../tasks/index.ts";
 import { afterEach, describe, it } from "../../testing/describe.ts";
 import { FakeAgreement } from "../../testing/fake_agreement.ts";
