Log the catalog that a count of waiting jobs relies on

Counts are rare beside reads of single jobs, and are logged now at the entry and at the leader. The new case of job_service_test.ts failed before.

--- a/src/services/scheduling/job_call_forwarder.ts
+++ b/src/services/scheduling/job_call_forwarder.ts
@@ -67,7 +67,7 @@
     if (answered.isErr) {
       const { kind, message } = answered.error;
       logger.info({ ...fields, kind, reason: message }, "refused a caller");
-    } else if (action !== "read") {
+    } else if (action !== "read" || answered.value.pendingCount !== undefined) {
       logger.info({ ...fields, ...answered.value }, "answered a caller");
     }
   }
--- a/src/services/scheduling/job_service.ts
+++ b/src/services/scheduling/job_service.ts
@@ -228,7 +228,7 @@
     if (answered.isErr) {
       const { kind, message } = answered.error;
       this.#logger.info({ ...fields, kind, reason: message }, "refused a call");
-    } else if (action !== "read") {
+    } else if (action !== "read" || answered.value.pendingCount !== undefined) {
       this.#logger.info({ ...fields, ...answered.value }, "answered a call");
     }
   }
--- a/src/services/scheduling/job_service_test.ts
+++ b/src/services/scheduling/job_service_test.ts
@@ -202,6 +202,18 @@
     assert.is(counted.isOk && counted.value.pendingCount, 1);
   });
 
+  // Guards against two answers from different catalogs whose order nobody can
+  // tell afterwards.
+  it("logs the catalog that a count relies on", async () => {
+    const { call, logger } = await createService();
+    const counted = await call({ action: "read", path: "/q/", requestId: "r" });
+    assert.is(counted.isOk && counted.value.pendingCount, 0);
+    const line = logger.lines.at(-1);
+    assert.is(line?.message, "answered a call");
+    assert.is(line?.fields["requestId"], "r");
+    assert.is(line?.fields["catalogVersion"], 1);
+  });
+
   it("starts no task of a cancelled job", async () => {
     const { call, log, run } = await createService();
     await call();
