--- a/src/services/scheduling/leader_client_test.ts
+++ b/src/services/scheduling/leader_client_test.ts
@@ -102,6 +102,26 @@
     });
   });
 
+  describe("when the leader is lost before it answers", () => {
+    // Guards against a job that runs although its caller was refused: the first
+    // leader had accepted it, and the next one no longer knew the key.
+    for (const kind of ["unauthenticated", "unknownKind"] as const) {
+      it(`fail with an unknown outcome if the next one answers ${kind}`, async () => {
+        const refused = Result.err<unknown, Failure>(
+          createFailure(kind, "refused"),
+        );
+        const { call, client } = createCaller((peerId) =>
+          peerId === "c2"
+            ? Result.err(createUnreachable(true))
+            : Result.ok(createLeaderAnswer(2, refused))
+        );
+        client.suggestLeader("c2");
+        const answered = await call();
+        assert.is(answered.isErr && answered.error.kind, "noQuorum");
+      });
+    }
+  });
+
   // Guards against calls that an entry gives up because its wall clock was set.
   it("get their whole time after the wall clock was set ahead", async () => {
     const time = new FakeClock();
