--- /dev/null
+++ b/src/services/scheduling/call_order_test.ts
@@ -0,0 +1,177 @@
+import { Result } from "true-myth";
+import * as assert from "uvu/assert";
+import { SeededRandom } from "../../adapters/random/index.ts";
+import { createFailure, type Failure } from "../../domain/index.ts";
+import { describe, it } from "../../testing/describe.ts";
+import { FakeAgreement } from "../../testing/fake_agreement.ts";
+import { FakeClock } from "../../testing/fake_clock.ts";
+import { FakeNetwork } from "../../testing/fake_network.ts";
+import { FakeLogger } from "../../testing/fake_ports.ts";
+import { JobCallForwarder } from "./job_call_forwarder.ts";
+import { type JobCallAnswer, JobService } from "./job_service.ts";
+import { createLeaderAnswer } from "./leader_answer.ts";
+import { LeaderClient } from "./leader_client.ts";
+import { SCHEDULING_METHODS } from "./scheduling_handlers.ts";
+import { SchedulingLog } from "./scheduling_log.ts";
+import { LEADER_CALL_MS } from "./timing.ts";
+
+const SEED = 1;
+const CALL_MS = 2_500;
+const MANY_MS = 60_000;
+/** Time between two calls: more than entries may answer out of order (ms). */
+const APART_MS = 400;
+const ROUND_TRIP_MS = 2;
+
+type Answered = Result<JobCallAnswer, Failure>;
+
+/** An entry and controllers that lead one after the other over one log. */
+class CallSite {
+  readonly clock = new FakeClock();
+  /** Names of the calls, in the order of their answers. */
+  readonly answeredNames: string[] = [];
+  /** Names of the calls that each controller has handled, in order. */
+  readonly handledNames: string[] = [];
+  readonly #network = new FakeNetwork(this.clock, new SeededRandom(SEED));
+  readonly #log = new SchedulingLog({
+    agreement: new FakeAgreement(this.clock),
+    clock: this.clock,
+  });
+  readonly #forwarder: JobCallForwarder;
+  #leaderId = "c1";
+  #term = 1;
+
+  constructor() {
+    const { clock } = this;
+    const logger = new FakeLogger();
+    const controllerIds = ["c1", "c2"];
+    controllerIds.forEach((id) => this.#startController(id));
+    const leader = new LeaderClient({
+      network: this.#network.join("entry"),
+      clock,
+      logger,
+      controllerIds,
+    });
+    leader.suggestLeader(this.#leaderId);
+    const metrics = {
+      recordCall: () => undefined,
+      recordWait: () => undefined,
+      recordRun: () => undefined,
+      recordJob: () => undefined,
+    };
+    this.#forwarder = new JobCallForwarder({ leader, clock, logger, metrics });
+  }
+
+  /** Replaces the catalog by one with the queues that are named. */
+  async putCatalog(version: number, names: readonly string[]): Promise<void> {
+    const queues = names.map((name) => ({
+      name,
+      host: "h",
+      pathPrefix: `/${name}/`,
+      pool: "bay",
+      isPublic: true,
+      priority: 0,
+      maxAttempts: 2,
+      timeoutMs: 3_000,
+      stretch: 1,
+      targetLatencyMs: 0,
+    }));
+    const pools = [{ name: "bay", isStandby: false, guardsCapacity: false }];
+    const catalog = { version, queues, pools, teams: [], source: "" };
+    const proposed = this.#log.propose([{ type: "catalog", catalog }]);
+    await this.clock.runUntil(proposed, MANY_MS);
+  }
+
+  /** Loses all messages of the leader. */
+  silenceLeader(): void {
+    this.#network.isolate(this.#leaderId);
+  }
+
+  /** Makes another controller lead the next term. */
+  elect(controllerId: string): void {
+    this.#leaderId = controllerId;
+    this.#term += 1;
+  }
+
+  /** Counts the waiting jobs of a queue through the entry. */
+  async count(name: string, queue = "old"): Promise<Answered> {
+    const answered = await this.#forwarder.forward({
+      action: "read",
+      host: "h",
+      path: `/${queue}/`,
+      requestId: name,
+    }, CALL_MS);
+    this.answeredNames.push(name);
+    return answered;
+  }
+
+  #startController(controllerId: string): void {
+    const jobs = new JobService({ log: this.#log, logger: new FakeLogger() });
+    const port = this.#network.join(controllerId);
+    const answer = async (handle: () => Promise<Result<unknown, Failure>>) =>
+      this.#leaderId === controllerId
+        ? Result.ok<unknown, Failure>(
+          createLeaderAnswer(this.#term, await handle()),
+        )
+        : Result.err<unknown, Failure>(createFailure("notLeader", "no"));
+    port.handle(
+      SCHEDULING_METHODS.ping,
+      () => answer(() => Promise.resolve(Result.ok({}))),
+    );
+    port.handle(SCHEDULING_METHODS.job, (_peerId, body) =>
+      answer(() => {
+        this.handledNames.push((body as { requestId: string }).requestId);
+        return jobs.answer(body);
+      }));
+  }
+}
+
+describe("calls of one entry", () => {
+  describe("when the leader falls silent", () => {
+    // Guards against an entry that returns to an older catalog: a call that
+    // waits for the lost leader shows a change that a later one did not.
+    it("show no older catalog than those sent before", async () => {
+      const site = await createSite();
+      const { clock } = site;
+      site.silenceLeader();
+      void site.count("earlier");
+      await clock.advance(APART_MS);
+      const first = site.count("first", "new");
+      site.elect("c2");
+      await clock.advance(LEADER_CALL_MS - APART_MS / 2);
+      const second = await clock.runUntil(site.count("second", "new"), MANY_MS);
+      assert.is(second.isErr && second.error.kind, "unknownKind");
+      await site.putCatalog(2, ["old", "new"]);
+      const shown = await clock.runUntil(first, MANY_MS);
+      assert.is(shown.isErr && shown.error.kind, "unknownKind");
+      assert.equal(site.answeredNames, ["earlier", "first", "second"]);
+    });
+
+    it("reach the next leader in the order in which they were sent", async () => {
+      const site = await createSite();
+      const { clock } = site;
+      site.silenceLeader();
+      const calls = [];
+      for (const name of ["a", "b", "c", "d"]) {
+        calls.push(site.count(name));
+        await clock.advance(APART_MS);
+      }
+      site.elect("c2");
+      await clock.runUntil(Promise.all(calls), MANY_MS);
+      assert.equal(site.handledNames, ["a", "b", "c", "d"]);
+    });
+  });
+
+  it("go to the leader without a search while it answers", async () => {
+    const site = await createSite();
+    const { clock } = site;
+    const startedMs = clock.monotonicMs();
+    await clock.runUntil(site.count("a"), MANY_MS);
+    assert.is(clock.monotonicMs() - startedMs, ROUND_TRIP_MS);
+  });
+});
+
+async function createSite(): Promise<CallSite> {
+  const site = new CallSite();
+  await site.putCatalog(1, ["old"]);
+  return site;
+}
