Send the calls of one entry to the next leader in their order

Cause: LeaderClient gave each call a search of its own. A call that was under way at a silent controller waited there for up to 1.2 s, while a later one found the next leader and was answered from an older version of the catalog. Each answer was right when it was given; their order was not.

Change: one search, by pings, serves all calls of a process. They wait in a queue in the order of their arrival, join it again when their attempt fails, and leave the controllers that do not lead as soon as the next leader is found. No call is sent before the older ones. A refusal of the leader counts as an answer of the leader as well; before, only a success did. A call that no controller was known to lead for is not sent to any, so it fails as not handled.

The case "fail with an unknown outcome when one was sent without an answer" now names the leader, as the call is sent to nobody else; without one the outcome is known, which a case of its own asks for.

--- /dev/null
+++ b/src/services/scheduling/call_queue.ts
@@ -0,0 +1,76 @@
+/** Calls that wait for a leader, in the order in which they arrived. */
+
+interface WaitingCall {
+  /** Position among all calls of the process. */
+  readonly position: number;
+  readonly settle: (mayBeSent: boolean) => void;
+}
+
+/** Releases waiting calls in the order of their arrival. */
+export class CallQueue {
+  readonly #waiting = new Map<number, WaitingCall>();
+  #arrivedCount = 0;
+
+  /** Number of waiting calls. */
+  get size(): number {
+    return this.#waiting.size;
+  }
+
+  /** Number of calls that have arrived, which is the next one's position. */
+  get arrivedCount(): number {
+    return this.#arrivedCount;
+  }
+
+  /**
+   * Takes up a call that has arrived.
+   *
+   * @returns The position of the call, which it keeps when it waits again.
+   */
+  arrive(): number {
+    const position = this.#arrivedCount;
+    this.#arrivedCount += 1;
+    return position;
+  }
+
+  /**
+   * Waits until calls may be sent.
+   *
+   * @param position - Position of the call.
+   * @returns True once it may be sent, false when it must fail.
+   */
+  wait(position: number): Promise<boolean> {
+    return new Promise((resolve) => {
+      const settle = (mayBeSent: boolean) => {
+        this.#waiting.delete(position);
+        resolve(mayBeSent);
+      };
+      this.#waiting.set(position, { position, settle });
+    });
+  }
+
+  /** Lets all waiting calls be sent, the oldest first. */
+  release(): void {
+    // A call that waits again is at the end of the map.
+    [...this.#waiting.values()]
+      .toSorted((left, right) => left.position - right.position)
+      .forEach(({ settle }) => settle(true));
+  }
+
+  /** Makes one call fail, if it waits. */
+  fail(position: number): void {
+    this.#waiting.get(position)?.settle(false);
+  }
+
+  /**
+   * Makes the calls fail that arrived before a position.
+   *
+   * @param position - Position of the first call that goes on waiting.
+   */
+  failBefore(position: number): void {
+    for (const waiting of [...this.#waiting.values()]) {
+      if (waiting.position < position) {
+        waiting.settle(false);
+      }
+    }
+  }
+}
--- a/src/services/scheduling/leader_client.ts
+++ b/src/services/scheduling/leader_client.ts
@@ -7,7 +7,13 @@
   validateWith,
 } from "../../domain/index.ts";
 import type { Clock, Logger, PeerNetwork } from "../../ports/index.ts";
-import { leaderAnswerSchema, readLeaderAnswer } from "./leader_answer.ts";
+import { CallQueue } from "./call_queue.ts";
+import {
+  type LeaderAnswer,
+  leaderAnswerSchema,
+  readLeaderAnswer,
+} from "./leader_answer.ts";
+import { SCHEDULING_METHODS } from "./scheduling_handlers.ts";
 import {
   LEADER_CALL_MS,
   LEADER_RETRY_MS,
@@ -27,19 +33,47 @@
   readonly controllerIds: readonly string[];
 }
 
+/** A message to one controller. */
+interface LeaderMessage {
+  readonly method: string;
+  readonly body: unknown;
+  readonly timeoutMs: number;
+  readonly signal?: AbortSignal;
+}
+
+/** A message to a controller that has no answer yet. */
+interface Attempt {
+  readonly target: string;
+  /** Aborts when another controller has begun to lead. */
+  readonly superseded: AbortController;
+  readonly answered: Promise<Result<unknown, Failure>>;
+}
+
 /**
  * Finds the leader and calls it. It may send a call more than once, so the
  * handler of each call must tolerate repetition. Once a leader has answered, the
  * answers of leaders of earlier terms do not count: what this process returns
  * never comes from an older state than what it has returned before.
+ *
+ * While the leader is lost, one search serves all calls. They are sent to the
+ * next leader in the order in which they arrived, also those that are under way
+ * at another controller by then. So no call shows an older state than a call
+ * that arrived before it.
  */
 export class LeaderClient {
   readonly #options: LeaderClientOptions;
+  readonly #queue = new CallQueue();
+  readonly #attempts = new Set<Attempt>();
   #seedIds: readonly string[];
   #controllerIds: readonly string[];
   #leaderId: string | undefined;
   #leaderTerm = 0;
-  #attemptCount = 0;
+  /** The controller that another one has named as the leader. */
+  #hintedId: string | undefined;
+  #isSearching = false;
+  #probeCount = 0;
+  /** Steady time from which the next controller may be asked (ms). */
+  #nextProbeAtMs = -Infinity;
   /** Steady time at which the leader was lost; undefined while it answers. */
   #lostAtMs: number | undefined;
 
@@ -72,7 +106,10 @@
 
   /** Sets the leader to try first; keeps the known one when undefined. */
   suggestLeader(leaderId: string | undefined): void {
-    this.#leaderId = leaderId ?? this.#leaderId;
+    if (leaderId !== undefined) {
+      this.#leaderId = leaderId;
+      this.#queue.release();
+    }
   }
 
   /**
@@ -91,38 +128,146 @@
   ): Promise<Result<unknown, Failure>> {
     const { clock } = this.#options;
     const deadlineMs = clock.steadyMs() + timeoutMs;
+    const position = this.#queue.arrive();
+    const cancelTimer = clock.startTimer(
+      timeoutMs,
+      () => this.#queue.fail(position),
+    );
     let isOutcomeUnknown = false;
-    for (let attempt = 0;; attempt += 1) {
+    let target = await this.#waitForLeader(position);
+    for (; target !== undefined; target = await this.#waitForLeader(position)) {
       const leftMs = deadlineMs - clock.steadyMs();
-      if (leftMs <= 0 || (attempt > 0 && this.#isLeaderLost)) {
-        return Result.err(createNoLeader(isOutcomeUnknown));
+      if (leftMs <= 0) {
+        break;
+      }
+      const attemptMs = Math.min(leftMs, this.#chooseTimeoutMs());
+      const answered = await this.#attempt(target, method, body, attemptMs);
+      if (answered.isOk || !this.#mayRetry(target, answered.error)) {
+        cancelTimer();
+        this.#lostAtMs = undefined;
+        this.#leaderId = target;
+        return answered;
       }
-      const target = this.#chooseTarget();
-      if (target !== undefined) {
-        const attemptMs = Math.min(leftMs, this.#chooseTimeoutMs());
-        const answered = await this.#ask(target, method, body, attemptMs);
-        const isFinal = answered.isOk ||
-          !this.#mayRetry(target, answered.error);
-        if (isFinal) {
-          this.#lostAtMs = undefined;
-          this.#leaderId = answered.isOk ? target : this.#leaderId;
-          return answered;
-        }
-        this.#lostAtMs ??= clock.steadyMs();
-        isOutcomeUnknown ||= mayHaveBeenHandled(answered.error);
+      isOutcomeUnknown ||= mayHaveBeenHandled(answered.error);
+      if (answered.error.kind === "noQuorum") {
+        await clock.sleep(LEADER_RETRY_MS);
       }
-      await clock.sleep(LEADER_RETRY_MS);
     }
+    cancelTimer();
+    return Result.err(createNoLeader(isOutcomeUnknown));
   }
 
-  async #ask(
+  /**
+   * Waits until a leader is known.
+   *
+   * @param position - Position of the call that waits.
+   * @returns The leader; undefined when the call must fail.
+   */
+  async #waitForLeader(position: number): Promise<string | undefined> {
+    while (this.#leaderId === undefined) {
+      const waited = this.#queue.wait(position);
+      void this.#search();
+      if (!await waited) {
+        return undefined;
+      }
+    }
+    return this.#leaderId;
+  }
+
+  /** Asks one controller after the other, until one leads or no call waits. */
+  async #search(): Promise<void> {
+    if (this.#isSearching) {
+      return;
+    }
+    const { clock } = this.#options;
+    this.#isSearching = true;
+    while (this.#leaderId === undefined && this.#queue.size > 0) {
+      const pauseMs = this.#nextProbeAtMs - clock.steadyMs();
+      if (pauseMs > 0) {
+        await clock.sleep(pauseMs);
+        continue;
+      }
+      this.#nextProbeAtMs = clock.steadyMs() + LEADER_RETRY_MS;
+      void this.#probe(this.#chooseProbed());
+    }
+    this.#isSearching = false;
+  }
+
+  async #probe(target: string | undefined): Promise<void> {
+    if (target === undefined) {
+      return;
+    }
+    const arrivedCount = this.#queue.arrivedCount;
+    const asked = await this.#ask(target, {
+      method: SCHEDULING_METHODS.ping,
+      body: {},
+      timeoutMs: LEADER_SEARCH_MS,
+    });
+    if (asked.isOk) {
+      await this.#follow(target, asked.value.term);
+      return;
+    }
+    this.#lostAtMs ??= this.#options.clock.steadyMs();
+    this.#noteHint(target, asked.error);
+    // Callers retry sooner when they are refused at once than when they wait for
+    // an election that may not take place.
+    if (this.#isLeaderLost) {
+      this.#queue.failBefore(arrivedCount);
+    }
+  }
+
+  // Calls that are under way elsewhere wait with the others before any is sent.
+  async #follow(leaderId: string, term: number): Promise<void> {
+    const { clock, logger } = this.#options;
+    const superseded = [...this.#attempts].filter(({ target }) =>
+      target !== leaderId
+    );
+    superseded.forEach((attempt) => attempt.superseded.abort());
+    await Promise.all(superseded.map(({ answered }) => answered));
+    if (term < this.#leaderTerm || this.#leaderId !== undefined) {
+      return;
+    }
+    if (this.#lostAtMs !== undefined) {
+      logger.info(
+        {
+          leaderId,
+          term,
+          lostMs: Math.round(clock.steadyMs() - this.#lostAtMs),
+          waitingCount: this.#queue.size,
+          supersededCount: superseded.length,
+        },
+        "found the leader",
+      );
+    }
+    this.#lostAtMs = undefined;
+    this.#leaderId = leaderId;
+    this.#queue.release();
+  }
+
+  async #attempt(
     target: string,
     method: string,
     body: unknown,
     timeoutMs: number,
   ): Promise<Result<unknown, Failure>> {
+    const superseded = new AbortController();
+    const { signal } = superseded;
+    const answered = this.#ask(target, { method, body, timeoutMs, signal })
+      .then((answer) => answer.andThen(readLeaderAnswer));
+    const attempt = { target, superseded, answered };
+    this.#attempts.add(attempt);
+    const answer = await answered;
+    this.#attempts.delete(attempt);
+    return answer;
+  }
+
+  async #ask(
+    target: string,
+    { method, body, timeoutMs, signal }: LeaderMessage,
+  ): Promise<Result<LeaderAnswer, Failure>> {
     const { logger, network } = this.#options;
-    const replied = await network.call(target, method, body, { timeoutMs });
+    const options = { timeoutMs, signal };
+    const replied = await network.call(target, method, body, options);
     const answer = replied.andThen((value) =>
       validateWith(leaderAnswerSchema, value, {
         subject: `answer of ${target} to ${method}`,
@@ -137,17 +282,15 @@
           { controllerId: target, method, term, leaderTerm },
           "ignored the answer of an earlier leader",
         );
-        return Result.err<unknown, Failure>(
+        return Result.err<LeaderAnswer, Failure>(
           createOutdatedAnswer(target, term, leaderTerm),
         );
       }
       this.#leaderTerm = term;
-      return readLeaderAnswer(value);
+      return Result.ok<LeaderAnswer, Failure>(value);
     });
   }
 
-  // Callers retry sooner when they are refused at once than when they wait for
-  // an election that may not take place.
   get #isLeaderLost(): boolean {
     const { clock } = this.#options;
     return this.#lostAtMs !== undefined &&
@@ -158,31 +301,35 @@
     return this.#lostAtMs === undefined ? LEADER_CALL_MS : LEADER_SEARCH_MS;
   }
 
-  #chooseTarget(): string | undefined {
-    if (this.#leaderId !== undefined) {
-      return this.#leaderId;
+  #chooseProbed(): string | undefined {
+    const hintedId = this.#hintedId;
+    this.#hintedId = undefined;
+    this.#probeCount += hintedId === undefined ? 1 : 0;
+    return hintedId ??
+      this.#controllerIds[this.#probeCount % this.#controllerIds.length];
+  }
+
+  #noteHint(target: string, failure: Failure): void {
+    const hint = validateWith(hintSchema, failure.detail, { subject: "hint" });
+    const leaderId = hint.isOk ? hint.value.leaderId : undefined;
+    if (failure.kind === "notLeader" && leaderId !== target) {
+      this.#hintedId = leaderId ?? this.#hintedId;
     }
-    this.#attemptCount += 1;
-    return this.#controllerIds[this.#attemptCount % this.#controllerIds.length];
   }
 
   #mayRetry(target: string, failure: Failure): boolean {
-    if (failure.kind === "notLeader") {
-      const hint = validateWith(hintSchema, failure.detail, {
-        subject: "hint",
-      });
-      const leaderId = hint.isOk ? hint.value.leaderId : undefined;
-      this.#leaderId = leaderId === target ? undefined : leaderId;
-      return true;
+    const { clock } = this.#options;
+    const isLost = failure.kind === "notLeader" ||
+      failure.kind === "peerUnreachable";
+    if (isLost || failure.kind === "noQuorum") {
+      this.#lostAtMs ??= clock.steadyMs();
+      this.#noteHint(target, failure);
     }
-    if (failure.kind === "peerUnreachable") {
-      // Another call may have found the next leader meanwhile.
-      if (this.#leaderId === target) {
-        this.#leaderId = undefined;
-      }
-      return true;
+    // Another call may have found the next leader meanwhile.
+    if (isLost && this.#leaderId === target) {
+      this.#leaderId = undefined;
     }
-    return failure.kind === "noQuorum";
+    return isLost || failure.kind === "noQuorum";
   }
 }
 
--- a/src/services/scheduling/leader_client_test.ts
+++ b/src/services/scheduling/leader_client_test.ts
@@ -154,11 +154,21 @@
     });
 
     it("fail with an unknown outcome when one was sent without an answer", async () => {
-      const { call } = createCaller(() => Result.err(createUnreachable(true)));
+      const { call, client } = createCaller(() =>
+        Result.err(createUnreachable(true))
+      );
+      client.suggestLeader("c1");
       const answered = await call();
       assert.is(answered.isErr && answered.error.kind, "noQuorum");
     });
 
+    // Guards against an unknown outcome for a job that no controller has got.
+    it("fail as not handled when no controller was known to lead", async () => {
+      const { call } = createCaller(() => Result.err(createUnreachable(true)));
+      const answered = await call();
+      assert.is(answered.isErr && answered.error.kind, "notLeader");
+    });
+
     it("fail at once when the leader was lost long ago", async () => {
       const { call, clock } = createCaller(() =>
         Result.err(createUnreachable(false))
