Fail with an unknown outcome when a lost leader may have taken a call

Cause: the leader that took the job was lost before it answered. LeaderClient sent the call to the next leader, whose catalog no longer held the key, and returned that refusal as if nothing had been sent before.

Change: a refusal after an attempt that may have been handled becomes noQuorum, with the refusal in its message, for calls that change something. Reads say so and are refused as before.

--- a/src/adapters/http/job_routes.ts
+++ b/src/adapters/http/job_routes.ts
@@ -69,6 +69,7 @@
       SCHEDULING_METHODS.list,
       { kind },
       LEADER_TIMEOUT_MS,
+      { isRead: true },
     );
     sendResult(exchange.response, listed.map((items) => ({ items })));
   });
@@ -79,6 +80,7 @@
       SCHEDULING_METHODS.explain,
       subject,
       LEADER_TIMEOUT_MS,
+      { isRead: true },
     );
     sendResult(exchange.response, explained);
   });
--- a/src/services/scheduling/controller_leader_client.ts
+++ b/src/services/scheduling/controller_leader_client.ts
@@ -2,7 +2,7 @@
 import type { Result } from "true-myth";
 import type { Failure } from "../../domain/index.ts";
 import type { Agreement } from "../../ports/index.ts";
-import type { LeaderClient } from "./leader_client.ts";
+import type { LeaderCallOptions, LeaderClient } from "./leader_client.ts";
 import type { SchedulingHandler } from "./scheduling_handlers.ts";
 
 /** Calls the current leader. */
@@ -17,6 +17,7 @@
    * @param method - Name of the message.
    * @param body - Body of the message.
    * @param timeoutMs - Time for all attempts (ms).
+   * @param options - Whether the call is a read.
    * @returns The leader's answer or failure; `notLeader` when no leader can
    * have handled the call, `noQuorum` when one may have.
    */
@@ -24,6 +25,7 @@
     method: string,
     body: unknown,
     timeoutMs: number,
+    options?: LeaderCallOptions,
   ): Promise<Result<unknown, Failure>>;
 }
 
@@ -55,6 +57,7 @@
     method: string,
     body: unknown,
     timeoutMs: number,
+    options: LeaderCallOptions = {},
   ): Promise<Result<unknown, Failure>> {
     const { agreement, handlers, leader } = this.#options;
     const status = agreement.status();
@@ -66,6 +69,6 @@
     }
     const isOther = status.leaderId !== status.entryId;
     leader.suggestLeader(isOther ? status.leaderId : undefined);
-    return await leader.call(method, body, timeoutMs);
+    return await leader.call(method, body, timeoutMs, options);
   }
 }
--- a/src/services/scheduling/job_call_forwarder.ts
+++ b/src/services/scheduling/job_call_forwarder.ts
@@ -41,7 +41,13 @@
   ): Promise<Result<JobCallAnswer, Failure>> {
     const { clock, leader } = this.#options;
     const startedMs = clock.monotonicMs();
-    const body = await leader.call(SCHEDULING_METHODS.job, call, waitMs);
+    const isRead = call.action === "read";
+    const body = await leader.call(
+      SCHEDULING_METHODS.job,
+      call,
+      waitMs,
+      { isRead },
+    );
     const answered = body.andThen((value) =>
       validateWith(jobCallAnswerSchema, value, {
         subject: "leader's answer",
--- a/src/services/scheduling/leader_client.ts
+++ b/src/services/scheduling/leader_client.ts
@@ -41,6 +41,12 @@
   readonly signal?: AbortSignal;
 }
 
+/** Optional properties of {@link LeaderClient.call}. */
+export interface LeaderCallOptions {
+  /** Whether the call changes nothing, so that it may be refused at any time. */
+  readonly isRead?: boolean;
+}
+
 /** A message to a controller that has no answer yet. */
 interface Attempt {
   readonly target: string;
@@ -118,6 +124,7 @@
    * @param method - Name of the message.
    * @param body - Body of the message.
    * @param timeoutMs - Time for all attempts (ms).
+   * @param options - Whether the call is a read.
    * @returns The leader's answer or failure; `notLeader` when no leader can
    * have handled the call, `noQuorum` when one may have.
    */
@@ -125,6 +132,7 @@
     method: string,
     body: unknown,
     timeoutMs: number,
+    { isRead = false }: LeaderCallOptions = {},
   ): Promise<Result<unknown, Failure>> {
     const { clock } = this.#options;
     const deadlineMs = clock.steadyMs() + timeoutMs;
@@ -146,7 +154,9 @@
         cancelTimer();
         this.#lostAtMs = undefined;
         this.#leaderId = target;
-        return answered;
+        return answered.isErr && isOutcomeUnknown && !isRead
+          ? Result.err(createUnknownOutcome(answered.error))
+          : answered;
       }
       isOutcomeUnknown ||= mayHaveBeenHandled(answered.error);
       if (answered.error.kind === "noQuorum") {
@@ -365,3 +375,16 @@
       retryAfterMs: 1_000,
     });
 }
+
+// The leader that was lost may have carried out what the next one refuses.
+function createUnknownOutcome({ kind, message }: Failure): Failure {
+  return createFailure(
+    "noQuorum",
+    `the leader was lost before it answered, and the next one refuses the call (${kind}): ${message}`,
+    {
+      remedy: "send the same call again",
+      retryAfterMs: 1_000,
+      detail: { kind },
+    },
+  );
+}
--- a/src/services/scheduling/leader_client_test.ts
+++ b/src/services/scheduling/leader_client_test.ts
@@ -13,6 +13,10 @@
 const MANY_MS = 60_000;
 const DONE = createLeaderAnswer(1, Result.ok("done"));
 
+const REFUSED = Result.err<unknown, Failure>(
+  createFailure("unknownKind", "refused"),
+);
+
 type Reply = (peerId: string) => Result<unknown, Failure>;
 
 function createCaller(reply: Reply, latencyMs = 2) {
@@ -120,6 +124,18 @@
         assert.is(answered.isErr && answered.error.kind, "noQuorum");
       });
     }
+
+    it("are refused by the next one if they are reads", async () => {
+      const { client, clock } = createCaller((peerId) =>
+        peerId === "c2"
+          ? Result.err(createUnreachable(true))
+          : Result.ok(createLeaderAnswer(2, REFUSED))
+      );
+      client.suggestLeader("c2");
+      const called = client.call("method", {}, CALL_MS, { isRead: true });
+      const answered = await clock.runUntil(called, MANY_MS);
+      assert.is(answered.isErr && answered.error.kind, "unknownKind");
+    });
   });
 
   // Guards against calls that an entry gives up because its wall clock was set.
