Let a call fail at its deadline when its last attempt ends then

What callers would see: a call that was under way at a silent leader when its time passed joined the search after it, as its timer had fired before, and was answered up to 0.7 s late.

Change: whoever waits for a leader checks the deadline first.

--- a/src/services/scheduling/leader_client.ts
+++ b/src/services/scheduling/leader_client.ts
@@ -142,11 +142,12 @@
       () => this.#queue.fail(position),
     );
     let isOutcomeUnknown = false;
-    let target = await this.#waitForLeader(position);
-    for (; target !== undefined; target = await this.#waitForLeader(position)) {
+    for (;;) {
+      const target = await this.#waitForLeader(position, deadlineMs);
       const leftMs = deadlineMs - clock.steadyMs();
-      if (leftMs <= 0) {
-        break;
+      if (target === undefined || leftMs <= 0) {
+        cancelTimer();
+        return Result.err(createNoLeader(isOutcomeUnknown));
       }
       const attemptMs = Math.min(leftMs, this.#chooseTimeoutMs());
       const answered = await this.#attempt(target, method, body, attemptMs);
@@ -163,18 +164,23 @@
         await clock.sleep(LEADER_RETRY_MS);
       }
     }
-    cancelTimer();
-    return Result.err(createNoLeader(isOutcomeUnknown));
   }
 
   /**
    * Waits until a leader is known.
    *
    * @param position - Position of the call that waits.
+   * @param deadlineMs - Steady time at which the call fails (ms).
    * @returns The leader; undefined when the call must fail.
    */
-  async #waitForLeader(position: number): Promise<string | undefined> {
+  async #waitForLeader(
+    position: number,
+    deadlineMs: number,
+  ): Promise<string | undefined> {
     while (this.#leaderId === undefined) {
+      if (this.#options.clock.steadyMs() >= deadlineMs) {
+        return undefined;
+      }
       const waited = this.#queue.wait(position);
       void this.#search();
       if (!await waited) {
--- a/src/services/scheduling/leader_client_test.ts
+++ b/src/services/scheduling/leader_client_test.ts
@@ -8,6 +8,7 @@
 import { PausableClock } from "../../testing/pausable_clock.ts";
 import { createLeaderAnswer } from "./leader_answer.ts";
 import { LeaderClient } from "./leader_client.ts";
+import { LEADER_SEARCH_MS } from "./timing.ts";
 
 const CALL_MS = 2_500;
 const MANY_MS = 60_000;
@@ -161,6 +162,26 @@
     assert.ok((await time.runUntil(call, MANY_MS)).isOk);
   });
 
+  // Guards against callers that wait for a search after their time has passed.
+  it("fail when their time has passed while the leader is silent", async () => {
+    const clock = new FakeClock();
+    const network: PeerNetwork = {
+      call: async (_peerId, _method, _body, { timeoutMs }) => {
+        await clock.sleep(timeoutMs);
+        return Result.err(createUnreachable(true));
+      },
+      handle: () => undefined,
+    };
+    const controllerIds = ["c1", "c2"];
+    const logger = new FakeLogger();
+    const client = new LeaderClient({ network, clock, logger, controllerIds });
+    client.suggestLeader("c1");
+    const called = client.call("method", {}, LEADER_SEARCH_MS);
+    const answered = await clock.runUntil(called, MANY_MS);
+    assert.is(answered.isErr && answered.error.kind, "noQuorum");
+    assert.is(clock.steadyMs(), LEADER_SEARCH_MS);
+  });
+
   describe("while nobody leads", () => {
     it("fail as not handled when nothing was sent", async () => {
       const { call } = createCaller(() => Result.err(createUnreachable(false)));
