Split the search for the leader from the client that calls it

LeaderClient held both the calls and the search. LeaderFinder knows the leader and searches for it; the client sends the calls and ends those that are under way elsewhere. No change of behaviour; a case of call_order_test has calls under way and waiting at once.

--- a/src/services/scheduling/call_order_test.ts
+++ b/src/services/scheduling/call_order_test.ts
@@ -159,6 +159,22 @@
       await clock.runUntil(Promise.all(calls), MANY_MS);
       assert.equal(site.handledNames, ["a", "b", "c", "d"]);
     });
+
+    it("leave the silent leader before those that wait are sent", async () => {
+      const site = await createSite();
+      const { clock } = site;
+      site.silenceLeader();
+      const calls = [site.count("a")];
+      await clock.advance(APART_MS);
+      calls.push(site.count("b"));
+      site.elect("c2");
+      await clock.advance(LEADER_CALL_MS - APART_MS + 1);
+      // The call b is under way at the silent leader, and the search has begun.
+      calls.push(site.count("c"));
+      assert.equal(site.handledNames, []);
+      await clock.runUntil(Promise.all(calls), MANY_MS);
+      assert.equal(site.handledNames, ["a", "b", "c"]);
+    });
   });
 
   it("go to the leader without a search while it answers", async () => {
--- a/src/services/scheduling/leader_answer.ts
+++ b/src/services/scheduling/leader_answer.ts
@@ -1,7 +1,11 @@
 /** The message in which a leader answers a call of an entry or a controller. */
 import { Result } from "true-myth";
 import * as v from "valibot";
-import { type Failure, failureSchema } from "../../domain/index.ts";
+import {
+  createFailure,
+  type Failure,
+  failureSchema,
+} from "../../domain/index.ts";
 
 /** Schema of {@link LeaderAnswer}. */
 export const leaderAnswerSchema = v.object({
@@ -42,3 +46,24 @@
 ): Result<unknown, Failure> {
   return failure === undefined ? Result.ok(value) : Result.err(failure);
 }
+
+/**
+ * Creates the failure for an answer of an earlier leader, which may have carried
+ * the call out before its term ended.
+ *
+ * @param target - The controller that answered.
+ * @param term - Its term.
+ * @param leaderTerm - Newest term whose leader has answered.
+ * @returns The failure.
+ */
+export function createOutdatedAnswer(
+  target: string,
+  term: number,
+  leaderTerm: number,
+): Failure {
+  return createFailure(
+    "peerUnreachable",
+    `controller ${target} answered as the leader of term ${term}, but a leader of term ${leaderTerm} has answered before`,
+    { detail: { isSent: true } },
+  );
+}
--- /dev/null
+++ b/src/services/scheduling/leader_finder.ts
@@ -0,0 +1,297 @@
+/** Finds the controller that leads, for all calls of a process. */
+import { Result } from "true-myth";
+import * as v from "valibot";
+import { type Failure, validateWith } from "../../domain/index.ts";
+import type { Clock, Logger, PeerNetwork } from "../../ports/index.ts";
+import { CallQueue } from "./call_queue.ts";
+import {
+  createOutdatedAnswer,
+  type LeaderAnswer,
+  leaderAnswerSchema,
+} from "./leader_answer.ts";
+import { SCHEDULING_METHODS } from "./scheduling_handlers.ts";
+import {
+  LEADER_CALL_MS,
+  LEADER_RETRY_MS,
+  LEADER_SEARCH_MS,
+  LOST_LEADER_WAIT_MS,
+} from "./timing.ts";
+
+const hintSchema = v.object({ leaderId: v.optional(v.string()) });
+
+/** Options of {@link LeaderFinder}. */
+export interface LeaderFinderOptions {
+  readonly network: PeerNetwork;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Ids of the controllers that the settings name. */
+  readonly controllerIds: readonly string[];
+  /**
+   * Ends the calls that are under way at controllers other than the leader.
+   *
+   * @param leaderId - The leader.
+   * @returns Number of those calls, once all of them wait for the leader.
+   */
+  readonly supersede: (leaderId: string) => Promise<number>;
+}
+
+/** A message to one controller. */
+export interface LeaderMessage {
+  readonly method: string;
+  readonly body: unknown;
+  readonly timeoutMs: number;
+  readonly signal?: AbortSignal;
+}
+
+/**
+ * Knows the leader, and searches for the next one while calls wait for it: one
+ * search serves them all, and releases them in the order of their arrival.
+ */
+export class LeaderFinder {
+  readonly #options: LeaderFinderOptions;
+  readonly #queue = new CallQueue();
+  #seedIds: readonly string[];
+  #controllerIds: readonly string[];
+  #leaderId: string | undefined;
+  #leaderTerm = 0;
+  /** The controller that another one has named as the leader. */
+  #hintedId: string | undefined;
+  #isSearching = false;
+  #probeCount = 0;
+  /** Steady time from which the next controller may be asked (ms). */
+  #nextProbeAtMs = -Infinity;
+  /** Steady time at which the leader was lost; undefined while it answers. */
+  #lostAtMs: number | undefined;
+
+  constructor(options: LeaderFinderOptions) {
+    this.#options = options;
+    this.#seedIds = options.controllerIds;
+    this.#controllerIds = options.controllerIds;
+  }
+
+  /** The controller that last answered as the leader. */
+  get leaderId(): string | undefined {
+    return this.#leaderId;
+  }
+
+  /** Newest term whose leader has answered; 0 before the first answer. */
+  get leaderTerm(): number {
+    return this.#leaderTerm;
+  }
+
+  /** Timeout of one call to the leader (ms). */
+  get callTimeoutMs(): number {
+    return this.#lostAtMs === undefined ? LEADER_CALL_MS : LEADER_SEARCH_MS;
+  }
+
+  /** Sets the present controllers, in addition to those of the settings. */
+  updateControllers(controllerIds: readonly string[]): void {
+    this.#controllerIds = [...new Set([...this.#seedIds, ...controllerIds])];
+  }
+
+  /** Sets the controllers that the settings name. */
+  replaceSeeds(seedIds: readonly string[]): void {
+    this.#seedIds = seedIds;
+    this.updateControllers(this.#controllerIds);
+  }
+
+  /** Sets the leader to try first; keeps the known one when undefined. */
+  suggestLeader(leaderId: string | undefined): void {
+    if (leaderId !== undefined) {
+      this.#leaderId = leaderId;
+      this.#queue.release();
+    }
+  }
+
+  /**
+   * Takes up a call that has arrived.
+   *
+   * @returns The position of the call among all calls of the process.
+   */
+  arrive(): number {
+    return this.#queue.arrive();
+  }
+
+  /** Makes a call fail, if it waits for the leader. */
+  giveUp(position: number): void {
+    this.#queue.fail(position);
+  }
+
+  /**
+   * Waits until a leader is known.
+   *
+   * @param position - Position of the call that waits.
+   * @param deadlineMs - Steady time at which the call fails (ms).
+   * @returns The leader; undefined when the call must fail.
+   */
+  async waitForLeader(
+    position: number,
+    deadlineMs: number,
+  ): Promise<string | undefined> {
+    while (this.#leaderId === undefined) {
+      if (this.#options.clock.steadyMs() >= deadlineMs) {
+        return undefined;
+      }
+      const waited = this.#queue.wait(position);
+      void this.#search();
+      if (!await waited) {
+        return undefined;
+      }
+    }
+    return this.#leaderId;
+  }
+
+  /**
+   * Sends a message to one controller.
+   *
+   * @param target - The controller.
+   * @param message - The message, with its timeout (ms) and signal.
+   * @returns The answer of the controller as the leader, or a failure: its own,
+   * or `peerUnreachable` also when a leader of a newer term has answered before.
+   */
+  async ask(
+    target: string,
+    { method, body, timeoutMs, signal }: LeaderMessage,
+  ): Promise<Result<LeaderAnswer, Failure>> {
+    const { logger, network } = this.#options;
+    const options = { timeoutMs, signal };
+    const replied = await network.call(target, method, body, options);
+    const answer = replied.andThen((value) =>
+      validateWith(leaderAnswerSchema, value, {
+        subject: `answer of ${target} to ${method}`,
+        kind: "internal",
+      })
+    );
+    return answer.andThen((value) => {
+      const { term } = value;
+      const leaderTerm = this.#leaderTerm;
+      if (term < leaderTerm) {
+        logger.warn(
+          { controllerId: target, method, term, leaderTerm },
+          "ignored the answer of an earlier leader",
+        );
+        return Result.err<LeaderAnswer, Failure>(
+          createOutdatedAnswer(target, term, leaderTerm),
+        );
+      }
+      this.#leaderTerm = term;
+      return Result.ok<LeaderAnswer, Failure>(value);
+    });
+  }
+
+  /** Records that a controller has answered a call as the leader. */
+  recordAnswer(target: string): void {
+    this.#lostAtMs = undefined;
+    this.#leaderId = target;
+  }
+
+  /**
+   * Records that a call has failed.
+   *
+   * @param target - The controller that was called.
+   * @param failure - The failure.
+   * @returns Whether the call may be sent again.
+   */
+  recordFailure(target: string, failure: Failure): boolean {
+    const { clock } = this.#options;
+    const isLost = failure.kind === "notLeader" ||
+      failure.kind === "peerUnreachable";
+    if (isLost || failure.kind === "noQuorum") {
+      this.#lostAtMs ??= clock.steadyMs();
+      this.#noteHint(target, failure);
+    }
+    // Another call may have found the next leader meanwhile.
+    if (isLost && this.#leaderId === target) {
+      this.#leaderId = undefined;
+    }
+    return isLost || failure.kind === "noQuorum";
+  }
+
+  /** Asks one controller after the other, until one leads or no call waits. */
+  async #search(): Promise<void> {
+    if (this.#isSearching) {
+      return;
+    }
+    const { clock } = this.#options;
+    this.#isSearching = true;
+    while (this.#leaderId === undefined && this.#queue.size > 0) {
+      const pauseMs = this.#nextProbeAtMs - clock.steadyMs();
+      if (pauseMs > 0) {
+        await clock.sleep(pauseMs);
+        continue;
+      }
+      this.#nextProbeAtMs = clock.steadyMs() + LEADER_RETRY_MS;
+      void this.#probe(this.#chooseProbed());
+    }
+    this.#isSearching = false;
+  }
+
+  async #probe(target: string | undefined): Promise<void> {
+    if (target === undefined) {
+      return;
+    }
+    const arrivedCount = this.#queue.arrivedCount;
+    const asked = await this.ask(target, {
+      method: SCHEDULING_METHODS.ping,
+      body: {},
+      timeoutMs: LEADER_SEARCH_MS,
+    });
+    if (asked.isOk) {
+      await this.#follow(target, asked.value.term);
+      return;
+    }
+    this.#lostAtMs ??= this.#options.clock.steadyMs();
+    this.#noteHint(target, asked.error);
+    // Callers retry sooner when they are refused at once than when they wait for
+    // an election that may not take place.
+    if (this.#isLeaderLost) {
+      this.#queue.failBefore(arrivedCount);
+    }
+  }
+
+  // Calls that are under way elsewhere wait with the others before any is sent.
+  async #follow(leaderId: string, term: number): Promise<void> {
+    const { clock, logger, supersede } = this.#options;
+    const supersededCount = await supersede(leaderId);
+    if (term < this.#leaderTerm || this.#leaderId !== undefined) {
+      return;
+    }
+    if (this.#lostAtMs !== undefined) {
+      logger.info(
+        {
+          leaderId,
+          term,
+          lostMs: Math.round(clock.steadyMs() - this.#lostAtMs),
+          waitingCount: this.#queue.size,
+          supersededCount,
+        },
+        "found the leader",
+      );
+    }
+    this.#lostAtMs = undefined;
+    this.#leaderId = leaderId;
+    this.#queue.release();
+  }
+
+  get #isLeaderLost(): boolean {
+    const { clock } = this.#options;
+    return this.#lostAtMs !== undefined &&
+      clock.steadyMs() - this.#lostAtMs > LOST_LEADER_WAIT_MS;
+  }
+
+  #chooseProbed(): string | undefined {
+    const hintedId = this.#hintedId;
+    this.#hintedId = undefined;
+    this.#probeCount += hintedId === undefined ? 1 : 0;
+    return hintedId ??
+      this.#controllerIds[this.#probeCount % this.#controllerIds.length];
+  }
+
+  #noteHint(target: string, failure: Failure): void {
+    const hint = validateWith(hintSchema, failure.detail, { subject: "hint" });
+    const leaderId = hint.isOk ? hint.value.leaderId : undefined;
+    if (failure.kind === "notLeader" && leaderId !== target) {
+      this.#hintedId = leaderId ?? this.#hintedId;
+    }
+  }
+}
