Log why the VMs of a wave count as done

The leader logs each VM that is back with the wave whose order was confirmed and whether this wave's order was logged, the end of a wave with its lateness, reads of waves with term and age of the lease, and requests with a known number with the VMs that the wave does not have. No logic changes: the record of a confirmation also holds its wave.

wave_task_test has two new cases.

--- a/src/services/scheduling/maintenance_starter.ts
+++ b/src/services/scheduling/maintenance_starter.ts
@@ -26,6 +26,13 @@
   readonly runnerId: string | undefined;
 }
 
+/** An order for maintenance that the platform has confirmed. */
+export interface BegunMaintenance {
+  readonly waveId: number;
+  /** Monotonic time of the answer (ms). */
+  readonly atMs: number;
+}
+
 /**
  * Orders maintenance within the limits of unavailable tasks, and knows which
  * tasks are unavailable. Each order is in the log before it is sent, so that the
@@ -34,10 +41,8 @@
 export class MaintenanceStarter {
   readonly #options: MaintenanceStarterOptions;
   readonly #availability: StepAvailability;
-  /**
-   * Monotonic time (ms) at which maintenance was confirmed in this term, by VM.
-   */
-  readonly #begunAtMsByVm = new Map<string, number>();
+  /** The maintenance that was confirmed last in this term, by VM. */
+  readonly #begunByVm = new Map<string, BegunMaintenance>();
   /**
    * Evicted runs, which count as unavailable although they may still be
    * reported.
@@ -63,13 +68,12 @@
   }
 
   /**
-   * Returns when the maintenance of a VM was confirmed in this term.
+   * Returns the maintenance of a VM that was confirmed last in this term.
    *
    * @param vm - Name of the VM.
-   * @returns Monotonic time (ms), or undefined.
    */
-  findBegunAtMs(vm: string): number | undefined {
-    return this.#begunAtMsByVm.get(vm);
+  findBegun(vm: string): BegunMaintenance | undefined {
+    return this.#begunByVm.get(vm);
   }
 
   /**
@@ -190,7 +194,7 @@
       );
     } else {
       logger.info(fields, "began the upkeep of a VM");
-      this.#begunAtMsByVm.set(vm, clock.monotonicMs());
+      this.#begunByVm.set(vm, { waveId, atMs: clock.monotonicMs() });
       if (runner !== undefined && isFirst) {
         fleet.retire(runner);
       }
--- a/src/services/scheduling/operations_service.ts
+++ b/src/services/scheduling/operations_service.ts
@@ -104,7 +104,21 @@
       return Result.err(request.error);
     }
     const { completeWithinMs, ...wave } = request.value;
-    if (log.state.waves.has(wave.waveId)) {
+    const known = log.state.waves.get(wave.waveId);
+    if (known !== undefined) {
+      const { waveId, maxAwayCount, vms } = known;
+      const otherVms = wave.vms.filter((vm) => !vms.includes(vm));
+      logger.info(
+        {
+          waveId,
+          otherVms,
+          vmCount: vms.length,
+          maxAwayCount,
+          sentVmCount: wave.vms.length,
+          sentMaxAwayCount: wave.maxAwayCount,
+        },
+        "a request names a known wave",
+      );
       return Result.ok({});
     }
     logger.info({ ...request.value }, "starting a maintenance wave");
@@ -122,7 +136,7 @@
   readWave(
     body: unknown,
   ): Result<{ readonly isComplete: boolean }, Failure> {
-    const { log } = this.#options;
+    const { log, logger } = this.#options;
     return validateWith(waveQuerySchema, body, { subject: "wave" })
       .andThen(({ waveId }) => {
         const wave = log.state.waves.get(waveId);
@@ -132,6 +146,10 @@
           );
         }
         const isComplete = wave.vms.every((vm) => wave.progress[vm] === "done");
+        logger.info(
+          { waveId, isComplete, ...log.describeReliance() },
+          "read a wave",
+        );
         return Result.ok<{ isComplete: boolean }, Failure>({ isComplete });
       });
   }
--- a/src/services/scheduling/wave_task.ts
+++ b/src/services/scheduling/wave_task.ts
@@ -130,25 +130,43 @@
     byName: ReadonlyMap<string, ListedVm>,
     requestedAtMs: number,
   ): Promise<void> {
-    const { log, logger } = this.#options;
+    const { clock, log, logger } = this.#options;
     const { waveId } = wave;
     const open = wave.vms.filter((vm) => wave.progress[vm] !== "done");
     const back = open.filter((vm) => {
-      const begunAtMs = this.#starter.findBegunAtMs(vm) ?? Infinity;
+      const begunAtMs = this.#starter.findBegun(vm)?.atMs ?? Infinity;
       return byName.get(vm)?.state === "up" && begunAtMs < requestedAtMs;
     });
     const gone = open.filter((vm) => this.#presence.isGone(vm, requestedAtMs));
     if (gone.length > 0) {
       logger.warn({ waveId, vms: gone }, "VMs of a wave are no longer listed");
     }
+    if (back.length > 0) {
+      logger.info(
+        {
+          waveId,
+          vms: back.map((vm) => ({
+            vm,
+            wasOrdered: wave.progress[vm] === "ordered",
+            confirmedWaveId: this.#starter.findBegun(vm)?.waveId,
+          })),
+        },
+        "VMs are back from maintenance",
+      );
+    }
     const done = [...back, ...gone];
-    if (done.length > 0) {
-      await log.propose(done.map((vm) => ({
-        type: "upkeep",
-        waveId,
-        vm,
-        state: "done",
-      })));
+    if (done.length === 0) {
+      return;
+    }
+    const recorded = await log.propose(done.map((vm) => ({
+      type: "upkeep",
+      waveId,
+      vm,
+      state: "done",
+    })));
+    if (recorded.isOk && done.length === open.length) {
+      const lateMs = Math.round(clock.nowMs() - wave.completeByMs);
+      logger.info({ waveId, lateMs }, "a wave is complete");
     }
   }
 
@@ -165,7 +183,7 @@
     const ordered = wave.vms.filter((vm) => wave.progress[vm] === "ordered");
     // What runs on a VM that the list does not show could not be counted.
     const unconfirmed = ordered.filter((vm) =>
-      this.#starter.findBegunAtMs(vm) === undefined &&
+      this.#starter.findBegun(vm) === undefined &&
       (byName.get(vm)?.state ?? "unknown") !== "unknown"
     );
     const plan = this.#plan(wave, byName, ordered.length);
--- a/src/services/scheduling/wave_task_test.ts
+++ b/src/services/scheduling/wave_task_test.ts
@@ -307,6 +307,32 @@
     });
   });
 
+  describe("in the log", () => {
+    function listLines(fixture: SchedulingFixture, message: string) {
+      return fixture.logger.lines.filter((line) => line.message === message)
+        .map(({ fields }) => fields);
+    }
+
+    it("says why each VM counts as done", async () => {
+      const fixture = await startWave();
+      await finish(fixture);
+      const back = listLines(fixture, "VMs are back from maintenance")
+        .flatMap(({ vms }) => vms as { readonly vm: string }[])
+        .toSorted((left, right) => left.vm.localeCompare(right.vm));
+      assert.equal(
+        back,
+        WAVE_VMS.map((vm) => ({ vm, wasOrdered: true, confirmedWaveId: 1 })),
+      );
+    });
+
+    it("is complete once", async () => {
+      const fixture = await startWave();
+      await finish(fixture);
+      const complete = listLines(fixture, "a wave is complete");
+      assert.equal(complete.map(({ waveId }) => waveId), [1]);
+    });
+  });
+
   // Guards against running a task twice: the answer of the VM control is read
   // before an answer to a poll that lists an end, so that the removal of the
   // runner is in the log before that end, and the task is placed again.
