--- a/src/testing/fake_vms.ts
+++ b/src/testing/fake_vms.ts
@@ -8,6 +8,7 @@
   VmFailure,
   VmListing,
   VmOrderSource,
+  VmRefusal,
 } from "../ports/index.ts";
 
 const DEFAULT_LATENCY_MS = 5;
@@ -37,6 +38,8 @@
     readonly waveId: number;
     /** Monotonic time (ms). */
     readonly atMs: number;
+    /** Monotonic time at which the VM is back (ms). */
+    readonly toMs: number;
   }[] = [];
   /** Every request for maintenance, in the order in which they were sent. */
   readonly requests: {
@@ -48,6 +51,12 @@
   maxUnavailableCount = 0;
   /** Whether maintenance requests are carried out but get no answer. */
   losesAnswers = false;
+  /** Waves to which no VM belongs, as far as the platform knows. */
+  readonly refusedWaveIds = new Set<number>();
+  /** VMs that do not exist any more. */
+  readonly goneVms = new Set<string>();
+  /** VMs that are down: the list leaves them out, and orders are refused. */
+  readonly downVms = new Set<string>();
   /** VMs that the list leaves out. */
   readonly unlistedVms = new Set<string>();
   /** VMs whose entry in the list can be read only in part. */
@@ -69,7 +78,12 @@
   async list(): Promise<Result<VmListing, Failure>> {
     const { clock, names, pool } = this.#options;
     await clock.sleep(this.latencyMs);
-    const vms = names.filter((vm) => !this.unlistedVms.has(vm))
+    const vms = names
+      .filter((vm) =>
+        ![this.unlistedVms, this.goneVms, this.downVms].some((left) =>
+          left.has(vm)
+        )
+      )
       .map((vm): ListedVm => ({
         vm,
         pool,
@@ -117,6 +131,10 @@
     const isDone = this.startedMaintenances.some((known) =>
       known.vm === vm && known.waveId === waveId
     );
+    const refusal = this.#findRefusal(vm, waveId);
+    if (!isDone && refusal !== undefined) {
+      return Result.err({ refusal, message: "the order is refused" });
+    }
     if (!isDone) {
       this.#startMaintenance(vm, waveId);
     }
@@ -127,9 +145,22 @@
     return Result.ok(undefined);
   }
 
+  #findRefusal(vm: string, waveId: number): VmRefusal | undefined {
+    if (this.goneVms.has(vm)) {
+      return "invalid";
+    }
+    if (this.refusedWaveIds.has(waveId)) {
+      return "otherWave";
+    }
+    const isBusy = this.#vmsInMaintenance.has(vm) || this.downVms.has(vm);
+    return isBusy ? "busy" : undefined;
+  }
+
   #startMaintenance(vm: string, waveId: number): void {
     const { startRunner, clock, crash } = this.#options;
-    this.startedMaintenances.push({ vm, waveId, atMs: clock.monotonicMs() });
+    const atMs = clock.monotonicMs();
+    const toMs = atMs + MAINTENANCE_MS;
+    this.startedMaintenances.push({ vm, waveId, atMs, toMs });
     this.#vmsInMaintenance.add(vm);
     this.maxUnavailableCount = Math.max(
       this.maxUnavailableCount,
