Reproduce wave requests that are acknowledged and dropped

A request with the number of a known wave is acknowledged whatever VMs, limit and time it names, and the first one's are kept: the VMs of the second are never ordered, and a read says that the wave is complete. The same for two requests at once.

--- a/src/services/scheduling/operations_service_test.ts
+++ b/src/services/scheduling/operations_service_test.ts
@@ -96,6 +96,77 @@
       assert.ok(isComplete());
     });
 
+    describe("whose number is known", () => {
+      it("is acknowledged when it is sent again", async () => {
+        const { agreement, run, service } = createService();
+        for (let count = 0; count < 2; count += 1) {
+          assert.ok((await run(service.startWave(request))).isOk);
+        }
+        assert.is(agreement.commands.length, 1);
+      });
+
+      it("is acknowledged when its VMs are named in another order", async () => {
+        const { run, service } = createService();
+        await run(service.startWave(request));
+        const vms = request.vms.toReversed();
+        assert.ok((await run(service.startWave({ ...request, vms }))).isOk);
+      });
+
+      // Guards against a wave that is complete without the maintenance of a VM:
+      // a request was acknowledged whose VMs are not those of the wave.
+      it("is refused when it names other VMs, limits or times", async () => {
+        for (
+          const change of [
+            { vms: ["vm-1", "vm-3"] },
+            { vms: ["vm-1"] },
+            { vms: ["vm-1", "vm-2", "vm-3"] },
+            { maxAwayCount: 2 },
+            { completeWithinMs: 10_000 },
+          ]
+        ) {
+          const { log, run, service } = createService();
+          await run(service.startWave(request));
+          const refused = await run(
+            service.startWave({ ...request, ...change }),
+          );
+          assert.is(refused.isErr && refused.error.kind, "conflict");
+          const wave = log.state.waves.get(request.waveId);
+          assert.equal(wave?.vms, request.vms);
+          assert.is(wave?.maxAwayCount, request.maxAwayCount);
+        }
+      });
+
+      it("is refused when another one has been accepted meanwhile", async () => {
+        const { log, run, service } = createService();
+        const results = await run(Promise.all([
+          service.startWave(request),
+          service.startWave({ ...request, vms: ["vm-3"] }),
+          service.startWave(request),
+        ]));
+        assert.equal(results.map(({ isOk }) => isOk), [true, false, true]);
+        const refused = results[1];
+        assert.is(refused?.isErr && refused.error.kind, "conflict");
+        assert.equal(log.state.waves.get(1)?.vms, request.vms);
+      });
+
+      it("is compared by VMs and limit if the log has no time of it", async () => {
+        const { log, run, service } = createService();
+        const { completeWithinMs, ...wave } = request;
+        const operation = { ...wave, completeByMs: completeWithinMs };
+        await run(log.propose([{ type: "wave", ...operation }]));
+        assert.ok((await run(service.startWave(request))).isOk);
+        const other = { ...request, vms: ["vm-3"] };
+        assert.ok((await run(service.startWave(other))).isErr);
+      });
+    });
+
+    it("names each VM once", async () => {
+      const { log, run, service } = createService();
+      const vms = [...request.vms, ...request.vms];
+      await run(service.startWave({ ...request, vms }));
+      assert.equal(log.state.waves.get(1)?.vms, request.vms);
+    });
+
     it("that does not exist is not found", () => {
       const { service } = createService();
       const read = service.readWave({ waveId: 7 });
