Reproduce waves that leave out a VM that is down

A VM that lists leave out for 15 s while it is down counts as done after 3 s, and is never maintained.

--- a/src/services/scheduling/wave_task_test.ts
+++ b/src/services/scheduling/wave_task_test.ts
@@ -16,6 +16,8 @@
 const COMPLETE_BY_MS = 60_000;
 /** Time for which the list of VMs has gaps, in milliseconds. */
 const GAP_MS = 2_000;
+/** Time for which a VM is down, in milliseconds. */
+const DOWN_MS = 15_000;
 const JOB_ID = "00000000000000ab";
 /** Longer than the answer of the VM control takes. */
 const POLL_ANSWER_DELAY_MS = 300;
@@ -299,12 +301,43 @@
       const fixture = await startWave();
       const { vms } = fixture;
       assert.ok(vms);
-      vms.unlistedVms.add("r1");
+      vms.goneVms.add("r1");
       fixture.crash("r1");
       await finish(fixture);
       assert.ok(isWaveDone(fixture), "the wave is complete in time");
       assert.not(vms.startedMaintenances.some(({ vm }) => vm === "r1"));
     });
+
+    // Guards against a wave that is complete without the maintenance of a VM: a
+    // VM that lists left out while it was down was taken for gone.
+    it("that lists leave out while it is down is still maintained", async () => {
+      const fixture = await startWave();
+      const { vms } = fixture;
+      assert.ok(vms);
+      vms.downVms.add("r1");
+      fixture.crash("r1");
+      await fixture.clock.advance(DOWN_MS);
+      assert.not(isWaveDone(fixture));
+      vms.downVms.delete("r1");
+      fixture.startRunner("r1");
+      await finish(fixture);
+      checkEachVmOnce(fixture);
+    });
+
+    it("that was down under an earlier leader is still maintained", async () => {
+      const fixture = await startWave();
+      const { vms } = fixture;
+      assert.ok(vms);
+      vms.downVms.add("r1");
+      fixture.crash("r1");
+      await fixture.clock.advance(DOWN_MS);
+      fixture.changeLeader();
+      await fixture.clock.advance(DOWN_MS);
+      vms.downVms.delete("r1");
+      fixture.startRunner("r1");
+      await finish(fixture);
+      checkEachVmOnce(fixture);
+    });
   });
 
   describe("in the log", () => {
