Count a maintenance only for the wave that ordered it

The leader remembered confirmations by VM, until the end of its term: a VM that an earlier wave had maintained counted as done in each later one, without an order in the log or to the platform. The VMs that a leader had logged and not sent were kept in one set for all waves, too.

Both are kept by wave and VM now, and forgotten with the end of that maintenance. A VM is done only if its order for this wave is in the log and has been confirmed, and a list requested after that has it up.

The log line of VMs that are back tells for how long they were away; the test checks that against the maintenance, in place of the two fields that can no longer differ.

--- a/src/services/scheduling/common_vms_of_waves_test.ts
+++ b/src/services/scheduling/common_vms_of_waves_test.ts
@@ -187,18 +187,21 @@
       });
     });
 
+    // Guards against orders that the platform can only refuse: the list was older
+    // than an order for the other wave.
     it("send no order for a VM that is in maintenance for the other", async () => {
-      const fixture = await runBoth(700, async ({ vms }) => {
-        assert.ok(vms);
-        vms.latencyMs = SLOW_ORDER_MS;
-        await Promise.resolve();
-      });
-      const busyCount =
-        fixture.logger.lines.filter(({ fields, message }) =>
+      for (let gapMs = 0; gapMs < 4_000; gapMs += 350) {
+        const { logger } = await runBoth(gapMs, async ({ vms }) => {
+          assert.ok(vms);
+          vms.latencyMs = SLOW_ORDER_MS;
+          await Promise.resolve();
+        });
+        const busyCount = logger.lines.filter(({ fields, message }) =>
           message === "failed to begin the maintenance of a VM" &&
           JSON.stringify(fields).includes("busy")
         ).length;
-      assert.is(busyCount, 0);
+        assert.is(busyCount, 0);
+      }
     });
 
     // Guards against more unavailable VMs of a wave than it allows: those that
--- a/src/services/scheduling/maintenance_starter.ts
+++ b/src/services/scheduling/maintenance_starter.ts
@@ -2,6 +2,10 @@
 import { formatTaskId, type RunningTask } from "../../domain/index.ts";
 import { StepAvailability } from "../../decisions/index.ts";
 import type { Clock, Logger, VmControl } from "../../ports/index.ts";
+import {
+  type MaintenanceOrder,
+  MaintenanceOrders,
+} from "./maintenance_orders.ts";
 import { formatRun } from "./run_name.ts";
 import type { RunnerFleet } from "./runner_fleet.ts";
 import type { SchedulingLog } from "./scheduling_log.ts";
@@ -20,19 +24,10 @@
 }
 
 /** A VM of a wave and the runner that was listed on it. */
-export interface WaveVm {
-  readonly waveId: number;
-  readonly vm: string;
+export interface WaveVm extends MaintenanceOrder {
   readonly runnerId: string | undefined;
 }
 
-/** An order for maintenance that the platform has confirmed. */
-export interface BegunMaintenance {
-  readonly waveId: number;
-  /** Monotonic time of the answer (ms). */
-  readonly atMs: number;
-}
-
 /**
  * Orders maintenance within the limits of unavailable tasks, and knows which
  * tasks are unavailable. Each order is in the log before it is sent, so that the
@@ -41,8 +36,7 @@
 export class MaintenanceStarter {
   readonly #options: MaintenanceStarterOptions;
   readonly #availability: StepAvailability;
-  /** The maintenance that was confirmed last in this term, by VM. */
-  readonly #begunByVm = new Map<string, BegunMaintenance>();
+  readonly #orders = new MaintenanceOrders();
   /**
    * Evicted runs, which count as unavailable although they may still be
    * reported.
@@ -54,8 +48,6 @@
    * later answer of the runner.
    */
   readonly #doubtfulAtMsByRunner = new Map<string, number>();
-  /** VMs whose order this leader has logged and not sent yet. */
-  readonly #unsentVms = new Set<string>();
   /** Runs that orders without an answer so far may end. */
   readonly #stopping = new Set<RunningTask>();
 
@@ -68,12 +60,18 @@
   }
 
   /**
-   * Returns the maintenance of a VM that was confirmed last in this term.
+   * Returns when the maintenance of a VM for a wave was confirmed in this term.
    *
-   * @param vm - Name of the VM.
+   * @param order - The VM and the wave.
+   * @returns Monotonic time (ms), or undefined.
    */
-  findBegun(vm: string): BegunMaintenance | undefined {
-    return this.#begunByVm.get(vm);
+  findBegunAtMs(order: MaintenanceOrder): number | undefined {
+    return this.#orders.findConfirmedAtMs(order);
+  }
+
+  /** Forgets an order whose maintenance is done. */
+  forget(order: MaintenanceOrder): void {
+    this.#orders.forget(order);
   }
 
   /**
@@ -161,21 +159,22 @@
       })),
     );
     if (proposed.isOk) {
-      unlogged.forEach(({ vm }) => this.#unsentVms.add(vm));
+      unlogged.forEach((order) => this.#orders.recordLogged(order));
     }
     return proposed.isOk;
   }
 
   // A leader that finds an order in the log may be the first to send it, so the
   // limits hold for it too.
-  async #send({ vm, waveId, runnerId }: WaveVm): Promise<void> {
+  async #send(order: WaveVm): Promise<void> {
+    const { vm, waveId, runnerId } = order;
     const { clock, fencingToken, fleet, holderId, log, logger, vms } =
       this.#options;
     const running = this.listRunning(runnerId);
     if (!log.holdsLeaderLease || !this.mayStop(running)) {
       return;
     }
-    const isFirst = this.#unsentVms.delete(vm);
+    const isFirst = this.#orders.recordSent(order);
     // By the time of the answer, the next incarnation may have taken its place.
     const runner = log.state.runners.get(runnerId ?? "");
     running.forEach((run) => this.#stopping.add(run));
@@ -194,7 +193,7 @@
       );
     } else {
       logger.info(fields, "began the upkeep of a VM");
-      this.#begunByVm.set(vm, { waveId, atMs: clock.monotonicMs() });
+      this.#orders.recordConfirmed(order, clock.monotonicMs());
       if (runner !== undefined && isFirst) {
         fleet.retire(runner);
       }
--- a/src/services/scheduling/wave_task.ts
+++ b/src/services/scheduling/wave_task.ts
@@ -133,26 +133,20 @@
     const { clock, log, logger } = this.#options;
     const { waveId } = wave;
     const open = wave.vms.filter((vm) => wave.progress[vm] !== "done");
-    const back = open.filter((vm) => {
-      const begunAtMs = this.#starter.findBegun(vm)?.atMs ?? Infinity;
-      return byName.get(vm)?.state === "up" && begunAtMs < requestedAtMs;
-    });
+    const back = open.filter((vm) =>
+      wave.progress[vm] === "ordered" && byName.get(vm)?.state === "up" &&
+      (this.#starter.findBegunAtMs({ waveId, vm }) ?? Infinity) < requestedAtMs
+    );
     const gone = open.filter((vm) => this.#presence.isGone(vm, requestedAtMs));
     if (gone.length > 0) {
       logger.warn({ waveId, vms: gone }, "VMs of a wave are no longer listed");
     }
     if (back.length > 0) {
-      logger.info(
-        {
-          waveId,
-          vms: back.map((vm) => ({
-            vm,
-            wasOrdered: wave.progress[vm] === "ordered",
-            confirmedWaveId: this.#starter.findBegun(vm)?.waveId,
-          })),
-        },
-        "VMs are back from maintenance",
-      );
+      const vms = back.map((vm) => {
+        const begunAtMs = this.#starter.findBegunAtMs({ waveId, vm }) ?? 0;
+        return { vm, awayMs: Math.round(requestedAtMs - begunAtMs) };
+      });
+      logger.info({ waveId, vms }, "VMs are back from maintenance");
     }
     const done = [...back, ...gone];
     if (done.length === 0) {
@@ -164,7 +158,11 @@
       vm,
       state: "done",
     })));
-    if (recorded.isOk && done.length === open.length) {
+    if (recorded.isErr) {
+      return;
+    }
+    done.forEach((vm) => this.#starter.forget({ waveId, vm }));
+    if (done.length === open.length) {
       const lateMs = Math.round(clock.nowMs() - wave.completeByMs);
       logger.info({ waveId, lateMs }, "a wave is complete");
     }
@@ -183,7 +181,7 @@
     const ordered = wave.vms.filter((vm) => wave.progress[vm] === "ordered");
     // What runs on a VM that the list does not show could not be counted.
     const unconfirmed = ordered.filter((vm) =>
-      this.#starter.findBegun(vm) === undefined &&
+      this.#starter.findBegunAtMs({ waveId, vm }) === undefined &&
       (byName.get(vm)?.state ?? "unknown") !== "unknown"
     );
     const plan = this.#plan(wave, byName, ordered.length);
--- a/src/services/scheduling/wave_task_test.ts
+++ b/src/services/scheduling/wave_task_test.ts
@@ -350,12 +350,18 @@
       const fixture = await startWave();
       await finish(fixture);
       const back = listLines(fixture, "VMs are back from maintenance")
-        .flatMap(({ vms }) => vms as { readonly vm: string }[])
-        .toSorted((left, right) => left.vm.localeCompare(right.vm));
-      assert.equal(
-        back,
-        WAVE_VMS.map((vm) => ({ vm, wasOrdered: true, confirmedWaveId: 1 })),
-      );
+        .filter(({ waveId }) => waveId === 1)
+        .flatMap(({ vms }) =>
+          vms as { readonly vm: string; readonly awayMs: number }[]
+        );
+      assert.equal(back.map(({ vm }) => vm).toSorted(), WAVE_VMS);
+      for (const { vm, awayMs } of back) {
+        const started = fixture.vms?.startedMaintenances.find((known) =>
+          known.vm === vm && known.waveId === 1
+        );
+        assert.ok(started);
+        assert.ok(awayMs >= started.toMs - started.atMs, `${vm} is back`);
+      }
     });
 
     it("is complete once", async () => {
