Maintain a VM that several waves name for one after the other

Each wave was advanced by itself, from a list of VMs that could be older than the orders of the one before: it ordered VMs that the other one had just taken down, which the platform refuses as busy, and it did not count them, so that more VMs of a wave were unavailable than it allows.

chooseMaintenanceTurns now gives each VM to one wave: the one whose order may have been carried out, else the one with the earliest deadline. A wave that is late, or whose order was refused, does not hold up the others. VMs that are down for another wave count against the limit of a wave. All orders of a turn are sent together, so that the limits of their tasks hold across waves.

A play on a scratch copy shows that the platform answers 409 busy to the order of one wave while the VM is down for another.

--- a/src/decisions/scheduling/index.ts
+++ b/src/decisions/scheduling/index.ts
@@ -6,6 +6,7 @@
 export * from "./start_planner.ts";
 export * from "./availability.ts";
 export * from "./maintenance_policy.ts";
+export * from "./maintenance_turns.ts";
 export * from "./capacity_policy.ts";
 export * from "./demand_forecast.ts";
 export * from "./pace_policy.ts";
--- a/src/services/scheduling/maintenance_orders.ts
+++ b/src/services/scheduling/maintenance_orders.ts
@@ -1,5 +1,7 @@
 /** What a leader knows of its orders to maintain VMs. */
 
+import type { MaintenanceOutcome } from "../../decisions/index.ts";
+
 /** Names the order to maintain a VM for a wave. */
 export interface MaintenanceOrder {
   readonly waveId: number;
@@ -12,6 +14,7 @@
  */
 export class MaintenanceOrders {
   readonly #confirmedAtMs = new Map<string, number>();
+  readonly #refused = new Set<string>();
   readonly #unsent = new Set<string>();
 
   /** Records that this leader has logged an order and not sent it yet. */
@@ -26,7 +29,14 @@
    * @returns Whether nobody can have sent it before.
    */
   recordSent(order: MaintenanceOrder): boolean {
-    return this.#unsent.delete(formatOrder(order));
+    const key = formatOrder(order);
+    this.#refused.delete(key);
+    return this.#unsent.delete(key);
+  }
+
+  /** Records that the platform has refused an order, which it will not carry out. */
+  recordRefused(order: MaintenanceOrder): void {
+    this.#refused.add(formatOrder(order));
   }
 
   /**
@@ -49,10 +59,20 @@
     return this.#confirmedAtMs.get(formatOrder(order));
   }
 
+  /** Returns what is known of an order that is in the log. */
+  findOutcome(order: MaintenanceOrder): MaintenanceOutcome {
+    const key = formatOrder(order);
+    if (this.#confirmedAtMs.has(key)) {
+      return "confirmed";
+    }
+    return this.#refused.has(key) ? "refused" : "unknown";
+  }
+
   /** Forgets an order whose maintenance is done. */
   forget(order: MaintenanceOrder): void {
     const key = formatOrder(order);
     this.#confirmedAtMs.delete(key);
+    this.#refused.delete(key);
     this.#unsent.delete(key);
   }
 }
--- a/src/services/scheduling/maintenance_starter.ts
+++ b/src/services/scheduling/maintenance_starter.ts
@@ -1,7 +1,7 @@
 /** Sends the orders that begin the maintenance of VMs. */
 import { formatTaskId, type RunningTask } from "../../domain/index.ts";
 import { StepAvailability } from "../../decisions/index.ts";
-import type { Clock, Logger, VmControl } from "../../ports/index.ts";
+import type { Clock, Logger, VmControl, VmFailure } from "../../ports/index.ts";
 import {
   type MaintenanceOrder,
   MaintenanceOrders,
@@ -34,9 +34,10 @@
  * next leader counts the VM as unavailable whatever the outcome of the call.
  */
 export class MaintenanceStarter {
+  /** What this leader knows of its orders. */
+  readonly orders = new MaintenanceOrders();
   readonly #options: MaintenanceStarterOptions;
   readonly #availability: StepAvailability;
-  readonly #orders = new MaintenanceOrders();
   /**
    * Evicted runs, which count as unavailable although they may still be
    * reported.
@@ -59,21 +60,6 @@
     });
   }
 
-  /**
-   * Returns when the maintenance of a VM for a wave was confirmed in this term.
-   *
-   * @param order - The VM and the wave.
-   * @returns Monotonic time (ms), or undefined.
-   */
-  findBegunAtMs(order: MaintenanceOrder): number | undefined {
-    return this.#orders.findConfirmedAtMs(order);
-  }
-
-  /** Forgets an order whose maintenance is done. */
-  forget(order: MaintenanceOrder): void {
-    this.#orders.forget(order);
-  }
-
   /**
    * Tells whether runs may be stopped, beside those that orders may end now.
    *
@@ -159,7 +145,7 @@
       })),
     );
     if (proposed.isOk) {
-      unlogged.forEach((order) => this.#orders.recordLogged(order));
+      unlogged.forEach((order) => this.orders.recordLogged(order));
     }
     return proposed.isOk;
   }
@@ -174,7 +160,7 @@
     if (!log.holdsLeaderLease || !this.mayStop(running)) {
       return;
     }
-    const isFirst = this.#orders.recordSent(order);
+    const isFirst = this.orders.recordSent(order);
     // By the time of the answer, the next incarnation may have taken its place.
     const runner = log.state.runners.get(runnerId ?? "");
     running.forEach((run) => this.#stopping.add(run));
@@ -191,9 +177,12 @@
         { ...fields, failure: begun.error },
         "failed to begin the maintenance of a VM",
       );
+      if (isFinal(begun.error)) {
+        this.orders.recordRefused(order);
+      }
     } else {
       logger.info(fields, "began the upkeep of a VM");
-      this.#orders.recordConfirmed(order, clock.monotonicMs());
+      this.orders.recordConfirmed(order, clock.monotonicMs());
       if (runner !== undefined && isFirst) {
         fleet.retire(runner);
       }
@@ -212,3 +201,8 @@
       : status.findPercent(formatTaskId(run.id));
   }
 }
+
+// A stale fence or a rate limit says nothing about the VM.
+function isFinal({ refusal }: VmFailure): boolean {
+  return refusal === "busy" || refusal === "invalid" || refusal === "otherWave";
+}
--- a/src/services/scheduling/wave_task.ts
+++ b/src/services/scheduling/wave_task.ts
@@ -4,13 +4,16 @@
   type Runner,
   type WaveRecord,
 } from "../../domain/index.ts";
-import type {
-  MaintenanceCandidate,
-  MaintenancePlan,
-  MaintenancePolicy,
+import {
+  chooseMaintenanceTurns,
+  countAwayVms,
+  type MaintenanceCandidate,
+  type MaintenancePlan,
+  type MaintenancePolicy,
 } from "../../decisions/index.ts";
 import type { Clock, ListedVm, Logger, VmControl } from "../../ports/index.ts";
 import { type Notifier, waitFor } from "../../tasks/index.ts";
+import type { MaintenanceOrder } from "./maintenance_orders.ts";
 import { MaintenanceStarter } from "./maintenance_starter.ts";
 import type { RunnerFleet } from "./runner_fleet.ts";
 import type { SchedulingLog } from "./scheduling_log.ts";
@@ -31,6 +34,14 @@
   readonly fencingToken: number;
 }
 
+/** The next actions of one wave. */
+interface WavePlan {
+  readonly waveId: number;
+  /** VMs whose order is in the log, and has to be sent again or at last. */
+  readonly again: readonly string[];
+  readonly plan: MaintenancePlan;
+}
+
 /**
  * Longest pause without an open wave, in milliseconds; a change ends it early.
  */
@@ -115,12 +126,10 @@
         this.#presence.complete(entry, requestedAtMs),
       ]),
     );
-    const cordoned = new Set<string>();
     for (const wave of waves) {
       await this.#recordDone(wave, byName, requestedAtMs);
-      await this.#advanceWave(wave.waveId, byName, cordoned);
     }
-    this.#cordonedRunnerIds = cordoned;
+    await this.#orderNext(byName);
   }
 
   // A VM that the platform no longer lists cannot be maintained any more, so its
@@ -135,7 +144,8 @@
     const open = wave.vms.filter((vm) => wave.progress[vm] !== "done");
     const back = open.filter((vm) =>
       wave.progress[vm] === "ordered" && byName.get(vm)?.state === "up" &&
-      (this.#starter.findBegunAtMs({ waveId, vm }) ?? Infinity) < requestedAtMs
+      (this.#starter.orders.findConfirmedAtMs({ waveId, vm }) ?? Infinity) <
+        requestedAtMs
     );
     const gone = open.filter((vm) => this.#presence.isGone(vm, requestedAtMs));
     if (gone.length > 0) {
@@ -143,7 +153,8 @@
     }
     if (back.length > 0) {
       const vms = back.map((vm) => {
-        const begunAtMs = this.#starter.findBegunAtMs({ waveId, vm }) ?? 0;
+        const begunAtMs =
+          this.#starter.orders.findConfirmedAtMs({ waveId, vm }) ?? 0;
         return { vm, awayMs: Math.round(requestedAtMs - begunAtMs) };
       });
       logger.info({ waveId, vms }, "VMs are back from maintenance");
@@ -161,76 +172,95 @@
     if (recorded.isErr) {
       return;
     }
-    done.forEach((vm) => this.#starter.forget({ waveId, vm }));
+    done.forEach((vm) => this.#starter.orders.forget({ waveId, vm }));
     if (done.length === open.length) {
       const lateMs = Math.round(clock.nowMs() - wave.completeByMs);
       logger.info({ waveId, lateMs }, "a wave is complete");
     }
   }
 
-  async #advanceWave(
-    waveId: number,
-    byName: ReadonlyMap<string, ListedVm>,
-    cordoned: Set<string>,
-  ): Promise<void> {
-    const { log } = this.#options;
-    const wave = log.state.waves.get(waveId);
-    if (wave === undefined) {
-      return;
-    }
-    const ordered = wave.vms.filter((vm) => wave.progress[vm] === "ordered");
-    // What runs on a VM that the list does not show could not be counted.
-    const unconfirmed = ordered.filter((vm) =>
-      this.#starter.findBegunAtMs({ waveId, vm }) === undefined &&
-      (byName.get(vm)?.state ?? "unknown") !== "unknown"
-    );
-    const plan = this.#plan(wave, byName, ordered.length);
-    this.#cordon([...unconfirmed, ...plan.cordon], byName, cordoned);
-    for (const vm of [...unconfirmed, ...plan.evacuate]) {
-      this.#evictOne(waveId, vm, byName.get(vm));
+  async #orderNext(byName: ReadonlyMap<string, ListedVm>): Promise<void> {
+    const cordoned = new Set<string>();
+    const plans = this.#planAll(byName);
+    for (const { again, plan, waveId } of plans) {
+      this.#cordon([...again, ...plan.cordon], byName, cordoned);
+      for (const vm of [...again, ...plan.evacuate]) {
+        this.#evictOne(waveId, vm, byName.get(vm));
+      }
     }
-    const begin = await this.#confirmIdle(wave, plan, byName, ordered.length);
+    const again = plans.flatMap((plan) => toOrders(plan, plan.again));
+    const begin = await this.#confirmIdle(plans, byName);
     await this.#starter.begin(
-      [...unconfirmed, ...begin].map((vm) => ({
-        waveId,
-        vm,
-        runnerId: byName.get(vm)?.runnerId,
+      [...again, ...begin].map((order) => ({
+        ...order,
+        runnerId: byName.get(order.vm)?.runnerId,
       })),
     );
+    this.#cordonedRunnerIds = cordoned;
   }
 
   // A plan of the scheduler that was made before the cordon may still place work
   // on these VMs. Once a later entry of the log has taken effect, it has too, or
   // it never will.
   async #confirmIdle(
-    wave: WaveRecord,
-    plan: MaintenancePlan,
+    plans: readonly WavePlan[],
     byName: ReadonlyMap<string, ListedVm>,
-    orderedCount: number,
-  ): Promise<readonly string[]> {
+  ): Promise<MaintenanceOrder[]> {
     const { log } = this.#options;
-    if (plan.begin.length === 0 || (await log.propose([])).isErr) {
+    const isNeeded = plans.some(({ plan }) => plan.begin.length > 0);
+    if (!isNeeded || (await log.propose([])).isErr) {
       return [];
     }
-    const cordonedVms = new Set(plan.cordon);
-    return this.#plan(wave, byName, orderedCount).begin
-      .filter((vm) => cordonedVms.has(vm));
+    const cordonedVms = new Set(plans.flatMap(({ plan }) => plan.cordon));
+    return this.#planAll(byName).flatMap((replanned) =>
+      toOrders(
+        replanned,
+        replanned.plan.begin.filter((vm) => cordonedVms.has(vm)),
+      )
+    );
+  }
+
+  #planAll(byName: ReadonlyMap<string, ListedVm>): WavePlan[] {
+    const { orders } = this.#starter;
+    const waves = this.#listOpen();
+    const turns = chooseMaintenanceTurns({
+      waves,
+      findOutcome: (waveId, vm) => orders.findOutcome({ waveId, vm }),
+      nowMs: this.#options.clock.nowMs(),
+    });
+    const begun = new Set<string>();
+    return waves.map((wave) => {
+      const { progress, vms, waveId } = wave;
+      const own = vms.filter((vm) => turns.get(vm)?.waveId === waveId);
+      // What runs on a VM that the list does not show could not be counted.
+      const again = own.filter((vm) =>
+        progress[vm] === "ordered" &&
+        orders.findOutcome({ waveId, vm }) !== "confirmed" &&
+        (byName.get(vm)?.state ?? "unknown") !== "unknown"
+      );
+      const awayCount = countAwayVms(wave, turns) +
+        vms.filter((vm) => begun.has(vm)).length;
+      const waiting = own.filter((vm) => progress[vm] === undefined);
+      const plan = this.#plan(wave, waiting, byName, awayCount);
+      plan.begin.forEach((vm) => begun.add(vm));
+      return { waveId, again, plan };
+    });
   }
 
   #plan(
     wave: WaveRecord,
+    waiting: readonly string[],
     byName: ReadonlyMap<string, ListedVm>,
-    orderedCount: number,
+    awayCount: number,
   ): MaintenancePlan {
     const { clock, policy } = this.#options;
-    const candidates = wave.vms
-      .filter((vm) => wave.progress[vm] === undefined)
+    const candidates = waiting
       .flatMap((vm) => byName.get(vm) ?? [])
       .filter(({ state }) => state === "up")
       .map((listed) => this.#createCandidate(listed));
     return policy.plan({
       candidates,
-      allowedStartCount: Math.max(0, wave.maxAwayCount - orderedCount),
+      allowedStartCount: Math.max(0, wave.maxAwayCount - awayCount),
       leftMs: wave.completeByMs - clock.nowMs(),
       maxAwayCount: wave.maxAwayCount,
     });
@@ -287,3 +317,10 @@
     }
   }
 }
+
+function toOrders(
+  { waveId }: WavePlan,
+  vms: readonly string[],
+): MaintenanceOrder[] {
+  return vms.map((vm) => ({ waveId, vm }));
+}
