--- a/src/services/scheduling/wave_task.ts
+++ b/src/services/scheduling/wave_task.ts
@@ -19,6 +19,7 @@
 import type { SchedulingLog } from "./scheduling_log.ts";
 import { WAVE_TICK_MS } from "./timing.ts";
 import { VmPresence } from "./vm_presence.ts";
+import { type CompletedListing, WaveProgress } from "./wave_progress.ts";
 
 /** Options of {@link WaveTask}. */
 export interface WaveTaskOptions {
@@ -54,6 +55,7 @@
   readonly #options: WaveTaskOptions;
   readonly #starter: MaintenanceStarter;
   readonly #presence: VmPresence;
+  readonly #progress: WaveProgress;
   #cordonedRunnerIds: ReadonlySet<string> = new Set();
 
   constructor(options: WaveTaskOptions) {
@@ -62,6 +64,11 @@
     this.#presence = new VmPresence({
       hasRunner: (runnerId) => options.log.state.runners.has(runnerId),
     });
+    this.#progress = new WaveProgress({
+      ...options,
+      orders: this.#starter.orders,
+      presence: this.#presence,
+    });
   }
 
   /**
@@ -126,62 +133,17 @@
         this.#presence.complete(entry, requestedAtMs),
       ]),
     );
+    const listing = { byName, requestedAtMs };
     for (const wave of waves) {
-      await this.#recordDone(wave, byName, requestedAtMs);
+      await this.#progress.record(wave, listing);
     }
-    await this.#orderNext(byName);
+    await this.#orderNext(listing);
   }
 
-  // A VM that the platform no longer lists cannot be maintained any more, so its
-  // maintenance counts as done.
-  async #recordDone(
-    wave: WaveRecord,
-    byName: ReadonlyMap<string, ListedVm>,
-    requestedAtMs: number,
-  ): Promise<void> {
-    const { clock, log, logger } = this.#options;
-    const { waveId } = wave;
-    const open = wave.vms.filter((vm) => wave.progress[vm] !== "done");
-    const back = open.filter((vm) =>
-      wave.progress[vm] === "ordered" && byName.get(vm)?.state === "up" &&
-      (this.#starter.orders.findConfirmedAtMs({ waveId, vm }) ?? Infinity) <
-        requestedAtMs
-    );
-    const gone = open.filter((vm) => this.#presence.isGone(vm, requestedAtMs));
-    if (gone.length > 0) {
-      logger.warn({ waveId, vms: gone }, "VMs of a wave are no longer listed");
-    }
-    if (back.length > 0) {
-      const vms = back.map((vm) => {
-        const begunAtMs =
-          this.#starter.orders.findConfirmedAtMs({ waveId, vm }) ?? 0;
-        return { vm, awayMs: Math.round(requestedAtMs - begunAtMs) };
-      });
-      logger.info({ waveId, vms }, "VMs are back from maintenance");
-    }
-    const done = [...back, ...gone];
-    if (done.length === 0) {
-      return;
-    }
-    const recorded = await log.propose(done.map((vm) => ({
-      type: "upkeep",
-      waveId,
-      vm,
-      state: "done",
-    })));
-    if (recorded.isErr) {
-      return;
-    }
-    done.forEach((vm) => this.#starter.orders.forget({ waveId, vm }));
-    if (done.length === open.length) {
-      const lateMs = Math.round(clock.nowMs() - wave.completeByMs);
-      logger.info({ waveId, lateMs }, "a wave is complete");
-    }
-  }
-
-  async #orderNext(byName: ReadonlyMap<string, ListedVm>): Promise<void> {
+  async #orderNext(listing: CompletedListing): Promise<void> {
+    const { byName } = listing;
     const cordoned = new Set<string>();
-    const plans = this.#planAll(byName);
+    const plans = this.#planAll(listing);
     for (const { again, plan, waveId } of plans) {
       this.#cordon([...again, ...plan.cordon], byName, cordoned);
       for (const vm of [...again, ...plan.evacuate]) {
@@ -189,7 +151,7 @@
       }
     }
     const again = plans.flatMap((plan) => toOrders(plan, plan.again));
-    const begin = await this.#confirmIdle(plans, byName);
+    const begin = await this.#confirmIdle(plans, listing);
     await this.#starter.begin(
       [...again, ...begin].map((order) => ({
         ...order,
@@ -204,7 +166,7 @@
   // it never will.
   async #confirmIdle(
     plans: readonly WavePlan[],
-    byName: ReadonlyMap<string, ListedVm>,
+    listing: CompletedListing,
   ): Promise<MaintenanceOrder[]> {
     const { log } = this.#options;
     const isNeeded = plans.some(({ plan }) => plan.begin.length > 0);
@@ -212,7 +174,7 @@
       return [];
     }
     const cordonedVms = new Set(plans.flatMap(({ plan }) => plan.cordon));
-    return this.#planAll(byName).flatMap((replanned) =>
+    return this.#planAll(listing).flatMap((replanned) =>
       toOrders(
         replanned,
         replanned.plan.begin.filter((vm) => cordonedVms.has(vm)),
@@ -220,7 +182,7 @@
     );
   }
 
-  #planAll(byName: ReadonlyMap<string, ListedVm>): WavePlan[] {
+  #planAll({ byName }: CompletedListing): WavePlan[] {
     const { orders } = this.#starter;
     const waves = this.#listOpen();
     const turns = chooseMaintenanceTurns({
