Maintain a VM of a wave that was down for a while

A VM that complete lists left out for 3 s, and whose runner the leader no longer knew, counted as gone and so as done. A VM that is down may be left out for longer: the deployments have racks that are dark for 5 to 8 s during a wave, and the leader removes a runner that refuses connections within 3 polls. What one wave had seen of a VM also counted for the next one, which may begin minutes later.

A VM now counts as gone only once three things hold: complete lists have left it out for 12 s, the platform has refused its order, and the time of the wave is over. The order is sent after those of the other VMs of the wave. If the platform accepts it, the VM is maintained. A refused order no longer counts against the limit of its wave, so that such a VM holds up no other one; it is sent again when the VM is listed as up. Records of VMs end with the waves that name them.

That the users' platform leaves them out is suspected, not shown.

A wave of which a VM is gone is complete at its deadline now, not 3 s after the VM has gone. The case for it checks that it is neither complete before nor more than 3 s later, that the others are done in time, and that the VM costs one order.

--- a/src/decisions/scheduling/maintenance_turns.ts
+++ b/src/decisions/scheduling/maintenance_turns.ts
@@ -69,12 +69,8 @@
  * @param turns - The turns of all VMs.
  */
 export function countAwayVms(
-  { progress, vms, waveId }: WaveRecord,
+  { vms }: WaveRecord,
   turns: ReadonlyMap<string, MaintenanceTurn>,
 ): number {
-  return vms.filter((vm) => {
-    const turn = turns.get(vm);
-    return progress[vm] === "ordered" ||
-      (turn !== undefined && turn.isAway && turn.waveId !== waveId);
-  }).length;
+  return vms.filter((vm) => turns.get(vm)?.isAway).length;
 }
--- a/src/services/scheduling/timing.ts
+++ b/src/services/scheduling/timing.ts
@@ -124,10 +124,15 @@
  */
 export const WAVE_TICK_MS = 700;
 /**
- * Time for which a VM or the runner on it must be missing from the list of VMs to
- * count as gone (ms): several listings, each of which may have a gap.
+ * Time for which a VM must be missing from the list of VMs to count as gone (ms):
+ * longer than a VM is down that comes back.
  */
-export const VM_GONE_MS = 3_000;
+export const VM_GONE_MS = 12_000;
+/**
+ * Time for which a VM that is up must be listed without a runner to count as
+ * empty (ms): several listings, each of which may have a gap.
+ */
+export const VM_EMPTY_MS = 3_000;
 /** Most orders to maintain a VM that wait for an answer. */
 export const MAX_MAINTENANCE_ORDERS_IN_FLIGHT = 4;
 /**
--- a/src/services/scheduling/vm_presence.ts
+++ b/src/services/scheduling/vm_presence.ts
@@ -1,6 +1,6 @@
 /** Remembers what the lists of VMs have shown, across lists with gaps. */
 import type { ListedVm, VmListing } from "../../ports/index.ts";
-import { VM_GONE_MS } from "./timing.ts";
+import { VM_EMPTY_MS, VM_GONE_MS } from "./timing.ts";
 
 interface VmRecord {
   /** Monotonic time of the first list in a row without the VM (ms). */
@@ -30,7 +30,7 @@
   }
 
   /**
-   * Records a list.
+   * Records a list, and forgets the VMs that are not followed any more.
    *
    * @param names - The VMs to be followed.
    * @param listing - The list.
@@ -42,8 +42,10 @@
     atMs: number,
   ): void {
     const byName = new Map(vms.map((listed) => [listed.vm, listed]));
+    const earlier = new Map(this.#records);
+    this.#records.clear();
     for (const vm of names) {
-      const known = this.#records.get(vm);
+      const known = earlier.get(vm);
       const listed = byName.get(vm);
       const isMissing = listed === undefined && isComplete;
       const isEmpty = listed?.state === "up" && listed.runnerId === undefined;
@@ -70,7 +72,7 @@
   /**
    * Completes the entry of a VM that is up without a runner: with the runner that
    * was listed before, if the leader knows it still, else with an unknown state
-   * until no runner has been listed for {@link VM_GONE_MS}.
+   * until no runner has been listed for {@link VM_EMPTY_MS}.
    *
    * @param listed - The entry.
    * @param atMs - Monotonic time of the newest list (ms).
@@ -84,7 +86,7 @@
     if (runnerId !== undefined) {
       return { ...listed, runnerId };
     }
-    return atMs - emptySinceMs >= VM_GONE_MS
+    return atMs - emptySinceMs >= VM_EMPTY_MS
       ? listed
       : { ...listed, state: "unknown" };
   }
--- /dev/null
+++ b/src/services/scheduling/wave_planner.ts
@@ -0,0 +1,166 @@
+/** Plans the next actions of all waves together. */
+import {
+  chooseMaintenanceTurns,
+  countAwayVms,
+  type MaintenanceCandidate,
+  type MaintenanceOutcome,
+  type MaintenancePlan,
+  type MaintenancePolicy,
+} from "../../decisions/index.ts";
+import type { WaveRecord } from "../../domain/index.ts";
+import type { Clock, ListedVm } from "../../ports/index.ts";
+import type { MaintenanceStarter } from "./maintenance_starter.ts";
+import type { VmPresence } from "./vm_presence.ts";
+import type { CompletedListing } from "./wave_progress.ts";
+
+/** Options of {@link WavePlanner}. */
+export interface WavePlannerOptions {
+  readonly starter: MaintenanceStarter;
+  readonly presence: VmPresence;
+  readonly policy: MaintenancePolicy;
+  readonly clock: Clock;
+  /** Returns the waves that are not complete. */
+  readonly listOpen: () => readonly WaveRecord[];
+}
+
+/** The next actions of one wave. */
+export interface WavePlan {
+  readonly waveId: number;
+  /** VMs whose order is sent at once, though it may have been sent before. */
+  readonly send: readonly string[];
+  /** Number of VMs that may begin beside those. */
+  readonly maxBeginCount: number;
+  readonly plan: MaintenancePlan;
+}
+
+/** Plans waves within the limit of each, whichever waves share its VMs. */
+export class WavePlanner {
+  readonly #options: WavePlannerOptions;
+
+  constructor(options: WavePlannerOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Plans the next actions of all waves.
+   *
+   * @param listing - The newest list of VMs.
+   * @param cordonedRunnerIds - Runners that get no work for a wave.
+   * @returns One plan for each wave that is not complete.
+   */
+  plan(
+    listing: CompletedListing,
+    cordonedRunnerIds: ReadonlySet<string>,
+  ): WavePlan[] {
+    const { clock, listOpen, starter } = this.#options;
+    const waves = listOpen();
+    const turns = chooseMaintenanceTurns({
+      waves,
+      findOutcome: (waveId, vm) => starter.orders.findOutcome({ waveId, vm }),
+      nowMs: clock.nowMs(),
+    });
+    const chosen = new Set<string>();
+    return waves.map((wave) => {
+      const { progress, vms, waveId } = wave;
+      const own = vms.filter((vm) => turns.get(vm)?.waveId === waveId);
+      const slotCount = Math.max(
+        0,
+        wave.maxAwayCount - countAwayVms(wave, turns) -
+          vms.filter((vm) => chosen.has(vm)).length,
+      );
+      const plan = this.#planOne(
+        wave,
+        own.filter((vm) => progress[vm] === undefined)
+          .flatMap((vm) => listing.byName.get(vm) ?? [])
+          .filter(({ state }) => state === "up"),
+        slotCount,
+        cordonedRunnerIds,
+      );
+      const late = this.#listLate(wave, own, listing)
+        .slice(0, slotCount - plan.begin.length);
+      [...plan.begin, ...late].forEach((vm) => chosen.add(vm));
+      return {
+        waveId,
+        send: [...this.#listUnknown(wave, own, listing), ...late],
+        maxBeginCount: slotCount - late.length,
+        plan,
+      };
+    });
+  }
+
+  #planOne(
+    wave: WaveRecord,
+    waiting: readonly ListedVm[],
+    slotCount: number,
+    cordonedRunnerIds: ReadonlySet<string>,
+  ): MaintenancePlan {
+    const { clock, policy } = this.#options;
+    return policy.plan({
+      candidates: waiting.map((listed) =>
+        this.#createCandidate(listed, cordonedRunnerIds)
+      ),
+      allowedStartCount: slotCount,
+      leftMs: wave.completeByMs - clock.nowMs(),
+      maxAwayCount: wave.maxAwayCount,
+    });
+  }
+
+  // Orders whose outcome is unknown count as carried out. What runs on a VM that
+  // the list does not show could not be counted, unless the VM is gone.
+  #listUnknown(
+    wave: WaveRecord,
+    own: readonly string[],
+    { byName, requestedAtMs }: CompletedListing,
+  ): string[] {
+    return this.#listOrdered(wave, own, "unknown").filter((vm) =>
+      (byName.get(vm)?.state ?? "unknown") !== "unknown" ||
+      this.#options.presence.isGone(vm, requestedAtMs)
+    );
+  }
+
+  // VMs that come after the others: the platform has refused them once, or has
+  // to tell whether it still has them.
+  #listLate(
+    wave: WaveRecord,
+    own: readonly string[],
+    { byName, requestedAtMs }: CompletedListing,
+  ): string[] {
+    const { presence } = this.#options;
+    return [
+      ...this.#listOrdered(wave, own, "refused")
+        .filter((vm) => byName.get(vm)?.state === "up"),
+      ...own.filter((vm) =>
+        wave.progress[vm] === undefined && presence.isGone(vm, requestedAtMs)
+      ),
+    ];
+  }
+
+  #listOrdered(
+    { progress, waveId }: WaveRecord,
+    own: readonly string[],
+    outcome: MaintenanceOutcome,
+  ): string[] {
+    const { orders } = this.#options.starter;
+    return own.filter((vm) =>
+      progress[vm] === "ordered" &&
+      orders.findOutcome({ waveId, vm }) === outcome
+    );
+  }
+
+  #createCandidate(
+    { runnerId, vm }: ListedVm,
+    cordonedRunnerIds: ReadonlySet<string>,
+  ): MaintenanceCandidate {
+    const { starter } = this.#options;
+    const running = starter.listRunning(runnerId);
+    return {
+      vm,
+      running,
+      isProtected: !starter.mayStop(running),
+      guardedSteps: running
+        .filter(({ step }) => step.isEndless && step.maxAwayCount !== undefined)
+        .map(({ id }) => `${id.jobId}.${id.occurrence}.${id.step}`),
+      isCordoned: runnerId !== undefined && cordonedRunnerIds.has(runnerId),
+    };
+  }
+}
--- a/src/services/scheduling/wave_progress.ts
+++ b/src/services/scheduling/wave_progress.ts
@@ -30,15 +30,14 @@
   }
 
   /**
-   * Records the VMs that are back from the maintenance for a wave. A VM that the
-   * platform no longer lists cannot be maintained any more, so its maintenance
-   * counts as done.
+   * Records the VMs that are back from the maintenance for a wave, and those that
+   * are gone.
    *
    * @param wave - The wave.
    * @param listing - The newest list of VMs.
    */
   async record(wave: WaveRecord, listing: CompletedListing): Promise<void> {
-    const { clock, log, logger, orders, presence } = this.#options;
+    const { clock, log, logger, orders } = this.#options;
     const { progress, vms, waveId } = wave;
     const { byName, requestedAtMs } = listing;
     const open = vms.filter((vm) => progress[vm] !== "done");
@@ -46,7 +45,7 @@
       progress[vm] === "ordered" && byName.get(vm)?.state === "up" &&
       (orders.findConfirmedAtMs({ waveId, vm }) ?? Infinity) < requestedAtMs
     );
-    const gone = open.filter((vm) => presence.isGone(vm, requestedAtMs));
+    const gone = open.filter((vm) => this.#isGone(wave, vm, requestedAtMs));
     if (gone.length > 0) {
       logger.warn({ waveId, vms: gone }, "VMs of a wave are no longer listed");
     }
@@ -81,4 +80,18 @@
       logger.info({ waveId, lateMs }, "a wave is complete");
     }
   }
+
+  // A VM that is missing may be down and come back. So it is only given up when
+  // the wave has no time left, and when the platform has refused its order.
+  #isGone(
+    { completeByMs, waveId }: WaveRecord,
+    vm: string,
+    requestedAtMs: number,
+  ): boolean {
+    const { clock, orders, presence } = this.#options;
+    const outcome = orders.findOutcome({ waveId, vm });
+    return presence.isGone(vm, requestedAtMs) &&
+      (outcome === "confirmed" ||
+        (outcome === "refused" && clock.nowMs() >= completeByMs));
+  }
 }
--- a/src/services/scheduling/wave_task.ts
+++ b/src/services/scheduling/wave_task.ts
@@ -4,13 +4,7 @@
   type Runner,
   type WaveRecord,
 } from "../../domain/index.ts";
-import {
-  chooseMaintenanceTurns,
-  countAwayVms,
-  type MaintenanceCandidate,
-  type MaintenancePlan,
-  type MaintenancePolicy,
-} from "../../decisions/index.ts";
+import type { MaintenancePolicy } from "../../decisions/index.ts";
 import type { Clock, ListedVm, Logger, VmControl } from "../../ports/index.ts";
 import { type Notifier, waitFor } from "../../tasks/index.ts";
 import type { MaintenanceOrder } from "./maintenance_orders.ts";
@@ -19,6 +13,7 @@
 import type { SchedulingLog } from "./scheduling_log.ts";
 import { WAVE_TICK_MS } from "./timing.ts";
 import { VmPresence } from "./vm_presence.ts";
+import { type WavePlan, WavePlanner } from "./wave_planner.ts";
 import { type CompletedListing, WaveProgress } from "./wave_progress.ts";
 
 /** Options of {@link WaveTask}. */
@@ -35,14 +30,6 @@
   readonly fencingToken: number;
 }
 
-/** The next actions of one wave. */
-interface WavePlan {
-  readonly waveId: number;
-  /** VMs whose order is in the log, and has to be sent again or at last. */
-  readonly again: readonly string[];
-  readonly plan: MaintenancePlan;
-}
-
 /**
  * Longest pause without an open wave, in milliseconds; a change ends it early.
  */
@@ -55,6 +42,7 @@
   readonly #options: WaveTaskOptions;
   readonly #starter: MaintenanceStarter;
   readonly #presence: VmPresence;
+  readonly #planner: WavePlanner;
   readonly #progress: WaveProgress;
   #cordonedRunnerIds: ReadonlySet<string> = new Set();
 
@@ -64,10 +52,16 @@
     this.#presence = new VmPresence({
       hasRunner: (runnerId) => options.log.state.runners.has(runnerId),
     });
-    this.#progress = new WaveProgress({
+    const shared = {
       ...options,
-      orders: this.#starter.orders,
+      starter: this.#starter,
       presence: this.#presence,
+      listOpen: () => this.#listOpen(),
+    };
+    this.#planner = new WavePlanner(shared);
+    this.#progress = new WaveProgress({
+      ...shared,
+      orders: this.#starter.orders,
     });
   }
 
@@ -143,17 +137,17 @@
   async #orderNext(listing: CompletedListing): Promise<void> {
     const { byName } = listing;
     const cordoned = new Set<string>();
-    const plans = this.#planAll(listing);
-    for (const { again, plan, waveId } of plans) {
-      this.#cordon([...again, ...plan.cordon], byName, cordoned);
-      for (const vm of [...again, ...plan.evacuate]) {
+    const plans = this.#planner.plan(listing, this.#cordonedRunnerIds);
+    for (const { plan, send, waveId } of plans) {
+      this.#cordon([...send, ...plan.cordon], byName, cordoned);
+      for (const vm of [...send, ...plan.evacuate]) {
         this.#evictOne(waveId, vm, byName.get(vm));
       }
     }
-    const again = plans.flatMap((plan) => toOrders(plan, plan.again));
+    const send = plans.flatMap((plan) => toOrders(plan, plan.send));
     const begin = await this.#confirmIdle(plans, listing);
     await this.#starter.begin(
-      [...again, ...begin].map((order) => ({
+      [...send, ...begin].map((order) => ({
         ...order,
         runnerId: byName.get(order.vm)?.runnerId,
       })),
@@ -174,58 +168,12 @@
       return [];
     }
     const cordonedVms = new Set(plans.flatMap(({ plan }) => plan.cordon));
-    return this.#planAll(listing).flatMap((replanned) =>
-      toOrders(
-        replanned,
-        replanned.plan.begin.filter((vm) => cordonedVms.has(vm)),
-      )
-    );
-  }
-
-  #planAll({ byName }: CompletedListing): WavePlan[] {
-    const { orders } = this.#starter;
-    const waves = this.#listOpen();
-    const turns = chooseMaintenanceTurns({
-      waves,
-      findOutcome: (waveId, vm) => orders.findOutcome({ waveId, vm }),
-      nowMs: this.#options.clock.nowMs(),
-    });
-    const begun = new Set<string>();
-    return waves.map((wave) => {
-      const { progress, vms, waveId } = wave;
-      const own = vms.filter((vm) => turns.get(vm)?.waveId === waveId);
-      // What runs on a VM that the list does not show could not be counted.
-      const again = own.filter((vm) =>
-        progress[vm] === "ordered" &&
-        orders.findOutcome({ waveId, vm }) !== "confirmed" &&
-        (byName.get(vm)?.state ?? "unknown") !== "unknown"
-      );
-      const awayCount = countAwayVms(wave, turns) +
-        vms.filter((vm) => begun.has(vm)).length;
-      const waiting = own.filter((vm) => progress[vm] === undefined);
-      const plan = this.#plan(wave, waiting, byName, awayCount);
-      plan.begin.forEach((vm) => begun.add(vm));
-      return { waveId, again, plan };
-    });
-  }
-
-  #plan(
-    wave: WaveRecord,
-    waiting: readonly string[],
-    byName: ReadonlyMap<string, ListedVm>,
-    awayCount: number,
-  ): MaintenancePlan {
-    const { clock, policy } = this.#options;
-    const candidates = waiting
-      .flatMap((vm) => byName.get(vm) ?? [])
-      .filter(({ state }) => state === "up")
-      .map((listed) => this.#createCandidate(listed));
-    return policy.plan({
-      candidates,
-      allowedStartCount: Math.max(0, wave.maxAwayCount - awayCount),
-      leftMs: wave.completeByMs - clock.nowMs(),
-      maxAwayCount: wave.maxAwayCount,
-    });
+    return this.#planner.plan(listing, this.#cordonedRunnerIds)
+      .flatMap((replanned, at) => {
+        const begin = replanned.plan.begin.filter((vm) => cordonedVms.has(vm));
+        const maxCount = plans[at]?.maxBeginCount ?? 0;
+        return toOrders(replanned, begin.slice(0, maxCount));
+      });
   }
 
   #cordon(
@@ -245,20 +193,6 @@
     ]);
   }
 
-  #createCandidate({ runnerId, vm }: ListedVm): MaintenanceCandidate {
-    const running = this.#starter.listRunning(runnerId);
-    return {
-      vm,
-      running,
-      isProtected: !this.#starter.mayStop(running),
-      guardedSteps: running
-        .filter(({ step }) => step.isEndless && step.maxAwayCount !== undefined)
-        .map(({ id }) => `${id.jobId}.${id.occurrence}.${id.step}`),
-      isCordoned: runnerId !== undefined &&
-        this.#cordonedRunnerIds.has(runnerId),
-    };
-  }
-
   // Evicts one task at a time: each counts as unavailable until it is back at
   // 100 %.
   #evictOne(waveId: number, vm: string, listed: ListedVm | undefined): void {
--- a/src/services/scheduling/wave_task_test.ts
+++ b/src/services/scheduling/wave_task_test.ts
@@ -18,6 +18,10 @@
 const GAP_MS = 2_000;
 /** Time for which a VM is down, in milliseconds. */
 const DOWN_MS = 15_000;
+/** Time of a wave of which one VM is gone, in milliseconds. */
+const GONE_WAVE_MS = 24_000;
+/** Time after the deadline in which such a wave has to be complete (ms). */
+const GONE_SLACK_MS = 3_000;
 const JOB_ID = "00000000000000ab";
 /** Longer than the answer of the VM control takes. */
 const POLL_ANSWER_DELAY_MS = 300;
@@ -42,7 +46,9 @@
   });
 }
 
-async function startWave(): Promise<SchedulingFixture> {
+async function startWave(
+  durationMs = COMPLETE_BY_MS,
+): Promise<SchedulingFixture> {
   const fixture = createFixture();
   fixture.changeLeader();
   await fixture.clock.advance(2_000);
@@ -54,7 +60,7 @@
     maxAwayCount: 1,
   })]);
   await fixture.clock.advance(1_000);
-  startWaveNow(fixture, COMPLETE_BY_MS);
+  startWaveNow(fixture, durationMs);
   return fixture;
 }
 
@@ -297,15 +303,53 @@
       checkEachVmOnce(fixture);
     });
 
-    it("that is gone for good completes the wave", async () => {
+    describe("that is gone for good", () => {
+      async function runWithoutOne(
+        changeLeader: (fixture: SchedulingFixture) => void,
+      ): Promise<SchedulingFixture> {
+        const fixture = await startWave(GONE_WAVE_MS);
+        const { vms } = fixture;
+        assert.ok(vms);
+        vms.goneVms.add("r1");
+        fixture.crash("r1");
+        await fixture.clock.advance(GONE_WAVE_MS / 4);
+        changeLeader(fixture);
+        await fixture.clock.advance(GONE_WAVE_MS * 3 / 4 - WAVE_TICK_MS);
+        const { progress } = fixture.state.scheduling.waves.get(1) ?? {};
+        const done = WAVE_VMS.filter((vm) => progress?.[vm] === "done");
+        assert.equal(done, ["r2", "r3", "r4"], "the others are done in time");
+        await fixture.clock.advance(WAVE_TICK_MS + GONE_SLACK_MS);
+        assert.ok(isWaveDone(fixture), "the wave is complete");
+        await fixture.stop();
+        assert.not(vms.startedMaintenances.some(({ vm }) => vm === "r1"));
+        return fixture;
+      }
+
+      it("completes the wave at its deadline", async () => {
+        await runWithoutOne(() => {});
+      });
+
+      it("completes the wave at its deadline under the next leader", async () => {
+        await runWithoutOne((fixture) => fixture.changeLeader());
+      });
+
+      it("costs one order of a leader", async () => {
+        const { logger } = await runWithoutOne(() => {});
+        const refused = logger.lines.filter(({ message }) =>
+          message === "failed to begin the maintenance of a VM"
+        );
+        assert.is(refused.length, 1);
+      });
+    });
+
+    it("that lists leave out for good is maintained if the platform has it", async () => {
       const fixture = await startWave();
       const { vms } = fixture;
       assert.ok(vms);
-      vms.goneVms.add("r1");
+      vms.unlistedVms.add("r1");
       fixture.crash("r1");
       await finish(fixture);
-      assert.ok(isWaveDone(fixture), "the wave is complete in time");
-      assert.not(vms.startedMaintenances.some(({ vm }) => vm === "r1"));
+      checkEachVmOnce(fixture);
     });
 
     // Guards against a wave that is complete without the maintenance of a VM: a
