Refuse a wave request with a known number and another content

Operators race each other under equal numbers; the second request was acknowledged and dropped, whatever VMs, limit and time it named.

Such a request is refused now (conflict, 409): the one that came first stays as it is, and the operator learns that the VMs need another number. The log decides which one was first, also for two at once. The same request is acknowledged again, as often as it comes. To tell the two apart, a wave keeps the time that its request gave; records of earlier releases have none, and are compared by VMs and limit. A VM that is named twice is in the wave once.

--- a/src/domain/scheduling/scheduling_command.ts
+++ b/src/domain/scheduling/scheduling_command.ts
@@ -81,6 +81,11 @@
     maxAwayCount: v.number(),
     /** Wall-clock time by which the maintenance of every VM must be done (ms). */
     completeByMs: v.number(),
+    /**
+     * Time that the request gave for it (ms). Absent in the logs of earlier
+     * releases.
+     */
+    completeWithinMs: v.optional(v.number()),
   }),
   // Progress of the maintenance of a VM.
   v.object({
--- a/src/domain/scheduling/scheduling_state.ts
+++ b/src/domain/scheduling/scheduling_state.ts
@@ -24,6 +24,11 @@
   readonly maxAwayCount: number;
   /** Wall-clock time by which the maintenance of every VM must be done (ms). */
   readonly completeByMs: number;
+  /**
+   * Time that the request gave for it (ms). Absent in records of earlier
+   * releases.
+   */
+  readonly completeWithinMs?: number | undefined;
   /** State by VM, for VMs whose maintenance was ordered or is done. */
   readonly progress: Readonly<Record<string, "ordered" | "done">>;
 }
@@ -265,10 +270,9 @@
   #putWave(
     operation: Extract<SchedulingOperation, { type: "wave" }>,
   ): void {
-    const { waveId, vms, maxAwayCount, completeByMs } = operation;
-    if (!this.#waves.has(waveId)) {
-      const wave = { waveId, vms, maxAwayCount, completeByMs, progress: {} };
-      this.#waves.set(waveId, wave);
+    const { type: _, ...wave } = operation;
+    if (!this.#waves.has(wave.waveId)) {
+      this.#waves.set(wave.waveId, { ...wave, progress: {} });
     }
   }
 
--- a/src/services/scheduling/operations_service.ts
+++ b/src/services/scheduling/operations_service.ts
@@ -8,6 +8,7 @@
   type Failure,
   findCatalogFault,
   validateWith,
+  type WaveRecord,
 } from "../../domain/index.ts";
 import type { Clock, Logger } from "../../ports/index.ts";
 import type { SchedulingLog } from "./scheduling_log.ts";
@@ -92,10 +93,13 @@
   }
 
   /**
-   * Starts a maintenance wave; a wave that is known already stays as it is.
+   * Starts a maintenance wave. The same request may come again, also at the same
+   * time.
    *
    * @param body - The request, not validated yet.
-   * @returns Nothing once it is durable; `invalidInput`, or why it is not.
+   * @returns Nothing once it is durable; `invalidInput`, `conflict` if the number
+   * is that of a wave with other VMs, another limit or another time, or why the
+   * wave could not be recorded.
    */
   async startWave(body: unknown): Promise<Result<unknown, Failure>> {
     const { log, clock, logger } = this.#options;
@@ -103,27 +107,42 @@
     if (request.isErr) {
       return Result.err(request.error);
     }
-    const { completeWithinMs, ...wave } = request.value;
+    const wave = { ...request.value, vms: [...new Set(request.value.vms)] };
+    if (!log.state.waves.has(wave.waveId)) {
+      logger.info({ ...wave }, "starting a maintenance wave");
+      const completeByMs = clock.nowMs() + wave.completeWithinMs;
+      const proposed = await log.propose([
+        { type: "wave", ...wave, completeByMs },
+      ]);
+      if (proposed.isErr) {
+        return Result.err(proposed.error);
+      }
+    }
+    // Another request with this number may have come first.
     const known = log.state.waves.get(wave.waveId);
-    if (known !== undefined) {
-      const { waveId, maxAwayCount, vms } = known;
-      const otherVms = wave.vms.filter((vm) => !vms.includes(vm));
-      logger.info(
-        {
-          waveId,
-          otherVms,
-          vmCount: vms.length,
-          maxAwayCount,
-          sentVmCount: wave.vms.length,
-          sentMaxAwayCount: wave.maxAwayCount,
-        },
-        "a request names a known wave",
-      );
+    if (known === undefined || isSameWave(known, wave)) {
       return Result.ok({});
     }
-    logger.info({ ...request.value }, "starting a maintenance wave");
-    const completeByMs = clock.nowMs() + completeWithinMs;
-    return await log.propose([{ type: "wave", ...wave, completeByMs }]);
+    logger.warn(
+      {
+        waveId: known.waveId,
+        otherVms: wave.vms.filter((vm) => !known.vms.includes(vm)),
+        vmCount: known.vms.length,
+        maxAwayCount: known.maxAwayCount,
+        completeWithinMs: known.completeWithinMs,
+        sentVmCount: wave.vms.length,
+        sentMaxAwayCount: wave.maxAwayCount,
+        sentCompleteWithinMs: wave.completeWithinMs,
+      },
+      "refused a wave with a known number",
+    );
+    return Result.err(
+      createFailure(
+        "conflict",
+        `wave ${wave.waveId} exists with other VMs, limit or time`,
+        { remedy: "start the wave with a number of its own" },
+      ),
+    );
   }
 
   /**
@@ -155,6 +174,15 @@
   }
 }
 
+// The records of earlier releases have no time to compare.
+function isSameWave(known: WaveRecord, sent: WaveRequest): boolean {
+  const { completeWithinMs = sent.completeWithinMs, maxAwayCount } = known;
+  const vms = new Set(known.vms);
+  return maxAwayCount === sent.maxAwayCount &&
+    completeWithinMs === sent.completeWithinMs &&
+    vms.size === sent.vms.length && sent.vms.every((vm) => vms.has(vm));
+}
+
 function checkCatalog(catalog: Catalog): Result<Catalog, Failure> {
   const fault = findCatalogFault(catalog);
   return fault === undefined ? Result.ok(catalog) : Result.err(
