Keep the limit of each wave where waves share VMs

A wave began a VM while another wave took one of the same VMs down in the same turn, so that more VMs of the first one were unavailable than it allows.

MaintenanceBudget counts unavailable VMs in all waves together: a VM goes down only if each wave that names it has room. What the platform has refused comes after all waves have chosen, so that it does not use up the room. The second plan, made once the log shows what was placed, replaces the first one as a whole.

--- a/src/decisions/scheduling/maintenance_turns.ts
+++ b/src/decisions/scheduling/maintenance_turns.ts
@@ -63,14 +63,52 @@
 }
 
 /**
- * Counts the VMs of a wave that may be unavailable, for whichever wave.
- *
- * @param wave - The wave.
- * @param turns - The turns of all VMs.
+ * Counts the VMs of each wave that may be unavailable, for whichever wave, against
+ * its limit.
  */
-export function countAwayVms(
-  { vms }: WaveRecord,
-  turns: ReadonlyMap<string, MaintenanceTurn>,
-): number {
-  return vms.filter((vm) => turns.get(vm)?.isAway).length;
+export class MaintenanceBudget {
+  readonly #waves: readonly WaveRecord[];
+  readonly #awayVms: Set<string>;
+
+  /**
+   * @param waves - The waves that are not complete.
+   * @param turns - The turns of their VMs.
+   */
+  constructor(
+    waves: readonly WaveRecord[],
+    turns: ReadonlyMap<string, MaintenanceTurn>,
+  ) {
+    this.#waves = waves;
+    this.#awayVms = new Set(
+      [...turns].filter(([, { isAway }]) => isAway).map(([vm]) => vm),
+    );
+  }
+
+  /** Counts the VMs of a wave that may still become unavailable. */
+  countLeft({ maxAwayCount, vms }: WaveRecord): number {
+    const awayCount = vms.filter((vm) => this.#awayVms.has(vm)).length;
+    return Math.max(0, maxAwayCount - awayCount);
+  }
+
+  /** Tells whether a VM may become unavailable in each wave that names it. */
+  allows(vm: string): boolean {
+    return this.#waves.every((wave) =>
+      !wave.vms.includes(vm) || this.countLeft(wave) > 0
+    );
+  }
+
+  /**
+   * Chooses VMs that may become unavailable together, and counts them.
+   *
+   * @param vms - The VMs, the most important first.
+   */
+  spend(vms: readonly string[]): string[] {
+    return vms.filter((vm) => {
+      const isAllowed = this.allows(vm);
+      if (isAllowed) {
+        this.#awayVms.add(vm);
+      }
+      return isAllowed;
+    });
+  }
 }
--- a/src/decisions/scheduling/maintenance_turns_test.ts
+++ b/src/decisions/scheduling/maintenance_turns_test.ts
@@ -3,7 +3,7 @@
 import { describe, it } from "../../testing/describe.ts";
 import {
   chooseMaintenanceTurns,
-  countAwayVms,
+  MaintenanceBudget,
   type MaintenanceOutcome,
 } from "./maintenance_turns.ts";
 
@@ -77,19 +77,35 @@
 });
 
 describe("the unavailable VMs of a wave", () => {
+  const vms = ["a", "b", "c"];
+
   it("are those that it or another wave has ordered", () => {
-    const vms = ["a", "b", "c"];
     const first = createWave(1, { vms, progress: { a: "ordered" } });
-    const second = createWave(2, { vms, progress: { b: "ordered" } });
-    const turns = choose([first, second]);
-    assert.is(countAwayVms(first, turns), 2);
-    assert.is(countAwayVms(second, turns), 2);
+    const second = createWave(2, {
+      vms,
+      maxAwayCount: 3,
+      progress: { b: "ordered" },
+    });
+    const waves = [first, second];
+    const budget = new MaintenanceBudget(waves, choose(waves));
+    assert.is(budget.countLeft(first), 0);
+    assert.is(budget.countLeft(second), 1);
   });
 
   it("are not those that are refused for another wave", () => {
     const first = createWave(1);
     const second = createWave(2, { progress: { a: "ordered" } });
-    const turns = choose([first, second], { 2: "refused" });
-    assert.is(countAwayVms(first, turns), 0);
+    const waves = [first, second];
+    const turns = choose(waves, { 2: "refused" });
+    assert.is(new MaintenanceBudget(waves, turns).countLeft(first), 1);
+  });
+
+  it("stay within the limit of each wave that names them", () => {
+    const narrow = createWave(1, { vms: ["a", "b"] });
+    const wide = createWave(2, { vms, maxAwayCount: 2 });
+    const waves = [narrow, wide];
+    const budget = new MaintenanceBudget(waves, choose(waves));
+    assert.equal(budget.spend(vms), ["a", "c"]);
+    assert.not(budget.allows("b"));
   });
 });
--- a/src/services/scheduling/wave_planner.ts
+++ b/src/services/scheduling/wave_planner.ts
@@ -1,7 +1,7 @@
 /** Plans the next actions of all waves together. */
 import {
   chooseMaintenanceTurns,
-  countAwayVms,
+  MaintenanceBudget,
   type MaintenanceCandidate,
   type MaintenanceOutcome,
   type MaintenancePlan,
@@ -28,8 +28,6 @@
   readonly waveId: number;
   /** VMs whose order is sent at once, though it may have been sent before. */
   readonly send: readonly string[];
-  /** Number of VMs that may begin beside those. */
-  readonly maxBeginCount: number;
   readonly plan: MaintenancePlan;
 }
 
@@ -59,39 +57,29 @@
       findOutcome: (waveId, vm) => starter.orders.findOutcome({ waveId, vm }),
       nowMs: clock.nowMs(),
     });
-    const chosen = new Set<string>();
-    return waves.map((wave) => {
-      const { progress, vms, waveId } = wave;
-      const own = vms.filter((vm) => turns.get(vm)?.waveId === waveId);
-      const slotCount = Math.max(
-        0,
-        wave.maxAwayCount - countAwayVms(wave, turns) -
-          vms.filter((vm) => chosen.has(vm)).length,
-      );
-      const plan = this.#planOne(
-        wave,
-        own.filter((vm) => progress[vm] === undefined)
-          .flatMap((vm) => listing.byName.get(vm) ?? [])
-          .filter(({ state }) => state === "up"),
-        slotCount,
-        cordonedRunnerIds,
-      );
-      const late = this.#listLate(wave, own, listing)
-        .slice(0, slotCount - plan.begin.length);
-      [...plan.begin, ...late].forEach((vm) => chosen.add(vm));
-      return {
-        waveId,
-        send: [...this.#listUnknown(wave, own, listing), ...late],
-        maxBeginCount: slotCount - late.length,
-        plan,
-      };
+    const budget = new MaintenanceBudget(waves, turns);
+    const own = (wave: WaveRecord) =>
+      wave.vms.filter((vm) => turns.get(vm)?.waveId === wave.waveId);
+    const plans = waves.map((wave) => {
+      const waiting = own(wave)
+        .filter((vm) => wave.progress[vm] === undefined && budget.allows(vm))
+        .flatMap((vm) => listing.byName.get(vm) ?? [])
+        .filter(({ state }) => state === "up");
+      const leftCount = budget.countLeft(wave);
+      const plan = this.#planOne(wave, waiting, leftCount, cordonedRunnerIds);
+      return { wave, plan: { ...plan, begin: budget.spend(plan.begin) } };
+    });
+    return plans.map(({ plan, wave }) => {
+      const late = budget.spend(this.#listLate(wave, own(wave), listing));
+      const send = [...this.#listUnknown(wave, own(wave), listing), ...late];
+      return { waveId: wave.waveId, send, plan };
     });
   }
 
   #planOne(
     wave: WaveRecord,
     waiting: readonly ListedVm[],
-    slotCount: number,
+    allowedStartCount: number,
     cordonedRunnerIds: ReadonlySet<string>,
   ): MaintenancePlan {
     const { clock, policy } = this.#options;
@@ -99,7 +87,7 @@
       candidates: waiting.map((listed) =>
         this.#createCandidate(listed, cordonedRunnerIds)
       ),
-      allowedStartCount: slotCount,
+      allowedStartCount,
       leftMs: wave.completeByMs - clock.nowMs(),
       maxAwayCount: wave.maxAwayCount,
     });
--- a/src/services/scheduling/wave_task.ts
+++ b/src/services/scheduling/wave_task.ts
@@ -7,7 +7,6 @@
 import type { MaintenancePolicy } from "../../decisions/index.ts";
 import type { Clock, ListedVm, Logger, VmControl } from "../../ports/index.ts";
 import { type Notifier, waitFor } from "../../tasks/index.ts";
-import type { MaintenanceOrder } from "./maintenance_orders.ts";
 import { MaintenanceStarter } from "./maintenance_starter.ts";
 import type { RunnerFleet } from "./runner_fleet.ts";
 import type { SchedulingLog } from "./scheduling_log.ts";
@@ -144,13 +143,15 @@
         this.#evictOne(waveId, vm, byName.get(vm));
       }
     }
-    const send = plans.flatMap((plan) => toOrders(plan, plan.send));
-    const begin = await this.#confirmIdle(plans, listing);
+    const cordonedVms = new Set(
+      plans.flatMap(({ plan, send }) => [...send, ...plan.cordon]),
+    );
+    const confirmed = await this.#confirmIdle(plans, listing);
     await this.#starter.begin(
-      [...send, ...begin].map((order) => ({
-        ...order,
-        runnerId: byName.get(order.vm)?.runnerId,
-      })),
+      confirmed.flatMap(({ plan, send, waveId }) =>
+        [...send, ...plan.begin].filter((vm) => cordonedVms.has(vm))
+          .map((vm) => ({ waveId, vm, runnerId: byName.get(vm)?.runnerId }))
+      ),
     );
     this.#cordonedRunnerIds = cordoned;
   }
@@ -161,19 +162,17 @@
   async #confirmIdle(
     plans: readonly WavePlan[],
     listing: CompletedListing,
-  ): Promise<MaintenanceOrder[]> {
-    const { log } = this.#options;
-    const isNeeded = plans.some(({ plan }) => plan.begin.length > 0);
-    if (!isNeeded || (await log.propose([])).isErr) {
-      return [];
+  ): Promise<readonly WavePlan[]> {
+    if (!plans.some(({ plan }) => plan.begin.length > 0)) {
+      return plans;
     }
-    const cordonedVms = new Set(plans.flatMap(({ plan }) => plan.cordon));
-    return this.#planner.plan(listing, this.#cordonedRunnerIds)
-      .flatMap((replanned, at) => {
-        const begin = replanned.plan.begin.filter((vm) => cordonedVms.has(vm));
-        const maxCount = plans[at]?.maxBeginCount ?? 0;
-        return toOrders(replanned, begin.slice(0, maxCount));
-      });
+    const proposed = await this.#options.log.propose([]);
+    return proposed.isOk
+      ? this.#planner.plan(listing, this.#cordonedRunnerIds)
+      : plans.map(({ plan, ...rest }) => ({
+        ...rest,
+        plan: { ...plan, begin: [] },
+      }));
   }
 
   #cordon(
@@ -213,10 +212,3 @@
     }
   }
 }
-
-function toOrders(
-  { waveId }: WavePlan,
-  vms: readonly string[],
-): MaintenanceOrder[] {
-  return vms.map((vm) => ({ waveId, vm }));
-}
--- a/src/testing/fake_vms.ts
+++ b/src/testing/fake_vms.ts
@@ -145,6 +145,11 @@
     return Result.ok(undefined);
   }
 
+  /** Returns whether a VM is in maintenance. */
+  isInMaintenance(vm: string): boolean {
+    return this.#vmsInMaintenance.has(vm);
+  }
+
   #findRefusal(vm: string, waveId: number): VmRefusal | undefined {
     if (this.goneVms.has(vm)) {
       return "invalid";
@@ -169,7 +174,9 @@
     crash(vm);
     void clock.sleep(MAINTENANCE_MS).then(() => {
       this.#vmsInMaintenance.delete(vm);
-      startRunner(vm);
+      if (!this.goneVms.has(vm)) {
+        startRunner(vm);
+      }
     });
   }
 }
