Count a VM as gone whose runner drains

A wave of which a VM had left was called done up to 13 s after its deadline: the list no longer had the VM, but its runner, which had announced that it drains, went on for some 30 s, and a VM counted as gone only once its runner was.

A runner that drains no longer keeps its VM from counting as gone; the VM has to be missing from complete lists for 12 s all the same, and its order refused. A VM that is listed without a runner still has the one that drains, so that its tasks count.

Evidence: the new case of wave_task_test failed before, and passes.

--- a/src/services/scheduling/vm_presence.ts
+++ b/src/services/scheduling/vm_presence.ts
@@ -1,4 +1,5 @@
 /** Remembers what the lists of VMs have shown, across lists with gaps. */
+import type { Runner } from "../../domain/index.ts";
 import type { ListedVm, VmListing } from "../../ports/index.ts";
 import { VM_EMPTY_MS, VM_GONE_MS } from "./timing.ts";
 
@@ -13,8 +14,8 @@
 
 /** Options of {@link VmPresence}. */
 export interface VmPresenceOptions {
-  /** Returns whether a runner is known to the leader. */
-  readonly hasRunner: (runnerId: string) => boolean;
+  /** Returns a runner that the leader knows. */
+  readonly findRunner: (runnerId: string) => Runner | undefined;
 }
 
 /**
@@ -58,14 +59,17 @@
   }
 
   /**
-   * Tells whether the platform no longer has a VM.
+   * Tells whether a VM may be gone: lists have left it out for
+   * {@link VM_GONE_MS}, and the runner on it is gone or drains. A runner that
+   * drains may go on for a while after its VM has left the list.
    *
    * @param vm - Name of the VM.
    * @param atMs - Monotonic time of the newest list (ms).
    */
   isGone(vm: string, atMs: number): boolean {
     const { missingSinceMs = Infinity } = this.#records.get(vm) ?? {};
-    return this.#findKnownRunner(vm) === undefined &&
+    const runner = this.#findKnownRunner(vm);
+    return (runner === undefined || runner.isDraining) &&
       atMs - missingSinceMs >= VM_GONE_MS;
   }
 
@@ -82,19 +86,19 @@
     if (emptySinceMs === undefined) {
       return listed;
     }
-    const runnerId = this.#findKnownRunner(listed.vm);
-    if (runnerId !== undefined) {
-      return { ...listed, runnerId };
+    const runner = this.#findKnownRunner(listed.vm);
+    if (runner !== undefined) {
+      return { ...listed, runnerId: runner.runnerId };
     }
     return atMs - emptySinceMs >= VM_EMPTY_MS
       ? listed
       : { ...listed, state: "unknown" };
   }
 
-  #findKnownRunner(vm: string): string | undefined {
+  #findKnownRunner(vm: string): Runner | undefined {
     const { runnerId } = this.#records.get(vm) ?? {};
-    return runnerId !== undefined && this.#options.hasRunner(runnerId)
-      ? runnerId
-      : undefined;
+    return runnerId === undefined
+      ? undefined
+      : this.#options.findRunner(runnerId);
   }
 }
--- a/src/services/scheduling/vm_presence_test.ts
+++ b/src/services/scheduling/vm_presence_test.ts
@@ -7,7 +7,7 @@
 const LATER_MS = 20 * VM_GONE_MS;
 
 function createPresence(): VmPresence {
-  return new VmPresence({ hasRunner: () => false });
+  return new VmPresence({ findRunner: () => undefined });
 }
 
 describe("the presence of VMs", () => {
--- a/src/services/scheduling/wave_task.ts
+++ b/src/services/scheduling/wave_task.ts
@@ -49,7 +49,7 @@
     this.#options = options;
     this.#starter = new MaintenanceStarter(options);
     this.#presence = new VmPresence({
-      hasRunner: (runnerId) => options.log.state.runners.has(runnerId),
+      findRunner: (runnerId) => options.log.state.runners.get(runnerId),
     });
     const shared = {
       ...options,
--- a/src/services/scheduling/wave_task_test.ts
+++ b/src/services/scheduling/wave_task_test.ts
@@ -333,6 +333,21 @@
         await runWithoutOne((fixture) => fixture.changeLeader());
       });
 
+      // Guards against a wave that is complete long after its deadline.
+      it("completes the wave at its deadline while its runner drains", async () => {
+        const fixture = await startWave(GONE_WAVE_MS);
+        const { vms } = fixture;
+        assert.ok(vms);
+        vms.refusedWaveIds.add(1);
+        await fixture.clock.advance(2 * WAVE_TICK_MS);
+        vms.refusedWaveIds.clear();
+        vms.goneVms.add("r1");
+        void fixture.drain("r1");
+        await fixture.clock.advance(GONE_WAVE_MS + GONE_SLACK_MS);
+        assert.ok(isWaveDone(fixture), "the wave is complete");
+        await fixture.stop();
+      });
+
       it("costs one order of a leader", async () => {
         const { logger } = await runWithoutOne(() => {});
         const refused = logger.lines.filter(({ message }) =>
