Stop a run again that is still running after it counted as closed

What users could see: a task of a cancelled job that runs on, for good if it is long-running (UNASKED); and a task that is not moved away though it was ordered.

Cause: requests to runners share connections, and their answers do not name the request. The second answer to one request can count as that to a stop that the runner refused, or the second refusal of a start as that to a start that it carried out. The run is closed then.

Change: a closed run that is reported as running by a poll sent more than 1 s after the answer that closed it counts as running again, so that it is stopped if it is unwanted. The platform's limit for a stop is 400 to 900 ms by the pages of its sites.

Evidence: repeated_command_answer_test; both cases failed each time before and pass in 3 of 3 runs. The other 45 test files of services/scheduling pass beside three known failures, scheduling_histories_test passes.

What remains: a refusal that belongs to another start, while the start itself is held up for longer than the next poll takes, still lets the task begin elsewhere too early.

--- a/src/services/scheduling/run_reconciler.ts
+++ b/src/services/scheduling/run_reconciler.ts
@@ -92,8 +92,9 @@
   }
 
   /**
-   * Records the runs that a poll reported as running, stops orphaned ones, and
-   * lets starts without an answer go on that it does not list.
+   * Records the runs that a poll reported as running, stops orphaned ones and
+   * those that were not stopped although that was confirmed, and lets starts
+   * without an answer go on that it does not list.
    *
    * @param report - The report.
    * @param sentAtMs - Monotonic time at which the poll was sent (ms).
@@ -105,7 +106,7 @@
     for (const name of report.running) {
       const run = placed.get(formatTaskId(name.task));
       if (run?.runNumber === name.runNumber) {
-        this.#runs.confirm(formatRun(name), "running", nowMs);
+        this.#recordRunning(name, sentAtMs, nowMs);
       } else {
         this.#orphans.add(formatRun(name));
         this.#stopOrphan(name);
@@ -231,6 +232,20 @@
     return this.#options.status.isLeaving || job.isRunObsolete(id, runNumber);
   }
 
+  #recordRunning(name: RunName, sentAtMs: number, nowMs: number): void {
+    const { findRunner, logger } = this.#options;
+    if (this.#runs.recordRunning(formatRun(name), sentAtMs, nowMs)) {
+      logger.warn(
+        {
+          task: formatTaskId(name.task),
+          runNumber: name.runNumber,
+          runnerId: findRunner().runnerId,
+        },
+        "a run that counted as closed is still running",
+      );
+    }
+  }
+
   #stopOrphan(name: RunName): void {
     const { tasks, log } = this.#options;
     if (log.holdsLeaderLease) {
--- a/src/services/scheduling/timing.ts
+++ b/src/services/scheduling/timing.ts
@@ -82,6 +82,11 @@
  * task placed elsewhere.
  */
 export const MAX_START_ATTEMPTS = 2;
+/**
+ * Time after a confirmed stop by which the run has ended at the runner, in
+ * milliseconds: the platform's limit with a margin for the way of the answer.
+ */
+export const STOP_LIMIT_MS = 1_000;
 /**
  * How long a controller gathers announcements without a change before it
  * reports them to the leader (ms): far below {@link MAX_SILENCE_MS}.
--- a/src/services/scheduling/tracked_runs.ts
+++ b/src/services/scheduling/tracked_runs.ts
@@ -3,6 +3,7 @@
 import type { RunnerReport } from "../../ports/index.ts";
 import { formatRun } from "./run_name.ts";
 import type { RunnerStatus } from "./runner_status.ts";
+import { STOP_LIMIT_MS } from "./timing.ts";
 
 interface TrackedRun {
   /**
@@ -80,6 +81,27 @@
     }
   }
 
+  /**
+   * Records that a poll reported a run as running. A closed run should have
+   * ended by {@link STOP_LIMIT_MS}; if it has not, the answer that closed it was
+   * that to another request.
+   *
+   * @param key - Name of the run.
+   * @param sentAtMs - Monotonic time at which the poll was sent (ms).
+   * @param atMs - Monotonic time of the report (ms).
+   * @returns Whether a closed run counts as running again.
+   */
+  recordRunning(key: string, sentAtMs: number, atMs: number): boolean {
+    const known = this.#runs.get(key);
+    const isReopened = known?.state === "closed" &&
+      sentAtMs - known.confirmedAtMs > STOP_LIMIT_MS;
+    if (isReopened) {
+      this.#runs.delete(key);
+    }
+    this.confirm(key, "running", atMs);
+    return isReopened;
+  }
+
   /**
    * Records that a start got no answer.
    *
