--- a/src/services/scheduling/repeated_command_answer_test.ts
+++ b/src/services/scheduling/repeated_command_answer_test.ts
@@ -6,6 +6,7 @@
 import type { RunnerAnswer, RunnerFailure } from "../../ports/index.ts";
 import { describe, it } from "../../testing/describe.ts";
 import { FakeClock } from "../../testing/fake_clock.ts";
+import { checkNeverTwice } from "../../testing/run_span_checks.ts";
 import { SchedulingFixture } from "../../testing/scheduling_fixture.ts";
 
 const SEED = 20_471;
@@ -13,6 +14,8 @@
 const START_MS = 2_000;
 /** Time within which a task of a cancelled job must be gone (ms). */
 const CANCEL_MS = 3_000;
+/** Time for which a start is held up (ms): several polls. */
+const HELD_UP_MS = 1_000;
 
 const LONG_RUNNING = v.parse(jobStepSchema, {
   taskCount: 1,
@@ -45,6 +48,13 @@
   });
 }
 
+type Refused = Result<RunnerAnswer, RunnerFailure>;
+
+function refuse(clock: FakeClock): Refused {
+  const clockMs = clock.monotonicMs();
+  return Result.err({ refusal: "noRoom", clockMs, message: "no room" });
+}
+
 /** Keeps the answer to the last start. */
 function keepAnswers({ runners }: SchedulingFixture) {
   const kept: Result<RunnerAnswer, RunnerFailure>[] = [];
@@ -86,15 +96,10 @@
       const fixture = createFixture();
       const { clock, runners } = fixture;
       const start = runners.start.bind(runners);
-      let refused: Result<RunnerAnswer, RunnerFailure> | undefined;
+      let refused: Refused | undefined;
       runners.start = async (...request) => {
         if (refused === undefined) {
-          const clockMs = clock.monotonicMs();
-          refused = Result.err({
-            refusal: "noRoom",
-            clockMs,
-            message: "no room",
-          });
+          refused = refuse(clock);
           return refused;
         }
         await start(...request);
@@ -105,4 +110,37 @@
       await fixture.stop();
     });
   });
+
+  // Guards against a task that runs twice at once: the second refusal of a start
+  // counted as that of the next one, which was held up on its way.
+  it("starts no task elsewhere before a start that is held up", async () => {
+    const fixture = createFixture();
+    const { clock, runners } = fixture;
+    const start = runners.start.bind(runners);
+    let refused: Refused | undefined;
+    let isRepeated = false;
+    runners.start = async (...request) => {
+      if (refused === undefined) {
+        refused = refuse(clock);
+        return refused;
+      }
+      if (isRepeated) {
+        return await start(...request);
+      }
+      isRepeated = true;
+      fixture.startRunner("r2");
+      void fixture.drain("r1");
+      void clock.sleep(HELD_UP_MS).then(() => start(...request));
+      await clock.sleep(1);
+      return refused;
+    };
+    fixture.changeLeader();
+    await clock.advance(START_MS);
+    void fixture.submit(JOB_ID, [LONG_RUNNING]);
+    await clock.advance(START_MS + HELD_UP_MS);
+    assert.ok(isRepeated);
+    runners.advanceAll();
+    checkNeverTwice(runners.spans);
+    await fixture.stop();
+  });
 });
