Count a start as unanswered if its refusal is from before it was sent

What users could see: a task that runs twice at once (TWICE).

Cause: the second refusal of an earlier start counted as that of a start that was held up on its way. The run was closed without a stop, the next poll did not list it, and its task began elsewhere before the start was carried out.

Change: a refusal that carries an older reading of the runner's clock than the leader had when it sent the start counts as no answer. The start is sent again, or stopped, once a poll shows what became of it.

What remains: refusals without a clock (429 and 503 without a body) and those from the same millisecond as the newest reading cannot be told apart.

--- a/src/services/scheduling/run_commands.ts
+++ b/src/services/scheduling/run_commands.ts
@@ -71,6 +71,7 @@
     }
     const runner = findRunner();
     const sentAtMs = clock.monotonicMs();
+    const { readingMs } = lease;
     const endRequest = status.beginRequest(0);
     uncertain.recordSent(run);
     const started = await client.start(runner, {
@@ -95,7 +96,7 @@
       uncertain.recordConfirmed(run);
       return undefined;
     }
-    const failure = started.error;
+    const failure = dropRepeated(started.error, readingMs);
     logger.warn(
       {
         task: formatTaskId(run.id),
@@ -146,3 +147,14 @@
     return stopped.isOk;
   }
 }
+
+// The second answer to an earlier request does not show that the run was not
+// started.
+function dropRepeated(
+  failure: RunnerFailure,
+  readingMs: number,
+): RunnerFailure {
+  const { clockMs = Infinity, refusal } = failure;
+  const message = `a refusal from before the start was sent: ${refusal}`;
+  return clockMs < readingMs ? { message } : failure;
+}
