Count a ticket as approval of its runner incarnation only

Callers saw: a step of a queue with advice waits until its tickets expire, after a runner that was approved for it has started again or has gone. Its tasks are placed on that runner meanwhile and refused for want of a ticket, since a ticket is sent only to the incarnation for which it was issued.

Cause: findApproved looked tickets up by runner id and read only when they expire. The ticket of the previous incarnation, or of a runner that is gone, counted as approval, and as one of the runners that are enough for the step, so that no further advice was requested.

Change: a ticket counts while the log has the incarnation that it is for.

Evidence: both new cases of advice_task_test failed on (r1 stays approved after its restart; no ticket for the new incarnation 1 s later) and hold now; the other six cases are unchanged and pass.

--- a/src/services/scheduling/advice_task.ts
+++ b/src/services/scheduling/advice_task.ts
@@ -40,6 +40,7 @@
 interface StepTickets {
   /** Runners that the service has decided on, as `runnerId@bornAtMs`. */
   readonly requestedRunners: Set<string>;
+  /** Newest ticket by runner id. */
   readonly byRunner: Map<string, Ticket>;
 }
 
@@ -56,7 +57,7 @@
   }
 
   /**
-   * Finds the runners that hold a valid ticket for a step.
+   * Finds the runners whose present incarnation holds a valid ticket for a step.
    *
    * @param step - The step.
    * @returns Runner ids, or undefined when the step's queue needs no advice.
@@ -65,11 +66,18 @@
     if (step.advice === undefined) {
       return undefined;
     }
-    const tickets = this.#ticketsByStep.get(formatStep(step))?.byRunner ??
-      new Map();
-    const nowMs = this.#options.clock.monotonicMs();
-    const valid = [...tickets].filter(([, ticket]) => ticket.untilMs > nowMs);
-    return new Set(valid.map(([runnerId]) => runnerId));
+    const { clock, log } = this.#options;
+    const { runners } = log.state;
+    const nowMs = clock.monotonicMs();
+    const approved = new Set<string>();
+    const tickets = this.#ticketsByStep.get(formatStep(step))?.byRunner ?? [];
+    for (const [runnerId, { bornAtMs, untilMs }] of tickets) {
+      const isCurrent = runners.get(runnerId)?.bornAtMs === bornAtMs;
+      if (isCurrent && untilMs > nowMs) {
+        approved.add(runnerId);
+      }
+    }
+    return approved;
   }
 
   /**
--- a/src/services/scheduling/advice_task_test.ts
+++ b/src/services/scheduling/advice_task_test.ts
@@ -138,7 +138,14 @@
       }
       return checks.count / order.passCount;
     };
-    return { clock, client, task, findApproved, countOnePass };
+    const restart = async (at: number) => {
+      await clock.runUntil(
+        log.propose([{ type: "runner", runner: createRunner(at, 2) }]),
+        1_000,
+      );
+      changed.notify();
+    };
+    return { clock, client, task, findApproved, countOnePass, restart };
   }
 
   it("approves only what the service approved, with its ticket", async () => {
@@ -201,4 +208,30 @@
     assert.equal(findApproved(), ["r1"]);
     assert.ok(client.requests.length > requestCount);
   });
+
+  describe("after an approved runner has started again", () => {
+    const setUpRestart = async () => {
+      const fixture = await setUp((id) => ["r1", "r2", "r3"].includes(id));
+      await fixture.clock.advance(1_000);
+      assert.equal(fixture.findApproved(), ["r1", "r2", "r3"]);
+      await fixture.restart(1);
+      return fixture;
+    };
+
+    // Guards against starts without a ticket, which the runner refuses: the
+    // ticket of the previous incarnation counted as approval of the new one.
+    it("approves it only with a ticket of its own", async () => {
+      const { findApproved } = await setUpRestart();
+      assert.equal(findApproved(), ["r2", "r3"]);
+    });
+
+    // Guards against a step that waits until the old ticket has expired, because
+    // it seems to have enough runners.
+    it("requests advice on its new incarnation", async () => {
+      const { clock, findApproved, task } = await setUpRestart();
+      await clock.advance(1_000);
+      assert.equal(findApproved(), ["r1", "r2", "r3"]);
+      assert.match(task.findTicket(STEP, createRunner(1, 2)) ?? "", /^r1\//);
+    });
+  });
 });
