Keep a VM free of work after an unanswered move, whatever follows it

Callers saw: work that ends because its VM moves away. The order to move the VM got no answer; its repeat was refused, for instance since there were too many orders (429), or could not be sent because the log took no entry; the scheduler placed work on the VM, and the first order was carried out then.

Cause: one map held both why a runner gets no work: an order under way, and the doubt about an order without an answer. A later order about the same VM overwrote the doubt when it began, and whatever became of it cleared both.

Change: the doubt is a record of its own. It lasts its time, or until an order about the VM is confirmed.

Evidence: both new cases of vm_mover_test failed before (work is placed on all 40 VMs whose first order is in doubt) and hold now, as do its five others and capacity_task_test.

--- a/src/services/scheduling/vm_mover.ts
+++ b/src/services/scheduling/vm_mover.ts
@@ -61,8 +61,14 @@
  */
 export class VmMover {
   readonly #options: VmMoverOptions;
-  /** Monotonic time until which a runner gets no work (ms), by runner id. */
-  readonly #cordonedUntilMs = new Map<string, number>();
+  /** Runners whose VM has an order that is about to be sent or under way. */
+  readonly #orderedRunnerIds = new Set<string>();
+  /**
+   * Monotonic time until which an unanswered order may be carried out (ms), by
+   * id of the runner on the VM. What becomes of later orders does not shorten
+   * it, unless one is confirmed.
+   */
+  readonly #doubtfulUntilMs = new Map<string, number>();
 
   constructor(options: VmMoverOptions) {
     this.#options = options;
@@ -70,9 +76,9 @@
 
   /** Returns whether a runner gets no work because its VM may move. */
   isCordoned(runnerId: string): boolean {
-    const untilMs = this.#cordonedUntilMs.get(runnerId);
-    return untilMs !== undefined &&
-      this.#options.clock.monotonicMs() < untilMs;
+    const untilMs = this.#doubtfulUntilMs.get(runnerId);
+    return this.#orderedRunnerIds.has(runnerId) ||
+      (untilMs !== undefined && this.#options.clock.monotonicMs() < untilMs);
   }
 
   /**
@@ -114,9 +120,7 @@
 
   async #sendAll(tried: readonly ListedMove[]): Promise<MoveResult[]> {
     const { log, logger } = this.#options;
-    for (const { listed } of tried) {
-      this.#cordon(listed, Infinity);
-    }
+    tried.forEach(({ listed }) => this.#cordon(listed));
     // An entry that was proposed before may place work on these runners. Once a
     // later one has taken effect, it has too, or it never will.
     const proposed = await log.propose([]);
@@ -159,16 +163,17 @@
         : log.state.jobs.findLoad(runner).running.size;
       logger.info({ ...move, runnerId, runCount }, "moved a VM");
       onMoved({ ...planned, runner });
+      this.#doubtfulUntilMs.delete(runnerId ?? "");
       this.#uncordon(listed);
       return "confirmed";
     }
     const fields = { ...move, runnerId, failure: moved.error };
     logger.warn(fields, "a VM was not moved");
-    if (moved.error.refusal === undefined) {
-      this.#cordon(listed, clock.monotonicMs() + MOVE_DOUBT_MS);
-    } else {
-      this.#uncordon(listed);
+    if (moved.error.refusal === undefined && runnerId !== undefined) {
+      const untilMs = clock.monotonicMs() + MOVE_DOUBT_MS;
+      this.#doubtfulUntilMs.set(runnerId, untilMs);
     }
+    this.#uncordon(listed);
     return "failed";
   }
 
@@ -180,13 +185,13 @@
       : runner.pool === pool && isIdle(runner);
   }
 
-  #cordon({ runnerId }: ListedVm, untilMs: number): void {
+  #cordon({ runnerId }: ListedVm): void {
     if (runnerId !== undefined) {
-      this.#cordonedUntilMs.set(runnerId, untilMs);
+      this.#orderedRunnerIds.add(runnerId);
     }
   }
 
   #uncordon({ runnerId }: ListedVm): void {
-    this.#cordonedUntilMs.delete(runnerId ?? "");
+    this.#orderedRunnerIds.delete(runnerId ?? "");
   }
 }
--- a/src/services/scheduling/vm_mover_test.ts
+++ b/src/services/scheduling/vm_mover_test.ts
@@ -9,7 +9,12 @@
   StartPlanner,
 } from "../../decisions/index.ts";
 import { jobStepSchema, type Runner } from "../../domain/index.ts";
-import type { VmControl, VmFailure, VmListing } from "../../ports/index.ts";
+import type {
+  VmControl,
+  VmFailure,
+  VmListing,
+  VmRefusal,
+} from "../../ports/index.ts";
 import { Notifier } from "../../tasks/index.ts";
 import { afterEach, describe, it } from "../../testing/describe.ts";
 import { FakeAgreement } from "../../testing/fake_agreement.ts";
@@ -52,6 +57,8 @@
   maxOrdersPerSecond = Infinity;
   orderMs = 0;
   losesAnswers = false;
+  /** Why orders are refused; undefined while they are carried out. */
+  refusal: VmRefusal | undefined;
   readonly #clock: FakeClock;
   readonly #names: readonly string[];
 
@@ -78,9 +85,12 @@
     this.ordered.push(vm);
     this.orderedAtMs.push(this.#clock.monotonicMs());
     await this.#clock.sleep(this.orderMs);
-    return this.losesAnswers
-      ? Result.err({ message: "no answer" })
-      : Result.ok(undefined);
+    if (this.losesAnswers) {
+      return Result.err({ message: "no answer" });
+    }
+    return this.refusal === undefined
+      ? Result.ok(undefined)
+      : Result.err({ refusal: this.refusal, message: "refused" });
   }
 
   beginMaintenance(): never {
@@ -290,4 +300,56 @@
     assert.ok(busyVms.length > 0, "other VMs get work");
     assert.equal(busyVms.filter((vm) => vms.ordered.includes(vm)), []);
   });
+
+  describe("whose first orders got no answer", () => {
+    const setUpUnanswered = async () => {
+      const fixture = await setUp();
+      const { clock, policy, vms } = fixture;
+      vms.losesAnswers = true;
+      policy.isEnabled = true;
+      while (vms.ordered.length === 0) {
+        await clock.advance(1);
+      }
+      await clock.advance(10);
+      vms.losesAnswers = false;
+      return { ...fixture, unanswered: new Set(vms.ordered) };
+    };
+
+    // Guards against work on a VM whose move is carried out late: the refusal of
+    // a repeated order said nothing about the first one.
+    it("keep their VMs free of work after a refused repeat", async () => {
+      const { clock, listBusyVms, policy, submit, unanswered, vms } =
+        await setUpUnanswered();
+      vms.refusal = "rate";
+      while (vms.ordered.length === unanswered.size) {
+        await clock.advance(1);
+      }
+      policy.isEnabled = false;
+      await clock.advance(100);
+      submit(VM_COUNT);
+      await clock.advance(500);
+      const busyVms = listBusyVms();
+      assert.ok(busyVms.length > 0, "other VMs get work");
+      assert.equal(busyVms.filter((vm) => unanswered.has(vm)), []);
+    });
+
+    // Guards against the same where no repeat was sent.
+    it("keep their VMs free of work after a failed proposal", async () => {
+      const { agreement, clock, listBusyVms, policy, submit, unanswered } =
+        await setUpUnanswered();
+      agreement.fault = "lost";
+      const { planCount } = policy;
+      while (policy.planCount === planCount) {
+        await clock.advance(1);
+      }
+      policy.isEnabled = false;
+      await clock.advance(100);
+      agreement.fault = "none";
+      submit(VM_COUNT);
+      await clock.advance(500);
+      const busyVms = listBusyVms();
+      assert.ok(busyVms.length > 0, "other VMs get work");
+      assert.equal(busyVms.filter((vm) => unanswered.has(vm)), []);
+    });
+  });
 });
