Send no move to another pool while an unanswered one may be carried out

Callers saw: a VM that was moved to the pool of a later order is moved away again, and its work ends: the earlier order for another pool got no answer and was carried out after the later one. VMs on standby were not even doubtful.

Cause: the doubt about an order without an answer was kept by the runner on the VM, so that there was none for a VM without a runner, and it kept work off the VM, not a second order about it.

Change: the newest unanswered order is kept by VM. While it may be carried out, moves of the VM to other pools are left out of the plan; the same move may be repeated, as the platform takes it as done. A plan without possible moves writes nothing to the log.

--- a/src/services/scheduling/vm_mover.ts
+++ b/src/services/scheduling/vm_mover.ts
@@ -54,6 +54,13 @@
 
 type MoveResult = "confirmed" | "failed" | "notIdle";
 
+/** An order without an answer, which may still be carried out. */
+interface UnansweredMove {
+  readonly to: string;
+  /** Monotonic time until which it may be carried out (ms). */
+  readonly untilMs: number;
+}
+
 /**
  * Moves idle VMs. Their runners get no work from the plan until the answer, and
  * no order leaves before the log shows what earlier plans of the scheduler have
@@ -69,6 +76,8 @@
    * it, unless one is confirmed.
    */
   readonly #doubtfulUntilMs = new Map<string, number>();
+  /** The newest of these orders by VM. */
+  readonly #unanswered = new Map<string, UnansweredMove>();
 
   constructor(options: VmMoverOptions) {
     this.#options = options;
@@ -99,7 +108,8 @@
       MAX_MOVES_PER_PLAN,
       Math.max(1, Math.floor(perMs * MOVE_RATE_SPAN_MS)),
     );
-    const tried = moves.slice(0, maxCount);
+    const possible = moves.filter((planned) => this.#isPossible(planned));
+    const tried = possible.slice(0, maxCount);
     const startedMs = clock.monotonicMs();
     const results = await this.#sendAll(tried);
     const count = (result: MoveResult) =>
@@ -114,12 +124,15 @@
     return {
       confirmedCount,
       failedCount,
-      leftCount: moves.length - tried.length,
+      leftCount: possible.length - tried.length,
     };
   }
 
   async #sendAll(tried: readonly ListedMove[]): Promise<MoveResult[]> {
     const { log, logger } = this.#options;
+    if (tried.length === 0) {
+      return [];
+    }
     tried.forEach(({ listed }) => this.#cordon(listed));
     // An entry that was proposed before may place work on these runners. Once a
     // later one has taken effect, it has too, or it never will.
@@ -146,8 +159,7 @@
   }
 
   async #move(planned: ListedMove): Promise<MoveResult> {
-    const { clock, fencingToken, holderId, log, logger, onMoved, vms } =
-      this.#options;
+    const { fencingToken, holderId, log, logger, onMoved, vms } = this.#options;
     const { listed, move } = planned;
     const { runnerId } = listed;
     const runner = log.state.runners.get(runnerId ?? "");
@@ -164,19 +176,36 @@
       logger.info({ ...move, runnerId, runCount }, "moved a VM");
       onMoved({ ...planned, runner });
       this.#doubtfulUntilMs.delete(runnerId ?? "");
+      this.#unanswered.delete(move.vm);
       this.#uncordon(listed);
       return "confirmed";
     }
     const fields = { ...move, runnerId, failure: moved.error };
     logger.warn(fields, "a VM was not moved");
-    if (moved.error.refusal === undefined && runnerId !== undefined) {
-      const untilMs = clock.monotonicMs() + MOVE_DOUBT_MS;
-      this.#doubtfulUntilMs.set(runnerId, untilMs);
+    if (moved.error.refusal === undefined) {
+      this.#recordUnanswered(planned);
     }
     this.#uncordon(listed);
     return "failed";
   }
 
+  // Of two orders for different pools, the first might be carried out last, when
+  // the VM has work in the pool of the second.
+  #isPossible({ move }: ListedMove): boolean {
+    const { clock } = this.#options;
+    const first = this.#unanswered.get(move.vm);
+    return first === undefined || first.to === move.to ||
+      first.untilMs <= clock.monotonicMs();
+  }
+
+  #recordUnanswered({ listed: { runnerId }, move }: ListedMove): void {
+    const untilMs = this.#options.clock.monotonicMs() + MOVE_DOUBT_MS;
+    this.#unanswered.set(move.vm, { to: move.to, untilMs });
+    if (runnerId !== undefined) {
+      this.#doubtfulUntilMs.set(runnerId, untilMs);
+    }
+  }
+
   // A VM that was listed with a runner which is gone may have another one by now.
   #isStillIdle({ pool, runnerId }: ListedVm, runner?: Runner): boolean {
     const { isIdle } = this.#options;
--- a/src/services/scheduling/vm_mover_test.ts
+++ b/src/services/scheduling/vm_mover_test.ts
@@ -24,9 +24,11 @@
 import { RunnerStatus } from "./runner_status.ts";
 import { Scheduler } from "./scheduler.ts";
 import { SchedulingLog } from "./scheduling_log.ts";
+import { MOVE_DOUBT_MS } from "./timing.ts";
 
 const POOL = "bay";
 const OTHER_POOL = "dock";
+const THIRD_POOL = "pier";
 const VM_MILLICORES = 8_000;
 const VM_COUNT = 60;
 /** Time of a commit under load (ms), far longer than in a calm moment. */
@@ -52,6 +54,8 @@
 class SlowVms implements VmControl {
   /** Names of the VMs in the order in which their orders were sent. */
   readonly ordered: string[] = [];
+  /** Pools of these orders. */
+  readonly orderedPools: string[] = [];
   /** Monotonic times of the orders (ms). */
   readonly orderedAtMs: number[] = [];
   maxOrdersPerSecond = Infinity;
@@ -61,10 +65,13 @@
   refusal: VmRefusal | undefined;
   readonly #clock: FakeClock;
   readonly #names: readonly string[];
+  /** Whether the VMs are off, so that no runner is on them. */
+  readonly #isOff: boolean;
 
-  constructor(clock: FakeClock, names: readonly string[]) {
+  constructor(clock: FakeClock, names: readonly string[], isOff: boolean) {
     this.#clock = clock;
     this.#names = names;
+    this.#isOff = isOff;
   }
 
   list() {
@@ -75,14 +82,15 @@
         state: "up",
         zone: "zone-a",
         cpuMillicores: VM_MILLICORES,
-        runnerId: vm,
+        runnerId: this.#isOff ? undefined : vm,
       })),
       isComplete: true,
     }));
   }
 
-  async move(vm: string): Promise<Result<void, VmFailure>> {
+  async move(vm: string, pool: string): Promise<Result<void, VmFailure>> {
     this.ordered.push(vm);
+    this.orderedPools.push(pool);
     this.orderedAtMs.push(this.#clock.monotonicMs());
     await this.#clock.sleep(this.orderMs);
     if (this.losesAnswers) {
@@ -102,6 +110,7 @@
 class MoveAllPolicy implements CapacityPolicy {
   isEnabled = false;
   planCount = 0;
+  target = OTHER_POOL;
 
   plan({ idle }: Parameters<CapacityPolicy["plan"]>[0]) {
     if (!this.isEnabled) {
@@ -109,7 +118,7 @@
     }
     this.planCount += 1;
     return idle.filter(({ pool }) => pool === POOL)
-      .map(({ vm, pool }) => ({ vm, from: pool, to: OTHER_POOL }));
+      .map(({ vm, pool }) => ({ vm, from: pool, to: this.target }));
   }
 }
 
@@ -120,15 +129,16 @@
 
   afterEach(() => stop.splice(0).forEach((controller) => controller.abort()));
 
-  async function setUp() {
+  async function setUp({ isStandby = false } = {}) {
     const clock = new FakeClock();
     const agreement = new FakeAgreement(clock);
     const names = Array.from({ length: VM_COUNT }, (_, at) => `vm${at}`);
+    const runnerIds = isStandby ? [] : names;
     agreement.state.apply({
       type: "scheduling",
       atMs: 0,
       operations: [
-        ...names.map((name) => ({
+        ...runnerIds.map((name) => ({
           type: "runner" as const,
           runner: createRunner(name),
         })),
@@ -139,7 +149,7 @@
             queues: [],
             pools: [POOL, OTHER_POOL].map((name) => ({
               name,
-              isStandby: false,
+              isStandby: isStandby && name === POOL,
               guardsCapacity: false,
             })),
             teams: [],
@@ -148,7 +158,7 @@
         },
       ],
     });
-    const vms = new SlowVms(clock, names);
+    const vms = new SlowVms(clock, names, isStandby);
     const policy = new MoveAllPolicy();
     const status = new RunnerStatus(clock);
     status.isSynced = true;
@@ -302,8 +312,8 @@
   });
 
   describe("whose first orders got no answer", () => {
-    const setUpUnanswered = async () => {
-      const fixture = await setUp();
+    const setUpUnanswered = async (options = {}) => {
+      const fixture = await setUp(options);
       const { clock, policy, vms } = fixture;
       vms.losesAnswers = true;
       policy.isEnabled = true;
@@ -351,5 +361,38 @@
       assert.ok(busyVms.length > 0, "other VMs get work");
       assert.equal(busyVms.filter((vm) => unanswered.has(vm)), []);
     });
+
+    for (const isStandby of [false, true]) {
+      const which = isStandby ? "standby" : "running";
+
+      // Guards against work that ends on a VM which has come to the pool of a
+      // second order: the first one was carried out late and took it away.
+      it(`do not go to another pool meanwhile, of ${which} VMs`, async () => {
+        const { clock, policy, unanswered, vms } = await setUpUnanswered({
+          isStandby,
+        });
+        policy.target = THIRD_POOL;
+        await clock.advance(MOVE_DOUBT_MS - 200);
+        const redirected = vms.ordered.filter((vm, at) =>
+          unanswered.has(vm) && vms.orderedPools[at] === THIRD_POOL
+        );
+        assert.equal(redirected, []);
+        assert.ok(vms.orderedPools.includes(THIRD_POOL), "other VMs go there");
+        await clock.advance(2 * MOVE_DOUBT_MS);
+        const last = vms.ordered.flatMap((vm, at) =>
+          vms.orderedPools[at] === THIRD_POOL ? [vm] : []
+        );
+        assert.is(new Set(last).size, VM_COUNT, "later all of them do");
+      });
+
+      it(`are repeated for the same pool, of ${which} VMs`, async () => {
+        const { clock, unanswered, vms } = await setUpUnanswered({ isStandby });
+        await clock.advance(MOVE_DOUBT_MS - 200);
+        const repeated = vms.ordered.slice(unanswered.size).filter((vm) =>
+          unanswered.has(vm)
+        );
+        assert.is(new Set(repeated).size, unanswered.size);
+      });
+    }
   });
 });
