Refuse a zone order that is older than an acknowledged one

Callers saw: an evacuation is acknowledged, and the zone gets work nonetheless: an earlier order to take the zone back, whose sender had given it up, is carried out after that.

Cause: the ticket of an order allows it as long as no other one has been taken up since. An order that found the zone as it should be was acknowledged without being counted, so that tickets from before it stayed valid.

Change: each acknowledged order counts. An order that is refused for that gets 'expired', as before, and its sender repeats it with a new ticket.

Evidence: the new case of zone_service_test failed before (the late order is carried out) and holds now; its six others and zone_order_sender_test pass.

--- a/src/services/scheduling/zone_service.ts
+++ b/src/services/scheduling/zone_service.ts
@@ -82,6 +82,7 @@
     }
     const { zone, isOut, ticket } = checked.value;
     if (this.#pendingCount === 0 && log.state.zonesOut.has(zone) === isOut) {
+      this.#orderCount += 1;
       return Result.ok({});
     }
     const current = this.issueTicket();
--- a/src/services/scheduling/zone_service_test.ts
+++ b/src/services/scheduling/zone_service_test.ts
@@ -60,6 +60,19 @@
     assert.ok(zonesOut.has("zone-a"));
   });
 
+  // Guards against work in a zone whose evacuation was acknowledged because it
+  // was out already: an earlier order to take it back was carried out after that.
+  it("are refused when others changed nothing since their ticket", async () => {
+    const { run, service, zonesOut } = createService();
+    await run(service.setZone({ ...OUT, ticket: service.issueTicket() }));
+    const late = { ...BACK, ticket: service.issueTicket() };
+    const again = { ...OUT, ticket: service.issueTicket() };
+    assert.ok((await run(service.setZone(again))).isOk);
+    const refused = await run(service.setZone(late));
+    assert.is(refused.isErr && refused.error.kind, "expired");
+    assert.ok(zonesOut.has("zone-a"));
+  });
+
   it("with a ticket of an earlier leader are refused", async () => {
     const { run, service, startLeader, zonesOut } = createService();
     await run(service.setZone({ ...OUT, ticket: service.issueTicket() }));
