Acknowledge no zone order as done while an earlier one may take effect

Callers saw: an evacuation is acknowledged, and the zone is back in service after that. The order to take it back had got no answer, because its entry was not committed in time (noQuorum); it was committed later in the same term.

Cause: an order that finds the zone as it should be is acknowledged without an entry, unless others are being recorded. One whose proposal had timed out no longer counted as being recorded, though it may still take effect.

Change: after an order with an unknown outcome, the next ones get entries of their own, which take effect behind it, until one of them is recorded.

--- a/src/services/scheduling/zone_service.ts
+++ b/src/services/scheduling/zone_service.ts
@@ -54,6 +54,10 @@
   #orderCount = 0;
   /** Number of orders that are being recorded. */
   #pendingCount = 0;
+  /** Position among the orders of the newest one that is recorded. */
+  #recordedPosition = 0;
+  /** The same of the newest one that may be recorded, or not. */
+  #unknownPosition = 0;
 
   constructor(options: ZoneServiceOptions) {
     this.#options = options;
@@ -81,7 +85,7 @@
       return Result.err(checked.error);
     }
     const { zone, isOut, ticket } = checked.value;
-    if (this.#pendingCount === 0 && log.state.zonesOut.has(zone) === isOut) {
+    if (this.#isSettled && log.state.zonesOut.has(zone) === isOut) {
       this.#orderCount += 1;
       return Result.ok({});
     }
@@ -101,10 +105,28 @@
         ? "taking a zone out of service"
         : "taking a zone back into service",
     );
+    return await this.#record({ zone, isOut });
+  }
+
+  // An order whose outcome is unknown may take effect until a later one has.
+  get #isSettled(): boolean {
+    return this.#pendingCount === 0 &&
+      this.#unknownPosition <= this.#recordedPosition;
+  }
+
+  async #record(order: ZoneOrder): Promise<Result<unknown, Failure>> {
     this.#orderCount += 1;
+    const position = this.#orderCount;
     this.#pendingCount += 1;
-    const proposed = await log.propose([{ type: "zone", zone, isOut }]);
+    const proposed = await this.#options.log.propose([
+      { type: "zone", ...order },
+    ]);
     this.#pendingCount -= 1;
+    if (proposed.isOk) {
+      this.#recordedPosition = Math.max(this.#recordedPosition, position);
+    } else {
+      this.#unknownPosition = Math.max(this.#unknownPosition, position);
+    }
     return proposed;
   }
 }
--- a/src/services/scheduling/zone_service_test.ts
+++ b/src/services/scheduling/zone_service_test.ts
@@ -1,4 +1,11 @@
+import { Result } from "true-myth";
 import * as assert from "uvu/assert";
+import {
+  type AppliedValue,
+  type Command,
+  createFailure,
+  type Failure,
+} from "../../domain/index.ts";
 import { describe, it } from "../../testing/describe.ts";
 import { FakeAgreement } from "../../testing/fake_agreement.ts";
 import { FakeClock } from "../../testing/fake_clock.ts";
@@ -7,12 +14,38 @@
 import { ZoneService } from "./zone_service.ts";
 
 const WAIT_MS = 1_000;
+const SLOW_COMMIT_MS = 500;
+const GIVE_UP_MS = 200;
 const OUT = { zone: "zone-a", isOut: true };
 const BACK = { zone: "zone-a", isOut: false };
 
+/** Gives up waiting for a commit that still takes place, in its order. */
+class ImpatientAgreement extends FakeAgreement {
+  /** Time after which a proposal fails with an unknown outcome (ms). */
+  giveUpMs = Infinity;
+  readonly #sleeper: FakeClock;
+
+  constructor(clock: FakeClock) {
+    super(clock);
+    this.#sleeper = clock;
+  }
+
+  override async propose(
+    command: Command,
+  ): Promise<Result<AppliedValue, Failure>> {
+    const giveUp = async () => {
+      await this.#sleeper.sleep(this.giveUpMs);
+      return Result.err<AppliedValue, Failure>(
+        createFailure("noQuorum", "no quorum answered in time"),
+      );
+    };
+    return await Promise.race([super.propose(command), giveUp()]);
+  }
+}
+
 function createService() {
   const clock = new FakeClock();
-  const agreement = new FakeAgreement(clock);
+  const agreement = new ImpatientAgreement(clock);
   const logger = new FakeLogger();
   const startLeader = (term: number) =>
     new ZoneService({
@@ -22,7 +55,8 @@
     });
   const run = <T>(promise: Promise<T>) => clock.runUntil(promise, WAIT_MS);
   const { zonesOut } = agreement.state.scheduling;
-  return { agreement, run, service: startLeader(1), startLeader, zonesOut };
+  const service = startLeader(1);
+  return { agreement, clock, run, service, startLeader, zonesOut };
 }
 
 describe("orders about zones", () => {
@@ -104,4 +138,51 @@
       assert.ok((await run(first)).isOk);
     });
   });
+
+  describe("after one whose outcome is unknown", () => {
+    const setUpUnknown = async () => {
+      const fixture = createService();
+      const { agreement, run, service } = fixture;
+      await run(service.setZone({ ...OUT, ticket: service.issueTicket() }));
+      agreement.proposeMs = SLOW_COMMIT_MS;
+      agreement.giveUpMs = GIVE_UP_MS;
+      const back = { ...BACK, ticket: service.issueTicket() };
+      const unknown = await run(service.setZone(back));
+      assert.is(unknown.isErr && unknown.error.kind, "noQuorum");
+      return fixture;
+    };
+
+    // Guards against work in a zone whose evacuation was acknowledged: the zone
+    // was still out, and was taken back by the order that had no answer.
+    it("hold once they are acknowledged", async () => {
+      const { agreement, clock, run, service, zonesOut } = await setUpUnknown();
+      agreement.giveUpMs = Infinity;
+      const out = { ...OUT, ticket: service.issueTicket() };
+      assert.ok((await run(service.setZone(out))).isOk);
+      await clock.advance(2 * SLOW_COMMIT_MS);
+      assert.ok(zonesOut.has("zone-a"));
+    });
+
+    it("are not acknowledged while none is recorded", async () => {
+      const { run, service } = await setUpUnknown();
+      for (let attempt = 0; attempt < 2; attempt += 1) {
+        const out = { ...OUT, ticket: service.issueTicket() };
+        const sent = await run(service.setZone(out));
+        assert.is(sent.isErr && sent.error.kind, "noQuorum");
+      }
+    });
+
+    it("need no entry once one is recorded", async () => {
+      const { agreement, run, service } = await setUpUnknown();
+      agreement.giveUpMs = Infinity;
+      const send = async () => {
+        const out = { ...OUT, ticket: service.issueTicket() };
+        assert.ok((await run(service.setZone(out))).isOk);
+      };
+      await send();
+      const entryCount = agreement.commands.length;
+      await send();
+      assert.is(agreement.commands.length, entryCount);
+    });
+  });
 });
