Count the idle time of a runner from its own incarnation

Callers saw: VMs that move to and fro. A VM that has just come to a pool, its runner under the id that it had, is parked on standby again at the next plan, since it counts as idle from before its move.

Cause: the time since when a runner is idle was kept by its id, and dropped only when a known runner was seen with work. The record of a runner that was gone, or of its previous incarnation, held for the next one.

Change: the record names the incarnation, and is kept for known runners only.

--- a/src/services/scheduling/capacity_task.ts
+++ b/src/services/scheduling/capacity_task.ts
@@ -36,6 +36,13 @@
   readonly isInMaintenance: (runner: Runner) => boolean;
 }
 
+/** A runner incarnation without work. */
+interface IdleRunner {
+  readonly bornAtMs: number;
+  /** Monotonic time since when it is known to be idle (ms). */
+  readonly sinceMs: number;
+}
+
 /** A VM that has been moved and does not serve its new pool yet. */
 interface ArrivingVm {
   readonly pool: string;
@@ -47,7 +54,8 @@
 /** Moves idle VMs between pools to match the demand of each pool. */
 export class CapacityTask {
   readonly #options: CapacityTaskOptions;
-  readonly #idleSinceMsByRunner = new Map<string, number>();
+  /** The known runners that are idle, by id. */
+  #idleRunners: ReadonlyMap<string, IdleRunner> = new Map();
   readonly #arrivingVms = new Map<string, ArrivingVm>();
   readonly #mover: VmMover;
   #vms: readonly ListedVm[] = [];
@@ -140,15 +148,19 @@
   #updateIdleTimes(): void {
     const { clock, log } = this.#options;
     const nowMs = clock.monotonicMs();
+    const idleRunners = new Map<string, IdleRunner>();
     for (const runner of log.state.runners.values()) {
-      const { runnerId } = runner;
-      const isIdle = log.state.jobs.findLoad(runner).running.size === 0;
-      if (!isIdle) {
-        this.#idleSinceMsByRunner.delete(runnerId);
-      } else if (!this.#idleSinceMsByRunner.has(runnerId)) {
-        this.#idleSinceMsByRunner.set(runnerId, nowMs);
+      const { bornAtMs, runnerId } = runner;
+      if (log.state.jobs.findLoad(runner).running.size === 0) {
+        const known = this.#idleRunners.get(runnerId);
+        const isKnown = known?.bornAtMs === bornAtMs;
+        idleRunners.set(
+          runnerId,
+          isKnown ? known : { bornAtMs, sinceMs: nowMs },
+        );
       }
     }
+    this.#idleRunners = idleRunners;
     for (const [vm, { untilMs }] of this.#arrivingVms) {
       if (nowMs > untilMs) {
         this.#arrivingVms.delete(vm);
@@ -174,11 +186,11 @@
         return [{ vm, pool, cpuMillicores, idleMs: 0 }];
       }
       const runner = log.state.runners.get(runnerId ?? "");
-      const sinceMs = this.#idleSinceMsByRunner.get(runnerId ?? "");
-      const isIdle = runner !== undefined && sinceMs !== undefined &&
+      const idle = this.#idleRunners.get(runnerId ?? "");
+      const isIdle = runner !== undefined && idle !== undefined &&
         runner.pool === pool && this.#mayMove(runner);
       return isIdle
-        ? [{ vm, pool, cpuMillicores, idleMs: nowMs - sinceMs }]
+        ? [{ vm, pool, cpuMillicores, idleMs: nowMs - idle.sinceMs }]
         : [];
     });
   }
