Let the pace of best-effort work recover after the task beside it has left

Callers saw: a best-effort job that never ends. Its runs had been paused, or slowed, beside a task that missed its target for tail latency; that task ended or was moved away, and they stayed paused for good.

Cause: the pace was chosen only on runners that have a task with a target. Set for the sake of such a task, it outlived it.

Change: without such a task, the worst share of a target is 0, so that the pace recovers in the usual steps. A run at full speed gets no request.

--- a/src/services/scheduling/pace_task.ts
+++ b/src/services/scheduling/pace_task.ts
@@ -17,8 +17,8 @@
 /** Options of {@link PaceTask}. */
 export interface PaceTaskOptions {
   readonly log: SchedulingLog;
-  readonly fleet: RunnerFleet;
-  readonly client: RunnerClient;
+  readonly fleet: Pick<RunnerFleet, "findStatus">;
+  readonly client: Pick<RunnerClient, "pace">;
   readonly policy: PacePolicy;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -60,13 +60,12 @@
     const bestEffortRuns = runs.filter(({ step }) => step.usesLeftovers);
     const serving = runs.filter(({ step }) => step.tailTargetMs > 0);
     const status = fleet.findStatus(runner);
-    if (
-      bestEffortRuns.length === 0 || serving.length === 0 ||
-      !status?.isOperational
-    ) {
+    if (bestEffortRuns.length === 0 || !status?.isOperational) {
       return;
     }
+    // The pace recovers as well once the tasks that it was meant for have left.
     const worstShare = Math.max(
+      0,
       ...serving.map(({ id, step }) =>
         (status.loads.get(formatTaskId(id)) ?? 0) / step.tailTargetMs
       ),
--- /dev/null
+++ b/src/services/scheduling/pace_task_test.ts
@@ -0,0 +1,213 @@
+import { Result } from "true-myth";
+import * as assert from "uvu/assert";
+import * as v from "valibot";
+import { BackOffPacePolicy } from "../../decisions/index.ts";
+import {
+  jobStepSchema,
+  type Runner,
+  type SchedulingOperation,
+  type TaskId,
+} from "../../domain/index.ts";
+import type { RunnerFailure } from "../../ports/index.ts";
+import { afterEach, describe, it } from "../../testing/describe.ts";
+import { FakeAgreement } from "../../testing/fake_agreement.ts";
+import { FakeClock } from "../../testing/fake_clock.ts";
+import { FakeLogger } from "../../testing/fake_ports.ts";
+import { PaceTask } from "./pace_task.ts";
+import { RunnerStatus } from "./runner_status.ts";
+import { SchedulingLog } from "./scheduling_log.ts";
+import { PACE_TICK_MS } from "./timing.ts";
+
+const TARGET_MS = 100;
+const MISSED_MS = 2 * TARGET_MS;
+const LOW_MS = 0.1 * TARGET_MS;
+/** Time in which a pace recovers from 0 to 100 %. */
+const RECOVERY_MS = 12 * PACE_TICK_MS;
+
+const RUNNER: Runner = {
+  runnerId: "r1",
+  bornAtMs: 1,
+  address: "127.0.0.1:1",
+  pool: "bay",
+  zone: "zone-a",
+  capacity: { cpuMillicores: 8_000, memoryMb: 1_000, gpuCount: 0 },
+  rack: "rack-1",
+  labels: [],
+  isDraining: false,
+};
+const SERVING = createTask("0000000000000001");
+const BEST_EFFORT = createTask("0000000000000002");
+
+function createTask(jobId: string): TaskId {
+  return { jobId, occurrence: 0, step: 0, index: 0 };
+}
+
+function createStart(task: TaskId, step: object): SchedulingOperation[] {
+  return [{
+    type: "accept",
+    spec: {
+      jobId: task.jobId,
+      text: "",
+      steps: [v.parse(jobStepSchema, {
+        taskCount: 1,
+        needs: { cpuMillicores: 1_000 },
+        isEndless: true,
+        ...step,
+      })],
+    },
+    queue: "q",
+    pool: "bay",
+    maxAttempts: 2,
+  }, { type: "start", task, runNumber: 1, runnerId: "r1", bornAtMs: 1 }];
+}
+
+/** One runner with a serving task and a best-effort task beside it. */
+class PaceRun {
+  readonly clock = new FakeClock();
+  readonly agreement = new FakeAgreement(this.clock);
+  readonly status = new RunnerStatus(this.clock);
+  /** Pace of the best-effort run at the runner, in percent. */
+  percent = 100;
+  requestCount = 0;
+  /** Whether requests are carried out but get no answer. */
+  losesAnswers = false;
+  /** Tail latency of the serving task, in milliseconds. */
+  tailMs = LOW_MS;
+  readonly #stop: AbortController[] = [];
+
+  constructor() {
+    this.apply([
+      { type: "runner", runner: RUNNER },
+      ...createStart(SERVING, { tailTargetMs: TARGET_MS }),
+    ]);
+    this.status.isSynced = true;
+  }
+
+  apply(operations: readonly SchedulingOperation[]): void {
+    this.agreement.state.apply({
+      type: "scheduling",
+      atMs: this.clock.nowMs(),
+      operations: [...operations],
+    });
+  }
+
+  startBestEffort(): void {
+    this.apply(createStart(BEST_EFFORT, { usesLeftovers: true }));
+  }
+
+  endServing(): void {
+    this.apply([{ type: "cancel", jobId: SERVING.jobId }, {
+      type: "end",
+      task: SERVING,
+      runNumber: 1,
+      how: "stopped",
+      saved: "",
+      maxAttempts: 2,
+    }]);
+  }
+
+  /** Starts the task of a leader, in place of the previous one's. */
+  changeLeader(): void {
+    this.stop();
+    const stop = new AbortController();
+    this.#stop.push(stop);
+    const { agreement, clock, status } = this;
+    const task = new PaceTask({
+      log: new SchedulingLog({ agreement, clock }),
+      fleet: { findStatus: () => status },
+      client: { pace: (_runner, { percent }) => this.#pace(percent) },
+      policy: new BackOffPacePolicy(),
+      clock,
+      logger: new FakeLogger(),
+      fencingToken: 1,
+    });
+    void task.run(stop.signal);
+  }
+
+  async advance(durationMs: number): Promise<void> {
+    for (let leftMs = durationMs; leftMs > 0; leftMs -= PACE_TICK_MS) {
+      this.#report();
+      await this.clock.advance(PACE_TICK_MS);
+    }
+  }
+
+  /** Runs until the best-effort run is paused. */
+  async pause(): Promise<void> {
+    this.tailMs = MISSED_MS;
+    await this.advance(2 * PACE_TICK_MS);
+    assert.is(this.percent, 0);
+  }
+
+  stop(): void {
+    this.#stop.splice(0).forEach((controller) => controller.abort());
+  }
+
+  #report(): void {
+    this.status.recordReport({
+      clockMs: this.clock.monotonicMs(),
+      bornAtMs: RUNNER.bornAtMs,
+      running: [{
+        task: SERVING,
+        runNumber: 1,
+        saved: "",
+        percent: 100,
+        load: this.tailMs,
+      }],
+      ended: [],
+    });
+  }
+
+  #pace(percent: number) {
+    this.requestCount += 1;
+    this.percent = percent;
+    return Promise.resolve(
+      this.losesAnswers
+        ? Result.err<{ clockMs: number }, RunnerFailure>({
+          message: "no answer",
+        })
+        : Result.ok<{ clockMs: number }, RunnerFailure>({ clockMs: 0 }),
+    );
+  }
+}
+
+describe("the pace of a best-effort run", () => {
+  const runs: PaceRun[] = [];
+
+  afterEach(() => runs.splice(0).forEach((run) => run.stop()));
+
+  const setUp = () => {
+    const run = new PaceRun();
+    runs.push(run);
+    run.changeLeader();
+    run.startBestEffort();
+    return run;
+  };
+
+  it("falls beside a task that misses its target, and recovers", async () => {
+    const run = setUp();
+    await run.pause();
+    run.tailMs = LOW_MS;
+    await run.advance(RECOVERY_MS);
+    assert.is(run.percent, 100);
+  });
+
+  it("is set only when it changes", async () => {
+    const run = setUp();
+    await run.advance(RECOVERY_MS);
+    assert.is(run.requestCount, 0);
+    await run.pause();
+    const { requestCount } = run;
+    await run.advance(RECOVERY_MS);
+    assert.is(run.requestCount, requestCount);
+  });
+
+  // Guards against a run that stays paused for good: the task for which it was
+  // paused had left the runner.
+  it("recovers after the task beside it has left", async () => {
+    const run = setUp();
+    await run.pause();
+    run.endServing();
+    await run.advance(RECOVERY_MS);
+    assert.is(run.percent, 100);
+  });
+});
