Let the next leader set the pace of best-effort runs that it did not start

Callers saw: a best-effort job that never ends after a change of leader. Its runs were paused; the next leader took them to be at full speed, and sent nothing once the tail latency beside them was low.

Cause: the confirmed paces live as long as one leader does, whereas the runner keeps the pace for as long as the run lasts. A run without a record counted as one that has just started.

Change: the pace of best-effort runs that the log has when the leader begins is not known. Near the target such a run gets the lowest pace that the policy may choose, far from it that of a run that has just started; where the policy changes no pace, it stays. One request for each such run makes its pace known.

--- a/src/services/scheduling/pace_task.ts
+++ b/src/services/scheduling/pace_task.ts
@@ -25,6 +25,9 @@
   readonly fencingToken: number;
 }
 
+/** Pace at which a run starts, in percent. */
+const FULL_PERCENT = 100;
+
 /**
  * Paces best-effort runs by the tail latency of tasks on the same runner that
  * have a target for it.
@@ -33,9 +36,19 @@
   readonly #options: PaceTaskOptions;
   /** Confirmed pace by run, in percent; a run starts at 100. */
   readonly #percents = new Map<string, number>();
+  /** Runs that may have another pace: an earlier leader may have set it. */
+  readonly #unknown: Set<string>;
 
+  /** @param options - The log when the leader begins to lead. */
   constructor(options: PaceTaskOptions) {
     this.#options = options;
+    const { jobs, runners } = options.log.state;
+    const runs = [...runners.values()].flatMap((runner) => [
+      ...jobs.findLoad(runner).running.values(),
+    ]);
+    this.#unknown = new Set(
+      runs.filter(({ step }) => step.usesLeftovers).map(nameRun),
+    );
   }
 
   /**
@@ -55,7 +68,7 @@
   }
 
   async #pace(runner: Runner): Promise<void> {
-    const { fleet, log, policy } = this.#options;
+    const { fleet, log } = this.#options;
     const runs = [...log.state.jobs.findLoad(runner).running.values()];
     const bestEffortRuns = runs.filter(({ step }) => step.usesLeftovers);
     const serving = runs.filter(({ step }) => step.tailTargetMs > 0);
@@ -71,15 +84,32 @@
       ),
     );
     await Promise.all(bestEffortRuns.map(async (run) => {
-      const key = formatRun({ task: run.id, ...run });
-      const percent = this.#percents.get(key) ?? 100;
-      const wanted = policy.choose({ worstShare, percent });
-      if (wanted !== percent) {
+      const wanted = this.#choosePercent(nameRun(run), worstShare);
+      if (wanted !== undefined) {
         await this.#send(runner, run, wanted, worstShare);
       }
     }));
   }
 
+  // Returns undefined where the pace stays as it is. A pace that is not known may
+  // be any: near the target, the run gets what one at the lowest pace would get.
+  // Far from it, it gets what one that has just started would get.
+  #choosePercent(key: string, worstShare: number): number | undefined {
+    const { policy } = this.#options;
+    const choose = (percent: number) => policy.choose({ worstShare, percent });
+    if (!this.#unknown.has(key)) {
+      const percent = this.#percents.get(key) ?? FULL_PERCENT;
+      const wanted = choose(percent);
+      return wanted === percent ? undefined : wanted;
+    }
+    const lowest = choose(0);
+    const highest = choose(FULL_PERCENT);
+    if (highest < FULL_PERCENT) {
+      return lowest;
+    }
+    return lowest > 0 ? highest : undefined;
+  }
+
   async #send(
     runner: Runner,
     run: RunningTask,
@@ -104,7 +134,12 @@
       );
       return;
     }
-    this.#percents.set(formatRun(request), percent);
+    this.#percents.set(nameRun(run), percent);
+    this.#unknown.delete(nameRun(run));
     logger.info(fields, "set the pace of a best-effort run");
   }
 }
+
+function nameRun({ id: task, runNumber }: RunningTask): string {
+  return formatRun({ task, runNumber });
+}
--- a/src/services/scheduling/pace_task_test.ts
+++ b/src/services/scheduling/pace_task_test.ts
@@ -20,6 +20,10 @@
 
 const TARGET_MS = 100;
 const MISSED_MS = 2 * TARGET_MS;
+/** Tail latency at which the pace stays as it is. */
+const NEUTRAL_MS = 0.7 * TARGET_MS;
+/** Tail latency at which the pace falls. */
+const NEAR_MS = 0.9 * TARGET_MS;
 const LOW_MS = 0.1 * TARGET_MS;
 /** Time in which a pace recovers from 0 to 100 %. */
 const RECOVERY_MS = 12 * PACE_TICK_MS;
@@ -109,6 +113,7 @@
   /** Starts the task of a leader, in place of the previous one's. */
   changeLeader(): void {
     this.stop();
+    this.#report();
     const stop = new AbortController();
     this.#stop.push(stop);
     const { agreement, clock, status } = this;
@@ -170,18 +175,22 @@
   }
 }
 
-describe("the pace of a best-effort run", () => {
-  const runs: PaceRun[] = [];
+const runs: PaceRun[] = [];
+
+function setUp(): PaceRun {
+  const run = new PaceRun();
+  runs.push(run);
+  run.changeLeader();
+  run.startBestEffort();
+  return run;
+}
 
-  afterEach(() => runs.splice(0).forEach((run) => run.stop()));
+function stopAll(): void {
+  runs.splice(0).forEach((run) => run.stop());
+}
 
-  const setUp = () => {
-    const run = new PaceRun();
-    runs.push(run);
-    run.changeLeader();
-    run.startBestEffort();
-    return run;
-  };
+describe("the pace of a best-effort run", () => {
+  afterEach(stopAll);
 
   it("falls beside a task that misses its target, and recovers", async () => {
     const run = setUp();
@@ -211,3 +220,46 @@
     assert.is(run.percent, 100);
   });
 });
+
+describe("the pace of a best-effort run that is not known", () => {
+  afterEach(stopAll);
+
+  describe("after a change of leader", () => {
+    // Guards against a run that stays paused for good: the next leader took it
+    // to be at full speed.
+    it("recovers", async () => {
+      const run = setUp();
+      await run.pause();
+      run.tailMs = LOW_MS;
+      run.changeLeader();
+      await run.advance(RECOVERY_MS);
+      assert.is(run.percent, 100);
+    });
+
+    it("stays as it is while the tail latency needs no change", async () => {
+      const run = setUp();
+      await run.pause();
+      run.tailMs = NEUTRAL_MS;
+      run.changeLeader();
+      await run.advance(RECOVERY_MS);
+      assert.is(run.percent, 0);
+    });
+
+    it("does not rise near the target", async () => {
+      const run = setUp();
+      await run.pause();
+      run.tailMs = NEAR_MS;
+      run.changeLeader();
+      await run.advance(RECOVERY_MS);
+      assert.is(run.percent, 0);
+    });
+
+    it("is set once for a run at full speed", async () => {
+      const run = setUp();
+      run.changeLeader();
+      await run.advance(RECOVERY_MS);
+      assert.is(run.percent, 100);
+      assert.is(run.requestCount, 1);
+    });
+  });
+});
