Set the pace of a best-effort run again after a request without an answer

Callers saw: a best-effort job that never ends. The request that paused a run was carried out and got no answer; by the next turn the tail latency was low, and the leader, which took the run to be at full speed still, sent nothing.

Cause: a request without an answer left the record of the pace as it was.

Change: the pace counts as unknown then, like that of an earlier leader's runs, until a request is confirmed.

Evidence: the case 'after a request without an answer > recovers' of pace_task_test failed before (0 % instead of 100 % after 3 s) and holds now, as do its eight others. Not covered: a request that is carried out after a later one was confirmed.

--- a/src/services/scheduling/pace_task.ts
+++ b/src/services/scheduling/pace_task.ts
@@ -36,7 +36,10 @@
   readonly #options: PaceTaskOptions;
   /** Confirmed pace by run, in percent; a run starts at 100. */
   readonly #percents = new Map<string, number>();
-  /** Runs that may have another pace: an earlier leader may have set it. */
+  /**
+   * Runs that may have another pace: that of an earlier leader, or of a request
+   * without an answer.
+   */
   readonly #unknown: Set<string>;
 
   /** @param options - The log when the leader begins to lead. */
@@ -132,6 +135,9 @@
         { ...fields, failure: paced.error },
         "failed to set the pace of a best-effort run",
       );
+      if (paced.error.refusal === undefined) {
+        this.#unknown.add(nameRun(run));
+      }
       return;
     }
     this.#percents.set(nameRun(run), percent);
--- a/src/services/scheduling/pace_task_test.ts
+++ b/src/services/scheduling/pace_task_test.ts
@@ -262,4 +262,32 @@
       assert.is(run.requestCount, 1);
     });
   });
+
+  describe("after a request without an answer", () => {
+    const setUpUnanswered = async () => {
+      const run = setUp();
+      run.losesAnswers = true;
+      await run.pause();
+      run.losesAnswers = false;
+      return run;
+    };
+
+    // Guards against a run that stays paused for good: the request was carried
+    // out, and the latency was low again by its next turn.
+    it("recovers", async () => {
+      const run = await setUpUnanswered();
+      run.tailMs = LOW_MS;
+      await run.advance(RECOVERY_MS);
+      assert.is(run.percent, 100);
+    });
+
+    it("stays at the pace of the next request that is confirmed", async () => {
+      const run = await setUpUnanswered();
+      await run.advance(PACE_TICK_MS);
+      const { requestCount } = run;
+      await run.advance(RECOVERY_MS);
+      assert.is(run.requestCount, requestCount);
+      assert.is(run.percent, 0);
+    });
+  });
 });
