Drop actions on tasks that are not confirmed when a controller stops leading

Callers saw: a task that is slowed down or stopped although its VM has room. A controller had recorded the action for an overload, got no answer from the platform, and lost its leadership; when it led again, however much later, it sent the request for as long as the task was listed.

Cause: the recorded actions without confirmation are kept by operation id, and were cleared only once confirmed or when the task had ended, whereas the observations that advance VMs are discarded with the leadership.

Change: they are discarded at the same place. A leader that sees the overload decides and records anew.

Evidence: the new case of controller_terms_test failed before (the task is throttled three rounds into the later term, without an overload) and holds now; controller_test, controller_faults_test and clock_steps_test pass.

--- a/src/services/controller/controller.ts
+++ b/src/services/controller/controller.ts
@@ -80,6 +80,7 @@
     const { agreement, logger } = this.#options;
     if (agreement.status().leaderSinceMs === undefined) {
       this.#stepper.discardObservations();
+      this.#relief.discardUnconfirmed();
       this.#platformVms = undefined;
       return false;
     }
--- /dev/null
+++ b/src/services/controller/controller_terms_test.ts
@@ -0,0 +1,78 @@
+import { Result } from "true-myth";
+import * as assert from "uvu/assert";
+import { createFailure, type Failure } from "../../domain/index.ts";
+import {
+  beforeEach,
+  ControllerFixture,
+  declarePool,
+  declareVm,
+  describe,
+  it,
+  type RunningController,
+} from "../../testing/index.ts";
+
+const TASK = {
+  taskId: "t1",
+  vm: "v1",
+  team: "fitting",
+  queue: "swings",
+  priority: 0,
+  checkpointable: true,
+  usedCores: 1,
+  usedMemoryMb: 1,
+  runMs: 0,
+};
+const BUSY_CORE_COUNT = 1;
+const LARGE_CORE_COUNT = 10;
+
+describe("a controller that leads again", () => {
+  let fixture: ControllerFixture;
+  let controller: RunningController;
+
+  beforeEach(async () => {
+    fixture = new ControllerFixture(6);
+    fixture.declare([
+      { kind: "zone", name: "a", labels: {}, region: "r" },
+      declarePool("studio"),
+      declareVm("v1", "a", "rack-1", "studio"),
+      declareVm("v2", "a", "rack-2", "studio"),
+    ]);
+    controller = fixture.startController();
+    await fixture.run([controller], 2);
+  });
+
+  const loseLeadership = async () => {
+    controller.agreement.isLeader = false;
+    await fixture.run([controller], 2);
+  };
+
+  const leadAgain = async (roundCount: number) => {
+    controller.agreement.isLeader = true;
+    await fixture.run([controller], roundCount);
+  };
+
+  // Guards against a task that is slowed down or stopped for an overload that is
+  // over: an earlier term's request had got no answer.
+  it("does not repeat actions on tasks of its earlier term", async () => {
+    const { platform } = fixture;
+    let coreCount = BUSY_CORE_COUNT;
+    const listVms = platform.listVms.bind(platform);
+    platform.listVms = async () =>
+      (await listVms()).map((vms) => vms.map((vm) => ({ ...vm, coreCount })));
+    const actOnTask = platform.actOnTask.bind(platform);
+    platform.actOnTask = () =>
+      Promise.resolve(
+        Result.err<void, Failure>(
+          createFailure("peerUnreachable", "no answer"),
+        ),
+      );
+    platform.addTask(TASK);
+    await fixture.run([controller], 1);
+    assert.is(fixture.records("vm/v1", "throttle").length, 1);
+    await loseLeadership();
+    coreCount = LARGE_CORE_COUNT;
+    platform.actOnTask = actOnTask;
+    await leadAgain(3);
+    assert.equal(platform.taskActions, []);
+  });
+});
--- a/src/services/controller/pressure_relief.ts
+++ b/src/services/controller/pressure_relief.ts
@@ -54,6 +54,14 @@
     await this.#actOnUnconfirmed(tasks);
   }
 
+  /**
+   * Discards the actions that are not confirmed; needed after leadership was
+   * lost, because what they were recorded for may be over.
+   */
+  discardUnconfirmed(): void {
+    this.#unconfirmed.clear();
+  }
+
   #reportNeverRunnable(
     { tasks }: Observation,
     vms: readonly PlatformVm[],
