Confirm outages of VMs by reports of one term only

Callers saw: the record of an outage, with the VM counted as unavailable, after one wrong answer of the platform. A controller had seen another one in an earlier term; the two counted as consecutive.

Cause: reports that wait for their confirmation are discarded when a controller runs a round without leadership, those about outages were not. Nor was any if it led again, in another term, before its next round.

Change: both kinds are discarded whenever the term of the rounds changes.

Evidence: both new cases of controller_terms_test failed before (the outage is recorded in the first round of the later term) and hold now, as do its other case, controller_test, controller_faults_test and clock_steps_test. The fake log's agreement shows a term that a test can set.

--- a/src/services/controller/controller.ts
+++ b/src/services/controller/controller.ts
@@ -32,6 +32,8 @@
   readonly #relief: PressureRelief;
   #platformVms: readonly PlatformVm[] | undefined;
   readonly #outages: ReportConfirmation;
+  /** Term of the latest round; undefined while this entry is not the leader. */
+  #ledTerm: number | undefined;
 
   constructor(options: ControllerOptions) {
     this.#options = options;
@@ -78,9 +80,13 @@
    */
   async runRound(): Promise<boolean> {
     const { agreement, logger } = this.#options;
-    if (agreement.status().leaderSinceMs === undefined) {
-      this.#stepper.discardObservations();
-      this.#relief.discardUnconfirmed();
+    const { leaderSinceMs, term } = agreement.status();
+    const isLeader = leaderSinceMs !== undefined;
+    if (!isLeader || term !== this.#ledTerm) {
+      this.#discardEarlierTerm();
+    }
+    this.#ledTerm = isLeader ? term : undefined;
+    if (!isLeader) {
       this.#platformVms = undefined;
       return false;
     }
@@ -108,6 +114,13 @@
     );
   }
 
+  // Another controller may have acted since.
+  #discardEarlierTerm(): void {
+    this.#stepper.discardObservations();
+    this.#outages.clear();
+    this.#relief.discardUnconfirmed();
+  }
+
   // The platform is polled rarely while all VMs are serving. A changed label or
   // selector ends the pause early.
   async #pause(
--- a/src/services/controller/controller_terms_test.ts
+++ b/src/services/controller/controller_terms_test.ts
@@ -75,4 +75,29 @@
     await leadAgain(3);
     assert.equal(platform.taskActions, []);
   });
+
+  // Guards against a VM that is reported as lost because of one wrong answer of
+  // the platform: an earlier term's answer counted as its confirmation.
+  describe("confirms an outage by two reports of its present term", () => {
+    const countOutages = () => fixture.records("vm/v2", "ejection").length;
+
+    const cases: [string, () => Promise<void>][] = [
+      ["after rounds without leadership", loseLeadership],
+      ["right after a term of its own", () => {
+        controller.agreement.term += 1;
+        return Promise.resolve();
+      }],
+    ];
+    for (const [title, change] of cases) {
+      it(title, async () => {
+        fixture.platform.setState("v2", "down");
+        await fixture.run([controller], 1);
+        await change();
+        await leadAgain(1);
+        assert.is(countOutages(), 0);
+        await fixture.run([controller], 1);
+        assert.is(countOutages(), 1);
+      });
+    }
+  });
 });
--- a/src/testing/fake_log.ts
+++ b/src/testing/fake_log.ts
@@ -101,6 +101,8 @@
   readonly #entryId: string;
   /** Whether this entry considers itself the leader; several may at once. */
   isLeader = true;
+  /** Term that the status shows. */
+  term = 1;
 
   constructor(log: FakeLog, entryId = "entry-1") {
     this.#log = log;
@@ -136,7 +138,7 @@
     return {
       entryId: this.#entryId,
       leaderId: this.isLeader ? this.#entryId : undefined,
-      term: 1,
+      term: this.term,
       leaderSinceMs: this.isLeader ? 0 : undefined,
       leaseAgeMs: this.isLeader ? 0 : undefined,
       appliedIndex: this.#log.index,
