Record a notice again that was closed for longer than a moment

Callers saw: no record of the second outage of a VM, and no reason why its pool waits. The first one's record had the same subject and summary.

Cause: a notice is not recorded if the latest record about its subject says the same, so that a controller that takes over records no open notice twice. The leader that had itself closed the notice, since the VM was back, applied that as well.

Evidence: the case 'an outage > is recorded each time that it begins' of controller_faults_test failed before (one record for two outages) and holds now; 'is not recorded again by a controller that takes over' held before and after. All cases of services/controller pass. Not covered: an outage that ends under one leader and comes again under the next, without another record about the VM in between.

--- a/src/services/controller/controller.ts
+++ b/src/services/controller/controller.ts
@@ -39,7 +39,7 @@
     this.#options = options;
     this.#outages = new ReportConfirmation(options.clock);
     this.#writer = new StepWriter(options);
-    this.#notices = new NoticeLog(options.recorder, options.agreement);
+    this.#notices = new NoticeLog(options);
     this.#stepper = new VmStepper(options, {
       writer: this.#writer,
       notices: this.#notices,
--- a/src/services/controller/controller_faults_test.ts
+++ b/src/services/controller/controller_faults_test.ts
@@ -182,6 +182,32 @@
     }
   });
 
+  describe("an outage", () => {
+    const ROUND_COUNT = 15;
+
+    const lose = async (
+      state: "down" | "up",
+      by: RunningController = controller,
+    ) => {
+      fixture.platform.setState("v3", state);
+      await fixture.run([by], ROUND_COUNT);
+      return fixture.records("vm/v3", "ejection").length;
+    };
+
+    // Guards against an outage of which operators find no record: an earlier
+    // one of the same VM looks the same.
+    it("is recorded each time that it begins", async () => {
+      assert.is(await lose("down"), 1);
+      assert.is(await lose("up"), 1);
+      assert.is(await lose("down"), 2);
+    });
+
+    it("is not recorded again by a controller that takes over", async () => {
+      assert.is(await lose("down"), 1);
+      assert.is(await lose("down", fixture.startController()), 1);
+    });
+  });
+
   describe("a wave", () => {
     it("reboots every VM once, one after the other", async () => {
       fixture.log.declare([declareReboot()]);
--- a/src/services/controller/notice_log.ts
+++ b/src/services/controller/notice_log.ts
@@ -1,6 +1,12 @@
 /** Records once, for operators, which actions wait or are blocked and why. */
-import type { Agreement } from "../../ports/index.ts";
-import type { DecisionRecorder, NewDecision } from "../decision_recorder.ts";
+import type { Agreement, Clock } from "../../ports/index.ts";
+import {
+  type DecisionRecorder,
+  type NewDecision,
+  RECORD_WINDOW_MS,
+} from "../decision_recorder.ts";
+
+const MAX_CLOSED_COUNT = 10_000;
 
 /**
  * An action that waits or is blocked, or another state that operators should
@@ -15,16 +21,23 @@
   readonly action?: NewDecision["action"];
 }
 
+/** Options of {@link NoticeLog}. */
+export interface NoticeLogOptions {
+  readonly recorder: DecisionRecorder;
+  readonly agreement: Agreement;
+  readonly clock: Clock;
+}
+
 /** Records a notice when it is opened and when its reason changes. */
 export class NoticeLog {
-  readonly #recorder: DecisionRecorder;
-  readonly #agreement: Agreement;
-  #open = new Map<string, string>();
+  readonly #options: NoticeLogOptions;
+  readonly #open = new Map<string, string>();
   #reported = new Set<string>();
+  /** Monotonic time at which notices were closed (ms), by key. */
+  readonly #closedAtMs = new Map<string, number>();
 
-  constructor(recorder: DecisionRecorder, agreement: Agreement) {
-    this.#recorder = recorder;
-    this.#agreement = agreement;
+  constructor(options: NoticeLogOptions) {
+    this.#options = options;
   }
 
   /**
@@ -40,24 +53,48 @@
       return;
     }
     this.#open.set(key, reason);
-    if (!this.#isAlreadyRecorded(notice)) {
-      this.#recorder.record({ ...decision, action });
+    const isReopened = this.#wasClosed(key);
+    this.#closedAtMs.delete(key);
+    if (isReopened || !this.#isAlreadyRecorded(notice)) {
+      this.#options.recorder.record({ ...decision, action });
     }
   }
 
   /** Closes the notices that were not reported since the last call. */
   closeUnreported(): void {
-    const kept = [...this.#open].filter(([key]) => this.#reported.has(key));
-    this.#open = new Map(kept);
+    const nowMs = this.#options.clock.monotonicMs();
+    for (const key of this.#open.keys()) {
+      if (!this.#reported.has(key)) {
+        this.#open.delete(key);
+        this.#closedAtMs.delete(key);
+        this.#closedAtMs.set(key, nowMs);
+      }
+    }
     this.#reported = new Set();
+    this.#forgetOldest();
+  }
+
+  // What is back after a moment counts as the same, as in the records.
+  #wasClosed(key: string): boolean {
+    const closedAtMs = this.#closedAtMs.get(key) ?? Infinity;
+    return this.#options.clock.monotonicMs() - closedAtMs >= RECORD_WINDOW_MS;
+  }
+
+  #forgetOldest(): void {
+    for (const key of this.#closedAtMs.keys()) {
+      if (this.#closedAtMs.size <= MAX_CLOSED_COUNT) {
+        return;
+      }
+      this.#closedAtMs.delete(key);
+    }
   }
 
   // A controller that takes over must not record open notices a second time.
   #isAlreadyRecorded({ subjects, summary, action = "hold" }: Notice): boolean {
     const [subject = ""] = subjects;
-    const latest = this.#agreement.state.listRecords().findLast((record) =>
-      record.subjects[0] === subject
-    );
+    const latest = this.#options.agreement.state.listRecords().findLast((
+      record,
+    ) => record.subjects[0] === subject);
     return latest?.action === action && latest.summary === summary;
   }
 }
