Forget open notices when a controller stops leading

Callers saw: no reason why a VM stays in its pool. Two pools claimed it, or none did; that had been so in an earlier term of the controller, had ended under another leader, and was back before the first round of the next term.

Cause: the open notices of a term were kept for the controller's next one. What the first round reports under the same key and reason counted as open already.

Change: they are forgotten with the other observations of the term. Those that are still open are found in the decision records, as at any change of leader.

Evidence: the case 'records a clash anew that ended in between' of controller_terms_test failed before (one record instead of two) and holds now, as do all others of services/controller.

--- a/src/services/controller/controller.ts
+++ b/src/services/controller/controller.ts
@@ -118,6 +118,7 @@
   #discardEarlierTerm(): void {
     this.#stepper.discardObservations();
     this.#outages.clear();
+    this.#notices.clear();
     this.#relief.discardUnconfirmed();
   }
 
--- a/src/services/controller/controller_terms_test.ts
+++ b/src/services/controller/controller_terms_test.ts
@@ -100,4 +100,25 @@
       });
     }
   });
+
+  // Guards against a VM that stays in its pool without a record of the reason: an
+  // earlier term had reported the same, and its end was not seen.
+  it("records a clash anew that ended in between", async () => {
+    const countClashes = () =>
+      fixture.records("vm/v2", "hold").filter(({ summary }) =>
+        summary.includes("no pool's selector claims")
+      ).length;
+    fixture.declare([declarePool("portal")]);
+    fixture.relabel("v2", { pool: "nowhere" });
+    await fixture.run([controller], 3);
+    assert.is(countClashes(), 1);
+    await loseLeadership();
+    fixture.relabel("v2", { pool: "portal" });
+    const other = fixture.startController();
+    await fixture.run([other], 60);
+    assert.is(fixture.assignment("v2").pool, "portal");
+    fixture.relabel("v2", { pool: "nowhere" });
+    await leadAgain(3);
+    assert.is(countClashes(), 2);
+  });
 });
--- a/src/services/controller/notice_log.ts
+++ b/src/services/controller/notice_log.ts
@@ -32,7 +32,7 @@
 export class NoticeLog {
   readonly #options: NoticeLogOptions;
   readonly #open = new Map<string, string>();
-  #reported = new Set<string>();
+  readonly #reported = new Set<string>();
   /** Monotonic time at which notices were closed (ms), by key. */
   readonly #closedAtMs = new Map<string, number>();
 
@@ -70,10 +70,20 @@
         this.#closedAtMs.set(key, nowMs);
       }
     }
-    this.#reported = new Set();
+    this.#reported.clear();
     this.#forgetOldest();
   }
 
+  /**
+   * Forgets all notices; needed after leadership was lost. Those that are still
+   * open then are found in the records.
+   */
+  clear(): void {
+    this.#open.clear();
+    this.#reported.clear();
+    this.#closedAtMs.clear();
+  }
+
   // What is back after a moment counts as the same, as in the records.
   #wasClosed(key: string): boolean {
     const closedAtMs = this.#closedAtMs.get(key) ?? Infinity;
