Measure anew how long demand lasts after a break of the decisions

Callers saw: a VM that drains, reboots and changes its pool although the demand had fallen since. A controller that had seen high demand for 250 s lost its leadership for 500 s of low demand; when it led again, the demand of the first rounds counted as having lasted since then.

Cause: the time since when a pool needs a VM is kept by pool, and cleared by a decision in which the pool needs none. Nobody decides without leadership, or while the platform does not answer.

Change: after more than 30 s without a decision, the times begin anew.

Evidence: the case 'moves no VM for demand that it did not see in between' of controller_terms_test failed before (v3 has moved) and holds now; 'until it has lasted after that' held before and after, as did all others of services/controller.

--- a/src/decisions/moves/hysteresis_move_policy.ts
+++ b/src/decisions/moves/hysteresis_move_policy.ts
@@ -34,6 +34,12 @@
   averagingMs: 300_000,
 };
 
+/**
+ * Longest time between two decisions in which demand counts as observed, in
+ * milliseconds: several rounds of a controller.
+ */
+const MAX_DECISION_GAP_MS = 30_000;
+
 interface AveragedRatio {
   readonly ratio: number;
   readonly atMs: number;
@@ -50,18 +56,24 @@
  * A move costs a drain and a reboot, while peaks last seconds. Peaks are
  * absorbed by the overflow to spare pools and by the teams' shares. The times
  * are kept in memory, so a controller that takes over measures them from the
- * start.
+ * start, also after a break of its own leadership.
  */
 export class HysteresisMovePolicy implements MovePolicy {
   readonly #options: HysteresisOptions;
   readonly #since = new Map<string, SustainedNeed>();
   readonly #averages = new Map<string, AveragedRatio>();
+  /** Monotonic time of the latest decision (ms). */
+  #decidedAtMs = -Infinity;
 
   constructor(options: Partial<HysteresisOptions> = {}) {
     this.#options = { ...DEFAULT_HYSTERESIS, ...options };
   }
 
   decide(input: MoveInput): RequestedAction[] {
+    if (input.monotonicMs - this.#decidedAtMs > MAX_DECISION_GAP_MS) {
+      this.#since.clear();
+    }
+    this.#decidedAtMs = input.monotonicMs;
     const averaged = {
       ...input,
       demand: input.demand.map((demand) =>
--- a/src/services/controller/controller_terms_test.ts
+++ b/src/services/controller/controller_terms_test.ts
@@ -121,4 +121,40 @@
     await leadAgain(3);
     assert.is(countClashes(), 2);
   });
+
+  describe("moves no VM for demand", () => {
+    const HIGH = [{ pool: "studio", busySlotCount: 23, slotCount: 24 }];
+    const LOW = [{ pool: "studio", busySlotCount: 2, slotCount: 24 }];
+    /** Shorter than demand has to last before a pool borrows a VM. */
+    const HIGH_ROUND_COUNT = 250;
+
+    beforeEach(async () => {
+      fixture.declare([
+        declarePool("workshop", { spare: true }),
+        declareVm("v3", "a", "rack-3", "workshop"),
+      ]);
+      fixture.demand = HIGH;
+      await fixture.run([controller], HIGH_ROUND_COUNT);
+      assert.is(fixture.assignment("v3").phase, "serving");
+    });
+
+    // Guards against a move, which costs a drain and a reboot, for demand that
+    // has fallen in between: its time was counted from an earlier term.
+    it("that it did not see in between", async () => {
+      await loseLeadership();
+      fixture.demand = LOW;
+      await fixture.run([controller], 2 * HIGH_ROUND_COUNT);
+      fixture.demand = HIGH;
+      await leadAgain(HIGH_ROUND_COUNT);
+      assert.is(fixture.assignment("v3").pool, "workshop");
+      assert.is(fixture.assignment("v3").phase, "serving");
+    });
+
+    it("until it has lasted after that", async () => {
+      await loseLeadership();
+      await fixture.run([controller], HIGH_ROUND_COUNT);
+      await leadAgain(2 * HIGH_ROUND_COUNT);
+      assert.is(fixture.assignment("v3").pool, "studio");
+    });
+  });
 });
