Set a pace again when an unanswered request may have undone it

Callers saw: a best-effort job that never ends. The request that paused its run got no answer and was carried out seconds later, after a newer request for full speed that was confirmed.

Cause: the confirmation of the newer request settled the pace for good.

Change: once a request without an answer can no longer be carried out (12 s), the pace counts as unknown again, and one more request settles it.

--- a/src/services/scheduling/pace_task.ts
+++ b/src/services/scheduling/pace_task.ts
@@ -12,7 +12,7 @@
 import { formatRun } from "./run_name.ts";
 import type { RunnerFleet } from "./runner_fleet.ts";
 import type { SchedulingLog } from "./scheduling_log.ts";
-import { PACE_TICK_MS } from "./timing.ts";
+import { LATE_PACE_MS, PACE_TICK_MS } from "./timing.ts";
 
 /** Options of {@link PaceTask}. */
 export interface PaceTaskOptions {
@@ -41,6 +41,11 @@
    * without an answer.
    */
   readonly #unknown: Set<string>;
+  /**
+   * Monotonic time until which a request without an answer may be carried out
+   * (ms), also after later ones, by run.
+   */
+  readonly #lateUntilMs = new Map<string, number>();
 
   /** @param options - The log when the leader begins to lead. */
   constructor(options: PaceTaskOptions) {
@@ -63,6 +68,7 @@
     const { clock, log } = this.#options;
     while (!signal.aborted) {
       if (log.holdsLeaderLease) {
+        this.#doubtLateRequests();
         const runners = [...log.state.runners.values()];
         await Promise.all(runners.map((runner) => this.#pace(runner)));
       }
@@ -70,6 +76,17 @@
     }
   }
 
+  // What was confirmed meanwhile may have been undone.
+  #doubtLateRequests(): void {
+    const nowMs = this.#options.clock.monotonicMs();
+    for (const [key, untilMs] of this.#lateUntilMs) {
+      if (untilMs <= nowMs) {
+        this.#lateUntilMs.delete(key);
+        this.#unknown.add(key);
+      }
+    }
+  }
+
   async #pace(runner: Runner): Promise<void> {
     const { fleet, log } = this.#options;
     const runs = [...log.state.jobs.findLoad(runner).running.values()];
@@ -119,7 +136,7 @@
     percent: number,
     worstShare: number,
   ): Promise<void> {
-    const { client, fencingToken, logger } = this.#options;
+    const { client, clock, fencingToken, logger } = this.#options;
     const { id: task, runNumber } = run;
     const request = { task, runNumber, percent };
     const paced = await client.pace(runner, request, fencingToken);
@@ -136,7 +153,9 @@
         "failed to set the pace of a best-effort run",
       );
       if (paced.error.refusal === undefined) {
+        const untilMs = clock.monotonicMs() + LATE_PACE_MS;
         this.#unknown.add(nameRun(run));
+        this.#lateUntilMs.set(nameRun(run), untilMs);
       }
       return;
     }
--- a/src/services/scheduling/pace_task_test.ts
+++ b/src/services/scheduling/pace_task_test.ts
@@ -16,7 +16,7 @@
 import { PaceTask } from "./pace_task.ts";
 import { RunnerStatus } from "./runner_status.ts";
 import { SchedulingLog } from "./scheduling_log.ts";
-import { PACE_TICK_MS } from "./timing.ts";
+import { LATE_PACE_MS, PACE_TICK_MS } from "./timing.ts";
 
 const TARGET_MS = 100;
 const MISSED_MS = 2 * TARGET_MS;
@@ -25,6 +25,8 @@
 /** Tail latency at which the pace falls. */
 const NEAR_MS = 0.9 * TARGET_MS;
 const LOW_MS = 0.1 * TARGET_MS;
+/** Delay of a late request, in milliseconds. */
+const LATE_MS = 8_000;
 /** Time in which a pace recovers from 0 to 100 %. */
 const RECOVERY_MS = 12 * PACE_TICK_MS;
 
@@ -75,6 +77,8 @@
   requestCount = 0;
   /** Whether requests are carried out but get no answer. */
   losesAnswers = false;
+  /** Time after which a request without an answer is carried out (ms). */
+  lateMs = 0;
   /** Tail latency of the serving task, in milliseconds. */
   tailMs = LOW_MS;
   readonly #stop: AbortController[] = [];
@@ -164,7 +168,13 @@
 
   #pace(percent: number) {
     this.requestCount += 1;
-    this.percent = percent;
+    if (this.losesAnswers && this.lateMs > 0) {
+      void this.clock.sleep(this.lateMs).then(() => {
+        this.percent = percent;
+      });
+    } else {
+      this.percent = percent;
+    }
     return Promise.resolve(
       this.losesAnswers
         ? Result.err<{ clockMs: number }, RunnerFailure>({
@@ -281,6 +291,27 @@
       assert.is(run.percent, 100);
     });
 
+    // Guards against the same where the request was carried out later than the
+    // next one, which was confirmed.
+    it("recovers when it is carried out late", async () => {
+      const run = setUp();
+      run.losesAnswers = true;
+      run.lateMs = LATE_MS;
+      run.tailMs = MISSED_MS;
+      await run.advance(PACE_TICK_MS);
+      run.losesAnswers = false;
+      run.tailMs = LOW_MS;
+      await run.advance(RECOVERY_MS);
+      assert.is(run.percent, 100, "the next request is confirmed");
+      await run.advance(LATE_MS - RECOVERY_MS);
+      assert.is(run.percent, 0, "the first one is carried out");
+      await run.advance(LATE_PACE_MS - LATE_MS + RECOVERY_MS);
+      assert.is(run.percent, 100);
+      const { requestCount } = run;
+      await run.advance(2 * LATE_PACE_MS);
+      assert.is(run.requestCount, requestCount);
+    });
+
     it("stays at the pace of the next request that is confirmed", async () => {
       const run = await setUpUnanswered();
       await run.advance(PACE_TICK_MS);
--- a/src/services/scheduling/timing.ts
+++ b/src/services/scheduling/timing.ts
@@ -215,6 +215,11 @@
  * reported load.
  */
 export const PACE_TICK_MS = 250;
+/**
+ * Time after a request for a pace got no answer in which it may be carried out
+ * (ms).
+ */
+export const LATE_PACE_MS = 12_000;
 
 /** Duration of a term's start, in which its work is logged in detail (ms). */
 export const LEADER_START_MS = 3_000;
