Carry out no relayed requests of a process that has ended

Callers saw: a run that nobody placed, at a runner that had started again; and runners that seem not to respond to a leader that has started again. A message of its previous process arrived after those of the new one: the relay carried it out, took the earlier session for the newest, and dropped the answers to the requests of the new process.

Cause: any session other than the present one counted as the newer one. The delay of its first message counts as 0, so that its age was no reason to refuse it.

Change: a relay remembers the sessions of a peer that have ended and refuses their messages. A relay that has never heard of the previous process still takes its late message for that of a new one.

--- a/src/services/scheduling/relay/relayed_runner_client_test.ts
+++ b/src/services/scheduling/relay/relayed_runner_client_test.ts
@@ -1,5 +1,6 @@
 import { Result } from "true-myth";
 import * as assert from "uvu/assert";
+import * as v from "valibot";
 import { SeededRandom } from "../../../adapters/random/index.ts";
 import type { Runner } from "../../../domain/index.ts";
 import type { PeerNetwork } from "../../../ports/index.ts";
@@ -14,7 +15,7 @@
   RELAY_CHECK_MS,
   RELAY_CONFIRM_MS,
 } from "./relay_timing.ts";
-import { RELAY_METHODS } from "./relay_messages.ts";
+import { RELAY_METHODS, relayedAnswersSchema } from "./relay_messages.ts";
 import { RelayedRunnerClient } from "./relayed_runner_client.ts";
 import { RunnerRelay } from "./runner_relay.ts";
 
@@ -353,4 +354,54 @@
     assert.ok((await waiting).isErr);
     void tasks.stop();
   });
+
+  describe("and whose previous process has sent a late message", () => {
+    const setUpLate = async () => {
+      const fixture = setUp(MANY);
+      const { client, clock, network, relayIdsByRunner, runners } = fixture;
+      const runner = runners[0] ?? createRunner(0);
+      const polls = runners.map((polled) => client.poll(polled, POLL));
+      await clock.runUntil(Promise.all(polls), 1_000);
+      const used = new Set(
+        [...relayIdsByRunner.values()].flatMap((ids) => [...ids]),
+      );
+      const restarted = network.join("leader");
+      const received: string[] = [];
+      restarted.handle(RELAY_METHODS.answers, (_peerId, body) => {
+        received.push(v.parse(relayedAnswersSchema, body).sessionId);
+        return Promise.resolve(Result.ok({}));
+      });
+      const send = (relayId: string, sessionId: string, request: object) =>
+        restarted.call(relayId, RELAY_METHODS.requests, {
+          sessionId,
+          requests: [{ callId: 1, runner, ...request }],
+        }, { timeoutMs: 100 });
+      const poll = { kind: "poll", request: { ...POLL, waitMs: 500 } };
+      used.forEach((relayId) => void send(relayId, "next", poll));
+      await clock.advance(50);
+      const start = { kind: "start", request: createStart(0) };
+      const late = [...used].map((relayId) => send(relayId, "session", start));
+      return { ...fixture, late, received, used };
+    };
+
+    // Guards against starts of a process that has ended at a runner that has
+    // started again meanwhile.
+    it("has no start of that carried out", async () => {
+      const { clock, late, reached, tasks } = await setUpLate();
+      const answers = await clock.runUntil(Promise.all(late), 1_000);
+      await clock.advance(2_000);
+      assert.equal(reached.spans, []);
+      assert.ok(answers.every(({ isErr }) => isErr));
+      void tasks.stop();
+    });
+
+    // Guards against requests whose answers are dropped, so that all runners
+    // behind the relay seem not to respond.
+    it("gets the answers to its own requests", async () => {
+      const { clock, received, tasks, used } = await setUpLate();
+      await clock.advance(2_000);
+      assert.equal(received, [...used].map(() => "next"));
+      void tasks.stop();
+    });
+  });
 });
--- a/src/services/scheduling/relay/runner_relay.ts
+++ b/src/services/scheduling/relay/runner_relay.ts
@@ -42,6 +42,9 @@
 
 const LATE_MESSAGE =
   "the requests may have waited for longer than their sender did";
+const ENDED_MESSAGE = "the process that sent the requests has ended";
+/** Number of ended sessions of a peer that are remembered. */
+const MAX_ENDED_COUNT = 16;
 
 interface Session {
   readonly sessionId: string;
@@ -56,6 +59,8 @@
   readonly #options: RunnerRelayOptions;
   /** Newest session of each peer. */
   readonly #sessions = new Map<string, Session>();
+  /** Ids of the sessions before that, the newest first, by peer. */
+  readonly #endedSessionIds = new Map<string, readonly string[]>();
 
   constructor(options: RunnerRelayOptions) {
     this.#options = options;
@@ -83,6 +88,9 @@
       return Result.err(checked.error);
     }
     const { sessionId, requests, sentAtMs } = checked.value;
+    if (this.#endedSessionIds.get(peerId)?.includes(sessionId)) {
+      return Result.err(createFailure("peerUnreachable", ENDED_MESSAGE));
+    }
     const { delays, sender } = this.#findSession(peerId, sessionId);
     const arrivedAtMs = this.#options.clock.steadyMs();
     const delayMs = delays.record(sentAtMs ?? arrivedAtMs, arrivedAtMs);
@@ -136,7 +144,9 @@
     if (known?.sessionId === sessionId) {
       return known;
     }
-    known?.stop.abort();
+    if (known !== undefined) {
+      this.#end(peerId, known);
+    }
     const { clock, tasks } = this.#options;
     const stop = new AbortController();
     const sender = new BatchSender<RelayedAnswer>({
@@ -154,6 +164,16 @@
     return session;
   }
 
+  // What an ended process has sent may arrive after messages of the next one.
+  #end(peerId: string, { sessionId, stop }: Session): void {
+    stop.abort();
+    const earlierIds = this.#endedSessionIds.get(peerId) ?? [];
+    this.#endedSessionIds.set(
+      peerId,
+      [sessionId, ...earlierIds].slice(0, MAX_ENDED_COUNT),
+    );
+  }
+
   async #send(peerId: string, body: unknown): Promise<boolean> {
     const { logger, network } = this.#options;
     const sent = await network.call(peerId, RELAY_METHODS.answers, body, {
