--- a/src/domain/scheduling/scheduling_state_test.ts
+++ b/src/domain/scheduling/scheduling_state_test.ts
@@ -2,6 +2,7 @@
 import * as v from "valibot";
 import { describe, it } from "../../testing/describe.ts";
 import { ENDED_RUNNER_KEEP_MS } from "./ended_runners.ts";
+import { jobStepSchema } from "./job.ts";
 import type { Runner } from "./runner.ts";
 import {
   type SchedulingOperation,
@@ -120,4 +121,106 @@
       assert.equal(state.runners.get("r1"), RUNNER);
     });
   });
+
+  // Guards against an operation that takes effect for another one of the same
+  // name, before or after a snapshot.
+  describe("an operation that is repeated with other content", () => {
+    const JOB_ID = "00000000000000ab";
+    const TASK = { jobId: JOB_ID, occurrence: 0, step: 0, index: 0 };
+
+    const createAccept = (
+      text: string,
+      queue: string,
+    ): SchedulingOperation => ({
+      type: "accept",
+      spec: {
+        jobId: JOB_ID,
+        text,
+        steps: [v.parse(jobStepSchema, {
+          taskCount: 1,
+          needs: { cpuMillicores: 1_000 },
+        })],
+      },
+      queue,
+      pool: "bay",
+      maxAttempts: 2,
+    });
+    const createStart = (
+      runnerId: string,
+      runNumber: number,
+    ): SchedulingOperation => ({
+      type: "start",
+      task: TASK,
+      runNumber,
+      runnerId,
+      bornAtMs: 7,
+    });
+    const createEnd = (runNumber: number): SchedulingOperation => ({
+      type: "end",
+      task: TASK,
+      runNumber,
+      how: "done",
+      saved: "",
+      maxAttempts: 2,
+    });
+    const createCatalog = (version: number, source: string) => ({
+      type: "catalog" as const,
+      catalog: { version, source, queues: [], pools: [], teams: [] },
+    });
+    const createWave = (vms: string[]): SchedulingOperation => ({
+      type: "wave",
+      waveId: 1,
+      vms,
+      maxAwayCount: 1,
+      completeByMs: 1_000,
+    });
+    const createStep = (state: "ordered" | "done"): SchedulingOperation => ({
+      type: "upkeep",
+      waveId: 1,
+      vm: "m1",
+      state,
+    });
+
+    const cases: [string, SchedulingOperation[], SchedulingOperation[]][] = [
+      ["a job", [createAccept("a", "q")], [createAccept("b", "other")]],
+      ["a catalog", [createCatalog(3, "a")], [
+        createCatalog(3, "b"),
+        createCatalog(2, "c"),
+      ]],
+      ["a wave", [createWave(["m1"])], [createWave(["m1", "m2"])]],
+      ["the step of a VM in a wave", [
+        createWave(["m1"]),
+        createStep("ordered"),
+        createStep("done"),
+      ], [createStep("ordered")]],
+      ["the start of a run", [
+        createAccept("a", "q"),
+        createStart("r1", 2),
+      ], [createStart("r2", 2), createStart("r2", 1), createStart("r2", 3)]],
+      ["the end of a run", [
+        createAccept("a", "q"),
+        createStart("r1", 1),
+        { ...createEnd(1), how: "failed" } as SchedulingOperation,
+        createStart("r2", 2),
+      ], [createEnd(1)]],
+    ];
+    for (const [title, first, repeated] of cases) {
+      it(`changes nothing: ${title}`, () => {
+        const state = new SchedulingState();
+        const runners = [RUNNER, { ...RUNNER, runnerId: "r2" }];
+        apply(
+          state,
+          0,
+          ...runners.map((runner) => ({ type: "runner" as const, runner })),
+          ...first,
+        );
+        const before = state.toItems();
+        const copy = SchedulingState.restore(before);
+        for (const repeating of [state, copy]) {
+          apply(repeating, 1, ...repeated);
+          assert.equal(repeating.toItems(), before);
+        }
+      });
+    }
+  });
 });
