--- a/src/services/controller/controller.ts
+++ b/src/services/controller/controller.ts
@@ -32,12 +32,14 @@
   readonly #relief: PressureRelief;
   #platformVms: readonly PlatformVm[] | undefined;
   readonly #outages: ReportConfirmation;
+  /** Term of the latest round; undefined while this entry is not the leader. */
+  #ledTerm: number | undefined;
 
   constructor(options: ControllerOptions) {
     this.#options = options;
     this.#outages = new ReportConfirmation(options.clock);
     this.#writer = new StepWriter(options);
-    this.#notices = new NoticeLog(options.recorder, options.agreement);
+    this.#notices = new NoticeLog(options);
     this.#stepper = new VmStepper(options, {
       writer: this.#writer,
       notices: this.#notices,
@@ -78,8 +80,13 @@
    */
   async runRound(): Promise<boolean> {
     const { agreement, logger } = this.#options;
-    if (agreement.status().leaderSinceMs === undefined) {
-      this.#stepper.discardObservations();
+    const { leaderSinceMs, term } = agreement.status();
+    const isLeader = leaderSinceMs !== undefined;
+    if (!isLeader || term !== this.#ledTerm) {
+      this.#discardEarlierTerm();
+    }
+    this.#ledTerm = isLeader ? term : undefined;
+    if (!isLeader) {
       this.#platformVms = undefined;
       return false;
     }
@@ -107,6 +114,14 @@
     );
   }
 
+  // Another controller may have acted since.
+  #discardEarlierTerm(): void {
+    this.#stepper.discardObservations();
+    this.#outages.clear();
+    this.#notices.clear();
+    this.#relief.discardUnconfirmed();
+  }
+
   // The platform is polled rarely while all VMs are serving. A changed label or
   // selector ends the pause early.
   async #pause(
--- a/src/services/scheduling/relay/relayed_runner_client_test.ts
+++ b/src/services/scheduling/relay/relayed_runner_client_test.ts
@@ -1,5 +1,6 @@
 import { Result } from "true-myth";
 import * as assert from "uvu/assert";
+import * as v from "valibot";
 import { SeededRandom } from "../../../adapters/random/index.ts";
 import type { Runner } from "../../../domain/index.ts";
 import type { PeerNetwork } from "../../../ports/index.ts";
@@ -14,7 +15,7 @@
   RELAY_CHECK_MS,
   RELAY_CONFIRM_MS,
 } from "./relay_timing.ts";
-import { RELAY_METHODS } from "./relay_messages.ts";
+import { RELAY_METHODS, relayedAnswersSchema } from "./relay_messages.ts";
 import { RelayedRunnerClient } from "./relayed_runner_client.ts";
 import { RunnerRelay } from "./runner_relay.ts";
 
@@ -269,6 +270,28 @@
   });
 });
 
+describe("a runner that has the address of another one", () => {
+  // Guards against connections that are opened at another relay, and against
+  // routes that are kept for each runner that there ever was.
+  it("is reached through the same relay", async () => {
+    const { client, clock, reached, relayIdsByRunner, runners, tasks } = setUp(
+      MANY,
+    );
+    const first = runners[0] ?? createRunner(0);
+    await clock.runUntil(client.poll(first, POLL), 1_000);
+    for (let index = 0; index < RELAY_IDS.length; index += 1) {
+      const next = { ...first, runnerId: `next-${index}` };
+      reached.startIncarnation(next);
+      await clock.runUntil(client.poll(next, POLL), 1_000);
+      assert.equal(
+        [...relayIdsByRunner.get(next.runnerId) ?? []],
+        [...relayIdsByRunner.get(first.runnerId) ?? []],
+      );
+    }
+    void tasks.stop();
+  });
+});
+
 describe("a relay that was suspended", () => {
   // Guards against requests that are carried out after their sender has given
   // them up, at a runner that has started again meanwhile.
@@ -353,4 +376,54 @@
     assert.ok((await waiting).isErr);
     void tasks.stop();
   });
+
+  describe("and whose previous process has sent a late message", () => {
+    const setUpLate = async () => {
+      const fixture = setUp(MANY);
+      const { client, clock, network, relayIdsByRunner, runners } = fixture;
+      const runner = runners[0] ?? createRunner(0);
+      const polls = runners.map((polled) => client.poll(polled, POLL));
+      await clock.runUntil(Promise.all(polls), 1_000);
+      const used = new Set(
+        [...relayIdsByRunner.values()].flatMap((ids) => [...ids]),
+      );
+      const restarted = network.join("leader");
+      const received: string[] = [];
+      restarted.handle(RELAY_METHODS.answers, (_peerId, body) => {
+        received.push(v.parse(relayedAnswersSchema, body).sessionId);
+        return Promise.resolve(Result.ok({}));
+      });
+      const send = (relayId: string, sessionId: string, request: object) =>
+        restarted.call(relayId, RELAY_METHODS.requests, {
+          sessionId,
+          requests: [{ callId: 1, runner, ...request }],
+        }, { timeoutMs: 100 });
+      const poll = { kind: "poll", request: { ...POLL, waitMs: 500 } };
+      used.forEach((relayId) => void send(relayId, "next", poll));
+      await clock.advance(50);
+      const start = { kind: "start", request: createStart(0) };
+      const late = [...used].map((relayId) => send(relayId, "session", start));
+      return { ...fixture, late, received, used };
+    };
+
+    // Guards against starts of a process that has ended at a runner that has
+    // started again meanwhile.
+    it("has no start of that carried out", async () => {
+      const { clock, late, reached, tasks } = await setUpLate();
+      const answers = await clock.runUntil(Promise.all(late), 1_000);
+      await clock.advance(2_000);
+      assert.equal(reached.spans, []);
+      assert.ok(answers.every(({ isErr }) => isErr));
+      void tasks.stop();
+    });
+
+    // Guards against requests whose answers are dropped, so that all runners
+    // behind the relay seem not to respond.
+    it("gets the answers to its own requests", async () => {
+      const { clock, received, tasks, used } = await setUpLate();
+      await clock.advance(2_000);
+      assert.equal(received, [...used].map(() => "next"));
+      void tasks.stop();
+    });
+  });
 });
--- a/src/services/scheduling/vm_mover.ts
+++ b/src/services/scheduling/vm_mover.ts
@@ -54,6 +54,13 @@
 
 type MoveResult = "confirmed" | "failed" | "notIdle";
 
+/** An order without an answer, which may still be carried out. */
+interface UnansweredMove {
+  readonly to: string;
+  /** Monotonic time until which it may be carried out (ms). */
+  readonly untilMs: number;
+}
+
 /**
  * Moves idle VMs. Their runners get no work from the plan until the answer, and
  * no order leaves before the log shows what earlier plans of the scheduler have
@@ -61,8 +68,16 @@
  */
 export class VmMover {
   readonly #options: VmMoverOptions;
-  /** Monotonic time until which a runner gets no work (ms), by runner id. */
-  readonly #cordonedUntilMs = new Map<string, number>();
+  /** Runners whose VM has an order that is about to be sent or under way. */
+  readonly #orderedRunnerIds = new Set<string>();
+  /**
+   * Monotonic time until which an unanswered order may be carried out (ms), by
+   * id of the runner on the VM. What becomes of later orders does not shorten
+   * it, unless one is confirmed.
+   */
+  readonly #doubtfulUntilMs = new Map<string, number>();
+  /** The newest of these orders by VM. */
+  readonly #unanswered = new Map<string, UnansweredMove>();
 
   constructor(options: VmMoverOptions) {
     this.#options = options;
@@ -70,9 +85,9 @@
 
   /** Returns whether a runner gets no work because its VM may move. */
   isCordoned(runnerId: string): boolean {
-    const untilMs = this.#cordonedUntilMs.get(runnerId);
-    return untilMs !== undefined &&
-      this.#options.clock.monotonicMs() < untilMs;
+    const untilMs = this.#doubtfulUntilMs.get(runnerId);
+    return this.#orderedRunnerIds.has(runnerId) ||
+      (untilMs !== undefined && this.#options.clock.monotonicMs() < untilMs);
   }
 
   /**
@@ -93,7 +108,8 @@
       MAX_MOVES_PER_PLAN,
       Math.max(1, Math.floor(perMs * MOVE_RATE_SPAN_MS)),
     );
-    const tried = moves.slice(0, maxCount);
+    const possible = moves.filter((planned) => this.#isPossible(planned));
+    const tried = possible.slice(0, maxCount);
     const startedMs = clock.monotonicMs();
     const results = await this.#sendAll(tried);
     const count = (result: MoveResult) =>
@@ -108,15 +124,16 @@
     return {
       confirmedCount,
       failedCount,
-      leftCount: moves.length - tried.length,
+      leftCount: possible.length - tried.length,
     };
   }
 
   async #sendAll(tried: readonly ListedMove[]): Promise<MoveResult[]> {
     const { log, logger } = this.#options;
-    for (const { listed } of tried) {
-      this.#cordon(listed, Infinity);
+    if (tried.length === 0) {
+      return [];
     }
+    tried.forEach(({ listed }) => this.#cordon(listed));
     // An entry that was proposed before may place work on these runners. Once a
     // later one has taken effect, it has too, or it never will.
     const proposed = await log.propose([]);
@@ -142,8 +159,7 @@
   }
 
   async #move(planned: ListedMove): Promise<MoveResult> {
-    const { clock, fencingToken, holderId, log, logger, onMoved, vms } =
-      this.#options;
+    const { fencingToken, holderId, log, logger, onMoved, vms } = this.#options;
     const { listed, move } = planned;
     const { runnerId } = listed;
     const runner = log.state.runners.get(runnerId ?? "");
@@ -159,19 +175,37 @@
         : log.state.jobs.findLoad(runner).running.size;
       logger.info({ ...move, runnerId, runCount }, "moved a VM");
       onMoved({ ...planned, runner });
+      this.#doubtfulUntilMs.delete(runnerId ?? "");
+      this.#unanswered.delete(move.vm);
       this.#uncordon(listed);
       return "confirmed";
     }
     const fields = { ...move, runnerId, failure: moved.error };
     logger.warn(fields, "a VM was not moved");
     if (moved.error.refusal === undefined) {
-      this.#cordon(listed, clock.monotonicMs() + MOVE_DOUBT_MS);
-    } else {
-      this.#uncordon(listed);
+      this.#recordUnanswered(planned);
     }
+    this.#uncordon(listed);
     return "failed";
   }
 
+  // Of two orders for different pools, the first might be carried out last, when
+  // the VM has work in the pool of the second.
+  #isPossible({ move }: ListedMove): boolean {
+    const { clock } = this.#options;
+    const first = this.#unanswered.get(move.vm);
+    return first === undefined || first.to === move.to ||
+      first.untilMs <= clock.monotonicMs();
+  }
+
+  #recordUnanswered({ listed: { runnerId }, move }: ListedMove): void {
+    const untilMs = this.#options.clock.monotonicMs() + MOVE_DOUBT_MS;
+    this.#unanswered.set(move.vm, { to: move.to, untilMs });
+    if (runnerId !== undefined) {
+      this.#doubtfulUntilMs.set(runnerId, untilMs);
+    }
+  }
+
   // A VM that was listed with a runner which is gone may have another one by now.
   #isStillIdle({ pool, runnerId }: ListedVm, runner?: Runner): boolean {
     const { isIdle } = this.#options;
@@ -180,13 +214,13 @@
       : runner.pool === pool && isIdle(runner);
   }
 
-  #cordon({ runnerId }: ListedVm, untilMs: number): void {
+  #cordon({ runnerId }: ListedVm): void {
     if (runnerId !== undefined) {
-      this.#cordonedUntilMs.set(runnerId, untilMs);
+      this.#orderedRunnerIds.add(runnerId);
     }
   }
 
   #uncordon({ runnerId }: ListedVm): void {
-    this.#cordonedUntilMs.delete(runnerId ?? "");
+    this.#orderedRunnerIds.delete(runnerId ?? "");
   }
 }
