--- a/src/services/scheduling/relay/relayed_runner_client.ts
+++ b/src/services/scheduling/relay/relayed_runner_client.ts
@@ -52,7 +52,7 @@
   readonly maxDirectRunnerCount?: number;
 }
 
-/** Where the requests to the runner at one address go. */
+/** Where the requests to one runner go. */
 interface Route {
   /** The relay that last sent requests to the runner. */
   relayId: string | undefined;
@@ -69,7 +69,7 @@
 export class RelayedRunnerClient implements RunnerClient {
   readonly #options: RelayedRunnerClientOptions;
   readonly #links = new Map<string, RelayLink>();
-  /** Routes by the address of the runner, as are the connections. */
+  /** Routes by runner id. */
   readonly #routes = new Map<string, Route>();
   /** The relays in use; each stays in use for as long as it can be used. */
   #relays: readonly RelayLink[] = [];
@@ -149,8 +149,8 @@
   }
 
   disconnect(runner: RunnerEndpoint): void {
-    const { relayId } = this.#routes.get(runner.address) ?? {};
-    this.#routes.delete(runner.address);
+    const { relayId } = this.#routes.get(runner.runnerId) ?? {};
+    this.#routes.delete(runner.runnerId);
     this.#options.direct.disconnect(runner);
     const link = relayId === undefined ? undefined : this.#links.get(relayId);
     if (link?.isUsable) {
@@ -186,7 +186,7 @@
     );
     const { failure } = answer ??
       { failure: createRelayLost(link.relayId) };
-    const route = this.#routes.get(runner.address);
+    const route = this.#routes.get(runner.runnerId);
     if (route !== undefined && this.#mayBeUnreached(answer, failure)) {
       // The relay may be cut off from a runner that this process reaches.
       route.directUntilMs = this.#options.clock.monotonicMs() +
@@ -207,15 +207,15 @@
         (failure.refusal === undefined || failure.refusal === "notListening");
   }
 
-  #chooseLink({ address, runnerId }: RunnerEndpoint): RelayLink | undefined {
+  #chooseLink({ runnerId }: RunnerEndpoint): RelayLink | undefined {
     const {
       clock,
       countRunners,
       maxDirectRunnerCount = MAX_DIRECT_RUNNER_COUNT,
     } = this.#options;
-    const route = this.#routes.get(address) ??
+    const route = this.#routes.get(runnerId) ??
       { relayId: undefined, directUntilMs: -Infinity };
-    this.#routes.set(address, route);
+    this.#routes.set(runnerId, route);
     const nowMs = clock.monotonicMs();
     const isDirect = nowMs < route.directUntilMs ||
       countRunners() <= maxDirectRunnerCount;
--- a/src/services/scheduling/runner_fleet.ts
+++ b/src/services/scheduling/runner_fleet.ts
@@ -137,21 +137,17 @@
     }
   }
 
-  // The connections stay open for the next leader, the next incarnation or the
-  // next runner at the address, unless it is no longer in use.
+  // The connections stay open for the next leader or the next incarnation, unless
+  // the address is no longer in use.
   async #stop({ task, group }: ServedRunner): Promise<void> {
     await group.stop();
-    if (!this.#isAddressInUse(task.runner)) {
-      this.#options.client.disconnect(task.runner);
+    const { client, log } = this.#options;
+    const { address, runnerId } = task.runner;
+    if (log.state.runners.get(runnerId)?.address !== address) {
+      client.disconnect(task.runner);
     }
   }
 
-  #isAddressInUse({ address, runnerId }: Runner): boolean {
-    const { runners } = this.#options.log.state;
-    return runners.get(runnerId)?.address === address ||
-      [...runners.values()].some((runner) => runner.address === address);
-  }
-
   // Most changes concern few runners, so only their tasks are notified.
   #notifyChanges(): void {
     const { jobs } = this.#options.log.state;
