Reproduce calls that wait although the leader answers others

Pings of the fake controllers now take 2 ms there, so that calls that are under way are answered first. Two further cases show that an answer of an earlier term that comes at the same time, and a message that is no answer of a leader, make their sender count as the leader.

--- a/src/services/scheduling/call_order_test.ts
+++ b/src/services/scheduling/call_order_test.ts
@@ -7,13 +7,14 @@
 import { FakeClock } from "../../testing/fake_clock.ts";
 import { FakeNetwork } from "../../testing/fake_network.ts";
 import { FakeLogger } from "../../testing/fake_ports.ts";
+import { ControllerLeaderClient } from "./controller_leader_client.ts";
 import { JobCallForwarder } from "./job_call_forwarder.ts";
-import { type JobCallAnswer, JobService } from "./job_service.ts";
+import { type JobCall, type JobCallAnswer, JobService } from "./job_service.ts";
 import { createLeaderAnswer } from "./leader_answer.ts";
 import { LeaderClient } from "./leader_client.ts";
 import { SCHEDULING_METHODS } from "./scheduling_handlers.ts";
 import { SchedulingLog } from "./scheduling_log.ts";
-import { LEADER_CALL_MS } from "./timing.ts";
+import { LEADER_CALL_MS, LEADER_SEARCH_MS } from "./timing.ts";
 
 const SEED = 1;
 const CALL_MS = 2_500;
@@ -21,10 +22,20 @@
 /** Time between two calls: more than entries may answer out of order (ms). */
 const APART_MS = 400;
 const ROUND_TRIP_MS = 2;
+/** Time in which calls are answered by a leader that works (ms). */
+const ANSWERED_MS = 20;
+const JOB_PATH = "/old/0123456789abcdef";
+const WORK = {
+  text: "build",
+  steps: [{ taskCount: 1, needs: { cpuMillicores: 100 } }],
+} as JobCall["work"];
+
+/** A process that calls the leader. */
+type Caller = "entry" | "controller";
 
 type Answered = Result<JobCallAnswer, Failure>;
 
-/** An entry and controllers that lead one after the other over one log. */
+/** A process that calls the leader, and controllers that lead one after the other over one log. */
 class CallSite {
   readonly clock = new FakeClock();
   /** Names of the calls, in the order of their answers. */
@@ -40,7 +51,7 @@
   #leaderId = "c1";
   #term = 1;
 
-  constructor() {
+  constructor(caller: Caller) {
     const { clock } = this;
     const logger = new FakeLogger();
     const controllerIds = ["c1", "c2"];
@@ -52,13 +63,24 @@
       controllerIds,
     });
     leader.suggestLeader(this.#leaderId);
+    const agreement = new FakeAgreement(clock);
+    agreement.holdsLease = false;
+    const handlers = new Map();
+    const client = caller === "entry"
+      ? leader
+      : new ControllerLeaderClient({ agreement, leader, handlers });
     const metrics = {
       recordCall: () => undefined,
       recordWait: () => undefined,
       recordRun: () => undefined,
       recordJob: () => undefined,
     };
-    this.#forwarder = new JobCallForwarder({ leader, clock, logger, metrics });
+    this.#forwarder = new JobCallForwarder({
+      leader: client,
+      clock,
+      logger,
+      metrics,
+    });
   }
 
   /** Replaces the catalog by one with the queues that are named. */
@@ -86,20 +108,45 @@
     this.#network.isolate(this.#leaderId);
   }
 
+  /** Loses no more messages of the leader. */
+  heal(): void {
+    this.#network.heal();
+  }
+
+  /** Delays all messages to the leader until it goes on. */
+  freezeLeader(): void {
+    this.#network.pause(this.#leaderId);
+  }
+
+  /** Makes the leader go on. */
+  resumeLeader(): void {
+    this.#network.resume(this.#leaderId);
+  }
+
   /** Makes another controller lead the next term. */
   elect(controllerId: string): void {
     this.#leaderId = controllerId;
     this.#term += 1;
   }
 
-  /** Counts the waiting jobs of a queue through the entry. */
-  async count(name: string, queue = "old"): Promise<Answered> {
-    const answered = await this.#forwarder.forward({
-      action: "read",
-      host: "h",
-      path: `/${queue}/`,
-      requestId: name,
-    }, CALL_MS);
+  /** Counts the waiting jobs of a queue through the process. */
+  count(name: string, queue = "old"): Promise<Answered> {
+    return this.#call(name, { action: "read", path: `/${queue}/` });
+  }
+
+  /** Submits, reads or cancels a job through the process. */
+  handleJob(name: string, action: JobCall["action"]): Promise<Answered> {
+    return this.#call(name, { action, path: JOB_PATH, work: WORK });
+  }
+
+  async #call(
+    name: string,
+    call: Pick<JobCall, "action" | "path" | "work">,
+  ): Promise<Answered> {
+    const answered = await this.#forwarder.forward(
+      { ...call, host: "h", requestId: name },
+      CALL_MS,
+    );
     this.answeredNames.push(name);
     return answered;
   }
@@ -113,10 +160,12 @@
           createLeaderAnswer(this.#term, await handle()),
         )
         : Result.err<unknown, Failure>(createFailure("notLeader", "no"));
-    port.handle(
-      SCHEDULING_METHODS.ping,
-      () => answer(() => Promise.resolve(Result.ok({}))),
-    );
+    // Calls that are under way are answered before pings that are.
+    port.handle(SCHEDULING_METHODS.ping, () =>
+      answer(async () => {
+        await this.clock.sleep(ROUND_TRIP_MS);
+        return Result.ok({});
+      }));
     port.handle(SCHEDULING_METHODS.job, (_peerId, body) =>
       answer(() => {
         this.handledNames.push((body as { requestId: string }).requestId);
@@ -177,6 +226,37 @@
     });
   });
 
+  describe("when the leader is frozen and goes on", () => {
+    for (const caller of ["entry", "controller"] as const) {
+      for (const action of ["read", "submit", "cancel"] as const) {
+        // Guards against calls that wait until their deadline although the
+        // leader answers others.
+        it(`are sent once it answers one: ${action} of the ${caller}`, async () => {
+          const site = await createSite(caller);
+          const { clock } = site;
+          if (action !== "submit") {
+            await clock.runUntil(site.handleJob("job", "submit"), MANY_MS);
+          }
+          site.handledNames.length = 0;
+          site.silenceLeader();
+          const calls = [site.count("lost")];
+          await clock.advance(APART_MS);
+          site.heal();
+          site.freezeLeader();
+          calls.push(site.count("slow"));
+          // The leader counts as lost from here on, and is searched for.
+          await clock.advance(LEADER_CALL_MS - APART_MS + 1);
+          calls.push(site.handleJob("waiting", action));
+          await clock.advance(LEADER_SEARCH_MS);
+          site.resumeLeader();
+          const answers = await clock.runUntil(Promise.all(calls), ANSWERED_MS);
+          assert.ok(answers.every(({ isOk }) => isOk));
+          assert.equal(site.handledNames, ["slow", "lost", "waiting"]);
+        });
+      }
+    }
+  });
+
   it("go to the leader without a search while it answers", async () => {
     const site = await createSite();
     const { clock } = site;
@@ -186,8 +266,8 @@
   });
 });
 
-async function createSite(): Promise<CallSite> {
-  const site = new CallSite();
+async function createSite(caller: Caller = "entry"): Promise<CallSite> {
+  const site = new CallSite(caller);
   await site.putCatalog(1, ["old"]);
   return site;
 }
--- a/src/services/scheduling/leader_client_test.ts
+++ b/src/services/scheduling/leader_client_test.ts
@@ -12,6 +12,11 @@
 
 const CALL_MS = 2_500;
 const MANY_MS = 60_000;
+const ROUND_TRIP_MS = 2;
+/** Time at which a call that waits has lost the leader (ms). */
+const LOST_AT_MS = 250;
+/** Time at which another call shows that the leader answers again (ms). */
+const FOUND_AT_MS = 900;
 const DONE = createLeaderAnswer(1, Result.ok("done"));
 
 const REFUSED = Result.err<unknown, Failure>(
@@ -39,6 +44,36 @@
   return { call, called, client, clock, logger };
 }
 
+interface TimedReply {
+  readonly afterMs: number;
+  readonly reply: Result<unknown, Failure>;
+}
+
+/**
+ * A client and controllers that answer only the messages that are named, as in
+ * `c1 method`, once with each reply.
+ */
+function createScript(replies: Record<string, readonly TimedReply[]>) {
+  const clock = new FakeClock();
+  const left = new Map(
+    Object.entries(replies).map(([name, list]) => [name, [...list]]),
+  );
+  const network: PeerNetwork = {
+    call: async (peerId, method, _body, { timeoutMs, signal }) => {
+      const next = left.get(`${peerId} ${method}`)?.shift();
+      await clock.sleep(next?.afterMs ?? timeoutMs, signal);
+      return next === undefined || signal?.aborted
+        ? Result.err(createUnreachable(true))
+        : next.reply;
+    },
+    handle: () => undefined,
+  };
+  const logger = new FakeLogger();
+  const controllerIds = ["c1", "c2"];
+  const client = new LeaderClient({ network, clock, logger, controllerIds });
+  return { client, clock, logger };
+}
+
 function createUnreachable(isSent: boolean): Failure {
   return createFailure("peerUnreachable", "gone", { detail: { isSent } });
 }
@@ -209,6 +244,90 @@
     assert.is(callCount, 2);
   });
 
+  describe("that wait for a lost leader", () => {
+    const refusal = createLeaderAnswer(1, REFUSED);
+    const lost = [
+      { afterMs: LOST_AT_MS, reply: Result.err(createUnreachable(true)) },
+      { afterMs: ROUND_TRIP_MS, reply: Result.ok(DONE) },
+    ];
+    for (const [title, answer] of [["answer", DONE], ["refusal", refusal]]) {
+      // Guards against calls that wait until their deadline although the leader
+      // answers others.
+      it(`are sent at its ${title} to another call`, async () => {
+        const { client, clock } = createScript({
+          "c1 slow": [{ afterMs: FOUND_AT_MS, reply: Result.ok(answer) }],
+          "c1 lost": lost,
+        });
+        client.suggestLeader("c1");
+        const waiting = client.call("lost", {}, CALL_MS);
+        void client.call("slow", {}, CALL_MS);
+        assert.ok((await clock.runUntil(waiting, MANY_MS)).isOk);
+        assert.is(clock.steadyMs(), FOUND_AT_MS + ROUND_TRIP_MS);
+        // The pings that were under way end without an answer.
+        await clock.advance(LEADER_SEARCH_MS);
+        assert.is(client.leaderId, "c1");
+      });
+    }
+
+    // Guards against calls that stay at the earlier leader although the next
+    // one answers others.
+    it("leave it at an answer of the next one to another call", async () => {
+      const next = Result.ok(createLeaderAnswer(2, Result.ok("done")));
+      const { client, clock } = createScript({
+        "c2 slow": [{ afterMs: FOUND_AT_MS, reply: next }],
+        "c2 lost": [{ afterMs: ROUND_TRIP_MS, reply: next }],
+        "c2 silent": [{ afterMs: ROUND_TRIP_MS, reply: next }],
+        "c1 lost": [
+          { afterMs: LOST_AT_MS, reply: Result.err(createUnreachable(true)) },
+        ],
+      });
+      client.suggestLeader("c2");
+      void client.call("slow", {}, CALL_MS);
+      client.suggestLeader("c1");
+      const calls = ["lost", "silent"].map((method) =>
+        client.call(method, {}, CALL_MS)
+      );
+      const answers = await clock.runUntil(Promise.all(calls), MANY_MS);
+      assert.ok(answers.every(({ isOk }) => isOk));
+      assert.is(clock.steadyMs(), FOUND_AT_MS + ROUND_TRIP_MS);
+      assert.is(client.leaderId, "c2");
+    });
+
+    // Guards against an entry that returns to a leader of an earlier term.
+    it("go to the next one if it answers at the same time", async () => {
+      const next = Result.ok(createLeaderAnswer(2, Result.ok("next")));
+      const { client, clock } = createScript({
+        "c1 slow": [{ afterMs: FOUND_AT_MS, reply: Result.ok(DONE) }],
+        "c1 lost": lost,
+        "c2 slow": [{ afterMs: FOUND_AT_MS, reply: next }],
+        "c2 lost": [{ afterMs: ROUND_TRIP_MS, reply: next }],
+      });
+      client.suggestLeader("c2");
+      void client.call("slow", {}, CALL_MS);
+      client.suggestLeader("c1");
+      const waiting = client.call("lost", {}, CALL_MS);
+      void client.call("slow", {}, CALL_MS);
+      const answered = await clock.runUntil(waiting, MANY_MS);
+      assert.is(answered.unwrapOr(undefined), "next");
+      assert.is(client.leaderId, "c2");
+    });
+
+    it("are not sent to a controller that fails otherwise", async () => {
+      const malformed = Result.ok<unknown, Failure>("no answer of a leader");
+      const { client, clock } = createScript({
+        "c1 slow": [{ afterMs: FOUND_AT_MS, reply: malformed }],
+        "c1 lost": lost,
+      });
+      client.suggestLeader("c1");
+      void client.call("lost", {}, CALL_MS);
+      const slow = client.call("slow", {}, CALL_MS);
+      const failed = await clock.runUntil(slow, MANY_MS);
+      assert.is(failed.isErr && failed.error.kind, "internal");
+      await clock.advance(ROUND_TRIP_MS);
+      assert.is(client.leaderId, undefined);
+    });
+  });
+
   describe("while nobody leads", () => {
     it("fail as not handled when nothing was sent", async () => {
       const { call } = createCaller(() => Result.err(createUnreachable(false)));
