--- a/src/services/scheduling/leader_finder.ts
+++ b/src/services/scheduling/leader_finder.ts
@@ -1,6 +1,5 @@
 /** Finds the controller that leads, for all calls of a process. */
 import { Result } from "true-myth";
-import * as v from "valibot";
 import { type Failure, validateWith } from "../../domain/index.ts";
 import type { Clock, Logger, PeerNetwork } from "../../ports/index.ts";
 import { CallQueue } from "./call_queue.ts";
@@ -9,6 +8,7 @@
   type LeaderAnswer,
   leaderAnswerSchema,
 } from "./leader_answer.ts";
+import { ProbeTargets } from "./probe_targets.ts";
 import { SCHEDULING_METHODS } from "./scheduling_handlers.ts";
 import {
   LEADER_CALL_MS,
@@ -17,8 +17,6 @@
   LOST_LEADER_WAIT_MS,
 } from "./timing.ts";
 
-const hintSchema = v.object({ leaderId: v.optional(v.string()) });
-
 /** Options of {@link LeaderFinder}. */
 export interface LeaderFinderOptions {
   readonly network: PeerNetwork;
@@ -50,14 +48,10 @@
 export class LeaderFinder {
   readonly #options: LeaderFinderOptions;
   readonly #queue = new CallQueue();
-  #seedIds: readonly string[];
-  #controllerIds: readonly string[];
+  readonly #targets: ProbeTargets;
   #leaderId: string | undefined;
   #leaderTerm = 0;
-  /** The controller that another one has named as the leader. */
-  #hintedId: string | undefined;
   #isSearching = false;
-  #probeCount = 0;
   /** Steady time from which the next controller may be asked (ms). */
   #nextProbeAtMs = -Infinity;
   /** Steady time at which the leader was lost; undefined while it answers. */
@@ -65,8 +59,7 @@
 
   constructor(options: LeaderFinderOptions) {
     this.#options = options;
-    this.#seedIds = options.controllerIds;
-    this.#controllerIds = options.controllerIds;
+    this.#targets = new ProbeTargets(options.controllerIds);
   }
 
   /** The controller that last answered as the leader. */
@@ -86,13 +79,12 @@
 
   /** Sets the present controllers, in addition to those of the settings. */
   updateControllers(controllerIds: readonly string[]): void {
-    this.#controllerIds = [...new Set([...this.#seedIds, ...controllerIds])];
+    this.#targets.updateControllers(controllerIds);
   }
 
   /** Sets the controllers that the settings name. */
   replaceSeeds(seedIds: readonly string[]): void {
-    this.#seedIds = seedIds;
-    this.updateControllers(this.#controllerIds);
+    this.#targets.replaceSeeds(seedIds);
   }
 
   /** Sets the leader to try first; keeps the known one when undefined. */
@@ -198,7 +190,7 @@
       failure.kind === "peerUnreachable";
     if (isLost || failure.kind === "noQuorum") {
       this.#lostAtMs ??= clock.steadyMs();
-      this.#noteHint(target, failure);
+      this.#targets.noteHint(target, failure);
     }
     // Another call may have found the next leader meanwhile.
     if (isLost && this.#leaderId === target) {
@@ -221,7 +213,7 @@
         continue;
       }
       this.#nextProbeAtMs = clock.steadyMs() + LEADER_RETRY_MS;
-      void this.#probe(this.#chooseProbed());
+      void this.#probe(this.#targets.choose());
     }
     this.#isSearching = false;
   }
@@ -244,7 +236,7 @@
       return;
     }
     this.#lostAtMs ??= this.#options.clock.steadyMs();
-    this.#noteHint(target, asked.error);
+    this.#targets.noteHint(target, asked.error);
     // Callers retry sooner when they are refused at once than when they wait for
     // an election that may not take place.
     if (this.#isLeaderLost) {
@@ -281,20 +273,4 @@
     return this.#lostAtMs !== undefined &&
       clock.steadyMs() - this.#lostAtMs > LOST_LEADER_WAIT_MS;
   }
-
-  #chooseProbed(): string | undefined {
-    const hintedId = this.#hintedId;
-    this.#hintedId = undefined;
-    this.#probeCount += hintedId === undefined ? 1 : 0;
-    return hintedId ??
-      this.#controllerIds[this.#probeCount % this.#controllerIds.length];
-  }
-
-  #noteHint(target: string, failure: Failure): void {
-    const hint = validateWith(hintSchema, failure.detail, { subject: "hint" });
-    const leaderId = hint.isOk ? hint.value.leaderId : undefined;
-    if (failure.kind === "notLeader" && leaderId !== target) {
-      this.#hintedId = leaderId ?? this.#hintedId;
-    }
-  }
 }
