Send the calls that wait at any answer of the leader

What callers saw: after a leader had stood still for about a second and gone on leading, an entry answered new calls at once and left those that waited until their deadline of 2.9 s, then refused them with 'no leader was reached in time'.

Cause: LeaderFinder.recordAnswer set the leader without releasing the calls that waited, and the search ended because a leader was known. Of the ways in which a leader became known, only a ping and a suggestion released them.

Change: the queue holds the leader, and only a release of its calls makes one known. Each message that a leader answers, call or ping, goes through ask, which follows its sender there: calls that are under way elsewhere join the queue, then all are sent in their order. An answer of an earlier term is left out at the same place, so that it can't bring its sender back when it is overtaken; a failure that is no answer of a leader makes nobody the leader. A call that fails at another controller than the leader does not count as the loss of the leader.

--- a/src/services/scheduling/call_queue.ts
+++ b/src/services/scheduling/call_queue.ts
@@ -1,4 +1,4 @@
-/** Calls that wait for a leader, in the order in which they arrived. */
+/** Calls of a process, which wait for a leader in the order of their arrival. */
 
 interface WaitingCall {
   /** Position among all calls of the process. */
@@ -6,10 +6,19 @@
   readonly settle: (mayBeSent: boolean) => void;
 }
 
-/** Releases waiting calls in the order of their arrival. */
+/**
+ * Holds calls while no leader is known, and releases them in the order of their
+ * arrival. A leader becomes known only by the release of the calls that wait.
+ */
 export class CallQueue {
   readonly #waiting = new Map<number, WaitingCall>();
   #arrivedCount = 0;
+  #leaderId: string | undefined;
+
+  /** Controller to which calls may be sent; undefined while they wait. */
+  get leaderId(): string | undefined {
+    return this.#leaderId;
+  }
 
   /** Number of waiting calls. */
   get size(): number {
@@ -48,8 +57,19 @@
     });
   }
 
-  /** Lets all waiting calls be sent, the oldest first. */
-  release(): void {
+  /** Makes calls wait until the next release. */
+  hold(): void {
+    this.#leaderId = undefined;
+  }
+
+  /**
+   * Lets calls be sent, those that wait first and the oldest of them before the
+   * others.
+   *
+   * @param leaderId - Controller to which they may be sent.
+   */
+  release(leaderId: string): void {
+    this.#leaderId = leaderId;
     // A call that waits again is at the end of the map.
     [...this.#waiting.values()]
       .toSorted((left, right) => left.position - right.position)
--- a/src/services/scheduling/leader_client.ts
+++ b/src/services/scheduling/leader_client.ts
@@ -3,7 +3,6 @@
 import * as v from "valibot";
 import { createFailure, type Failure } from "../../domain/index.ts";
 import type { Clock } from "../../ports/index.ts";
-import { readLeaderAnswer } from "./leader_answer.ts";
 import { LeaderFinder, type LeaderFinderOptions } from "./leader_finder.ts";
 import { LEADER_RETRY_MS } from "./timing.ts";
 
@@ -111,7 +110,6 @@
       const answered = await this.#attempt(target, method, body, attemptMs);
       if (answered.isOk || !finder.recordFailure(target, answered.error)) {
         cancelTimer();
-        finder.recordAnswer(target);
         return answered.isErr && isOutcomeUnknown && !isRead
           ? Result.err(createUnknownOutcome(answered.error))
           : answered;
@@ -136,8 +134,7 @@
       body,
       timeoutMs,
       signal,
-    })
-      .then((answer) => answer.andThen(readLeaderAnswer));
+    });
     const attempt = { target, superseded, answered };
     this.#attempts.add(attempt);
     const answer = await answered;
--- a/src/services/scheduling/leader_finder.ts
+++ b/src/services/scheduling/leader_finder.ts
@@ -7,6 +7,7 @@
   createOutdatedAnswer,
   type LeaderAnswer,
   leaderAnswerSchema,
+  readLeaderAnswer,
 } from "./leader_answer.ts";
 import { ProbeTargets } from "./probe_targets.ts";
 import { SCHEDULING_METHODS } from "./scheduling_handlers.ts";
@@ -49,7 +50,6 @@
   readonly #options: LeaderFinderOptions;
   readonly #queue = new CallQueue();
   readonly #targets: ProbeTargets;
-  #leaderId: string | undefined;
   #leaderTerm = 0;
   #isSearching = false;
   /** Steady time from which the next controller may be asked (ms). */
@@ -64,7 +64,7 @@
 
   /** The controller that last answered as the leader. */
   get leaderId(): string | undefined {
-    return this.#leaderId;
+    return this.#queue.leaderId;
   }
 
   /** Newest term whose leader has answered; 0 before the first answer. */
@@ -90,8 +90,7 @@
   /** Sets the leader to try first; keeps the known one when undefined. */
   suggestLeader(leaderId: string | undefined): void {
     if (leaderId !== undefined) {
-      this.#leaderId = leaderId;
-      this.#queue.release();
+      this.#queue.release(leaderId);
     }
   }
 
@@ -120,7 +119,7 @@
     position: number,
     deadlineMs: number,
   ): Promise<string | undefined> {
-    while (this.#leaderId === undefined) {
+    while (this.leaderId === undefined) {
       if (this.#options.clock.steadyMs() >= deadlineMs) {
         return undefined;
       }
@@ -130,11 +129,12 @@
         return undefined;
       }
     }
-    return this.#leaderId;
+    return this.leaderId;
   }
 
   /**
-   * Sends a message to one controller.
+   * Sends a message to one controller, and follows it if it answers as the
+   * leader.
    *
    * @param target - The controller.
    * @param message - The message, with its timeout (ms) and signal.
@@ -144,37 +144,18 @@
   async ask(
     target: string,
     { method, body, timeoutMs, signal }: LeaderMessage,
-  ): Promise<Result<LeaderAnswer, Failure>> {
-    const { logger, network } = this.#options;
+  ): Promise<Result<unknown, Failure>> {
+    const { network } = this.#options;
     const options = { timeoutMs, signal };
     const replied = await network.call(target, method, body, options);
-    const answer = replied.andThen((value) =>
-      validateWith(leaderAnswerSchema, value, {
-        subject: `answer of ${target} to ${method}`,
-        kind: "internal",
-      })
-    );
-    return answer.andThen((value) => {
-      const { term } = value;
-      const leaderTerm = this.#leaderTerm;
-      if (term < leaderTerm) {
-        logger.warn(
-          { controllerId: target, method, term, leaderTerm },
-          "ignored the answer of an earlier leader",
-        );
-        return Result.err<LeaderAnswer, Failure>(
-          createOutdatedAnswer(target, term, leaderTerm),
-        );
-      }
-      this.#leaderTerm = term;
-      return Result.ok<LeaderAnswer, Failure>(value);
-    });
-  }
-
-  /** Records that a controller has answered a call as the leader. */
-  recordAnswer(target: string): void {
-    this.#lostAtMs = undefined;
-    this.#leaderId = target;
+    return replied
+      .andThen((value) =>
+        validateWith(leaderAnswerSchema, value, {
+          subject: `answer of ${target} to ${method}`,
+          kind: "internal",
+        })
+      )
+      .andThen((answer) => this.#takeAnswer(target, method, answer));
   }
 
   /**
@@ -185,18 +166,18 @@
    * @returns Whether the call may be sent again.
    */
   recordFailure(target: string, failure: Failure): boolean {
-    const { clock } = this.#options;
-    const isLost = failure.kind === "notLeader" ||
-      failure.kind === "peerUnreachable";
-    if (isLost || failure.kind === "noQuorum") {
-      this.#lostAtMs ??= clock.steadyMs();
-      this.#targets.noteHint(target, failure);
+    if (!maySendAgain(failure)) {
+      return false;
     }
     // Another call may have found the next leader meanwhile.
-    if (isLost && this.#leaderId === target) {
-      this.#leaderId = undefined;
+    if (this.leaderId === undefined || this.leaderId === target) {
+      this.#lostAtMs ??= this.#options.clock.steadyMs();
+      this.#targets.noteHint(target, failure);
+      if (failure.kind !== "noQuorum") {
+        this.#queue.hold();
+      }
     }
-    return isLost || failure.kind === "noQuorum";
+    return true;
   }
 
   /** Asks one controller after the other, until one leads or no call waits. */
@@ -206,7 +187,7 @@
     }
     const { clock } = this.#options;
     this.#isSearching = true;
-    while (this.#leaderId === undefined && this.#queue.size > 0) {
+    while (this.leaderId === undefined && this.#queue.size > 0) {
       const pauseMs = this.#nextProbeAtMs - clock.steadyMs();
       if (pauseMs > 0) {
         await clock.sleep(pauseMs);
@@ -228,11 +209,7 @@
       body: {},
       timeoutMs: LEADER_SEARCH_MS,
     });
-    if (asked.isOk) {
-      await this.#follow(target, asked.value.term);
-      return;
-    }
-    if (this.#leaderId !== undefined) {
+    if (asked.isOk || this.leaderId !== undefined) {
       return;
     }
     this.#lostAtMs ??= this.#options.clock.steadyMs();
@@ -244,14 +221,41 @@
     }
   }
 
+  // Each answer of the leader shows who leads, whatever message it answers.
+  #takeAnswer(
+    target: string,
+    method: string,
+    answer: LeaderAnswer,
+  ): Result<unknown, Failure> {
+    const { term } = answer;
+    const leaderTerm = this.#leaderTerm;
+    if (term < leaderTerm) {
+      this.#options.logger.warn(
+        { controllerId: target, method, term, leaderTerm },
+        "ignored the answer of an earlier leader",
+      );
+      return Result.err(createOutdatedAnswer(target, term, leaderTerm));
+    }
+    this.#leaderTerm = term;
+    const answered = readLeaderAnswer(answer);
+    if (answered.isOk || !maySendAgain(answered.error)) {
+      void this.#follow(target, term);
+    }
+    return answered;
+  }
+
   // Calls that are under way elsewhere wait with the others before any is sent.
   async #follow(leaderId: string, term: number): Promise<void> {
     const { clock, logger, supersede } = this.#options;
+    if (this.leaderId !== leaderId) {
+      this.#queue.hold();
+    }
     const supersededCount = await supersede(leaderId);
-    if (term < this.#leaderTerm || this.#leaderId !== undefined) {
+    // A newer leader has answered meanwhile.
+    if (term < this.#leaderTerm) {
       return;
     }
-    if (this.#lostAtMs !== undefined) {
+    if (this.leaderId === undefined && this.#lostAtMs !== undefined) {
       logger.info(
         {
           leaderId,
@@ -264,8 +268,7 @@
       );
     }
     this.#lostAtMs = undefined;
-    this.#leaderId = leaderId;
-    this.#queue.release();
+    this.#queue.release(leaderId);
   }
 
   get #isLeaderLost(): boolean {
@@ -274,3 +277,8 @@
       clock.steadyMs() - this.#lostAtMs > LOST_LEADER_WAIT_MS;
   }
 }
+
+function maySendAgain({ kind }: Failure): boolean {
+  return kind === "notLeader" || kind === "peerUnreachable" ||
+    kind === "noQuorum";
+}
