--- a/src/services/scheduling/leader_client_test.ts
+++ b/src/services/scheduling/leader_client_test.ts
@@ -61,10 +61,11 @@
   const network: PeerNetwork = {
     call: async (peerId, method, _body, { timeoutMs, signal }) => {
       const next = left.get(`${peerId} ${method}`)?.shift();
-      await clock.sleep(next?.afterMs ?? timeoutMs, signal);
-      return next === undefined || signal?.aborted
-        ? Result.err(createUnreachable(true))
-        : next.reply;
+      const isInTime = next !== undefined && next.afterMs <= timeoutMs;
+      await clock.sleep(isInTime ? next.afterMs : timeoutMs, signal);
+      return isInTime && !signal?.aborted
+        ? next.reply
+        : Result.err(createUnreachable(true));
     },
     handle: () => undefined,
   };
@@ -328,6 +329,21 @@
     });
   });
 
+  // Guards against a leader that counts as lost because a call to the earlier
+  // one has failed.
+  it("get their whole time after one failed at the earlier leader", async () => {
+    const lost = Result.err<unknown, Failure>(createUnreachable(true));
+    const { client, clock } = createScript({
+      "c1 method": [{ afterMs: LOST_AT_MS, reply: lost }],
+      "c2 method": [{ afterMs: 2 * LEADER_SEARCH_MS, reply: Result.ok(DONE) }],
+    });
+    client.suggestLeader("c1");
+    const called = client.call("method", {}, CALL_MS);
+    client.suggestLeader("c2");
+    assert.ok((await clock.runUntil(called, MANY_MS)).isOk);
+    assert.is(clock.steadyMs(), LOST_AT_MS + 2 * LEADER_SEARCH_MS);
+  });
+
   describe("while nobody leads", () => {
     it("fail as not handled when nothing was sent", async () => {
       const { call } = createCaller(() => Result.err(createUnreachable(false)));
