Log calls that wait although the leader is known

The line 'calls wait although the leader is known' says for how long the leader had answered the process, and how many calls still waited, when calls are released or fail later than a search takes after that. The queue checks it itself, against the answers and not against the leader that it holds, so that the line does not rest on the release that it checks.

Evidence: the line comes in tests in which a call under way elsewhere does not end when it is aborted, and not in the same test with a call that does.

--- a/src/services/scheduling/call_queue.ts
+++ b/src/services/scheduling/call_queue.ts
@@ -1,4 +1,12 @@
 /** Calls of a process, which wait for a leader in the order of their arrival. */
+import type { Clock, Logger } from "../../ports/index.ts";
+import { LEADER_SEARCH_MS } from "./timing.ts";
+
+/** Options of {@link CallQueue}. */
+export interface CallQueueOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
 
 interface WaitingCall {
   /** Position among all calls of the process. */
@@ -11,9 +19,16 @@
  * arrival. A leader becomes known only by the release of the calls that wait.
  */
 export class CallQueue {
+  readonly #options: CallQueueOptions;
   readonly #waiting = new Map<number, WaitingCall>();
   #arrivedCount = 0;
   #leaderId: string | undefined;
+  /** Steady time of the leader's first answer since the last release (ms). */
+  #answeredAtMs: number | undefined;
+
+  constructor(options: CallQueueOptions) {
+    this.#options = options;
+  }
 
   /** Controller to which calls may be sent; undefined while they wait. */
   get leaderId(): string | undefined {
@@ -57,6 +72,11 @@
     });
   }
 
+  /** Notes that the leader has answered, which the release must follow. */
+  noteAnswer(): void {
+    this.#answeredAtMs ??= this.#options.clock.steadyMs();
+  }
+
   /** Makes calls wait until the next release. */
   hold(): void {
     this.#leaderId = undefined;
@@ -69,6 +89,8 @@
    * @param leaderId - Controller to which they may be sent.
    */
   release(leaderId: string): void {
+    this.#checkWait();
+    this.#answeredAtMs = undefined;
     this.#leaderId = leaderId;
     // A call that waits again is at the end of the map.
     [...this.#waiting.values()]
@@ -78,6 +100,7 @@
 
   /** Makes one call fail, if it waits. */
   fail(position: number): void {
+    this.#checkWait();
     this.#waiting.get(position)?.settle(false);
   }
 
@@ -87,10 +110,25 @@
    * @param position - Position of the first call that goes on waiting.
    */
   failBefore(position: number): void {
+    this.#checkWait();
     for (const waiting of [...this.#waiting.values()]) {
       if (waiting.position < position) {
         waiting.settle(false);
       }
     }
   }
+
+  // An answer of the leader releases the calls at once, unless a call that is
+  // under way elsewhere does not end.
+  #checkWait(): void {
+    const { clock, logger } = this.#options;
+    const knownMs = clock.steadyMs() - (this.#answeredAtMs ?? Infinity);
+    const waitingCount = this.#waiting.size;
+    if (knownMs > LEADER_SEARCH_MS && waitingCount > 0) {
+      logger.warn(
+        { knownMs: Math.round(knownMs), waitingCount },
+        "calls wait although the leader is known",
+      );
+    }
+  }
 }
--- a/src/services/scheduling/leader_client_test.ts
+++ b/src/services/scheduling/leader_client_test.ts
@@ -8,7 +8,8 @@
 import { PausableClock } from "../../testing/pausable_clock.ts";
 import { createLeaderAnswer } from "./leader_answer.ts";
 import { LeaderClient } from "./leader_client.ts";
-import { LEADER_SEARCH_MS } from "./timing.ts";
+import { SCHEDULING_METHODS } from "./scheduling_handlers.ts";
+import { LEADER_CALL_MS, LEADER_SEARCH_MS } from "./timing.ts";
 
 const CALL_MS = 2_500;
 const MANY_MS = 60_000;
@@ -47,6 +48,8 @@
 interface TimedReply {
   readonly afterMs: number;
   readonly reply: Result<unknown, Failure>;
+  /** Whether the call goes on after it was aborted. */
+  readonly isDeaf?: boolean;
 }
 
 /**
@@ -62,7 +65,10 @@
     call: async (peerId, method, _body, { timeoutMs, signal }) => {
       const next = left.get(`${peerId} ${method}`)?.shift();
       const isInTime = next !== undefined && next.afterMs <= timeoutMs;
-      await clock.sleep(isInTime ? next.afterMs : timeoutMs, signal);
+      await clock.sleep(
+        isInTime ? next.afterMs : timeoutMs,
+        next?.isDeaf ? undefined : signal,
+      );
       return isInTime && !signal?.aborted
         ? next.reply
         : Result.err(createUnreachable(true));
@@ -313,6 +319,45 @@
       assert.is(client.leaderId, "c2");
     });
 
+    describe("are logged if they wait although the next one is known", () => {
+      const known = Result.ok(createLeaderAnswer(2, Result.ok("next")));
+      const cases = [
+        { title: "until they are sent", timeoutMs: CALL_MS, isDeaf: true },
+        { title: "until they fail", timeoutMs: FOUND_AT_MS, isDeaf: true },
+        { title: "but not otherwise", timeoutMs: CALL_MS, isDeaf: false },
+      ];
+      for (const { title, timeoutMs, isDeaf } of cases) {
+        it(title, async () => {
+          const gone = Result.err<unknown, Failure>(createUnreachable(true));
+          const { client, clock, logger } = createScript({
+            "c1 silent": [{ afterMs: LEADER_CALL_MS, reply: gone, isDeaf }],
+            "c1 lost": lost,
+            [`c2 ${SCHEDULING_METHODS.ping}`]: [
+              { afterMs: ROUND_TRIP_MS, reply: known },
+            ],
+            "c2 lost": [{ afterMs: ROUND_TRIP_MS, reply: known }],
+            "c2 silent": [{ afterMs: ROUND_TRIP_MS, reply: known }],
+          });
+          client.suggestLeader("c1");
+          const calls = [
+            client.call("silent", {}, CALL_MS),
+            client.call("lost", {}, timeoutMs),
+          ];
+          await clock.runUntil(Promise.all(calls), MANY_MS);
+          const found = logger.lines.filter(({ message }) =>
+            message === "calls wait although the leader is known"
+          );
+          assert.is(found.length > 0, isDeaf);
+          assert.ok(
+            found.every(({ fields }) =>
+              Number(fields["knownMs"]) > LEADER_SEARCH_MS &&
+              fields["waitingCount"] === 1
+            ),
+          );
+        });
+      }
+    });
+
     it("are not sent to a controller that fails otherwise", async () => {
       const malformed = Result.ok<unknown, Failure>("no answer of a leader");
       const { client, clock } = createScript({
--- a/src/services/scheduling/leader_finder.ts
+++ b/src/services/scheduling/leader_finder.ts
@@ -48,7 +48,7 @@
  */
 export class LeaderFinder {
   readonly #options: LeaderFinderOptions;
-  readonly #queue = new CallQueue();
+  readonly #queue: CallQueue;
   readonly #targets: ProbeTargets;
   #leaderTerm = 0;
   #isSearching = false;
@@ -59,6 +59,7 @@
 
   constructor(options: LeaderFinderOptions) {
     this.#options = options;
+    this.#queue = new CallQueue(options);
     this.#targets = new ProbeTargets(options.controllerIds);
   }
 
@@ -239,6 +240,7 @@
     this.#leaderTerm = term;
     const answered = readLeaderAnswer(answer);
     if (answered.isOk || !maySendAgain(answered.error)) {
+      this.#queue.noteAnswer();
       void this.#follow(target, term);
     }
     return answered;
