--- a/src/services/scheduling/leader_client_test.ts
+++ b/src/services/scheduling/leader_client_test.ts
@@ -69,7 +69,7 @@
         isInTime ? next.afterMs : timeoutMs,
         next?.isDeaf ? undefined : signal,
       );
-      return isInTime && !signal?.aborted
+      return isInTime && (next.isDeaf || !signal?.aborted)
         ? next.reply
         : Result.err(createUnreachable(true));
     },
@@ -319,6 +319,27 @@
       assert.is(client.leaderId, "c2");
     });
 
+    // Guards against an entry that returns to a leader of an earlier term.
+    it("stay at the next one when calls to it outlast the earlier one's answer", async () => {
+      const next = Result.ok(createLeaderAnswer(2, Result.ok("next")));
+      const { client, clock } = createScript({
+        "c1 early": [{ afterMs: LOST_AT_MS, reply: Result.ok(DONE) }],
+        "c2 slow": [{ afterMs: FOUND_AT_MS, reply: next, isDeaf: true }],
+        "c2 silent": [
+          { afterMs: LEADER_CALL_MS, reply: next, isDeaf: true },
+        ],
+      });
+      client.suggestLeader("c2");
+      void client.call("slow", {}, CALL_MS);
+      void client.call("silent", {}, CALL_MS);
+      client.suggestLeader("c1");
+      void client.call("early", {}, CALL_MS);
+      await clock.advance(FOUND_AT_MS);
+      assert.is(client.leaderId, "c2");
+      await clock.advance(LEADER_CALL_MS);
+      assert.is(client.leaderId, "c2");
+    });
+
     describe("are logged if they wait although the next one is known", () => {
       const known = Result.ok(createLeaderAnswer(2, Result.ok("next")));
       const cases = [
