--- a/src/services/scheduling/leader_client_test.ts
+++ b/src/services/scheduling/leader_client_test.ts
@@ -300,6 +300,22 @@
       assert.is(client.leaderId, "c2");
     });
 
+    // Guards against calls that are sent to the earlier leader once more.
+    it("go to the next one from a third controller", async () => {
+      const next = Result.ok(createLeaderAnswer(2, Result.ok("next")));
+      const { client, clock } = createScript({
+        "c2 slow": [{ afterMs: FOUND_AT_MS, reply: next }],
+        "c2 silent": [{ afterMs: ROUND_TRIP_MS, reply: next }],
+      });
+      client.suggestLeader("c2");
+      void client.call("slow", {}, CALL_MS);
+      client.suggestLeader("c3");
+      const called = client.call("silent", {}, CALL_MS);
+      client.suggestLeader("c1");
+      assert.ok((await clock.runUntil(called, MANY_MS)).isOk);
+      assert.is(clock.steadyMs(), FOUND_AT_MS + ROUND_TRIP_MS);
+    });
+
     // Guards against an entry that returns to a leader of an earlier term.
     it("go to the next one if it answers at the same time", async () => {
       const next = Result.ok(createLeaderAnswer(2, Result.ok("next")));
