--- a/src/services/scheduling/leader_finder.ts
+++ b/src/services/scheduling/leader_finder.ts
@@ -1,6 +1,5 @@
 /** Finds the controller that leads, for all calls of a process. */
 import { Result } from "true-myth";
-import * as v from "valibot";
 import { type Failure, validateWith } from "../../domain/index.ts";
 import type { Clock, Logger, PeerNetwork } from "../../ports/index.ts";
 import { CallQueue } from "./call_queue.ts";
@@ -8,7 +7,9 @@
   createOutdatedAnswer,
   type LeaderAnswer,
   leaderAnswerSchema,
+  readLeaderAnswer,
 } from "./leader_answer.ts";
+import { ProbeTargets } from "./probe_targets.ts";
 import { SCHEDULING_METHODS } from "./scheduling_handlers.ts";
 import {
   LEADER_CALL_MS,
@@ -17,8 +18,6 @@
   LOST_LEADER_WAIT_MS,
 } from "./timing.ts";
 
-const hintSchema = v.object({ leaderId: v.optional(v.string()) });
-
 /** Options of {@link LeaderFinder}. */
 export interface LeaderFinderOptions {
   readonly network: PeerNetwork;
@@ -49,15 +48,10 @@
  */
 export class LeaderFinder {
   readonly #options: LeaderFinderOptions;
-  readonly #queue = new CallQueue();
-  #seedIds: readonly string[];
-  #controllerIds: readonly string[];
-  #leaderId: string | undefined;
+  readonly #queue: CallQueue;
+  readonly #targets: ProbeTargets;
   #leaderTerm = 0;
-  /** The controller that another one has named as the leader. */
-  #hintedId: string | undefined;
   #isSearching = false;
-  #probeCount = 0;
   /** Steady time from which the next controller may be asked (ms). */
   #nextProbeAtMs = -Infinity;
   /** Steady time at which the leader was lost; undefined while it answers. */
@@ -65,13 +59,13 @@
 
   constructor(options: LeaderFinderOptions) {
     this.#options = options;
-    this.#seedIds = options.controllerIds;
-    this.#controllerIds = options.controllerIds;
+    this.#queue = new CallQueue(options);
+    this.#targets = new ProbeTargets(options.controllerIds);
   }
 
   /** The controller that last answered as the leader. */
   get leaderId(): string | undefined {
-    return this.#leaderId;
+    return this.#queue.leaderId;
   }
 
   /** Newest term whose leader has answered; 0 before the first answer. */
@@ -86,20 +80,18 @@
 
   /** Sets the present controllers, in addition to those of the settings. */
   updateControllers(controllerIds: readonly string[]): void {
-    this.#controllerIds = [...new Set([...this.#seedIds, ...controllerIds])];
+    this.#targets.updateControllers(controllerIds);
   }
 
   /** Sets the controllers that the settings name. */
   replaceSeeds(seedIds: readonly string[]): void {
-    this.#seedIds = seedIds;
-    this.updateControllers(this.#controllerIds);
+    this.#targets.replaceSeeds(seedIds);
   }
 
   /** Sets the leader to try first; keeps the known one when undefined. */
   suggestLeader(leaderId: string | undefined): void {
     if (leaderId !== undefined) {
-      this.#leaderId = leaderId;
-      this.#queue.release();
+      this.#queue.release(leaderId);
     }
   }
 
@@ -128,7 +120,7 @@
     position: number,
     deadlineMs: number,
   ): Promise<string | undefined> {
-    while (this.#leaderId === undefined) {
+    while (this.leaderId === undefined) {
       if (this.#options.clock.steadyMs() >= deadlineMs) {
         return undefined;
       }
@@ -138,11 +130,12 @@
         return undefined;
       }
     }
-    return this.#leaderId;
+    return this.leaderId;
   }
 
   /**
-   * Sends a message to one controller.
+   * Sends a message to one controller, and follows it if it answers as the
+   * leader.
    *
    * @param target - The controller.
    * @param message - The message, with its timeout (ms) and signal.
@@ -152,37 +145,18 @@
   async ask(
     target: string,
     { method, body, timeoutMs, signal }: LeaderMessage,
-  ): Promise<Result<LeaderAnswer, Failure>> {
-    const { logger, network } = this.#options;
+  ): Promise<Result<unknown, Failure>> {
+    const { network } = this.#options;
     const options = { timeoutMs, signal };
     const replied = await network.call(target, method, body, options);
-    const answer = replied.andThen((value) =>
-      validateWith(leaderAnswerSchema, value, {
-        subject: `answer of ${target} to ${method}`,
-        kind: "internal",
-      })
-    );
-    return answer.andThen((value) => {
-      const { term } = value;
-      const leaderTerm = this.#leaderTerm;
-      if (term < leaderTerm) {
-        logger.warn(
-          { controllerId: target, method, term, leaderTerm },
-          "ignored the answer of an earlier leader",
-        );
-        return Result.err<LeaderAnswer, Failure>(
-          createOutdatedAnswer(target, term, leaderTerm),
-        );
-      }
-      this.#leaderTerm = term;
-      return Result.ok<LeaderAnswer, Failure>(value);
-    });
-  }
-
-  /** Records that a controller has answered a call as the leader. */
-  recordAnswer(target: string): void {
-    this.#lostAtMs = undefined;
-    this.#leaderId = target;
+    return replied
+      .andThen((value) =>
+        validateWith(leaderAnswerSchema, value, {
+          subject: `answer of ${target} to ${method}`,
+          kind: "internal",
+        })
+      )
+      .andThen((answer) => this.#takeAnswer(target, method, answer));
   }
 
   /**
@@ -193,18 +167,18 @@
    * @returns Whether the call may be sent again.
    */
   recordFailure(target: string, failure: Failure): boolean {
-    const { clock } = this.#options;
-    const isLost = failure.kind === "notLeader" ||
-      failure.kind === "peerUnreachable";
-    if (isLost || failure.kind === "noQuorum") {
-      this.#lostAtMs ??= clock.steadyMs();
-      this.#noteHint(target, failure);
+    if (!maySendAgain(failure)) {
+      return false;
     }
     // Another call may have found the next leader meanwhile.
-    if (isLost && this.#leaderId === target) {
-      this.#leaderId = undefined;
+    if (this.leaderId === undefined || this.leaderId === target) {
+      this.#lostAtMs ??= this.#options.clock.steadyMs();
+      this.#targets.noteHint(target, failure);
+      if (failure.kind !== "noQuorum") {
+        this.#queue.hold();
+      }
     }
-    return isLost || failure.kind === "noQuorum";
+    return true;
   }
 
   /** Asks one controller after the other, until one leads or no call waits. */
@@ -214,14 +188,14 @@
     }
     const { clock } = this.#options;
     this.#isSearching = true;
-    while (this.#leaderId === undefined && this.#queue.size > 0) {
+    while (this.leaderId === undefined && this.#queue.size > 0) {
       const pauseMs = this.#nextProbeAtMs - clock.steadyMs();
       if (pauseMs > 0) {
         await clock.sleep(pauseMs);
         continue;
       }
       this.#nextProbeAtMs = clock.steadyMs() + LEADER_RETRY_MS;
-      void this.#probe(this.#chooseProbed());
+      void this.#probe(this.#targets.choose());
     }
     this.#isSearching = false;
   }
@@ -236,15 +210,11 @@
       body: {},
       timeoutMs: LEADER_SEARCH_MS,
     });
-    if (asked.isOk) {
-      await this.#follow(target, asked.value.term);
-      return;
-    }
-    if (this.#leaderId !== undefined) {
+    if (asked.isOk || this.leaderId !== undefined) {
       return;
     }
     this.#lostAtMs ??= this.#options.clock.steadyMs();
-    this.#noteHint(target, asked.error);
+    this.#targets.noteHint(target, asked.error);
     // Callers retry sooner when they are refused at once than when they wait for
     // an election that may not take place.
     if (this.#isLeaderLost) {
@@ -252,14 +222,42 @@
     }
   }
 
+  // Each answer of the leader shows who leads, whatever message it answers.
+  #takeAnswer(
+    target: string,
+    method: string,
+    answer: LeaderAnswer,
+  ): Result<unknown, Failure> {
+    const { term } = answer;
+    const leaderTerm = this.#leaderTerm;
+    if (term < leaderTerm) {
+      this.#options.logger.warn(
+        { controllerId: target, method, term, leaderTerm },
+        "ignored the answer of an earlier leader",
+      );
+      return Result.err(createOutdatedAnswer(target, term, leaderTerm));
+    }
+    this.#leaderTerm = term;
+    const answered = readLeaderAnswer(answer);
+    if (answered.isOk || !maySendAgain(answered.error)) {
+      this.#queue.noteAnswer();
+      void this.#follow(target, term);
+    }
+    return answered;
+  }
+
   // Calls that are under way elsewhere wait with the others before any is sent.
   async #follow(leaderId: string, term: number): Promise<void> {
     const { clock, logger, supersede } = this.#options;
+    if (this.leaderId !== leaderId) {
+      this.#queue.hold();
+    }
     const supersededCount = await supersede(leaderId);
-    if (term < this.#leaderTerm || this.#leaderId !== undefined) {
+    // A newer leader has answered meanwhile.
+    if (term < this.#leaderTerm) {
       return;
     }
-    if (this.#lostAtMs !== undefined) {
+    if (this.leaderId === undefined && this.#lostAtMs !== undefined) {
       logger.info(
         {
           leaderId,
@@ -272,8 +270,7 @@
       );
     }
     this.#lostAtMs = undefined;
-    this.#leaderId = leaderId;
-    this.#queue.release();
+    this.#queue.release(leaderId);
   }
 
   get #isLeaderLost(): boolean {
@@ -281,20 +278,9 @@
     return this.#lostAtMs !== undefined &&
       clock.steadyMs() - this.#lostAtMs > LOST_LEADER_WAIT_MS;
   }
+}
 
-  #chooseProbed(): string | undefined {
-    const hintedId = this.#hintedId;
-    this.#hintedId = undefined;
-    this.#probeCount += hintedId === undefined ? 1 : 0;
-    return hintedId ??
-      this.#controllerIds[this.#probeCount % this.#controllerIds.length];
-  }
-
-  #noteHint(target: string, failure: Failure): void {
-    const hint = validateWith(hintSchema, failure.detail, { subject: "hint" });
-    const leaderId = hint.isOk ? hint.value.leaderId : undefined;
-    if (failure.kind === "notLeader" && leaderId !== target) {
-      this.#hintedId = leaderId ?? this.#hintedId;
-    }
-  }
+function maySendAgain({ kind }: Failure): boolean {
+  return kind === "notLeader" || kind === "peerUnreachable" ||
+    kind === "noQuorum";
 }
