Count a VM that is not listed while it is in maintenance

A VM that lists had left out for 12 s counted as done as soon as its order was confirmed, while it was down for 2 s, so that the next one began.

It now counts as away for 12 s from the confirmation, which is the time after which a VM that is down no longer counts as coming back.

The new case of wave_task_test failed before (4 VMs at once where 2 may be), and passes.

--- a/src/services/scheduling/wave_progress.ts
+++ b/src/services/scheduling/wave_progress.ts
@@ -3,6 +3,7 @@
 import type { Clock, ListedVm, Logger } from "../../ports/index.ts";
 import type { MaintenanceOrders } from "./maintenance_orders.ts";
 import type { SchedulingLog } from "./scheduling_log.ts";
+import { VM_GONE_MS } from "./timing.ts";
 import type { VmPresence } from "./vm_presence.ts";
 
 /** Options of {@link WaveProgress}. */
@@ -81,17 +82,22 @@
     }
   }
 
-  // A VM that is missing may be down and come back. So it is only given up when
-  // the wave has no time left, and when the platform has refused its order.
+  // A VM that is missing may be down and come back, above all from maintenance.
+  // One that has not begun is only given up when the wave has no time left, and
+  // when the platform has refused its order.
   #isGone(
     { completeByMs, waveId }: WaveRecord,
     vm: string,
     requestedAtMs: number,
   ): boolean {
     const { clock, orders, presence } = this.#options;
-    const outcome = orders.findOutcome({ waveId, vm });
-    return presence.isGone(vm, requestedAtMs) &&
-      (outcome === "confirmed" ||
-        (outcome === "refused" && clock.nowMs() >= completeByMs));
+    if (!presence.isGone(vm, requestedAtMs)) {
+      return false;
+    }
+    const order = { waveId, vm };
+    const confirmedAtMs = orders.findConfirmedAtMs(order);
+    return confirmedAtMs === undefined
+      ? orders.findOutcome(order) === "refused" && clock.nowMs() >= completeByMs
+      : requestedAtMs - confirmedAtMs >= VM_GONE_MS;
   }
 }
--- a/src/services/scheduling/wave_task_test.ts
+++ b/src/services/scheduling/wave_task_test.ts
@@ -367,6 +367,20 @@
       checkEachVmOnce(fixture);
     });
 
+    // Guards against more VMs in maintenance than the wave allows: those that
+    // lists left out counted as done as soon as their orders were confirmed.
+    it("that lists leave out for good counts while it is in maintenance", async () => {
+      const fixture = await startWave();
+      const { vms } = fixture;
+      assert.ok(vms);
+      for (const vm of WAVE_VMS) {
+        vms.unlistedVms.add(vm);
+        fixture.crash(vm);
+      }
+      await finish(fixture);
+      checkEachVmOnce(fixture);
+    });
+
     // Guards against a wave that is complete without the maintenance of a VM: a
     // VM that lists left out while it was down was taken for gone.
     it("that lists leave out while it is down is still maintained", async () => {
