--- a/src/services/scheduling/leader_client_test.ts
+++ b/src/services/scheduling/leader_client_test.ts
@@ -8,10 +8,16 @@
 import { PausableClock } from "../../testing/pausable_clock.ts";
 import { createLeaderAnswer } from "./leader_answer.ts";
 import { LeaderClient } from "./leader_client.ts";
-import { LEADER_SEARCH_MS } from "./timing.ts";
+import { SCHEDULING_METHODS } from "./scheduling_handlers.ts";
+import { LEADER_CALL_MS, LEADER_SEARCH_MS } from "./timing.ts";
 
 const CALL_MS = 2_500;
 const MANY_MS = 60_000;
+const ROUND_TRIP_MS = 2;
+/** Time at which a call that waits has lost the leader (ms). */
+const LOST_AT_MS = 250;
+/** Time at which another call shows that the leader answers again (ms). */
+const FOUND_AT_MS = 900;
 const DONE = createLeaderAnswer(1, Result.ok("done"));
 
 const REFUSED = Result.err<unknown, Failure>(
@@ -39,6 +45,42 @@
   return { call, called, client, clock, logger };
 }
 
+interface TimedReply {
+  readonly afterMs: number;
+  readonly reply: Result<unknown, Failure>;
+  /** Whether the call goes on after it was aborted. */
+  readonly isDeaf?: boolean;
+}
+
+/**
+ * A client and controllers that answer only the messages that are named, as in
+ * `c1 method`, once with each reply.
+ */
+function createScript(replies: Record<string, readonly TimedReply[]>) {
+  const clock = new FakeClock();
+  const left = new Map(
+    Object.entries(replies).map(([name, list]) => [name, [...list]]),
+  );
+  const network: PeerNetwork = {
+    call: async (peerId, method, _body, { timeoutMs, signal }) => {
+      const next = left.get(`${peerId} ${method}`)?.shift();
+      const isInTime = next !== undefined && next.afterMs <= timeoutMs;
+      await clock.sleep(
+        isInTime ? next.afterMs : timeoutMs,
+        next?.isDeaf ? undefined : signal,
+      );
+      return isInTime && (next.isDeaf || !signal?.aborted)
+        ? next.reply
+        : Result.err(createUnreachable(true));
+    },
+    handle: () => undefined,
+  };
+  const logger = new FakeLogger();
+  const controllerIds = ["c1", "c2"];
+  const client = new LeaderClient({ network, clock, logger, controllerIds });
+  return { client, clock, logger };
+}
+
 function createUnreachable(isSent: boolean): Failure {
   return createFailure("peerUnreachable", "gone", { detail: { isSent } });
 }
@@ -209,6 +251,181 @@
     assert.is(callCount, 2);
   });
 
+  describe("that wait for a lost leader", () => {
+    const refusal = createLeaderAnswer(1, REFUSED);
+    const lost = [
+      { afterMs: LOST_AT_MS, reply: Result.err(createUnreachable(true)) },
+      { afterMs: ROUND_TRIP_MS, reply: Result.ok(DONE) },
+    ];
+    for (const [title, answer] of [["answer", DONE], ["refusal", refusal]]) {
+      // Guards against calls that wait until their deadline although the leader
+      // answers others.
+      it(`are sent at its ${title} to another call`, async () => {
+        const { client, clock } = createScript({
+          "c1 slow": [{ afterMs: FOUND_AT_MS, reply: Result.ok(answer) }],
+          "c1 lost": lost,
+        });
+        client.suggestLeader("c1");
+        const waiting = client.call("lost", {}, CALL_MS);
+        void client.call("slow", {}, CALL_MS);
+        assert.ok((await clock.runUntil(waiting, MANY_MS)).isOk);
+        assert.is(clock.steadyMs(), FOUND_AT_MS + ROUND_TRIP_MS);
+        // The pings that were under way end without an answer.
+        await clock.advance(LEADER_SEARCH_MS);
+        assert.is(client.leaderId, "c1");
+      });
+    }
+
+    // Guards against calls that stay at the earlier leader although the next
+    // one answers others.
+    it("leave it at an answer of the next one to another call", async () => {
+      const next = Result.ok(createLeaderAnswer(2, Result.ok("done")));
+      const { client, clock } = createScript({
+        "c2 slow": [{ afterMs: FOUND_AT_MS, reply: next }],
+        "c2 lost": [{ afterMs: ROUND_TRIP_MS, reply: next }],
+        "c2 silent": [{ afterMs: ROUND_TRIP_MS, reply: next }],
+        "c1 lost": [
+          { afterMs: LOST_AT_MS, reply: Result.err(createUnreachable(true)) },
+        ],
+      });
+      client.suggestLeader("c2");
+      void client.call("slow", {}, CALL_MS);
+      client.suggestLeader("c1");
+      const calls = ["lost", "silent"].map((method) =>
+        client.call(method, {}, CALL_MS)
+      );
+      const answers = await clock.runUntil(Promise.all(calls), MANY_MS);
+      assert.ok(answers.every(({ isOk }) => isOk));
+      assert.is(clock.steadyMs(), FOUND_AT_MS + ROUND_TRIP_MS);
+      assert.is(client.leaderId, "c2");
+    });
+
+    // Guards against calls that are sent to the earlier leader once more.
+    it("go to the next one from a third controller", async () => {
+      const next = Result.ok(createLeaderAnswer(2, Result.ok("next")));
+      const { client, clock } = createScript({
+        "c2 slow": [{ afterMs: FOUND_AT_MS, reply: next }],
+        "c2 silent": [{ afterMs: ROUND_TRIP_MS, reply: next }],
+      });
+      client.suggestLeader("c2");
+      void client.call("slow", {}, CALL_MS);
+      client.suggestLeader("c3");
+      const called = client.call("silent", {}, CALL_MS);
+      client.suggestLeader("c1");
+      assert.ok((await clock.runUntil(called, MANY_MS)).isOk);
+      assert.is(clock.steadyMs(), FOUND_AT_MS + ROUND_TRIP_MS);
+    });
+
+    // Guards against an entry that returns to a leader of an earlier term.
+    it("go to the next one if it answers at the same time", async () => {
+      const next = Result.ok(createLeaderAnswer(2, Result.ok("next")));
+      const { client, clock } = createScript({
+        "c1 slow": [{ afterMs: FOUND_AT_MS, reply: Result.ok(DONE) }],
+        "c1 lost": lost,
+        "c2 slow": [{ afterMs: FOUND_AT_MS, reply: next }],
+        "c2 lost": [{ afterMs: ROUND_TRIP_MS, reply: next }],
+      });
+      client.suggestLeader("c2");
+      void client.call("slow", {}, CALL_MS);
+      client.suggestLeader("c1");
+      const waiting = client.call("lost", {}, CALL_MS);
+      void client.call("slow", {}, CALL_MS);
+      const answered = await clock.runUntil(waiting, MANY_MS);
+      assert.is(answered.unwrapOr(undefined), "next");
+      assert.is(client.leaderId, "c2");
+    });
+
+    // Guards against an entry that returns to a leader of an earlier term.
+    it("stay at the next one when calls to it outlast the earlier one's answer", async () => {
+      const next = Result.ok(createLeaderAnswer(2, Result.ok("next")));
+      const { client, clock } = createScript({
+        "c1 early": [{ afterMs: LOST_AT_MS, reply: Result.ok(DONE) }],
+        "c2 slow": [{ afterMs: FOUND_AT_MS, reply: next, isDeaf: true }],
+        "c2 silent": [
+          { afterMs: LEADER_CALL_MS, reply: next, isDeaf: true },
+        ],
+      });
+      client.suggestLeader("c2");
+      void client.call("slow", {}, CALL_MS);
+      void client.call("silent", {}, CALL_MS);
+      client.suggestLeader("c1");
+      void client.call("early", {}, CALL_MS);
+      await clock.advance(FOUND_AT_MS);
+      assert.is(client.leaderId, "c2");
+      await clock.advance(LEADER_CALL_MS);
+      assert.is(client.leaderId, "c2");
+    });
+
+    describe("are logged if they wait although the next one is known", () => {
+      const known = Result.ok(createLeaderAnswer(2, Result.ok("next")));
+      const cases = [
+        { title: "until they are sent", timeoutMs: CALL_MS, isDeaf: true },
+        { title: "until they fail", timeoutMs: FOUND_AT_MS, isDeaf: true },
+        { title: "but not otherwise", timeoutMs: CALL_MS, isDeaf: false },
+      ];
+      for (const { title, timeoutMs, isDeaf } of cases) {
+        it(title, async () => {
+          const gone = Result.err<unknown, Failure>(createUnreachable(true));
+          const { client, clock, logger } = createScript({
+            "c1 silent": [{ afterMs: LEADER_CALL_MS, reply: gone, isDeaf }],
+            "c1 lost": lost,
+            [`c2 ${SCHEDULING_METHODS.ping}`]: [
+              { afterMs: ROUND_TRIP_MS, reply: known },
+            ],
+            "c2 lost": [{ afterMs: ROUND_TRIP_MS, reply: known }],
+            "c2 silent": [{ afterMs: ROUND_TRIP_MS, reply: known }],
+          });
+          client.suggestLeader("c1");
+          const calls = [
+            client.call("silent", {}, CALL_MS),
+            client.call("lost", {}, timeoutMs),
+          ];
+          await clock.runUntil(Promise.all(calls), MANY_MS);
+          const found = logger.lines.filter(({ message }) =>
+            message === "calls wait although the leader is known"
+          );
+          assert.is(found.length > 0, isDeaf);
+          assert.ok(
+            found.every(({ fields }) =>
+              Number(fields["knownMs"]) > LEADER_SEARCH_MS &&
+              fields["waitingCount"] === 1
+            ),
+          );
+        });
+      }
+    });
+
+    it("are not sent to a controller that fails otherwise", async () => {
+      const malformed = Result.ok<unknown, Failure>("no answer of a leader");
+      const { client, clock } = createScript({
+        "c1 slow": [{ afterMs: FOUND_AT_MS, reply: malformed }],
+        "c1 lost": lost,
+      });
+      client.suggestLeader("c1");
+      void client.call("lost", {}, CALL_MS);
+      const slow = client.call("slow", {}, CALL_MS);
+      const failed = await clock.runUntil(slow, MANY_MS);
+      assert.is(failed.isErr && failed.error.kind, "internal");
+      await clock.advance(ROUND_TRIP_MS);
+      assert.is(client.leaderId, undefined);
+    });
+  });
+
+  // Guards against a leader that counts as lost because a call to the earlier
+  // one has failed.
+  it("get their whole time after one failed at the earlier leader", async () => {
+    const lost = Result.err<unknown, Failure>(createUnreachable(true));
+    const { client, clock } = createScript({
+      "c1 method": [{ afterMs: LOST_AT_MS, reply: lost }],
+      "c2 method": [{ afterMs: 2 * LEADER_SEARCH_MS, reply: Result.ok(DONE) }],
+    });
+    client.suggestLeader("c1");
+    const called = client.call("method", {}, CALL_MS);
+    client.suggestLeader("c2");
+    assert.ok((await clock.runUntil(called, MANY_MS)).isOk);
+    assert.is(clock.steadyMs(), LOST_AT_MS + 2 * LEADER_SEARCH_MS);
+  });
+
   describe("while nobody leads", () => {
     it("fail as not handled when nothing was sent", async () => {
       const { call } = createCaller(() => Result.err(createUnreachable(false)));
--- a/src/services/scheduling/maintenance_starter.ts
+++ b/src/services/scheduling/maintenance_starter.ts
@@ -1,7 +1,11 @@
 /** Sends the orders that begin the maintenance of VMs. */
 import { formatTaskId, type RunningTask } from "../../domain/index.ts";
 import { StepAvailability } from "../../decisions/index.ts";
-import type { Clock, Logger, VmControl } from "../../ports/index.ts";
+import type { Clock, Logger, VmControl, VmFailure } from "../../ports/index.ts";
+import {
+  type MaintenanceOrder,
+  MaintenanceOrders,
+} from "./maintenance_orders.ts";
 import { formatRun } from "./run_name.ts";
 import type { RunnerFleet } from "./runner_fleet.ts";
 import type { SchedulingLog } from "./scheduling_log.ts";
@@ -20,29 +24,20 @@
 }
 
 /** A VM of a wave and the runner that was listed on it. */
-export interface WaveVm {
-  readonly waveId: number;
-  readonly vm: string;
+export interface WaveVm extends MaintenanceOrder {
   readonly runnerId: string | undefined;
 }
 
-/** An order for maintenance that the platform has confirmed. */
-export interface BegunMaintenance {
-  readonly waveId: number;
-  /** Monotonic time of the answer (ms). */
-  readonly atMs: number;
-}
-
 /**
  * Orders maintenance within the limits of unavailable tasks, and knows which
  * tasks are unavailable. Each order is in the log before it is sent, so that the
  * next leader counts the VM as unavailable whatever the outcome of the call.
  */
 export class MaintenanceStarter {
+  /** What this leader knows of its orders. */
+  readonly orders = new MaintenanceOrders();
   readonly #options: MaintenanceStarterOptions;
   readonly #availability: StepAvailability;
-  /** The maintenance that was confirmed last in this term, by VM. */
-  readonly #begunByVm = new Map<string, BegunMaintenance>();
   /**
    * Evicted runs, which count as unavailable although they may still be
    * reported.
@@ -54,8 +49,6 @@
    * later answer of the runner.
    */
   readonly #doubtfulAtMsByRunner = new Map<string, number>();
-  /** VMs whose order this leader has logged and not sent yet. */
-  readonly #unsentVms = new Set<string>();
   /** Runs that orders without an answer so far may end. */
   readonly #stopping = new Set<RunningTask>();
 
@@ -67,15 +60,6 @@
     });
   }
 
-  /**
-   * Returns the maintenance of a VM that was confirmed last in this term.
-   *
-   * @param vm - Name of the VM.
-   */
-  findBegun(vm: string): BegunMaintenance | undefined {
-    return this.#begunByVm.get(vm);
-  }
-
   /**
    * Tells whether runs may be stopped, beside those that orders may end now.
    *
@@ -161,21 +145,22 @@
       })),
     );
     if (proposed.isOk) {
-      unlogged.forEach(({ vm }) => this.#unsentVms.add(vm));
+      unlogged.forEach((order) => this.orders.recordLogged(order));
     }
     return proposed.isOk;
   }
 
   // A leader that finds an order in the log may be the first to send it, so the
   // limits hold for it too.
-  async #send({ vm, waveId, runnerId }: WaveVm): Promise<void> {
+  async #send(order: WaveVm): Promise<void> {
+    const { vm, waveId, runnerId } = order;
     const { clock, fencingToken, fleet, holderId, log, logger, vms } =
       this.#options;
     const running = this.listRunning(runnerId);
     if (!log.holdsLeaderLease || !this.mayStop(running)) {
       return;
     }
-    const isFirst = this.#unsentVms.delete(vm);
+    const isFirst = this.orders.recordSent(order);
     // By the time of the answer, the next incarnation may have taken its place.
     const runner = log.state.runners.get(runnerId ?? "");
     running.forEach((run) => this.#stopping.add(run));
@@ -192,9 +177,12 @@
         { ...fields, failure: begun.error },
         "failed to begin the maintenance of a VM",
       );
+      if (isFinal(begun.error)) {
+        this.orders.recordRefused(order);
+      }
     } else {
       logger.info(fields, "began the upkeep of a VM");
-      this.#begunByVm.set(vm, { waveId, atMs: clock.monotonicMs() });
+      this.orders.recordConfirmed(order, clock.monotonicMs());
       if (runner !== undefined && isFirst) {
         fleet.retire(runner);
       }
@@ -213,3 +201,8 @@
       : status.findPercent(formatTaskId(run.id));
   }
 }
+
+// A stale fence or a rate limit says nothing about the VM.
+function isFinal({ refusal }: VmFailure): boolean {
+  return refusal === "busy" || refusal === "invalid" || refusal === "otherWave";
+}
--- a/src/services/scheduling/timing.ts
+++ b/src/services/scheduling/timing.ts
@@ -82,6 +82,11 @@
  * task placed elsewhere.
  */
 export const MAX_START_ATTEMPTS = 2;
+/**
+ * Time after a confirmed stop by which the run has ended at the runner, in
+ * milliseconds: the platform's limit with a margin for the way of the answer.
+ */
+export const STOP_LIMIT_MS = 1_000;
 /**
  * How long a controller gathers announcements without a change before it
  * reports them to the leader (ms): far below {@link MAX_SILENCE_MS}.
@@ -124,10 +129,15 @@
  */
 export const WAVE_TICK_MS = 700;
 /**
- * Time for which a VM or the runner on it must be missing from the list of VMs to
- * count as gone (ms): several listings, each of which may have a gap.
+ * Time for which a VM must be missing from the list of VMs to count as gone (ms):
+ * longer than a VM is down that comes back.
+ */
+export const VM_GONE_MS = 12_000;
+/**
+ * Time for which a VM that is up must be listed without a runner to count as
+ * empty (ms): several listings, each of which may have a gap.
  */
-export const VM_GONE_MS = 3_000;
+export const VM_EMPTY_MS = 3_000;
 /** Most orders to maintain a VM that wait for an answer. */
 export const MAX_MAINTENANCE_ORDERS_IN_FLIGHT = 4;
 /**
@@ -215,6 +225,11 @@
  * reported load.
  */
 export const PACE_TICK_MS = 250;
+/**
+ * Time after a request for a pace got no answer in which it may be carried out
+ * (ms).
+ */
+export const LATE_PACE_MS = 12_000;
 
 /** Duration of a term's start, in which its work is logged in detail (ms). */
 export const LEADER_START_MS = 3_000;
--- a/src/services/scheduling/vm_presence.ts
+++ b/src/services/scheduling/vm_presence.ts
@@ -1,6 +1,7 @@
 /** Remembers what the lists of VMs have shown, across lists with gaps. */
+import type { Runner } from "../../domain/index.ts";
 import type { ListedVm, VmListing } from "../../ports/index.ts";
-import { VM_GONE_MS } from "./timing.ts";
+import { VM_EMPTY_MS, VM_GONE_MS } from "./timing.ts";
 
 interface VmRecord {
   /** Monotonic time of the first list in a row without the VM (ms). */
@@ -13,8 +14,8 @@
 
 /** Options of {@link VmPresence}. */
 export interface VmPresenceOptions {
-  /** Returns whether a runner is known to the leader. */
-  readonly hasRunner: (runnerId: string) => boolean;
+  /** Returns a runner that the leader knows. */
+  readonly findRunner: (runnerId: string) => Runner | undefined;
 }
 
 /**
@@ -30,7 +31,7 @@
   }
 
   /**
-   * Records a list.
+   * Records a list, and forgets the VMs that are not followed any more.
    *
    * @param names - The VMs to be followed.
    * @param listing - The list.
@@ -42,8 +43,10 @@
     atMs: number,
   ): void {
     const byName = new Map(vms.map((listed) => [listed.vm, listed]));
+    const earlier = new Map(this.#records);
+    this.#records.clear();
     for (const vm of names) {
-      const known = this.#records.get(vm);
+      const known = earlier.get(vm);
       const listed = byName.get(vm);
       const isMissing = listed === undefined && isComplete;
       const isEmpty = listed?.state === "up" && listed.runnerId === undefined;
@@ -56,21 +59,24 @@
   }
 
   /**
-   * Tells whether the platform no longer has a VM.
+   * Tells whether a VM may be gone: lists have left it out for
+   * {@link VM_GONE_MS}, and the runner on it is gone or drains. A runner that
+   * drains may go on for a while after its VM has left the list.
    *
    * @param vm - Name of the VM.
    * @param atMs - Monotonic time of the newest list (ms).
    */
   isGone(vm: string, atMs: number): boolean {
     const { missingSinceMs = Infinity } = this.#records.get(vm) ?? {};
-    return this.#findKnownRunner(vm) === undefined &&
+    const runner = this.#findKnownRunner(vm);
+    return (runner === undefined || runner.isDraining) &&
       atMs - missingSinceMs >= VM_GONE_MS;
   }
 
   /**
    * Completes the entry of a VM that is up without a runner: with the runner that
    * was listed before, if the leader knows it still, else with an unknown state
-   * until no runner has been listed for {@link VM_GONE_MS}.
+   * until no runner has been listed for {@link VM_EMPTY_MS}.
    *
    * @param listed - The entry.
    * @param atMs - Monotonic time of the newest list (ms).
@@ -80,19 +86,19 @@
     if (emptySinceMs === undefined) {
       return listed;
     }
-    const runnerId = this.#findKnownRunner(listed.vm);
-    if (runnerId !== undefined) {
-      return { ...listed, runnerId };
+    const runner = this.#findKnownRunner(listed.vm);
+    if (runner !== undefined) {
+      return { ...listed, runnerId: runner.runnerId };
     }
-    return atMs - emptySinceMs >= VM_GONE_MS
+    return atMs - emptySinceMs >= VM_EMPTY_MS
       ? listed
       : { ...listed, state: "unknown" };
   }
 
-  #findKnownRunner(vm: string): string | undefined {
+  #findKnownRunner(vm: string): Runner | undefined {
     const { runnerId } = this.#records.get(vm) ?? {};
-    return runnerId !== undefined && this.#options.hasRunner(runnerId)
-      ? runnerId
-      : undefined;
+    return runnerId === undefined
+      ? undefined
+      : this.#options.findRunner(runnerId);
   }
 }
--- a/src/services/scheduling/wave_task.ts
+++ b/src/services/scheduling/wave_task.ts
@@ -4,11 +4,7 @@
   type Runner,
   type WaveRecord,
 } from "../../domain/index.ts";
-import type {
-  MaintenanceCandidate,
-  MaintenancePlan,
-  MaintenancePolicy,
-} from "../../decisions/index.ts";
+import type { MaintenancePolicy } from "../../decisions/index.ts";
 import type { Clock, ListedVm, Logger, VmControl } from "../../ports/index.ts";
 import { type Notifier, waitFor } from "../../tasks/index.ts";
 import { MaintenanceStarter } from "./maintenance_starter.ts";
@@ -16,6 +12,8 @@
 import type { SchedulingLog } from "./scheduling_log.ts";
 import { WAVE_TICK_MS } from "./timing.ts";
 import { VmPresence } from "./vm_presence.ts";
+import { type WavePlan, WavePlanner } from "./wave_planner.ts";
+import { type CompletedListing, WaveProgress } from "./wave_progress.ts";
 
 /** Options of {@link WaveTask}. */
 export interface WaveTaskOptions {
@@ -43,13 +41,26 @@
   readonly #options: WaveTaskOptions;
   readonly #starter: MaintenanceStarter;
   readonly #presence: VmPresence;
+  readonly #planner: WavePlanner;
+  readonly #progress: WaveProgress;
   #cordonedRunnerIds: ReadonlySet<string> = new Set();
 
   constructor(options: WaveTaskOptions) {
     this.#options = options;
     this.#starter = new MaintenanceStarter(options);
     this.#presence = new VmPresence({
-      hasRunner: (runnerId) => options.log.state.runners.has(runnerId),
+      findRunner: (runnerId) => options.log.state.runners.get(runnerId),
+    });
+    const shared = {
+      ...options,
+      starter: this.#starter,
+      presence: this.#presence,
+      listOpen: () => this.#listOpen(),
+    };
+    this.#planner = new WavePlanner(shared);
+    this.#progress = new WaveProgress({
+      ...shared,
+      orders: this.#starter.orders,
     });
   }
 
@@ -115,127 +126,53 @@
         this.#presence.complete(entry, requestedAtMs),
       ]),
     );
-    const cordoned = new Set<string>();
+    const listing = { byName, requestedAtMs };
     for (const wave of waves) {
-      await this.#recordDone(wave, byName, requestedAtMs);
-      await this.#advanceWave(wave.waveId, byName, cordoned);
-    }
-    this.#cordonedRunnerIds = cordoned;
-  }
-
-  // A VM that the platform no longer lists cannot be maintained any more, so its
-  // maintenance counts as done.
-  async #recordDone(
-    wave: WaveRecord,
-    byName: ReadonlyMap<string, ListedVm>,
-    requestedAtMs: number,
-  ): Promise<void> {
-    const { clock, log, logger } = this.#options;
-    const { waveId } = wave;
-    const open = wave.vms.filter((vm) => wave.progress[vm] !== "done");
-    const back = open.filter((vm) => {
-      const begunAtMs = this.#starter.findBegun(vm)?.atMs ?? Infinity;
-      return byName.get(vm)?.state === "up" && begunAtMs < requestedAtMs;
-    });
-    const gone = open.filter((vm) => this.#presence.isGone(vm, requestedAtMs));
-    if (gone.length > 0) {
-      logger.warn({ waveId, vms: gone }, "VMs of a wave are no longer listed");
-    }
-    if (back.length > 0) {
-      logger.info(
-        {
-          waveId,
-          vms: back.map((vm) => ({
-            vm,
-            wasOrdered: wave.progress[vm] === "ordered",
-            confirmedWaveId: this.#starter.findBegun(vm)?.waveId,
-          })),
-        },
-        "VMs are back from maintenance",
-      );
-    }
-    const done = [...back, ...gone];
-    if (done.length === 0) {
-      return;
-    }
-    const recorded = await log.propose(done.map((vm) => ({
-      type: "upkeep",
-      waveId,
-      vm,
-      state: "done",
-    })));
-    if (recorded.isOk && done.length === open.length) {
-      const lateMs = Math.round(clock.nowMs() - wave.completeByMs);
-      logger.info({ waveId, lateMs }, "a wave is complete");
+      await this.#progress.record(wave, listing);
     }
+    await this.#orderNext(listing);
   }
 
-  async #advanceWave(
-    waveId: number,
-    byName: ReadonlyMap<string, ListedVm>,
-    cordoned: Set<string>,
-  ): Promise<void> {
-    const { log } = this.#options;
-    const wave = log.state.waves.get(waveId);
-    if (wave === undefined) {
-      return;
+  async #orderNext(listing: CompletedListing): Promise<void> {
+    const { byName } = listing;
+    const cordoned = new Set<string>();
+    const plans = this.#planner.plan(listing, this.#cordonedRunnerIds);
+    for (const { plan, send, waveId } of plans) {
+      this.#cordon([...send, ...plan.cordon], byName, cordoned);
+      for (const vm of [...send, ...plan.evacuate]) {
+        this.#evictOne(waveId, vm, byName.get(vm));
+      }
     }
-    const ordered = wave.vms.filter((vm) => wave.progress[vm] === "ordered");
-    // What runs on a VM that the list does not show could not be counted.
-    const unconfirmed = ordered.filter((vm) =>
-      this.#starter.findBegun(vm) === undefined &&
-      (byName.get(vm)?.state ?? "unknown") !== "unknown"
+    const cordonedVms = new Set(
+      plans.flatMap(({ plan, send }) => [...send, ...plan.cordon]),
     );
-    const plan = this.#plan(wave, byName, ordered.length);
-    this.#cordon([...unconfirmed, ...plan.cordon], byName, cordoned);
-    for (const vm of [...unconfirmed, ...plan.evacuate]) {
-      this.#evictOne(waveId, vm, byName.get(vm));
-    }
-    const begin = await this.#confirmIdle(wave, plan, byName, ordered.length);
+    const confirmed = await this.#confirmIdle(plans, listing);
     await this.#starter.begin(
-      [...unconfirmed, ...begin].map((vm) => ({
-        waveId,
-        vm,
-        runnerId: byName.get(vm)?.runnerId,
-      })),
+      confirmed.flatMap(({ plan, send, waveId }) =>
+        [...send, ...plan.begin].filter((vm) => cordonedVms.has(vm))
+          .map((vm) => ({ waveId, vm, runnerId: byName.get(vm)?.runnerId }))
+      ),
     );
+    this.#cordonedRunnerIds = cordoned;
   }
 
   // A plan of the scheduler that was made before the cordon may still place work
   // on these VMs. Once a later entry of the log has taken effect, it has too, or
   // it never will.
   async #confirmIdle(
-    wave: WaveRecord,
-    plan: MaintenancePlan,
-    byName: ReadonlyMap<string, ListedVm>,
-    orderedCount: number,
-  ): Promise<readonly string[]> {
-    const { log } = this.#options;
-    if (plan.begin.length === 0 || (await log.propose([])).isErr) {
-      return [];
+    plans: readonly WavePlan[],
+    listing: CompletedListing,
+  ): Promise<readonly WavePlan[]> {
+    if (!plans.some(({ plan }) => plan.begin.length > 0)) {
+      return plans;
     }
-    const cordonedVms = new Set(plan.cordon);
-    return this.#plan(wave, byName, orderedCount).begin
-      .filter((vm) => cordonedVms.has(vm));
-  }
-
-  #plan(
-    wave: WaveRecord,
-    byName: ReadonlyMap<string, ListedVm>,
-    orderedCount: number,
-  ): MaintenancePlan {
-    const { clock, policy } = this.#options;
-    const candidates = wave.vms
-      .filter((vm) => wave.progress[vm] === undefined)
-      .flatMap((vm) => byName.get(vm) ?? [])
-      .filter(({ state }) => state === "up")
-      .map((listed) => this.#createCandidate(listed));
-    return policy.plan({
-      candidates,
-      allowedStartCount: Math.max(0, wave.maxAwayCount - orderedCount),
-      leftMs: wave.completeByMs - clock.nowMs(),
-      maxAwayCount: wave.maxAwayCount,
-    });
+    const proposed = await this.#options.log.propose([]);
+    return proposed.isOk
+      ? this.#planner.plan(listing, this.#cordonedRunnerIds)
+      : plans.map(({ plan, ...rest }) => ({
+        ...rest,
+        plan: { ...plan, begin: [] },
+      }));
   }
 
   #cordon(
@@ -255,20 +192,6 @@
     ]);
   }
 
-  #createCandidate({ runnerId, vm }: ListedVm): MaintenanceCandidate {
-    const running = this.#starter.listRunning(runnerId);
-    return {
-      vm,
-      running,
-      isProtected: !this.#starter.mayStop(running),
-      guardedSteps: running
-        .filter(({ step }) => step.isEndless && step.maxAwayCount !== undefined)
-        .map(({ id }) => `${id.jobId}.${id.occurrence}.${id.step}`),
-      isCordoned: runnerId !== undefined &&
-        this.#cordonedRunnerIds.has(runnerId),
-    };
-  }
-
   // Evicts one task at a time: each counts as unavailable until it is back at
   // 100 %.
   #evictOne(waveId: number, vm: string, listed: ListedVm | undefined): void {
