Empty the next VMs of a wave while its limit is reached

The planner left out each VM that the limit of its own wave does not allow now, so the policy cordoned and evacuated none while the limit was reached: cordoned VMs got work again before their turn. The limit of the own wave is in the count that the policy gets; only those of other waves leave VMs out.

wave_cordons_test passes, with those of waves and maintenance.

--- a/src/decisions/scheduling/maintenance_turns.ts
+++ b/src/decisions/scheduling/maintenance_turns.ts
@@ -90,10 +90,16 @@
     return Math.max(0, maxAwayCount - awayCount);
   }
 
-  /** Tells whether a VM may become unavailable in each wave that names it. */
-  allows(vm: string): boolean {
+  /**
+   * Tells whether a VM may become unavailable in each wave that names it.
+   *
+   * @param vm - The VM.
+   * @param ignoredWaveId - A wave whose own limit does not matter.
+   */
+  allows(vm: string, ignoredWaveId?: number): boolean {
     return this.#waves.every((wave) =>
-      !wave.vms.includes(vm) || this.countLeft(wave) > 0
+      wave.waveId === ignoredWaveId || !wave.vms.includes(vm) ||
+      this.countLeft(wave) > 0
     );
   }
 
--- a/src/services/scheduling/wave_planner.ts
+++ b/src/services/scheduling/wave_planner.ts
@@ -61,8 +61,11 @@
     const own = (wave: WaveRecord) =>
       wave.vms.filter((vm) => turns.get(vm)?.waveId === wave.waveId);
     const plans = waves.map((wave) => {
+      // The policy cordons the next VMs while the wave's own limit is reached.
       const waiting = own(wave)
-        .filter((vm) => wave.progress[vm] === undefined && budget.allows(vm))
+        .filter((vm) =>
+          wave.progress[vm] === undefined && budget.allows(vm, wave.waveId)
+        )
         .flatMap((vm) => listing.byName.get(vm) ?? [])
         .filter(({ state }) => state === "up");
       const leftCount = budget.countLeft(wave);
