Keep the limit of a wave when a new leader finds refused orders

The log has a refused order as ordered, and only the leader that was told knows of the refusal. Another VM took its place, and the next leader sent both orders at once. A leader now sends the orders whose outcome it does not know within the limits too; those of VMs that are listed in maintenance go at once, and those that wait keep their VMs cordoned.

refused_orders_test passes (2 VMs at once where 1 is allowed, before), with the tests of waves and maintenance.

--- a/src/services/scheduling/wave_planner.ts
+++ b/src/services/scheduling/wave_planner.ts
@@ -6,6 +6,7 @@
   type MaintenanceOutcome,
   type MaintenancePlan,
   type MaintenancePolicy,
+  type MaintenanceTurn,
 } from "../../decisions/index.ts";
 import type { WaveRecord } from "../../domain/index.ts";
 import type { Clock, ListedVm } from "../../ports/index.ts";
@@ -72,10 +73,20 @@
       const plan = this.#planOne(wave, waiting, leftCount, cordonedRunnerIds);
       return { wave, plan: { ...plan, begin: budget.spend(plan.begin) } };
     });
+    const unknown = waves.flatMap((wave) =>
+      this.#listUnknown(wave, own(wave), listing)
+    );
+    const allowed = new Set(chooseToSend(waves, turns, unknown, listing));
     return plans.map(({ plan, wave }) => {
       const late = budget.spend(this.#listLate(wave, own(wave), listing));
-      const send = [...this.#listUnknown(wave, own(wave), listing), ...late];
-      return { waveId: wave.waveId, send, plan };
+      const send = [...own(wave).filter((vm) => allowed.has(vm)), ...late];
+      // Those that are not sent now get no new work until their turn.
+      const held = [
+        ...this.#listOrdered(wave, own(wave), "unknown"),
+        ...this.#listOrdered(wave, own(wave), "refused"),
+      ];
+      const cordon = [...new Set([...plan.cordon, ...held])];
+      return { waveId: wave.waveId, send, plan: { ...plan, cordon } };
     });
   }
 
@@ -155,3 +166,21 @@
     };
   }
 }
+
+// A new leader knows of no refusals, so the log may have more orders whose
+// outcome is unknown to it than VMs may be unavailable.
+function chooseToSend(
+  waves: readonly WaveRecord[],
+  turns: ReadonlyMap<string, MaintenanceTurn>,
+  unknown: readonly string[],
+  { byName }: CompletedListing,
+): string[] {
+  const isBegun = (vm: string) => byName.get(vm)?.state === "upkeep";
+  const begun = unknown.filter(isBegun);
+  const others = new Set(unknown.filter((vm) => !isBegun(vm)));
+  const budget = new MaintenanceBudget(
+    waves,
+    new Map([...turns].filter(([vm]) => !others.has(vm))),
+  );
+  return [...begun, ...budget.spend([...others])];
+}
