Reproduce tasks that end uncounted on a VM that lists leave out

A leader that has never seen a VM listed knows no runner of it. Since it orders the maintenance of such a VM after 12 s without it in a list, with no runner, so that the limits of tasks do not hold: 3 tasks of a step that may miss 1 end at once. Before, the VM counted as done without an order.

Not mended: which runner is on the VM cannot be known. Waiting while the leader knows a runner that no list has shown on any VM would do, and may hold a wave open; that needs a decision.

--- /dev/null
+++ b/src/services/scheduling/unlisted_vms_test.ts
@@ -0,0 +1,53 @@
+import * as assert from "uvu/assert";
+import * as v from "valibot";
+import { SeededRandom } from "../../adapters/random/index.ts";
+import { jobStepSchema } from "../../domain/index.ts";
+import { describe, it } from "../../testing/describe.ts";
+import { FakeClock } from "../../testing/fake_clock.ts";
+import { SchedulingFixture } from "../../testing/scheduling_fixture.ts";
+import { VM_GONE_MS } from "./timing.ts";
+
+const SEED = 20_483;
+const JOB_ID = "00000000000000ab";
+const WAVE_MS = 60_000;
+const STEP = v.parse(jobStepSchema, {
+  taskCount: 3,
+  needs: { cpuMillicores: 2_000 },
+  isEndless: true,
+  maxAwayCount: 1,
+});
+
+describe("a VM that lists leave out while its runner works", () => {
+  // Guards against ending more tasks of a step than may be unavailable: a leader
+  // that has never seen the VM's runner listed ordered the VM as an empty one.
+  it("is not maintained while too many tasks of a step run on it", async () => {
+    const fixture = new SchedulingFixture({
+      clock: new FakeClock(),
+      random: new SeededRandom(SEED),
+      runnerIds: ["r1", "r2", "r3"],
+      hasVms: true,
+    });
+    const { clock, runners, vms } = fixture;
+    assert.ok(vms);
+    fixture.changeLeader();
+    await clock.advance(2_000);
+    void fixture.submit(JOB_ID, [STEP]);
+    await clock.advance(1_000);
+    const vm = runners.spans[0]?.runnerId ?? "";
+    assert.ok(runners.spans.every(({ runnerId }) => runnerId === vm));
+    vms.unlistedVms.add(vm);
+    fixture.changeLeader();
+    const atMs = clock.nowMs();
+    const wave = { waveId: 1, vms: [vm], maxAwayCount: 1 };
+    fixture.apply({
+      type: "scheduling",
+      atMs,
+      operations: [{ type: "wave", ...wave, completeByMs: atMs + WAVE_MS }],
+    });
+    await clock.advance(2 * VM_GONE_MS);
+    await fixture.stop();
+    const lostAtMs = runners.spans.filter(({ how }) => how === "lost")
+      .map(({ toMs }) => toMs);
+    assert.is(new Set(lostAtMs).size, lostAtMs.length, "one task at a time");
+  });
+});
