Reproduce a wave that is complete after a step of the leader's clock

A VM counts as gone by the monotonic clock, which takes a wall clock that is set ahead for a suspension, and the deadline of a wave is wall-clock time. A step of 70 s makes two lists without a VM look 70 s apart, and the wave late: a VM that was down for 8 s counts as done without an order.

The time that lists cover, on the steady clock, or the number of lists without the VM would not jump.

--- a/src/services/scheduling/unlisted_vms_test.ts
+++ b/src/services/scheduling/unlisted_vms_test.ts
@@ -10,6 +10,10 @@
 const SEED = 20_483;
 const JOB_ID = "00000000000000ab";
 const WAVE_MS = 60_000;
+/** Time for which a VM is down: less than one that counts as gone (ms). */
+const DOWN_MS = 8_000;
+/** Time by which the leader's wall clock is set ahead, past the deadline (ms). */
+const CLOCK_STEP_MS = 70_000;
 const STEP = v.parse(jobStepSchema, {
   taskCount: 3,
   needs: { cpuMillicores: 2_000 },
@@ -51,3 +55,38 @@
     assert.is(new Set(lostAtMs).size, lostAtMs.length, "one task at a time");
   });
 });
+
+describe("a VM that lists leave out while it is down", () => {
+  // Guards against a wave that is complete without the maintenance of a VM: a
+  // step of the leader's wall clock counted as time without the VM in a list.
+  it("is still maintained when the leader's clock is set ahead", async () => {
+    const fixture = new SchedulingFixture({
+      clock: new FakeClock(),
+      random: new SeededRandom(SEED),
+      runnerIds: ["r1", "r2", "r3"],
+      hasVms: true,
+    });
+    const { clock, vms } = fixture;
+    assert.ok(vms);
+    fixture.changeLeader();
+    await clock.advance(2_000);
+    vms.downVms.add("r1");
+    fixture.crash("r1");
+    const atMs = clock.nowMs();
+    const wave = { waveId: 1, vms: ["r1", "r2"], maxAwayCount: 1 };
+    fixture.apply({
+      type: "scheduling",
+      atMs,
+      operations: [{ type: "wave", ...wave, completeByMs: atMs + WAVE_MS }],
+    });
+    await clock.advance(DOWN_MS / 2);
+    fixture.setLeaderClockAhead(CLOCK_STEP_MS);
+    await clock.advance(DOWN_MS / 2);
+    vms.downVms.delete("r1");
+    fixture.startRunner("r1");
+    await clock.advance(WAVE_MS);
+    await fixture.stop();
+    const maintained = vms.startedMaintenances.map((started) => started.vm);
+    assert.equal(maintained.toSorted(), wave.vms);
+  });
+});
