Reproduce a wave that is complete while another one maintains its VM

A VM that lists leave out for 12 s, and that exists, is ordered for the first of two waves, which the platform accepts. It still counts as gone, so that this wave is done at once, in the middle of the maintenance. The order of the second wave is refused as busy for that reason, and counts as the proof that the VM is gone.

--- a/src/services/scheduling/unlisted_vms_test.ts
+++ b/src/services/scheduling/unlisted_vms_test.ts
@@ -90,3 +90,41 @@
     assert.equal(maintained.toSorted(), wave.vms);
   });
 });
+
+describe("a VM that lists leave out in several waves", () => {
+  // Guards against a wave that is complete without the maintenance of a VM: the
+  // VM counted as gone while it was in maintenance for another wave, for which
+  // the platform refused the order of this one.
+  it("is maintained for each of them", async () => {
+    const fixture = new SchedulingFixture({
+      clock: new FakeClock(),
+      random: new SeededRandom(SEED),
+      runnerIds: ["r1", "r2", "r3"],
+      hasVms: true,
+    });
+    const { clock, vms } = fixture;
+    assert.ok(vms);
+    vms.unlistedVms.add("r1");
+    fixture.changeLeader();
+    await clock.advance(2_000);
+    const atMs = clock.nowMs();
+    const completeByMs = atMs + VM_GONE_MS / 2;
+    fixture.apply({
+      type: "scheduling",
+      atMs,
+      operations: [1, 2].map((waveId) => ({
+        type: "wave",
+        waveId,
+        vms: ["r1"],
+        maxAwayCount: 1,
+        completeByMs,
+      })),
+    });
+    await clock.advance(6 * VM_GONE_MS);
+    await fixture.stop();
+    assert.equal(vms.startedMaintenances.map(({ waveId }) => waveId), [1, 2]);
+    for (const { progress } of fixture.state.scheduling.waves.values()) {
+      assert.is(progress["r1"], "done");
+    }
+  });
+});
