Measure the absence of a VM on a clock that does not step

A wave counted a VM as done that was down for 8 s and had not been ordered, when the leader's wall clock was set ahead by 70 s meanwhile: absence was measured by the clock for leases, which takes such a step for a suspension. Found by review, not seen by users.

The silence of others is measured with the steady clock; the age of the newest list and of confirmations is too, as they are compared with it.

Evidence: the case of unlisted_vms_test failed before, and passes.

--- a/src/services/scheduling/maintenance_orders.ts
+++ b/src/services/scheduling/maintenance_orders.ts
@@ -43,7 +43,7 @@
    * Records that the platform has confirmed an order.
    *
    * @param order - The order.
-   * @param atMs - Monotonic time of the answer (ms).
+   * @param atMs - Steady time of the answer (ms).
    */
   recordConfirmed(order: MaintenanceOrder, atMs: number): void {
     this.#confirmedAtMs.set(formatOrder(order), atMs);
@@ -53,7 +53,7 @@
    * Returns when an order was confirmed in this term.
    *
    * @param order - The order.
-   * @returns Monotonic time (ms), or undefined.
+   * @returns Steady time (ms), or undefined.
    */
   findConfirmedAtMs(order: MaintenanceOrder): number | undefined {
     return this.#confirmedAtMs.get(formatOrder(order));
--- a/src/services/scheduling/maintenance_starter.ts
+++ b/src/services/scheduling/maintenance_starter.ts
@@ -182,7 +182,7 @@
       }
     } else {
       logger.info(fields, "began the upkeep of a VM");
-      this.orders.recordConfirmed(order, clock.monotonicMs());
+      this.orders.recordConfirmed(order, clock.steadyMs());
       if (runner !== undefined && isFirst) {
         fleet.retire(runner);
       }
--- a/src/services/scheduling/vm_presence.ts
+++ b/src/services/scheduling/vm_presence.ts
@@ -4,7 +4,7 @@
 import { VM_EMPTY_MS, VM_GONE_MS } from "./timing.ts";
 
 interface VmRecord {
-  /** Monotonic time of the first list in a row without the VM (ms). */
+  /** Steady time of the first list in a row without the VM (ms). */
   readonly missingSinceMs: number | undefined;
   /** The same for lists without a runner on it (ms). */
   readonly emptySinceMs: number | undefined;
@@ -35,7 +35,7 @@
    *
    * @param names - The VMs to be followed.
    * @param listing - The list.
-   * @param atMs - Monotonic time at which it was requested (ms).
+   * @param atMs - Steady time at which it was requested (ms).
    */
   record(
     names: readonly string[],
@@ -64,7 +64,7 @@
    * drains may go on for a while after its VM has left the list.
    *
    * @param vm - Name of the VM.
-   * @param atMs - Monotonic time of the newest list (ms).
+   * @param atMs - Steady time of the newest list (ms).
    */
   isGone(vm: string, atMs: number): boolean {
     const { missingSinceMs = Infinity } = this.#records.get(vm) ?? {};
@@ -79,7 +79,7 @@
    * until no runner has been listed for {@link VM_EMPTY_MS}.
    *
    * @param listed - The entry.
-   * @param atMs - Monotonic time of the newest list (ms).
+   * @param atMs - Steady time of the newest list (ms).
    */
   complete(listed: ListedVm, atMs: number): ListedVm {
     const { emptySinceMs } = this.#records.get(listed.vm) ?? {};
--- a/src/services/scheduling/wave_progress.ts
+++ b/src/services/scheduling/wave_progress.ts
@@ -18,7 +18,7 @@
 /** A list of VMs, completed with what earlier ones have shown. */
 export interface CompletedListing {
   readonly byName: ReadonlyMap<string, ListedVm>;
-  /** Monotonic time at which the list was requested (ms). */
+  /** Steady time at which the list was requested (ms). */
   readonly requestedAtMs: number;
 }
 
--- a/src/services/scheduling/wave_task.ts
+++ b/src/services/scheduling/wave_task.ts
@@ -108,7 +108,7 @@
     if (!log.holdsLeaderLease) {
       return;
     }
-    const requestedAtMs = clock.monotonicMs();
+    const requestedAtMs = clock.steadyMs();
     const listed = await vms.list();
     if (listed.isErr) {
       logger.warn({ failure: listed.error }, "the VMs could not be listed");
