Order no VM that may have a runner with work that is not listed

A leader that had never seen a VM listed ordered its maintenance after 12 s as that of an empty VM: three tasks of a step that may miss one ended at once (AVAIL).

Such an order now waits while the leader knows a runner with work that no list shows on any VM, unless it drains. The wave stays open for as long, which is true: the VM has not been maintained, and is not known to be gone.

The case for VMs that lists leave out for good has no job now, as its VMs would wait for that; it still fails without the fix that it guards (4 VMs at once where 2 may be).

--- a/src/services/scheduling/wave_planner.ts
+++ b/src/services/scheduling/wave_planner.ts
@@ -8,7 +8,7 @@
   type MaintenancePolicy,
   type MaintenanceTurn,
 } from "../../decisions/index.ts";
-import type { WaveRecord } from "../../domain/index.ts";
+import type { Runner, WaveRecord } from "../../domain/index.ts";
 import type { Clock, ListedVm } from "../../ports/index.ts";
 import type { MaintenanceStarter } from "./maintenance_starter.ts";
 import type { VmPresence } from "./vm_presence.ts";
@@ -22,6 +22,8 @@
   readonly clock: Clock;
   /** Returns the waves that are not complete. */
   readonly listOpen: () => readonly WaveRecord[];
+  /** Returns the runners that the leader knows. */
+  readonly listRunners: () => readonly Runner[];
 }
 
 /** The next actions of one wave. */
@@ -112,11 +114,12 @@
   #listUnknown(
     wave: WaveRecord,
     own: readonly string[],
-    { byName, requestedAtMs }: CompletedListing,
+    listing: CompletedListing,
   ): string[] {
+    const { byName } = listing;
     return this.#listOrdered(wave, own, "unknown").filter((vm) =>
       (byName.get(vm)?.state ?? "unknown") !== "unknown" ||
-      this.#options.presence.isGone(vm, requestedAtMs)
+      this.#isGone(vm, listing)
     );
   }
 
@@ -125,18 +128,35 @@
   #listLate(
     wave: WaveRecord,
     own: readonly string[],
-    { byName, requestedAtMs }: CompletedListing,
+    listing: CompletedListing,
   ): string[] {
-    const { presence } = this.#options;
+    const { byName } = listing;
     return [
       ...this.#listOrdered(wave, own, "refused")
         .filter((vm) => byName.get(vm)?.state === "up"),
       ...own.filter((vm) =>
-        wave.progress[vm] === undefined && presence.isGone(vm, requestedAtMs)
+        wave.progress[vm] === undefined && this.#isGone(vm, listing)
       ),
     ];
   }
 
+  // A VM that was never listed in this term may have a runner that is not listed
+  // either, whose tasks could not be counted.
+  #isGone(vm: string, listing: CompletedListing): boolean {
+    const { presence } = this.#options;
+    return presence.isGone(vm, listing.requestedAtMs) &&
+      !this.#hasUnlistedWork(listing);
+  }
+
+  #hasUnlistedWork({ byName }: CompletedListing): boolean {
+    const { listRunners, starter } = this.#options;
+    const listed = new Set([...byName.values()].map((vm) => vm.runnerId));
+    return listRunners().some(({ isDraining, runnerId }) =>
+      !isDraining && !listed.has(runnerId) &&
+      starter.listRunning(runnerId).length > 0
+    );
+  }
+
   #listOrdered(
     { progress, waveId }: WaveRecord,
     own: readonly string[],
--- a/src/services/scheduling/wave_task.ts
+++ b/src/services/scheduling/wave_task.ts
@@ -56,6 +56,7 @@
       starter: this.#starter,
       presence: this.#presence,
       listOpen: () => this.#listOpen(),
+      listRunners: () => [...options.log.state.runners.values()],
     };
     this.#planner = new WavePlanner(shared);
     this.#progress = new WaveProgress({
--- a/src/services/scheduling/wave_task_test.ts
+++ b/src/services/scheduling/wave_task_test.ts
@@ -370,9 +370,12 @@
     // Guards against more VMs in maintenance than the wave allows: those that
     // lists left out counted as done as soon as their orders were confirmed.
     it("that lists leave out for good counts while it is in maintenance", async () => {
-      const fixture = await startWave();
+      const fixture = createFixture();
       const { vms } = fixture;
       assert.ok(vms);
+      fixture.changeLeader();
+      await fixture.clock.advance(2_000);
+      startWaveNow(fixture, COMPLETE_BY_MS);
       for (const vm of WAVE_VMS) {
         vms.unlistedVms.add(vm);
         fixture.crash(vm);
