Ask again whether a VM is gone that had refused before

A wave counted a VM as done whose order had been refused while it was still listed, as it was leaving or moving: once lists had left it out for 12 s, that refusal counted as the proof that it is gone, and it was never asked for again.

The refusal has to come after the 12 s; until then the order is sent once more. An accepted request for a wave that is not in the state after its proposal is no longer acknowledged.

--- a/src/services/scheduling/maintenance_orders.ts
+++ b/src/services/scheduling/maintenance_orders.ts
@@ -14,7 +14,7 @@
  */
 export class MaintenanceOrders {
   readonly #confirmedAtMs = new Map<string, number>();
-  readonly #refused = new Set<string>();
+  readonly #refusedAtMs = new Map<string, number>();
   readonly #unsent = new Set<string>();
 
   /** Records that this leader has logged an order and not sent it yet. */
@@ -30,13 +30,18 @@
    */
   recordSent(order: MaintenanceOrder): boolean {
     const key = formatOrder(order);
-    this.#refused.delete(key);
+    this.#refusedAtMs.delete(key);
     return this.#unsent.delete(key);
   }
 
-  /** Records that the platform has refused an order, which it will not carry out. */
-  recordRefused(order: MaintenanceOrder): void {
-    this.#refused.add(formatOrder(order));
+  /**
+   * Records that the platform has refused an order, which it will not carry out.
+   *
+   * @param order - The order.
+   * @param atMs - Steady time of the answer (ms).
+   */
+  recordRefused(order: MaintenanceOrder, atMs: number): void {
+    this.#refusedAtMs.set(formatOrder(order), atMs);
   }
 
   /**
@@ -65,14 +70,24 @@
     if (this.#confirmedAtMs.has(key)) {
       return "confirmed";
     }
-    return this.#refused.has(key) ? "refused" : "unknown";
+    return this.#refusedAtMs.has(key) ? "refused" : "unknown";
+  }
+
+  /**
+   * Returns when an order was refused, if it has not been sent since.
+   *
+   * @param order - The order.
+   * @returns Steady time (ms), or undefined.
+   */
+  findRefusedAtMs(order: MaintenanceOrder): number | undefined {
+    return this.#refusedAtMs.get(formatOrder(order));
   }
 
   /** Forgets an order whose maintenance is done. */
   forget(order: MaintenanceOrder): void {
     const key = formatOrder(order);
     this.#confirmedAtMs.delete(key);
-    this.#refused.delete(key);
+    this.#refusedAtMs.delete(key);
     this.#unsent.delete(key);
   }
 }
--- a/src/services/scheduling/maintenance_starter.ts
+++ b/src/services/scheduling/maintenance_starter.ts
@@ -178,7 +178,7 @@
         "failed to begin the maintenance of a VM",
       );
       if (isFinal(begun.error)) {
-        this.orders.recordRefused(order);
+        this.orders.recordRefused(order, clock.steadyMs());
       }
     } else {
       logger.info(fields, "began the upkeep of a VM");
--- a/src/services/scheduling/operations_service.ts
+++ b/src/services/scheduling/operations_service.ts
@@ -120,16 +120,16 @@
     }
     // Another request with this number may have come first.
     const known = log.state.waves.get(wave.waveId);
-    if (known === undefined || isSameWave(known, wave)) {
+    if (known !== undefined && isSameWave(known, wave)) {
       return Result.ok({});
     }
     logger.warn(
       {
-        waveId: known.waveId,
-        otherVms: wave.vms.filter((vm) => !known.vms.includes(vm)),
-        vmCount: known.vms.length,
-        maxAwayCount: known.maxAwayCount,
-        completeWithinMs: known.completeWithinMs,
+        waveId: wave.waveId,
+        otherVms: wave.vms.filter((vm) => !known?.vms.includes(vm)),
+        vmCount: known?.vms.length,
+        maxAwayCount: known?.maxAwayCount,
+        completeWithinMs: known?.completeWithinMs,
         sentVmCount: wave.vms.length,
         sentMaxAwayCount: wave.maxAwayCount,
         sentCompleteWithinMs: wave.completeWithinMs,
--- a/src/services/scheduling/unlisted_vms_test.ts
+++ b/src/services/scheduling/unlisted_vms_test.ts
@@ -128,3 +128,36 @@
     }
   });
 });
+
+describe("a VM whose order was refused before lists left it out", () => {
+  // Guards against a wave that is complete without the maintenance of a VM: a
+  // refusal from before the VM was missing counted as proof that it is gone.
+  it("is ordered again before it counts as gone", async () => {
+    const fixture = new SchedulingFixture({
+      clock: new FakeClock(),
+      random: new SeededRandom(SEED),
+      runnerIds: ["r1", "r2", "r3"],
+      hasVms: true,
+    });
+    const { clock, vms } = fixture;
+    assert.ok(vms);
+    fixture.changeLeader();
+    await clock.advance(2_000);
+    vms.busyVms.add("r1");
+    const atMs = clock.nowMs();
+    const wave = { waveId: 1, vms: ["r1"], maxAwayCount: 1 };
+    fixture.apply({
+      type: "scheduling",
+      atMs,
+      operations: [{ type: "wave", ...wave, completeByMs: atMs + VM_GONE_MS }],
+    });
+    await clock.advance(3_000);
+    assert.ok(vms.requests.length > 0, "an order was refused");
+    vms.busyVms.delete("r1");
+    vms.unlistedVms.add("r1");
+    fixture.crash("r1");
+    await clock.advance(4 * VM_GONE_MS);
+    await fixture.stop();
+    assert.is(vms.startedMaintenances.length, 1);
+  });
+});
--- a/src/services/scheduling/vm_presence.ts
+++ b/src/services/scheduling/vm_presence.ts
@@ -59,18 +59,21 @@
   }
 
   /**
-   * Tells whether a VM may be gone: lists have left it out for
+   * Returns since when a VM may be gone: lists have left it out for
    * {@link VM_GONE_MS}, and the runner on it is gone or drains. A runner that
    * drains may go on for a while after its VM has left the list.
    *
    * @param vm - Name of the VM.
    * @param atMs - Steady time of the newest list (ms).
+   * @returns Steady time (ms); undefined for a VM that is not gone.
    */
-  isGone(vm: string, atMs: number): boolean {
+  findGoneSinceMs(vm: string, atMs: number): number | undefined {
     const { missingSinceMs = Infinity } = this.#records.get(vm) ?? {};
     const runner = this.#findKnownRunner(vm);
-    return (runner === undefined || runner.isDraining) &&
-      atMs - missingSinceMs >= VM_GONE_MS;
+    const goneSinceMs = missingSinceMs + VM_GONE_MS;
+    const isGone = (runner === undefined || runner.isDraining) &&
+      goneSinceMs <= atMs;
+    return isGone ? goneSinceMs : undefined;
   }
 
   /**
--- a/src/services/scheduling/vm_presence_test.ts
+++ b/src/services/scheduling/vm_presence_test.ts
@@ -15,9 +15,9 @@
     it("ends after a time", () => {
       const presence = createPresence();
       presence.record(["a"], EMPTY_LIST, 0);
-      assert.not(presence.isGone("a", 0));
+      assert.is(presence.findGoneSinceMs("a", 0), undefined);
       presence.record(["a"], EMPTY_LIST, VM_GONE_MS);
-      assert.ok(presence.isGone("a", VM_GONE_MS));
+      assert.is(presence.findGoneSinceMs("a", VM_GONE_MS), VM_GONE_MS);
     });
 
     // Guards against taking a VM for gone after one list: what the lists had
@@ -27,7 +27,7 @@
       presence.record(["a"], EMPTY_LIST, 0);
       presence.record([], EMPTY_LIST, VM_GONE_MS);
       presence.record(["a"], EMPTY_LIST, LATER_MS);
-      assert.not(presence.isGone("a", LATER_MS));
+      assert.is(presence.findGoneSinceMs("a", LATER_MS), undefined);
     });
   });
 });
--- a/src/services/scheduling/wave_planner.ts
+++ b/src/services/scheduling/wave_planner.ts
@@ -119,7 +119,7 @@
     const { byName } = listing;
     return this.#listOrdered(wave, own, "unknown").filter((vm) =>
       (byName.get(vm)?.state ?? "unknown") !== "unknown" ||
-      this.#isGone(vm, listing)
+      this.#findGoneSinceMs(vm, listing) !== undefined
     );
   }
 
@@ -130,22 +130,31 @@
     own: readonly string[],
     listing: CompletedListing,
   ): string[] {
-    const { byName } = listing;
+    const { orders } = this.#options.starter;
+    const { progress, waveId } = wave;
+    const refused = this.#listOrdered(wave, own, "refused");
+    const missing = [
+      ...refused,
+      ...own.filter((vm) => progress[vm] === undefined),
+    ];
     return [
-      ...this.#listOrdered(wave, own, "refused")
-        .filter((vm) => byName.get(vm)?.state === "up"),
-      ...own.filter((vm) =>
-        wave.progress[vm] === undefined && this.#isGone(vm, listing)
-      ),
+      ...refused.filter((vm) => listing.byName.get(vm)?.state === "up"),
+      ...missing.filter((vm) => {
+        const refusedAtMs = orders.findRefusedAtMs({ waveId, vm }) ?? -Infinity;
+        const goneSinceMs = this.#findGoneSinceMs(vm, listing);
+        return goneSinceMs !== undefined && refusedAtMs < goneSinceMs;
+      }),
     ];
   }
 
   // A VM that was never listed in this term may have a runner that is not listed
   // either, whose tasks could not be counted.
-  #isGone(vm: string, listing: CompletedListing): boolean {
+  #findGoneSinceMs(vm: string, listing: CompletedListing): number | undefined {
     const { presence } = this.#options;
-    return presence.isGone(vm, listing.requestedAtMs) &&
-      !this.#hasUnlistedWork(listing);
+    const sinceMs = presence.findGoneSinceMs(vm, listing.requestedAtMs);
+    return sinceMs === undefined || this.#hasUnlistedWork(listing)
+      ? undefined
+      : sinceMs;
   }
 
   #hasUnlistedWork({ byName }: CompletedListing): boolean {
--- a/src/services/scheduling/wave_progress.ts
+++ b/src/services/scheduling/wave_progress.ts
@@ -84,20 +84,23 @@
 
   // A VM that is missing may be down and come back, above all from maintenance.
   // One that has not begun is only given up when the wave has no time left, and
-  // when the platform has refused its order.
+  // when the platform has refused its order since it is missing for too long.
   #isGone(
     { completeByMs, waveId }: WaveRecord,
     vm: string,
     requestedAtMs: number,
   ): boolean {
     const { clock, orders, presence } = this.#options;
-    if (!presence.isGone(vm, requestedAtMs)) {
+    const goneSinceMs = presence.findGoneSinceMs(vm, requestedAtMs);
+    if (goneSinceMs === undefined) {
       return false;
     }
     const order = { waveId, vm };
     const confirmedAtMs = orders.findConfirmedAtMs(order);
-    return confirmedAtMs === undefined
-      ? orders.findOutcome(order) === "refused" && clock.nowMs() >= completeByMs
-      : requestedAtMs - confirmedAtMs >= VM_GONE_MS;
+    if (confirmedAtMs !== undefined) {
+      return requestedAtMs - confirmedAtMs >= VM_GONE_MS;
+    }
+    const refusedAtMs = orders.findRefusedAtMs(order) ?? -Infinity;
+    return refusedAtMs >= goneSinceMs && clock.nowMs() >= completeByMs;
   }
 }
--- a/src/testing/fake_vms.ts
+++ b/src/testing/fake_vms.ts
@@ -57,6 +57,8 @@
   readonly goneVms = new Set<string>();
   /** VMs that are down: the list leaves them out, and orders are refused. */
   readonly downVms = new Set<string>();
+  /** VMs that are leaving: listed as up, while orders are refused. */
+  readonly busyVms = new Set<string>();
   /** VMs that the list leaves out. */
   readonly unlistedVms = new Set<string>();
   /** VMs whose entry in the list can be read only in part. */
@@ -157,7 +159,8 @@
     if (this.refusedWaveIds.has(waveId)) {
       return "otherWave";
     }
-    const isBusy = this.#vmsInMaintenance.has(vm) || this.downVms.has(vm);
+    const isBusy = this.#vmsInMaintenance.has(vm) || this.downVms.has(vm) ||
+      this.busyVms.has(vm);
     return isBusy ? "busy" : undefined;
   }
 
