Account for the capacity of each pool

Change: PoolAccounts sums the CPU of all VMs of a pool by what it is used for or withheld by: used, free, overdue, cordoned, maintenance, leaving, arriving, unheard, silent, draining, zoneOut, standby, empty, down. It is in the line 'worked as the leader' (poolCores) and in cardamomsill_pool_millicores. The line 'planned maintenance' says what a wave does with how much time left, and 'planned moves of VMs' from which pools the VMs come. No decision changes.

--- a/src/adapters/metrics/prometheus_scheduling_metrics.ts
+++ b/src/adapters/metrics/prometheus_scheduling_metrics.ts
@@ -158,6 +158,12 @@
     labelNames: ["pool"],
     registers: this.#registers,
   });
+  readonly #poolMillicores = new Gauge({
+    name: "cardamomsill_pool_millicores",
+    help: "CPU of all VMs at the leader, by pool and what it is used for",
+    labelNames: ["pool", "share"],
+    registers: this.#registers,
+  });
   readonly #runnerRequests = new Counter({
     name: "cardamomsill_runner_requests_total",
     help: "Requests of the leader to runners, by kind and outcome",
@@ -247,6 +253,7 @@
     this.#runners.reset();
     this.#waitingTasks.reset();
     this.#freeMillicores.reset();
+    this.#poolMillicores.reset();
     const gauges = readGauges();
     this.#term.set(gauges?.term ?? 0);
     if (gauges !== undefined) {
@@ -263,6 +270,11 @@
       for (const [pool, millicores] of gauges.freeMillicores) {
         this.#freeMillicores.set({ pool }, millicores);
       }
+      for (const [pool, account] of gauges.poolMillicores) {
+        for (const [share, millicores] of account) {
+          this.#poolMillicores.set({ pool, share }, millicores);
+        }
+      }
     }
     return this.#registry.metrics();
   }
--- a/src/adapters/metrics/prometheus_scheduling_metrics_test.ts
+++ b/src/adapters/metrics/prometheus_scheduling_metrics_test.ts
@@ -11,6 +11,9 @@
   runnerCounts: new Map(),
   waitingTaskCounts: new Map([["bay", 4]]),
   freeMillicores: new Map([["bay", 2_500]]),
+  poolMillicores: new Map([
+    ["bay", new Map([["free", 2_500], ["maintenance", 64_000]] as const)],
+  ]),
 };
 
 function setUp(gauges: SchedulingGauges | undefined = GAUGES) {
@@ -91,5 +94,12 @@
       assertIncludes(lines, 'cardamomsill_waiting_tasks{pool="bay"} 4');
       assertIncludes(lines, 'cardamomsill_free_millicores{pool="bay"} 2500');
     });
+
+    it("show what the capacity of a pool is used for or withheld by", async () => {
+      const lines = await setUp().listLines();
+      const name = "cardamomsill_pool_millicores";
+      assertIncludes(lines, `${name}{pool="bay",share="free"} 2500`);
+      assertIncludes(lines, `${name}{pool="bay",share="maintenance"} 64000`);
+    });
   });
 });
--- a/src/daemon/scheduling/start_leading.ts
+++ b/src/daemon/scheduling/start_leading.ts
@@ -27,6 +27,7 @@
   CapacityTask,
   type LeaderWork,
   PaceTask,
+  PoolAccounts,
   RunnerFleet,
   RunnerRegistry,
   ScheduleExplainer,
@@ -83,18 +84,29 @@
     client,
     findTicket: (task, runner) => adviceTask?.findTicket(task, runner),
   });
+  const isInMaintenance = (runner: Runner): boolean =>
+    waves?.isCordoned(runner) ?? false;
+  const isMoving = (runner: Runner): boolean =>
+    capacity?.isCordoned(runner) ?? false;
+  const accounts = new PoolAccounts({
+    ...options,
+    fleet,
+    mayPlaceOn: (runner) => scheduler.mayPlaceOn(runner),
+    isInMaintenance,
+    isMoving,
+  });
   const waves = vms === undefined ? undefined : new WaveTask({
     ...options,
     fleet,
+    accounts,
     vms,
     policy: new LeastLossMaintenancePolicy(),
     holderId: entryId,
   });
-  const isInMaintenance = (runner: Runner) =>
-    waves?.isCordoned(runner) ?? false;
   const capacity = vms === undefined ? undefined : new CapacityTask({
     ...options,
     fleet,
+    accounts,
     vms,
     policy: new DemandCapacityPolicy(),
     forecast: new HighestForecast([
@@ -112,8 +124,7 @@
     }),
     findStatus: (runner) => fleet.findStatus(runner),
     findApproved: (step) => adviceTask?.findApproved(step),
-    isCordoned: (runner) =>
-      isInMaintenance(runner) || (capacity?.isCordoned(runner) ?? false),
+    isCordoned: (runner) => isInMaintenance(runner) || isMoving(runner),
   });
   const adviceTask: AdviceTask | undefined = advice === undefined
     ? undefined
@@ -144,7 +155,7 @@
       group.startForever(name, (signal) => task.run(signal));
     }
   }
-  const readLeaderGauges = () => readGauges(options, fleet, scheduler);
+  const readLeaderGauges = () => readGauges(options, fleet, accounts);
   group.startForever("work", (signal) => work.report(readLeaderGauges, signal));
   return {
     registry: new RunnerRegistry({ ...options, client, fleet }),
@@ -161,8 +172,9 @@
 function readGauges(
   { clock, fencingToken, log }: StartLeadingOptions,
   fleet: RunnerFleet,
-  scheduler: Scheduler,
+  accounts: PoolAccounts,
 ): SchedulingGauges {
+  const poolMillicores = accounts.sum();
   const openJobCounts = new Map<JobState, number>([
     ["queued", 0],
     ["running", 0],
@@ -176,7 +188,12 @@
     openJobCounts,
     runnerCounts: fleet.countConditions(),
     waitingTaskCounts: countWaitingTasks(log, clock.nowMs()),
-    freeMillicores: sumFreeMillicores(log, scheduler),
+    freeMillicores: new Map(
+      [...poolMillicores].map((
+        [pool, account],
+      ) => [pool, account.get("free") ?? 0]),
+    ),
+    poolMillicores,
   };
 }
 
@@ -190,18 +207,3 @@
   }
   return counts;
 }
-
-function sumFreeMillicores(
-  { state: { catalog, jobs, runners } }: SchedulingLog,
-  scheduler: Scheduler,
-): ReadonlyMap<string, number> {
-  const sums = new Map(catalog.pools.map(({ name }) => [name, 0]));
-  for (const runner of runners.values()) {
-    if (scheduler.mayPlaceOn(runner)) {
-      const { used } = jobs.findLoad(runner);
-      const free = runner.capacity.cpuMillicores - used.cpuMillicores;
-      sums.set(runner.pool, (sums.get(runner.pool) ?? 0) + free);
-    }
-  }
-  return sums;
-}
--- a/src/ports/scheduling_metrics.ts
+++ b/src/ports/scheduling_metrics.ts
@@ -27,8 +27,42 @@
   readonly waitingTaskCounts: ReadonlyMap<string, number>;
   /** Free CPU of the runners that may get work, by pool. */
   readonly freeMillicores: ReadonlyMap<string, number>;
+  /** CPU of all VMs by pool and share; shares of nothing are left out. */
+  readonly poolMillicores: ReadonlyMap<string, ReadonlyMap<PoolShare, number>>;
 }
 
+/**
+ * What a share of a pool's capacity is used for, or what withholds it from work:
+ *
+ * - `used`: allocated to tasks on runners that are in service.
+ * - `free`: free on runners that may get work.
+ * - `overdue`: free on runners that have not answered a request in time.
+ * - `cordoned`: free on runners whose VM is about to be maintained.
+ * - `maintenance`: VMs in maintenance.
+ * - `leaving`: free on runners whose VM is about to move to another pool.
+ * - `arriving`: VMs that have been moved to the pool and do not serve it yet.
+ * - `unheard`: free on runners that have not been heard in this term.
+ * - `silent`, `draining`, `zoneOut`: runners that do not answer, are being
+ *   drained, or are in a zone that is out of service, with the work on them.
+ * - `standby`: VMs of a standby pool.
+ * - `empty`, `down`: listed VMs without a known runner, and those not up.
+ */
+export type PoolShare =
+  | "used"
+  | "free"
+  | "overdue"
+  | "cordoned"
+  | "maintenance"
+  | "leaving"
+  | "arriving"
+  | "unheard"
+  | "silent"
+  | "draining"
+  | "zoneOut"
+  | "standby"
+  | "empty"
+  | "down";
+
 /**
  * Condition of a runner. A `sound` runner answers the leader and is in service.
  * A `draining` runner answers and is being drained. `silent` covers all others:
--- a/src/services/scheduling/capacity_task.ts
+++ b/src/services/scheduling/capacity_task.ts
@@ -10,13 +10,13 @@
 import type { Runner } from "../../domain/index.ts";
 import type { Clock, ListedVm, Logger, VmControl } from "../../ports/index.ts";
 import { listArrivals, sumRecent } from "./arrivals.ts";
+import type { PoolAccounts } from "./pool_accounts.ts";
 import type { RunnerFleet } from "./runner_fleet.ts";
 import type { SchedulingLog } from "./scheduling_log.ts";
 import {
   CAPACITY_TICK_MS,
   FORECAST_AHEAD_MS,
   MAX_LISTING_AGE_MS,
-  MOVE_MS,
 } from "./timing.ts";
 import { type ConfirmedMove, VmMover } from "./vm_mover.ts";
 
@@ -34,6 +34,10 @@
   readonly fencingToken: number;
   /** Returns whether a runner's VM is being drained for maintenance. */
   readonly isInMaintenance: (runner: Runner) => boolean;
+  readonly accounts: Pick<
+    PoolAccounts,
+    "isArriving" | "recordListing" | "recordMoved" | "sumArriving"
+  >;
 }
 
 /** A runner incarnation without work. */
@@ -43,20 +47,11 @@
   readonly sinceMs: number;
 }
 
-/** A VM that has been moved and does not serve its new pool yet. */
-interface ArrivingVm {
-  readonly pool: string;
-  readonly cpuMillicores: number;
-  /** Monotonic time until which it counts as arriving (ms). */
-  readonly untilMs: number;
-}
-
 /** Moves idle VMs between pools to match the demand of each pool. */
 export class CapacityTask {
   readonly #options: CapacityTaskOptions;
   /** The known runners that are idle, by id. */
   #idleRunners: ReadonlyMap<string, IdleRunner> = new Map();
-  readonly #arrivingVms = new Map<string, ArrivingVm>();
   readonly #mover: VmMover;
   #vms: readonly ListedVm[] = [];
   #listedAtMs = -Infinity;
@@ -110,6 +105,7 @@
       logger.info(
         {
           moveCount: moves.length,
+          sources: countByPool(moves.map(({ move }) => move.from)),
           targets: pools.filter(({ pool }) => targets.has(pool)),
         },
         "planned moves of VMs",
@@ -143,6 +139,7 @@
       return;
     }
     this.#vms = listed.value.vms;
+    this.#options.accounts.recordListing(this.#vms);
   }
 
   #updateIdleTimes(): void {
@@ -161,15 +158,10 @@
       }
     }
     this.#idleRunners = idleRunners;
-    for (const [vm, { untilMs }] of this.#arrivingVms) {
-      if (nowMs > untilMs) {
-        this.#arrivingVms.delete(vm);
-      }
-    }
   }
 
   #listIdleVms(): IdleVm[] {
-    const { clock, log } = this.#options;
+    const { accounts, clock, log } = this.#options;
     const standby = new Set(
       log.state.catalog.pools.filter(({ isStandby }) => isStandby)
         .map(({ name }) => name),
@@ -177,7 +169,7 @@
     const nowMs = clock.monotonicMs();
     return this.#vms.flatMap((listed): IdleVm[] => {
       const { vm, pool, cpuMillicores, runnerId, state, zone } = listed;
-      const isUnavailable = this.#arrivingVms.has(vm) || state !== "up" ||
+      const isUnavailable = accounts.isArriving(vm) || state !== "up" ||
         log.state.zonesOut.has(zone);
       if (isUnavailable) {
         return [];
@@ -235,8 +227,8 @@
   }
 
   #sumCapacity(): Map<string, number> {
-    const { fleet, isInMaintenance, log } = this.#options;
-    const capacity = new Map<string, number>();
+    const { accounts, fleet, isInMaintenance, log } = this.#options;
+    const capacity = accounts.sumArriving();
     for (const runner of log.state.runners.values()) {
       const isUsable = fleet.findStatus(runner)?.isOperational &&
         !runner.isDraining && !isInMaintenance(runner) &&
@@ -245,17 +237,13 @@
         add(capacity, runner.pool, runner.capacity.cpuMillicores);
       }
     }
-    for (const { pool, cpuMillicores } of this.#arrivingVms.values()) {
-      add(capacity, pool, cpuMillicores);
-    }
     return capacity;
   }
 
   #recordMoved({ listed, move, runner }: ConfirmedMove): void {
-    const { clock, fleet } = this.#options;
-    const { cpuMillicores, vm } = listed;
-    const untilMs = clock.monotonicMs() + MOVE_MS;
-    this.#arrivingVms.set(vm, { pool: move.to, cpuMillicores, untilMs });
+    const { accounts, fleet } = this.#options;
+    const { vm } = listed;
+    accounts.recordMoved(listed, move.to);
     this.#vms = this.#vms.map((known) =>
       known.vm === vm ? { ...known, pool: move.to, runnerId: undefined } : known
     );
@@ -265,6 +253,12 @@
   }
 }
 
+function countByPool(pools: readonly string[]): Record<string, number> {
+  const counts = new Map<string, number>();
+  pools.forEach((pool) => add(counts, pool, 1));
+  return Object.fromEntries(counts);
+}
+
 function add(sums: Map<string, number>, key: string, value: number): void {
   sums.set(key, (sums.get(key) ?? 0) + value);
 }
--- a/src/services/scheduling/leader_work.ts
+++ b/src/services/scheduling/leader_work.ts
@@ -17,6 +17,7 @@
 } from "./timing.ts";
 
 const PERCENT = 100;
+const MILLICORES_PER_CORE = 1_000;
 
 /** Options of {@link LeaderWork}. */
 export interface LeaderWorkOptions {
@@ -157,10 +158,25 @@
       runners: Object.fromEntries(gauges.runnerCounts),
       waitingTasks: Object.fromEntries(gauges.waitingTaskCounts),
       freeMillicores: Object.fromEntries(gauges.freeMillicores),
+      poolCores: Object.fromEntries(
+        [...gauges.poolMillicores].map((
+          [pool, account],
+        ) => [pool, toCores(account)]),
+      ),
     }, "worked as the leader");
   }
 }
 
+function toCores(
+  account: ReadonlyMap<string, number>,
+): Readonly<Record<string, number>> {
+  return Object.fromEntries(
+    [...account].map((
+      [share, millicores],
+    ) => [share, Math.round(millicores / MILLICORES_PER_CORE)]),
+  );
+}
+
 function increase<K>(counts: Map<K, number>, key: K): void {
   counts.set(key, (counts.get(key) ?? 0) + 1);
 }
--- a/src/services/scheduling/leader_work_test.ts
+++ b/src/services/scheduling/leader_work_test.ts
@@ -21,6 +21,9 @@
   runnerCounts: new Map([["sound", 3], ["silent", 1]]),
   waitingTaskCounts: new Map([["bay", 5]]),
   freeMillicores: new Map([["bay", 8_000]]),
+  poolMillicores: new Map([
+    ["bay", new Map([["free", 8_000], ["cordoned", 16_000]] as const)],
+  ]),
 };
 
 function setUp() {
@@ -80,6 +83,7 @@
         runners: { sound: 3, silent: 1 },
         waitingTasks: { bay: 5 },
         freeMillicores: { bay: 8_000 },
+        poolCores: { bay: { free: 8, cordoned: 16 } },
       },
       message: "worked as the leader",
     }]);
--- /dev/null
+++ b/src/services/scheduling/pool_accounts.ts
@@ -0,0 +1,172 @@
+/** Accounts for the capacity of each pool: who uses it, or what withholds it. */
+import type { Runner } from "../../domain/index.ts";
+import type { Clock, ListedVm, PoolShare } from "../../ports/index.ts";
+import type { RunnerFleet } from "./runner_fleet.ts";
+import type { SchedulingLog } from "./scheduling_log.ts";
+import { MOVE_MS } from "./timing.ts";
+
+/** Options of {@link PoolAccounts}. */
+export interface PoolAccountsOptions {
+  readonly log: SchedulingLog;
+  readonly fleet: Pick<RunnerFleet, "findStatus">;
+  readonly clock: Clock;
+  /** Returns whether a runner may get work now. */
+  readonly mayPlaceOn: (runner: Runner) => boolean;
+  /** Returns whether a runner's VM is being drained for maintenance. */
+  readonly isInMaintenance: (runner: Runner) => boolean;
+  /** Returns whether a runner's VM has, or is about to get, an order to move. */
+  readonly isMoving: (runner: Runner) => boolean;
+}
+
+/** Millicores of one pool by what they are used for or withheld by. */
+export type PoolAccount = ReadonlyMap<PoolShare, number>;
+
+/** A VM that has been moved and does not serve its new pool yet. */
+interface ArrivingVm {
+  readonly pool: string;
+  readonly cpuMillicores: number;
+  /** Monotonic time until which it counts as arriving (ms). */
+  readonly untilMs: number;
+}
+
+/**
+ * Knows where the capacity of each pool is. Waves, moves and the scheduler each
+ * withhold VMs; here their shares add up.
+ */
+export class PoolAccounts {
+  readonly #options: PoolAccountsOptions;
+  readonly #arriving = new Map<string, ArrivingVm>();
+  #vms: readonly ListedVm[] = [];
+
+  constructor(options: PoolAccountsOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Records the newest list of VMs.
+   *
+   * @param vms - The VMs.
+   */
+  recordListing(vms: readonly ListedVm[]): void {
+    this.#vms = vms;
+  }
+
+  /**
+   * Records a VM whose move the platform has confirmed.
+   *
+   * @param listed - The VM as it was listed before.
+   * @param pool - Its new pool.
+   */
+  recordMoved({ cpuMillicores, vm }: ListedVm, pool: string): void {
+    const untilMs = this.#options.clock.monotonicMs() + MOVE_MS;
+    this.#arriving.set(vm, { pool, cpuMillicores, untilMs });
+  }
+
+  /** Returns whether a VM has been moved and does not serve its new pool yet. */
+  isArriving(vm: string): boolean {
+    const { untilMs = -Infinity } = this.#arriving.get(vm) ?? {};
+    return this.#options.clock.monotonicMs() <= untilMs;
+  }
+
+  /** Sums the capacity of the VMs that are on their way to each pool. */
+  sumArriving(): Map<string, number> {
+    const sums = new Map<string, number>();
+    for (const [vm, { cpuMillicores, pool }] of this.#arriving) {
+      if (this.isArriving(vm)) {
+        sums.set(pool, (sums.get(pool) ?? 0) + cpuMillicores);
+      } else {
+        this.#arriving.delete(vm);
+      }
+    }
+    return sums;
+  }
+
+  /**
+   * Sums the capacity of each pool by what it is used for. The shares of a pool
+   * add up to the capacity of its runners and of its listed VMs without one.
+   *
+   * @returns Millicores by pool and share; shares of nothing are left out.
+   */
+  sum(): Map<string, PoolAccount> {
+    const { log: { state } } = this.#options;
+    const accounts = new Map(
+      state.catalog.pools.map(({ name }) => [
+        name,
+        new Map<PoolShare, number>(),
+      ]),
+    );
+    const add = (pool: string, share: PoolShare, millicores: number) => {
+      const account = accounts.get(pool);
+      if (millicores > 0) {
+        account?.set(share, (account.get(share) ?? 0) + millicores);
+      }
+    };
+    for (const runner of state.runners.values()) {
+      const { capacity: { cpuMillicores }, pool } = runner;
+      const usedMillicores = state.jobs.findLoad(runner).used.cpuMillicores;
+      const share = this.#findShare(runner);
+      // Work on these has to go elsewhere.
+      const isLost = share === "silent" || share === "draining" ||
+        share === "zoneOut";
+      const countedMillicores = isLost ? 0 : usedMillicores;
+      add(pool, "used", countedMillicores);
+      add(pool, share, cpuMillicores - countedMillicores);
+    }
+    for (const [pool, millicores] of this.sumArriving()) {
+      add(pool, "arriving", millicores);
+    }
+    for (const listed of this.#vms) {
+      const share = this.#findShareWithoutRunner(listed);
+      if (share !== undefined) {
+        add(listed.pool, share, listed.cpuMillicores);
+      }
+    }
+    return accounts;
+  }
+
+  #findShare(runner: Runner): PoolShare {
+    const { fleet, isInMaintenance, isMoving, log, mayPlaceOn } = this.#options;
+    const status = fleet.findStatus(runner);
+    if (mayPlaceOn(runner)) {
+      return "free";
+    }
+    if (runner.isDraining) {
+      return "draining";
+    }
+    if (log.state.zonesOut.has(runner.zone)) {
+      return "zoneOut";
+    }
+    if (isInMaintenance(runner)) {
+      return "cordoned";
+    }
+    if (isMoving(runner)) {
+      return "leaving";
+    }
+    if (status === undefined || status.isUnheard) {
+      return "unheard";
+    }
+    return status.isOperational ? "overdue" : "silent";
+  }
+
+  #findShareWithoutRunner(
+    { pool, runnerId, state, vm }: ListedVm,
+  ): PoolShare | undefined {
+    const { catalog, runners } = this.#options.log.state;
+    if (this.isArriving(vm) || runners.has(runnerId ?? "")) {
+      return undefined;
+    }
+    const isStandby = catalog.pools.some((known) =>
+      known.name === pool && known.isStandby
+    );
+    switch (state) {
+      case "upkeep":
+        return "maintenance";
+      case "moving":
+        return "arriving";
+      case "up":
+        return isStandby ? "standby" : "empty";
+      default:
+        return "down";
+    }
+  }
+}
--- a/src/services/scheduling/runner_status.ts
+++ b/src/services/scheduling/runner_status.ts
@@ -115,6 +115,15 @@
       this.silenceMs < MAX_SILENCE_MS;
   }
 
+  /**
+   * Whether nothing is known of it yet in this term: it has not answered, and no
+   * request to it has failed.
+   */
+  get isUnheard(): boolean {
+    return !this.isSynced && this.mayGetLease && !this.isLeaving &&
+      this.silenceMs < MAX_SILENCE_MS;
+  }
+
   /**
    * Returns the progress of a task. The last report of a runner that does not
    * respond is ignored, because it does not show that the task is still
--- a/src/services/scheduling/vm_mover_test.ts
+++ b/src/services/scheduling/vm_mover_test.ts
@@ -21,6 +21,7 @@
 import { FakeClock } from "../../testing/fake_clock.ts";
 import { FakeLeaderMetrics, FakeLogger } from "../../testing/fake_ports.ts";
 import { CapacityTask } from "./capacity_task.ts";
+import { PoolAccounts } from "./pool_accounts.ts";
 import { RunnerStatus } from "./runner_status.ts";
 import { Scheduler } from "./scheduler.ts";
 import { SchedulingLog } from "./scheduling_log.ts";
@@ -168,9 +169,18 @@
       clock,
       logger: new FakeLogger(),
     };
+    const fleet = { findStatus, retire: () => {} };
+    const accounts = new PoolAccounts({
+      ...shared,
+      fleet,
+      mayPlaceOn: () => true,
+      isInMaintenance: () => false,
+      isMoving: () => false,
+    });
     const capacity = new CapacityTask({
       ...shared,
-      fleet: { findStatus, retire: () => {} },
+      fleet,
+      accounts,
       vms,
       policy,
       forecast: new NoForecast(),
--- a/src/services/scheduling/wave_task.ts
+++ b/src/services/scheduling/wave_task.ts
@@ -8,6 +8,7 @@
 import type { Clock, ListedVm, Logger, VmControl } from "../../ports/index.ts";
 import { type Notifier, waitFor } from "../../tasks/index.ts";
 import { MaintenanceStarter } from "./maintenance_starter.ts";
+import type { PoolAccounts } from "./pool_accounts.ts";
 import type { RunnerFleet } from "./runner_fleet.ts";
 import type { SchedulingLog } from "./scheduling_log.ts";
 import { WAVE_TICK_MS } from "./timing.ts";
@@ -21,6 +22,7 @@
   readonly fleet: RunnerFleet;
   readonly vms: VmControl;
   readonly policy: MaintenancePolicy;
+  readonly accounts: Pick<PoolAccounts, "recordListing">;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly changed: Notifier;
@@ -105,7 +107,7 @@
   }
 
   async #advance(): Promise<void> {
-    const { clock, log, logger, vms } = this.#options;
+    const { accounts, clock, log, logger, vms } = this.#options;
     if (!log.holdsLeaderLease) {
       return;
     }
@@ -115,6 +117,7 @@
       logger.warn({ failure: listed.error }, "the VMs could not be listed");
       return;
     }
+    accounts.recordListing(listed.value.vms);
     const waves = this.#listOpen();
     this.#presence.record(
       waves.flatMap((wave) => wave.vms),
@@ -147,6 +150,7 @@
     const cordonedVms = new Set(
       plans.flatMap(({ plan, send }) => [...send, ...plan.cordon]),
     );
+    plans.forEach((wave) => this.#logPlan(wave, byName));
     const confirmed = await this.#confirmIdle(plans, listing);
     await this.#starter.begin(
       confirmed.flatMap(({ plan, send, waveId }) =>
@@ -157,6 +161,27 @@
     this.#cordonedRunnerIds = cordoned;
   }
 
+  #logPlan(
+    { plan, send, waveId }: WavePlan,
+    byName: ReadonlyMap<string, ListedVm>,
+  ): void {
+    const { clock, log, logger } = this.#options;
+    const wave = log.state.waves.get(waveId);
+    if (wave === undefined) {
+      return;
+    }
+    logger.info({
+      waveId,
+      leftMs: Math.round(wave.completeByMs - clock.nowMs()),
+      vmCount: wave.vms.length,
+      orderedCount: countState(wave, "ordered"),
+      doneCount: countState(wave, "done"),
+      begin: countByPool([...send, ...plan.begin], byName),
+      cordon: countByPool(plan.cordon, byName),
+      evacuate: countByPool(plan.evacuate, byName),
+    }, "planned maintenance");
+  }
+
   // A plan of the scheduler that was made before the cordon may still place work
   // on these VMs. Once a later entry of the log has taken effect, it has too, or
   // it never will.
@@ -213,3 +238,19 @@
     }
   }
 }
+
+function countState({ progress }: WaveRecord, wanted: string): number {
+  return Object.values(progress).filter((state) => state === wanted).length;
+}
+
+function countByPool(
+  names: readonly string[],
+  byName: ReadonlyMap<string, ListedVm>,
+): Record<string, number> {
+  const counts: Record<string, number> = {};
+  for (const vm of names) {
+    const pool = byName.get(vm)?.pool ?? "";
+    counts[pool] = (counts[pool] ?? 0) + 1;
+  }
+  return counts;
+}
--- a/src/testing/scheduling_fixture.ts
+++ b/src/testing/scheduling_fixture.ts
@@ -21,6 +21,7 @@
 import {
   followLog,
   JobService,
+  PoolAccounts,
   RelayedRunnerClient,
   RunnerFleet,
   RunnerRegistry,
@@ -296,14 +297,22 @@
       findTicket: () => undefined,
     };
     const fleet = new RunnerFleet(shared);
-    const waves = this.vms && new WaveTask({
+    const accounts = new PoolAccounts({
       ...shared,
       fleet,
+      mayPlaceOn: (runner) => scheduler.mayPlaceOn(runner),
+      isInMaintenance: (runner) => waves?.isCordoned(runner) ?? false,
+      isMoving: () => false,
+    });
+    const waves: WaveTask | undefined = this.vms && new WaveTask({
+      ...shared,
+      fleet,
+      accounts,
       vms: this.vms,
       policy: new LeastLossMaintenancePolicy(),
       holderId: `leader-${term}`,
     });
-    const scheduler = new Scheduler({
+    const scheduler: Scheduler = new Scheduler({
       ...shared,
       planner: this.#options.planner ?? createPlanner(),
       findStatus: (runner) => fleet.findStatus(runner),
