Reproduce the room that waves, moves and new terms take from work

- a new leader counts 40 runners in the log as no capacity until they answer;
- a wave with 25 s left ends work on a busy VM because 8 other VMs have tasks of one long-running step.

--- a/src/decisions/scheduling/maintenance_policy_test.ts
+++ b/src/decisions/scheduling/maintenance_policy_test.ts
@@ -1,4 +1,6 @@
 import * as assert from "uvu/assert";
+import * as v from "valibot";
+import { jobStepSchema, type RunningTask } from "../../domain/index.ts";
 import { describe, it } from "../../testing/describe.ts";
 import {
   LeastLossMaintenancePolicy,
@@ -89,4 +91,28 @@
     assert.equal(plan.evacuate, ["c", "d"]);
     assert.equal(plan.cordon, ["c", "d"]);
   });
+
+  // Guards against work that a wave ends although it has time: VMs with tasks of
+  // one long-running step follow one after the other, and the length of that
+  // sequence made the whole wave late.
+  it("waits for work on other VMs beside a long sequence", () => {
+    const sequence = Array.from(
+      { length: 8 },
+      (_, at) => createCandidate(`guarded${at}`, { guardedSteps: ["s"] }),
+    );
+    const step = v.parse(jobStepSchema, {
+      taskCount: 1,
+      needs: { cpuMillicores: 1_000 },
+    });
+    const busy = createCandidate("busy", {
+      running: [{ step } as RunningTask],
+    });
+    const plan = policy.plan({
+      leftMs: 25_000,
+      maxAwayCount: 10,
+      allowedStartCount: 10,
+      candidates: [busy, ...sequence],
+    });
+    assert.not(plan.begin.includes("busy"));
+  });
 });
--- a/src/services/scheduling/capacity_task_test.ts
+++ b/src/services/scheduling/capacity_task_test.ts
@@ -4,7 +4,10 @@
   IdleVm,
   PoolLoad,
 } from "../../decisions/index.ts";
-import { CapacityFixture } from "../../testing/capacity_fixture.ts";
+import {
+  CapacityFixture,
+  VM_MILLICORES,
+} from "../../testing/capacity_fixture.ts";
 import { afterEach, describe, it } from "../../testing/describe.ts";
 import { CAPACITY_TICK_MS, MAX_LISTING_AGE_MS } from "./timing.ts";
 
@@ -122,3 +125,15 @@
     assert.ok((policy.findIdleMs(FIRST_VM) ?? Infinity) <= 1_000);
   });
 });
+
+describe("the capacity of a pool at the start of a term", () => {
+  afterEach(stopAll);
+
+  // Guards against VMs that move to a pool that has enough, away from pools that
+  // need them next: a new leader counted only runners that had answered it.
+  it("includes the runners in the log that have not been heard yet", async () => {
+    const policy = new WatchingPolicy();
+    await setUp(policy, false);
+    assert.is(policy.capacities[0], VM_COUNT * VM_MILLICORES);
+  });
+});
