Take no VM for a wave that work needs while the wave has time

Cause: LeastLossMaintenancePolicy cordoned as many VMs as may begin now, and as many again as the limit of the wave, and began with every VM without work, whatever work waited and however far the deadline was. It also took the whole wave for late when the longest sequence of VMs with tasks of one long-running step did not fit, and then ended other work.

Change: a wave takes VMs that their pools can spare (SpareRoom: capacity beyond the wanted one, less what other pools lack and what the next turn may need). Without room it waits until the pace that its deadline requires is half of its limit, and goes on at that pace from there (MaintenancePace). VMs are late by their own sequences only. PoolLoads, taken out of CapacityTask, tells moves and waves the same demand and capacity, from the accounts.

The checks of the wave tests are as they were; their set-up names pools.

--- a/src/daemon/scheduling/start_leading.ts
+++ b/src/daemon/scheduling/start_leading.ts
@@ -28,6 +28,7 @@
   type LeaderWork,
   PaceTask,
   PoolAccounts,
+  PoolLoads,
   RunnerFleet,
   RunnerRegistry,
   ScheduleExplainer,
@@ -95,10 +96,19 @@
     isInMaintenance,
     isMoving,
   });
+  const loads = new PoolLoads({
+    ...options,
+    accounts,
+    forecast: new HighestForecast([
+      new TurnForecast(),
+      new TrendForecast(),
+    ]),
+  });
   const waves = vms === undefined ? undefined : new WaveTask({
     ...options,
     fleet,
     accounts,
+    loads,
     vms,
     policy: new LeastLossMaintenancePolicy(),
     holderId: entryId,
@@ -107,12 +117,9 @@
     ...options,
     fleet,
     accounts,
+    loads,
     vms,
     policy: new DemandCapacityPolicy(),
-    forecast: new HighestForecast([
-      new TurnForecast(),
-      new TrendForecast(),
-    ]),
     holderId: entryId,
     isInMaintenance,
   });
--- a/src/decisions/scheduling/capacity_policy.ts
+++ b/src/decisions/scheduling/capacity_policy.ts
@@ -57,11 +57,6 @@
 
 /** Options of {@link DemandCapacityPolicy}. */
 export interface DemandCapacityOptions {
-  /**
-   * Planned capacity as a multiple of the demand, so that tasks whose sizes do
-   * not divide a VM evenly still fit.
-   */
-  readonly headroomFactor?: number;
   /**
    * Time that a VM stays idle before it is parked, which means moved to a
    * standby pool, in milliseconds. Idle VMs are the reserve for the first
@@ -74,7 +69,11 @@
   readonly minPoolVmCount?: number;
 }
 
-const DEFAULT_HEADROOM_FACTOR = 1.15;
+/**
+ * Planned capacity as a multiple of the demand, so that tasks whose sizes do not
+ * divide a VM evenly still fit.
+ */
+const HEADROOM_FACTOR = 1.15;
 const DEFAULT_PARK_AFTER_MS = 30_000;
 const DEFAULT_MIN_POOL_VM_COUNT = 2;
 
@@ -90,12 +89,10 @@
  * with more capacity than they want, and parks VMs that stay idle.
  */
 export class DemandCapacityPolicy implements CapacityPolicy {
-  readonly #headroomFactor: number;
   readonly #parkAfterMs: number;
   readonly #minPoolVmCount: number;
 
   constructor(options: DemandCapacityOptions = {}) {
-    this.#headroomFactor = options.headroomFactor ?? DEFAULT_HEADROOM_FACTOR;
     this.#parkAfterMs = options.parkAfterMs ?? DEFAULT_PARK_AFTER_MS;
     this.#minPoolVmCount = options.minPoolVmCount ?? DEFAULT_MIN_POOL_VM_COUNT;
   }
@@ -123,15 +120,9 @@
   }
 
   #createBalance(load: PoolLoad, idle: readonly IdleVm[]): Balance {
-    const busy = load.runningMillicores + load.waitingMillicores;
-    const expected = Math.max(
-      busy,
-      load.arrivingMillicores,
-      load.forecastMillicores,
-    );
     return {
       load,
-      wantedMillicores: expected * this.#headroomFactor,
+      wantedMillicores: computeWantedMillicores(load),
       capacityMillicores: load.capacityMillicores,
       idleLeft: idle.filter(({ pool }) => pool === load.pool),
     };
@@ -199,6 +190,21 @@
   }
 }
 
+/**
+ * Computes the capacity that a pool needs for its work.
+ *
+ * @param load - Demand of the pool.
+ * @returns Millicores.
+ */
+export function computeWantedMillicores(load: PoolLoad): number {
+  const expectedMillicores = Math.max(
+    load.runningMillicores + load.waitingMillicores,
+    load.arrivingMillicores,
+    load.forecastMillicores,
+  );
+  return expectedMillicores * HEADROOM_FACTOR;
+}
+
 function computeShortage(
   { wantedMillicores, capacityMillicores }: Balance,
 ): number {
--- a/src/decisions/scheduling/maintenance_policy.ts
+++ b/src/decisions/scheduling/maintenance_policy.ts
@@ -1,19 +1,30 @@
 /** Chooses the VMs of a wave whose maintenance begins next. */
 import type { RunningTask } from "../../domain/index.ts";
+import type { PoolLoad } from "./capacity_policy.ts";
+import { MaintenancePace, StepTurns } from "./maintenance_pace.ts";
+import { SpareRoom } from "./spare_room.ts";
+
+/** A step that limits how many of its tasks may be unavailable. */
+export interface GuardedStep {
+  readonly stepId: string;
+  /** Number of its tasks that may be unavailable at once. */
+  readonly maxAwayCount: number;
+}
 
 /** A VM that waits for its maintenance. */
 export interface MaintenanceCandidate {
   readonly vm: string;
+  readonly pool: string;
+  readonly cpuMillicores: number;
   /** Tasks that run on it. */
   readonly running: readonly RunningTask[];
   /** Whether stopping its long-running tasks would exceed a step's limit. */
   readonly isProtected: boolean;
   /**
-   * Ids of the steps that limit unavailable tasks, one for each of their tasks
-   * on the VM. VMs with tasks of the same step are maintained one after the
-   * other.
+   * The steps that limit unavailable tasks, one entry for each of their tasks on
+   * the VM. VMs with tasks of the same step are maintained one after the other.
    */
-  readonly guardedSteps: readonly string[];
+  readonly guardedSteps: readonly GuardedStep[];
   /** Whether it gets no new work, because it was in an earlier plan. */
   readonly isCordoned: boolean;
 }
@@ -27,6 +38,8 @@
   readonly leftMs: number;
   /** Number of VMs that may be unavailable at once. */
   readonly maxAwayCount: number;
+  /** Demand and capacity of the pools. */
+  readonly pools: readonly PoolLoad[];
 }
 
 /** The next actions of a wave, as names of VMs. */
@@ -51,13 +64,6 @@
   plan(input: MaintenanceInput): MaintenancePlan;
 }
 
-/**
- * Time from the start of one VM's maintenance to the next one's, in
- * milliseconds: two seconds on the platform, the time until the VM is listed as
- * up again, and the start of its long-running tasks elsewhere.
- */
-const MAINTENANCE_TURN_MS = 4_000;
-
 /**
  * Least number of VMs whose protected tasks are moved elsewhere at the same time.
  * With more, no VM of a small pool would be left for those tasks.
@@ -69,65 +75,144 @@
  */
 const EVACUATED_SHARE = 0.25;
 
+interface RatedCandidate extends MaintenanceCandidate {
+  /** Capacity of the work that would be lost, in millicores. */
+  readonly lossMillicores: number;
+  readonly freeMillicores: number;
+}
+
+/** State of one plan while it is being made. */
+interface PlanState {
+  readonly input: MaintenanceInput;
+  readonly pace: MaintenancePace;
+  readonly room: SpareRoom;
+  /** The candidates, those first on which the least is lost. */
+  readonly sorted: readonly RatedCandidate[];
+  /** Steps whose tasks stop with the VMs that are chosen. */
+  readonly turns: StepTurns;
+}
+
 /**
- * Begins with the VMs on which the least work would be lost. While the wave is
- * on time, it waits until a VM runs no work that would be lost.
+ * Begins with the VMs on which the least work would be lost, in the pools with
+ * the most room to spare. While the wave has time, it takes no VM that work
+ * needs, and waits until a VM runs no work that would be lost.
  */
 export class LeastLossMaintenancePolicy implements MaintenancePolicy {
   plan(input: MaintenanceInput): MaintenancePlan {
-    const { candidates, allowedStartCount, leftMs, maxAwayCount } = input;
-    const sorted = candidates
-      .map((candidate) => ({ ...candidate, loss: computeLoss(candidate) }))
-      .toSorted((left, right) =>
-        left.loss - right.loss ||
-        right.guardedSteps.length - left.guardedSteps.length
-      );
-    const turnCount = Math.max(
-      Math.ceil(candidates.length / maxAwayCount),
-      countLongestSequence(candidates),
+    const rated = input.candidates.map(rateCandidate);
+    const room = new SpareRoom(input.pools, rated);
+    const sorted = rated.toSorted((left, right) =>
+      left.lossMillicores - right.lossMillicores ||
+      right.guardedSteps.length - left.guardedSteps.length ||
+      room.find(right.pool) - room.find(left.pool)
     );
-    const isLate = leftMs < turnCount * MAINTENANCE_TURN_MS;
-    const begin = sorted
-      .filter(({ isProtected, loss }) => !isProtected && (isLate || loss === 0))
-      .slice(0, allowedStartCount)
-      .map(({ vm }) => vm);
-    const cordonedFirst = [
-      ...sorted.filter(({ isCordoned }) => isCordoned),
-      ...sorted.filter(({ isCordoned }) => !isCordoned),
-    ];
-    const guarded = cordonedFirst.filter(({ isProtected }) => isProtected);
+    const pace = new MaintenancePace(input);
+    const state = { input, pace, room, sorted, turns: new StepTurns() };
+    const begin = chooseBegun(state);
+    const evacuated = chooseEvacuated(state);
     // Tasks that were moved away would come back to these VMs.
-    const kept = guarded.filter(({ isCordoned }) => isCordoned);
-    const next = cordonedFirst.filter(({ isProtected }) => !isProtected)
-      .slice(0, Math.max(0, allowedStartCount + maxAwayCount - kept.length));
-    const evacuated = guarded.slice(
-      0,
-      Math.max(MIN_EVACUATED_COUNT, Math.floor(maxAwayCount * EVACUATED_SHARE)),
+    const kept = sorted.filter(({ isCordoned, isProtected }) =>
+      isCordoned && isProtected
     );
+    const emptied = [...new Set([...kept, ...evacuated])];
+    const next = chooseNext(state, begin, emptied.length);
     return {
-      begin,
-      cordon: [...new Set([...next, ...kept, ...evacuated])]
-        .map(({ vm }) => vm),
+      begin: begin.map(({ vm }) => vm),
+      cordon: [...begin, ...next, ...emptied].map(({ vm }) => vm),
       evacuate: evacuated.map(({ vm }) => vm),
     };
   }
 }
 
-function countLongestSequence(
-  candidates: readonly MaintenanceCandidate[],
-): number {
-  const counts = new Map<string, number>();
-  for (const step of candidates.flatMap(({ guardedSteps }) => guardedSteps)) {
-    counts.set(step, (counts.get(step) ?? 0) + 1);
+function chooseBegun(
+  { input, pace, room, sorted, turns }: PlanState,
+): RatedCandidate[] {
+  const { allowedStartCount, maxAwayCount } = input;
+  const awayCount = maxAwayCount - allowedStartCount;
+  const requiredCount = Math.max(0, pace.requiredAwayCount - awayCount);
+  const begin: RatedCandidate[] = [];
+  for (const candidate of sorted) {
+    const { guardedSteps, isProtected, lossMillicores } = candidate;
+    const mayBegin = begin.length < allowedStartCount && !isProtected &&
+      (lossMillicores === 0 || pace.isLate(guardedSteps));
+    const shouldBegin = begin.length < requiredCount || room.has(candidate) ||
+      pace.isUrgent(guardedSteps);
+    if (mayBegin && shouldBegin && turns.take(guardedSteps)) {
+      room.take(candidate);
+      begin.push(candidate);
+    }
   }
-  return Math.max(0, ...counts.values());
+  return begin;
+}
+
+// The VMs that get no new work, so that they are empty when others are back.
+function chooseNext(
+  { input, pace, room, sorted, turns }: PlanState,
+  begin: readonly RatedCandidate[],
+  emptiedCount: number,
+): RatedCandidate[] {
+  const { allowedStartCount, maxAwayCount } = input;
+  const open = sorted.filter((candidate) =>
+    !candidate.isProtected && !begin.includes(candidate)
+  );
+  // Nothing comes to an empty VM of a pool with room to spare.
+  const staysEmpty = (candidate: RatedCandidate) =>
+    candidate.lossMillicores === 0 && room.has(candidate);
+  const hasBegun = begin.length > 0 || allowedStartCount < maxAwayCount;
+  const requiredCount = Math.max(pace.requiredAwayCount, Number(hasBegun)) -
+    open.filter(staysEmpty).length - emptiedCount;
+  const roomyCount = allowedStartCount - begin.length - emptiedCount;
+  const next: RatedCandidate[] = [];
+  for (const candidate of sortCordonedFirst(open)) {
+    const { guardedSteps } = candidate;
+    const isNeeded = next.length < requiredCount ||
+      next.length < roomyCount &&
+        (room.has(candidate) || pace.isUrgent(guardedSteps));
+    if (!staysEmpty(candidate) && isNeeded && turns.take(guardedSteps)) {
+      room.take(candidate);
+      next.push(candidate);
+    }
+  }
+  return next;
+}
+
+function chooseEvacuated(
+  { input: { maxAwayCount }, pace, room, sorted }: PlanState,
+): RatedCandidate[] {
+  const maxCount = Math.max(
+    MIN_EVACUATED_COUNT,
+    Math.floor(maxAwayCount * EVACUATED_SHARE),
+  );
+  const evacuated: RatedCandidate[] = [];
+  for (const candidate of sortCordonedFirst(sorted)) {
+    const isNeeded = candidate.isCordoned || pace.requiredAwayCount > 0 ||
+      pace.isUrgent(candidate.guardedSteps) || room.has(candidate);
+    if (candidate.isProtected && isNeeded && evacuated.length < maxCount) {
+      room.take(candidate);
+      evacuated.push(candidate);
+    }
+  }
+  return evacuated;
+}
+
+function sortCordonedFirst(
+  candidates: readonly RatedCandidate[],
+): RatedCandidate[] {
+  return candidates.toSorted((left, right) =>
+    Number(right.isCordoned) - Number(left.isCordoned)
+  );
 }
 
 // A long-running task loses nothing by a restart. Other work starts again from
 // its last checkpoint.
-function computeLoss({ running }: MaintenanceCandidate): number {
-  return running.reduce(
-    (sum, { step }) => sum + (step.isEndless ? 0 : step.needs.cpuMillicores),
-    0,
-  );
+function rateCandidate(candidate: MaintenanceCandidate): RatedCandidate {
+  const { cpuMillicores, running } = candidate;
+  let usedMillicores = 0;
+  let lossMillicores = 0;
+  for (const { step } of running) {
+    usedMillicores += step.needs.cpuMillicores;
+    lossMillicores += step.isEndless ? 0 : step.needs.cpuMillicores;
+  }
+  const freeMillicores = Math.max(0, cpuMillicores - usedMillicores);
+  return { ...candidate, lossMillicores, freeMillicores };
 }
--- a/src/decisions/scheduling/maintenance_policy_test.ts
+++ b/src/decisions/scheduling/maintenance_policy_test.ts
@@ -2,17 +2,34 @@
 import * as v from "valibot";
 import { jobStepSchema, type RunningTask } from "../../domain/index.ts";
 import { describe, it } from "../../testing/describe.ts";
+import type { PoolLoad } from "./capacity_policy.ts";
 import {
   LeastLossMaintenancePolicy,
   type MaintenanceCandidate,
 } from "./maintenance_policy.ts";
 
+const POOL = "bay";
+const VM_MILLICORES = 64_000;
+const STEP = { stepId: "s", maxAwayCount: 1 };
+/** A pool without demand, whose VMs can all be spared. */
+const ROOMY_POOL: PoolLoad = {
+  pool: POOL,
+  isStandby: false,
+  runningMillicores: 0,
+  waitingMillicores: 0,
+  arrivingMillicores: 0,
+  forecastMillicores: 0,
+  capacityMillicores: 100 * VM_MILLICORES,
+};
+
 function createCandidate(
   vm: string,
   changes: Partial<MaintenanceCandidate> = {},
 ): MaintenanceCandidate {
   return {
     vm,
+    pool: POOL,
+    cpuMillicores: VM_MILLICORES,
     running: [],
     isProtected: false,
     guardedSteps: [],
@@ -23,7 +40,8 @@
 
 describe("maintenance of a wave", () => {
   const policy = new LeastLossMaintenancePolicy();
-  const time = { leftMs: 60_000, maxAwayCount: 2 };
+  const pools = [ROOMY_POOL];
+  const time = { leftMs: 60_000, maxAwayCount: 2, pools };
 
   it("begins no more VMs than allowed", () => {
     const candidates = ["a", "b", "c", "d"].map((vm) => createCandidate(vm));
@@ -34,6 +52,7 @@
   it("never begins a VM when its tasks would exceed a step's limit", () => {
     const candidates = [createCandidate("a", { isProtected: true })];
     const plan = policy.plan({
+      pools,
       leftMs: 0,
       maxAwayCount: 2,
       allowedStartCount: 2,
@@ -45,7 +64,7 @@
   it("begins first with VMs that must follow one after the other", () => {
     const candidates = [
       createCandidate("a"),
-      createCandidate("b", { guardedSteps: ["s"] }),
+      createCandidate("b", { guardedSteps: [STEP] }),
     ];
     const plan = policy.plan({ ...time, candidates, allowedStartCount: 1 });
     assert.equal(plan.begin, ["b"]);
@@ -54,7 +73,7 @@
   // A VM runs more tasks of one step than may be unavailable at once.
   it("evacuates protected VMs, few at a time", () => {
     const candidates = ["a", "b", "c"].map((vm) =>
-      createCandidate(vm, { isProtected: true, guardedSteps: ["s"] })
+      createCandidate(vm, { isProtected: true, guardedSteps: [STEP] })
     );
     const plan = policy.plan({ ...time, candidates, allowedStartCount: 2 });
     assert.equal(plan.evacuate, ["a", "b"]);
@@ -67,9 +86,10 @@
     const candidates = Array.from(
       { length: 40 },
       (_, at) =>
-        createCandidate(`vm${at}`, { isProtected: true, guardedSteps: ["s"] }),
+        createCandidate(`vm${at}`, { isProtected: true, guardedSteps: [STEP] }),
     );
     const plan = policy.plan({
+      pools,
       leftMs: 25_000,
       maxAwayCount: 64,
       allowedStartCount: 64,
@@ -83,7 +103,7 @@
     const candidates = ["a", "b", "c", "d"].map((vm) =>
       createCandidate(vm, {
         isProtected: true,
-        guardedSteps: ["s"],
+        guardedSteps: [STEP],
         isCordoned: vm === "c" || vm === "d",
       })
     );
@@ -98,7 +118,7 @@
   it("waits for work on other VMs beside a long sequence", () => {
     const sequence = Array.from(
       { length: 8 },
-      (_, at) => createCandidate(`guarded${at}`, { guardedSteps: ["s"] }),
+      (_, at) => createCandidate(`guarded${at}`, { guardedSteps: [STEP] }),
     );
     const step = v.parse(jobStepSchema, {
       taskCount: 1,
@@ -108,6 +128,7 @@
       running: [{ step } as RunningTask],
     });
     const plan = policy.plan({
+      pools,
       leftMs: 25_000,
       maxAwayCount: 10,
       allowedStartCount: 10,
--- a/src/services/scheduling/capacity_task.ts
+++ b/src/services/scheduling/capacity_task.ts
@@ -1,23 +1,12 @@
 /** Task of the leader that moves idle VMs to pools that lack capacity. */
-import {
-  type CapacityPolicy,
-  type DemandForecast,
-  type IdleVm,
-  listReadySteps,
-  type PoolLoad,
-  sumWaitingDemand,
-} from "../../decisions/index.ts";
+import type { CapacityPolicy, IdleVm } from "../../decisions/index.ts";
 import type { Runner } from "../../domain/index.ts";
 import type { Clock, ListedVm, Logger, VmControl } from "../../ports/index.ts";
-import { listArrivals, sumRecent } from "./arrivals.ts";
 import type { PoolAccounts } from "./pool_accounts.ts";
+import type { PoolLoads } from "./pool_loads.ts";
 import type { RunnerFleet } from "./runner_fleet.ts";
 import type { SchedulingLog } from "./scheduling_log.ts";
-import {
-  CAPACITY_TICK_MS,
-  FORECAST_AHEAD_MS,
-  MAX_LISTING_AGE_MS,
-} from "./timing.ts";
+import { CAPACITY_TICK_MS, MAX_LISTING_AGE_MS } from "./timing.ts";
 import { type ConfirmedMove, VmMover } from "./vm_mover.ts";
 
 /** Options of {@link CapacityTask}. */
@@ -26,7 +15,6 @@
   readonly fleet: Pick<RunnerFleet, "findStatus" | "retire">;
   readonly vms: VmControl;
   readonly policy: CapacityPolicy;
-  readonly forecast: DemandForecast;
   readonly clock: Clock;
   readonly logger: Logger;
   /** Identifies this leader in its requests about VMs. */
@@ -36,8 +24,9 @@
   readonly isInMaintenance: (runner: Runner) => boolean;
   readonly accounts: Pick<
     PoolAccounts,
-    "isArriving" | "recordListing" | "recordMoved" | "sumArriving"
+    "isArriving" | "recordListing" | "recordMoved"
   >;
+  readonly loads: Pick<PoolLoads, "list">;
 }
 
 /** A runner incarnation without work. */
@@ -90,9 +79,9 @@
 
   // Returns whether more moves were planned than were tried.
   async #rebalance(signal: AbortSignal): Promise<boolean> {
-    const { logger, policy } = this.#options;
+    const { loads, logger, policy } = this.#options;
     this.#updateIdleTimes();
-    const pools = this.#listLoads();
+    const pools = loads.list();
     const byName = new Map(this.#vms.map((listed) => [listed.vm, listed]));
     const moves = policy.plan({ pools, idle: this.#listIdleVms() })
       .flatMap((move) => {
@@ -194,52 +183,6 @@
       log.state.jobs.findLoad(runner).running.size === 0;
   }
 
-  #listLoads(): PoolLoad[] {
-    const { clock, forecast, log } = this.#options;
-    const { state } = log;
-    const nowMs = clock.nowMs();
-    const capacity = this.#sumCapacity();
-    const running = new Map<string, number>();
-    let largest = 0;
-    for (const runner of state.runners.values()) {
-      const { used } = state.jobs.findLoad(runner);
-      largest = Math.max(largest, runner.capacity.cpuMillicores);
-      add(running, runner.pool, used.cpuMillicores);
-    }
-    const ready = listReadySteps(state.jobs, state.catalog, nowMs);
-    const waiting = sumWaitingDemand(ready, largest, nowMs);
-    const arrivals = listArrivals(state);
-    const recent = sumRecent(arrivals, nowMs);
-    const expected = forecast.predict(
-      arrivals,
-      nowMs + FORECAST_AHEAD_MS,
-      nowMs,
-    );
-    return state.catalog.pools.map(({ name, isStandby }) => ({
-      pool: name,
-      isStandby,
-      runningMillicores: running.get(name) ?? 0,
-      waitingMillicores: waiting.get(name) ?? 0,
-      arrivingMillicores: recent.get(name) ?? 0,
-      forecastMillicores: expected.get(name) ?? 0,
-      capacityMillicores: capacity.get(name) ?? 0,
-    }));
-  }
-
-  #sumCapacity(): Map<string, number> {
-    const { accounts, fleet, isInMaintenance, log } = this.#options;
-    const capacity = accounts.sumArriving();
-    for (const runner of log.state.runners.values()) {
-      const isUsable = fleet.findStatus(runner)?.isOperational &&
-        !runner.isDraining && !isInMaintenance(runner) &&
-        !log.state.zonesOut.has(runner.zone);
-      if (isUsable) {
-        add(capacity, runner.pool, runner.capacity.cpuMillicores);
-      }
-    }
-    return capacity;
-  }
-
   #recordMoved({ listed, move, runner }: ConfirmedMove): void {
     const { accounts, fleet } = this.#options;
     const { vm } = listed;
@@ -255,10 +198,6 @@
 
 function countByPool(pools: readonly string[]): Record<string, number> {
   const counts = new Map<string, number>();
-  pools.forEach((pool) => add(counts, pool, 1));
+  pools.forEach((pool) => counts.set(pool, (counts.get(pool) ?? 0) + 1));
   return Object.fromEntries(counts);
 }
-
-function add(sums: Map<string, number>, key: string, value: number): void {
-  sums.set(key, (sums.get(key) ?? 0) + value);
-}
--- /dev/null
+++ b/src/services/scheduling/pool_loads.ts
@@ -0,0 +1,81 @@
+/** Compares the demand of each pool with its capacity. */
+import {
+  type DemandForecast,
+  listReadySteps,
+  type PoolLoad,
+  sumWaitingDemand,
+} from "../../decisions/index.ts";
+import type { Clock, PoolShare } from "../../ports/index.ts";
+import { listArrivals, sumRecent } from "./arrivals.ts";
+import type { PoolAccount, PoolAccounts } from "./pool_accounts.ts";
+import type { SchedulingLog } from "./scheduling_log.ts";
+import { FORECAST_AHEAD_MS } from "./timing.ts";
+
+/** Options of {@link PoolLoads}. */
+export interface PoolLoadsOptions {
+  readonly log: SchedulingLog;
+  readonly clock: Clock;
+  readonly forecast: DemandForecast;
+  readonly accounts: Pick<PoolAccounts, "sum">;
+}
+
+/**
+ * Shares of a pool that serve its work now or within the duration of a move. An
+ * answer that is overdue may be late because the leader is.
+ */
+const SERVING_SHARES: readonly PoolShare[] = [
+  "used",
+  "free",
+  "overdue",
+  "arriving",
+  "standby",
+];
+
+/** Computes what the pools need and have, for moves and for maintenance. */
+export class PoolLoads {
+  readonly #options: PoolLoadsOptions;
+
+  constructor(options: PoolLoadsOptions) {
+    this.#options = options;
+  }
+
+  /** Lists the load of all pools. */
+  list(): PoolLoad[] {
+    const { accounts, clock, forecast, log: { state } } = this.#options;
+    const nowMs = clock.nowMs();
+    const running = new Map<string, number>();
+    let largestMillicores = 0;
+    for (const runner of state.runners.values()) {
+      const { capacity: { cpuMillicores }, pool } = runner;
+      const { used } = state.jobs.findLoad(runner);
+      largestMillicores = Math.max(largestMillicores, cpuMillicores);
+      running.set(pool, (running.get(pool) ?? 0) + used.cpuMillicores);
+    }
+    const ready = listReadySteps(state.jobs, state.catalog, nowMs);
+    const waiting = sumWaitingDemand(ready, largestMillicores, nowMs);
+    const arrivals = listArrivals(state);
+    const recent = sumRecent(arrivals, nowMs);
+    const expected = forecast.predict(
+      arrivals,
+      nowMs + FORECAST_AHEAD_MS,
+      nowMs,
+    );
+    const byPool = accounts.sum();
+    return state.catalog.pools.map(({ name, isStandby }) => ({
+      pool: name,
+      isStandby,
+      runningMillicores: running.get(name) ?? 0,
+      waitingMillicores: waiting.get(name) ?? 0,
+      arrivingMillicores: recent.get(name) ?? 0,
+      forecastMillicores: expected.get(name) ?? 0,
+      capacityMillicores: sumServing(byPool.get(name)),
+    }));
+  }
+}
+
+function sumServing(account: PoolAccount = new Map()): number {
+  return SERVING_SHARES.reduce(
+    (sum, share) => sum + (account.get(share) ?? 0),
+    0,
+  );
+}
--- a/src/services/scheduling/vm_mover_test.ts
+++ b/src/services/scheduling/vm_mover_test.ts
@@ -22,6 +22,7 @@
 import { FakeLeaderMetrics, FakeLogger } from "../../testing/fake_ports.ts";
 import { CapacityTask } from "./capacity_task.ts";
 import { PoolAccounts } from "./pool_accounts.ts";
+import { PoolLoads } from "./pool_loads.ts";
 import { RunnerStatus } from "./runner_status.ts";
 import { Scheduler } from "./scheduler.ts";
 import { SchedulingLog } from "./scheduling_log.ts";
@@ -181,9 +182,13 @@
       ...shared,
       fleet,
       accounts,
+      loads: new PoolLoads({
+        ...shared,
+        accounts,
+        forecast: new NoForecast(),
+      }),
       vms,
       policy,
-      forecast: new NoForecast(),
       holderId: "leader",
       fencingToken: 1,
       isInMaintenance: () => false,
--- a/src/services/scheduling/wave_planner.ts
+++ b/src/services/scheduling/wave_planner.ts
@@ -1,14 +1,16 @@
 /** Plans the next actions of all waves together. */
 import {
   chooseMaintenanceTurns,
+  type GuardedStep,
   MaintenanceBudget,
   type MaintenanceCandidate,
   type MaintenanceOutcome,
   type MaintenancePlan,
   type MaintenancePolicy,
   type MaintenanceTurn,
+  type PoolLoad,
 } from "../../decisions/index.ts";
-import type { Runner, WaveRecord } from "../../domain/index.ts";
+import type { Runner, RunningTask, WaveRecord } from "../../domain/index.ts";
 import type { Clock, ListedVm } from "../../ports/index.ts";
 import type { MaintenanceStarter } from "./maintenance_starter.ts";
 import type { VmPresence } from "./vm_presence.ts";
@@ -24,6 +26,8 @@
   readonly listOpen: () => readonly WaveRecord[];
   /** Returns the runners that the leader knows. */
   readonly listRunners: () => readonly Runner[];
+  /** Returns the demand and the capacity of the pools. */
+  readonly listLoads: () => readonly PoolLoad[];
 }
 
 /** The next actions of one wave. */
@@ -53,8 +57,9 @@
     listing: CompletedListing,
     cordonedRunnerIds: ReadonlySet<string>,
   ): WavePlan[] {
-    const { clock, listOpen, starter } = this.#options;
+    const { clock, listLoads, listOpen, starter } = this.#options;
     const waves = listOpen();
+    const pools = listLoads();
     const turns = chooseMaintenanceTurns({
       waves,
       findOutcome: (waveId, vm) => starter.orders.findOutcome({ waveId, vm }),
@@ -72,7 +77,15 @@
         .flatMap((vm) => listing.byName.get(vm) ?? [])
         .filter(({ state }) => state === "up");
       const leftCount = budget.countLeft(wave);
-      const plan = this.#planOne(wave, waiting, leftCount, cordonedRunnerIds);
+      const plan = this.#options.policy.plan({
+        candidates: waiting.map((listed) =>
+          this.#createCandidate(listed, cordonedRunnerIds)
+        ),
+        allowedStartCount: leftCount,
+        leftMs: wave.completeByMs - clock.nowMs(),
+        maxAwayCount: wave.maxAwayCount,
+        pools,
+      });
       return { wave, plan: { ...plan, begin: budget.spend(plan.begin) } };
     });
     const unknown = waves.flatMap((wave) =>
@@ -92,23 +105,6 @@
     });
   }
 
-  #planOne(
-    wave: WaveRecord,
-    waiting: readonly ListedVm[],
-    allowedStartCount: number,
-    cordonedRunnerIds: ReadonlySet<string>,
-  ): MaintenancePlan {
-    const { clock, policy } = this.#options;
-    return policy.plan({
-      candidates: waiting.map((listed) =>
-        this.#createCandidate(listed, cordonedRunnerIds)
-      ),
-      allowedStartCount,
-      leftMs: wave.completeByMs - clock.nowMs(),
-      maxAwayCount: wave.maxAwayCount,
-    });
-  }
-
   // Orders whose outcome is unknown count as carried out. What runs on a VM that
   // the list does not show could not be counted, unless the VM is gone.
   #listUnknown(
@@ -179,23 +175,32 @@
   }
 
   #createCandidate(
-    { runnerId, vm }: ListedVm,
+    { cpuMillicores, pool, runnerId, vm }: ListedVm,
     cordonedRunnerIds: ReadonlySet<string>,
   ): MaintenanceCandidate {
     const { starter } = this.#options;
     const running = starter.listRunning(runnerId);
     return {
       vm,
+      pool,
+      cpuMillicores,
       running,
       isProtected: !starter.mayStop(running),
-      guardedSteps: running
-        .filter(({ step }) => step.isEndless && step.maxAwayCount !== undefined)
-        .map(({ id }) => `${id.jobId}.${id.occurrence}.${id.step}`),
+      guardedSteps: running.flatMap(listGuardedStep),
       isCordoned: runnerId !== undefined && cordonedRunnerIds.has(runnerId),
     };
   }
 }
 
+function listGuardedStep(
+  { id, step: { isEndless, maxAwayCount } }: RunningTask,
+): GuardedStep[] {
+  const stepId = `${id.jobId}.${id.occurrence}.${id.step}`;
+  return isEndless && maxAwayCount !== undefined
+    ? [{ stepId, maxAwayCount }]
+    : [];
+}
+
 // A new leader knows of no refusals, so the log may have more orders whose
 // outcome is unknown to it than VMs may be unavailable.
 function chooseToSend(
--- a/src/services/scheduling/wave_task.ts
+++ b/src/services/scheduling/wave_task.ts
@@ -9,6 +9,7 @@
 import { type Notifier, waitFor } from "../../tasks/index.ts";
 import { MaintenanceStarter } from "./maintenance_starter.ts";
 import type { PoolAccounts } from "./pool_accounts.ts";
+import type { PoolLoads } from "./pool_loads.ts";
 import type { RunnerFleet } from "./runner_fleet.ts";
 import type { SchedulingLog } from "./scheduling_log.ts";
 import { WAVE_TICK_MS } from "./timing.ts";
@@ -23,6 +24,7 @@
   readonly vms: VmControl;
   readonly policy: MaintenancePolicy;
   readonly accounts: Pick<PoolAccounts, "recordListing">;
+  readonly loads: Pick<PoolLoads, "list">;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly changed: Notifier;
@@ -59,6 +61,7 @@
       presence: this.#presence,
       listOpen: () => this.#listOpen(),
       listRunners: () => [...options.log.state.runners.values()],
+      listLoads: () => options.loads.list(),
     };
     this.#planner = new WavePlanner(shared);
     this.#progress = new WaveProgress({
--- a/src/testing/capacity_fixture.ts
+++ b/src/testing/capacity_fixture.ts
@@ -10,6 +10,7 @@
 import {
   CapacityTask,
   PoolAccounts,
+  PoolLoads,
   RunnerStatus,
   SchedulingLog,
 } from "../services/scheduling/index.ts";
@@ -163,9 +164,13 @@
     return new CapacityTask({
       ...shared,
       accounts,
+      loads: new PoolLoads({
+        ...shared,
+        accounts,
+        forecast: forecast ?? new NoForecast(),
+      }),
       vms,
       policy,
-      forecast: forecast ?? new NoForecast(),
       logger: new FakeLogger(),
       holderId: "leader",
       fencingToken: 1,
--- a/src/testing/scheduling_fixture.ts
+++ b/src/testing/scheduling_fixture.ts
@@ -2,6 +2,7 @@
 import { Result } from "true-myth";
 import {
   LeastLossMaintenancePolicy,
+  NoForecast,
   RunDelays,
   ScoredPlacementPolicy,
   SlackOrderPolicy,
@@ -22,6 +23,7 @@
   followLog,
   JobService,
   PoolAccounts,
+  PoolLoads,
   RelayedRunnerClient,
   RunnerFleet,
   RunnerRegistry,
@@ -308,6 +310,11 @@
       ...shared,
       fleet,
       accounts,
+      loads: new PoolLoads({
+        ...shared,
+        accounts,
+        forecast: new NoForecast(),
+      }),
       vms: this.vms,
       policy: new LeastLossMaintenancePolicy(),
       holderId: `leader-${term}`,
