Fetch VMs from standby pools before pools whose turn may come next

Seen by callers: jobs of the queue whose turn comes next wait, as its pool has given its idle VMs away.

Cause: DemandCapacityPolicy took idle VMs of pools in use first and those that are switched off last. A pool without work counted as one that can spare all of its VMs, also right before its own turn.

Change: only pools whose turn has ended, and before whose next one others come (listRestedPools), give their idle VMs before standby pools do; the others give theirs last. Where no turn has been seen, no pool counts as rested.

The case of capacity_policy_test that takes VMs of the resting pool first says now that its turn has ended; what it checks is the same.

--- a/src/decisions/scheduling/capacity_policy.ts
+++ b/src/decisions/scheduling/capacity_policy.ts
@@ -4,6 +4,8 @@
 export interface PoolLoad {
   readonly pool: string;
   readonly isStandby: boolean;
+  /** Whether its turn has ended and those of other pools come before its next. */
+  readonly hasRested: boolean;
   /** Used by running tasks. */
   readonly runningMillicores: number;
   /** Needed by waiting tasks, as {@link sumWaitingDemand} counts them. */
@@ -151,11 +153,13 @@
       .toSorted((left, right) =>
         computeShortage(left) - computeShortage(right)
       );
-    // Running VMs come first, because they cost money already. VMs of standby
-    // pools are switched off.
+    // Running VMs come first where no turn is near, because they cost money
+    // already. Those of other pools are the reserve for a turn that may come next,
+    // and a VM that is fetched from elsewhere comes too late for its beginning.
     const sorted = [
-      ...donors.filter(({ load }) => !load.isStandby),
+      ...donors.filter(({ load }) => !load.isStandby && load.hasRested),
       ...donors.filter(({ load }) => load.isStandby),
+      ...donors.filter(({ load }) => !load.isStandby && !load.hasRested),
     ];
     for (const donor of sorted) {
       const vm = donor.idleLeft.at(-1);
--- a/src/decisions/scheduling/capacity_policy_test.ts
+++ b/src/decisions/scheduling/capacity_policy_test.ts
@@ -17,6 +17,7 @@
   return {
     pool,
     isStandby: false,
+    hasRested: false,
     runningMillicores: 0,
     waitingMillicores: 0,
     arrivingMillicores: 0,
@@ -43,7 +44,7 @@
       runningMillicores: 380_000,
       waitingMillicores: 200_000,
     }),
-    createLoad("resting", 6, { runningMillicores: 10_000 }),
+    createLoad("resting", 6, { runningMillicores: 10_000, hasRested: true }),
     createLoad("standby", 6, { isStandby: true }),
   ];
 
@@ -59,6 +60,17 @@
       assert.is(moves.filter(({ from }) => from === "resting").length, 2);
     });
 
+    it("moves VMs of a standby pool first while a turn may come next", () => {
+      const idle = [
+        ...createIdle("resting", 2, 100),
+        ...createIdle("standby", 6, 0),
+      ];
+      const waiting = pools.map((load) => ({ ...load, hasRested: false }));
+      const moves = new DemandCapacityPolicy().plan({ pools: waiting, idle });
+      assert.is(moves.length, 5, "580 cores and the headroom");
+      assert.ok(moves.every(({ from }) => from === "standby"));
+    });
+
     it("moves nothing in the baseline", () => {
       const idle = createIdle("standby", 6, 0);
       assert.equal(new FixedCapacityPolicy().plan(), []);
--- a/src/decisions/scheduling/index.ts
+++ b/src/decisions/scheduling/index.ts
@@ -14,5 +14,6 @@
 export * from "./spare_room.ts";
 export * from "./trend_forecast.ts";
 export * from "./turn_forecast.ts";
+export * from "./turn_order.ts";
 export * from "./wait_reason.ts";
 export * from "./waiting_demand.ts";
--- a/src/decisions/scheduling/maintenance_policy_test.ts
+++ b/src/decisions/scheduling/maintenance_policy_test.ts
@@ -15,6 +15,7 @@
 const ROOMY_POOL: PoolLoad = {
   pool: POOL,
   isStandby: false,
+  hasRested: true,
   runningMillicores: 0,
   waitingMillicores: 0,
   arrivingMillicores: 0,
--- a/src/decisions/scheduling/spare_room_test.ts
+++ b/src/decisions/scheduling/spare_room_test.ts
@@ -14,6 +14,7 @@
   return {
     pool,
     isStandby,
+    hasRested: false,
     runningMillicores: busyVmCount * VM_MILLICORES,
     waitingMillicores: 0,
     arrivingMillicores: 0,
--- a/src/decisions/scheduling/turn_detector.ts
+++ b/src/decisions/scheduling/turn_detector.ts
@@ -12,6 +12,8 @@
   readonly millicores: number;
 }
 
+/** Age up to which arrivals count, in milliseconds. */
+export const TURN_HISTORY_MS = 60_000;
 /** Factor between two rates of arrival from which they count as different. */
 const RATE_FACTOR = 3;
 const LOG_FACTOR = Math.log(RATE_FACTOR);
--- a/src/decisions/scheduling/turn_forecast.ts
+++ b/src/decisions/scheduling/turn_forecast.ts
@@ -1,9 +1,7 @@
 /** Forecasts the demand of pools that take turns, from the order of the turns. */
 import type { Arrival, DemandForecast } from "./demand_forecast.ts";
-import { findTurns, type Turn } from "./turn_detector.ts";
+import { findTurns, type Turn, TURN_HISTORY_MS } from "./turn_detector.ts";
 
-/** Age up to which arrivals count, in milliseconds. */
-const HISTORY_MS = 60_000;
 /** Time by which a turn may begin earlier than expected (ms). */
 const EARLY_MS = 250;
 /** Time after which a turn that has not begun is no longer expected (ms). */
@@ -33,7 +31,9 @@
     fromMs: number,
     nowMs: number,
   ): ReadonlyMap<string, number> {
-    const recent = arrivals.filter(({ atMs }) => nowMs - atMs <= HISTORY_MS);
+    const recent = arrivals.filter(({ atMs }) =>
+      nowMs - atMs <= TURN_HISTORY_MS
+    );
     const turns = findTurns(recent, nowMs);
     const expected = new Map<string, number>();
     for (const turn of turns) {
--- a/src/services/scheduling/pool_loads.ts
+++ b/src/services/scheduling/pool_loads.ts
@@ -2,6 +2,7 @@
 import {
   type DemandForecast,
   listReadySteps,
+  listRestedPools,
   type PoolLoad,
   sumWaitingDemand,
 } from "../../decisions/index.ts";
@@ -61,9 +62,16 @@
       nowMs,
     );
     const byPool = accounts.sum();
+    const serving = state.catalog.pools.filter(({ isStandby }) => !isStandby);
+    const rested = listRestedPools(
+      arrivals,
+      serving.map(({ name }) => name),
+      nowMs,
+    );
     return state.catalog.pools.map(({ name, isStandby }) => ({
       pool: name,
       isStandby,
+      hasRested: rested.has(name),
       runningMillicores: running.get(name) ?? 0,
       waitingMillicores: waiting.get(name) ?? 0,
       arrivingMillicores: recent.get(name) ?? 0,
