Count runners that a new leader has not heard as capacity

Seen by callers: beside a change of leader in a turn, jobs of other queues wait for VMs that have moved away.

Change: runners in the log that have not been heard, and to which no request has failed, count until they have been silent for too long.

--- a/src/services/scheduling/pool_loads.ts
+++ b/src/services/scheduling/pool_loads.ts
@@ -21,13 +21,15 @@
 }
 
 /**
- * Shares of a pool that serve its work now or within the duration of a move. An
- * answer that is overdue may be late because the leader is.
+ * Shares of a pool that serve its work now or within the duration of a move. A
+ * new leader has not heard a runner before its first poll, and an answer that is
+ * overdue may be late because the leader is.
  */
 const SERVING_SHARES: readonly PoolShare[] = [
   "used",
   "free",
   "overdue",
+  "unheard",
   "arriving",
   "standby",
 ];
