Place work on VMs that await their maintenance last

Cause: with fewer cordons, tasks that moved away for a wave were placed on VMs that waited for their own maintenance, and had to move again.

Change: the scheduler knows which VMs await maintenance, and the placement takes them last: long-running tasks since they would move again, other tasks so that the VMs become empty without a cordon.

--- a/src/bench/scheduling.ts
+++ b/src/bench/scheduling.ts
@@ -238,6 +238,7 @@
       free: { ...runner.capacity },
       latencyTargetCount: 0,
       bestEffortCount: 0,
+      awaitsMaintenance: false,
       isReserved: false,
     });
   }
--- a/src/daemon/scheduling/start_leading.ts
+++ b/src/daemon/scheduling/start_leading.ts
@@ -132,6 +132,7 @@
     findStatus: (runner) => fleet.findStatus(runner),
     findApproved: (step) => adviceTask?.findApproved(step),
     isCordoned: (runner) => isInMaintenance(runner) || isMoving(runner),
+    awaitsMaintenance: (runner) => waves?.awaitsMaintenance(runner) ?? false,
   });
   const adviceTask: AdviceTask | undefined = advice === undefined
     ? undefined
--- a/src/decisions/scheduling/placement_policy.ts
+++ b/src/decisions/scheduling/placement_policy.ts
@@ -14,6 +14,8 @@
   latencyTargetCount: number;
   /** Best-effort tasks on it, which run on spare processor time. */
   bestEffortCount: number;
+  /** Whether its VM is going to be maintained in a wave that is open. */
+  readonly awaitsMaintenance: boolean;
   /** Whether its free capacity is reserved for a task that fits nowhere yet. */
   isReserved: boolean;
 }
@@ -59,8 +61,9 @@
 /**
  * Chooses the runner with the highest score.
  *
- * Tasks go to the rack that holds their data, if any. Long-running tasks avoid
- * runners with best-effort tasks and spread over zones. Best-effort tasks avoid
+ * Tasks go to the rack that holds their data, if any, and avoid VMs that await
+ * their maintenance. Long-running tasks avoid runners with best-effort tasks and
+ * spread over zones. Best-effort tasks avoid
  * runners with latency targets and spread over runners, the emptiest first. All
  * other tasks go to the fullest runner, so that room for large tasks remains.
  */
@@ -89,7 +92,11 @@
 // cores break ties.
 const NEAR_DATA_SCORE = 1_000_000;
 const SEPARATION_SCORE = 100_000;
+/** Of long-running tasks, which would have to move again. */
+const LASTING_MAINTENANCE_SCORE = 50_000;
 const ZONE_SCORE = 10_000;
+/** Of other tasks, so that VMs become empty for their maintenance. */
+const MAINTENANCE_SCORE = 1_000;
 const MILLICORES_PER_POINT = 1_000;
 
 function computeScore(candidate: Candidate, demand: PlacementDemand): number {
@@ -98,6 +105,9 @@
     candidate.rack === step.dataRack;
   const freePoints = candidate.free.cpuMillicores / MILLICORES_PER_POINT;
   let score = isNear ? NEAR_DATA_SCORE : 0;
+  if (candidate.awaitsMaintenance) {
+    score -= step.isEndless ? LASTING_MAINTENANCE_SCORE : MAINTENANCE_SCORE;
+  }
   if (step.usesLeftovers) {
     score -= candidate.latencyTargetCount * SEPARATION_SCORE;
     return score - candidate.bestEffortCount * ZONE_SCORE + freePoints;
--- a/src/decisions/scheduling/start_planner_test.ts
+++ b/src/decisions/scheduling/start_planner_test.ts
@@ -109,6 +109,7 @@
     },
     latencyTargetCount: 0,
     bestEffortCount: 0,
+    awaitsMaintenance: false,
     isReserved: false,
   };
 }
--- a/src/services/scheduling/scheduler.ts
+++ b/src/services/scheduling/scheduler.ts
@@ -36,6 +36,8 @@
   readonly findApproved: (step: ReadyStep) => ReadonlySet<string> | undefined;
   /** Returns whether a runner's VM is being drained for maintenance or a move. */
   readonly isCordoned: (runner: Runner) => boolean;
+  /** Returns whether a runner's VM is going to be maintained in an open wave. */
+  readonly awaitsMaintenance: (runner: Runner) => boolean;
 }
 
 /** Plans starts and writes them to the log; the runners' tasks carry them out. */
@@ -104,13 +106,36 @@
     for (const runner of state.runners.values()) {
       if (this.mayPlaceOn(runner)) {
         const pool = byPool.get(runner.pool) ?? [];
-        pool.push(createCandidate(runner, state));
+        pool.push(this.#createCandidate(runner, state));
         byPool.set(runner.pool, pool);
       }
     }
     return byPool;
   }
 
+  #createCandidate(runner: Runner, state: SchedulingState): Candidate {
+    const load = state.jobs.findLoad(runner);
+    let latencyTargetCount = 0;
+    let bestEffortCount = 0;
+    for (const { step } of load.running.values()) {
+      latencyTargetCount += Number(step.tailTargetMs > 0);
+      bestEffortCount += Number(step.usesLeftovers);
+    }
+    const { runnerId, bornAtMs, zone, rack, labels, capacity } = runner;
+    return {
+      runnerId,
+      bornAtMs,
+      zone,
+      rack,
+      labels,
+      free: addAmounts(capacity, load.used, -1),
+      latencyTargetCount,
+      bestEffortCount,
+      awaitsMaintenance: this.#options.awaitsMaintenance(runner),
+      isReserved: false,
+    };
+  }
+
   /** Returns whether a runner may get work now. */
   mayPlaceOn(runner: Runner): boolean {
     const { findStatus, isCordoned, log } = this.#options;
@@ -145,28 +170,6 @@
   }
 }
 
-function createCandidate(runner: Runner, state: SchedulingState): Candidate {
-  const load = state.jobs.findLoad(runner);
-  let latencyTargetCount = 0;
-  let bestEffortCount = 0;
-  for (const { step } of load.running.values()) {
-    latencyTargetCount += Number(step.tailTargetMs > 0);
-    bestEffortCount += Number(step.usesLeftovers);
-  }
-  const { runnerId, bornAtMs, zone, rack, labels, capacity } = runner;
-  return {
-    runnerId,
-    bornAtMs,
-    zone,
-    rack,
-    labels,
-    free: addAmounts(capacity, load.used, -1),
-    latencyTargetCount,
-    bestEffortCount,
-    isReserved: false,
-  };
-}
-
 function formatStart({ task, runNumber, runnerId }: PlannedStart): string {
   return `${formatTaskId(task)}#${runNumber}@${runnerId}`;
 }
--- a/src/services/scheduling/scheduler_test.ts
+++ b/src/services/scheduling/scheduler_test.ts
@@ -75,6 +75,7 @@
     findStatus: () => status,
     findApproved: () => undefined,
     isCordoned: () => false,
+    awaitsMaintenance: () => false,
   });
   const listTasks = (message: string) =>
     logger.lines.filter((line) => line.message === message)
--- a/src/services/scheduling/vm_mover_test.ts
+++ b/src/services/scheduling/vm_mover_test.ts
@@ -205,6 +205,7 @@
       findStatus,
       findApproved: () => undefined,
       isCordoned: (runner) => capacity.isCordoned(runner),
+      awaitsMaintenance: () => false,
     });
     const controller = new AbortController();
     stop.push(controller);
--- a/src/services/scheduling/wave_room_test.ts
+++ b/src/services/scheduling/wave_room_test.ts
@@ -44,12 +44,12 @@
   return fixture;
 }
 
-function startWave(fixture: SchedulingFixture): void {
+function startWave(fixture: SchedulingFixture, wave = WAVE): void {
   const atMs = fixture.clock.nowMs();
   fixture.apply({
     type: "scheduling",
     atMs,
-    operations: [{ type: "wave", ...WAVE, completeByMs: atMs + WAVE_MS }],
+    operations: [{ type: "wave", ...wave, completeByMs: atMs + WAVE_MS }],
   });
 }
 
@@ -81,8 +81,9 @@
 }
 
 function isWaveDone({ state }: SchedulingFixture): boolean {
-  const progress = state.scheduling.waves.get(WAVE.waveId)?.progress ?? {};
-  return WAVE.vms.every((vm) => progress[vm] === "done");
+  const { progress = {}, vms = [] } = state.scheduling.waves.get(WAVE.waveId) ??
+    {};
+  return vms.length > 0 && vms.every((vm) => progress[vm] === "done");
 }
 
 // The pattern: a queue in its turn needs nearly all VMs of its pool for some
@@ -117,3 +118,45 @@
     assert.ok(maxUnavailableCount <= WAVE.maxAwayCount);
   });
 });
+
+const LASTING_JOB_ID = "00000000000000ab";
+const LASTING_TASK_COUNT = 3;
+/** A wave of all VMs but as many as there are tasks, one at a time. */
+const LONG_WAVE = {
+  waveId: WAVE.waveId,
+  vms: VM_NAMES.slice(0, -LASTING_TASK_COUNT),
+  maxAwayCount: 1,
+};
+
+// The pattern: long-running tasks, each on a VM of its own, on the VMs of a wave.
+describe("a wave beside long-running tasks", () => {
+  // Guards against waves that are late, and against tasks that are stopped again
+  // and again: they were moved to VMs that waited for their own maintenance.
+  it("moves each task once at most", async () => {
+    const fixture = createFixture();
+    await fixture.clock.advance(2_000);
+    void fixture.submit(LASTING_JOB_ID, [v.parse(jobStepSchema, {
+      taskCount: LASTING_TASK_COUNT,
+      needs: { cpuMillicores: 2_000 },
+      isEndless: true,
+      maxPerRunner: 1,
+      maxAwayCount: 1,
+    })]);
+    await fixture.clock.advance(1_000);
+    startWave(fixture, LONG_WAVE);
+    await fixture.clock.advance(WAVE_MS);
+    await fixture.stop();
+    assert.ok(isWaveDone(fixture), "the wave is complete in time");
+    const { spans } = fixture.runners;
+    const runCounts = Array.from(
+      { length: LASTING_TASK_COUNT },
+      (_, index) =>
+        spans.filter(({ task }) => task === `${LASTING_JOB_ID}.0.0.${index}`)
+          .length,
+    );
+    assert.ok(
+      runCounts.every((count) => count <= 2),
+      `runs of each task: ${runCounts.join(", ")}`,
+    );
+  });
+});
--- a/src/services/scheduling/wave_task.ts
+++ b/src/services/scheduling/wave_task.ts
@@ -48,6 +48,7 @@
   readonly #planner: WavePlanner;
   readonly #progress: WaveProgress;
   #cordonedRunnerIds: ReadonlySet<string> = new Set();
+  #awaitingRunnerIds: ReadonlySet<string> = new Set();
 
   constructor(options: WaveTaskOptions) {
     this.#options = options;
@@ -78,6 +79,14 @@
     return this.#cordonedRunnerIds.has(runner.runnerId);
   }
 
+  /**
+   * Returns whether a runner's VM is going to be maintained in a wave that is not
+   * complete.
+   */
+  awaitsMaintenance({ runnerId }: Runner): boolean {
+    return this.#awaitingRunnerIds.has(runnerId);
+  }
+
   /**
    * Carries out waves until the signal aborts.
    *
@@ -88,6 +97,7 @@
     while (!signal.aborted) {
       if (this.#listOpen().length === 0) {
         this.#cordonedRunnerIds = new Set();
+        this.#awaitingRunnerIds = new Set();
         await waitFor({
           clock,
           notifier: changed,
@@ -137,6 +147,12 @@
     for (const wave of waves) {
       await this.#progress.record(wave, listing);
     }
+    this.#awaitingRunnerIds = new Set(
+      this.#listOpen().flatMap(({ progress, vms }) =>
+        vms.filter((vm) => progress[vm] === undefined)
+          .flatMap((vm) => byName.get(vm)?.runnerId ?? [])
+      ),
+    );
     await this.#orderNext(listing);
   }
 
--- a/src/testing/scheduling_fixture.ts
+++ b/src/testing/scheduling_fixture.ts
@@ -324,6 +324,7 @@
       planner: this.#options.planner ?? createPlanner(),
       findStatus: (runner) => fleet.findStatus(runner),
       isCordoned: (runner) => waves?.isCordoned(runner) ?? false,
+      awaitsMaintenance: (runner) => waves?.awaitsMaintenance(runner) ?? false,
       findApproved: () => undefined,
     });
     tasks.start(
