Fetch a VM for a task that must stand apart and finds none

Cause: capacity was compared with demand in CPU alone. A pool that rests gives away all VMs but those on which its long-running tasks run; these have room, but each has a task of the same step already. A task that lost its VM waits until the next turn of its pool, and counts as unavailable all the while, so the wave cannot go on either.

Change: a pool wants as many VMs as its widest step needs whose tasks stand apart, and while VMs of the pool await maintenance as many more as that step may have unavailable.

Evidence: the new case of capacity_turns_test had no move before.

--- a/src/daemon/scheduling/start_leading.ts
+++ b/src/daemon/scheduling/start_leading.ts
@@ -87,6 +87,8 @@
   });
   const isInMaintenance = (runner: Runner): boolean =>
     waves?.isCordoned(runner) ?? false;
+  const awaitsMaintenance = (runner: Runner): boolean =>
+    waves?.awaitsMaintenance(runner) ?? false;
   const isMoving = (runner: Runner): boolean =>
     capacity?.isCordoned(runner) ?? false;
   const accounts = new PoolAccounts({
@@ -99,6 +101,7 @@
   const loads = new PoolLoads({
     ...options,
     accounts,
+    awaitsMaintenance,
     forecast: new HighestForecast([
       new TurnForecast(),
       new TrendForecast(),
@@ -132,7 +135,7 @@
     findStatus: (runner) => fleet.findStatus(runner),
     findApproved: (step) => adviceTask?.findApproved(step),
     isCordoned: (runner) => isInMaintenance(runner) || isMoving(runner),
-    awaitsMaintenance: (runner) => waves?.awaitsMaintenance(runner) ?? false,
+    awaitsMaintenance,
   });
   const adviceTask: AdviceTask | undefined = advice === undefined
     ? undefined
--- a/src/decisions/scheduling/capacity_policy.ts
+++ b/src/decisions/scheduling/capacity_policy.ts
@@ -14,6 +14,8 @@
   readonly arrivingMillicores: number;
   /** Expected demand at the time when a VM that moves now would be usable. */
   readonly forecastMillicores: number;
+  /** Capacity of the VMs that tasks need which stand apart. */
+  readonly apartMillicores: number;
   /** Capacity of usable runners and of VMs that are moving to the pool. */
   readonly capacityMillicores: number;
 }
@@ -206,7 +208,7 @@
     load.arrivingMillicores,
     load.forecastMillicores,
   );
-  return expectedMillicores * HEADROOM_FACTOR;
+  return Math.max(expectedMillicores * HEADROOM_FACTOR, load.apartMillicores);
 }
 
 function computeShortage(
--- a/src/decisions/scheduling/index.ts
+++ b/src/decisions/scheduling/index.ts
@@ -4,6 +4,7 @@
 export * from "./ready_step.ts";
 export * from "./run_delays.ts";
 export * from "./start_planner.ts";
+export * from "./apart_demand.ts";
 export * from "./availability.ts";
 export * from "./maintenance_policy.ts";
 export * from "./maintenance_pace.ts";
--- a/src/decisions/scheduling/maintenance_policy_test.ts
+++ b/src/decisions/scheduling/maintenance_policy_test.ts
@@ -20,6 +20,7 @@
   waitingMillicores: 0,
   arrivingMillicores: 0,
   forecastMillicores: 0,
+  apartMillicores: 0,
   capacityMillicores: 100 * VM_MILLICORES,
 };
 
--- a/src/decisions/scheduling/spare_room_test.ts
+++ b/src/decisions/scheduling/spare_room_test.ts
@@ -19,6 +19,7 @@
     waitingMillicores: 0,
     arrivingMillicores: 0,
     forecastMillicores: 0,
+    apartMillicores: 0,
     capacityMillicores: vmCount * VM_MILLICORES,
   };
 }
--- a/src/services/scheduling/capacity_turns_test.ts
+++ b/src/services/scheduling/capacity_turns_test.ts
@@ -42,3 +42,34 @@
     assert.equal(sources.filter((from) => from !== "reserve"), []);
   });
 });
+
+const LASTING_STEP = v.parse(jobStepSchema, {
+  taskCount: 4,
+  needs: { cpuMillicores: 500 },
+  isEndless: true,
+  maxPerRunner: 1,
+});
+
+// The pattern: a pool rests, and has given away all VMs but those on which its
+// long-running tasks run, each task on a VM of its own.
+describe("VMs for long-running tasks of a resting pool", () => {
+  // Guards against a task that waits until the next turn of its pool: the pool has
+  // room, but on VMs that have a task of the same step already.
+  it("come when a task has lost its VM", async () => {
+    const fixture = new CapacityFixture({
+      pools: [
+        { name: "bay", isStandby: false, vmCount: 6 },
+        { name: "dock", isStandby: false, vmCount: 3 },
+      ],
+      policy: new DemandCapacityPolicy(),
+    });
+    const { clock, vms } = fixture;
+    const jobId = fixture.accept("dock", [LASTING_STEP]);
+    for (const index of [0, 1, 2]) {
+      fixture.start(jobId, index, `dock-${index}`);
+    }
+    await clock.advance(1_000);
+    fixture.stop();
+    assert.equal(vms.moves.map(({ from }) => from), ["bay"]);
+  });
+});
--- a/src/services/scheduling/pool_loads.ts
+++ b/src/services/scheduling/pool_loads.ts
@@ -1,11 +1,13 @@
 /** Compares the demand of each pool with its capacity. */
 import {
+  countApartVms,
   type DemandForecast,
   listReadySteps,
   listRestedPools,
   type PoolLoad,
   sumWaitingDemand,
 } from "../../decisions/index.ts";
+import type { Runner } from "../../domain/index.ts";
 import type { Clock, PoolShare } from "../../ports/index.ts";
 import { listArrivals, sumRecent } from "./arrivals.ts";
 import type { PoolAccount, PoolAccounts } from "./pool_accounts.ts";
@@ -18,6 +20,8 @@
   readonly clock: Clock;
   readonly forecast: DemandForecast;
   readonly accounts: Pick<PoolAccounts, "sum">;
+  /** Returns whether a runner's VM is going to be maintained in an open wave. */
+  readonly awaitsMaintenance: (runner: Runner) => boolean;
 }
 
 /**
@@ -44,15 +48,20 @@
 
   /** Lists the load of all pools. */
   list(): PoolLoad[] {
-    const { accounts, clock, forecast, log: { state } } = this.#options;
+    const { accounts, awaitsMaintenance, clock, forecast, log: { state } } =
+      this.#options;
     const nowMs = clock.nowMs();
     const running = new Map<string, number>();
+    const awaiting = new Map<string, number>();
     let largestMillicores = 0;
     for (const runner of state.runners.values()) {
       const { capacity: { cpuMillicores }, pool } = runner;
       const { used } = state.jobs.findLoad(runner);
       largestMillicores = Math.max(largestMillicores, cpuMillicores);
       running.set(pool, (running.get(pool) ?? 0) + used.cpuMillicores);
+      if (awaitsMaintenance(runner)) {
+        awaiting.set(pool, (awaiting.get(pool) ?? 0) + 1);
+      }
     }
     const ready = listReadySteps(state.jobs, state.catalog, nowMs);
     const waiting = sumWaitingDemand(ready, largestMillicores, nowMs);
@@ -63,6 +72,7 @@
       nowMs + FORECAST_AHEAD_MS,
       nowMs,
     );
+    const apart = countApartVms(state.jobs.open, state.catalog, awaiting);
     const byPool = accounts.sum();
     const serving = state.catalog.pools.filter(({ isStandby }) => !isStandby);
     const rested = listRestedPools(
@@ -78,6 +88,12 @@
       waitingMillicores: waiting.get(name) ?? 0,
       arrivingMillicores: recent.get(name) ?? 0,
       forecastMillicores: expected.get(name) ?? 0,
+      // Cordoned VMs are not wanted back while their tasks move.
+      apartMillicores: Math.max(
+        0,
+        (apart.get(name) ?? 0) * largestMillicores -
+          (byPool.get(name)?.get("cordoned") ?? 0),
+      ),
       capacityMillicores: sumServing(byPool.get(name)),
     }));
   }
--- a/src/services/scheduling/vm_mover_test.ts
+++ b/src/services/scheduling/vm_mover_test.ts
@@ -186,6 +186,7 @@
         ...shared,
         accounts,
         forecast: new NoForecast(),
+        awaitsMaintenance: () => false,
       }),
       vms,
       policy,
--- a/src/testing/capacity_fixture.ts
+++ b/src/testing/capacity_fixture.ts
@@ -117,8 +117,12 @@
     });
   }
 
-  /** Accepts a job whose tasks wait from now on. */
-  accept(pool: string, steps: readonly JobStep[]): void {
+  /**
+   * Accepts a job whose tasks wait from now on.
+   *
+   * @returns The id of the job.
+   */
+  accept(pool: string, steps: readonly JobStep[]): string {
     this.#jobCount += 1;
     const jobId = String(this.#jobCount).padStart(16, "0");
     this.agreement.state.apply({
@@ -133,6 +137,22 @@
         maxAttempts: 2,
       }],
     });
+    return jobId;
+  }
+
+  /** Starts a task of the first step of a job on a runner. */
+  start(jobId: string, index: number, runnerId: string): void {
+    this.agreement.state.apply({
+      type: "scheduling",
+      atMs: this.clock.nowMs(),
+      operations: [{
+        type: "start",
+        task: { jobId, occurrence: 0, step: 0, index },
+        runNumber: 1,
+        runnerId,
+        bornAtMs: 1,
+      }],
+    });
   }
 
   /** Ends the task. */
@@ -168,6 +188,7 @@
         ...shared,
         accounts,
         forecast: forecast ?? new NoForecast(),
+        awaitsMaintenance: () => false,
       }),
       vms,
       policy,
--- a/src/testing/scheduling_fixture.ts
+++ b/src/testing/scheduling_fixture.ts
@@ -314,6 +314,8 @@
         ...shared,
         accounts,
         forecast: new NoForecast(),
+        awaitsMaintenance: (runner) =>
+          waves?.awaitsMaintenance(runner) ?? false,
       }),
       vms: this.vms,
       policy: new LeastLossMaintenancePolicy(),
