Leave cordoned VMs out of what tasks that stand apart can use

Cause: the demand of the step was lowered by the free CPU of cordoned VMs, which take no task.

Change: tasks that wait or run on other VMs each need one beside the cordoned VMs. The account counts a cordoned runner whole, with the work on it, as it does for draining ones, so that capacity is that of VMs which stay.

--- a/src/daemon/scheduling/start_leading.ts
+++ b/src/daemon/scheduling/start_leading.ts
@@ -12,7 +12,11 @@
   TrendForecast,
   TurnForecast,
 } from "../../decisions/index.ts";
-import type { JobState, Runner } from "../../domain/index.ts";
+import type {
+  JobState,
+  Runner,
+  RunnerIncarnation,
+} from "../../domain/index.ts";
 import type {
   AdviceClient,
   Clock,
@@ -85,7 +89,7 @@
     client,
     findTicket: (task, runner) => adviceTask?.findTicket(task, runner),
   });
-  const isInMaintenance = (runner: Runner): boolean =>
+  const isInMaintenance = (runner: RunnerIncarnation): boolean =>
     waves?.isCordoned(runner) ?? false;
   const awaitsMaintenance = (runner: Runner): boolean =>
     waves?.awaitsMaintenance(runner) ?? false;
@@ -102,6 +106,7 @@
     ...options,
     accounts,
     awaitsMaintenance,
+    isInMaintenance,
     forecast: new HighestForecast([
       new TurnForecast(),
       new TrendForecast(),
--- a/src/decisions/scheduling/apart_demand.ts
+++ b/src/decisions/scheduling/apart_demand.ts
@@ -3,21 +3,30 @@
   type Catalog,
   indexQueues,
   type JobRecord,
+  type RunnerIncarnation,
 } from "../../domain/index.ts";
 
+/** Input of {@link countApartVms}. */
+export interface ApartDemandInput {
+  /** The jobs that have not ended. */
+  readonly jobs: Iterable<JobRecord>;
+  readonly catalog: Catalog;
+  /** Number of VMs that await their maintenance, by pool. */
+  readonly awaitingByPool: ReadonlyMap<string, number>;
+  /** Returns whether a runner gets no new work, as its VM is to be maintained. */
+  readonly isCordoned: (runner: RunnerIncarnation) => boolean;
+}
+
 /**
- * Counts by pool the VMs without which a long-running task would find none,
- * however little the others use. Tasks of different steps share VMs.
+ * Counts by pool the VMs, beside cordoned ones, without which a long-running task
+ * would find none, however little the others use. Tasks of different steps share
+ * VMs. While VMs of a pool await their maintenance, a step needs as many more as
+ * its tasks may be unavailable at once, for those that move.
  *
- * @param jobs - The jobs that have not ended.
- * @param catalog - The queues and their pools.
- * @param awaitingByPool - Number of VMs that await their maintenance. Each step
- * needs as many more as its tasks may be unavailable at once, for those that move.
+ * @param input - The jobs, and what is known of the runners.
  */
 export function countApartVms(
-  jobs: Iterable<JobRecord>,
-  catalog: Catalog,
-  awaitingByPool: ReadonlyMap<string, number>,
+  { awaitingByPool, catalog, isCordoned, jobs }: ApartDemandInput,
 ): Map<string, number> {
   const { byName } = indexQueues(catalog);
   const counts = new Map<string, number>();
@@ -31,7 +40,9 @@
       const movingCount = Math.min(maxAwayCount, awaitingByPool.get(pool) ?? 0);
       for (const steps of job.occurrences) {
         const tasks = steps[index]?.tasks ?? [];
-        const taskCount = tasks.filter(({ state }) => state !== "done").length;
+        const taskCount = tasks.filter(({ life, state }) =>
+          state !== "done" && (life === undefined || !isCordoned(life))
+        ).length;
         const vmCount = Math.ceil(taskCount / maxPerRunner) +
           (taskCount > 0 ? movingCount : 0);
         counts.set(pool, Math.max(vmCount, counts.get(pool) ?? 0));
--- a/src/decisions/scheduling/maintenance_policy.ts
+++ b/src/decisions/scheduling/maintenance_policy.ts
@@ -78,7 +78,6 @@
 interface RatedCandidate extends MaintenanceCandidate {
   /** Capacity of the work that would be lost, in millicores. */
   readonly lossMillicores: number;
-  readonly freeMillicores: number;
 }
 
 /** State of one plan while it is being made. */
@@ -206,13 +205,9 @@
 // A long-running task loses nothing by a restart. Other work starts again from
 // its last checkpoint.
 function rateCandidate(candidate: MaintenanceCandidate): RatedCandidate {
-  const { cpuMillicores, running } = candidate;
-  let usedMillicores = 0;
-  let lossMillicores = 0;
-  for (const { step } of running) {
-    usedMillicores += step.needs.cpuMillicores;
-    lossMillicores += step.isEndless ? 0 : step.needs.cpuMillicores;
-  }
-  const freeMillicores = Math.max(0, cpuMillicores - usedMillicores);
-  return { ...candidate, lossMillicores, freeMillicores };
+  const lossMillicores = candidate.running.reduce(
+    (sum, { step }) => sum + (step.isEndless ? 0 : step.needs.cpuMillicores),
+    0,
+  );
+  return { ...candidate, lossMillicores };
 }
--- a/src/decisions/scheduling/spare_room.ts
+++ b/src/decisions/scheduling/spare_room.ts
@@ -4,8 +4,7 @@
 /** A VM that may be taken, as far as room is concerned. */
 export interface RoomyVm {
   readonly pool: string;
-  /** CPU of the VM that no task uses. */
-  readonly freeMillicores: number;
+  readonly cpuMillicores: number;
   /** Whether it gets no new work, so that its pool goes without it already. */
   readonly isCordoned: boolean;
 }
@@ -36,9 +35,9 @@
         ...serving.map((load) => computeWantedMillicores(load)),
       );
     }
-    for (const { freeMillicores, isCordoned, pool } of vms) {
+    for (const { cpuMillicores, isCordoned, pool } of vms) {
       if (isCordoned) {
-        this.#add(pool, freeMillicores);
+        this.#add(pool, cpuMillicores);
       }
     }
   }
@@ -49,14 +48,14 @@
   }
 
   /** Returns whether a VM can be spared. */
-  has({ freeMillicores, pool }: RoomyVm): boolean {
-    return this.find(pool) >= freeMillicores &&
-      this.#totalMillicores >= freeMillicores;
+  has({ cpuMillicores, pool }: RoomyVm): boolean {
+    return this.find(pool) >= cpuMillicores &&
+      this.#totalMillicores >= cpuMillicores;
   }
 
   /** Records that a VM is taken. */
-  take({ freeMillicores, pool }: RoomyVm): void {
-    this.#add(pool, -freeMillicores);
+  take({ cpuMillicores, pool }: RoomyVm): void {
+    this.#add(pool, -cpuMillicores);
   }
 
   #add(pool: string, millicores: number): void {
--- a/src/decisions/scheduling/spare_room_test.ts
+++ b/src/decisions/scheduling/spare_room_test.ts
@@ -25,7 +25,7 @@
 }
 
 function createVm(pool: string, isCordoned = false): RoomyVm {
-  return { pool, freeMillicores: VM_MILLICORES, isCordoned };
+  return { pool, cpuMillicores: VM_MILLICORES, isCordoned };
 }
 
 describe("room to spare", () => {
--- a/src/ports/scheduling_metrics.ts
+++ b/src/ports/scheduling_metrics.ts
@@ -37,7 +37,8 @@
  * - `used`: allocated to tasks on runners that are in service.
  * - `free`: free on runners that may get work.
  * - `overdue`: free on runners that have not answered a request in time.
- * - `cordoned`: free on runners whose VM is about to be maintained.
+ * - `cordoned`: runners whose VM is about to be maintained, with the work on
+ *   them.
  * - `maintenance`: VMs in maintenance.
  * - `leaving`: free on runners whose VM is about to move to another pool.
  * - `arriving`: VMs that have been moved to the pool and do not serve it yet.
--- a/src/services/scheduling/pool_accounts.ts
+++ b/src/services/scheduling/pool_accounts.ts
@@ -18,6 +18,14 @@
   readonly isMoving: (runner: Runner) => boolean;
 }
 
+/** Shares of runners whose long-running work has to go elsewhere. */
+const LEAVING_SHARES: ReadonlySet<PoolShare> = new Set([
+  "cordoned",
+  "silent",
+  "draining",
+  "zoneOut",
+]);
+
 /** Millicores of one pool by what they are used for or withheld by. */
 export type PoolAccount = ReadonlyMap<PoolShare, number>;
 
@@ -105,10 +113,7 @@
       const { capacity: { cpuMillicores }, pool } = runner;
       const usedMillicores = state.jobs.findLoad(runner).used.cpuMillicores;
       const share = this.#findShare(runner);
-      // Work on these has to go elsewhere.
-      const isLost = share === "silent" || share === "draining" ||
-        share === "zoneOut";
-      const countedMillicores = isLost ? 0 : usedMillicores;
+      const countedMillicores = LEAVING_SHARES.has(share) ? 0 : usedMillicores;
       add(pool, "used", countedMillicores);
       add(pool, share, cpuMillicores - countedMillicores);
     }
--- a/src/services/scheduling/pool_loads.ts
+++ b/src/services/scheduling/pool_loads.ts
@@ -7,7 +7,7 @@
   type PoolLoad,
   sumWaitingDemand,
 } from "../../decisions/index.ts";
-import type { Runner } from "../../domain/index.ts";
+import type { Runner, RunnerIncarnation } from "../../domain/index.ts";
 import type { Clock, PoolShare } from "../../ports/index.ts";
 import { listArrivals, sumRecent } from "./arrivals.ts";
 import type { PoolAccount, PoolAccounts } from "./pool_accounts.ts";
@@ -22,6 +22,8 @@
   readonly accounts: Pick<PoolAccounts, "sum">;
   /** Returns whether a runner's VM is going to be maintained in an open wave. */
   readonly awaitsMaintenance: (runner: Runner) => boolean;
+  /** Returns whether a runner's VM is being drained for maintenance. */
+  readonly isInMaintenance: (runner: RunnerIncarnation) => boolean;
 }
 
 /**
@@ -48,8 +50,9 @@
 
   /** Lists the load of all pools. */
   list(): PoolLoad[] {
-    const { accounts, awaitsMaintenance, clock, forecast, log: { state } } =
+    const { accounts, awaitsMaintenance, clock, forecast, isInMaintenance } =
       this.#options;
+    const { state } = this.#options.log;
     const nowMs = clock.nowMs();
     const running = new Map<string, number>();
     const awaiting = new Map<string, number>();
@@ -72,7 +75,12 @@
       nowMs + FORECAST_AHEAD_MS,
       nowMs,
     );
-    const apart = countApartVms(state.jobs.open, state.catalog, awaiting);
+    const apart = countApartVms({
+      jobs: state.jobs.open,
+      catalog: state.catalog,
+      awaitingByPool: awaiting,
+      isCordoned: isInMaintenance,
+    });
     const byPool = accounts.sum();
     const serving = state.catalog.pools.filter(({ isStandby }) => !isStandby);
     const rested = listRestedPools(
@@ -88,12 +96,7 @@
       waitingMillicores: waiting.get(name) ?? 0,
       arrivingMillicores: recent.get(name) ?? 0,
       forecastMillicores: expected.get(name) ?? 0,
-      // Cordoned VMs are not wanted back while their tasks move.
-      apartMillicores: Math.max(
-        0,
-        (apart.get(name) ?? 0) * largestMillicores -
-          (byPool.get(name)?.get("cordoned") ?? 0),
-      ),
+      apartMillicores: (apart.get(name) ?? 0) * largestMillicores,
       capacityMillicores: sumServing(byPool.get(name)),
     }));
   }
--- a/src/services/scheduling/vm_mover_test.ts
+++ b/src/services/scheduling/vm_mover_test.ts
@@ -187,6 +187,7 @@
         accounts,
         forecast: new NoForecast(),
         awaitsMaintenance: () => false,
+        isInMaintenance: () => false,
       }),
       vms,
       policy,
--- a/src/services/scheduling/wave_task.ts
+++ b/src/services/scheduling/wave_task.ts
@@ -2,6 +2,7 @@
 import {
   formatTaskId,
   type Runner,
+  type RunnerIncarnation,
   type WaveRecord,
 } from "../../domain/index.ts";
 import type { MaintenancePolicy } from "../../decisions/index.ts";
@@ -75,8 +76,8 @@
    * Returns whether a runner gets no work because its VM is about to be
    * maintained.
    */
-  isCordoned(runner: Runner): boolean {
-    return this.#cordonedRunnerIds.has(runner.runnerId);
+  isCordoned({ runnerId }: RunnerIncarnation): boolean {
+    return this.#cordonedRunnerIds.has(runnerId);
   }
 
   /**
--- a/src/testing/scheduling_fixture.ts
+++ b/src/testing/scheduling_fixture.ts
@@ -316,6 +316,7 @@
         forecast: new NoForecast(),
         awaitsMaintenance: (runner) =>
           waves?.awaitsMaintenance(runner) ?? false,
+        isInMaintenance: (runner) => waves?.isCordoned(runner) ?? false,
       }),
       vms: this.vms,
       policy: new LeastLossMaintenancePolicy(),
