Begin maintenance before tasks are moved away for it

Cause: each plan of a wave moved one task from each VM that may not begin yet, and only then began with VMs that may. The moved tasks counted as unavailable, so the VMs could not begin any more, and waited for the next plan.

Change: the orders go first. A VM that begins has all of its tasks unavailable for the time of one.

--- a/src/services/scheduling/wave_task.ts
+++ b/src/services/scheduling/wave_task.ts
@@ -161,11 +161,8 @@
     const { byName } = listing;
     const cordoned = new Set<string>();
     const plans = this.#planner.plan(listing, this.#cordonedRunnerIds);
-    for (const { plan, send, waveId } of plans) {
+    for (const { plan, send } of plans) {
       this.#cordon([...send, ...plan.cordon], byName, cordoned);
-      for (const vm of [...send, ...plan.evacuate]) {
-        this.#evictOne(waveId, vm, byName.get(vm));
-      }
     }
     const cordonedVms = new Set(
       plans.flatMap(({ plan, send }) => [...send, ...plan.cordon]),
@@ -178,6 +175,12 @@
           .map((vm) => ({ waveId, vm, runnerId: byName.get(vm)?.runnerId }))
       ),
     );
+    // A VM that begins has all of its tasks unavailable for the time of one.
+    for (const { plan, send, waveId } of plans) {
+      for (const vm of [...send, ...plan.evacuate]) {
+        this.#evictOne(waveId, vm, byName.get(vm));
+      }
+    }
     this.#cordonedRunnerIds = cordoned;
   }
 
