Move no task away from a VM whose maintenance has begun

Since the orders of a wave go before the evictions, the order of an earlier leader may have been confirmed by then, and its VM be down with its tasks.

--- a/src/decisions/scheduling/capacity_policy.ts
+++ b/src/decisions/scheduling/capacity_policy.ts
@@ -16,7 +16,10 @@
   readonly forecastMillicores: number;
   /** Capacity of the VMs that tasks need which stand apart. */
   readonly apartMillicores: number;
-  /** Capacity of usable runners and of VMs that are moving to the pool. */
+  /**
+   * Capacity of usable runners and of VMs that are moving to the pool; of a
+   * standby pool, that of its VMs.
+   */
   readonly capacityMillicores: number;
 }
 
--- a/src/services/scheduling/scheduler.ts
+++ b/src/services/scheduling/scheduler.ts
@@ -102,40 +102,18 @@
   }
 
   #listCandidates(state: SchedulingState): Map<string, Candidate[]> {
+    const { awaitsMaintenance } = this.#options;
     const byPool = new Map<string, Candidate[]>();
     for (const runner of state.runners.values()) {
       if (this.mayPlaceOn(runner)) {
         const pool = byPool.get(runner.pool) ?? [];
-        pool.push(this.#createCandidate(runner, state));
+        pool.push(createCandidate(runner, state, awaitsMaintenance(runner)));
         byPool.set(runner.pool, pool);
       }
     }
     return byPool;
   }
 
-  #createCandidate(runner: Runner, state: SchedulingState): Candidate {
-    const load = state.jobs.findLoad(runner);
-    let latencyTargetCount = 0;
-    let bestEffortCount = 0;
-    for (const { step } of load.running.values()) {
-      latencyTargetCount += Number(step.tailTargetMs > 0);
-      bestEffortCount += Number(step.usesLeftovers);
-    }
-    const { runnerId, bornAtMs, zone, rack, labels, capacity } = runner;
-    return {
-      runnerId,
-      bornAtMs,
-      zone,
-      rack,
-      labels,
-      free: addAmounts(capacity, load.used, -1),
-      latencyTargetCount,
-      bestEffortCount,
-      awaitsMaintenance: this.#options.awaitsMaintenance(runner),
-      isReserved: false,
-    };
-  }
-
   /** Returns whether a runner may get work now. */
   mayPlaceOn(runner: Runner): boolean {
     const { findStatus, isCordoned, log } = this.#options;
@@ -170,6 +148,33 @@
   }
 }
 
+function createCandidate(
+  runner: Runner,
+  state: SchedulingState,
+  awaitsMaintenance: boolean,
+): Candidate {
+  const load = state.jobs.findLoad(runner);
+  let latencyTargetCount = 0;
+  let bestEffortCount = 0;
+  for (const { step } of load.running.values()) {
+    latencyTargetCount += Number(step.tailTargetMs > 0);
+    bestEffortCount += Number(step.usesLeftovers);
+  }
+  const { runnerId, bornAtMs, zone, rack, labels, capacity } = runner;
+  return {
+    runnerId,
+    bornAtMs,
+    zone,
+    rack,
+    labels,
+    free: addAmounts(capacity, load.used, -1),
+    latencyTargetCount,
+    bestEffortCount,
+    awaitsMaintenance,
+    isReserved: false,
+  };
+}
+
 function formatStart({ task, runNumber, runnerId }: PlannedStart): string {
   return `${formatTaskId(task)}#${runNumber}@${runnerId}`;
 }
--- a/src/services/scheduling/wave_task.ts
+++ b/src/services/scheduling/wave_task.ts
@@ -245,9 +245,11 @@
   // 100 %.
   #evictOne(waveId: number, vm: string, listed: ListedVm | undefined): void {
     const { fleet, logger } = this.#options;
+    const { orders } = this.#starter;
     const runnerId = listed?.state === "up" ? listed.runnerId : undefined;
     const running = this.#starter.listRunning(runnerId);
-    if (this.#starter.mayStop(running)) {
+    const hasBegun = orders.findOutcome({ waveId, vm }) === "confirmed";
+    if (hasBegun || this.#starter.mayStop(running)) {
       return;
     }
     const run = running.find((candidate) =>
