--- a/src/decisions/scheduling/maintenance_policy.ts
+++ b/src/decisions/scheduling/maintenance_policy.ts
@@ -108,7 +108,7 @@
     const pace = new MaintenancePace(input);
     const state = { input, pace, room, sorted, turns: new StepTurns() };
     const begin = chooseBegun(state);
-    const evacuated = chooseEvacuated(state);
+    const evacuated = chooseCleared(state);
     // Tasks that were moved away would come back to these VMs.
     const kept = sorted.filter(({ isCordoned, isProtected }) =>
       isCordoned && isProtected
@@ -175,7 +175,7 @@
   return next;
 }
 
-function chooseEvacuated(
+function chooseCleared(
   { input: { maxAwayCount }, pace, room, sorted }: PlanState,
 ): RatedCandidate[] {
   const maxCount = Math.max(
--- a/src/services/scheduling/pool_accounts.ts
+++ b/src/services/scheduling/pool_accounts.ts
@@ -76,19 +76,6 @@
     return this.#options.clock.monotonicMs() <= untilMs;
   }
 
-  /** Sums the capacity of the VMs that are on their way to each pool. */
-  sumArriving(): Map<string, number> {
-    const sums = new Map<string, number>();
-    for (const [vm, { cpuMillicores, pool }] of this.#arriving) {
-      if (this.isArriving(vm)) {
-        sums.set(pool, (sums.get(pool) ?? 0) + cpuMillicores);
-      } else {
-        this.#arriving.delete(vm);
-      }
-    }
-    return sums;
-  }
-
   /**
    * Sums the capacity of each pool by what it is used for. The shares of a pool
    * add up to the capacity of its runners and of its listed VMs without one.
@@ -117,7 +104,7 @@
       add(pool, "used", countedMillicores);
       add(pool, share, cpuMillicores - countedMillicores);
     }
-    for (const [pool, millicores] of this.sumArriving()) {
+    for (const [pool, millicores] of this.#sumArriving()) {
       add(pool, "arriving", millicores);
     }
     for (const listed of this.#vms) {
@@ -129,6 +116,18 @@
     return accounts;
   }
 
+  #sumArriving(): Map<string, number> {
+    const sums = new Map<string, number>();
+    for (const [vm, { cpuMillicores, pool }] of this.#arriving) {
+      if (this.isArriving(vm)) {
+        sums.set(pool, (sums.get(pool) ?? 0) + cpuMillicores);
+      } else {
+        this.#arriving.delete(vm);
+      }
+    }
+    return sums;
+  }
+
   #findShare(runner: Runner): PoolShare {
     const { fleet, isInMaintenance, isMoving, log, mayPlaceOn } = this.#options;
     const status = fleet.findStatus(runner);
