--- a/review/lib-2/proxy.mjs
+++ b/review/lib-2/proxy.mjs
@@ -36,10 +36,15 @@
     }
   }
 
-  close() {
+  /** Breaks all connections. */
+  reset() {
     for (const pair of this.#pairs) {
       pair.destroy();
     }
+  }
+
+  close() {
+    this.reset();
     return new Promise((resolve) => this.#server.close(() => resolve()));
   }
 
--- a/review/lib-2/runner.mjs
+++ b/review/lib-2/runner.mjs
@@ -16,6 +16,10 @@
 export class Runner {
   /** Starts and ends of runs, oldest first. */
   events = [];
+  /** Ends that a poll has let the runner forget, oldest first. */
+  forgotten = [];
+  /** Times at which no lease was in force (ms). */
+  lapsedAtMs = [];
   #options;
   #server;
   #proxy;
@@ -33,7 +37,9 @@
   #heartbeatAddress;
   #isCut = false;
   #failsAll = false;
-  #hasEnded = false;
+  #isDown = false;
+  /** Delays of the next polls that delete ends, in milliseconds. */
+  #pollDelaysMs = [];
 
   /**
    * @param options - id, vm, host, pool, zone, rack, kind, cpu, memMb, the addresses of
@@ -112,6 +118,44 @@
     this.#proxy.heal();
   }
 
+  /**
+   * Leaves the next polls that let it forget ends without an answer; each is
+   * carried out after its delay, also if the runner has started again by then.
+   */
+  delayPolls(delaysMs) {
+    this.#pollDelaysMs = [...delaysMs];
+  }
+
+  /** Number of polls that are still to be delayed. */
+  get delayCount() {
+    return this.#pollDelaysMs.length;
+  }
+
+  /** Ends with all that it runs, and starts again under its id. */
+  async restart(downMs) {
+    const { record } = this.#options;
+    record.add(`runner ${this.id}: crashes`);
+    this.#isDown = true;
+    this.#proxy.reset();
+    for (const run of this.running) {
+      this.#running.delete(run.task);
+      this.#note("end", run, "crashed");
+    }
+    this.#fence = 0;
+    this.#leaseUntilMs = 0;
+    this.#lastRun.clear();
+    this.#endCount = 0;
+    this.#ended = [];
+    this.#sequence = 0;
+    this.#heartbeatAddress = undefined;
+    await new Promise((resolve) => setTimeout(resolve, downMs));
+    this.#bornAtMs = Date.now();
+    this.#originMs = performance.now();
+    this.#isDown = false;
+    record.add(`runner ${this.id}: started again, born ${this.#bornAtMs}`);
+    void this.#heartbeat();
+  }
+
   /** Lets all runs fail that begin to work on this runner, or ends that. */
   failAll(failsAll) {
     this.#failsAll = failsAll;
@@ -122,24 +166,6 @@
     );
   }
 
-  /**
-   * Ends without a word, like a VM that loses its power; the runner does not come
-   * back.
-   */
-  crash() {
-    this.#options.record.add(`runner ${this.id}: crashes`);
-    this.#isCut = true;
-    this.#proxy.cut();
-    for (const run of this.running) {
-      this.#running.delete(run.task);
-      this.#note("end", run, "crashed");
-      if (isGangTask(run)) {
-        this.#options.gangs.leave(run, "crashed");
-      }
-    }
-    this.#hasEnded = true;
-  }
-
   get #clockMs() {
     return Math.floor(performance.now() - this.#originMs);
   }
@@ -150,10 +176,19 @@
       chunks.push(chunk);
     }
     const text = Buffer.concat(chunks).toString("utf8");
-    if (this.#hasEnded) {
+    if (this.#isDown) {
+      request.socket.destroy();
+      return;
+    }
+    const bornAtMs = this.#bornAtMs;
+    if (this.#delayPoll(request, text)) {
       return;
     }
     const { status, body } = await this.#handle(request, text);
+    if (bornAtMs !== this.#bornAtMs || this.#isDown) {
+      request.socket.destroy();
+      return;
+    }
     const answer = JSON.stringify({
       clock_ms: this.#clockMs,
       born: this.#bornAtMs,
@@ -166,6 +201,21 @@
     response.end(answer);
   }
 
+  #delayPoll(request, text) {
+    const isDelayed = request.url === "/v1/hold" &&
+      this.#pollDelaysMs.length > 0 && JSON.parse(text).ack_cursor > 0;
+    if (isDelayed) {
+      const delayMs = this.#pollDelaysMs.shift();
+      const { record } = this.#options;
+      record.add(`runner ${this.id}: no answer to ${text}`);
+      setTimeout(() => {
+        record.add(`runner ${this.id}: carries out, late: ${text}`);
+        void this.#handle(request, text);
+      }, delayMs);
+    }
+    return isDelayed;
+  }
+
   async #handle(request, text) {
     if (request.headers["x-target-instance"] !== this.id) {
       return { status: 421, body: {} };
@@ -211,6 +261,7 @@
       checkpoint,
       work,
       startedAtMs: performance.now(),
+      workMs: findWorkMs(task, work),
     };
     run.begin = () => {
       run.workingSinceMs = performance.now();
@@ -254,6 +305,12 @@
   async #hold(
     { ack_cursor: cursor = 0, until_ms: untilMs, wait_ms: waitMs = 0 },
   ) {
+    for (const [position, task, runNumber, how] of this.#ended) {
+      if (position <= cursor) {
+        const { nowMs: atMs } = this.#options.record;
+        this.forgotten.push({ task, runNumber, how, atMs });
+      }
+    }
     this.#ended = this.#ended.filter(([position]) => position > cursor);
     if (untilMs !== undefined) {
       this.#extendLease(untilMs);
@@ -265,7 +322,7 @@
     const running = this.running.map((run) => [
       run.task,
       run.runNumber,
-      this.#findCheckpoint(run),
+      run.checkpoint,
       this.#findPercent(run),
       0,
     ]);
@@ -275,22 +332,11 @@
     };
   }
 
-  #findPercent({ work, workingSinceMs }) {
+  #findPercent({ workMs, workingSinceMs }) {
     const workedMs = workingSinceMs === undefined
       ? 0
       : performance.now() - workingSinceMs;
-    return Math.min(100, Math.floor(100 * workedMs / work.workMs));
-  }
-
-  // A new value for each span of work, and for a stop.
-  #findCheckpoint({ checkpoint, work, workingSinceMs }) {
-    if (work.saveMs === undefined || workingSinceMs === undefined) {
-      return checkpoint;
-    }
-    const spans = Math.floor(
-      (performance.now() - workingSinceMs) / work.saveMs,
-    );
-    return spans === 0 ? checkpoint : `${checkpoint}s${spans}`;
+    return Math.min(100, Math.floor(100 * workedMs / workMs));
   }
 
   #extendLease(untilMs) {
@@ -300,13 +346,16 @@
 
   #tick() {
     const hasLapsed = this.#clockMs > this.#leaseUntilMs;
+    if (hasLapsed) {
+      this.lapsedAtMs.push(this.#options.record.nowMs);
+    }
     for (const run of this.running) {
       const workedMs = run.workingSinceMs === undefined
         ? -1
         : performance.now() - run.workingSinceMs;
       if (hasLapsed) {
         this.#endRun(run, "lapsed");
-      } else if (workedMs >= run.work.workMs) {
+      } else if (workedMs >= run.workMs) {
         this.#endRun(run, "done");
       } else if (
         workedMs < 0 && performance.now() - run.startedAtMs > GANG_WAIT_MS
@@ -326,7 +375,7 @@
       Math.max(this.#lastRun.get(run.task) ?? 0, run.runNumber),
     );
     this.#endCount += 1;
-    const saved = how === "done" ? "" : this.#findCheckpoint(run);
+    const saved = how === "done" ? "" : run.checkpoint;
     this.#ended.push([this.#endCount, run.task, run.runNumber, how, saved]);
     this.#note("end", run, how);
     if (isGangTask(run)) {
@@ -352,7 +401,7 @@
   }
 
   async #heartbeat() {
-    if (this.#isCut) {
+    if (this.#isCut || this.#isDown) {
       return;
     }
     const { controls, kind, pool, rack, zone } = this.#options;
@@ -391,6 +440,12 @@
   }
 }
 
+// The tasks of a step may differ in length.
+function findWorkMs(task, { spreadMs = 0, workMs }) {
+  const index = Number(task.split(".")[3]);
+  return workMs + spreadMs * ((index * 37) % 60) / 60;
+}
+
 function isGangTask({ task, work }) {
   return work.gangStep !== undefined &&
     Number(task.split(".")[2]) === work.gangStep;
