--- a/review/lib-2/site.mjs
+++ b/review/lib-2/site.mjs
@@ -35,8 +35,6 @@
   runners = [];
   gangs = new Gangs();
   #children = [];
-  /** Programs by name, with what they were started with. */
-  #programs = new Map();
   #options;
   #folder = mkdtempSync(join(tmpdir(), "cardamomsill-review-"));
   #provider;
@@ -102,14 +100,9 @@
     }
   }
 
-  /** Creates the manifest of the site; the fields of its route may be changed. */
-  createManifest(route = {}) {
-    return createManifest(this.#options.pool, route);
-  }
-
   /** Sends the manifest until it is acknowledged, and waits until all is in place. */
   async settle(route = {}) {
-    const manifest = this.createManifest(route);
+    const manifest = createManifest(this.#options.pool, route);
     await this.#until("the manifest was acknowledged", async () => {
       for (const address of this.controls) {
         const answer = await this.operate(
@@ -311,27 +304,6 @@
       orderMode: "invoke",
       stopGraceSeconds: 6,
     };
-    this.#programs.set(name, { folder, runLine, settings });
-    this.#launch(name);
-  }
-
-  /** Kills a process without a word. */
-  async kill(name) {
-    const { child } = this.#programs.get(name);
-    const ended = new Promise((resolve) => child.once("exit", resolve));
-    child.kill("SIGKILL");
-    await ended;
-  }
-
-  /** Starts a process again; only the first start of the system may bootstrap it. */
-  restart(name) {
-    this.#programs.get(name).settings.mayBootstrap = false;
-    this.#launch(name);
-  }
-
-  #launch(name) {
-    const known = this.#programs.get(name);
-    const { folder, runLine, settings } = known;
     const file = join(folder, "boot.json");
     writeFileSync(file, JSON.stringify(settings));
     const [program, ...words] = runLine;
@@ -345,9 +317,9 @@
       },
       stdio: ["ignore", "pipe", "pipe"],
     });
-    child.stdout.pipe(createWriteStream(join(folder, "log"), { flags: "a" }));
+    child.stdout.pipe(createWriteStream(join(folder, "log")));
     child.stderr.pipe(
-      createWriteStream(join(folder, "errors"), { flags: "a" }),
+      createWriteStream(join(folder, "errors")),
     );
     child.on(
       "exit",
@@ -355,7 +327,6 @@
     );
     this.record.add(`${name}: started, process ${child.pid}`);
     this.#children.push(child);
-    known.child = child;
   }
 }
 
