Reserve runners only for tasks that they can hold, and for a limited time

Cause: the planner reserved the roomiest allowed runner of a pool for each long-running task that fits nowhere, in every plan, also if the task is larger than the whole runner or has room only once another long-running task has ended. Work that only the reserved runner can take waited without a bound.

Change: a runner is reserved only if the task fits into what long-running tasks leave of it, for 2 s at most, and then not again for 2 s. The bound is below the 3 s in which work that has room is to start. The reason for which a step waits tells if no open runner is large enough.

--- a/src/bench/scheduling.ts
+++ b/src/bench/scheduling.ts
@@ -236,6 +236,7 @@
     pool.push({
       ...runner,
       free: { ...runner.capacity },
+      attainable: runner.capacity,
       latencyTargetCount: 0,
       bestEffortCount: 0,
       awaitsMaintenance: false,
--- a/src/decisions/scheduling/placement_demand.ts
+++ b/src/decisions/scheduling/placement_demand.ts
@@ -1,10 +1,6 @@
 /** Tracks the capacity that a plan allocates while it is being made. */
 import { addAmounts, computeReservedAmounts } from "../../domain/index.ts";
-import {
-  type Candidate,
-  isAllowed,
-  type PlacementDemand,
-} from "./placement_policy.ts";
+import type { Candidate, PlacementDemand } from "./placement_policy.ts";
 import type { ReadyStep } from "./ready_step.ts";
 
 /** The demand of a step, updated with each placement of the plan. */
@@ -48,46 +44,15 @@
 export function allocate(candidate: Candidate, demand: MutableDemand): void {
   const { step, held, countByRunner, countByZone } = demand;
   candidate.free = addAmounts(candidate.free, held, -1);
+  if (step.isEndless) {
+    candidate.attainable = addAmounts(candidate.attainable, held, -1);
+  }
   candidate.latencyTargetCount += Number(step.tailTargetMs > 0);
   candidate.bestEffortCount += Number(step.usesLeftovers);
   increment(countByRunner, candidate.runnerId);
   increment(countByZone, candidate.zone);
 }
 
-/**
- * Reserves the runner with the most free processor capacity for a task that
- * fits nowhere.
- *
- * Without the reservation, smaller tasks would fill each gap on a full runner
- * before it is large enough for a task that is earlier in the order. At most
- * one runner of a pool is reserved, and none in a pool of one runner, because
- * the tasks that it waits for may never end.
- *
- * @param candidates - Runners of the pool; the reserved one is marked.
- * @param demand - The demand of the task that fits nowhere.
- */
-export function reserveRoomiest(
-  candidates: readonly Candidate[],
-  demand: PlacementDemand,
-): void {
-  const isTaken = candidates.some(({ isReserved }) => isReserved);
-  if (isTaken || candidates.length < 2) {
-    return;
-  }
-  let roomiest: Candidate | undefined;
-  for (const candidate of candidates) {
-    const isRoomier = roomiest === undefined ||
-      candidate.free.cpuMillicores > roomiest.free.cpuMillicores;
-    const isFree = !candidate.isReserved && isAllowed(candidate, demand);
-    if (isFree && isRoomier) {
-      roomiest = candidate;
-    }
-  }
-  if (roomiest !== undefined) {
-    roomiest.isReserved = true;
-  }
-}
-
 function increment(counts: Map<string, number>, key: string): void {
   counts.set(key, (counts.get(key) ?? 0) + 1);
 }
--- a/src/decisions/scheduling/placement_policy.ts
+++ b/src/decisions/scheduling/placement_policy.ts
@@ -10,6 +10,8 @@
   readonly labels: readonly string[];
   /** Unallocated capacity. */
   free: Amounts;
+  /** Capacity that no long-running task holds, which may never end. */
+  attainable: Amounts;
   /** Tasks on it with a target for tail latency. */
   latencyTargetCount: number;
   /** Best-effort tasks on it, which run on spare processor time. */
--- a/src/decisions/scheduling/placement_policy_test.ts
+++ b/src/decisions/scheduling/placement_policy_test.ts
@@ -17,6 +17,7 @@
     rack: runnerId,
     labels: [],
     free: { cpuMillicores: 8_000, memoryMb: 1_000, gpuCount: 0 },
+    attainable: { cpuMillicores: 8_000, memoryMb: 1_000, gpuCount: 0 },
     latencyTargetCount: 0,
     bestEffortCount: 0,
     awaitsMaintenance: false,
--- a/src/decisions/scheduling/start_planner.ts
+++ b/src/decisions/scheduling/start_planner.ts
@@ -14,10 +14,10 @@
   allocate,
   createDemand,
   type MutableDemand,
-  reserveRoomiest,
 } from "./placement_demand.ts";
 import type { Candidate, PlacementPolicy } from "./placement_policy.ts";
 import { listReadySteps, type ReadyStep } from "./ready_step.ts";
+import { RunnerReservations } from "./runner_reservations.ts";
 
 /** A planned start of a task on a runner. */
 export interface PlannedStart extends RunnerIncarnation {
@@ -60,6 +60,7 @@
 export class StartPlanner {
   readonly #order: OrderPolicy;
   readonly #placement: PlacementPolicy;
+  readonly #reservations = new RunnerReservations();
 
   constructor({ order, placement }: StartPlannerOptions) {
     this.#order = order;
@@ -112,7 +113,8 @@
       const chosen = this.#placement.choose(candidates, demand);
       if (chosen === undefined) {
         if (ready.step.isEndless) {
-          reserveRoomiest(candidates, demand);
+          const { nowMs } = round.input;
+          this.#reservations.reserveRoomiest(candidates, demand, nowMs);
         }
         if (!candidates.some(({ free }) => fitsInto(demand.held, free))) {
           round.unplaceableByPool.set(ready.pool, demand.held);
--- a/src/decisions/scheduling/start_planner_test.ts
+++ b/src/decisions/scheduling/start_planner_test.ts
@@ -95,7 +95,9 @@
 }
 
 function createCandidate(name: string, freeMillicores: number): Candidate {
-  const { runnerId, bornAtMs, zone, rack, labels } = createRunner(name);
+  const { runnerId, bornAtMs, capacity, zone, rack, labels } = createRunner(
+    name,
+  );
   return {
     runnerId,
     bornAtMs,
@@ -107,6 +109,7 @@
       memoryMb: 100_000,
       gpuCount: 0,
     },
+    attainable: capacity,
     latencyTargetCount: 0,
     bestEffortCount: 0,
     awaitsMaintenance: false,
@@ -215,6 +218,75 @@
       assert.is(starts.length, 2);
       assert.is(plan(state, [createCandidate("a", 7_000)]).length, 2);
     });
+
+    // Guards against jobs that are accepted and never start: a task that is
+    // larger than any runner kept the only runner that they may use reserved.
+    it("reserve no runner that can never hold them", () => {
+      const state = createState();
+      accept(state, 1, [{ ...small, requiredLabel: "b" }]);
+      accept(state, 2, [createStep({
+        taskCount: 1,
+        needs: { cpuMillicores: 65_000 },
+        requiredLabel: "b",
+        isEndless: true,
+      })]);
+      const starts = plan(state, [
+        createCandidate("a", 64_000),
+        { ...createCandidate("b", 64_000), labels: ["b"] },
+      ]);
+      assert.is(starts.length, 4);
+    });
+
+    // Guards against the same with a task that has room only if another
+    // long-running one ends.
+    it("reserve no runner whose room other long-running tasks hold", () => {
+      const state = createState();
+      accept(state, 1, [small]);
+      accept(state, 2, [createStep({
+        taskCount: 1,
+        needs: { cpuMillicores: 60_000 },
+        isEndless: true,
+      })]);
+      const createFull = (name: string) => ({
+        ...createCandidate(name, 6_000),
+        attainable: {
+          cpuMillicores: 50_000,
+          memoryMb: 100_000,
+          gpuCount: 0,
+        },
+      });
+      const starts = plan(state, [createFull("a"), createFull("b")]);
+      assert.is(starts.length, 4);
+    });
+
+    // Guards against jobs that wait without a bound behind a reservation for
+    // which long tasks would have to end first.
+    it("reserve a runner for a limited time, and then not at once again", () => {
+      const state = createState();
+      accept(state, 1, [{ ...small, requiredLabel: "b" }]);
+      accept(state, 2, [createStep({
+        taskCount: 1,
+        needs: { cpuMillicores: 60_000 },
+        requiredLabel: "b",
+        isEndless: true,
+      })]);
+      const planner = new StartPlanner({
+        order: new SlackOrderPolicy(),
+        placement: new ScoredPlacementPolicy(),
+      });
+      const countStarts = (passedMs: number) =>
+        planner.plan({
+          state,
+          candidates: new Map([[POOL, [
+            createCandidate("a", 64_000),
+            { ...createCandidate("b", 50_000), labels: ["b"] },
+          ]]]),
+          findApproved: () => undefined,
+          nowMs: ACCEPTED_AT_MS + passedMs,
+        }).length;
+      const counts = [0, 1_000, 1_990, 2_010, 3_900, 4_010].map(countStarts);
+      assert.equal(counts, [0, 0, 0, 4, 4, 0]);
+    });
   });
 
   describe("order", () => {
--- a/src/decisions/scheduling/wait_reason.ts
+++ b/src/decisions/scheduling/wait_reason.ts
@@ -77,6 +77,12 @@
   if (fitting.length === 0) {
     return `no runner of ${pool} has the label ${requiredLabel}`;
   }
+  const isLargeEnough = fitting.some(({ capacity }) =>
+    fitsInto(step.needs, capacity)
+  );
+  if (!isLargeEnough) {
+    return `none of ${fitting.length} open runners of ${pool} is large enough for ${step.needs.cpuMillicores} millicores, ${step.needs.memoryMb} MB and ${step.needs.gpuCount} GPUs`;
+  }
   const isRoom = fitting.some((runner) => {
     const { used } = state.jobs.findLoad(runner);
     return fitsInto(step.needs, addAmounts(runner.capacity, used, -1));
--- a/src/services/scheduling/scheduler.ts
+++ b/src/services/scheduling/scheduler.ts
@@ -1,6 +1,7 @@
 /** Task of the leader that places waiting tasks on runners. */
 import {
   addAmounts,
+  computeReservedAmounts,
   formatTaskId,
   type Runner,
   type SchedulingOperation,
@@ -156,7 +157,11 @@
   const load = state.jobs.findLoad(runner);
   let latencyTargetCount = 0;
   let bestEffortCount = 0;
+  let attainable = runner.capacity;
   for (const { step } of load.running.values()) {
+    if (step.isEndless) {
+      attainable = addAmounts(attainable, computeReservedAmounts(step), -1);
+    }
     latencyTargetCount += Number(step.tailTargetMs > 0);
     bestEffortCount += Number(step.usesLeftovers);
   }
@@ -168,6 +173,7 @@
     rack,
     labels,
     free: addAmounts(capacity, load.used, -1),
+    attainable,
     latencyTargetCount,
     bestEffortCount,
     awaitsMaintenance,
