Fetch no VMs for work that none of them can run

Change: the list of VMs carries their whole capacity and their labels. Steps that no VM of any pool could run if nothing else ran are left out of the waiting demand and of the VMs for tasks that stand apart. While the list does not tell the capacity of all VMs, nothing is left out.

--- a/src/decisions/scheduling/apart_demand.ts
+++ b/src/decisions/scheduling/apart_demand.ts
@@ -3,6 +3,7 @@
   type Catalog,
   indexQueues,
   type JobRecord,
+  type JobStep,
   type RunnerIncarnation,
 } from "../../domain/index.ts";
 
@@ -13,6 +14,8 @@
   readonly catalog: Catalog;
   /** Number of VMs that await their maintenance, by pool. */
   readonly awaitingByPool: ReadonlyMap<string, number>;
+  /** Returns whether any VM could run a task of a step. */
+  readonly canRun: (step: JobStep) => boolean;
   /** Returns whether a runner gets no new work, as its VM is to be maintained. */
   readonly isCordoned: (runner: RunnerIncarnation) => boolean;
 }
@@ -26,7 +29,7 @@
  * @param input - The jobs, and what is known of the runners.
  */
 export function countApartVms(
-  { awaitingByPool, catalog, isCordoned, jobs }: ApartDemandInput,
+  { awaitingByPool, canRun, catalog, isCordoned, jobs }: ApartDemandInput,
 ): Map<string, number> {
   const { byName } = indexQueues(catalog);
   const counts = new Map<string, number>();
@@ -34,7 +37,7 @@
     const pool = byName.get(job.queue)?.pool ?? job.pool;
     job.spec.steps.forEach((step, index) => {
       const { isEndless, maxAwayCount = 0, maxPerRunner } = step;
-      if (!isEndless || maxPerRunner === 0) {
+      if (!isEndless || maxPerRunner === 0 || !canRun(step)) {
         return;
       }
       const movingCount = Math.min(maxAwayCount, awaitingByPool.get(pool) ?? 0);
--- a/src/decisions/scheduling/apart_demand_test.ts
+++ b/src/decisions/scheduling/apart_demand_test.ts
@@ -39,6 +39,7 @@
     jobs,
     catalog: EMPTY_CATALOG,
     awaitingByPool: new Map([[POOL, awaitingCount]]),
+    canRun: ({ requiredLabel }) => requiredLabel === undefined,
     isCordoned: ({ runnerId }) => cordonedIds.includes(runnerId),
   }).get(POOL);
 }
@@ -54,6 +55,12 @@
     assert.is(count([createJob({ isEndless: false })]), undefined);
   });
 
+  // Guards against a pool that keeps VMs, which others need, for tasks that no
+  // VM can run.
+  it("are none of steps that no VM can run", () => {
+    assert.is(count([createJob({ requiredLabel: "none" })]), undefined);
+  });
+
   // The pattern: a wave maintains the VMs on which the tasks run.
   describe("beside a wave", () => {
     it("are more by those that may move at once", () => {
--- a/src/ports/vm_control.ts
+++ b/src/ports/vm_control.ts
@@ -1,6 +1,6 @@
 /** Port for moves and maintenance of VMs. */
 import type { Result } from "true-myth";
-import type { Failure } from "../domain/index.ts";
+import type { Amounts, Failure } from "../domain/index.ts";
 
 /** A VM as the platform lists it. */
 export interface ListedVm {
@@ -12,7 +12,10 @@
    */
   readonly state: "up" | "moving" | "upkeep" | "down" | "unknown";
   readonly zone: string;
-  readonly cpuMillicores: number;
+  /** Zero if the list does not tell. */
+  readonly capacity: Amounts;
+  /** Kind and rack of the VM; undefined if the list does not tell. */
+  readonly labels: readonly string[] | undefined;
   /** Runner on the VM, if any. */
   readonly runnerId: string | undefined;
 }
--- a/src/services/scheduling/capacity_task.ts
+++ b/src/services/scheduling/capacity_task.ts
@@ -157,7 +157,8 @@
     );
     const nowMs = clock.monotonicMs();
     return this.#vms.flatMap((listed): IdleVm[] => {
-      const { vm, pool, cpuMillicores, runnerId, state, zone } = listed;
+      const { vm, pool, capacity, runnerId, state, zone } = listed;
+      const { cpuMillicores } = capacity;
       const isUnavailable = accounts.isArriving(vm) || state !== "up" ||
         log.state.zonesOut.has(zone);
       if (isUnavailable) {
--- a/src/services/scheduling/pool_accounts.ts
+++ b/src/services/scheduling/pool_accounts.ts
@@ -1,4 +1,5 @@
 /** Accounts for the capacity of each pool: who uses it, or what withholds it. */
+import { HostCapacity } from "../../decisions/index.ts";
 import type { Runner } from "../../domain/index.ts";
 import type { Clock, ListedVm, PoolShare } from "../../ports/index.ts";
 import type { RunnerFleet } from "./runner_fleet.ts";
@@ -65,11 +66,29 @@
    * @param listed - The VM as it was listed before.
    * @param pool - Its new pool.
    */
-  recordMoved({ cpuMillicores, vm }: ListedVm, pool: string): void {
+  recordMoved({ capacity, vm }: ListedVm, pool: string): void {
+    const { cpuMillicores } = capacity;
     const untilMs = this.#options.clock.monotonicMs() + MOVE_MS;
     this.#arriving.set(vm, { pool, cpuMillicores, untilMs });
   }
 
+  /**
+   * Knows what all VMs offer, in whichever pool they are.
+   *
+   * @returns The capacity, or undefined while the list of VMs does not tell it.
+   */
+  findHostCapacity(): HostCapacity | undefined {
+    const { runners } = this.#options.log.state;
+    const withoutRunner = this.#vms.filter(({ runnerId }) =>
+      !runners.has(runnerId ?? "")
+    );
+    const isKnown = this.#vms.length > 0 &&
+      withoutRunner.every(({ capacity }) => capacity.cpuMillicores > 0);
+    return isKnown
+      ? new HostCapacity([...runners.values(), ...withoutRunner])
+      : undefined;
+  }
+
   /** Returns whether a VM has been moved and does not serve its new pool yet. */
   isArriving(vm: string): boolean {
     const { untilMs = -Infinity } = this.#arriving.get(vm) ?? {};
@@ -110,7 +129,7 @@
     for (const listed of this.#vms) {
       const share = this.#findShareWithoutRunner(listed);
       if (share !== undefined) {
-        add(listed.pool, share, listed.cpuMillicores);
+        add(listed.pool, share, listed.capacity.cpuMillicores);
       }
     }
     return accounts;
--- a/src/services/scheduling/pool_accounts_test.ts
+++ b/src/services/scheduling/pool_accounts_test.ts
@@ -36,7 +36,8 @@
     pool: "bay",
     state: "up",
     zone: "zone-a",
-    cpuMillicores: VM_MILLICORES,
+    capacity: { cpuMillicores: VM_MILLICORES, memoryMb: 100, gpuCount: 0 },
+    labels: [],
     runnerId: undefined,
     ...changes,
   };
--- a/src/services/scheduling/pool_loads.ts
+++ b/src/services/scheduling/pool_loads.ts
@@ -19,7 +19,7 @@
   readonly log: SchedulingLog;
   readonly clock: Clock;
   readonly forecast: DemandForecast;
-  readonly accounts: Pick<PoolAccounts, "sum">;
+  readonly accounts: Pick<PoolAccounts, "findHostCapacity" | "sum">;
   /** Returns whether a runner's VM is going to be maintained in an open wave. */
   readonly awaitsMaintenance: (runner: Runner) => boolean;
   /** Returns whether a runner's VM is being drained for maintenance. */
@@ -66,7 +66,9 @@
         awaiting.set(pool, (awaiting.get(pool) ?? 0) + 1);
       }
     }
-    const ready = listReadySteps(state.jobs, state.catalog, nowMs);
+    const hosts = accounts.findHostCapacity();
+    const ready = listReadySteps(state.jobs, state.catalog, nowMs)
+      .filter(({ step }) => hosts?.canRun(step) ?? true);
     const waiting = sumWaitingDemand(ready, largestMillicores, nowMs);
     const arrivals = listArrivals(state);
     const recent = sumRecent(arrivals, nowMs);
@@ -80,6 +82,7 @@
       catalog: state.catalog,
       awaitingByPool: awaiting,
       isCordoned: isInMaintenance,
+      canRun: (step) => hosts?.canRun(step) ?? true,
     });
     const byPool = accounts.sum();
     const serving = state.catalog.pools.filter(({ isStandby }) => !isStandby);
--- a/src/services/scheduling/wave_planner.ts
+++ b/src/services/scheduling/wave_planner.ts
@@ -175,7 +175,7 @@
   }
 
   #createCandidate(
-    { cpuMillicores, pool, runnerId, vm }: ListedVm,
+    { capacity, pool, runnerId, vm }: ListedVm,
     cordonedRunnerIds: ReadonlySet<string>,
   ): MaintenanceCandidate {
     const { starter } = this.#options;
@@ -183,7 +183,7 @@
     return {
       vm,
       pool,
-      cpuMillicores,
+      cpuMillicores: capacity.cpuMillicores,
       running,
       isProtected: !starter.mayStop(running),
       guardedSteps: running.flatMap(listGuardedStep),
--- a/src/testing/capacity_fixture.ts
+++ b/src/testing/capacity_fixture.ts
@@ -51,7 +51,8 @@
       pool,
       state: "up",
       zone: "zone-a",
-      cpuMillicores: VM_MILLICORES,
+      capacity: { cpuMillicores: VM_MILLICORES, memoryMb: 100, gpuCount: 0 },
+      labels: [],
       runnerId: hasRunner ? vm : undefined,
     }];
   }
--- a/src/testing/fake_vms.ts
+++ b/src/testing/fake_vms.ts
@@ -91,7 +91,8 @@
         pool,
         state: this.#findState(vm),
         zone: "zone-a",
-        cpuMillicores: VM_MILLICORES,
+        capacity: { cpuMillicores: VM_MILLICORES, memoryMb: 100, gpuCount: 0 },
+        labels: [],
         runnerId: this.#findState(vm) === "up" && !this.emptyVms.has(vm)
           ? vm
           : undefined,
