Let steps take turns at the advice service

Cause: the next request was always that of the most urgent step that lacked tickets. A step whose requests fail, one whose tickets expire again and again, or one whose tasks fit on no runner kept the others from tickets for good.

Change: first requests of steps, in the order of the policy, alternate with further ones of other steps, the oldest first. Nothing is requested for runners that are too small for the tasks, or lack their label.

--- a/src/services/scheduling/advice_task.ts
+++ b/src/services/scheduling/advice_task.ts
@@ -5,9 +5,17 @@
   type ReadyStep,
   type StepReference,
 } from "../../decisions/index.ts";
-import type { AdviceTerms, Runner } from "../../domain/index.ts";
+import {
+  type AdviceTerms,
+  type Amounts,
+  computeReservedAmounts,
+  fitsInto,
+  type JobStep,
+  type Runner,
+} from "../../domain/index.ts";
 import type { AdviceClient, Clock, Logger } from "../../ports/index.ts";
 import { type Notifier, waitFor } from "../../tasks/index.ts";
+import { AdviceTurns } from "./advice_turns.ts";
 import type { SchedulingLog } from "./scheduling_log.ts";
 import {
   ADVICE_IDLE_MS,
@@ -44,13 +52,20 @@
   readonly byRunner: Map<string, Ticket>;
 }
 
+interface AdviceRequest {
+  readonly step: ReadyStep;
+  readonly runners: readonly Runner[];
+  readonly terms: AdviceTerms;
+}
+
 /**
- * Requests tickets for ready steps, the most urgent first, one request at a
- * time, and keeps them until their job has ended.
+ * Requests tickets for ready steps, one request at a time, and keeps them until
+ * their job has ended.
  */
 export class AdviceTask {
   readonly #options: AdviceTaskOptions;
   readonly #ticketsByStep = new Map<string, StepTickets>();
+  readonly #turns = new AdviceTurns(formatStep);
 
   constructor(options: AdviceTaskOptions) {
     this.#options = options;
@@ -112,13 +127,11 @@
         });
         continue;
       }
-      await this.#requestAdvice(request.step, request.runners, request.terms);
+      await this.#requestAdvice(request);
     }
   }
 
-  #chooseRequest():
-    | { step: ReadyStep; runners: Runner[]; terms: AdviceTerms }
-    | undefined {
+  #chooseRequest(): AdviceRequest | undefined {
     const { clock, log, order } = this.#options;
     const { state } = log;
     if (!state.catalog.queues.some(({ advice }) => advice !== undefined)) {
@@ -129,7 +142,7 @@
       .filter(({ advice }) => advice !== undefined);
     this.#dropEndedJobs(ready);
     const runnersByPool = new Map<string, readonly Runner[]>();
-    for (const step of order.sort(ready, nowMs)) {
+    for (const step of this.#turns.sort(order.sort(ready, nowMs))) {
       const terms = step.advice;
       if (terms === undefined || this.#hasEnough(step)) {
         continue;
@@ -159,7 +172,11 @@
 
   #chooseRunners(step: ReadyStep, inPool: readonly Runner[]): Runner[] {
     const known = this.#ticketsByStep.get(formatStep(step));
+    const held = computeReservedAmounts(step.step);
     const candidates = inPool.filter((runner) => {
+      if (!canHost(runner, step.step, held)) {
+        return false;
+      }
       const ticket = known?.byRunner.get(runner.runnerId);
       const isKnown = known?.requestedRunners.has(
         `${runner.runnerId}@${runner.bornAtMs}`,
@@ -172,13 +189,12 @@
   }
 
   async #requestAdvice(
-    step: ReadyStep,
-    runners: readonly Runner[],
-    terms: AdviceTerms,
+    { runners, step, terms }: AdviceRequest,
   ): Promise<void> {
     const { client, clock, changed, logger } = this.#options;
     const name = toName(step);
     const requestedAtMs = clock.monotonicMs();
+    this.#turns.record(step, requestedAtMs);
     const expectedMs = terms.decisionMs + terms.perRunnerMs * runners.length;
     const answered = await client.requestAdvice(
       name,
@@ -218,20 +234,29 @@
   }
 
   #dropEndedJobs(ready: readonly ReadyStep[]): void {
-    if (this.#ticketsByStep.size === 0) {
-      return;
-    }
     const { jobs } = this.#options.log.state;
     const wanted = new Set(ready.map(formatStep));
-    for (const key of this.#ticketsByStep.keys()) {
+    for (const key of this.#turns.steps) {
       const job = jobs.find(key.split(".")[0] ?? "");
       if (!wanted.has(key) && job?.outcome !== undefined) {
         this.#ticketsByStep.delete(key);
+        this.#turns.drop(key);
       }
     }
   }
 }
 
+// The service decides for one caller at a time, and its answer about a runner
+// that is too small or of another kind would be of no use.
+function canHost(
+  { capacity, labels }: Runner,
+  { requiredLabel }: JobStep,
+  held: Amounts,
+): boolean {
+  return fitsInto(held, capacity) &&
+    (requiredLabel === undefined || labels.includes(requiredLabel));
+}
+
 function toName(step: ReadyStep): StepReference {
   return {
     jobId: step.job.spec.jobId,
--- a/src/services/scheduling/advice_task_test.ts
+++ b/src/services/scheduling/advice_task_test.ts
@@ -5,7 +5,11 @@
   type ReadyStep,
   SlackOrderPolicy,
 } from "../../decisions/index.ts";
-import { jobStepSchema, type Runner } from "../../domain/index.ts";
+import {
+  type JobStep,
+  jobStepSchema,
+  type Runner,
+} from "../../domain/index.ts";
 import { Notifier } from "../../tasks/index.ts";
 import { afterEach, describe, it } from "../../testing/describe.ts";
 import { FakeAdvice } from "../../testing/fake_advice.ts";
@@ -55,11 +59,14 @@
   async function setUp(
     isApproved: (runnerId: string) => boolean,
     jobCount = 1,
+    firstStep: Partial<JobStep> = {},
+    failingJobIds: readonly string[] = [],
   ) {
     const clock = new FakeClock();
     const agreement = new FakeAgreement(clock);
     const log = new SchedulingLog({ agreement, clock });
     const client = new FakeAdvice({ clock, ...TERMS, isApproved });
+    failingJobIds.forEach((jobId) => client.failingJobIds.add(jobId));
     const order = new CountingOrder();
     const changed = new Notifier();
     const checks = { count: 0 };
@@ -110,6 +117,7 @@
           steps: [v.parse(jobStepSchema, {
             taskCount: 3,
             needs: { cpuMillicores: 1_000 },
+            ...(at === 0 ? firstStep : {}),
           })],
         },
         queue: "q",
@@ -209,6 +217,50 @@
     assert.ok(client.requests.length > requestCount);
   });
 
+  describe("beside a step that can't start", () => {
+    const OTHER_COUNT = 4;
+
+    const countSteps = (client: FakeAdvice, jobId: string) =>
+      client.steps.filter((step) => step.jobId === jobId).length;
+
+    // Guards against steps that get no tickets: the service was asked again and
+    // again about a task that fits on no runner.
+    it("requests nothing for a task that no runner can hold", async () => {
+      const { clock, client } = await setUp(() => true, 1 + OTHER_COUNT, {
+        needs: { cpuMillicores: 8_001, memoryMb: 0, gpuCount: 0 },
+        isEndless: true,
+      });
+      await clock.advance(2_000);
+      assert.is(countSteps(client, STEP.jobId), 0);
+      assert.is(client.requests.length, OTHER_COUNT);
+    });
+
+    // Guards against the same where each request for one step fails.
+    it("requests tickets of the others while its own requests fail", async () => {
+      const { clock, task } = await setUp(
+        () => true,
+        1 + OTHER_COUNT,
+        { isEndless: true },
+        [STEP.jobId],
+      );
+      await clock.advance(8_000);
+      for (let at = 1; at <= OTHER_COUNT; at += 1) {
+        const jobId = String(at).padStart(16, "0");
+        assert.ok(task.findTicket({ ...STEP, jobId }, createRunner(1)), jobId);
+      }
+    });
+
+    // Guards against the same where the tickets of long-running steps expire
+    // before the service has decided about the other steps.
+    it("requests tickets of all while those of others expire", async () => {
+      const stepCount = 60;
+      const { clock, client } = await setUp((id) => id === "r1", stepCount);
+      await clock.advance(10 * VALID_MS);
+      const asked = new Set(client.steps.map(({ jobId }) => jobId));
+      assert.is(asked.size, stepCount);
+    });
+  });
+
   describe("after an approved runner has started again", () => {
     const setUpRestart = async () => {
       const fixture = await setUp((id) => ["r1", "r2", "r3"].includes(id));
--- a/src/testing/fake_advice.ts
+++ b/src/testing/fake_advice.ts
@@ -20,6 +20,10 @@
 export class FakeAdvice implements AdviceClient {
   /** Runner ids of each request, in the order of arrival. */
   readonly requests: (readonly string[])[] = [];
+  /** Step of each request, in the order of arrival. */
+  readonly steps: StepName[] = [];
+  /** Ids of jobs whose requests time out. */
+  readonly failingJobIds = new Set<string>();
   /** Highest number of requests that were open at the same time. */
   maxOpenCount = 0;
   /** Whether requests time out because the service is unavailable. */
@@ -33,19 +37,22 @@
   }
 
   async requestAdvice(
-    _step: StepName,
+    step: StepName,
     runnerIds: readonly string[],
     timeoutMs: number,
   ): Promise<Result<Advice, Failure>> {
     const { clock, decisionMs, isApproved, perRunnerMs, validMs } =
       this.#options;
     this.requests.push(runnerIds);
+    this.steps.push(step);
+    const isUnavailable = this.isUnavailable ||
+      this.failingJobIds.has(step.jobId);
     this.#openCount += 1;
     this.maxOpenCount = Math.max(this.maxOpenCount, this.#openCount);
     const tookMs = decisionMs + perRunnerMs * runnerIds.length;
-    await clock.sleep(this.isUnavailable ? timeoutMs : tookMs);
+    await clock.sleep(isUnavailable ? timeoutMs : tookMs);
     this.#openCount -= 1;
-    if (this.isUnavailable || tookMs > timeoutMs) {
+    if (isUnavailable || tookMs > timeoutMs) {
       return Result.err(createFailure("peerUnreachable", "no answer in time"));
     }
     const tickets = new Map(
