Remove voters that were replaced

Cause: a lost voter was removed only while a learner that had caught up waited, and a learner was promoted at once. So a machine that was replaced stayed a voter, and with each replacement the quorum could grow. After five replacements, one every 3 or 4.5 s, five machines run and none can be elected; after a single one, the loss of a zone with two controllers leaves no leader.

Change: no learner is promoted while a voter has not been heard for 1 s, and a learner that has caught up takes the place of a voter that no longer counts as running. Without a learner, a voter goes that makes the number of voters even, as the others then need a smaller quorum and every majority of all holds a majority of them. Two of an odd number go once both are silent for 20 s. Candidates log which voters granted their votes where they found no majority.

--- a/src/replication/election_task.ts
+++ b/src/replication/election_task.ts
@@ -82,6 +82,7 @@
     const core = this.#core;
     const preVotes = await this.#collectVotes(this.#createRequest(true));
     if (!this.#isMajority(preVotes)) {
+      this.#logLost(preVotes);
       return;
     }
     const request = await this.#startTerm();
@@ -169,6 +170,23 @@
     return isGranted && storeId === voter.storeId;
   }
 
+  // Voters that never grant a vote may be gone for good, so that those that are
+  // left can have no leader.
+  #logLost(granted: readonly Member[]): void {
+    const { log: { membership, last }, options, term } = this.#core;
+    const { voters } = membership;
+    options.logger.info(
+      {
+        term,
+        lastIndex: last.index,
+        grantedIds: granted.map(({ entryId }) => entryId),
+        voterIds: voters.map(({ entryId }) => entryId),
+        quorumCount: computeQuorum(voters.length),
+      },
+      "found no majority for an election",
+    );
+  }
+
   #isMajority(granted: readonly Member[]): boolean {
     const { voters } = this.#core.log.membership;
     const count = voters.filter((voter) => includesMember(granted, voter))
--- a/src/replication/leader_task.ts
+++ b/src/replication/leader_task.ts
@@ -4,10 +4,11 @@
 import type { Leadership } from "./leadership.ts";
 import type { ProposalQueue } from "./proposal_queue.ts";
 import type { ReplicaCore } from "./replica_core.ts";
+import { findLostVoter } from "./lost_voters.ts";
 import {
   LEADER_CHECK_INTERVAL_MS,
-  LOST_VOTER_TIMEOUT_MS,
   MAX_PROMOTION_LAG,
+  SILENT_VOTER_MS,
 } from "./timing.ts";
 
 /** Steps down without a quorum; repairs the membership one change at a time. */
@@ -133,13 +134,21 @@
     return isRunning ? undefined : replacement?.member;
   }
 
+  // While a voter is silent, the learner may be the one that replaces it.
   #planPromotion(leadership: Leadership): Command | undefined {
-    const { voters, learners } = this.#core.log.membership;
+    const { log: { membership }, self } = this.#core;
+    const { voters, learners } = membership;
     const learner = this.#findCaughtUpLearner(leadership);
-    return learner === undefined ? undefined : createMembershipCommand({
-      voters: [...voters, learner],
-      learners: learners.filter((other) => other !== learner),
-    });
+    const areAllHeard = voters.every((voter) =>
+      voter.storeId === self.storeId ||
+      leadership.isHeard(voter, SILENT_VOTER_MS)
+    );
+    return learner === undefined || !areAllHeard
+      ? undefined
+      : createMembershipCommand({
+        voters: [...voters, learner],
+        learners: learners.filter((other) => other !== learner),
+      });
   }
 
   #findCaughtUpLearner(leadership: Leadership): Member | undefined {
@@ -153,23 +162,25 @@
     );
   }
 
-  // Removes a voter that stopped pulling, once a learner can take its place. A
+  // A voter that never returns must not count towards the quorum for good. A
   // removed voter that returns is admitted again like any other entry.
   #planLostVoterRemoval(leadership: Leadership): Command | undefined {
     const { self, options, log } = this.#core;
     const { voters, learners } = log.membership;
-    if (
-      !options.admitsMembers ||
-      this.#findCaughtUpLearner(leadership) === undefined
-    ) {
+    if (!options.admitsMembers) {
       return undefined;
     }
-    const lostVoter = voters.find((voter) =>
-      voter.storeId !== self.storeId &&
-      leadership.computeMsSinceLastPull(voter) > LOST_VOTER_TIMEOUT_MS
-    );
+    const lostVoter = findLostVoter({
+      hasReplacement: this.#findCaughtUpLearner(leadership) !== undefined,
+      voters: voters.map((voter) => ({
+        ...voter,
+        silentMs: voter.storeId === self.storeId
+          ? 0
+          : leadership.computeMsSinceLastPull(voter),
+      })),
+    });
     return lostVoter === undefined ? undefined : createMembershipCommand({
-      voters: voters.filter((voter) => voter !== lostVoter),
+      voters: voters.filter(({ storeId }) => storeId !== lostVoter.storeId),
       learners,
     });
   }
--- a/src/replication/leadership.ts
+++ b/src/replication/leadership.ts
@@ -163,6 +163,19 @@
       nowMs - this.sinceMs;
   }
 
+  /**
+   * Tells whether a member has pulled in this term, and lately.
+   *
+   * @param member - Entry and data folder of the member.
+   * @param withinMs - How long ago its last pull may be (ms).
+   */
+  isHeard({ storeId }: Member, withinMs: number): boolean {
+    const nowMs = this.#core.options.clock.steadyMs();
+    const follower = this.#followers.get(storeId);
+    const silentMs = follower?.computeMsSinceLastPull(nowMs, -Infinity);
+    return silentMs !== undefined && silentMs <= withinMs;
+  }
+
   /** Ends the waiting pulls of voters, whose next pulls confirm the leader. */
   startConfirmationRound(): void {
     this.confirmationRound += 1;
--- a/src/replication/lease_log_test.ts
+++ b/src/replication/lease_log_test.ts
@@ -36,4 +36,20 @@
       assert.ok(Number(fields["sinceContactMs"]) >= MIN_ELECTION_TIMEOUT_MS);
     }
   });
+
+  // Guards against a group without a leader whose logs do not tell which voters
+  // it lacks.
+  it("tell which voters granted their votes where there is no majority", async () => {
+    const cluster = new FakeCluster({ seed: SEED, voterIds: VOTERS });
+    await cluster.start();
+    await cluster.waitForLeader();
+    ["a", "b"].forEach((entryId) => cluster.crash(entryId));
+    await cluster.clock.advance(SILENCE_MS);
+    const line = cluster.find("c").logger.lines.find(({ message }) =>
+      message === "found no majority for an election"
+    );
+    assert.equal(line?.fields["grantedIds"], ["c"]);
+    assert.equal(line?.fields["voterIds"], VOTERS);
+    assert.is(line?.fields["quorumCount"], 2);
+  });
 });
--- a/src/replication/timing.ts
+++ b/src/replication/timing.ts
@@ -96,10 +96,23 @@
 /** Time after its last pull during which an entry counts as running (ms). */
 export const RECENT_PULL_MS = 1_500;
 /**
- * Time without a pull after which a voter is removed if a learner has caught up,
- * in milliseconds. It is longer than a restart with a full log.
+ * Time without a pull after which a voter counts as silent, in milliseconds:
+ * twice the longest time for which the leader holds a pull.
  */
-export const LOST_VOTER_TIMEOUT_MS = 8_000;
+export const SILENT_VOTER_MS = 2 * MAX_PULL_WAIT_MS;
+/**
+ * Time without a pull after which a voter is removed where a learner takes its
+ * place or the others need a smaller quorum, in milliseconds. Until then it counts
+ * as running.
+ */
+export const LOST_VOTER_TIMEOUT_MS = RECENT_PULL_MS;
+/**
+ * Time without a pull after which a voter counts as gone for good, in
+ * milliseconds. It is longer than the outages of zones that voters return from.
+ */
+export const GONE_VOTER_TIMEOUT_MS = 20_000;
+/** Number of voters below which none is removed without a replacement. */
+export const MIN_VOTER_COUNT = 3;
 /** Number of recent pulls that the leader remembers for each follower. */
 export const MAX_KEPT_PULLS = 16;
 /** Number of results of forwarded proposals that the leader remembers. */
