Let another seed bootstrap after one was killed at the first start

Operators saw a deployment that never had a leader: the seed with the smallest address was killed during the first start of all processes.

Cause: only that seed might write the first membership, and a process that is started again may not bootstrap. If it ended between saving its vote and saving the membership, its folder also counted as used, and its term spread to the others.

A folder without log entries counts as empty while it holds no vote for another.

--- a/src/replication/messages.ts
+++ b/src/replication/messages.ts
@@ -124,8 +124,10 @@
 /** Schema of {@link ProbeResponse}. */
 export const probeResponseSchema = v.object({
   storeId: v.string(),
-  /** Whether the data folder holds neither a vote nor a log entry. */
+  /** Whether the data folder holds nothing that a deployment relies on. */
   isBlank: v.boolean(),
+  /** Whether the entry may bootstrap a new deployment. */
+  mayBootstrap: v.optional(v.boolean(), true),
 });
 
 /** What an initial voter reports of its data folder before bootstrapping. */
--- a/src/replication/replica_core.ts
+++ b/src/replication/replica_core.ts
@@ -20,7 +20,11 @@
 import { Leadership } from "./leadership.ts";
 import { ReplicaLog } from "./replica_log.ts";
 import type { ReplicaOptions } from "./replica_options.ts";
-import { DISK_COOLDOWN_MS, RESIGNATION_COOLDOWN_MS } from "./timing.ts";
+import {
+  DISK_COOLDOWN_MS,
+  FIRST_TERM,
+  RESIGNATION_COOLDOWN_MS,
+} from "./timing.ts";
 
 /** Term, vote, log and applied state of a replica. */
 export class ReplicaCore {
@@ -93,9 +97,21 @@
     return [...ids];
   }
 
-  /** Whether the data folder holds neither a vote nor a log entry. */
+  /**
+   * Whether the data folder holds no log entry, and no vote but the one with which
+   * this entry was about to bootstrap the deployment. The term of that vote may
+   * have reached other entries as well.
+   */
   get isBlank(): boolean {
-    return this.term === 0 && this.log.last.index === 0;
+    const hasVotedForOther = this.votedFor !== undefined &&
+      this.votedFor !== this.self.entryId;
+    return this.term <= FIRST_TERM && !hasVotedForOther &&
+      this.log.last.index === 0;
+  }
+
+  /** Whether this entry may bootstrap a new deployment. */
+  get mayBootstrap(): boolean {
+    return this.options.mayBootstrap ?? true;
   }
 
   /** Whether this replica is a voter in the newest membership of its log. */
--- a/src/replication/timing.ts
+++ b/src/replication/timing.ts
@@ -59,6 +59,8 @@
 export const PROPOSE_TIMEOUT_MS = 5_000;
 /** Timeout of a call that carries no proposal, in milliseconds. */
 export const CALL_TIMEOUT_MS = 1_000;
+/** The term in which a new deployment is bootstrapped. */
+export const FIRST_TERM = 1;
 /** Interval between attempts to bootstrap a new deployment, in milliseconds. */
 export const BOOTSTRAP_INTERVAL_MS = 200;
 
--- a/src/replication/vote_handler.ts
+++ b/src/replication/vote_handler.ts
@@ -45,10 +45,10 @@
     return Result.ok({ term, storeId: self.storeId, isGranted });
   }
 
-  /** Reports whether the data folder is still empty. */
+  /** Reports whether the data folder is empty and may be bootstrapped. */
   handleProbe(): Result<ProbeResponse, Failure> {
-    const { self, isBlank } = this.#core;
-    return Result.ok({ storeId: self.storeId, isBlank });
+    const { self: { storeId }, isBlank, mayBootstrap } = this.#core;
+    return Result.ok({ storeId, isBlank, mayBootstrap });
   }
 
   /**
--- a/src/testing/fake_cluster.ts
+++ b/src/testing/fake_cluster.ts
@@ -81,9 +81,13 @@
    * Starts an entry from the content of its disk.
    *
    * @param entryId - Id of the entry.
+   * @param mayBootstrap - Whether it may bootstrap a new deployment.
    * @returns The failure to load its disk, or undefined when it has started.
    */
-  async startEntry(entryId: string): Promise<Failure | undefined> {
+  async startEntry(
+    entryId: string,
+    mayBootstrap = true,
+  ): Promise<Failure | undefined> {
     const entry = this.#findOrCreate(entryId);
     const { voterIds, observerIds = [] } = this.#options;
     const { logger } = entry;
@@ -108,6 +112,7 @@
     entry.replica = new Replica({
       entryId,
       hasDisk,
+      mayBootstrap,
       wantsVote: hasDisk,
       peerIds: this.entryIds.filter((other) => other !== entryId),
       initialVoterIds: voterIds,
