Wait for the leases that an earlier incarnation's requests gave a runner

Cause: a lease is a time on the clock of one incarnation and counts for everything that runs on the runner. A request for the former incarnation that reaches the next one, whose clock starts anew, prolongs all leases there up to the longest that a runner grants, also those of runs that the leader places on it afterwards. The leader reckoned only what it had granted on the new clock, and placed the tasks of a runner that was cut off elsewhere after 3.7 s.

Change: the leader keeps when it last sent a lease to an incarnation that is replaced, and counts the longest lease from then on for the next one. A new leader takes the time at which the log records the end of the former incarnation. A log line says so.

The wait covers every lease that a request may have given, whichever request it was.

--- a/src/domain/scheduling/ended_runners.ts
+++ b/src/domain/scheduling/ended_runners.ts
@@ -24,6 +24,16 @@
     return bornAtMs <= (this.#ended.get(runnerId)?.bornAtMs ?? -Infinity);
   }
 
+  /**
+   * Finds when the end of an incarnation of a runner was last recorded.
+   *
+   * @param runnerId - The runner.
+   * @returns Wall-clock time (ms), or undefined if none ended lately.
+   */
+  findEndedAtMs(runnerId: string): number | undefined {
+    return this.#ended.get(runnerId)?.endedAtMs;
+  }
+
   /**
    * Adds an incarnation.
    *
--- a/src/domain/scheduling/scheduling_state.ts
+++ b/src/domain/scheduling/scheduling_state.ts
@@ -94,6 +94,17 @@
     return this.#endedRunners.has(incarnation);
   }
 
+  /**
+   * Finds when the end of an earlier incarnation of a runner was recorded.
+   *
+   * @param runnerId - The runner.
+   * @returns Wall-clock time of the leader (ms), or undefined if none ended
+   * lately.
+   */
+  findEndedAtMs(runnerId: string): number | undefined {
+    return this.#endedRunners.findEndedAtMs(runnerId);
+  }
+
   /** Waves by id. */
   get waves(): ReadonlyMap<number, WaveRecord> {
     return this.#waves;
--- a/src/services/scheduling/lease_grants.ts
+++ b/src/services/scheduling/lease_grants.ts
@@ -63,6 +63,7 @@
       return undefined;
     }
     const untilMs = chooseUntilMs();
+    status.recordLease();
     return log.holdsLeaderLease ? untilMs : undefined;
   }
 }
--- a/src/services/scheduling/lease_tracker.ts
+++ b/src/services/scheduling/lease_tracker.ts
@@ -28,10 +28,13 @@
    * Starts with one full lease, which an earlier leader may just have granted.
    *
    * @param clock - The leader's clock.
+   * @param foreignEndMs - Steady time at which leases have expired that requests
+   * to an earlier incarnation may have granted here (ms).
    */
-  constructor(clock: Clock) {
+  constructor(clock: Clock, foreignEndMs = -Infinity) {
     this.#clock = clock;
-    this.#endMs = clock.steadyMs() + toLongestMs(RUN_LEASE_MS);
+    const inheritedEndMs = clock.steadyMs() + toLongestMs(RUN_LEASE_MS);
+    this.#endMs = Math.max(inheritedEndMs, foreignEndMs);
   }
 
   /**
--- a/src/services/scheduling/runner_fleet.ts
+++ b/src/services/scheduling/runner_fleet.ts
@@ -17,6 +17,7 @@
   RunnerCondition,
 } from "../../ports/index.ts";
 import { Notifier, TaskGroup } from "../../tasks/index.ts";
+import { ForeignLeases } from "./foreign_leases.ts";
 import { RunnerStatus } from "./runner_status.ts";
 import { RunnerTask } from "./runner_task.ts";
 import type { SchedulingLog } from "./scheduling_log.ts";
@@ -54,9 +55,11 @@
 export class RunnerFleet {
   readonly #options: RunnerFleetOptions;
   readonly #served = new IncarnationMap<ServedRunner>();
+  readonly #foreignLeases: ForeignLeases;
 
   constructor(options: RunnerFleetOptions) {
     this.#options = options;
+    this.#foreignLeases = new ForeignLeases(options);
   }
 
   /**
@@ -120,6 +123,14 @@
   }
 
   #reconcile(runners: ReadonlyMap<string, Runner>): void {
+    for (const served of this.#served.values()) {
+      const { runner, status } = served.task;
+      if (runners.get(runner.runnerId)?.bornAtMs !== runner.bornAtMs) {
+        this.#served.delete(runner);
+        this.#foreignLeases.record(runner, status.leaseSentAtMs);
+        void this.#stop(served);
+      }
+    }
     for (const runner of runners.values()) {
       const known = this.#served.get(runner);
       if (known === undefined) {
@@ -128,13 +139,6 @@
         known.task.update(runner);
       }
     }
-    for (const served of this.#served.values()) {
-      const { runner } = served.task;
-      if (runners.get(runner.runnerId)?.bornAtMs !== runner.bornAtMs) {
-        this.#served.delete(runner);
-        void this.#stop(served);
-      }
-    }
   }
 
   // The connections stay open for the next leader or the next incarnation, unless
@@ -164,12 +168,22 @@
     const { clock, logger } = this.#options;
     const group = new TaskGroup({ clock, logger });
     const changed = new Notifier();
+    const foreignLeaseEndMs = this.#foreignLeases.findEndMs(runner);
+    const foreignLeaseLeftMs = foreignLeaseEndMs - clock.steadyMs();
+    if (foreignLeaseLeftMs > 0) {
+      const { bornAtMs, runnerId } = runner;
+      logger.info(
+        { runnerId, bornAtMs, leaseLeftMs: Math.round(foreignLeaseLeftMs) },
+        "requests to an earlier incarnation may have prolonged the leases of a runner",
+      );
+    }
     const task = new RunnerTask({
       ...this.#options,
       loadChanged: changed,
       runner,
       status: new RunnerStatus(clock),
       tasks: group,
+      foreignLeaseEndMs,
       findMaxAttempts: (run) => this.findMaxAttempts(run),
     });
     group.startForever(
--- a/src/services/scheduling/runner_parts.ts
+++ b/src/services/scheduling/runner_parts.ts
@@ -26,6 +26,11 @@
   readonly findLoad: () => RunnerLoad;
   /** Returns how many failed runs of a task its job allows. */
   readonly findMaxAttempts: (run: RunningTask) => number;
+  /**
+   * Steady time at which leases have expired that requests to an earlier
+   * incarnation may have granted here (ms); `-Infinity` if there is none.
+   */
+  readonly foreignLeaseEndMs: number;
   /** Records how much longer than estimated runs took. */
   readonly delays: Pick<RunDelays, "record">;
 }
@@ -49,7 +54,7 @@
  * @returns The parts.
  */
 export function createRunnerParts(options: RunnerPartsOptions): RunnerParts {
-  const lease = new LeaseTracker(options.clock);
+  const lease = new LeaseTracker(options.clock, options.foreignLeaseEndMs);
   const grants = new LeaseGrants({ ...options, lease });
   const requests = new RequestObserver({ ...options, lease });
   const uncertain = new UncertainStarts(options);
--- a/src/services/scheduling/runner_status.ts
+++ b/src/services/scheduling/runner_status.ts
@@ -26,6 +26,7 @@
 export class RunnerStatus {
   readonly #clock: Clock;
   #lastContactMs: number;
+  #leaseSentAtMs: number;
   #answeredAtMs: number;
   #isAnswering = true;
   #isClosed = false;
@@ -59,6 +60,7 @@
   constructor(clock: Clock) {
     this.#clock = clock;
     this.#lastContactMs = clock.steadyMs();
+    this.#leaseSentAtMs = clock.steadyMs();
     this.#answeredAtMs = clock.monotonicMs();
   }
 
@@ -75,6 +77,14 @@
     return this.#answeredAtMs;
   }
 
+  /**
+   * Steady time at which the last lease was sent to the runner (ms). An earlier
+   * leader may have sent one until this one began to serve it.
+   */
+  get leaseSentAtMs(): number {
+    return this.#leaseSentAtMs;
+  }
+
   /** Whether the newest request was answered. */
   get isAnswering(): boolean {
     return this.#isAnswering;
@@ -148,6 +158,11 @@
     return () => this.#pendingRequests.delete(due);
   }
 
+  /** Records that a request with a lease is about to be sent to the runner. */
+  recordLease(): void {
+    this.#leaseSentAtMs = this.#clock.steadyMs();
+  }
+
   /** Records an announcement. */
   recordContact(): void {
     this.#lastContactMs = this.#clock.steadyMs();
--- /dev/null
+++ b/src/services/scheduling/successor_lease_test.ts
@@ -0,0 +1,94 @@
+import * as assert from "uvu/assert";
+import * as v from "valibot";
+import { SeededRandom } from "../../adapters/random/index.ts";
+import { jobStepSchema } from "../../domain/index.ts";
+import { describe, it } from "../../testing/describe.ts";
+import { FakeClock } from "../../testing/fake_clock.ts";
+import type { RunSpan } from "../../testing/fake_runner_incarnation.ts";
+import { checkNeverTwice } from "../../testing/run_span_checks.ts";
+import { SchedulingFixture } from "../../testing/scheduling_fixture.ts";
+import { CONFIRM_TICK_MS, MAX_LEASE_MS, RUN_LEASE_MS } from "./timing.ts";
+
+const SEED = 20_292;
+const RUNNER = "r1";
+/** Time in which a new incarnation announces itself and gets its first run. */
+const REPLACEMENT_MS = 2_000;
+/** Time in which a confirmed start is in the log. */
+const CONFIRMED_MS = CONFIRM_TICK_MS + 100;
+
+/**
+ * Lets a runner start again while a start is on its way, and cuts it off once its
+ * successor runs the task by order of a leader that knows it.
+ *
+ * @param changesLeader - Whether the leader changes then.
+ */
+async function cutOffSuccessor(
+  changesLeader: boolean,
+): Promise<readonly RunSpan[]> {
+  const fixture = new SchedulingFixture({
+    clock: new FakeClock(),
+    random: new SeededRandom(SEED),
+    runnerIds: [RUNNER],
+  });
+  const { clock, runners, state: { scheduling } } = fixture;
+  const countRuns = () => {
+    const runner = scheduling.runners.get(RUNNER);
+    return runner ? scheduling.jobs.findLoad(runner).running.size : 0;
+  };
+  const submit = (jobId: string) =>
+    void fixture.submit(jobId.padStart(16, "0"), [v.parse(jobStepSchema, {
+      taskCount: 1,
+      needs: {},
+      isEndless: true,
+    })]);
+  fixture.changeLeader();
+  await clock.advance(MAX_LEASE_MS);
+  submit("1");
+  while (countRuns() === 0) {
+    await clock.advance(1);
+  }
+  const previous = scheduling.runners.get(RUNNER);
+  fixture.startRunner(RUNNER);
+  const restartedMs = clock.monotonicMs();
+  while (scheduling.runners.get(RUNNER) === previous || countRuns() === 0) {
+    await clock.advance(1);
+  }
+  await clock.advance(CONFIRMED_MS);
+  assert.ok(clock.monotonicMs() - restartedMs <= REPLACEMENT_MS);
+  fixture.startRunner("r2");
+  runners.cutIds.add(RUNNER);
+  if (changesLeader) {
+    fixture.changeLeader();
+  }
+  await clock.advance(4 * MAX_LEASE_MS);
+  runners.advanceAll();
+  await fixture.stop();
+  const line = fixture.logger.lines.find(({ message }) =>
+    message.includes("may have prolonged the leases")
+  );
+  assert.is(line?.fields["runnerId"], RUNNER);
+  return runners.spans;
+}
+
+function findLastSpan(spans: readonly RunSpan[], runnerId: string): RunSpan {
+  const span = spans.findLast((span) => span.runnerId === runnerId);
+  assert.ok(span, `${runnerId} ran the task`);
+  return span;
+}
+
+// Guards against a task that runs twice at once: a request with a lease on the
+// clock of the previous incarnation reaches the successor, where it prolongs the
+// leases of all runs, and the successor is cut off.
+describe("the leases of a runner that has started again", () => {
+  for (const changesLeader of [false, true]) {
+    const title = changesLeader ? "the next leader" : "the same leader";
+    it(`last as long under ${title} as an earlier request may have made them`, async () => {
+      const spans = await cutOffSuccessor(changesLeader);
+      const lapsed = findLastSpan(spans, RUNNER);
+      assert.is(lapsed.how, "lapsed");
+      assert.ok(lapsed.toMs - lapsed.fromMs > RUN_LEASE_MS);
+      checkNeverTwice(spans);
+      assert.is(findLastSpan(spans, "r2").how, "runs");
+    });
+  }
+});
