Tell by the connection whether a start may have reached a successor

Cause: a start without an answer was not taken for uncertain if a poll was under way, or if an answer had arrived within 100 ms. Neither shows that the incarnation is there: the connection of a poll to a VM without power stays open, and a start that needs a new connection waits until the VM is back, under the same id and address. The task was placed elsewhere when the lease on the former clock had ended, while it ran at the successor.

Change: a failure of a request says whether it can have reached only the process that gave the newest answer, because no connection was opened since. Relays pass that on. Only such starts are certain, so the work of a busy runner that is cut off still starts elsewhere as soon as its leases have ended.

--- a/src/ports/runner_client.ts
+++ b/src/ports/runner_client.ts
@@ -34,6 +34,11 @@
   readonly refusal?: RunnerRefusal | undefined;
   /** Runner's clock in its answer, in milliseconds; absent without an answer. */
   readonly clockMs?: number | undefined;
+  /**
+   * True when the request can have reached only the process that gave the newest
+   * answer before it was sent, since no connection was opened after that answer.
+   */
+  readonly isSameProcess?: boolean | undefined;
   readonly message: string;
 }
 
--- a/src/services/scheduling/relay/relay_messages.ts
+++ b/src/services/scheduling/relay/relay_messages.ts
@@ -121,6 +121,8 @@
   failure: v.optional(v.object({
     refusal: v.optional(runnerRefusalSchema),
     clockMs: v.optional(v.number()),
+    /** Absent in messages of releases that did not know it. */
+    isSameProcess: v.optional(v.boolean()),
     message: v.string(),
   })),
   clockMs: v.optional(v.number()),
--- a/src/services/scheduling/replaced_runner_test.ts
+++ b/src/services/scheduling/replaced_runner_test.ts
@@ -73,7 +73,63 @@
   return runners.spans;
 }
 
+/**
+ * Lets the VM of a busy runner lose its power, so that a start waits for a
+ * connection and begins at the successor, which is cut off right after that.
+ */
+async function runAfterPowerLoss(
+  changesLeader: boolean,
+): Promise<readonly RunSpan[]> {
+  const fixture = new SchedulingFixture({
+    clock: new FakeClock(),
+    random: new SeededRandom(SEED),
+    runnerIds: ["r1"],
+  });
+  const { clock, runners } = fixture;
+  const submitLong = (jobId: string) =>
+    void fixture.submit(jobId.padStart(16, "0"), [
+      v.parse(jobStepSchema, { taskCount: 1, needs: {}, isEndless: true }),
+    ]);
+  fixture.changeLeader();
+  await clock.advance(MAX_LEASE_MS);
+  submitLong("1");
+  await clock.advance(2_000);
+  // A poll answers every 700 ms, so that this falls between two answers.
+  await clock.advance(300);
+  runners.darkIds.add("r1");
+  submitLong("2");
+  await clock.advance(100);
+  fixture.startRunner("r1");
+  fixture.startRunner("r2");
+  const before = runners.spans.length;
+  runners.darkIds.delete("r1");
+  while (runners.spans.length === before) {
+    await clock.advance(1);
+  }
+  runners.cutIds.add("r1");
+  if (changesLeader) {
+    fixture.changeLeader();
+  }
+  await clock.advance(4 * MAX_LEASE_MS);
+  runners.advanceAll();
+  await fixture.stop();
+  return runners.spans;
+}
+
 describe("a runner that is replaced by a new incarnation", () => {
+  // Guards against a task that runs twice at once: a poll that was under way
+  // counted as a sign that the previous incarnation was there, although its VM
+  // had lost its power and a start reached the successor.
+  for (const changesLeader of [false, true]) {
+    const title = changesLeader ? "the next leader" : "the same leader";
+    it(`keeps its tasks under ${title} if a start waited for power to return`, async () => {
+      const spans = await runAfterPowerLoss(changesLeader);
+      checkNeverTwice(spans);
+      const last = spans.filter(({ how }) => how === "runs");
+      assert.equal(last.map(({ runnerId }) => runnerId), ["r2", "r2"]);
+    });
+  }
+
   // Guards against a task that runs twice at once: a start for the previous
   // incarnation was carried out by its successor, where its lease lasts longer,
   // and the leader waited only for the lease on the previous clock.
--- a/src/services/scheduling/run_commands.ts
+++ b/src/services/scheduling/run_commands.ts
@@ -109,7 +109,7 @@
     );
     if (failure.refusal === undefined) {
       status.recordNoAnswer();
-      uncertain.recordUnanswered(run);
+      uncertain.recordUnanswered(run, failure.isSameProcess);
     } else {
       uncertain.recordRefused(run);
     }
--- a/src/services/scheduling/runner_task.ts
+++ b/src/services/scheduling/runner_task.ts
@@ -160,7 +160,6 @@
       awaitsReport: this.#runs.awaitsReport,
       leaseLeftMs: hasRuns ? this.#leaseLeftMs : Infinity,
     });
-    const endPoll = this.#uncertain.beginPoll(leaseUntilMs !== undefined);
     const { readingMs } = this.#lease;
     const sentAtMs = clock.monotonicMs();
     const sentAtSteadyMs = clock.steadyMs();
@@ -172,7 +171,6 @@
       ...times,
     });
     endRequest();
-    endPoll();
     if (signal.aborted) {
       return;
     }
--- a/src/services/scheduling/scheduling_histories_test.ts
+++ b/src/services/scheduling/scheduling_histories_test.ts
@@ -29,6 +29,7 @@
 const FORWARD_PERCENT_MS = 10;
 /** Longest step of a leader's wall clock at full amount is 5 s. */
 const MAX_STEP_PERCENT_MS = 50;
+const LONG_WORK_MS = 5_000;
 /** Time for a commit and a plan, and a little more (ms). */
 const MAX_PLACING_MS = 100;
 /** Time from the start of a successor to its loss at full amount is 20 ms. */
@@ -65,6 +66,19 @@
   "loseSuccessor",
 ] as const;
 
+const RESTART_ACTIONS = [
+  ...LEADER_ACTIONS,
+  "cutAfterRestart",
+  "cutAfterRestart",
+  "cutAfterRestart",
+  "submitLong",
+  "submitLong",
+] as const;
+/** Time for which a VM is without power (ms). */
+const POWER_LOSS_MS = 600;
+/** Time from the return of power to the cut at full amount is 2.5 s. */
+const CUT_AFTER_PERCENT_MS = 25;
+
 const RELAY_IDS = ["relay-a", "relay-b"];
 /** Longest pause of a relay at full amount is 5 s. */
 const MAX_RELAY_PAUSE_PERCENT_MS = 50;
@@ -79,7 +93,9 @@
   "joinRelays",
 ] as const;
 
-type Action = typeof RELAY_ACTIONS[number];
+type Action =
+  | typeof RELAY_ACTIONS[number]
+  | typeof RESTART_ACTIONS[number];
 
 function createStepArbitrary(actions: readonly Action[]) {
   return fc.record({
@@ -130,6 +146,17 @@
     case "loseSuccessor":
       await loseSuccessor(fixture, step, jobIds);
       break;
+    case "cutAfterRestart":
+      await cutAfterRestart(fixture, step);
+      break;
+    case "submitLong": {
+      const jobId = String(jobIds.length).padStart(16, "0");
+      jobIds.push(jobId);
+      const [first] = createSteps(step.amount);
+      const long = { taskCount: 1, estimateMs: LONG_WORK_MS };
+      void fixture.submit(jobId, first ? [{ ...first, ...long }] : []);
+      break;
+    }
     case "cut":
       runners.cutIds.add(step.runnerId);
       break;
@@ -198,6 +225,27 @@
   fixture.changeLeader();
 }
 
+/**
+ * Takes a runner's power away, and cuts the runner off soon after it has started
+ * again under its id.
+ */
+async function cutAfterRestart(
+  fixture: SchedulingFixture,
+  { amount, runnerId }: Step,
+): Promise<void> {
+  const { clock, runners } = fixture;
+  runners.darkIds.add(runnerId);
+  fixture.crash(runnerId);
+  await clock.advance(POWER_LOSS_MS);
+  fixture.startRunner(runnerId);
+  runners.darkIds.delete(runnerId);
+  await clock.advance(amount * CUT_AFTER_PERCENT_MS);
+  runners.cutIds.add(runnerId);
+  if (amount % 3 === 0) {
+    fixture.changeLeader();
+  }
+}
+
 function chooseRelay(amount: number): string {
   return RELAY_IDS[amount % RELAY_IDS.length] ?? "";
 }
@@ -503,6 +551,15 @@
     await checkRandomHistories(steps, MAX_CLOCK_DRIFT_PERCENT);
   });
 
+  it("keeps its invariants with runners that are cut off after a restart", async () => {
+    const steps = fc.array(createStepArbitrary(RESTART_ACTIONS), {
+      minLength: MAX_STEP_COUNT / 2,
+      maxLength: 2 * MAX_STEP_COUNT,
+      size: "max",
+    });
+    await checkRandomHistories(steps, MAX_CLOCK_DRIFT_PERCENT);
+  });
+
   it("keeps its invariants with relays that pause and are cut off", async () => {
     const steps = fc.array(createStepArbitrary(RELAY_ACTIONS), {
       minLength: MAX_STEP_COUNT / 2,
--- a/src/testing/fake_runners.ts
+++ b/src/testing/fake_runners.ts
@@ -59,8 +59,15 @@
   pollAnswerDelayMs = 0;
   /** Ids of runners that no request reaches. */
   readonly cutIds = new Set<string>();
+  /**
+   * Ids of runners on VMs without power: connections stay open without an answer,
+   * and requests on new ones arrive once the VM is back.
+   */
+  readonly darkIds = new Set<string>();
   readonly #options: FakeRunnersOptions;
   readonly #incarnations = new Map<string, FakeRunnerIncarnation>();
+  /** The incarnation that gave the newest answer, by runner id. */
+  readonly #answering = new Map<string, FakeRunnerIncarnation | undefined>();
 
   constructor(options: FakeRunnersOptions) {
     this.#options = options;
@@ -140,6 +147,10 @@
       this.#nowMs < deadlineMs && !this.cutIds.has(runner.runnerId)
     ) {
       await this.#options.clock.sleep(POLL_STEP_MS);
+      if (this.darkIds.has(runner.runnerId)) {
+        await this.#options.clock.sleep(timedOutMs - this.#nowMs);
+        return Result.err({ message: "no answer" });
+      }
       const incarnation = this.#incarnations.get(runner.runnerId);
       if (incarnation === undefined || incarnation !== polledIncarnation) {
         return Result.err({ message: "the connection was lost" });
@@ -169,9 +180,18 @@
     const { clock, random } = this.#options;
     await clock.sleep(LATENCY_MS);
     const { runnerId } = runner;
+    const answering = this.#answering.get(runnerId);
     if (this.cutIds.has(runnerId)) {
       await clock.sleep(timeoutMs);
-      return Result.err({ message: "no answer" });
+      return Result.err({
+        isSameProcess: answering !== undefined,
+        message: "no answer",
+      });
+    }
+    if (this.darkIds.has(runnerId)) {
+      void this.#carryOutAfterPowerLoss(runnerId, carryOut);
+      await clock.sleep(timeoutMs);
+      return Result.err({ isSameProcess: false, message: "no answer" });
     }
     if (random.nextInt(100) < this.latePercent) {
       const delayMs = MIN_LATE_DELAY_MS + random.nextInt(LATE_DELAY_RANGE_MS);
@@ -183,7 +203,10 @@
         }
       });
       await clock.sleep(timeoutMs);
-      return Result.err({ message: "no answer, carried out late" });
+      return Result.err({
+        isSameProcess: incarnation === answering,
+        message: "no answer, carried out late",
+      });
     }
     const isLost = random.nextInt(100) < this.lostPercent;
     const slowMs = this.#chooseSlowMs();
@@ -195,6 +218,7 @@
     if (thereMs > 0 && incarnation !== this.#incarnations.get(runnerId)) {
       return Result.err({ message: "the connection was lost" });
     }
+    const reached = this.#incarnations.get(runnerId);
     const result = this.#carryOut(runnerId, carryOut);
     if (result === undefined) {
       return Result.err({
@@ -204,7 +228,24 @@
     }
     const backMs = LATENCY_MS + slowMs - thereMs;
     await clock.sleep(isLost ? timeoutMs : backMs);
-    return isLost ? Result.err({ message: "no answer, carried out" }) : result;
+    if (isLost) {
+      return Result.err({
+        isSameProcess: reached === answering,
+        message: "no answer, carried out",
+      });
+    }
+    this.#answering.set(runnerId, reached);
+    return result;
+  }
+
+  async #carryOutAfterPowerLoss<T>(
+    runnerId: string,
+    carryOut: (incarnation: FakeRunnerIncarnation) => Result<T, RunnerFailure>,
+  ): Promise<void> {
+    while (this.darkIds.has(runnerId)) {
+      await this.#options.clock.sleep(POLL_STEP_MS);
+    }
+    this.#carryOut(runnerId, carryOut);
   }
 
   #chooseSlowMs(): number {
