--- a/src/services/scheduling/replaced_runner_test.ts
+++ b/src/services/scheduling/replaced_runner_test.ts
@@ -76,8 +76,12 @@
 /**
  * Lets the VM of a busy runner lose its power, so that a start waits for a
  * connection and begins at the successor, which is cut off right after that.
+ *
+ * @param sinceAnswerMs - Time from the answer to a poll to the loss (ms).
+ * @param changesLeader - Whether the leader changes after the cut.
  */
 async function runAfterPowerLoss(
+  sinceAnswerMs: number,
   changesLeader: boolean,
 ): Promise<readonly RunSpan[]> {
   const fixture = new SchedulingFixture({
@@ -94,8 +98,17 @@
   await clock.advance(MAX_LEASE_MS);
   submitLong("1");
   await clock.advance(2_000);
-  // A poll answers every 700 ms, so that this falls between two answers.
-  await clock.advance(300);
+  let answerCount = 0;
+  const poll = runners.poll.bind(runners);
+  runners.poll = async (...request) => {
+    const answer = await poll(...request);
+    answerCount += 1;
+    return answer;
+  };
+  while (answerCount === 0) {
+    await clock.advance(1);
+  }
+  await clock.advance(sinceAnswerMs);
   runners.darkIds.add("r1");
   submitLong("2");
   await clock.advance(100);
@@ -117,17 +130,20 @@
 }
 
 describe("a runner that is replaced by a new incarnation", () => {
-  // Guards against a task that runs twice at once: a poll that was under way
-  // counted as a sign that the previous incarnation was there, although its VM
-  // had lost its power and a start reached the successor.
-  for (const changesLeader of [false, true]) {
-    const title = changesLeader ? "the next leader" : "the same leader";
-    it(`keeps its tasks under ${title} if a start waited for power to return`, async () => {
-      const spans = await runAfterPowerLoss(changesLeader);
-      checkNeverTwice(spans);
-      const last = spans.filter(({ how }) => how === "runs");
-      assert.equal(last.map(({ runnerId }) => runnerId), ["r2", "r2"]);
-    });
+  // Guards against a task that runs twice at once: a poll that was under way, or
+  // an answer that had just arrived, counted as a sign that the previous
+  // incarnation was there, although its VM had lost its power and a start reached
+  // the successor.
+  for (const sinceAnswerMs of [20, 300]) {
+    for (const changesLeader of [false, true]) {
+      const title = changesLeader ? "the next leader" : "the same leader";
+      it(`keeps its tasks under ${title} if a start waited for power, ${sinceAnswerMs} ms after an answer`, async () => {
+        const spans = await runAfterPowerLoss(sinceAnswerMs, changesLeader);
+        checkNeverTwice(spans);
+        const last = spans.filter(({ how }) => how === "runs");
+        assert.equal(last.map(({ runnerId }) => runnerId), ["r2", "r2"]);
+      });
+    }
   }
 
   // Guards against a task that runs twice at once: a start for the previous
