Count leases that a late request gives the next incarnation of a runner

Cause: the wait for leases on a former clock ended 11.8 s after the last lease was sent, which covers a request that arrives until its timeout. A request without an answer may be carried out 12 s after it was sent; if it is refused, as its run was stopped meanwhile, its lease counts all the same.

Change: the wait is 12 s and the longest lease.

Evidence: "last as long as a late request may have made them" of successor_lease_test fails without the change: the task runs twice at once.

--- a/src/decisions/scheduling/wait_reason.ts
+++ b/src/decisions/scheduling/wait_reason.ts
@@ -77,17 +77,16 @@
   if (fitting.length === 0) {
     return `no runner of ${pool} has the label ${requiredLabel}`;
   }
-  const isLargeEnough = fitting.some(({ capacity }) =>
-    fitsInto(step.needs, capacity)
-  );
-  if (!isLargeEnough) {
-    return `none of ${fitting.length} open runners of ${pool} is large enough for ${step.needs.cpuMillicores} millicores, ${step.needs.memoryMb} MB and ${step.needs.gpuCount} GPUs`;
-  }
   const isRoom = fitting.some((runner) => {
     const { used } = state.jobs.findLoad(runner);
     return fitsInto(step.needs, addAmounts(runner.capacity, used, -1));
   });
-  return isRoom
-    ? undefined
-    : `none of ${fitting.length} open runners of ${pool} has ${step.needs.cpuMillicores} millicores and ${step.needs.memoryMb} MB free`;
+  if (isRoom) {
+    return undefined;
+  }
+  const isLargeEnough = fitting.some(({ capacity }) =>
+    fitsInto(step.needs, capacity)
+  );
+  const addition = isLargeEnough ? "" : ", nor is any of them large enough";
+  return `none of ${fitting.length} open runners of ${pool} has ${step.needs.cpuMillicores} millicores and ${step.needs.memoryMb} MB free${addition}`;
 }
--- a/src/services/scheduling/foreign_leases.ts
+++ b/src/services/scheduling/foreign_leases.ts
@@ -1,8 +1,16 @@
 /** Leases that requests to one incarnation of a runner may grant at the next. */
 import type { RunnerIncarnation } from "../../domain/index.ts";
 import type { Clock } from "../../ports/index.ts";
-import { SUCCESSOR_LEASE_MS } from "./runner_status.ts";
+import { toLongestMs } from "./lease_tracker.ts";
 import type { SchedulingLog } from "./scheduling_log.ts";
+import { LATE_REQUEST_MS, MAX_LEASE_MS } from "./timing.ts";
+
+/**
+ * Time after the last request to an incarnation was sent until no lease is left
+ * that it has granted at a later one, in milliseconds. The request may be carried
+ * out there long after its timeout.
+ */
+const FOREIGN_LEASE_MS = toLongestMs(LATE_REQUEST_MS + MAX_LEASE_MS);
 
 /** Options of {@link ForeignLeases}. */
 export interface ForeignLeasesOptions {
@@ -58,7 +66,7 @@
       ? -Infinity
       : sent.sentAtMs;
     return Math.max(sentAtMs, this.#findRecordedMs(runnerId)) +
-      SUCCESSOR_LEASE_MS;
+      FOREIGN_LEASE_MS;
   }
 
   // An earlier leader sent no request to an incarnation after it had recorded
@@ -76,7 +84,7 @@
   #prune(): void {
     const nowMs = this.#options.clock.steadyMs();
     for (const [runnerId, { sentAtMs }] of this.#sent) {
-      if (sentAtMs + SUCCESSOR_LEASE_MS < nowMs) {
+      if (sentAtMs + FOREIGN_LEASE_MS < nowMs) {
         this.#sent.delete(runnerId);
       }
     }
--- a/src/services/scheduling/pace_task.ts
+++ b/src/services/scheduling/pace_task.ts
@@ -12,7 +12,7 @@
 import { formatRun } from "./run_name.ts";
 import type { RunnerFleet } from "./runner_fleet.ts";
 import type { SchedulingLog } from "./scheduling_log.ts";
-import { LATE_PACE_MS, PACE_TICK_MS } from "./timing.ts";
+import { LATE_REQUEST_MS, PACE_TICK_MS } from "./timing.ts";
 
 /** Options of {@link PaceTask}. */
 export interface PaceTaskOptions {
@@ -153,7 +153,7 @@
         "failed to set the pace of a best-effort run",
       );
       if (paced.error.refusal === undefined) {
-        const untilMs = clock.monotonicMs() + LATE_PACE_MS;
+        const untilMs = clock.monotonicMs() + LATE_REQUEST_MS;
         this.#unknown.add(nameRun(run));
         this.#lateUntilMs.set(nameRun(run), untilMs);
       }
--- a/src/services/scheduling/pace_task_test.ts
+++ b/src/services/scheduling/pace_task_test.ts
@@ -16,7 +16,7 @@
 import { PaceTask } from "./pace_task.ts";
 import { RunnerStatus } from "./runner_status.ts";
 import { SchedulingLog } from "./scheduling_log.ts";
-import { LATE_PACE_MS, PACE_TICK_MS } from "./timing.ts";
+import { LATE_REQUEST_MS, PACE_TICK_MS } from "./timing.ts";
 
 const TARGET_MS = 100;
 const MISSED_MS = 2 * TARGET_MS;
@@ -305,10 +305,10 @@
       assert.is(run.percent, 100, "the next request is confirmed");
       await run.advance(LATE_MS - RECOVERY_MS);
       assert.is(run.percent, 0, "the first one is carried out");
-      await run.advance(LATE_PACE_MS - LATE_MS + RECOVERY_MS);
+      await run.advance(LATE_REQUEST_MS - LATE_MS + RECOVERY_MS);
       assert.is(run.percent, 100);
       const { requestCount } = run;
-      await run.advance(2 * LATE_PACE_MS);
+      await run.advance(2 * LATE_REQUEST_MS);
       assert.is(run.requestCount, requestCount);
     });
 
--- a/src/services/scheduling/successor_lease_test.ts
+++ b/src/services/scheduling/successor_lease_test.ts
@@ -1,3 +1,4 @@
+import { Result } from "true-myth";
 import * as assert from "uvu/assert";
 import * as v from "valibot";
 import { SeededRandom } from "../../adapters/random/index.ts";
@@ -7,12 +8,19 @@
 import type { RunSpan } from "../../testing/fake_runner_incarnation.ts";
 import { checkNeverTwice } from "../../testing/run_span_checks.ts";
 import { SchedulingFixture } from "../../testing/scheduling_fixture.ts";
-import { CONFIRM_TICK_MS, MAX_LEASE_MS, RUN_LEASE_MS } from "./timing.ts";
+import {
+  CONFIRM_TICK_MS,
+  LATE_REQUEST_MS,
+  MAX_LEASE_MS,
+  RUN_LEASE_MS,
+} from "./timing.ts";
 
 const SEED = 20_292;
 const RUNNER = "r1";
 /** Time in which a new incarnation announces itself and gets its first run. */
 const REPLACEMENT_MS = 2_000;
+/** Time after which a request counts as unanswered. */
+const TIMEOUT_MS = 700;
 /** Time in which a confirmed start is in the log. */
 const CONFIRMED_MS = CONFIRM_TICK_MS + 100;
 
@@ -70,6 +78,45 @@
   return runners.spans;
 }
 
+/**
+ * Lets a start that waited for a successor reach it when the leader has known it
+ * for long, and cuts it off right after that.
+ */
+async function cutOffAfterLateStart(): Promise<readonly RunSpan[]> {
+  const fixture = new SchedulingFixture({
+    clock: new FakeClock(),
+    random: new SeededRandom(SEED),
+    runnerIds: [RUNNER],
+  });
+  const { clock, runners } = fixture;
+  const submit = (jobId: string) =>
+    void fixture.submit(jobId.padStart(16, "0"), [
+      v.parse(jobStepSchema, { taskCount: 1, needs: {}, isEndless: true }),
+    ]);
+  fixture.changeLeader();
+  await clock.advance(LATE_REQUEST_MS + MAX_LEASE_MS);
+  submit("1");
+  await clock.advance(REPLACEMENT_MS);
+  const start = runners.start.bind(runners);
+  const sentAtMs = clock.monotonicMs();
+  runners.start = async (...request) => {
+    runners.start = start;
+    void clock.sleep(LATE_REQUEST_MS).then(() => start(...request));
+    await clock.sleep(TIMEOUT_MS);
+    return Result.err({ message: "no answer" });
+  };
+  submit("2");
+  await clock.advance(TIMEOUT_MS);
+  fixture.startRunner(RUNNER);
+  await clock.advance(sentAtMs + LATE_REQUEST_MS + 20 - clock.monotonicMs());
+  fixture.startRunner("r2");
+  runners.cutIds.add(RUNNER);
+  await clock.advance(4 * MAX_LEASE_MS);
+  runners.advanceAll();
+  await fixture.stop();
+  return runners.spans;
+}
+
 function findLastSpan(spans: readonly RunSpan[], runnerId: string): RunSpan {
   const span = spans.findLast((span) => span.runnerId === runnerId);
   assert.ok(span, `${runnerId} ran the task`);
@@ -91,4 +138,14 @@
       assert.is(findLastSpan(spans, "r2").how, "runs");
     });
   }
+
+  // The same with a request that is refused, as its run was stopped, and that
+  // comes as late as a request without an answer may.
+  it("last as long as a late request may have made them", async () => {
+    const spans = await cutOffAfterLateStart();
+    const lapsed = findLastSpan(spans, RUNNER);
+    assert.is(lapsed.how, "lapsed");
+    checkNeverTwice(spans);
+    assert.is(findLastSpan(spans, "r2").how, "runs");
+  });
 });
--- a/src/services/scheduling/timing.ts
+++ b/src/services/scheduling/timing.ts
@@ -226,10 +226,10 @@
  */
 export const PACE_TICK_MS = 250;
 /**
- * Time after a request for a pace got no answer in which it may be carried out
- * (ms).
+ * Time after a request to a runner was sent in which it may be carried out if it
+ * got no answer (ms): the longest delay that the platform names.
  */
-export const LATE_PACE_MS = 12_000;
+export const LATE_REQUEST_MS = 12_000;
 
 /** Duration of a term's start, in which its work is logged in detail (ms). */
 export const LEADER_START_MS = 3_000;
