--- a/src/services/scheduling/successor_lease_test.ts
+++ b/src/services/scheduling/successor_lease_test.ts
@@ -108,7 +108,7 @@
   submit("2");
   await clock.advance(TIMEOUT_MS);
   fixture.startRunner(RUNNER);
-  await clock.advance(sentAtMs + LATE_REQUEST_MS + 20 - clock.monotonicMs());
+  await clock.advance(sentAtMs + LATE_REQUEST_MS + 200 - clock.monotonicMs());
   fixture.startRunner("r2");
   runners.cutIds.add(RUNNER);
   await clock.advance(4 * MAX_LEASE_MS);
