--- a/src/services/scheduling/relay/relayed_runner_client_test.ts
+++ b/src/services/scheduling/relay/relayed_runner_client_test.ts
@@ -190,6 +190,27 @@
     assert.is(polled.isErr && polled.error.refusal, "staleFence");
     void tasks.stop();
   });
+
+  // Guards against a task that runs twice at once: the leader could not tell that
+  // a start through a relay may have reached the next incarnation of a runner.
+  it("tell whether only the process that had answered can have received them", async () => {
+    const { client, clock, reached, runners, tasks } = setUp(MANY);
+    const runner = runners[0] ?? createRunner(0);
+    const startWithoutAnswer = async (at: number) => {
+      reached.lostPercent = 100;
+      const started = await clock.runUntil(
+        client.start(runner, createStart(at)),
+        2_000,
+      );
+      reached.lostPercent = 0;
+      return started.isErr && started.error.isSameProcess;
+    };
+    await clock.runUntil(client.poll(runner, POLL), 1_000);
+    assert.is(await startWithoutAnswer(0), true);
+    reached.startIncarnation({ ...runner, bornAtMs: 2 });
+    assert.is(await startWithoutAnswer(1), false);
+    void tasks.stop();
+  });
 });
 
 describe("a relay that does not respond", () => {
