--- a/src/replication/replaced_voters_test.ts
+++ b/src/replication/replaced_voters_test.ts
@@ -92,6 +92,26 @@
     }
   }
 
+  /**
+   * Lets the leader crash while a change of the membership is under way.
+   *
+   * @param afterMs - Time from the proposal to the crash (ms).
+   */
+  async crashLeaderInChange(afterMs: number): Promise<void> {
+    const { clock, entries } = this.cluster;
+    const countChanges = () =>
+      [...entries.values()].flatMap(({ logger }) => logger.lines)
+        .filter(({ message }) => message === "changing the membership").length;
+    const before = countChanges();
+    while (countChanges() === before) {
+      await clock.advance(1);
+    }
+    await clock.advance(afterMs);
+    const [leaderId] = this.cluster.listLeaders();
+    const place = [...this.#idByPlace].find(([, id]) => id === leaderId)?.[0];
+    this.stop(place === undefined ? [] : [place], REPLACEMENT_MS);
+  }
+
   /** Whether all machines are there and have had the time to catch up. */
   get areAllCaughtUp(): boolean {
     return this.#events.length === 0 &&
@@ -268,6 +288,21 @@
       }));
   }
 
+  // A change that is not committed counts for those that have it only.
+  for (const afterMs of [0, 1, 3, 10, 100]) {
+    it(`keep a leader if one crashes ${afterMs} ms after it began a change`, () =>
+      play(async (machines) => {
+        for (const place of ["c1", "b1", "a1"]) {
+          machines.replace(place);
+          await machines.advance(REPLACEMENT_MS);
+          await machines.crashLeaderInChange(afterMs);
+          await machines.advance(SETTLE_MS / 2);
+          machines.stop(ZONE_A, CONTACT_MS);
+          await machines.advance(SETTLE_MS / 2);
+        }
+      }));
+  }
+
   it("keep a leader in random histories of replacements and restarts", async () => {
     const property = fc.asyncProperty(
       fc.nat(),
