--- a/src/replication/lost_voters.ts
+++ b/src/replication/lost_voters.ts
@@ -42,13 +42,12 @@
   const [first, second] = voters.toSorted((left, right) =>
     right.silentMs - left.silentMs
   );
-  const isLost = first !== undefined && first.silentMs > LOST_VOTER_TIMEOUT_MS;
-  if (!isLost || hasReplacement) {
-    return isLost ? first : undefined;
+  if (first === undefined || first.silentMs <= LOST_VOTER_TIMEOUT_MS) {
+    return undefined;
   }
   const areTwoGone = second !== undefined &&
     second.silentMs > GONE_VOTER_TIMEOUT_MS;
   const isDispensable = voters.length > MIN_VOTER_COUNT &&
     (voters.length % 2 === 0 || areTwoGone);
-  return isDispensable ? first : undefined;
+  return hasReplacement || isDispensable ? first : undefined;
 }
--- a/src/services/scheduling/runner_fleet.ts
+++ b/src/services/scheduling/runner_fleet.ts
@@ -168,22 +168,13 @@
     const { clock, logger } = this.#options;
     const group = new TaskGroup({ clock, logger });
     const changed = new Notifier();
-    const foreignLeaseEndMs = this.#foreignLeases.findEndMs(runner);
-    const foreignLeaseLeftMs = foreignLeaseEndMs - clock.steadyMs();
-    if (foreignLeaseLeftMs > 0) {
-      const { bornAtMs, runnerId } = runner;
-      logger.info(
-        { runnerId, bornAtMs, leaseLeftMs: Math.round(foreignLeaseLeftMs) },
-        "requests to an earlier incarnation may have prolonged the leases of a runner",
-      );
-    }
     const task = new RunnerTask({
       ...this.#options,
       loadChanged: changed,
       runner,
       status: new RunnerStatus(clock),
       tasks: group,
-      foreignLeaseEndMs,
+      foreignLeaseEndMs: this.#findForeignLeaseEndMs(runner),
       findMaxAttempts: (run) => this.findMaxAttempts(run),
     });
     group.startForever(
@@ -193,6 +184,20 @@
     return { task, group, changed, notifiedVersion: 0 };
   }
 
+  #findForeignLeaseEndMs(runner: Runner): number {
+    const { clock, logger } = this.#options;
+    const endMs = this.#foreignLeases.findEndMs(runner);
+    const leaseLeftMs = Math.round(endMs - clock.steadyMs());
+    if (leaseLeftMs > 0) {
+      const { bornAtMs, runnerId } = runner;
+      logger.info(
+        { runnerId, bornAtMs, leaseLeftMs },
+        "requests to an earlier incarnation may have prolonged the leases of a runner",
+      );
+    }
+    return endMs;
+  }
+
   /**
    * Returns how many failed runs of a task its job allows.
    *
