Keep evidence against runners and tasks in the scheduling state

Cause: a runner that answers polls and fails what it starts is free again at once, so it gets the next task; nothing in the state tells such a runner from work that fails wherever it runs.

Change: the ends of runs are weighed by every voter. By task: the runners on which it failed; a failure on a second sound runner speaks against the task. An end may carry why it speaks against the runner (refused start, run that stood still).

--- a/src/domain/scheduling/job_record.ts
+++ b/src/domain/scheduling/job_record.ts
@@ -10,6 +10,9 @@
 } from "./job.ts";
 import type { RunnerIncarnation } from "./runner.ts";
 
+/** Most runners that a task remembers because it failed there. */
+export const MAX_FAILED_ON_COUNT = 4;
+
 /** Progress of one task. */
 export interface TaskRecord {
   state: "waiting" | "running" | "done";
@@ -17,6 +20,11 @@
   runNumber: number;
   /** Number of runs that failed. */
   failedCount: number;
+  /**
+   * Ids of the runners on which it failed, did not start or stood still, the
+   * newest last; at most {@link MAX_FAILED_ON_COUNT}.
+   */
+  failedOn?: readonly string[] | undefined;
   /** Saved progress from which the next run starts; empty for none. */
   saved: string;
   /** Runner incarnation that runs the task; undefined unless it is running. */
@@ -51,6 +59,11 @@
     state: v.picklist(["waiting", "running", "done"]),
     runNumber: v.number(),
     failedCount: v.number(),
+    /**
+     * Runners on which it failed. Absent in snapshots of earlier releases, which
+     * skip it when they read one.
+     */
+    failedOn: v.optional(v.array(v.string())),
     saved: v.string(),
     /** Runner incarnation that runs the task. */
     life: v.optional(v.object({ runnerId: v.string(), bornAtMs: v.number() })),
@@ -172,7 +185,12 @@
         record.tasks.forEach((task, index) => {
           if (task.runNumber > 0 || task.state !== "waiting") {
             const id = { jobId: spec.jobId, occurrence, step, index };
-            tasks.push({ task: id, ...task });
+            const { failedOn, ...progress } = task;
+            tasks.push({
+              task: id,
+              ...progress,
+              ...(failedOn && { failedOn: [...failedOn] }),
+            });
           }
         })
       )
--- a/src/domain/scheduling/job_table.ts
+++ b/src/domain/scheduling/job_table.ts
@@ -2,8 +2,14 @@
 import type { Amounts } from "./amounts.ts";
 import { EndedJobs } from "./ended_jobs.ts";
 import type { TaskId } from "./job.ts";
-import { JobRecord, type StoredJob, type TaskRecord } from "./job_record.ts";
+import {
+  JobRecord,
+  MAX_FAILED_ON_COUNT,
+  type StoredJob,
+  type TaskRecord,
+} from "./job_record.ts";
 import type { RunnerIncarnation } from "./runner.ts";
+import { RunnerEvidence } from "./runner_evidence.ts";
 import { type RunnerLoad, RunnerLoads } from "./runner_loads.ts";
 import type { SchedulingOperation } from "./scheduling_command.ts";
 import { UnconfirmedStarts } from "./unconfirmed_starts.ts";
@@ -25,6 +31,8 @@
   readonly #loads = new RunnerLoads();
   /** Starts that the log does not show as confirmed by their runner. */
   readonly unconfirmed = new UnconfirmedStarts();
+  /** What the ends of runs tell about their runners. */
+  readonly evidence = new RunnerEvidence();
 
   /** Jobs that have not ended. */
   get open(): ReadonlySet<JobRecord> {
@@ -103,6 +111,7 @@
     if (job === undefined || task === undefined || !isNew) {
       return;
     }
+    this.#weighEnd(operation, task, atMs);
     this.#removeRun(job, id, task);
     task.saved = saved === "" ? task.saved : saved;
     task.changedAtMs = atMs;
@@ -138,6 +147,7 @@
 
   /** Removes jobs that ended more than {@link JOB_KEEP_MS} ago. */
   prune(atMs: number): void {
+    this.evidence.prune(atMs);
     const beforeMs = atMs - JOB_KEEP_MS;
     for (const job of this.#ended.takeEndedBefore(beforeMs)) {
       this.#expired.add(job);
@@ -171,6 +181,28 @@
     }
   }
 
+  #weighEnd(
+    { fault, how, task: id }: EndOperation,
+    task: TaskRecord,
+    atMs: number,
+  ): void {
+    const { changedAtMs: startedAtMs, failedOn = [], life } = task;
+    if (life === undefined) {
+      return;
+    }
+    if (how === "done") {
+      this.evidence.recordDone(life, startedAtMs);
+      task.failedOn = undefined;
+    } else if (how === "failed" || fault !== undefined) {
+      const failedBeforeOn = failedOn;
+      this.evidence.recordFailure(
+        { atMs, failedBeforeOn, life, startedAtMs, task: id },
+      );
+      const others = failedOn.filter((other) => other !== life.runnerId);
+      task.failedOn = [...others, life.runnerId].slice(-MAX_FAILED_ON_COUNT);
+    }
+  }
+
   #finish(job: JobRecord, id: TaskId, task: TaskRecord, atMs: number): void {
     task.state = "done";
     this.#adjustCounts(job, id, 0, 1);
--- a/src/domain/scheduling/scheduling_command.ts
+++ b/src/domain/scheduling/scheduling_command.ts
@@ -18,6 +18,17 @@
   "lost",
 ] as const;
 
+/** Why a run that its runner did not end as failed speaks against the runner. */
+export const RUN_FAULTS = [
+  /** The runner refused the start, as it was overloaded or out of service. */
+  "refused",
+  /** The run was stopped because its progress stood still. */
+  "still",
+] as const;
+
+/** Why a run speaks against its runner. */
+export type RunFault = (typeof RUN_FAULTS)[number];
+
 /** How a run ended. */
 export type RunEnd = (typeof RUN_ENDS)[number];
 
@@ -51,6 +62,11 @@
     saved: v.string(),
     /** Number of failed runs of the task after which its job has failed. */
     maxAttempts: v.number(),
+    /**
+     * Absent where nothing but the end speaks against the runner, and in the
+     * logs of earlier releases, which skip it when they read one.
+     */
+    fault: v.optional(v.picklist(RUN_FAULTS)),
   }),
   v.object({
     type: v.literal("confirm"),
--- a/src/domain/scheduling/scheduling_state.ts
+++ b/src/domain/scheduling/scheduling_state.ts
@@ -1,8 +1,7 @@
 /** The scheduling state, built by applying the commands of the log. */
 import type { Catalog } from "./catalog.ts";
 import { EMPTY_CATALOG } from "./catalog.ts";
-import { type EndedRunner, EndedRunners } from "./ended_runners.ts";
-import type { StoredJob } from "./job_record.ts";
+import { EndedRunners } from "./ended_runners.ts";
 import { JobTable } from "./job_table.ts";
 import {
   isOutdatedRunner,
@@ -14,39 +13,7 @@
   SchedulingCommand,
   SchedulingOperation,
 } from "./scheduling_command.ts";
-import type { StartName } from "./unconfirmed_starts.ts";
-
-/** A wave, which puts a set of VMs through maintenance, with its progress. */
-export interface WaveRecord {
-  readonly waveId: number;
-  readonly vms: readonly string[];
-  /** Maximum number of VMs that may be in maintenance at once. */
-  readonly maxAwayCount: number;
-  /** Wall-clock time by which the maintenance of every VM must be done (ms). */
-  readonly completeByMs: number;
-  /**
-   * Time that the request gave for it (ms). Absent in records of earlier
-   * releases.
-   */
-  readonly completeWithinMs?: number | undefined;
-  /** State by VM, for VMs whose maintenance was ordered or is done. */
-  readonly progress: Readonly<Record<string, "ordered" | "done">>;
-}
-
-/** One value of the scheduling state in a snapshot. */
-export type SchedulingItem =
-  | { readonly type: "catalog"; readonly catalog: Catalog }
-  | { readonly type: "zonesOut"; readonly zones: readonly string[] }
-  | { readonly type: "runner"; readonly runner: Runner }
-  /** Absent in snapshots of earlier releases. */
-  | {
-    readonly type: "endedRunners";
-    readonly runners: readonly EndedRunner[];
-  }
-  | { readonly type: "wave"; readonly wave: WaveRecord }
-  | { readonly type: "job"; readonly job: StoredJob }
-  // Absent in snapshots of releases that did not record confirmations.
-  | { readonly type: "unconfirmed"; readonly starts: readonly StartName[] };
+import type { SchedulingItem, WaveRecord } from "./scheduling_item.ts";
 
 /**
  * Observes one batch of changes: called right before the batch is applied.
@@ -153,6 +120,7 @@
         job: job.toStored(),
       })),
       { type: "unconfirmed", starts: this.jobs.unconfirmed.list() },
+      { type: "runnerEvidence", records: this.jobs.evidence.list() },
     ];
   }
 
@@ -188,6 +156,9 @@
       case "unconfirmed":
         item.starts.forEach((start) => this.jobs.unconfirmed.add(start));
         return;
+      case "runnerEvidence":
+        this.jobs.evidence.restore(item.records);
+        return;
     }
   }
 
