Place tasks away from runners where they failed, and limit suspect runners

Cause: second attempts went where the first had failed, and a failing runner was chosen for each next task.

A task avoids the runners where it failed.

--- a/src/decisions/health/index.ts
+++ b/src/decisions/health/index.ts
@@ -1,4 +1,5 @@
-/** Decides which backend servers get no work because of failures. */
+/** Decides which backend servers and runners get less work for failures. */
 export * from "./health_policy.ts";
 export * from "./outlier_health_policy.ts";
+export * from "./runner_trust_policy.ts";
 export * from "./work_evidence.ts";
--- a/src/decisions/scheduling/index.ts
+++ b/src/decisions/scheduling/index.ts
@@ -1,6 +1,7 @@
 /** Policies of the scheduler: order, placement, capacity and maintenance. */
 export * from "./order_policy.ts";
 export * from "./placement_policy.ts";
+export * from "./placement_trust.ts";
 export * from "./ready_step.ts";
 export * from "./run_delays.ts";
 export * from "./start_planner.ts";
--- a/src/decisions/scheduling/placement_demand.ts
+++ b/src/decisions/scheduling/placement_demand.ts
@@ -1,12 +1,18 @@
 /** Tracks the capacity that a plan allocates while it is being made. */
 import { addAmounts, computeReservedAmounts } from "../../domain/index.ts";
-import type { Candidate, PlacementDemand } from "./placement_policy.ts";
+import type {
+  Candidate,
+  PlacementDemand,
+  PlacementTrust,
+} from "./placement_policy.ts";
 import type { ReadyStep } from "./ready_step.ts";
 
 /** The demand of a step, updated with each placement of the plan. */
 export interface MutableDemand extends PlacementDemand {
   readonly countByRunner: Map<string, number>;
   readonly countByZone: Map<string, number>;
+  /** What the task that is placed next risks. */
+  trust?: PlacementTrust;
 }
 
 /**
@@ -49,6 +55,9 @@
   }
   candidate.latencyTargetCount += Number(step.tailTargetMs > 0);
   candidate.bestEffortCount += Number(step.usesLeftovers);
+  if (candidate.probe !== undefined) {
+    candidate.probe = "waits";
+  }
   increment(countByRunner, candidate.runnerId);
   increment(countByZone, candidate.zone);
 }
--- a/src/decisions/scheduling/placement_policy.ts
+++ b/src/decisions/scheduling/placement_policy.ts
@@ -20,6 +20,27 @@
   readonly awaitsMaintenance: boolean;
   /** Whether its free capacity is reserved for a task that fits nowhere yet. */
   isReserved: boolean;
+  /** Absent for a runner that is trusted. */
+  probe?: ProbeState | undefined;
+}
+
+/**
+ * What a suspect runner may get: nothing while it `waits`; one task that can
+ * afford to fail once a probe is `due`; one that has not failed yet once it is
+ * `overdue`.
+ */
+export type ProbeState = "waits" | "due" | "overdue";
+
+/** What a task risks on a runner that may fail it. */
+export interface PlacementTrust {
+  /** Ids of the runners on which it has failed before. */
+  readonly failedOn: readonly string[];
+  /** Whether it has never failed, and ends by itself. */
+  readonly isFresh: boolean;
+  /** Whether it is fresh and its job survives a failure. */
+  readonly canAffordFailure: boolean;
+  /** Whether no runner could run it but those that it would avoid. */
+  readonly hasNoOther: boolean;
 }
 
 /** The needs of a step, and the limits that a placement respects. */
@@ -33,6 +54,8 @@
   readonly approvedIds: ReadonlySet<string> | undefined;
   /** Number of tasks of the same step that the plan places, by zone. */
   readonly countByZone: ReadonlyMap<string, number>;
+  /** Absent where the task may go to any runner. */
+  readonly trust?: PlacementTrust | undefined;
 }
 
 /** Chooses runners for tasks. */
@@ -64,7 +87,8 @@
  * Chooses the runner with the highest score.
  *
  * Tasks go to the rack that holds their data, if any, and avoid VMs that await
- * their maintenance. Long-running tasks avoid runners with best-effort tasks and
+ * their maintenance. A probe of a suspect runner that is due goes first.
+ * Long-running tasks avoid runners with best-effort tasks and
  * spread over zones. Best-effort tasks avoid
  * runners with latency targets and spread over runners, the emptiest first. All
  * other tasks go to the fullest runner, so that room for large tasks remains.
@@ -93,6 +117,8 @@
 // Each weight exceeds the sum of the lower ones for usual counts, and free
 // cores break ties.
 const NEAR_DATA_SCORE = 1_000_000;
+/** Shows soon whether a suspect runner has recovered. */
+const PROBE_SCORE = 500_000;
 const SEPARATION_SCORE = 100_000;
 /** Of long-running tasks, which would have to move again. */
 const LASTING_MAINTENANCE_SCORE = 50_000;
@@ -107,6 +133,12 @@
     candidate.rack === step.dataRack;
   const freePoints = candidate.free.cpuMillicores / MILLICORES_PER_POINT;
   let score = isNear ? NEAR_DATA_SCORE : 0;
+  if (candidate.probe !== undefined) {
+    score += demand.trust?.hasNoOther ? -PROBE_SCORE : PROBE_SCORE;
+  }
+  if (demand.trust?.failedOn.includes(candidate.runnerId)) {
+    score -= PROBE_SCORE;
+  }
   if (candidate.awaitsMaintenance) {
     score -= step.isEndless ? LASTING_MAINTENANCE_SCORE : MAINTENANCE_SCORE;
   }
@@ -141,9 +173,44 @@
  *
  * @param candidate - The runner.
  * @param demand - The demand of the task's step.
- * @returns True when label, approval and tasks per runner permit it.
+ * @returns True when trust, label, approval and tasks per runner permit it.
  */
 export function isAllowed(
+  candidate: Candidate,
+  demand: PlacementDemand,
+): boolean {
+  return isTrustedFor(candidate, demand) && isPermitted(candidate, demand);
+}
+
+/**
+ * Tells whether the failures of earlier runs permit a task on a runner.
+ *
+ * @param candidate - The runner.
+ * @param demand - The demand of the task's step.
+ * @returns False when the task has failed there, or when the runner is suspect
+ * and the task is no probe of it; always true when the task has no other runner.
+ */
+export function isTrustedFor(
+  { probe, runnerId }: Candidate,
+  { trust }: PlacementDemand,
+): boolean {
+  if (trust === undefined || trust.hasNoOther) {
+    return true;
+  }
+  const mayProbe = probe === undefined ||
+    (probe === "due" && trust.canAffordFailure) ||
+    (probe === "overdue" && trust.isFresh);
+  return mayProbe && !trust.failedOn.includes(runnerId);
+}
+
+/**
+ * Tells whether a runner may run a task, whatever has failed there.
+ *
+ * @param candidate - The runner.
+ * @param demand - The demand of the task's step.
+ * @returns True when label, approval and tasks per runner permit it.
+ */
+export function isPermitted(
   candidate: Candidate,
   { step, approvedIds, countByRunner }: PlacementDemand,
 ): boolean {
--- a/src/decisions/scheduling/start_planner.ts
+++ b/src/decisions/scheduling/start_planner.ts
@@ -8,6 +8,7 @@
   type RunnerIncarnation,
   type SchedulingState,
   type TaskId,
+  type TaskRecord,
 } from "../../domain/index.ts";
 import type { OrderPolicy } from "./order_policy.ts";
 import {
@@ -15,7 +16,12 @@
   createDemand,
   type MutableDemand,
 } from "./placement_demand.ts";
-import type { Candidate, PlacementPolicy } from "./placement_policy.ts";
+import type {
+  Candidate,
+  PlacementPolicy,
+  PlacementTrust,
+} from "./placement_policy.ts";
+import { createTrust, mustWiden } from "./placement_trust.ts";
 import { listReadySteps, type ReadyStep } from "./ready_step.ts";
 import { RunnerReservations } from "./runner_reservations.ts";
 
@@ -97,7 +103,7 @@
   }
 
   #planTasks(ready: ReadyStep, round: PlanningRound): void {
-    const demand = createDemand(ready, round.input.findApproved(ready));
+    const demand = this.#createDemand(ready, round);
     const unplaceable = round.unplaceableByPool.get(ready.pool);
     if (unplaceable !== undefined && fitsInto(unplaceable, demand.held)) {
       return;
@@ -110,13 +116,19 @@
       if (!isWithinTeamLimit(ready, round, 1)) {
         return;
       }
-      const chosen = this.#placement.choose(candidates, demand);
+      const chosen = this.#choose(ready, candidates, demand, [task], round);
       if (chosen === undefined) {
         if (ready.step.isEndless) {
           const { nowMs } = round.input;
           this.#reservations.reserveRoomiest(candidates, demand, nowMs);
         }
-        if (!candidates.some(({ free }) => fitsInto(demand.held, free))) {
+        // Others of the step may go where this one has failed.
+        if (task.failedOn !== undefined) {
+          continue;
+        }
+        const isOpen = ({ free, probe }: Candidate) =>
+          probe !== "waits" && fitsInto(demand.held, free);
+        if (!candidates.some(isOpen)) {
           round.unplaceableByPool.set(ready.pool, demand.held);
         }
         return;
@@ -126,6 +138,26 @@
     }
   }
 
+  #choose(
+    ready: ReadyStep,
+    candidates: readonly Candidate[],
+    demand: MutableDemand,
+    tasks: readonly TaskRecord[],
+    { input: { nowMs } }: PlanningRound,
+  ): Candidate | undefined {
+    const trust = createTrust(ready, tasks);
+    demand.trust = trust;
+    const chosen = this.#placement.choose(candidates, demand);
+    if (
+      chosen !== undefined ||
+      !mustWiden(ready, demand, candidates, tasks, nowMs)
+    ) {
+      return chosen;
+    }
+    demand.trust = { ...trust, hasNoOther: true };
+    return this.#placement.choose(candidates, demand);
+  }
+
   // Places all members or none: a part of a gang would only occupy capacity
   // while it waits for the others.
   #planGang(ready: ReadyStep, round: PlanningRound): void {
@@ -137,19 +169,27 @@
       return;
     }
     const candidates = round.input.candidates.get(ready.pool) ?? [];
+    const trust = createTrust(ready, tasks);
     for (const group of listGangCandidates(ready, candidates)) {
-      if (this.#placeGang(ready, group, round)) {
+      if (this.#placeGang(ready, group, trust, round)) {
         return;
       }
     }
+    const demand = { ...this.#createDemand(ready, round), trust };
+    const { nowMs } = round.input;
+    if (mustWiden(ready, demand, candidates, tasks, nowMs)) {
+      const widened = { ...trust, hasNoOther: true };
+      this.#placeGang(ready, candidates, widened, round);
+    }
   }
 
   #placeGang(
     ready: ReadyStep,
     group: readonly Candidate[],
+    trust: PlacementTrust,
     round: PlanningRound,
   ): boolean {
-    const demand = createDemand(ready, round.input.findApproved(ready));
+    const demand = { ...this.#createDemand(ready, round), trust };
     const trial = group.map((candidate) => ({ ...candidate }));
     const chosen: Candidate[] = [];
     for (const _task of ready.record.tasks) {
@@ -162,7 +202,7 @@
     }
     const runNumber = 1 +
       Math.max(...ready.record.tasks.map((task) => task.runNumber));
-    const real = createDemand(ready, round.input.findApproved(ready));
+    const real = this.#createDemand(ready, round);
     chosen.forEach((copy, index) => {
       const candidate = group.find(({ runnerId }) =>
         runnerId === copy.runnerId
@@ -175,6 +215,10 @@
     return true;
   }
 
+  #createDemand(ready: ReadyStep, { input }: PlanningRound): MutableDemand {
+    return createDemand(ready, input.findApproved(ready));
+  }
+
   #allocateFor(
     ready: ReadyStep,
     demand: MutableDemand,
