Suspect failing runners, and stop runs that stand still

Change: the scheduler asks RunnerTrust before each plan; the log has a line when a runner becomes suspect and when it no longer is, explain tells why, pool accounts have a share of their own for it, and metrics count. A runner gets no new work until the end of a refused start is in the log. A run whose percentage has not moved in 1.4 s of the runner's clock, or in its estimate if that is longer, is stopped and placed elsewhere, on two runners at most. The fakes of runners fail, slow down or hold up runs, and report true progress instead of a constant half.

--- a/src/adapters/metrics/prometheus_scheduling_metrics.ts
+++ b/src/adapters/metrics/prometheus_scheduling_metrics.ts
@@ -10,6 +10,7 @@
   JobLabels,
   LeaderMetrics,
   ProcessUsage,
+  RunFaultKind,
   RunnerRemoval,
   RunnerRequestKind,
   RunnerRequestOutcome,
@@ -158,6 +159,12 @@
     labelNames: ["pool"],
     registers: this.#registers,
   });
+  readonly #suspectRunners = new Gauge({
+    name: "cardamomsill_suspect_runners",
+    help: "Runners that get one task at a time, at the leader, by pool",
+    labelNames: ["pool"],
+    registers: this.#registers,
+  });
   readonly #poolMillicores = new Gauge({
     name: "cardamomsill_pool_millicores",
     help: "CPU of all VMs at the leader, by pool and what it is used for",
@@ -176,6 +183,12 @@
     labelNames: ["reason"],
     registers: this.#registers,
   });
+  readonly #runFaults = new Counter({
+    name: "cardamomsill_run_faults_total",
+    help: "Refused starts, still runs and newly suspect runners, by kind",
+    labelNames: ["kind"],
+    registers: this.#registers,
+  });
   readonly #messages = new Counter({
     name: "cardamomsill_leader_messages_total",
     help: "Messages of entries and controllers to the leader, by method",
@@ -235,6 +248,10 @@
     this.#removedRunners.inc({ reason });
   }
 
+  countRunFault(kind: RunFaultKind): void {
+    this.#runFaults.inc({ kind });
+  }
+
   countMessage(method: string): void {
     this.#messages.inc({ method });
   }
@@ -253,6 +270,7 @@
     this.#runners.reset();
     this.#waitingTasks.reset();
     this.#freeMillicores.reset();
+    this.#suspectRunners.reset();
     this.#poolMillicores.reset();
     const gauges = readGauges();
     this.#term.set(gauges?.term ?? 0);
@@ -270,6 +288,9 @@
       for (const [pool, millicores] of gauges.freeMillicores) {
         this.#freeMillicores.set({ pool }, millicores);
       }
+      for (const [pool, count] of gauges.suspectRunnerCounts ?? []) {
+        this.#suspectRunners.set({ pool }, count);
+      }
       for (const [pool, account] of gauges.poolMillicores) {
         for (const [share, millicores] of account) {
           this.#poolMillicores.set({ pool, share }, millicores);
--- a/src/daemon/scheduling/start_leading.ts
+++ b/src/daemon/scheduling/start_leading.ts
@@ -2,6 +2,7 @@
 import {
   BackOffPacePolicy,
   DemandCapacityPolicy,
+  FailureTrustPolicy,
   HighestForecast,
   LeastLossMaintenancePolicy,
   listReadySteps,
@@ -35,6 +36,7 @@
   PoolLoads,
   RunnerFleet,
   RunnerRegistry,
+  RunnerTrust,
   ScheduleExplainer,
   Scheduler,
   type SchedulingLog,
@@ -89,6 +91,10 @@
     client,
     findTicket: (task, runner) => adviceTask?.findTicket(task, runner),
   });
+  const trust = new RunnerTrust({
+    ...options,
+    policy: new FailureTrustPolicy(),
+  });
   const isInMaintenance = (runner: RunnerIncarnation): boolean =>
     waves?.isCordoned(runner) ?? false;
   const awaitsMaintenance = (runner: Runner): boolean =>
@@ -99,6 +105,7 @@
     ...options,
     fleet,
     mayPlaceOn: (runner) => scheduler.mayPlaceOn(runner),
+    isSuspect: (runner) => trust.find(runner) !== undefined,
     isInMaintenance,
     isMoving,
   });
@@ -137,6 +144,7 @@
       order,
       placement: new ScoredPlacementPolicy(),
     }),
+    trust,
     findStatus: (runner) => fleet.findStatus(runner),
     findApproved: (step) => adviceTask?.findApproved(step),
     isCordoned: (runner) => isInMaintenance(runner) || isMoving(runner),
@@ -171,7 +179,10 @@
       group.startForever(name, (signal) => task.run(signal));
     }
   }
-  const readLeaderGauges = () => readGauges(options, fleet, accounts);
+  const readLeaderGauges = () => ({
+    ...readGauges(options, fleet, accounts),
+    suspectRunnerCounts: trust.countByPool(),
+  });
   group.startForever("work", (signal) => work.report(readLeaderGauges, signal));
   return {
     registry: new RunnerRegistry({ ...options, client, fleet }),
@@ -180,6 +191,7 @@
       ...options,
       findStatus: (runner) => fleet.findStatus(runner),
       mayPlaceOn: (runner) => scheduler.mayPlaceOn(runner),
+      describeSuspicion: (runner) => trust.describe(runner),
     }),
     readGauges: readLeaderGauges,
   };
--- a/src/ports/leader_metrics.ts
+++ b/src/ports/leader_metrics.ts
@@ -1,4 +1,5 @@
 /** Ports for metrics of the process itself and of the leader's own work. */
+import type { RunFault } from "../domain/index.ts";
 
 /** A kind of request that the leader sends to a runner. */
 export type RunnerRequestKind = "poll" | "start" | "stop";
@@ -14,6 +15,9 @@
   | "notListening"
   | "replaced";
 
+/** Why the leader counts a run against its runner, or a runner as suspect. */
+export type RunFaultKind = RunFault | "suspect";
+
 /** Records how late the timers of the process fire. */
 export interface EventLoopMetrics {
   /** Records the delay of one timer (ms). */
@@ -54,6 +58,8 @@
   ): void;
   /** Counts a removed runner. */
   countRemovedRunner(reason: RunnerRemoval): void;
+  /** Counts a run that speaks against its runner, or a new suspect runner. */
+  countRunFault(kind: RunFaultKind): void;
   /** Counts a message of an entry or controller that the leader handles. */
   countMessage(method: string): void;
 }
--- a/src/ports/scheduling_metrics.ts
+++ b/src/ports/scheduling_metrics.ts
@@ -23,6 +23,8 @@
   readonly openJobCounts: ReadonlyMap<JobState, number>;
   /** Number of runners by condition. */
   readonly runnerCounts: ReadonlyMap<RunnerCondition, number>;
+  /** Suspect runners by pool; pools without any are left out. */
+  readonly suspectRunnerCounts?: ReadonlyMap<string, number> | undefined;
   /** Number of tasks that could start now, by pool. */
   readonly waitingTaskCounts: ReadonlyMap<string, number>;
   /** Free CPU of the runners that may get work, by pool. */
@@ -36,6 +38,8 @@
  *
  * - `used`: allocated to tasks on runners that are in service.
  * - `free`: free on runners that may get work.
+ * - `suspect`: free on runners that get one task at a time, because runs failed
+ *   there.
  * - `overdue`: free on runners that have not answered a request in time.
  * - `cordoned`: runners whose VM is about to be maintained, with the work on
  *   them.
@@ -51,6 +55,7 @@
 export type PoolShare =
   | "used"
   | "free"
+  | "suspect"
   | "overdue"
   | "cordoned"
   | "maintenance"
--- a/src/services/scheduling/index.ts
+++ b/src/services/scheduling/index.ts
@@ -22,6 +22,7 @@
 export * from "./runner_fleet.ts";
 export * from "./runner_registry.ts";
 export * from "./runner_status.ts";
+export * from "./runner_trust.ts";
 export * from "./schedule_explainer.ts";
 export * from "./scheduler.ts";
 export * from "./scheduling_handlers.ts";
--- a/src/services/scheduling/leader_work.ts
+++ b/src/services/scheduling/leader_work.ts
@@ -5,6 +5,7 @@
   Logger,
   ProcessUsage,
   ProcessUsageReading,
+  RunFaultKind,
   RunnerRemoval,
   RunnerRequestKind,
   RunnerRequestOutcome,
@@ -92,6 +93,10 @@
     this.#options.metrics.countRemovedRunner(reason);
   }
 
+  countRunFault(kind: RunFaultKind): void {
+    this.#options.metrics.countRunFault(kind);
+  }
+
   countMessage(method: string): void {
     increase(this.#counts.messages, method);
     this.#options.metrics.countMessage(method);
--- a/src/services/scheduling/pool_accounts.ts
+++ b/src/services/scheduling/pool_accounts.ts
@@ -13,6 +13,8 @@
   readonly clock: Clock;
   /** Returns whether a runner may get work now. */
   readonly mayPlaceOn: (runner: Runner) => boolean;
+  /** Returns whether a runner gets one task at a time; false by default. */
+  readonly isSuspect?: ((runner: Runner) => boolean) | undefined;
   /** Returns whether a runner's VM is being drained for maintenance. */
   readonly isInMaintenance: (runner: Runner) => boolean;
   /** Returns whether a runner's VM has, or is about to get, an order to move. */
@@ -148,10 +150,11 @@
   }
 
   #findShare(runner: Runner): PoolShare {
-    const { fleet, isInMaintenance, isMoving, log, mayPlaceOn } = this.#options;
+    const { fleet, isInMaintenance, isMoving, isSuspect, log, mayPlaceOn } =
+      this.#options;
     const status = fleet.findStatus(runner);
     if (mayPlaceOn(runner)) {
-      return "free";
+      return isSuspect?.(runner) ? "suspect" : "free";
     }
     if (runner.isDraining) {
       return "draining";
--- a/src/services/scheduling/run_end_detector.ts
+++ b/src/services/scheduling/run_end_detector.ts
@@ -1,6 +1,7 @@
 /** Turns the reports of one runner into ends of runs in the log. */
 import {
   formatTaskId,
+  type RunFault,
   type Runner,
   type RunnerLoad,
   type RunningTask,
@@ -29,6 +30,8 @@
   readonly findLoad: () => RunnerLoad;
   /** Returns how many failed runs of a task its job allows. */
   readonly findMaxAttempts: (run: RunningTask) => number;
+  /** Returns why the end of a run speaks against the runner, if it does. */
+  readonly findFault: (run: RunningTask) => RunFault | undefined;
 }
 
 /** Detects ended and lost runs in the reports of a runner. */
@@ -100,12 +103,14 @@
     how: EndReport["how"],
     saved: string,
   ): SchedulingOperation {
+    const fault = this.#options.findFault(run);
     this.#options.logger.info(
       {
         task: formatTaskId(run.id),
         runNumber: run.runNumber,
         runnerId: this.#options.findRunner().runnerId,
         how,
+        ...(fault && { fault }),
       },
       "a run ended",
     );
@@ -116,6 +121,7 @@
       how,
       saved,
       maxAttempts: this.#options.findMaxAttempts(run),
+      ...(fault && { fault }),
     };
   }
 }
--- a/src/services/scheduling/run_reconciler.ts
+++ b/src/services/scheduling/run_reconciler.ts
@@ -4,13 +4,19 @@
  */
 import {
   formatTaskId,
+  type RunFault,
   type RunnerLoad,
   type RunningTask,
 } from "../../domain/index.ts";
-import type { RunName, RunnerReport } from "../../ports/index.ts";
+import type {
+  LeaderMetrics,
+  RunName,
+  RunnerReport,
+} from "../../ports/index.ts";
 import { Notifier, type TaskGroup, waitFor } from "../../tasks/index.ts";
 import { RunCommands, type RunCommandsOptions } from "./run_commands.ts";
 import { formatRun } from "./run_name.ts";
+import { StillRuns } from "./still_runs.ts";
 import { StartAttempts } from "./start_attempts.ts";
 import { TrackedRuns } from "./tracked_runs.ts";
 import { IDLE_CHECK_MS, REQUEST_RETRY_MS } from "./timing.ts";
@@ -21,6 +27,7 @@
   /** Notified when the runner's own load has changed. */
   readonly loadChanged: Notifier;
   readonly findLoad: () => RunnerLoad;
+  readonly metrics: LeaderMetrics;
 }
 
 /** Starts the runs that the log places here and stops those no longer wanted. */
@@ -28,6 +35,7 @@
   readonly #options: RunReconcilerOptions;
   readonly #commands: RunCommands;
   readonly #runs: TrackedRuns;
+  readonly #still: StillRuns;
   /** Runs that the runner reports and the log does not place there. */
   readonly #orphans = new Set<string>();
   /** Notified of each report of the runner. */
@@ -37,6 +45,7 @@
     this.#options = options;
     this.#commands = new RunCommands(options);
     this.#runs = new TrackedRuns(options);
+    this.#still = new StillRuns({ ...options, runs: this });
   }
 
   /** Whether the last poll reported runs that the log does not place here. */
@@ -81,14 +90,26 @@
    *
    * @param run - A run that is placed here.
    * @param signal - Ends the attempts.
+   * @param fault - Why its end speaks against the runner, if it does.
+   * @returns Whether the run is stopped now; false when it was before.
    */
-  evict(run: RunningTask, signal: AbortSignal): void {
+  evict(run: RunningTask, signal: AbortSignal, fault?: RunFault): boolean {
     const key = formatRun({ task: run.id, ...run });
     if (this.#runs.findState(key) === "running") {
+      if (fault !== undefined) {
+        this.#runs.recordFault(key, fault);
+      }
       this.#runs.begin(key, "closing");
       const { tasks } = this.#options;
       tasks.start("evict", () => this.#close(run, key, signal));
+      return true;
     }
+    return false;
+  }
+
+  /** Returns why the end of a run speaks against the runner, if it does. */
+  findFault(run: RunningTask): RunFault | undefined {
+    return this.#runs.findFault(formatRun({ task: run.id, ...run }));
   }
 
   /**
@@ -113,6 +134,7 @@
       }
     }
     this.#runs.settleUnanswered(report, sentAtMs);
+    this.#still.recordReport(report);
     this.#reported.notify();
   }
 
@@ -153,7 +175,7 @@
     key: string,
     signal: AbortSignal,
   ): Promise<void> {
-    const { clock, loadChanged } = this.#options;
+    const { clock, loadChanged, metrics } = this.#options;
     const attempts = new StartAttempts();
     while (this.#hasState(key, "starting", signal)) {
       const failure = await this.#commands.start(run);
@@ -169,6 +191,10 @@
         return;
       }
       if (step === "closed") {
+        if (failure.refusal === "unhealthy") {
+          this.#runs.recordFault(key, "refused");
+          metrics.countRunFault("refused");
+        }
         this.#runs.confirm(key, "closed", clock.monotonicMs());
         loadChanged.notify();
         return;
--- a/src/services/scheduling/runner_parts.ts
+++ b/src/services/scheduling/runner_parts.ts
@@ -59,14 +59,18 @@
   const requests = new RequestObserver({ ...options, lease });
   const uncertain = new UncertainStarts(options);
   const shared = { ...options, lease, grants, requests, uncertain };
+  const runs = new RunReconciler(shared);
   return {
-    ends: new RunEndDetector(options),
+    ends: new RunEndDetector({
+      ...options,
+      findFault: (run) => runs.findFault(run),
+    }),
     failures: new PollFailures(options.status),
     grants,
     lease,
     remover: new RunnerRemover(shared),
     requests,
-    runs: new RunReconciler(shared),
+    runs,
     uncertain,
   };
 }
--- a/src/services/scheduling/runner_status.ts
+++ b/src/services/scheduling/runner_status.ts
@@ -56,6 +56,11 @@
   loads: ReadonlyMap<string, number> = new Map();
   /** Names of the placed runs whose start this incarnation has confirmed. */
   readonly confirmedRuns = new Set<string>();
+  /**
+   * Names of the placed runs that it refused to start, as it was overloaded or
+   * out of service, until the log has their ends. It gets no new work meanwhile.
+   */
+  readonly refusedRuns = new Set<string>();
 
   constructor(clock: Clock) {
     this.#clock = clock;
--- a/src/services/scheduling/schedule_explainer.ts
+++ b/src/services/scheduling/schedule_explainer.ts
@@ -6,6 +6,7 @@
   createFailure,
   type Failure,
   formatTaskId,
+  indexQueues,
   type JobRecord,
   type Runner,
   type StepRecord,
@@ -54,6 +55,10 @@
   readonly findStatus: (runner: Runner) => RunnerStatus | undefined;
   /** Returns whether a runner may get work now. */
   readonly mayPlaceOn: (runner: Runner) => boolean;
+  /** Describes why a runner is suspect; undefined while it is trusted. */
+  readonly describeSuspicion?:
+    | ((runner: Runner) => string | undefined)
+    | undefined;
 }
 
 /** Describes the scheduling state as the leader knows it. */
@@ -166,13 +171,31 @@
     const reason = task.state === "waiting"
       ? [`waits: ${this.#findReason(job, Number(occurrence), Number(step))}`]
       : [];
+    const avoided = (task.failedOn ?? []).map((runnerId) =>
+      `avoids ${runnerId}, where it failed`
+    );
     return [
       `${task.state}${where}, run ${task.runNumber}, ${task.failedCount} failed runs`,
       `for ${Math.round(this.#nowMs - sinceMs)} ms`,
       ...reason,
+      ...avoided,
+      ...this.#describeSuspects(job),
     ];
   }
 
+  #describeSuspects(job: JobRecord): string[] {
+    const { describeSuspicion, log } = this.#options;
+    const { catalog, runners } = log.state;
+    const pool = indexQueues(catalog).byName.get(job.queue)?.pool ?? job.pool;
+    const count =
+      [...runners.values()].filter((runner) =>
+        runner.pool === pool && describeSuspicion?.(runner) !== undefined
+      ).length;
+    return count === 0
+      ? []
+      : [`${count} runners of ${pool} are suspect and get one task at a time`];
+  }
+
   #describeRunner(runner: Runner): string[] {
     const { log } = this.#options;
     const { running } = log.state.jobs.findLoad(runner);
@@ -180,7 +203,12 @@
       .map(({ id, runNumber }) => `${formatTaskId(id)}#${runNumber}`);
     const fields = Object.entries(this.#listRunner(runner))
       .map(([field, value]) => `${field} ${value}`);
-    return [fields.join(", "), ...names.map((name) => `runs ${name}`)];
+    const suspicion = this.#options.describeSuspicion?.(runner);
+    return [
+      fields.join(", "),
+      ...(suspicion === undefined ? [] : [suspicion]),
+      ...names.map((name) => `runs ${name}`),
+    ];
   }
 
   #describeJob(job: JobRecord): string[] {
--- a/src/services/scheduling/scheduler.ts
+++ b/src/services/scheduling/scheduler.ts
@@ -16,6 +16,7 @@
 import type { Clock, LeaderMetrics, Logger } from "../../ports/index.ts";
 import type { Notifier } from "../../tasks/index.ts";
 import type { RunnerStatus } from "./runner_status.ts";
+import type { RunnerTrust } from "./runner_trust.ts";
 import type { SchedulingLog } from "./scheduling_log.ts";
 import {
   PLAN_PAUSE_MS,
@@ -27,6 +28,7 @@
 export interface SchedulerOptions {
   readonly log: SchedulingLog;
   readonly planner: StartPlanner;
+  readonly trust: RunnerTrust;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: LeaderMetrics;
@@ -103,15 +105,26 @@
   }
 
   #listCandidates(state: SchedulingState): Map<string, Candidate[]> {
-    const { awaitsMaintenance } = this.#options;
-    const byPool = new Map<string, Candidate[]>();
+    const { awaitsMaintenance, trust } = this.#options;
+    const open = new Map<string, Runner[]>();
     for (const runner of state.runners.values()) {
       if (this.mayPlaceOn(runner)) {
-        const pool = byPool.get(runner.pool) ?? [];
-        pool.push(createCandidate(runner, state, awaitsMaintenance(runner)));
-        byPool.set(runner.pool, pool);
+        const pool = open.get(runner.pool) ?? [];
+        pool.push(runner);
+        open.set(runner.pool, pool);
       }
     }
+    trust.refresh(open);
+    const byPool = new Map<string, Candidate[]>();
+    for (const [pool, runners] of open) {
+      byPool.set(
+        pool,
+        runners.map((runner) => ({
+          ...createCandidate(runner, state, awaitsMaintenance(runner)),
+          probe: trust.findProbe(runner),
+        })),
+      );
+    }
     return byPool;
   }
 
@@ -122,7 +135,7 @@
     const status = findStatus(runner);
     return !runner.isDraining && !state.zonesOut.has(runner.zone) &&
       status !== undefined && status.isOperational &&
-      !status.hasOverdueRequest &&
+      !status.hasOverdueRequest && status.refusedRuns.size === 0 &&
       !isCordoned(runner);
   }
 
--- a/src/services/scheduling/scheduler_test.ts
+++ b/src/services/scheduling/scheduler_test.ts
@@ -1,6 +1,7 @@
 import * as assert from "uvu/assert";
 import * as v from "valibot";
 import {
+  NoTrustPolicy,
   ScoredPlacementPolicy,
   SlackOrderPolicy,
   StartPlanner,
@@ -15,6 +16,7 @@
 import { FakeLeaderMetrics, FakeLogger } from "../../testing/fake_ports.ts";
 import { Notifier } from "../../tasks/index.ts";
 import { RunnerStatus } from "./runner_status.ts";
+import { RunnerTrust } from "./runner_trust.ts";
 import { Scheduler } from "./scheduler.ts";
 import { SchedulingLog } from "./scheduling_log.ts";
 
@@ -62,15 +64,24 @@
   });
   const status = new RunnerStatus(clock);
   status.isSynced = true;
+  const log = new SchedulingLog({ agreement, clock });
+  const metrics = new FakeLeaderMetrics();
   const scheduler = new Scheduler({
-    log: new SchedulingLog({ agreement, clock }),
+    log,
+    trust: new RunnerTrust({
+      log,
+      clock,
+      logger,
+      metrics,
+      policy: new NoTrustPolicy(),
+    }),
     planner: new StartPlanner({
       order: new SlackOrderPolicy(),
       placement: new ScoredPlacementPolicy(),
     }),
     clock,
     logger,
-    metrics: new FakeLeaderMetrics(),
+    metrics,
     changed: new Notifier(),
     findStatus: () => status,
     findApproved: () => undefined,
--- a/src/services/scheduling/timing.ts
+++ b/src/services/scheduling/timing.ts
@@ -42,6 +42,11 @@
 export const POLL_TIMEOUT_MS = 700;
 /** Least timeout of a poll of a runner that does not respond (ms). */
 export const MIN_POLL_TIMEOUT_MS = 50;
+/**
+ * Least time without progress after which a run is stopped and placed elsewhere
+ * (ms): three polls tell the same. A longer estimate of the task prolongs it.
+ */
+export const STILL_MS = 2 * POLL_WAIT_MS;
 /**
  * Time after its wait at which a request counts as overdue, in milliseconds:
  * several round trips between zones. A runner with an overdue request gets no
--- a/src/services/scheduling/tracked_runs.ts
+++ b/src/services/scheduling/tracked_runs.ts
@@ -1,5 +1,5 @@
 /** How far the leader has come with the runs that the log places on a runner. */
-import type { RunnerLoad, RunningTask } from "../../domain/index.ts";
+import type { RunFault, RunnerLoad, RunningTask } from "../../domain/index.ts";
 import type { RunnerReport } from "../../ports/index.ts";
 import { formatRun } from "./run_name.ts";
 import type { RunnerStatus } from "./runner_status.ts";
@@ -34,6 +34,8 @@
 export class TrackedRuns {
   readonly #options: TrackedRunsOptions;
   readonly #runs = new Map<string, TrackedRun>();
+  /** Why the end of a run will speak against the runner. */
+  readonly #faults = new Map<string, RunFault>();
 
   constructor(options: TrackedRunsOptions) {
     this.#options = options;
@@ -49,6 +51,19 @@
     );
   }
 
+  /** Records why the end of a run will speak against the runner. */
+  recordFault(key: string, fault: RunFault): void {
+    this.#faults.set(key, fault);
+    if (fault === "refused") {
+      this.#options.status.refusedRuns.add(key);
+    }
+  }
+
+  /** Returns why the end of a run speaks against the runner, if it does. */
+  findFault(key: string): RunFault | undefined {
+    return this.#faults.get(key);
+  }
+
   /** Returns the state of a run; undefined before its first request. */
   findState(key: string): TrackedRun["state"] | undefined {
     return this.#runs.get(key)?.state;
@@ -158,7 +173,9 @@
     for (const key of this.#runs.keys()) {
       if (!wanted.has(key)) {
         this.#runs.delete(key);
+        this.#faults.delete(key);
         this.#options.status.confirmedRuns.delete(key);
+        this.#options.status.refusedRuns.delete(key);
       }
     }
   }
--- a/src/services/scheduling/vm_mover_test.ts
+++ b/src/services/scheduling/vm_mover_test.ts
@@ -4,6 +4,7 @@
 import {
   type CapacityPolicy,
   NoForecast,
+  NoTrustPolicy,
   ScoredPlacementPolicy,
   SlackOrderPolicy,
   StartPlanner,
@@ -24,6 +25,7 @@
 import { PoolAccounts } from "./pool_accounts.ts";
 import { PoolLoads } from "./pool_loads.ts";
 import { RunnerStatus } from "./runner_status.ts";
+import { RunnerTrust } from "./runner_trust.ts";
 import { Scheduler } from "./scheduler.ts";
 import { SchedulingLog } from "./scheduling_log.ts";
 import { MOVE_DOUBT_MS } from "./timing.ts";
@@ -197,13 +199,19 @@
       isInMaintenance: () => false,
     });
     const changed = new Notifier();
+    const metrics = new FakeLeaderMetrics();
     const scheduler = new Scheduler({
       ...shared,
+      trust: new RunnerTrust({
+        ...shared,
+        metrics,
+        policy: new NoTrustPolicy(),
+      }),
       planner: new StartPlanner({
         order: new SlackOrderPolicy(),
         placement: new ScoredPlacementPolicy(),
       }),
-      metrics: new FakeLeaderMetrics(),
+      metrics,
       changed,
       findStatus,
       findApproved: () => undefined,
--- a/src/testing/fake_ports.ts
+++ b/src/testing/fake_ports.ts
@@ -8,6 +8,7 @@
   ProcessUsage,
   ProcessUsageReading,
   RequestMeasurement,
+  RunFaultKind,
   RunnerRemoval,
   RunnerRequestKind,
   RunnerRequestOutcome,
@@ -77,6 +78,7 @@
   /** Number of requests by kind and outcome, as in `poll answered`. */
   readonly requestCounts = new Map<string, number>();
   readonly removals: RunnerRemoval[] = [];
+  readonly runFaults: RunFaultKind[] = [];
   /** Methods of the messages, in order. */
   readonly methods: string[] = [];
 
@@ -104,6 +106,10 @@
     this.removals.push(reason);
   }
 
+  countRunFault(kind: RunFaultKind): void {
+    this.runFaults.push(kind);
+  }
+
   countMessage(method: string): void {
     this.methods.push(method);
   }
--- a/src/testing/fake_runner_incarnation.ts
+++ b/src/testing/fake_runner_incarnation.ts
@@ -15,6 +15,8 @@
 } from "../ports/index.ts";
 
 const MAX_LEASE_MS = 6_000;
+const PERCENT = 100;
+const STILL_PERCENT = 3;
 
 /** Record of one run as it took place; tests check invariants against it. */
 export interface RunSpan {
@@ -46,11 +48,23 @@
   readonly findWork: (
     task: string,
   ) => { readonly workMs: number; readonly millicores: number };
+  /** Returns how a run goes wrong there; undefined for one that goes well. */
+  readonly findFault?: (
+    runnerId: string,
+    task: string,
+  ) => FakeFault | undefined;
 }
 
+/** A run that fails after a time, takes longer, or makes no progress. */
+export type FakeFault =
+  | { readonly how: "failed" | "done"; readonly afterMs: number }
+  | "still";
+
 interface FakeRun {
   readonly span: RunSpan;
   readonly endsMs: number;
+  readonly endsAs: "done" | "failed";
+  readonly isStill: boolean;
 }
 
 interface EndedRun extends EndReport {
@@ -123,7 +137,17 @@
       isAcknowledged: false,
     };
     this.#options.spans.push(span);
-    this.#running.set(task, { span, endsMs: this.#nowMs + workMs });
+    const fault = this.#options.findFault?.(this.runner.runnerId, task);
+    const isStill = fault === "still";
+    const { how, afterMs } = fault === undefined || isStill
+      ? { how: "done" as const, afterMs: isStill ? Infinity : workMs }
+      : fault;
+    this.#running.set(task, {
+      span,
+      endsMs: this.#nowMs + afterMs,
+      endsAs: how,
+      isStill,
+    });
     return Result.ok(this.createAnswer());
   }
 
@@ -167,13 +191,11 @@
 
   /** Lists the runs in progress and the ended runs. */
   report(): RunnerReport {
-    const running = [...this.#running.values()].map(({ span, endsMs }) => ({
-      task: parseTask(span.task),
-      runNumber: span.runNumber,
+    const running = [...this.#running.values()].map((run) => ({
+      task: parseTask(run.span.task),
+      runNumber: run.span.runNumber,
       saved: "",
-      // A long-running task is available at once; others report half their
-      // work.
-      percent: endsMs === Infinity ? 100 : 50,
+      percent: this.#findPercent(run),
       load: 0,
     }));
     const ended = this.#ended.map((
@@ -190,14 +212,24 @@
     };
   }
 
+  // A long-running task is available at once.
+  #findPercent({ endsMs, isStill, span: { fromMs } }: FakeRun): number {
+    if (isStill) {
+      return STILL_PERCENT;
+    }
+    return endsMs === Infinity
+      ? PERCENT
+      : Math.floor(PERCENT * (this.#nowMs - fromMs) / (endsMs - fromMs));
+  }
+
   /** Ends the runs whose work is done or whose lease has expired by now. */
   advance(): void {
     const leaseEndMs = this.#startedMs +
       this.#leaseUntilMs / this.#options.clockRate;
-    for (const [task, { endsMs }] of [...this.#running]) {
+    for (const [task, { endsAs, endsMs }] of [...this.#running]) {
       const atMs = Math.min(endsMs, leaseEndMs);
       if (atMs <= this.#nowMs) {
-        this.#end(task, endsMs <= leaseEndMs ? "done" : "lapsed", atMs);
+        this.#end(task, endsMs <= leaseEndMs ? endsAs : "lapsed", atMs);
       }
     }
   }
--- a/src/testing/fake_runners.ts
+++ b/src/testing/fake_runners.ts
@@ -55,6 +55,9 @@
   slowPercent = 0;
   /** Ids of runners that refuse all starts, because they are unhealthy. */
   readonly unhealthyIds = new Set<string>();
+  /** Returns how a run goes wrong on a runner; undefined for one that goes well. */
+  findFault: NonNullable<FakeRunnerIncarnationOptions["findFault"]> = () =>
+    undefined;
   /** How long the answer to a poll is on its way to the leader, in milliseconds. */
   pollAnswerDelayMs = 0;
   /** Ids of runners that no request reaches. */
@@ -77,7 +80,13 @@
   startIncarnation(runner: Runner): void {
     this.crash(runner.runnerId);
     const clockRate = this.#chooseClockRate();
-    const options = { ...this.#options, spans: this.spans, clockRate };
+    const options = {
+      ...this.#options,
+      spans: this.spans,
+      clockRate,
+      findFault: (runnerId: string, task: string) =>
+        this.findFault(runnerId, task),
+    };
     this.#incarnations.set(
       runner.runnerId,
       new FakeRunnerIncarnation(runner, options),
--- a/src/testing/scheduling_fixture.ts
+++ b/src/testing/scheduling_fixture.ts
@@ -1,9 +1,11 @@
 /** Runs the scheduler of successive leaders over one log, with fake runners. */
 import { Result } from "true-myth";
 import {
+  FailureTrustPolicy,
   LeastLossMaintenancePolicy,
   NoForecast,
   RunDelays,
+  type RunnerTrustPolicy,
   ScoredPlacementPolicy,
   SlackOrderPolicy,
   StartPlanner,
@@ -28,6 +30,7 @@
   RunnerFleet,
   RunnerRegistry,
   RunnerRelay,
+  RunnerTrust,
   Scheduler,
   SchedulingLog,
   StartConfirmer,
@@ -75,6 +78,8 @@
    * Plans which task starts on which runner; the standard policies by default.
    */
   readonly planner?: StartPlanner;
+  /** Decides which runners are suspect; the standard policy by default. */
+  readonly trustPolicy?: RunnerTrustPolicy;
 }
 
 /** One pool, one queue and one team; a test changes leaders and runners. */
@@ -325,6 +330,10 @@
     const scheduler: Scheduler = new Scheduler({
       ...shared,
       planner: this.#options.planner ?? createPlanner(),
+      trust: new RunnerTrust({
+        ...shared,
+        policy: this.#options.trustPolicy ?? new FailureTrustPolicy(),
+      }),
       findStatus: (runner) => fleet.findStatus(runner),
       isCordoned: (runner) => waves?.isCordoned(runner) ?? false,
       awaitsMaintenance: (runner) => waves?.awaitsMaintenance(runner) ?? false,
