Prefer runners that are not slow

Cause: a runner whose tasks take five to eight times as long is filled first, as it is the fullest.

Change: the leader compares the newest three runs of each runner with the usual duration of their queue, by estimate; where all took three times as long or more, other runners come first for 10 s. It is in memory only, as it excludes nothing; explain tells it.

--- a/src/daemon/scheduling/start_leading.ts
+++ b/src/daemon/scheduling/start_leading.ts
@@ -7,6 +7,7 @@
   LeastLossMaintenancePolicy,
   listReadySteps,
   RunDelays,
+  RunnerPaces,
   ScoredPlacementPolicy,
   SlackOrderPolicy,
   StartPlanner,
@@ -84,10 +85,12 @@
   const options = { ...given, metrics: given.work };
   const { advice, entryId, group, runners: client, vms, work } = options;
   const delays = new RunDelays();
+  const paces = new RunnerPaces();
   const order = new SlackOrderPolicy(delays);
   const fleet: RunnerFleet = new RunnerFleet({
     ...options,
     delays,
+    paces,
     client,
     findTicket: (task, runner) => adviceTask?.findTicket(task, runner),
   });
@@ -145,6 +148,7 @@
       placement: new ScoredPlacementPolicy(),
     }),
     trust,
+    paces,
     findStatus: (runner) => fleet.findStatus(runner),
     findApproved: (step) => adviceTask?.findApproved(step),
     isCordoned: (runner) => isInMaintenance(runner) || isMoving(runner),
@@ -192,6 +196,8 @@
       findStatus: (runner) => fleet.findStatus(runner),
       mayPlaceOn: (runner) => scheduler.mayPlaceOn(runner),
       describeSuspicion: (runner) => trust.describe(runner),
+      findSlowness: (runner) =>
+        paces.findSlowness(runner, options.clock.nowMs()),
     }),
     readGauges: readLeaderGauges,
   };
--- a/src/decisions/scheduling/placement_policy.ts
+++ b/src/decisions/scheduling/placement_policy.ts
@@ -20,6 +20,8 @@
   readonly awaitsMaintenance: boolean;
   /** Whether its free capacity is reserved for a task that fits nowhere yet. */
   isReserved: boolean;
+  /** Whether its newest runs took far longer than those of other runners. */
+  readonly isSlow?: boolean;
   /** Absent for a runner that is trusted. */
   probe?: ProbeState | undefined;
 }
@@ -87,7 +89,7 @@
  * Chooses the runner with the highest score.
  *
  * Tasks go to the rack that holds their data, if any, and avoid VMs that await
- * their maintenance. A probe of a suspect runner that is due goes first.
+ * their maintenance and runners that are slow. A probe of a suspect runner that is due goes first.
  * Long-running tasks avoid runners with best-effort tasks and
  * spread over zones. Best-effort tasks avoid
  * runners with latency targets and spread over runners, the emptiest first. All
@@ -123,6 +125,7 @@
 /** Of long-running tasks, which would have to move again. */
 const LASTING_MAINTENANCE_SCORE = 50_000;
 const ZONE_SCORE = 10_000;
+const SLOW_SCORE = 5_000;
 /** Of other tasks, so that VMs become empty for their maintenance. */
 const MAINTENANCE_SCORE = 1_000;
 const MILLICORES_PER_POINT = 1_000;
@@ -139,6 +142,9 @@
   if (demand.trust?.failedOn.includes(candidate.runnerId)) {
     score -= PROBE_SCORE;
   }
+  if (candidate.isSlow) {
+    score -= SLOW_SCORE;
+  }
   if (candidate.awaitsMaintenance) {
     score -= step.isEndless ? LASTING_MAINTENANCE_SCORE : MAINTENANCE_SCORE;
   }
--- a/src/services/scheduling/failing_runner_test.ts
+++ b/src/services/scheduling/failing_runner_test.ts
@@ -11,6 +11,8 @@
 const SEED = 20_511;
 const RUNNER_IDS = ["r1", "r2", "r3", "r4"];
 const WORK_MS = 400;
+/** Time in which three runs of a slow runner end (ms). */
+const LEARNING_MS = 4_000;
 const FAST_FAILURE = { how: "failed", afterMs: 5 } as const;
 const ARRIVAL_MS = 40;
 /** How much longer than estimated the longest tasks take. */
@@ -194,6 +196,25 @@
     });
   });
 
+  describe("with a runner on which tasks take seven times as long", () => {
+    it("sends work elsewhere while there is room", async () => {
+      const load = new Load();
+      await load.begin();
+      load.fixture.runners.findFault = (runnerId) =>
+        runnerId === "r1"
+          ? { how: "done", afterMs: TAIL_FACTOR * WORK_MS }
+          : undefined;
+      await load.submitMany(LEARNING_MS / ARRIVAL_MS);
+      const fromMs = load.fixture.clock.monotonicMs();
+      await load.submitMany(LEARNING_MS / ARRIVAL_MS);
+      await load.end();
+      const later = load.fixture.runners.spans.filter((span) =>
+        span.runnerId === "r1" && span.fromMs > fromMs
+      );
+      assert.equal(later, []);
+    });
+  });
+
   describe("with the only runner of a pool", () => {
     it("tries there again after a bounded wait", async () => {
       const load = new Load(["r1"]);
--- a/src/services/scheduling/run_end_detector.ts
+++ b/src/services/scheduling/run_end_detector.ts
@@ -7,7 +7,7 @@
   type RunningTask,
   type SchedulingOperation,
 } from "../../domain/index.ts";
-import type { RunDelays } from "../../decisions/index.ts";
+import type { RunDelays, RunnerPaces } from "../../decisions/index.ts";
 import type {
   Clock,
   EndReport,
@@ -26,6 +26,8 @@
   readonly logger: Logger;
   /** Records how much longer than estimated runs took. */
   readonly delays: Pick<RunDelays, "record">;
+  /** Compares the runners by the duration of their runs; none by default. */
+  readonly paces?: Pick<RunnerPaces, "record"> | undefined;
   readonly findRunner: () => Runner;
   readonly findLoad: () => RunnerLoad;
   /** Returns how many failed runs of a task its job allows. */
@@ -92,10 +94,12 @@
   }
 
   #recordDelay({ job, startedAtMs, step }: RunningTask): void {
-    const { clock, delays } = this.#options;
+    const { clock, delays, findRunner, paces } = this.#options;
     const nowMs = clock.nowMs();
     const delayMs = nowMs - startedAtMs - step.estimateMs;
     delays.record(job.queue, delayMs, nowMs);
+    const ratio = (nowMs - startedAtMs) / step.estimateMs;
+    paces?.record(findRunner(), job.queue, ratio, nowMs);
   }
 
   #createEnd(
--- a/src/services/scheduling/runner_fleet.ts
+++ b/src/services/scheduling/runner_fleet.ts
@@ -7,7 +7,7 @@
   type RunningTask,
   type TaskId,
 } from "../../domain/index.ts";
-import type { RunDelays } from "../../decisions/index.ts";
+import type { RunDelays, RunnerPaces } from "../../decisions/index.ts";
 import type {
   Clock,
   EventLoopDelays,
@@ -32,6 +32,8 @@
   readonly eventLoop: EventLoopDelays;
   /** Records how much longer than estimated runs took. */
   readonly delays: Pick<RunDelays, "record">;
+  /** Compares the runners by the duration of their runs; none by default. */
+  readonly paces?: Pick<RunnerPaces, "record"> | undefined;
   /** Notified when the scheduling state has changed. */
   readonly changed: Notifier;
   readonly fencingToken: number;
--- a/src/services/scheduling/runner_parts.ts
+++ b/src/services/scheduling/runner_parts.ts
@@ -1,5 +1,5 @@
 /** Composes the parts of the task that serves one runner incarnation. */
-import type { RunDelays } from "../../decisions/index.ts";
+import type { RunDelays, RunnerPaces } from "../../decisions/index.ts";
 import type { Runner, RunnerLoad, RunningTask } from "../../domain/index.ts";
 import { LeaseGrants } from "./lease_grants.ts";
 import { LeaseTracker } from "./lease_tracker.ts";
@@ -33,6 +33,8 @@
   readonly foreignLeaseEndMs: number;
   /** Records how much longer than estimated runs took. */
   readonly delays: Pick<RunDelays, "record">;
+  /** Compares the runners by the duration of their runs; none by default. */
+  readonly paces?: Pick<RunnerPaces, "record"> | undefined;
 }
 
 /** The parts, which share the lease and what is known of the requests. */
--- a/src/services/scheduling/schedule_explainer.ts
+++ b/src/services/scheduling/schedule_explainer.ts
@@ -59,6 +59,13 @@
   readonly describeSuspicion?:
     | ((runner: Runner) => string | undefined)
     | undefined;
+  /**
+   * Finds how many times as long as usual the runs of a slow runner took;
+   * undefined for any other.
+   */
+  readonly findSlowness?:
+    | ((runner: Runner) => number | undefined)
+    | undefined;
 }
 
 /** Describes the scheduling state as the leader knows it. */
@@ -204,9 +211,15 @@
     const fields = Object.entries(this.#listRunner(runner))
       .map(([field, value]) => `${field} ${value}`);
     const suspicion = this.#options.describeSuspicion?.(runner);
+    const slowness = this.#options.findSlowness?.(runner);
     return [
       fields.join(", "),
       ...(suspicion === undefined ? [] : [suspicion]),
+      ...(slowness === undefined ? [] : [
+        `slow: its newest runs took ${
+          slowness.toFixed(1)
+        } times as long as usual`,
+      ]),
       ...names.map((name) => `runs ${name}`),
     ];
   }
--- a/src/services/scheduling/scheduler.ts
+++ b/src/services/scheduling/scheduler.ts
@@ -11,6 +11,7 @@
   Candidate,
   PlannedStart,
   ReadyStep,
+  RunnerPaces,
   StartPlanner,
 } from "../../decisions/index.ts";
 import type { Clock, LeaderMetrics, Logger } from "../../ports/index.ts";
@@ -29,6 +30,8 @@
   readonly log: SchedulingLog;
   readonly planner: StartPlanner;
   readonly trust: RunnerTrust;
+  /** Compares the runners by the duration of their runs; none by default. */
+  readonly paces?: Pick<RunnerPaces, "findSlowness"> | undefined;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: LeaderMetrics;
@@ -105,7 +108,8 @@
   }
 
   #listCandidates(state: SchedulingState): Map<string, Candidate[]> {
-    const { awaitsMaintenance, trust } = this.#options;
+    const { awaitsMaintenance, clock, paces, trust } = this.#options;
+    const nowMs = clock.nowMs();
     const open = new Map<string, Runner[]>();
     for (const runner of state.runners.values()) {
       if (this.mayPlaceOn(runner)) {
@@ -122,6 +126,7 @@
         runners.map((runner) => ({
           ...createCandidate(runner, state, awaitsMaintenance(runner)),
           probe: trust.findProbe(runner),
+          isSlow: paces?.findSlowness(runner, nowMs) !== undefined,
         })),
       );
     }
--- a/src/testing/scheduling_fixture.ts
+++ b/src/testing/scheduling_fixture.ts
@@ -5,6 +5,7 @@
   LeastLossMaintenancePolicy,
   NoForecast,
   RunDelays,
+  RunnerPaces,
   type RunnerTrustPolicy,
   ScoredPlacementPolicy,
   SlackOrderPolicy,
@@ -295,6 +296,7 @@
       metrics,
       eventLoop: { findLongestDelayMs: () => 0 },
       delays: new RunDelays(),
+      paces: new RunnerPaces(),
       changed,
       client: new PausableRunnerClient(
         this.#createClient(term, tasks),
