Order waiting steps of a full pool by what their delay costs callers

Cause: in a full pool slack alone decided, so one team's surplus made the work of all others late. Change: LeastCostOrderPolicy, which is the order of slack while a pool has room; the planner and the advice task measure the room and ask it.

--- a/src/daemon/scheduling/start_leading.ts
+++ b/src/daemon/scheduling/start_leading.ts
@@ -3,11 +3,11 @@
   BackOffPacePolicy,
   DemandCapacityPolicy,
   HighestForecast,
+  LeastCostOrderPolicy,
   LeastLossMaintenancePolicy,
   listReadySteps,
   RunDelays,
   ScoredPlacementPolicy,
-  SlackOrderPolicy,
   StartPlanner,
   TrendForecast,
   TurnForecast,
@@ -82,7 +82,7 @@
   const options = { ...given, metrics: given.work };
   const { advice, entryId, group, runners: client, vms, work } = options;
   const delays = new RunDelays();
-  const order = new SlackOrderPolicy(delays);
+  const order = new LeastCostOrderPolicy(delays);
   const fleet: RunnerFleet = new RunnerFleet({
     ...options,
     delays,
--- a/src/decisions/scheduling/index.ts
+++ b/src/decisions/scheduling/index.ts
@@ -1,5 +1,10 @@
 /** Policies of the scheduler: order, placement, capacity and maintenance. */
+export * from "./fleet_room.ts";
+export * from "./full_pool.ts";
+export * from "./least_cost_order.ts";
 export * from "./order_policy.ts";
+export * from "./room_order.ts";
+export * from "./team_shares.ts";
 export * from "./placement_policy.ts";
 export * from "./ready_step.ts";
 export * from "./run_delays.ts";
--- a/src/decisions/scheduling/order_policy.ts
+++ b/src/decisions/scheduling/order_policy.ts
@@ -1,4 +1,5 @@
 /** Orders the waiting steps for the start planner. */
+import type { FleetRoom } from "./fleet_room.ts";
 import type { ReadyStep } from "./ready_step.ts";
 import { RunDelays } from "./run_delays.ts";
 
@@ -9,8 +10,21 @@
    *
    * @param steps - The waiting steps; the array is not changed.
    * @param nowMs - Wall-clock time (ms).
+   * @param room - The room of the pools in which the steps wait.
    */
-  sort(steps: readonly ReadyStep[], nowMs: number): readonly ReadyStep[];
+  sort(
+    steps: readonly ReadyStep[],
+    nowMs: number,
+    room: FleetRoom,
+  ): readonly ReadyStep[];
+}
+
+/** A step with its place in the order of slack. */
+export interface SlackRankedStep {
+  readonly step: ReadyStep;
+  readonly rank: SlackRank;
+  /** Time until its latest start (ms); negative for a step that is late. */
+  readonly slackMs: number;
 }
 
 /** Baseline: orders steps by the time at which their job was accepted. */
@@ -38,6 +52,17 @@
   }
 
   sort(steps: readonly ReadyStep[], nowMs: number): readonly ReadyStep[] {
+    return this.rank(steps, nowMs).map(({ step }) => step);
+  }
+
+  /**
+   * Sorts steps, and tells the slack of each.
+   *
+   * @param steps - The waiting steps; the array is not changed.
+   * @param nowMs - Wall-clock time (ms).
+   * @returns The steps in order.
+   */
+  rank(steps: readonly ReadyStep[], nowMs: number): SlackRankedStep[] {
     const ranked = steps.map((step) => {
       const slackMs = this.#computeSlackMs(step, nowMs);
       return { step, rank: findRank(step, slackMs), slackMs };
@@ -45,7 +70,7 @@
     ranked.sort((left, right) =>
       left.rank - right.rank || left.slackMs - right.slackMs
     );
-    return ranked.map(({ step }) => step);
+    return ranked;
   }
 
   #computeSlackMs(ready: ReadyStep, nowMs: number): number {
@@ -56,13 +81,15 @@
   }
 }
 
-const LONG_RUNNING_RANK = 0;
-const IN_TIME_RANK = 1;
-const LATE_RANK = 2;
+/** Groups of the order of slack, the first one first. */
+export const SLACK_RANKS = { longRunning: 0, inTime: 1, late: 2 } as const;
+
+/** A group of the order of slack. */
+export type SlackRank = (typeof SLACK_RANKS)[keyof typeof SLACK_RANKS];
 
-function findRank({ step }: ReadyStep, slackMs: number): number {
+function findRank({ step }: ReadyStep, slackMs: number): SlackRank {
   if (step.isEndless) {
-    return LONG_RUNNING_RANK;
+    return SLACK_RANKS.longRunning;
   }
-  return slackMs >= 0 ? IN_TIME_RANK : LATE_RANK;
+  return slackMs >= 0 ? SLACK_RANKS.inTime : SLACK_RANKS.late;
 }
--- a/src/decisions/scheduling/order_policy_test.ts
+++ b/src/decisions/scheduling/order_policy_test.ts
@@ -2,6 +2,7 @@
 import * as v from "valibot";
 import { JobRecord, jobStepSchema } from "../../domain/index.ts";
 import { describe, it } from "../../testing/describe.ts";
+import { NO_ROOM } from "./fleet_room.ts";
 import { type OrderPolicy, SlackOrderPolicy } from "./order_policy.ts";
 import type { ReadyStep } from "./ready_step.ts";
 import { RunDelays } from "./run_delays.ts";
@@ -125,7 +126,7 @@
         if (nowMs % ARRIVAL_INTERVAL_MS === 0) {
           waiting.push(createReadyStep(nowMs));
         }
-        const sorted = [...policy.sort(waiting, nowMs)];
+        const sorted = [...policy.sort(waiting, nowMs, NO_ROOM)];
         slotEndsMs.forEach((endMs, slot) => {
           const next = endMs <= nowMs ? sorted.shift() : undefined;
           if (next !== undefined) {
--- a/src/decisions/scheduling/start_planner.ts
+++ b/src/decisions/scheduling/start_planner.ts
@@ -5,10 +5,12 @@
   fitsInto,
   isWithinLimit,
   type JobTeam,
+  type Runner,
   type RunnerIncarnation,
   type SchedulingState,
   type TaskId,
 } from "../../domain/index.ts";
+import { type FleetRoom, measureFleetRoom } from "./fleet_room.ts";
 import type { OrderPolicy } from "./order_policy.ts";
 import {
   allocate,
@@ -83,7 +85,8 @@
       starts: [],
       unplaceableByPool: new Map(),
     };
-    for (const step of this.#order.sort(ready, nowMs)) {
+    const room = measureRoom(input, ready);
+    for (const step of this.#order.sort(ready, nowMs, room)) {
       if (round.starts.length >= MAX_PLANNED_STARTS) {
         break;
       }
@@ -190,6 +193,19 @@
   }
 }
 
+function measureRoom(
+  { state, candidates, nowMs }: PlanInput,
+  ready: readonly ReadyStep[],
+): FleetRoom {
+  const pools = new Set(ready.map(({ pool }) => pool));
+  const openIds = new Set<string>();
+  for (const pool of pools) {
+    candidates.get(pool)?.forEach(({ runnerId }) => openIds.add(runnerId));
+  }
+  const mayPlaceOn = ({ runnerId }: Runner) => openIds.has(runnerId);
+  return measureFleetRoom({ state, pools, mayPlaceOn, nowMs });
+}
+
 // A gang that wants one rack tries each rack, the emptiest first, and then all
 // runners of the pool.
 function listGangCandidates(
--- a/src/services/scheduling/advice_task.ts
+++ b/src/services/scheduling/advice_task.ts
@@ -1,6 +1,7 @@
 /** Tickets for the steps of queues whose runners an advice service approves. */
 import {
   listReadySteps,
+  measureFleetRoom,
   type OrderPolicy,
   type ReadyStep,
   type StepReference,
@@ -138,18 +139,30 @@
       return undefined;
     }
     const nowMs = clock.nowMs();
-    const ready = listReadySteps(state.jobs, state.catalog, nowMs)
-      .filter(({ advice }) => advice !== undefined);
+    const waiting = listReadySteps(state.jobs, state.catalog, nowMs);
+    const ready = waiting.filter(({ advice }) => advice !== undefined);
     this.#dropEndedJobs(ready);
-    const runnersByPool = new Map<string, readonly Runner[]>();
-    for (const step of this.#turns.sort(order.sort(ready, nowMs))) {
+    const wanting = new Set(ready.filter((step) => !this.#hasEnough(step)));
+    const openRunners = this.#listOpenRunners(wanting);
+    const room = measureFleetRoom({
+      state,
+      pools: new Set(openRunners.keys()),
+      mayPlaceOn: (runner) =>
+        openRunners.get(runner.pool)?.has(runner) ?? false,
+      nowMs,
+    });
+    // All waiting steps are ordered, so that the planner and this task agree.
+    const ordered = order.sort(waiting, nowMs, room)
+      .filter((step) => wanting.has(step));
+    const runnersByPool = new Map(
+      [...openRunners].map(([pool, runners]) => [pool, [...runners]]),
+    );
+    for (const step of this.#turns.sort(ordered)) {
       const terms = step.advice;
-      if (terms === undefined || this.#hasEnough(step)) {
+      const inPool = runnersByPool.get(step.pool);
+      if (terms === undefined || inPool === undefined) {
         continue;
       }
-      const { pool } = step;
-      const inPool = runnersByPool.get(pool) ?? this.#listRunners(pool);
-      runnersByPool.set(pool, inPool);
       const runners = this.#chooseRunners(step, inPool);
       if (runners.length > 0) {
         return { step, runners, terms };
@@ -163,11 +176,19 @@
     return approvedCount >= step.record.waitingCount;
   }
 
-  #listRunners(pool: string): Runner[] {
+  #listOpenRunners(steps: Iterable<ReadyStep>): Map<string, Set<Runner>> {
     const { log, mayPlaceOn } = this.#options;
-    return [...log.state.runners.values()].filter((runner) =>
-      runner.pool === pool && mayPlaceOn(runner)
-    );
+    const byPool = new Map<string, Set<Runner>>();
+    for (const { pool } of steps) {
+      byPool.set(pool, new Set());
+    }
+    for (const runner of byPool.size === 0 ? [] : log.state.runners.values()) {
+      const inPool = byPool.get(runner.pool);
+      if (inPool !== undefined && mayPlaceOn(runner)) {
+        inPool.add(runner);
+      }
+    }
+    return byPool;
   }
 
   #chooseRunners(step: ReadyStep, inPool: readonly Runner[]): Runner[] {
