Reject jobs whose results would come too late to be of use

Cause: jobs that could not be of use any more were accepted in an overload and took room from others. Change: JobAdmissionPolicy with a baseline that accepts all; the leader rejects a new job with overloaded and Retry-After, by a sample of the order at most 100 ms old. A job that is known or may be in a proposal is never rejected. Log lines, metrics and explain show full pools and the reasons of delays.

--- a/src/adapters/metrics/prometheus_scheduling_metrics.ts
+++ b/src/adapters/metrics/prometheus_scheduling_metrics.ts
@@ -176,6 +176,18 @@
     labelNames: ["reason"],
     registers: this.#registers,
   });
+  readonly #rejectedJobs = new Counter({
+    name: "cardamomsill_rejected_jobs_total",
+    help: "Jobs that the leader rejected for want of room, by reason",
+    labelNames: [...JOB_LABELS, "reason"],
+    registers: this.#registers,
+  });
+  readonly #delayedSteps = new Gauge({
+    name: "cardamomsill_delayed_steps",
+    help: "Waiting steps at the leader behind others in full pools, by reason",
+    labelNames: ["reason"],
+    registers: this.#registers,
+  });
   readonly #messages = new Counter({
     name: "cardamomsill_leader_messages_total",
     help: "Messages of entries and controllers to the leader, by method",
@@ -235,6 +247,10 @@
     this.#removedRunners.inc({ reason });
   }
 
+  countRejectedJob(labels: JobLabels, reason: string): void {
+    this.#rejectedJobs.inc({ ...labels, reason });
+  }
+
   countMessage(method: string): void {
     this.#messages.inc({ method });
   }
@@ -249,27 +265,16 @@
     this.#loopActive.inc(loopActiveMs / MS_PER_SECOND);
     this.#droppedLines.reset();
     this.#droppedLines.inc(readDroppedLineCount());
-    this.#openJobs.reset();
-    this.#runners.reset();
-    this.#waitingTasks.reset();
-    this.#freeMillicores.reset();
-    this.#poolMillicores.reset();
     const gauges = readGauges();
     this.#term.set(gauges?.term ?? 0);
+    setAll(this.#openJobs, gauges?.openJobCounts);
+    setAll(this.#runners, gauges?.runnerCounts);
+    setAll(this.#waitingTasks, gauges?.waitingTaskCounts);
+    setAll(this.#freeMillicores, gauges?.freeMillicores);
+    setAll(this.#delayedSteps, gauges?.delayedStepCounts);
+    this.#poolMillicores.reset();
     if (gauges !== undefined) {
       this.#catalog.set(gauges.catalogVersion);
-      for (const [state, count] of gauges.openJobCounts) {
-        this.#openJobs.set({ state }, count);
-      }
-      for (const [condition, count] of gauges.runnerCounts) {
-        this.#runners.set({ condition }, count);
-      }
-      for (const [pool, count] of gauges.waitingTaskCounts) {
-        this.#waitingTasks.set({ pool }, count);
-      }
-      for (const [pool, millicores] of gauges.freeMillicores) {
-        this.#freeMillicores.set({ pool }, millicores);
-      }
       for (const [pool, account] of gauges.poolMillicores) {
         for (const [share, millicores] of account) {
           this.#poolMillicores.set({ pool, share }, millicores);
@@ -279,3 +284,13 @@
     return this.#registry.metrics();
   }
 }
+
+function setAll<Label extends string>(
+  gauge: Gauge<Label>,
+  values: ReadonlyMap<string, number> | undefined,
+): void {
+  gauge.reset();
+  for (const [name, value] of values ?? []) {
+    gauge.labels(name).set(value);
+  }
+}
--- a/src/adapters/metrics/prometheus_scheduling_metrics_test.ts
+++ b/src/adapters/metrics/prometheus_scheduling_metrics_test.ts
@@ -11,6 +11,7 @@
   runnerCounts: new Map(),
   waitingTaskCounts: new Map([["bay", 4]]),
   freeMillicores: new Map([["bay", 2_500]]),
+  delayedStepCounts: new Map([["beyondShare", 3]]),
   poolMillicores: new Map([
     ["bay", new Map([["free", 2_500], ["maintenance", 64_000]] as const)],
   ]),
--- a/src/daemon/scheduling/create_scheduling_controller.ts
+++ b/src/daemon/scheduling/create_scheduling_controller.ts
@@ -105,7 +105,11 @@
     network,
     agreement: replica,
     metrics: work,
-    jobs: new JobService({ log, logger }),
+    jobs: new JobService({
+      log,
+      logger,
+      findAdmission: () => leaderServices?.admission,
+    }),
     operations: new OperationsService({ log, clock, logger }),
     findRegistry: () => leaderServices?.registry,
     findZones: () => leaderServices?.zones,
--- a/src/daemon/scheduling/start_leading.ts
+++ b/src/daemon/scheduling/start_leading.ts
@@ -11,6 +11,7 @@
   StartPlanner,
   TrendForecast,
   TurnForecast,
+  UsefulResultPolicy,
 } from "../../decisions/index.ts";
 import type {
   JobState,
@@ -29,10 +30,12 @@
 import {
   AdviceTask,
   CapacityTask,
+  JobAdmission,
   type LeaderWork,
   PaceTask,
   PoolAccounts,
   PoolLoads,
+  RoomWatch,
   RunnerFleet,
   RunnerRegistry,
   ScheduleExplainer,
@@ -68,6 +71,7 @@
   readonly registry: RunnerRegistry;
   readonly zones: ZoneService;
   readonly explainer: ScheduleExplainer;
+  readonly admission: JobAdmission;
   readonly readGauges: () => SchedulingGauges;
 }
 
@@ -150,6 +154,11 @@
       order,
       mayPlaceOn: (runner) => scheduler.mayPlaceOn(runner),
     });
+  const room = new RoomWatch({
+    ...options,
+    order,
+    mayPlaceOn: (runner) => scheduler.mayPlaceOn(runner),
+  });
   const pace = new PaceTask({
     ...options,
     fleet,
@@ -160,6 +169,7 @@
   const tasksByName = {
     runners: fleet,
     scheduler,
+    room,
     waves,
     capacity,
     advice: adviceTask,
@@ -171,7 +181,7 @@
       group.startForever(name, (signal) => task.run(signal));
     }
   }
-  const readLeaderGauges = () => readGauges(options, fleet, accounts);
+  const readLeaderGauges = () => readGauges(options, { fleet, accounts, room });
   group.startForever("work", (signal) => work.report(readLeaderGauges, signal));
   return {
     registry: new RunnerRegistry({ ...options, client, fleet }),
@@ -180,15 +190,27 @@
       ...options,
       findStatus: (runner) => fleet.findStatus(runner),
       mayPlaceOn: (runner) => scheduler.mayPlaceOn(runner),
+      describeDelay: (step) => room.describeDelay(step),
+    }),
+    admission: new JobAdmission({
+      ...options,
+      policy: new UsefulResultPolicy(),
+      room,
+      delays,
     }),
     readGauges: readLeaderGauges,
   };
 }
 
+interface GaugeSources {
+  readonly fleet: RunnerFleet;
+  readonly accounts: PoolAccounts;
+  readonly room: RoomWatch;
+}
+
 function readGauges(
   { clock, fencingToken, log }: StartLeadingOptions,
-  fleet: RunnerFleet,
-  accounts: PoolAccounts,
+  { fleet, accounts, room }: GaugeSources,
 ): SchedulingGauges {
   const poolMillicores = accounts.sum();
   const openJobCounts = new Map<JobState, number>([
@@ -209,6 +231,7 @@
         [pool, account],
       ) => [pool, account.get("free") ?? 0]),
     ),
+    delayedStepCounts: room.countDelayedSteps(),
     poolMillicores,
   };
 }
--- a/src/decisions/scheduling/full_pool.ts
+++ b/src/decisions/scheduling/full_pool.ts
@@ -261,7 +261,7 @@
   const backlogByTeam = new Map<string, Backlog>();
   let backlog: Backlog = { inTime: 0, useful: 0 };
   let waitingMillicores = 0;
-  ranked.forEach(({ step, place }, index) => {
+  ranked.forEach(({ step, place, isBeyondShare }, index) => {
     stepCounts.set(place, (stepCounts.get(place) ?? 0) + 1);
     waitingMillicores += step.record.waitingCount *
       computeReservedAmounts(step.step).cpuMillicores;
@@ -274,7 +274,7 @@
       inTime: inTime + (isInTime ? work : 0),
       useful: useful + work,
     });
-    backlog = add(backlog);
+    backlog = isBeyondShare ? backlog : add(backlog);
     const { team } = step.job;
     if (team !== undefined) {
       const before = backlogByTeam.get(team) ?? { inTime: 0, useful: 0 };
--- a/src/decisions/scheduling/index.ts
+++ b/src/decisions/scheduling/index.ts
@@ -1,4 +1,5 @@
 /** Policies of the scheduler: order, placement, capacity and maintenance. */
+export * from "./admission_policy.ts";
 export * from "./fleet_room.ts";
 export * from "./full_pool.ts";
 export * from "./least_cost_order.ts";
--- a/src/decisions/scheduling/room_order.ts
+++ b/src/decisions/scheduling/room_order.ts
@@ -41,6 +41,7 @@
   readonly capacityMillicores: number;
   readonly freeMillicores: number;
   readonly waitingMillicores: number;
+  /** Of steps whose teams do not exceed their share. */
   readonly backlog: Backlog;
   readonly backlogByTeam: ReadonlyMap<string, Backlog>;
   /** Millicores of the teams whose demand exceeds their share. */
--- a/src/decisions/scheduling/wait_reason.ts
+++ b/src/decisions/scheduling/wait_reason.ts
@@ -17,6 +17,8 @@
   readonly stepIndex: number;
   /** Tells whether a runner may get work now. */
   readonly mayPlaceOn: (runner: Runner) => boolean;
+  /** Explains why the step comes behind others; undefined when it does not. */
+  readonly findDelayReason?: () => string | undefined;
   /** Wall-clock time, in milliseconds. */
   readonly nowMs: number;
 }
@@ -40,8 +42,8 @@
   if (!job.isUnblocked(occurrence, stepIndex)) {
     return `it waits for step ${step.dependsOn.join(", ")}`;
   }
-  return findLimitReason(input) ?? findCapacityReason(input) ??
-    "the next plan places it";
+  return findLimitReason(input) ?? findOrderReason(input) ??
+    findCapacityReason(input) ?? "the next plan places it";
 }
 
 function findLimitReason(
@@ -58,6 +60,22 @@
     : `team/${team.name} has ${used.cpuMillicores} of ${team.limit.cpuMillicores} millicores and ${used.memoryMb} of ${team.limit.memoryMb} MB running (catalog ${state.catalog.version})`;
 }
 
+// A step that no open runner can hold waits for that, whatever its place.
+function findOrderReason(input: WaitReasonInput): string | undefined {
+  const { state, job, stepIndex, mayPlaceOn } = input;
+  const step = job.spec.steps[stepIndex];
+  const queue = indexQueues(state.catalog).byName.get(job.queue);
+  const pool = queue?.pool ?? job.pool;
+  const isPossible = step !== undefined &&
+    [...state.runners.values()].some((runner) =>
+      runner.pool === pool && mayPlaceOn(runner) &&
+      fitsInto(step.needs, runner.capacity) &&
+      (step.requiredLabel === undefined ||
+        runner.labels.includes(step.requiredLabel))
+    );
+  return isPossible ? input.findDelayReason?.() : undefined;
+}
+
 function findCapacityReason(input: WaitReasonInput): string | undefined {
   const { state, job, stepIndex, mayPlaceOn } = input;
   const step = job.spec.steps[stepIndex];
--- a/src/ports/leader_metrics.ts
+++ b/src/ports/leader_metrics.ts
@@ -1,5 +1,7 @@
 /** Ports for metrics of the process itself and of the leader's own work. */
 
+import type { JobLabels } from "./scheduling_metrics.ts";
+
 /** A kind of request that the leader sends to a runner. */
 export type RunnerRequestKind = "poll" | "start" | "stop";
 
@@ -54,6 +56,8 @@
   ): void;
   /** Counts a removed runner. */
   countRemovedRunner(reason: RunnerRemoval): void;
+  /** Counts a job that was rejected for want of room, by reason. */
+  countRejectedJob(labels: JobLabels, reason: string): void;
   /** Counts a message of an entry or controller that the leader handles. */
   countMessage(method: string): void;
 }
--- a/src/ports/scheduling_metrics.ts
+++ b/src/ports/scheduling_metrics.ts
@@ -27,6 +27,8 @@
   readonly waitingTaskCounts: ReadonlyMap<string, number>;
   /** Free CPU of the runners that may get work, by pool. */
   readonly freeMillicores: ReadonlyMap<string, number>;
+  /** Number of waiting steps that come behind others in full pools, by reason. */
+  readonly delayedStepCounts: ReadonlyMap<string, number>;
   /** CPU of all VMs by pool and share; shares of nothing are left out. */
   readonly poolMillicores: ReadonlyMap<string, ReadonlyMap<PoolShare, number>>;
 }
--- /dev/null
+++ b/src/services/scheduling/job_admission.ts
@@ -0,0 +1,89 @@
+/** Rejects new jobs at the leader whose results would come too late. */
+import type { JobAdmissionPolicy, RunDelays } from "../../decisions/index.ts";
+import {
+  createFailure,
+  type Failure,
+  type JobQueue,
+  type JobSpec,
+} from "../../domain/index.ts";
+import type { Clock, LeaderMetrics, Logger } from "../../ports/index.ts";
+import type { RoomWatch } from "./room_watch.ts";
+import type { SchedulingLog } from "./scheduling_log.ts";
+
+/** Options of {@link JobAdmission}. */
+export interface JobAdmissionOptions {
+  readonly log: SchedulingLog;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: LeaderMetrics;
+  readonly policy: JobAdmissionPolicy;
+  readonly room: Pick<RoomWatch, "sample">;
+  /** Delays of recent runs by queue. */
+  readonly delays: Pick<RunDelays, "find">;
+}
+
+/** A job that is not stored yet, with its queue and team. */
+export interface NewJob {
+  readonly spec: JobSpec;
+  readonly queue: JobQueue;
+  /** Name of the caller's team. */
+  readonly team: string | undefined;
+}
+
+/** Asks the policy about new jobs; logs and counts rejections. */
+export class JobAdmission {
+  readonly #options: JobAdmissionOptions;
+
+  constructor(options: JobAdmissionOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Decides about a job that is certainly not in the log.
+   *
+   * @param job - The job.
+   * @returns `overloaded` when it is rejected; undefined when it is accepted.
+   */
+  findRejection({ spec, queue, team }: NewJob): Failure | undefined {
+    const { clock, delays, log, logger, metrics, policy, room } = this.#options;
+    // Another leader may accept it meanwhile.
+    if (!log.holdsLeaderLease) {
+      return undefined;
+    }
+    const { order, atMs } = room.sample;
+    const full = order.fullPools.get(queue.pool);
+    const delayMs = delays.find(queue.name, clock.nowMs());
+    const rejection = policy.decide({ spec, queue, team, full, delayMs });
+    if (rejection === undefined) {
+      return undefined;
+    }
+    const { expectedWaitMs, reason, retryAfterMs, usefulMs } = rejection;
+    logger.info({
+      jobId: spec.jobId,
+      queue: queue.name,
+      priority: queue.priority,
+      team,
+      pool: queue.pool,
+      reason,
+      inTimeBacklogCoreMs: Math.round(rejection.backlog.inTime / 1_000),
+      usefulBacklogCoreMs: Math.round(rejection.backlog.useful / 1_000),
+      capacityMillicores: Math.round(rejection.capacityMillicores),
+      expectedWaitMs: Math.round(expectedWaitMs),
+      usefulMs: Math.round(usefulMs),
+      runDelayMs: Math.round(delayMs),
+      retryAfterMs: Math.round(retryAfterMs),
+      sampleAgeMs: Math.round(clock.monotonicMs() - atMs),
+    }, "rejected a job for want of room");
+    metrics.countRejectedJob({ queue: queue.name, team: team ?? "" }, reason);
+    return createFailure(
+      "overloaded",
+      `pool ${queue.pool} is full: job ${spec.jobId} would wait for ${
+        Math.round(expectedWaitMs)
+      } ms, and its result is of use for ${Math.round(usefulMs)} ms`,
+      {
+        remedy: "send the job again after the backlog has gone",
+        retryAfterMs: Math.round(retryAfterMs),
+      },
+    );
+  }
+}
--- a/src/services/scheduling/job_service.ts
+++ b/src/services/scheduling/job_service.ts
@@ -14,6 +14,8 @@
   validateWith,
 } from "../../domain/index.ts";
 import type { Logger } from "../../ports/index.ts";
+import type { JobAdmission } from "./job_admission.ts";
+import { PendingSubmits } from "./pending_submits.ts";
 import type { SchedulingLog } from "./scheduling_log.ts";
 
 /** Schema of {@link JobCall}. */
@@ -53,6 +55,10 @@
 export interface JobServiceOptions {
   readonly log: SchedulingLog;
   readonly logger: Logger;
+  /** Finds the check of new jobs while this process leads; none by default. */
+  readonly findAdmission?: () =>
+    | Pick<JobAdmission, "findRejection">
+    | undefined;
 }
 
 interface Target {
@@ -68,10 +74,13 @@
 export class JobService {
   readonly #log: SchedulingLog;
   readonly #logger: Logger;
+  readonly #findAdmission: JobServiceOptions["findAdmission"];
+  readonly #pending = new PendingSubmits();
 
-  constructor({ log, logger }: JobServiceOptions) {
+  constructor({ log, logger, findAdmission }: JobServiceOptions) {
     this.#log = log;
     this.#logger = logger;
+    this.#findAdmission = findAdmission;
   }
 
   /**
@@ -139,6 +148,14 @@
         createFailure("invalidInput", `job ${rest} is invalid: ${fault}`),
       );
     }
+    // A job that may be in the log may run: it must not be refused.
+    const rejection = this.#pending.has(rest)
+      ? undefined
+      : this.#findAdmission?.()?.findRejection({ spec, queue, team });
+    if (rejection !== undefined) {
+      return Result.err(rejection);
+    }
+    const proposal = this.#pending.begin(rest);
     const accepted = await this.#log.propose([{
       type: "accept",
       spec,
@@ -147,6 +164,8 @@
       team,
       maxAttempts: queue.maxAttempts,
     }]);
+    const absent = accepted.isErr && accepted.error.kind === "notLeader";
+    proposal.end(accepted.isOk ? "applied" : absent ? "absent" : "unknown");
     return accepted.map(() => ({ state: "queued" as const }));
   }
 
--- a/src/services/scheduling/job_service_test.ts
+++ b/src/services/scheduling/job_service_test.ts
@@ -1,4 +1,5 @@
 import * as assert from "uvu/assert";
+import { createFailure } from "../../domain/index.ts";
 import { FakeAgreement } from "../../testing/fake_agreement.ts";
 import { describe, it } from "../../testing/describe.ts";
 import { FakeClock } from "../../testing/fake_clock.ts";
@@ -13,12 +14,18 @@
   steps: [{ taskCount: 1, needs: { cpuMillicores: 100 } }],
 } as JobCall["work"];
 
-async function createService() {
+async function createService(isRoom = () => true) {
   const clock = new FakeClock();
   const agreement = new FakeAgreement(clock);
   const logger = new FakeLogger();
   const log = new SchedulingLog({ agreement, clock });
-  const service = new JobService({ log, logger });
+  const findRejection = () =>
+    isRoom() ? undefined : createFailure("overloaded", "no room");
+  const service = new JobService({
+    log,
+    logger,
+    findAdmission: () => ({ findRejection }),
+  });
   const queue = {
     name: "q",
     host: "h",
@@ -66,7 +73,7 @@
       ...changes,
     }));
   await run(put(1, ["key"]));
-  return { agreement, call, log, logger, put, run };
+  return { agreement, call, clock, log, logger, put, run };
 }
 
 describe("calls about jobs", () => {
@@ -100,6 +107,63 @@
     });
   });
 
+  describe("submit without room for it", () => {
+    const OTHER_PATH = "/q/fedcba9876543210";
+
+    it("is rejected, and nothing is written to the log", async () => {
+      const { agreement, call } = await createService(() => false);
+      const count = agreement.commands.length;
+      const rejected = await call();
+      assert.is(rejected.isErr && rejected.error.kind, "overloaded");
+      assert.is(agreement.commands.length, count);
+    });
+
+    it("is accepted if the job is known", async () => {
+      let isRoom = true;
+      const { call } = await createService(() => isRoom);
+      await call();
+      isRoom = false;
+      assert.ok((await call()).isOk);
+    });
+
+    it("is accepted while a proposal of the job is under way", async () => {
+      let isRoom = true;
+      const { call, log } = await createService(() => isRoom);
+      const first = call();
+      isRoom = false;
+      assert.ok((await call()).isOk);
+      assert.ok((await first).isOk);
+      assert.is(log.state.jobs.list().length, 1);
+    });
+
+    it("is accepted after a proposal whose outcome is unknown", async () => {
+      let isRoom = true;
+      const { agreement, call } = await createService(() => isRoom);
+      agreement.fault = "lost";
+      await call();
+      isRoom = false;
+      agreement.fault = "none";
+      assert.ok((await call()).isOk);
+    });
+
+    it("is rejected once that outcome is settled, or known as none", async () => {
+      let isRoom = true;
+      const { agreement, call } = await createService(() => isRoom);
+      agreement.fault = "lost";
+      await call();
+      agreement.fault = "none";
+      await call({ path: OTHER_PATH });
+      isRoom = false;
+      assert.ok((await call()).isErr);
+      isRoom = true;
+      agreement.fault = "refused";
+      await call();
+      isRoom = false;
+      agreement.fault = "none";
+      assert.ok((await call()).isErr);
+    });
+  });
+
   describe("is refused, and logs the reason and the fields of the call", () => {
     const refusals = [
       {
--- a/src/services/scheduling/leader_work.ts
+++ b/src/services/scheduling/leader_work.ts
@@ -1,6 +1,7 @@
 /** Counts what a leader does and logs it by time within the term. */
 import type {
   Clock,
+  JobLabels,
   LeaderMetrics,
   Logger,
   ProcessUsage,
@@ -35,6 +36,7 @@
   /** Requests to runners without an answer, or refused. */
   failedRequestCount = 0;
   removedCount = 0;
+  rejectedJobCount = 0;
   planCount = 0;
   plannedStartCount = 0;
   planMs = 0;
@@ -92,6 +94,11 @@
     this.#options.metrics.countRemovedRunner(reason);
   }
 
+  countRejectedJob(labels: JobLabels, reason: string): void {
+    this.#counts.rejectedJobCount += 1;
+    this.#options.metrics.countRejectedJob(labels, reason);
+  }
+
   countMessage(method: string): void {
     increase(this.#counts.messages, method);
     this.#options.metrics.countMessage(method);
@@ -147,6 +154,7 @@
       stopCount: answered.get("stop") ?? 0,
       failedRequestCount: counts.failedRequestCount,
       removedCount: counts.removedCount,
+      rejectedJobCount: counts.rejectedJobCount,
       planCount,
       plannedStartCount: counts.plannedStartCount,
       planMs: Math.round(counts.planMs),
--- a/src/services/scheduling/leader_work_test.ts
+++ b/src/services/scheduling/leader_work_test.ts
@@ -21,6 +21,7 @@
   runnerCounts: new Map([["sound", 3], ["silent", 1]]),
   waitingTaskCounts: new Map([["bay", 5]]),
   freeMillicores: new Map([["bay", 8_000]]),
+  delayedStepCounts: new Map([["beyondShare", 3]]),
   poolMillicores: new Map([
     ["bay", new Map([["free", 8_000], ["cordoned", 16_000]] as const)],
   ]),
@@ -49,6 +50,7 @@
     work.countRunnerRequest("poll", "unanswered");
     work.countRunnerRequest("start", "answered");
     work.countRemovedRunner("ended");
+    work.countRejectedJob({ queue: "q", team: "t" }, "teamBacklog");
     work.recordPlan(2, 4);
     work.recordPlan(6, 0);
     work.recordCommit("applied", 20);
@@ -72,6 +74,7 @@
         stopCount: 0,
         failedRequestCount: 1,
         removedCount: 1,
+        rejectedJobCount: 1,
         planCount: 2,
         plannedStartCount: 4,
         planMs: 8,
--- a/src/services/scheduling/schedule_explainer.ts
+++ b/src/services/scheduling/schedule_explainer.ts
@@ -1,7 +1,7 @@
 /** Lists and explains jobs, tasks, runners and waves for operators. */
 import { Result } from "true-myth";
 import * as v from "valibot";
-import { findWaitReason } from "../../decisions/index.ts";
+import { findWaitReason, type StepReference } from "../../decisions/index.ts";
 import {
   createFailure,
   type Failure,
@@ -54,6 +54,8 @@
   readonly findStatus: (runner: Runner) => RunnerStatus | undefined;
   /** Returns whether a runner may get work now. */
   readonly mayPlaceOn: (runner: Runner) => boolean;
+  /** Explains why a step comes behind others; undefined when it does not. */
+  readonly describeDelay?: (step: StepReference) => string | undefined;
 }
 
 /** Describes the scheduling state as the leader knows it. */
@@ -215,15 +217,18 @@
   }
 
   #findReason(job: JobRecord, occurrence: number, stepIndex: number): string {
-    const { log, mayPlaceOn } = this.#options;
+    const { describeDelay, log, mayPlaceOn } = this.#options;
     const { state } = log;
     const nowMs = this.#nowMs;
+    const { jobId } = job.spec;
     return findWaitReason({
       state,
       job,
       occurrence,
       stepIndex,
       mayPlaceOn,
+      findDelayReason: () =>
+        describeDelay?.({ jobId, occurrence, step: stepIndex }),
       nowMs,
     });
   }
--- a/src/services/scheduling/timing.ts
+++ b/src/services/scheduling/timing.ts
@@ -1,5 +1,13 @@
 /** Intervals, timeouts and limits of the scheduling services. */
 
+/**
+ * Age up to which a sample of the order of waiting steps decides about new jobs,
+ * in milliseconds: a small part of a task's run, so that many jobs share one.
+ */
+export const ROOM_SAMPLE_AGE_MS = 100;
+/** Interval at which the leader checks which pools are full (ms). */
+export const ROOM_CHECK_MS = 500;
+
 /**
  * Lease of the runs on a runner, in milliseconds. Each poll renews it. It is
  * long enough for one poll plus a restart of all controllers, which takes 2.4 s
--- a/src/testing/fake_ports.ts
+++ b/src/testing/fake_ports.ts
@@ -1,6 +1,7 @@
 /** Fakes of the logger and metrics ports that collect what they receive. */
 import type {
   EventLoopMetrics,
+  JobLabels,
   LeaderMetrics,
   LogFields,
   Logger,
@@ -77,6 +78,8 @@
   /** Number of requests by kind and outcome, as in `poll answered`. */
   readonly requestCounts = new Map<string, number>();
   readonly removals: RunnerRemoval[] = [];
+  /** Rejected jobs, as in `queue team reason`. */
+  readonly rejections: string[] = [];
   /** Methods of the messages, in order. */
   readonly methods: string[] = [];
 
@@ -104,6 +107,10 @@
     this.removals.push(reason);
   }
 
+  countRejectedJob({ queue, team }: JobLabels, reason: string): void {
+    this.rejections.push(`${queue} ${team} ${reason}`);
+  }
+
   countMessage(method: string): void {
     this.methods.push(method);
   }
