Count the VMs that a full pool may get before rejecting a job

Cause: at the start of a queue's turn its pool is small, and VMs are on their way; its backlog then says nothing certain. Change: the expected wait counts all VMs of the pool and what other pools do not use. Result: test 'before VMs that the pool may get have come'.

--- a/src/daemon/scheduling/start_leading.ts
+++ b/src/daemon/scheduling/start_leading.ts
@@ -157,6 +157,8 @@
   const room = new RoomWatch({
     ...options,
     order,
+    accounts,
+    canMoveVms: vms !== undefined,
     mayPlaceOn: (runner) => scheduler.mayPlaceOn(runner),
   });
   const pace = new PaceTask({
--- a/src/decisions/scheduling/admission_policy.ts
+++ b/src/decisions/scheduling/admission_policy.ts
@@ -21,6 +21,8 @@
   readonly team: string | undefined;
   /** The queue's pool; undefined while it has enough room. */
   readonly full: FullPool | undefined;
+  /** CPU that the pool may have soon, with VMs of other pools (millicores). */
+  readonly reachableMillicores: number;
   /** How much longer than estimated the runs of the queue take (ms). */
   readonly delayMs: number;
 }
@@ -34,7 +36,7 @@
   readonly reason: "teamBacklog" | "poolBacklog";
   /** Work that is before the job (millicore-ms). */
   readonly backlog: Backlog;
-  /** CPU that works on this backlog (millicores). */
+  /** CPU that may work on this backlog soon (millicores). */
   readonly capacityMillicores: number;
   /** Time until the work before the job has been done (ms). */
   readonly expectedWaitMs: number;
@@ -69,11 +71,11 @@
  */
 export class UsefulResultPolicy implements JobAdmissionPolicy {
   decide(
-    { spec, queue, team, full, delayMs }: AdmissionInput,
+    { spec, queue, team, full, reachableMillicores, delayMs }: AdmissionInput,
   ): AdmissionRejection | undefined {
     const isBound = spec.schedule === undefined &&
       spec.steps.every(({ isEndless }) => !isEndless);
-    if (full === undefined || !isBound) {
+    if (full === undefined || full.capacityMillicores === 0 || !isBound) {
       return undefined;
     }
     const times = computeTimes(spec, queue, delayMs);
@@ -81,9 +83,15 @@
     const share = shareByTeam.get(team ?? "");
     const ofTeam = backlogByTeam.get(team ?? "");
     // The work beyond the shares of other teams comes after the job.
+    const growth = Math.max(1, reachableMillicores / capacityMillicores);
     return share === undefined || ofTeam === undefined
-      ? findRejection("poolBacklog", backlog, capacityMillicores, times)
-      : findRejection("teamBacklog", ofTeam, share, times);
+      ? findRejection(
+        "poolBacklog",
+        backlog,
+        growth * capacityMillicores,
+        times,
+      )
+      : findRejection("teamBacklog", ofTeam, growth * share, times);
   }
 }
 
@@ -125,7 +133,6 @@
   const inTimeWaitMs = backlog.inTime / capacityMillicores;
   const expectedWaitMs = backlog.useful / capacityMillicores;
   const certainEndMs = CERTAIN_SHARE * expectedWaitMs + pathMs;
-  // A pool without capacity may get some at any moment.
   const isCertain = capacityMillicores > 0 &&
     CERTAIN_SHARE * inTimeWaitMs > slackMs && certainEndMs > usefulMs;
   return isCertain
--- a/src/decisions/scheduling/admission_policy_test.ts
+++ b/src/decisions/scheduling/admission_policy_test.ts
@@ -60,6 +60,7 @@
     queue: QUEUE,
     team: "calm",
     full: createFull(4_000, 20_000),
+    reachableMillicores: CAPACITY_MILLICORES,
     delayMs: 0,
     ...changes,
   });
@@ -99,6 +100,9 @@
       "in a pool that has no runner now": {
         full: { ...createFull(4_000, 20_000), capacityMillicores: 0 },
       },
+      "before VMs that the pool may get have come": {
+        reachableMillicores: 5 * CAPACITY_MILLICORES,
+      },
       "if it is long-running": {
         spec: createJob({ steps: [{ ...JOB.steps[0], isEndless: true }] }),
       },
--- a/src/services/scheduling/job_admission.ts
+++ b/src/services/scheduling/job_admission.ts
@@ -50,10 +50,17 @@
     if (!log.holdsLeaderLease) {
       return undefined;
     }
-    const { order, atMs } = room.sample;
+    const { order, atMs, reachableMillicores } = room.sample;
     const full = order.fullPools.get(queue.pool);
     const delayMs = delays.find(queue.name, clock.nowMs());
-    const rejection = policy.decide({ spec, queue, team, full, delayMs });
+    const rejection = policy.decide({
+      spec,
+      queue,
+      team,
+      full,
+      reachableMillicores: reachableMillicores.get(queue.pool) ?? 0,
+      delayMs,
+    });
     if (rejection === undefined) {
       return undefined;
     }
--- a/src/services/scheduling/job_admission_test.ts
+++ b/src/services/scheduling/job_admission_test.ts
@@ -100,6 +100,7 @@
       MAX_MS,
     );
   };
+  const shares = new Map([["free", 10_000]] as const);
   const lead = () => {
     const logger = new FakeLogger();
     const metrics = new FakeLeaderMetrics();
@@ -109,6 +110,8 @@
       ...options,
       order: new LeastCostOrderPolicy(delays),
       mayPlaceOn: () => true,
+      accounts: { sum: () => new Map([[POOL, shares]]) },
+      canMoveVms: false,
     });
     const policy = new UsefulResultPolicy();
     const admission = new JobAdmission({ ...options, policy, room });
--- a/src/services/scheduling/room_watch.ts
+++ b/src/services/scheduling/room_watch.ts
@@ -11,6 +11,7 @@
 } from "../../decisions/index.ts";
 import type { Runner } from "../../domain/index.ts";
 import type { Clock, Logger } from "../../ports/index.ts";
+import type { PoolAccounts } from "./pool_accounts.ts";
 import type { SchedulingLog } from "./scheduling_log.ts";
 import { ROOM_CHECK_MS, ROOM_SAMPLE_AGE_MS } from "./timing.ts";
 
@@ -31,11 +32,19 @@
   readonly order: Pick<LeastCostOrderPolicy, "rank">;
   /** Returns whether a runner may get work now. */
   readonly mayPlaceOn: (runner: Runner) => boolean;
+  readonly accounts: Pick<PoolAccounts, "sum">;
+  /** Whether VMs can be moved between pools. */
+  readonly canMoveVms: boolean;
 }
 
 /** The order of the waiting steps at one time. */
 export interface RoomSample {
   readonly order: RoomOrder;
+  /**
+   * CPU that each full pool may have soon: all of its VMs, and what other pools
+   * do not use if VMs can be moved (millicores).
+   */
+  readonly reachableMillicores: ReadonlyMap<string, number>;
   /** Monotonic time of the sample (ms). */
   readonly atMs: number;
 }
@@ -54,11 +63,13 @@
   /** The present order of the waiting steps, or a sample that is as good. */
   get sample(): RoomSample {
     const atMs = this.#options.clock.monotonicMs();
-    const isRecent = this.#sample !== undefined &&
-      atMs - this.#sample.atMs <= ROOM_SAMPLE_AGE_MS;
-    this.#sample = isRecent && this.#sample !== undefined
-      ? this.#sample
-      : { order: this.#rank(), atMs };
+    const sample = this.#sample;
+    if (sample !== undefined && atMs - sample.atMs <= ROOM_SAMPLE_AGE_MS) {
+      return sample;
+    }
+    const order = this.#rank();
+    const reachableMillicores = this.#sumReachable(order.fullPools);
+    this.#sample = { order, reachableMillicores, atMs };
     return this.#sample;
   }
 
@@ -116,6 +127,21 @@
     return order.rank(steps, nowMs, room);
   }
 
+  #sumReachable(pools: ReadonlyMap<string, FullPool>): Map<string, number> {
+    const { accounts, canMoveVms } = this.#options;
+    const sums = new Map<string, number>();
+    for (const [pool, account] of pools.size === 0 ? [] : accounts.sum()) {
+      for (const [share, millicores] of account) {
+        for (const full of pools.keys()) {
+          if (pool === full || (canMoveVms && share !== "used")) {
+            sums.set(full, (sums.get(full) ?? 0) + millicores);
+          }
+        }
+      }
+    }
+    return sums;
+  }
+
   #logChanges(fullPools: ReadonlyMap<string, FullPool>): void {
     const { clock, logger } = this.#options;
     const nowMs = clock.nowMs();
