--- a/src/daemon/scheduling/start_leading.ts
+++ b/src/daemon/scheduling/start_leading.ts
@@ -4,15 +4,16 @@
   DemandCapacityPolicy,
   FailureTrustPolicy,
   HighestForecast,
+  LeastCostOrderPolicy,
   LeastLossMaintenancePolicy,
   listReadySteps,
   RunDelays,
   RunnerPaces,
   ScoredPlacementPolicy,
-  SlackOrderPolicy,
   StartPlanner,
   TrendForecast,
   TurnForecast,
+  UsefulResultPolicy,
 } from "../../decisions/index.ts";
 import type {
   JobState,
@@ -31,10 +32,12 @@
 import {
   AdviceTask,
   CapacityTask,
+  JobAdmission,
   type LeaderWork,
   PaceTask,
   PoolAccounts,
   PoolLoads,
+  RoomWatch,
   RunnerFleet,
   RunnerRegistry,
   RunnerTrust,
@@ -71,6 +74,7 @@
   readonly registry: RunnerRegistry;
   readonly zones: ZoneService;
   readonly explainer: ScheduleExplainer;
+  readonly admission: JobAdmission;
   readonly readGauges: () => SchedulingGauges;
 }
 
@@ -86,7 +90,7 @@
   const { advice, entryId, group, runners: client, vms, work } = options;
   const delays = new RunDelays();
   const paces = new RunnerPaces();
-  const order = new SlackOrderPolicy(delays);
+  const order = new LeastCostOrderPolicy(delays);
   const fleet: RunnerFleet = new RunnerFleet({
     ...options,
     delays,
@@ -162,6 +166,13 @@
       order,
       mayPlaceOn: (runner) => scheduler.mayPlaceOn(runner),
     });
+  const room = new RoomWatch({
+    ...options,
+    order,
+    accounts,
+    canMoveVms: vms !== undefined,
+    mayPlaceOn: (runner) => scheduler.mayPlaceOn(runner),
+  });
   const pace = new PaceTask({
     ...options,
     fleet,
@@ -172,6 +183,7 @@
   const tasksByName = {
     runners: fleet,
     scheduler,
+    room,
     waves,
     capacity,
     advice: adviceTask,
@@ -184,7 +196,7 @@
     }
   }
   const readLeaderGauges = () => ({
-    ...readGauges(options, fleet, accounts),
+    ...readGauges(options, { fleet, accounts, room }),
     suspectRunnerCounts: trust.countByPool(),
   });
   group.startForever("work", (signal) => work.report(readLeaderGauges, signal));
@@ -198,15 +210,27 @@
       describeSuspicion: (runner) => trust.describe(runner),
       findSlowness: (runner) =>
         paces.findSlowness(runner, options.clock.nowMs()),
+      describeDelay: (step) => room.describeDelay(step),
+    }),
+    admission: new JobAdmission({
+      ...options,
+      policy: new UsefulResultPolicy(),
+      room,
+      delays,
     }),
     readGauges: readLeaderGauges,
   };
 }
 
+interface GaugeSources {
+  readonly fleet: RunnerFleet;
+  readonly accounts: PoolAccounts;
+  readonly room: RoomWatch;
+}
+
 function readGauges(
   { clock, fencingToken, log }: StartLeadingOptions,
-  fleet: RunnerFleet,
-  accounts: PoolAccounts,
+  { fleet, accounts, room }: GaugeSources,
 ): SchedulingGauges {
   const poolMillicores = accounts.sum();
   const openJobCounts = new Map<JobState, number>([
@@ -227,6 +251,7 @@
         [pool, account],
       ) => [pool, account.get("free") ?? 0]),
     ),
+    delayedStepCounts: room.countDelayedSteps(),
     poolMillicores,
   };
 }
--- a/src/ports/leader_metrics.ts
+++ b/src/ports/leader_metrics.ts
@@ -1,6 +1,8 @@
 /** Ports for metrics of the process itself and of the leader's own work. */
 import type { RunFault } from "../domain/index.ts";
 
+import type { JobLabels } from "./scheduling_metrics.ts";
+
 /** A kind of request that the leader sends to a runner. */
 export type RunnerRequestKind = "poll" | "start" | "stop";
 
@@ -60,6 +62,8 @@
   countRemovedRunner(reason: RunnerRemoval): void;
   /** Counts a run that speaks against its runner, or a new suspect runner. */
   countRunFault(kind: RunFaultKind): void;
+  /** Counts a job that was rejected for want of room, by reason. */
+  countRejectedJob(labels: JobLabels, reason: string): void;
   /** Counts a message of an entry or controller that the leader handles. */
   countMessage(method: string): void;
 }
--- a/src/testing/fake_ports.ts
+++ b/src/testing/fake_ports.ts
@@ -1,6 +1,7 @@
 /** Fakes of the logger and metrics ports that collect what they receive. */
 import type {
   EventLoopMetrics,
+  JobLabels,
   LeaderMetrics,
   LogFields,
   Logger,
@@ -79,6 +80,8 @@
   readonly requestCounts = new Map<string, number>();
   readonly removals: RunnerRemoval[] = [];
   readonly runFaults: RunFaultKind[] = [];
+  /** Rejected jobs, as in `queue team reason`. */
+  readonly rejections: string[] = [];
   /** Methods of the messages, in order. */
   readonly methods: string[] = [];
 
@@ -110,6 +113,10 @@
     this.runFaults.push(kind);
   }
 
+  countRejectedJob({ queue, team }: JobLabels, reason: string): void {
+    this.rejections.push(`${queue} ${team} ${reason}`);
+  }
+
   countMessage(method: string): void {
     this.methods.push(method);
   }
