--- a/src/adapters/metrics/prometheus_scheduling_metrics_test.ts
+++ b/src/adapters/metrics/prometheus_scheduling_metrics_test.ts
@@ -9,6 +9,7 @@
   catalogVersion: 1,
   openJobCounts: new Map(),
   runnerCounts: new Map(),
+  suspectRunnerCounts: new Map([["bay", 2]]),
   waitingTaskCounts: new Map([["bay", 4]]),
   freeMillicores: new Map([["bay", 2_500]]),
   poolMillicores: new Map([
@@ -89,6 +90,14 @@
       }
     });
 
+    it("show suspect runners, and count what speaks against them", async () => {
+      const { listLines, metrics } = setUp();
+      metrics.countRunFault("still");
+      const lines = await listLines();
+      assertIncludes(lines, 'cardamomsill_suspect_runners{pool="bay"} 2');
+      assertIncludes(lines, 'cardamomsill_run_faults_total{kind="still"} 1');
+    });
+
     it("show waiting tasks beside free capacity while it leads", async () => {
       const lines = await setUp().listLines();
       assertIncludes(lines, 'cardamomsill_waiting_tasks{pool="bay"} 4');
--- a/src/services/scheduling/pool_accounts_test.ts
+++ b/src/services/scheduling/pool_accounts_test.ts
@@ -76,6 +76,7 @@
   );
   const cordonedIds = new Set<string>();
   const movingIds = new Set<string>();
+  const suspectIds = new Set<string>();
   const findStatus = ({ runnerId }: { readonly runnerId: string }) =>
     statuses.get(runnerId);
   const accounts = new PoolAccounts({
@@ -86,18 +87,33 @@
       !runner.isDraining && !cordonedIds.has(runner.runnerId) &&
       !movingIds.has(runner.runnerId) &&
       (findStatus(runner)?.isOperational ?? false),
+    isSuspect: ({ runnerId }) => suspectIds.has(runnerId),
     isInMaintenance: ({ runnerId }) => cordonedIds.has(runnerId),
     isMoving: ({ runnerId }) => movingIds.has(runnerId),
   });
   const find = (pool: string) =>
     Object.fromEntries(accounts.sum().get(pool) ?? []);
-  return { accounts, clock, cordonedIds, find, movingIds, statuses };
+  return {
+    accounts,
+    clock,
+    cordonedIds,
+    find,
+    movingIds,
+    statuses,
+    suspectIds,
+  };
 }
 
 // Guards against capacity that no line accounts for: free, waiting and sound
 // did not tell waves, moves and a new term from work.
 describe("the accounts of a pool", () => {
   describe("count a runner", () => {
+    it("as suspect, so that its room does not count as free", () => {
+      const { find, suspectIds } = setUp([createRunner("suspect")]);
+      suspectIds.add("suspect");
+      assert.equal(find("bay"), { suspect: VM_MILLICORES });
+    });
+
     it("as free, cordoned or about to leave", () => {
       const names = ["free", "cordoned", "moving"];
       const { cordonedIds, find, movingIds } = setUp(
