Explain where a given job would go, without accepting it

Cause: operators could ask about a job only after they had submitted it. Change: cardamomsill explain placement QUEUE -f FILE and POST /v1/explain/placement plan the job on a copy of the state, by the policies of the leader.

--- a/src/adapters/http/job_routes.ts
+++ b/src/adapters/http/job_routes.ts
@@ -73,6 +73,11 @@
     );
     sendResult(exchange.response, listed.map((items) => ({ items })));
   });
+  server.route(
+    ["POST"],
+    "/v1/explain/placement",
+    (exchange) => explainPlacement(exchange, options),
+  );
   server.route(["GET"], "/v1/explain/:kind/:name", async (exchange) => {
     const { kind, name } = exchange.params;
     const subject = { kind, name };
@@ -86,6 +91,20 @@
   });
 }
 
+async function explainPlacement(
+  { request, response }: Exchange,
+  { leader }: JobRoutesOptions,
+): Promise<void> {
+  const body = await readJson(request, MAX_JOB_BYTES);
+  const explained = body.isErr ? body : await leader.call(
+    SCHEDULING_METHODS.explainPlacement,
+    body.value,
+    LEADER_TIMEOUT_MS,
+    { isRead: true },
+  );
+  sendResult(response, explained);
+}
+
 async function submit(
   exchange: Exchange,
   options: JobRoutesOptions,
--- a/src/cli/command_line_test.ts
+++ b/src/cli/command_line_test.ts
@@ -57,6 +57,12 @@
     exitCode: 2,
     stderr: /write a time such as/,
   },
+  {
+    title: "a missing file of a job",
+    args: ["explain", "placement", "captures", "-f", "none.json"],
+    exitCode: 2,
+    stderr: /none\.json cannot be read/,
+  },
   {
     title: "a key file that cannot be read",
     args: ["status", "--key-file", "none"],
--- a/src/cli/commands/index.ts
+++ b/src/cli/commands/index.ts
@@ -2,6 +2,7 @@
 export * from "./apply.ts";
 export * from "./entries.ts";
 export * from "./explain.ts";
+export * from "./explain_placement.ts";
 export * from "./get.ts";
 export * from "./job_cancel.ts";
 export * from "./job_get.ts";
--- a/src/cli/commands/job_submit.ts
+++ b/src/cli/commands/job_submit.ts
@@ -1,10 +1,10 @@
 /** `cardamomsill job submit QUEUE -f FILE`: submits a job. */
-import { readFile } from "node:fs/promises";
 import { Command, Option } from "clipanion";
 import { Result } from "true-myth";
-import { createFailure, type Failure } from "../../domain/index.ts";
+import type { Failure } from "../../domain/index.ts";
 import { type ApiClient, jobResponseSchema } from "../api/index.ts";
 import { ApiCommand, type CommandOutput } from "../api_command.ts";
+import { readJobFile } from "../read_job_file.ts";
 import { waitForJob } from "../wait_for_job.ts";
 
 const JOB_ID_LENGTH = 16;
@@ -41,7 +41,7 @@
   override async run(
     client: ApiClient,
   ): Promise<Result<CommandOutput, Failure>> {
-    const job = await readJob(this.file);
+    const job = await readJobFile(this.file);
     if (job.isErr) {
       return Result.err(job.error);
     }
@@ -68,17 +68,3 @@
     return this.createOperationId().replaceAll("-", "").slice(0, JOB_ID_LENGTH);
   }
 }
-
-async function readJob(
-  file: string,
-): Promise<Result<Record<string, unknown>, Failure>> {
-  try {
-    return Result.ok(JSON.parse(await readFile(file, "utf8")));
-  } catch (error) {
-    return Result.err(
-      createFailure("invalidInput", `--file ${file} cannot be read: ${error}`, {
-        remedy: "set it to a file with a job as JSON",
-      }),
-    );
-  }
-}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -12,6 +12,7 @@
 cli.register(commands.ApplyCommand);
 cli.register(commands.EntriesCommand);
 cli.register(commands.ExplainCommand);
+cli.register(commands.ExplainPlacementCommand);
 cli.register(commands.GetCommand);
 cli.register(commands.JobCancelCommand);
 cli.register(commands.JobGetCommand);
--- a/src/daemon/scheduling/create_scheduling_controller.ts
+++ b/src/daemon/scheduling/create_scheduling_controller.ts
@@ -114,6 +114,7 @@
     findRegistry: () => leaderServices?.registry,
     findZones: () => leaderServices?.zones,
     findExplainer: () => leaderServices?.explainer,
+    findPlacements: () => leaderServices?.placements,
   });
   const remoteLeaderClient = new LeaderClient({
     ...base,
--- a/src/daemon/scheduling/start_leading.ts
+++ b/src/daemon/scheduling/start_leading.ts
@@ -33,6 +33,7 @@
   JobAdmission,
   type LeaderWork,
   PaceTask,
+  PlacementExplainer,
   PoolAccounts,
   PoolLoads,
   RoomWatch,
@@ -72,6 +73,7 @@
   readonly zones: ZoneService;
   readonly explainer: ScheduleExplainer;
   readonly admission: JobAdmission;
+  readonly placements: PlacementExplainer;
   readonly readGauges: () => SchedulingGauges;
 }
 
@@ -161,6 +163,12 @@
     canMoveVms: vms !== undefined,
     mayPlaceOn: (runner) => scheduler.mayPlaceOn(runner),
   });
+  const admission = new JobAdmission({
+    ...options,
+    policy: new UsefulResultPolicy(),
+    room,
+    delays,
+  });
   const pace = new PaceTask({
     ...options,
     fleet,
@@ -194,11 +202,16 @@
       mayPlaceOn: (runner) => scheduler.mayPlaceOn(runner),
       describeDelay: (step) => room.describeDelay(step),
     }),
-    admission: new JobAdmission({
+    admission,
+    placements: new PlacementExplainer({
       ...options,
-      policy: new UsefulResultPolicy(),
+      planner: new StartPlanner({
+        order,
+        placement: new ScoredPlacementPolicy(),
+      }),
+      scheduler,
       room,
-      delays,
+      admission,
     }),
     readGauges: readLeaderGauges,
   };
--- a/src/decisions/scheduling/ready_step.ts
+++ b/src/decisions/scheduling/ready_step.ts
@@ -6,7 +6,6 @@
   type JobQueue,
   type JobRecord,
   type JobStep,
-  type JobTable,
   type StepRecord,
 } from "../../domain/index.ts";
 
@@ -50,12 +49,12 @@
 /**
  * Lists the steps that are due, have waiting tasks and wait for no other step.
  *
- * @param jobs - All jobs.
+ * @param jobs - The jobs that have not ended.
  * @param catalog - The queues and the pools that run their tasks.
  * @param nowMs - Wall-clock time, in milliseconds.
  */
 export function listReadySteps(
-  jobs: JobTable,
+  jobs: { readonly open: Iterable<JobRecord> },
   catalog: Catalog,
   nowMs: number,
 ): ReadyStep[] {
--- a/src/decisions/scheduling/start_planner.ts
+++ b/src/decisions/scheduling/start_planner.ts
@@ -4,6 +4,7 @@
   type Amounts,
   fitsInto,
   isWithinLimit,
+  type JobRecord,
   type JobTeam,
   type Runner,
   type RunnerIncarnation,
@@ -40,6 +41,8 @@
   readonly candidates: ReadonlyMap<string, readonly Candidate[]>;
   /** Finds the ids of runners that may run a step; undefined when any may. */
   readonly findApproved: (step: ReadyStep) => ReadonlySet<string> | undefined;
+  /** A job that is not stored, planned as if it were. */
+  readonly preview?: JobRecord;
   /** Wall-clock time, in milliseconds. */
   readonly nowMs: number;
 }
@@ -78,6 +81,10 @@
   plan(input: PlanInput): PlannedStart[] {
     const { state, nowMs } = input;
     const ready = listReadySteps(state.jobs, state.catalog, nowMs);
+    if (input.preview !== undefined) {
+      const open = [input.preview];
+      ready.push(...listReadySteps({ open }, state.catalog, nowMs));
+    }
     const round: PlanningRound = {
       input,
       teams: new Map(state.catalog.teams.map((team) => [team.name, team])),
--- a/src/services/scheduling/index.ts
+++ b/src/services/scheduling/index.ts
@@ -17,6 +17,7 @@
 export * from "./operation_meter.ts";
 export * from "./pace_task.ts";
 export * from "./pool_accounts.ts";
+export * from "./placement_explainer.ts";
 export * from "./pool_loads.ts";
 export * from "./relay/index.ts";
 export * from "./runner_announcer.ts";
--- a/src/services/scheduling/job_admission.ts
+++ b/src/services/scheduling/job_admission.ts
@@ -1,5 +1,9 @@
 /** Rejects new jobs at the leader whose results would come too late. */
-import type { JobAdmissionPolicy, RunDelays } from "../../decisions/index.ts";
+import type {
+  AdmissionRejection,
+  JobAdmissionPolicy,
+  RunDelays,
+} from "../../decisions/index.ts";
 import {
   createFailure,
   type Failure,
@@ -38,6 +42,25 @@
     this.#options = options;
   }
 
+  /**
+   * Decides about a job without a log line or a count.
+   *
+   * @param job - The job.
+   * @returns Why it would be rejected; undefined when it would be accepted.
+   */
+  preview({ spec, queue, team }: NewJob): AdmissionRejection | undefined {
+    const { clock, delays, policy, room } = this.#options;
+    const { order, reachableMillicores } = room.sample;
+    return policy.decide({
+      spec,
+      queue,
+      team,
+      full: order.fullPools.get(queue.pool),
+      reachableMillicores: reachableMillicores.get(queue.pool) ?? 0,
+      delayMs: delays.find(queue.name, clock.nowMs()),
+    });
+  }
+
   /**
    * Decides about a job that is certainly not in the log.
    *
@@ -45,22 +68,12 @@
    * @returns `overloaded` when it is rejected; undefined when it is accepted.
    */
   findRejection({ spec, queue, team }: NewJob): Failure | undefined {
-    const { clock, delays, log, logger, metrics, policy, room } = this.#options;
+    const { clock, delays, log, logger, metrics, room } = this.#options;
     // Another leader may accept it meanwhile.
     if (!log.holdsLeaderLease) {
       return undefined;
     }
-    const { order, atMs, reachableMillicores } = room.sample;
-    const full = order.fullPools.get(queue.pool);
-    const delayMs = delays.find(queue.name, clock.nowMs());
-    const rejection = policy.decide({
-      spec,
-      queue,
-      team,
-      full,
-      reachableMillicores: reachableMillicores.get(queue.pool) ?? 0,
-      delayMs,
-    });
+    const rejection = this.preview({ spec, queue, team });
     if (rejection === undefined) {
       return undefined;
     }
@@ -77,9 +90,9 @@
       capacityMillicores: Math.round(rejection.capacityMillicores),
       expectedWaitMs: Math.round(expectedWaitMs),
       usefulMs: Math.round(usefulMs),
-      runDelayMs: Math.round(delayMs),
+      runDelayMs: Math.round(delays.find(queue.name, clock.nowMs())),
       retryAfterMs: Math.round(retryAfterMs),
-      sampleAgeMs: Math.round(clock.monotonicMs() - atMs),
+      sampleAgeMs: Math.round(clock.monotonicMs() - room.sample.atMs),
     }, "rejected a job for want of room");
     metrics.countRejectedJob({ queue: queue.name, team: team ?? "" }, reason);
     return createFailure(
--- a/src/services/scheduling/room_watch.ts
+++ b/src/services/scheduling/room_watch.ts
@@ -9,7 +9,7 @@
   type RoomPlace,
   type StepReference,
 } from "../../decisions/index.ts";
-import type { Runner } from "../../domain/index.ts";
+import type { JobRecord, Runner } from "../../domain/index.ts";
 import type { Clock, Logger } from "../../ports/index.ts";
 import type { PoolAccounts } from "./pool_accounts.ts";
 import type { SchedulingLog } from "./scheduling_log.ts";
@@ -67,7 +67,7 @@
     if (sample !== undefined && atMs - sample.atMs <= ROOM_SAMPLE_AGE_MS) {
       return sample;
     }
-    const order = this.#rank();
+    const order = this.rank();
     const reachableMillicores = this.#sumReachable(order.fullPools);
     this.#sample = { order, reachableMillicores, atMs };
     return this.#sample;
@@ -96,10 +96,7 @@
    * @returns A clause, or undefined when it is not delayed for others.
    */
   describeDelay(reference: StepReference): string | undefined {
-    const { order } = this.sample;
-    const found = order.ranked.find(({ step }) => isStep(step, reference));
-    const full = found && order.fullPools.get(found.step.pool);
-    return found && full && describePlace(found, full);
+    return describeDelay(this.sample.order, reference);
   }
 
   /**
@@ -117,11 +114,19 @@
     }
   }
 
-  #rank(): RoomOrder {
+  /**
+   * Orders the waiting steps as of now.
+   *
+   * @param preview - A job that is not stored, ordered as if it were.
+   */
+  rank(preview?: JobRecord): RoomOrder {
     const { clock, log, mayPlaceOn, order } = this.#options;
     const { state } = log;
     const nowMs = clock.nowMs();
-    const steps = listReadySteps(state.jobs, state.catalog, nowMs);
+    const open = preview === undefined
+      ? state.jobs.open
+      : [...state.jobs.open, preview];
+    const steps = listReadySteps({ open }, state.catalog, nowMs);
     const pools = new Set(steps.map(({ pool }) => pool));
     const room = measureFleetRoom({ state, pools, mayPlaceOn, nowMs });
     return order.rank(steps, nowMs, room);
@@ -160,6 +165,22 @@
   }
 }
 
+/**
+ * Explains why a step comes behind others.
+ *
+ * @param order - The order of the waiting steps.
+ * @param reference - Names the step.
+ * @returns A clause, or undefined when it is not delayed for others.
+ */
+export function describeDelay(
+  { fullPools, ranked }: RoomOrder,
+  reference: StepReference,
+): string | undefined {
+  const found = ranked.find(({ step }) => isStep(step, reference));
+  const full = found && fullPools.get(found.step.pool);
+  return found && full && describePlace(found, full);
+}
+
 function isStep(
   { job, occurrence, stepIndex }: RankedStep["step"],
   reference: StepReference,
--- a/src/services/scheduling/scheduler.ts
+++ b/src/services/scheduling/scheduler.ts
@@ -115,6 +115,11 @@
     return byPool;
   }
 
+  /** Lists the runners that may get work now, by pool; the caller owns them. */
+  listCandidates(): Map<string, Candidate[]> {
+    return this.#listCandidates(this.#options.log.state);
+  }
+
   /** Returns whether a runner may get work now. */
   mayPlaceOn(runner: Runner): boolean {
     const { findStatus, isCordoned, log } = this.#options;
--- a/src/services/scheduling/scheduling_handlers.ts
+++ b/src/services/scheduling/scheduling_handlers.ts
@@ -14,6 +14,7 @@
 } from "../../ports/index.ts";
 import type { JobService } from "./job_service.ts";
 import { createLeaderAnswer } from "./leader_answer.ts";
+import type { PlacementExplainer } from "./placement_explainer.ts";
 import type { OperationsService } from "./operations_service.ts";
 import type { RunnerRegistry } from "./runner_registry.ts";
 import type { ScheduleExplainer } from "./schedule_explainer.ts";
@@ -33,6 +34,7 @@
   readWave: "scheduling.readWave",
   list: "scheduling.list",
   explain: "scheduling.explain",
+  explainPlacement: "scheduling.explainPlacement",
   ping: "scheduling.ping",
 } as const;
 
@@ -65,6 +67,8 @@
   readonly findZones: () => ZoneService | undefined;
   /** Returns the explainer, or undefined while this entry does not lead. */
   readonly findExplainer: () => ScheduleExplainer | undefined;
+  /** Returns the explainer of placements, or undefined as above. */
+  readonly findPlacements: () => PlacementExplainer | undefined;
 }
 
 /** Handles the body of a message at the leader. */
@@ -132,6 +136,12 @@
     (body) =>
       findExplainer()?.explain(body) ?? Result.err(createNotLeader(agreement)),
   );
+  add(
+    SCHEDULING_METHODS.explainPlacement,
+    (body) =>
+      options.findPlacements()?.explain(body) ??
+        Result.err(createNotLeader(agreement)),
+  );
   add(SCHEDULING_METHODS.ping, () => createPing(agreement));
   add(
     SCHEDULING_METHODS.announce,
