--- a/src/services/scheduling/placement_explainer_test.ts
+++ b/src/services/scheduling/placement_explainer_test.ts
@@ -1,6 +1,7 @@
 import * as assert from "uvu/assert";
 import * as v from "valibot";
 import {
+  FailureTrustPolicy,
   LeastCostOrderPolicy,
   RunDelays,
   ScoredPlacementPolicy,
@@ -17,6 +18,7 @@
 import { PlacementExplainer } from "./placement_explainer.ts";
 import { RoomWatch } from "./room_watch.ts";
 import { RunnerStatus } from "./runner_status.ts";
+import { RunnerTrust } from "./runner_trust.ts";
 import { Scheduler } from "./scheduler.ts";
 import { SchedulingLog } from "./scheduling_log.ts";
 
@@ -108,6 +110,7 @@
   const options = { log, clock, logger, metrics, planner };
   const scheduler = new Scheduler({
     ...options,
+    trust: new RunnerTrust({ ...options, policy: new FailureTrustPolicy() }),
     changed: new Notifier(),
     findStatus: () => status,
     findApproved: () => undefined,
