Plan the VMs of pools for their expected turns

Cause: VMs for a turn were ordered when it had begun or 2.25 s ahead, however many they were, and idle VMs stayed on for 30 s, longer than any rest. Change: an outlook on the next turn of each pool by the period that the pools share; VMs for a turn are ordered in time for the last of them; idle VMs of a pool whose turn is far go to the next turn that lacks VMs, else to the standby pool, if they can be fetched again before they are needed. Pools without a known turn keep theirs. A VM counts as arriving only until its runner serves. Log: needs, fetched and parked VMs; metrics of needs and next turns.

--- a/src/adapters/metrics/prometheus_scheduling_metrics.ts
+++ b/src/adapters/metrics/prometheus_scheduling_metrics.ts
@@ -164,6 +164,18 @@
     labelNames: ["pool", "share"],
     registers: this.#registers,
   });
+  readonly #wantedMillicores = new Gauge({
+    name: "cardamomsill_wanted_millicores",
+    help: "CPU that pools need now or one move ahead, at the leader",
+    labelNames: ["pool"],
+    registers: this.#registers,
+  });
+  readonly #nextTurnSeconds = new Gauge({
+    name: "cardamomsill_next_turn_seconds",
+    help: "Time until the next expected turn of a pool, at the leader",
+    labelNames: ["pool"],
+    registers: this.#registers,
+  });
   readonly #runnerRequests = new Counter({
     name: "cardamomsill_runner_requests_total",
     help: "Requests of the leader to runners, by kind and outcome",
@@ -254,6 +266,8 @@
     this.#waitingTasks.reset();
     this.#freeMillicores.reset();
     this.#poolMillicores.reset();
+    this.#wantedMillicores.reset();
+    this.#nextTurnSeconds.reset();
     const gauges = readGauges();
     this.#term.set(gauges?.term ?? 0);
     if (gauges !== undefined) {
@@ -275,6 +289,15 @@
           this.#poolMillicores.set({ pool, share }, millicores);
         }
       }
+      for (const [pool, need] of gauges.poolNeeds ?? []) {
+        this.#wantedMillicores.set({ pool }, need.wantedMillicores);
+        if (need.nextTurnMs !== undefined) {
+          this.#nextTurnSeconds.set(
+            { pool },
+            need.nextTurnMs / MS_PER_SECOND,
+          );
+        }
+      }
     }
     return this.#registry.metrics();
   }
--- a/src/adapters/metrics/prometheus_scheduling_metrics_test.ts
+++ b/src/adapters/metrics/prometheus_scheduling_metrics_test.ts
@@ -14,6 +14,9 @@
   poolMillicores: new Map([
     ["bay", new Map([["free", 2_500], ["maintenance", 64_000]] as const)],
   ]),
+  poolNeeds: new Map([
+    ["bay", { wantedMillicores: 96_000, nextTurnMs: 2_500 }],
+  ]),
 };
 
 function setUp(gauges: SchedulingGauges | undefined = GAUGES) {
@@ -101,5 +104,14 @@
       assertIncludes(lines, `${name}{pool="bay",share="free"} 2500`);
       assertIncludes(lines, `${name}{pool="bay",share="maintenance"} 64000`);
     });
+
+    it("show what a pool needs, and when its next turn is expected", async () => {
+      const lines = await setUp().listLines();
+      assertIncludes(
+        lines,
+        'cardamomsill_wanted_millicores{pool="bay"} 96000',
+      );
+      assertIncludes(lines, 'cardamomsill_next_turn_seconds{pool="bay"} 2.5');
+    });
   });
 });
--- a/src/daemon/scheduling/start_leading.ts
+++ b/src/daemon/scheduling/start_leading.ts
@@ -1,6 +1,7 @@
 /** Composes the tasks that a controller runs while it leads. */
 import {
   BackOffPacePolicy,
+  CyclicTurnOutlook,
   DemandCapacityPolicy,
   HighestForecast,
   LeastLossMaintenancePolicy,
@@ -10,6 +11,7 @@
   SlackOrderPolicy,
   StartPlanner,
   TrendForecast,
+  TurnCapacityPolicy,
   TurnForecast,
 } from "../../decisions/index.ts";
 import type {
@@ -30,6 +32,8 @@
   AdviceTask,
   CapacityTask,
   type LeaderWork,
+  MOVE_MS,
+  MOVE_RATE_SHARE,
   PaceTask,
   PoolAccounts,
   PoolLoads,
@@ -111,6 +115,7 @@
       new TurnForecast(),
       new TrendForecast(),
     ]),
+    outlook: new CyclicTurnOutlook(),
   });
   const waves = vms === undefined ? undefined : new WaveTask({
     ...options,
@@ -127,7 +132,11 @@
     accounts,
     loads,
     vms,
-    policy: new DemandCapacityPolicy(),
+    policy: new TurnCapacityPolicy({
+      base: new DemandCapacityPolicy(),
+      moveMs: MOVE_MS,
+      movesPerSecond: vms.maxOrdersPerSecond * MOVE_RATE_SHARE,
+    }),
     holderId: entryId,
     isInMaintenance,
   });
@@ -171,7 +180,10 @@
       group.startForever(name, (signal) => task.run(signal));
     }
   }
-  const readLeaderGauges = () => readGauges(options, fleet, accounts);
+  const readLeaderGauges = () => ({
+    ...readGauges(options, fleet, accounts),
+    ...(vms === undefined ? {} : { poolNeeds: loads.listNeeds() }),
+  });
   group.startForever("work", (signal) => work.report(readLeaderGauges, signal));
   return {
     registry: new RunnerRegistry({ ...options, client, fleet }),
--- a/src/decisions/scheduling/capacity_policy.ts
+++ b/src/decisions/scheduling/capacity_policy.ts
@@ -1,5 +1,17 @@
 /** Plans which idle VMs change their pool, so that capacity follows demand. */
 
+/** A turn of a pool that lasts, or is expected. */
+export interface PoolTurn {
+  /** Time until its start (ms); negative once it has begun. */
+  readonly startsInMs: number;
+  /** Time until its end (ms); infinite while the length of turns is unknown. */
+  readonly endsInMs: number;
+  /** Mean demand from the start on, in millicores. */
+  readonly millicores: number;
+  /** Whether the pool has had none before, so that its time is a guess. */
+  readonly isFirst: boolean;
+}
+
 /** Demand and capacity of one pool, in millicores. */
 export interface PoolLoad {
   readonly pool: string;
@@ -21,6 +33,8 @@
    * standby pool, that of its VMs.
    */
   readonly capacityMillicores: number;
+  /** Its turn that lasts and its next one, as far as known. */
+  readonly turns?: readonly PoolTurn[];
 }
 
 /** A VM without running tasks. */
@@ -36,6 +50,8 @@
 export interface CapacityInput {
   readonly pools: readonly PoolLoad[];
   readonly idle: readonly IdleVm[];
+  /** Capacity that is lost at once when the largest rack fails, in millicores. */
+  readonly reserveMillicores?: number;
 }
 
 /** A planned move of a VM from one pool to another. */
@@ -80,7 +96,7 @@
  * Planned capacity as a multiple of the demand, so that tasks whose sizes do not
  * divide a VM evenly still fit.
  */
-const HEADROOM_FACTOR = 1.15;
+export const HEADROOM_FACTOR = 1.15;
 const DEFAULT_PARK_AFTER_MS = 30_000;
 const DEFAULT_MIN_POOL_VM_COUNT = 2;
 
--- a/src/decisions/scheduling/turn_forecast.ts
+++ b/src/decisions/scheduling/turn_forecast.ts
@@ -51,7 +51,16 @@
   }
 }
 
-function estimateDemand(
+/**
+ * Estimates the demand of a turn that lasts, from its own jobs and the turn of its
+ * pool before.
+ *
+ * @param turn - The turn.
+ * @param turns - All turns, in the order of their starts.
+ * @param nowMs - Wall-clock time (ms).
+ * @returns Millicores.
+ */
+export function estimateDemand(
   turn: Turn,
   turns: readonly Turn[],
   nowMs: number,
--- a/src/ports/scheduling_metrics.ts
+++ b/src/ports/scheduling_metrics.ts
@@ -29,6 +29,16 @@
   readonly freeMillicores: ReadonlyMap<string, number>;
   /** CPU of all VMs by pool and share; shares of nothing are left out. */
   readonly poolMillicores: ReadonlyMap<string, ReadonlyMap<PoolShare, number>>;
+  /** What the pools need; left out where VMs cannot be moved. */
+  readonly poolNeeds?: ReadonlyMap<string, PoolNeed>;
+}
+
+/** What a pool needs, as the moves of VMs are planned with. */
+export interface PoolNeed {
+  /** CPU that its work needs now, or when a VM that moves now has arrived. */
+  readonly wantedMillicores: number;
+  /** Time until its next turn (ms); undefined if none is expected. */
+  readonly nextTurnMs: number | undefined;
 }
 
 /**
--- a/src/services/scheduling/capacity_task.ts
+++ b/src/services/scheduling/capacity_task.ts
@@ -1,5 +1,9 @@
 /** Task of the leader that moves idle VMs to pools that lack capacity. */
-import type { CapacityPolicy, IdleVm } from "../../decisions/index.ts";
+import type {
+  CapacityPolicy,
+  IdleVm,
+  PlannedMove,
+} from "../../decisions/index.ts";
 import type { Runner } from "../../domain/index.ts";
 import type { Clock, ListedVm, Logger, VmControl } from "../../ports/index.ts";
 import type { PoolAccounts } from "./pool_accounts.ts";
@@ -26,7 +30,7 @@
     PoolAccounts,
     "isArriving" | "recordListing" | "recordMoved"
   >;
-  readonly loads: Pick<PoolLoads, "list">;
+  readonly loads: Pick<PoolLoads, "findLargestRackMillicores" | "list">;
 }
 
 /** A runner incarnation without work. */
@@ -83,7 +87,9 @@
     this.#updateIdleTimes();
     const pools = loads.list();
     const byName = new Map(this.#vms.map((listed) => [listed.vm, listed]));
-    const moves = policy.plan({ pools, idle: this.#listIdleVms() })
+    const reserveMillicores = loads.findLargestRackMillicores();
+    const idle = this.#listIdleVms();
+    const moves = policy.plan({ pools, idle, reserveMillicores })
       .flatMap((move) => {
         const listed = byName.get(move.vm);
         return listed === undefined ? [] : [{ move, listed }];
@@ -91,11 +97,19 @@
     let isPartial = false;
     if (moves.length > 0) {
       const targets = new Set(moves.map(({ move }) => move.to));
+      const standby = new Set(
+        pools.filter(({ isStandby }) => isStandby).map(({ pool }) => pool),
+      );
+      const count = (pick: (move: PlannedMove) => string) =>
+        moves.filter(({ move }) => standby.has(pick(move))).length;
       logger.info(
         {
           moveCount: moves.length,
+          fetchedCount: count(({ from }) => from),
+          parkedCount: count(({ to }) => to),
           sources: countByPool(moves.map(({ move }) => move.from)),
           targets: pools.filter(({ pool }) => targets.has(pool)),
+          reserveMillicores,
         },
         "planned moves of VMs",
       );
--- a/src/services/scheduling/leader_work.ts
+++ b/src/services/scheduling/leader_work.ts
@@ -163,6 +163,7 @@
           [pool, account],
         ) => [pool, toCores(account)]),
       ),
+      poolNeeds: toNeeds(gauges.poolNeeds),
     }, "worked as the leader");
   }
 }
@@ -177,6 +178,15 @@
   );
 }
 
+function toNeeds(needs: SchedulingGauges["poolNeeds"] = new Map()) {
+  return Object.fromEntries(
+    [...needs].map(([pool, { nextTurnMs, wantedMillicores }]) => [pool, {
+      wantedCores: Math.round(wantedMillicores / MILLICORES_PER_CORE),
+      nextTurnMs,
+    }]),
+  );
+}
+
 function increase<K>(counts: Map<K, number>, key: K): void {
   counts.set(key, (counts.get(key) ?? 0) + 1);
 }
--- a/src/services/scheduling/leader_work_test.ts
+++ b/src/services/scheduling/leader_work_test.ts
@@ -24,6 +24,9 @@
   poolMillicores: new Map([
     ["bay", new Map([["free", 8_000], ["cordoned", 16_000]] as const)],
   ]),
+  poolNeeds: new Map([
+    ["bay", { wantedMillicores: 12_000, nextTurnMs: 2_500 }],
+  ]),
 };
 
 function setUp() {
@@ -84,6 +87,7 @@
         waitingTasks: { bay: 5 },
         freeMillicores: { bay: 8_000 },
         poolCores: { bay: { free: 8, cordoned: 16 } },
+        poolNeeds: { bay: { wantedCores: 12, nextTurnMs: 2_500 } },
       },
       message: "worked as the leader",
     }]);
--- a/src/services/scheduling/pool_accounts.ts
+++ b/src/services/scheduling/pool_accounts.ts
@@ -58,6 +58,15 @@
    */
   recordListing(vms: readonly ListedVm[]): void {
     this.#vms = vms;
+    const { mayPlaceOn, log: { state } } = this.#options;
+    for (const { pool, runnerId, vm } of vms) {
+      const runner = state.runners.get(runnerId ?? "");
+      const isThere = runner?.pool === pool &&
+        this.#arriving.get(vm)?.pool === pool && mayPlaceOn(runner);
+      if (isThere) {
+        this.#arriving.delete(vm);
+      }
+    }
   }
 
   /**
--- a/src/services/scheduling/pool_loads.ts
+++ b/src/services/scheduling/pool_loads.ts
@@ -1,14 +1,17 @@
 /** Compares the demand of each pool with its capacity. */
 import {
+  computeWantedMillicores,
   countApartVms,
   type DemandForecast,
   listReadySteps,
   listRestedPools,
+  NoTurnOutlook,
   type PoolLoad,
   sumWaitingDemand,
+  type TurnOutlook,
 } from "../../decisions/index.ts";
 import type { Runner, RunnerIncarnation } from "../../domain/index.ts";
-import type { Clock, PoolShare } from "../../ports/index.ts";
+import type { Clock, PoolNeed, PoolShare } from "../../ports/index.ts";
 import { listArrivals, sumRecent } from "./arrivals.ts";
 import type { PoolAccount, PoolAccounts } from "./pool_accounts.ts";
 import type { SchedulingLog } from "./scheduling_log.ts";
@@ -19,6 +22,8 @@
   readonly log: SchedulingLog;
   readonly clock: Clock;
   readonly forecast: DemandForecast;
+  /** Expects the turns of pools; none by default. */
+  readonly outlook?: TurnOutlook;
   readonly accounts: Pick<PoolAccounts, "findHostCapacity" | "sum">;
   /** Returns whether a runner's VM is going to be maintained in an open wave. */
   readonly awaitsMaintenance: (runner: Runner) => boolean;
@@ -52,6 +57,7 @@
   list(): PoolLoad[] {
     const { accounts, awaitsMaintenance, clock, forecast, isInMaintenance } =
       this.#options;
+    const { outlook = new NoTurnOutlook() } = this.#options;
     const { state } = this.#options.log;
     const nowMs = clock.nowMs();
     const running = new Map<string, number>();
@@ -85,12 +91,10 @@
       canRun: (step) => hosts?.canRun(step) ?? true,
     });
     const byPool = accounts.sum();
-    const serving = state.catalog.pools.filter(({ isStandby }) => !isStandby);
-    const rested = listRestedPools(
-      arrivals,
-      serving.map(({ name }) => name),
-      nowMs,
-    );
+    const serving = state.catalog.pools.filter(({ isStandby }) => !isStandby)
+      .map(({ name }) => name);
+    const rested = listRestedPools(arrivals, serving, nowMs);
+    const turns = outlook.expect(arrivals, serving, nowMs);
     return state.catalog.pools.map(({ name, isStandby }) => ({
       pool: name,
       isStandby,
@@ -101,8 +105,38 @@
       forecastMillicores: expected.get(name) ?? 0,
       apartMillicores: (apart.get(name) ?? 0) * largestMillicores,
       capacityMillicores: sumServing(byPool.get(name)),
+      turns: turns.filter(({ pool }) => pool === name).map((turn) => ({
+        startsInMs: turn.startMs - nowMs,
+        endsInMs: turn.endMs - nowMs,
+        millicores: turn.millicores,
+        isFirst: turn.isFirst,
+      })),
     }));
   }
+
+  /** Returns what the pools need that are not standby pools. */
+  listNeeds(): Map<string, PoolNeed> {
+    return new Map(
+      this.list().filter(({ isStandby }) => !isStandby).map((load) => [
+        load.pool,
+        {
+          wantedMillicores: computeWantedMillicores(load),
+          nextTurnMs: load.turns?.map(({ startsInMs }) => startsInMs)
+            .filter((startsInMs) => startsInMs >= 0)
+            .toSorted((left, right) => left - right)[0],
+        },
+      ]),
+    );
+  }
+
+  /** Returns the capacity of the runners in the largest rack, in millicores. */
+  findLargestRackMillicores(): number {
+    const byRack = new Map<string, number>();
+    for (const { capacity, rack } of this.#options.log.state.runners.values()) {
+      byRack.set(rack, (byRack.get(rack) ?? 0) + capacity.cpuMillicores);
+    }
+    return Math.max(0, ...byRack.values());
+  }
 }
 
 function sumServing(account: PoolAccount = new Map()): number {
