Count a VM that arrives once

Cause: for up to 0.8 s a moved VM counted as arriving beside its new runner, so that pools seemed to have VMs to spare, gave them away and fetched others. Change: a runner that the newest list of VMs does not show is taken off what arrives in its pool; a listed one ends the arrival.

--- a/src/services/scheduling/pool_accounts.ts
+++ b/src/services/scheduling/pool_accounts.ts
@@ -58,12 +58,10 @@
    */
   recordListing(vms: readonly ListedVm[]): void {
     this.#vms = vms;
-    const { mayPlaceOn, log: { state } } = this.#options;
+    const { runners } = this.#options.log.state;
     for (const { pool, runnerId, vm } of vms) {
-      const runner = state.runners.get(runnerId ?? "");
-      const isThere = runner?.pool === pool &&
-        this.#arriving.get(vm)?.pool === pool && mayPlaceOn(runner);
-      if (isThere) {
+      const runner = runners.get(runnerId ?? "");
+      if (runner?.pool === pool && this.#arriving.get(vm)?.pool === pool) {
         this.#arriving.delete(vm);
       }
     }
@@ -153,6 +151,15 @@
         this.#arriving.delete(vm);
       }
     }
+    // A runner that the newest list does not show is on a VM that was arriving.
+    const listed = new Set(this.#vms.map(({ runnerId }) => runnerId));
+    for (const runner of this.#options.log.state.runners.values()) {
+      const sum = sums.get(runner.pool);
+      if (sum !== undefined && !listed.has(runner.runnerId)) {
+        const { cpuMillicores } = runner.capacity;
+        sums.set(runner.pool, Math.max(0, sum - cpuMillicores));
+      }
+    }
     return sums;
   }
 
