Forecast no rise in a turn, and none from work that was held up

Cause: the trend doubled demand at the start of each turn and at each large job in it (4,244 cores wanted beside 507 in use), and a batch that had waited for a leader counted as a rate. Change: no trend for a pool in its turn; a time without any accepted job counts for what arrives after it. The turns in a list of arrivals are found once for all that ask.

--- a/src/daemon/scheduling/start_leading.ts
+++ b/src/daemon/scheduling/start_leading.ts
@@ -10,7 +10,7 @@
   ScoredPlacementPolicy,
   SlackOrderPolicy,
   StartPlanner,
-  TrendForecast,
+  StepAwareTrendForecast,
   TurnCapacityPolicy,
   TurnForecast,
 } from "../../decisions/index.ts";
@@ -113,7 +113,7 @@
     isInMaintenance,
     forecast: new HighestForecast([
       new TurnForecast(),
-      new TrendForecast(),
+      new StepAwareTrendForecast(),
     ]),
     outlook: new CyclicTurnOutlook(),
   });
--- a/src/decisions/scheduling/trend_forecast.ts
+++ b/src/decisions/scheduling/trend_forecast.ts
@@ -1,5 +1,6 @@
 /** Forecasts demand that is rising, and joins several forecasts. */
 import type { Arrival, DemandForecast } from "./demand_forecast.ts";
+import { findRecentTurns } from "./turn_detector.ts";
 
 /** Length of each of the two spans whose arrivals are compared (ms). */
 const SPAN_MS = 1_000;
@@ -40,6 +41,29 @@
   }
 }
 
+/**
+ * Extends no rise of a pool in its turn: a turn begins with a step, after which
+ * demand rises no further, and jobs of different sizes look like a rise.
+ */
+export class StepAwareTrendForecast implements DemandForecast {
+  readonly #trend = new TrendForecast();
+
+  predict(
+    arrivals: readonly Arrival[],
+    fromMs: number,
+    nowMs: number,
+  ): ReadonlyMap<string, number> {
+    const inTurn = new Set(
+      findRecentTurns(arrivals, nowMs).filter(({ endMs }) =>
+        endMs === undefined
+      )
+        .map(({ pool }) => pool),
+    );
+    const expected = this.#trend.predict(arrivals, fromMs, nowMs);
+    return new Map([...expected].filter(([pool]) => !inTurn.has(pool)));
+  }
+}
+
 /** Predicts the highest demand that one of several forecasts predicts. */
 export class HighestForecast implements DemandForecast {
   readonly #forecasts: readonly DemandForecast[];
--- a/src/decisions/scheduling/turn_detector.ts
+++ b/src/decisions/scheduling/turn_detector.ts
@@ -66,6 +66,33 @@
   ).toSorted((left, right) => left.startMs - right.startMs);
 }
 
+/** The turns that were found last in a list of arrivals, which has not changed. */
+const found = new WeakMap<
+  readonly Arrival[],
+  { readonly nowMs: number; readonly turns: readonly Turn[] }
+>();
+
+/**
+ * Finds the turns of the last {@link TURN_HISTORY_MS}, once for all that ask.
+ *
+ * @param arrivals - Work that has arrived, oldest first; must not change later.
+ * @param nowMs - Wall-clock time (ms).
+ * @returns The turns, in the order of their starts.
+ */
+export function findRecentTurns(
+  arrivals: readonly Arrival[],
+  nowMs: number,
+): readonly Turn[] {
+  const known = found.get(arrivals);
+  if (known?.nowMs === nowMs) {
+    return known.turns;
+  }
+  const recent = arrivals.filter(({ atMs }) => nowMs - atMs <= TURN_HISTORY_MS);
+  const turns = findTurns(recent, nowMs);
+  found.set(arrivals, { nowMs, turns });
+  return turns;
+}
+
 // A short lull looks like the end of a turn and the start of another one.
 function joinParts(turns: readonly Turn[], nowMs: number): Turn[] {
   const joined: Turn[] = [];
--- a/src/decisions/scheduling/turn_forecast.ts
+++ b/src/decisions/scheduling/turn_forecast.ts
@@ -1,6 +1,10 @@
 /** Forecasts the demand of pools that take turns, from the order of the turns. */
 import type { Arrival, DemandForecast } from "./demand_forecast.ts";
-import { findTurns, type Turn, TURN_HISTORY_MS } from "./turn_detector.ts";
+import {
+  findRecentTurns,
+  type Turn,
+  TURN_HISTORY_MS,
+} from "./turn_detector.ts";
 
 /** Time by which a turn may begin earlier than expected (ms). */
 const EARLY_MS = 250;
@@ -11,6 +15,9 @@
 /** Weight of the demand of earlier turns in that of a new one (ms). */
 const EARLIER_WEIGHT_MS = 1_000;
 
+/** Longest time without any job in which none was held up (ms). */
+const MAX_PAUSE_MS = 1_000;
+
 /** A turn that is expected to begin. */
 interface ExpectedTurn {
   readonly pool: string;
@@ -34,11 +41,11 @@
     const recent = arrivals.filter(({ atMs }) =>
       nowMs - atMs <= TURN_HISTORY_MS
     );
-    const turns = findTurns(recent, nowMs);
+    const turns = findRecentTurns(arrivals, nowMs);
     const expected = new Map<string, number>();
     for (const turn of turns) {
       if (turn.endMs === undefined) {
-        expected.set(turn.pool, estimateDemand(turn, turns, nowMs));
+        expected.set(turn.pool, estimateDemand(turn, turns, recent, nowMs));
       }
     }
     const pools = new Set(recent.map(({ pool }) => pool));
@@ -53,26 +60,33 @@
 
 /**
  * Estimates the demand of a turn that lasts, from its own jobs and the turn of its
- * pool before.
+ * pool before. What arrives at its start after a time without any job has waited
+ * for it, so that time counts as well.
  *
  * @param turn - The turn.
  * @param turns - All turns, in the order of their starts.
+ * @param arrivals - The arrivals of all pools, oldest first.
  * @param nowMs - Wall-clock time (ms).
  * @returns Millicores.
  */
 export function estimateDemand(
   turn: Turn,
   turns: readonly Turn[],
+  arrivals: readonly Arrival[],
   nowMs: number,
 ): number {
+  const lengthMs = Math.max(1, nowMs - turn.startMs);
+  const last = arrivals.findLast(({ atMs }) => atMs < turn.startMs);
+  const pauseMs = turn.startMs - (last?.atMs ?? turn.startMs);
+  const waitedMs = pauseMs > MAX_PAUSE_MS ? pauseMs : 0;
+  const millicores = turn.millicores * lengthMs / (lengthMs + waitedMs);
   const earlier = turns.findLast(({ pool, endMs }) =>
     pool === turn.pool && endMs !== undefined
   );
   if (earlier === undefined) {
-    return turn.millicores;
+    return millicores;
   }
-  const lengthMs = nowMs - turn.startMs;
-  return (turn.millicores * lengthMs + earlier.millicores * EARLIER_WEIGHT_MS) /
+  return (millicores * lengthMs + earlier.millicores * EARLIER_WEIGHT_MS) /
     (lengthMs + EARLIER_WEIGHT_MS);
 }
 
--- a/src/decisions/scheduling/turn_forecast_test.ts
+++ b/src/decisions/scheduling/turn_forecast_test.ts
@@ -119,6 +119,23 @@
   });
 });
 
+// The pattern: no job is accepted for 5 s, as there is no leader, and callers hand
+// in within half a second what has waited.
+describe("forecast after a time in which no job was accepted", () => {
+  // Guards against VMs for some times the demand, taken from all other pools.
+  it("counts that time for the work that has waited", () => {
+    const before = createTurns(1_000);
+    const held = Array.from({ length: 100 }, (_, at): Arrival => ({
+      pool: "a",
+      atMs: 6_000 + at * 5,
+      work: JOB_WORK,
+    }));
+    const share = (predict([...before, ...held], 6_500).get("a") ?? 0) /
+      TURN_MILLICORES;
+    assert.ok(share > 0.3 && share < 1.3, `${share} of the demand of a turn`);
+  });
+});
+
 describe("forecast of pools that take no turns", () => {
   it("is at most the demand while it is steady", () => {
     const nowMs = 20_000;
--- a/src/decisions/scheduling/turn_order.ts
+++ b/src/decisions/scheduling/turn_order.ts
@@ -1,5 +1,5 @@
 /** Tells pools whose turn has ended from those whose turn may come next. */
-import { findTurns, TURN_HISTORY_MS } from "./turn_detector.ts";
+import { findRecentTurns } from "./turn_detector.ts";
 import type { Arrival } from "./demand_forecast.ts";
 
 /**
@@ -15,8 +15,7 @@
   pools: readonly string[],
   nowMs: number,
 ): ReadonlySet<string> {
-  const recent = arrivals.filter(({ atMs }) => nowMs - atMs <= TURN_HISTORY_MS);
-  const turns = findTurns(recent, nowMs);
+  const turns = findRecentTurns(arrivals, nowMs);
   const latestByPool = new Map(turns.map((turn) => [turn.pool, turn]));
   const rested = new Set<string>();
   for (const { endMs, pool } of latestByPool.values()) {
--- a/src/decisions/scheduling/turn_outlook.ts
+++ b/src/decisions/scheduling/turn_outlook.ts
@@ -1,6 +1,6 @@
 /** Expects when each pool has its next turn, over a whole cycle of turns. */
 import type { Arrival } from "./demand_forecast.ts";
-import { findTurns, type Turn, TURN_HISTORY_MS } from "./turn_detector.ts";
+import { findRecentTurns, type Turn } from "./turn_detector.ts";
 import { estimateDemand } from "./turn_forecast.ts";
 
 /** A turn that lasts, or is expected. */
@@ -56,10 +56,7 @@
     pools: readonly string[],
     nowMs: number,
   ): ExpectedTurn[] {
-    const recent = arrivals.filter(({ atMs }) =>
-      nowMs - atMs <= TURN_HISTORY_MS
-    );
-    const turns = findTurns(recent, nowMs);
+    const turns = findRecentTurns(arrivals, nowMs);
     const lengthMs = findUsualLength(turns);
     const lasting = turns.filter(({ endMs }) => endMs === undefined).map((
       turn,
@@ -67,7 +64,7 @@
       pool: turn.pool,
       startMs: turn.startMs,
       endMs: Math.max(nowMs, turn.startMs + lengthMs),
-      millicores: estimateDemand(turn, turns, nowMs),
+      millicores: estimateDemand(turn, turns, arrivals, nowMs),
       isFirst: false,
     }));
     const periodMs = findPeriod(turns);
--- a/src/services/scheduling/arrivals.ts
+++ b/src/services/scheduling/arrivals.ts
@@ -18,7 +18,8 @@
 }
 
 /**
- * Averages the work that has arrived of late.
+ * Averages the work that has arrived of late. What arrives after a time without
+ * any job has waited for it, so that time counts as well.
  *
  * @param arrivals - The arrivals.
  * @param nowMs - Wall-clock time (ms).
@@ -30,9 +31,13 @@
 ): Map<string, number> {
   const sums = new Map<string, number>();
   const counts = new Map<string, number>();
+  const before = arrivals.findLast(({ atMs }) =>
+    nowMs - atMs > ARRIVAL_WINDOW_MS
+  );
+  const spanMs = before === undefined ? ARRIVAL_WINDOW_MS : nowMs - before.atMs;
   for (const { pool, atMs, work } of arrivals) {
     if (nowMs - atMs <= ARRIVAL_WINDOW_MS) {
-      add(sums, pool, work / ARRIVAL_WINDOW_MS);
+      add(sums, pool, work / spanMs);
       add(counts, pool, 1);
     }
   }
