Keep the VMs of a pool in its turn, and serve present need first

Cause: the first jobs of a turn tell a low demand, and its pool gave VMs away; pools that might come next held VMs while another had work waiting. Change: a pool gives no VM while its turn lasts. What pools lack now is planned before expected turns, and nothing is fetched for those while work waits for room. A VM is parked if it is off for as long as the moves take, else it goes to the next turn that lacks VMs.

--- a/src/decisions/scheduling/turn_capacity_policy.ts
+++ b/src/decisions/scheduling/turn_capacity_policy.ts
@@ -7,7 +7,6 @@
   type IdleVm,
   type PlannedMove,
   type PoolLoad,
-  type PoolTurn,
 } from "./capacity_policy.ts";
 
 /** Options of {@link TurnCapacityPolicy}. */
@@ -22,14 +21,26 @@
 
 /** Time by which a turn may begin earlier than expected (ms). */
 const EARLY_MS = 250;
+/**
+ * Moves that take as long as a VM has to be off at least: it is of no use while
+ * it is parked and fetched, so that it is off for as long again.
+ */
+const OFF_MOVE_COUNT = 4;
 
 const MS_PER_SECOND = 1_000;
 
+/** What a pool needs for a turn that is near, in millicores. */
+interface TurnNeed {
+  readonly pool: string;
+  readonly startsInMs: number;
+  readonly millicores: number;
+}
+
 /**
  * Fetches VMs for a turn one move ahead of it, and parks those that no pool needs
- * before they could be fetched again. Idle VMs of a pool whose turn is far go to
- * the next turn that lacks VMs, else to the standby pool. Pools whose next turn
- * is not known keep theirs, as the policy below decides.
+ * for long. Idle VMs of a pool whose turn is far go to the next turn that lacks
+ * VMs, else to the standby pool. What pools need now comes before what they will
+ * need. Pools whose next turn is not known keep their VMs, as the base decides.
  */
 export class TurnCapacityPolicy implements CapacityPolicy {
   readonly #options: TurnCapacityOptions;
@@ -39,113 +50,144 @@
   }
 
   plan(input: CapacityInput): PlannedMove[] {
-    const pools = input.pools.map((load) => this.#expect(load, input.idle));
-    const moves = this.#options.base.plan({ ...input, pools });
+    const moves = this.#options.base.plan(input);
     const standby = input.pools.find(({ isStandby }) => isStandby);
-    return standby === undefined
-      ? moves
-      : [...moves, ...this.#placeSpare(pools, input, moves, standby.pool)];
-  }
-
-  // The orders for a turn go out in time for the last of them to be of use when
-  // it begins, and no sooner: other VMs may become idle until then.
-  #expect(load: PoolLoad, idle: readonly IdleVm[]): PoolLoad {
-    const { moveMs, movesPerSecond } = this.#options;
-    const vmMillicores = Math.max(0, ...idle.map((vm) => vm.cpuMillicores));
-    const neededMillicores = (load.turns ?? []).map((turn) => {
-      const lacking = turn.millicores * HEADROOM_FACTOR -
-        load.capacityMillicores;
-      const spareMs = turn.startsInMs - moveMs - EARLY_MS;
-      const laterCount = Math.max(0, spareMs) * movesPerSecond / MS_PER_SECOND;
-      const due = lacking - laterCount * vmMillicores;
-      return due > 0 ? (load.capacityMillicores + due) / HEADROOM_FACTOR : 0;
-    });
-    return {
-      ...load,
-      forecastMillicores: Math.max(
-        load.forecastMillicores,
-        ...neededMillicores,
-      ),
-    };
+    if (standby === undefined) {
+      return moves;
+    }
+    const draft = new Draft(input, moves);
+    const near = listNear(
+      input.pools,
+      OFF_MOVE_COUNT * this.#options.moveMs,
+    );
+    this.#placeSpare(input, near, standby.pool, draft);
+    this.#fetch(input, near, standby.pool, draft);
+    return draft.moves;
   }
 
   #placeSpare(
-    pools: readonly PoolLoad[],
-    { idle, reserveMillicores = 0 }: CapacityInput,
-    moves: readonly PlannedMove[],
+    { pools, reserveMillicores = 0 }: CapacityInput,
+    near: readonly TurnNeed[],
     standby: string,
-  ): PlannedMove[] {
+    draft: Draft,
+  ): void {
     const serving = pools.filter(({ isStandby }) => !isStandby);
-    const capacity = new Map(
-      serving.map((load) => [load.pool, load.capacityMillicores]),
-    );
-    const sizes = new Map(idle.map((vm) => [vm.vm, vm.cpuMillicores]));
-    const add = (pool: string, millicores: number) =>
-      capacity.set(pool, (capacity.get(pool) ?? 0) + millicores);
-    for (const { from, to, vm } of moves) {
-      add(from, -(sizes.get(vm) ?? 0));
-      add(to, sizes.get(vm) ?? 0);
-    }
-    const moved = new Set(moves.map(({ vm }) => vm));
-    const lacking = this.#listNear(serving);
-    const reserve = reserveMillicores / serving.length;
-    const added: PlannedMove[] = [];
     for (const load of serving) {
-      const kept = this.#computeKept(load, reserve);
-      // Demand varies within a turn: what is idle for a moment stays.
-      const leastIdleMs = lacking.some(({ pool }) => pool === load.pool)
-        ? this.#options.moveMs
-        : 0;
-      const own = idle.filter(({ idleMs, pool, vm }) =>
-        pool === load.pool && !moved.has(vm) && idleMs >= leastIdleMs
-      ).toSorted((left, right) => right.idleMs - left.idleMs);
-      for (const { cpuMillicores, vm } of own) {
-        if ((capacity.get(load.pool) ?? 0) - cpuMillicores < kept) {
+      const own = near.filter(({ pool }) => pool === load.pool);
+      const kept = computeKept(load, own, reserveMillicores / serving.length);
+      for (const vm of draft.listIdle(load.pool)) {
+        const left = draft.findCapacity(load.pool) - vm.cpuMillicores;
+        if (left < kept) {
           break;
         }
-        const target = lacking.find(({ millicores, pool }) =>
-          pool !== load.pool && (capacity.get(pool) ?? 0) < millicores
+        const target = near.find(({ millicores, pool }) =>
+          pool !== load.pool && draft.findCapacity(pool) < millicores
         );
-        add(load.pool, -cpuMillicores);
-        if (target !== undefined) {
-          add(target.pool, cpuMillicores);
+        draft.move(vm, target?.pool ?? standby);
+      }
+    }
+  }
+
+  // The orders for a turn go out in time for the last of them to be of use when
+  // it begins, and no sooner: other VMs may become idle until then.
+  #fetch(
+    { pools }: CapacityInput,
+    near: readonly TurnNeed[],
+    standby: string,
+    draft: Draft,
+  ): void {
+    const { moveMs, movesPerSecond } = this.#options;
+    const isShort = pools.some((
+      { pool, runningMillicores, waitingMillicores },
+    ) => draft.findCapacity(pool) < runningMillicores + waitingMillicores);
+    if (isShort) {
+      return;
+    }
+    for (const { millicores, pool, startsInMs } of near) {
+      const spareMs = Math.max(0, startsInMs - moveMs - EARLY_MS);
+      const laterCount = spareMs * movesPerSecond / MS_PER_SECOND;
+      for (const vm of draft.listIdle(standby)) {
+        const lacking = millicores - draft.findCapacity(pool);
+        if (lacking <= laterCount * vm.cpuMillicores) {
+          break;
         }
-        added.push({ vm, from: load.pool, to: target?.pool ?? standby });
+        draft.move(vm, pool);
+      }
+    }
+  }
+}
+
+/** A plan in the making. */
+class Draft {
+  readonly moves: PlannedMove[] = [];
+  readonly #capacity: Map<string, number>;
+  readonly #idle: readonly IdleVm[];
+  readonly #moved = new Set<string>();
+
+  constructor({ idle, pools }: CapacityInput, moves: readonly PlannedMove[]) {
+    this.#idle = idle.toSorted((left, right) => right.idleMs - left.idleMs);
+    this.#capacity = new Map(
+      pools.map((load) => [load.pool, load.capacityMillicores]),
+    );
+    const byName = new Map(idle.map((vm) => [vm.vm, vm]));
+    for (const { to, vm } of moves) {
+      const known = byName.get(vm);
+      if (known !== undefined) {
+        this.move(known, to);
       }
     }
-    return added;
   }
 
-  /** Time in which an idle VM could be parked and fetched again (ms). */
-  get #parkedMs(): number {
-    return 2 * this.#options.moveMs + EARLY_MS;
+  /** Lists the VMs of a pool that are idle and stay, the longest idle first. */
+  listIdle(name: string): IdleVm[] {
+    return this.#idle.filter(({ pool, vm }) =>
+      pool === name && !this.#moved.has(vm)
+    );
   }
 
-  // Lists what pools need for turns that begin before that time, the next first.
-  #listNear(pools: readonly PoolLoad[]) {
-    return pools.flatMap(({ pool, turns = [] }) =>
-      turns.filter((turn) => this.#isNear(turn)).map((turn) => ({
-        pool,
-        startsInMs: turn.startsInMs,
-        millicores: turn.millicores * HEADROOM_FACTOR,
-      }))
-    ).toSorted((left, right) => left.startsInMs - right.startsInMs);
+  /** Returns the capacity of a pool after the moves, in millicores. */
+  findCapacity(pool: string): number {
+    return this.#capacity.get(pool) ?? 0;
   }
 
-  #isNear({ endsInMs, startsInMs }: PoolTurn): boolean {
-    return startsInMs <= this.#parkedMs && endsInMs > 0;
+  /** Adds a move. */
+  move({ cpuMillicores, pool, vm }: IdleVm, to: string): void {
+    this.#moved.add(vm);
+    this.#capacity.set(pool, this.findCapacity(pool) - cpuMillicores);
+    this.#capacity.set(to, this.findCapacity(to) + cpuMillicores);
+    this.moves.push({ vm, from: pool, to });
   }
+}
 
-  #computeKept(load: PoolLoad, reserveMillicores: number): number {
-    const { turns = [] } = load;
-    if (turns.length === 0 || turns.some(({ isFirst }) => isFirst)) {
-      return Infinity;
-    }
-    const near = turns.filter((turn) => this.#isNear(turn));
-    return Math.max(
-      computeWantedMillicores(load),
-      load.apartMillicores + reserveMillicores,
-      ...near.map(({ millicores }) => millicores * HEADROOM_FACTOR),
-    );
+// Lists what pools need for turns that last or begin within a time, the next
+// first.
+function listNear(pools: readonly PoolLoad[], withinMs: number): TurnNeed[] {
+  return pools.flatMap(({ pool, turns = [] }) =>
+    turns.filter(({ startsInMs }) => startsInMs <= withinMs).map((
+      { millicores, startsInMs },
+    ) => ({
+      pool,
+      startsInMs,
+      millicores: millicores * HEADROOM_FACTOR,
+    }))
+  ).toSorted((left, right) => left.startsInMs - right.startsInMs);
+}
+
+function computeKept(
+  load: PoolLoad,
+  near: readonly TurnNeed[],
+  reserveMillicores: number,
+): number {
+  const { turns = [] } = load;
+  // A turn that has begun tells little of its demand for some time.
+  const isKept = turns.length === 0 ||
+    turns.some(({ isFirst, startsInMs }) => isFirst || startsInMs <= 0);
+  if (isKept) {
+    return Infinity;
   }
+  return Math.max(
+    computeWantedMillicores(load),
+    load.apartMillicores + reserveMillicores,
+    ...near.map(({ millicores }) => millicores),
+  );
 }
--- a/src/decisions/scheduling/turn_capacity_policy_test.ts
+++ b/src/decisions/scheduling/turn_capacity_policy_test.ts
@@ -76,7 +76,7 @@
 // a pool holds between its turns.
 describe("VMs of pools whose turns are known", () => {
   const rested = createLoad("rested", 12, { turns: [createTurn(11_000)] });
-  const far = createLoad("far", 4, { turns: [createTurn(9_000)] });
+  const far = createLoad("far", 4, { turns: [createTurn(9_500)] });
 
   it("go to the pool whose turn is next", () => {
     const next = createLoad("next", 4, { turns: [createTurn(2_500)] });
@@ -85,13 +85,24 @@
     assert.is(count(moves, "rested", "standby"), 0);
   });
 
-  it("are parked if they could be fetched again before the next need", () => {
+  it("are parked if they are off for as long as the moves take", () => {
     const next = createLoad("next", 12, { turns: [createTurn(2_500)] });
     const moves = plan([rested, far, next, STANDBY], createIdle("rested", 8));
     assert.is(count(moves, "rested", "standby"), 8);
     assert.is(moves.length, 8);
   });
 
+  it("go to a pool that lacks VMs now before any turn", () => {
+    const next = createLoad("next", 4, { turns: [createTurn(2_500)] });
+    const busy = createLoad("busy", 4, { waitingMillicores: 200_000 });
+    const moves = plan(
+      [rested, busy, next, createLoad("standby", 4, { isStandby: true })],
+      [...createIdle("rested", 8), ...createIdle("standby", 4)],
+    );
+    assert.is(count(moves, "rested", "busy"), 8);
+    assert.is(count(moves, "standby", "busy"), 4);
+  });
+
   it("stay if the next turn of their pool is near", () => {
     const near = createLoad("near", 12, { turns: [createTurn(4_000)] });
     const moves = plan([near, far, STANDBY], createIdle("near", 8));
@@ -111,11 +122,12 @@
     );
   });
 
-  it("stay for a moment while their turn lasts", () => {
+  // Guards against VMs that leave in the first second of a turn, when a few jobs
+  // tell a low demand.
+  it("stay while their turn lasts", () => {
     const lasting = createLoad("lasting", 16, { turns: [createTurn(-1_000)] });
-    assert.equal(plan([lasting, STANDBY], createIdle("lasting", 4)), []);
-    const moves = plan([lasting, STANDBY], createIdle("lasting", 4, MOVE_MS));
-    assert.is(moves.length, 4);
+    const moves = plan([lasting, STANDBY], createIdle("lasting", 16, 9_000));
+    assert.equal(moves, []);
   });
 });
 
--- a/src/services/scheduling/capacity_cycle_test.ts
+++ b/src/services/scheduling/capacity_cycle_test.ts
@@ -19,7 +19,7 @@
   ...PERIOD_POOLS.map((name) => ({ name, isStandby: false, vmCount: 6 })),
   { name: "reserve", isStandby: true, vmCount: 10 },
 ];
-const TURN_MS = 5_000;
+const TURN_MS = 8_000;
 const JOB_INTERVAL_MS = 100;
 /** A job each 100 ms keeps 64 cores busy, which 8 VMs have. */
 const STEP = v.parse(jobStepSchema, {
