Average arriving work over 1.5 s

Cause: over 600 ms a few large jobs doubled what a pool wanted, and a pool keeps its VMs while its turn lasts. Change: ARRIVAL_WINDOW_MS 1,500 in place of 600.

--- a/src/services/scheduling/timing.ts
+++ b/src/services/scheduling/timing.ts
@@ -200,7 +200,7 @@
 /** How far ahead demand is predicted, in milliseconds: the duration of a move. */
 export const FORECAST_AHEAD_MS = 2_000;
 /** Window over which arriving work is averaged, in milliseconds. */
-export const ARRIVAL_WINDOW_MS = 600;
+export const ARRIVAL_WINDOW_MS = 1_500;
 /** Least number of jobs in that window for which the average is used. */
 export const MIN_ARRIVALS = 3;
 /**
