Tell an outage from the end of turns

Cause: while no leader accepts jobs, each pool's turn seems to end, so that VMs would leave it at the first plan of the next leader, and its turn was found again as a new one. Change: no turn is expected while no pool has a job, and for a second after that; the parts of a turn around such a time are one turn, if several pools have jobs.

--- a/src/decisions/scheduling/turn_detector.ts
+++ b/src/decisions/scheduling/turn_detector.ts
@@ -35,6 +35,12 @@
 /** Longest lull in the midst of a turn, in milliseconds. */
 const MAX_LULL_MS = 1_000;
 
+/** A time in which no job arrived. */
+interface Pause {
+  readonly fromMs: number;
+  readonly toMs: number;
+}
+
 /**
  * Finds the turns of each pool by cumulative sums of the likelihood ratio
  * between the present rate of arrival and one that differs by a factor. A step
@@ -56,11 +62,14 @@
   }
   const pools = [...byPool.values()];
   const firstMs = Math.min(...pools.map((own) => own[0]?.atMs ?? nowMs));
+  // The lull of a single pool does not tell that no job was accepted.
+  const pauses = pools.length > 1 ? findPauses(arrivals) : [];
   const leastDemand = MIN_DEMAND_SHARE * Math.max(...pools.map(findPeak));
   return pools.flatMap((own) =>
     joinParts(
       new PoolTurns(firstMs, leastDemand / computeMeanWork(own))
         .read(own, nowMs),
+      pauses,
       nowMs,
     )
   ).toSorted((left, right) => left.startMs - right.startMs);
@@ -94,12 +103,17 @@
 }
 
 // A short lull looks like the end of a turn and the start of another one.
-function joinParts(turns: readonly Turn[], nowMs: number): Turn[] {
+function joinParts(
+  turns: readonly Turn[],
+  pauses: readonly Pause[],
+  nowMs: number,
+): Turn[] {
   const joined: Turn[] = [];
   for (const turn of turns) {
     const before = joined.at(-1);
     if (
-      before?.endMs === undefined || turn.startMs - before.endMs > MAX_LULL_MS
+      before?.endMs === undefined ||
+      measureLull(before.endMs, turn.startMs, pauses) > MAX_LULL_MS
     ) {
       joined.push(turn);
       continue;
@@ -115,6 +129,29 @@
   return joined;
 }
 
+// Lists the times in which no pool had a job: without a leader none is accepted.
+function findPauses(arrivals: readonly Arrival[]): Pause[] {
+  return arrivals.flatMap(({ atMs }, index) => {
+    const fromMs = arrivals[index - 1]?.atMs ?? atMs;
+    return atMs - fromMs > MAX_LULL_MS ? [{ fromMs, toMs: atMs }] : [];
+  });
+}
+
+function measureLull(
+  fromMs: number,
+  toMs: number,
+  pauses: readonly Pause[],
+): number {
+  return pauses.reduce(
+    (leftMs, pause) =>
+      leftMs - Math.max(
+        0,
+        Math.min(toMs, pause.toMs) - Math.max(fromMs, pause.fromMs),
+      ),
+    toMs - fromMs,
+  );
+}
+
 function computeWork(
   { endMs, millicores, startMs }: Turn,
   nowMs: number,
--- a/src/decisions/scheduling/turn_detector_test.ts
+++ b/src/decisions/scheduling/turn_detector_test.ts
@@ -46,4 +46,18 @@
     const turns = findTurns(createTurn(5_000, 2_500), NOW_MS);
     assert.is(turns.length, 2);
   });
+
+  // The pattern: the leader is lost in a turn, and no job is accepted for 2.5 s.
+  it("are found in one piece if no pool had a job meanwhile", () => {
+    const other = Array.from({ length: 24 }, (_, at): Arrival => ({
+      pool: "b",
+      atMs: at * 500,
+      work: JOB_WORK,
+    })).filter(({ atMs }) => atMs < 5_000 || atMs >= 7_500);
+    const arrivals = [...createTurn(5_000, 2_500), ...other]
+      .toSorted((left, right) => left.atMs - right.atMs);
+    const turns = findTurns(arrivals, NOW_MS)
+      .filter(({ pool }) => pool === "a");
+    assert.equal(turns.map(({ startMs }) => startMs), [TURN_FROM_MS]);
+  });
 });
--- a/src/decisions/scheduling/turn_outlook.ts
+++ b/src/decisions/scheduling/turn_outlook.ts
@@ -42,6 +42,11 @@
 /** Time after which a turn that has not begun is no longer expected (ms). */
 const OVERDUE_MS = 1_000;
 
+/**
+ * Longest time without any job in which none was held up, and time after a longer
+ * one until turns are known again (ms).
+ */
+const MAX_PAUSE_MS = 1_000;
 /** Starts of turns that lie less far apart belong to the same change (ms). */
 const MIN_LAG_MS = 1_000;
 
@@ -56,6 +61,9 @@
     pools: readonly string[],
     nowMs: number,
   ): ExpectedTurn[] {
+    if (wasHeldUp(arrivals, nowMs)) {
+      return [];
+    }
     const turns = findRecentTurns(arrivals, nowMs);
     const lengthMs = findUsualLength(turns);
     const lasting = turns.filter(({ endMs }) => endMs === undefined).map((
@@ -78,6 +86,21 @@
   }
 }
 
+// Without a leader no job is accepted, which looks like the end of all turns.
+function wasHeldUp(arrivals: readonly Arrival[], nowMs: number): boolean {
+  let laterMs = nowMs;
+  for (const { atMs } of arrivals.toReversed()) {
+    if (laterMs - atMs > MAX_PAUSE_MS) {
+      return true;
+    }
+    if (nowMs - atMs > MAX_PAUSE_MS) {
+      return false;
+    }
+    laterMs = atMs;
+  }
+  return false;
+}
+
 type ExpectedStart = Omit<ExpectedTurn, "endMs">;
 
 // A burst looks like a turn, but has less work.
--- a/src/decisions/scheduling/turn_outlook_test.ts
+++ b/src/decisions/scheduling/turn_outlook_test.ts
@@ -107,6 +107,21 @@
     assert.equal(starts, [["a", 2 * CYCLE_MS]]);
   });
 
+  // Guards against VMs that leave a pool in its turn while there is no leader, or
+  // under a new one.
+  it("is none while no job is accepted, and for a second after that", () => {
+    const begins = Array.from({ length: 6 }, (_, turn) => turn * TURN_MS);
+    const expectAt = (nowMs: number) => {
+      const arrivals = createArrivals(begins, nowMs)
+        .filter(({ atMs }) => atMs < 13_000 || atMs >= 15_000);
+      return new CyclicTurnOutlook().expect(arrivals, POOLS, nowMs);
+    };
+    assert.ok(expectAt(13_500).length > 0);
+    assert.is(expectAt(14_500).length, 0);
+    assert.is(expectAt(15_500).length, 0);
+    assert.ok(expectAt(16_500).length > 0);
+  });
+
   it("gives up a turn that does not begin", () => {
     const begins = [0, 4_000, 8_000, 12_000, 16_000];
     const turns = expect(21_500, begins);
