--- a/src/daemon/scheduling/start_leading.ts
+++ b/src/daemon/scheduling/start_leading.ts
@@ -1,6 +1,7 @@
 /** Composes the tasks that a controller runs while it leads. */
 import {
   BackOffPacePolicy,
+  CyclicTurnOutlook,
   DemandCapacityPolicy,
   FailureTrustPolicy,
   HighestForecast,
@@ -11,7 +12,8 @@
   RunnerPaces,
   ScoredPlacementPolicy,
   StartPlanner,
-  TrendForecast,
+  StepAwareTrendForecast,
+  TurnCapacityPolicy,
   TurnForecast,
   UsefulResultPolicy,
 } from "../../decisions/index.ts";
@@ -34,6 +36,8 @@
   CapacityTask,
   JobAdmission,
   type LeaderWork,
+  MOVE_MS,
+  MOVE_RATE_SHARE,
   PaceTask,
   PlacementExplainer,
   PoolAccounts,
@@ -125,8 +129,9 @@
     isInMaintenance,
     forecast: new HighestForecast([
       new TurnForecast(),
-      new TrendForecast(),
+      new StepAwareTrendForecast(),
     ]),
+    outlook: new CyclicTurnOutlook(),
   });
   const waves = vms === undefined ? undefined : new WaveTask({
     ...options,
@@ -143,7 +148,11 @@
     accounts,
     loads,
     vms,
-    policy: new DemandCapacityPolicy(),
+    policy: new TurnCapacityPolicy({
+      base: new DemandCapacityPolicy(),
+      moveMs: MOVE_MS,
+      movesPerSecond: vms.maxOrdersPerSecond * MOVE_RATE_SHARE,
+    }),
     holderId: entryId,
     isInMaintenance,
   });
@@ -206,6 +215,7 @@
   const readLeaderGauges = () => ({
     ...readGauges(options, { fleet, accounts, room }),
     suspectRunnerCounts: trust.countByPool(),
+    ...(vms === undefined ? {} : { poolNeeds: loads.listNeeds() }),
   });
   group.startForever("work", (signal) => work.report(readLeaderGauges, signal));
   return {
--- a/src/services/scheduling/pool_accounts.ts
+++ b/src/services/scheduling/pool_accounts.ts
@@ -60,6 +60,13 @@
    */
   recordListing(vms: readonly ListedVm[]): void {
     this.#vms = vms;
+    const { runners } = this.#options.log.state;
+    for (const { pool, runnerId, vm } of vms) {
+      const runner = runners.get(runnerId ?? "");
+      if (runner?.pool === pool && this.#arriving.get(vm)?.pool === pool) {
+        this.#arriving.delete(vm);
+      }
+    }
   }
 
   /**
@@ -146,6 +153,15 @@
         this.#arriving.delete(vm);
       }
     }
+    // A runner that the newest list does not show is on a VM that was arriving.
+    const listed = new Set(this.#vms.map(({ runnerId }) => runnerId));
+    for (const runner of this.#options.log.state.runners.values()) {
+      const sum = sums.get(runner.pool);
+      if (sum !== undefined && !listed.has(runner.runnerId)) {
+        const { cpuMillicores } = runner.capacity;
+        sums.set(runner.pool, Math.max(0, sum - cpuMillicores));
+      }
+    }
     return sums;
   }
 
