Add tests of clients that are not controlled, which fail

Cause: clients that nobody controls ended a process. Chunked bodies stop short of their end, and answers to pipelined requests are not read.

Change: tests with real processes, started as the users' platform starts an entry (96 MB of heap), with lowered limits; bounds: 250 MiB of resident memory at the peak, the limit of connections and 100 descriptors, each ordinary request is answered while the clients stay and after they have gone. Files that end in _alone_test.ts run after all others, one at a time. The settings connectionLimits exist, and nothing uses them yet.

--- a/src/daemon/settings/settings_schema.ts
+++ b/src/daemon/settings/settings_schema.ts
@@ -1,6 +1,6 @@
 /** Schema of the daemon's settings, with the defaults. */
 import * as v from "valibot";
-import { nameSchema } from "../../domain/index.ts";
+import { connectionLimitsSchema, nameSchema } from "../../domain/index.ts";
 
 const DEFAULT_HTTP_PORT = 7_070;
 const DEFAULT_PEER_PORT = 7_071;
@@ -53,6 +53,8 @@
    */
   voter: v.optional(v.boolean(), true),
   http: addressSchema(DEFAULT_HTTP_PORT),
+  /** Limits for what clients leave open at the HTTP interface. */
+  connectionLimits: connectionLimitsSchema,
   peer: addressSchema(DEFAULT_PEER_PORT),
   peers: v.optional(v.array(peerSettingsSchema), []),
   /** File with the secret that all entries share; null if there are no peers. */
--- a/src/domain/index.ts
+++ b/src/domain/index.ts
@@ -6,6 +6,7 @@
 export * from "./change.ts";
 export * from "./claim_table.ts";
 export * from "./command.ts";
+export * from "./connection_limits.ts";
 export * from "./decision_record.ts";
 export * from "./errors.ts";
 export * from "./fleet_snapshot.ts";
--- a/src/testing/daemon_process.ts
+++ b/src/testing/daemon_process.ts
@@ -22,6 +22,8 @@
   readonly settingsFile: string;
   /** URL of the daemon's HTTP interface. */
   readonly url: string;
+  /** Further Node.js arguments. */
+  readonly nodeArguments?: readonly string[];
 }
 
 /** A daemon process that this process started. */
@@ -66,6 +68,7 @@
 export function spawnDaemon(options: DaemonOptions): DaemonProcess {
   const main = join(DIST_FOLDER, "daemon", "main.js");
   const child = spawn(process.execPath, [
+    ...(options.nodeArguments ?? []),
     main,
     "--settings",
     options.settingsFile,
--- a/src/testing/run_tests.ts
+++ b/src/testing/run_tests.ts
@@ -2,7 +2,8 @@
  * Entry point of `npm test`: runs the compiled `_test.js` files and prints a
  * summary.
  *
- * Arguments select the files whose path contains one of them.
+ * Arguments select the files whose path contains one of them. Files whose name
+ * ends in `_alone_test` run after all others, one at a time.
  */
 import { readdir, readFile } from "node:fs/promises";
 import { availableParallelism } from "node:os";
@@ -17,6 +18,7 @@
 import { type FileReport, runTestFiles } from "./test_runner.ts";
 
 const DIST_FOLDER = fileURLToPath(new URL("../", import.meta.url));
+const ALONE_ENDING = "_alone_test.js";
 const KNOWN_RED_FILE = fileURLToPath(
   new URL("../../KNOWN-RED.txt", import.meta.url),
 );
@@ -42,7 +44,14 @@
     .sort()
     .map((name) => join(DIST_FOLDER, name));
   const parallelCount = Math.max(1, Math.floor(availableParallelism() / 2));
-  const reports = await runTestFiles(files, parallelCount);
+  const isAlone = (file: string) => file.endsWith(ALONE_ENDING);
+  const reports = [
+    ...await runTestFiles(
+      files.filter((file) => !isAlone(file)),
+      parallelCount,
+    ),
+    ...await runTestFiles(files.filter(isAlone), 1),
+  ];
   const known = parseKnownRed(await readKnownRed());
   const results = reports.map((report) => createFileResult(report, known));
   results.forEach(printFileResult);
