Keep a body in one piece of memory instead of an array of its chunks

Cause: a chunk costs far more than what it carries; a body of one-byte chunks took some 140 bytes for each.

Change: GrowingBuffer in the domain; the loader of bodies uses it.

--- a/src/domain/index.ts
+++ b/src/domain/index.ts
@@ -11,6 +11,7 @@
 export * from "./errors.ts";
 export * from "./fleet_snapshot.ts";
 export * from "./fleet_state.ts";
+export * from "./growing_buffer.ts";
 export * from "./hash_text.ts";
 export * from "./labels.ts";
 export * from "./membership.ts";
--- a/src/services/requests/request_body.ts
+++ b/src/services/requests/request_body.ts
@@ -3,7 +3,11 @@
  * again; larger ones are streamed.
  */
 import { Result } from "true-myth";
-import { createFailure, type Failure } from "../../domain/index.ts";
+import {
+  createFailure,
+  type Failure,
+  GrowingBuffer,
+} from "../../domain/index.ts";
 import type { AttemptBody, Clock } from "../../ports/index.ts";
 
 /** Largest body that is buffered whole, in bytes. */
@@ -148,10 +152,9 @@
     source: AsyncIterator<Uint8Array>,
     expired: Promise<undefined>,
   ): Promise<Result<RequestBody, Failure>> {
-    const chunks: Uint8Array[] = [];
-    let sizeBytes = 0;
+    const buffer = new GrowingBuffer();
     const release = () => {
-      this.#bufferedBytes -= sizeBytes;
+      this.#bufferedBytes -= buffer.sizeBytes;
     };
     try {
       for (;;) {
@@ -167,17 +170,16 @@
         }
         if (next.done === true) {
           return Result.ok(
-            new RequestBody(joinChunks(chunks, sizeBytes), undefined, release),
+            new RequestBody(buffer.view(), undefined, release),
           );
         }
-        chunks.push(next.value);
-        sizeBytes += next.value.length;
+        buffer.append(next.value);
         this.#bufferedBytes += next.value.length;
-        const isFull = sizeBytes > MAX_BUFFERED_BODY_BYTES ||
+        const isFull = buffer.sizeBytes > MAX_BUFFERED_BODY_BYTES ||
           this.#bufferedBytes > this.#maxTotalBytes;
         if (isFull) {
           return Result.ok(
-            new RequestBody(joinChunks(chunks, sizeBytes), source, release),
+            new RequestBody(buffer.view(), source, release),
           );
         }
       }
@@ -187,20 +189,3 @@
     }
   }
 }
-
-function joinChunks(
-  chunks: readonly Uint8Array[],
-  sizeBytes: number,
-): Uint8Array {
-  const first = chunks[0];
-  if (chunks.length === 1 && first !== undefined) {
-    return first;
-  }
-  const joined = new Uint8Array(sizeBytes);
-  let at = 0;
-  for (const chunk of chunks) {
-    joined.set(chunk, at);
-    at += chunk.length;
-  }
-  return joined;
-}
