--- a/src/ports/index.ts
+++ b/src/ports/index.ts
@@ -3,6 +3,7 @@
 export * from "./agreement.ts";
 export * from "./backend_client.ts";
 export * from "./clock.ts";
+export * from "./connection_metrics.ts";
 export * from "./file_system.ts";
 export * from "./leader_metrics.ts";
 export * from "./log_store.ts";
