Limit what clients leave open at each HTTP interface

Cause: nothing limited the memory of unfinished bodies, the connections, or the requests that Node.js parses from one read of a socket: some 3,600 requests without headers, 13 MB of objects, before the first handler can refuse, and also after the socket was destroyed.

Change: ConnectionGuard counts connections, held bytes and open requests of an HttpServer, and closes the connection that has waited longest, or stalls. BodyChunks joins the chunks of a body as they arrive. Requests without a host header are refused by HttpServer, so that they count.

--- a/src/adapters/http/backend_routes.ts
+++ b/src/adapters/http/backend_routes.ts
@@ -37,7 +37,7 @@
   exchange: Exchange,
   options: BackendRoutesOptions,
 ): Promise<void> {
-  const body = await readJson(exchange.request, MAX_ANNOUNCEMENT_BYTES);
+  const body = await readJson(exchange, MAX_ANNOUNCEMENT_BYTES);
   const accepted: Result<unknown, Failure> = body
     .andThen((value) =>
       validateWith(announcementSchema, value, { subject: "announcement" })
--- a/src/adapters/http/caller_routes.ts
+++ b/src/adapters/http/caller_routes.ts
@@ -7,7 +7,11 @@
   DEADLINE_MS_HEADER,
 } from "../../domain/index.ts";
 import type { Clock, Logger, Random } from "../../ports/index.ts";
-import type { RequestService } from "../../services/index.ts";
+import {
+  MAX_BUFFERED_BODY_BYTES,
+  type RequestService,
+} from "../../services/index.ts";
+import { BodyChunks } from "./body_chunks.ts";
 import {
   DECISION_ID_HEADER,
   type Exchange,
@@ -94,7 +98,7 @@
   exchange: Exchange,
   options: CallerRoutesOptions,
 ): CallerRequest {
-  const { request, params, signal } = exchange;
+  const { account, request, params, signal } = exchange;
   const method = request.method ?? "GET";
   const isDeclaredIdempotent = request.headers[IDEMPOTENT_HEADER] === "true";
   const idempotencyKey = request.headers[IDEMPOTENCY_KEY_HEADER];
@@ -105,10 +109,8 @@
     method,
     path: readForwardedPath(request),
     headers: readHeaders(request),
-    // Keeps the request open when the body is not read to its end: destroying
-    // it would close the connection that the response needs.
     body: hasBody(request)
-      ? request.iterator({ destroyOnReturn: false })
+      ? new BodyChunks(request, account, MAX_BUFFERED_BODY_BYTES)
       : undefined,
     bodySizeBytes: readContentLength(request),
     deadlineAtMs: options.clock.monotonicMs() + readDeadlineMs(request),
--- a/src/adapters/http/entry_routes.ts
+++ b/src/adapters/http/entry_routes.ts
@@ -55,10 +55,11 @@
 }
 
 async function changeVoter(
-  { request, response }: Exchange,
+  exchange: Exchange,
   { entries }: EntryRoutesOptions,
 ): Promise<void> {
-  const body = await readJson(request, MAX_BODY_BYTES);
+  const { response } = exchange;
+  const body = await readJson(exchange, MAX_BODY_BYTES);
   const change = body.andThen((value) =>
     validateWith(voterChangeSchema, value, { subject: "change of a voter" })
   );
--- a/src/adapters/http/exchange.ts
+++ b/src/adapters/http/exchange.ts
@@ -2,9 +2,18 @@
 import { Buffer } from "node:buffer";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { Result } from "true-myth";
-import { createFailure, type Failure, findAnswer } from "../../domain/index.ts";
+import {
+  createFailure,
+  type Failure,
+  findAnswer,
+  GrowingBuffer,
+} from "../../domain/index.ts";
+import { BodyChunks, NoRoomError } from "./body_chunks.ts";
+import type { BodyAccount } from "./connection_guard.ts";
 
 const MS_PER_SECOND = 1_000;
+/** When a client may try again whose request exceeded a limit (ms). */
+const RETRY_AFTER_MS = 1_000;
 /** Header that tells the outcome of the request. */
 export const OUTCOME_HEADER = "cardamomsill-outcome";
 /** Header that carries the id of the decision behind a response. */
@@ -19,6 +28,8 @@
   /** Parameters of the matched route. */
   readonly params: Readonly<Record<string, string | undefined>>;
   readonly query: URLSearchParams;
+  /** Account of the request's body. */
+  readonly account: BodyAccount;
   /** Aborts when the client disconnects or the time for a stop runs out. */
   readonly signal: AbortSignal;
   /** Aborts when a planned stop begins; streaming responses must then end. */
@@ -40,47 +51,93 @@
 /**
  * Reads a JSON body of limited size.
  *
- * @param request - The request.
+ * @param exchange - The exchange of the request.
  * @param maxBytes - Largest accepted body, in bytes.
- * @returns The parsed body, `bodyTooLarge`, or `invalidInput`.
+ * @returns The parsed body, `invalidInput`, or a failure of {@link readText}.
  */
 export async function readJson(
-  request: IncomingMessage,
+  exchange: Exchange,
   maxBytes: number,
 ): Promise<Result<unknown, Failure>> {
-  const text = await readText(request, maxBytes);
+  const text = await readText(exchange, maxBytes);
   return text.andThen((value) => parseJson(value));
 }
 
 /**
  * Reads a body of limited size as text.
  *
- * @param request - The request.
+ * @param exchange - The exchange of the request.
  * @param maxBytes - Largest accepted body, in bytes.
- * @returns The text, or `bodyTooLarge`.
+ * @returns The text, `bodyTooLarge`, `overloaded` when all bodies together take
+ * too much, or `cancelled` when the connection closes before the end.
  */
 export async function readText(
-  request: IncomingMessage,
+  exchange: Exchange,
   maxBytes: number,
 ): Promise<Result<string, Failure>> {
-  const chunks: Buffer[] = [];
-  let sizeBytes = 0;
-  for await (const chunk of request as AsyncIterable<Buffer>) {
-    sizeBytes += chunk.length;
-    if (sizeBytes > maxBytes) {
-      return Result.err(
-        createFailure(
-          "bodyTooLarge",
-          `the body is larger than ${maxBytes} bytes`,
-          {
-            remedy: "split the change into smaller ones",
-          },
-        ),
-      );
+  const { account, request, response } = exchange;
+  const buffer = new GrowingBuffer();
+  try {
+    for await (const chunk of new BodyChunks(request, account, maxBytes)) {
+      if (buffer.sizeBytes + chunk.length > maxBytes) {
+        // Otherwise the rest of the body would be read after the answer.
+        closeAfterResponse(response);
+        return Result.err(createTooLarge(maxBytes));
+      }
+      buffer.append(chunk);
     }
-    chunks.push(chunk);
+  } catch (error) {
+    closeAfterResponse(response);
+    return Result.err(
+      error instanceof NoRoomError
+        ? createOverloaded(error.message)
+        : createFailure("cancelled", String(error)),
+    );
+  }
+  const bytes = buffer.view();
+  const text = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
+  return Result.ok(text.toString("utf8"));
+}
+
+function createTooLarge(maxBytes: number): Failure {
+  return createFailure(
+    "bodyTooLarge",
+    `the body is larger than ${maxBytes} bytes`,
+    { remedy: "split the change into smaller ones" },
+  );
+}
+
+/**
+ * Creates the failure of a request that was refused before anything was done.
+ *
+ * @param message - Which limit is exceeded.
+ */
+export function createOverloaded(message: string): Failure {
+  return createFailure("overloaded", message, { retryAfterMs: RETRY_AFTER_MS });
+}
+
+/**
+ * Checks the headers that HTTP demands of each request.
+ *
+ * @param request - The request.
+ * @returns `invalidInput`, or undefined when nothing is missing.
+ */
+export function findHeadFailure(request: IncomingMessage): Failure | undefined {
+  const { headers, httpVersion } = request;
+  return httpVersion === "1.1" && headers.host === undefined
+    ? createFailure("invalidInput", "the request has no host header")
+    : undefined;
+}
+
+/**
+ * Closes the connection once the response has been sent.
+ *
+ * @param response - The response.
+ */
+export function closeAfterResponse(response: ServerResponse): void {
+  if (!response.headersSent) {
+    response.setHeader("connection", "close");
   }
-  return Result.ok(Buffer.concat(chunks).toString("utf8"));
 }
 
 /**
--- a/src/adapters/http/http_server.ts
+++ b/src/adapters/http/http_server.ts
@@ -6,10 +6,24 @@
   type ServerResponse,
 } from "node:http";
 import findMyWay, { type HTTPMethod } from "find-my-way";
-import { createFailure } from "../../domain/index.ts";
-import type { Clock, Logger } from "../../ports/index.ts";
+import { LongestWaitPolicy } from "../../decisions/overload/index.ts";
+import {
+  type ConnectionLimits,
+  createFailure,
+  DEFAULT_CONNECTION_LIMITS,
+} from "../../domain/index.ts";
+import type { Clock, ConnectionMetrics, Logger } from "../../ports/index.ts";
 import { Notifier, type TaskGroup } from "../../tasks/index.ts";
-import { type Exchange, sendFailure } from "./exchange.ts";
+import { NoopConnectionMetrics } from "../metrics/noop_metrics.ts";
+import type { Connection } from "./connection.ts";
+import { ConnectionGuard } from "./connection_guard.ts";
+import {
+  closeAfterResponse,
+  createOverloaded,
+  type Exchange,
+  findHeadFailure,
+  sendFailure,
+} from "./exchange.ts";
 
 const MAX_HEADER_BYTES = 16 * 1_024;
 const HEADERS_TIMEOUT_MS = 10_000;
@@ -28,6 +42,8 @@
   readonly port: number;
   /** Keep-alive timeout of idle connections, in milliseconds. */
   readonly idleConnectionMs?: number;
+  readonly connectionLimits?: ConnectionLimits;
+  readonly metrics?: ConnectionMetrics;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly tasks: TaskGroup;
@@ -48,19 +64,30 @@
   });
   readonly #methodsByPath = new Map<string, Set<HTTPMethod>>();
   readonly #server: Server;
+  readonly #guard: ConnectionGuard;
   readonly #running = new Set<RunningExchange>();
   readonly #ended = new Notifier();
   readonly #stopping = new AbortController();
 
   constructor(options: HttpServerOptions) {
     this.#options = options;
+    this.#guard = new ConnectionGuard({
+      ...options,
+      limits: options.connectionLimits ?? DEFAULT_CONNECTION_LIMITS,
+      policy: new LongestWaitPolicy(),
+      metrics: options.metrics ?? new NoopConnectionMetrics(),
+      countRunning: () => this.#running.size,
+    });
     this.#server = createServer({
       maxHeaderSize: MAX_HEADER_BYTES,
       headersTimeout: HEADERS_TIMEOUT_MS,
       requestTimeout: 0,
       keepAliveTimeout: options.idleConnectionMs ?? IDLE_CONNECTION_MS,
       noDelay: true,
+      // Checked here, so that these requests count like all others.
+      requireHostHeader: false,
     }, (request, response) => this.#startExchange(request, response));
+    this.#server.on("connection", (socket) => this.#guard.open(socket));
   }
 
   /**
@@ -93,6 +120,7 @@
       this.#server.listen(port, host, resolve);
     });
     tasks.start("http listener", (signal) => this.#closeOnAbort(signal));
+    tasks.startForever("http clients", (signal) => this.#guard.run(signal));
     const address = this.#server.address();
     return typeof address === "object" && address !== null
       ? address.port
@@ -138,17 +166,48 @@
   }
 
   #startExchange(request: IncomingMessage, response: ServerResponse): void {
-    const running = { response, abortController: new AbortController() };
-    response.once("close", () => running.abortController.abort(EXCHANGE_ENDED));
+    const connection = this.#guard.find(request.socket);
+    if (connection === undefined) {
+      return;
+    }
+    const hasRoom = this.#guard.begin(connection, request, response);
     if (this.#stopping.signal.aborted) {
       closeAfterResponse(response);
     }
+    const refusal = hasRoom
+      ? findHeadFailure(request)
+      : createOverloaded("too many requests are not answered");
+    if (refusal === undefined) {
+      this.#run(connection, request, response);
+    } else {
+      closeAfterResponse(response);
+      sendFailure(response, refusal);
+    }
+  }
+
+  #run(
+    connection: Connection,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    const running = { response, abortController: new AbortController() };
+    const abort = () => running.abortController.abort(EXCHANGE_ENDED);
+    response.once("close", abort);
+    // The response of a pipelined request isn't told that the connection closes.
+    connection.closeListeners.add(abort);
+    const account = this.#guard.createAccount(connection, request);
     this.#running.add(running);
     this.#options.tasks.start("http request", async () => {
       try {
-        await this.#serve(request, response, running.abortController.signal);
+        await this.#serve(request, response, {
+          account,
+          signal: running.abortController.signal,
+        });
       } finally {
+        account.close();
+        connection.closeListeners.delete(abort);
         this.#running.delete(running);
+        this.#guard.wakeDelayed();
         this.#ended.notify();
       }
     });
@@ -157,7 +216,7 @@
   async #serve(
     request: IncomingMessage,
     response: ServerResponse,
-    signal: AbortSignal,
+    parts: Pick<Exchange, "account" | "signal">,
   ): Promise<void> {
     const url = new URL(request.url ?? "/", "http://entry");
     const method = (request.method ?? "GET") as HTTPMethod;
@@ -169,11 +228,11 @@
     const handler = found.store as ExchangeHandler;
     try {
       await handler({
+        ...parts,
         request,
         response,
         params: found.params,
         query: url.searchParams,
-        signal,
         stopping: this.#stopping.signal,
       });
     } catch (error) {
@@ -237,9 +296,3 @@
     await closed;
   }
 }
-
-function closeAfterResponse(response: ServerResponse): void {
-  if (!response.headersSent) {
-    response.setHeader("connection", "close");
-  }
-}
--- a/src/adapters/http/job_routes.ts
+++ b/src/adapters/http/job_routes.ts
@@ -90,7 +90,7 @@
   exchange: Exchange,
   options: JobRoutesOptions,
 ): Promise<void> {
-  const body = await readJson(exchange.request, MAX_JOB_BYTES);
+  const body = await readJson(exchange, MAX_JOB_BYTES);
   const job = body.andThen((value) =>
     validateWith(submittedJobSchema, value, { subject: "job" })
   );
--- a/src/adapters/http/operator_routes.ts
+++ b/src/adapters/http/operator_routes.ts
@@ -130,7 +130,7 @@
   options: OperatorRoutesOptions,
   operator: Operator,
 ): Promise<void> {
-  const body = await readJson(exchange.request, MAX_CHANGE_BYTES);
+  const body = await readJson(exchange, MAX_CHANGE_BYTES);
   const accepted = body.isErr
     ? Result.err<never, Failure>(body.error)
     : await options.operators.applyChange(operator, body.value);
@@ -142,7 +142,7 @@
   options: OperatorRoutesOptions,
   operator: Operator,
 ): Promise<void> {
-  const body = await readJson(exchange.request, MAX_CHANGE_BYTES);
+  const body = await readJson(exchange, MAX_CHANGE_BYTES);
   const newKey = body.andThen((value) =>
     validateWith(newKeySchema, value, { subject: "key" })
   );
--- a/src/adapters/http/plan_routes.ts
+++ b/src/adapters/http/plan_routes.ts
@@ -36,7 +36,7 @@
   exchange: Exchange,
   { plans }: PlanRoutesOptions,
 ): Promise<void> {
-  const body = await readJson(exchange.request, MAX_CHANGE_BYTES);
+  const body = await readJson(exchange, MAX_CHANGE_BYTES);
   const plan = body.andThen((value) => plans.plan(value));
   sendResult(exchange.response, plan);
 }
--- a/src/adapters/metrics/noop_metrics.ts
+++ b/src/adapters/metrics/noop_metrics.ts
@@ -1,5 +1,5 @@
-/** Metrics port for processes that expose no request metrics. */
-import type { Metrics } from "../../ports/index.ts";
+/** Metrics ports for processes that expose no metrics of the kind. */
+import type { ConnectionMetrics, Metrics } from "../../ports/index.ts";
 
 /** Discards all measurements. */
 export class NoopMetrics implements Metrics {
@@ -9,3 +9,10 @@
 
   countControlBytes(): void {}
 }
+
+/** Discards all measurements of connections. */
+export class NoopConnectionMetrics implements ConnectionMetrics {
+  countClosedConnection(): void {}
+
+  addHeldBytes(): void {}
+}
--- a/src/adapters/metrics/prometheus_metrics.ts
+++ b/src/adapters/metrics/prometheus_metrics.ts
@@ -6,14 +6,21 @@
   Histogram,
   Registry,
 } from "prom-client";
-import type { Metrics, RequestMeasurement } from "../../ports/index.ts";
+import type {
+  CloseReason,
+  ConnectionMetrics,
+  Metrics,
+  RequestMeasurement,
+} from "../../ports/index.ts";
+import { PrometheusConnectionMetrics } from "./prometheus_connection_metrics.ts";
 
 const MS_PER_SECOND = 1_000;
 const BUCKETS_SECONDS = [0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 15, 60];
 
 /** Collects the metrics of one process, including those of Node.js. */
-export class PrometheusMetrics implements Metrics {
+export class PrometheusMetrics implements ConnectionMetrics, Metrics {
   readonly #registry = new Registry();
+  readonly #connections = new PrometheusConnectionMetrics(this.#registry);
   readonly #requests = new Counter({
     name: "cardamomsill_requests_total",
     help: "Requests by team, queue and outcome; each request counts once",
@@ -73,6 +80,14 @@
     this.#controlBytes.inc({ direction }, byteCount);
   }
 
+  countClosedConnection(reason: CloseReason): void {
+    this.#connections.countClosedConnection(reason);
+  }
+
+  addHeldBytes(byteCount: number): void {
+    this.#connections.addHeldBytes(byteCount);
+  }
+
   /**
    * Renders all metrics.
    *
--- a/src/adapters/metrics/prometheus_scheduling_metrics.ts
+++ b/src/adapters/metrics/prometheus_scheduling_metrics.ts
@@ -3,6 +3,8 @@
 import type { JobState, RunEnd } from "../../domain/index.ts";
 import type {
   CallMeasurement,
+  CloseReason,
+  ConnectionMetrics,
   DiskMetrics,
   DiskWriteKind,
   DiskWriteOutcome,
@@ -16,6 +18,7 @@
   SchedulingGauges,
   SchedulingMetrics,
 } from "../../ports/index.ts";
+import { PrometheusConnectionMetrics } from "./prometheus_connection_metrics.ts";
 
 const MS_PER_SECOND = 1_000;
 /** Buckets from one network round trip to the longest wait for a job. */
@@ -46,10 +49,16 @@
 
 /** Collects the scheduling metrics of one process. */
 export class PrometheusSchedulingMetrics
-  implements SchedulingMetrics, LeaderMetrics, EventLoopMetrics, DiskMetrics {
+  implements
+    ConnectionMetrics,
+    DiskMetrics,
+    EventLoopMetrics,
+    LeaderMetrics,
+    SchedulingMetrics {
   readonly #options: PrometheusSchedulingMetricsOptions;
   readonly #registry = new Registry();
   readonly #registers = [this.#registry];
+  readonly #connections = new PrometheusConnectionMetrics(this.#registry);
   readonly #calls = new Histogram({
     name: "cardamomsill_call_seconds",
     help: "Time to answer calls about jobs, by action and outcome",
@@ -239,6 +248,14 @@
     this.#messages.inc({ method });
   }
 
+  countClosedConnection(reason: CloseReason): void {
+    this.#connections.countClosedConnection(reason);
+  }
+
+  addHeldBytes(byteCount: number): void {
+    this.#connections.addHeldBytes(byteCount);
+  }
+
   /** Renders all metrics in the text format of Prometheus. */
   render(): Promise<string> {
     const { readGauges, readDroppedLineCount, usage } = this.#options;
--- a/src/daemon/create_http_frontend.ts
+++ b/src/daemon/create_http_frontend.ts
@@ -64,7 +64,11 @@
     peerIds: settings.peers.map(({ entryId }) => entryId),
   });
   const plans = new PlanService({ ...context, ...controllerView });
-  const server = new HttpServer({ ...context, ...settings.http });
+  const server = new HttpServer({
+    ...context,
+    ...settings.http,
+    connectionLimits: settings.connectionLimits,
+  });
   addCallerRoutes(server, { ...context, ...requestServices });
   addBackendRoutes(server, permitServices);
   addOperatorRoutes(server, { ...context, operators, explainer });
--- a/src/daemon/scheduling/scheduling_base.ts
+++ b/src/daemon/scheduling/scheduling_base.ts
@@ -5,6 +5,7 @@
 import { TcpPeerNetwork } from "../../adapters/peer/index.ts";
 import { NodeProcessUsage } from "../../adapters/process/index.ts";
 import { SeededRandom } from "../../adapters/random/index.ts";
+import type { ConnectionLimits } from "../../domain/index.ts";
 import type {
   Clock,
   Logger,
@@ -39,6 +40,8 @@
   readonly logger: Logger;
   /** Where metrics, jobs and explanations are served; undefined for nowhere. */
   readonly inspectionAddress?: ListenAddress | undefined;
+  /** Limits of each HTTP interface of the process. */
+  readonly connectionLimits: ConnectionLimits;
   /** Returns how many log lines were dropped. */
   readonly readDroppedLineCount: () => number;
 }
