--- a/src/adapters/http/job_routes.ts
+++ b/src/adapters/http/job_routes.ts
@@ -92,24 +92,24 @@
 }
 
 async function explainPlacement(
-  { request, response }: Exchange,
+  exchange: Exchange,
   { leader }: JobRoutesOptions,
 ): Promise<void> {
-  const body = await readJson(request, MAX_JOB_BYTES);
+  const body = await readJson(exchange, MAX_JOB_BYTES);
   const explained = body.isErr ? body : await leader.call(
     SCHEDULING_METHODS.explainPlacement,
     body.value,
     LEADER_TIMEOUT_MS,
     { isRead: true },
   );
-  sendResult(response, explained);
+  sendResult(exchange.response, explained);
 }
 
 async function submit(
   exchange: Exchange,
   options: JobRoutesOptions,
 ): Promise<void> {
-  const body = await readJson(exchange.request, MAX_JOB_BYTES);
+  const body = await readJson(exchange, MAX_JOB_BYTES);
   const job = body.andThen((value) =>
     validateWith(submittedJobSchema, value, { subject: "job" })
   );
