--- a/src/services/scheduling/pool_accounts_test.ts
+++ b/src/services/scheduling/pool_accounts_test.ts
@@ -167,6 +167,24 @@
       assert.equal(find("dock"), {});
     });
 
+    // Guards against pools that seem to have VMs to spare, and give them away.
+    it("once when its runner is there, listed or not", () => {
+      const { accounts, find } = setUp([
+        createRunner("r1", { pool: "dock" }),
+        createRunner("r2", { pool: "dock" }),
+      ]);
+      const [first, second] = [createListed("vm1"), createListed("vm2")];
+      accounts.recordListing([first, second]);
+      accounts.recordMoved(first, "dock");
+      accounts.recordMoved(second, "dock");
+      assert.equal(find("dock"), { free: 2 * VM_MILLICORES });
+      accounts.recordListing([
+        createListed("vm1", { pool: "dock", runnerId: "r1" }),
+        createListed("vm2", { pool: "dock", state: "moving" }),
+      ]);
+      assert.equal(find("dock"), { free: 2 * VM_MILLICORES });
+    });
+
     // A move that an earlier leader has ordered.
     it("as arriving where the list says that it moves", () => {
       const { accounts, find } = setUp([]);
