--- a/src/decisions/scheduling/trend_forecast_test.ts
+++ b/src/decisions/scheduling/trend_forecast_test.ts
@@ -1,7 +1,11 @@
 import * as assert from "uvu/assert";
 import { describe, it } from "../../testing/describe.ts";
 import type { Arrival } from "./demand_forecast.ts";
-import { HighestForecast, TrendForecast } from "./trend_forecast.ts";
+import {
+  HighestForecast,
+  StepAwareTrendForecast,
+  TrendForecast,
+} from "./trend_forecast.ts";
 
 const NOW_MS = 100_000;
 const AHEAD_MS = 2_000;
@@ -47,6 +51,29 @@
   });
 });
 
+// The pattern: a turn begins with a step, and its jobs differ in size.
+describe("forecast of a queue in its turn", () => {
+  const forecast = new StepAwareTrendForecast();
+  const predictInTurn = (counts: readonly number[]) =>
+    (forecast.predict(createArrivals(counts), NOW_MS + AHEAD_MS, NOW_MS)
+      .get("bay") ?? 0) / 1_000;
+
+  // Guards against a pool without VMs for its turn when the leader is lost in
+  // its first seconds.
+  it("extends the rise at its start", () => {
+    assert.is(predictInTurn([1, 1, 1, 1, 40]), 80);
+  });
+
+  it("extends none later, however much more work comes by chance", () => {
+    assert.is(predictInTurn([1, 1, 1, 1, 40, 40, 60]), 0);
+  });
+
+  // Guards against an outage that is taken for the start of a turn.
+  it("extends none of work that was held up before", () => {
+    assert.is(predictInTurn([40, 40, 40, 0, 0, 0, 90]), 0);
+  });
+});
+
 describe("forecast of demand that does not rise", () => {
   it("is none while it stays", () => {
     assert.is(predictCores(createArrivals([40, 40, 40])), 0);
