Extend the rise of demand until a turn has ended

Change: the trend holds for a pool in its turn until a turn has ended, and says nothing of work that was held up.

--- a/src/decisions/scheduling/trend_forecast.ts
+++ b/src/decisions/scheduling/trend_forecast.ts
@@ -1,5 +1,6 @@
 /** Forecasts demand that is rising, and joins several forecasts. */
 import type { Arrival, DemandForecast } from "./demand_forecast.ts";
+import { measureHeldUp } from "./held_up.ts";
 import { findRecentTurns } from "./turn_detector.ts";
 
 /** Length of each of the two spans whose arrivals are compared (ms). */
@@ -42,8 +43,9 @@
 }
 
 /**
- * Extends no rise of a pool in its turn: a turn begins with a step, after which
- * demand rises no further, and jobs of different sizes look like a rise.
+ * Extends no rise of a pool in its turn once a turn has ended: until then nothing
+ * tells how much one needs. A turn begins with a step, after which demand rises no
+ * further. Work that was held up shows no rise either.
  */
 export class StepAwareTrendForecast implements DemandForecast {
   readonly #trend = new TrendForecast();
@@ -53,10 +55,16 @@
     fromMs: number,
     nowMs: number,
   ): ReadonlyMap<string, number> {
+    const firstMs =
+      arrivals.find(({ atMs, work }) => work > 0 && nowMs - atMs <= 2 * SPAN_MS)
+        ?.atMs ?? nowMs;
+    if (measureHeldUp(arrivals, firstMs) > 0) {
+      return new Map();
+    }
+    const turns = findRecentTurns(arrivals, nowMs);
+    const isLevelKnown = turns.some(({ endMs }) => endMs !== undefined);
     const inTurn = new Set(
-      findRecentTurns(arrivals, nowMs).filter(({ endMs }) =>
-        endMs === undefined
-      )
+      turns.filter(({ endMs }) => isLevelKnown && endMs === undefined)
         .map(({ pool }) => pool),
     );
     const expected = this.#trend.predict(arrivals, fromMs, nowMs);
