--- a/src/decisions/scheduling/trend_forecast.ts
+++ b/src/decisions/scheduling/trend_forecast.ts
@@ -43,15 +43,9 @@
 }
 
 /**
- * Time from the start of a turn in which its first jobs do not tell yet how high
- * its demand is, in milliseconds.
- */
-const YOUNG_TURN_MS = 2 * SPAN_MS;
-
-/**
- * Extends the rise of a pool's demand at the start of its turn only. Later in a
- * turn, jobs of different sizes look like a rise. Work that was held up before
- * the turn does so as well.
+ * Extends no rise of a pool in its turn once a turn has ended: until then nothing
+ * tells how much one needs. A turn begins with a step, after which demand rises no
+ * further. Work that was held up shows no rise either.
  */
 export class StepAwareTrendForecast implements DemandForecast {
   readonly #trend = new TrendForecast();
@@ -61,11 +55,16 @@
     fromMs: number,
     nowMs: number,
   ): ReadonlyMap<string, number> {
+    const firstMs =
+      arrivals.find(({ atMs, work }) => work > 0 && nowMs - atMs <= 2 * SPAN_MS)
+        ?.atMs ?? nowMs;
+    if (measureHeldUp(arrivals, firstMs) > 0) {
+      return new Map();
+    }
+    const turns = findRecentTurns(arrivals, nowMs);
+    const isLevelKnown = turns.some(({ endMs }) => endMs !== undefined);
     const inTurn = new Set(
-      findRecentTurns(arrivals, nowMs).filter(({ endMs, startMs }) =>
-        endMs === undefined && (nowMs - startMs > YOUNG_TURN_MS ||
-          measureHeldUp(arrivals, startMs) > 0)
-      )
+      turns.filter(({ endMs }) => isLevelKnown && endMs === undefined)
         .map(({ pool }) => pool),
     );
     const expected = this.#trend.predict(arrivals, fromMs, nowMs);
