--- a/src/decisions/scheduling/full_pool.ts
+++ b/src/decisions/scheduling/full_pool.ts
@@ -62,12 +62,10 @@
     teams,
   });
   const used = new Map(room.usedByTeam);
-  const exceedsShare = steps.map(({ step }) => addUse(step, used, shareByTeam));
-  const delayed = findDelayed(input, exceedsShare);
-  // While all steps can end in time, shares would only delay some of them.
-  const isBeyondShare = exceedsShare.map((isBeyond) =>
-    isBeyond && delayed.size > 0
+  const isBeyondShare = steps.map(({ step }) =>
+    addUse(step, used, shareByTeam)
   );
+  const delayed = findDelayed(input, isBeyondShare);
   const longWaits = findLongWaits(input);
   const ranked = steps.map((entry, index): RankedStep => {
     const isBeyond = isBeyondShare[index] ?? false;
