--- a/src/decisions/scheduling/admission_policy.ts
+++ b/src/decisions/scheduling/admission_policy.ts
@@ -120,7 +120,9 @@
   return {
     pathMs,
     slackMs: Math.max(0, targetMs - pathMs),
-    usefulMs: USEFUL_TIME_FACTOR * targetMs,
+    // The target counts the work that steps turn out to need.
+    usefulMs: USEFUL_TIME_FACTOR *
+      (stretch * Math.max(longestMs, pathMs) + targetLatencyMs),
   };
 }
 
--- a/src/decisions/scheduling/admission_policy_test.ts
+++ b/src/decisions/scheduling/admission_policy_test.ts
@@ -85,10 +85,11 @@
       assert.is(new AcceptAllPolicy().decide(), undefined);
     });
 
-    it("counts the delays of recent runs", () => {
-      const full = createFull(1_200, 7_000);
+    it("counts the delays of recent runs, also in the target", () => {
+      const full = createFull(1_200, 20_000);
       assert.is(decide({ full }), undefined);
-      assert.ok(decide({ full, delayMs: 500 }));
+      const rejection = decide({ full, delayMs: 500 });
+      assert.is(rejection?.usefulMs, 8_250);
     });
   });
 
