Keep the order of slack in a full pool while all steps can end in time

Cause: a pool counts as full whenever more waits than is free for a moment; teams beyond their share were then placed behind others although all could end in time. Change: shares count only once some step must be delayed.

--- a/src/decisions/scheduling/full_pool.ts
+++ b/src/decisions/scheduling/full_pool.ts
@@ -67,8 +67,10 @@
   );
   const delayed = findDelayed(input, isBeyondShare);
   const longWaits = findLongWaits(input);
+  // While all can end in time, shares would only make some of them late.
+  const isScarce = delayed.size > 0;
   const ranked = steps.map((entry, index): RankedStep => {
-    const isBeyond = isBeyondShare[index] ?? false;
+    const isBeyond = isScarce && (isBeyondShare[index] ?? false);
     return {
       step: entry.step,
       isBeyondShare: isBeyond,
--- a/src/decisions/scheduling/least_cost_order_test.ts
+++ b/src/decisions/scheduling/least_cost_order_test.ts
@@ -274,6 +274,24 @@
       assert.ok(delayed.every(({ step }) => lowTeam.includes(step)));
     });
 
+    // Guards against jobs that are late only because their team's share is less
+    // than what it asks for, in a pool that is full for a moment.
+    it("keeps the order of slack while all can end in time", () => {
+      const teams = [createTeam("large", 9), createTeam("small", 1)];
+      const room = createRoom({ cores: 20, teams });
+      const steps = [
+        ...createSteps(15, { team: "large", slackMs: 1_500 }),
+        ...createSteps(10, { team: "small", slackMs: 700 }),
+      ];
+      const { ranked, fullPools } = policy.rank(steps, NOW_MS, room);
+      const full = fullPools.get(CROWDED_POOL);
+      assert.equal([...full?.shareByTeam.keys() ?? []], ["small"]);
+      assert.equal(
+        ranked.map(({ step }) => toId(step)),
+        baseline.sort(steps, NOW_MS).map(toId),
+      );
+    });
+
     it("delays nothing while all can end in time", () => {
       const room = createRoom({ cores: 10 });
       const steps = createSteps(18, { slackMs: 1_500 });
