--- a/src/adapters/metrics/prometheus_scheduling_metrics.ts
+++ b/src/adapters/metrics/prometheus_scheduling_metrics.ts
@@ -3,6 +3,8 @@
 import type { JobState, RunEnd } from "../../domain/index.ts";
 import type {
   CallMeasurement,
+  CloseReason,
+  ConnectionMetrics,
   DiskMetrics,
   DiskWriteKind,
   DiskWriteOutcome,
@@ -10,12 +12,14 @@
   JobLabels,
   LeaderMetrics,
   ProcessUsage,
+  RunFaultKind,
   RunnerRemoval,
   RunnerRequestKind,
   RunnerRequestOutcome,
   SchedulingGauges,
   SchedulingMetrics,
 } from "../../ports/index.ts";
+import { PrometheusConnectionMetrics } from "./prometheus_connection_metrics.ts";
 
 const MS_PER_SECOND = 1_000;
 /** Buckets from one network round trip to the longest wait for a job. */
@@ -46,10 +50,16 @@
 
 /** Collects the scheduling metrics of one process. */
 export class PrometheusSchedulingMetrics
-  implements SchedulingMetrics, LeaderMetrics, EventLoopMetrics, DiskMetrics {
+  implements
+    ConnectionMetrics,
+    DiskMetrics,
+    EventLoopMetrics,
+    LeaderMetrics,
+    SchedulingMetrics {
   readonly #options: PrometheusSchedulingMetricsOptions;
   readonly #registry = new Registry();
   readonly #registers = [this.#registry];
+  readonly #connections = new PrometheusConnectionMetrics(this.#registry);
   readonly #calls = new Histogram({
     name: "cardamomsill_call_seconds",
     help: "Time to answer calls about jobs, by action and outcome",
@@ -158,12 +168,30 @@
     labelNames: ["pool"],
     registers: this.#registers,
   });
+  readonly #suspectRunners = new Gauge({
+    name: "cardamomsill_suspect_runners",
+    help: "Runners that get one task at a time, at the leader, by pool",
+    labelNames: ["pool"],
+    registers: this.#registers,
+  });
   readonly #poolMillicores = new Gauge({
     name: "cardamomsill_pool_millicores",
     help: "CPU of all VMs at the leader, by pool and what it is used for",
     labelNames: ["pool", "share"],
     registers: this.#registers,
   });
+  readonly #wantedMillicores = new Gauge({
+    name: "cardamomsill_wanted_millicores",
+    help: "CPU that pools need now or one move ahead, at the leader",
+    labelNames: ["pool"],
+    registers: this.#registers,
+  });
+  readonly #nextTurnSeconds = new Gauge({
+    name: "cardamomsill_next_turn_seconds",
+    help: "Time until the next expected turn of a pool, at the leader",
+    labelNames: ["pool"],
+    registers: this.#registers,
+  });
   readonly #runnerRequests = new Counter({
     name: "cardamomsill_runner_requests_total",
     help: "Requests of the leader to runners, by kind and outcome",
@@ -176,6 +204,24 @@
     labelNames: ["reason"],
     registers: this.#registers,
   });
+  readonly #runFaults = new Counter({
+    name: "cardamomsill_run_faults_total",
+    help: "Refused starts, still runs and newly suspect runners, by kind",
+    labelNames: ["kind"],
+    registers: this.#registers,
+  });
+  readonly #rejectedJobs = new Counter({
+    name: "cardamomsill_rejected_jobs_total",
+    help: "Jobs that the leader rejected for want of room, by reason",
+    labelNames: [...JOB_LABELS, "reason"],
+    registers: this.#registers,
+  });
+  readonly #delayedSteps = new Gauge({
+    name: "cardamomsill_delayed_steps",
+    help: "Waiting steps at the leader behind others in full pools, by reason",
+    labelNames: ["reason"],
+    registers: this.#registers,
+  });
   readonly #messages = new Counter({
     name: "cardamomsill_leader_messages_total",
     help: "Messages of entries and controllers to the leader, by method",
@@ -235,10 +281,26 @@
     this.#removedRunners.inc({ reason });
   }
 
+  countRunFault(kind: RunFaultKind): void {
+    this.#runFaults.inc({ kind });
+  }
+
+  countRejectedJob(labels: JobLabels, reason: string): void {
+    this.#rejectedJobs.inc({ ...labels, reason });
+  }
+
   countMessage(method: string): void {
     this.#messages.inc({ method });
   }
 
+  countClosedConnection(reason: CloseReason): void {
+    this.#connections.countClosedConnection(reason);
+  }
+
+  addHeldBytes(byteCount: number): void {
+    this.#connections.addHeldBytes(byteCount);
+  }
+
   /** Renders all metrics in the text format of Prometheus. */
   render(): Promise<string> {
     const { readGauges, readDroppedLineCount, usage } = this.#options;
@@ -249,33 +311,44 @@
     this.#loopActive.inc(loopActiveMs / MS_PER_SECOND);
     this.#droppedLines.reset();
     this.#droppedLines.inc(readDroppedLineCount());
-    this.#openJobs.reset();
-    this.#runners.reset();
-    this.#waitingTasks.reset();
-    this.#freeMillicores.reset();
-    this.#poolMillicores.reset();
+    this.#wantedMillicores.reset();
+    this.#nextTurnSeconds.reset();
     const gauges = readGauges();
     this.#term.set(gauges?.term ?? 0);
+    setAll(this.#openJobs, gauges?.openJobCounts);
+    setAll(this.#runners, gauges?.runnerCounts);
+    setAll(this.#waitingTasks, gauges?.waitingTaskCounts);
+    setAll(this.#freeMillicores, gauges?.freeMillicores);
+    setAll(this.#delayedSteps, gauges?.delayedStepCounts);
+    setAll(this.#suspectRunners, gauges?.suspectRunnerCounts);
+    this.#poolMillicores.reset();
     if (gauges !== undefined) {
       this.#catalog.set(gauges.catalogVersion);
-      for (const [state, count] of gauges.openJobCounts) {
-        this.#openJobs.set({ state }, count);
-      }
-      for (const [condition, count] of gauges.runnerCounts) {
-        this.#runners.set({ condition }, count);
-      }
-      for (const [pool, count] of gauges.waitingTaskCounts) {
-        this.#waitingTasks.set({ pool }, count);
-      }
-      for (const [pool, millicores] of gauges.freeMillicores) {
-        this.#freeMillicores.set({ pool }, millicores);
-      }
       for (const [pool, account] of gauges.poolMillicores) {
         for (const [share, millicores] of account) {
           this.#poolMillicores.set({ pool, share }, millicores);
         }
       }
+      for (const [pool, need] of gauges.poolNeeds ?? []) {
+        this.#wantedMillicores.set({ pool }, need.wantedMillicores);
+        if (need.nextTurnMs !== undefined) {
+          this.#nextTurnSeconds.set(
+            { pool },
+            need.nextTurnMs / MS_PER_SECOND,
+          );
+        }
+      }
     }
     return this.#registry.metrics();
   }
 }
+
+function setAll<Label extends string>(
+  gauge: Gauge<Label>,
+  values: ReadonlyMap<string, number> | undefined,
+): void {
+  gauge.reset();
+  for (const [name, value] of values ?? []) {
+    gauge.labels(name).set(value);
+  }
+}
--- a/src/adapters/metrics/prometheus_scheduling_metrics_test.ts
+++ b/src/adapters/metrics/prometheus_scheduling_metrics_test.ts
@@ -9,11 +9,16 @@
   catalogVersion: 1,
   openJobCounts: new Map(),
   runnerCounts: new Map(),
+  suspectRunnerCounts: new Map([["bay", 2]]),
   waitingTaskCounts: new Map([["bay", 4]]),
   freeMillicores: new Map([["bay", 2_500]]),
+  delayedStepCounts: new Map([["beyondShare", 3]]),
   poolMillicores: new Map([
     ["bay", new Map([["free", 2_500], ["maintenance", 64_000]] as const)],
   ]),
+  poolNeeds: new Map([
+    ["bay", { wantedMillicores: 96_000, nextTurnMs: 2_500 }],
+  ]),
 };
 
 function setUp(gauges: SchedulingGauges | undefined = GAUGES) {
@@ -89,6 +94,14 @@
       }
     });
 
+    it("show suspect runners, and count what speaks against them", async () => {
+      const { listLines, metrics } = setUp();
+      metrics.countRunFault("still");
+      const lines = await listLines();
+      assertIncludes(lines, 'cardamomsill_suspect_runners{pool="bay"} 2');
+      assertIncludes(lines, 'cardamomsill_run_faults_total{kind="still"} 1');
+    });
+
     it("show waiting tasks beside free capacity while it leads", async () => {
       const lines = await setUp().listLines();
       assertIncludes(lines, 'cardamomsill_waiting_tasks{pool="bay"} 4');
@@ -101,5 +114,14 @@
       assertIncludes(lines, `${name}{pool="bay",share="free"} 2500`);
       assertIncludes(lines, `${name}{pool="bay",share="maintenance"} 64000`);
     });
+
+    it("show what a pool needs, and when its next turn is expected", async () => {
+      const lines = await setUp().listLines();
+      assertIncludes(
+        lines,
+        'cardamomsill_wanted_millicores{pool="bay"} 96000',
+      );
+      assertIncludes(lines, 'cardamomsill_next_turn_seconds{pool="bay"} 2.5');
+    });
   });
 });
--- a/src/daemon/scheduling/create_scheduling_controller.ts
+++ b/src/daemon/scheduling/create_scheduling_controller.ts
@@ -105,11 +105,16 @@
     network,
     agreement: replica,
     metrics: work,
-    jobs: new JobService({ log, logger }),
+    jobs: new JobService({
+      log,
+      logger,
+      findAdmission: () => leaderServices?.admission,
+    }),
     operations: new OperationsService({ log, clock, logger }),
     findRegistry: () => leaderServices?.registry,
     findZones: () => leaderServices?.zones,
     findExplainer: () => leaderServices?.explainer,
+    findPlacements: () => leaderServices?.placements,
   });
   const remoteLeaderClient = new LeaderClient({
     ...base,
--- a/src/daemon/scheduling/start_leading.ts
+++ b/src/daemon/scheduling/start_leading.ts
@@ -1,16 +1,21 @@
 /** Composes the tasks that a controller runs while it leads. */
 import {
   BackOffPacePolicy,
+  CyclicTurnOutlook,
   DemandCapacityPolicy,
+  FailureTrustPolicy,
   HighestForecast,
+  LeastCostOrderPolicy,
   LeastLossMaintenancePolicy,
   listReadySteps,
   RunDelays,
+  RunnerPaces,
   ScoredPlacementPolicy,
-  SlackOrderPolicy,
   StartPlanner,
-  TrendForecast,
+  StepAwareTrendForecast,
+  TurnCapacityPolicy,
   TurnForecast,
+  UsefulResultPolicy,
 } from "../../decisions/index.ts";
 import type {
   JobState,
@@ -29,12 +34,18 @@
 import {
   AdviceTask,
   CapacityTask,
+  JobAdmission,
   type LeaderWork,
+  MOVE_MS,
+  MOVE_RATE_SHARE,
   PaceTask,
+  PlacementExplainer,
   PoolAccounts,
   PoolLoads,
+  RoomWatch,
   RunnerFleet,
   RunnerRegistry,
+  RunnerTrust,
   ScheduleExplainer,
   Scheduler,
   type SchedulingLog,
@@ -68,6 +79,8 @@
   readonly registry: RunnerRegistry;
   readonly zones: ZoneService;
   readonly explainer: ScheduleExplainer;
+  readonly admission: JobAdmission;
+  readonly placements: PlacementExplainer;
   readonly readGauges: () => SchedulingGauges;
 }
 
@@ -82,13 +95,19 @@
   const options = { ...given, metrics: given.work };
   const { advice, entryId, group, runners: client, vms, work } = options;
   const delays = new RunDelays();
-  const order = new SlackOrderPolicy(delays);
+  const paces = new RunnerPaces();
+  const order = new LeastCostOrderPolicy(delays);
   const fleet: RunnerFleet = new RunnerFleet({
     ...options,
     delays,
+    paces,
     client,
     findTicket: (task, runner) => adviceTask?.findTicket(task, runner),
   });
+  const trust = new RunnerTrust({
+    ...options,
+    policy: new FailureTrustPolicy(),
+  });
   const isInMaintenance = (runner: RunnerIncarnation): boolean =>
     waves?.isCordoned(runner) ?? false;
   const awaitsMaintenance = (runner: Runner): boolean =>
@@ -99,6 +118,7 @@
     ...options,
     fleet,
     mayPlaceOn: (runner) => scheduler.mayPlaceOn(runner),
+    isSuspect: (runner) => trust.find(runner) !== undefined,
     isInMaintenance,
     isMoving,
   });
@@ -109,8 +129,9 @@
     isInMaintenance,
     forecast: new HighestForecast([
       new TurnForecast(),
-      new TrendForecast(),
+      new StepAwareTrendForecast(),
     ]),
+    outlook: new CyclicTurnOutlook(),
   });
   const waves = vms === undefined ? undefined : new WaveTask({
     ...options,
@@ -127,7 +148,11 @@
     accounts,
     loads,
     vms,
-    policy: new DemandCapacityPolicy(),
+    policy: new TurnCapacityPolicy({
+      base: new DemandCapacityPolicy(),
+      moveMs: MOVE_MS,
+      movesPerSecond: vms.maxOrdersPerSecond * MOVE_RATE_SHARE,
+    }),
     holderId: entryId,
     isInMaintenance,
   });
@@ -137,6 +162,8 @@
       order,
       placement: new ScoredPlacementPolicy(),
     }),
+    trust,
+    paces,
     findStatus: (runner) => fleet.findStatus(runner),
     findApproved: (step) => adviceTask?.findApproved(step),
     isCordoned: (runner) => isInMaintenance(runner) || isMoving(runner),
@@ -150,6 +177,19 @@
       order,
       mayPlaceOn: (runner) => scheduler.mayPlaceOn(runner),
     });
+  const room = new RoomWatch({
+    ...options,
+    order,
+    accounts,
+    canMoveVms: vms !== undefined,
+    mayPlaceOn: (runner) => scheduler.mayPlaceOn(runner),
+  });
+  const admission = new JobAdmission({
+    ...options,
+    policy: new UsefulResultPolicy(),
+    room,
+    delays,
+  });
   const pace = new PaceTask({
     ...options,
     fleet,
@@ -160,6 +200,7 @@
   const tasksByName = {
     runners: fleet,
     scheduler,
+    room,
     waves,
     capacity,
     advice: adviceTask,
@@ -171,7 +212,11 @@
       group.startForever(name, (signal) => task.run(signal));
     }
   }
-  const readLeaderGauges = () => readGauges(options, fleet, accounts);
+  const readLeaderGauges = () => ({
+    ...readGauges(options, { fleet, accounts, room }),
+    suspectRunnerCounts: trust.countByPool(),
+    ...(vms === undefined ? {} : { poolNeeds: loads.listNeeds() }),
+  });
   group.startForever("work", (signal) => work.report(readLeaderGauges, signal));
   return {
     registry: new RunnerRegistry({ ...options, client, fleet }),
@@ -180,15 +225,35 @@
       ...options,
       findStatus: (runner) => fleet.findStatus(runner),
       mayPlaceOn: (runner) => scheduler.mayPlaceOn(runner),
+      describeSuspicion: (runner) => trust.describe(runner),
+      findSlowness: (runner) =>
+        paces.findSlowness(runner, options.clock.nowMs()),
+      describeDelay: (step) => room.describeDelay(step),
+    }),
+    admission,
+    placements: new PlacementExplainer({
+      ...options,
+      planner: new StartPlanner({
+        order,
+        placement: new ScoredPlacementPolicy(),
+      }),
+      scheduler,
+      room,
+      admission,
     }),
     readGauges: readLeaderGauges,
   };
 }
 
+interface GaugeSources {
+  readonly fleet: RunnerFleet;
+  readonly accounts: PoolAccounts;
+  readonly room: RoomWatch;
+}
+
 function readGauges(
   { clock, fencingToken, log }: StartLeadingOptions,
-  fleet: RunnerFleet,
-  accounts: PoolAccounts,
+  { fleet, accounts, room }: GaugeSources,
 ): SchedulingGauges {
   const poolMillicores = accounts.sum();
   const openJobCounts = new Map<JobState, number>([
@@ -209,6 +274,7 @@
         [pool, account],
       ) => [pool, account.get("free") ?? 0]),
     ),
+    delayedStepCounts: room.countDelayedSteps(),
     poolMillicores,
   };
 }
--- a/src/decisions/scheduling/start_planner.ts
+++ b/src/decisions/scheduling/start_planner.ts
@@ -4,18 +4,27 @@
   type Amounts,
   fitsInto,
   isWithinLimit,
+  type JobRecord,
   type JobTeam,
+  type Runner,
   type RunnerIncarnation,
   type SchedulingState,
   type TaskId,
+  type TaskRecord,
 } from "../../domain/index.ts";
+import { type FleetRoom, measureFleetRoom } from "./fleet_room.ts";
 import type { OrderPolicy } from "./order_policy.ts";
 import {
   allocate,
   createDemand,
   type MutableDemand,
 } from "./placement_demand.ts";
-import type { Candidate, PlacementPolicy } from "./placement_policy.ts";
+import type {
+  Candidate,
+  PlacementPolicy,
+  PlacementTrust,
+} from "./placement_policy.ts";
+import { createTrust, mustWiden } from "./placement_trust.ts";
 import { listReadySteps, type ReadyStep } from "./ready_step.ts";
 import { RunnerReservations } from "./runner_reservations.ts";
 
@@ -38,6 +47,8 @@
   readonly candidates: ReadonlyMap<string, readonly Candidate[]>;
   /** Finds the ids of runners that may run a step; undefined when any may. */
   readonly findApproved: (step: ReadyStep) => ReadonlySet<string> | undefined;
+  /** A job that is not stored, planned as if it were. */
+  readonly preview?: JobRecord;
   /** Wall-clock time, in milliseconds. */
   readonly nowMs: number;
 }
@@ -76,6 +87,10 @@
   plan(input: PlanInput): PlannedStart[] {
     const { state, nowMs } = input;
     const ready = listReadySteps(state.jobs, state.catalog, nowMs);
+    if (input.preview !== undefined) {
+      const open = [input.preview];
+      ready.push(...listReadySteps({ open }, state.catalog, nowMs));
+    }
     const round: PlanningRound = {
       input,
       teams: new Map(state.catalog.teams.map((team) => [team.name, team])),
@@ -83,7 +98,8 @@
       starts: [],
       unplaceableByPool: new Map(),
     };
-    for (const step of this.#order.sort(ready, nowMs)) {
+    const room = measureRoom(input, ready);
+    for (const step of this.#order.sort(ready, nowMs, room)) {
       if (round.starts.length >= MAX_PLANNED_STARTS) {
         break;
       }
@@ -97,7 +113,7 @@
   }
 
   #planTasks(ready: ReadyStep, round: PlanningRound): void {
-    const demand = createDemand(ready, round.input.findApproved(ready));
+    const demand = this.#createDemand(ready, round);
     const unplaceable = round.unplaceableByPool.get(ready.pool);
     if (unplaceable !== undefined && fitsInto(unplaceable, demand.held)) {
       return;
@@ -110,13 +126,19 @@
       if (!isWithinTeamLimit(ready, round, 1)) {
         return;
       }
-      const chosen = this.#placement.choose(candidates, demand);
+      const chosen = this.#choose(ready, candidates, demand, [task], round);
       if (chosen === undefined) {
         if (ready.step.isEndless) {
           const { nowMs } = round.input;
           this.#reservations.reserveRoomiest(candidates, demand, nowMs);
         }
-        if (!candidates.some(({ free }) => fitsInto(demand.held, free))) {
+        // Others of the step may go where this one has failed.
+        if (task.failedOn !== undefined) {
+          continue;
+        }
+        const isOpen = ({ free, probe }: Candidate) =>
+          probe !== "waits" && fitsInto(demand.held, free);
+        if (!candidates.some(isOpen)) {
           round.unplaceableByPool.set(ready.pool, demand.held);
         }
         return;
@@ -126,6 +148,26 @@
     }
   }
 
+  #choose(
+    ready: ReadyStep,
+    candidates: readonly Candidate[],
+    demand: MutableDemand,
+    tasks: readonly TaskRecord[],
+    { input: { nowMs } }: PlanningRound,
+  ): Candidate | undefined {
+    const trust = createTrust(ready, tasks);
+    demand.trust = trust;
+    const chosen = this.#placement.choose(candidates, demand);
+    if (
+      chosen !== undefined ||
+      !mustWiden(ready, demand, candidates, tasks, nowMs)
+    ) {
+      return chosen;
+    }
+    demand.trust = { ...trust, hasNoOther: true };
+    return this.#placement.choose(candidates, demand);
+  }
+
   // Places all members or none: a part of a gang would only occupy capacity
   // while it waits for the others.
   #planGang(ready: ReadyStep, round: PlanningRound): void {
@@ -137,19 +179,27 @@
       return;
     }
     const candidates = round.input.candidates.get(ready.pool) ?? [];
+    const trust = createTrust(ready, tasks);
     for (const group of listGangCandidates(ready, candidates)) {
-      if (this.#placeGang(ready, group, round)) {
+      if (this.#placeGang(ready, group, trust, round)) {
         return;
       }
     }
+    const demand = { ...this.#createDemand(ready, round), trust };
+    const { nowMs } = round.input;
+    if (mustWiden(ready, demand, candidates, tasks, nowMs)) {
+      const widened = { ...trust, hasNoOther: true };
+      this.#placeGang(ready, candidates, widened, round);
+    }
   }
 
   #placeGang(
     ready: ReadyStep,
     group: readonly Candidate[],
+    trust: PlacementTrust,
     round: PlanningRound,
   ): boolean {
-    const demand = createDemand(ready, round.input.findApproved(ready));
+    const demand = { ...this.#createDemand(ready, round), trust };
     const trial = group.map((candidate) => ({ ...candidate }));
     const chosen: Candidate[] = [];
     for (const _task of ready.record.tasks) {
@@ -162,7 +212,7 @@
     }
     const runNumber = 1 +
       Math.max(...ready.record.tasks.map((task) => task.runNumber));
-    const real = createDemand(ready, round.input.findApproved(ready));
+    const real = this.#createDemand(ready, round);
     chosen.forEach((copy, index) => {
       const candidate = group.find(({ runnerId }) =>
         runnerId === copy.runnerId
@@ -175,6 +225,10 @@
     return true;
   }
 
+  #createDemand(ready: ReadyStep, { input }: PlanningRound): MutableDemand {
+    return createDemand(ready, input.findApproved(ready));
+  }
+
   #allocateFor(
     ready: ReadyStep,
     demand: MutableDemand,
@@ -190,6 +244,19 @@
   }
 }
 
+function measureRoom(
+  { state, candidates, nowMs }: PlanInput,
+  ready: readonly ReadyStep[],
+): FleetRoom {
+  const pools = new Set(ready.map(({ pool }) => pool));
+  const openIds = new Set<string>();
+  for (const pool of pools) {
+    candidates.get(pool)?.forEach(({ runnerId }) => openIds.add(runnerId));
+  }
+  const mayPlaceOn = ({ runnerId }: Runner) => openIds.has(runnerId);
+  return measureFleetRoom({ state, pools, mayPlaceOn, nowMs });
+}
+
 // A gang that wants one rack tries each rack, the emptiest first, and then all
 // runners of the pool.
 function listGangCandidates(
--- a/src/decisions/scheduling/trend_forecast.ts
+++ b/src/decisions/scheduling/trend_forecast.ts
@@ -1,5 +1,7 @@
 /** Forecasts demand that is rising, and joins several forecasts. */
 import type { Arrival, DemandForecast } from "./demand_forecast.ts";
+import { measureHeldUp } from "./held_up.ts";
+import { findRecentTurns } from "./turn_detector.ts";
 
 /** Length of each of the two spans whose arrivals are compared (ms). */
 const SPAN_MS = 1_000;
@@ -40,6 +42,36 @@
   }
 }
 
+/**
+ * Extends no rise of a pool in its turn once a turn has ended: until then nothing
+ * tells how much one needs. A turn begins with a step, after which demand rises no
+ * further. Work that was held up shows no rise either.
+ */
+export class StepAwareTrendForecast implements DemandForecast {
+  readonly #trend = new TrendForecast();
+
+  predict(
+    arrivals: readonly Arrival[],
+    fromMs: number,
+    nowMs: number,
+  ): ReadonlyMap<string, number> {
+    const firstMs =
+      arrivals.find(({ atMs, work }) => work > 0 && nowMs - atMs <= 2 * SPAN_MS)
+        ?.atMs ?? nowMs;
+    if (measureHeldUp(arrivals, firstMs) > 0) {
+      return new Map();
+    }
+    const turns = findRecentTurns(arrivals, nowMs);
+    const isLevelKnown = turns.some(({ endMs }) => endMs !== undefined);
+    const inTurn = new Set(
+      turns.filter(({ endMs }) => isLevelKnown && endMs === undefined)
+        .map(({ pool }) => pool),
+    );
+    const expected = this.#trend.predict(arrivals, fromMs, nowMs);
+    return new Map([...expected].filter(([pool]) => !inTurn.has(pool)));
+  }
+}
+
 /** Predicts the highest demand that one of several forecasts predicts. */
 export class HighestForecast implements DemandForecast {
   readonly #forecasts: readonly DemandForecast[];
--- a/src/ports/scheduling_metrics.ts
+++ b/src/ports/scheduling_metrics.ts
@@ -23,12 +23,26 @@
   readonly openJobCounts: ReadonlyMap<JobState, number>;
   /** Number of runners by condition. */
   readonly runnerCounts: ReadonlyMap<RunnerCondition, number>;
+  /** Suspect runners by pool; pools without any are left out. */
+  readonly suspectRunnerCounts?: ReadonlyMap<string, number> | undefined;
   /** Number of tasks that could start now, by pool. */
   readonly waitingTaskCounts: ReadonlyMap<string, number>;
   /** Free CPU of the runners that may get work, by pool. */
   readonly freeMillicores: ReadonlyMap<string, number>;
+  /** Number of waiting steps that come behind others in full pools, by reason. */
+  readonly delayedStepCounts: ReadonlyMap<string, number>;
   /** CPU of all VMs by pool and share; shares of nothing are left out. */
   readonly poolMillicores: ReadonlyMap<string, ReadonlyMap<PoolShare, number>>;
+  /** What the pools need; left out where VMs cannot be moved. */
+  readonly poolNeeds?: ReadonlyMap<string, PoolNeed>;
+}
+
+/** What a pool needs, as the moves of VMs are planned with. */
+export interface PoolNeed {
+  /** CPU that its work needs now, or when a VM that moves now has arrived. */
+  readonly wantedMillicores: number;
+  /** Time until its next turn (ms); undefined if none is expected. */
+  readonly nextTurnMs: number | undefined;
 }
 
 /**
@@ -36,6 +50,8 @@
  *
  * - `used`: allocated to tasks on runners that are in service.
  * - `free`: free on runners that may get work.
+ * - `suspect`: free on runners that get one task at a time, because runs failed
+ *   there.
  * - `overdue`: free on runners that have not answered a request in time.
  * - `cordoned`: runners whose VM is about to be maintained, with the work on
  *   them.
@@ -51,6 +67,7 @@
 export type PoolShare =
   | "used"
   | "free"
+  | "suspect"
   | "overdue"
   | "cordoned"
   | "maintenance"
--- a/src/services/scheduling/leader_work.ts
+++ b/src/services/scheduling/leader_work.ts
@@ -1,10 +1,12 @@
 /** Counts what a leader does and logs it by time within the term. */
 import type {
   Clock,
+  JobLabels,
   LeaderMetrics,
   Logger,
   ProcessUsage,
   ProcessUsageReading,
+  RunFaultKind,
   RunnerRemoval,
   RunnerRequestKind,
   RunnerRequestOutcome,
@@ -35,6 +37,7 @@
   /** Requests to runners without an answer, or refused. */
   failedRequestCount = 0;
   removedCount = 0;
+  rejectedJobCount = 0;
   planCount = 0;
   plannedStartCount = 0;
   planMs = 0;
@@ -92,6 +95,15 @@
     this.#options.metrics.countRemovedRunner(reason);
   }
 
+  countRunFault(kind: RunFaultKind): void {
+    this.#options.metrics.countRunFault(kind);
+  }
+
+  countRejectedJob(labels: JobLabels, reason: string): void {
+    this.#counts.rejectedJobCount += 1;
+    this.#options.metrics.countRejectedJob(labels, reason);
+  }
+
   countMessage(method: string): void {
     increase(this.#counts.messages, method);
     this.#options.metrics.countMessage(method);
@@ -147,6 +159,7 @@
       stopCount: answered.get("stop") ?? 0,
       failedRequestCount: counts.failedRequestCount,
       removedCount: counts.removedCount,
+      rejectedJobCount: counts.rejectedJobCount,
       planCount,
       plannedStartCount: counts.plannedStartCount,
       planMs: Math.round(counts.planMs),
@@ -163,6 +176,7 @@
           [pool, account],
         ) => [pool, toCores(account)]),
       ),
+      poolNeeds: toNeeds(gauges.poolNeeds),
     }, "worked as the leader");
   }
 }
@@ -177,6 +191,15 @@
   );
 }
 
+function toNeeds(needs: SchedulingGauges["poolNeeds"] = new Map()) {
+  return Object.fromEntries(
+    [...needs].map(([pool, { nextTurnMs, wantedMillicores }]) => [pool, {
+      wantedCores: Math.round(wantedMillicores / MILLICORES_PER_CORE),
+      nextTurnMs,
+    }]),
+  );
+}
+
 function increase<K>(counts: Map<K, number>, key: K): void {
   counts.set(key, (counts.get(key) ?? 0) + 1);
 }
--- a/src/services/scheduling/pool_accounts.ts
+++ b/src/services/scheduling/pool_accounts.ts
@@ -13,6 +13,8 @@
   readonly clock: Clock;
   /** Returns whether a runner may get work now. */
   readonly mayPlaceOn: (runner: Runner) => boolean;
+  /** Returns whether a runner gets one task at a time; false by default. */
+  readonly isSuspect?: ((runner: Runner) => boolean) | undefined;
   /** Returns whether a runner's VM is being drained for maintenance. */
   readonly isInMaintenance: (runner: Runner) => boolean;
   /** Returns whether a runner's VM has, or is about to get, an order to move. */
@@ -58,6 +60,13 @@
    */
   recordListing(vms: readonly ListedVm[]): void {
     this.#vms = vms;
+    const { runners } = this.#options.log.state;
+    for (const { pool, runnerId, vm } of vms) {
+      const runner = runners.get(runnerId ?? "");
+      if (runner?.pool === pool && this.#arriving.get(vm)?.pool === pool) {
+        this.#arriving.delete(vm);
+      }
+    }
   }
 
   /**
@@ -144,14 +153,24 @@
         this.#arriving.delete(vm);
       }
     }
+    // A runner that the newest list does not show is on a VM that was arriving.
+    const listed = new Set(this.#vms.map(({ runnerId }) => runnerId));
+    for (const runner of this.#options.log.state.runners.values()) {
+      const sum = sums.get(runner.pool);
+      if (sum !== undefined && !listed.has(runner.runnerId)) {
+        const { cpuMillicores } = runner.capacity;
+        sums.set(runner.pool, Math.max(0, sum - cpuMillicores));
+      }
+    }
     return sums;
   }
 
   #findShare(runner: Runner): PoolShare {
-    const { fleet, isInMaintenance, isMoving, log, mayPlaceOn } = this.#options;
+    const { fleet, isInMaintenance, isMoving, isSuspect, log, mayPlaceOn } =
+      this.#options;
     const status = fleet.findStatus(runner);
     if (mayPlaceOn(runner)) {
-      return "free";
+      return isSuspect?.(runner) ? "suspect" : "free";
     }
     if (runner.isDraining) {
       return "draining";
--- a/src/services/scheduling/pool_accounts_test.ts
+++ b/src/services/scheduling/pool_accounts_test.ts
@@ -76,6 +76,7 @@
   );
   const cordonedIds = new Set<string>();
   const movingIds = new Set<string>();
+  const suspectIds = new Set<string>();
   const findStatus = ({ runnerId }: { readonly runnerId: string }) =>
     statuses.get(runnerId);
   const accounts = new PoolAccounts({
@@ -86,18 +87,33 @@
       !runner.isDraining && !cordonedIds.has(runner.runnerId) &&
       !movingIds.has(runner.runnerId) &&
       (findStatus(runner)?.isOperational ?? false),
+    isSuspect: ({ runnerId }) => suspectIds.has(runnerId),
     isInMaintenance: ({ runnerId }) => cordonedIds.has(runnerId),
     isMoving: ({ runnerId }) => movingIds.has(runnerId),
   });
   const find = (pool: string) =>
     Object.fromEntries(accounts.sum().get(pool) ?? []);
-  return { accounts, clock, cordonedIds, find, movingIds, statuses };
+  return {
+    accounts,
+    clock,
+    cordonedIds,
+    find,
+    movingIds,
+    statuses,
+    suspectIds,
+  };
 }
 
 // Guards against capacity that no line accounts for: free, waiting and sound
 // did not tell waves, moves and a new term from work.
 describe("the accounts of a pool", () => {
   describe("count a runner", () => {
+    it("as suspect, so that its room does not count as free", () => {
+      const { find, suspectIds } = setUp([createRunner("suspect")]);
+      suspectIds.add("suspect");
+      assert.equal(find("bay"), { suspect: VM_MILLICORES });
+    });
+
     it("as free, cordoned or about to leave", () => {
       const names = ["free", "cordoned", "moving"];
       const { cordonedIds, find, movingIds } = setUp(
@@ -167,6 +183,24 @@
       assert.equal(find("dock"), {});
     });
 
+    // Guards against pools that seem to have VMs to spare, and give them away.
+    it("once when its runner is there, listed or not", () => {
+      const { accounts, find } = setUp([
+        createRunner("r1", { pool: "dock" }),
+        createRunner("r2", { pool: "dock" }),
+      ]);
+      const [first, second] = [createListed("vm1"), createListed("vm2")];
+      accounts.recordListing([first, second]);
+      accounts.recordMoved(first, "dock");
+      accounts.recordMoved(second, "dock");
+      assert.equal(find("dock"), { free: 2 * VM_MILLICORES });
+      accounts.recordListing([
+        createListed("vm1", { pool: "dock", runnerId: "r1" }),
+        createListed("vm2", { pool: "dock", state: "moving" }),
+      ]);
+      assert.equal(find("dock"), { free: 2 * VM_MILLICORES });
+    });
+
     // A move that an earlier leader has ordered.
     it("as arriving where the list says that it moves", () => {
       const { accounts, find } = setUp([]);
--- a/src/services/scheduling/run_end_detector.ts
+++ b/src/services/scheduling/run_end_detector.ts
@@ -1,12 +1,13 @@
 /** Turns the reports of one runner into ends of runs in the log. */
 import {
   formatTaskId,
+  type RunFault,
   type Runner,
   type RunnerLoad,
   type RunningTask,
   type SchedulingOperation,
 } from "../../domain/index.ts";
-import type { RunDelays } from "../../decisions/index.ts";
+import type { RunDelays, RunnerPaces } from "../../decisions/index.ts";
 import type {
   Clock,
   EndReport,
@@ -25,10 +26,14 @@
   readonly logger: Logger;
   /** Records how much longer than estimated runs took. */
   readonly delays: Pick<RunDelays, "record">;
+  /** Compares the runners by the duration of their runs; none by default. */
+  readonly paces?: Pick<RunnerPaces, "record"> | undefined;
   readonly findRunner: () => Runner;
   readonly findLoad: () => RunnerLoad;
   /** Returns how many failed runs of a task its job allows. */
   readonly findMaxAttempts: (run: RunningTask) => number;
+  /** Returns why the end of a run speaks against the runner, if it does. */
+  readonly findFault: (run: RunningTask) => RunFault | undefined;
 }
 
 /** Detects ended and lost runs in the reports of a runner. */
@@ -89,10 +94,12 @@
   }
 
   #recordDelay({ job, startedAtMs, step }: RunningTask): void {
-    const { clock, delays } = this.#options;
+    const { clock, delays, findRunner, paces } = this.#options;
     const nowMs = clock.nowMs();
     const delayMs = nowMs - startedAtMs - step.estimateMs;
     delays.record(job.queue, delayMs, nowMs);
+    const ratio = (nowMs - startedAtMs) / step.estimateMs;
+    paces?.record(findRunner(), job.queue, ratio, nowMs);
   }
 
   #createEnd(
@@ -100,12 +107,14 @@
     how: EndReport["how"],
     saved: string,
   ): SchedulingOperation {
+    const fault = this.#options.findFault(run);
     this.#options.logger.info(
       {
         task: formatTaskId(run.id),
         runNumber: run.runNumber,
         runnerId: this.#options.findRunner().runnerId,
         how,
+        ...(fault && { fault }),
       },
       "a run ended",
     );
@@ -116,6 +125,7 @@
       how,
       saved,
       maxAttempts: this.#options.findMaxAttempts(run),
+      ...(fault && { fault }),
     };
   }
 }
--- a/src/services/scheduling/schedule_explainer.ts
+++ b/src/services/scheduling/schedule_explainer.ts
@@ -1,11 +1,12 @@
 /** Lists and explains jobs, tasks, runners and waves for operators. */
 import { Result } from "true-myth";
 import * as v from "valibot";
-import { findWaitReason } from "../../decisions/index.ts";
+import { findWaitReason, type StepReference } from "../../decisions/index.ts";
 import {
   createFailure,
   type Failure,
   formatTaskId,
+  indexQueues,
   type JobRecord,
   type Runner,
   type StepRecord,
@@ -54,6 +55,19 @@
   readonly findStatus: (runner: Runner) => RunnerStatus | undefined;
   /** Returns whether a runner may get work now. */
   readonly mayPlaceOn: (runner: Runner) => boolean;
+  /** Describes why a runner is suspect; undefined while it is trusted. */
+  readonly describeSuspicion?:
+    | ((runner: Runner) => string | undefined)
+    | undefined;
+  /**
+   * Finds how many times as long as usual the runs of a slow runner took;
+   * undefined for any other.
+   */
+  readonly findSlowness?:
+    | ((runner: Runner) => number | undefined)
+    | undefined;
+  /** Explains why a step comes behind others; undefined when it does not. */
+  readonly describeDelay?: (step: StepReference) => string | undefined;
 }
 
 /** Describes the scheduling state as the leader knows it. */
@@ -166,13 +180,31 @@
     const reason = task.state === "waiting"
       ? [`waits: ${this.#findReason(job, Number(occurrence), Number(step))}`]
       : [];
+    const avoided = (task.failedOn ?? []).map((runnerId) =>
+      `avoids ${runnerId}, where it failed`
+    );
     return [
       `${task.state}${where}, run ${task.runNumber}, ${task.failedCount} failed runs`,
       `for ${Math.round(this.#nowMs - sinceMs)} ms`,
       ...reason,
+      ...avoided,
+      ...this.#describeSuspects(job),
     ];
   }
 
+  #describeSuspects(job: JobRecord): string[] {
+    const { describeSuspicion, log } = this.#options;
+    const { catalog, runners } = log.state;
+    const pool = indexQueues(catalog).byName.get(job.queue)?.pool ?? job.pool;
+    const count =
+      [...runners.values()].filter((runner) =>
+        runner.pool === pool && describeSuspicion?.(runner) !== undefined
+      ).length;
+    return count === 0
+      ? []
+      : [`${count} runners of ${pool} are suspect and get one task at a time`];
+  }
+
   #describeRunner(runner: Runner): string[] {
     const { log } = this.#options;
     const { running } = log.state.jobs.findLoad(runner);
@@ -180,7 +212,18 @@
       .map(({ id, runNumber }) => `${formatTaskId(id)}#${runNumber}`);
     const fields = Object.entries(this.#listRunner(runner))
       .map(([field, value]) => `${field} ${value}`);
-    return [fields.join(", "), ...names.map((name) => `runs ${name}`)];
+    const suspicion = this.#options.describeSuspicion?.(runner);
+    const slowness = this.#options.findSlowness?.(runner);
+    return [
+      fields.join(", "),
+      ...(suspicion === undefined ? [] : [suspicion]),
+      ...(slowness === undefined ? [] : [
+        `slow: its newest runs took ${
+          slowness.toFixed(1)
+        } times as long as usual`,
+      ]),
+      ...names.map((name) => `runs ${name}`),
+    ];
   }
 
   #describeJob(job: JobRecord): string[] {
@@ -215,15 +258,18 @@
   }
 
   #findReason(job: JobRecord, occurrence: number, stepIndex: number): string {
-    const { log, mayPlaceOn } = this.#options;
+    const { describeDelay, log, mayPlaceOn } = this.#options;
     const { state } = log;
     const nowMs = this.#nowMs;
+    const { jobId } = job.spec;
     return findWaitReason({
       state,
       job,
       occurrence,
       stepIndex,
       mayPlaceOn,
+      findDelayReason: () =>
+        describeDelay?.({ jobId, occurrence, step: stepIndex }),
       nowMs,
     });
   }
--- a/src/services/scheduling/scheduler.ts
+++ b/src/services/scheduling/scheduler.ts
@@ -11,11 +11,13 @@
   Candidate,
   PlannedStart,
   ReadyStep,
+  RunnerPaces,
   StartPlanner,
 } from "../../decisions/index.ts";
 import type { Clock, LeaderMetrics, Logger } from "../../ports/index.ts";
 import type { Notifier } from "../../tasks/index.ts";
 import type { RunnerStatus } from "./runner_status.ts";
+import type { RunnerTrust } from "./runner_trust.ts";
 import type { SchedulingLog } from "./scheduling_log.ts";
 import {
   PLAN_PAUSE_MS,
@@ -27,6 +29,9 @@
 export interface SchedulerOptions {
   readonly log: SchedulingLog;
   readonly planner: StartPlanner;
+  readonly trust: RunnerTrust;
+  /** Compares the runners by the duration of their runs; none by default. */
+  readonly paces?: Pick<RunnerPaces, "findSlowness"> | undefined;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: LeaderMetrics;
@@ -103,18 +108,36 @@
   }
 
   #listCandidates(state: SchedulingState): Map<string, Candidate[]> {
-    const { awaitsMaintenance } = this.#options;
-    const byPool = new Map<string, Candidate[]>();
+    const { awaitsMaintenance, clock, paces, trust } = this.#options;
+    const nowMs = clock.nowMs();
+    const open = new Map<string, Runner[]>();
     for (const runner of state.runners.values()) {
       if (this.mayPlaceOn(runner)) {
-        const pool = byPool.get(runner.pool) ?? [];
-        pool.push(createCandidate(runner, state, awaitsMaintenance(runner)));
-        byPool.set(runner.pool, pool);
+        const pool = open.get(runner.pool) ?? [];
+        pool.push(runner);
+        open.set(runner.pool, pool);
       }
     }
+    trust.refresh(open);
+    const byPool = new Map<string, Candidate[]>();
+    for (const [pool, runners] of open) {
+      byPool.set(
+        pool,
+        runners.map((runner) => ({
+          ...createCandidate(runner, state, awaitsMaintenance(runner)),
+          probe: trust.findProbe(runner),
+          isSlow: paces?.findSlowness(runner, nowMs) !== undefined,
+        })),
+      );
+    }
     return byPool;
   }
 
+  /** Lists the runners that may get work now, by pool; the caller owns them. */
+  listCandidates(): Map<string, Candidate[]> {
+    return this.#listCandidates(this.#options.log.state);
+  }
+
   /** Returns whether a runner may get work now. */
   mayPlaceOn(runner: Runner): boolean {
     const { findStatus, isCordoned, log } = this.#options;
@@ -122,7 +145,7 @@
     const status = findStatus(runner);
     return !runner.isDraining && !state.zonesOut.has(runner.zone) &&
       status !== undefined && status.isOperational &&
-      !status.hasOverdueRequest &&
+      !status.hasOverdueRequest && status.refusedRuns.size === 0 &&
       !isCordoned(runner);
   }
 
--- a/src/services/scheduling/timing.ts
+++ b/src/services/scheduling/timing.ts
@@ -1,5 +1,13 @@
 /** Intervals, timeouts and limits of the scheduling services. */
 
+/**
+ * Age up to which a sample of the order of waiting steps decides about new jobs,
+ * in milliseconds: a small part of a task's run, so that many jobs share one.
+ */
+export const ROOM_SAMPLE_AGE_MS = 100;
+/** Interval at which the leader checks which pools are full (ms). */
+export const ROOM_CHECK_MS = 500;
+
 /**
  * Lease of the runs on a runner, in milliseconds. Each poll renews it. It is
  * long enough for one poll plus a restart of all controllers, which takes 2.4 s
@@ -42,6 +50,11 @@
 export const POLL_TIMEOUT_MS = 700;
 /** Least timeout of a poll of a runner that does not respond (ms). */
 export const MIN_POLL_TIMEOUT_MS = 50;
+/**
+ * Least time without progress after which a run is stopped and placed elsewhere
+ * (ms): three polls tell the same. A longer estimate of the task prolongs it.
+ */
+export const STILL_MS = 2 * POLL_WAIT_MS;
 /**
  * Time after its wait at which a request counts as overdue, in milliseconds:
  * several round trips between zones. A runner with an overdue request gets no
@@ -128,6 +141,16 @@
  * once.
  */
 export const WAVE_TICK_MS = 700;
+/**
+ * Interval at which waves advance while tasks have to move one after the other
+ * (ms): a fraction of the time in which a task starts elsewhere.
+ */
+export const MOVING_WAVE_TICK_MS = 200;
+/**
+ * Time after its start in which a long-running task is expected to reach full
+ * work, in milliseconds. Polls show it sooner during that time.
+ */
+export const STARTUP_WATCH_MS = 3_000;
 /**
  * Time for which a VM must be missing from the list of VMs to count as gone (ms):
  * longer than a VM is down that comes back.
--- a/src/testing/fake_ports.ts
+++ b/src/testing/fake_ports.ts
@@ -1,6 +1,7 @@
 /** Fakes of the logger and metrics ports that collect what they receive. */
 import type {
   EventLoopMetrics,
+  JobLabels,
   LeaderMetrics,
   LogFields,
   Logger,
@@ -8,6 +9,7 @@
   ProcessUsage,
   ProcessUsageReading,
   RequestMeasurement,
+  RunFaultKind,
   RunnerRemoval,
   RunnerRequestKind,
   RunnerRequestOutcome,
@@ -77,6 +79,9 @@
   /** Number of requests by kind and outcome, as in `poll answered`. */
   readonly requestCounts = new Map<string, number>();
   readonly removals: RunnerRemoval[] = [];
+  readonly runFaults: RunFaultKind[] = [];
+  /** Rejected jobs, as in `queue team reason`. */
+  readonly rejections: string[] = [];
   /** Methods of the messages, in order. */
   readonly methods: string[] = [];
 
@@ -104,6 +109,14 @@
     this.removals.push(reason);
   }
 
+  countRunFault(kind: RunFaultKind): void {
+    this.runFaults.push(kind);
+  }
+
+  countRejectedJob({ queue, team }: JobLabels, reason: string): void {
+    this.rejections.push(`${queue} ${team} ${reason}`);
+  }
+
   countMessage(method: string): void {
     this.methods.push(method);
   }
