Let each turn of the event loop take few pipelined requests

Cause: a held connection went on in the same turn as soon as answers were written, so one read of 64 KiB was served whole before the loop came back: for 150 connections, many seconds.

Change: a held connection goes on in the next turn. Not yet measured.

--- a/src/adapters/http/connection_guard_test.ts
+++ b/src/adapters/http/connection_guard_test.ts
@@ -2,6 +2,7 @@
 import { EventEmitter } from "node:events";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { setImmediate as nextTurn } from "node:timers/promises";
 import * as assert from "uvu/assert";
 import { LongestWaitPolicy } from "../../decisions/overload/index.ts";
 import type { CloseReason } from "../../ports/index.ts";
@@ -188,9 +189,12 @@
       assert.is(responses.length, LIMITS.maxPipelinedCount);
       assert.ok(socket.isPaused());
       responses[0]?.emit("close");
+      assert.is(responses.length, LIMITS.maxPipelinedCount, "in this turn");
+      await nextTurn();
       assert.is(responses.length, LIMITS.maxPipelinedCount + 1);
       for (let at = 1; at < 10; at += 1) {
         responses[at]?.emit("close");
+        await nextTurn();
       }
       assert.is(responses.length, 10);
       assert.not.ok(socket.isPaused() || socket.destroyed);
@@ -207,6 +211,7 @@
       assert.is(second.responses.length, 1);
       assert.is(third.responses.length, 1);
       first.responses.forEach((response) => response.emit("close"));
+      await nextTurn();
       assert.is(second.responses.length, 3);
     });
   });
--- a/src/adapters/http/connection_input.ts
+++ b/src/adapters/http/connection_input.ts
@@ -2,6 +2,7 @@
 import type { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
+import { setImmediate } from "node:timers";
 
 const HEAD_END = "\r\n\r\n";
 /** Largest part that may contain more than one request, in bytes. */
@@ -56,7 +57,10 @@
   wake(): void {
     if (this.#isHeld && this.#options.mayParse()) {
       this.#isHeld = false;
-      this.#options.socket.resume();
+      const { socket } = this.#options;
+      // Not in this turn of the event loop: one client with thousands of requests
+      // that are answered at once would keep all others waiting.
+      setImmediate(() => socket.resume());
     }
   }
 
