--- a/src/decisions/scheduling/start_planner.ts
+++ b/src/decisions/scheduling/start_planner.ts
@@ -13,6 +13,7 @@
   type TaskRecord,
 } from "../../domain/index.ts";
 import { type FleetRoom, measureFleetRoom } from "./fleet_room.ts";
+import { listGangCandidates } from "./gang_candidates.ts";
 import type { OrderPolicy } from "./order_policy.ts";
 import {
   allocate,
@@ -257,31 +258,6 @@
   return measureFleetRoom({ state, pools, mayPlaceOn, nowMs });
 }
 
-// A gang that wants one rack tries each rack, the emptiest first, and then all
-// runners of the pool.
-function listGangCandidates(
-  { step }: ReadyStep,
-  candidates: readonly Candidate[],
-): (readonly Candidate[])[] {
-  if (!step.wantsOneRack) {
-    return [candidates];
-  }
-  const byRack = new Map<string, Candidate[]>();
-  for (const candidate of candidates) {
-    const rack = byRack.get(candidate.rack) ?? [];
-    rack.push(candidate);
-    byRack.set(candidate.rack, rack);
-  }
-  const racks = [...byRack.values()].toSorted((left, right) =>
-    sumFree(right) - sumFree(left)
-  );
-  return [...racks, candidates];
-}
-
-function sumFree(candidates: readonly Candidate[]): number {
-  return candidates.reduce((sum, { free }) => sum + free.cpuMillicores, 0);
-}
-
 function isWithinTeamLimit(
   ready: ReadyStep,
   round: PlanningRound,
--- a/src/services/scheduling/poll_times.ts
+++ b/src/services/scheduling/poll_times.ts
@@ -1,11 +1,16 @@
 /** Chooses how long a poll of a runner waits and when it times out. */
+import { formatTaskId, type RunningTask } from "../../domain/index.ts";
+import type { RunnerStatus } from "./runner_status.ts";
 import {
   CLOSING_POLL_WAIT_MS,
   MIN_POLL_TIMEOUT_MS,
   POLL_TIMEOUT_MS,
   POLL_WAIT_MS,
+  STARTUP_WATCH_MS,
 } from "./timing.ts";
 
+const FULL_PERCENT = 100;
+
 /** State of a runner before a poll. */
 export interface PollContext {
   /** Whether runs are placed on it. */
@@ -49,3 +54,23 @@
   const waitMs = isBusy ? busyWaitMs : 0;
   return { waitMs, timeoutMs: waitMs + POLL_TIMEOUT_MS };
 }
+
+/**
+ * Tells whether a long-running task with a limit of unavailable ones has started
+ * and is not at full work yet. Maintenance may have to wait for it.
+ *
+ * @param runs - The runs on the runner.
+ * @param status - Progress of the runs.
+ * @param nowMs - Wall-clock time (ms).
+ */
+export function awaitsStartup(
+  runs: Iterable<RunningTask>,
+  status: Pick<RunnerStatus, "findPercent">,
+  nowMs: number,
+): boolean {
+  return [...runs].some(({ id, startedAtMs, step }) =>
+    step.isEndless && step.maxAwayCount !== undefined &&
+    Math.abs(nowMs - startedAtMs) < STARTUP_WATCH_MS &&
+    status.findPercent(formatTaskId(id)) < FULL_PERCENT
+  );
+}
--- a/src/services/scheduling/runner_task.ts
+++ b/src/services/scheduling/runner_task.ts
@@ -1,6 +1,5 @@
 /** Task of the leader that serves one runner incarnation. */
 import {
-  formatTaskId,
   type Runner,
   type RunnerLoad,
   type RunningTask,
@@ -11,7 +10,7 @@
 import type { LeaseGrants } from "./lease_grants.ts";
 import type { LeaseTracker } from "./lease_tracker.ts";
 import type { PollFailures } from "./poll_failures.ts";
-import { choosePollTimes } from "./poll_times.ts";
+import { awaitsStartup, choosePollTimes } from "./poll_times.ts";
 import type { RequestObserver } from "./request_observer.ts";
 import type { RunEndDetector } from "./run_end_detector.ts";
 import type { RunReconciler } from "./run_reconciler.ts";
@@ -24,12 +23,9 @@
   IDLE_CHECK_MS,
   PROPOSE_RETRY_MS,
   REQUEST_RETRY_MS,
-  STARTUP_WATCH_MS,
 } from "./timing.ts";
 import type { UncertainStarts } from "./uncertain_starts.ts";
 
-const FULL_PERCENT = 100;
-
 /** Options of {@link RunnerTask}. */
 export interface RunnerTaskOptions
   extends Omit<RunnerPartsOptions, "findRunner" | "findLoad"> {
@@ -121,16 +117,6 @@
     return this.status.mayRunAtSuccessor ? Infinity : this.#lease.remainingMs;
   }
 
-  // While a task counts as unavailable, maintenance may have to wait for it.
-  get #awaitsStartup(): boolean {
-    const nowMs = this.#options.clock.nowMs();
-    return [...this.#load.running.values()].some(({ id, startedAtMs, step }) =>
-      step.isEndless && step.maxAwayCount !== undefined &&
-      Math.abs(nowMs - startedAtMs) < STARTUP_WATCH_MS &&
-      this.status.findPercent(formatTaskId(id)) < FULL_PERCENT
-    );
-  }
-
   get #isPollDue(): boolean {
     return !this.status.isSynced || !this.status.isAnswering ||
       this.#load.running.size > 0 || this.#runs.hasOrphans ||
@@ -172,7 +158,11 @@
       isBusy: this.status.isSynced && hasRuns,
       isAnswering: this.status.isAnswering,
       awaitsReport: this.#runs.awaitsReport,
-      awaitsStartup: this.#awaitsStartup,
+      awaitsStartup: awaitsStartup(
+        this.#load.running.values(),
+        this.status,
+        clock.nowMs(),
+      ),
       leaseLeftMs: hasRuns ? this.#leaseLeftMs : Infinity,
     });
     const { readingMs } = this.#lease;
