Plan moves for present demand again, and extend rises in turns

Change: DemandCapacityPolicy plans the moves, and TrendForecast extends each rise but that of work that was held up. Measured: npm test scheduling, 620 passed, 0 failed.

--- a/src/daemon/scheduling/start_leading.ts
+++ b/src/daemon/scheduling/start_leading.ts
@@ -12,8 +12,7 @@
   RunnerPaces,
   ScoredPlacementPolicy,
   StartPlanner,
-  StepAwareTrendForecast,
-  TurnCapacityPolicy,
+  TrendForecast,
   TurnForecast,
   UsefulResultPolicy,
 } from "../../decisions/index.ts";
@@ -129,7 +128,7 @@
     isInMaintenance,
     forecast: new HighestForecast([
       new TurnForecast(),
-      new StepAwareTrendForecast(),
+      new TrendForecast(),
     ]),
     outlook: new CyclicTurnOutlook(),
   });
@@ -148,11 +147,7 @@
     accounts,
     loads,
     vms,
-    policy: new TurnCapacityPolicy({
-      base: new DemandCapacityPolicy(),
-      moveMs: MOVE_MS,
-      movesPerSecond: vms.maxOrdersPerSecond * MOVE_RATE_SHARE,
-    }),
+    policy: new DemandCapacityPolicy(),
     holderId: entryId,
     isInMaintenance,
   });
--- a/src/decisions/scheduling/trend_forecast.ts
+++ b/src/decisions/scheduling/trend_forecast.ts
@@ -1,7 +1,6 @@
 /** Forecasts demand that is rising, and joins several forecasts. */
 import type { Arrival, DemandForecast } from "./demand_forecast.ts";
 import { measureHeldUp } from "./held_up.ts";
-import { findRecentTurns } from "./turn_detector.ts";
 
 /** Length of each of the two spans whose arrivals are compared (ms). */
 const SPAN_MS = 1_000;
@@ -19,7 +18,8 @@
 /**
  * Extends the rise of a pool's demand from one second to the next. A VM that
  * begins to move when work waits is of use only seconds later, while a queue
- * whose turn has come asks for more all the time.
+ * whose turn has come asks for more all the time. Work that was held up, and then
+ * comes at once, shows no rise.
  */
 export class TrendForecast implements DemandForecast {
   predict(
@@ -28,6 +28,12 @@
     nowMs: number,
   ): ReadonlyMap<string, number> {
     const expected = new Map<string, number>();
+    const firstMs =
+      arrivals.find(({ atMs, work }) => work > 0 && nowMs - atMs <= 2 * SPAN_MS)
+        ?.atMs ?? nowMs;
+    if (measureHeldUp(arrivals, firstMs) > 0) {
+      return expected;
+    }
     // The mean of the newer span is that of its middle.
     const aheadMs = fromMs - nowMs + SPAN_MS / 2;
     for (const [pool, spans] of sumBySpan(arrivals, nowMs)) {
@@ -42,36 +48,6 @@
   }
 }
 
-/**
- * Extends no rise of a pool in its turn once a turn has ended: until then nothing
- * tells how much one needs. A turn begins with a step, after which demand rises no
- * further. Work that was held up shows no rise either.
- */
-export class StepAwareTrendForecast implements DemandForecast {
-  readonly #trend = new TrendForecast();
-
-  predict(
-    arrivals: readonly Arrival[],
-    fromMs: number,
-    nowMs: number,
-  ): ReadonlyMap<string, number> {
-    const firstMs =
-      arrivals.find(({ atMs, work }) => work > 0 && nowMs - atMs <= 2 * SPAN_MS)
-        ?.atMs ?? nowMs;
-    if (measureHeldUp(arrivals, firstMs) > 0) {
-      return new Map();
-    }
-    const turns = findRecentTurns(arrivals, nowMs);
-    const isLevelKnown = turns.some(({ endMs }) => endMs !== undefined);
-    const inTurn = new Set(
-      turns.filter(({ endMs }) => isLevelKnown && endMs === undefined)
-        .map(({ pool }) => pool),
-    );
-    const expected = this.#trend.predict(arrivals, fromMs, nowMs);
-    return new Map([...expected].filter(([pool]) => !inTurn.has(pool)));
-  }
-}
-
 /** Predicts the highest demand that one of several forecasts predicts. */
 export class HighestForecast implements DemandForecast {
   readonly #forecasts: readonly DemandForecast[];
