--- a/src/daemon/scheduling/start_leading.ts
+++ b/src/daemon/scheduling/start_leading.ts
@@ -35,8 +35,6 @@
   CapacityTask,
   JobAdmission,
   type LeaderWork,
-  MOVE_MS,
-  MOVE_RATE_SHARE,
   PaceTask,
   PlacementExplainer,
   PoolAccounts,
--- a/src/decisions/scheduling/capacity_policy.ts
+++ b/src/decisions/scheduling/capacity_policy.ts
@@ -50,8 +50,6 @@
 export interface CapacityInput {
   readonly pools: readonly PoolLoad[];
   readonly idle: readonly IdleVm[];
-  /** Capacity that is lost at once when the largest rack fails, in millicores. */
-  readonly reserveMillicores?: number;
 }
 
 /** A planned move of a VM from one pool to another. */
@@ -96,7 +94,7 @@
  * Planned capacity as a multiple of the demand, so that tasks whose sizes do not
  * divide a VM evenly still fit.
  */
-export const HEADROOM_FACTOR = 1.15;
+const HEADROOM_FACTOR = 1.15;
 const DEFAULT_PARK_AFTER_MS = 30_000;
 const DEFAULT_MIN_POOL_VM_COUNT = 2;
 
--- a/src/decisions/scheduling/index.ts
+++ b/src/decisions/scheduling/index.ts
@@ -23,7 +23,6 @@
 export * from "./pace_policy.ts";
 export * from "./spare_room.ts";
 export * from "./trend_forecast.ts";
-export * from "./turn_capacity_policy.ts";
 export * from "./turn_forecast.ts";
 export * from "./turn_order.ts";
 export * from "./turn_outlook.ts";
--- a/src/services/scheduling/capacity_task.ts
+++ b/src/services/scheduling/capacity_task.ts
@@ -30,7 +30,7 @@
     PoolAccounts,
     "isArriving" | "recordListing" | "recordMoved"
   >;
-  readonly loads: Pick<PoolLoads, "findLargestRackMillicores" | "list">;
+  readonly loads: Pick<PoolLoads, "list">;
 }
 
 /** A runner incarnation without work. */
@@ -87,9 +87,7 @@
     this.#updateIdleTimes();
     const pools = loads.list();
     const byName = new Map(this.#vms.map((listed) => [listed.vm, listed]));
-    const reserveMillicores = loads.findLargestRackMillicores();
-    const idle = this.#listIdleVms();
-    const moves = policy.plan({ pools, idle, reserveMillicores })
+    const moves = policy.plan({ pools, idle: this.#listIdleVms() })
       .flatMap((move) => {
         const listed = byName.get(move.vm);
         return listed === undefined ? [] : [{ move, listed }];
@@ -109,7 +107,6 @@
           parkedCount: count(({ to }) => to),
           sources: countByPool(moves.map(({ move }) => move.from)),
           targets: pools.filter(({ pool }) => targets.has(pool)),
-          reserveMillicores,
         },
         "planned moves of VMs",
       );
--- a/src/services/scheduling/index.ts
+++ b/src/services/scheduling/index.ts
@@ -31,7 +31,6 @@
 export * from "./scheduling_handlers.ts";
 export * from "./scheduling_log.ts";
 export * from "./start_confirmer.ts";
-export { MOVE_MS, MOVE_RATE_SHARE } from "./timing.ts";
 export * from "./wave_task.ts";
 export * from "./watched_log_store.ts";
 export * from "./zone_order_sender.ts";
--- a/src/services/scheduling/pool_loads.ts
+++ b/src/services/scheduling/pool_loads.ts
@@ -128,15 +128,6 @@
       ]),
     );
   }
-
-  /** Returns the capacity of the runners in the largest rack, in millicores. */
-  findLargestRackMillicores(): number {
-    const byRack = new Map<string, number>();
-    for (const { capacity, rack } of this.#options.log.state.runners.values()) {
-      byRack.set(rack, (byRack.get(rack) ?? 0) + capacity.cpuMillicores);
-    }
-    return Math.max(0, ...byRack.values());
-  }
 }
 
 function sumServing(account: PoolAccount = new Map()): number {
--- a/src/testing/capacity_fixture.ts
+++ b/src/testing/capacity_fixture.ts
@@ -4,21 +4,9 @@
   type CapacityPolicy,
   type DemandForecast,
   NoForecast,
-  NoTurnOutlook,
-  type TurnOutlook,
 } from "../decisions/index.ts";
-import type {
-  Failure,
-  JobStep,
-  Runner,
-  SchedulingOperation,
-} from "../domain/index.ts";
-import type {
-  ListedVm,
-  VmControl,
-  VmFailure,
-  VmListing,
-} from "../ports/index.ts";
+import type { Failure, JobStep, Runner } from "../domain/index.ts";
+import type { ListedVm, VmControl, VmListing } from "../ports/index.ts";
 import {
   CapacityTask,
   PoolAccounts,
@@ -45,26 +33,15 @@
   readonly pools: readonly FixturePool[];
   readonly policy: CapacityPolicy;
   readonly forecast?: DemandForecast;
-  readonly outlook?: TurnOutlook;
   /** Whether the runners have answered the leader; true by default. */
   readonly isHeard?: boolean;
-  /** Whether a moved VM gets a runner in its new pool; false by default. */
-  readonly startsRunners?: boolean;
 }
 
-/** Time after which a moved VM has a runner, in milliseconds. */
-const RUNNER_START_MS = 1_500;
-
 /** VMs that can be moved at once, without faults. */
 export class MovableVms implements VmControl {
   readonly maxOrdersPerSecond = Infinity;
   readonly moves: { readonly vm: string; readonly from: string }[] = [];
-  /** VMs whose orders the platform refuses. */
-  readonly busy = new Set<string>();
-  /** VMs whose next order is carried out without an answer. */
-  readonly unanswered = new Set<string>();
   listCount = 0;
-  onMoved: (listed: ListedVm, pool: string) => void = () => {};
   #vms: readonly ListedVm[] = [];
 
   /** Adds a VM with a runner of its name, or without one. */
@@ -85,41 +62,13 @@
     return Promise.resolve(Result.ok({ vms: this.#vms, isComplete: true }));
   }
 
-  move(vm: string, pool: string): Promise<Result<undefined, VmFailure>> {
-    const known = this.#vms.find((listed) => listed.vm === vm);
-    this.moves.push({ vm, from: known?.pool ?? "" });
-    if (this.busy.has(vm)) {
-      return Promise.resolve(
-        Result.err({ refusal: "busy", message: "the VM is busy" }),
-      );
-    }
-    if (known !== undefined && known.pool !== pool) {
-      this.#replace({ ...known, pool, runnerId: undefined });
-      this.onMoved(known, pool);
-    }
-    const isAnswered = !this.unanswered.delete(vm);
-    return Promise.resolve(
-      isAnswered ? Result.ok(undefined) : Result.err({ message: "no answer" }),
-    );
-  }
-
-  /** Shows a VM with a runner. */
-  setRunner(vm: string, runnerId: string): void {
-    const known = this.#vms.find((listed) => listed.vm === vm);
-    if (known !== undefined) {
-      this.#replace({ ...known, runnerId });
-    }
-  }
-
-  /** Counts the VMs of a pool. */
-  count(pool: string): number {
-    return this.#vms.filter((listed) => listed.pool === pool).length;
-  }
-
-  #replace(changed: ListedVm): void {
+  move(vm: string, pool: string) {
+    const from = this.#vms.find((listed) => listed.vm === vm)?.pool ?? "";
+    this.moves.push({ vm, from });
     this.#vms = this.#vms.map((listed) =>
-      listed.vm === changed.vm ? changed : listed
+      listed.vm === vm ? { ...listed, pool, runnerId: undefined } : listed
     );
+    return Promise.resolve(Result.ok(undefined));
   }
 
   beginMaintenance(): never {
@@ -146,15 +95,6 @@
         }
       }
     }
-    if (options.startsRunners === true) {
-      const standby = options.pools.filter(({ isStandby }) => isStandby);
-      this.vms.onMoved = ({ runnerId, vm }, pool) => {
-        this.#endRunner(runnerId);
-        if (!standby.some(({ name }) => name === pool)) {
-          void this.#startRunner(vm, pool);
-        }
-      };
-    }
     void this.#createTask(options).run(this.#stop.signal);
   }
 
@@ -201,34 +141,6 @@
     return jobId;
   }
 
-  /** Cancels a job, so that its tasks wait no longer. */
-  cancel(jobId: string): void {
-    this.#apply({ type: "cancel", jobId });
-  }
-
-  #endRunner(runnerId = ""): void {
-    const runner = this.agreement.state.scheduling.runners.get(runnerId);
-    if (runner !== undefined) {
-      const { bornAtMs } = runner;
-      this.#apply({ type: "runnerGone", runnerId, bornAtMs });
-    }
-  }
-
-  async #startRunner(vm: string, pool: string): Promise<void> {
-    await this.clock.sleep(RUNNER_START_MS);
-    const runnerId = `${vm}@${this.clock.nowMs()}`;
-    this.addRunner(runnerId, pool, this.clock.nowMs());
-    this.vms.setRunner(vm, runnerId);
-  }
-
-  #apply(operation: SchedulingOperation): void {
-    this.agreement.state.apply({
-      type: "scheduling",
-      atMs: this.clock.nowMs(),
-      operations: [operation],
-    });
-  }
-
   /** Starts a task of the first step of a job on a runner. */
   start(jobId: string, index: number, runnerId: string): void {
     this.agreement.state.apply({
@@ -250,7 +162,7 @@
   }
 
   #createTask(
-    { forecast, isHeard = true, outlook, policy }: CapacityFixtureOptions,
+    { forecast, isHeard = true, policy }: CapacityFixtureOptions,
   ): CapacityTask {
     const { agreement, clock, vms } = this;
     const status = new RunnerStatus(clock);
@@ -277,7 +189,6 @@
         ...shared,
         accounts,
         forecast: forecast ?? new NoForecast(),
-        outlook: outlook ?? new NoTurnOutlook(),
         awaitsMaintenance: () => false,
       }),
       vms,
