--- a/src/adapters/metrics/prometheus_scheduling_metrics.ts
+++ b/src/adapters/metrics/prometheus_scheduling_metrics.ts
@@ -1,5 +1,5 @@
 /** Scheduling metrics with prom-client. */
-import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import { Counter, Histogram, Registry } from "prom-client";
 import type { JobState, RunEnd } from "../../domain/index.ts";
 import type {
   CallMeasurement,
@@ -19,6 +19,7 @@
   SchedulingGauges,
   SchedulingMetrics,
 } from "../../ports/index.ts";
+import { LeaderGauges } from "./leader_gauges.ts";
 import { PrometheusConnectionMetrics } from "./prometheus_connection_metrics.ts";
 
 const MS_PER_SECOND = 1_000;
@@ -59,6 +60,7 @@
   readonly #options: PrometheusSchedulingMetricsOptions;
   readonly #registry = new Registry();
   readonly #registers = [this.#registry];
+  readonly #gauges = new LeaderGauges(this.#registry);
   readonly #connections = new PrometheusConnectionMetrics(this.#registry);
   readonly #calls = new Histogram({
     name: "cardamomsill_call_seconds",
@@ -88,28 +90,6 @@
     buckets: BUCKETS_SECONDS,
     registers: this.#registers,
   });
-  readonly #openJobs = new Gauge({
-    name: "cardamomsill_open_jobs",
-    help: "Jobs that have not ended, at the leader, by state",
-    labelNames: ["state"],
-    registers: this.#registers,
-  });
-  readonly #runners = new Gauge({
-    name: "cardamomsill_runners",
-    help: "Runners at the leader, by condition",
-    labelNames: ["condition"],
-    registers: this.#registers,
-  });
-  readonly #term = new Gauge({
-    name: "cardamomsill_leader_term",
-    help: "Term that this process leads; 0 while it does not",
-    registers: this.#registers,
-  });
-  readonly #catalog = new Gauge({
-    name: "cardamomsill_catalog_version",
-    help: "Version of the catalog in force at the leader",
-    registers: this.#registers,
-  });
   readonly #droppedLines = new Counter({
     name: "cardamomsill_log_lines_dropped_total",
     help: "Log lines that were dropped because their reader was too slow",
@@ -156,42 +136,6 @@
     help: "Starts in plans, also in those that the log did not take",
     registers: this.#registers,
   });
-  readonly #waitingTasks = new Gauge({
-    name: "cardamomsill_waiting_tasks",
-    help: "Tasks at the leader that could start now, by pool",
-    labelNames: ["pool"],
-    registers: this.#registers,
-  });
-  readonly #freeMillicores = new Gauge({
-    name: "cardamomsill_free_millicores",
-    help: "Free CPU of the runners that may get work, at the leader, by pool",
-    labelNames: ["pool"],
-    registers: this.#registers,
-  });
-  readonly #suspectRunners = new Gauge({
-    name: "cardamomsill_suspect_runners",
-    help: "Runners that get one task at a time, at the leader, by pool",
-    labelNames: ["pool"],
-    registers: this.#registers,
-  });
-  readonly #poolMillicores = new Gauge({
-    name: "cardamomsill_pool_millicores",
-    help: "CPU of all VMs at the leader, by pool and what it is used for",
-    labelNames: ["pool", "share"],
-    registers: this.#registers,
-  });
-  readonly #wantedMillicores = new Gauge({
-    name: "cardamomsill_wanted_millicores",
-    help: "CPU that pools need now or one move ahead, at the leader",
-    labelNames: ["pool"],
-    registers: this.#registers,
-  });
-  readonly #nextTurnSeconds = new Gauge({
-    name: "cardamomsill_next_turn_seconds",
-    help: "Time until the next expected turn of a pool, at the leader",
-    labelNames: ["pool"],
-    registers: this.#registers,
-  });
   readonly #runnerRequests = new Counter({
     name: "cardamomsill_runner_requests_total",
     help: "Requests of the leader to runners, by kind and outcome",
@@ -216,12 +160,6 @@
     labelNames: [...JOB_LABELS, "reason"],
     registers: this.#registers,
   });
-  readonly #delayedSteps = new Gauge({
-    name: "cardamomsill_delayed_steps",
-    help: "Waiting steps at the leader behind others in full pools, by reason",
-    labelNames: ["reason"],
-    registers: this.#registers,
-  });
   readonly #messages = new Counter({
     name: "cardamomsill_leader_messages_total",
     help: "Messages of entries and controllers to the leader, by method",
@@ -311,44 +249,7 @@
     this.#loopActive.inc(loopActiveMs / MS_PER_SECOND);
     this.#droppedLines.reset();
     this.#droppedLines.inc(readDroppedLineCount());
-    this.#wantedMillicores.reset();
-    this.#nextTurnSeconds.reset();
-    const gauges = readGauges();
-    this.#term.set(gauges?.term ?? 0);
-    setAll(this.#openJobs, gauges?.openJobCounts);
-    setAll(this.#runners, gauges?.runnerCounts);
-    setAll(this.#waitingTasks, gauges?.waitingTaskCounts);
-    setAll(this.#freeMillicores, gauges?.freeMillicores);
-    setAll(this.#delayedSteps, gauges?.delayedStepCounts);
-    setAll(this.#suspectRunners, gauges?.suspectRunnerCounts);
-    this.#poolMillicores.reset();
-    if (gauges !== undefined) {
-      this.#catalog.set(gauges.catalogVersion);
-      for (const [pool, account] of gauges.poolMillicores) {
-        for (const [share, millicores] of account) {
-          this.#poolMillicores.set({ pool, share }, millicores);
-        }
-      }
-      for (const [pool, need] of gauges.poolNeeds ?? []) {
-        this.#wantedMillicores.set({ pool }, need.wantedMillicores);
-        if (need.nextTurnMs !== undefined) {
-          this.#nextTurnSeconds.set(
-            { pool },
-            need.nextTurnMs / MS_PER_SECOND,
-          );
-        }
-      }
-    }
+    this.#gauges.set(readGauges());
     return this.#registry.metrics();
   }
 }
-
-function setAll<Label extends string>(
-  gauge: Gauge<Label>,
-  values: ReadonlyMap<string, number> | undefined,
-): void {
-  gauge.reset();
-  for (const [name, value] of values ?? []) {
-    gauge.labels(name).set(value);
-  }
-}
