Tell which completed jobs were late, and how long calls waited for a leader

Entries now send with each attempt how long the call has waited, the log keeps it with the job, and the leader logs and counts each completed job as in time, late only by that wait, or late from its acceptance on. Earlier builds skip the new fields. No decision reads them yet.

--- a/src/adapters/metrics/prometheus_scheduling_metrics.ts
+++ b/src/adapters/metrics/prometheus_scheduling_metrics.ts
@@ -10,6 +10,7 @@
   DiskWriteOutcome,
   EventLoopMetrics,
   JobLabels,
+  JobPunctuality,
   LeaderMetrics,
   ProcessUsage,
   RunFaultKind,
@@ -90,6 +91,12 @@
     buckets: BUCKETS_SECONDS,
     registers: this.#registers,
   });
+  readonly #completedJobs = new Counter({
+    name: "cardamomsill_completed_jobs_total",
+    help: "Completed jobs without a schedule, by whether they were in time",
+    labelNames: [...JOB_LABELS, "punctuality"],
+    registers: this.#registers,
+  });
   readonly #droppedLines = new Counter({
     name: "cardamomsill_log_lines_dropped_total",
     help: "Log lines that were dropped because their reader was too slow",
@@ -187,6 +194,10 @@
     this.#jobs.observe({ ...labels, outcome }, totalMs / MS_PER_SECOND);
   }
 
+  countPunctuality(labels: JobLabels, punctuality: JobPunctuality): void {
+    this.#completedJobs.inc({ ...labels, punctuality });
+  }
+
   recordEventLoopDelay(delayMs: number): void {
     this.#loopDelays.observe(delayMs / MS_PER_SECOND);
   }
--- a/src/daemon/scheduling/create_scheduling_controller.ts
+++ b/src/daemon/scheduling/create_scheduling_controller.ts
@@ -96,7 +96,7 @@
   }
   const replica = loaded.value;
   const { clock, logger, metrics, network, tasks } = base;
-  const meter = new RecordingOperationMeter(metrics);
+  const meter = new RecordingOperationMeter({ metrics, logger });
   const work = new LeaderWork(base);
   const logOptions = { agreement: replica, clock, meter, metrics: work };
   const log = new SchedulingLog(logOptions);
--- a/src/decisions/scheduling/ready_step.ts
+++ b/src/decisions/scheduling/ready_step.ts
@@ -92,6 +92,28 @@
   return paths;
 }
 
+/**
+ * Computes the time in which a job should end.
+ *
+ * @param steps - The steps of the job.
+ * @param queue - Its queue; undefined if the catalog no longer has it.
+ * @returns Time from the request to the target end (ms).
+ */
+export function computeAllowedMs(
+  steps: readonly JobStep[],
+  queue: JobQueue | undefined,
+): number {
+  return computeTargetMs(computeCriticalPaths(steps), queue);
+}
+
+function computeTargetMs(
+  paths: readonly CriticalPath[],
+  queue: JobQueue | undefined,
+): number {
+  const longestMs = Math.max(0, ...paths.map(({ durationMs }) => durationMs));
+  return (queue?.stretch ?? 1) * longestMs + (queue?.targetLatencyMs ?? 0);
+}
+
 const NO_PATH: CriticalPath = { durationMs: 0, stepCount: 0 };
 
 function addReadySteps(
@@ -101,7 +123,7 @@
   nowMs: number,
 ): void {
   const paths = findCriticalPaths(job);
-  const longestMs = Math.max(0, ...paths.map(({ durationMs }) => durationMs));
+  const allowedMs = computeTargetMs(paths, queue);
   job.occurrences.forEach((records, occurrence) => {
     const dueMs = job.findDueMs(occurrence);
     if (dueMs > nowMs) {
@@ -114,7 +136,6 @@
       if (!isReady) {
         return;
       }
-      const allowedMs = (queue?.stretch ?? 1) * longestMs;
       const path = paths[stepIndex] ?? NO_PATH;
       ready.push({
         job,
@@ -125,7 +146,7 @@
         pool: queue?.pool ?? job.pool,
         priority: queue?.priority ?? 0,
         advice: queue?.advice,
-        targetEndMs: dueMs + allowedMs + (queue?.targetLatencyMs ?? 0),
+        targetEndMs: dueMs + allowedMs,
         criticalPathMs: path.durationMs,
         criticalStepCount: path.stepCount,
       });
--- a/src/domain/scheduling/job_record.ts
+++ b/src/domain/scheduling/job_record.ts
@@ -50,6 +50,8 @@
   team: v.optional(v.string()),
   maxAttempts: v.number(),
   acceptedAtMs: v.number(),
+  /** Absent in snapshots of earlier releases, which skip it. */
+  requestedAtMs: v.optional(v.number()),
   endedAtMs: v.optional(v.number()),
   outcome: v.optional(v.picklist(OUTCOMES)),
   hasStarted: v.boolean(),
@@ -83,6 +85,11 @@
   /** Number of failed runs of one task after which the job has failed. */
   readonly maxAttempts: number;
   readonly acceptedAtMs: number;
+  /**
+   * Wall-clock time at which the request arrived that was accepted, in
+   * milliseconds; `acceptedAtMs` by default.
+   */
+  readonly requestedAtMs?: number | undefined;
 }
 
 /** A job and the progress of its tasks. Only the job table changes it. */
@@ -93,6 +100,11 @@
   readonly team: string | undefined;
   readonly maxAttempts: number;
   readonly acceptedAtMs: number;
+  /**
+   * Wall-clock time at which the request arrived that was accepted, in
+   * milliseconds.
+   */
+  readonly requestedAtMs: number;
   /** Progress by occurrence, then by step. */
   readonly occurrences: readonly (readonly StepRecord[])[];
   hasStarted = false;
@@ -106,6 +118,7 @@
     this.team = options.team;
     this.maxAttempts = options.maxAttempts;
     this.acceptedAtMs = options.acceptedAtMs;
+    this.requestedAtMs = options.requestedAtMs ?? options.acceptedAtMs;
     const count = options.spec.schedule?.occurrenceCount ?? 1;
     this.occurrences = Array.from(
       { length: count },
@@ -178,7 +191,7 @@
 
   /** Copies the job into plain values for a snapshot. */
   toStored(): StoredJob {
-    const { spec, queue, pool, team, acceptedAtMs, endedAtMs, outcome } = this;
+    const { spec, queue, pool, team, endedAtMs, outcome } = this;
     const tasks: StoredJob["tasks"] = [];
     this.occurrences.forEach((steps, occurrence) =>
       steps.forEach((record, step) =>
@@ -195,7 +208,7 @@
         })
       )
     );
-    const { hasStarted, maxAttempts } = this;
+    const { acceptedAtMs, hasStarted, maxAttempts, requestedAtMs } = this;
     return {
       spec,
       queue,
@@ -203,6 +216,7 @@
       team,
       maxAttempts,
       acceptedAtMs,
+      requestedAtMs,
       endedAtMs,
       outcome,
       hasStarted,
--- a/src/domain/scheduling/job_table.ts
+++ b/src/domain/scheduling/job_table.ts
@@ -69,6 +69,7 @@
       ...operation,
       team: operation.team,
       acceptedAtMs: atMs,
+      requestedAtMs: atMs - (operation.waitedMs ?? 0),
     });
     this.#jobs.set(jobId, job);
     this.#open.add(job);
--- a/src/domain/scheduling/scheduling_command.ts
+++ b/src/domain/scheduling/scheduling_command.ts
@@ -44,6 +44,11 @@
     team: v.optional(v.string()),
     /** Number of failed runs of one task after which the job has failed. */
     maxAttempts: v.number(),
+    /**
+     * Time for which the caller's request had waited (ms). Earlier releases
+     * neither write nor read it.
+     */
+    waitedMs: v.optional(v.number()),
   }),
   v.object({ type: v.literal("cancel"), jobId: v.string() }),
   v.object({
--- a/src/ports/scheduling_metrics.ts
+++ b/src/ports/scheduling_metrics.ts
@@ -15,6 +15,13 @@
   readonly queue: string;
 }
 
+/**
+ * Whether a completed job ended by its target time, which follows from the
+ * estimates of its steps. `lateByWait` jobs would have, counted from their
+ * acceptance, and are late counted from the caller's request.
+ */
+export type JobPunctuality = "inTime" | "lateByWait" | "late";
+
 /** Current gauge values, as the leader knows them. */
 export interface SchedulingGauges {
   readonly term: number;
@@ -99,4 +106,6 @@
   recordRun(labels: JobLabels, how: RunEnd, runMs: number): void;
   /** Records the end of a job and the time since it was accepted (ms). */
   recordJob(labels: JobLabels, outcome: JobState, totalMs: number): void;
+  /** Counts a completed job, unless it has a schedule. */
+  countPunctuality(labels: JobLabels, punctuality: JobPunctuality): void;
 }
--- a/src/services/scheduling/call_order_test.ts
+++ b/src/services/scheduling/call_order_test.ts
@@ -1,7 +1,11 @@
 import { Result } from "true-myth";
 import * as assert from "uvu/assert";
 import { SeededRandom } from "../../adapters/random/index.ts";
-import { createFailure, type Failure } from "../../domain/index.ts";
+import {
+  createFailure,
+  type Failure,
+  type JobRecord,
+} from "../../domain/index.ts";
 import { describe, it } from "../../testing/describe.ts";
 import { FakeAgreement } from "../../testing/fake_agreement.ts";
 import { FakeClock } from "../../testing/fake_clock.ts";
@@ -74,6 +78,7 @@
       recordWait: () => undefined,
       recordRun: () => undefined,
       recordJob: () => undefined,
+      countPunctuality: () => undefined,
     };
     this.#forwarder = new JobCallForwarder({
       leader: client,
@@ -103,6 +108,11 @@
     await this.clock.runUntil(proposed, MANY_MS);
   }
 
+  /** The job of {@link JOB_PATH}; undefined before it is accepted. */
+  get job(): JobRecord | undefined {
+    return this.#log.state.jobs.find(JOB_PATH.slice("/old/".length));
+  }
+
   /** Loses all messages of the leader. */
   silenceLeader(): void {
     this.#network.isolate(this.#leaderId);
@@ -195,6 +205,22 @@
       assert.equal(site.answeredNames, ["earlier", "first", "second"]);
     });
 
+    // Guards against a job that looks new to the next leader although its caller
+    // has waited for the whole election.
+    it("tell the next leader how long they have waited", async () => {
+      const site = await createSite();
+      const { clock } = site;
+      site.silenceLeader();
+      const sentAtMs = clock.nowMs();
+      const submitted = site.handleJob("a", "submit");
+      await clock.advance(APART_MS);
+      site.elect("c2");
+      await clock.runUntil(submitted, MANY_MS);
+      const { acceptedAtMs = 0, requestedAtMs = 0 } = site.job ?? {};
+      assert.ok(acceptedAtMs - sentAtMs >= LEADER_CALL_MS);
+      assert.ok(Math.abs(requestedAtMs - sentAtMs) <= ANSWERED_MS);
+    });
+
     it("reach the next leader in the order in which they were sent", async () => {
       const site = await createSite();
       const { clock } = site;
--- a/src/services/scheduling/controller_leader_client.ts
+++ b/src/services/scheduling/controller_leader_client.ts
@@ -17,7 +17,7 @@
    * @param method - Name of the message.
    * @param body - Body of the message.
    * @param timeoutMs - Time for all attempts (ms).
-   * @param options - Whether the call is a read.
+   * @param options - Whether the call is a read, and how it tells its wait.
    * @returns The leader's answer or failure; `notLeader` when no leader can
    * have handled the call, `noQuorum` when one may have.
    */
--- a/src/services/scheduling/job_call_forwarder.ts
+++ b/src/services/scheduling/job_call_forwarder.ts
@@ -46,7 +46,10 @@
       SCHEDULING_METHODS.job,
       call,
       waitMs,
-      { isRead },
+      {
+        isRead,
+        createBody: (waitedMs) => ({ ...call, waitedMs: Math.round(waitedMs) }),
+      },
     );
     const answered = body.andThen((value) =>
       validateWith(jobCallAnswerSchema, value, {
--- a/src/services/scheduling/job_call_forwarder_test.ts
+++ b/src/services/scheduling/job_call_forwarder_test.ts
@@ -42,6 +42,7 @@
     recordWait: () => undefined,
     recordRun: () => undefined,
     recordJob: () => undefined,
+    countPunctuality: () => undefined,
   };
   const forwarder = new JobCallForwarder({ leader, clock, logger, metrics });
   return { clock, logger, calls, forwarder };
--- a/src/services/scheduling/job_service.ts
+++ b/src/services/scheduling/job_service.ts
@@ -34,6 +34,11 @@
   key: v.optional(v.string()),
   /** Id of the caller's request, for the log. */
   requestId: v.string(),
+  /**
+   * Time for which the call waited at an entry before it was sent (ms). Absent
+   * in calls of earlier releases.
+   */
+  waitedMs: v.optional(v.pipe(v.number(), v.minValue(0))),
   /** Steps and description of the job, for a submit; the path holds its id. */
   work: v.optional(v.omit(jobSpecSchema, ["jobId"])),
 });
@@ -131,7 +136,7 @@
   }
 
   async #submit(
-    { work }: JobCall,
+    { waitedMs, work }: JobCall,
     { queue, rest, team }: Target,
   ): Promise<Result<JobCallAnswer, Failure>> {
     if (work === undefined) {
@@ -163,6 +168,7 @@
       pool: queue.pool,
       team,
       maxAttempts: queue.maxAttempts,
+      waitedMs,
     }]);
     const absent = accepted.isErr && accepted.error.kind === "notLeader";
     proposal.end(accepted.isOk ? "applied" : absent ? "absent" : "unknown");
@@ -241,9 +247,9 @@
   }
 
   #logCall(call: JobCall, answered: Result<JobCallAnswer, Failure>): void {
-    const { action, host, path, requestId } = call;
+    const { action, host, path, requestId, waitedMs } = call;
     const reliance = this.#log.describeReliance();
-    const fields = { requestId, action, host, path, ...reliance };
+    const fields = { requestId, action, host, path, waitedMs, ...reliance };
     if (answered.isErr) {
       const { kind, message } = answered.error;
       this.#logger.info({ ...fields, kind, reason: message }, "refused a call");
--- a/src/services/scheduling/leader_client.ts
+++ b/src/services/scheduling/leader_client.ts
@@ -15,6 +15,11 @@
 export interface LeaderCallOptions {
   /** Whether the call changes nothing, so that it may be refused at any time. */
   readonly isRead?: boolean;
+  /**
+   * Creates the body of one attempt from the time that the call has waited
+   * (ms). Without it, all attempts send the body of the call.
+   */
+  readonly createBody?: (waitedMs: number) => unknown;
 }
 
 /** A message to a controller that has no answer yet. */
@@ -80,7 +85,7 @@
    * @param method - Name of the message.
    * @param body - Body of the message.
    * @param timeoutMs - Time for all attempts (ms).
-   * @param options - Whether the call is a read.
+   * @param options - Whether the call is a read, and how it tells its wait.
    * @returns The leader's answer or failure; `notLeader` when no leader can
    * have handled the call, `noQuorum` when one may have.
    */
@@ -88,11 +93,12 @@
     method: string,
     body: unknown,
     timeoutMs: number,
-    { isRead = false }: LeaderCallOptions = {},
+    { isRead = false, createBody = () => body }: LeaderCallOptions = {},
   ): Promise<Result<unknown, Failure>> {
     const clock = this.#clock;
     const finder = this.#finder;
-    const deadlineMs = clock.steadyMs() + timeoutMs;
+    const arrivedAtMs = clock.steadyMs();
+    const deadlineMs = arrivedAtMs + timeoutMs;
     const position = finder.arrive();
     const cancelTimer = clock.startTimer(
       timeoutMs,
@@ -101,13 +107,19 @@
     let isOutcomeUnknown = false;
     for (;;) {
       const target = await finder.waitForLeader(position, deadlineMs);
-      const leftMs = deadlineMs - clock.steadyMs();
+      const nowMs = clock.steadyMs();
+      const leftMs = deadlineMs - nowMs;
       if (target === undefined || leftMs <= 0) {
         cancelTimer();
         return Result.err(createNoLeader(isOutcomeUnknown));
       }
       const attemptMs = Math.min(leftMs, finder.callTimeoutMs);
-      const answered = await this.#attempt(target, method, body, attemptMs);
+      const answered = await this.#attempt(
+        target,
+        method,
+        createBody(nowMs - arrivedAtMs),
+        attemptMs,
+      );
       if (answered.isOk || !finder.recordFailure(target, answered.error)) {
         cancelTimer();
         return answered.isErr && isOutcomeUnknown && !isRead
--- a/src/services/scheduling/operation_meter.ts
+++ b/src/services/scheduling/operation_meter.ts
@@ -1,10 +1,18 @@
 /** Measures the effect of log changes on jobs and runs. */
-import type {
-  JobRecord,
-  SchedulingOperation,
-  SchedulingState,
+import { computeAllowedMs } from "../../decisions/index.ts";
+import {
+  type Catalog,
+  indexQueues,
+  type JobRecord,
+  type SchedulingOperation,
+  type SchedulingState,
 } from "../../domain/index.ts";
-import type { JobLabels, SchedulingMetrics } from "../../ports/index.ts";
+import type {
+  JobLabels,
+  JobPunctuality,
+  Logger,
+  SchedulingMetrics,
+} from "../../ports/index.ts";
 
 type EndedRun = Pick<
   Extract<SchedulingOperation, { type: "end" }>,
@@ -36,17 +44,26 @@
   }
 }
 
+/** Options of {@link RecordingOperationMeter}. */
+export interface RecordingOperationMeterOptions {
+  /** Where measurements go. */
+  readonly metrics: SchedulingMetrics;
+  readonly logger: Logger;
+}
+
 /** Records the waits, runs and ends of jobs by team and queue. */
 export class RecordingOperationMeter implements OperationMeter {
   readonly #metrics: SchedulingMetrics;
-  /** Jobs whose first start is recorded. */
-  readonly #started = new WeakSet<JobRecord>();
+  readonly #logger: Logger;
+  /** Time from acceptance to the first start of jobs that have started (ms). */
+  readonly #startWaitMs = new WeakMap<JobRecord, number>();
   /** Jobs whose end is recorded; overlapping batches may both change a job. */
   readonly #ended = new WeakSet<JobRecord>();
 
-  /** @param metrics - Where measurements go. */
-  constructor(metrics: SchedulingMetrics) {
+  /** @param options - Where measurements and lines go. */
+  constructor({ metrics, logger }: RecordingOperationMeterOptions) {
     this.#metrics = metrics;
+    this.#logger = logger;
   }
 
   begin(
@@ -85,7 +102,7 @@
     return () => {
       runs.forEach((record) => record());
       waiting.forEach((job) => this.#recordWait(job, atMs));
-      open.forEach((job) => this.#recordEnd(job, atMs));
+      open.forEach((job) => this.#recordEnd(job, state.catalog, atMs));
     };
   }
 
@@ -103,20 +120,59 @@
   }
 
   #recordWait(job: JobRecord, atMs: number): void {
-    if (job.hasStarted && !this.#started.has(job)) {
-      this.#started.add(job);
+    if (job.hasStarted && !this.#startWaitMs.has(job)) {
       const waitMs = Math.max(0, atMs - job.findDueMs(0));
+      this.#startWaitMs.set(job, waitMs);
       this.#metrics.recordWait(findLabels(job), waitMs);
     }
   }
 
-  #recordEnd(job: JobRecord, atMs: number): void {
-    if (job.outcome !== undefined && !this.#ended.has(job)) {
-      this.#ended.add(job);
-      const totalMs = Math.max(0, atMs - job.acceptedAtMs);
-      this.#metrics.recordJob(findLabels(job), job.outcome, totalMs);
+  #recordEnd(job: JobRecord, catalog: Catalog, atMs: number): void {
+    const { acceptedAtMs, outcome, requestedAtMs, spec: { jobId } } = job;
+    if (outcome === undefined || this.#ended.has(job)) {
+      return;
+    }
+    this.#ended.add(job);
+    const labels = findLabels(job);
+    const totalMs = Math.max(0, atMs - acceptedAtMs);
+    this.#metrics.recordJob(labels, outcome, totalMs);
+    if (outcome !== "completed" || job.spec.schedule !== undefined) {
+      return;
     }
+    const times = {
+      waitedMs: acceptedAtMs - requestedAtMs,
+      totalMs,
+      allowedMs: computeAllowedMs(
+        job.spec.steps,
+        indexQueues(catalog).byName.get(job.queue),
+      ),
+    };
+    const punctuality = findPunctuality(times);
+    this.#metrics.countPunctuality(labels, punctuality);
+    const startWaitMs = this.#startWaitMs.get(job);
+    this.#logger.info(
+      { jobId, ...labels, punctuality, ...times, startWaitMs },
+      "a job was completed",
+    );
+  }
+}
+
+interface JobTimes {
+  /** Time from the arrival of the request to its acceptance (ms). */
+  readonly waitedMs: number;
+  /** Time from the acceptance to the end (ms). */
+  readonly totalMs: number;
+  /** Time from the request within which the job should end (ms). */
+  readonly allowedMs: number;
+}
+
+function findPunctuality(
+  { waitedMs, totalMs, allowedMs }: JobTimes,
+): JobPunctuality {
+  if (waitedMs + totalMs <= allowedMs) {
+    return "inTime";
   }
+  return totalMs <= allowedMs ? "lateByWait" : "late";
 }
 
 function findJob(
--- a/src/services/scheduling/operation_meter_test.ts
+++ b/src/services/scheduling/operation_meter_test.ts
@@ -7,10 +7,14 @@
   type SchedulingOperation,
   SchedulingState,
 } from "../../domain/index.ts";
+import type { JobPunctuality, SchedulingMetrics } from "../../ports/index.ts";
 import { describe, it } from "../../testing/describe.ts";
+import { FakeLogger } from "../../testing/fake_ports.ts";
 import { RecordingOperationMeter } from "./operation_meter.ts";
 
 const JOB_ID = "0123456789abcdef";
+/** Time from its request in which the job should end (ms). */
+const ALLOWED_MS = 500;
 const INCARNATION = { runnerId: "r1", bornAtMs: 1 };
 const RUNNER: Runner = {
   ...INCARNATION,
@@ -23,16 +27,20 @@
   isDraining: false,
 };
 
-function setUp() {
+function setUp({ waitedMs }: { readonly waitedMs?: number } = {}) {
   const seen: string[] = [];
-  const meter = new RecordingOperationMeter({
+  const punctualities: JobPunctuality[] = [];
+  const metrics: SchedulingMetrics = {
     recordCall: () => undefined,
     recordWait: ({ team, queue }, waitMs) =>
       seen.push(`wait ${team}/${queue} ${waitMs}`),
     recordRun: (_labels, how, runMs) => seen.push(`run ${how} ${runMs}`),
     recordJob: (_labels, outcome, totalMs) =>
       seen.push(`job ${outcome} ${totalMs}`),
-  });
+    countPunctuality: (_labels, punctuality) => punctualities.push(punctuality),
+  };
+  const logger = new FakeLogger();
+  const meter = new RecordingOperationMeter({ metrics, logger });
   const state = new SchedulingState();
   const apply = (atMs: number, ...operations: SchedulingOperation[]) => {
     const record = meter.begin(operations, state, atMs);
@@ -48,14 +56,16 @@
       steps: [v.parse(jobStepSchema, {
         taskCount: 2,
         needs: { cpuMillicores: 100 },
+        estimateMs: ALLOWED_MS,
       })],
     },
     queue: "q",
     pool: "bay",
     team: "team",
     maxAttempts: 2,
+    waitedMs,
   });
-  return { meter, state, seen, apply };
+  return { apply, logger, meter, punctualities, seen, state };
 }
 
 function start(index: number, runNumber = 1): SchedulingOperation {
@@ -123,4 +133,46 @@
     second();
     assert.equal(seen, ["run done 300", "job completed 500", "run done 300"]);
   });
+
+  describe("counts a completed job", () => {
+    function complete(totalMs: number, waitedMs?: number) {
+      const site = setUp(waitedMs === undefined ? {} : { waitedMs });
+      site.apply(1_100, start(0), start(1));
+      site.apply(1_000 + totalMs, end(0, "done"), end(1, "done"));
+      return site;
+    }
+
+    it("as in time up to its target", () => {
+      assert.equal(complete(ALLOWED_MS).punctualities, ["inTime"]);
+      assert.equal(complete(ALLOWED_MS - 200, 200).punctualities, ["inTime"]);
+    });
+
+    it("as late by its wait if only that made it late", () => {
+      assert.equal(complete(ALLOWED_MS, 1).punctualities, ["lateByWait"]);
+    });
+
+    it("as late if it is, counted from its acceptance", () => {
+      assert.equal(complete(ALLOWED_MS + 1).punctualities, ["late"]);
+    });
+
+    it("with a line that tells where its time went", () => {
+      const { logger } = complete(ALLOWED_MS, 300);
+      assert.equal(logger.lines.map(({ fields }) => fields), [{
+        jobId: JOB_ID,
+        team: "team",
+        queue: "q",
+        punctuality: "lateByWait",
+        waitedMs: 300,
+        totalMs: ALLOWED_MS,
+        allowedMs: ALLOWED_MS,
+        startWaitMs: 100,
+      }]);
+    });
+  });
+
+  it("counts no cancelled job as in time or late", () => {
+    const { apply, punctualities } = setUp();
+    apply(1_400, { type: "cancel", jobId: JOB_ID });
+    assert.equal(punctualities, []);
+  });
 });
