Reproduce work that is late and takes the room of work that is not

The leader counts the target time of a job from its acceptance, so calls that waited for the election look as new as those sent after it, and come first.

--- a/src/testing/scheduling_fixture.ts
+++ b/src/testing/scheduling_fixture.ts
@@ -251,8 +251,19 @@
     this.crash(runnerId);
   }
 
-  /** Submits a job and returns whether the leader accepted it. */
-  async submit(jobId: string, steps: readonly JobStep[]): Promise<boolean> {
+  /**
+   * Submits a job.
+   *
+   * @param jobId - Id of the job.
+   * @param steps - Its steps.
+   * @param waitedMs - Time for which the call has waited for a leader (ms).
+   * @returns Whether the leader accepted it.
+   */
+  async submit(
+    jobId: string,
+    steps: readonly JobStep[],
+    waitedMs = 0,
+  ): Promise<boolean> {
     const leader = this.#leader;
     await leader?.clock.waitUntilResumed();
     const submitted = await leader?.jobs.answer({
@@ -261,6 +272,7 @@
       path: `/q/${jobId}`,
       key: "key",
       requestId: jobId,
+      waitedMs,
       work: { text: "", steps: [...steps] },
     });
     return submitted?.isOk ?? false;
