Count the target time of a job from its request

Cause: the leader counted from the acceptance, and entries hold calls while there is no leader. Those that were late by then came first, and each made a later job late. Now the time that the request waited counts, for the order and for rejections; 'waiting since' of the placement trust and of the wait metric stays at the acceptance.

--- a/src/decisions/scheduling/admission_policy.ts
+++ b/src/decisions/scheduling/admission_policy.ts
@@ -25,6 +25,8 @@
   readonly reachableMillicores: number;
   /** How much longer than estimated the runs of the queue take (ms). */
   readonly delayMs: number;
+  /** Time for which the request has waited (ms). */
+  readonly waitedMs: number;
 }
 
 /** Why a job is rejected, with the inputs. */
@@ -40,7 +42,7 @@
   readonly capacityMillicores: number;
   /** Time until the work before the job has been done (ms). */
   readonly expectedWaitMs: number;
-  /** Time after its arrival at which the result is of no use any more (ms). */
+  /** Time from now on for which the result would be of use (ms). */
   readonly usefulMs: number;
   readonly retryAfterMs: number;
 }
@@ -71,14 +73,15 @@
  */
 export class UsefulResultPolicy implements JobAdmissionPolicy {
   decide(
-    { spec, queue, team, full, reachableMillicores, delayMs }: AdmissionInput,
+    input: AdmissionInput,
   ): AdmissionRejection | undefined {
+    const { spec, team, full, reachableMillicores } = input;
     const isBound = spec.schedule === undefined &&
       spec.steps.every(({ isEndless }) => !isEndless);
     if (full === undefined || full.capacityMillicores === 0 || !isBound) {
       return undefined;
     }
-    const times = computeTimes(spec, queue, delayMs);
+    const times = computeTimes(input);
     const { backlog, backlogByTeam, capacityMillicores, shareByTeam } = full;
     const share = shareByTeam.get(team ?? "");
     const ofTeam = backlogByTeam.get(team ?? "");
@@ -98,16 +101,16 @@
 interface JobTimes {
   /** Expected duration of the critical path (ms). */
   readonly pathMs: number;
-  /** Time that the job may wait and still end in time (ms). */
+  /** Time that the job may still wait and end in time (ms). */
   readonly slackMs: number;
+  /** Time from now on for which its result would be of use (ms). */
   readonly usefulMs: number;
 }
 
 function computeTimes(
-  { steps }: JobSpec,
-  { stretch, targetLatencyMs }: JobQueue,
-  delayMs: number,
+  { spec: { steps }, queue, delayMs, waitedMs }: AdmissionInput,
 ): JobTimes {
+  const { stretch, targetLatencyMs } = queue;
   const paths = computeCriticalPaths(steps);
   const longestMs = Math.max(0, ...paths.map(({ durationMs }) => durationMs));
   const pathMs = Math.max(
@@ -119,10 +122,10 @@
   const targetMs = stretch * longestMs + targetLatencyMs;
   return {
     pathMs,
-    slackMs: Math.max(0, targetMs - pathMs),
+    slackMs: Math.max(0, targetMs - waitedMs - pathMs),
     // The target counts the work that steps turn out to need.
     usefulMs: USEFUL_TIME_FACTOR *
-      (stretch * Math.max(longestMs, pathMs) + targetLatencyMs),
+        (stretch * Math.max(longestMs, pathMs) + targetLatencyMs) - waitedMs,
   };
 }
 
--- a/src/decisions/scheduling/admission_policy_test.ts
+++ b/src/decisions/scheduling/admission_policy_test.ts
@@ -62,6 +62,7 @@
     full: createFull(4_000, 20_000),
     reachableMillicores: CAPACITY_MILLICORES,
     delayMs: 0,
+    waitedMs: 0,
     ...changes,
   });
 }
@@ -91,6 +92,14 @@
       const rejection = decide({ full, delayMs: 500 });
       assert.is(rejection?.usefulMs, 8_250);
     });
+
+    // Guards against a job that counts as new after it has waited for a leader.
+    it("counts the time for which the request has waited", () => {
+      const full = createFull(1_400, 20_000);
+      assert.is(decide({ full }), undefined);
+      const rejection = decide({ full, waitedMs: 500 });
+      assert.is(rejection?.usefulMs, 5_500);
+    });
   });
 
   describe("in doubt the job is accepted", () => {
--- a/src/decisions/scheduling/placement_trust.ts
+++ b/src/decisions/scheduling/placement_trust.ts
@@ -84,6 +84,6 @@
   );
   return [...tasks, ...earlier].reduce(
     (latestMs, { changedAtMs }) => Math.max(latestMs, changedAtMs),
-    job.findDueMs(occurrence),
+    Math.max(job.acceptedAtMs, job.findDueMs(occurrence)),
   );
 }
--- a/src/domain/scheduling/job_record.ts
+++ b/src/domain/scheduling/job_record.ts
@@ -147,7 +147,7 @@
   findDueMs(occurrence: number): number {
     const { schedule } = this.spec;
     return schedule === undefined
-      ? this.acceptedAtMs
+      ? this.requestedAtMs
       : schedule.firstAtMs + occurrence * schedule.intervalMs;
   }
 
--- a/src/domain/scheduling/job_table_test.ts
+++ b/src/domain/scheduling/job_table_test.ts
@@ -12,7 +12,12 @@
   return index.toString(16).padStart(16, "0");
 }
 
-function acceptJob(jobs: JobTable, jobId: string, atMs: number): void {
+function acceptJob(
+  jobs: JobTable,
+  jobId: string,
+  atMs: number,
+  waitedMs?: number,
+): void {
   jobs.accept({
     type: "accept",
     spec: {
@@ -26,6 +31,7 @@
     queue: "q",
     pool: "bay",
     maxAttempts: 2,
+    waitedMs,
   }, atMs);
 }
 
@@ -45,6 +51,33 @@
 }
 
 describe("JobTable", () => {
+  describe("the time from which a job is due", () => {
+    const jobId = formatJobId(1);
+
+    it("is that of its request, also after a snapshot", () => {
+      const jobs = new JobTable();
+      acceptJob(jobs, jobId, 5_000, 1_200);
+      const stored = jobs.find(jobId)?.toStored();
+      assert.ok(stored);
+      const restored = new JobTable();
+      restored.restore(stored);
+      assert.is(jobs.find(jobId)?.findDueMs(0), 3_800);
+      assert.is(restored.find(jobId)?.findDueMs(0), 3_800);
+    });
+
+    it("is its acceptance in entries and snapshots of earlier releases", () => {
+      const jobs = new JobTable();
+      acceptJob(jobs, jobId, 5_000);
+      const stored = jobs.find(jobId)?.toStored();
+      assert.ok(stored);
+      const { requestedAtMs: _unknown, ...earlier } = stored;
+      const restored = new JobTable();
+      restored.restore(earlier);
+      assert.is(jobs.find(jobId)?.findDueMs(0), 5_000);
+      assert.is(restored.find(jobId)?.findDueMs(0), 5_000);
+    });
+  });
+
   describe("prune", () => {
     it("removes a job once it ended longer ago than it is kept", () => {
       const jobs = new JobTable();
--- a/src/services/scheduling/job_admission.ts
+++ b/src/services/scheduling/job_admission.ts
@@ -32,6 +32,8 @@
   readonly queue: JobQueue;
   /** Name of the caller's team. */
   readonly team: string | undefined;
+  /** Time for which the request has waited (ms). */
+  readonly waitedMs: number;
 }
 
 /** Asks the policy about new jobs; logs and counts rejections. */
@@ -48,7 +50,9 @@
    * @param job - The job.
    * @returns Why it would be rejected; undefined when it would be accepted.
    */
-  preview({ spec, queue, team }: NewJob): AdmissionRejection | undefined {
+  preview(
+    { spec, queue, team, waitedMs }: NewJob,
+  ): AdmissionRejection | undefined {
     const { clock, delays, policy, room } = this.#options;
     const { order, reachableMillicores } = room.sample;
     return policy.decide({
@@ -58,6 +62,7 @@
       full: order.fullPools.get(queue.pool),
       reachableMillicores: reachableMillicores.get(queue.pool) ?? 0,
       delayMs: delays.find(queue.name, clock.nowMs()),
+      waitedMs,
     });
   }
 
@@ -67,13 +72,14 @@
    * @param job - The job.
    * @returns `overloaded` when it is rejected; undefined when it is accepted.
    */
-  findRejection({ spec, queue, team }: NewJob): Failure | undefined {
+  findRejection(job: NewJob): Failure | undefined {
+    const { spec, queue, team, waitedMs } = job;
     const { clock, delays, log, logger, metrics, room } = this.#options;
     // Another leader may accept it meanwhile.
     if (!log.holdsLeaderLease) {
       return undefined;
     }
-    const rejection = this.preview({ spec, queue, team });
+    const rejection = this.preview(job);
     if (rejection === undefined) {
       return undefined;
     }
@@ -90,6 +96,7 @@
       capacityMillicores: Math.round(rejection.capacityMillicores),
       expectedWaitMs: Math.round(expectedWaitMs),
       usefulMs: Math.round(usefulMs),
+      waitedMs,
       runDelayMs: Math.round(delays.find(queue.name, clock.nowMs())),
       retryAfterMs: Math.round(retryAfterMs),
       sampleAgeMs: Math.round(clock.monotonicMs() - room.sample.atMs),
--- a/src/services/scheduling/job_admission_test.ts
+++ b/src/services/scheduling/job_admission_test.ts
@@ -116,7 +116,12 @@
     const policy = new UsefulResultPolicy();
     const admission = new JobAdmission({ ...options, policy, room });
     const check = (team: string) =>
-      admission.findRejection({ spec: createSpec(0xffff), queue: QUEUE, team });
+      admission.findRejection({
+        spec: createSpec(0xffff),
+        queue: QUEUE,
+        team,
+        waitedMs: 0,
+      });
     return { check, logger, metrics, room };
   };
   const cancelAll = () =>
--- a/src/services/scheduling/job_service.ts
+++ b/src/services/scheduling/job_service.ts
@@ -156,7 +156,12 @@
     // A job that may be in the log may run: it must not be refused.
     const rejection = this.#pending.has(rest)
       ? undefined
-      : this.#findAdmission?.()?.findRejection({ spec, queue, team });
+      : this.#findAdmission?.()?.findRejection({
+        spec,
+        queue,
+        team,
+        waitedMs: waitedMs ?? 0,
+      });
     if (rejection !== undefined) {
       return Result.err(rejection);
     }
--- a/src/services/scheduling/operation_meter.ts
+++ b/src/services/scheduling/operation_meter.ts
@@ -121,7 +121,8 @@
 
   #recordWait(job: JobRecord, atMs: number): void {
     if (job.hasStarted && !this.#startWaitMs.has(job)) {
-      const waitMs = Math.max(0, atMs - job.findDueMs(0));
+      const readyMs = Math.max(job.acceptedAtMs, job.findDueMs(0));
+      const waitMs = Math.max(0, atMs - readyMs);
       this.#startWaitMs.set(job, waitMs);
       this.#metrics.recordWait(findLabels(job), waitMs);
     }
--- a/src/services/scheduling/placement_explainer.ts
+++ b/src/services/scheduling/placement_explainer.ts
@@ -124,7 +124,7 @@
       describeDelay: (step) =>
         describeDelay(order, { jobId: PREVIEW_JOB_ID, occurrence: 0, step }),
     };
-    const rejection = admission.preview({ spec, queue, team });
+    const rejection = admission.preview({ spec, queue, team, waitedMs: 0 });
     const advice = queue.advice === undefined
       ? []
       : ["the advice service was not asked; it may exclude runners"];
