Send waiting calls to the leader that others name, however busy it is

Cause: an entry that has lost the leader pinged each controller for 250 ms at most. A leader that begins its term within a turn answers later than that, so it stayed lost; after 0.7 s the entry refused the calls that waited, and callers sent them again as new ones.

Now the leader of a newer term that another controller names gets the calls at once, and a named leader has the time of a call to answer a ping, of which it gets one at a time. Both new cases of leader_client_test fail before and pass after; all 28 cases of it pass.

--- a/src/services/scheduling/leader_client_test.ts
+++ b/src/services/scheduling/leader_client_test.ts
@@ -13,6 +13,9 @@
 
 const CALL_MS = 2_500;
 const MANY_MS = 60_000;
+const MANY_COUNT = 100;
+/** Time in which a leader answers that has much to do (ms). */
+const BUSY_MS = 2 * LEADER_SEARCH_MS;
 const ROUND_TRIP_MS = 2;
 /** Time at which a call that waits has lost the leader (ms). */
 const LOST_AT_MS = 250;
@@ -356,6 +359,57 @@
       assert.is(client.leaderId, "c2");
     });
 
+    // Guards against an entry that takes a leader with much to do for a lost one,
+    // and refuses the calls that wait for it.
+    it("go to the next one that another controller names, however busy", async () => {
+      const detail = { leaderId: "c1", term: 2 };
+      const hint = Result.err<unknown, Failure>(
+        createFailure("notLeader", "no", { detail }),
+      );
+      const next = Result.ok(createLeaderAnswer(2, Result.ok("next")));
+      const pings = (replies: TimedReply) =>
+        Array.from({ length: MANY_COUNT }, () => replies);
+      const { client, clock } = createScript({
+        "c1 held": [
+          { afterMs: LOST_AT_MS, reply: Result.err(createUnreachable(true)) },
+          { afterMs: BUSY_MS, reply: next },
+        ],
+        "c1 scheduling.ping": pings({ afterMs: BUSY_MS, reply: next }),
+        "c2 scheduling.ping": pings({ afterMs: ROUND_TRIP_MS, reply: hint }),
+      });
+      client.suggestLeader("c1");
+      const held = client.call("held", {}, CALL_MS);
+      const answered = await clock.runUntil(held, MANY_MS);
+      assert.is(answered.unwrapOr(undefined), "next");
+      assert.is(client.leaderTerm, 2);
+    });
+
+    // Guards against a leader that stays lost although it answers, only late.
+    it("return to it if others still name it, however late it answers", async () => {
+      const detail = { leaderId: "c1", term: 1 };
+      const hint = Result.err<unknown, Failure>(
+        createFailure("notLeader", "no", { detail }),
+      );
+      const late = Array.from(
+        { length: MANY_COUNT },
+        () => ({ afterMs: BUSY_MS, reply: Result.ok(DONE) }),
+      );
+      const { client, clock } = createScript({
+        "c1 known": [{ afterMs: ROUND_TRIP_MS, reply: Result.ok(DONE) }],
+        "c1 lost": lost,
+        "c1 scheduling.ping": late,
+        "c2 scheduling.ping": Array.from(
+          { length: MANY_COUNT },
+          () => ({ afterMs: ROUND_TRIP_MS, reply: hint }),
+        ),
+      });
+      client.suggestLeader("c1");
+      await clock.runUntil(client.call("known", {}, CALL_MS), MANY_MS);
+      const called = client.call("lost", {}, CALL_MS);
+      assert.ok((await clock.runUntil(called, MANY_MS)).isOk);
+      assert.is(client.leaderId, "c1");
+    });
+
     describe("are logged if they wait although the next one is known", () => {
       const known = Result.ok(createLeaderAnswer(2, Result.ok("next")));
       const cases = [
--- a/src/services/scheduling/leader_finder.ts
+++ b/src/services/scheduling/leader_finder.ts
@@ -9,7 +9,7 @@
   leaderAnswerSchema,
   readLeaderAnswer,
 } from "./leader_answer.ts";
-import { ProbeTargets } from "./probe_targets.ts";
+import { type LeaderHint, ProbeTargets } from "./probe_targets.ts";
 import { SCHEDULING_METHODS } from "./scheduling_handlers.ts";
 import {
   LEADER_CALL_MS,
@@ -50,6 +50,8 @@
   readonly #options: LeaderFinderOptions;
   readonly #queue: CallQueue;
   readonly #targets: ProbeTargets;
+  /** Controllers named as the leader that have not answered a ping yet. */
+  readonly #askedIds = new Set<string>();
   #leaderTerm = 0;
   #isSearching = false;
   /** Steady time from which the next controller may be asked (ms). */
@@ -195,7 +197,7 @@
         continue;
       }
       this.#nextProbeAtMs = clock.steadyMs() + LEADER_RETRY_MS;
-      void this.#probe(this.#targets.choose());
+      void this.#probe(this.#targets.choose(this.#askedIds));
     }
     this.#isSearching = false;
   }
@@ -205,16 +207,26 @@
       return;
     }
     const arrivedCount = this.#queue.arrivedCount;
+    const isNamed = this.#targets.isNamed(target);
+    if (isNamed) {
+      this.#askedIds.add(target);
+    }
     const asked = await this.ask(target, {
       method: SCHEDULING_METHODS.ping,
       body: {},
-      timeoutMs: LEADER_SEARCH_MS,
+      // One that was named may lead and have much to do.
+      timeoutMs: isNamed ? LEADER_CALL_MS : LEADER_SEARCH_MS,
     });
+    this.#askedIds.delete(target);
     if (asked.isOk || this.leaderId !== undefined) {
       return;
     }
     this.#lostAtMs ??= this.#options.clock.steadyMs();
-    this.#targets.noteHint(target, asked.error);
+    const hint = this.#targets.noteHint(target, asked.error);
+    if (hint !== undefined && hint.term > this.#leaderTerm) {
+      this.#takeHint(hint);
+      return;
+    }
     // Callers retry sooner when they are refused at once than when they wait for
     // an election that may not take place.
     if (this.#isLeaderLost) {
@@ -222,6 +234,13 @@
     }
   }
 
+  // A new leader has most to do while calls wait for it, so that it may answer
+  // later than a search waits. That it was elected is enough to send them.
+  #takeHint({ leaderId, term }: LeaderHint): void {
+    this.#leaderTerm = term;
+    void this.#follow(leaderId, term);
+  }
+
   // Each answer of the leader shows who leads, whatever message it answers.
   #takeAnswer(
     target: string,
--- a/src/services/scheduling/probe_targets.ts
+++ b/src/services/scheduling/probe_targets.ts
@@ -2,7 +2,17 @@
 import * as v from "valibot";
 import { type Failure, validateWith } from "../../domain/index.ts";
 
-const hintSchema = v.object({ leaderId: v.optional(v.string()) });
+const hintSchema = v.object({
+  leaderId: v.optional(v.string()),
+  term: v.optional(v.number()),
+});
+
+/** The leader that another controller has named. */
+export interface LeaderHint {
+  readonly leaderId: string;
+  /** Its term; 0 where it was not told. */
+  readonly term: number;
+}
 
 /** The controllers, of which the one that another has named comes first. */
 export class ProbeTargets {
@@ -10,6 +20,8 @@
   #controllerIds: readonly string[];
   /** The controller that another one has named as the leader. */
   #hintedId: string | undefined;
+  /** The same, also after it was chosen. */
+  #namedId: string | undefined;
   #chosenCount = 0;
 
   /**
@@ -38,21 +50,39 @@
    *
    * @param target - The controller.
    * @param failure - Its failure.
+   * @returns The leader that it named, if any.
    */
-  noteHint(target: string, failure: Failure): void {
+  noteHint(target: string, failure: Failure): LeaderHint | undefined {
     const hint = validateWith(hintSchema, failure.detail, { subject: "hint" });
-    const leaderId = hint.isOk ? hint.value.leaderId : undefined;
-    if (failure.kind === "notLeader" && leaderId !== target) {
-      this.#hintedId = leaderId ?? this.#hintedId;
+    const { leaderId, term = 0 } = hint.isOk ? hint.value : {};
+    const isHint = failure.kind === "notLeader" && leaderId !== target;
+    if (!isHint || leaderId === undefined) {
+      return undefined;
     }
+    this.#hintedId = leaderId;
+    this.#namedId = leaderId;
+    return { leaderId, term };
+  }
+
+  /** Returns whether another controller has named this one last. */
+  isNamed(controllerId: string): boolean {
+    return this.#namedId === controllerId;
   }
 
-  /** Chooses the next controller; undefined when none is known. */
-  choose(): string | undefined {
+  /**
+   * Chooses the next controller.
+   *
+   * @param askedIds - Controllers that are not asked again yet.
+   * @returns Its id; undefined when none is known.
+   */
+  choose(askedIds: ReadonlySet<string>): string | undefined {
     const hintedId = this.#hintedId;
     this.#hintedId = undefined;
-    this.#chosenCount += hintedId === undefined ? 1 : 0;
-    return hintedId ??
-      this.#controllerIds[this.#chosenCount % this.#controllerIds.length];
+    if (hintedId !== undefined && !askedIds.has(hintedId)) {
+      return hintedId;
+    }
+    const ids = this.#controllerIds.filter((id) => !askedIds.has(id));
+    this.#chosenCount += 1;
+    return ids[this.#chosenCount % ids.length];
   }
 }
