Take a leader for lost when it is silent, not when one answer is late

Cause: a call without an answer for 1.2 s made its entry hold all calls, search, and send each of them again, although the leader answered others meanwhile. A leader that begins in a turn answers some calls later than that, so it got the same calls several times.

Now a call waits for its whole time as long as the leader answers anything, and all calls leave a leader that was silent for 1.2 s. The new case of leader_client_test fails before and passes after; all 29 cases of it pass.

--- a/src/services/scheduling/leader_client.ts
+++ b/src/services/scheduling/leader_client.ts
@@ -113,12 +113,11 @@
         cancelTimer();
         return Result.err(createNoLeader(isOutcomeUnknown));
       }
-      const attemptMs = Math.min(leftMs, finder.callTimeoutMs);
       const answered = await this.#attempt(
         target,
         method,
         createBody(nowMs - arrivedAtMs),
-        attemptMs,
+        leftMs,
       );
       if (answered.isOk || !finder.recordFailure(target, answered.error)) {
         cancelTimer();
@@ -149,11 +148,33 @@
     });
     const attempt = { target, superseded, answered };
     this.#attempts.add(attempt);
+    const cancelWatch = this.#watchSilence(superseded);
     const answer = await answered;
+    cancelWatch();
     this.#attempts.delete(attempt);
     return answer;
   }
 
+  // A leader that answers other calls is late, not lost: sending a call again
+  // would only add to what it has to do.
+  #watchSilence(attempt: AbortController): () => void {
+    const clock = this.#clock;
+    const sentAtMs = clock.steadyMs();
+    let cancelTimer = () => {};
+    const check = () => {
+      const { answeredAtMs, maxSilenceMs } = this.#finder;
+      const lostAtMs = Math.max(sentAtMs, answeredAtMs) + maxSilenceMs;
+      const leftMs = lostAtMs - clock.steadyMs();
+      if (leftMs <= 0) {
+        attempt.abort();
+      } else {
+        cancelTimer = clock.startTimer(leftMs, check);
+      }
+    };
+    check();
+    return () => cancelTimer();
+  }
+
   // The calls were the first to await these answers, so that they wait for the
   // leader again before this returns.
   async #supersede(leaderId: string): Promise<number> {
--- a/src/services/scheduling/leader_client_test.ts
+++ b/src/services/scheduling/leader_client_test.ts
@@ -208,6 +208,30 @@
   });
 
   // Guards against callers that wait for a search after their time has passed.
+  // Guards against a leader with much to do that gets each call several times, as
+  // its answers are later than the loss of a leader would be noticed.
+  it("are sent once to a leader that answers others, however late", async () => {
+    const done = Result.ok(DONE);
+    const { client, clock } = createScript({
+      "c1 late": [{ afterMs: LEADER_CALL_MS + BUSY_MS, reply: done }],
+      "c1 other": Array.from(
+        { length: MANY_COUNT },
+        () => ({ afterMs: BUSY_MS, reply: done }),
+      ),
+    });
+    client.suggestLeader("c1");
+    const late = client.call("late", {}, CALL_MS);
+    let isAnswered = false;
+    void late.then(() => {
+      isAnswered = true;
+    });
+    while (!isAnswered) {
+      await clock.runUntil(client.call("other", {}, CALL_MS), MANY_MS);
+    }
+    assert.ok((await late).isOk);
+    assert.ok(clock.steadyMs() <= LEADER_CALL_MS + 2 * BUSY_MS);
+  });
+
   it("fail when their time has passed while the leader is silent", async () => {
     const clock = new FakeClock();
     const network: PeerNetwork = {
--- a/src/services/scheduling/leader_finder.ts
+++ b/src/services/scheduling/leader_finder.ts
@@ -53,6 +53,7 @@
   /** Controllers named as the leader that have not answered a ping yet. */
   readonly #askedIds = new Set<string>();
   #leaderTerm = 0;
+  #answeredAtMs = -Infinity;
   #isSearching = false;
   /** Steady time from which the next controller may be asked (ms). */
   #nextProbeAtMs = -Infinity;
@@ -75,11 +76,16 @@
     return this.#leaderTerm;
   }
 
-  /** Timeout of one call to the leader (ms). */
-  get callTimeoutMs(): number {
+  /** Time without any answer after which the leader counts as silent (ms). */
+  get maxSilenceMs(): number {
     return this.#lostAtMs === undefined ? LEADER_CALL_MS : LEADER_SEARCH_MS;
   }
 
+  /** Steady time of the newest answer of the newest leader (ms). */
+  get answeredAtMs(): number {
+    return this.#answeredAtMs;
+  }
+
   /** Sets the present controllers, in addition to those of the settings. */
   updateControllers(controllerIds: readonly string[]): void {
     this.#targets.updateControllers(controllerIds);
@@ -257,6 +263,7 @@
       return Result.err(createOutdatedAnswer(target, term, leaderTerm));
     }
     this.#leaderTerm = term;
+    this.#answeredAtMs = this.#options.clock.steadyMs();
     const answered = readLeaderAnswer(answer);
     if (answered.isOk || !maySendAgain(answered.error)) {
       this.#queue.noteAnswer();
--- a/src/services/scheduling/timing.ts
+++ b/src/services/scheduling/timing.ts
@@ -178,11 +178,14 @@
  * request (ms): several round trips between zones.
  */
 export const HANG_UP_MS = 20;
-/** Timeout of one call to a leader that answers, in milliseconds. */
+/**
+ * Time without any answer of the leader to a process that has calls under way
+ * after which it counts as lost, in milliseconds.
+ */
 export const LEADER_CALL_MS = 1_200;
 /** Pause between two attempts to reach the leader, in milliseconds. */
 export const LEADER_RETRY_MS = 60;
-/** Timeout of one call while the leader is lost and searched for (ms). */
+/** The same while the leader is lost and searched for, and of its pings (ms). */
 export const LEADER_SEARCH_MS = 250;
 /**
  * Time after the loss of the leader from which calls fail after one attempt, in
