Place late steps first that missed their target by least

Cause: the order counts the usual delays of a queue's runs. With a leader that is short of processor time they exceed the slack, so that every step counts as late from the beginning, and among late steps those came first that were late by most. Each later step then waited until it was late too.

Now the least late come first. Steps that have waited for 30 s keep their part of the pool in the order in which they came.

--- a/src/decisions/scheduling/full_pool.ts
+++ b/src/decisions/scheduling/full_pool.ts
@@ -241,7 +241,9 @@
   const found = new Set<number>();
   let leftMillicores = room.capacityMillicores * LONG_WAIT_SHARE -
     room.longWaitMillicores;
-  steps.forEach(({ step: { job, occurrence, record, step }, rank }, index) => {
+  // From the end, where the steps are that missed their target by most.
+  for (const [index, { step: ready, rank }] of [...steps.entries()].reverse()) {
+    const { job, occurrence, record, step } = ready;
     const waitMs = nowMs - job.findDueMs(occurrence);
     if (
       rank === SLACK_RANKS.late && waitMs > LONG_WAIT_MS && leftMillicores > 0
@@ -250,7 +252,7 @@
       leftMillicores -= record.waitingCount *
         computeReservedAmounts(step).cpuMillicores;
     }
-  });
+  }
   return found;
 }
 
--- a/src/decisions/scheduling/least_cost_order_test.ts
+++ b/src/decisions/scheduling/least_cost_order_test.ts
@@ -209,6 +209,30 @@
     });
   });
 
+  describe("an overload whose usual delay makes every step late", () => {
+    // Guards against the oldest of the late steps taking all the room: what
+    // arrives afterwards waits until it is late as well.
+    it("ends as many steps in time as the room allows, or nearly", () => {
+      const cores = 10;
+      const loadMs = 6_000;
+      const arrivals: ReadyStep[] = [];
+      for (let dueMs = 0; dueMs < loadMs; dueMs += 60) {
+        arrivals.push(createWaitingStep({ dueMs }));
+      }
+      const usualDelay = { find: () => 1_500 };
+      const ends = playCrowdedPool({
+        policy: new LeastCostOrderPolicy(usualDelay),
+        cores,
+        arrivals,
+        untilMs: 40_000,
+      });
+      const roomCount = cores * loadMs / 1_000;
+      const counts = `${countInTime(ends)} of ${roomCount}`;
+      assert.ok(countInTime(ends) >= 0.9 * roomCount, counts);
+      assert.is(ends.size, arrivals.length);
+    });
+  });
+
   describe("a burst that cannot all end in time", () => {
     it("delays one long job in favour of many short ones", () => {
       const room = createRoom({ cores: 10 });
@@ -313,6 +337,23 @@
       );
     });
 
+    // Guards against the oldest waiting on while younger ones get that part.
+    it("get it in the order in which they came", () => {
+      const room = createRoom({ cores: 20, freeCores: 1 });
+      const [younger, older] = [5_000, 10_000].map((moreMs) =>
+        createWaitingStep({ dueMs: NOW_MS - LONG_WAIT_MS - moreMs })
+      );
+      assert.ok(younger && older);
+      const others = createSteps(5);
+      const { ranked } = policy.rank([younger, ...others, older], NOW_MS, room);
+      assert.equal(
+        ranked.filter(({ place }) => place === "longWait")
+          .map(({ step }) => step),
+        [older],
+      );
+      assert.is(ranked[0]?.step, older);
+    });
+
     // Guards against jobs that wait for as long as an overload lasts.
     it("get a small part of the pool after a long wait", () => {
       const old = createSteps(5, { taskCount: 2 }, -LONG_WAIT_MS);
--- a/src/decisions/scheduling/order_policy.ts
+++ b/src/decisions/scheduling/order_policy.ts
@@ -38,10 +38,10 @@
 
 /**
  * Orders long-running steps first, then steps that can still end in time, then
- * steps that are late anyway. Within each group, the steps with the least slack
- * come first: the target end minus the critical path, with the delays that the
- * runs of the queue had lately. Without the delays, an overloaded leader would
- * prefer the steps that it can no longer bring to their end in time.
+ * steps that are late anyway. Slack is the target end minus the critical path,
+ * with the delays that the runs of the queue had lately. Without the delays, an
+ * overloaded leader would prefer the steps that it can no longer bring to their
+ * end in time. The least slack comes first, but the most among late steps.
  */
 export class SlackOrderPolicy implements OrderPolicy {
   readonly #delays: Pick<RunDelays, "find">;
@@ -68,7 +68,7 @@
       return { step, rank: findRank(step, slackMs), slackMs };
     });
     ranked.sort((left, right) =>
-      left.rank - right.rank || left.slackMs - right.slackMs
+      left.rank - right.rank || compareUrgency(left, right)
     );
     return ranked;
   }
@@ -81,6 +81,14 @@
   }
 }
 
+// Among late steps, those that missed their target by least come first: the
+// delays that make them late are means, and the oldest ones would take the room
+// of each later step until it is late as well.
+function compareUrgency(left: SlackRankedStep, right: SlackRankedStep): number {
+  const difference = left.slackMs - right.slackMs;
+  return left.rank === SLACK_RANKS.late ? -difference : difference;
+}
+
 /** Groups of the order of slack, the first one first. */
 export const SLACK_RANKS = { longRunning: 0, inTime: 1, late: 2 } as const;
 
