--- a/src/adapters/http/connection_guard_test.ts
+++ b/src/adapters/http/connection_guard_test.ts
@@ -9,7 +9,6 @@
 import { beforeEach, describe, it } from "../../testing/describe.ts";
 import { FakeClock } from "../../testing/fake_clock.ts";
 import { FakeLogger } from "../../testing/fake_ports.ts";
-import { FakeSocket } from "../../testing/fake_socket.ts";
 import type { Connection } from "./connection.ts";
 import { ConnectionGuard } from "./connection_guard.ts";
 
@@ -21,6 +20,32 @@
   stallMs: 1_000,
 };
 
+class FakeSocket extends EventEmitter {
+  bytesRead = 0;
+  bytesWritten = 0;
+  writableLength = 0;
+  destroyed = false;
+  #isPaused = false;
+
+  pause(): void {
+    this.#isPaused = true;
+  }
+
+  resume(): void {
+    this.#isPaused = false;
+    this.emit("resume");
+  }
+
+  isPaused(): boolean {
+    return this.#isPaused;
+  }
+
+  destroy(): void {
+    this.destroyed = true;
+    this.emit("close");
+  }
+}
+
 /** A connection, and the responses of the requests that were parsed. */
 interface Opened {
   readonly socket: FakeSocket;
--- a/src/adapters/http/connection_input.ts
+++ b/src/adapters/http/connection_input.ts
@@ -36,8 +36,6 @@
   #waiting: readonly Buffer[] = [];
   #isParsing = false;
   #isHeld = false;
-  /** Whether the rest waits for the next turn of the event loop only. */
-  #isYielding = false;
   #bodyOwner: IncomingMessage | undefined;
   /** Bytes of its body that were not parsed; undefined when chunked. */
   #bodyLeftBytes: number | undefined;
@@ -81,10 +79,7 @@
         socket.pause();
         break;
       }
-      const isChunked = this.#parsePart();
-      if (isChunked && this.#waiting.length > 0) {
-        this.#yield();
-      }
+      this.#parsePart();
     }
     this.#isParsing = false;
     if (socket.destroyed) {
@@ -94,28 +89,13 @@
       (total, chunk) => total + chunk.length,
       0,
     );
-    const readAheadBytes = this.#isYielding ? 0 : READ_AHEAD_BYTES;
-    onWaiting(socket.isPaused() ? waitingBytes + readAheadBytes : 0);
+    onWaiting(socket.isPaused() ? waitingBytes + READ_AHEAD_BYTES : 0);
   }
 
-  // A chunked body may have a chunk for each byte, and each costs a call of the
-  // parser: many such bodies in one turn of the event loop would keep all other
-  // clients waiting.
-  #yield(): void {
-    const { socket } = this.#options;
-    this.#isYielding = true;
-    socket.pause();
-    setImmediate(() => {
-      this.#isYielding = false;
-      socket.resume();
-    });
-  }
-
-  /** Parses a part; returns whether it was one of a chunked body. */
-  #parsePart(): boolean {
+  #parsePart(): void {
     const [chunk, ...rest] = this.#waiting;
     if (chunk === undefined) {
-      return false;
+      return;
     }
     const { findLastRequest, socket } = this.#options;
     const last = findLastRequest();
@@ -130,7 +110,6 @@
       : [chunk.subarray(partBytes), ...rest];
     const part = chunk.subarray(0, partBytes);
     this.#parsers.forEach((parse) => parse.call(socket, part));
-    const isChunked = isInBody && this.#bodyLeftBytes === undefined;
     if (isInBody && this.#bodyLeftBytes !== undefined) {
       this.#bodyLeftBytes -= partBytes;
     }
@@ -142,7 +121,6 @@
         ? undefined
         : Number(declared);
     }
-    return isChunked;
   }
 
   #findBodyPart(last: IncomingMessage | undefined): number {
