--- a/review/12/run.mjs
+++ b/review/12/run.mjs
@@ -1,4 +1,4 @@
-/** A gang ends while its runners are cut off, and one of them crashes behind the cut. */
+/** A manifest gives two queues of different services the same route name. */
 import {
   controlAddresses,
   isTroubled,
@@ -10,113 +10,81 @@
 } from "../lib-3/site.mjs";
 
 const FOLDER = new URL(".", import.meta.url).pathname;
-const JOB_ID = "00000000000000a1";
-/** Two of twelve runners are cut off: a share of 0.167. */
 const RUNNER_COUNT = 12;
-const GANG_WORK_MS = 2_500;
-const NEXT_WORK_MS = 800;
-const GANG_WAIT_MS = 3_000;
-/** Time from the cut to the end of the gang, which is 1.5 s later (ms). */
-const CUT_AFTER_MS = 1_000;
-const FINISH_S = 14;
-const IDLE_LIMIT_MS = 3_000;
+const WORK_MS = 800;
+const JOB_COUNT = 10;
+/** `config_apply_ms` of the deployment. */
+const CONFIG_APPLY_MS = 2_000;
 
-const isGangTask = ({ task }) => task.split(".")[2] === "0";
+const [first] = MANIFEST.routes;
+const [bay] = MANIFEST.services;
+const DESK = { ...bay, name: "desk" };
+/** Differs from the first route in its prefix and its service. */
+const second = {
+  ...first,
+  name: isTroubled ? first.name : "orders",
+  path_prefix: "/orders/",
+  service: DESK.name,
+};
 
 await runCase(FOLDER, async (record, atEnd) => {
   const site = new Site(record);
   atEnd(() => site.stop());
   await site.start();
-  await site.replaceManifest(MANIFEST);
+  await site.replaceManifest({ ...MANIFEST, services: [bay, DESK] });
   await site.waitReady();
-
   const runners = [];
-  // The members work only together, and end `done` together.
-  const advance = (runner, run) => {
-    if (!isGangTask(run)) {
-      if (Date.now() - run.sinceMs >= NEXT_WORK_MS) {
-        runner.endRun(run, "done");
-      }
-      return;
-    }
-    const members = runners.flatMap((owner) =>
-      [...owner.running.values()]
-        .filter((other) => isGangTask(other) && other.runId === run.runId)
-        .map((other) => ({ owner, other }))
-    );
-    if (members.length < 2) {
-      if (Date.now() - run.sinceMs >= GANG_WAIT_MS) {
-        runner.endRun(run, "alone");
-      }
-      return;
-    }
-    const togetherMs = Math.max(...members.map(({ other }) => other.sinceMs));
-    if (Date.now() - togetherMs >= GANG_WORK_MS) {
-      members.forEach(({ owner, other }) => owner.endRun(other, "done"));
-    }
-  };
   for (let at = 0; at < RUNNER_COUNT; at += 1) {
+    const service = at % 2 === 0 ? bay.name : DESK.name;
     const runner = new Runner(record, {
-      id: `i-${at}`,
+      id: `${service}-${at}`,
       host: site.host(100 + at),
       controls: controlAddresses(site),
       rack: `r1-${Math.floor(at / 4)}`,
-      gang: advance,
-      percent: (run) =>
-        Math.min(99, Math.floor(100 * (Date.now() - run.sinceMs) / GANG_WORK_MS)),
+      service,
+      workMs: () => WORK_MS,
     });
+    runner.service = service;
     runners.push(runner);
     atEnd(() => runner.close());
     await runner.start();
   }
-  await sleep(1_000);
-  const submitted = await site.client(0, "POST", `/captures/${JOB_ID}`, {
-    spec: "gang",
-    phases: [
-      { count: 2, cpu: 3_000, mem_mb: 64, gang: true, anti_affinity: 1, estimate_ms: GANG_WORK_MS },
-      { count: 1, cpu: 1_000, mem_mb: 64, estimate_ms: NEXT_WORK_MS, depends_on: [0] },
-    ],
+  await site.replaceManifest({
+    ...MANIFEST,
+    version: 2,
+    routes: [first, second],
+    services: [bay, DESK],
   });
-  record.add(`submitted ${JOB_ID}: ${submitted.status}`);
-  if (submitted.status !== 200) {
-    throw new Error("the job was not accepted");
+  for (const { name, path_prefix, service } of [first, second]) {
+    record.add(`route ${name}: ${path_prefix} to ${service}`);
   }
-  const owners = () => runners.filter(({ running }) => running.size > 0);
-  while (owners().length < 2) {
-    await sleep(10);
-  }
-  if (isTroubled) {
-    const [crashing, silent] = owners();
-    await sleep(CUT_AFTER_MS);
-    crashing.cut();
-    silent.cut();
-    while (silent.running.size > 0) {
-      await sleep(10);
+  await sleep(CONFIG_APPLY_MS + 1_000);
+  const submitted = new Set();
+  for (let at = 0; at < JOB_COUNT; at += 1) {
+    const id = (0xb0 + at).toString(16).padStart(16, "0");
+    const { status } = await site.client(at % 2, "POST", `${second.path_prefix}${id}`, {
+      spec: "s",
+      phases: [{ count: 2, cpu: 2_000, mem_mb: 64, estimate_ms: WORK_MS }],
+    });
+    record.add(`submitted ${second.path_prefix}${id}: ${status}`);
+    if (status === 200) {
+      submitted.add(id);
     }
-    await sleep(300);
-    await crashing.crash();
-    await sleep(400);
-    // Its machine is back on the network as it starts again.
-    crashing.heal();
-    await crashing.restart();
-    await sleep(700);
-    silent.heal();
+    await sleep(200);
   }
-
-  const deadlineMs = Date.now() + FINISH_S * 1_000 + IDLE_LIMIT_MS;
-  let busyAtMs = Date.now();
-  while (Date.now() < deadlineMs) {
-    const { status, value } = await site.client(1, "GET", `/captures/${JOB_ID}`);
-    record.add(`state of ${JOB_ID}: ${status} ${value?.state}, running: ${owners().length}`);
-    if (value?.state === "completed") {
-      return false;
-    }
-    if (owners().length > 0) {
-      busyAtMs = Date.now();
+  await sleep(4_000);
+  if (submitted.size === 0) {
+    throw new Error("no job was accepted");
+  }
+  let wrongCount = 0;
+  for (const { events, id, service } of runners) {
+    for (const { task, what } of events) {
+      if (what === "started" && submitted.has(task.split(".")[0]) && service !== second.service) {
+        wrongCount += 1;
+        record.add(`${task} was started on ${id} of ${service}, its queue goes to ${second.service}`);
+      }
     }
-    await sleep(500);
   }
-  const idleMs = Date.now() - busyAtMs;
-  record.add(`nothing of ${JOB_ID} has run for ${idleMs} ms`);
-  return idleMs > IDLE_LIMIT_MS;
+  record.add(`starts on a wrong service: ${wrongCount}`);
+  return wrongCount > 0;
 });
