--- a/review/14/run.mjs
+++ b/review/14/run.mjs
@@ -1,4 +1,4 @@
-/** A member of a gang that saves its progress loses its runner. */
+/** A runner is lost for good as it gets the restart of a task that lasts. */
 import {
   controlAddresses,
   isTroubled,
@@ -10,14 +10,15 @@
 } from "../lib-3/site.mjs";
 
 const FOLDER = new URL(".", import.meta.url).pathname;
-const JOB_ID = "00000000000000c1";
-const RUNNER_COUNT = 8;
-const MEMBER_COUNT = 4;
-const GANG_WORK_MS = 9_000;
-const GANG_WAIT_MS = 3_000;
-/** `checkpoint_s` of the deployment. */
-const CHECKPOINT_MS = 2_000;
-const DOWN_MS = 1_000;
+const JOB_ID = "00000000000000e7";
+const TASK = `${JOB_ID}.0.0.0`;
+const TASK_COUNT = 4;
+/** One of twelve runners is lost: a share of 0.083. */
+const RUNNER_COUNT = 12;
+/** Time after which the task fails once, by its own fault (ms). */
+const FAILS_AFTER_MS = 4_000;
+/** A task that lasts is due again 6 s after its last run, for 3 s at most. */
+const LIMIT_MS = 6_000 + 3_000;
 
 await runCase(FOLDER, async (record, atEnd) => {
   const site = new Site(record);
@@ -25,46 +26,16 @@
   await site.start();
   await site.replaceManifest(MANIFEST);
   await site.waitReady();
-
   const runners = [];
-  const starts = [];
-  // Progress of the gang that each checkpoint stands for (ms).
-  const savedMs = new Map([["", 0]]);
-  const listMembers = (runId) =>
-    runners.flatMap((owner) =>
-      [...owner.running.values()].filter((other) => other.runId === runId)
-        .map((other) => ({ owner, other }))
-    );
-  const findWorkedMs = (members) =>
-    Date.now() - Math.max(...members.map(({ other }) => other.sinceMs)) +
-    savedMs.get(members[0].other.checkpoint);
-  const save = (workedMs) => {
-    const value = Math.round(workedMs).toString(16).padStart(16, "0");
-    savedMs.set(value, workedMs);
-    return value;
-  };
-  const advance = (runner, run) => {
-    const members = listMembers(run.runId);
-    if (members.length < MEMBER_COUNT) {
-      if (run.hasWorked) {
-        runner.endRun(run, "broken", run.saved);
-      } else if (Date.now() - run.sinceMs >= GANG_WAIT_MS) {
-        runner.endRun(run, "alone", run.checkpoint);
-      }
-      return;
-    }
-    const workedMs = findWorkedMs(members);
-    const stage = Math.floor(workedMs / CHECKPOINT_MS);
-    for (const { other } of members) {
-      other.hasWorked = true;
-      // One value for the gang, produced by all members at the same time.
-      if (stage > (other.stage ?? 0)) {
-        other.stage = stage;
-        other.saved = save(stage * CHECKPOINT_MS);
-      }
-    }
-    if (workedMs >= GANG_WORK_MS) {
-      members.forEach(({ owner, other }) => owner.endRun(other, "done", other.saved));
+  const listEvents = (what) =>
+    runners.flatMap(({ events }) => events)
+      .filter((event) => event.task === TASK && event.what === what);
+  let lost;
+  const beginTrouble = (runner, url) => {
+    const isRestart = url === "/v1/run-start" && listEvents("failed").length > 0;
+    if (isTroubled && isRestart && lost === undefined) {
+      lost = runner;
+      runner.goDark();
     }
   };
   for (let at = 0; at < RUNNER_COUNT; at += 1) {
@@ -73,60 +44,28 @@
       host: site.host(100 + at),
       controls: controlAddresses(site),
       rack: `r1-${Math.floor(at / 4)}`,
-      gang: advance,
-      onStart: (run) => starts.push(run),
-      percent: (run) =>
-        Math.min(99, Math.floor(100 * (Date.now() - run.sinceMs) / GANG_WORK_MS)),
+      workMs: (task, run) => task === TASK && run?.runId === 1 ? FAILS_AFTER_MS : Infinity,
+      endOf: () => "failed",
+      percent: () => 100,
+      onOrder: beginTrouble,
     });
     runners.push(runner);
     atEnd(() => runner.close());
     await runner.start();
   }
   await sleep(1_000);
-  const submitted = await site.client(0, "POST", `/captures/${JOB_ID}`, {
-    spec: "gang",
-    phases: [{
-      count: MEMBER_COUNT,
-      cpu: 3_000,
-      mem_mb: 64,
-      gang: true,
-      checkpointing: true,
-      anti_affinity: 1,
-      estimate_ms: GANG_WORK_MS,
-    }],
+  const { status } = await site.client(0, "POST", `/captures/${JOB_ID}`, {
+    spec: "lasts",
+    phases: [{ count: TASK_COUNT, cpu: 4_000, mem_mb: 64, anti_affinity: 1, long_running: true }],
   });
-  record.add(`submitted ${JOB_ID}: ${submitted.status}`);
-  if (submitted.status !== 200) {
+  record.add(`submitted ${JOB_ID}: ${status}`);
+  if (status !== 200) {
     throw new Error("the job was not accepted");
   }
-  const owners = () => runners.filter(({ running }) => running.size > 0);
-  while (owners().length < MEMBER_COUNT) {
-    await sleep(10);
-  }
-  if (isTroubled) {
-    await sleep(2 * CHECKPOINT_MS + 700);
-    const [crashing] = owners();
-    await crashing.crash();
-    await sleep(DOWN_MS);
-    await crashing.restart();
-  }
-
-  const deadlineMs = Date.now() + 40_000;
-  let state;
-  while (Date.now() < deadlineMs && state !== "completed") {
-    await sleep(500);
-    state = (await site.client(1, "GET", `/captures/${JOB_ID}`)).value?.state;
-  }
-  record.add(`state of ${JOB_ID}: ${state}`);
-  const valuesByRun = new Map();
-  for (const { runId, checkpoint } of starts) {
-    valuesByRun.set(runId, [...valuesByRun.get(runId) ?? [], checkpoint]);
-  }
-  let isBroken = false;
-  for (const [runId, values] of valuesByRun) {
-    const shown = values.map((value) => value === "" ? "(none)" : value);
-    record.add(`run ${runId} was started with the checkpoints ${shown.join(", ")}`);
-    isBroken ||= new Set(values).size > 1;
-  }
-  return isBroken;
+  await sleep(FAILS_AFTER_MS + LIMIT_MS + 7_000);
+  const [failed] = listEvents("failed");
+  const restarted = listEvents("started").find(({ atMs }) => atMs > failed.atMs);
+  const idleMs = (restarted?.atMs ?? Date.now()) - failed.atMs;
+  record.add(`${TASK} had no run for ${idleMs} ms, of ${LIMIT_MS} at most`);
+  return idleMs > LIMIT_MS;
 });
