Find the queue of a job by its address

Cause: a job kept the name of its queue only, and the index by name held the first queue of each name. Priority, attempts, target, advice, pending jobs and learned delays went the same way.

Change: an accepted job keeps the queue's address, which no other queue of a catalog has, and everything that needs the queue finds it by that address. An entry without the field is read as before, but prefers the queue with the job's pool; the build before skips the field. A call that gives a name that is not unique is refused with the addresses.

--- a/src/adapters/http/job_routes.ts
+++ b/src/adapters/http/job_routes.ts
@@ -30,7 +30,7 @@
 /** Schema of the body with which a caller submits a job. */
 const submittedJobSchema = v.object({
   ...jobSpecSchema.entries,
-  /** Name of the queue that the job goes to. */
+  /** Name or address of the queue that the job goes to. */
   queue: v.string(),
 });
 
--- a/src/cli/commands/explain_placement.ts
+++ b/src/cli/commands/explain_placement.ts
@@ -13,7 +13,7 @@
   static override usage = Command.Usage({
     description: "Explain where a job would go now and why.",
     details: `
-      The file holds the job as for \`job submit\`. Nothing is submitted.
+      QUEUE is given as for \`job submit\`. The file holds the job as for \`job submit\`. Nothing is submitted.
     `,
     examples: [
       [
--- a/src/cli/commands/job_submit.ts
+++ b/src/cli/commands/job_submit.ts
@@ -15,7 +15,8 @@
   static override usage = Command.Usage({
     description: "Submit a job.",
     details: `
-      The file holds the job as JSON: \`steps\` with \`taskCount\`, \`needs\` and
+      QUEUE is the name of the queue, or its address (HOST/PREFIX) if several
+      have that name. The file holds the job as JSON: \`steps\` with \`taskCount\`, \`needs\` and
       \`estimateMs\`, and the \`text\` that tasks get. The key file holds a key
       of the team. Submitting a job again with the same id does not create a
       second job.
--- a/src/decisions/health/runner_paces.ts
+++ b/src/decisions/health/runner_paces.ts
@@ -36,7 +36,7 @@
    * Records a run that ended as done.
    *
    * @param runner - The runner incarnation.
-   * @param queue - Name of the job's queue.
+   * @param queue - Key of the job's queue.
    * @param ratio - Duration divided by the estimate of the step.
    * @param nowMs - Wall-clock time (ms).
    */
--- a/src/decisions/scheduling/apart_demand.ts
+++ b/src/decisions/scheduling/apart_demand.ts
@@ -1,7 +1,7 @@
 /** Counts the VMs that tasks need which stand apart from each other. */
 import {
   type Catalog,
-  indexQueues,
+  findPoolOfJob,
   type JobRecord,
   type JobStep,
   type RunnerIncarnation,
@@ -31,10 +31,9 @@
 export function countApartVms(
   { awaitingByPool, canRun, catalog, isCordoned, jobs }: ApartDemandInput,
 ): Map<string, number> {
-  const { byName } = indexQueues(catalog);
   const counts = new Map<string, number>();
   for (const job of jobs) {
-    const pool = byName.get(job.queue)?.pool ?? job.pool;
+    const pool = findPoolOfJob(catalog, job);
     job.spec.steps.forEach((step, index) => {
       const { isEndless, maxAwayCount = 0, maxPerRunner } = step;
       if (!isEndless || maxPerRunner === 0 || !canRun(step)) {
--- a/src/decisions/scheduling/full_pool.ts
+++ b/src/decisions/scheduling/full_pool.ts
@@ -224,7 +224,7 @@
 }
 
 function findTaskMs({ job, step }: ReadyStep, input: FullPoolInput): number {
-  return Math.max(1, step.estimateMs + input.findDelayMs(job.queue));
+  return Math.max(1, step.estimateMs + input.findDelayMs(job.queueKey));
 }
 
 function computeTotalWork({ job, occurrence }: ReadyStep): number {
--- a/src/decisions/scheduling/order_policy.ts
+++ b/src/decisions/scheduling/order_policy.ts
@@ -75,7 +75,7 @@
 
   #computeSlackMs(ready: ReadyStep, nowMs: number): number {
     const { criticalPathMs, criticalStepCount, job, targetEndMs } = ready;
-    const delayMs = this.#delays.find(job.queue, nowMs) *
+    const delayMs = this.#delays.find(job.queueKey, nowMs) *
       criticalStepCount;
     return targetEndMs - nowMs - Math.max(0, criticalPathMs + delayMs);
   }
--- a/src/decisions/scheduling/ready_step.ts
+++ b/src/decisions/scheduling/ready_step.ts
@@ -2,7 +2,7 @@
 import {
   type AdviceTerms,
   type Catalog,
-  indexQueues,
+  findQueueOfJob,
   type JobQueue,
   type JobRecord,
   type JobStep,
@@ -58,10 +58,9 @@
   catalog: Catalog,
   nowMs: number,
 ): ReadyStep[] {
-  const queues = indexQueues(catalog).byName;
   const ready: ReadyStep[] = [];
   for (const job of jobs.open) {
-    addReadySteps(ready, job, queues.get(job.queue), nowMs);
+    addReadySteps(ready, job, findQueueOfJob(catalog, job), nowMs);
   }
   return ready;
 }
--- a/src/decisions/scheduling/run_delays.ts
+++ b/src/decisions/scheduling/run_delays.ts
@@ -32,7 +32,7 @@
   /**
    * Records a run that ended as done.
    *
-   * @param queue - Name of the job's queue.
+   * @param queue - Key of the job's queue.
    * @param delayMs - Its duration minus the estimate (ms); negative for a run
    * that was faster than estimated.
    * @param nowMs - Wall-clock time (ms).
@@ -53,7 +53,7 @@
    * Returns the average delay of a queue's runs (ms); 0 when none has
    * ended for long.
    *
-   * @param queue - Name of the queue.
+   * @param queue - Key of the queue.
    * @param nowMs - Wall-clock time (ms).
    */
   find(queue: string, nowMs: number): number {
--- a/src/decisions/scheduling/wait_reason.ts
+++ b/src/decisions/scheduling/wait_reason.ts
@@ -1,8 +1,8 @@
 /** Explains why the tasks of a step wait. */
 import {
   addAmounts,
+  findPoolOfJob,
   fitsInto,
-  indexQueues,
   isWithinLimit,
   type JobRecord,
   type Runner,
@@ -64,8 +64,7 @@
 function findOrderReason(input: WaitReasonInput): string | undefined {
   const { state, job, stepIndex, mayPlaceOn } = input;
   const step = job.spec.steps[stepIndex];
-  const queue = indexQueues(state.catalog).byName.get(job.queue);
-  const pool = queue?.pool ?? job.pool;
+  const pool = findPoolOfJob(state.catalog, job);
   const isPossible = step !== undefined &&
     [...state.runners.values()].some((runner) =>
       runner.pool === pool && mayPlaceOn(runner) &&
@@ -79,8 +78,7 @@
 function findCapacityReason(input: WaitReasonInput): string | undefined {
   const { state, job, stepIndex, mayPlaceOn } = input;
   const step = job.spec.steps[stepIndex];
-  const queue = indexQueues(state.catalog).byName.get(job.queue);
-  const pool = queue?.pool ?? job.pool;
+  const pool = findPoolOfJob(state.catalog, job);
   const members = [...state.runners.values()].filter((runner) =>
     runner.pool === pool
   );
--- a/src/domain/scheduling/job_record.ts
+++ b/src/domain/scheduling/job_record.ts
@@ -8,6 +8,7 @@
   type TaskId,
   taskIdSchema,
 } from "./job.ts";
+import type { QueueOfJob } from "./queue_index.ts";
 import type { RunnerIncarnation } from "./runner.ts";
 
 /** Most runners that a task remembers because it failed there. */
@@ -46,6 +47,8 @@
 export const storedJobSchema = v.object({
   spec: jobSpecSchema,
   queue: v.string(),
+  /** Absent in snapshots of earlier releases, which skip it. */
+  queueAddress: v.optional(v.string()),
   pool: v.string(),
   team: v.optional(v.string()),
   maxAttempts: v.number(),
@@ -80,6 +83,7 @@
 export interface JobOptions {
   readonly spec: JobSpec;
   readonly queue: string;
+  readonly queueAddress?: string | undefined;
   readonly pool: string;
   readonly team: string | undefined;
   /** Number of failed runs of one task after which the job has failed. */
@@ -93,9 +97,10 @@
 }
 
 /** A job and the progress of its tasks. Only the job table changes it. */
-export class JobRecord {
+export class JobRecord implements QueueOfJob {
   readonly spec: JobSpec;
   readonly queue: string;
+  readonly queueAddress: string | undefined;
   readonly pool: string;
   readonly team: string | undefined;
   readonly maxAttempts: number;
@@ -114,6 +119,7 @@
   constructor(options: JobOptions) {
     this.spec = options.spec;
     this.queue = options.queue;
+    this.queueAddress = options.queueAddress;
     this.pool = options.pool;
     this.team = options.team;
     this.maxAttempts = options.maxAttempts;
@@ -126,6 +132,14 @@
     );
   }
 
+  /**
+   * Identifies its queue: the address, or the name if an earlier release accepted
+   * the job.
+   */
+  get queueKey(): string {
+    return this.queueAddress ?? this.queue;
+  }
+
   /** State that callers see. */
   get state(): JobState {
     return this.outcome ?? (this.hasStarted ? "running" : "queued");
@@ -191,7 +205,7 @@
 
   /** Copies the job into plain values for a snapshot. */
   toStored(): StoredJob {
-    const { spec, queue, pool, team, endedAtMs, outcome } = this;
+    const { spec, queue, queueAddress, pool, team } = this;
     const tasks: StoredJob["tasks"] = [];
     this.occurrences.forEach((steps, occurrence) =>
       steps.forEach((record, step) =>
@@ -209,9 +223,11 @@
       )
     );
     const { acceptedAtMs, hasStarted, maxAttempts, requestedAtMs } = this;
+    const { endedAtMs, outcome } = this;
     return {
       spec,
       queue,
+      queueAddress,
       pool,
       team,
       maxAttempts,
--- a/src/domain/scheduling/queue_index_test.ts
+++ b/src/domain/scheduling/queue_index_test.ts
@@ -1,7 +1,14 @@
 import * as assert from "uvu/assert";
 import { describe, it } from "../../testing/describe.ts";
 import { type Catalog, EMPTY_CATALOG, type JobQueue } from "./catalog.ts";
-import { findQueueByAddress, indexQueues } from "./queue_index.ts";
+import {
+  findPoolOfJob,
+  findQueueByAddress,
+  findQueueLabel,
+  findQueueOfJob,
+  indexQueues,
+  listQueuesByReference,
+} from "./queue_index.ts";
 
 const QUEUE_COUNT = 250;
 const LOOKUP_COUNT = 100;
@@ -45,9 +52,9 @@
   it("finds queues of a new catalog", () => {
     const first = createCatalog([createQueue({ name: "first" })]);
     const second = createCatalog([createQueue({ name: "second" })]);
-    assert.is(indexQueues(first).byName.get("first")?.name, "first");
-    assert.is(indexQueues(second).byName.get("first"), undefined);
-    assert.is(indexQueues(second).byName.get("second")?.name, "second");
+    assert.equal(listQueuesByReference(first, "first"), first.queues);
+    assert.equal(listQueuesByReference(second, "first"), []);
+    assert.equal(listQueuesByReference(second, "second"), second.queues);
   });
 
   // Guards against calls and ends of runs whose cost grows with the catalog.
@@ -65,9 +72,54 @@
     indexQueues(catalog);
     const firstReadCount = readCount;
     for (let index = 0; index < LOOKUP_COUNT; index += 1) {
-      assert.ok(indexQueues(catalog).byName.get(`q${index}`));
+      assert.is(listQueuesByReference(catalog, `q${index}`).length, 1);
       assert.ok(findQueueByAddress(catalog, `h${index}`, "/q/1"));
     }
     assert.is(readCount, firstReadCount);
   });
+
+  describe("of queues that share a name", () => {
+    const first = createQueue({ pathPrefix: "/a/" });
+    const second = createQueue({ pathPrefix: "/b/", pool: "desk" });
+    const catalog = createCatalog([first, second]);
+    const job = { queue: "q", queueAddress: "h/b/", pool: "desk" };
+
+    it("finds the one whose address the job keeps", () => {
+      assert.is(findQueueOfJob(catalog, job), second);
+      const reordered = createCatalog([second, first]);
+      assert.is(findQueueOfJob(reordered, job), second);
+    });
+
+    it("finds none for a job whose own queue was removed", () => {
+      const reduced = createCatalog([first]);
+      assert.is(findQueueOfJob(reduced, job), undefined);
+      assert.is(findPoolOfJob(reduced, job), "desk");
+    });
+
+    it("follows a queue whose pool and name change", () => {
+      const moved = createQueue({
+        name: "new",
+        pathPrefix: "/b/",
+        pool: "bay-2",
+      });
+      assert.is(findPoolOfJob(createCatalog([first, moved]), job), "bay-2");
+    });
+
+    it("finds the one with its pool for a job without an address", () => {
+      const earlier = { ...job, queueAddress: undefined };
+      assert.is(findQueueOfJob(catalog, earlier), second);
+      const unknown = { ...earlier, pool: "gone" };
+      assert.is(findQueueOfJob(catalog, unknown), first);
+    });
+
+    it("lists both for the name, and one for its address", () => {
+      assert.equal(listQueuesByReference(catalog, "q"), [first, second]);
+      assert.equal(listQueuesByReference(catalog, "h/b/"), [second]);
+    });
+
+    it("shows them by address, and others by name", () => {
+      assert.is(findQueueLabel(catalog, job), "h/b/");
+      assert.is(findQueueLabel(createCatalog([second]), job), "q");
+    });
+  });
 });
--- a/src/domain/scheduling/scheduling_command.ts
+++ b/src/domain/scheduling/scheduling_command.ts
@@ -40,6 +40,11 @@
     type: v.literal("accept"),
     spec: jobSpecSchema,
     queue: v.string(),
+    /**
+     * Formatted address of the queue, which identifies it. Earlier releases
+     * neither write nor read it.
+     */
+    queueAddress: v.optional(v.string()),
     pool: v.string(),
     team: v.optional(v.string()),
     /** Number of failed runs of one task after which the job has failed. */
--- a/src/services/scheduling/arrivals.ts
+++ b/src/services/scheduling/arrivals.ts
@@ -1,6 +1,6 @@
 /** The work that arrives for each pool, as the log shows it. */
 import { type Arrival, measureHeldUp, sumWork } from "../../decisions/index.ts";
-import { indexQueues, type SchedulingState } from "../../domain/index.ts";
+import { findPoolOfJob, type SchedulingState } from "../../domain/index.ts";
 import { ARRIVAL_WINDOW_MS, MIN_ARRIVALS } from "./timing.ts";
 
 /**
@@ -9,9 +9,8 @@
  * @param state - The scheduling state.
  */
 export function listArrivals(state: SchedulingState): Arrival[] {
-  const { byName } = indexQueues(state.catalog);
   return state.jobs.list().map((job) => ({
-    pool: byName.get(job.queue)?.pool ?? job.pool,
+    pool: findPoolOfJob(state.catalog, job),
     atMs: job.acceptedAtMs,
     work: sumWork(job),
   }));
--- a/src/services/scheduling/job_admission.ts
+++ b/src/services/scheduling/job_admission.ts
@@ -7,6 +7,8 @@
 import {
   createFailure,
   type Failure,
+  findQueueLabel,
+  formatQueueAddress,
   type JobQueue,
   type JobSpec,
 } from "../../domain/index.ts";
@@ -61,7 +63,7 @@
       team,
       full: order.fullPools.get(queue.pool),
       reachableMillicores: reachableMillicores.get(queue.pool) ?? 0,
-      delayMs: delays.find(queue.name, clock.nowMs()),
+      delayMs: delays.find(formatQueueAddress(queue), clock.nowMs()),
       waitedMs,
     });
   }
@@ -84,9 +86,14 @@
       return undefined;
     }
     const { expectedWaitMs, reason, retryAfterMs, usefulMs } = rejection;
+    const queueAddress = formatQueueAddress(queue);
+    const queueLabel = findQueueLabel(
+      log.state.catalog,
+      { queue: queue.name, queueAddress },
+    );
     logger.info({
       jobId: spec.jobId,
-      queue: queue.name,
+      queue: queueLabel,
       priority: queue.priority,
       team,
       pool: queue.pool,
@@ -97,11 +104,11 @@
       expectedWaitMs: Math.round(expectedWaitMs),
       usefulMs: Math.round(usefulMs),
       waitedMs,
-      runDelayMs: Math.round(delays.find(queue.name, clock.nowMs())),
+      runDelayMs: Math.round(delays.find(queueAddress, clock.nowMs())),
       retryAfterMs: Math.round(retryAfterMs),
       sampleAgeMs: Math.round(clock.monotonicMs() - room.sample.atMs),
     }, "rejected a job for want of room");
-    metrics.countRejectedJob({ queue: queue.name, team: team ?? "" }, reason);
+    metrics.countRejectedJob({ queue: queueLabel, team: team ?? "" }, reason);
     return createFailure(
       "overloaded",
       `pool ${queue.pool} is full: job ${spec.jobId} would wait for ${
--- a/src/services/scheduling/job_service.ts
+++ b/src/services/scheduling/job_service.ts
@@ -6,16 +6,19 @@
   type Failure,
   findJobFault,
   findQueueByAddress,
-  indexQueues,
+  findQueueOfJob,
+  formatQueueAddress,
   JOB_STATES,
   type JobQueue,
   type JobSpec,
   jobSpecSchema,
+  listQueuesByReference,
   validateWith,
 } from "../../domain/index.ts";
 import type { Logger } from "../../ports/index.ts";
 import type { JobAdmission } from "./job_admission.ts";
 import { PendingSubmits } from "./pending_submits.ts";
+import { createRepeatedQueueName } from "./repeated_queue_name.ts";
 import type { SchedulingLog } from "./scheduling_log.ts";
 
 /** Schema of {@link JobCall}. */
@@ -28,7 +31,7 @@
    * host.
    */
   path: v.string(),
-  /** Name of the queue, for a call without a host. */
+  /** Name or formatted address of the queue, for a call without a host. */
   queue: v.optional(v.string()),
   /** Key of the caller's team. */
   key: v.optional(v.string()),
@@ -170,6 +173,7 @@
       type: "accept",
       spec,
       queue: queue.name,
+      queueAddress: formatQueueAddress(queue),
       pool: queue.pool,
       team,
       maxAttempts: queue.maxAttempts,
@@ -209,11 +213,17 @@
         }),
       );
     }
-    const found = this.#findQueue(call);
-    if (found === undefined) {
+    const queues = this.#listQueues(call);
+    const [queue] = queues;
+    if (queue === undefined) {
       return Result.err(createNoQueue(call, catalog.version));
     }
-    const { queue, rest } = found;
+    if (queues.length > 1) {
+      return Result.err(createRepeatedQueueName(call.queue ?? "", queues));
+    }
+    const rest = call.host === undefined
+      ? call.path.slice(1)
+      : call.path.slice(queue.pathPrefix.length);
     const team = catalog.teams.find(({ keys }) =>
       call.key !== undefined && keys.includes(call.key)
     );
@@ -230,23 +240,25 @@
   }
 
   // A call without a host names its queue, or a known job whose queue is used.
-  #findQueue(call: JobCall): Omit<Target, "team"> | undefined {
+  #listQueues({ host, path, queue }: JobCall): readonly JobQueue[] {
     const { catalog, jobs } = this.#log.state;
-    if (call.host !== undefined) {
-      const queue = findQueueByAddress(catalog, call.host, call.path);
-      return queue &&
-        { queue, rest: call.path.slice(queue.pathPrefix.length) };
+    if (host === undefined && queue !== undefined) {
+      return listQueuesByReference(catalog, queue);
     }
-    const rest = call.path.slice(1);
-    const name = call.queue ?? jobs.find(rest)?.queue;
-    const queue = indexQueues(catalog).byName.get(name ?? "");
-    return queue && { queue, rest };
+    const job = jobs.find(path.slice(1));
+    const found = host === undefined
+      ? job && findQueueOfJob(catalog, job)
+      : findQueueByAddress(catalog, host, path);
+    return found === undefined ? [] : [found];
   }
 
   #countPending(queue: JobQueue): number {
+    const { catalog, jobs } = this.#log.state;
     let count = 0;
-    for (const job of this.#log.state.jobs.open) {
-      count += Number(job.queue === queue.name && !job.hasStarted);
+    for (const job of jobs.open) {
+      const isPending = !job.hasStarted &&
+        findQueueOfJob(catalog, job) === queue;
+      count += Number(isPending);
     }
     return count;
   }
--- a/src/services/scheduling/operation_meter.ts
+++ b/src/services/scheduling/operation_meter.ts
@@ -2,7 +2,8 @@
 import { computeAllowedMs } from "../../decisions/index.ts";
 import {
   type Catalog,
-  indexQueues,
+  findQueueLabel,
+  findQueueOfJob,
   type JobRecord,
   type SchedulingOperation,
   type SchedulingState,
@@ -82,7 +83,7 @@
             this.#measureRun(
               { ...run, task: run.id, how: "lost" },
               run.job,
-              atMs,
+              { catalog: state.catalog, atMs },
             )
           ),
         );
@@ -96,12 +97,13 @@
       if (operation.type === "start" && !job.hasStarted) {
         waiting.add(job);
       } else if (operation.type === "end") {
-        runs.push(this.#measureRun(operation, job, atMs));
+        const { catalog } = state;
+        runs.push(this.#measureRun(operation, job, { catalog, atMs }));
       }
     }
     return () => {
       runs.forEach((record) => record());
-      waiting.forEach((job) => this.#recordWait(job, atMs));
+      waiting.forEach((job) => this.#recordWait(job, state.catalog, atMs));
       open.forEach((job) => this.#recordEnd(job, state.catalog, atMs));
     };
   }
@@ -109,22 +111,22 @@
   #measureRun(
     { task: id, runNumber, how }: EndedRun,
     job: JobRecord,
-    atMs: number,
+    { atMs, catalog }: { readonly atMs: number; readonly catalog: Catalog },
   ): () => void {
     const task = job.findTask(id);
     if (task?.state !== "running" || task.runNumber !== runNumber) {
       return () => undefined;
     }
     const runMs = Math.max(0, atMs - task.changedAtMs);
-    return () => this.#metrics.recordRun(findLabels(job), how, runMs);
+    return () => this.#metrics.recordRun(findLabels(job, catalog), how, runMs);
   }
 
-  #recordWait(job: JobRecord, atMs: number): void {
+  #recordWait(job: JobRecord, catalog: Catalog, atMs: number): void {
     if (job.hasStarted && !this.#startWaitMs.has(job)) {
       const readyMs = Math.max(job.acceptedAtMs, job.findDueMs(0));
       const waitMs = Math.max(0, atMs - readyMs);
       this.#startWaitMs.set(job, waitMs);
-      this.#metrics.recordWait(findLabels(job), waitMs);
+      this.#metrics.recordWait(findLabels(job, catalog), waitMs);
     }
   }
 
@@ -134,7 +136,7 @@
       return;
     }
     this.#ended.add(job);
-    const labels = findLabels(job);
+    const labels = findLabels(job, catalog);
     const totalMs = Math.max(0, atMs - acceptedAtMs);
     this.#metrics.recordJob(labels, outcome, totalMs);
     if (outcome !== "completed" || job.spec.schedule !== undefined) {
@@ -145,7 +147,7 @@
       totalMs,
       allowedMs: computeAllowedMs(
         job.spec.steps,
-        indexQueues(catalog).byName.get(job.queue),
+        findQueueOfJob(catalog, job),
       ),
     };
     const punctuality = findPunctuality(times);
@@ -191,6 +193,6 @@
   }
 }
 
-function findLabels({ team, queue }: JobRecord): JobLabels {
-  return { team: team ?? "", queue };
+function findLabels(job: JobRecord, catalog: Catalog): JobLabels {
+  return { team: job.team ?? "", queue: findQueueLabel(catalog, job) };
 }
--- a/src/services/scheduling/placement_explainer.ts
+++ b/src/services/scheduling/placement_explainer.ts
@@ -10,16 +10,18 @@
   createFailure,
   type Failure,
   findJobFault,
-  indexQueues,
+  formatQueueAddress,
   type JobQueue,
   JobRecord,
   type JobSpec,
   jobSpecSchema,
+  listQueuesByReference,
   type Runner,
   validateWith,
 } from "../../domain/index.ts";
 import type { Clock } from "../../ports/index.ts";
 import type { JobAdmission } from "./job_admission.ts";
+import { createRepeatedQueueName } from "./repeated_queue_name.ts";
 import { describeDelay, type RoomWatch } from "./room_watch.ts";
 import type { ScheduleExplanation } from "./schedule_explainer.ts";
 import type { Scheduler } from "./scheduler.ts";
@@ -32,6 +34,7 @@
 
 /** Schema of a query for a placement. */
 export const placementQuerySchema = v.object({
+  /** Name or formatted address of the queue. */
   queue: v.string(),
   /** Name of the team that would submit the job. */
   team: v.optional(v.string()),
@@ -75,12 +78,16 @@
     });
     return query.andThen(({ queue: name, team, work }) => {
       const { catalog } = this.#options.log.state;
-      const queue = indexQueues(catalog).byName.get(name);
+      const queues = listQueuesByReference(catalog, name);
+      const [queue] = queues;
       const spec: JobSpec = { ...work, jobId: PREVIEW_JOB_ID };
       const fault = findJobFault(spec);
       if (queue === undefined) {
         return Result.err(createMissing("queue", name));
       }
+      if (queues.length > 1) {
+        return Result.err(createRepeatedQueueName(name, queues));
+      }
       if (team !== undefined && !catalog.teams.some((t) => t.name === team)) {
         return Result.err(createMissing("team", team));
       }
@@ -105,6 +112,7 @@
     const job = new JobRecord({
       spec,
       queue: queue.name,
+      queueAddress: formatQueueAddress(queue),
       pool: queue.pool,
       team,
       maxAttempts: queue.maxAttempts,
--- a/src/services/scheduling/run_end_detector.ts
+++ b/src/services/scheduling/run_end_detector.ts
@@ -97,9 +97,9 @@
     const { clock, delays, findRunner, paces } = this.#options;
     const nowMs = clock.nowMs();
     const delayMs = nowMs - startedAtMs - step.estimateMs;
-    delays.record(job.queue, delayMs, nowMs);
+    delays.record(job.queueKey, delayMs, nowMs);
     const ratio = (nowMs - startedAtMs) / step.estimateMs;
-    paces?.record(findRunner(), job.queue, ratio, nowMs);
+    paces?.record(findRunner(), job.queueKey, ratio, nowMs);
   }
 
   #createEnd(
--- a/src/services/scheduling/runner_fleet.ts
+++ b/src/services/scheduling/runner_fleet.ts
@@ -1,7 +1,7 @@
 /** Runs one task of the leader for each runner incarnation. */
 import {
+  findQueueOfJob,
   IncarnationMap,
-  indexQueues,
   type Runner,
   type RunnerIncarnation,
   type RunningTask,
@@ -206,8 +206,8 @@
    * @param run - A run of the job.
    */
   findMaxAttempts({ job }: RunningTask): number {
-    const { byName } = indexQueues(this.#options.log.state.catalog);
-    return byName.get(job.queue)?.maxAttempts ?? job.maxAttempts;
+    const { catalog } = this.#options.log.state;
+    return findQueueOfJob(catalog, job)?.maxAttempts ?? job.maxAttempts;
   }
 }
 
--- a/src/services/scheduling/schedule_explainer.ts
+++ b/src/services/scheduling/schedule_explainer.ts
@@ -5,8 +5,9 @@
 import {
   createFailure,
   type Failure,
+  findPoolOfJob,
+  findQueueLabel,
   formatTaskId,
-  indexQueues,
   type JobRecord,
   type Runner,
   type StepRecord,
@@ -115,12 +116,12 @@
 
   #listRows(kind: (typeof LISTED_KINDS)[number]): ListedRow[] {
     const { log } = this.#options;
-    const { jobs, runners, waves } = log.state;
+    const { catalog, jobs, runners, waves } = log.state;
     switch (kind) {
       case "job":
         return [...jobs.open].map((job) => ({
           job: job.spec.jobId,
-          queue: job.queue,
+          queue: findQueueLabel(catalog, job),
           team: job.team ?? "-",
           state: job.state,
           ageMs: this.#nowMs - job.acceptedAtMs,
@@ -195,7 +196,7 @@
   #describeSuspects(job: JobRecord): string[] {
     const { describeSuspicion, log } = this.#options;
     const { catalog, runners } = log.state;
-    const pool = indexQueues(catalog).byName.get(job.queue)?.pool ?? job.pool;
+    const pool = findPoolOfJob(catalog, job);
     const count =
       [...runners.values()].filter((runner) =>
         runner.pool === pool && describeSuspicion?.(runner) !== undefined
@@ -227,10 +228,11 @@
   }
 
   #describeJob(job: JobRecord): string[] {
+    const { catalog } = this.#options.log.state;
     const team = job.team === undefined ? "no team" : `team/${job.team}`;
     const endMs = job.endedAtMs ?? this.#nowMs;
     const lines = [
-      `${job.state}, queue/${job.queue}, ${team}`,
+      `${job.state}, queue/${findQueueLabel(catalog, job)}, ${team}`,
       `accepted at ${new Date(job.acceptedAtMs).toISOString()}, ${
         Math.round(endMs - job.acceptedAtMs)
       } ms ${job.endedAtMs === undefined ? "ago" : "until its end"}`,
