Check a start whenever it is sent, not only when it is planned

Cause: zones, draining runners and cordons were checked by the plan only. A start that was in the log was sent as long as it was placed: again after a request without an answer, by the next leader, and after a commit that took long.

Change: StartConditions holds these checks for the plan and for each request. Starts that an earlier leader may have sent count as sent, also when their job has ended. RunStarter is split from RunReconciler. Tickets that have expired are not sent.

--- a/src/daemon/scheduling/start_leading.ts
+++ b/src/daemon/scheduling/start_leading.ts
@@ -11,7 +11,9 @@
   RunDelays,
   RunnerPaces,
   ScoredPlacementPolicy,
+  StartConditions,
   StartPlanner,
+  type StepReference,
   TrendForecast,
   TurnForecast,
   UsefulResultPolicy,
@@ -94,12 +96,21 @@
   const delays = new RunDelays();
   const paces = new RunnerPaces();
   const order = new LeastCostOrderPolicy(delays);
+  const findTicket = (
+    task: StepReference,
+    runner: Runner,
+  ): string | undefined => adviceTask?.findTicket(task, runner);
+  const conditions = new StartConditions({
+    isCordoned: (runner) => isInMaintenance(runner) || isMoving(runner),
+    findTicket,
+  });
   const fleet: RunnerFleet = new RunnerFleet({
     ...options,
+    conditions,
     delays,
     paces,
     client,
-    findTicket: (task, runner) => adviceTask?.findTicket(task, runner),
+    findTicket,
   });
   const trust = new RunnerTrust({
     ...options,
@@ -159,7 +170,7 @@
     paces,
     findStatus: (runner) => fleet.findStatus(runner),
     findApproved: (step) => adviceTask?.findApproved(step),
-    isCordoned: (runner) => isInMaintenance(runner) || isMoving(runner),
+    conditions,
     awaitsMaintenance,
   });
   const adviceTask: AdviceTask | undefined = advice === undefined
--- a/src/decisions/scheduling/index.ts
+++ b/src/decisions/scheduling/index.ts
@@ -10,6 +10,7 @@
 export * from "./placement_trust.ts";
 export * from "./ready_step.ts";
 export * from "./run_delays.ts";
+export * from "./start_conditions.ts";
 export * from "./start_planner.ts";
 export * from "./apart_demand.ts";
 export * from "./availability.ts";
--- a/src/services/scheduling/advice_task.ts
+++ b/src/services/scheduling/advice_task.ts
@@ -101,12 +101,15 @@
    *
    * @param name - Job, occurrence and step.
    * @param runner - The runner on which the task starts.
-   * @returns The ticket, or undefined when this incarnation has none.
+   * @returns The ticket, or undefined when this incarnation has no valid one.
    */
   findTicket(name: StepReference, runner: Runner): string | undefined {
     const ticket = this.#ticketsByStep.get(formatName(name))
       ?.byRunner.get(runner.runnerId);
-    return ticket?.bornAtMs === runner.bornAtMs ? ticket.text : undefined;
+    const isValid = ticket !== undefined &&
+      ticket.bornAtMs === runner.bornAtMs &&
+      ticket.untilMs > this.#options.clock.monotonicMs();
+    return isValid ? ticket.text : undefined;
   }
 
   /**
--- a/src/services/scheduling/placement_explainer_test.ts
+++ b/src/services/scheduling/placement_explainer_test.ts
@@ -5,6 +5,7 @@
   LeastCostOrderPolicy,
   RunDelays,
   ScoredPlacementPolicy,
+  StartConditions,
   StartPlanner,
   UsefulResultPolicy,
 } from "../../decisions/index.ts";
@@ -114,7 +115,10 @@
     changed: new Notifier(),
     findStatus: () => status,
     findApproved: () => undefined,
-    isCordoned: () => false,
+    conditions: new StartConditions({
+      isCordoned: () => false,
+      findTicket: () => undefined,
+    }),
     awaitsMaintenance: () => false,
   });
   const room = new RoomWatch({
--- a/src/services/scheduling/run_reconciler.ts
+++ b/src/services/scheduling/run_reconciler.ts
@@ -5,29 +5,23 @@
 import {
   formatTaskId,
   type RunFault,
-  type RunnerLoad,
   type RunningTask,
 } from "../../domain/index.ts";
-import type {
-  LeaderMetrics,
-  RunName,
-  RunnerReport,
-} from "../../ports/index.ts";
+import type { RunName, RunnerReport } from "../../ports/index.ts";
 import { Notifier, type TaskGroup, waitFor } from "../../tasks/index.ts";
 import { RunCommands, type RunCommandsOptions } from "./run_commands.ts";
 import { formatRun } from "./run_name.ts";
+import { RunStarter, type RunStarterOptions } from "./run_starter.ts";
 import { StillRuns } from "./still_runs.ts";
-import { StartAttempts } from "./start_attempts.ts";
 import { TrackedRuns } from "./tracked_runs.ts";
 import { IDLE_CHECK_MS, REQUEST_RETRY_MS } from "./timing.ts";
 
 /** Options of {@link RunReconciler}. */
-export interface RunReconcilerOptions extends RunCommandsOptions {
+export interface RunReconcilerOptions
+  extends
+    RunCommandsOptions,
+    Omit<RunStarterOptions, "commands" | "runs" | "reported" | "close"> {
   readonly tasks: TaskGroup;
-  /** Notified when the runner's own load has changed. */
-  readonly loadChanged: Notifier;
-  readonly findLoad: () => RunnerLoad;
-  readonly metrics: LeaderMetrics;
 }
 
 /** Starts the runs that the log places here and stops those no longer wanted. */
@@ -36,6 +30,7 @@
   readonly #commands: RunCommands;
   readonly #runs: TrackedRuns;
   readonly #still: StillRuns;
+  readonly #starter: RunStarter;
   /** Runs that the runner reports and the log does not place there. */
   readonly #orphans = new Set<string>();
   /** Notified of each report of the runner. */
@@ -46,6 +41,13 @@
     this.#commands = new RunCommands(options);
     this.#runs = new TrackedRuns(options);
     this.#still = new StillRuns({ ...options, runs: this });
+    this.#starter = new RunStarter({
+      ...options,
+      commands: this.#commands,
+      runs: this.#runs,
+      reported: this.#reported,
+      close: (run, key, signal) => this.#close(run, key, signal),
+    });
   }
 
   /** Whether the last poll reported runs that the log does not place here. */
@@ -164,77 +166,12 @@
         tasks.start("stop", () => this.#close(run, key, signal));
       } else if (state === undefined) {
         this.#runs.begin(key, "starting");
-        tasks.start("start", () => this.#start(run, key, signal));
+        tasks.start("start", () => this.#starter.start(run, signal));
       }
     }
     this.#runs.retain(wanted);
   }
 
-  async #start(
-    run: RunningTask,
-    key: string,
-    signal: AbortSignal,
-  ): Promise<void> {
-    const { clock, loadChanged, metrics } = this.#options;
-    const attempts = new StartAttempts();
-    while (this.#hasState(key, "starting", signal)) {
-      const failure = await this.#commands.start(run);
-      if (!this.#hasState(key, "starting", signal)) {
-        return;
-      }
-      if (failure === undefined) {
-        this.#runs.confirm(key, "running", clock.monotonicMs());
-        return;
-      }
-      const step = attempts.record(failure, this.#isUnwanted(run));
-      if (step === "end") {
-        return;
-      }
-      if (step === "closed") {
-        if (failure.refusal === "unhealthy") {
-          this.#runs.recordFault(key, "refused");
-          metrics.countRunFault("refused");
-        }
-        this.#runs.confirm(key, "closed", clock.monotonicMs());
-        loadChanged.notify();
-        return;
-      }
-      if (step === "retry") {
-        await clock.sleep(REQUEST_RETRY_MS, signal);
-        continue;
-      }
-      if (step === "report") {
-        await this.#waitForReport(run, key, signal);
-      }
-      const mustStop = step === "stop" || attempts.isOver ||
-        this.#isUnwanted(run);
-      if (mustStop && this.#hasState(key, "starting", signal)) {
-        this.#runs.begin(key, "closing");
-        await this.#close(run, key, signal);
-      }
-    }
-  }
-
-  /** Waits until a report shows whether an unanswered start was carried out. */
-  async #waitForReport(
-    run: RunningTask,
-    key: string,
-    signal: AbortSignal,
-  ): Promise<void> {
-    const { clock } = this.#options;
-    this.#runs.recordUnanswered(key, clock.monotonicMs());
-    const isOver = () => !this.#runs.isUnanswered(key) || this.#isUnwanted(run);
-    while (!signal.aborted && !isOver()) {
-      await waitFor({
-        clock,
-        notifier: this.#reported,
-        timeoutMs: REQUEST_RETRY_MS,
-        signal,
-        isMet: isOver,
-      });
-    }
-  }
-
   async #close(
     run: RunningTask,
     key: string,
@@ -242,7 +179,7 @@
   ): Promise<void> {
     const { clock, status } = this.#options;
     const name = { task: run.id, runNumber: run.runNumber };
-    while (this.#hasState(key, "closing", signal)) {
+    while (!signal.aborted && this.#runs.findState(key) === "closing") {
       // The polls show when a runner responds again. Requests for each of its
       // runs meanwhile would cost the leader a connection each.
       if (status.isAnswering && await this.#commands.stop(name)) {
@@ -280,12 +217,4 @@
       });
     }
   }
-
-  #hasState(
-    key: string,
-    state: "starting" | "closing",
-    signal: AbortSignal,
-  ): boolean {
-    return !signal.aborted && this.#runs.findState(key) === state;
-  }
 }
--- a/src/services/scheduling/runner_fleet.ts
+++ b/src/services/scheduling/runner_fleet.ts
@@ -7,7 +7,11 @@
   type RunningTask,
   type TaskId,
 } from "../../domain/index.ts";
-import type { RunDelays, RunnerPaces } from "../../decisions/index.ts";
+import type {
+  RunDelays,
+  RunnerPaces,
+  StartConditions,
+} from "../../decisions/index.ts";
 import type {
   Clock,
   EventLoopDelays,
@@ -39,6 +43,8 @@
   readonly fencingToken: number;
   /** Finds the ticket of a task for a runner; undefined where none is needed. */
   readonly findTicket: (task: TaskId, runner: Runner) => string | undefined;
+  /** What must hold when a start is sent. */
+  readonly conditions: Pick<StartConditions, "findObstacle">;
 }
 
 interface ServedRunner {
@@ -167,7 +173,7 @@
   }
 
   #serve(runner: Runner): ServedRunner {
-    const { clock, logger } = this.#options;
+    const { clock, conditions, log, logger } = this.#options;
     const group = new TaskGroup({ clock, logger });
     const changed = new Notifier();
     const task = new RunnerTask({
@@ -178,6 +184,7 @@
       tasks: group,
       foreignLeaseEndMs: this.#findForeignLeaseEndMs(runner),
       findMaxAttempts: (run) => this.findMaxAttempts(run),
+      findStartObstacle: (run) => conditions.findObstacle(log.state, run),
     });
     group.startForever(
       `runner ${runner.runnerId}`,
--- a/src/services/scheduling/scheduler.ts
+++ b/src/services/scheduling/scheduler.ts
@@ -12,6 +12,7 @@
   PlannedStart,
   ReadyStep,
   RunnerPaces,
+  StartConditions,
   StartPlanner,
 } from "../../decisions/index.ts";
 import type { Clock, LeaderMetrics, Logger } from "../../ports/index.ts";
@@ -40,8 +41,8 @@
   readonly findStatus: (runner: Runner) => RunnerStatus | undefined;
   /** Finds the runners that may run a step; undefined when any may. */
   readonly findApproved: (step: ReadyStep) => ReadonlySet<string> | undefined;
-  /** Returns whether a runner's VM is being drained for maintenance or a move. */
-  readonly isCordoned: (runner: Runner) => boolean;
+  /** What must hold for a runner to get work, also when a start is sent. */
+  readonly conditions: Pick<StartConditions, "findRunnerObstacle">;
   /** Returns whether a runner's VM is going to be maintained in an open wave. */
   readonly awaitsMaintenance: (runner: Runner) => boolean;
 }
@@ -140,13 +141,11 @@
 
   /** Returns whether a runner may get work now. */
   mayPlaceOn(runner: Runner): boolean {
-    const { findStatus, isCordoned, log } = this.#options;
-    const { state } = log;
+    const { conditions, findStatus, log } = this.#options;
     const status = findStatus(runner);
-    return !runner.isDraining && !state.zonesOut.has(runner.zone) &&
-      status !== undefined && status.isOperational &&
+    return status !== undefined && status.isOperational &&
       !status.hasOverdueRequest && status.refusedRuns.size === 0 &&
-      !isCordoned(runner);
+      conditions.findRunnerObstacle(log.state, runner) === undefined;
   }
 
   async #waitForChange(signal: AbortSignal): Promise<void> {
--- a/src/services/scheduling/scheduler_test.ts
+++ b/src/services/scheduling/scheduler_test.ts
@@ -4,6 +4,7 @@
   NoTrustPolicy,
   ScoredPlacementPolicy,
   SlackOrderPolicy,
+  StartConditions,
   StartPlanner,
 } from "../../decisions/index.ts";
 import { jobStepSchema, type Runner } from "../../domain/index.ts";
@@ -85,7 +86,10 @@
     changed: new Notifier(),
     findStatus: () => status,
     findApproved: () => undefined,
-    isCordoned: () => false,
+    conditions: new StartConditions({
+      isCordoned: () => false,
+      findTicket: () => undefined,
+    }),
     awaitsMaintenance: () => false,
   });
   const listTasks = (message: string) =>
--- a/src/services/scheduling/start_attempts.ts
+++ b/src/services/scheduling/start_attempts.ts
@@ -22,8 +22,14 @@
 
 /** Follows the start requests of one run. */
 export class StartAttempts {
+  readonly #isInherited: boolean;
   #unansweredCount = 0;
 
+  /** @param isInherited - Whether an earlier leader may have sent the start. */
+  constructor(isInherited = false) {
+    this.#isInherited = isInherited;
+  }
+
   /** Whether a stop must follow the next report that does not list the run. */
   get isOver(): boolean {
     return this.#unansweredCount >= MAX_START_ATTEMPTS;
@@ -31,7 +37,7 @@
 
   /** Whether a request may still reach the runner. */
   get mayArrive(): boolean {
-    return this.#unansweredCount > 0;
+    return this.#isInherited || this.#unansweredCount > 0;
   }
 
   /**
--- a/src/services/scheduling/vm_mover_test.ts
+++ b/src/services/scheduling/vm_mover_test.ts
@@ -7,6 +7,7 @@
   NoTrustPolicy,
   ScoredPlacementPolicy,
   SlackOrderPolicy,
+  StartConditions,
   StartPlanner,
 } from "../../decisions/index.ts";
 import { jobStepSchema, type Runner } from "../../domain/index.ts";
@@ -215,7 +216,10 @@
       changed,
       findStatus,
       findApproved: () => undefined,
-      isCordoned: (runner) => capacity.isCordoned(runner),
+      conditions: new StartConditions({
+        isCordoned: (runner) => capacity.isCordoned(runner),
+        findTicket: () => undefined,
+      }),
       awaitsMaintenance: () => false,
     });
     const controller = new AbortController();
--- a/src/testing/scheduling_fixture.ts
+++ b/src/testing/scheduling_fixture.ts
@@ -9,6 +9,7 @@
   type RunnerTrustPolicy,
   ScoredPlacementPolicy,
   SlackOrderPolicy,
+  StartConditions,
   StartPlanner,
 } from "../decisions/index.ts";
 import {
@@ -316,6 +317,10 @@
       ),
       fencingToken: term,
       findTicket: () => undefined,
+      conditions: new StartConditions({
+        isCordoned: (runner) => waves?.isCordoned(runner) ?? false,
+        findTicket: () => undefined,
+      }),
     };
     const fleet = new RunnerFleet(shared);
     const accounts = new PoolAccounts({
@@ -349,7 +354,6 @@
         policy: this.#options.trustPolicy ?? new FailureTrustPolicy(),
       }),
       findStatus: (runner) => fleet.findStatus(runner),
-      isCordoned: (runner) => waves?.isCordoned(runner) ?? false,
       awaitsMaintenance: (runner) => waves?.awaitsMaintenance(runner) ?? false,
       findApproved: () => undefined,
     });
