Take the bounds of runners from the settings

Cause: a start without an answer may run at a successor of the runner, so its task waits for the longest lease after the last request that may have arrived. That lease was a constant of 10 s; the deployment's bound is 6 s. The constant also hid that a relay sends requests up to 0.4 s later, which the wait left out.

Change: runnerBounds in the settings has the longest lease, the time of a stop and the interval of announcements, from max_hold_ms, stop_ms and heartbeat_ms. The wait, the leases that earlier incarnations got, the time after which a stopped run counts as running again, and the silence of a runner follow them. The wait includes the time at a relay.

Tests that waited for MAX_LEASE_MS wait for the same time under a name of their own; runner_status_test.ts asks for the bound in place of the constant.

--- a/src/daemon/scheduling/create_scheduling_controller.ts
+++ b/src/daemon/scheduling/create_scheduling_controller.ts
@@ -1,7 +1,7 @@
 /** Composes a scheduling controller: a voter that schedules jobs while it leads. */
 import { Result } from "true-myth";
 import { FileLogStore, NodeFileSystem } from "../../adapters/disk/index.ts";
-import type { Failure } from "../../domain/index.ts";
+import type { Failure, RunnerBounds } from "../../domain/index.ts";
 import type {
   AdviceClient,
   RunnerClient,
@@ -41,6 +41,8 @@
   /** Whether this controller may bootstrap a new deployment. */
   readonly mayBootstrap: boolean;
   readonly runners: RunnerClient;
+  /** What the platform guarantees about runners. */
+  readonly bounds: RunnerBounds;
   /** Undefined where VMs cannot be moved or maintained. */
   readonly vms: VmControl | undefined;
   /** Undefined where no queue needs advice. */
--- a/src/daemon/scheduling/start_leading.ts
+++ b/src/daemon/scheduling/start_leading.ts
@@ -21,6 +21,7 @@
 import type {
   JobState,
   Runner,
+  RunnerBounds,
   RunnerIncarnation,
 } from "../../domain/index.ts";
 import type {
@@ -69,6 +70,8 @@
   readonly fencingToken: number;
   readonly group: TaskGroup;
   readonly runners: RunnerClient;
+  /** What the platform guarantees about runners. */
+  readonly bounds: RunnerBounds;
   readonly vms: VmControl | undefined;
   readonly advice: AdviceClient | undefined;
 }
--- a/src/domain/scheduling/index.ts
+++ b/src/domain/scheduling/index.ts
@@ -8,6 +8,7 @@
 export * from "./job_table.ts";
 export * from "./queue_index.ts";
 export * from "./runner.ts";
+export * from "./runner_bounds.ts";
 export * from "./runner_evidence.ts";
 export * from "./runner_loads.ts";
 export * from "./scheduling_command.ts";
--- a/src/services/scheduling/foreign_leases.ts
+++ b/src/services/scheduling/foreign_leases.ts
@@ -1,21 +1,15 @@
 /** Leases that requests to one incarnation of a runner may grant at the next. */
-import type { RunnerIncarnation } from "../../domain/index.ts";
+import type { RunnerBounds, RunnerIncarnation } from "../../domain/index.ts";
 import type { Clock } from "../../ports/index.ts";
 import { toLongestMs } from "./lease_tracker.ts";
 import type { SchedulingLog } from "./scheduling_log.ts";
-import { LATE_REQUEST_MS, MAX_LEASE_MS } from "./timing.ts";
-
-/**
- * Time after the last request to an incarnation was sent until no lease is left
- * that it has granted at a later one, in milliseconds. The request may be carried
- * out there long after its timeout.
- */
-const FOREIGN_LEASE_MS = toLongestMs(LATE_REQUEST_MS + MAX_LEASE_MS);
+import { LATE_REQUEST_MS } from "./timing.ts";
 
 /** Options of {@link ForeignLeases}. */
 export interface ForeignLeasesOptions {
   readonly log: SchedulingLog;
   readonly clock: Clock;
+  readonly bounds: RunnerBounds;
 }
 
 /** The newest lease that was sent to an incarnation that is no longer served. */
@@ -66,7 +60,7 @@
       ? -Infinity
       : sent.sentAtMs;
     return Math.max(sentAtMs, this.#findRecordedMs(runnerId)) +
-      FOREIGN_LEASE_MS;
+      this.#foreignLeaseMs;
   }
 
   // An earlier leader sent no request to an incarnation after it had recorded
@@ -81,10 +75,16 @@
     return clock.steadyMs() - passedMs;
   }
 
+  // The last request to an incarnation may be carried out at a later one long
+  // after its timeout, and the lease that it grants begins then.
+  get #foreignLeaseMs(): number {
+    return toLongestMs(LATE_REQUEST_MS + this.#options.bounds.maxLeaseMs);
+  }
+
   #prune(): void {
     const nowMs = this.#options.clock.steadyMs();
     for (const [runnerId, { sentAtMs }] of this.#sent) {
-      if (sentAtMs + FOREIGN_LEASE_MS < nowMs) {
+      if (sentAtMs + this.#foreignLeaseMs < nowMs) {
         this.#sent.delete(runnerId);
       }
     }
--- a/src/services/scheduling/lost_with_leader_test.ts
+++ b/src/services/scheduling/lost_with_leader_test.ts
@@ -10,12 +10,13 @@
   CONFIRM_TICK_MS,
   LEASE_SLACK_MS,
   MAX_CLOCK_DRIFT,
-  MAX_LEASE_MS,
   REQUEST_RETRY_MS,
   RUN_LEASE_MS,
 } from "./timing.ts";
 
 const SEED = 20_277;
+/** Longer than any lease lasts, in milliseconds. */
+const BEYOND_LEASE_MS = 10_000;
 /** Time for the commits, a plan and the start on another runner (ms). */
 const RESTART_MS = 300;
 /** One lease on a slow clock, a retry and the start elsewhere (ms). */
@@ -92,7 +93,7 @@
     fixture.startRunner("r2");
     await fixture.clock.advance(MAX_REPLACEMENT_MS);
     assert.equal(listReplaced(fixture), ["0"]);
-    await fixture.clock.advance(MAX_LEASE_MS);
+    await fixture.clock.advance(BEYOND_LEASE_MS);
     assert.equal(listReplaced(fixture), ["0", "1"]);
     fixture.runners.advanceAll();
     checkNeverTwice(fixture.runners.spans);
@@ -140,7 +141,7 @@
     fixture.startRunner("r2");
     await fixture.clock.advance(MAX_REPLACEMENT_MS);
     fixture.runners.cutIds.clear();
-    await fixture.clock.advance(MAX_LEASE_MS);
+    await fixture.clock.advance(BEYOND_LEASE_MS);
     fixture.runners.advanceAll();
     checkNeverTwice(fixture.runners.spans);
     const running = fixture.runners.spans.filter(({ how }) => how === "runs");
--- a/src/services/scheduling/pool_accounts_test.ts
+++ b/src/services/scheduling/pool_accounts_test.ts
@@ -1,5 +1,5 @@
 import * as assert from "uvu/assert";
-import type { Runner } from "../../domain/index.ts";
+import { DEFAULT_RUNNER_BOUNDS, type Runner } from "../../domain/index.ts";
 import type { ListedVm } from "../../ports/index.ts";
 import { describe, it } from "../../testing/describe.ts";
 import { FakeAgreement } from "../../testing/fake_agreement.ts";
@@ -7,9 +7,11 @@
 import { PoolAccounts } from "./pool_accounts.ts";
 import { RunnerStatus } from "./runner_status.ts";
 import { SchedulingLog } from "./scheduling_log.ts";
-import { MAX_SILENCE_MS, MOVE_MS } from "./timing.ts";
+import { MAX_SILENCE_INTERVALS, MOVE_MS } from "./timing.ts";
 
 const VM_MILLICORES = 64_000;
+const SILENCE_MS = MAX_SILENCE_INTERVALS *
+  DEFAULT_RUNNER_BOUNDS.announceIntervalMs;
 const POOL_NAMES = ["bay", "dock", "reserve"];
 
 function createRunner(
@@ -143,7 +145,7 @@
       const status = statuses.get("r1");
       assert.ok(status);
       status.isSynced = false;
-      await clock.advance(MAX_SILENCE_MS);
+      await clock.advance(SILENCE_MS);
       assert.equal(find("bay"), { silent: VM_MILLICORES });
     });
 
--- a/src/services/scheduling/replaced_runner_test.ts
+++ b/src/services/scheduling/replaced_runner_test.ts
@@ -7,9 +7,10 @@
 import type { RunSpan } from "../../testing/fake_runner_incarnation.ts";
 import { checkNeverTwice } from "../../testing/run_span_checks.ts";
 import { SchedulingFixture } from "../../testing/scheduling_fixture.ts";
-import { MAX_LEASE_MS } from "./timing.ts";
 
 const SEED = 20_275;
+/** Longer than any lease lasts, in milliseconds. */
+const BEYOND_LEASE_MS = 10_000;
 const WORK_MS = 8_000;
 const LONG_MS = 60_000;
 
@@ -28,7 +29,7 @@
 
 /** Lets a run begin at a successor that answers no request after that. */
 async function runAtSuccessor(
-  { changesLeader, heard = "all", livedMs = MAX_LEASE_MS }: RunnerFault,
+  { changesLeader, heard = "all", livedMs = BEYOND_LEASE_MS }: RunnerFault,
 ): Promise<readonly RunSpan[]> {
   const fixture = new SchedulingFixture({
     clock: new FakeClock(),
@@ -66,7 +67,7 @@
     fixture.changeLeader();
   }
   commits.resume();
-  await clock.advance(2 * MAX_LEASE_MS);
+  await clock.advance(2 * BEYOND_LEASE_MS);
   runners.advanceAll();
   await fixture.stop();
   assert.is(runners.spans[0]?.runnerId, runnerId, "its successor ran the task");
@@ -95,7 +96,7 @@
       v.parse(jobStepSchema, { taskCount: 1, needs: {}, isEndless: true }),
     ]);
   fixture.changeLeader();
-  await clock.advance(MAX_LEASE_MS);
+  await clock.advance(BEYOND_LEASE_MS);
   submitLong("1");
   await clock.advance(2_000);
   let answerCount = 0;
@@ -123,7 +124,7 @@
   if (changesLeader) {
     fixture.changeLeader();
   }
-  await clock.advance(4 * MAX_LEASE_MS);
+  await clock.advance(4 * BEYOND_LEASE_MS);
   runners.advanceAll();
   await fixture.stop();
   return runners.spans;
@@ -187,7 +188,7 @@
 
   // Guards against a task that runs twice at once: the previous incarnation was
   // so young that the answer of its successor was taken for its own.
-  for (const livedMs of [1_600, MAX_LEASE_MS]) {
+  for (const livedMs of [1_600, BEYOND_LEASE_MS]) {
     it(`keeps its tasks if its successor answered only the start, at the age of ${livedMs} ms`, async () => {
       const spans = await runAtSuccessor({
         changesLeader: false,
--- a/src/services/scheduling/run_reconciler.ts
+++ b/src/services/scheduling/run_reconciler.ts
@@ -5,6 +5,7 @@
 import {
   formatTaskId,
   type RunFault,
+  type RunnerBounds,
   type RunningTask,
 } from "../../domain/index.ts";
 import type { RunName, RunnerReport } from "../../ports/index.ts";
@@ -22,6 +23,8 @@
     RunCommandsOptions,
     Omit<RunStarterOptions, "commands" | "runs" | "reported" | "close"> {
   readonly tasks: TaskGroup;
+  /** What the platform guarantees about runners. */
+  readonly bounds: RunnerBounds;
 }
 
 /** Starts the runs that the log places here and stops those no longer wanted. */
--- a/src/services/scheduling/runner_fleet.ts
+++ b/src/services/scheduling/runner_fleet.ts
@@ -3,6 +3,7 @@
   findQueueOfJob,
   IncarnationMap,
   type Runner,
+  type RunnerBounds,
   type RunnerIncarnation,
   type RunningTask,
   type TaskId,
@@ -43,6 +44,8 @@
   readonly fencingToken: number;
   /** Finds the ticket of a task for a runner; undefined where none is needed. */
   readonly findTicket: (task: TaskId, runner: Runner) => string | undefined;
+  /** What the platform guarantees about runners. */
+  readonly bounds: RunnerBounds;
   /** What must hold when a start is sent. */
   readonly conditions: Pick<StartConditions, "findObstacle">;
 }
@@ -173,14 +176,14 @@
   }
 
   #serve(runner: Runner): ServedRunner {
-    const { clock, conditions, log, logger } = this.#options;
+    const { bounds, clock, conditions, log, logger } = this.#options;
     const group = new TaskGroup({ clock, logger });
     const changed = new Notifier();
     const task = new RunnerTask({
       ...this.#options,
       loadChanged: changed,
       runner,
-      status: new RunnerStatus(clock),
+      status: new RunnerStatus(clock, bounds),
       tasks: group,
       foreignLeaseEndMs: this.#findForeignLeaseEndMs(runner),
       findMaxAttempts: (run) => this.findMaxAttempts(run),
--- a/src/services/scheduling/runner_status.ts
+++ b/src/services/scheduling/runner_status.ts
@@ -1,23 +1,24 @@
 /** What the leader has observed of one runner incarnation. */
-import { formatTaskId } from "../../domain/index.ts";
+import {
+  DEFAULT_RUNNER_BOUNDS,
+  formatTaskId,
+  type RunnerBounds,
+} from "../../domain/index.ts";
 import type { Clock, RunnerReport } from "../../ports/index.ts";
 import { toLongestMs } from "./lease_tracker.ts";
+import { RELAY_CONFIRM_MS } from "./relay/relay_timing.ts";
 import {
-  MAX_LEASE_MS,
-  MAX_SILENCE_MS,
+  MAX_SILENCE_INTERVALS,
   OVERDUE_MS,
   POLL_TIMEOUT_MS,
   POLL_WAIT_MS,
 } from "./timing.ts";
 
 /**
- * Time after the last request to a replaced incarnation was sent until no run
- * can be left at its successor, in milliseconds. The request may arrive there
- * until it times out, and the lease that it grants begins then.
+ * Time after a request was sent in which it may arrive at a runner, in
+ * milliseconds: a relay may take it so late, and sends it until it times out.
  */
-export const SUCCESSOR_LEASE_MS = toLongestMs(
-  POLL_WAIT_MS + POLL_TIMEOUT_MS + MAX_LEASE_MS,
-);
+const ARRIVAL_LIMIT_MS = RELAY_CONFIRM_MS + POLL_WAIT_MS + POLL_TIMEOUT_MS;
 
 /**
  * Last contact, failures and progress of a runner; discarded with the
@@ -25,6 +26,7 @@
  */
 export class RunnerStatus {
   readonly #clock: Clock;
+  readonly #bounds: RunnerBounds;
   #lastContactMs: number;
   #leaseSentAtMs: number;
   #answeredAtMs: number;
@@ -62,8 +64,13 @@
    */
   readonly refusedRuns = new Set<string>();
 
-  constructor(clock: Clock) {
+  /**
+   * @param clock - The leader's clock.
+   * @param bounds - What the platform guarantees about runners.
+   */
+  constructor(clock: Clock, bounds: RunnerBounds = DEFAULT_RUNNER_BOUNDS) {
     this.#clock = clock;
+    this.#bounds = bounds;
     this.#lastContactMs = clock.steadyMs();
     this.#leaseSentAtMs = clock.steadyMs();
     this.#answeredAtMs = clock.monotonicMs();
@@ -112,7 +119,16 @@
       this.#replacedAtMs ?? -Infinity,
       this.#successorAnswerAtMs,
     );
-    return this.#clock.steadyMs() - noticedAtMs <= SUCCESSOR_LEASE_MS;
+    return this.#clock.steadyMs() - noticedAtMs <= this.#successorLeaseMs;
+  }
+
+  /**
+   * Steady time at which no run can be left at a successor that nobody has
+   * noticed (ms). The last request may arrive there until it times out, and the
+   * lease that it grants begins then.
+   */
+  get successorLeaseEndMs(): number {
+    return this.#leaseSentAtMs + this.#successorLeaseMs;
   }
 
   /** Whether a request has been unanswered for longer than usual. */
@@ -127,7 +143,7 @@
    */
   get isOperational(): boolean {
     return this.isSynced && this.mayGetLease && !this.isLeaving &&
-      this.silenceMs < MAX_SILENCE_MS;
+      !this.#isSilent;
   }
 
   /**
@@ -136,7 +152,7 @@
    */
   get isUnheard(): boolean {
     return !this.isSynced && this.mayGetLease && !this.isLeaving &&
-      this.silenceMs < MAX_SILENCE_MS;
+      !this.#isSilent;
   }
 
   /**
@@ -231,4 +247,13 @@
   recordNoAnswer(): void {
     this.#isAnswering = false;
   }
+
+  get #isSilent(): boolean {
+    const { announceIntervalMs } = this.#bounds;
+    return this.silenceMs >= MAX_SILENCE_INTERVALS * announceIntervalMs;
+  }
+
+  get #successorLeaseMs(): number {
+    return toLongestMs(ARRIVAL_LIMIT_MS + this.#bounds.maxLeaseMs);
+  }
 }
--- a/src/services/scheduling/runner_status_test.ts
+++ b/src/services/scheduling/runner_status_test.ts
@@ -1,15 +1,11 @@
 import * as assert from "uvu/assert";
+import { DEFAULT_RUNNER_BOUNDS } from "../../domain/index.ts";
 import type { Clock } from "../../ports/index.ts";
 import { describe, it } from "../../testing/describe.ts";
 import { FakeClock } from "../../testing/fake_clock.ts";
 import { PausableClock } from "../../testing/pausable_clock.ts";
 import { RunnerStatus } from "./runner_status.ts";
-import {
-  MAX_CLOCK_DRIFT,
-  MAX_LEASE_MS,
-  POLL_TIMEOUT_MS,
-  POLL_WAIT_MS,
-} from "./timing.ts";
+import { MAX_CLOCK_DRIFT, POLL_TIMEOUT_MS, POLL_WAIT_MS } from "./timing.ts";
 
 const TASK = "0123456789abcdef.0.0.1";
 const LONG_MS = 10_000;
@@ -70,10 +66,11 @@
     const { clock, status } = createWorkingRunner();
     assert.not(status.mayRunAtSuccessor);
     status.recordReplaced();
+    const { maxLeaseMs } = DEFAULT_RUNNER_BOUNDS;
     await clock.advance(POLL_WAIT_MS + POLL_TIMEOUT_MS);
-    await clock.advance(MAX_LEASE_MS / (1 - MAX_CLOCK_DRIFT));
+    await clock.advance(maxLeaseMs / (1 - MAX_CLOCK_DRIFT));
     assert.ok(status.mayRunAtSuccessor);
-    await clock.advance(MAX_LEASE_MS);
+    await clock.advance(maxLeaseMs);
     assert.not(status.mayRunAtSuccessor);
   });
 });
--- a/src/services/scheduling/successor_lease_test.ts
+++ b/src/services/scheduling/successor_lease_test.ts
@@ -8,14 +8,11 @@
 import type { RunSpan } from "../../testing/fake_runner_incarnation.ts";
 import { checkNeverTwice } from "../../testing/run_span_checks.ts";
 import { SchedulingFixture } from "../../testing/scheduling_fixture.ts";
-import {
-  CONFIRM_TICK_MS,
-  LATE_REQUEST_MS,
-  MAX_LEASE_MS,
-  RUN_LEASE_MS,
-} from "./timing.ts";
+import { CONFIRM_TICK_MS, LATE_REQUEST_MS, RUN_LEASE_MS } from "./timing.ts";
 
 const SEED = 20_292;
+/** Longer than any lease lasts, in milliseconds. */
+const BEYOND_LEASE_MS = 10_000;
 const RUNNER = "r1";
 /** Time in which a new incarnation announces itself and gets its first run. */
 const REPLACEMENT_MS = 2_000;
@@ -50,7 +47,7 @@
       isEndless: true,
     })]);
   fixture.changeLeader();
-  await clock.advance(MAX_LEASE_MS);
+  await clock.advance(BEYOND_LEASE_MS);
   submit("1");
   while (countRuns() === 0) {
     await clock.advance(1);
@@ -68,7 +65,7 @@
   if (changesLeader) {
     fixture.changeLeader();
   }
-  await clock.advance(4 * MAX_LEASE_MS);
+  await clock.advance(4 * BEYOND_LEASE_MS);
   runners.advanceAll();
   await fixture.stop();
   const line = fixture.logger.lines.find(({ message }) =>
@@ -94,7 +91,7 @@
       v.parse(jobStepSchema, { taskCount: 1, needs: {}, isEndless: true }),
     ]);
   fixture.changeLeader();
-  await clock.advance(LATE_REQUEST_MS + MAX_LEASE_MS);
+  await clock.advance(LATE_REQUEST_MS + BEYOND_LEASE_MS);
   submit("1");
   await clock.advance(REPLACEMENT_MS);
   const start = runners.start.bind(runners);
@@ -111,7 +108,7 @@
   await clock.advance(sentAtMs + LATE_REQUEST_MS + 200 - clock.monotonicMs());
   fixture.startRunner("r2");
   runners.cutIds.add(RUNNER);
-  await clock.advance(4 * MAX_LEASE_MS);
+  await clock.advance(4 * BEYOND_LEASE_MS);
   runners.advanceAll();
   await fixture.stop();
   return runners.spans;
--- a/src/services/scheduling/timing.ts
+++ b/src/services/scheduling/timing.ts
@@ -11,8 +11,9 @@
 /**
  * Lease of the runs on a runner, in milliseconds. Each poll renews it. It is
  * long enough for one poll plus a restart of all controllers, which takes 2.4 s
- * with the election, and far shorter than {@link MAX_LEASE_MS}. The work of a
- * runner that stops responding can be placed elsewhere after this time.
+ * with the election, and far shorter than the longest lease that a runner
+ * grants. The work of a runner that stops responding can be placed elsewhere
+ * after this time.
  */
 export const RUN_LEASE_MS = 3_600;
 /**
@@ -20,12 +21,6 @@
  * grant, in milliseconds. The next poll renews the lease.
  */
 export const MIN_START_LEASE_MS = 1_700;
-/**
- * Longest lease that a runner accepts, in milliseconds. A lease that was granted
- * on the clock of one incarnation may last as long as this at its successor,
- * whose clock starts anew.
- */
-export const MAX_LEASE_MS = 10_000;
 /** Share by which a runner's clock may be slower than the leader's. */
 export const MAX_CLOCK_DRIFT = 0.02;
 /**
@@ -95,14 +90,11 @@
  * task placed elsewhere.
  */
 export const MAX_START_ATTEMPTS = 2;
-/**
- * Time after a confirmed stop by which the run has ended at the runner, in
- * milliseconds: the platform's limit with a margin for the way of the answer.
- */
-export const STOP_LIMIT_MS = 1_000;
+/** Margin after the time of a stop, for the way of its answer (ms). */
+export const STOP_MARGIN_MS = 100;
 /**
  * How long a controller gathers announcements without a change before it
- * reports them to the leader (ms): far below {@link MAX_SILENCE_MS}.
+ * reports them to the leader (ms): far below {@link MAX_SILENCE_INTERVALS}.
  */
 export const CONTACT_GATHER_MS = 300;
 /** Largest number of announcements in one report. */
@@ -111,9 +103,9 @@
 export const CONTACT_CALL_MS = 600;
 /**
  * Time without an announcement or answer of a runner after which it gets no
- * work, in milliseconds: two announcements may be missed.
+ * work, in intervals of its announcements: two of them may be missed.
  */
-export const MAX_SILENCE_MS = 3_600;
+export const MAX_SILENCE_INTERVALS = 2.4;
 /**
  * Time without contact after which an idle runner is removed, in milliseconds.
  */
--- a/src/services/scheduling/tracked_runs.ts
+++ b/src/services/scheduling/tracked_runs.ts
@@ -1,9 +1,14 @@
 /** How far the leader has come with the runs that the log places on a runner. */
-import type { RunFault, RunnerLoad, RunningTask } from "../../domain/index.ts";
+import type {
+  RunFault,
+  RunnerBounds,
+  RunnerLoad,
+  RunningTask,
+} from "../../domain/index.ts";
 import type { RunnerReport } from "../../ports/index.ts";
 import { formatRun } from "./run_name.ts";
 import type { RunnerStatus } from "./runner_status.ts";
-import { STOP_LIMIT_MS } from "./timing.ts";
+import { STOP_MARGIN_MS } from "./timing.ts";
 
 interface TrackedRun {
   /**
@@ -27,6 +32,7 @@
 /** Options of {@link TrackedRuns}. */
 export interface TrackedRunsOptions {
   readonly status: RunnerStatus;
+  readonly bounds: RunnerBounds;
   readonly findLoad: () => RunnerLoad;
 }
 
@@ -98,7 +104,7 @@
 
   /**
    * Records that a poll reported a run as running. A closed run should have
-   * ended by {@link STOP_LIMIT_MS}; if it has not, the answer that closed it was
+   * ended within the time of a stop; if it has not, the answer that closed it was
    * that to another request.
    *
    * @param key - Name of the run.
@@ -109,7 +115,8 @@
   recordRunning(key: string, sentAtMs: number, atMs: number): boolean {
     const known = this.#runs.get(key);
     const isReopened = known?.state === "closed" &&
-      sentAtMs - known.confirmedAtMs > STOP_LIMIT_MS;
+      sentAtMs - known.confirmedAtMs >
+        this.#options.bounds.stopMs + STOP_MARGIN_MS;
     if (isReopened) {
       this.#runs.delete(key);
     }
--- a/src/services/scheduling/uncertain_starts.ts
+++ b/src/services/scheduling/uncertain_starts.ts
@@ -2,7 +2,7 @@
 import type { RunnerLoad, RunningTask } from "../../domain/index.ts";
 import type { Clock } from "../../ports/index.ts";
 import { formatRun } from "./run_name.ts";
-import { type RunnerStatus, SUCCESSOR_LEASE_MS } from "./runner_status.ts";
+import type { RunnerStatus } from "./runner_status.ts";
 import type { SchedulingLog } from "./scheduling_log.ts";
 
 /** Options of {@link UncertainStarts}. */
@@ -60,7 +60,8 @@
     const isAnyLeft = [...findLoad().running.values()].some((run) =>
       this.mayRunAtSuccessor(run)
     );
-    return isAnyLeft ? Math.max(0, this.#untilMs - clock.steadyMs()) : 0;
+    const { successorLeaseEndMs } = this.#options.status;
+    return isAnyLeft ? Math.max(0, successorLeaseEndMs - clock.steadyMs()) : 0;
   }
 
   /**
@@ -126,13 +127,10 @@
    * @param run - A run that is placed on the runner.
    */
   mayRunAtSuccessor(run: RunningTask): boolean {
-    return this.#options.clock.steadyMs() < this.#untilMs &&
+    const { clock, status } = this.#options;
+    return clock.steadyMs() < status.successorLeaseEndMs &&
       this.#starts.has(formatRun(nameRun(run)));
   }
-
-  get #untilMs(): number {
-    return this.#options.status.leaseSentAtMs + SUCCESSOR_LEASE_MS;
-  }
 }
 
 function nameRun({ id: task, runNumber }: RunningTask) {
--- a/src/testing/fake_runner_incarnation.ts
+++ b/src/testing/fake_runner_incarnation.ts
@@ -2,7 +2,12 @@
  * One incarnation of a fake runner: its runs, its leases and its ended runs.
  */
 import { Result } from "true-myth";
-import { formatTaskId, type RunEnd, type Runner } from "../domain/index.ts";
+import {
+  DEFAULT_RUNNER_BOUNDS,
+  formatTaskId,
+  type RunEnd,
+  type Runner,
+} from "../domain/index.ts";
 import type {
   Clock,
   EndReport,
@@ -14,7 +19,6 @@
   StartRequest,
 } from "../ports/index.ts";
 
-const MAX_LEASE_MS = 6_000;
 const PERCENT = 100;
 const STILL_PERCENT = 3;
 
@@ -42,6 +46,8 @@
   readonly spans: RunSpan[];
   /** Speed of its clock; below 1 for a slow one. */
   readonly clockRate: number;
+  /** Longest lease that it grants (ms). */
+  readonly maxLeaseMs?: number | undefined;
   /**
    * Returns how long a task runs (ms) and how much CPU it uses (millicores).
    */
@@ -270,7 +276,8 @@
 
   #extendLeases(untilMs: number): void {
     this.#noteLapse();
-    const bounded = Math.min(untilMs, this.#clockMs + MAX_LEASE_MS);
+    const { maxLeaseMs = DEFAULT_RUNNER_BOUNDS.maxLeaseMs } = this.#options;
+    const bounded = Math.min(untilMs, this.#clockMs + maxLeaseMs);
     this.#leaseUntilMs = Math.max(this.#leaseUntilMs, bounded);
   }
 
--- a/src/testing/fake_runners.ts
+++ b/src/testing/fake_runners.ts
@@ -38,6 +38,8 @@
   readonly findWork: FakeRunnerIncarnationOptions["findWork"];
   /** Most by which the runners' clocks are slow or fast, in percent. */
   readonly maxClockDriftPercent?: number;
+  /** Longest lease that runners grant (ms); that of the settings by default. */
+  readonly maxLeaseMs?: number | undefined;
 }
 
 /** Runners with injectable faults. */
--- a/src/testing/scheduling_fixture.ts
+++ b/src/testing/scheduling_fixture.ts
@@ -16,10 +16,12 @@
   type AppliedValue,
   type Command,
   createFailure,
+  DEFAULT_RUNNER_BOUNDS,
   type Failure,
   FleetState,
   type JobStep,
   type Runner,
+  type RunnerBounds,
   type RunnerDeparture,
 } from "../domain/index.ts";
 import type { Random, RunnerClient } from "../ports/index.ts";
@@ -82,6 +84,8 @@
   readonly planner?: StartPlanner;
   /** Decides which runners are suspect; the standard policy by default. */
   readonly trustPolicy?: RunnerTrustPolicy;
+  /** What the platform guarantees about runners; the usual by default. */
+  readonly bounds?: RunnerBounds;
 }
 
 /** One pool, one queue and one team; a test changes leaders and runners. */
@@ -117,6 +121,7 @@
     this.commits = new PausableClock(options.clock);
     this.runners = new FakeRunners({
       ...options,
+      maxLeaseMs: options.bounds?.maxLeaseMs,
       findWork: (task) => this.#findWork(task),
     });
     this.vms = options.hasVms ? this.#createVms(options) : undefined;
@@ -317,6 +322,7 @@
       ),
       fencingToken: term,
       findTicket: () => undefined,
+      bounds: this.#options.bounds ?? DEFAULT_RUNNER_BOUNDS,
       conditions: new StartConditions({
         isCordoned: (runner) => waves?.isCordoned(runner) ?? false,
         findTicket: () => undefined,
