Give teams of one name a limit each

Two teams of one name shared the limit of one of them: plans used that of the last one in the catalog, explanations that of the first.

Cause: as in, a name that operators may repeat served as an identity.

Change: jobs keep an id of their team, which is its name, or the name with a number if an earlier team of the catalog has that name.

--- a/src/decisions/scheduling/fleet_room.ts
+++ b/src/decisions/scheduling/fleet_room.ts
@@ -1,5 +1,10 @@
 /** Measures the room of the pools and what teams use of it. */
-import type { JobTeam, Runner, SchedulingState } from "../../domain/index.ts";
+import {
+  indexTeams,
+  type JobTeam,
+  type Runner,
+  type SchedulingState,
+} from "../../domain/index.ts";
 
 /**
  * Time after which a waiting occurrence gets runners ahead of others, within
@@ -68,10 +73,9 @@
     rooms.set(runner.pool, room);
     addRunner(room, runner, { state, mayPlaceOn, nowMs });
   }
-  const { teams } = state.catalog;
   return {
     pools: rooms,
-    teams: new Map(teams.map((team) => [team.name, team])),
+    teams: indexTeams(state.catalog).byId,
   };
 }
 
--- a/src/decisions/scheduling/full_pool.ts
+++ b/src/decisions/scheduling/full_pool.ts
@@ -21,7 +21,7 @@
   /** The waiting steps of the pool in the order of slack. */
   readonly steps: readonly SlackRankedStep[];
   readonly room: PoolRoom;
-  /** The teams of the catalog, by name. */
+  /** The teams of the catalog, by id. */
   readonly teams: ReadonlyMap<string, JobTeam>;
   /** Finds how much longer than estimated the runs of a queue take (ms). */
   readonly findDelayMs: (queue: string) => number;
--- a/src/decisions/scheduling/start_conditions.ts
+++ b/src/decisions/scheduling/start_conditions.ts
@@ -2,6 +2,7 @@
 import {
   findPoolOfJob,
   findQueueOfJob,
+  indexTeams,
   isSameIncarnation,
   isWithinLimit,
   type Runner,
@@ -107,9 +108,10 @@
     if (findPoolOfJob(catalog, job) !== runner.pool) {
       return "otherPool";
     }
-    const team = catalog.teams.find(({ name }) => name === job.team);
+    const teamId = job.team ?? "";
+    const team = indexTeams(catalog).byId.get(teamId);
     const isWithin = team === undefined ||
-      isWithinLimit(jobs.findUsedByTeam(team.name), team.limit);
+      isWithinLimit(jobs.findUsedByTeam(teamId), team.limit);
     if (!isWithin) {
       return "teamLimit";
     }
--- a/src/decisions/scheduling/start_planner.ts
+++ b/src/decisions/scheduling/start_planner.ts
@@ -3,6 +3,7 @@
   addAmounts,
   type Amounts,
   fitsInto,
+  indexTeams,
   isWithinLimit,
   type JobRecord,
   type JobTeam,
@@ -94,7 +95,7 @@
     }
     const round: PlanningRound = {
       input,
-      teams: new Map(state.catalog.teams.map((team) => [team.name, team])),
+      teams: indexTeams(state.catalog).byId,
       usedByTeam: new Map(),
       starts: [],
       unplaceableByPool: new Map(),
--- a/src/decisions/scheduling/team_shares.ts
+++ b/src/decisions/scheduling/team_shares.ts
@@ -6,7 +6,7 @@
   readonly capacityMillicores: number;
   /** CPU in use and waited for, by team (millicores). */
   readonly demandByTeam: ReadonlyMap<string, number>;
-  /** The teams of the catalog, by name. */
+  /** The teams of the catalog, by id. */
   readonly teams: ReadonlyMap<string, JobTeam>;
 }
 
--- a/src/decisions/scheduling/wait_reason.ts
+++ b/src/decisions/scheduling/wait_reason.ts
@@ -3,6 +3,7 @@
   addAmounts,
   findPoolOfJob,
   fitsInto,
+  indexTeams,
   isWithinLimit,
   type JobRecord,
   type Runner,
@@ -49,15 +50,16 @@
 function findLimitReason(
   { state, job, stepIndex }: WaitReasonInput,
 ): string | undefined {
-  const team = state.catalog.teams.find(({ name }) => name === job.team);
+  const teamId = job.team ?? "";
+  const team = indexTeams(state.catalog).byId.get(teamId);
   const needs = job.spec.steps[stepIndex]?.needs;
   if (team === undefined || needs === undefined) {
     return undefined;
   }
-  const used = state.jobs.findUsedByTeam(team.name);
+  const used = state.jobs.findUsedByTeam(teamId);
   return isWithinLimit(addAmounts(used, needs), team.limit)
     ? undefined
-    : `team/${team.name} has ${used.cpuMillicores} of ${team.limit.cpuMillicores} millicores and ${used.memoryMb} of ${team.limit.memoryMb} MB running (catalog ${state.catalog.version})`;
+    : `team/${teamId} has ${used.cpuMillicores} of ${team.limit.cpuMillicores} millicores and ${used.memoryMb} of ${team.limit.memoryMb} MB running (catalog ${state.catalog.version})`;
 }
 
 // A step that no open runner can hold waits for that, whatever its place.
--- a/src/domain/scheduling/catalog.ts
+++ b/src/domain/scheduling/catalog.ts
@@ -60,6 +60,7 @@
 
 /** Schema of {@link JobTeam}. */
 export const jobTeamSchema = v.object({
+  /** Name of the team; others may have it too, so jobs keep an id. */
   name: nameSchema,
   keys: v.array(v.pipe(v.string(), v.minLength(1))),
   priority: nonNegativeSchema,
--- a/src/domain/scheduling/index.ts
+++ b/src/domain/scheduling/index.ts
@@ -14,4 +14,5 @@
 export * from "./scheduling_command.ts";
 export * from "./scheduling_item.ts";
 export * from "./scheduling_state.ts";
+export * from "./team_index.ts";
 export * from "./unconfirmed_starts.ts";
--- a/src/services/scheduling/job_admission.ts
+++ b/src/services/scheduling/job_admission.ts
@@ -32,7 +32,7 @@
 export interface NewJob {
   readonly spec: JobSpec;
   readonly queue: JobQueue;
-  /** Name of the caller's team. */
+  /** Id of the caller's team. */
   readonly team: string | undefined;
   /** Time for which the request has waited (ms). */
   readonly waitedMs: number;
--- a/src/services/scheduling/job_service.ts
+++ b/src/services/scheduling/job_service.ts
@@ -8,6 +8,7 @@
   findQueueByAddress,
   findQueueOfJob,
   formatQueueAddress,
+  indexTeams,
   JOB_STATES,
   type JobQueue,
   type JobSpec,
@@ -73,6 +74,7 @@
   readonly queue: JobQueue;
   /** Rest of the path after the queue's prefix: a job id, or empty. */
   readonly rest: string;
+  /** Id of the caller's team. */
   readonly team: string | undefined;
 }
 
@@ -224,9 +226,7 @@
     const rest = call.host === undefined
       ? call.path.slice(1)
       : call.path.slice(queue.pathPrefix.length);
-    const team = catalog.teams.find(({ keys }) =>
-      call.key !== undefined && keys.includes(call.key)
-    );
+    const team = indexTeams(catalog).idsByKey.get(call.key ?? "");
     if (team === undefined && !queue.isPublic) {
       return Result.err(
         createFailure(
@@ -236,7 +236,7 @@
         ),
       );
     }
-    return Result.ok({ queue, rest, team: team?.name });
+    return Result.ok({ queue, rest, team });
   }
 
   // A call without a host names its queue, or a known job whose queue is used.
--- a/src/services/scheduling/placement_explainer.ts
+++ b/src/services/scheduling/placement_explainer.ts
@@ -11,6 +11,7 @@
   type Failure,
   findJobFault,
   formatQueueAddress,
+  indexTeams,
   type JobQueue,
   JobRecord,
   type JobSpec,
@@ -36,7 +37,7 @@
 export const placementQuerySchema = v.object({
   /** Name or formatted address of the queue. */
   queue: v.string(),
-  /** Name of the team that would submit the job. */
+  /** Id of the team that would submit the job. */
   team: v.optional(v.string()),
   work: v.omit(jobSpecSchema, ["jobId"]),
 });
@@ -88,7 +89,7 @@
       if (queues.length > 1) {
         return Result.err(createRepeatedQueueName(name, queues));
       }
-      if (team !== undefined && !catalog.teams.some((t) => t.name === team)) {
+      if (team !== undefined && !indexTeams(catalog).byId.has(team)) {
         return Result.err(createMissing("team", team));
       }
       if (fault !== undefined) {
--- a/src/testing/scheduling_fixture.ts
+++ b/src/testing/scheduling_fixture.ts
@@ -263,12 +263,14 @@
    * @param jobId - Id of the job.
    * @param steps - Its steps.
    * @param waitedMs - Time for which the call has waited for a leader (ms).
+   * @param key - Key of the team that submits it.
    * @returns Whether the leader accepted it.
    */
   async submit(
     jobId: string,
     steps: readonly JobStep[],
     waitedMs = 0,
+    key = "key",
   ): Promise<boolean> {
     const leader = this.#leader;
     await leader?.clock.waitUntilResumed();
@@ -276,7 +278,7 @@
       action: "submit",
       host: "h",
       path: `/q/${jobId}`,
-      key: "key",
+      key,
       requestId: jobId,
       waitedMs,
       work: { text: "", steps: [...steps] },
