Count jobs as pending until a runner has begun a task

Cause: a job counted as begun once the start of a task was in the log, whatever became of it.

Change: a job has begun when the log shows that a runner has confirmed a start of it, or has listed the end of a run.

--- a/src/domain/scheduling/job_record.ts
+++ b/src/domain/scheduling/job_record.ts
@@ -58,6 +58,11 @@
   endedAtMs: v.optional(v.number()),
   outcome: v.optional(v.picklist(OUTCOMES)),
   hasStarted: v.boolean(),
+  /**
+   * Whether a runner has begun a task. Absent in snapshots of earlier releases,
+   * which skip it.
+   */
+  hasBegun: v.optional(v.boolean()),
   /** Progress of the tasks that have been started at least once. */
   tasks: v.array(v.object({
     task: taskIdSchema,
@@ -112,7 +117,10 @@
   readonly requestedAtMs: number;
   /** Progress by occurrence, then by step. */
   readonly occurrences: readonly (readonly StepRecord[])[];
+  /** Whether the start of a task is in the log; it may never be carried out. */
   hasStarted = false;
+  /** Whether a runner has begun a task, as far as the log shows. */
+  hasBegun = false;
   endedAtMs: number | undefined;
   outcome: StoredJob["outcome"];
 
@@ -142,7 +150,7 @@
 
   /** State that callers see. */
   get state(): JobState {
-    return this.outcome ?? (this.hasStarted ? "running" : "queued");
+    return this.outcome ?? (this.hasBegun ? "running" : "queued");
   }
 
   /** Whether every task of every occurrence is done. */
@@ -223,7 +231,7 @@
       )
     );
     const { acceptedAtMs, hasStarted, maxAttempts, requestedAtMs } = this;
-    const { endedAtMs, outcome } = this;
+    const { endedAtMs, hasBegun, outcome } = this;
     return {
       spec,
       queue,
@@ -236,6 +244,7 @@
       endedAtMs,
       outcome,
       hasStarted,
+      hasBegun,
       tasks,
     };
   }
@@ -244,6 +253,7 @@
   static restore(stored: StoredJob): JobRecord {
     const job = new JobRecord({ ...stored, team: stored.team });
     job.hasStarted = stored.hasStarted;
+    job.hasBegun = stored.hasBegun ?? stored.hasStarted;
     job.endedAtMs = stored.endedAtMs;
     job.outcome = stored.outcome;
     for (const { task: id, ...progress } of stored.tasks) {
--- a/src/domain/scheduling/job_table.ts
+++ b/src/domain/scheduling/job_table.ts
@@ -12,7 +12,10 @@
 import { RunnerEvidence } from "./runner_evidence.ts";
 import { type RunnerLoad, RunnerLoads } from "./runner_loads.ts";
 import type { SchedulingOperation } from "./scheduling_command.ts";
-import { UnconfirmedStarts } from "./unconfirmed_starts.ts";
+import {
+  type StartConfirmation,
+  UnconfirmedStarts,
+} from "./unconfirmed_starts.ts";
 
 /** Time for which an ended job can still be read, in milliseconds. */
 export const JOB_KEEP_MS = 150_000;
@@ -103,6 +106,16 @@
     this.unconfirmed.add(operation);
   }
 
+  /** Records which starts their runners have carried out. */
+  confirm(confirmation: StartConfirmation): void {
+    for (const { task } of this.unconfirmed.confirm(confirmation)) {
+      const job = this.#jobs.get(task.jobId);
+      if (job !== undefined) {
+        job.hasBegun = true;
+      }
+    }
+  }
+
   /** Records how a run ended. Does nothing when that end is already recorded. */
   end(operation: EndOperation, atMs: number): void {
     const { task: id, runNumber, how, saved, maxAttempts } = operation;
@@ -112,6 +125,7 @@
     if (job === undefined || task === undefined || !isNew) {
       return;
     }
+    job.hasBegun ||= how !== "lost";
     this.#weighEnd(operation, task, atMs);
     this.#removeRun(job, id, task);
     task.saved = saved === "" ? task.saved : saved;
--- a/src/domain/scheduling/scheduling_state.ts
+++ b/src/domain/scheduling/scheduling_state.ts
@@ -177,7 +177,7 @@
         this.jobs.end(operation, atMs);
         return;
       case "confirm":
-        this.jobs.unconfirmed.confirm(operation);
+        this.jobs.confirm(operation);
         return;
       case "runner":
         this.#putRunner(operation.runner, atMs);
--- a/src/domain/scheduling/unconfirmed_starts.ts
+++ b/src/domain/scheduling/unconfirmed_starts.ts
@@ -53,21 +53,26 @@
   /**
    * Removes confirmed starts. Does nothing when the newest of them has ended
    * meanwhile, because it no longer shows which starts are older.
+   *
+   * @returns The starts that were removed.
    */
-  confirm({ through, open }: StartConfirmation): void {
+  confirm({ through, open }: StartConfirmation): readonly StartName[] {
     const last = formatStart(through);
+    const confirmed: StartName[] = [];
     if (!this.#starts.has(last)) {
-      return;
+      return confirmed;
     }
     const openKeys = new Set(open.map(formatStart));
-    for (const key of this.#starts.keys()) {
+    for (const [key, start] of this.#starts) {
       if (!openKeys.has(key)) {
         this.#starts.delete(key);
+        confirmed.push(start);
       }
       if (key === last) {
-        return;
+        break;
       }
     }
+    return confirmed;
   }
 }
 
--- a/src/services/scheduling/job_service.ts
+++ b/src/services/scheduling/job_service.ts
@@ -53,7 +53,7 @@
 /** Schema of {@link JobCallAnswer}. */
 export const jobCallAnswerSchema = v.object({
   state: v.optional(v.picklist(JOB_STATES)),
-  /** Number of accepted jobs of the queue of which no task has started. */
+  /** Number of accepted jobs of the queue of which no runner has begun a task. */
   pendingCount: v.optional(v.number()),
 });
 
@@ -256,7 +256,7 @@
     const { catalog, jobs } = this.#log.state;
     let count = 0;
     for (const job of jobs.open) {
-      const isPending = !job.hasStarted &&
+      const isPending = !job.hasBegun &&
         findQueueOfJob(catalog, job) === queue;
       count += Number(isPending);
     }
--- a/src/services/scheduling/job_service_test.ts
+++ b/src/services/scheduling/job_service_test.ts
@@ -1,5 +1,10 @@
 import * as assert from "uvu/assert";
-import { createFailure } from "../../domain/index.ts";
+import {
+  createFailure,
+  type Runner,
+  type SchedulingOperation,
+  SchedulingState,
+} from "../../domain/index.ts";
 import { FakeAgreement } from "../../testing/fake_agreement.ts";
 import { describe, it } from "../../testing/describe.ts";
 import { FakeClock } from "../../testing/fake_clock.ts";
@@ -14,6 +19,18 @@
   steps: [{ taskCount: 1, needs: { cpuMillicores: 100 } }],
 } as JobCall["work"];
 
+const RUNNER: Runner = {
+  runnerId: "r",
+  bornAtMs: 1,
+  address: "127.0.0.1:1",
+  pool: "bay",
+  zone: "zone-a",
+  capacity: { cpuMillicores: 1_000, memoryMb: 100, gpuCount: 0 },
+  rack: "r1",
+  labels: [],
+  isDraining: false,
+};
+
 async function createService(isRoom = () => true) {
   const clock = new FakeClock();
   const agreement = new FakeAgreement(clock);
@@ -266,6 +283,64 @@
     assert.is(counted.isOk && counted.value.pendingCount, 1);
   });
 
+  // Guards against MIXED: a job counted as begun although no runner had carried
+  // out its start.
+  describe("counts a placed job", () => {
+    const task = { jobId: JOB_ID, occurrence: 0, step: 0, index: 0 };
+    const first = { task, runNumber: 1 };
+
+    async function placeJob() {
+      const service = await createService();
+      const { call, log, run } = service;
+      await call();
+      const propose = (...operations: SchedulingOperation[]) =>
+        run(log.propose(operations));
+      await propose(
+        { type: "runner", runner: RUNNER },
+        { type: "start", ...first, runnerId: "r", bornAtMs: 1 },
+      );
+      const count = async () => {
+        const counted = await call({ action: "read", path: "/q/" });
+        return counted.isOk && counted.value.pendingCount;
+      };
+      return { ...service, count, propose };
+    }
+
+    it("until its runner has confirmed the start", async () => {
+      const { call, count, propose } = await placeJob();
+      assert.is(await count(), 1);
+      const read = await call({ action: "read" });
+      assert.equal(read.isOk && read.value, { state: "queued" });
+      await propose({ type: "confirm", through: first, open: [] });
+      assert.is(await count(), 0);
+      const later = await call({ action: "read" });
+      assert.equal(later.isOk && later.value, { state: "running" });
+    });
+
+    it("also when the start was lost", async () => {
+      const { count, propose } = await placeJob();
+      const end = { type: "end", ...first, saved: "", maxAttempts: 2 } as const;
+      await propose({ ...end, how: "lost" });
+      assert.is(await count(), 1);
+    });
+
+    it("not when the runner has listed an end of it", async () => {
+      const { count, propose } = await placeJob();
+      const end = { type: "end", ...first, saved: "", maxAttempts: 2 } as const;
+      await propose({ ...end, how: "failed" });
+      assert.is(await count(), 0);
+    });
+
+    it("the same way from a snapshot", async () => {
+      const { log, propose } = await placeJob();
+      const restore = () =>
+        SchedulingState.restore(log.state.toItems()).jobs.find(JOB_ID);
+      assert.is(restore()?.hasBegun, false);
+      await propose({ type: "confirm", through: first, open: [] });
+      assert.is(restore()?.hasBegun, true);
+    });
+  });
+
   // Guards against two answers from different catalogs whose order nobody can
   // tell afterwards.
   it("logs the catalog that a count relies on", async () => {
