Answer requests whose path begins with two slashes

Cause: the path was read as a URL with a base, so that two slashes began a host; that threw an error outside of the block that answers errors.

Change: a path is read below the base. What cannot be read is answered 400, and an error anywhere in the handling 500.

--- a/src/adapters/http/http_server.ts
+++ b/src/adapters/http/http_server.ts
@@ -218,26 +218,12 @@
     response: ServerResponse,
     parts: Pick<Exchange, "account" | "signal">,
   ): Promise<void> {
-    const url = new URL(request.url ?? "/", "http://entry");
-    const method = (request.method ?? "GET") as HTTPMethod;
-    const found = this.#router.find(method, url.pathname);
-    if (found === null) {
-      this.#rejectUnrouted(response, method, url.pathname);
-      return;
-    }
-    const handler = found.store as ExchangeHandler;
+    const { method, url } = request;
     try {
-      await handler({
-        ...parts,
-        request,
-        response,
-        params: found.params,
-        query: url.searchParams,
-        stopping: this.#stopping.signal,
-      });
+      await this.#handle(request, response, parts);
     } catch (error) {
       this.#options.logger.error(
-        { err: error, method, path: url.pathname },
+        { err: error, method, path: url },
         "the handler of a request threw an error",
       );
       sendFailure(
@@ -250,6 +236,36 @@
     }
   }
 
+  async #handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+    parts: Pick<Exchange, "account" | "signal">,
+  ): Promise<void> {
+    const url = parseTarget(request.url ?? "/");
+    if (url === undefined) {
+      sendFailure(
+        response,
+        createFailure("invalidInput", `no URL can be read from ${request.url}`),
+      );
+      return;
+    }
+    const method = (request.method ?? "GET") as HTTPMethod;
+    const found = this.#router.find(method, url.pathname);
+    if (found === null) {
+      this.#rejectUnrouted(response, method, url.pathname);
+      return;
+    }
+    const handler = found.store as ExchangeHandler;
+    await handler({
+      ...parts,
+      request,
+      response,
+      params: found.params,
+      query: url.searchParams,
+      stopping: this.#stopping.signal,
+    });
+  }
+
   #rejectUnrouted(
     response: ServerResponse,
     method: HTTPMethod,
@@ -296,3 +312,10 @@
     await closed;
   }
 }
+
+// A path that begins with two slashes would be read as a host.
+function parseTarget(target: string): URL | undefined {
+  const base = "http://entry";
+  const url = target.startsWith("/") ? `${base}${target}` : target;
+  return URL.canParse(url, base) ? new URL(url, base) : undefined;
+}
--- a/src/adapters/http/http_server_test.ts
+++ b/src/adapters/http/http_server_test.ts
@@ -14,6 +14,8 @@
 import { sendJson } from "./exchange.ts";
 
 const HOST = "127.0.0.1";
+/** Time after which a request counts as never answered, in milliseconds. */
+const ANSWER_LIMIT_MS = 5_000;
 
 describe("HTTP server", () => {
   let tasks: TaskGroup;
@@ -120,4 +122,45 @@
       second.destroy();
     });
   });
+
+  // Guards against requests without an answer whose connection stays open: the
+  // path is no URL by itself, and reading it threw an error.
+  describe("answers a request", () => {
+    const STATUS_BY_TARGET = {
+      "//:": 404,
+      "///a/b": 404,
+      "/%zz/b": 404,
+      "http://[": 400,
+    };
+    for (const [target, status] of Object.entries(STATUS_BY_TARGET)) {
+      it(`with the target ${target}, and the next one on its connection`, async () => {
+        const socket = await open();
+        socket.write(`GET ${target} HTTP/1.1\r\nhost: ${HOST}\r\n\r\n`);
+        const signal = AbortSignal.timeout(ANSWER_LIMIT_MS);
+        const [head] = await once(socket, "data", { signal });
+        assert.match(String(head), new RegExp(`^HTTP/1.1 ${status} `));
+        await send(socket, ["a"]);
+        const bodies = readBodies(socket, 1);
+        release.get("a")?.();
+        assert.equal(await bodies, ["a"]);
+        socket.destroy();
+      });
+    }
+
+    it("with the path //", async () => {
+      const socket = await open();
+      const hasArrived = new Promise<void>((resolve) => {
+        arrived = () => resolve();
+      });
+      socket.write(`GET // HTTP/1.1\r\nhost: ${HOST}\r\n\r\n`);
+      await Promise.race([
+        hasArrived,
+        once(socket, "data", { signal: AbortSignal.timeout(ANSWER_LIMIT_MS) }),
+      ]);
+      const bodies = readBodies(socket, 1);
+      release.get("")?.();
+      assert.equal(await bodies, [""]);
+      socket.destroy();
+    });
+  });
 });
