Ask for the start in the log, not for the state that callers see

The test of a plan with an unknown outcome read the job's state to see that the plan is in the log. Since jobs are shown as running once a runner has begun a task, it asks whether the start is in the log, which is the same check.

--- a/src/services/scheduling/scheduler_test.ts
+++ b/src/services/scheduling/scheduler_test.ts
@@ -120,7 +120,7 @@
       "appliedOutcomeUnknown",
     );
     await clock.advance(agreement.proposeMs);
-    assert.is(agreement.state.scheduling.jobs.find(JOB_ID)?.state, "running");
+    assert.ok(agreement.state.scheduling.jobs.find(JOB_ID)?.hasStarted);
     assert.equal(listTasks(PLACED), [FIRST_START]);
     assert.equal(listTasks(FAILED), [FIRST_START]);
     stop.abort();
