Tell jobs of different queues apart that have one id

Callers of a queue got 200 for a job that never ran, if a job of another queue had its id, and read or cancelled that job.

Cause: callers choose the ids, and the id alone identified a job in calls.

Change: a job belongs to the queue at whose address it was accepted. Calls at other queues do not know it, and a submit with its id there is refused with 409, also when both are under way. Jobs of earlier releases are found as before. The types of calls are split from the service that answers them.

--- a/src/services/scheduling/index.ts
+++ b/src/services/scheduling/index.ts
@@ -7,6 +7,7 @@
 export * from "./controller_leader_client.ts";
 export * from "./event_loop_watch.ts";
 export * from "./job_admission.ts";
+export * from "./job_call.ts";
 export * from "./job_service.ts";
 export * from "./leadership_task.ts";
 export * from "./leader_answer.ts";
--- a/src/services/scheduling/job_call_forwarder.ts
+++ b/src/services/scheduling/job_call_forwarder.ts
@@ -7,7 +7,7 @@
   type JobCall,
   type JobCallAnswer,
   jobCallAnswerSchema,
-} from "./job_service.ts";
+} from "./job_call.ts";
 import { SCHEDULING_METHODS } from "./scheduling_handlers.ts";
 
 /** Options of {@link JobCallForwarder}. */
--- a/src/services/scheduling/job_call_forwarder_test.ts
+++ b/src/services/scheduling/job_call_forwarder_test.ts
@@ -6,7 +6,7 @@
 import { FakeClock } from "../../testing/fake_clock.ts";
 import { FakeLogger } from "../../testing/fake_ports.ts";
 import { JobCallForwarder } from "./job_call_forwarder.ts";
-import type { JobCall } from "./job_service.ts";
+import type { JobCall } from "./job_call.ts";
 import { createLeaderAnswer } from "./leader_answer.ts";
 import { LeaderClient } from "./leader_client.ts";
 
--- a/src/services/scheduling/job_service.ts
+++ b/src/services/scheduling/job_service.ts
@@ -1,6 +1,5 @@
 /** The leader's service for calls about jobs. */
 import { Result } from "true-myth";
-import * as v from "valibot";
 import {
   createFailure,
   type Failure,
@@ -9,57 +8,19 @@
   findQueueOfJob,
   formatQueueAddress,
   indexTeams,
-  JOB_STATES,
   type JobQueue,
+  type JobRecord,
   type JobSpec,
-  jobSpecSchema,
   listQueuesByReference,
   validateWith,
 } from "../../domain/index.ts";
 import type { Logger } from "../../ports/index.ts";
+import { type JobCall, type JobCallAnswer, jobCallSchema } from "./job_call.ts";
 import type { JobAdmission } from "./job_admission.ts";
 import { PendingSubmits } from "./pending_submits.ts";
 import { createRepeatedQueueName } from "./repeated_queue_name.ts";
 import type { SchedulingLog } from "./scheduling_log.ts";
 
-/** Schema of {@link JobCall}. */
-export const jobCallSchema = v.object({
-  action: v.picklist(["submit", "read", "cancel"]),
-  /** Host name; the host and the path select the queue in the catalog. */
-  host: v.optional(v.string()),
-  /**
-   * Path of the job: its id after the queue's prefix, or after `/` without a
-   * host.
-   */
-  path: v.string(),
-  /** Name or formatted address of the queue, for a call without a host. */
-  queue: v.optional(v.string()),
-  /** Key of the caller's team. */
-  key: v.optional(v.string()),
-  /** Id of the caller's request, for the log. */
-  requestId: v.string(),
-  /**
-   * Time for which the call waited at an entry before it was sent (ms). Absent
-   * in calls of earlier releases.
-   */
-  waitedMs: v.optional(v.pipe(v.number(), v.minValue(0))),
-  /** Steps and description of the job, for a submit; the path holds its id. */
-  work: v.optional(v.omit(jobSpecSchema, ["jobId"])),
-});
-
-/** A call about a job or a queue, independent of its encoding. */
-export type JobCall = v.InferOutput<typeof jobCallSchema>;
-
-/** Schema of {@link JobCallAnswer}. */
-export const jobCallAnswerSchema = v.object({
-  state: v.optional(v.picklist(JOB_STATES)),
-  /** Number of accepted jobs of the queue of which no runner has begun a task. */
-  pendingCount: v.optional(v.number()),
-});
-
-/** The answer to a call about a job or a queue. */
-export type JobCallAnswer = v.InferOutput<typeof jobCallAnswerSchema>;
-
 /** Options of {@link JobService}. */
 export interface JobServiceOptions {
   readonly log: SchedulingLog;
@@ -134,9 +95,9 @@
       case "submit":
         return this.#submit(call, target);
       case "read":
-        return this.#read(target.rest);
+        return this.#read(target);
       case "cancel":
-        return this.#cancel(target.rest);
+        return this.#cancel(target);
     }
   }
 
@@ -149,7 +110,9 @@
     }
     const known = this.#log.state.jobs.find(rest);
     if (known !== undefined) {
-      return Result.ok({ state: known.state });
+      return isJobOf(queue, known)
+        ? Result.ok({ state: known.state })
+        : Result.err(createIdInUse(rest));
     }
     const spec: JobSpec = { ...work, jobId: rest };
     const fault = findJobFault(spec);
@@ -183,19 +146,25 @@
     }]);
     const absent = accepted.isErr && accepted.error.kind === "notLeader";
     proposal.end(accepted.isOk ? "applied" : absent ? "absent" : "unknown");
-    return accepted.map(() => ({ state: "queued" as const }));
+    // Another queue's job may have been accepted under the id meanwhile.
+    const stored = this.#log.state.jobs.find(rest);
+    return accepted.isOk && stored !== undefined && !isJobOf(queue, stored)
+      ? Result.err(createIdInUse(rest))
+      : accepted.map(() => ({ state: "queued" as const }));
   }
 
-  #read(jobId: string): Result<JobCallAnswer, Failure> {
+  #read({ queue, rest: jobId }: Target): Result<JobCallAnswer, Failure> {
     const job = this.#log.state.jobs.find(jobId);
-    return job === undefined
+    return job === undefined || !isJobOf(queue, job)
       ? Result.err(createUnknown(jobId))
       : Result.ok({ state: job.state });
   }
 
-  async #cancel(jobId: string): Promise<Result<JobCallAnswer, Failure>> {
+  async #cancel(
+    { queue, rest: jobId }: Target,
+  ): Promise<Result<JobCallAnswer, Failure>> {
     const job = this.#log.state.jobs.find(jobId);
-    if (job === undefined) {
+    if (job === undefined || !isJobOf(queue, job)) {
       return Result.err(createUnknown(jobId));
     }
     if (job.outcome !== undefined) {
@@ -276,6 +245,19 @@
   }
 }
 
+// The id alone does not identify a job: callers of different queues choose theirs
+// without knowing of each other. An earlier release kept no address.
+function isJobOf(queue: JobQueue, { queueAddress }: JobRecord): boolean {
+  return queueAddress === undefined ||
+    queueAddress === formatQueueAddress(queue);
+}
+
+function createIdInUse(jobId: string): Failure {
+  return createFailure("conflict", `job ${jobId} is one of another queue`, {
+    remedy: "submit the job with another id",
+  });
+}
+
 function createUnknown(jobId: string): Failure {
   return createFailure("jobUnknown", `job ${jobId} is not known`);
 }
--- a/src/services/scheduling/job_service_test.ts
+++ b/src/services/scheduling/job_service_test.ts
@@ -9,7 +9,8 @@
 import { describe, it } from "../../testing/describe.ts";
 import { FakeClock } from "../../testing/fake_clock.ts";
 import { FakeLogger } from "../../testing/fake_ports.ts";
-import { type JobCall, JobService } from "./job_service.ts";
+import type { JobCall } from "./job_call.ts";
+import { JobService } from "./job_service.ts";
 import { SchedulingLog } from "./scheduling_log.ts";
 
 const JOB_ID = "0123456789abcdef";
--- a/src/services/scheduling/repeated_queue_names_test.ts
+++ b/src/services/scheduling/repeated_queue_names_test.ts
@@ -5,7 +5,8 @@
 import { FakeAgreement } from "../../testing/fake_agreement.ts";
 import { FakeClock } from "../../testing/fake_clock.ts";
 import { FakeLogger } from "../../testing/fake_ports.ts";
-import { type JobCall, JobService } from "./job_service.ts";
+import type { JobCall } from "./job_call.ts";
+import { JobService } from "./job_service.ts";
 import { SchedulingLog } from "./scheduling_log.ts";
 
 const WAIT_MS = 1_000;
