--- a/src/services/scheduling/held_up_jobs_test.ts
+++ b/src/services/scheduling/held_up_jobs_test.ts
@@ -59,7 +59,7 @@
   const sentAtMs = clock.nowMs();
   const held = createIds("a", heldCount);
   const fresh = createIds("b", RUNNING_COUNT);
-  held.forEach((jobId) => void fixture.submit(jobId, STEPS, waitedMs));
+  held.forEach((jobId) => void fixture.submit(jobId, STEPS, { waitedMs }));
   fresh.forEach((jobId) => void fixture.submit(jobId, STEPS));
   await clock.advance(SETTLE_MS);
   await fixture.stop();
--- a/src/services/scheduling/repeated_team_names_test.ts
+++ b/src/services/scheduling/repeated_team_names_test.ts
@@ -61,7 +61,7 @@
         estimateMs: WORK_MS,
       });
       const submit = (jobId: string, key: string) =>
-        clock.runUntil(fixture.submit(jobId, [step], 0, key), 1_000);
+        clock.runUntil(fixture.submit(jobId, [step], { key }), 1_000);
       assert.ok(await submit("a".repeat(16), "key"));
       assert.ok(await submit("b".repeat(16), "key-2"));
       await clock.advance(TASK_COUNT * 3 * WORK_MS);
--- a/src/testing/scheduling_fixture.ts
+++ b/src/testing/scheduling_fixture.ts
@@ -84,10 +84,23 @@
   readonly planner?: StartPlanner;
   /** Decides which runners are suspect; the standard policy by default. */
   readonly trustPolicy?: RunnerTrustPolicy;
+  /** Returns in what a runner differs from the others; in nothing by default. */
+  readonly describeRunner?: (
+    runnerId: string,
+  ) => Partial<Pick<Runner, "pool" | "zone">>;
   /** What the platform guarantees about runners; the usual by default. */
   readonly bounds?: RunnerBounds;
 }
 
+/** Options of {@link SchedulingFixture.submit}. */
+export interface SubmitOptions {
+  /** Key of the team that submits the job. */
+  readonly key?: string;
+  readonly pathPrefix?: string;
+  /** Time for which the call has waited for a leader (ms). */
+  readonly waitedMs?: number;
+}
+
 /** One pool, one queue and one team; a test changes leaders and runners. */
 export class SchedulingFixture {
   readonly clock: FakeClock;
@@ -205,6 +218,7 @@
       rack: "r1",
       labels: ["a", "r1"],
       isDraining: false,
+      ...this.#options.describeRunner?.(runnerId),
     };
     this.runners.startIncarnation(runner);
     this.#activeRunners.set(runnerId, runner);
@@ -262,22 +276,20 @@
    *
    * @param jobId - Id of the job.
    * @param steps - Its steps.
-   * @param waitedMs - Time for which the call has waited for a leader (ms).
-   * @param key - Key of the team that submits it.
+   * @param call - Its queue and team, and how long it has waited.
    * @returns Whether the leader accepted it.
    */
   async submit(
     jobId: string,
     steps: readonly JobStep[],
-    waitedMs = 0,
-    key = "key",
+    { key = "key", pathPrefix = "/q/", waitedMs = 0 }: SubmitOptions = {},
   ): Promise<boolean> {
     const leader = this.#leader;
     await leader?.clock.waitUntilResumed();
     const submitted = await leader?.jobs.answer({
       action: "submit",
       host: "h",
-      path: `/q/${jobId}`,
+      path: `${pathPrefix}${jobId}`,
       key,
       requestId: jobId,
       waitedMs,
