--- a/src/adapters/http/http_server.ts
+++ b/src/adapters/http/http_server.ts
@@ -24,6 +24,7 @@
   findHeadFailure,
   sendFailure,
 } from "./exchange.ts";
+import { createUnroutedFailure, parseTarget } from "./request_target.ts";
 
 const MAX_HEADER_BYTES = 16 * 1_024;
 const HEADERS_TIMEOUT_MS = 10_000;
@@ -276,25 +277,11 @@
     ) => [...methods])
       .filter((candidate, index, all) => all.indexOf(candidate) === index)
       .filter((candidate) => this.#router.find(candidate, path) !== null);
-    if (allowed.length === 0) {
-      sendFailure(
-        response,
-        createFailure("notFound", `no route matches the path ${path}`, {
-          remedy: "see docs/API.md",
-        }),
-      );
-      return;
-    }
+    const failure = createUnroutedFailure(method, path, allowed);
     sendFailure(
       response,
-      createFailure(
-        "methodNotAllowed",
-        `the method ${method} is not allowed at ${path}`,
-        {
-          remedy: `use ${allowed.join(" or ")}`,
-        },
-      ),
-      { allow: allowed.join(", ") },
+      failure,
+      allowed.length === 0 ? {} : { allow: allowed.join(", ") },
     );
   }
 
@@ -312,10 +299,3 @@
     await closed;
   }
 }
-
-// A path that begins with two slashes would be read as a host.
-function parseTarget(target: string): URL | undefined {
-  const base = "http://entry";
-  const url = target.startsWith("/") ? `${base}${target}` : target;
-  return URL.canParse(url, base) ? new URL(url, base) : undefined;
-}
--- a/src/domain/scheduling/job_record.ts
+++ b/src/domain/scheduling/job_record.ts
@@ -153,6 +153,13 @@
     return this.outcome ?? (this.hasBegun ? "running" : "queued");
   }
 
+  /** Whether a run of a task has not ended. */
+  get hasRunningTask(): boolean {
+    return this.occurrences.some((steps) =>
+      steps.some(({ tasks }) => tasks.some(({ state }) => state === "running"))
+    );
+  }
+
   /** Whether every task of every occurrence is done. */
   get isDone(): boolean {
     return this.occurrences.every((steps) =>
--- a/src/domain/scheduling/job_table.ts
+++ b/src/domain/scheduling/job_table.ts
@@ -171,7 +171,7 @@
       // The wall clock of a later leader may be behind. A voter that begins from
       // a snapshot does not know that the job was too old before.
       const isOld = (job.endedAtMs ?? Infinity) < beforeMs;
-      if (isOld && !hasRunningTask(job)) {
+      if (isOld && !job.hasRunningTask) {
         this.#expired.delete(job);
         this.#jobs.delete(job.spec.jobId);
       }
@@ -298,9 +298,3 @@
     }
   }
 }
-
-function hasRunningTask(job: JobRecord): boolean {
-  return job.occurrences.some((steps) =>
-    steps.some(({ tasks }) => tasks.some(({ state }) => state === "running"))
-  );
-}
--- a/src/services/scheduling/run_starter.ts
+++ b/src/services/scheduling/run_starter.ts
@@ -7,6 +7,7 @@
 } from "../../domain/index.ts";
 import type { LeaderMetrics } from "../../ports/index.ts";
 import { type Notifier, waitFor } from "../../tasks/index.ts";
+import { createLostEnd } from "./lost_end.ts";
 import type { RunCommands, RunCommandsOptions } from "./run_commands.ts";
 import { formatRun } from "./run_name.ts";
 import { StartAttempts } from "./start_attempts.ts";
@@ -144,14 +145,9 @@
 
   async #recordUnsent(run: RunningTask): Promise<void> {
     const { findMaxAttempts, findRunner, log, logger } = this.#options;
-    const proposed = await log.propose([{
-      type: "end",
-      task: run.id,
-      runNumber: run.runNumber,
-      how: "lost",
-      saved: "",
-      maxAttempts: findMaxAttempts(run),
-    }]);
+    const proposed = await log.propose([
+      createLostEnd(run, findMaxAttempts(run)),
+    ]);
     if (proposed.isErr) {
       logger.warn(
         { runnerId: findRunner().runnerId, failure: proposed.error },
--- a/src/services/scheduling/runner_remover.ts
+++ b/src/services/scheduling/runner_remover.ts
@@ -5,6 +5,7 @@
   SchedulingOperation,
 } from "../../domain/index.ts";
 import type { Clock, RunnerFailure, RunnerRemoval } from "../../ports/index.ts";
+import { createLostEnd } from "./lost_end.ts";
 import {
   closePreviousIncarnation,
   type PreviousIncarnationOptions,
@@ -152,14 +153,7 @@
       "ends the runs of a silent runner that no successor can have",
     );
     const proposed = await log.propose(
-      others.map((run) => ({
-        type: "end",
-        task: run.id,
-        runNumber: run.runNumber,
-        how: "lost",
-        saved: "",
-        maxAttempts: findMaxAttempts(run),
-      })),
+      others.map((run) => createLostEnd(run, findMaxAttempts(run))),
     );
     if (proposed.isErr) {
       logger.warn(
