--- a/src/adapters/peer/peer_link.ts
+++ b/src/adapters/peer/peer_link.ts
@@ -124,7 +124,7 @@
         settle(this.#createUnreachable(reason, call.isSent));
       };
       const cancelTimer = clock.startTimer(timeoutMs, () => {
-        this.#closeUnresponsiveSocket(startedAtMs);
+        this.#closeUnresponsiveSocket(method, startedAtMs);
         giveUp();
       });
       this.#openCalls.set(callId, call);
@@ -186,10 +186,21 @@
   // A network partition can leave a dead connection open for minutes. If
   // nothing was received during a whole call, reconnecting is more likely to
   // help than waiting.
-  #closeUnresponsiveSocket(startedAtMs: number): void {
-    if (this.#lastReceivedAtMs < startedAtMs) {
-      this.#socket?.destroy();
+  #closeUnresponsiveSocket(method: string, startedAtMs: number): void {
+    const { clock, logger, peer } = this.#options;
+    if (this.#socket === undefined || this.#lastReceivedAtMs >= startedAtMs) {
+      return;
     }
+    logger.info(
+      {
+        peerId: peer.entryId,
+        method,
+        waitedMs: Math.round(clock.monotonicMs() - startedAtMs),
+        openCallCount: this.#openCalls.size,
+      },
+      "closing the connection to a peer that does not answer",
+    );
+    this.#socket.destroy();
   }
 
   #failSent(): void {
--- a/src/replication/pull_task.ts
+++ b/src/replication/pull_task.ts
@@ -83,9 +83,11 @@
   // leader is lost. A discovery pull that was sent to a peer before its election is
   // aborted by the peer's own announcement and says nothing about the new leader.
   #clearLostLeader(failure: Failure, leaderId: string): void {
+    const { leaderId: followedId, options, term } = this.#core;
     const isLost = failure.kind === "notLeader" ||
       failure.kind === "peerUnreachable";
-    if (isLost && this.#core.leaderId === leaderId) {
+    if (isLost && followedId === leaderId) {
+      options.logger.info({ leaderId, term, failure }, "lost the leader");
       this.#core.setLeader(undefined);
     }
   }
