--- a/src/adapters/peer/peer_link_test.ts
+++ b/src/adapters/peer/peer_link_test.ts
@@ -21,6 +21,7 @@
 const SECRET = "the-secret-of-the-deployment";
 const HOST = "127.0.0.1";
 const TIMEOUT_MS = 1_000;
+const SHORT_TIMEOUT_MS = 250;
 
 /** A call as the peer has received it. */
 interface ReceivedCall extends CallMessage {
@@ -111,8 +112,11 @@
     peer.stop();
   });
 
-  async function call(body: string): Promise<unknown> {
-    const answered = await link.call("echo", body, { timeoutMs: TIMEOUT_MS });
+  async function call(
+    body: string,
+    timeoutMs = TIMEOUT_MS,
+  ): Promise<unknown> {
+    const answered = await link.call("echo", body, { timeoutMs });
     return answered.isOk ? answered.value : answered.error.kind;
   }
 
@@ -176,4 +180,38 @@
       assert.is(await second, "to b");
     });
   });
+
+  describe("to one that answers late", () => {
+    // Guards against calls that fail because another one, with less time, does:
+    // each follower of a busy new leader lost it, and so the leader its quorum.
+    it("lets calls with more time wait for their answers", async () => {
+      const patient = call("a");
+      const patientReceived = await peer.receive();
+      const hasty = call("b", SHORT_TIMEOUT_MS);
+      await peer.receive();
+      await clock.advance(SHORT_TIMEOUT_MS);
+      assert.is(await hasty, "peerUnreachable");
+      answer(patientReceived, "to a");
+      assert.is(await patient, "to a");
+    });
+  });
+
+  // Guards against a connection that stays dead after a partition has healed.
+  it("connects anew to a peer that has been silent for long", async () => {
+    const first = call("a", SHORT_TIMEOUT_MS);
+    const { socket } = await peer.receive();
+    await clock.advance(TIMEOUT_MS);
+    assert.is(await first, "peerUnreachable");
+    const second = call("b", SHORT_TIMEOUT_MS);
+    assert.is((await peer.receive()).socket, socket);
+    await clock.advance(SHORT_TIMEOUT_MS);
+    assert.is(await second, "peerUnreachable");
+    const third = call("c");
+    const reconnected = clock.advance(TIMEOUT_MS / 2);
+    const received = await peer.receive();
+    await reconnected;
+    assert.is.not(received.socket, socket);
+    answer(received, "to c");
+    assert.is(await third, "to c");
+  });
 });
--- a/src/testing/fake_network.ts
+++ b/src/testing/fake_network.ts
@@ -34,6 +34,13 @@
   duplicatePercent: 0,
 };
 
+/** A call that has neither an answer nor a failure yet. */
+interface OpenCall {
+  readonly from: string;
+  readonly to: string;
+  readonly fail: () => void;
+}
+
 /** Connects fake entries; faults can be set for each direction of a link. */
 export class FakeNetwork {
   readonly #clock: Clock;
@@ -43,6 +50,7 @@
   readonly #paused = new Set<string>();
   readonly #resumed = new Notifier();
   readonly #faults = new Map<string, LinkFaults>();
+  readonly #openCalls = new Set<OpenCall>();
   #defaults = NO_FAULTS;
 
   constructor(clock: Clock, random: Random) {
@@ -99,6 +107,18 @@
     this.#resumed.notify();
   }
 
+  /**
+   * Fails the calls that one entry has under way at another one, as when the
+   * connection between them is closed.
+   */
+  reset(from: string, to: string): void {
+    for (const call of this.#openCalls) {
+      if (call.from === from && call.to === to) {
+        call.fail();
+      }
+    }
+  }
+
   /** Removes the faults of all links; the defaults stay. */
   heal(): void {
     this.#faults.clear();
@@ -125,10 +145,13 @@
     if (options.signal?.aborted) {
       end();
     }
+    const open = { from: from.entryId, to, fail: end };
+    this.#openCalls.add(open);
     const answer = await Promise.race([
       this.#exchange(from, to, method, body),
       lost,
     ]);
+    this.#openCalls.delete(open);
     options.signal?.removeEventListener("abort", end);
     end();
     return answer;
