Close connections to peers that are silent, not those with a late answer

Callers saw 503 and 504 for seconds after a leader was cut off, although the others had elected the next one within 1.1 s. A call that timed out closed the connection to its peer when nothing had come back during that call, however short its time was. A search pings with 250 ms; a leader that has just been elected starts a task for each runner and answers later than that. So the pings of its own followers closed the connections over which they pulled. The answers to the pulls were lost, and with 5 of 9 voters reachable the leader had no quorum any more.

A connection is closed once a peer with unanswered calls has been silent for 1 s, whatever the calls allow.

--- a/src/adapters/peer/limits.ts
+++ b/src/adapters/peer/limits.ts
@@ -6,6 +6,12 @@
 export const MAX_FRAME_BYTES = 16 * 1_024 * 1_024;
 /** Timeout of the whole handshake, in milliseconds. */
 export const HANDSHAKE_TIMEOUT_MS = 2_000;
+/**
+ * Time without any answer after which a connection to a peer with open calls
+ * counts as dead, in milliseconds: twice the longest time for which a peer delays
+ * an answer on purpose, and the least time after which voters replace a leader.
+ */
+export const PEER_SILENCE_MS = 1_000;
 /** Maximum number of open connections that are not yet authenticated. */
 export const MAX_UNAUTHENTICATED_CONNECTIONS = 64;
 /** Maximum number of concurrent calls from one connection. */
--- a/src/adapters/peer/peer_link.ts
+++ b/src/adapters/peer/peer_link.ts
@@ -17,6 +17,7 @@
   MAX_FRAME_BYTES,
   MAX_HANDSHAKE_FRAME_BYTES,
   MAX_UNSENT_BYTES,
+  PEER_SILENCE_MS,
 } from "./limits.ts";
 
 const RECONNECT_DELAY_MS = 200;
@@ -55,7 +56,11 @@
   readonly #openCalls = new Map<number, OpenCall>();
   #socket: Socket | undefined;
   #nextCallId = 1;
-  #lastReceivedAtMs = -Infinity;
+  /**
+   * Monotonic time at which the first call since the newest answer was sent
+   * (ms); undefined when none was.
+   */
+  #unansweredSinceMs: number | undefined;
 
   constructor(options: PeerLinkOptions) {
     this.#options = options;
@@ -107,7 +112,6 @@
     { timeoutMs, signal }: PeerCallOptions,
   ): Promise<Result<unknown, Failure>> {
     const { clock } = this.#options;
-    const startedAtMs = clock.monotonicMs();
     const callId = this.#nextCallId;
     this.#nextCallId += 1;
     return new Promise((resolve) => {
@@ -124,7 +128,7 @@
         settle(this.#createUnreachable(reason, call.isSent));
       };
       const cancelTimer = clock.startTimer(timeoutMs, () => {
-        this.#closeUnresponsiveSocket(method, startedAtMs);
+        this.#closeSilentSocket(method);
         giveUp();
       });
       this.#openCalls.set(callId, call);
@@ -152,17 +156,19 @@
     const frame = encodeFrame({ type: "call", callId, method, body });
     this.#options.metrics.countControlBytes("sent", frame.length);
     call.isSent = true;
+    this.#unansweredSinceMs ??= this.#options.clock.monotonicMs();
     socket.write(frame);
   }
 
   async #runConnection(socket: Socket): Promise<void> {
-    const { entryId, secret, peer, clock, metrics } = this.#options;
+    const { entryId, secret, peer, metrics } = this.#options;
     const reader = new FrameReader(socket, MAX_HANDSHAKE_FRAME_BYTES);
     socket.setTimeout(HANDSHAKE_TIMEOUT_MS, () => socket.destroy());
     await connectHandshake({ entryId, secret, socket, reader }, peer.entryId);
     socket.setTimeout(0);
     reader.maxFrameBytes = MAX_FRAME_BYTES;
     this.#socket = socket;
+    this.#unansweredSinceMs = undefined;
     for (const call of [...this.#openCalls.values()]) {
       this.#send(call);
     }
@@ -173,7 +179,7 @@
         return;
       }
       metrics.countControlBytes("received", socket.bytesRead - bytesReadBefore);
-      this.#lastReceivedAtMs = clock.monotonicMs();
+      this.#unansweredSinceMs = undefined;
       const answer = v.parse(answerSchema, message);
       this.#openCalls.get(answer.callId)?.settle(
         answer.failure === undefined
@@ -183,24 +189,26 @@
     }
   }
 
-  // A network partition can leave a dead connection open for minutes. If
-  // nothing was received during a whole call, reconnecting is more likely to
-  // help than waiting.
-  #closeUnresponsiveSocket(method: string, startedAtMs: number): void {
+  // A network partition can leave a dead connection open for minutes. The time
+  // of a single call does not show that: a peer that is short of processor time
+  // answers late, and a new connection would lose the answers to all calls.
+  #closeSilentSocket(method: string): void {
     const { clock, logger, peer } = this.#options;
-    if (this.#socket === undefined || this.#lastReceivedAtMs >= startedAtMs) {
+    const sinceMs = this.#unansweredSinceMs ?? Infinity;
+    const silentMs = clock.monotonicMs() - sinceMs;
+    if (silentMs < PEER_SILENCE_MS) {
       return;
     }
     logger.info(
       {
         peerId: peer.entryId,
         method,
-        waitedMs: Math.round(clock.monotonicMs() - startedAtMs),
+        silentMs: Math.round(silentMs),
         openCallCount: this.#openCalls.size,
       },
       "closing the connection to a peer that does not answer",
     );
-    this.#socket.destroy();
+    this.#socket?.destroy();
   }
 
   #failSent(): void {
