Pull from the same leader again once its connection is lost

A follower whose pull failed, because the connection was closed or reset, forgot its leader and asked the other voters in turn, with 700 ms for each that does not answer. A leader that needs this follower for its quorum steps down after 1.5 s. So a reset of connections, which is over after 0.3 s, ended a term as soon as some voters were cut off.

The follower asks the leader that it followed once more before the others.

--- a/src/replication/pull_task.ts
+++ b/src/replication/pull_task.ts
@@ -89,6 +89,11 @@
     if (isLost && followedId === leaderId) {
       options.logger.info({ leaderId, term, failure }, "lost the leader");
       this.#core.setLeader(undefined);
+      // Only the connection may be lost. Other voters may not answer for as long
+      // as a leader that needs this one can lead without it.
+      this.#leaderHint = failure.kind === "peerUnreachable"
+        ? leaderId
+        : undefined;
     }
   }
 
