Let one of two rival candidates go first

Now the one with the older log, or with the higher id, lets the other one begin its term. It does so once in a second at most, as the other one may be unable to win. Votes themselves are granted as before.

--- a/src/replication/election_task.ts
+++ b/src/replication/election_task.ts
@@ -25,6 +25,8 @@
 /** Starts an election when the election timeout passes without a leader. */
 export class ElectionTask {
   readonly #core: ReplicaCore;
+  /** Steady time at which this candidate last let another one go first (ms). */
+  #yieldedAtMs = -Infinity;
 
   constructor(core: ReplicaCore) {
     this.#core = core;
@@ -85,6 +87,9 @@
       this.#logLost(preVotes);
       return;
     }
+    if (this.#mustYield()) {
+      return;
+    }
     const request = await this.#startTerm();
     if (request === undefined) {
       return;
@@ -100,6 +105,33 @@
     announceLeader(core);
   }
 
+  // Two candidates that begin a term at once each vote for themselves, and may
+  // both lack that vote. The one with the older log or the higher id waits, but
+  // not again at once: the other one may be unable to win.
+  #mustYield(): boolean {
+    const { log: { last }, options, rival, self } = this.#core;
+    const nowMs = options.clock.steadyMs();
+    if (
+      rival === undefined || nowMs - rival.promisedAtMs > VOTE_TIMEOUT_MS ||
+      nowMs - this.#yieldedAtMs <= MIN_ELECTION_TIMEOUT_MS
+    ) {
+      return false;
+    }
+    const isNewer = rival.last.term > last.term ||
+      (rival.last.term === last.term && rival.last.index > last.index);
+    const isEqual = rival.last.term === last.term &&
+      rival.last.index === last.index;
+    const isFirst = isNewer || (isEqual && rival.entryId < self.entryId);
+    if (isFirst) {
+      this.#yieldedAtMs = nowMs;
+      options.logger.info(
+        { rivalId: rival.entryId },
+        "lets another candidate go first",
+      );
+    }
+    return isFirst;
+  }
+
   async #startTerm(): Promise<VoteRequest | undefined> {
     const core = this.#core;
     return await core.mutex.run(async () => {
--- a/src/replication/replica_core.ts
+++ b/src/replication/replica_core.ts
@@ -18,7 +18,7 @@
 import { Mutex, Notifier } from "../tasks/index.ts";
 import { FreshnessLease } from "./freshness_lease.ts";
 import { Leadership } from "./leadership.ts";
-import { ReplicaLog } from "./replica_log.ts";
+import { type LogPosition, ReplicaLog } from "./replica_log.ts";
 import type { ReplicaOptions } from "./replica_options.ts";
 import {
   DISK_COOLDOWN_MS,
@@ -26,6 +26,14 @@
   RESIGNATION_COOLDOWN_MS,
 } from "./timing.ts";
 
+/** Another candidate that this replica would vote for. */
+export interface RivalCandidate {
+  readonly entryId: string;
+  readonly last: LogPosition;
+  /** Steady time at which it was promised the vote (ms). */
+  readonly promisedAtMs: number;
+}
+
 /** Term, vote, log and applied state of a replica. */
 export class ReplicaCore {
   readonly options: ReplicaOptions;
@@ -52,6 +60,8 @@
   lastContactMs: number;
   /** Steady time before which this replica starts no election (ms). */
   resignedUntilMs = -Infinity;
+  /** The candidate of the newest pre-vote that this replica has granted. */
+  rival: RivalCandidate | undefined;
   commitIndex: number;
   appliedIndex: number;
   /** Aborts when the entry stops. */
--- a/src/replication/vote_handler.ts
+++ b/src/replication/vote_handler.ts
@@ -141,7 +141,7 @@
       return "the candidate's log is older";
     }
     if (request.isPreVote) {
-      return request.term > core.term ? undefined : "the term is older";
+      return this.#findPreVoteRefusal(peerId, request);
     }
     await core.raiseTerm(request.term);
     if (request.term !== core.term) {
@@ -152,6 +152,22 @@
       : "another candidate has the vote of this term";
   }
 
+  #findPreVoteRefusal(
+    peerId: string,
+    { term, lastIndex, lastTerm }: VoteRequest,
+  ): string | undefined {
+    const core = this.#core;
+    if (term <= core.term) {
+      return "the term is older";
+    }
+    core.rival = {
+      entryId: peerId,
+      last: { index: lastIndex, term: lastTerm },
+      promisedAtMs: core.options.clock.steadyMs(),
+    };
+    return undefined;
+  }
+
   /** Saves the vote; returns why that failed, or undefined. */
   async #vote(peerId: string): Promise<string | undefined> {
     const core = this.#core;
