--- a/src/replication/replica_core.ts
+++ b/src/replication/replica_core.ts
@@ -18,22 +18,15 @@
 import { Mutex, Notifier } from "../tasks/index.ts";
 import { FreshnessLease } from "./freshness_lease.ts";
 import { Leadership } from "./leadership.ts";
-import { type LogPosition, ReplicaLog } from "./replica_log.ts";
+import { ReplicaLog } from "./replica_log.ts";
 import type { ReplicaOptions } from "./replica_options.ts";
+import type { RivalCandidate } from "./rival_candidate.ts";
 import {
   DISK_COOLDOWN_MS,
   FIRST_TERM,
   RESIGNATION_COOLDOWN_MS,
 } from "./timing.ts";
 
-/** Another candidate that this replica would vote for. */
-export interface RivalCandidate {
-  readonly entryId: string;
-  readonly last: LogPosition;
-  /** Steady time at which it was promised the vote (ms). */
-  readonly promisedAtMs: number;
-}
-
 /** Term, vote, log and applied state of a replica. */
 export class ReplicaCore {
   readonly options: ReplicaOptions;
--- a/src/testing/index.ts
+++ b/src/testing/index.ts
@@ -1,6 +1,7 @@
 /**
  * Fixtures and fakes that the tests, the quickstart and the benchmarks share.
  */
+export * from "./cut_leader_off.ts";
 export * from "./controller_fixture.ts";
 export * from "./daemon_cluster.ts";
 export * from "./daemon_process.ts";
