--- a/src/replication/rival_candidates_test.ts
+++ b/src/replication/rival_candidates_test.ts
@@ -8,6 +8,8 @@
 const SETTLE_MS = 4_000;
 /** One-way delay between zones. */
 const DELAY_MS = 10;
+/** The bound that the benchmark `failover` states. */
+const MAX_UNAVAILABLE_MS = 3_000;
 
 describe("candidates of which each needs all reachable voters", () => {
   async function findNewTerm(seed: number): Promise<number> {
@@ -34,4 +36,26 @@
     }
     assert.equal(late, []);
   });
+
+  // Guards against a candidate that waits for good for another one, which asks
+  // for votes but never gets an answer.
+  it("elect another one when the first cannot win", async () => {
+    const late: string[] = [];
+    for (let seed = 1; seed <= SEED_COUNT; seed += 1) {
+      const cluster = new FakeCluster({ seed, voterIds: VOTERS });
+      await cluster.start();
+      const oldLeaderId = await cluster.waitForLeader();
+      await cluster.clock.advance(SETTLE_MS);
+      const [first = "", ...others] = VOTERS.filter((id) => id !== oldLeaderId);
+      for (const other of others) {
+        cluster.network.setFaults(other, first, { cut: true });
+      }
+      cluster.crash(oldLeaderId);
+      await cluster.clock.advance(MAX_UNAVAILABLE_MS);
+      if (cluster.listLeaders().length === 0) {
+        late.push(`seed ${seed}`);
+      }
+    }
+    assert.equal(late, []);
+  });
 });
