Measure the silence of a peer with the steady clock

A wall clock that is set ahead would look like silence, and close the connection to a peer that is only late.

--- a/src/adapters/peer/peer_link.ts
+++ b/src/adapters/peer/peer_link.ts
@@ -57,7 +57,7 @@
   #socket: Socket | undefined;
   #nextCallId = 1;
   /**
-   * Monotonic time at which the first call since the newest answer was sent
+   * Steady time at which the first call since the newest answer was sent
    * (ms); undefined when none was.
    */
   #unansweredSinceMs: number | undefined;
@@ -156,7 +156,7 @@
     const frame = encodeFrame({ type: "call", callId, method, body });
     this.#options.metrics.countControlBytes("sent", frame.length);
     call.isSent = true;
-    this.#unansweredSinceMs ??= this.#options.clock.monotonicMs();
+    this.#unansweredSinceMs ??= this.#options.clock.steadyMs();
     socket.write(frame);
   }
 
@@ -195,7 +195,7 @@
   #closeSilentSocket(method: string): void {
     const { clock, logger, peer } = this.#options;
     const sinceMs = this.#unansweredSinceMs ?? Infinity;
-    const silentMs = clock.monotonicMs() - sinceMs;
+    const silentMs = clock.steadyMs() - sinceMs;
     if (silentMs < PEER_SILENCE_MS) {
       return;
     }
--- a/src/adapters/peer/peer_link_test.ts
+++ b/src/adapters/peer/peer_link_test.ts
@@ -12,6 +12,7 @@
   findFreePort,
   it,
 } from "../../testing/index.ts";
+import { PausableClock } from "../../testing/pausable_clock.ts";
 import { encodeFrame, FrameReader } from "./frame_codec.ts";
 import { acceptHandshake } from "./handshake.ts";
 import { MAX_FRAME_BYTES, MAX_HANDSHAKE_FRAME_BYTES } from "./limits.ts";
@@ -88,19 +89,21 @@
 
 describe("a link to a peer", () => {
   let clock: FakeClock;
+  let processClock: PausableClock;
   let peer: ScriptedPeer;
   let link: PeerLink;
   let stop: AbortController;
 
   beforeEach(async () => {
     clock = new FakeClock();
+    processClock = new PausableClock(clock);
     peer = new ScriptedPeer();
     stop = new AbortController();
     link = new PeerLink({
       entryId: "entry",
       secret: SECRET,
       peer: { entryId: "peer", host: HOST, port: await peer.start() },
-      clock,
+      clock: processClock,
       logger: new FakeLogger(),
       metrics: new FakeMetrics(),
     });
@@ -194,6 +197,19 @@
       answer(patientReceived, "to a");
       assert.is(await patient, "to a");
     });
+
+    // Guards against a wall clock that is set ahead and looks like silence.
+    it("lets them wait also when its own wall clock is set ahead", async () => {
+      const patient = call("a");
+      const patientReceived = await peer.receive();
+      const hasty = call("b", SHORT_TIMEOUT_MS);
+      await peer.receive();
+      processClock.setAhead(2 * TIMEOUT_MS);
+      await clock.advance(SHORT_TIMEOUT_MS);
+      assert.is(await hasty, "peerUnreachable");
+      answer(patientReceived, "to a");
+      assert.is(await patient, "to a");
+    });
   });
 
   // Guards against a connection that stays dead after a partition has healed.
