--- a/src/replication/vote_handler.ts
+++ b/src/replication/vote_handler.ts
@@ -105,6 +105,9 @@
     const sinceContactMs = options.clock.steadyMs() - core.lastContactMs;
     const refusal = await this.#findRefusal(peerId, request, sinceContactMs) ??
       (request.isPreVote ? undefined : await this.#vote(peerId));
+    if (refusal === undefined && request.isPreVote) {
+      this.#recordRival(peerId, request);
+    }
     options.logger.info(
       {
         candidateId: peerId,
@@ -141,7 +144,7 @@
       return "the candidate's log is older";
     }
     if (request.isPreVote) {
-      return this.#findPreVoteRefusal(peerId, request);
+      return request.term > core.term ? undefined : "the term is older";
     }
     await core.raiseTerm(request.term);
     if (request.term !== core.term) {
@@ -152,20 +155,16 @@
       : "another candidate has the vote of this term";
   }
 
-  #findPreVoteRefusal(
+  // This replica lets the candidate go first, should it become one as well.
+  #recordRival(
     peerId: string,
-    { term, lastIndex, lastTerm }: VoteRequest,
-  ): string | undefined {
-    const core = this.#core;
-    if (term <= core.term) {
-      return "the term is older";
-    }
-    core.rival = {
+    { lastIndex, lastTerm }: VoteRequest,
+  ): void {
+    this.#core.rival = {
       entryId: peerId,
       last: { index: lastIndex, term: lastTerm },
-      promisedAtMs: core.options.clock.steadyMs(),
+      promisedAtMs: this.#core.options.clock.steadyMs(),
     };
-    return undefined;
   }
 
   /** Saves the vote; returns why that failed, or undefined. */
